Lay the ground: build, core library, contract types between the parts

Cause: nothing stood yet. The types that several libraries meet at are agreed first, so that the parts can be written side by side.

--- /dev/null
+++ b/src/core/clock_type.h
@@ -0,0 +1,36 @@
+/** @file clock_type.h The monotonic clock that leases and timeouts are measured on. */
+#ifndef POLLENSTALL_CORE_CLOCK_TYPE_H
+#define POLLENSTALL_CORE_CLOCK_TYPE_H
+
+#include <chrono>
+#include <ctime>
+
+namespace pollenstall {
+
+/**
+ * Monotonic time that goes on while the machine is suspended (CLOCK_BOOTTIME).
+ * On a clock that stops during suspension a lease would look fresh after a night's sleep.
+ */
+struct boot_clock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<boot_clock>;
+  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): std's clock name
+
+  /// @return The time now.
+  static time_point now() noexcept {
+    timespec Time{};
+    clock_gettime(CLOCK_BOOTTIME, &Time);
+    return time_point(std::chrono::seconds(Time.tv_sec) + std::chrono::nanoseconds(Time.tv_nsec));
+  }
+};
+
+/// A moment on the boot clock; decision code is handed it and never reads a clock itself.
+using mono_time = boot_clock::time_point;
+/// A span on the boot clock.
+using mono_span = boot_clock::duration;
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_CORE_CLOCK_TYPE_H
--- /dev/null
+++ b/src/core/identity.cpp
@@ -0,0 +1,59 @@
+/** @file identity.cpp Text forms of ids that cross process borders. */
+#include "core/identity_type.h"
+
+#include <array>
+#include <charconv>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr std::size_t AttemptParts = 4;
+
+template <typename Number> std::optional<Number> parseNumber(std::string_view Text) {
+  Number Value{};
+  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Error != std::errc{} || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+std::optional<std::array<std::string_view, AttemptParts>> splitAttempt(std::string_view Text) {
+  std::array<std::string_view, AttemptParts> Parts;
+  for (std::size_t Index = 0; Index + 1 < AttemptParts; ++Index) {
+    const std::size_t Slash = Text.find('/');
+    if (Slash == std::string_view::npos)
+      return std::nullopt;
+    Parts[Index] = Text.substr(0, Slash);
+    Text.remove_prefix(Slash + 1);
+  }
+  Parts[AttemptParts - 1] = Text;
+  return Parts;
+}
+
+} // namespace
+
+std::string toText(const attempt_id &Attempt) {
+  return Attempt.Owner.Host.str() + "/" + std::to_string(Attempt.Owner.Life.value()) + "/" +
+         std::to_string(Attempt.Request.value()) + "/" + std::to_string(Attempt.Ordinal);
+}
+
+std::optional<attempt_id> attemptFromText(std::string_view Text) {
+  const auto Parts = splitAttempt(Text);
+  if (!Parts || (*Parts)[0].empty())
+    return std::nullopt;
+  const auto Life = parseNumber<std::uint64_t>((*Parts)[1]);
+  const auto Request = parseNumber<std::uint64_t>((*Parts)[2]);
+  const auto Ordinal = parseNumber<std::uint32_t>((*Parts)[3]);
+  if (!Life || !Request || !Ordinal)
+    return std::nullopt;
+  return attempt_id{{host_name(std::string((*Parts)[0])), incarnation(*Life)},
+                    request_number(*Request),
+                    *Ordinal};
+}
+
+std::string toText(const backend_key &Key) {
+  return Key.Address.str() + "#" + std::to_string(Key.Life.value());
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/dispatch/dispatch_type.h
@@ -0,0 +1,181 @@
+/** @file dispatch_type.h Events into and actions out of the life of a request at one entry. */
+#ifndef POLLENSTALL_DISPATCH_DISPATCH_TYPE_H
+#define POLLENSTALL_DISPATCH_DISPATCH_TYPE_H
+
+#include "core/core.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace pollenstall {
+
+/// What is known of a request when its body has been read and its account checked.
+struct request_facts {
+  request_number Id;
+  client_account_name Account;
+  service_name Service;
+  model_name Model;                                         ///< Empty for a plain service.
+  std::vector<std::pair<std::string, std::string>> Headers; ///< Those that selectors mention.
+  tokens Prompt;                                            ///< Estimated.
+  tokens AnswerLimit;                                       ///< What max_tokens allows.
+  bool Idempotent{true};                                    ///< False: at most one run.
+  std::string IdempotencyKey;                               ///< Empty where the caller gave none.
+  std::vector<std::uint64_t> PrefixHashes; ///< One for each leading chunk of the prompt.
+  mono_time Arrived;
+  mono_time Deadline; ///< The final answer is given by then.
+};
+
+/// The final outcome of a request, as the caller is told.
+enum class final_outcome : std::uint8_t {
+  Complete, ///< The whole answer was relayed.
+  NotRun,   ///< Proved: no backend server started it.
+  Unknown,  ///< It may have run, in part or whole.
+};
+
+/// Why a request did not complete.
+enum class failure_reason : std::uint8_t {
+  None,
+  QueueFull,          ///< A bound on waiting requests is reached.
+  AccountLimit,       ///< The account's own bound is reached.
+  DeadlineUnmeetable, ///< Refused early: it could not finish in time.
+  DeadlineExceeded,   ///< Time ran out.
+  NoBackend,          ///< No server of the selected groups can take it.
+  TooLargeForFleet,   ///< No engine has the memory.
+  NotReady,           ///< No declaration in force here, or the lease ran out.
+  ClaimUnavailable,   ///< The claim on its key could not be made durable.
+  AlreadyRunning,     ///< Another entry holds the claim; standing unknown.
+  AlreadyComplete,    ///< An earlier send with this key finished.
+  BackendFailed,      ///< The backend server broke off or gave an error.
+  RetriesExhausted,   ///< Attempts or the retry budget are used up.
+  CallerLeft,         ///< The caller hung up.
+  ShuttingDown,       ///< This entry is stopping.
+};
+
+/// How an attempt ended short of a whole answer.
+enum class attempt_failure : std::uint8_t {
+  NotConnected, ///< No connection, so no byte was sent: proved not run.
+  Declined,     ///< The backend server said that it did not start: proved not run.
+  BrokenUnsent, ///< The connection broke before any byte of the request was written.
+  BrokenSent,   ///< Broke after the first byte of the request was written, before an answer.
+  BrokenMidway, ///< Broke after part of the answer had been relayed to the caller.
+  ErrorAnswer,  ///< A whole answer with a 5xx status; the work may have been done.
+  BadAnswer,    ///< Not valid HTTP, or an answer for another attempt.
+  TimedOut,     ///< No answer within the attempt's time.
+};
+
+/// @return Whether this end proves that the backend server did not start.
+constexpr bool provesNotRun(attempt_failure Failure) {
+  return Failure == attempt_failure::NotConnected || Failure == attempt_failure::Declined ||
+         Failure == attempt_failure::BrokenUnsent;
+}
+
+/// What the holders of claims say of a key.
+enum class claim_verdict : std::uint8_t {
+  Granted,     ///< Durable on a quorum: this request may run.
+  Running,     ///< Claimed by another send, whose end is not known.
+  Complete,    ///< An earlier send completed.
+  Unavailable, ///< No quorum answered in time; nothing may run.
+};
+
+/// What a claim is turned into at the end.
+enum class claim_standing : std::uint8_t {
+  Running,  ///< Granted and not settled.
+  Complete, ///< Ran and its answer was whole.
+  Unknown,  ///< May have run.
+  Released, ///< Proved not run: the key is free again.
+};
+
+// ---- events -------------------------------------------------------------------------------------
+
+struct request_arrived {
+  request_facts Facts;
+};
+struct caller_left {
+  request_number Request;
+};
+/// The first byte of the attempt is about to be handed to the kernel.
+struct attempt_sending {
+  attempt_id Attempt;
+};
+/// The first token, or the head of a plain answer, was relayed.
+struct attempt_answering {
+  attempt_id Attempt;
+};
+/// Further tokens were relayed.
+struct attempt_advanced {
+  attempt_id Attempt;
+  std::uint64_t Events{0}; ///< Token events relayed since the last such report.
+};
+struct attempt_completed {
+  attempt_id Attempt;
+  std::optional<tokens> PromptTokens; ///< As the engine counted, where it said so.
+  std::optional<tokens> AnswerTokens;
+  std::optional<tokens> CachedTokens; ///< Of the prompt, found in the prefix cache.
+};
+struct attempt_failed {
+  attempt_id Attempt;
+  attempt_failure Failure{attempt_failure::NotConnected};
+};
+/// The backend server confirmed that the attempt holds nothing any more.
+struct cancel_confirmed {
+  attempt_id Attempt;
+};
+struct claim_answered {
+  request_number Request;
+  claim_verdict Verdict{claim_verdict::Unavailable};
+};
+
+using dispatch_event =
+    std::variant<request_arrived, caller_left, attempt_sending, attempt_answering, attempt_advanced,
+                 attempt_completed, attempt_failed, cancel_confirmed, claim_answered>;
+
+// ---- actions ------------------------------------------------------------------------------------
+
+/// Make a claim on the key durable before anything is sent.
+struct acquire_claim {
+  request_number Request;
+  std::string Key; ///< Account and idempotency key, joined so that accounts cannot collide.
+  mono_time AnswerBy;
+};
+/// Record how the claimed work ended.
+struct settle_claim {
+  request_number Request;
+  std::string Key;
+  claim_standing Standing{claim_standing::Unknown};
+};
+struct start_attempt {
+  attempt_id Attempt;
+  backend_key Backend;
+  std::uint32_t Priority{0}; ///< Lower runs first.
+  mono_time AnswerBy;        ///< The attempt's own limit for a first byte of the answer.
+  bool MayRetry{false};      ///< The body must be kept until the answer begins.
+};
+/// Reconnect to the same server and go on at the exact event that was relayed last.
+struct resume_attempt {
+  attempt_id Attempt;
+  backend_key Backend;
+};
+/// Close the attempt's connection and ask the server to end it; repeated until confirmed.
+struct cancel_attempt {
+  attempt_id Attempt;
+  backend_key Backend;
+};
+/// Tell the caller the end. For Complete the relay has already sent the answer.
+struct finish_request {
+  request_number Request;
+  final_outcome Outcome{final_outcome::NotRun};
+  failure_reason Reason{failure_reason::None};
+  std::optional<std::chrono::seconds> RetryAfter;
+};
+
+using dispatch_action = std::variant<acquire_claim, settle_claim, start_attempt, resume_attempt,
+                                     cancel_attempt, finish_request>;
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_DISPATCH_DISPATCH_TYPE_H
--- /dev/null
+++ b/src/scheduling/scheduling_type.h
@@ -0,0 +1,62 @@
+/** @file scheduling_type.h What the dispatcher hands to the scheduler and gets back. */
+#ifndef POLLENSTALL_SCHEDULING_SCHEDULING_TYPE_H
+#define POLLENSTALL_SCHEDULING_SCHEDULING_TYPE_H
+
+#include "dispatch/dispatch_type.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pollenstall {
+
+/// Classes of prompt length; the borders are declared by the policy.
+enum class length_class : std::uint8_t { Short, Medium, Long };
+
+/// Where a waiting request may go, worked out by the selectors.
+struct candidate_group {
+  group_name Group;
+  std::uint32_t Weight{1};
+};
+
+/// One attempt's worth of work that waits for a backend server.
+struct work_item {
+  request_number Request;
+  client_account_name Account;
+  service_name Service;
+  model_name Model;
+  std::vector<candidate_group> Groups;
+  tokens Prompt;
+  tokens AnswerLimit;
+  std::vector<std::uint64_t> PrefixHashes;
+  std::vector<backend_key> Avoid; ///< Tried before; used again only where nothing else is left.
+  mono_time Arrived;
+  mono_time Deadline;
+};
+
+/// Why the scheduler takes no more work, and when it would.
+struct work_refusal {
+  failure_reason Reason{failure_reason::QueueFull};
+  std::optional<std::chrono::seconds> RetryAfter;
+};
+
+/// A decision: this request runs there.
+struct work_placement {
+  request_number Request;
+  backend_key Backend;
+  std::uint32_t Priority{0};
+  mono_span ExpectedFirstToken{}; ///< From now.
+};
+
+/// A decision that a waiting request has no way to run in time any more.
+struct work_expiry {
+  request_number Request;
+  work_refusal Refusal;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_SCHEDULING_SCHEDULING_TYPE_H
