--- a/src/consensus/consensus_type.h
+++ b/src/consensus/consensus_type.h
@@ -35,7 +35,8 @@
  */
 struct member_key {
   member_id Member;
-  disk_identity Disk; ///< 0 only in a join_request whose sender does not know the receiver's disk.
+  disk_identity
+      Disk; ///< 0 only in an admission_request whose sender does not know the receiver's disk.
 
   auto operator<=>(const member_key &) const = default;
 };
@@ -47,17 +48,17 @@
 };
 
 /// One member of the set.
-struct member_record {
+struct log_member {
   member_key Key;
   member_standing Standing{member_standing::Learner};
 
-  auto operator<=>(const member_record &) const = default;
+  auto operator<=>(const log_member &) const = default;
 };
 
 /// All members, in the order of their ids; an entry of kind Membership carries one as its payload.
 struct member_set {
   cluster_id Cluster; ///< 0 only where nothing was founded yet.
-  std::vector<member_record> Members;
+  std::vector<log_member> Members;
 
   bool operator==(const member_set &) const = default;
 };
@@ -88,20 +89,20 @@
 };
 
 /// The user's state after all entries up to Index.
-struct snapshot {
+struct log_snapshot {
   log_index Index;
   term_number Term;   ///< Of the entry at Index.
   member_set Members; ///< In force at Index.
   std::string State;  ///< The user's bytes.
 
-  bool operator==(const snapshot &) const = default;
+  bool operator==(const log_snapshot &) const = default;
 };
 
 /// What a disk held when it was opened.
-struct restored_state {
+struct restored_log {
   hard_state Hard;
-  std::shared_ptr<const snapshot> Snapshot; ///< Null where none was taken.
-  std::vector<log_entry> Entries;           ///< Consecutive; they overlap or follow the snapshot.
+  std::shared_ptr<const log_snapshot> Snapshot; ///< Null where none was taken.
+  std::vector<log_entry> Entries; ///< Consecutive; they overlap or follow the snapshot.
 };
 
 // ---- Messages. Plain aggregates, so that a codec needs to know nothing else. ----
@@ -151,59 +152,60 @@
 
 /// A whole snapshot; replica_options bounds its size.
 struct snapshot_request {
-  snapshot Snapshot;
+  log_snapshot Snapshot;
   std::uint64_t Round{0};
   std::int64_t SentAt{0};
 };
 
 /// An empty disk asks to be admitted, or tells a founder that it is empty.
-struct join_request {};
+struct admission_request {};
 
-/// A founder answers a join_request, so that the next one names the founder's disk.
-struct join_probe {};
+/// A founder answers an admission_request, so that the next one names the founder's disk.
+struct founder_probe {};
 
-using message_body =
+using consensus_body =
     std::variant<pre_vote_request, pre_vote_reply, vote_request, vote_reply, append_request,
-                 append_reply, snapshot_request, join_request, join_probe>;
+                 append_reply, snapshot_request, admission_request, founder_probe>;
 
 /// What members send each other; may be lost, delayed, duplicated and reordered.
-struct message {
+struct consensus_message {
   cluster_id Cluster; ///< 0 where the sender belongs to none yet.
   member_key From;
   member_key To;
   term_number Term; ///< The sender's.
-  message_body Body;
+  consensus_body Body;
 };
 
 // ---- Actions, to be carried out in order. ----
 
 /// Deliver to Message.To; no need to retry.
-struct send {
-  message Message;
+struct send_to_member {
+  consensus_message Message;
 };
 
 /**
  * Make durable in this order: hard state, snapshot, truncation, entries. Several may share one
  * sync. Confirm with replica::persisted(Number); a failed write must end the process.
  */
-struct persist {
+struct persist_log {
   persist_number Number;
   std::optional<hard_state> Hard;
-  std::shared_ptr<const snapshot> Snapshot; ///< Not null: store it; then entries may be dropped.
-  bool ResetLog{false};                     ///< With Snapshot: it replaces the whole log.
-  log_index CompactTo;                      ///< With Snapshot: entries up to here may be dropped.
-  std::optional<log_index> TruncateFrom;    ///< Drop the entries from here on.
-  std::vector<log_entry> Entries;           ///< Append these.
+  std::shared_ptr<const log_snapshot>
+      Snapshot;                          ///< Not null: store it; then entries may be dropped.
+  bool ResetLog{false};                  ///< With Snapshot: it replaces the whole log.
+  log_index CompactTo;                   ///< With Snapshot: entries up to here may be dropped.
+  std::optional<log_index> TruncateFrom; ///< Drop the entries from here on.
+  std::vector<log_entry> Entries;        ///< Append these.
 };
 
 /// Apply to the user's state; indexes come without gaps. Only Kind Command has a user's payload.
-struct apply {
+struct apply_entry {
   log_entry Entry;
 };
 
 /// Replace the user's state; the next apply has the index after the snapshot's.
 struct install_snapshot {
-  std::shared_ptr<const snapshot> Snapshot;
+  std::shared_ptr<const log_snapshot> Snapshot;
 };
 
 /// This replica leads; it may serve once leaseValid() says so or a read is ready.
@@ -243,9 +245,9 @@
   member_set Members;
 };
 
-using action =
-    std::variant<send, persist, apply, install_snapshot, became_leader, stepped_down, read_ready,
-                 read_refused, take_snapshot, admission_requested, members_changed>;
+using consensus_action = std::variant<send_to_member, persist_log, apply_entry, install_snapshot,
+                                      became_leader, stepped_down, read_ready, read_refused,
+                                      take_snapshot, admission_requested, members_changed>;
 
 // ---- Answers to the user's calls. ----
 
@@ -290,7 +292,7 @@
   std::uint32_t ClockSkewPermille{20};
   /// A longer time between two events, or any step back, counts as a clock jump.
   mono_span MaxClockStep{std::chrono::milliseconds(500)};
-  mono_span JoinInterval{std::chrono::milliseconds(500)}; ///< Between two join_requests.
+  mono_span JoinInterval{std::chrono::milliseconds(500)}; ///< Between two admission_requests.
   std::size_t MaxBatchBytes{256U << 10U};                 ///< Entries' bytes in one append.
   std::size_t MaxBatchEntries{256};                       ///< Entries in one append.
   std::size_t MaxInFlight{8};               ///< Appends to one member without an answer.
--- a/src/consensus/member_set_func.h
+++ b/src/consensus/member_set_func.h
@@ -17,10 +17,10 @@
 std::optional<member_set> decodeMembers(std::string_view Payload);
 
 /// @return The record of exactly this disk, or null.
-const member_record *findMember(const member_set &Set, const member_key &Key);
+const log_member *findMember(const member_set &Set, const member_key &Key);
 
 /// @return The record under this id whatever its disk, or null.
-const member_record *findMember(const member_set &Set, member_id Member);
+const log_member *findMember(const member_set &Set, member_id Member);
 
 /// @return Whether exactly this disk votes.
 bool isVoter(const member_set &Set, const member_key &Key);
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -15,7 +15,7 @@
 
 /// How far one member is, as the leader knows it.
 struct member_progress {
-  member_record Member;
+  log_member Member;
   log_index Match;        ///< Known to be on its disk.
   mono_span SinceHeard{}; ///< Since the send time of the last message it answered.
 };
@@ -50,7 +50,7 @@
   /// To be called at least every heartbeat interval.
   void tick(mono_time Now);
   /// A message arrived; whatever it says, it was decoded and bounded in size before.
-  void receive(message Message, mono_time Now);
+  void receive(consensus_message Message, mono_time Now);
   /// All persist actions up to Number are durable.
   void persisted(persist_number Number, mono_time Now);
   /// @return Where the payload stands in the log, or why it was not taken.
@@ -68,7 +68,7 @@
   proposal_result expel(member_id Member, mono_time Now);
 
   /// @return What is to be done, in order. Entries proposed since the last call go out in batches.
-  std::vector<action> takeActions(mono_time Now);
+  std::vector<consensus_action> takeActions(mono_time Now);
 
   /// @return Whether no other member can be a leader with a lease now.
   [[nodiscard]] bool leaseValid(mono_time Now) const;
@@ -91,7 +91,7 @@
   explicit replica_builder(member_key Self);
 
   replica_builder &options(const replica_options &Bounds);
-  replica_builder &restored(restored_state State);
+  replica_builder &restored(restored_log State);
   /// Members whom an empty disk asks to be let in: all of the settings' control hosts.
   replica_builder &peers(std::vector<member_id> Ids);
   /**
@@ -108,7 +108,7 @@
 private:
   member_key Self;
   replica_options Options;
-  restored_state State;
+  restored_log State;
   std::vector<member_id> Peers;
   cluster_id Cluster;
   std::uint64_t Seed{0};
--- a/src/storage/data_folder_base.h
+++ b/src/storage/data_folder_base.h
@@ -29,13 +29,13 @@
   [[nodiscard]] const folder_identity &identity() const;
 
   /// @return What the folder held when it was opened; the caller may move it away.
-  [[nodiscard]] restored_state &restored();
+  [[nodiscard]] restored_log &restored();
 
   /**
    * Carries out persist actions in order with one sync of the log for all of them.
    * @return Success once all of them are durable: confirm the last one's number.
    */
-  result<done, storage_error> write(const std::vector<persist> &Batch);
+  result<done, storage_error> write(const std::vector<persist_log> &Batch);
 
 private:
   struct parts;
