--- a/src/consensus/consensus_type.h
+++ b/src/consensus/consensus_type.h
@@ -230,7 +230,8 @@
   member_key LeaderHint; ///< Member 0 where none is known.
 };
 
-/// The log is long: hand the state after Index to replica::snapshotTaken().
+/// The log is long: hand the state after Index to replica::snapshotTaken(), always, or none is
+/// asked for again.
 struct take_snapshot {
   log_index Index; ///< What was applied last.
 };
@@ -269,6 +270,7 @@
   UnknownMember,    ///< Membership only.
   AlreadyMember,    ///< Membership only: that very disk is a member.
   LastVoter,        ///< Membership only: nobody would be left to vote.
+  MemberActive,     ///< Membership only: the id's present disk was heard of a moment ago.
 };
 
 struct proposal_refusal {
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -88,7 +88,7 @@
 /// Builds a replica from what its disk held.
 class replica_builder {
 public:
-  explicit replica_builder(member_key Self);
+  explicit replica_builder(member_key Key);
 
   replica_builder &options(const replica_options &Bounds);
   replica_builder &restored(restored_log State);
--- /dev/null
+++ b/src/consensus/replica_core_election.cpp
@@ -0,0 +1,139 @@
+/** @file replica_core_election.cpp Pre-votes, votes and the start of a leader's term. */
+#include "consensus/replica_core_base.h"
+
+namespace pollenstall {
+
+bool replica_core::mayVote(mono_time Now) const {
+  // A leader counts on those who answered it: until they let the minimum timeout pass, none of them
+  // helps another to office. This is what makes the lease hold, and it keeps a member that was cut
+  // off from deposing a leader that works.
+  if (role() == replica_role::Leader)
+    return Now >= leaseEnd();
+  return Now - LastHeard >= Options.MinElectionTimeout;
+}
+
+void replica_core::heardLeader(mono_time Now) {
+  LastHeard = Now;
+  drawElectionDeadline(Now);
+}
+
+void replica_core::drawElectionDeadline(mono_time Now) {
+  const mono_span Spread = Options.MaxElectionTimeout - Options.MinElectionTimeout;
+  const auto Drawn = Random.below(static_cast<std::uint64_t>(Spread.count()) + 1);
+  ElectionDeadline = Now + Options.MinElectionTimeout + mono_span(static_cast<long>(Drawn));
+}
+
+void replica_core::stand(mono_time Now) {
+  Role.process(role_event::ElectionTimeout);
+  Leader = {};
+  Votes = {Self};
+  drawElectionDeadline(Now);
+  const pre_vote_request Request{Hard.Term.next(), Log.lastIndex(), Log.lastTerm()};
+  for (const log_member &Member : members().Members)
+    if (Member.Standing == member_standing::Voter && Member.Key != Self)
+      sendNow(Member.Key, Request);
+  countVotes(Now);
+}
+
+void replica_core::becomeCandidate(mono_time Now) {
+  Role.process(role_event::PreVoteWon);
+  setHardState({Hard.Term.next(), Self});
+  Votes.clear();
+  OwnVoteNeeds = Ledger.coversHard();
+  drawElectionDeadline(Now);
+  const vote_request Request{Log.lastIndex(), Log.lastTerm()};
+  for (const log_member &Member : members().Members)
+    if (Member.Standing == member_standing::Voter && Member.Key != Self)
+      Held.push_back({OwnVoteNeeds, makeMessage(Member.Key, Request)});
+}
+
+void replica_core::countOwnVote() {
+  if (role() != replica_role::Candidate || !Ledger.isConfirmed(OwnVoteNeeds))
+    return;
+  if (Votes.insert(Self).second)
+    countVotes(LastEvent);
+}
+
+void replica_core::countVotes(mono_time Now) {
+  // Votes are counted by disk: one that an emptied disk cannot remember is never counted twice.
+  if (!hasQuorum(members(), [this](const member_key &Key) { return Votes.count(Key) != 0; }))
+    return;
+  if (role() == replica_role::PreCandidate)
+    becomeCandidate(Now);
+  else if (role() == replica_role::Candidate)
+    becomeLeader(Now);
+}
+
+void replica_core::becomeLeader(mono_time Now) {
+  check(LedTerm < Hard.Term, "a term is won once");
+  check(Ledger.isConfirmed(OwnVoteNeeds), "a leader's own vote is on its disk");
+  Role.process(role_event::VoteWon);
+  LedTerm = Hard.Term;
+  Leader = Self;
+  LeadingSince = Now;
+  LeaseRound = NextRound;
+  resetProgress();
+  // Entries of earlier terms count as committed only behind one of this term (Raft, 5.4.2).
+  FirstOwnIndex = appendOwn(entry_kind::Noop, {});
+  HeartbeatWanted = true;
+  Actions.emplace_back(became_leader{Hard.Term});
+}
+
+void replica_core::receiveBody(const consensus_message &Message, const pre_vote_request &Request,
+                               mono_time Now) {
+  const bool Granted = Request.ForTerm > Hard.Term && mayVote(Now) &&
+                       Log.isNoNewerThan(Request.LastIndex, Request.LastTerm);
+  reply(Message, pre_vote_reply{Request.ForTerm, Granted}, Ledger.coversHard());
+}
+
+void replica_core::receiveBody(const consensus_message &Message, const pre_vote_reply &Reply,
+                               mono_time Now) {
+  if (findMember(members(), Message.From) == nullptr)
+    return;
+  if (Message.Term > Hard.Term && !Reply.Granted) {
+    adoptTerm(Message.Term);
+    return;
+  }
+  const bool Counts = role() == replica_role::PreCandidate && Reply.ForTerm == Hard.Term.next();
+  if (!Counts || !Reply.Granted)
+    return;
+  Votes.insert(Message.From);
+  countVotes(Now);
+}
+
+void replica_core::receiveBody(const consensus_message &Message, const vote_request &Request,
+                               mono_time Now) {
+  if (Message.Term < Hard.Term) {
+    reply(Message, vote_reply{false}, Ledger.coversHard());
+    return;
+  }
+  const bool Again = Message.Term == Hard.Term && Hard.Vote == Message.From;
+  if (!Again && !mayVote(Now))
+    return;
+  if (Message.Term > Hard.Term)
+    adoptTerm(Message.Term);
+  const bool Free = Hard.Vote.Member == member_id();
+  const bool Granted = Free && Log.isNoNewerThan(Request.LastIndex, Request.LastTerm);
+  if (Granted) {
+    setHardState({Message.Term, Message.From});
+    drawElectionDeadline(Now);
+  }
+  reply(Message, vote_reply{Granted || Again}, Ledger.coversHard());
+}
+
+void replica_core::receiveBody(const consensus_message &Message, const vote_reply &Reply,
+                               mono_time Now) {
+  if (findMember(members(), Message.From) == nullptr)
+    return;
+  if (Message.Term > Hard.Term) {
+    adoptTerm(Message.Term);
+    return;
+  }
+  const bool Counts = role() == replica_role::Candidate && Message.Term == Hard.Term;
+  if (!Counts || !Reply.Granted)
+    return;
+  Votes.insert(Message.From);
+  countVotes(Now);
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/consensus/replica_core_leader.cpp
@@ -0,0 +1,143 @@
+/** @file replica_core_leader.cpp Sending the log to the other members and committing it. */
+#include "consensus/replica_core_base.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace pollenstall {
+
+follower_progress *replica_core::progressOf(const member_key &Key) {
+  for (follower_progress &Progress : Followers)
+    if (Progress.key() == Key)
+      return &Progress;
+  return nullptr;
+}
+
+void replica_core::resetProgress() {
+  Followers.clear();
+  for (const log_member &Member : members().Members)
+    if (Member.Key != Self)
+      Followers.emplace_back(Member.Key, Log.lastIndex().next());
+}
+
+log_index replica_core::appendOwn(entry_kind Kind, std::string Payload) {
+  log_entry Entry{Log.lastIndex().next(), Hard.Term, Kind, std::move(Payload)};
+  const log_index Index = Entry.Index;
+  Ledger.append(Entry);
+  Log.append(std::move(Entry));
+  return Index;
+}
+
+void replica_core::broadcast() {
+  for (follower_progress &Progress : Followers) {
+    sendEntries(Progress);
+    const bool NewCommit = Progress.SentCommit < Commit && Progress.mode() == send_mode::Replicate;
+    if (HeartbeatWanted || NewCommit)
+      sendHeartbeat(Progress);
+  }
+  if (HeartbeatWanted)
+    NextHeartbeat = LastEvent + Options.HeartbeatInterval;
+  HeartbeatWanted = false;
+}
+
+void replica_core::sendEntries(follower_progress &Progress) {
+  while (Progress.mayAppend(Options.MaxInFlight)) {
+    const bool Probing = Progress.mode() == send_mode::Probe;
+    if (!Probing && Progress.next() > Log.lastIndex())
+      return;
+    if (!Log.termAt(log_index(Progress.next().value() - 1))) {
+      sendSnapshot(Progress);
+      return;
+    }
+    sendAppend(Progress,
+               Log.slice(Progress.next(), Options.MaxBatchEntries, Options.MaxBatchBytes));
+  }
+}
+
+void replica_core::sendAppend(follower_progress &Progress, std::vector<log_entry> Entries) {
+  const log_index Prev(Progress.next().value() - 1);
+  const log_index Last(Prev.value() + Entries.size());
+  append_request Request{Prev,
+                         *Log.termAt(Prev),
+                         Commit,
+                         NextRound++,
+                         LastEvent.time_since_epoch().count(),
+                         std::move(Entries)};
+  sendNow(Progress.key(), std::move(Request));
+  Progress.sentAppend(Last);
+  Progress.SentCommit = Commit;
+}
+
+void replica_core::sendSnapshot(follower_progress &Progress) {
+  check(Snapshot != nullptr, "what is compacted away is in a snapshot");
+  sendNow(Progress.key(),
+          snapshot_request{*Snapshot, NextRound++, LastEvent.time_since_epoch().count()});
+  Progress.sentSnapshot(LastEvent);
+}
+
+void replica_core::sendHeartbeat(follower_progress &Progress) {
+  const mono_span SnapshotRetry = 2 * Options.MaxElectionTimeout;
+  const bool Stuck = Progress.mode() == send_mode::Snapshot;
+  if (Stuck && LastEvent - Progress.snapshotSentAt() >= SnapshotRetry) {
+    Progress.leaveSnapshot(Progress.next());
+    sendEntries(Progress);
+  }
+  if (Progress.mode() != send_mode::Snapshot &&
+      Log.termAt(log_index(Progress.next().value() - 1))) {
+    sendAppend(Progress, {});
+    return;
+  }
+  // Nothing is known to fit while a snapshot is under way, so the heartbeat names the log's start.
+  append_request Request;
+  Request.Round = NextRound++;
+  Request.SentAt = LastEvent.time_since_epoch().count();
+  sendNow(Progress.key(), std::move(Request));
+}
+
+void replica_core::receiveBody(const consensus_message &Message, const append_reply &Reply,
+                               mono_time Now) {
+  if (findMember(members(), Message.From) == nullptr)
+    return;
+  if (Message.Term > Hard.Term) {
+    adoptTerm(Message.Term);
+    return;
+  }
+  if (role() != replica_role::Leader || Message.Term < Hard.Term)
+    return;
+  follower_progress *Progress = progressOf(Message.From);
+  const mono_time SentAt{mono_span(Reply.SentAt)};
+  if (Progress == nullptr || SentAt > Now || Reply.Round >= NextRound)
+    return;
+  if (Reply.Round >= LeaseRound)
+    Progress->heard(Reply.Round, SentAt);
+  if (!Reply.Matched) {
+    Progress->rejected(Reply.RejectedPrev,
+                       Log.lastWithTermAtMost(Reply.HintIndex, Reply.HintTerm).next());
+    return;
+  }
+  check(Reply.Match <= Log.lastIndex(), "nobody matches more than the leader's log");
+  const bool SnapshotOver =
+      Progress->mode() == send_mode::Snapshot && Reply.Match >= Log.baseIndex();
+  if (SnapshotOver)
+    Progress->leaveSnapshot(Reply.Match.next());
+  if (Progress->matched(Reply.Match))
+    advanceCommit();
+}
+
+void replica_core::advanceCommit() {
+  std::vector<log_index> Matches;
+  for (const log_member &Member : members().Members) {
+    if (Member.Standing != member_standing::Voter)
+      continue;
+    const follower_progress *Progress = progressOf(Member.Key);
+    Matches.push_back(Progress != nullptr ? Progress->match() : Ledger.durable());
+  }
+  std::sort(Matches.begin(), Matches.end(), std::greater<>());
+  const log_index Agreed = Matches[quorumSize(members()) - 1];
+  if (Agreed <= Commit || Log.termAt(Agreed) != Hard.Term)
+    return;
+  setCommit(Agreed);
+  startReads();
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/consensus/replica_core_member.cpp
@@ -0,0 +1,157 @@
+/** @file replica_core_member.cpp Founding, admission and single-server membership changes. */
+#include "consensus/replica_core_base.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+constexpr term_number FoundingTerm{1}; ///< No election can be won in it.
+} // namespace
+
+void replica_core::putMembers(log_index Index, member_set Set) {
+  History.append(Index, std::move(Set));
+  membersChanged();
+}
+
+void replica_core::membersChanged() {
+  Actions.emplace_back(members_changed{members()});
+  const bool Voter = isVoter(members(), Self);
+  if (role() == replica_role::Leader) {
+    std::erase_if(Followers, [this](const follower_progress &Progress) {
+      return findMember(members(), Progress.key()) == nullptr;
+    });
+    for (const log_member &Member : members().Members)
+      if (Member.Key != Self && progressOf(Member.Key) == nullptr)
+        Followers.emplace_back(Member.Key, Log.lastIndex().next());
+    return;
+  }
+  if (Voter && role() == replica_role::Learner) {
+    Role.process(role_event::MadeVoter);
+    drawElectionDeadline(LastEvent);
+  } else if (!Voter && role() != replica_role::Learner) {
+    Role.process(role_event::MadeLearner);
+  }
+}
+
+std::optional<proposal_refusal> replica_core::refuseChange(const member_set &Set) const {
+  if (role() != replica_role::Leader)
+    return proposal_refusal{proposal_error::NotLeader, Leader};
+  // Two changes under way could give two quorums that do not meet; so could one that is proposed
+  // before the leader knows whether its predecessor's change is committed (Ongaro's 2015 erratum).
+  if (Commit < FirstOwnIndex)
+    return proposal_refusal{proposal_error::NotReady, Leader};
+  if (History.currentIndex() > Commit)
+    return proposal_refusal{proposal_error::ChangeInProgress, Leader};
+  if (voterCount(Set) == 0)
+    return proposal_refusal{proposal_error::LastVoter, Leader};
+  return std::nullopt;
+}
+
+proposal_result replica_core::proposeMembers(member_set Set) {
+  const auto Refusal = refuseChange(Set);
+  if (Refusal)
+    return *Refusal;
+  const log_index Index = appendOwn(entry_kind::Membership, encodeMembers(Set));
+  putMembers(Index, std::move(Set));
+  return proposal_place{Index, Hard.Term};
+}
+
+proposal_result replica_core::admit(const member_key &Key, mono_time Now) {
+  enter(Now);
+  if (role() != replica_role::Leader)
+    return proposal_refusal{proposal_error::NotLeader, Leader};
+  const log_member *Present = findMember(members(), Key.Member);
+  if (Present != nullptr && Present->Key == Key)
+    return proposal_refusal{proposal_error::AlreadyMember, Leader};
+  if (Present != nullptr) {
+    // Two processes under one id by mistake must not push each other out in turn.
+    const follower_progress *Progress = progressOf(Present->Key);
+    const bool Active =
+        Progress == nullptr ||
+        (Progress->heardAt() && Now - *Progress->heardAt() < Options.MaxElectionTimeout);
+    if (Active)
+      return proposal_refusal{proposal_error::MemberActive, Leader};
+  }
+  return proposeMembers(withLearner(members(), Key));
+}
+
+proposal_result replica_core::expel(member_id Member, mono_time Now) {
+  enter(Now);
+  if (role() != replica_role::Leader)
+    return proposal_refusal{proposal_error::NotLeader, Leader};
+  if (findMember(members(), Member) == nullptr)
+    return proposal_refusal{proposal_error::UnknownMember, Leader};
+  return proposeMembers(withoutMember(members(), Member));
+}
+
+void replica_core::promoteLearner(mono_time Now) {
+  for (const follower_progress &Progress : Followers) {
+    const bool Learns = !isVoter(members(), Progress.key());
+    const bool InContact =
+        Progress.heardAt() && Now - *Progress.heardAt() < Options.MinElectionTimeout;
+    // A voter that lags would leave the next lost host without a quorum that has the whole log.
+    const bool CaughtUp =
+        Progress.match().value() + Options.CaughtUpWithin >= Log.lastIndex().value();
+    if (!Learns || !InContact || !CaughtUp)
+      continue;
+    proposeMembers(withVoter(members(), Progress.key()));
+    return;
+  }
+}
+
+void replica_core::askToJoin(mono_time Now) {
+  if (Now < NextJoin)
+    return;
+  NextJoin = Now + Options.JoinInterval;
+  for (const member_id Peer : Peers) {
+    const auto Known = FounderDisks.find(Peer);
+    const disk_identity Disk = Known == FounderDisks.end() ? disk_identity() : Known->second;
+    if (Peer != Self.Member)
+      sendNow({Peer, Disk}, admission_request{});
+  }
+}
+
+void replica_core::receiveBody(const consensus_message &Message, const admission_request &,
+                               mono_time) {
+  if (role() == replica_role::Leader) {
+    if (findMember(members(), Message.From) == nullptr)
+      Actions.emplace_back(admission_requested{Message.From});
+    return;
+  }
+  if (!isEmpty() || Fresh == cluster_id())
+    return;
+  // Only an answer that names this disk was given after this disk was made. An older one could come
+  // from a peer that has since taken part in a log which this host founded and then lost.
+  if (Message.To.Disk == Self.Disk)
+    Joined[Message.From.Member] = Message.From;
+  else
+    sendNow(Message.From, founder_probe{});
+}
+
+void replica_core::receiveBody(const consensus_message &Message, const founder_probe &,
+                               mono_time Now) {
+  if (!isEmpty())
+    return;
+  FounderDisks[Message.From.Member] = Message.From.Disk;
+  NextJoin = Now;
+}
+
+void replica_core::foundWhenAllAreEmpty() {
+  if (Fresh == cluster_id())
+    return;
+  member_set Set{Fresh, {{Self, member_standing::Voter}}};
+  for (const member_id Peer : Peers) {
+    if (Peer == Self.Member)
+      continue;
+    const auto Known = Joined.find(Peer);
+    if (Known == Joined.end())
+      return;
+    Set = withVoter(withLearner(std::move(Set), Known->second), Known->second);
+  }
+  if (Hard.Term < FoundingTerm)
+    setHardState({FoundingTerm, {}});
+  storeEntry({log_index(1), FoundingTerm, entry_kind::Membership, encodeMembers(Set)});
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/tests/consensus/random_run_test.cpp
@@ -0,0 +1,205 @@
+/** @file random_run_test.cpp Long randomised runs of whole clusters with every promise checked. */
+#include "consensus/fake_cluster_base.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <unistd.h>
+
+namespace pollenstall {
+namespace {
+
+constexpr std::uint64_t SeedsInCi = 300;
+constexpr std::uint64_t FirstSeedInCi = 1;
+volatile std::sig_atomic_t RunningSeed = 0;
+
+/// A broken invariant aborts; the seed must be known all the same.
+void tellSeed(int) {
+  std::array<char, 64> Line{};
+  const int Size = std::snprintf(Line.data(), Line.size(), "failing seed: %ld\n",
+                                 static_cast<long>(RunningSeed));
+  (void)!write(STDERR_FILENO, Line.data(), static_cast<std::size_t>(Size));
+}
+
+std::uint64_t fromEnvironment(const char *Name, std::uint64_t Otherwise) {
+  const char *Text = std::getenv(Name); // NOLINT(concurrency-mt-unsafe): read before any thread
+  return Text == nullptr ? Otherwise : std::strtoull(Text, nullptr, 10);
+}
+
+replica_options drawOptions(random_source &Random) {
+  replica_options Options;
+  Options.MaxBatchEntries = 1 + Random.below(8);
+  Options.MaxInFlight = 1 + Random.below(4);
+  Options.SnapshotEvery = Random.chance(0.5) ? 10 + Random.below(40) : 100000;
+  Options.KeepAfterSnapshot = Random.below(10);
+  Options.CaughtUpWithin = Random.below(8);
+  return Options;
+}
+
+fault_rates drawRates(random_source &Random) {
+  fault_rates Rates;
+  Rates.Drop = Random.chance(0.5) ? Random.unit() * 0.3 : 0;
+  Rates.Duplicate = Random.chance(0.5) ? Random.unit() * 0.3 : 0;
+  Rates.MaxDelay = Random.chance(0.5) ? 2ms : 100ms;
+  Rates.LongDelay = Random.chance(0.5) ? Random.unit() * 0.1 : 0;
+  Rates.LongDelayMax = Random.chance(0.3) ? 5s : 800ms;
+  Rates.MaxSync = Random.chance(0.3) ? 400ms : 3ms;
+  return Rates;
+}
+
+/// One schedule: faults at random for a while, then peace, then everything must be whole again.
+class schedule {
+public:
+  schedule(std::size_t Size, std::uint64_t Seed)
+      : Faults(Seed ^ 0x5EED), Cluster(Size, Seed, drawOptions(Faults)) {}
+
+  void run() {
+    Cluster.run(mono_span(Faults.below((5s / 1ns))));
+    const std::uint64_t Rounds = 20 + Faults.below(60);
+    for (std::uint64_t Round = 0; Round < Rounds; ++Round) {
+      doFault();
+      repairSeen();
+      const std::uint64_t Calls = Faults.below(12);
+      for (std::uint64_t Call = 0; Call < Calls; ++Call)
+        doCall();
+      Cluster.run(mono_span(Faults.below(800ms / 1ns)));
+    }
+    Cluster.heal();
+    ASSERT_TRUE(Cluster.runUntil([this] { return Cluster.isWhole(); }, 120s)) << dumps();
+    const std::size_t Before = Cluster.checker().committedCount();
+    ASSERT_TRUE(Cluster.propose(*Cluster.leader()));
+    ASSERT_TRUE(Cluster.runUntil([this] { return Cluster.isWhole(); }, 120s)) << dumps();
+    ASSERT_GT(Cluster.checker().committedCount(), Before);
+  }
+
+  [[nodiscard]] const fake_cluster &cluster() const { return Cluster; }
+  [[nodiscard]] std::uint64_t disksLost() const { return DisksLost; }
+
+private:
+  fake_host &anyHost() { return Cluster.hosts()[Faults.below(Cluster.hosts().size())]; }
+
+  void doCall() {
+    fake_host &Host =
+        Faults.chance(0.7) && Cluster.leader() != nullptr ? *Cluster.leader() : anyHost();
+    if (Host.FrozenUntil.count() != 0 && Host.Process && Faults.chance(0.5))
+      return;
+    if (Faults.chance(0.7))
+      Cluster.propose(Host);
+    else
+      Cluster.read(Host);
+    Cluster.run(mono_span(Faults.below(20ms / 1ns)));
+  }
+
+  void doFault() {
+    const std::size_t Size = Cluster.hosts().size();
+    switch (Faults.below(12)) {
+    case 0:
+    case 1:
+      Cluster.heal();
+      return;
+    case 2:
+      Cluster.Rates = drawRates(Faults);
+      return;
+    case 3:
+      Cluster.cut(Faults.below(Size), Faults.below(Size));
+      return;
+    case 4:
+      Cluster.cutOff(Faults.below(Size));
+      return;
+    case 5:
+      Cluster.freeze(anyHost(), mono_span(Faults.below(4s / 1ns)));
+      return;
+    case 6:
+    case 7:
+      restart(anyHost());
+      return;
+    case 8:
+      loseDiskIfAllowed(anyHost());
+      return;
+    case 9:
+      if (Faults.chance(0.3))
+        Cluster.jumpClock(anyHost(), Faults.chance(0.5) ? -3s : 2s);
+      return;
+    default:
+      return;
+    }
+  }
+
+  void restart(fake_host &Host) {
+    if (Host.Process)
+      Cluster.crash(Host);
+    else
+      Cluster.start(Host);
+    if (!Host.Process && Faults.chance(0.7))
+      Cluster.start(Host);
+  }
+
+  /// More lost disks than the committed set can spare would lose data under any protocol.
+  void loseDiskIfAllowed(fake_host &Host) {
+    const member_set &Members = Cluster.checker().members();
+    std::size_t Gone = 1;
+    for (const log_member &Member : Members.Members) {
+      const fake_host &Holder = Cluster.hosts()[Member.Key.Member.value() - 1];
+      const bool Voter = Member.Standing == member_standing::Voter;
+      if (Voter && Holder.Id != Host.Id && Holder.Disk->identity() != Member.Key.Disk)
+        ++Gone;
+    }
+    if (Members.Members.empty() || Gone + quorumSize(Members) > voterCount(Members))
+      return;
+    ++DisksLost;
+    Cluster.loseDisk(Host);
+    Cluster.start(Host);
+  }
+
+  /// The moment a repair is committed is the one at which a second loss hurts most.
+  void repairSeen() {
+    const member_set &Members = Cluster.checker().members();
+    const bool Repaired = voterCount(Members) > LastVoters && LastVoters != 0;
+    LastVoters = voterCount(Members);
+    if (Repaired && Faults.chance(0.7))
+      loseDiskIfAllowed(anyHost());
+  }
+
+  std::string dumps() {
+    std::string Text;
+    for (const fake_host &Host : Cluster.hosts())
+      Text += Host.Process ? Host.Process->dump() : "down\n";
+    return Text;
+  }
+
+  random_source Faults;
+  fake_cluster Cluster;
+  std::size_t LastVoters{0};
+  std::uint64_t DisksLost{0};
+};
+
+TEST(RandomRun, KeepsEveryPromiseUnderFaults) {
+  const std::uint64_t Seeds = fromEnvironment("POLLENSTALL_SEEDS", SeedsInCi);
+  const std::uint64_t First = fromEnvironment("POLLENSTALL_FIRST_SEED", FirstSeedInCi);
+  const auto Before = std::signal(SIGABRT, tellSeed);
+  std::uint64_t Steps = 0;
+  std::uint64_t Committed = 0;
+  std::uint64_t Reads = 0;
+  std::uint64_t DisksLost = 0;
+  for (std::uint64_t Seed = First; Seed < First + Seeds; ++Seed) {
+    RunningSeed = static_cast<std::sig_atomic_t>(Seed);
+    schedule Schedule(Seed % 3 == 0 ? 5 : 3, Seed);
+    Schedule.run();
+    Steps += Schedule.cluster().steps();
+    Committed += Schedule.cluster().checker().committedCount();
+    Reads += Schedule.cluster().readsServed();
+    DisksLost += Schedule.disksLost();
+    ASSERT_FALSE(HasFatalFailure()) << "failing seed: " << Seed;
+  }
+  std::signal(SIGABRT, Before);
+  std::printf("consensus random run: schedules %llu first_seed %llu steps %llu committed %llu "
+              "reads %llu disks_lost %llu\n",
+              static_cast<unsigned long long>(Seeds), static_cast<unsigned long long>(First),
+              static_cast<unsigned long long>(Steps), static_cast<unsigned long long>(Committed),
+              static_cast<unsigned long long>(Reads), static_cast<unsigned long long>(DisksLost));
+}
+
+} // namespace
+} // namespace pollenstall
