--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -15,6 +15,7 @@
     Commit = Snapshot->Index;
     Applied = Commit;
     Actions.emplace_back(install_snapshot{Snapshot});
+    membersChanged();
   }
   for (log_index Index = Commit.next(); Index <= Log.lastIndex(); Index = Index.next())
     if (Log.at(Index).Kind == entry_kind::Membership)
--- a/tests/consensus/fake_cluster.cpp
+++ b/tests/consensus/fake_cluster.cpp
@@ -16,8 +16,9 @@
     Host.Disk = std::make_unique<fake_disk>(disk_identity(Random() | 1U));
     Host.ClockRate = 1 - Skew + 2 * Skew * Random.unit();
     Host.ClockOffset += upTo(10s);
-    start(Host);
   }
+  for (fake_host &Host : Hosts)
+    start(Host);
 }
 
 mono_time fake_cluster::clockOf(const fake_host &Host) const {
