--- a/src/consensus/follower_progress.cpp
+++ b/src/consensus/follower_progress.cpp
@@ -28,20 +28,25 @@
   Next = Last.next();
 }
 
-void follower_progress::sentSnapshot(mono_time Now) {
-  Mode = send_mode::Snapshot;
+void follower_progress::changeMode(send_mode To, std::uint64_t NextRound) {
+  Mode = To;
+  ModeSince = NextRound;
+  ProbeUnderWay = false;
   InFlight.clear();
+}
+
+void follower_progress::sentSnapshot(std::uint64_t NextRound, mono_time Now) {
+  changeMode(send_mode::Snapshot, NextRound);
   SnapshotSentAt = Now;
 }
 
-bool follower_progress::matched(log_index Index) {
+bool follower_progress::matched(log_index Index, std::uint64_t Round, std::uint64_t NextRound) {
   const bool News = Index > Match;
   Match = std::max(Match, Index);
-  if (Mode == send_mode::Probe) {
+  if (Mode == send_mode::Probe && Round >= ModeSince) {
     // What follows the match is sent again: the probe's own entries may not be on the disk yet.
-    Mode = send_mode::Replicate;
+    changeMode(send_mode::Replicate, NextRound);
     Next = Match.next();
-    InFlight.clear();
     return News;
   }
   Next = std::max(Next, Match.next());
@@ -50,21 +55,17 @@
   return News;
 }
 
-bool follower_progress::rejected(log_index Prev, log_index NextTry) {
-  if (Prev <= Match || Mode == send_mode::Snapshot)
+bool follower_progress::rejected(log_index Prev, log_index NextTry, std::uint64_t Round,
+                                 std::uint64_t NextRound) {
+  if (Prev <= Match || Round < ModeSince || Mode == send_mode::Snapshot)
     return false;
-  if (Mode == send_mode::Probe && Prev.next() != Next)
-    return false;
-  Mode = send_mode::Probe;
-  ProbeUnderWay = false;
-  InFlight.clear();
+  changeMode(send_mode::Probe, NextRound);
   Next = std::max(Match.next(), std::min(NextTry, Prev));
   return true;
 }
 
-void follower_progress::leaveSnapshot(log_index NextTry) {
-  Mode = send_mode::Probe;
-  ProbeUnderWay = false;
+void follower_progress::leaveSnapshot(log_index NextTry, std::uint64_t NextRound) {
+  changeMode(send_mode::Probe, NextRound);
   Next = std::max(Match.next(), NextTry);
 }
 
--- a/src/consensus/follower_progress_base.h
+++ b/src/consensus/follower_progress_base.h
@@ -29,18 +29,18 @@
 
   /// An append up to Last went out; Last is before next() where it was empty.
   void sentAppend(log_index Last);
-  void sentSnapshot(mono_time Now);
+  /// @param NextRound Of the next message: older answers say nothing of the new mode.
+  void sentSnapshot(std::uint64_t NextRound, mono_time Now);
   [[nodiscard]] mono_time snapshotSentAt() const { return SnapshotSentAt; }
   /// A lost probe is sent again with the next heartbeat.
   void allowProbe() { ProbeUnderWay = false; }
 
   /// The member has everything up to Index on its disk. @return Whether that is news.
-  bool matched(log_index Index);
-  /// The member's log did not fit. @param NextTry Where to go on. @return False where the answer is
-  /// old.
-  bool rejected(log_index Prev, log_index NextTry);
+  bool matched(log_index Index, std::uint64_t Round, std::uint64_t NextRound);
+  /// The log did not fit at Prev. @param NextTry Where to go on. @return False where that is old.
+  bool rejected(log_index Prev, log_index NextTry, std::uint64_t Round, std::uint64_t NextRound);
   /// The snapshot is lost or useless: look for the common part again.
-  void leaveSnapshot(log_index NextTry);
+  void leaveSnapshot(log_index NextTry, std::uint64_t NextRound);
 
   /// The member answered a message that this leader sent at SentAt.
   void heard(std::uint64_t Round, mono_time SentAt);
@@ -55,7 +55,14 @@
   member_key Key;
   log_index Match;
   log_index Next;
+  /**
+   * Each answer may set off several appends. If an answer to a message from before the last change
+   * of mode could change the mode back, reordered answers would multiply without end.
+   */
+  void changeMode(send_mode To, std::uint64_t NextRound);
+
   send_mode Mode{send_mode::Probe};
+  std::uint64_t ModeSince{0}; ///< Round of the first message sent in this mode.
   bool ProbeUnderWay{false};
   std::deque<log_index> InFlight; ///< Last index of each append without an answer.
   mono_time SnapshotSentAt{};
--- a/src/consensus/replica_core_leader.cpp
+++ b/src/consensus/replica_core_leader.cpp
@@ -41,14 +41,17 @@
 }
 
 void replica_core::sendEntries(follower_progress &Progress) {
+  // Also where the window is full: if what it waits for was lost and is compacted away since, no
+  // answer to a heartbeat would ever empty it.
+  const bool Compacted = !Log.termAt(log_index(Progress.next().value() - 1));
+  if (Compacted && Progress.mode() != send_mode::Snapshot) {
+    sendSnapshot(Progress);
+    return;
+  }
   while (Progress.mayAppend(Options.MaxInFlight)) {
     const bool Probing = Progress.mode() == send_mode::Probe;
     if (!Probing && Progress.next() > Log.lastIndex())
       return;
-    if (!Log.termAt(log_index(Progress.next().value() - 1))) {
-      sendSnapshot(Progress);
-      return;
-    }
     sendAppend(Progress,
                Log.slice(Progress.next(), Options.MaxBatchEntries, Options.MaxBatchBytes));
   }
@@ -72,18 +75,17 @@
   check(Snapshot != nullptr, "what is compacted away is in a snapshot");
   sendNow(Progress.key(),
           snapshot_request{*Snapshot, NextRound++, LastEvent.time_since_epoch().count()});
-  Progress.sentSnapshot(LastEvent);
+  Progress.sentSnapshot(NextRound, LastEvent);
 }
 
 void replica_core::sendHeartbeat(follower_progress &Progress) {
   const mono_span SnapshotRetry = 2 * Options.MaxElectionTimeout;
   const bool Stuck = Progress.mode() == send_mode::Snapshot;
   if (Stuck && LastEvent - Progress.snapshotSentAt() >= SnapshotRetry) {
-    Progress.leaveSnapshot(Progress.next());
+    Progress.leaveSnapshot(Progress.next(), NextRound);
     sendEntries(Progress);
   }
-  if (Progress.mode() != send_mode::Snapshot &&
-      Log.termAt(log_index(Progress.next().value() - 1))) {
+  if (Progress.mode() != send_mode::Snapshot) {
     sendAppend(Progress, {});
     return;
   }
@@ -112,15 +114,16 @@
     Progress->heard(Reply.Round, SentAt);
   if (!Reply.Matched) {
     Progress->rejected(Reply.RejectedPrev,
-                       Log.lastWithTermAtMost(Reply.HintIndex, Reply.HintTerm).next());
+                       Log.lastWithTermAtMost(Reply.HintIndex, Reply.HintTerm).next(), Reply.Round,
+                       NextRound);
     return;
   }
   check(Reply.Match <= Log.lastIndex(), "nobody matches more than the leader's log");
   const bool SnapshotOver =
       Progress->mode() == send_mode::Snapshot && Reply.Match >= Log.baseIndex();
   if (SnapshotOver)
-    Progress->leaveSnapshot(Reply.Match.next());
-  if (Progress->matched(Reply.Match))
+    Progress->leaveSnapshot(Reply.Match.next(), NextRound);
+  if (Progress->matched(Reply.Match, Reply.Round, NextRound))
     advanceCommit();
 }
 
--- a/tests/consensus/fake_cluster.cpp
+++ b/tests/consensus/fake_cluster.cpp
@@ -5,6 +5,7 @@
 
 namespace {
 constexpr mono_span TickInterval = 50ms;
+constexpr std::uint64_t MaxSteps = 1000000; ///< Ten times what the longest schedule needs.
 } // namespace
 
 fake_cluster::fake_cluster(std::size_t Size, std::uint64_t Seed, const replica_options &Bounds)
@@ -65,11 +66,20 @@
     return;
   }
   ++Steps;
+  requireInvariant(Steps < MaxSteps, "answers do not multiply without end",
+                   [this] { return dumps(); });
   Event.Run(Host);
   carryOut(Host);
   checkLeases();
 }
 
+std::string fake_cluster::dumps() const {
+  std::string Text = "at " + std::to_string(Time / 1ms) + " ms\n";
+  for (const fake_host &Host : Hosts)
+    Text += Host.Process ? Host.Process->dump() : std::string("down\n");
+  return Text;
+}
+
 void fake_cluster::checkLeases() const {
   for (const fake_host &Host : Hosts)
     if (Host.Process && Host.Process->leaseValid(clockOf(Host)))
--- a/tests/consensus/fake_cluster_base.h
+++ b/tests/consensus/fake_cluster_base.h
@@ -73,6 +73,7 @@
   [[nodiscard]] fake_host *leader();
   /// @return Whether all hosts vote, follow one leader and have applied the same entries.
   [[nodiscard]] bool isWhole();
+  [[nodiscard]] std::string dumps() const;
   [[nodiscard]] std::uint64_t steps() const { return Steps; }
   [[nodiscard]] std::size_t readsServed() const { return ReadsServed; }
 
--- a/tests/consensus/random_run_test.cpp
+++ b/tests/consensus/random_run_test.cpp
@@ -67,10 +67,10 @@
       Cluster.run(mono_span(Faults.below(800ms / 1ns)));
     }
     Cluster.heal();
-    ASSERT_TRUE(Cluster.runUntil([this] { return Cluster.isWhole(); }, 120s)) << dumps();
+    ASSERT_TRUE(Cluster.runUntil([this] { return Cluster.isWhole(); }, 120s)) << Cluster.dumps();
     const std::size_t Before = Cluster.checker().committedCount();
     ASSERT_TRUE(Cluster.propose(*Cluster.leader()));
-    ASSERT_TRUE(Cluster.runUntil([this] { return Cluster.isWhole(); }, 120s)) << dumps();
+    ASSERT_TRUE(Cluster.runUntil([this] { return Cluster.isWhole(); }, 120s)) << Cluster.dumps();
     ASSERT_GT(Cluster.checker().committedCount(), Before);
   }
 
@@ -162,13 +162,6 @@
       loseDiskIfAllowed(anyHost());
   }
 
-  std::string dumps() {
-    std::string Text;
-    for (const fake_host &Host : Cluster.hosts())
-      Text += Host.Process ? Host.Process->dump() : "down\n";
-    return Text;
-  }
-
   random_source Faults;
   fake_cluster Cluster;
   std::size_t LastVoters{0};
