Let a learner whose admission was truncated ask again

Found by the randomised run, seed 56: a disk was admitted, the leader fell before the entry was committed, and its successor sent nothing to the disk that it did not know.

--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -54,10 +54,8 @@
     HeartbeatWanted = true;
     promoteLearner(Now);
   }
-  if (isEmpty()) {
-    askToJoin(Now);
-    foundWhenAllAreEmpty();
-  }
+  askToJoin(Now);
+  foundWhenAllAreEmpty();
 }
 
 bool replica_core::isAddressedHere(const consensus_message &Message) const {
--- a/src/consensus/replica_core_base.h
+++ b/src/consensus/replica_core_base.h
@@ -132,6 +132,7 @@
   proposal_result proposeMembers(member_set Set);
   [[nodiscard]] std::optional<proposal_refusal> refuseChange(const member_set &Set) const;
   void promoteLearner(mono_time Now);
+  [[nodiscard]] bool mustAskToJoin(mono_time Now) const;
   void askToJoin(mono_time Now);
   void foundWhenAllAreEmpty();
   void receiveBody(const consensus_message &Message, const admission_request &Request,
--- a/src/consensus/replica_core_member.cpp
+++ b/src/consensus/replica_core_member.cpp
@@ -100,8 +100,17 @@
   }
 }
 
+bool replica_core::mustAskToJoin(mono_time Now) const {
+  if (isEmpty())
+    return true;
+  // The entry that let this disk in may have been truncated by a later leader, who sends nothing
+  // here. Without asking again the learner would wait for good with an old log.
+  const bool Learns = role() == replica_role::Learner && findMember(members(), Self) != nullptr;
+  return Learns && Now - LastHeard >= Options.MaxElectionTimeout;
+}
+
 void replica_core::askToJoin(mono_time Now) {
-  if (Now < NextJoin)
+  if (Now < NextJoin || !mustAskToJoin(Now))
     return;
   NextJoin = Now + Options.JoinInterval;
   for (const member_id Peer : Peers) {
@@ -115,11 +124,12 @@
 void replica_core::receiveBody(const consensus_message &Message, const admission_request &,
                                mono_time) {
   if (role() == replica_role::Leader) {
-    if (findMember(members(), Message.From) == nullptr)
+    const bool Foreign = Message.Cluster != cluster_id() && Message.Cluster != cluster();
+    if (!Foreign && findMember(members(), Message.From) == nullptr)
       Actions.emplace_back(admission_requested{Message.From});
     return;
   }
-  if (!isEmpty() || Fresh == cluster_id())
+  if (!isEmpty() || Fresh == cluster_id() || Message.Cluster != cluster_id())
     return;
   // Only an answer that names this disk was given after this disk was made. An older one could come
   // from a peer that has since taken part in a log which this host founded and then lost.
@@ -138,7 +148,7 @@
 }
 
 void replica_core::foundWhenAllAreEmpty() {
-  if (Fresh == cluster_id())
+  if (!isEmpty() || Fresh == cluster_id())
     return;
   member_set Set{Fresh, {{Self, member_standing::Voter}}};
   for (const member_id Peer : Peers) {
