--- a/src/consensus/consensus_type.h
+++ b/src/consensus/consensus_type.h
@@ -157,7 +157,7 @@
   std::int64_t SentAt{0};
 };
 
-/// An empty disk asks to be admitted, or tells a founder that it is empty.
+/// A disk that is no member asks to be admitted; where it is empty it tells a founder so.
 struct admission_request {};
 
 /// A founder answers an admission_request, so that the next one names the founder's disk.
@@ -236,7 +236,10 @@
   log_index Index; ///< What was applied last.
 };
 
-/// Leader only: an empty disk asks to be let in; answer with replica::admit() where policy agrees.
+/**
+ * Leader only: a disk that is no member asks to be let in. Answer with replica::admit() where
+ * policy agrees; a member that was expelled asks as well for as long as its process runs.
+ */
 struct admission_requested {
   member_key Key;
 };
--- a/src/consensus/replica_core_member.cpp
+++ b/src/consensus/replica_core_member.cpp
@@ -104,9 +104,9 @@
   if (isEmpty())
     return true;
   // The entry that let this disk in may have been truncated by a later leader, who sends nothing
-  // here. Without asking again the learner would wait for good with an old log.
-  const bool Learns = role() == replica_role::Learner && findMember(members(), Self) != nullptr;
-  return Learns && Now - LastHeard >= Options.MaxElectionTimeout;
+  // here, and the log may not even have reached that entry. Without asking again the learner would
+  // wait for good. A member that was taken out asks too; whoever answers knows that it was.
+  return role() == replica_role::Learner && Now - LastHeard >= Options.MaxElectionTimeout;
 }
 
 void replica_core::askToJoin(mono_time Now) {
