--- /dev/null
+++ b/src/storage/data_folder.cpp
@@ -0,0 +1,181 @@
+/** @file data_folder.cpp Opening, checking and writing the data folder of one member. */
+#include "storage/data_folder_base.h"
+
+#include "storage/folder_meta_func.h"
+#include "storage/log_files_base.h"
+#include "storage/snapshot_files_base.h"
+
+#include <cerrno>
+#include <fcntl.h>
+#include <sys/file.h>
+#include <system_error>
+
+namespace pollenstall {
+
+namespace {
+constexpr std::uint64_t FirstIndex = 1;
+} // namespace
+
+struct data_folder::parts {
+  parts(const storage_options &Given, file_system Calls)
+      : Options(Given), Files(std::move(Calls)), Log(Files, Options.Folder, Options.SegmentBytes),
+        Snapshots(Files, Options.Folder) {}
+
+  storage_result lock();
+  storage_result identify();
+  storage_result makeFresh();
+  storage_result load();
+  storage_result checkLogFitsSnapshot();
+  storage_result carryOut(const persist_log &Write);
+  storage_result storeSnapshot(const persist_log &Write);
+
+  storage_options Options;
+  file_system Files;
+  file_handle Lock;
+  folder_identity Identity;
+  restored_log Restored;
+  log_files Log;
+  snapshot_files Snapshots;
+  std::vector<std::string> Repairs;
+  std::optional<storage_error> Failed; ///< The first failed write; nothing is written after it.
+};
+
+storage_result data_folder::parts::lock() {
+  std::error_code Error;
+  std::filesystem::create_directories(Options.Folder, Error);
+  if (Error)
+    return file_failure{"create", Options.Folder, Error.value()};
+  auto Opened = openFile(Options.Folder / "lock", O_RDWR | O_CREAT);
+  if (!succeeded(Opened))
+    return errorOf(Opened);
+  Lock = std::move(valueOf(Opened));
+  if (::flock(Lock.number(), LOCK_EX | LOCK_NB) == 0)
+    return done{};
+  if (errno == EWOULDBLOCK)
+    return folder_in_use{Options.Folder};
+  return errnoFailure("lock", Options.Folder);
+}
+
+storage_result data_folder::parts::identify() {
+  const auto Read = readIdentity(Options.Folder);
+  if (!succeeded(Read))
+    return errorOf(Read);
+  if (!valueOf(Read))
+    return makeFresh();
+  Identity = *valueOf(Read);
+  if (Identity.Fleet != Options.Fleet || Identity.Key.Member != Options.Member)
+    return foreign_folder{Identity};
+  return done{};
+}
+
+storage_result data_folder::parts::makeFresh() {
+  std::error_code Error;
+  for (const auto &File : std::filesystem::directory_iterator(Options.Folder, Error))
+    if (log_segment::firstFromName(File.path().filename().string()))
+      return damaged_file{Options.Folder / "identity", 0, "it is missing, but there is a log"};
+  const auto Meta = writeHardState(Files, Options.Folder, {});
+  if (!succeeded(Meta))
+    return Meta;
+  // The identity is written last: a folder that has one is complete.
+  Identity = {Options.Fleet, {Options.Member, Options.FreshDisk}};
+  return writeIdentity(Files, Options.Folder, Identity);
+}
+
+storage_result data_folder::parts::load() {
+  const auto Hard = readHardState(Options.Folder);
+  if (!succeeded(Hard))
+    return errorOf(Hard);
+  Restored.Hard = valueOf(Hard);
+  const auto Found = Snapshots.open(Repairs);
+  if (!succeeded(Found))
+    return Found;
+  Restored.Snapshot = Snapshots.newest();
+  const auto Read = Log.open(Restored.Entries, Repairs);
+  if (!succeeded(Read))
+    return Read;
+  return checkLogFitsSnapshot();
+}
+
+storage_result data_folder::parts::checkLogFitsSnapshot() {
+  if (Restored.Entries.empty())
+    return Log.removeAll();
+  const log_index First = Restored.Entries.front().Index;
+  const log_snapshot *Snapshot = Restored.Snapshot.get();
+  const std::uint64_t Needed = Snapshot != nullptr ? Snapshot->Index.value() + 1 : FirstIndex;
+  if (First.value() > Needed)
+    return damaged_file{Options.Folder, 0, "entries are missing between snapshot and log"};
+  if (Snapshot == nullptr)
+    return done{};
+  const std::uint64_t AtSnapshot = Snapshot->Index.value() - First.value();
+  const bool Follows = First > Snapshot->Index;
+  const bool Agrees =
+      AtSnapshot < Restored.Entries.size() && Restored.Entries[AtSnapshot].Term == Snapshot->Term;
+  if (Follows || Agrees)
+    return done{};
+  // The crash came between an installed snapshot and the removal of the log that it replaces.
+  Restored.Entries.clear();
+  return Log.removeAll();
+}
+
+storage_result data_folder::parts::storeSnapshot(const persist_log &Write) {
+  const auto Stored = Snapshots.store(Write.Snapshot);
+  if (!succeeded(Stored))
+    return Stored;
+  if (!Write.ResetLog)
+    return Log.compactTo(std::min(Write.CompactTo, Snapshots.coveredByAll()));
+  const auto Removed = Log.removeAll();
+  return succeeded(Removed) ? Snapshots.dropOlder() : Removed;
+}
+
+storage_result data_folder::parts::carryOut(const persist_log &Write) {
+  storage_result Result = done{};
+  if (Write.Hard)
+    Result = writeHardState(Files, Options.Folder, *Write.Hard);
+  if (succeeded(Result) && Write.Snapshot)
+    Result = storeSnapshot(Write);
+  if (succeeded(Result) && Write.TruncateFrom)
+    Result = Log.truncateFrom(*Write.TruncateFrom);
+  if (succeeded(Result))
+    Result = Log.append(Write.Entries);
+  return Result;
+}
+
+data_folder::data_folder(std::unique_ptr<parts> Opened) : Parts(std::move(Opened)) {}
+data_folder::~data_folder() = default;
+
+result<std::unique_ptr<data_folder>, storage_error>
+data_folder::open(const storage_options &Options, file_system Files) {
+  auto Opened = std::make_unique<parts>(Options, std::move(Files));
+  storage_result Result = Opened->lock();
+  if (succeeded(Result))
+    Result = Opened->identify();
+  if (succeeded(Result))
+    Result = Opened->load();
+  if (!succeeded(Result))
+    return errorOf(Result);
+  return std::unique_ptr<data_folder>(new data_folder(std::move(Opened)));
+}
+
+const folder_identity &data_folder::identity() const { return Parts->Identity; }
+restored_log &data_folder::restored() { return Parts->Restored; }
+const std::vector<std::string> &data_folder::repairs() const { return Parts->Repairs; }
+
+result<done, storage_error> data_folder::write(const std::vector<persist_log> &Batch) {
+  if (Parts->Failed)
+    return *Parts->Failed;
+  storage_result Result = done{};
+  for (const persist_log &Write : Batch) {
+    Result = Parts->carryOut(Write);
+    if (!succeeded(Result))
+      break;
+  }
+  if (succeeded(Result))
+    Result = Parts->Log.sync();
+  // After a failed sync the kernel may have dropped the dirty pages, and a later sync would succeed
+  // without them; so this folder object never confirms anything again.
+  if (!succeeded(Result))
+    Parts->Failed = errorOf(Result);
+  return Result;
+}
+
+} // namespace pollenstall
--- a/src/storage/data_folder_base.h
+++ b/src/storage/data_folder_base.h
@@ -31,6 +31,9 @@
   /// @return What the folder held when it was opened; the caller may move it away.
   [[nodiscard]] restored_log &restored();
 
+  /// @return What opening cut off or passed over, one line each, for the log.
+  [[nodiscard]] const std::vector<std::string> &repairs() const;
+
   /**
    * Carries out persist actions in order with one sync of the log for all of them.
    * @return Success once all of them are durable: confirm the last one's number.
--- /dev/null
+++ b/src/storage/folder_meta_func.h
@@ -0,0 +1,24 @@
+/** @file folder_meta_func.h The small files of a data folder: identity, and term with vote. */
+#ifndef POLLENSTALL_STORAGE_FOLDER_META_FUNC_H
+#define POLLENSTALL_STORAGE_FOLDER_META_FUNC_H
+
+#include "storage/file_handle_base.h"
+
+namespace pollenstall {
+
+/// @return The identity, or nothing where the folder has none yet.
+result<std::optional<folder_identity>, storage_error>
+readIdentity(const std::filesystem::path &Folder);
+
+storage_result writeIdentity(const file_system &Files, const std::filesystem::path &Folder,
+                             const folder_identity &Identity);
+
+/// @return Term and vote; a folder with an identity always has them.
+result<hard_state, storage_error> readHardState(const std::filesystem::path &Folder);
+
+storage_result writeHardState(const file_system &Files, const std::filesystem::path &Folder,
+                              const hard_state &Hard);
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_STORAGE_FOLDER_META_FUNC_H
--- /dev/null
+++ b/src/storage/snapshot_files_base.h
@@ -0,0 +1,40 @@
+/** @file snapshot_files_base.h Snapshots as files, the newest two of them kept. */
+#ifndef POLLENSTALL_STORAGE_SNAPSHOT_FILES_BASE_H
+#define POLLENSTALL_STORAGE_SNAPSHOT_FILES_BASE_H
+
+#include "storage/file_handle_base.h"
+
+#include <memory>
+
+namespace pollenstall {
+
+/// Writes and finds snapshots; the one before the newest serves where the newest has decayed.
+class snapshot_files {
+public:
+  snapshot_files(file_system Calls, std::filesystem::path Where)
+      : Files(std::move(Calls)), Folder(std::move(Where)) {}
+
+  /// Finds the newest readable snapshot. @param Repairs Receives what had to be passed over.
+  storage_result open(std::vector<std::string> &Repairs);
+  /// Stores a snapshot durably and drops all but the newest two.
+  storage_result store(std::shared_ptr<const log_snapshot> Snapshot);
+  /// Drops all but the newest: the log no longer leads from an older one to it.
+  storage_result dropOlder();
+
+  /// @return The newest readable snapshot, or null.
+  [[nodiscard]] const std::shared_ptr<const log_snapshot> &newest() const { return Newest; }
+  /// @return Up to where the log may be dropped so that every kept snapshot still leads on.
+  [[nodiscard]] log_index coveredByAll() const;
+
+private:
+  storage_result dropAllBut(std::size_t Kept);
+
+  file_system Files;
+  std::filesystem::path Folder;
+  std::vector<log_index> Stored; ///< Rising.
+  std::shared_ptr<const log_snapshot> Newest;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_STORAGE_SNAPSHOT_FILES_BASE_H
