Add settings, program and the protocol towards backend servers

Cause: every binary needs the same checked settings, command line, log and exit codes. Ruled out: reading settings ad hoc in each binary, which lets a misspelt key leave a default in force. Change: tables of settings over tomlplusplus, popt options, JSON log lines over log4cxx, signals taken synchronously; docs/BACKEND-PROTOCOL.md.

--- /dev/null
+++ b/src/program/program.h
@@ -0,0 +1,10 @@
+/** @file program.h Public header of program: what every binary needs to start, log and stop. */
+#ifndef POLLENSTALL_PROGRAM_PROGRAM_H
+#define POLLENSTALL_PROGRAM_PROGRAM_H
+
+#include "program/log_func.h"         // IWYU pragma: export
+#include "program/program_func.h"     // IWYU pragma: export
+#include "program/program_type.h"     // IWYU pragma: export
+#include "program/stop_signal_base.h" // IWYU pragma: export
+
+#endif // POLLENSTALL_PROGRAM_PROGRAM_H
--- /dev/null
+++ b/src/program/stop_signal_base.h
@@ -0,0 +1,29 @@
+/** @file stop_signal_base.h Waits for SIGTERM or SIGINT in one thread of the process. */
+#ifndef POLLENSTALL_PROGRAM_STOP_SIGNAL_BASE_H
+#define POLLENSTALL_PROGRAM_STOP_SIGNAL_BASE_H
+
+#include <chrono>
+#include <csignal>
+
+namespace pollenstall {
+
+/**
+ * Blocks SIGTERM, SIGINT and SIGPIPE in the constructing thread and all threads it starts later.
+ * A signal handler could interrupt any thread at any point; waiting for the signal cannot.
+ */
+class stop_signal {
+public:
+  stop_signal();
+
+  /// Waits until the process is asked to stop.
+  void wait() const;
+  /// Waits at most so long. @return Whether the process was asked to stop.
+  [[nodiscard]] bool waitFor(std::chrono::milliseconds Limit) const;
+
+private:
+  sigset_t Signals{};
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PROGRAM_STOP_SIGNAL_BASE_H
--- /dev/null
+++ b/src/settings/settings_type.h
@@ -0,0 +1,45 @@
+/** @file settings_type.h Values read from a settings file and the errors found in them. */
+#ifndef POLLENSTALL_SETTINGS_SETTINGS_TYPE_H
+#define POLLENSTALL_SETTINGS_SETTINGS_TYPE_H
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pollenstall {
+
+/// A value as the file gives it.
+using raw_setting = std::variant<bool, std::int64_t, double, std::string, std::vector<std::string>>;
+
+/// One key of the file, with the place where it stands.
+struct raw_entry {
+  std::string Key; ///< Dotted path, for example "listen.callers".
+  int Line{0};
+  raw_setting Value;
+};
+
+/// What is wrong with one key, or with the file where Key is empty.
+struct settings_error {
+  std::string File;
+  int Line{0};
+  std::string Key;
+  std::string Allowed; ///< What would have been right.
+
+  auto operator<=>(const settings_error &) const = default;
+};
+
+/// @return "file:line: key: what is allowed", one error a line.
+std::string toText(const std::vector<settings_error> &Errors);
+
+/// Says what is allowed where a text is not; nothing where it is.
+using text_check = std::function<std::optional<std::string>(const std::string &)>;
+
+/// Whether the file must give a value.
+enum class presence : std::uint8_t { Optional, Required };
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_SETTINGS_SETTINGS_TYPE_H
