--- /dev/null
+++ b/src/operators/operator_type.h
@@ -0,0 +1,42 @@
+/** @file operator_type.h Calls that arrive at the operators' address, and their answers. */
+#ifndef POLLENSTALL_OPERATORS_OPERATOR_TYPE_H
+#define POLLENSTALL_OPERATORS_OPERATOR_TYPE_H
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace pollenstall {
+
+/// One call; already authorised where the route asks for the key.
+struct operator_call {
+  std::string Method;
+  std::string Path; ///< Without the query.
+  std::string Query;
+  std::string Body;
+};
+
+/// The answer of a handler.
+struct operator_reply {
+  unsigned Status{200};
+  std::string ContentType{"application/json"};
+  std::string Body;
+};
+
+/// Runs in the operator server's thread; it may block for as long as the call may take.
+using operator_handler = std::function<operator_reply(const operator_call &)>;
+
+/// Whether a route asks for the operators' key.
+enum class operator_access : std::uint8_t {
+  Open,      ///< For the platform's balancer and the metrics collector.
+  KeyNeeded, ///< 401 without the key.
+};
+
+/// Why the server could not start.
+struct operator_server_error {
+  std::string Text;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_OPERATORS_OPERATOR_TYPE_H
--- a/src/settings/settings_file.cpp
+++ b/src/settings/settings_file.cpp
@@ -4,7 +4,6 @@
 #include <fstream>
 #include <sstream>
 
-#define TOML_EXCEPTIONS 0
 #include <toml++/toml.h>
 
 namespace pollenstall {
@@ -80,17 +79,17 @@
 
 result<raw_entries, raw_errors> readSettingsText(const std::string &Text,
                                                  const std::string &FileName) {
-  const toml::parse_result Parsed = toml::parse(Text, FileName);
-  if (!Parsed) {
-    const toml::parse_error &Error = Parsed.error();
+  // The packaged tomlplusplus throws; its exception ends here.
+  try {
+    flattener Flat(FileName);
+    Flat.table(toml::parse(Text, FileName), "");
+    if (!Flat.Errors.empty())
+      return Flat.Errors;
+    return Flat.Entries;
+  } catch (const toml::parse_error &Error) {
     return raw_errors{{FileName, static_cast<int>(Error.source().begin.line), "",
                        "valid TOML: " + std::string(Error.description())}};
   }
-  flattener Flat(FileName);
-  Flat.table(Parsed.table(), "");
-  if (!Flat.Errors.empty())
-    return Flat.Errors;
-  return Flat.Entries;
 }
 
 result<raw_entries, raw_errors> readSettingsFile(const std::string &Path) {
