Add the operators' HTTP server

Cause: every process needs /healthz, /readyz, /metrics and /dump on an address apart from callers'. Measured: operators_test 9 passed of 9.

--- /dev/null
+++ b/src/operators/operator_server.cpp
@@ -0,0 +1,240 @@
+/** @file operator_server.cpp HTTP by Beast: one call at a time on each connection, all bounded. */
+#include "operators/operator_server_base.h"
+
+#include "operators/operator_routes_base.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <prometheus/text_serializer.h>
+
+#include <atomic>
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <thread>
+
+namespace pollenstall {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr std::size_t MaxBodyBytes = 4U << 20U;
+constexpr std::size_t MaxHeaderBytes = 16U << 10U;
+constexpr std::size_t MaxConnections = 128;
+constexpr std::size_t Threads = 3;
+constexpr std::chrono::seconds CallLimit{30};
+constexpr unsigned Ok = 200;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned BadRequest = 400;
+constexpr unsigned BodyTooLarge = 413;
+
+/// One connection; lives as long as an operation on it is pending.
+class session : public std::enable_shared_from_this<session> {
+public:
+  session(tcp::socket Socket, const operator_routes &Answerer, std::atomic<std::size_t> &Count)
+      : Stream(std::move(Socket)), Routes(Answerer), Open(Count) {
+    ++Open;
+  }
+  session(const session &) = delete;
+  session &operator=(const session &) = delete;
+  ~session() { --Open; }
+
+  void read() {
+    Parser.emplace();
+    Parser->body_limit(MaxBodyBytes);
+    Parser->header_limit(MaxHeaderBytes);
+    Stream.expires_after(CallLimit);
+    http::async_read(
+        Stream, Buffer, *Parser,
+        [Self = shared_from_this()](beast::error_code Error, std::size_t) { Self->onRead(Error); });
+  }
+
+private:
+  void onRead(beast::error_code Error) {
+    if (Error == http::error::body_limit)
+      return write({BodyTooLarge, "application/json", errorBody("too_large", "body over 4 MiB")},
+                   false);
+    if (Error && Error.category() == make_error_code(http::error::bad_method).category() &&
+        Error != http::error::end_of_stream && Error != http::error::partial_message)
+      return write({BadRequest, "application/json", errorBody("bad_request", "not valid HTTP")},
+                   false);
+    if (Error)
+      return;
+    http::request<http::string_body> Request = Parser->release();
+    const std::string Authorization(Request[http::field::authorization]);
+    const bool KeepAlive = Request.keep_alive();
+    write(Routes.answer(std::string(Request.method_string()), std::string(Request.target()),
+                        Authorization, std::move(Request.body())),
+          KeepAlive);
+  }
+
+  void write(operator_reply Reply, bool KeepAlive) {
+    Response.emplace(static_cast<http::status>(Reply.Status), 11);
+    Response->set(http::field::content_type, Reply.ContentType);
+    Response->keep_alive(KeepAlive);
+    Response->body() = std::move(Reply.Body);
+    Response->prepare_payload();
+    Stream.expires_after(CallLimit);
+    http::async_write(Stream, *Response,
+                      [Self = shared_from_this(), KeepAlive](beast::error_code Error, std::size_t) {
+                        if (!Error && KeepAlive)
+                          Self->read();
+                      });
+  }
+
+  beast::tcp_stream Stream;
+  const operator_routes &Routes;
+  std::atomic<std::size_t> &Open;
+  beast::flat_buffer Buffer;
+  std::optional<http::request_parser<http::string_body>> Parser;
+  std::optional<http::response<http::string_body>> Response;
+};
+
+std::optional<tcp::endpoint> endpointFrom(const std::string &Address) {
+  const std::size_t Colon = Address.rfind(':');
+  if (Colon == std::string::npos)
+    return std::nullopt;
+  std::uint16_t Port = 0;
+  const char *Last = Address.data() + Address.size();
+  const auto [End, Wrong] = std::from_chars(Address.data() + Colon + 1, Last, Port);
+  std::string Host = Address.substr(0, Colon);
+  if (Host.size() > 2 && Host.front() == '[')
+    Host = Host.substr(1, Host.size() - 2);
+  boost::system::error_code Error;
+  const auto Ip = asio::ip::make_address(Host, Error);
+  if (Error || Wrong != std::errc{} || End != Last)
+    return std::nullopt;
+  return tcp::endpoint(Ip, Port);
+}
+
+} // namespace
+
+/// Owns the listener and its threads.
+class operator_server::state {
+public:
+  explicit state(operator_server_plan Plan)
+      : Routes(std::move(Plan.Routes), std::move(Plan.KeyHash)), Acceptor(Context) {}
+  state(const state &) = delete;
+  state &operator=(const state &) = delete;
+
+  ~state() {
+    Context.stop();
+    for (std::thread &Worker : Workers)
+      Worker.join();
+  }
+
+  result<done, operator_server_error> start(const std::string &Address) {
+    const auto Endpoint = endpointFrom(Address);
+    if (!Endpoint)
+      return operator_server_error{"not an address: " + Address};
+    boost::system::error_code Error;
+    Acceptor.open(Endpoint->protocol(), Error);
+    if (!Error)
+      Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+    if (!Error)
+      Acceptor.bind(*Endpoint, Error);
+    if (!Error)
+      Acceptor.listen(asio::socket_base::max_listen_connections, Error);
+    if (Error)
+      return operator_server_error{Address + ": " + Error.message()};
+    accept();
+    for (std::size_t Count = 0; Count < Threads; ++Count)
+      Workers.emplace_back([this] { Context.run(); });
+    return done{};
+  }
+
+  [[nodiscard]] std::string address() const {
+    const auto Endpoint = Acceptor.local_endpoint();
+    const std::string Host = Endpoint.address().to_string();
+    const std::string Shown = Endpoint.address().is_v6() ? "[" + Host + "]" : Host;
+    return Shown + ":" + std::to_string(Endpoint.port());
+  }
+
+private:
+  void accept() {
+    Acceptor.async_accept(asio::make_strand(Context),
+                          [this](boost::system::error_code Error, tcp::socket Socket) {
+                            onAccept(Error, std::move(Socket));
+                          });
+  }
+
+  void onAccept(boost::system::error_code Error, tcp::socket Socket) {
+    if (Error == asio::error::operation_aborted)
+      return;
+    // Over the bound the socket is closed at once: an operator retries, memory stays bounded.
+    if (!Error && Open < MaxConnections)
+      std::make_shared<session>(std::move(Socket), Routes, Open)->read();
+    accept();
+  }
+
+  std::atomic<std::size_t> Open{0};
+  operator_routes Routes;
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+  std::vector<std::thread> Workers;
+};
+
+operator_server::operator_server(std::unique_ptr<state> Started) : State(std::move(Started)) {}
+
+operator_server::~operator_server() = default;
+
+std::string operator_server::address() const { return State->address(); }
+
+operator_server_builder::operator_server_builder(std::string Address, std::string KeyHash)
+    : Plan{std::move(Address), std::move(KeyHash), {}} {}
+
+operator_server_builder &operator_server_builder::route(std::string Method, std::string Path,
+                                                        operator_access Access,
+                                                        operator_handler Handler) {
+  Plan.Routes.push_back({std::move(Method), std::move(Path), Access, std::move(Handler)});
+  return *this;
+}
+
+operator_server_builder &operator_server_builder::health() {
+  return route("GET", "/healthz", operator_access::Open, [](const operator_call &) {
+    return operator_reply{Ok, "text/plain", "ok\n"};
+  });
+}
+
+operator_server_builder &operator_server_builder::readiness(std::function<bool()> Ready) {
+  return route("GET", "/readyz", operator_access::Open,
+               [Ready = std::move(Ready)](const operator_call &) {
+                 return Ready() ? operator_reply{Ok, "text/plain", "ready\n"}
+                                : operator_reply{Unavailable, "text/plain", "not ready\n"};
+               });
+}
+
+operator_server_builder &
+operator_server_builder::metrics(std::shared_ptr<prometheus::Registry> Registry) {
+  return route("GET", "/metrics", operator_access::Open,
+               [Registry = std::move(Registry)](const operator_call &) {
+                 const prometheus::TextSerializer Serializer;
+                 return operator_reply{Ok, "text/plain; version=0.0.4; charset=utf-8",
+                                       Serializer.Serialize(Registry->Collect())};
+               });
+}
+
+operator_server_builder &operator_server_builder::dump(std::function<std::string()> Dump) {
+  return route("GET", "/dump", operator_access::KeyNeeded,
+               [Dump = std::move(Dump)](const operator_call &) {
+                 return operator_reply{Ok, "application/json", Dump()};
+               });
+}
+
+result<std::unique_ptr<operator_server>, operator_server_error> operator_server_builder::start() {
+  const std::string Address = Plan.Address;
+  auto State = std::make_unique<operator_server::state>(std::move(Plan));
+  const auto Started = State->start(Address);
+  if (!succeeded(Started))
+    return errorOf(Started);
+  return std::unique_ptr<operator_server>(new operator_server(std::move(State)));
+}
+
+} // namespace pollenstall
--- a/src/operators/operator_server_base.h
+++ b/src/operators/operator_server_base.h
@@ -8,6 +8,7 @@
 #include <prometheus/registry.h>
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
--- /dev/null
+++ b/tests/operators/operators_test.cpp
@@ -0,0 +1,125 @@
+/** @file operators_test.cpp The operators' address: keys, paths, bounds. */
+#include "operators/operators.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::string_view Key = "operators-key";
+
+struct OperatorServer : testing::Test {
+  void SetUp() override {
+    auto Started =
+        operator_server_builder("127.0.0.1:0", keyHash(Key))
+            .health()
+            .readiness([this] { return Ready; })
+            .metrics(std::make_shared<prometheus::Registry>())
+            .dump([] { return std::string("{}"); })
+            .route("POST", "/v1/echo", operator_access::KeyNeeded,
+                   [](const operator_call &Call) {
+                     return operator_reply{200, "text/plain", Call.Body + "|" + Call.Query};
+                   })
+            .route("GET", "/v1/items/", operator_access::KeyNeeded,
+                   [](const operator_call &Call) {
+                     return operator_reply{200, "text/plain", Call.Path};
+                   })
+            .start();
+    ASSERT_TRUE(succeeded(Started)) << errorOf(Started).Text;
+    Server = std::move(valueOf(Started));
+  }
+
+  asio::ip::tcp::socket connect() {
+    const std::string Address = Server->address();
+    const auto Port = static_cast<std::uint16_t>(std::stoi(Address.substr(Address.rfind(':') + 1)));
+    asio::ip::tcp::socket Socket(Context);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+    return Socket;
+  }
+
+  http::response<http::string_body> answerTo(const std::string &Bytes) {
+    asio::ip::tcp::socket Socket = connect();
+    asio::write(Socket, asio::buffer(Bytes));
+    boost::beast::flat_buffer Buffer;
+    http::response<http::string_body> Response;
+    http::read(Socket, Buffer, Response);
+    return Response;
+  }
+
+  http::response<http::string_body> call(const std::string &Method, const std::string &Target,
+                                         const std::string &WithKey = std::string(Key),
+                                         const std::string &Body = "") {
+    return answerTo(Method + " " + Target + " HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer " +
+                    WithKey + "\r\nContent-Length: " + std::to_string(Body.size()) + "\r\n\r\n" +
+                    Body);
+  }
+
+  asio::io_context Context;
+  bool Ready{true};
+  std::unique_ptr<operator_server> Server;
+};
+
+TEST_F(OperatorServer, AnswersThePlatformWithoutAKey) {
+  EXPECT_EQ(call("GET", "/healthz", "wrong").result_int(), 200U);
+  EXPECT_EQ(call("GET", "/readyz", "wrong").result_int(), 200U);
+  EXPECT_EQ(call("GET", "/metrics", "wrong").result_int(), 200U);
+}
+
+TEST_F(OperatorServer, TellsTheBalancerWhenNotReady) {
+  Ready = false;
+  EXPECT_EQ(call("GET", "/readyz").result_int(), 503U);
+}
+
+TEST_F(OperatorServer, RefusesTheRestWithoutTheKey) {
+  EXPECT_EQ(call("GET", "/dump", "wrong").result_int(), 401U);
+  EXPECT_EQ(call("GET", "/dump").result_int(), 200U);
+  EXPECT_EQ(answerTo("GET /dump HTTP/1.1\r\nHost: x\r\n\r\n").result_int(), 401U);
+}
+
+TEST_F(OperatorServer, HandsOverBodyQueryAndPathBelowAPrefix) {
+  EXPECT_EQ(call("POST", "/v1/echo?a=b", std::string(Key), "text").body(), "text|a=b");
+  EXPECT_EQ(call("GET", "/v1/items/7").body(), "/v1/items/7");
+}
+
+TEST_F(OperatorServer, TellsApartAnUnknownPathAndAWrongMethod) {
+  EXPECT_EQ(call("GET", "/nothing").result_int(), 404U);
+  EXPECT_EQ(call("DELETE", "/healthz").result_int(), 405U);
+}
+
+TEST_F(OperatorServer, RefusesABodyOverItsBound) {
+  EXPECT_EQ(answerTo("POST /v1/echo HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n")
+                .result_int(),
+            413U);
+}
+
+TEST_F(OperatorServer, AnswersGarbageWithAnErrorAndGoesOn) {
+  EXPECT_EQ(answerTo(std::string("\x01\x02garbage\r\n\r\n")).result_int(), 400U);
+  EXPECT_EQ(call("GET", "/healthz").result_int(), 200U);
+}
+
+TEST(OperatorAddress, InUseIsAnError) {
+  auto First = operator_server_builder("127.0.0.1:0", "").health().start();
+  ASSERT_TRUE(succeeded(First));
+  EXPECT_FALSE(succeeded(operator_server_builder(valueOf(First)->address(), "").health().start()));
+  EXPECT_FALSE(succeeded(operator_server_builder("nowhere", "").health().start()));
+}
+
+TEST(KeyHash, IsSha256InHex) {
+  EXPECT_EQ(keyHash("abc"), "ba7816bf8f01cfea414140de5dae2223b00361a396177a9cb410ff61f20015ad");
+  EXPECT_TRUE(sameSecret("abc", "abc"));
+  EXPECT_FALSE(sameSecret("abc", "abd"));
+  EXPECT_EQ(bearerKey("Bearer k"), "k");
+  EXPECT_EQ(bearerKey("Basic k"), std::nullopt);
+}
+
+} // namespace
+} // namespace pollenstall
