--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -16,7 +16,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<boot_clock>;
-  static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): std's clock name
+  static constexpr bool is_steady = true;
 
   /// @return The time now.
   static time_point now() noexcept {
--- a/src/program/program.cpp
+++ b/src/program/program.cpp
@@ -48,6 +48,7 @@
     case ConfigOption:
       Options.ConfigFile = Config;
       free(Config); // popt hands the copy over
+      Config = nullptr;
       break;
     case CheckOption:
       Options.CheckOnly = true;
--- a/src/settings/settings_table_base.h
+++ b/src/settings/settings_table_base.h
@@ -114,10 +114,10 @@
 
   /// A text. @param Allowed For the manual and errors. @param Check Nothing takes any text.
   settings_table &text(std::string Key, std::string Settings::*Member, presence Needed,
-                       std::string Allowed, const text_check &Check, std::string Meaning,
+                       const std::string &Allowed, const text_check &Check, std::string Meaning,
                        std::string Default = {}) {
     Defaults.push_back([Member, Default](Settings &Into) { Into.*Member = Default; });
-    Rows.push_back({std::move(Key), std::move(Allowed), Default, std::move(Meaning), Needed,
+    Rows.push_back({std::move(Key), Allowed, Default, std::move(Meaning), Needed,
                     [Member, Check](Settings &Into, const raw_setting &Raw) {
                       const auto *Value = std::get_if<std::string>(&Raw);
                       if (!Value || (Check && Check(*Value)))
--- a/tests/operators/operators_test.cpp
+++ b/tests/operators/operators_test.cpp
@@ -17,7 +17,7 @@
 
 constexpr std::string_view Key = "operators-key";
 
-struct OperatorServer : testing::Test {
+struct operator_server_running : testing::Test {
   void SetUp() override {
     auto Started =
         operator_server_builder("127.0.0.1:0", keyHash(Key))
@@ -68,40 +68,40 @@
   std::unique_ptr<operator_server> Server;
 };
 
-TEST_F(OperatorServer, AnswersThePlatformWithoutAKey) {
+TEST_F(operator_server_running, AnswersThePlatformWithoutAKey) {
   EXPECT_EQ(call("GET", "/healthz", "wrong").result_int(), 200U);
   EXPECT_EQ(call("GET", "/readyz", "wrong").result_int(), 200U);
   EXPECT_EQ(call("GET", "/metrics", "wrong").result_int(), 200U);
 }
 
-TEST_F(OperatorServer, TellsTheBalancerWhenNotReady) {
+TEST_F(operator_server_running, TellsTheBalancerWhenNotReady) {
   Ready = false;
   EXPECT_EQ(call("GET", "/readyz").result_int(), 503U);
 }
 
-TEST_F(OperatorServer, RefusesTheRestWithoutTheKey) {
+TEST_F(operator_server_running, RefusesTheRestWithoutTheKey) {
   EXPECT_EQ(call("GET", "/dump", "wrong").result_int(), 401U);
   EXPECT_EQ(call("GET", "/dump").result_int(), 200U);
   EXPECT_EQ(answerTo("GET /dump HTTP/1.1\r\nHost: x\r\n\r\n").result_int(), 401U);
 }
 
-TEST_F(OperatorServer, HandsOverBodyQueryAndPathBelowAPrefix) {
+TEST_F(operator_server_running, HandsOverBodyQueryAndPathBelowAPrefix) {
   EXPECT_EQ(call("POST", "/v1/echo?a=b", std::string(Key), "text").body(), "text|a=b");
   EXPECT_EQ(call("GET", "/v1/items/7").body(), "/v1/items/7");
 }
 
-TEST_F(OperatorServer, TellsApartAnUnknownPathAndAWrongMethod) {
+TEST_F(operator_server_running, TellsApartAnUnknownPathAndAWrongMethod) {
   EXPECT_EQ(call("GET", "/nothing").result_int(), 404U);
   EXPECT_EQ(call("DELETE", "/healthz").result_int(), 405U);
 }
 
-TEST_F(OperatorServer, RefusesABodyOverItsBound) {
+TEST_F(operator_server_running, RefusesABodyOverItsBound) {
   EXPECT_EQ(answerTo("POST /v1/echo HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999\r\n\r\n")
                 .result_int(),
             413U);
 }
 
-TEST_F(OperatorServer, AnswersGarbageWithAnErrorAndGoesOn) {
+TEST_F(operator_server_running, AnswersGarbageWithAnErrorAndGoesOn) {
   EXPECT_EQ(answerTo(std::string("\x01\x02garbage\r\n\r\n")).result_int(), 400U);
   EXPECT_EQ(call("GET", "/healthz").result_int(), 200U);
 }
--- a/tests/wire/wire_test.cpp
+++ b/tests/wire/wire_test.cpp
@@ -40,34 +40,34 @@
   return decodeEnvelope<sample_message>("accra", message_kind::Gossip, Bytes, Limit);
 }
 
-struct Envelope : testing::Test {
+struct envelope : testing::Test {
   std::string Bytes = encodeEnvelope("accra", message_kind::Gossip, firstSample());
 };
 
-TEST_F(Envelope, ReadsBackWhatWasWritten) {
+TEST_F(envelope, ReadsBackWhatWasWritten) {
   const auto Decoded = decodeSample(Bytes);
   ASSERT_TRUE(succeeded(Decoded));
   EXPECT_EQ(valueOf(Decoded), firstSample());
 }
 
-TEST_F(Envelope, OfAnotherFleetOrKindIsRefused) {
+TEST_F(envelope, OfAnotherFleetOrKindIsRefused) {
   EXPECT_EQ(errorOf(decodeEnvelope<sample_message>("tema", message_kind::Gossip, Bytes, Limit)),
             wire_error::OtherFleet);
   EXPECT_EQ(errorOf(decodeEnvelope<sample_message>("accra", message_kind::Consensus, Bytes, Limit)),
             wire_error::OtherKind);
 }
 
-TEST_F(Envelope, OverTheLimitIsRefusedUnread) {
+TEST_F(envelope, OverTheLimitIsRefusedUnread) {
   EXPECT_EQ(errorOf(decodeEnvelope<sample_message>("accra", message_kind::Gossip, Bytes, 4)),
             wire_error::TooLarge);
 }
 
-TEST_F(Envelope, CutAnywhereIsRefused) {
+TEST_F(envelope, CutAnywhereIsRefused) {
   for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
     EXPECT_FALSE(succeeded(decodeSample(std::string_view(Bytes).substr(0, Length)))) << Length;
 }
 
-TEST_F(Envelope, WithBytesLeftOverIsRefused) {
+TEST_F(envelope, WithBytesLeftOverIsRefused) {
   EXPECT_EQ(errorOf(decodeSample(Bytes + "x")), wire_error::Malformed);
 }
 
@@ -92,11 +92,11 @@
   (void)decodeSample(Bytes);
 }
 
-struct Frames : testing::Test {
+struct frames : testing::Test {
   frame_reader Reader{16};
 };
 
-TEST_F(Frames, ComeOutWholeHoweverTheyArrive) {
+TEST_F(frames, ComeOutWholeHoweverTheyArrive) {
   const std::string Stream = frameOf("one") + frameOf("") + frameOf("three");
   std::vector<std::string> Seen;
   for (const char Byte : Stream) {
@@ -109,7 +109,7 @@
   EXPECT_EQ(Seen, (std::vector<std::string>{"one", "", "three"}));
 }
 
-TEST_F(Frames, OverTheLimitAreAnErrorBeforeTheirBytesArrive) {
+TEST_F(frames, OverTheLimitAreAnErrorBeforeTheirBytesArrive) {
   Reader.append(frameOf(std::string(17, 'x')).substr(0, 4));
   EXPECT_EQ(errorOf(Reader.next()), wire_error::TooLarge);
 }
