--- a/src/settings/settings_table_base.h
+++ b/src/settings/settings_table_base.h
@@ -130,7 +130,7 @@
 
   /// A list of texts, each checked.
   settings_table &texts(std::string Key, std::vector<std::string> Settings::*Member,
-                        presence Needed, std::string Allowed, const text_check &Check,
+                        presence Needed, const std::string &Allowed, const text_check &Check,
                         std::string Meaning) {
     Rows.push_back({std::move(Key), "a list, each " + Allowed, "[]", std::move(Meaning), Needed,
                     [Member, Check](Settings &Into, const raw_setting &Raw) {
