--- /dev/null
+++ b/src/declaration/declaration_index.cpp
@@ -0,0 +1,154 @@
+/** @file declaration_index.cpp Lookups of accounts, models, routes and selectors. */
+#include "declaration/declaration_index_base.h"
+
+#include "declaration/ascii_case_func.h"
+#include "declaration/request_path_func.h"
+#include "declaration/selection_func.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+
+template <typename Item>
+const Item *valueAt(const std::unordered_map<std::string_view, const Item *> &Index,
+                    std::string_view Key) {
+  const auto Found = Index.find(Key);
+  return Found == Index.end() ? nullptr : Found->second;
+}
+
+/// @return The host in lower case without its port and without a trailing dot.
+std::string plainHost(std::string_view Host) {
+  const std::size_t Bracket = Host.rfind(']');
+  const std::size_t Colon = Host.rfind(':');
+  const bool HasPort =
+      Colon != std::string_view::npos && (Bracket == std::string_view::npos || Colon > Bracket);
+  if (HasPort)
+    Host = Host.substr(0, Colon);
+  if (!Host.empty() && Host.back() == '.')
+    Host.remove_suffix(1);
+  return asciiLower(Host);
+}
+
+bool takesMethod(const plain_route &Route, const std::string &Method) {
+  return Route.Methods.empty() ||
+         std::find(Route.Methods.begin(), Route.Methods.end(), Method) != Route.Methods.end();
+}
+
+bool betterRoute(const plain_route &A, const plain_route &B) {
+  if (A.PathPrefix.size() != B.PathPrefix.size())
+    return A.PathPrefix.size() > B.PathPrefix.size();
+  return !A.Methods.empty() && B.Methods.empty();
+}
+
+} // namespace
+
+declaration_index::declaration_index(fleet_declaration Declaration)
+    : Fleet(std::move(Declaration)) {
+  indexServices();
+  indexSelectors();
+  indexAccounts();
+}
+
+void declaration_index::indexServices() {
+  for (const service_declaration &Service : Fleet.Services) {
+    ServiceByName.emplace(Service.Name.str(), &Service);
+    for (const model_name &Model : Service.Models)
+      ServiceByModel.emplace(Model.str(), &Service);
+    for (const plain_route &Route : Service.Routes)
+      RoutesByHost[Route.Host].push_back({&Service, &Route});
+  }
+  for (auto &[Host, Routes] : RoutesByHost)
+    std::stable_sort(Routes.begin(), Routes.end(),
+                     [](const indexed_route &A, const indexed_route &B) {
+                       return betterRoute(*A.Route, *B.Route);
+                     });
+  for (const group_declaration &Group : Fleet.Groups)
+    GroupByName.emplace(Group.Name.str(), &Group);
+}
+
+void declaration_index::indexSelectors() {
+  for (const selector_declaration &Selector : Fleet.Selectors) {
+    SelectorsOf[Selector.Service.str()].push_back(&Selector);
+    for (const header_match &Match : Selector.Headers)
+      HeaderNames.push_back(asciiLower(Match.Name));
+  }
+  std::sort(HeaderNames.begin(), HeaderNames.end());
+  HeaderNames.erase(std::unique(HeaderNames.begin(), HeaderNames.end()), HeaderNames.end());
+}
+
+void declaration_index::indexAccounts() {
+  for (const account_declaration &Account : Fleet.Accounts) {
+    AccountByName.emplace(Account.Name.str(), &Account);
+    for (const std::string &Hash : Account.KeyHashes)
+      AccountByKey.emplace(Hash, &Account);
+  }
+}
+
+const account_declaration *declaration_index::findAccount(std::string_view KeyHash) const {
+  return valueAt(AccountByKey, KeyHash);
+}
+
+const account_declaration *
+declaration_index::findAccountByName(const client_account_name &Name) const {
+  return valueAt(AccountByName, Name.str());
+}
+
+const service_declaration *declaration_index::findModel(std::string_view Model) const {
+  return valueAt(ServiceByModel, Model);
+}
+
+const service_declaration *declaration_index::findService(const service_name &Name) const {
+  return valueAt(ServiceByName, Name.str());
+}
+
+const group_declaration *declaration_index::findGroup(const group_name &Name) const {
+  return valueAt(GroupByName, Name.str());
+}
+
+std::optional<route_match> declaration_index::findRoute(std::string_view Host,
+                                                        std::string_view Method,
+                                                        std::string_view Target) const {
+  const auto Path = normalisePath(Target);
+  if (!Path)
+    return std::nullopt;
+  // Some servers take "post" for POST; it must not slip past a route that names POST.
+  const std::string UpperMethod = asciiUpper(Method);
+  const std::string Named = plainHost(Host);
+  if (!Named.empty())
+    if (const auto Match = findIn(Named, *Path, UpperMethod))
+      return Match;
+  return findIn("", *Path, UpperMethod);
+}
+
+std::optional<route_match> declaration_index::findIn(const std::string &Host,
+                                                     const std::string &Path,
+                                                     const std::string &Method) const {
+  const auto Routes = RoutesByHost.find(Host);
+  if (Routes == RoutesByHost.end())
+    return std::nullopt;
+  for (const indexed_route &Candidate : Routes->second)
+    if (coversPath(Candidate.Route->PathPrefix, Path) && takesMethod(*Candidate.Route, Method))
+      return route_match{Candidate.Service, Candidate.Route, Candidate.Route->Idempotent};
+  return std::nullopt;
+}
+
+const selector_declaration *declaration_index::select(const selector_input &Input) const {
+  const auto Selectors = SelectorsOf.find(Input.Service.str());
+  if (Selectors == SelectorsOf.end())
+    return nullptr;
+  for (const selector_declaration *Selector : Selectors->second)
+    if (!missOf(*Selector, Input))
+      return Selector;
+  return nullptr;
+}
+
+bool carriesLabels(const label_set &Server, const label_set &Group) {
+  return std::all_of(Group.begin(), Group.end(), [&Server](const auto &Label) {
+    const auto Found = Server.find(Label.first);
+    return Found != Server.end() && Found->second == Label.second;
+  });
+}
+
+} // namespace pollenstall
