--- /dev/null
+++ b/programs/pollenstallctl/ctl_options.cpp
@@ -0,0 +1,300 @@
+/** @file ctl_options.cpp The command line by popt. */
+#include "ctl_options_func.h"
+
+#include "table/verbs.h"
+
+#include <popt.h>
+
+#include <charconv>
+#include <cstdlib>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <sstream>
+
+namespace pollenstall {
+
+namespace {
+
+enum option_value : int {
+  ControlOption = 1,
+  KeyFileOption,
+  TimeoutOption,
+  ConfigOption,
+  CheckOption,
+  JsonOption,
+  WaitOption,
+  UndoOption,
+  BaseRevisionOption,
+  ChangeIdOption,
+  TargetOption,
+  AccountOption,
+  ServiceOption,
+  ModelOption,
+  TokensOption,
+  HeaderOption,
+  FileOption,
+  VersionOption,
+  HelpOption
+};
+
+struct context_deleter {
+  void operator()(poptContext Context) const { poptFreeContext(Context); }
+};
+using context_holder = std::unique_ptr<poptContext_s, context_deleter>;
+
+constexpr std::int64_t MaxTimeoutSeconds = 86'400;
+constexpr std::size_t MaxChangeId = 128;
+
+poptOption textOption(const char *Name, option_value Value, const char *Help, const char *Word) {
+  return {Name, '\0', POPT_ARG_STRING, nullptr, Value, Help, Word};
+}
+
+poptOption flagOption(const char *Name, option_value Value, const char *Help) {
+  return {Name, '\0', POPT_ARG_NONE, nullptr, Value, Help, nullptr};
+}
+
+const poptOption *optionTable() {
+  static const poptOption Table[] = {
+      textOption("control", ControlOption, "operators' addresses of the control hosts",
+                 "URL[,URL...]"),
+      textOption("key-file", KeyFileOption, "file with the operators' bearer key", "FILE"),
+      textOption("timeout", TimeoutOption, "seconds for the whole call (20)", "SECONDS"),
+      textOption("config", ConfigOption, "settings: control, key_file, timeout_ms, in TOML",
+                 "FILE"),
+      flagOption("check", CheckOption, "check the settings and stop"),
+      flagOption("json", JsonOption, "print JSON"),
+      flagOption("wait", WaitOption, "apply: until the change is in force everywhere"),
+      flagOption("undo", UndoOption, "drain: let it take new work again"),
+      textOption("base-revision", BaseRevisionOption,
+                 "apply: the revision that the change was made against", "N"),
+      textOption("change-id", ChangeIdOption, "apply, drain: the id of an earlier try", "ID"),
+      textOption("target", TargetOption, "dump: operators' address of the process", "URL"),
+      textOption("account", AccountOption, "explain: client account", "NAME"),
+      textOption("service", ServiceOption, "explain: service", "NAME"),
+      textOption("model", ModelOption, "explain: model, instead of the service", "NAME"),
+      textOption("tokens", TokensOption, "explain: length of the prompt", "N"),
+      textOption("header", HeaderOption, "explain: a header, may be repeated", "NAME=VALUE"),
+      textOption("file", FileOption, "explain: a file instead of what is in force", "FILE"),
+      {"version", 'V', POPT_ARG_NONE, nullptr, VersionOption, "print the version and stop",
+       nullptr},
+      {"help", 'h', POPT_ARG_NONE, nullptr, HelpOption, "print this page and stop", nullptr},
+      {nullptr, '\0', 0, nullptr, 0, nullptr, nullptr}};
+  return Table;
+}
+
+std::optional<std::int64_t> numberIn(const std::string &Text, std::int64_t Max) {
+  std::int64_t Value = 0;
+  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  const bool Whole = Error == std::errc{} && End == Text.data() + Text.size();
+  return Whole && Value >= 0 && Value <= Max ? std::optional(Value) : std::nullopt;
+}
+
+std::vector<std::string> splitAtCommas(const std::string &Text) {
+  std::vector<std::string> Parts;
+  std::istringstream Stream(Text);
+  for (std::string Part; std::getline(Stream, Part, ',');)
+    Parts.push_back(Part);
+  return Parts;
+}
+
+/// What the command line asks for besides the options proper.
+struct command_line {
+  ctl_options Options;
+  std::string ConfigFile;
+  bool CheckOnly{false};
+  bool TimeoutGiven{false};
+};
+
+/// Stores the value of one option. @return What is allowed, where the value is not.
+using option_store = std::function<std::optional<std::string>(command_line &, const std::string &)>;
+
+/// For options that take any text.
+template <typename Assign> option_store anyText(Assign Set) {
+  return [Set](command_line &Line, const std::string &Text) -> std::optional<std::string> {
+    Set(Line, Text);
+    return std::nullopt;
+  };
+}
+
+std::optional<std::string> storeTimeout(command_line &Line, const std::string &Text) {
+  const auto Seconds = numberIn(Text, MaxTimeoutSeconds);
+  if (!Seconds || *Seconds == 0)
+    return "a whole number of seconds from 1 to " + std::to_string(MaxTimeoutSeconds);
+  Line.Options.Timeout = std::chrono::seconds(*Seconds);
+  Line.TimeoutGiven = true;
+  return std::nullopt;
+}
+
+std::optional<std::string> storeBase(command_line &Line, const std::string &Text) {
+  const auto Number = numberIn(Text, INT64_MAX);
+  if (!Number)
+    return "a revision, as status and plan print it";
+  Line.Options.BaseRevision = revision(static_cast<std::uint64_t>(*Number));
+  return std::nullopt;
+}
+
+std::optional<std::string> storeTokens(command_line &Line, const std::string &Text) {
+  const auto Number = numberIn(Text, INT64_MAX);
+  if (!Number)
+    return "a whole number from 0";
+  Line.Options.Request.Prompt = tokens(*Number);
+  return std::nullopt;
+}
+
+std::optional<std::string> storeHeader(command_line &Line, const std::string &Text) {
+  const std::size_t Equals = Text.find('=');
+  if (Equals == std::string::npos || Equals == 0)
+    return "NAME=VALUE";
+  Line.Options.Request.Headers.emplace_back(Text.substr(0, Equals), Text.substr(Equals + 1));
+  return std::nullopt;
+}
+
+std::optional<std::string> storeChangeId(command_line &Line, const std::string &Text) {
+  const auto Plain = [](char C) { return C > ' ' && C <= '~'; };
+  if (Text.empty() || Text.size() > MaxChangeId || !std::all_of(Text.begin(), Text.end(), Plain))
+    return "1 to 128 visible ASCII characters";
+  Line.Options.ChangeId = Text;
+  return std::nullopt;
+}
+
+const std::map<int, option_store> &optionStores() {
+  static const std::map<int, option_store> Stores = {
+      {ControlOption, anyText([](command_line &L, const std::string &T) {
+         L.Options.ControlUrls = splitAtCommas(T);
+       })},
+      {KeyFileOption,
+       anyText([](command_line &L, const std::string &T) { L.Options.KeyFile = T; })},
+      {TimeoutOption, storeTimeout},
+      {ConfigOption, anyText([](command_line &L, const std::string &T) { L.ConfigFile = T; })},
+      {CheckOption, anyText([](command_line &L, const std::string &) { L.CheckOnly = true; })},
+      {JsonOption, anyText([](command_line &L, const std::string &) { L.Options.Json = true; })},
+      {WaitOption, anyText([](command_line &L, const std::string &) { L.Options.Wait = true; })},
+      {UndoOption, anyText([](command_line &L, const std::string &) { L.Options.Undo = true; })},
+      {BaseRevisionOption, storeBase},
+      {ChangeIdOption, storeChangeId},
+      {TargetOption, anyText([](command_line &L, const std::string &T) { L.Options.Target = T; })},
+      {AccountOption, anyText([](command_line &L, const std::string &T) {
+         L.Options.Request.Account = client_account_name(T);
+       })},
+      {ServiceOption, anyText([](command_line &L, const std::string &T) {
+         L.Options.Request.Service = service_name(T);
+       })},
+      {ModelOption, anyText([](command_line &L, const std::string &T) {
+         L.Options.Request.Model = model_name(T);
+       })},
+      {TokensOption, storeTokens},
+      {HeaderOption, storeHeader},
+      {FileOption, anyText([](command_line &L, const std::string &T) { L.Options.File = T; })}};
+  return Stores;
+}
+
+ctl_exit usageError(const std::string &Message) {
+  std::cerr << "pollenstallctl: " << Message << "\n";
+  return ctl_exit::BadUsage;
+}
+
+void printHelp(poptContext Context) {
+  std::cout << "pollenstallctl: the operators' tool\n\nVerbs:\n";
+  for (const verb_row &Verb : Verbs)
+    std::cout << "  " << Verb.Name << " " << Verb.Usage << "\n      " << Verb.Summary << "\n";
+  std::cout
+      << "\nExit codes: 0 done; 1 refused or failed, nothing changed; 2 command line, settings "
+         "or unreadable file;\n  3 conflict with another change; 4 outcome unknown: resend "
+         "with the same change id;\n  5 no control host reachable; 6 accepted, but not in "
+         "force everywhere in time\n\n"
+      << std::flush;
+  poptPrintHelp(Context, stdout, 0);
+}
+
+/// The value of the option that popt read last; popt hands the copy over.
+std::string takeValue(poptContext Context) {
+  char *Value = poptGetOptArg(Context);
+  std::string Text = Value ? Value : "";
+  std::free(Value);
+  return Text;
+}
+
+result<command_line, ctl_exit> readLine(poptContext Context) {
+  command_line Line;
+  int Option = 0;
+  while ((Option = poptGetNextOpt(Context)) > 0) {
+    if (Option == HelpOption) {
+      printHelp(Context);
+      return ctl_exit::Ok;
+    }
+    if (Option == VersionOption) {
+      std::cout << "pollenstallctl " << POLLENSTALL_VERSION << "\n";
+      return ctl_exit::Ok;
+    }
+    const std::string Value = takeValue(Context);
+    if (const auto Allowed = optionStores().at(Option)(Line, Value))
+      return usageError("\"" + Value + "\": allowed: " + *Allowed);
+  }
+  if (Option < -1)
+    return usageError(std::string(poptBadOption(Context, 0)) + ": " + poptStrerror(Option));
+  while (const char *Word = poptGetArg(Context)) {
+    if (Line.Options.Verb.empty())
+      Line.Options.Verb = Word;
+    else
+      Line.Options.Arguments.emplace_back(Word);
+  }
+  return Line;
+}
+
+/// The settings file fills in what the command line left open.
+result<done, ctl_exit> readConfig(command_line &Line) {
+  if (Line.ConfigFile.empty())
+    return done{};
+  ctl_options FromFile = Line.Options;
+  const auto Read = readCtlSettings(Line.ConfigFile, FromFile);
+  if (!succeeded(Read)) {
+    std::cerr << toText(errorOf(Read));
+    return ctl_exit::BadUsage;
+  }
+  if (Line.TimeoutGiven)
+    FromFile.Timeout = Line.Options.Timeout;
+  if (!Line.Options.ControlUrls.empty())
+    FromFile.ControlUrls = Line.Options.ControlUrls;
+  if (!Line.Options.KeyFile.empty())
+    FromFile.KeyFile = Line.Options.KeyFile;
+  Line.Options = std::move(FromFile);
+  return done{};
+}
+
+result<done, ctl_exit> checkVerb(const ctl_options &Options) {
+  for (const verb_row &Verb : Verbs) {
+    if (Options.Verb != Verb.Name)
+      continue;
+    if (Options.Arguments.size() != Verb.Arguments)
+      return usageError("usage: pollenstallctl " + Options.Verb + " " + Verb.Usage);
+    return done{};
+  }
+  std::string Names;
+  for (const verb_row &Verb : Verbs)
+    Names += std::string(Names.empty() ? "" : ", ") + Verb.Name;
+  return usageError((Options.Verb.empty() ? "a verb is required" : Options.Verb) +
+                    "; allowed: " + Names);
+}
+
+} // namespace
+
+result<ctl_options, ctl_exit> readCtlOptions(int Count, const char **Values) {
+  const context_holder Context(poptGetContext("pollenstallctl", Count, Values, optionTable(), 0));
+  poptSetOtherOptionHelp(Context.get(), "[OPTION...] VERB [ARGUMENT]");
+  auto Line = readLine(Context.get());
+  if (!succeeded(Line))
+    return errorOf(Line);
+  if (const auto Read = readConfig(valueOf(Line)); !succeeded(Read))
+    return errorOf(Read);
+  if (valueOf(Line).CheckOnly) {
+    std::cout << "settings are valid\n";
+    return ctl_exit::Ok;
+  }
+  if (const auto Checked = checkVerb(valueOf(Line).Options); !succeeded(Checked))
+    return errorOf(Checked);
+  return valueOf(std::move(Line)).Options;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstallctl/ctl_type.h
@@ -0,0 +1,64 @@
+/** @file ctl_type.h Options, results and exit codes of the operators' tool. */
+#ifndef POLLENSTALL_POLLENSTALLCTL_CTL_TYPE_H
+#define POLLENSTALL_POLLENSTALLCTL_CTL_TYPE_H
+
+#include "core/core.h"
+#include "declaration/declaration.h"
+
+#include <boost/json/value.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pollenstall {
+
+/// Exit codes; --help and docs/DECLARATIONS.md list them.
+enum class ctl_exit : std::uint8_t {
+  Ok = 0,
+  Refused = 1,        ///< The file, the key or the request was refused; nothing was changed.
+  BadUsage = 2,       ///< Command line, settings or an unreadable file.
+  Conflict = 3,       ///< Another change was accepted first; nothing was changed.
+  UnknownOutcome = 4, ///< The answer was lost: resend with the same change id.
+  NotReachable = 5,   ///< No control host took the request; nothing was changed.
+  NotInForce = 6      ///< Accepted, but not seen in force everywhere in time.
+};
+
+/// The command line, with settings from --config below it.
+struct ctl_options {
+  std::string Verb;
+  std::vector<std::string> Arguments; ///< After the verb.
+  std::vector<std::string> ControlUrls;
+  std::string KeyFile;
+  std::chrono::milliseconds Timeout{20'000};
+  bool Json{false};
+  bool Wait{false};
+  bool Undo{false};
+  std::optional<revision> BaseRevision;
+  std::string ChangeId;
+  std::string Target;
+  std::string File;
+  selector_input Request; ///< For explain.
+};
+
+/// What a verb says on success.
+struct verb_output {
+  std::string Text;
+  boost::json::value Json;
+};
+
+/// Why a verb did not do what was asked.
+struct verb_failure {
+  ctl_exit Exit{ctl_exit::Refused};
+  std::string Message;
+  boost::json::value Details; ///< Null, or what a script may want to read.
+};
+
+using verb_result = result<verb_output, verb_failure>;
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_POLLENSTALLCTL_CTL_TYPE_H
--- /dev/null
+++ b/programs/pollenstallctl/http_client.cpp
@@ -0,0 +1,123 @@
+/** @file http_client.cpp The client by Boost.Beast. */
+#include "http_client_func.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <charconv>
+
+namespace pollenstall {
+
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
+
+constexpr std::string_view Scheme = "http://";
+constexpr int HttpVersion11 = 11;
+constexpr std::uint64_t MaxAnswerBytes = 64ULL << 20U; ///< A dump of a large fleet.
+
+/// Runs asynchronous steps one by one: only those obey Beast's time limit.
+class blocking_connection {
+public:
+  explicit blocking_connection(std::chrono::milliseconds Limit) : Stream(Context) {
+    Stream.expires_after(Limit);
+  }
+
+  error_code connect(const asio::ip::tcp::endpoint &Peer) {
+    return await([&](auto Done) { Stream.async_connect(Peer, Done); });
+  }
+
+  error_code send(const http::request<http::string_body> &Request) {
+    return await([&](auto Done) {
+      http::async_write(Stream, Request, [Done](error_code Error, std::size_t) { Done(Error); });
+    });
+  }
+
+  error_code receive(http::response_parser<http::string_body> &Parser) {
+    return await([&](auto Done) {
+      http::async_read(Stream, Buffer, Parser,
+                       [Done](error_code Error, std::size_t) { Done(Error); });
+    });
+  }
+
+private:
+  template <typename Start> error_code await(Start &&StartStep) {
+    error_code Result;
+    StartStep([&Result](error_code Error) { Result = Error; });
+    Context.restart();
+    Context.run();
+    return Result;
+  }
+
+  asio::io_context Context;
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+};
+
+http::request<http::string_body> requestOf(const http_url &Url, const http_call &Call) {
+  http::request<http::string_body> Request;
+  Request.version(HttpVersion11);
+  Request.method_string(Call.Method);
+  Request.target(Url.Path + Call.Path);
+  const bool IsV6 = Url.Host.find(':') != std::string::npos;
+  Request.set(http::field::host,
+              (IsV6 ? "[" + Url.Host + "]" : Url.Host) + ":" + std::to_string(Url.Port));
+  Request.set(http::field::connection, "close");
+  if (!Call.BearerKey.empty())
+    Request.set(http::field::authorization, "Bearer " + Call.BearerKey);
+  if (!Call.Body.empty())
+    Request.set(http::field::content_type, "application/json");
+  Request.body() = Call.Body;
+  Request.prepare_payload();
+  return Request;
+}
+
+std::string nameOf(const http_url &Url) { return Url.Host + " port " + std::to_string(Url.Port); }
+
+} // namespace
+
+std::optional<http_url> parseUrl(std::string_view Text) {
+  if (Text.substr(0, Scheme.size()) != Scheme)
+    return std::nullopt;
+  Text.remove_prefix(Scheme.size());
+  const std::string_view Authority = Text.substr(0, Text.find('/'));
+  std::string_view Path = Text.substr(Authority.size());
+  while (!Path.empty() && Path.back() == '/')
+    Path.remove_suffix(1);
+  const std::size_t Colon = Authority.rfind(':');
+  if (Colon == std::string_view::npos)
+    return std::nullopt;
+  std::string_view Host = Authority.substr(0, Colon);
+  if (Host.size() > 2 && Host.front() == '[' && Host.back() == ']')
+    Host = Host.substr(1, Host.size() - 2);
+  error_code NotAnAddress;
+  asio::ip::make_address(std::string(Host), NotAnAddress);
+  std::uint16_t Port = 0;
+  const std::string_view Digits = Authority.substr(Colon + 1);
+  const auto [End, Error] = std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
+  if (NotAnAddress || Error != std::errc{} || End != Digits.data() + Digits.size() || Port == 0)
+    return std::nullopt;
+  return http_url{std::string(Host), Port, std::string(Path)};
+}
+
+result<http_answer, http_failure> exchange(const http_url &Url, const http_call &Call,
+                                           std::chrono::milliseconds Limit) {
+  blocking_connection Connection(Limit);
+  const asio::ip::tcp::endpoint Peer(asio::ip::make_address(Url.Host), Url.Port);
+  if (const error_code Error = Connection.connect(Peer))
+    return http_failure{http_failure_kind::NotConnected, nameOf(Url) + ": " + Error.message()};
+  if (const error_code Error = Connection.send(requestOf(Url, Call)))
+    return http_failure{http_failure_kind::Lost, nameOf(Url) + ": " + Error.message()};
+  http::response_parser<http::string_body> Parser;
+  Parser.body_limit(MaxAnswerBytes);
+  if (const error_code Error = Connection.receive(Parser))
+    return http_failure{http_failure_kind::Lost, nameOf(Url) + ": " + Error.message()};
+  return http_answer{Parser.get().result_int(), std::move(Parser.get().body())};
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstallctl/verb_common.cpp
@@ -0,0 +1,181 @@
+/** @file verb_common.cpp Files, keys, fetching, and changes with their ids. */
+#include "verb_common_func.h"
+
+#include "json_text_func.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr unsigned int StatusOk = 200;
+constexpr unsigned int StatusConflict = 409;
+
+boost::json::value toJson(const std::vector<declaration_error> &Errors) {
+  boost::json::array List;
+  for (const declaration_error &Error : Errors)
+    List.push_back(boost::json::object{{"file", Error.File},
+                                       {"line", Error.Line},
+                                       {"key", Error.Key},
+                                       {"allowed", Error.Allowed}});
+  return List;
+}
+
+/// "file:line: key: allowed: …" for each detail of a refusal.
+std::string detailText(const boost::json::value &Body) {
+  const auto *Error = memberOf(Body, "error");
+  const auto *Details = Error ? memberOf(*Error, "details") : nullptr;
+  if (!Details || !Details->is_array())
+    return {};
+  std::string Text;
+  for (const boost::json::value &Detail : Details->get_array())
+    Text += "\n" + textAt(Detail, "file") + ":" +
+            std::to_string(numberAt(Detail, "line").value_or(0)) + ": " + textAt(Detail, "key") +
+            ": allowed: " + textAt(Detail, "allowed");
+  return Text;
+}
+
+verb_failure failureOf(const control_answer &Answer) {
+  const std::string Status = "status " + std::to_string(Answer.Status);
+  if (Answer.Status != StatusConflict)
+    return {ctl_exit::Refused,
+            "refused with " + Status + ": " + errorMessage(Answer.Body) + detailText(Answer.Body),
+            Answer.Body};
+  const auto InForce = numberAt(Answer.Body, "revision");
+  return {ctl_exit::Conflict,
+          "conflict: " + errorMessage(Answer.Body) +
+              (InForce ? "; the revision in force is " + std::to_string(*InForce) : ""),
+          Answer.Body};
+}
+
+verb_failure badAnswer(const std::string &What) {
+  return {ctl_exit::Refused, "an answer of the control host lacks " + What, {}};
+}
+
+} // namespace
+
+result<std::string, verb_failure> readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  std::ostringstream Text;
+  if (!File || !(Text << File.rdbuf()))
+    return verb_failure{ctl_exit::BadUsage, Path + ": allowed: a file that can be read", {}};
+  return Text.str();
+}
+
+result<fleet_declaration, verb_failure> readDeclaration(const std::string &Path) {
+  const auto Text = readFile(Path);
+  if (!succeeded(Text))
+    return errorOf(Text);
+  auto Parsed = parseDeclaration(valueOf(Text), Path);
+  if (!succeeded(Parsed))
+    return verb_failure{ctl_exit::Refused, toText(errorOf(Parsed)), toJson(errorOf(Parsed))};
+  return valueOf(std::move(Parsed));
+}
+
+result<std::string, verb_failure> readKey(const ctl_options &Options) {
+  if (Options.KeyFile.empty())
+    return std::string();
+  auto Text = readFile(Options.KeyFile);
+  if (!succeeded(Text))
+    return Text;
+  std::string Key = valueOf(std::move(Text));
+  Key.erase(Key.find_last_not_of("\r\n") + 1);
+  // A line break inside would end the header and begin another one.
+  if (Key.empty() || Key.find_first_of("\r\n") != std::string::npos)
+    return verb_failure{ctl_exit::BadUsage, Options.KeyFile + ": allowed: one line with a key", {}};
+  return Key;
+}
+
+result<control_client, verb_failure> makeClient(const ctl_options &Options) {
+  if (Options.ControlUrls.empty())
+    return verb_failure{ctl_exit::BadUsage, "--control URL is required; see --help", {}};
+  std::vector<http_url> Urls;
+  for (const std::string &Text : Options.ControlUrls) {
+    const auto Url = parseUrl(Text);
+    if (!Url)
+      return verb_failure{
+          ctl_exit::BadUsage, "--control " + Text + ": allowed: http://IP:PORT", {}};
+    Urls.push_back(*Url);
+  }
+  auto Key = readKey(Options);
+  if (!succeeded(Key))
+    return errorOf(Key);
+  return control_client(std::move(Urls), valueOf(std::move(Key)), Options.Timeout);
+}
+
+result<boost::json::value, verb_failure> fetch(control_client &Client, const std::string &Path) {
+  const auto Result = Client.get(Path);
+  if (!succeeded(Result))
+    return verb_failure{
+        ctl_exit::NotReachable, "no control host answered: " + errorOf(Result).Message, {}};
+  if (valueOf(Result).Status != StatusOk)
+    return failureOf(valueOf(Result));
+  return valueOf(Result).Body;
+}
+
+result<accepted_declaration, verb_failure> fetchDeclaration(control_client &Client) {
+  const auto Body = fetch(Client, "/v1/declaration");
+  if (!succeeded(Body))
+    return errorOf(Body);
+  const auto Revision = numberAt(valueOf(Body), "revision");
+  if (!Revision)
+    return badAnswer("the revision");
+  auto Parsed =
+      parseDeclaration(textAt(valueOf(Body), "text"), "revision-" + std::to_string(*Revision));
+  if (!succeeded(Parsed))
+    return verb_failure{ctl_exit::Refused,
+                        "the declaration in force is not understood; is this tool older than the "
+                        "control hosts?\n" +
+                            toText(errorOf(Parsed)),
+                        toJson(errorOf(Parsed))};
+  return accepted_declaration{revision(*Revision), valueOf(std::move(Parsed))};
+}
+
+result<boost::json::value, verb_failure> sendChange(control_client &Client, const std::string &Path,
+                                                    const boost::json::value &Body) {
+  const auto Result = Client.post(Path, Body);
+  const std::string Id = textAt(Body, "change_id");
+  if (!succeeded(Result)) {
+    const control_failure &Failure = errorOf(Result);
+    if (!Failure.MayBeAccepted)
+      return verb_failure{
+          ctl_exit::NotReachable, "not accepted, no control host took it: " + Failure.Message, {}};
+    return verb_failure{ctl_exit::UnknownOutcome,
+                        "the outcome is unknown: " + Failure.Message +
+                            "; resend with --change-id " + Id,
+                        boost::json::object{{"change_id", Id}}};
+  }
+  if (valueOf(Result).Status != StatusOk)
+    return failureOf(valueOf(Result));
+  return valueOf(Result).Body;
+}
+
+std::string announceChangeId(const ctl_options &Options) {
+  std::string Id = Options.ChangeId;
+  if (Id.empty()) {
+    std::random_device Device;
+    std::ostringstream Text;
+    constexpr int Words = 4;
+    for (int Word = 0; Word < Words; ++Word)
+      Text << std::hex << (Device() | 0x80000000U);
+    Id = Text.str();
+  }
+  (Options.Json ? std::cerr : std::cout) << "change id " << Id << std::endl;
+  return Id;
+}
+
+boost::json::value toJson(const std::vector<declaration_warning> &Warnings) {
+  boost::json::array List;
+  for (const declaration_warning &Warning : Warnings)
+    List.push_back(boost::json::object{{"item", Warning.Item}, {"message", Warning.Message}});
+  return List;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstallctl/verb_explain.cpp
@@ -0,0 +1,121 @@
+/** @file verb_explain.cpp explain: which selector a request would match, and why no earlier one. */
+#include "verb_common_func.h"
+#include "verb_func.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+
+#include <algorithm>
+#include <numeric>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr std::uint64_t PercentOfWhole = 100;
+
+/// The declaration to explain by and where it comes from.
+struct explained_declaration {
+  fleet_declaration Fleet;
+  std::string Source;
+};
+
+result<explained_declaration, verb_failure> obtain(const ctl_options &Options) {
+  if (!Options.File.empty()) {
+    auto Read = readDeclaration(Options.File);
+    if (!succeeded(Read))
+      return errorOf(Read);
+    return explained_declaration{valueOf(std::move(Read)), Options.File};
+  }
+  auto Client = makeClient(Options);
+  if (!succeeded(Client))
+    return errorOf(Client);
+  auto Accepted = fetchDeclaration(valueOf(Client));
+  if (!succeeded(Accepted))
+    return errorOf(Accepted);
+  return explained_declaration{valueOf(Accepted).Fleet,
+                               "revision " + std::to_string(valueOf(Accepted).Revision.value())};
+}
+
+/// Why the request would be refused before any selector is tested, if it would.
+std::optional<std::string> refusalOf(const declaration_index &Index, const selector_input &Input) {
+  if (!Index.findAccountByName(Input.Account))
+    return "account " + Input.Account.str() + " is not declared";
+  const service_declaration *Service = Index.findService(Input.Service);
+  if (!Service)
+    return Input.Service.empty() ? "model " + Input.Model.str() + " is not declared"
+                                 : "service " + Input.Service.str() + " is not declared";
+  const auto &Models = Service->Models;
+  if (!Input.Model.empty() && std::find(Models.begin(), Models.end(), Input.Model) == Models.end())
+    return "service " + Input.Service.str() + " has no model " + Input.Model.str();
+  if (Service->Kind == service_kind::Model && Input.Prompt > Service->MaxPrompt)
+    return "the service takes prompts of at most " + std::to_string(Service->MaxPrompt.value()) +
+           " tokens";
+  return std::nullopt;
+}
+
+std::uint64_t totalWeight(const std::vector<group_share> &Groups) {
+  return std::accumulate(Groups.begin(), Groups.end(), std::uint64_t{0},
+                         [](std::uint64_t Sum, const group_share &G) { return Sum + G.Weight; });
+}
+
+std::string groupText(const std::vector<group_share> &Groups) {
+  std::string Text;
+  for (const group_share &Share : Groups) {
+    Text += "  group " + Share.Group.str() + ": ";
+    Text += Share.Weight == 0
+                ? "only when no other group has a server\n"
+                : std::to_string(Share.Weight * PercentOfWhole / totalWeight(Groups)) + " %\n";
+  }
+  return Text;
+}
+
+boost::json::array groupJson(const std::vector<group_share> &Groups) {
+  boost::json::array List;
+  for (const group_share &Share : Groups)
+    List.push_back(boost::json::object{{"group", Share.Group.str()}, {"weight", Share.Weight}});
+  return List;
+}
+
+verb_output outputOf(const explained_declaration &By, const selector_input &Input) {
+  const selection Selection = select(By.Fleet, Input);
+  std::string Text = "by " + By.Source + ", service " + Input.Service.str() + ":\n";
+  boost::json::array Misses;
+  for (const selector_miss &Miss : Selection.Misses) {
+    const auto Selector =
+        std::find_if(By.Fleet.Selectors.begin(), By.Fleet.Selectors.end(),
+                     [&](const selector_declaration &S) { return S.Name == Miss.Selector; });
+    const std::string Reason = explainMiss(Miss, *Selector, Input);
+    Text += "  selector " + Miss.Selector.str() + " does not match: " + Reason + "\n";
+    Misses.push_back(boost::json::object{{"selector", Miss.Selector.str()}, {"reason", Reason}});
+  }
+  Text += "  selector " + Selection.Selector.str() + " matches\ngoes to\n" +
+          groupText(Selection.Groups);
+  return {std::move(Text), boost::json::object{{"source", By.Source},
+                                               {"service", Input.Service.str()},
+                                               {"selector", Selection.Selector.str()},
+                                               {"groups", groupJson(Selection.Groups)},
+                                               {"not_matching", std::move(Misses)}}};
+}
+
+} // namespace
+
+verb_result runExplain(const ctl_options &Options) {
+  if (Options.Request.Account.empty() ||
+      (Options.Request.Service.empty() && Options.Request.Model.empty()))
+    return verb_failure{
+        ctl_exit::BadUsage, "explain needs --account and one of --service and --model", {}};
+  auto Obtained = obtain(Options);
+  if (!succeeded(Obtained))
+    return errorOf(Obtained);
+  const declaration_index Index(valueOf(Obtained).Fleet);
+  selector_input Input = Options.Request;
+  if (Input.Service.empty())
+    if (const service_declaration *Service = Index.findModel(Input.Model.str()))
+      Input.Service = Service->Name;
+  if (const auto Refusal = refusalOf(Index, Input))
+    return verb_failure{ctl_exit::Refused, "the request would be refused: " + *Refusal, {}};
+  return outputOf(valueOf(Obtained), Input);
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstallctl/verb_func.h
@@ -0,0 +1,20 @@
+/** @file verb_func.h The verbs, one file each. */
+#ifndef POLLENSTALL_POLLENSTALLCTL_VERB_FUNC_H
+#define POLLENSTALL_POLLENSTALLCTL_VERB_FUNC_H
+
+#include "ctl_type.h"
+
+namespace pollenstall {
+
+verb_result runValidate(const ctl_options &Options); ///< Checks a file.
+verb_result runPlan(const ctl_options &Options);     ///< Compares a file with what is in force.
+verb_result runApply(const ctl_options &Options);    ///< Sends a file as a change.
+verb_result runStatus(const ctl_options &Options);   ///< Prints control's view of the fleet.
+verb_result runHistory(const ctl_options &Options);  ///< Lists accepted changes.
+verb_result runDrain(const ctl_options &Options);    ///< Takes a backend server out, or back in.
+verb_result runDump(const ctl_options &Options);     ///< Fetches the state of one process.
+verb_result runExplain(const ctl_options &Options);  ///< Says where a request would go and why.
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_POLLENSTALLCTL_VERB_FUNC_H
