dispatch: the life of a request and of its attempts at one entry

Change: decision code with claims, retries, resumes and a ledger of abandoned attempts; additions to the contract: Lifetime of claims, Complete with AlreadyComplete.

--- /dev/null
+++ b/src/dispatch/attempt_base.h
@@ -0,0 +1,34 @@
+/** @file attempt_base.h The life of one attempt as a state machine. */
+#ifndef POLLENSTALL_DISPATCH_ATTEMPT_BASE_H
+#define POLLENSTALL_DISPATCH_ATTEMPT_BASE_H
+
+#include "dispatch/attempt_type.h"
+
+#include <memory>
+
+namespace pollenstall {
+
+/// One attempt's state; refuses steps that do not fit, so that late and crossed events do nothing.
+class attempt_life {
+public:
+  attempt_life();
+  ~attempt_life();
+  attempt_life(attempt_life &&Other) noexcept;
+  attempt_life &operator=(attempt_life &&Other) noexcept;
+  attempt_life(const attempt_life &) = delete;
+  attempt_life &operator=(const attempt_life &) = delete;
+
+  /// @return Whether the step fits the state; otherwise the state stays as it was.
+  bool apply(attempt_step Step);
+
+  /// @return Where the attempt stands.
+  [[nodiscard]] attempt_state state() const;
+
+private:
+  struct machine;
+  std::unique_ptr<machine> Machine; ///< Boost.MSM stays inside attempt.cpp.
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_DISPATCH_ATTEMPT_BASE_H
--- /dev/null
+++ b/src/dispatch/dispatch_dump_type.h
@@ -0,0 +1,72 @@
+/** @file dispatch_dump_type.h The dispatcher's state as plain values, without prompts or keys. */
+#ifndef POLLENSTALL_DISPATCH_DISPATCH_DUMP_TYPE_H
+#define POLLENSTALL_DISPATCH_DISPATCH_DUMP_TYPE_H
+
+#include "dispatch/attempt_type.h"
+#include "dispatch/dispatch_type.h"
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace pollenstall {
+
+/// What a request waits for.
+enum class request_phase : std::uint8_t {
+  Claiming, ///< For the claim on its key.
+  Queued,   ///< For the scheduler to place it.
+  Running,  ///< For its attempt's answer.
+};
+
+/// Counts since the start of the process.
+struct dispatch_counters {
+  std::uint64_t Arrived{0};
+  std::uint64_t Complete{0};
+  std::uint64_t NotRun{0};
+  std::uint64_t Unknown{0};
+  std::uint64_t Attempts{0};
+  std::uint64_t Retries{0};
+  std::uint64_t RetriesOverBudget{0}; ///< Retries that the budget refused.
+  std::uint64_t Resumes{0};
+  std::uint64_t Abandoned{0};     ///< Attempts given up while the backend server might run them.
+  std::uint64_t CancelsSent{0};   ///< Repeats included.
+  std::uint64_t IgnoredEvents{0}; ///< Late, doubled or crossed.
+};
+
+/// One live request.
+struct request_dump {
+  request_number Request;
+  client_account_name Account;
+  service_name Service;
+  model_name Model;
+  tokens Prompt;
+  request_phase Phase{request_phase::Queued};
+  std::uint32_t Attempts{0};
+  bool MayHaveRun{false};
+  std::optional<backend_key> Backend; ///< Of the running attempt.
+  std::optional<attempt_state> State; ///< Of the running attempt.
+  std::chrono::milliseconds Remaining{0};
+};
+
+/// One attempt whose memory still counts as taken although nobody waits for it.
+struct abandoned_dump {
+  attempt_id Attempt;
+  backend_key Backend;
+  std::uint32_t CancelsSent{0};
+  std::chrono::milliseconds Age{0};
+};
+
+/// The whole.
+struct dispatch_dump {
+  bool Ready{false};
+  bool ShuttingDown{false};
+  dispatch_counters Counters;
+  double RetryBudget{0}; ///< Retries that may start now.
+  std::vector<request_dump> Requests;
+  std::vector<abandoned_dump> Abandoned;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_DISPATCH_DISPATCH_DUMP_TYPE_H
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -141,18 +141,27 @@
   request_number Request;
   std::string Key; ///< Account and idempotency key, joined so that accounts cannot collide.
   mono_time AnswerBy;
+  std::chrono::milliseconds Lifetime{0}; ///< From now; past the deadline and callers' resends.
 };
-/// Record how the claimed work ended.
+/**
+ * Record how the claimed work ended; sent until the control log has it or this entry is gone.
+ * Released may overtake its own acquire_claim: the log then refuses the acquire when it arrives.
+ */
 struct settle_claim {
   request_number Request;
   std::string Key;
   claim_standing Standing{claim_standing::Unknown};
+  std::chrono::milliseconds Lifetime{0}; ///< As in the request's acquire_claim.
 };
+/**
+ * Start an attempt. The relay passes on answer bytes of the newest attempt only; where bytes of an
+ * older one have reached the caller it starts nothing and reports BrokenUnsent.
+ */
 struct start_attempt {
   attempt_id Attempt;
   backend_key Backend;
   std::uint32_t Priority{0}; ///< Lower runs first.
-  mono_time AnswerBy;        ///< The attempt's own limit for a first byte of the answer.
+  mono_time AnswerBy;        ///< A first byte later is slow; the dispatcher watches this itself.
   bool MayRetry{false};      ///< The body must be kept until the answer begins.
 };
 /// Reconnect to the same server and go on at the exact event that was relayed last.
@@ -160,12 +169,19 @@
   attempt_id Attempt;
   backend_key Backend;
 };
-/// Close the attempt's connection and ask the server to end it; repeated until confirmed.
+/**
+ * Close the attempt's connection and ask the server to end it; repeated until cancel_confirmed.
+ * For a server that holds no memory (a plain service) the relay confirms once it is closed.
+ */
 struct cancel_attempt {
   attempt_id Attempt;
   backend_key Backend;
 };
-/// Tell the caller the end. For Complete the relay has already sent the answer.
+/**
+ * Tell the caller the end. For Complete with reason None the relay has already sent the answer;
+ * for Complete with AlreadyComplete it sends none of it, only the standing: the work behind the key
+ * was done by an earlier send, and this send ran nothing.
+ */
 struct finish_request {
   request_number Request;
   final_outcome Outcome{final_outcome::NotRun};
--- /dev/null
+++ b/src/dispatch/dispatcher_dump.cpp
@@ -0,0 +1,66 @@
+/** @file dispatcher_dump.cpp The dispatcher's state for operators and for failed invariants. */
+#include "dispatch/dispatcher_base.h"
+
+#include <sstream>
+
+namespace pollenstall {
+
+namespace {
+
+request_dump dumpOf(const live_request &Request, mono_time Now) {
+  const request_facts &Facts = Request.Facts;
+  request_dump Dump;
+  Dump.Request = Facts.Id;
+  Dump.Account = Facts.Account;
+  Dump.Service = Facts.Service;
+  Dump.Model = Facts.Model;
+  Dump.Prompt = Facts.Prompt;
+  Dump.Phase = Request.Phase;
+  Dump.Attempts = Request.Attempts;
+  Dump.MayHaveRun = Request.mayHaveRun();
+  if (Request.Current) {
+    Dump.Backend = Request.Current->Backend;
+    Dump.State = Request.Current->Life.state();
+  }
+  Dump.Remaining = std::chrono::duration_cast<std::chrono::milliseconds>(Facts.Deadline - Now);
+  return Dump;
+}
+
+} // namespace
+
+dispatch_dump dispatcher::dump(mono_time Now) const {
+  dispatch_dump Dump;
+  Dump.Ready = Ready;
+  Dump.ShuttingDown = ShutdownBy.has_value();
+  Dump.Counters = Counters;
+  Dump.RetryBudget = Budget.available();
+  for (const auto &[Number, Request] : Requests)
+    Dump.Requests.push_back(dumpOf(Request, Now));
+  Dump.Abandoned = Abandoned.dump(Now);
+  return Dump;
+}
+
+std::string dispatcher::text() const {
+  std::ostringstream Out;
+  Out << Requests.size() << " live, " << Abandoned.size() << " abandoned\n";
+  for (const auto &[Number, Request] : Requests) {
+    Out << "request " << Number << " phase " << static_cast<int>(Request.Phase) << " attempts "
+        << Request.Attempts << " claim " << static_cast<int>(Request.Claim) << " may-have-run "
+        << Request.mayHaveRun();
+    if (Request.Current)
+      Out << " " << toText(Request.Current->Id) << " at " << toText(Request.Current->Backend)
+          << " state " << static_cast<int>(Request.Current->Life.state());
+    Out << "\n";
+  }
+  return Out.str();
+}
+
+void dispatcher::requireConsistent() const {
+  const std::uint64_t Finished = Counters.Complete + Counters.NotRun + Counters.Unknown;
+  requireInvariant(Counters.Arrived == Finished + Requests.size(),
+                   "each request has one final answer or is live", [this] { return text(); });
+  requireInvariant(Claiming <= Requests.size(), "requests that wait for a claim are live",
+                   [this] { return text(); });
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/dispatch/outcome.cpp
@@ -0,0 +1,21 @@
+/** @file outcome.cpp The meaning of failures by state. */
+#include "dispatch/outcome_func.h"
+
+namespace pollenstall {
+
+attempt_failure failureInState(attempt_failure Reported, attempt_state State) {
+  if (hasAnswered(State))
+    return Reported == attempt_failure::BadAnswer ? Reported : attempt_failure::BrokenMidway;
+  const bool BytesMayBeOut = State != attempt_state::Connecting;
+  const bool ClaimsUnsent =
+      Reported == attempt_failure::NotConnected || Reported == attempt_failure::BrokenUnsent;
+  return BytesMayBeOut && ClaimsUnsent ? attempt_failure::BrokenSent : Reported;
+}
+
+bool mayHoldMemory(attempt_failure Failure) {
+  return !provesNotRun(Failure) && Failure != attempt_failure::ErrorAnswer;
+}
+
+bool mayResume(attempt_failure Failure) { return Failure == attempt_failure::BrokenMidway; }
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/dispatch/retry_budget_base.h
@@ -0,0 +1,43 @@
+/** @file retry_budget_base.h Bounds retries to a share of the first attempts. */
+#ifndef POLLENSTALL_DISPATCH_RETRY_BUDGET_BASE_H
+#define POLLENSTALL_DISPATCH_RETRY_BUDGET_BASE_H
+
+#include "core/core.h"
+
+#include <cstdint>
+
+namespace pollenstall {
+
+/**
+ * Token bucket over retries: each first attempt earns RetryPercent hundredths of a retry.
+ * Without it, backend servers that fail under load get up to MaxAttempts times the load, and stay
+ * down. A small floor that refills with time keeps single failures retried on a quiet entry.
+ */
+class retry_budget {
+public:
+  /// @param Percent Retries earned by a hundred first attempts.
+  explicit retry_budget(std::uint32_t Percent) : RetryPercent(Percent) {}
+
+  /// Takes a new share from the declaration; what was earned stays.
+  void setPercent(std::uint32_t Percent) { RetryPercent = Percent; }
+  /// A request's first attempt starts.
+  void earn();
+  /// @return Whether a retry may start now; if so it is paid for.
+  bool spend(mono_time Now);
+  /// @return Retries that are paid for, as of the last spend().
+  [[nodiscard]] double available() const;
+
+private:
+  void refillFloor(mono_time Now);
+
+  std::uint32_t RetryPercent;
+  std::uint64_t Hundredths{FloorRetries * 100};
+  mono_time LastRefill{};
+
+  static constexpr std::uint64_t FloorRetries = 3;  ///< Reached again by time alone.
+  static constexpr std::uint64_t MostRetries = 100; ///< A burst after a long good time.
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_DISPATCH_RETRY_BUDGET_BASE_H
