--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -28,7 +28,9 @@
 
 bool dispatcher::stepCurrent(const attempt_id &Attempt, attempt_step Step) {
   live_request *Request = withCurrent(Attempt);
-  if (Request != nullptr && Request->Current->Life.apply(Step))
+  // While a resume waits, what arrives is left over from the connection that broke.
+  const bool Fits = Request != nullptr && !Request->Current->ResumeAt;
+  if (Fits && Request->Current->Life.apply(Step))
     return true;
   ignore();
   return false;
@@ -95,7 +97,6 @@
 void dispatcher::on(const attempt_answering &Event, mono_time Now) {
   if (stepCurrent(Event.Attempt, attempt_step::Answering)) {
     live_request &Request = *find(Event.Attempt.Request);
-    Request.Current->ResumeAt.reset();
     setWake(Request);
     if (Seam.AttemptAnswering)
       Seam.AttemptAnswering(Event.Attempt, Now);
@@ -114,9 +115,6 @@
 void dispatcher::on(const attempt_advanced &Event, mono_time Now) {
   if (!stepCurrent(Event.Attempt, attempt_step::Advance))
     return;
-  live_request &Request = *find(Event.Attempt.Request);
-  Request.Current->ResumeAt.reset();
-  setWake(Request);
   if (Seam.AttemptAdvanced)
     Seam.AttemptAdvanced(Event.Attempt, Event.Events, Now);
 }
