--- a/tests/dispatch/outcome_test.cpp
+++ b/tests/dispatch/outcome_test.cpp
@@ -38,6 +38,7 @@
   EXPECT_EQ(Withdrawn, std::vector<request_number>{request_number(1)});
   place(EngineA);
   EXPECT_EQ(starts(), 0U);
+  EXPECT_EQ(Withdrawn.size(), 2U) << "the scheduler frees what it had set aside";
 }
 
 TEST_F(an_idempotent_request, IsNotRunWhenItsTimeEndsInTheQueue) {
--- a/tests/dispatch/retry_test.cpp
+++ b/tests/dispatch/retry_test.cpp
@@ -150,6 +150,14 @@
   EXPECT_EQ(Submitted.size(), 1U);
 }
 
+TEST_F(dispatch_story, AClaimOutlivesItsRequestWhateverIsDeclared) {
+  limits_declaration Short = Limits;
+  Short.ClaimLifetime = std::chrono::milliseconds(1);
+  Dispatch.applyLimits(Short);
+  arrive(facts(false, "letter-7"));
+  EXPECT_GT(all<acquire_claim>()[0].Lifetime, seconds(60));
+}
+
 TEST_F(work_under_a_claim, IsUnknownWhereAnotherSendRuns) {
   answerClaim(claim_verdict::Running);
   expectEnd(final_outcome::Unknown, failure_reason::AlreadyRunning);
