Add the scheduler: fair queue, ledgers, learnt costs, ejection, affinity

Cause: entries need one pure piece of code that decides which waiting request runs where. Change: each concern is an aggregate of its own (account_queue, cost_model, memory_ledger, prefill_ledger, ejection, affinity, long placement, rates by class, token_estimator); class scheduler joins them behind scheduling.h. Six rules are tested. Conclusion: the interface is ready for its callers; the policy is untuned.

--- /dev/null
+++ b/src/scheduling/scheduler_dump.cpp
@@ -0,0 +1,61 @@
+/** @file scheduler_dump.cpp The scheduler's state as JSON, for operators. */
+#include "scheduling/scheduler_base.h"
+
+#include <sstream>
+
+namespace pollenstall {
+namespace {
+
+constexpr std::array<std::string_view, 3> StandingNames{"active", "leaving", "lost"};
+constexpr std::array<std::string_view, 3> EjectionNames{"admitted", "ejected", "probing"};
+
+/// Writes a JSON string; addresses come from the network and may hold anything.
+void writeText(std::ostream &Out, std::string_view Text) {
+  constexpr std::string_view Hex = "0123456789abcdef";
+  Out << '"';
+  for (const char Letter : Text) {
+    const auto Byte = static_cast<unsigned char>(Letter);
+    if (Letter == '"' || Letter == '\\')
+      Out << '\\' << Letter;
+    else if (Byte < 0x20)
+      Out << "\\u00" << Hex[Byte >> 4U] << Hex[Byte & 0xFU];
+    else
+      Out << Letter;
+  }
+  Out << '"';
+}
+
+void writeRecord(std::ostream &Out, const backend_record &Record, ejection_state Ejection) {
+  Out << "{\"backend\":";
+  writeText(Out, toText(Record.key()));
+  Out << ",\"standing\":\"" << StandingNames[static_cast<std::size_t>(Record.View.Standing)]
+      << "\",\"ejection\":\"" << EjectionNames[static_cast<std::size_t>(Ejection)]
+      << "\",\"outstanding\":" << Record.Outstanding
+      << ",\"unanswered\":" << Record.Prefill.unanswered()
+      << ",\"prefill_tokens_per_second\":" << Record.Costs.prefillRate()
+      << ",\"seconds_per_step\":" << Record.Costs.secondsPerStep()
+      << ",\"blocks\":" << Record.Memory.capacity()
+      << ",\"blocks_reserved\":" << Record.Memory.reserved()
+      << ",\"blocks_taken\":" << Record.Memory.taken() << '}';
+}
+
+} // namespace
+
+std::string scheduler::dump() const {
+  std::ostringstream Out;
+  Out << "{\"queued\":{\"short\":" << Queue.size(length_class::Short)
+      << ",\"medium\":" << Queue.size(length_class::Medium)
+      << ",\"long\":" << Queue.size(length_class::Long) << "},\"open\":" << Tickets.size()
+      << ",\"unstarted\":" << Unstarted.size() << ",\"answer_share\":" << AnswerShare
+      << ",\"prefixes\":" << Affinity.size() << ",\"backends\":[";
+  bool First = true;
+  for (const auto &[Key, Record] : Pool.records()) {
+    Out << (First ? "" : ",");
+    First = false;
+    writeRecord(Out, Record, Pool.ejections().state(Key));
+  }
+  Out << "]}";
+  return Out.str();
+}
+
+} // namespace pollenstall
--- a/src/scheduling/scheduling_type.h
+++ b/src/scheduling/scheduling_type.h
@@ -57,6 +57,21 @@
   work_refusal Refusal;
 };
 
+/// What a poll decided.
+struct poll_outcome {
+  std::vector<work_placement> Placements;
+  std::vector<work_expiry> Expiries;
+};
+
+/// How an attempt ended, as far as the scheduler learns from it.
+struct attempt_end {
+  bool Completed{false};
+  std::optional<attempt_failure> Failure; ///< Nothing where the server is not to blame.
+  std::optional<tokens> PromptTokens;     ///< As the engine counted.
+  std::optional<tokens> AnswerTokens;
+  std::optional<tokens> CachedTokens;
+};
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_SCHEDULING_SCHEDULING_TYPE_H
--- /dev/null
+++ b/tests/scheduling/scheduler_test.cpp
@@ -0,0 +1,50 @@
+/** @file scheduler_test.cpp Rules of the scheduler as its callers see them. */
+#include "scheduler_fixture.h"
+
+namespace pollenstall {
+namespace {
+
+class ARequestThatArrives : public scheduler_fixture {};
+
+TEST_F(ARequestThatArrives, IsRefusedBeforeAnyDeclarationIsInForce) {
+  scheduler Fresh = scheduler_builder().build();
+  const auto Result = Fresh.submit(work(1'000), Now);
+  ASSERT_FALSE(succeeded(Result));
+  EXPECT_EQ(errorOf(Result).Reason, failure_reason::NotReady);
+}
+
+TEST_F(ARequestThatArrives, IsRefusedWhereNoServerHasItsModel) {
+  EXPECT_EQ(submit(work(1'000)), failure_reason::NoBackend);
+}
+
+TEST_F(ARequestThatArrives, IsPlacedAtOnceOnAnIdleEngine) {
+  addEngines(1);
+  EXPECT_EQ(placeNow(work(1'000)), engineKey(1));
+}
+
+TEST_F(ARequestThatArrives, IsTooLargeAtOnceWhereNoEngineCouldEverHoldIt) {
+  addEngines(3);
+  EXPECT_EQ(submit(work(400'000)), failure_reason::TooLargeForFleet);
+  EXPECT_EQ(submit(work(399'000)), std::nullopt);
+}
+
+TEST_F(ARequestThatArrives, IsRefusedEarlyWhereItsTimeIsTooShort) {
+  addEngines(1);
+  work_item Item = work(300'000);
+  Item.Deadline = Now + 2s;
+  const auto Result = Scheduler.submit(Item, Now);
+  ASSERT_FALSE(succeeded(Result));
+  EXPECT_EQ(errorOf(Result).Reason, failure_reason::DeadlineUnmeetable);
+  EXPECT_GE(errorOf(Result).RetryAfter, std::chrono::seconds(1));
+}
+
+TEST_F(ARequestThatArrives, MeetsTheBoundOfItsAccountWithoutTouchingOthers) {
+  addEngines(1);
+  for (int Index = 0; Index < 64; ++Index)
+    ASSERT_EQ(submit(work(1'000)), std::nullopt);
+  EXPECT_EQ(submit(work(1'000)), failure_reason::AccountLimit);
+  EXPECT_EQ(submit(work(1'000, "academy")), std::nullopt);
+}
+
+} // namespace
+} // namespace pollenstall
