Add membership: own hosts by probing, backend servers by gossip and anti-entropy

Pure state machine: events and time in, actions out. Hosts: SWIM probing with indirect pings, suspicion, refutation and Lifeguard's local health. Backend servers: announcements at any host, Leaving sticks to an incarnation, the highest incarnation of an address is kept for good, expiry counts listening time only. Views carry a time until which they are fresh, so that a thawed process does not act on what it remembers.

--- /dev/null
+++ b/src/membership/backend_expiry.cpp
@@ -0,0 +1,133 @@
+/** @file backend_expiry.cpp Backend servers: when silence means lost, and what others are told. */
+#include "membership/backend_table_base.h"
+
+#include "membership/load_digest_func.h"
+#include "membership/record_func.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr std::uint32_t SteadyRun = 3;
+
+} // namespace
+
+mono_span backend_table::releaseInterval() const {
+  const std::uint64_t Bytes = Present * DigestWireBytes * Settings.Fanout;
+  const mono_span Budgeted =
+      std::chrono::nanoseconds(std::chrono::seconds(Bytes)) / Settings.LoadBytesPerSecond;
+  return std::max(Settings.AnnouncementInterval, Budgeted);
+}
+
+mono_span backend_table::quietExpiry() const {
+  return Settings.BackendExpiry + 2 * (releaseInterval() - Settings.AnnouncementInterval);
+}
+
+bool backend_table::givenUp(const backend_entry &Entry, mono_span Listened) const {
+  const mono_span Silence = Listened - Entry.HeardListening;
+  // Whoever heard it regularly is the first to know. Reports that reach now this host, now that one
+  // prove nothing by staying away from here, nor does the lag of the gossip.
+  if (Entry.DirectRun >= SteadyRun && Silence >= Settings.BackendExpiry)
+    return true;
+  return Silence >= quietExpiry() + Settings.QueryGrace;
+}
+
+std::vector<std::uint64_t> backend_table::takeDoubtful(mono_span Listened) {
+  std::vector<std::uint64_t> Doubtful;
+  for (auto &[Subject, Entry] : Entries) {
+    if (Entry.Lost || Listened - Entry.HeardListening < quietExpiry() ||
+        Listened - Entry.QueriedListening < Settings.QueryGrace / 2)
+      continue;
+    Entry.QueriedListening = Listened;
+    Doubtful.push_back(Subject);
+  }
+  return Doubtful;
+}
+
+std::vector<std::uint64_t> backend_table::expire(mono_span Listened) {
+  std::vector<std::uint64_t> Expired;
+  for (auto &[Subject, Entry] : Entries) {
+    if (Entry.Lost || !givenUp(Entry, Listened))
+      continue;
+    Entry.Lost = true;
+    Entry.DirectRun = 0;
+    Expired.push_back(Subject);
+  }
+  Present -= Expired.size();
+  return Expired;
+}
+
+void backend_table::restartSilence(mono_span Listened) {
+  for (auto &[Subject, Entry] : Entries) {
+    Entry.HeardListening = Listened;
+    Entry.DirectRun = 0;
+  }
+}
+
+std::vector<backend_key> backend_table::forget(mono_span Listened) {
+  std::vector<backend_key> Gone;
+  for (auto &[Subject, Entry] : Entries) {
+    if (!Entry.Lost || Entry.Forgotten || Listened - Entry.HeardListening < Settings.ForgetAfter)
+      continue;
+    Entry.Forgotten = true;
+    backend_announcement Stub;
+    Stub.Key = Entry.Announcement.Key;
+    Stub.Leaving = Entry.Announcement.Leaving;
+    Entry.Announcement = Stub;
+    Gone.push_back(Stub.Key);
+  }
+  return Gone;
+}
+
+bool backend_table::takeRelease(std::uint64_t Subject, mono_span Listened) {
+  constexpr int Tenths = 10;
+  constexpr int DueTenths = 9; // announcements arrive a little early as often as late
+  backend_entry &Entry = Entries.at(Subject);
+  const bool First = Entry.ReleasedListening == mono_span{};
+  if (!First && Listened - Entry.ReleasedListening < releaseInterval() * DueTenths / Tenths)
+    return false;
+  Entry.ReleasedListening = Listened;
+  return true;
+}
+
+const backend_entry *backend_table::find(std::uint64_t Subject) const {
+  const auto Found = Entries.find(Subject);
+  return Found == Entries.end() ? nullptr : &Found->second;
+}
+
+std::optional<std::uint64_t> backend_table::subjectOfDigest(std::uint32_t Id) const {
+  const auto Found = ByDigest.find(Id);
+  if (Found == ByDigest.end() || Found->second.size() != 1)
+    return std::nullopt;
+  return Found->second.front();
+}
+
+bool backend_table::ambiguous(std::uint64_t Subject) const {
+  return !subjectOfDigest(digestId(Entries.at(Subject).Announcement.Key)).has_value();
+}
+
+load_digest backend_table::digest(std::uint64_t Subject, mono_time Now) const {
+  const backend_entry &Entry = Entries.at(Subject);
+  return packLoad(Entry.Announcement.Key, Entry.Load,
+                  {Now - Entry.HeardAt, Entry.Announcement.Leaving, Entry.Lost});
+}
+
+backend_record backend_table::record(std::uint64_t Subject, mono_time Now) const {
+  const backend_entry &Entry = Entries.at(Subject);
+  return {Entry.Announcement, Entry.Sequence, Entry.Load.Sequence, digest(Subject, Now),
+          Entry.Forgotten};
+}
+
+backend_view backend_table::view(std::uint64_t Subject) const {
+  const backend_entry &Entry = Entries.at(Subject);
+  backend_standing Standing = backend_standing::Active;
+  if (Entry.Announcement.Leaving)
+    Standing = backend_standing::Leaving;
+  if (Entry.Lost)
+    Standing = backend_standing::Lost;
+  return {Entry.Announcement, Entry.Load, Standing, Entry.HeardAt};
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/membership/membership_dump.cpp
@@ -0,0 +1,101 @@
+/** @file membership_dump.cpp fleet_membership: its state as JSON for operators. */
+#include "membership/membership.h"
+
+#include <cstdio>
+#include <sstream>
+
+namespace pollenstall {
+
+namespace {
+
+std::string quoted(const std::string &Text) {
+  constexpr unsigned char FirstPrintable = 0x20;
+  std::ostringstream Out;
+  Out << '"';
+  for (const char Char : Text) {
+    if (static_cast<unsigned char>(Char) < FirstPrintable)
+      Out << ' ';
+    else if (Char == '"' || Char == '\\')
+      Out << '\\' << Char;
+    else
+      Out << Char;
+  }
+  Out << '"';
+  return Out.str();
+}
+
+long long milliseconds(mono_span Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
+const char *name(host_standing Standing) {
+  switch (Standing) {
+  case host_standing::Alive:
+    return "alive";
+  case host_standing::Suspect:
+    return "suspect";
+  case host_standing::Dead:
+    return "dead";
+  case host_standing::Left:
+    return "left";
+  }
+  return "unknown";
+}
+
+const char *name(backend_standing Standing) {
+  switch (Standing) {
+  case backend_standing::Active:
+    return "active";
+  case backend_standing::Leaving:
+    return "leaving";
+  case backend_standing::Lost:
+    return "lost";
+  }
+  return "unknown";
+}
+
+void writeHost(std::ostream &Out, const host_record &Record) {
+  Out << "{\"host\":" << quoted(Record.Key.Host.str()) << ",\"incarnation\":" << Record.Key.Life
+      << ",\"domain\":" << quoted(Record.Domain.str()) << ",\"standing\":\""
+      << name(Record.Standing) << "\",\"refutation\":" << Record.Refutation << "}";
+}
+
+void writeBackend(std::ostream &Out, const backend_view &View, mono_time Now) {
+  Out << "{\"address\":" << quoted(View.Announcement.Key.Address.str())
+      << ",\"incarnation\":" << View.Announcement.Key.Life
+      << ",\"service\":" << quoted(View.Announcement.Service.str())
+      << ",\"domain\":" << quoted(View.Announcement.Domain.str()) << ",\"standing\":\""
+      << name(View.Standing) << "\",\"report\":" << View.Load.Sequence
+      << ",\"running\":" << View.Load.Running << ",\"waiting\":" << View.Load.Waiting
+      << ",\"age_ms\":" << milliseconds(Now - View.LoadSeen) << "}";
+}
+
+} // namespace
+
+std::string fleet_membership::dump() const {
+  std::ostringstream Out;
+  Out << "{\"self\":" << quoted(Identity.Self.Host.str())
+      << ",\"incarnation\":" << Identity.Self.Life
+      << ",\"fresh_ms\":" << milliseconds(FreshUntil - Clock.now())
+      << ",\"resyncing\":" << (Resyncing ? "true" : "false")
+      << ",\"local_health\":" << Detector.localHealth() << ",\"news\":" << News.size()
+      << ",\"loads_queued\":" << FreshLoads.size()
+      << ",\"load_interval_ms\":" << milliseconds(Backends.releaseInterval()) << ",\"hosts\":[";
+  const char *Separator = "";
+  for (const auto &[Subject, Entry] : Hosts.entries()) {
+    Out << Separator;
+    writeHost(Out, Entry.Record);
+    Separator = ",";
+  }
+  Out << "],\"backends\":[";
+  Separator = "";
+  for (const backend_view &View : views()) {
+    Out << Separator;
+    writeBackend(Out, View, Clock.now());
+    Separator = ",";
+  }
+  Out << "]}";
+  return Out.str();
+}
+
+} // namespace pollenstall
--- a/src/membership/membership_type.h
+++ b/src/membership/membership_type.h
@@ -64,6 +64,26 @@
   Lost,    ///< Not heard of for the expiry time.
 };
 
+struct peer_address_tag {};
+/// "IP:port" on which another process of the system receives datagrams.
+using peer_address = strong_text<peer_address_tag>;
+
+/// How one of the system's own hosts stands in another's view, from weakest to strongest claim.
+enum class host_standing : std::uint8_t {
+  Alive,   ///< Answers, or nobody doubts it.
+  Suspect, ///< Somebody got no answer; it may still refute that.
+  Dead,    ///< Did not refute the suspicion in time.
+  Left,    ///< Said itself that it stops; sticks to the incarnation.
+};
+
+/// One of the system's own hosts in a host's view of the fleet.
+struct host_view {
+  process_key Key;
+  failure_domain_name Domain;
+  std::vector<peer_address> Addresses;
+  host_standing Standing{host_standing::Alive};
+};
+
 /// One backend server in a host's view of the fleet.
 struct backend_view {
   backend_announcement Announcement;
--- /dev/null
+++ b/src/membership/record.cpp
@@ -0,0 +1,146 @@
+/** @file record.cpp Keys, versions and sizes of records. */
+#include "membership/record_func.h"
+
+#include "membership/load_digest_func.h"
+
+#include <algorithm>
+#include <string_view>
+#include <tuple>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr std::uint64_t HostKind = 1ULL << 63U; // the top bit of a subject
+constexpr std::uint64_t LeavingVersion = 1ULL << 63U;
+constexpr unsigned StandingBits = 2;
+
+constexpr std::uint32_t MaxRefutation = 1U << 30U; // far from wrapping around
+
+constexpr std::size_t SizeTagBytes = 8;       // before each text and list
+constexpr std::size_t EnvelopeBytes = 120; // head with the fleet's name, list sizes, HMAC tag
+constexpr std::size_t HostFixedBytes = 16;    // incarnation, refutation, standing
+constexpr std::size_t BackendFixedBytes = 64; // numbers and flags
+
+std::size_t textBytes(std::string_view Text) { return SizeTagBytes + Text.size(); }
+
+bool shortText(std::string_view Text) { return Text.size() <= MaxNameBytes; }
+
+std::size_t announcementBytes(const backend_announcement &Announcement) {
+  std::size_t Bytes = BackendFixedBytes + textBytes(Announcement.Key.Address.str()) +
+                      textBytes(Announcement.Service.str()) + textBytes(Announcement.Domain.str()) +
+                      2 * SizeTagBytes;
+  for (const auto &[Name, Value] : Announcement.Labels)
+    Bytes += textBytes(Name) + textBytes(Value);
+  for (const model_name &Model : Announcement.Models)
+    Bytes += textBytes(Model.str());
+  return Bytes;
+}
+
+std::size_t processBytes(const process_key &Key) {
+  return textBytes(Key.Host.str()) + sizeof(std::uint64_t);
+}
+
+std::size_t bodyBytes(const membership_body &Body) {
+  constexpr std::size_t Number = sizeof(std::uint64_t);
+  return std::visit(
+      overloaded{
+          [](const news &) { return std::size_t{0}; },
+          [](const ping &Ping) { return Number + processBytes(Ping.Target); },
+          [](const ping_ack &Ack) { return Number + processBytes(Ack.Target); },
+          [](const ping_request &Request) {
+            return Number + processBytes(Request.Target) + textBytes(Request.Address.str());
+          },
+          [](const sync_request &) { return Number * (1 + SyncBuckets); },
+          [](const sync_versions &Answer) {
+            return 3 * Number + SizeTagBytes + Answer.Versions.size() * VersionWireBytes;
+          },
+          [](const sync_fetch &Fetch) { return SizeTagBytes + Fetch.Subjects.size() * Number; },
+          [](const load_query &Query) {
+            return SizeTagBytes + Query.Backends.size() * sizeof(std::uint32_t);
+          }},
+      Body);
+}
+
+} // namespace
+
+std::uint64_t subjectOf(const host_name &Host) {
+  return mixHash(stableHash(Host.str()), 0) | HostKind;
+}
+
+std::uint64_t subjectOf(const backend_address &Address) {
+  return mixHash(stableHash(Address.str()), 0) & ~HostKind;
+}
+
+bool isHost(std::uint64_t Subject) { return (Subject & HostKind) != 0; }
+
+std::size_t hostBucket(std::uint64_t Subject) { return BackendBuckets + Subject % HostBuckets; }
+
+std::size_t backendBucket(std::uint64_t Subject) { return Subject % BackendBuckets; }
+
+subject_version versionOf(const host_record &Record) {
+  const std::uint64_t Refuted = static_cast<std::uint64_t>(Record.Refutation) << StandingBits;
+  const bool Left = Record.Standing == host_standing::Left;
+  const std::uint64_t Version = Refuted + static_cast<std::uint64_t>(Record.Standing);
+  return {subjectOf(Record.Key.Host), Record.Key.Life.value(),
+          Left ? LeavingVersion | Version : Version};
+}
+
+subject_version versionOf(const backend_announcement &Announcement, std::uint64_t Sequence) {
+  return {subjectOf(Announcement.Key.Address), Announcement.Key.Life.value(),
+          Announcement.Leaving ? LeavingVersion | Sequence : Sequence};
+}
+
+bool newerThan(const subject_version &A, const subject_version &B) {
+  return std::tie(A.Life, A.Version) > std::tie(B.Life, B.Version);
+}
+
+std::uint64_t hashOf(const subject_version &Version) {
+  return mixHash(Version.Subject, mixHash(Version.Life, Version.Version));
+}
+
+std::size_t wireBytes(const host_record &Record) {
+  std::size_t Bytes = HostFixedBytes + textBytes(Record.Key.Host.str()) +
+                      textBytes(Record.Domain.str()) + textBytes(Record.Accuser.str()) +
+                      SizeTagBytes;
+  for (const peer_address &Address : Record.Addresses)
+    Bytes += textBytes(Address.str());
+  return Bytes;
+}
+
+std::size_t wireBytes(const backend_record &Record) {
+  return announcementBytes(Record.Announcement) + 2 * sizeof(std::uint64_t) + DigestWireBytes;
+}
+
+std::size_t wireBytes(const membership_message &Message) {
+  std::size_t Bytes = EnvelopeBytes + processBytes(Message.Sender) + bodyBytes(Message.Body);
+  for (const host_record &Record : Message.Hosts)
+    Bytes += wireBytes(Record);
+  for (const backend_record &Record : Message.Backends)
+    Bytes += wireBytes(Record);
+  return Bytes + Message.Loads.size() * DigestWireBytes;
+}
+
+bool wellFormed(const host_record &Record) {
+  const bool Addressed = !Record.Addresses.empty() && Record.Addresses.size() <= MaxHostAddresses;
+  const bool Named = !Record.Key.Host.empty() && shortText(Record.Key.Host.str()) &&
+                     shortText(Record.Domain.str()) && shortText(Record.Accuser.str());
+  return Addressed && Named && Record.Standing <= host_standing::Left &&
+         Record.Refutation < MaxRefutation &&
+         std::all_of(Record.Addresses.begin(), Record.Addresses.end(),
+                     [](const peer_address &Address) { return shortText(Address.str()); });
+}
+
+bool wellFormed(const backend_announcement &Announcement) {
+  return !Announcement.Key.Address.empty() && shortText(Announcement.Key.Address.str()) &&
+         shortText(Announcement.Domain.str()) &&
+         Announcement.Capabilities.Orders <= order_check::Fenced;
+}
+
+bool wellFormed(const backend_record &Record) {
+  return wellFormed(Record.Announcement) && wireBytes(Record) <= MaxRecordBytes &&
+         Record.Sequence < LeavingVersion &&
+         Record.Load.Backend == digestId(Record.Announcement.Key);
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/tests/membership/fake_network.h
@@ -0,0 +1,297 @@
+/** @file fake_network.h A fleet on a virtual clock and a network that drops, delays, doubles and
+ * cuts. */
+#ifndef POLLENSTALL_TESTS_MEMBERSHIP_FAKE_NETWORK_H
+#define POLLENSTALL_TESTS_MEMBERSHIP_FAKE_NETWORK_H
+
+#include "membership/membership.h"
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pollenstall {
+
+using namespace std::chrono_literals;
+
+/// What the network does to a datagram.
+struct network_faults {
+  double Drop{0};
+  double Duplicate{0};
+  mono_span MinDelay{500us};
+  mono_span MaxDelay{2ms};
+};
+
+/// One process of the system on one host.
+struct fake_host {
+  std::unique_ptr<fleet_membership> Process; ///< Null while it is down.
+  process_key Key;
+  mono_time WakeAt; ///< Wake events at other times are stale.
+  bool Frozen{false};
+  std::vector<std::pair<membership_message, peer_address>> Unread; ///< Arrived while frozen.
+};
+
+/// A backend server that announces itself through the platform's balancer.
+struct fake_backend {
+  backend_announcement Announcement;
+  backend_load Load;
+  std::size_t Host{0}; ///< Where it announces.
+  bool Sticky{true};   ///< Stays with a host while it answers; otherwise another one each time.
+  bool Alive{true};
+};
+
+/// Discrete events on a virtual clock; the same seed gives the same run.
+class fake_network {
+public:
+  explicit fake_network(std::uint64_t Seed, membership_settings Chosen = {})
+      : Random(Seed), Settings(Chosen) {}
+
+  /// Called with every action of every process, the sent messages included.
+  std::function<void(std::size_t Host, const membership_action &)> OnAction;
+  network_faults Faults;
+  random_source Random;
+  std::vector<fake_host> Hosts;
+  std::vector<fake_backend> Backends;
+  std::set<std::pair<std::size_t, std::size_t>> Cuts; ///< From, to.
+  std::uint64_t Steps{0};
+
+  [[nodiscard]] mono_time now() const { return Now; }
+  static peer_address addressOf(std::size_t Host) {
+    return peer_address("10.0.0." + std::to_string(Host) + ":7000");
+  }
+  static std::string domainOf(std::size_t Index) { return "domain-" + std::to_string(Index % 3); }
+
+  void addHosts(std::size_t Count) {
+    for (std::size_t Index = 0; Index < Count; ++Index) {
+      Hosts.emplace_back();
+      start(Hosts.size() - 1);
+    }
+  }
+
+  /// Starts a host's process, or replaces it by a new incarnation.
+  void start(std::size_t Index) {
+    fake_host &Host = Hosts[Index];
+    Host.Key = {host_name("host-" + std::to_string(Index)), incarnation(++LastLife)};
+    fleet_membership_builder Builder;
+    Builder.self(Host.Key, failure_domain_name(domainOf(Index)))
+        .address(addressOf(Index))
+        .settings(Settings)
+        .randomSeed(Random());
+    for (std::size_t Seed = 0; Seed < 3; ++Seed)
+      Builder.seed(addressOf(Seed));
+    Host.Process = std::make_unique<fleet_membership>(Builder.build(Now));
+    Host.Frozen = false;
+    Host.Unread.clear();
+    settle(Index);
+  }
+  void stop(std::size_t Index) {
+    Hosts[Index].Process.reset();
+    Hosts[Index].Frozen = false;
+    Hosts[Index].Unread.clear();
+  }
+  void freeze(std::size_t Index) { Hosts[Index].Frozen = Hosts[Index].Process != nullptr; }
+  /// Continues a process; what its socket held in the meantime is read first.
+  void thaw(std::size_t Index) {
+    fake_host &Host = Hosts[Index];
+    if (!Host.Frozen)
+      return;
+    Host.Frozen = false;
+    for (const auto &[Message, From] : std::exchange(Host.Unread, {}))
+      Host.Process->receive(Message, From, Now);
+    Host.Process->advance(Now);
+    settle(Index);
+  }
+  void cutBoth(std::size_t A, std::size_t B) {
+    Cuts.emplace(A, B);
+    Cuts.emplace(B, A);
+  }
+
+  std::size_t addBackend(bool Sticky = true) {
+    const std::size_t Index = Backends.size();
+    fake_backend Backend;
+    Backend.Announcement.Key = {backend_address("10.1.0." + std::to_string(Index) + ":8000"),
+                                incarnation(++LastLife)};
+    Backend.Announcement.Service = service_name("tactic-llm");
+    Backend.Announcement.Domain = failure_domain_name(domainOf(Index));
+    Backend.Announcement.Models = {model_name("base-model-7b"), model_name("adapter-a")};
+    Backend.Announcement.Labels = {{"version", "1"}, {"gpu", "l40s"}};
+    Backend.Announcement.Memory = memory_blocks(40960);
+    Backend.Sticky = Sticky;
+    Backend.Host = Random.below(Hosts.size());
+    Backends.push_back(Backend);
+    schedule(Now + mono_span(Random.below(mono_span(1s).count())), event_kind::Announce, Index);
+    return Index;
+  }
+  /// The address comes back as a new backend server.
+  void restartBackend(std::size_t Index) {
+    fake_backend &Backend = Backends[Index];
+    Backend.Announcement.Key.Life = incarnation(++LastLife);
+    Backend.Announcement.Leaving = false;
+    Backend.Load = {};
+    Backend.Alive = true;
+  }
+  /// Announces now, as a backend server does when it starts to leave.
+  void announceNow(std::size_t Index) { announce(Index); }
+
+  void runFor(mono_span Span) {
+    const mono_time End = Now + Span;
+    while (!Events.empty() && Events.top().At <= End) {
+      event Next = Events.top();
+      Events.pop();
+      Now = Next.At;
+      ++Steps;
+      handle(Next);
+    }
+    Now = End;
+  }
+  /// Runs until the condition holds. @return Whether it did within the time.
+  bool runUntil(const std::function<bool()> &Holds, mono_span Limit, mono_span Step = 50ms) {
+    const mono_time End = Now + Limit;
+    while (!Holds()) {
+      if (Now >= End)
+        return false;
+      runFor(Step);
+    }
+    return true;
+  }
+
+  [[nodiscard]] bool running(std::size_t Host) const {
+    return Hosts[Host].Process != nullptr && !Hosts[Host].Frozen;
+  }
+  /// @return The standing of a backend server in one host's view; nothing where it is unknown.
+  [[nodiscard]] std::optional<backend_standing> standing(std::size_t Host,
+                                                         std::size_t Backend) const {
+    for (const backend_view &View : Hosts[Host].Process->views())
+      if (View.Announcement.Key == Backends[Backend].Announcement.Key)
+        return View.Standing;
+    return std::nullopt;
+  }
+  [[nodiscard]] bool everyone(std::size_t Backend, std::optional<backend_standing> Wanted) const {
+    for (std::size_t Host = 0; Host < Hosts.size(); ++Host)
+      if (running(Host) && standing(Host, Backend) != Wanted)
+        return false;
+    return true;
+  }
+  [[nodiscard]] std::optional<host_standing> hostStanding(std::size_t At, std::size_t Of) const {
+    for (const host_view &View : Hosts[At].Process->hosts())
+      if (View.Key == Hosts[Of].Key)
+        return View.Standing;
+    return std::nullopt;
+  }
+  [[nodiscard]] bool everyoneSees(std::size_t Of, host_standing Wanted) const {
+    for (std::size_t Host = 0; Host < Hosts.size(); ++Host)
+      if (Host != Of && running(Host) && hostStanding(Host, Of) != Wanted)
+        return false;
+    return true;
+  }
+  [[nodiscard]] bool allSeeAllAlive() const {
+    for (std::size_t Host = 0; Host < Hosts.size(); ++Host)
+      if (running(Host) && !everyoneSees(Host, host_standing::Alive))
+        return false;
+    return true;
+  }
+
+private:
+  enum class event_kind { Deliver, Wake, Announce };
+  struct event {
+    mono_time At;
+    std::uint64_t Order{0};
+    event_kind Kind{event_kind::Wake};
+    std::size_t Index{0}; ///< Of the host or backend server.
+    peer_address From;
+    std::shared_ptr<const membership_message> Message;
+
+    bool operator<(const event &Other) const {
+      return At != Other.At ? At > Other.At : Order > Other.Order;
+    }
+  };
+
+  void schedule(mono_time At, event_kind Kind, std::size_t Index, peer_address From = {},
+                std::shared_ptr<const membership_message> Message = {}) {
+    Events.push({At, ++LastOrder, Kind, Index, std::move(From), std::move(Message)});
+  }
+
+  void handle(const event &Next) {
+    if (Next.Kind == event_kind::Announce) {
+      announce(Next.Index);
+      schedule(Now + 1s, event_kind::Announce, Next.Index);
+      return;
+    }
+    fake_host &Host = Hosts[Next.Index];
+    if (Host.Process == nullptr)
+      return;
+    if (Next.Kind == event_kind::Deliver && Host.Frozen) {
+      constexpr std::size_t SocketBuffer = 200;
+      if (Host.Unread.size() < SocketBuffer)
+        Host.Unread.emplace_back(*Next.Message, Next.From);
+      return;
+    }
+    if (Host.Frozen || (Next.Kind == event_kind::Wake && Host.WakeAt != Now))
+      return;
+    if (Next.Kind == event_kind::Deliver)
+      Host.Process->receive(*Next.Message, Next.From, Now);
+    else
+      Host.Process->advance(Now);
+    settle(Next.Index);
+  }
+
+  void announce(std::size_t Index) {
+    fake_backend &Backend = Backends[Index];
+    if (!Backend.Alive)
+      return;
+    ++Backend.Load.Sequence;
+    Backend.Load.Running = static_cast<std::uint32_t>(Random.below(64));
+    if (!Backend.Sticky || !running(Backend.Host))
+      Backend.Host = Random.below(Hosts.size());
+    if (!running(Backend.Host))
+      return;
+    Hosts[Backend.Host].Process->announce(Backend.Announcement, Backend.Load, Now);
+    settle(Backend.Host);
+  }
+
+  void settle(std::size_t Index) {
+    fake_host &Host = Hosts[Index];
+    for (membership_action &Action : Host.Process->takeActions()) {
+      if (OnAction)
+        OnAction(Index, Action);
+      if (auto *Send = std::get_if<send_message>(&Action))
+        transmit(Index, *Send);
+    }
+    const mono_time Wake = std::max(Host.Process->nextWake(), Now + 1ms);
+    if (Wake == Host.WakeAt)
+      return;
+    Host.WakeAt = Wake;
+    schedule(Wake, event_kind::Wake, Index);
+  }
+
+  void transmit(std::size_t From, send_message &Send) {
+    for (std::size_t To = 0; To < Hosts.size(); ++To)
+      if (Send.To == addressOf(To))
+        deliver(From, To, std::make_shared<const membership_message>(std::move(Send.Message)));
+  }
+
+  void deliver(std::size_t From, std::size_t To,
+               const std::shared_ptr<const membership_message> &Message) {
+    const int Copies = Random.chance(Faults.Duplicate) ? 2 : 1;
+    for (int Copy = 0; Copy < Copies; ++Copy) {
+      if (Cuts.count({From, To}) != 0 || Random.chance(Faults.Drop))
+        continue;
+      const auto Spread = static_cast<std::uint64_t>((Faults.MaxDelay - Faults.MinDelay).count());
+      const mono_span Delay = Faults.MinDelay + mono_span(Random.below(Spread + 1));
+      schedule(Now + Delay, event_kind::Deliver, To, addressOf(From), Message);
+    }
+  }
+
+  membership_settings Settings;
+  mono_time Now{mono_span(1h)};
+  std::priority_queue<event> Events;
+  std::uint64_t LastOrder{0};
+  std::uint64_t LastLife{0};
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_TESTS_MEMBERSHIP_FAKE_NETWORK_H
