Add policy_bench: fleets, baselines and bounds on a virtual clock

Cause: the policy's goals need one deterministic measurement with baselines. Change: engine model, entries with lagged reports, JSON lines and bounds. Goodput counts by time of completion.

--- /dev/null
+++ b/bench/policy/simulation.cpp
@@ -0,0 +1,300 @@
+/** @file simulation.cpp The event loop of one run. */
+#include "simulation_base.h"
+
+#include <algorithm>
+
+namespace pollenstall::bench {
+namespace {
+
+constexpr std::size_t MostAttempts = 3;
+constexpr std::uint64_t EventsPerReport = 8;
+constexpr double LostAfter = 2.0; ///< Until the entries see that a silent engine is lost.
+constexpr std::size_t Domains = 3;
+constexpr std::int64_t ChunkOfHash = 1'024;
+/// Virtual time zero; not the clock's own zero, which code may treat as "never".
+constexpr mono_time Start{std::chrono::hours(1)};
+
+mono_span spanOf(double Seconds) {
+  return std::chrono::duration_cast<mono_span>(std::chrono::duration<double>(Seconds));
+}
+
+} // namespace
+
+simulation::simulation(const run_settings &Given, const named_policy &Policy) : Settings(Given) {
+  for (const sim_request &Request : makeWorkload(Settings)) {
+    sim_record Record;
+    Record.Request = Request;
+    Records.push_back(Record);
+  }
+  Avoid.resize(Records.size());
+  for (std::size_t Number = 0; Number < Settings.Engines; ++Number) {
+    backend_view View;
+    View.Announcement.Key = {backend_address("10.0.0." + std::to_string(Number) + ":80"),
+                             incarnation(1)};
+    View.Announcement.Service = service_name("llm");
+    View.Announcement.Domain = failure_domain_name("d" + std::to_string(Number % Domains));
+    View.Announcement.Models = {model_name("m")};
+    View.Announcement.Capabilities.Priorities = Settings.Engine.Priorities;
+    View.Announcement.BlockTokens = tokens(Settings.Engine.BlockTokens);
+    View.Announcement.Memory =
+        memory_blocks(Settings.Engine.MemoryTokens / Settings.Engine.BlockTokens);
+    View.LoadSeen = now();
+    EngineNumbers[View.Announcement.Key] = Number;
+    Engines.push_back({sim_engine(Settings.Engine), View, false, 0});
+  }
+  for (std::size_t Number = 0; Number < Settings.Entries; ++Number)
+    Entries.push_back({Policy.Make(Settings, Number), -1});
+}
+
+mono_time simulation::now() const { return Start + spanOf(Time); }
+
+void simulation::push(double At, event_kind Kind, std::size_t Index, std::uint64_t Life) {
+  Events.push({At, NextOrder++, Kind, Index, Life});
+}
+
+std::vector<sim_record> simulation::run() {
+  for (std::size_t Request = 0; Request < Records.size(); ++Request)
+    push(Records[Request].Request.Arrived, event_kind::Arrival, Request);
+  for (std::size_t Index = 0; Index < Settings.Disturbances.size(); ++Index)
+    push(Settings.Disturbances[Index].At, event_kind::Disturb, Index);
+  for (std::size_t Engine = 0; Engine < Engines.size(); ++Engine) {
+    const double Phase = static_cast<double>(Engine) / static_cast<double>(Engines.size());
+    push(Phase * Settings.ReportInterval, event_kind::Report, Engine);
+    for (entry_state &Entry : Entries)
+      Entry.Policy.View(Engines[Engine].View, now());
+  }
+  std::size_t Open = Records.size();
+  while (!Events.empty() && Open > 0) {
+    const event Event = Events.top();
+    Events.pop();
+    Time = Event.Time;
+    handle(Event);
+    if (Event.Kind == event_kind::TimeLimit)
+      --Open; // Each request has exactly one, so the run goes on until the last has passed.
+  }
+  return std::move(Records);
+}
+
+void simulation::handle(const event &Event) {
+  switch (Event.Kind) {
+  case event_kind::Arrival:
+    return arrive(Event.Index);
+  case event_kind::StepEnd:
+    if (Engines[Event.Index].Life == Event.Life)
+      finishStep(Event.Index);
+    return;
+  case event_kind::Report:
+    return report(Event.Index);
+  case event_kind::Deliver:
+    return deliver(Event.Index);
+  case event_kind::Wake:
+    if (Entries[Event.Index].WakeAt == Event.Time) {
+      Entries[Event.Index].WakeAt = -1;
+      pump(Event.Index);
+    }
+    return;
+  case event_kind::TimeLimit:
+    return passLimit(Event.Index);
+  case event_kind::Disturb:
+    return disturb(Settings.Disturbances[Event.Index]);
+  case event_kind::MarkLost:
+    Engines[Event.Index].View.Standing = backend_standing::Lost;
+    for (entry_state &Entry : Entries)
+      Entry.Policy.View(Engines[Event.Index].View, now());
+    return;
+  }
+}
+
+work_item simulation::itemOf(std::size_t Index) const {
+  const sim_request &Request = Records[Index].Request;
+  work_item Item;
+  Item.Request = request_number(Index + 1);
+  Item.Account = client_account_name("account-" + std::to_string(Request.Account));
+  Item.Service = service_name("llm");
+  Item.Model = model_name("m");
+  Item.Groups = {{group_name("all"), 1}};
+  Item.Prompt = tokens(Request.Prompt);
+  Item.AnswerLimit = tokens(Request.AnswerLimit);
+  Item.Avoid = Avoid[Index];
+  Item.Arrived = Start + spanOf(Request.Arrived);
+  Item.Deadline = Start + spanOf(Request.Arrived + Request.Allowed);
+  for (std::int64_t At = 0; At < Request.Prompt; At += ChunkOfHash) {
+    const bool Shared = At + ChunkOfHash <= Request.PrefixTokens;
+    const auto Chunk = static_cast<std::uint64_t>(At);
+    Item.PrefixHashes.push_back(
+        mixHash(Shared ? Request.Prefix : mixHash(Index + 1, Settings.Seed), Chunk));
+  }
+  return Item;
+}
+
+std::size_t simulation::engineOf(const backend_key &Key) const { return EngineNumbers.at(Key); }
+
+void simulation::arrive(std::size_t Request) {
+  const sim_request &Facts = Records[Request].Request;
+  push(Facts.Arrived + Facts.Allowed, event_kind::TimeLimit, Request);
+  submit(Request);
+}
+
+void simulation::submit(std::size_t Request) {
+  const std::size_t Entry = Records[Request].Request.Entry;
+  const auto Result = Entries[Entry].Policy.Submit(itemOf(Request), now());
+  if (!succeeded(Result)) {
+    const work_refusal &Refusal = errorOf(Result);
+    if (Refusal.RetryAfter)
+      Records[Request].RetryAfter = static_cast<double>(Refusal.RetryAfter->count());
+    const bool TooLarge = Refusal.Reason == failure_reason::TooLargeForFleet;
+    end(Request, TooLarge ? sim_outcome::TooLarge : sim_outcome::Refused);
+    return;
+  }
+  pump(Entry);
+}
+
+void simulation::pump(std::size_t Number) {
+  entry_state &Entry = Entries[Number];
+  const poll_outcome Outcome = Entry.Policy.Poll(now());
+  for (const work_expiry &Expiry : Outcome.Expiries) {
+    const auto Request = static_cast<std::size_t>(Expiry.Request.value() - 1);
+    if (Expiry.Refusal.RetryAfter)
+      Records[Request].RetryAfter = static_cast<double>(Expiry.Refusal.RetryAfter->count());
+    end(Request, sim_outcome::Expired);
+  }
+  for (const work_placement &Placement : Outcome.Placements)
+    startAttempt(static_cast<std::size_t>(Placement.Request.value() - 1), Placement);
+  const std::optional<mono_time> Wake = Entry.Policy.NextWake();
+  if (!Wake)
+    return;
+  const double At = std::max(Time, std::chrono::duration<double>(*Wake - Start).count());
+  if (Entry.WakeAt >= 0 && Entry.WakeAt <= At)
+    return;
+  Entry.WakeAt = At;
+  push(At, event_kind::Wake, Number);
+}
+
+void simulation::startAttempt(std::size_t Request, const work_placement &Placement) {
+  const sim_request &Facts = Records[Request].Request;
+  const std::size_t Number = Attempts.size();
+  const std::size_t Engine = engineOf(Placement.Backend);
+  const auto Ordinal = static_cast<std::uint32_t>(Avoid[Request].size() + 1);
+  const process_key Owner{host_name("entry-" + std::to_string(Facts.Entry)), incarnation(1)};
+  Attempts.push_back({Request, Engine, {Owner, Placement.Request, Ordinal}, 0, 0});
+  Current[Request] = Number;
+  Entries[Facts.Entry].Policy.Started(Attempts[Number].Id, itemOf(Request), Placement.Backend,
+                                      now());
+  if (Engines[Engine].Lost)
+    return failAttempt(Number, attempt_failure::NotConnected);
+  Engines[Engine].Engine.enqueue({Number, Facts.Prompt, Facts.Answer, Facts.AnswerLimit,
+                                  Facts.Prefix, Facts.PrefixTokens, Placement.Priority});
+  stepEngine(Engine);
+}
+
+void simulation::stepEngine(std::size_t Number) {
+  engine_state &State = Engines[Number];
+  if (!State.Lost && State.Engine.canStart())
+    push(Time + State.Engine.start(), event_kind::StepEnd, Number, State.Life);
+}
+
+void simulation::finishStep(std::size_t Number) {
+  const step_outcome Outcome = Engines[Number].Engine.finish();
+  std::set<std::size_t> Touched;
+  for (const std::size_t Attempt : Outcome.FirstTokens) {
+    attempt_state &State = Attempts[Attempt];
+    sim_record &Record = Records[State.Request];
+    Record.FirstToken = Time - Record.Request.Arrived;
+    State.Cached = Engines[Number].Engine.cachedTokens(Attempt);
+    Entries[Record.Request.Entry].Policy.Answering(State.Id, now());
+    Touched.insert(Record.Request.Entry);
+  }
+  for (const std::size_t Attempt : Outcome.FurtherTokens) {
+    attempt_state &State = Attempts[Attempt];
+    if (++State.Unreported < EventsPerReport)
+      continue;
+    Entries[Records[State.Request].Request.Entry].Policy.Advanced(State.Id, State.Unreported,
+                                                                  now());
+    State.Unreported = 0;
+  }
+  for (const std::size_t Attempt : Outcome.Completed) {
+    const attempt_state &State = Attempts[Attempt];
+    const sim_request &Facts = Records[State.Request].Request;
+    attempt_end End;
+    End.Completed = true;
+    End.PromptTokens = tokens(Facts.Prompt);
+    End.AnswerTokens = tokens(Facts.Answer);
+    End.CachedTokens = tokens(State.Cached);
+    Entries[Facts.Entry].Policy.Ended(State.Id, End, now());
+    Touched.insert(Facts.Entry);
+    Current.erase(State.Request);
+    end(State.Request, sim_outcome::Done);
+  }
+  for (const std::size_t Entry : Touched)
+    pump(Entry);
+  stepEngine(Number);
+}
+
+void simulation::report(std::size_t Number) {
+  engine_state &State = Engines[Number];
+  if (State.Lost)
+    return;
+  State.View.Load = State.Engine.load();
+  State.View.Load.Sequence = State.Engine.nextReport();
+  State.View.LoadSeen = now() + spanOf(Settings.ReportLag);
+  Reports.push_back(State.View);
+  push(Time + Settings.ReportLag, event_kind::Deliver, Reports.size() - 1);
+  push(Time + Settings.ReportInterval, event_kind::Report, Number);
+}
+
+void simulation::deliver(std::size_t Index) {
+  const backend_view View = Reports[Index];
+  if (Engines[engineOf(View.Announcement.Key)].View.Standing != backend_standing::Active)
+    return;
+  for (std::size_t Entry = 0; Entry < Entries.size(); ++Entry) {
+    Entries[Entry].Policy.View(View, now());
+  }
+}
+
+void simulation::passLimit(std::size_t Request) {
+  if (Records[Request].Outcome != sim_outcome::Open)
+    return;
+  const std::size_t Entry = Records[Request].Request.Entry;
+  const auto Found = Current.find(Request);
+  if (Found != Current.end()) {
+    const attempt_state &State = Attempts[Found->second];
+    Engines[State.Engine].Engine.cancel(Found->second);
+    Entries[Entry].Policy.Ended(State.Id, attempt_end(), now());
+    Current.erase(Found);
+  }
+  Entries[Entry].Policy.Withdraw(request_number(Request + 1));
+  end(Request, sim_outcome::TimedOut);
+}
+
+void simulation::disturb(const disturbance &Change) {
+  engine_state &State = Engines[Change.Engine];
+  if (!Change.Lost)
+    return State.Engine.setSlowdown(Change.Slowdown);
+  State.Lost = true;
+  ++State.Life;
+  push(Time + LostAfter, event_kind::MarkLost, Change.Engine);
+  for (const std::size_t Attempt : State.Engine.lose())
+    failAttempt(Attempt, attempt_failure::BrokenSent);
+}
+
+void simulation::failAttempt(std::size_t Number, attempt_failure Failure) {
+  const attempt_state State = Attempts[Number];
+  const sim_request Facts = Records[State.Request].Request;
+  attempt_end End;
+  End.Failure = Failure;
+  Entries[Facts.Entry].Policy.Ended(State.Id, End, now());
+  Current.erase(State.Request);
+  Avoid[State.Request].push_back(Engines[State.Engine].View.Announcement.Key);
+  const bool Answered = Records[State.Request].FirstToken >= 0;
+  if (Answered || Avoid[State.Request].size() >= MostAttempts)
+    return end(State.Request, sim_outcome::Failed);
+  submit(State.Request);
+}
+
+void simulation::end(std::size_t Request, sim_outcome Outcome) {
+  sim_record &Record = Records[Request];
+  Record.Outcome = Outcome;
+  Record.Ended = Time - Record.Request.Arrived;
+}
+
+} // namespace pollenstall::bench
--- /dev/null
+++ b/bench/policy/workload.cpp
@@ -0,0 +1,147 @@
+/** @file workload.cpp Draws the mix of prompts from a thousand to a million tokens. */
+#include "workload_type.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace pollenstall::bench {
+namespace {
+
+constexpr double LongPart = 0.02; ///< One in fifty from a hundred thousand tokens.
+constexpr double MediumPart = 0.28;
+constexpr double ShortLeast = 1'000;
+constexpr double MediumLeast = 8'000;
+constexpr double LongLeast = 100'000;
+constexpr double LongMost = 1'000'000;
+constexpr double MediumTail = 1.5;
+constexpr double LongTail = 1.2;
+constexpr double MeanAnswer = 200;
+constexpr std::int64_t AnswerBound = 600;
+constexpr std::array<double, LengthClasses> AllowedSeconds{60, 120, 400};
+constexpr std::array<double, Accounts> LargeAccounts{0.30, 0.20, 0.15, 0.05, 0.05,
+                                                     0.05, 0.05, 0.05, 0.05, 0.05};
+constexpr double PrefixPart = 0.4; ///< Requests that share a prefix with others of the account.
+constexpr std::uint64_t PrefixesPerAccount = 4;
+constexpr std::int64_t PrefixLength = 1'024;
+constexpr double BurstPeriod = 60;
+constexpr double BurstSeconds = 6;
+constexpr double BurstFactor = 3;
+constexpr std::size_t CalibrationDraws = 40'000;
+
+/// Pareto between two bounds. @return A draw.
+double boundedPareto(random_source &Random, double Least, double Most, double Tail) {
+  const double Ratio = std::pow(Least / Most, Tail);
+  return Least / std::pow(1.0 - Random.unit() * (1.0 - Ratio), 1.0 / Tail);
+}
+
+double exponential(random_source &Random, double Mean) {
+  return -Mean * std::log(1.0 - Random.unit());
+}
+
+void drawLengths(random_source &Random, sim_request &Request) {
+  const double Part = Random.unit();
+  if (Part < LongPart) {
+    Request.Class = length_class::Long;
+    Request.Prompt =
+        static_cast<std::int64_t>(boundedPareto(Random, LongLeast, LongMost, LongTail));
+  } else if (Part < LongPart + MediumPart) {
+    Request.Class = length_class::Medium;
+    Request.Prompt =
+        static_cast<std::int64_t>(boundedPareto(Random, MediumLeast, LongLeast, MediumTail));
+  } else {
+    Request.Class = length_class::Short;
+    Request.Prompt =
+        static_cast<std::int64_t>(ShortLeast * std::pow(MediumLeast / ShortLeast, Random.unit()));
+  }
+  Request.AnswerLimit = AnswerBound;
+  const double Answer = 20 + exponential(Random, MeanAnswer - 20);
+  Request.Answer = std::min(AnswerBound, static_cast<std::int64_t>(Answer));
+  Request.Allowed = AllowedSeconds[static_cast<std::size_t>(Request.Class)];
+}
+
+/// @return Mean engine seconds of a request that fits one engine, drawn apart from any run.
+double meanSeconds(const engine_settings &Engine) {
+  random_source Random(1);
+  double Total = 0;
+  for (std::size_t Draw = 0; Draw < CalibrationDraws; ++Draw) {
+    sim_request Request;
+    drawLengths(Random, Request);
+    if (Request.Prompt + Request.AnswerLimit <= Engine.MemoryTokens)
+      Total += engineSeconds(Engine, Request.Prompt, Request.Answer);
+  }
+  return Total / static_cast<double>(CalibrationDraws);
+}
+
+std::size_t drawAccount(random_source &Random, const run_settings &Run) {
+  if (Run.EqualAccounts) {
+    const double Total = Run.FloodFactor + static_cast<double>(Accounts - 1);
+    const double Draw = Random.unit() * Total;
+    return Draw < Run.FloodFactor ? 0 : 1 + static_cast<std::size_t>(Random.below(Accounts - 1));
+  }
+  double Draw = Random.unit();
+  for (std::size_t Account = 0; Account < Accounts; ++Account) {
+    if (Draw < LargeAccounts[Account])
+      return Account;
+    Draw -= LargeAccounts[Account];
+  }
+  return Accounts - 1;
+}
+
+/// @return The rate at that time against the mean rate.
+double burstFactor(const run_settings &Run, double Time) {
+  if (!Run.Bursts)
+    return 1.0;
+  if (std::fmod(Time, BurstPeriod) >= BurstPeriod - BurstSeconds)
+    return BurstFactor;
+  return (BurstPeriod - BurstFactor * BurstSeconds) / (BurstPeriod - BurstSeconds);
+}
+
+} // namespace
+
+double engineSeconds(const engine_settings &Engine, std::int64_t Prompt, std::int64_t Answer) {
+  const double Chunks = static_cast<double>(Prompt) / static_cast<double>(Engine.ChunkTokens);
+  return static_cast<double>(Prompt) * Engine.PrefillSeconds + Chunks * Engine.BaseSeconds +
+         static_cast<double>(Answer) * Engine.DecodeSeconds;
+}
+
+std::vector<sim_request> makeWorkload(const run_settings &Run) {
+  random_source Random(mixHash(Run.Seed, 17));
+  const double Flood =
+      Run.EqualAccounts ? (Run.FloodFactor + static_cast<double>(Accounts - 1)) / Accounts : 1.0;
+  const double Rate = Run.Load * Flood * static_cast<double>(Run.Engines) / meanSeconds(Run.Engine);
+  std::vector<sim_request> Requests;
+  double Time = 0;
+  for (;;) {
+    Time += exponential(Random, 1.0 / (Rate * burstFactor(Run, Time)));
+    if (Time >= Run.Seconds)
+      return Requests;
+    sim_request Request;
+    Request.Arrived = Time;
+    drawLengths(Random, Request);
+    Request.Entry = static_cast<std::size_t>(Random.below(Run.Entries));
+    Request.Account = drawAccount(Random, Run);
+    Request.Prefix = mixHash(Run.Seed, Requests.size() + 1'000);
+    const bool Shares = Random.chance(PrefixPart);
+    const std::uint64_t Which = Random.below(PrefixesPerAccount);
+    if (Shares && Request.Prompt > PrefixLength) {
+      Request.Prefix = Request.Account * PrefixesPerAccount + Which;
+      Request.PrefixTokens = PrefixLength;
+    }
+    // Drawn all the same, so that a run without long work has the same other requests.
+    if (Run.LongWork || Request.Class != length_class::Long)
+      Requests.push_back(Request);
+  }
+}
+
+fleet_declaration makeDeclaration(const run_settings &Run) {
+  fleet_declaration Declaration;
+  Declaration.Groups.push_back({group_name("all"), service_name("llm"), {}});
+  for (std::size_t Account = 0; Account < Accounts; ++Account)
+    Declaration.Accounts.push_back(
+        {client_account_name("account-" + std::to_string(Account)), {}, 1, 256});
+  Declaration.Policy = Run.Policy;
+  return Declaration;
+}
+
+} // namespace pollenstall::bench
--- a/src/scheduling/scheduler_attempt.cpp
+++ b/src/scheduling/scheduler_attempt.cpp
@@ -109,7 +109,9 @@
   if (Record == nullptr || ByAttempt.contains(Attempt))
     return;
   const waiting_work Work{Item, classOf(Item), group_name(), costOf(Item), Item.Deadline};
-  const ticket_number Number = openTicket(Work, {Record, estimate(*Record, Work, Now)}, Now);
+  const std::optional<cached_prefix> Cached = Affinity.find(Item.PrefixHashes);
+  const ticket_number Number =
+      openTicket(Work, {Record, estimate(*Record, Work, Cached, Now)}, Now);
   Tickets.at(Number).Attempt = Attempt;
   ByAttempt[Attempt] = Number;
 }
--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -129,6 +129,7 @@
   std::vector<backend_record *> usable(const waiting_work &Work);
   [[nodiscard]] bool mayPlace(const backend_record &Record, const waiting_work &Work) const;
   [[nodiscard]] engine_estimate estimate(const backend_record &Record, const waiting_work &Work,
+                                         const std::optional<cached_prefix> &Cached,
                                          mono_time Now) const;
   [[nodiscard]] bool hasSlot(const backend_record &Record, const waiting_work &Work,
                              const engine_estimate &Estimate, mono_time Now) const;
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -52,7 +52,9 @@
 }
 
 scheduler::engine_estimate scheduler::estimate(const backend_record &Record,
-                                               const waiting_work &Work, mono_time Now) const {
+                                               const waiting_work &Work,
+                                               const std::optional<cached_prefix> &Cached,
+                                               mono_time Now) const {
   engine_estimate Result;
   if (Work.Item.Model.empty()) {
     const backend_load &Load = Record.View.Load;
@@ -65,7 +67,6 @@
   const double Rate = Record.Costs.prefillRate();
   const bool Priorities = Record.View.Announcement.Capabilities.Priorities;
   const auto Prompt = static_cast<double>(Work.Item.Prompt.value());
-  const std::optional<cached_prefix> Cached = Affinity.find(Work.Item.PrefixHashes);
   if (Cached && Cached->Backend == Record.key())
     Result.CachedShare = Cached->Share;
   Result.Uncached = Prompt * (1.0 - Result.CachedShare);
@@ -98,10 +99,11 @@
 
 std::optional<scheduler::choice> scheduler::choose(const waiting_work &Work, mono_time Now) {
   std::vector<choice> Choices;
+  const std::optional<cached_prefix> Cached = Affinity.find(Work.Item.PrefixHashes);
   for (backend_record *Record : usable(Work)) {
     if (!mayPlace(*Record, Work))
       continue;
-    const engine_estimate Estimate = estimate(*Record, Work, Now);
+    const engine_estimate Estimate = estimate(*Record, Work, Cached, Now);
     if (hasSlot(*Record, Work, Estimate, Now))
       Choices.push_back({Record, Estimate});
   }
