--- /dev/null
+++ b/src/fake_backend/prompt_scan.cpp
@@ -0,0 +1,142 @@
+/** @file prompt_scan.cpp Handler of Boost.JSON's streaming parser. */
+#include "fake_backend/prompt_scan_func.h"
+
+#include <boost/json/basic_parser_impl.hpp>
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+
+/// Hashes contents byte by byte and notes the hash wherever a block is full.
+class prompt_hasher {
+public:
+  explicit prompt_hasher(std::int64_t BlockTokens) : BlockBytes(BlockTokens * BytesPerToken) {}
+
+  void add(std::string_view Text) {
+    while (!Text.empty()) {
+      const auto Room = static_cast<std::size_t>(BlockBytes - Bytes % BlockBytes);
+      const std::string_view Part = Text.substr(0, Room);
+      Hash = stableHash(Part, Hash);
+      Bytes += static_cast<std::int64_t>(Part.size());
+      if (Part.size() == Room)
+        Blocks.push_back(Hash);
+      Text.remove_prefix(Part.size());
+    }
+  }
+
+  std::uint64_t Hash{StableHashSeed};
+  std::int64_t Bytes{0};
+  std::vector<std::uint64_t> Blocks;
+
+private:
+  std::int64_t BlockBytes;
+};
+
+/// Keeps the path of keys and takes the few values that matter; names are set by Boost.JSON.
+class call_handler {
+public:
+  static constexpr std::size_t max_object_size = ~std::size_t{0};
+  static constexpr std::size_t max_array_size = ~std::size_t{0};
+  static constexpr std::size_t max_key_size = 4096;
+  static constexpr std::size_t max_string_size = ~std::size_t{0};
+  using error_code = boost::json::error_code;
+  using string_view = boost::json::string_view;
+
+  explicit call_handler(std::int64_t BlockTokens) : Hasher(BlockTokens) {}
+
+  bool on_document_begin(error_code &) { return true; }
+  bool on_document_end(error_code &) { return true; }
+  bool on_object_begin(error_code &) { return push(); }
+  bool on_object_end(std::size_t, error_code &) { return pop(); }
+  bool on_array_begin(error_code &) { return push(); }
+  bool on_array_end(std::size_t, error_code &) { return pop(); }
+  bool on_key_part(string_view Part, std::size_t, error_code &) {
+    Key.append(Part.data(), Part.size());
+    return true;
+  }
+  bool on_key(string_view Part, std::size_t, error_code &) {
+    Key.append(Part.data(), Part.size());
+    Path.back() = std::move(Key);
+    Key.clear();
+    return true;
+  }
+  bool on_string_part(string_view Part, std::size_t, error_code &) { return text(Part); }
+  bool on_string(string_view Part, std::size_t, error_code &) { return text(Part); }
+  bool on_number_part(string_view, error_code &) { return true; }
+  bool on_int64(std::int64_t Value, string_view, error_code &) {
+    if (at("max_tokens") || at("max_completion_tokens"))
+      Call.AnswerTokens = Value;
+    return true;
+  }
+  bool on_uint64(std::uint64_t, string_view, error_code &) { return true; }
+  bool on_double(double, string_view, error_code &) { return true; }
+  bool on_bool(bool Value, error_code &) {
+    if (at("stream"))
+      Call.Stream = Value;
+    return true;
+  }
+  bool on_null(error_code &) { return true; }
+  bool on_comment_part(string_view, error_code &) { return true; }
+  bool on_comment(string_view, error_code &) { return true; }
+
+  model_call Call;
+  prompt_hasher Hasher;
+  bool PromptSeen{false};
+
+private:
+  bool push() {
+    Path.emplace_back();
+    return true;
+  }
+  bool pop() {
+    Path.pop_back();
+    return true;
+  }
+  [[nodiscard]] bool at(std::string_view Name) const {
+    return Path.size() == 1 && Path.front() == Name;
+  }
+  [[nodiscard]] bool inPrompt() const {
+    if (Path.empty())
+      return false;
+    if (Path.front() == "prompt")
+      return true;
+    return Path.front() == "messages" && Path.size() > 2 &&
+           (Path.back() == "content" || Path.back() == "text" || Path.back().empty());
+  }
+  bool text(string_view Part) {
+    const std::string_view Plain(Part.data(), Part.size());
+    if (at("model"))
+      Call.Model += Plain;
+    if (inPrompt()) {
+      PromptSeen = true;
+      Hasher.add(Plain);
+    }
+    return true;
+  }
+
+  std::vector<std::string> Path; ///< The key in each open object; empty in an array.
+  std::string Key;
+};
+
+} // namespace
+
+result<model_call, scan_error> scanModelCall(std::string_view Body, std::int64_t BlockTokens) {
+  boost::json::basic_parser<call_handler> Parser(boost::json::parse_options{}, BlockTokens);
+  boost::json::error_code Error;
+  const std::size_t Used = Parser.write_some(false, Body.data(), Body.size(), Error);
+  if (Error || Used != Body.size())
+    return scan_error{"the body is not JSON"};
+  call_handler &Handler = Parser.handler();
+  if (!Handler.PromptSeen)
+    return scan_error{"neither messages nor prompt are given"};
+  model_call Call = std::move(Handler.Call);
+  Call.PromptHash = Handler.Hasher.Hash;
+  Call.PromptTokens =
+      std::max<std::int64_t>(1, (Handler.Hasher.Bytes + BytesPerToken - 1) / BytesPerToken);
+  Call.BlockHashes = std::move(Handler.Hasher.Blocks);
+  return Call;
+}
+
+} // namespace pollenstall
