Tell a peer's leaving by a read, not by readiness

The wait for readability also ended on an epoll edge that the request's own read had used up; the first streams were cut after two events.

--- a/src/fake_backend/session.cpp
+++ b/src/fake_backend/session.cpp
@@ -50,13 +50,23 @@
                     [Self = shared_from_this(), Mine = Turn](boost::system::error_code Error) {
                       if (Self->Turn != Mine || Self->Closed)
                         return;
-                      boost::system::error_code Failed;
-                      const std::size_t Bytes = Error ? 0 : Self->Socket.available(Failed);
-                      if (Error || Failed || Bytes == 0)
+                      if (Error || Self->peerLeft())
                         Self->close();
+                      else if (!Self->Pipelined)
+                        Self->watchPeer();
                     });
 }
 
+bool session::peerLeft() {
+  // The wait also ends on readiness that an earlier read has used up: only a read tells.
+  char Byte = 0;
+  boost::system::error_code Error;
+  Socket.non_blocking(true, Error);
+  Socket.receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek, Error);
+  Pipelined = !Error;
+  return Error && Error != asio::error::would_block;
+}
+
 void session::close() {
   if (std::exchange(Closed, true))
     return;
--- a/src/fake_backend/session_base.h
+++ b/src/fake_backend/session_base.h
@@ -57,6 +57,7 @@
 private:
   void readRequest();
   void watchPeer();
+  bool peerLeft();
   void send(std::string &&Bytes, plain_hook Then);
   void answered(bool Reuse);
 
@@ -71,6 +72,7 @@
   bool Writing{false};
   bool Closed{false};
   bool KeepAlive{true};
+  bool Pipelined{false}; ///< The next request is there already; its bytes hide a break.
 };
 
 } // namespace pollenstall
