--- a/src/fake_backend/session.cpp
+++ b/src/fake_backend/session.cpp
@@ -136,20 +136,20 @@
 }
 
 void session::openStream(const std::string &Attempt) {
-  Out = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
+  Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
         "Transfer-Encoding: chunked\r\n";
   if (!Attempt.empty())
-    Out += "X-Pollenstall-Attempt: " + Attempt + "\r\n";
-  Out += "\r\n";
+    Head += "X-Pollenstall-Attempt: " + Attempt + "\r\n";
+  Head += "\r\n";
 }
 
 void session::writeEvents(const std::string &Events, plain_hook Then) {
-  send(std::exchange(Out, {}) + chunkOf(Events), std::move(Then));
+  send(std::exchange(Head, {}) + chunkOf(Events), std::move(Then));
 }
 
 void session::finishStream(const std::string &Events, const plain_hook &Then) {
   const std::string Body = Events.empty() ? std::string() : chunkOf(Events);
-  send(std::exchange(Out, {}) + Body + "0\r\n\r\n", [this, Then] {
+  send(std::exchange(Head, {}) + Body + "0\r\n\r\n", [this, Then] {
     Then();
     answered(KeepAlive);
   });
--- a/src/fake_backend/session_base.h
+++ b/src/fake_backend/session_base.h
@@ -65,7 +65,8 @@
   boost::asio::steady_timer Delayed;
   boost::beast::flat_buffer Buffer;
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> Parser;
-  std::string Out;
+  std::string Head; ///< Of a stream, until it goes out with the first events.
+  std::string Out;  ///< What is being written.
   request_hook Request;
   plain_hook Broken;
   std::uint64_t Turn{0}; ///< Counts requests, so that an old watch does not end a later one.
