--- /dev/null
+++ b/tests/support/child_process_base.h
@@ -0,0 +1,79 @@
+/** @file child_process_base.h Runs one of the project's binaries and watches what it says. */
+#ifndef POLLENSTALL_SUPPORT_CHILD_PROCESS_BASE_H
+#define POLLENSTALL_SUPPORT_CHILD_PROCESS_BASE_H
+
+#include "support/eventually_func.h"
+#include "support/temp_folder_base.h"
+
+#include <boost/json.hpp>
+
+#include <sys/types.h>
+
+#include <chrono>
+#include <condition_variable>
+#include <csignal>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace pollenstall {
+
+/// A process that ends with its object, by SIGKILL if it still runs. It also ends with the thread
+/// that started it, so start it from the test's own thread.
+class child_process {
+public:
+  /// Starts a binary of the build with any arguments.
+  child_process(const std::string &Binary, std::vector<std::string> Arguments);
+  /// Starts it with --config and a file that holds the settings.
+  static std::unique_ptr<child_process> withSettings(const std::string &Binary,
+                                                     const std::string &Toml);
+  ~child_process();
+  child_process(const child_process &) = delete;
+  child_process &operator=(const child_process &) = delete;
+
+  [[nodiscard]] pid_t pid() const { return Pid; }
+  void kill() const { signal(SIGKILL); }
+  void stop() const { signal(SIGSTOP); }
+  void resume() const { signal(SIGCONT); }
+  void terminate() const { signal(SIGTERM); }
+  void signal(int Number) const;
+
+  /// Waits for its end. @return Exit code, 128 + signal where one ended it, nothing past the limit.
+  std::optional<int> wait(std::chrono::milliseconds Limit = TestLimit);
+
+  /// @return The lines of standard error so far.
+  [[nodiscard]] std::vector<std::string> errorLines() const;
+  /// @return Standard output so far.
+  [[nodiscard]] std::string output() const;
+  /// @return All log events of that name so far.
+  [[nodiscard]] std::vector<boost::json::object> events(const std::string &Name) const;
+  /// Waits for the first log event of that name, counted from the start of the process.
+  /// @return Nothing past the limit, or where the process ended without it.
+  [[nodiscard]] std::optional<boost::json::object>
+  waitForEvent(const std::string &Name, std::chrono::milliseconds Limit = TestLimit) const;
+
+private:
+  void start(const std::string &Path, const std::vector<std::string> &Arguments);
+  void readAll();
+  void take(const std::string &Bytes);
+
+  pid_t Pid{-1};
+  int OutputPipe{-1};
+  int ErrorPipe{-1};
+  std::optional<int> ExitCode;
+  std::thread Reader;
+  mutable std::mutex Guard;
+  mutable std::condition_variable Changed;
+  std::vector<std::string> Lines;
+  std::string Partial;
+  std::string Output;
+  bool Closed{false};
+  std::unique_ptr<temp_folder> Folder;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_SUPPORT_CHILD_PROCESS_BASE_H
