Add pollenstallctl: validate, plan, apply, status, history, drain, member, dump, explain

Cause: operators need one tool whose exit code tells refused, conflict and unknown outcome apart. Change: one file for each verb, an HTTP client and a control client of their own; settings by the shared table; changes are sent as canonical text. Conclusion: stands against fakes; not yet run against the real pollenstall-control.

--- a/programs/pollenstallctl/control_client.cpp
+++ b/programs/pollenstallctl/control_client.cpp
@@ -47,6 +47,13 @@
   return call({"POST", Path, boost::json::serialize(Body), Key}, false);
 }
 
+bool control_client::prefer(const std::string &Url) {
+  const auto Parsed = parseUrl(Url);
+  if (Parsed)
+    Leader = Parsed;
+  return Parsed.has_value();
+}
+
 milliseconds control_client::remaining() const {
   const auto Left =
       std::chrono::duration_cast<milliseconds>(Deadline - std::chrono::steady_clock::now());
--- a/programs/pollenstallctl/control_client_base.h
+++ b/programs/pollenstallctl/control_client_base.h
@@ -8,7 +8,7 @@
 #include <boost/json/value.hpp>
 
 #include <chrono>
-#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
@@ -45,6 +45,9 @@
   /// Sends a change, which must carry a change id.
   control_result post(const std::string &Path, const boost::json::value &Body);
 
+  /// Tries this host first from now on. @return False where the text is no URL.
+  bool prefer(const std::string &Url);
+
   /// @return How long is left of the time limit, not below zero.
   [[nodiscard]] std::chrono::milliseconds remaining() const;
 
--- a/programs/pollenstallctl/ctl_options.cpp
+++ b/programs/pollenstallctl/ctl_options.cpp
@@ -5,6 +5,7 @@
 
 #include <popt.h>
 
+#include <algorithm>
 #include <charconv>
 #include <cstdlib>
 #include <functional>
@@ -247,19 +248,18 @@
 result<done, ctl_exit> readConfig(command_line &Line) {
   if (Line.ConfigFile.empty())
     return done{};
-  ctl_options FromFile = Line.Options;
-  const auto Read = readCtlSettings(Line.ConfigFile, FromFile);
-  if (!succeeded(Read)) {
-    std::cerr << toText(errorOf(Read));
+  const auto Loaded = ctlSettingsTable().load(Line.ConfigFile);
+  if (!succeeded(Loaded)) {
+    std::cerr << toText(errorOf(Loaded));
     return ctl_exit::BadUsage;
   }
-  if (Line.TimeoutGiven)
-    FromFile.Timeout = Line.Options.Timeout;
-  if (!Line.Options.ControlUrls.empty())
-    FromFile.ControlUrls = Line.Options.ControlUrls;
-  if (!Line.Options.KeyFile.empty())
-    FromFile.KeyFile = Line.Options.KeyFile;
-  Line.Options = std::move(FromFile);
+  const ctl_settings &Settings = valueOf(Loaded);
+  if (!Line.TimeoutGiven)
+    Line.Options.Timeout = Settings.Timeout;
+  if (Line.Options.ControlUrls.empty())
+    Line.Options.ControlUrls = Settings.ControlUrls;
+  if (Line.Options.KeyFile.empty())
+    Line.Options.KeyFile = Settings.KeyFile;
   return done{};
 }
 
--- a/programs/pollenstallctl/ctl_options_func.h
+++ b/programs/pollenstallctl/ctl_options_func.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_POLLENSTALLCTL_CTL_OPTIONS_FUNC_H
 
 #include "ctl_type.h"
+#include "settings/settings.h"
 
 namespace pollenstall {
 
@@ -13,9 +14,8 @@
  */
 result<ctl_options, ctl_exit> readCtlOptions(int Count, const char **Values);
 
-/// Reads a settings file into the options that the command line left open.
-result<done, std::vector<declaration_error>> readCtlSettings(const std::string &Path,
-                                                             ctl_options &Into);
+/// @return The rows of the settings file; the command line goes before it.
+const settings_table<ctl_settings> &ctlSettingsTable();
 
 } // namespace pollenstall
 
--- a/programs/pollenstallctl/ctl_type.h
+++ b/programs/pollenstallctl/ctl_type.h
@@ -27,6 +27,13 @@
   NotInForce = 6      ///< Accepted, but not seen in force everywhere in time.
 };
 
+/// What a settings file may say.
+struct ctl_settings {
+  std::vector<std::string> ControlUrls;
+  std::string KeyFile;
+  std::chrono::milliseconds Timeout{20'000};
+};
+
 /// The command line, with settings from --config below it.
 struct ctl_options {
   std::string Verb;
--- a/programs/pollenstallctl/table/verbs.h
+++ b/programs/pollenstallctl/table/verbs.h
@@ -18,7 +18,7 @@
   verb_result (*Run)(const ctl_options &Options);
 };
 
-inline constexpr std::size_t VerbCount = 8;
+inline constexpr std::size_t VerbCount = 9;
 inline constexpr std::array<verb_row, VerbCount> Verbs{{
     {"validate", 1, "FILE", "check a declaration", runValidate},
     {"plan", 1, "FILE", "show what applying it would change", runPlan},
@@ -27,6 +27,7 @@
     {"status", 0, "", "leader, members, entries, backend servers", runStatus},
     {"history", 0, "", "the accepted changes", runHistory},
     {"drain", 1, "IP:PORT [--undo] [--change-id ID]", "no new work for a backend server", runDrain},
+    {"member", 2, "admit|remove NUMBER", "which control hosts keep the log", runMember},
     {"dump", 0, "--target URL", "the state of one process", runDump},
     {"explain", 0,
      "--account A (--service S | --model M) [--tokens N] [--header NAME=VALUE]... [--file F]",
--- a/programs/pollenstallctl/verb_apply.cpp
+++ b/programs/pollenstallctl/verb_apply.cpp
@@ -3,39 +3,23 @@
 #include "verb_common_func.h"
 #include "verb_func.h"
 
-#include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
-#include <algorithm>
-
 namespace pollenstall {
 
 namespace {
 
-/**
- * @return The revision that every entry with a lease has confirmed; none where control does not
- * tell. An entry without a lease takes no new requests, so it holds nothing up.
- */
+/// @return What the serving leader knows to be in force; an isolated host knows nothing of that.
 std::optional<std::uint64_t> revisionInForce(const boost::json::value &Status) {
-  if (const auto Told = numberAt(Status, "revision_in_force"))
-    return Told;
-  const auto *Entries = memberOf(Status, "entries");
-  if (!Entries || !Entries->is_array())
+  if (!flagAt(Status, "serving").value_or(false))
     return std::nullopt;
-  std::optional<std::uint64_t> Lowest;
-  for (const boost::json::value &Entry : Entries->get_array()) {
-    if (!flagAt(Entry, "lease").value_or(true))
-      continue;
-    const std::uint64_t Confirmed = numberAt(Entry, "revision").value_or(0);
-    Lowest = std::min(Lowest.value_or(Confirmed), Confirmed);
-  }
-  return Lowest;
+  return numberAt(Status, "in_force_revision");
 }
 
 result<done, verb_failure> waitInForce(control_client &Client, std::uint64_t Revision) {
   std::string Last = "no status";
   do {
-    const auto Status = fetch(Client, "/v1/status");
+    const auto Status = fetchStatus(Client);
     const auto InForce = succeeded(Status) ? revisionInForce(valueOf(Status)) : std::nullopt;
     if (InForce && *InForce >= Revision)
       return done{};
@@ -53,6 +37,12 @@
 result<revision, verb_failure> baseRevision(control_client &Client, const ctl_options &Options) {
   if (Options.BaseRevision)
     return *Options.BaseRevision;
+  // Once the first try was accepted, the revision in force is another base: another change.
+  if (!Options.ChangeId.empty())
+    return verb_failure{ctl_exit::BadUsage,
+                        "--change-id needs the --base-revision of the first try, which apply "
+                        "printed with the id",
+                        {}};
   const auto Body = fetch(Client, "/v1/declaration");
   if (!succeeded(Body))
     return errorOf(Body);
@@ -77,7 +67,7 @@
   const auto Base = baseRevision(Client, Options);
   if (!succeeded(Base))
     return errorOf(Base);
-  const std::string Id = announceChangeId(Options);
+  const std::string Id = announceChangeId(Options, valueOf(Base));
   const auto Answer = sendChange(Client, "/v1/changes",
                                  boost::json::object{{"change_id", Id},
                                                      {"base_revision", valueOf(Base).value()},
--- a/programs/pollenstallctl/verb_common.cpp
+++ b/programs/pollenstallctl/verb_common.cpp
@@ -7,6 +7,7 @@
 #include <boost/json/object.hpp>
 
 #include <fstream>
+#include <iomanip>
 #include <iostream>
 #include <random>
 #include <sstream>
@@ -44,7 +45,8 @@
 
 verb_failure failureOf(const control_answer &Answer) {
   const std::string Status = "status " + std::to_string(Answer.Status);
-  if (Answer.Status != StatusConflict)
+  // The same status also tells of a change id that was used for another change.
+  if (Answer.Status != StatusConflict || errorCode(Answer.Body) != "conflict")
     return {ctl_exit::Refused,
             "refused with " + Status + ": " + errorMessage(Answer.Body) + detailText(Answer.Body),
             Answer.Body};
@@ -55,6 +57,33 @@
           Answer.Body};
 }
 
+/// @return 128 random bits in hex.
+std::string randomId() {
+  constexpr int Words = 4;
+  constexpr int DigitsOfWord = 8;
+  std::random_device Device;
+  std::ostringstream Text;
+  Text << std::hex << std::setfill('0');
+  for (int Word = 0; Word < Words; ++Word)
+    Text << std::setw(DigitsOfWord) << Device();
+  return Text.str();
+}
+
+/// @return What to say of a change whose answer was lost, with all that a resend has to repeat.
+verb_failure unknownOutcome(const control_failure &Failure, const boost::json::value &Change) {
+  const std::string Id = textAt(Change, "change_id");
+  const auto Base = numberAt(Change, "base_revision");
+  std::string Again = Id.empty() ? "the same command" : "--change-id " + Id;
+  if (Base)
+    Again += " --base-revision " + std::to_string(*Base);
+  boost::json::object Details{{"change_id", Id}};
+  if (Base)
+    Details["base_revision"] = *Base;
+  return {ctl_exit::UnknownOutcome,
+          "the outcome is unknown: " + Failure.Message + "; resend with " + Again,
+          std::move(Details)};
+}
+
 verb_failure badAnswer(const std::string &What) {
   return {ctl_exit::Refused, "an answer of the control host lacks " + What, {}};
 }
@@ -120,6 +149,17 @@
   return valueOf(Result).Body;
 }
 
+result<boost::json::value, verb_failure> fetchStatus(control_client &Client) {
+  auto First = fetch(Client, "/v1/status");
+  if (!succeeded(First) || flagAt(valueOf(First), "serving").value_or(false))
+    return First;
+  // Any host answers for itself; only the leader knows of entries and of what is in force.
+  if (!Client.prefer(textAt(valueOf(First), "leader_url")))
+    return First;
+  auto FromLeader = fetch(Client, "/v1/status");
+  return succeeded(FromLeader) ? FromLeader : First;
+}
+
 result<accepted_declaration, verb_failure> fetchDeclaration(control_client &Client) {
   const auto Body = fetch(Client, "/v1/declaration");
   if (!succeeded(Body))
@@ -141,33 +181,24 @@
 result<boost::json::value, verb_failure> sendChange(control_client &Client, const std::string &Path,
                                                     const boost::json::value &Body) {
   const auto Result = Client.post(Path, Body);
-  const std::string Id = textAt(Body, "change_id");
-  if (!succeeded(Result)) {
-    const control_failure &Failure = errorOf(Result);
-    if (!Failure.MayBeAccepted)
-      return verb_failure{
-          ctl_exit::NotReachable, "not accepted, no control host took it: " + Failure.Message, {}};
-    return verb_failure{ctl_exit::UnknownOutcome,
-                        "the outcome is unknown: " + Failure.Message +
-                            "; resend with --change-id " + Id,
-                        boost::json::object{{"change_id", Id}}};
-  }
+  if (!succeeded(Result) && errorOf(Result).MayBeAccepted)
+    return unknownOutcome(errorOf(Result), Body);
+  if (!succeeded(Result))
+    return verb_failure{ctl_exit::NotReachable,
+                        "not accepted, no control host took it: " + errorOf(Result).Message,
+                        {}};
   if (valueOf(Result).Status != StatusOk)
     return failureOf(valueOf(Result));
   return valueOf(Result).Body;
 }
 
-std::string announceChangeId(const ctl_options &Options) {
-  std::string Id = Options.ChangeId;
-  if (Id.empty()) {
-    std::random_device Device;
-    std::ostringstream Text;
-    constexpr int Words = 4;
-    for (int Word = 0; Word < Words; ++Word)
-      Text << std::hex << (Device() | 0x80000000U);
-    Id = Text.str();
-  }
-  (Options.Json ? std::cerr : std::cout) << "change id " << Id << std::endl;
+std::string announceChangeId(const ctl_options &Options, std::optional<revision> Base) {
+  const std::string Id = Options.ChangeId.empty() ? randomId() : Options.ChangeId;
+  std::ostream &Out = Options.Json ? std::cerr : std::cout;
+  Out << "change id " << Id;
+  if (Base)
+    Out << ", base revision " << *Base;
+  Out << std::endl;
   return Id;
 }
 
--- a/programs/pollenstallctl/verb_common_func.h
+++ b/programs/pollenstallctl/verb_common_func.h
@@ -30,6 +30,9 @@
 /// Asks control for something; any answer but 200 is a failure.
 result<boost::json::value, verb_failure> fetch(control_client &Client, const std::string &Path);
 
+/// @return The leader's status where it can be had, otherwise that of any control host.
+result<boost::json::value, verb_failure> fetchStatus(control_client &Client);
+
 /// @return The declaration in force; revision 0 is the empty one.
 result<accepted_declaration, verb_failure> fetchDeclaration(control_client &Client);
 
@@ -37,9 +40,12 @@
 result<boost::json::value, verb_failure> sendChange(control_client &Client, const std::string &Path,
                                                     const boost::json::value &Body);
 
-/// Draws a change id, or takes the operator's, and prints it before anything is sent: without it an
-/// operator could not resend after the tool itself was killed.
-std::string announceChangeId(const ctl_options &Options);
+/**
+ * Draws a change id, or takes the operator's, and prints it before anything is sent: without it an
+ * operator could not resend after the tool itself was killed.
+ * @param Base Printed too, for a change that has one: a resend must name the same.
+ */
+std::string announceChangeId(const ctl_options &Options, std::optional<revision> Base);
 
 /// @return The warnings as JSON.
 boost::json::value toJson(const std::vector<declaration_warning> &Warnings);
--- a/programs/pollenstallctl/verb_drain.cpp
+++ b/programs/pollenstallctl/verb_drain.cpp
@@ -14,7 +14,7 @@
   auto Client = makeClient(Options);
   if (!succeeded(Client))
     return errorOf(Client);
-  const std::string Id = announceChangeId(Options);
+  const std::string Id = announceChangeId(Options, std::nullopt);
   const auto Answer = sendChange(
       valueOf(Client), "/v1/drains",
       boost::json::object{{"backend", Backend}, {"undo", Options.Undo}, {"change_id", Id}});
--- a/programs/pollenstallctl/verb_status.cpp
+++ b/programs/pollenstallctl/verb_status.cpp
@@ -10,7 +10,7 @@
   auto Client = makeClient(Options);
   if (!succeeded(Client))
     return errorOf(Client);
-  const auto Body = fetch(valueOf(Client), "/v1/status");
+  const auto Body = fetchStatus(valueOf(Client));
   if (!succeeded(Body))
     return errorOf(Body);
   return verb_output{readableText(valueOf(Body)), valueOf(Body)};
--- /dev/null
+++ b/tests/pollenstallctl/pollenstallctl_test.cpp
@@ -0,0 +1,313 @@
+/** @file pollenstallctl_test.cpp The real binary against fakes of the control hosts. */
+#include "declaration/declaration.h"
+#include "pollenstallctl/fake_control.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <array>
+#include <cstdio>
+#include <fstream>
+#include <sstream>
+#include <sys/wait.h>
+#include <unistd.h>
+
+namespace pollenstall {
+namespace {
+
+namespace json = boost::json;
+using testing::HasSubstr;
+using testing::SizeIs;
+
+const std::string Example = std::string(POLLENSTALL_SOURCE_DIR) + "/examples/accra.toml";
+const std::string ClosedPort = "http://127.0.0.1:1";
+
+/// How a run of the tool ended.
+struct tool_run {
+  int Exit{-1};
+  std::string Out;
+  std::string Err;
+};
+
+std::string fileText(const std::string &Path) {
+  std::ifstream File(Path);
+  std::ostringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+class TheTool : public testing::Test {
+protected:
+  std::string Folder = testing::TempDir() + "pollenstallctl." + std::to_string(getpid()) + ".";
+
+  tool_run run(const std::string &Arguments) {
+    const std::string ErrFile = Folder + "err";
+    const std::string Command =
+        std::string(POLLENSTALL_BIN_DIR) + "/pollenstallctl " + Arguments + " 2>" + ErrFile;
+    tool_run Run;
+    FILE *Pipe = popen(Command.c_str(), "r");
+    std::array<char, 4096> Buffer{};
+    for (std::size_t Got = 0; (Got = fread(Buffer.data(), 1, Buffer.size(), Pipe)) > 0;)
+      Run.Out.append(Buffer.data(), Got);
+    const int Status = pclose(Pipe);
+    Run.Exit = WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
+    Run.Err = fileText(ErrFile);
+    return Run;
+  }
+
+  std::string file(const std::string &Name, const std::string &Text) {
+    std::ofstream(Folder + Name) << Text;
+    return Folder + Name;
+  }
+};
+
+class OnItsOwn : public TheTool {};
+
+TEST_F(OnItsOwn, PrintsHelpAndVersionAndRefusesBadUsage) {
+  EXPECT_THAT(run("--help").Out, HasSubstr("Exit codes"));
+  EXPECT_THAT(run("--version").Out, HasSubstr("pollenstallctl 0."));
+  EXPECT_EQ(run("").Exit, 2);
+  EXPECT_EQ(run("aply x").Exit, 2);
+  EXPECT_EQ(run("validate").Exit, 2);
+  EXPECT_EQ(run("status").Exit, 2) << "no --control";
+  EXPECT_EQ(run("status --control ftp://127.0.0.1:1").Exit, 2);
+  EXPECT_EQ(run("status --control http://127.0.0.1:1 --timeout x").Exit, 2);
+  EXPECT_EQ(run("--bogus status").Exit, 2);
+  EXPECT_EQ(run("validate /absent").Exit, 2);
+}
+
+TEST_F(OnItsOwn, ChecksItsSettings) {
+  const std::string Good = file("good.toml", "control = [\"http://127.0.0.1:1\"]\n");
+  EXPECT_EQ(run("--check --config " + Good).Exit, 0);
+  const tool_run Bad = run("--check --config " + file("bad.toml", "\ncontroll = 1\n"));
+  EXPECT_EQ(Bad.Exit, 2);
+  EXPECT_THAT(Bad.Err, HasSubstr("bad.toml:2: controll: allowed: unknown key"));
+}
+
+TEST_F(OnItsOwn, ValidatesAFile) {
+  EXPECT_THAT(run("validate " + Example).Out, HasSubstr("valid: 2 services"));
+  const tool_run Bad = run("--json validate " + file("x.toml", "[[group]]\nname = 1\n"));
+  EXPECT_EQ(Bad.Exit, 1);
+  const json::value Error = json::parse(Bad.Out).at("error");
+  EXPECT_EQ(Error.at("details").at(0).at("key"), "group[0].name");
+  EXPECT_EQ(Error.at("details").at(0).at("line"), 2);
+}
+
+TEST_F(OnItsOwn, ExplainsByAFile) {
+  const std::string Base = "explain --file " + Example + " --account tema-academy ";
+  const tool_run Canary = run(Base + "--model tactic-llm --tokens 5 "
+                                     "--header X-Pollenstall-Canary=2026-11 --json");
+  EXPECT_EQ(Canary.Exit, 0);
+  EXPECT_EQ(json::parse(Canary.Out).at("selector"), "asked-for-canary");
+  const tool_run Long = run(Base + "--service tactic-llm --tokens 300000");
+  EXPECT_THAT(Long.Out, HasSubstr("selector whole-matches matches"));
+  EXPECT_THAT(Long.Out, HasSubstr("group tactic-stable: only when no other group has a server"));
+  EXPECT_THAT(Long.Out, HasSubstr("selector asked-for-canary does not match: header"));
+  EXPECT_EQ(run(Base + "--service tactic-llm --tokens 2000000").Exit, 1);
+  EXPECT_EQ(run(Base + "--model other").Exit, 1);
+  EXPECT_EQ(run("explain --file " + Example + " --account nobody --service clip-app").Exit, 1);
+}
+
+class AgainstControl : public TheTool {
+protected:
+  static fake_reply declared(std::uint64_t Revision, const std::string &Text) {
+    return {200, {{"revision", Revision}, {"text", Text}}};
+  }
+
+  static fake_reply accepted(std::uint64_t Revision, bool Repeated) {
+    return {200, {{"revision", Revision}, {"repeated", Repeated}}};
+  }
+};
+
+TEST_F(AgainstControl, PlansWithTheRevisionItComparedTo) {
+  std::string Text = fileText(Example);
+  const std::string Old = "short_weight = 3.0";
+  Text.replace(Text.find(Old), Old.size(), "short_weight = 2.5");
+  fake_control Control([&](const fake_call &) { return declared(7, Text); });
+  const std::string Key = file("key", "secret\n");
+  const tool_run Plan =
+      run("plan " + Example + " --control " + Control.url() + " --key-file " + Key);
+  EXPECT_EQ(Plan.Exit, 0);
+  EXPECT_EQ(Plan.Out, "~ policy: short_weight 2.5 -> 3\n1 changes; apply them with "
+                      "--base-revision 7\n");
+  EXPECT_EQ(Control.callsTo("/v1/declaration").at(0).Authorization, "Bearer secret");
+}
+
+// The operator's apply reaches the leader, which accepts it and dies before it answers. The tool
+// must neither report a failure nor send the change as a new one: it resends the same id, and the
+// next answer is the first one's again.
+TEST_F(AgainstControl, ResendsTheSameChangeAfterALostAnswer) {
+  int Sends = 0;
+  fake_control Control([&](const fake_call &Call) -> std::optional<fake_reply> {
+    if (Call.Path == "/v1/declaration")
+      return declared(4, "");
+    if (++Sends < 3)
+      return std::nullopt;
+    return accepted(5, true);
+  });
+  const tool_run Apply = run("apply " + Example + " --control " + Control.url());
+  EXPECT_EQ(Apply.Exit, 0) << Apply.Err;
+  EXPECT_THAT(Apply.Out, HasSubstr("accepted as revision 5, as answered before"));
+  const auto Changes = Control.callsTo("/v1/changes");
+  ASSERT_THAT(Changes, SizeIs(3));
+  EXPECT_EQ(Changes[0].Body, Changes[2].Body);
+  EXPECT_EQ(Changes[0].Body.at("base_revision"), 4);
+  const std::string Id(Changes[0].Body.at("change_id").as_string());
+  EXPECT_THAT(Apply.Out, testing::StartsWith("change id " + Id + ", base revision 4\n"));
+  const auto Sent = parseDeclaration(Changes[0].Body.at("text").as_string(), "sent");
+  EXPECT_EQ(valueOf(Sent), valueOf(parseDeclaration(fileText(Example), "example")));
+}
+
+// Every answer is lost until the time is up. The change may be in force or not: the tool must say
+// so, with the id and base that a resend needs, and not claim a failure.
+TEST_F(AgainstControl, SaysThatTheOutcomeIsUnknown) {
+  fake_control Control([](const fake_call &) { return std::nullopt; });
+  const std::string Ids = " --change-id mine --base-revision 2 --timeout 1";
+  const tool_run Lost = run("apply " + Example + " --control " + Control.url() + Ids);
+  EXPECT_EQ(Lost.Exit, 4);
+  EXPECT_THAT(Lost.Err, HasSubstr("resend with --change-id mine --base-revision 2"));
+}
+
+TEST_F(AgainstControl, SaysThatTheOutcomeIsUnknownWhereControlSaysSo) {
+  fake_control Control([](const fake_call &) {
+    return fake_reply{503, {{"error", {{"code", "unknown_outcome"}, {"message", "again"}}}}};
+  });
+  EXPECT_EQ(run("drain 10.0.0.1:80 --timeout 1 --control " + Control.url()).Exit, 4);
+}
+
+TEST_F(AgainstControl, SaysThatNothingWasSentWhereNoHostIsReachable) {
+  const std::string Ids = " --change-id mine --base-revision 2 --timeout 1";
+  EXPECT_EQ(run("apply " + Example + " --control " + ClosedPort + Ids).Exit, 5);
+  EXPECT_EQ(run("status --control " + ClosedPort).Exit, 5);
+  fake_control Busy([](const fake_call &) {
+    return fake_reply{503, {{"error", {{"code", "overloaded"}, {"message", "later"}}}}};
+  });
+  EXPECT_EQ(run("drain 10.0.0.1:80 --timeout 1 --control " + Busy.url()).Exit, 5);
+}
+
+// Two operators changed the same revision and this one came second. Its change must not be retried
+// against the new revision, since that would undo what the other one just did.
+TEST_F(AgainstControl, StopsAtAConflict) {
+  fake_control Control([](const fake_call &) {
+    return fake_reply{409,
+                      {{"error", {{"code", "conflict"}, {"message", "another"}}}, {"revision", 9}}};
+  });
+  const tool_run Apply =
+      run("apply " + Example + " --base-revision 8 --json --control " + Control.url());
+  EXPECT_EQ(Apply.Exit, 3);
+  EXPECT_EQ(json::parse(Apply.Out).at("error").at("details").at("revision"), 9);
+  EXPECT_THAT(Control.callsTo("/v1/changes"), SizeIs(1));
+}
+
+TEST_F(AgainstControl, ReportsARefusalWithItsDetails) {
+  fake_control Control([](const fake_call &) {
+    return fake_reply{
+        400,
+        {{"error",
+          {{"code", "invalid"},
+           {"message", "not valid"},
+           {"details", {{{"file", "f"}, {"line", 3}, {"key", "k"}, {"allowed", "a"}}}}}}}};
+  });
+  const tool_run Apply = run("apply " + Example + " --base-revision 8 --control " + Control.url());
+  EXPECT_EQ(Apply.Exit, 1);
+  EXPECT_THAT(Apply.Err, HasSubstr("f:3: k: allowed: a"));
+}
+
+TEST_F(AgainstControl, ReportsAnIdThatWasUsedForAnotherChangeAsARefusal) {
+  fake_control Control([](const fake_call &) {
+    return fake_reply{409, {{"error", {{"code", "change_id_reused"}, {"message", "used"}}}}};
+  });
+  EXPECT_EQ(run("drain 10.0.0.1:80 --change-id x --control " + Control.url()).Exit, 1);
+}
+
+// A resend without its base would take the revision that the first try itself made, and so be
+// another change under the same id.
+TEST_F(AgainstControl, WantsTheBaseWithAChangeId) {
+  const tool_run Apply = run("apply " + Example + " --change-id mine --control " + ClosedPort);
+  EXPECT_EQ(Apply.Exit, 2);
+  EXPECT_THAT(Apply.Err, HasSubstr("--base-revision"));
+}
+
+TEST_F(AgainstControl, FollowsTheHintToTheLeader) {
+  fake_control Leader([](const fake_call &) { return accepted(3, false); });
+  fake_control Follower([&](const fake_call &) {
+    return fake_reply{421, {{"error", {{"code", "not_leader"}}}, {"leader", Leader.url()}}};
+  });
+  const tool_run Apply =
+      run("apply " + Example + " --base-revision 2 --control " + ClosedPort + "," + Follower.url());
+  EXPECT_EQ(Apply.Exit, 0) << Apply.Err;
+  EXPECT_THAT(Leader.callsTo("/v1/changes"), SizeIs(1));
+}
+
+// Two hosts each take the other for the leader. The tool must not run between them for ever.
+TEST_F(AgainstControl, GivesUpOnHintsThatGoInCircles) {
+  std::string UrlOfOther;
+  fake_control One([&](const fake_call &) { return fake_reply{421, {{"leader", UrlOfOther}}}; });
+  fake_control Other([&](const fake_call &) { return fake_reply{421, {{"leader", One.url()}}}; });
+  UrlOfOther = Other.url();
+  EXPECT_EQ(run("drain 10.0.0.1:80 --timeout 1 --control " + One.url()).Exit, 5);
+}
+
+TEST_F(AgainstControl, WaitsUntilTheChangeIsInForceEverywhere) {
+  int Asked = 0;
+  fake_control Control([&](const fake_call &Call) {
+    if (Call.Path == "/v1/changes")
+      return accepted(3, false);
+    const json::value InForce = ++Asked < 3 ? json::value(2) : json::value(3);
+    return fake_reply{200, {{"serving", true}, {"in_force_revision", InForce}}};
+  });
+  const std::string Base = "apply " + Example + " --base-revision 2 --wait --control ";
+  EXPECT_THAT(run(Base + Control.url()).Out, HasSubstr("in force everywhere"));
+  EXPECT_EQ(Asked, 3);
+}
+
+// An isolated host still answers for its status and may know an old leader's figures. Only what a
+// serving leader says counts as in force.
+TEST_F(AgainstControl, DoesNotTakeAnIsolatedHostsWordForInForce) {
+  fake_control Control([](const fake_call &Call) {
+    if (Call.Path == "/v1/changes")
+      return accepted(3, false);
+    return fake_reply{200, {{"serving", false}, {"in_force_revision", 3}, {"leader_url", nullptr}}};
+  });
+  const tool_run Apply =
+      run("apply " + Example + " --base-revision 2 --wait --timeout 1 --control " + Control.url());
+  EXPECT_EQ(Apply.Exit, 6);
+  EXPECT_THAT(Apply.Err, HasSubstr("accepted as revision 3"));
+}
+
+TEST_F(AgainstControl, PrintsStatusOfTheLeaderHistoryAndDump) {
+  fake_control Leader([](const fake_call &Call) {
+    if (Call.Path == "/v1/history")
+      return fake_reply{
+          200,
+          {{"changes",
+            {{{"revision", 1}, {"change_id", "x"}, {"time_unix_ms", 0}, {"summary", "s"}}}}}};
+    if (Call.Path == "/dump")
+      return fake_reply{200, {{"a", {{"b", 1}}}}};
+    return fake_reply{
+        200,
+        {{"serving", true}, {"term", 4}, {"members", {{{"member", 11}, {"caught_up", true}}}}}};
+  });
+  fake_control Follower([&](const fake_call &) {
+    return fake_reply{200, {{"serving", false}, {"leader_url", Leader.url()}}};
+  });
+  EXPECT_EQ(run("status --control " + Follower.url()).Out,
+            "serving: true\nterm: 4\nmembers:\n  member  caught_up\n  11      true\n");
+  EXPECT_THAT(run("history --control " + Leader.url()).Out, HasSubstr("1970-01-01 00:00:00Z"));
+  EXPECT_EQ(run("dump --target " + Leader.url()).Out, "a:\n  b: 1\n");
+}
+
+TEST_F(AgainstControl, SendsDrainsAndMembers) {
+  fake_control Control([](const fake_call &) { return fake_reply{200, {{"version", 1}}}; });
+  EXPECT_EQ(run("drain 10.0.0.1:80 --undo --control " + Control.url()).Exit, 0);
+  const auto Drains = Control.callsTo("/v1/drains");
+  EXPECT_EQ(Drains.at(0).Body.at("backend"), "10.0.0.1:80");
+  EXPECT_EQ(Drains.at(0).Body.at("undo"), true);
+  EXPECT_EQ(run("member admit 3 --control " + Control.url()).Exit, 0);
+  EXPECT_EQ(Control.callsTo("/v1/members").at(0).Body.at("member"), 3);
+  EXPECT_EQ(run("member dismiss 3 --control " + Control.url()).Exit, 2);
+  EXPECT_EQ(run("drain backend-1 --control " + Control.url()).Exit, 2);
+}
+
+} // namespace
+} // namespace pollenstall
