--- /dev/null
+++ b/src/control_link/claim_key.cpp
@@ -0,0 +1,29 @@
+/** @file claim_key.cpp Hashes idempotency keys, so that none of them reaches a disk. */
+#include "control_link/claim_key_func.h"
+
+#include <openssl/sha.h>
+
+#include <array>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr unsigned BitsPerByte = 8;
+
+std::uint64_t bigEndian(const unsigned char *Bytes) {
+  std::uint64_t Number = 0;
+  for (std::size_t Index = 0; Index < sizeof(Number); ++Index)
+    Number = (Number << BitsPerByte) | Bytes[Index];
+  return Number;
+}
+
+} // namespace
+
+claim_key_hash claimKeyHash(std::string_view Key) {
+  std::array<unsigned char, SHA256_DIGEST_LENGTH> Digest{};
+  SHA256(reinterpret_cast<const unsigned char *>(Key.data()), Key.size(), Digest.data());
+  return {bigEndian(Digest.data()), bigEndian(Digest.data() + sizeof(std::uint64_t))};
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/control_link/control_link.h
@@ -0,0 +1,12 @@
+/** @file control_link.h Public header of control_link: what an entry and the control hosts tell
+ * each other. */
+#ifndef POLLENSTALL_CONTROL_LINK_CONTROL_LINK_H
+#define POLLENSTALL_CONTROL_LINK_CONTROL_LINK_H
+
+#include "control_link/claim_key_func.h"            // IWYU pragma: export
+#include "control_link/control_link_base.h"         // IWYU pragma: export
+#include "control_link/control_link_message_type.h" // IWYU pragma: export
+#include "control_link/control_link_type.h"         // IWYU pragma: export
+#include "control_link/entry_freshness_base.h"      // IWYU pragma: export
+
+#endif // POLLENSTALL_CONTROL_LINK_CONTROL_LINK_H
--- /dev/null
+++ b/src/control_link/control_link_codec_func.h
@@ -0,0 +1,67 @@
+/** @file control_link_codec_func.h cereal functions for the messages of the control link. */
+#ifndef POLLENSTALL_CONTROL_LINK_CONTROL_LINK_CODEC_FUNC_H
+#define POLLENSTALL_CONTROL_LINK_CONTROL_LINK_CODEC_FUNC_H
+
+#include "control_link/control_link_message_type.h"
+#include "wire/wire.h"
+
+#include <string>
+
+namespace pollenstall {
+
+template <typename Archive> void serialize(Archive &Into, claim_key_hash &Key) {
+  Into(Key.High, Key.Low);
+}
+template <typename Archive> void serialize(Archive &Into, claim_holder &Holder) {
+  Into(Holder.Owner, Holder.Request);
+}
+template <typename Archive> void serialize(Archive &Into, claim_acquire &Claim) {
+  Into(Claim.Key, Claim.Holder, Claim.ExpiresAt);
+}
+template <typename Archive> void serialize(Archive &Into, claim_settle &Claim) {
+  Into(Claim.Key, Claim.Holder, Claim.Standing, Claim.ExpiresAt);
+}
+template <typename Archive> void serialize(Archive &Into, link_subscribe &Message) {
+  Into(Message.Process, Message.Domain);
+}
+template <typename Archive> void serialize(Archive &Into, link_renew &Message) {
+  Into(Message.Ask, Message.Process, Message.Confirmed, Message.DrainsSeen);
+}
+template <typename Archive> void serialize(Archive &Into, link_claim_acquire &Message) {
+  Into(Message.Call, Message.Claim);
+}
+template <typename Archive> void serialize(Archive &Into, link_claim_settle &Message) {
+  Into(Message.Call, Message.Claim);
+}
+template <typename Archive> void serialize(Archive &Into, link_declaration &Message) {
+  Into(Message.Revision, Message.Text);
+}
+template <typename Archive> void serialize(Archive &Into, link_lease &Message) {
+  Into(Message.Ask, Message.Revision, Message.LeaseMillis);
+}
+template <typename Archive> void serialize(Archive &Into, link_not_leader &Message) {
+  Into(Message.Leader);
+}
+template <typename Archive> void serialize(Archive &Into, link_claim_answer &Message) {
+  Into(Message.Call, Message.Verdict);
+}
+template <typename Archive> void serialize(Archive &Into, link_settle_answer &Message) {
+  Into(Message.Call);
+}
+template <typename Archive> void serialize(Archive &Into, link_drains &Message) {
+  Into(Message.Version, Message.Backends);
+}
+
+/// @return The frame of one message to a control host or to an entry.
+template <typename Message> std::string linkFrame(const std::string &Fleet, const Message &Value) {
+  return frameOf(encodeEnvelope(Fleet, message_kind::ControlLink, Value));
+}
+
+/// @return Whether a number that arrived is one of the standings.
+inline bool isStanding(claim_standing Standing) { return Standing <= claim_standing::Released; }
+/// @return Whether a number that arrived is one of the verdicts.
+inline bool isVerdict(claim_verdict Verdict) { return Verdict <= claim_verdict::Unavailable; }
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_CONTROL_LINK_CONTROL_LINK_CODEC_FUNC_H
--- /dev/null
+++ b/src/control_link/control_link_message_type.h
@@ -0,0 +1,98 @@
+/** @file control_link_message_type.h Messages on the TCP connection from an entry to a control
+ * host.
+ */
+#ifndef POLLENSTALL_CONTROL_LINK_CONTROL_LINK_MESSAGE_TYPE_H
+#define POLLENSTALL_CONTROL_LINK_CONTROL_LINK_MESSAGE_TYPE_H
+
+#include "claim/claim.h"
+#include "core/core.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace pollenstall {
+
+// ---- From the entry. ----
+
+/// First message of a connection.
+struct link_subscribe {
+  process_key Process;
+  failure_domain_name Domain;
+};
+
+/**
+ * Asks for the lease to be extended and says what is in use. Sent at a steady interval, and at once
+ * after a new revision came into use.
+ */
+struct link_renew {
+  std::uint64_t Ask{0};              ///< Rises on one connection; the answer names it.
+  process_key Process;               ///< A confirmation counts for this life only.
+  std::optional<revision> Confirmed; ///< In use in this life; nothing where none is.
+  std::uint64_t DrainsSeen{0};       ///< link_drains::Version last received; 0 where none was.
+};
+
+/// Answered by link_claim_answer. Sent again on the next connection until it is answered.
+struct link_claim_acquire {
+  std::uint64_t Call{0}; ///< Unique in the process's life.
+  claim_acquire Claim;
+};
+
+/// Answered by link_settle_answer. Sent again on the next connection until it is answered.
+struct link_claim_settle {
+  std::uint64_t Call{0};
+  claim_settle Claim;
+};
+
+using link_request =
+    std::variant<link_subscribe, link_renew, link_claim_acquire, link_claim_settle>;
+
+// ---- From the control host. ----
+
+/// The declaration in force; sent where the entry confirmed less.
+struct link_declaration {
+  revision Revision;
+  std::string Text;
+};
+
+/// Extends the lease. Given only while the control host holds its own lease as the leader.
+struct link_lease {
+  std::uint64_t Ask{0}; ///< Of the link_renew that it answers.
+  revision Revision;    ///< As confirmed in that link_renew.
+  std::uint32_t LeaseMillis{0};
+};
+
+/// This control host does not lead; the connection is closed after it.
+struct link_not_leader {
+  std::string Leader; ///< Where the leader listens for entries, "IP:port"; empty where not known.
+};
+
+struct link_claim_answer {
+  std::uint64_t Call{0};
+  claim_verdict Verdict{claim_verdict::Unavailable};
+};
+
+/// The end of the claim is recorded, or is known to be refused for good.
+struct link_settle_answer {
+  std::uint64_t Call{0};
+};
+
+/// All backend servers that operators drain.
+struct link_drains {
+  std::uint64_t Version{0}; ///< Rises with each change; 0 stands for no list yet.
+  std::vector<backend_address> Backends;
+};
+
+using link_reply = std::variant<link_declaration, link_lease, link_not_leader, link_claim_answer,
+                                link_settle_answer, link_drains>;
+
+/// Largest message that a control host takes from an entry.
+constexpr std::size_t MaxLinkRequestBytes = 4U << 10U;
+/// Largest message that an entry takes from a control host: a declaration fits.
+constexpr std::size_t MaxLinkReplyBytes = 2U << 20U;
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_CONTROL_LINK_CONTROL_LINK_MESSAGE_TYPE_H
