--- /dev/null
+++ b/src/control_state/control_state_sl.cpp
@@ -0,0 +1,57 @@
+/** @file control_state_sl.cpp The control state to and from plain values; the protocol layer
+ * encodes them and names the version. */
+#include "control_state/control_state_base.h"
+
+namespace pollenstall {
+
+namespace {
+
+bool keepsRules(const control_snapshot &Snapshot, const control_limits &Bounds) {
+  if (Snapshot.Answers.size() > Bounds.MaxAnswers || Snapshot.History.size() > Bounds.MaxHistory)
+    return false;
+  if (Snapshot.Drains.size() > Bounds.MaxDrains)
+    return false;
+  return Snapshot.History.empty() || Snapshot.History.back().Revision == Snapshot.Declared.Revision;
+}
+
+} // namespace
+
+control_snapshot control_state::snapshot() const {
+  control_snapshot Snapshot;
+  Snapshot.Declared = Declared;
+  Snapshot.History.assign(History.begin(), History.end());
+  Snapshot.Answers.reserve(AnswerOrder.size());
+  for (const change_id &Id : AnswerOrder)
+    Snapshot.Answers.push_back(Answers.at(Id));
+  Snapshot.Drains.assign(Drains.begin(), Drains.end());
+  Snapshot.DrainsVersion = DrainsVersion;
+  Snapshot.LastFence = LastFence;
+  Snapshot.LatestTime = LatestTime;
+  Snapshot.Claims = Claims.snapshot();
+  return Snapshot;
+}
+
+result<control_state, control_state_error> control_state::restore(const control_snapshot &Snapshot,
+                                                                  const control_limits &Bounds) {
+  if (!keepsRules(Snapshot, Bounds))
+    return control_state_error::InvalidSnapshot;
+  auto Claims = claim_table::restore(Snapshot.Claims, Bounds.MaxClaims);
+  if (!succeeded(Claims))
+    return control_state_error::InvalidSnapshot;
+  control_state State(Bounds);
+  State.Claims = valueOf(std::move(Claims));
+  State.Declared = Snapshot.Declared;
+  State.History.assign(Snapshot.History.begin(), Snapshot.History.end());
+  for (const answer_record &Answer : Snapshot.Answers) {
+    if (!State.Answers.emplace(Answer.Id, Answer).second)
+      return control_state_error::InvalidSnapshot;
+    State.AnswerOrder.push_back(Answer.Id);
+  }
+  State.Drains.insert(Snapshot.Drains.begin(), Snapshot.Drains.end());
+  State.DrainsVersion = Snapshot.DrainsVersion;
+  State.LastFence = Snapshot.LastFence;
+  State.LatestTime = Snapshot.LatestTime;
+  return State;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/tests/control_state/control_state_test.cpp
@@ -0,0 +1,184 @@
+/** @file control_state_test.cpp Changes, their ids and their answers, across snapshots. */
+#include "control_state/control_state.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+apply_change change(const std::string &Id, std::uint64_t Base, const std::string &Text,
+                    std::int64_t Time = 0) {
+  return {change_id(Id), revision(Base), Text, "summary of " + Id, "", unix_millis(Time)};
+}
+
+control_answer accepted(std::uint64_t Number, bool Repeated = false) {
+  return change_answer{change_accepted{revision(Number)}, Repeated};
+}
+
+control_answer conflict(std::uint64_t Current, bool Repeated = false) {
+  return change_answer{change_conflict{revision(Current)}, Repeated};
+}
+
+control_state reloaded(const control_state &State, const control_limits &Limits = {}) {
+  return valueOf(control_state::restore(State.snapshot(), Limits));
+}
+
+class Changes : public testing::Test {
+protected:
+  control_state State{control_limits{}};
+};
+
+class RacingOperators : public Changes {};
+
+TEST_F(RacingOperators, WithTheSameRevisionAreAcceptedOnce) {
+  // Both operators read revision 0 and send their own change against it. The log orders them; were
+  // the second taken too, the first operator's accepted change would be gone without a word.
+  EXPECT_EQ(State.execute(change("a", 0, "A")), accepted(1));
+  EXPECT_EQ(State.execute(change("b", 0, "B")), conflict(1));
+  EXPECT_EQ(State.declared(), (declared_text{revision(1), "A"}));
+}
+
+TEST_F(RacingOperators, MayGoOnFromTheRevisionInForce) {
+  State.execute(change("a", 0, "A"));
+  EXPECT_EQ(State.execute(change("b2", 1, "B")), accepted(2));
+}
+
+class ResentChanges : public Changes {};
+
+TEST_F(ResentChanges, GetTheFirstAnswerAgain) {
+  State.execute(change("a", 0, "A"));
+  State.execute(change("b", 1, "B"));
+  EXPECT_EQ(State.execute(change("a", 0, "A")), accepted(1, true));
+  EXPECT_EQ(State.declared().Revision, revision(2));
+}
+
+TEST_F(ResentChanges, GetTheFirstConflictAgain) {
+  State.execute(change("a", 0, "A"));
+  State.execute(change("b", 0, "B"));
+  State.execute(change("c", 1, "C"));
+  EXPECT_EQ(State.execute(change("b", 0, "B")), conflict(1, true));
+}
+
+TEST_F(ResentChanges, GetTheFirstAnswerAfterASnapshot) {
+  // The answer was lost on the way; before the operator sends the change again, the leader has
+  // been replaced by a member that knows the state from a snapshot only.
+  State.execute(change("a", 0, "A"));
+  State.execute(change("b", 1, "B"));
+  control_state Other = reloaded(State);
+  EXPECT_EQ(Other.execute(change("a", 0, "A")), accepted(1, true));
+  EXPECT_EQ(Other.snapshot(), State.snapshot());
+}
+
+TEST_F(ResentChanges, WithOtherContentAreRefused) {
+  State.execute(change("a", 0, "A"));
+  EXPECT_EQ(State.execute(change("a", 0, "other")), control_answer(change_id_reused{}));
+  EXPECT_EQ(State.execute(change("a", 1, "A")), control_answer(change_id_reused{}));
+  EXPECT_EQ(State.declared().Text, "A");
+}
+
+TEST_F(ResentChanges, OfAForgottenIdCannotBeAcceptedTwice) {
+  control_limits Small;
+  Small.MaxAnswers = 2;
+  control_state Bounded(Small);
+  Bounded.execute(change("a", 0, "A"));
+  Bounded.execute(change("b", 1, "B"));
+  Bounded.execute(change("c", 2, "C"));
+  EXPECT_EQ(Bounded.findAnswer(change_id("a")), nullptr);
+  EXPECT_EQ(Bounded.execute(change("a", 0, "A")), conflict(3));
+}
+
+TEST_F(ResentChanges, AreForgottenByAgeEvenWhereALeadersClockStepsBack) {
+  const auto Lifetime = control_limits{}.AnswerLifetime.count();
+  State.execute(change("a", 0, "A", 1000));
+  State.execute(change("b", 1, "B", 1000 + Lifetime));
+  EXPECT_NE(State.findAnswer(change_id("a")), nullptr);
+  State.execute(change("c", 2, "C", 1001 + Lifetime));
+  EXPECT_EQ(State.findAnswer(change_id("a")), nullptr);
+  State.execute(change("d", 3, "D", 0));
+  EXPECT_NE(State.findAnswer(change_id("d")), nullptr);
+}
+
+TEST_F(Changes, ThatAreInvalidHaveNoEffectAndKeepTheirAnswer) {
+  apply_change Wrong = change("a", 0, "A");
+  Wrong.Rejected = "[line 3]";
+  const change_answer First{change_invalid{"[line 3]"}, false};
+  EXPECT_EQ(State.check(Wrong), control_answer(First));
+  EXPECT_EQ(State.execute(Wrong), control_answer(First));
+  Wrong.Rejected.clear();
+  EXPECT_EQ(State.execute(Wrong), control_answer(change_answer{First.Verdict, true}));
+  EXPECT_EQ(State.declared().Revision, revision(0));
+}
+
+TEST_F(Changes, AreKeptInABoundedHistory) {
+  control_limits Small;
+  Small.MaxHistory = 2;
+  control_state Bounded(Small);
+  for (std::uint64_t Base = 0; Base < 3; ++Base)
+    Bounded.execute(change(std::to_string(Base), Base, "text"));
+  ASSERT_EQ(Bounded.history().size(), 2U);
+  EXPECT_EQ(Bounded.history().back().Revision, revision(3));
+}
+
+TEST_F(Changes, ToDrainsRaiseTheirVersionOnlyWhereTheyChangeSomething) {
+  const backend_address Server("127.0.0.1:9");
+  EXPECT_EQ(State.execute(set_drain{change_id("d1"), Server, false, {}}),
+            control_answer(change_answer{drain_recorded{1}, false}));
+  EXPECT_EQ(State.execute(set_drain{change_id("d2"), Server, false, {}}),
+            control_answer(change_answer{drain_recorded{1}, false}));
+  EXPECT_EQ(State.execute(set_drain{change_id("d3"), Server, true, {}}),
+            control_answer(change_answer{drain_recorded{2}, false}));
+  EXPECT_TRUE(State.drains().empty());
+}
+
+TEST_F(Changes, NeverLowerAFencingNumber) {
+  EXPECT_EQ(State.execute(take_fence{}), control_answer(fence_granted{fencing_number(1)}));
+  control_state Other = reloaded(State);
+  EXPECT_EQ(Other.execute(take_fence{}), control_answer(fence_granted{fencing_number(2)}));
+}
+
+TEST_F(Changes, CarryClaimsAcrossASnapshot) {
+  const claim_holder First{{host_name("e1"), incarnation(1)}, request_number(7)};
+  const claim_holder Second{{host_name("e2"), incarnation(1)}, request_number(9)};
+  const claim_key_hash Key{1, 2};
+  EXPECT_EQ(State.execute(claim_acquire{Key, First, unix_millis(9000)}),
+            control_answer(claim_acquire_answer(claim_verdict::Granted)));
+  control_state Other = reloaded(State);
+  EXPECT_EQ(Other.execute(claim_acquire{Key, Second, unix_millis(9000)}),
+            control_answer(claim_acquire_answer(claim_verdict::Running)));
+}
+
+TEST_F(Changes, RefuseASnapshotThatBreaksARule) {
+  State.execute(change("a", 0, "A"));
+  control_snapshot Broken = State.snapshot();
+  Broken.Answers.push_back(Broken.Answers.front());
+  EXPECT_FALSE(succeeded(control_state::restore(Broken, {})));
+  Broken = State.snapshot();
+  Broken.Declared.Revision = revision(7);
+  EXPECT_FALSE(succeeded(control_state::restore(Broken, {})));
+}
+
+RC_GTEST_PROP(ControlStateProperty, EveryIdHasOneAnswerAndRevisionsRiseByOne, ()) {
+  const auto Steps = *rc::gen::container<std::vector<std::pair<int, int>>>(
+      rc::gen::pair(rc::gen::inRange(0, 12), rc::gen::inRange(0, 6)));
+  control_state State{control_limits{}};
+  std::map<int, change_verdict> First;
+  for (const auto &[Id, Base] : Steps) {
+    const auto Command = change(std::to_string(Id), Base, "text");
+    const control_answer Expected = State.check(Command);
+    const revision Before = State.declared().Revision;
+    const control_answer Answer = State.execute(Command);
+    RC_ASSERT(Answer == Expected);
+    RC_ASSERT(State.declared().Revision <= Before.next());
+    if (const auto *Checked = std::get_if<change_answer>(&Answer)) {
+      const auto Known = First.emplace(Id, Checked->Verdict);
+      RC_ASSERT(Known.first->second == Checked->Verdict);
+      RC_ASSERT(Checked->Repeated != Known.second);
+    }
+    if (Id % 3 == 0)
+      State = reloaded(State);
+  }
+}
+
+} // namespace
+} // namespace pollenstall
