--- /dev/null
+++ b/src/control_link/control_link.cpp
@@ -0,0 +1,332 @@
+/** @file control_link.cpp The thread that finds the leading control host and keeps the lease. */
+#include "control_link/control_link_base.h"
+
+#include "control_link/control_link_codec_func.h"
+#include "control_link/link_ledger_base.h"
+#include "peer_link/peer_link.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <deque>
+#include <map>
+#include <thread>
+
+namespace pollenstall {
+
+using boost::asio::ip::tcp;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// How often deadlines are looked at; a claim may be answered this much after its AnswerBy.
+constexpr milliseconds TickInterval{10};
+/// Renewals without an answer that are remembered; more mean that the host is silent.
+constexpr std::size_t MaxOpenAsks = 64;
+
+unix_millis wallClock() {
+  return std::chrono::duration_cast<unix_millis>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+framed_limits linkLimits() {
+  framed_limits Limits;
+  Limits.MaxFrame = MaxLinkReplyBytes;
+  Limits.MaxQueued = MaxLinkReplyBytes;
+  return Limits;
+}
+
+} // namespace
+
+class control_link::state {
+public:
+  explicit state(control_link_plan Settings)
+      : Plan(std::move(Settings)), Requests(Plan.RingCapacity), Events(Plan.RingCapacity),
+        Timer(Io), Ledger(Plan.Process), BackOff(Plan.BackOffMin) {
+    Events.onWake(Plan.WakeEntry);
+    Requests.onWake([this] { boost::asio::post(Io, [this] { takeRequests(); }); });
+  }
+
+  ~state() {
+    Io.stop();
+    if (Thread.joinable())
+      Thread.join();
+    if (Connection)
+      Connection->close();
+  }
+
+  void start() {
+    tick();
+    Thread = std::thread([this] { Io.run(); });
+  }
+
+  const control_link_plan Plan;
+  bounded_ring<control_link_request> Requests;
+  bounded_ring<control_link_event> Events;
+  std::atomic<std::uint64_t> Connects{0};
+  std::atomic<std::uint64_t> Garbage{0};
+  std::atomic<std::uint64_t> ClaimTimeouts{0};
+  std::atomic<std::uint64_t> UnsettledEnds{0};
+
+private:
+  // ---- Time. ----
+
+  void tick() {
+    const mono_time Now = boot_clock::now();
+    expireClaims(Now);
+    if (Connection)
+      watchConnection(Now);
+    else if (Now >= NextConnect)
+      connect(Now);
+    flushEvents();
+    UnsettledEnds.store(Ledger.openEnds(), std::memory_order_relaxed);
+    Timer.expires_after(TickInterval);
+    Timer.async_wait([this](boost::system::error_code Cancelled) {
+      if (!Cancelled)
+        tick();
+    });
+  }
+
+  void watchConnection(mono_time Now) {
+    if (Now - LastHeard > Plan.AnswerWithin)
+      return lose(Now);
+    if (Open && Now >= NextRenew)
+      renew(Now);
+  }
+
+  void expireClaims(mono_time Now) {
+    for (const claim_answered &Event : Ledger.expire(Now)) {
+      ClaimTimeouts.fetch_add(1, std::memory_order_relaxed);
+      emit(Event);
+    }
+    for (const link_claim_settle &Release : Ledger.takeReleases())
+      send(Release);
+  }
+
+  // ---- Connection. ----
+
+  void connect(mono_time Now) {
+    const std::string Address = Hint.empty() ? Plan.Controls[NextControl] : Hint;
+    if (Hint.empty())
+      NextControl = (NextControl + 1) % Plan.Controls.size();
+    Hint.clear();
+    NextConnect = Now + BackOff;
+    BackOff = std::min(BackOff * 2, Plan.BackOffMax);
+    const auto Endpoint = tcpEndpoint(Address);
+    if (!Endpoint)
+      return;
+    Connection = std::make_shared<framed_connection>(tcp::socket(Io), linkLimits());
+    Connection->tell({[this] { opened(); }, [this](std::string &&Bytes) { received(Bytes); },
+                      [this] { lose(boot_clock::now()); }});
+    LastHeard = Now;
+    Connection->connect(*Endpoint);
+  }
+
+  void opened() {
+    Open = true;
+    send(link_subscribe{Plan.Process, Plan.Domain});
+    renew(boot_clock::now());
+    for (const link_request &Message : Ledger.unanswered())
+      send(Message);
+  }
+
+  void lose(mono_time Now) {
+    Connection->close();
+    Connection.reset();
+    Open = false;
+    Asks.clear();
+    NextConnect = std::max(NextConnect, Now);
+    if (std::exchange(Served, false)) {
+      NextConnect = Now;
+      emit(control_lost{});
+    }
+  }
+
+  template <typename Message> void send(const Message &Value) {
+    // A full queue means a host that reads nothing; it is found silent and given up.
+    if (Open)
+      Connection->send(linkFrame(Plan.Fleet, link_request(Value)));
+  }
+
+  void renew(mono_time Now) {
+    NextRenew = Now + Plan.RenewEvery;
+    if (Asks.size() >= MaxOpenAsks)
+      return;
+    // The time is taken before the request can leave: the lease must end here before it ends there.
+    Asks.emplace(++LastAsk, Now);
+    send(link_renew{LastAsk, Plan.Process, Confirmed, DrainsSeen});
+  }
+
+  // ---- Messages. ----
+
+  void received(const std::string &Bytes) {
+    const auto Decoded =
+        decodeEnvelope<link_reply>(Plan.Fleet, message_kind::ControlLink, Bytes, MaxLinkReplyBytes);
+    if (!succeeded(Decoded)) {
+      Garbage.fetch_add(1, std::memory_order_relaxed);
+      return lose(boot_clock::now());
+    }
+    LastHeard = boot_clock::now();
+    std::visit([this](const auto &Message) { handle(Message); }, valueOf(Decoded));
+  }
+
+  void served() {
+    if (std::exchange(Served, true))
+      return;
+    Connects.fetch_add(1, std::memory_order_relaxed);
+    BackOff = Plan.BackOffMin;
+  }
+
+  void handle(const link_declaration &Message) {
+    served();
+    emit(declaration_received{Message.Revision, Message.Text});
+  }
+
+  void handle(const link_lease &Message) {
+    const auto Ask = Asks.find(Message.Ask);
+    if (Ask == Asks.end())
+      return;
+    served();
+    const mono_time Sent = Ask->second;
+    Asks.erase(Asks.begin(), std::next(Ask));
+    if (Message.LeaseMillis > 0)
+      emit(lease_extended{Message.Revision, Sent + milliseconds(Message.LeaseMillis)});
+  }
+
+  void handle(const link_not_leader &Message) {
+    // A hint is followed at once; without one the other hosts are asked in turn, with pauses.
+    Hint = tcpEndpoint(Message.Leader) ? Message.Leader : std::string();
+    const mono_time Now = boot_clock::now();
+    lose(Now);
+    if (!Hint.empty())
+      NextConnect = Now + Plan.BackOffMin;
+  }
+
+  void handle(const link_claim_answer &Message) {
+    if (!isVerdict(Message.Verdict))
+      return;
+    if (const auto Event = Ledger.answered(Message))
+      emit(*Event);
+  }
+
+  void handle(const link_settle_answer &Message) { Ledger.settled(Message); }
+
+  void handle(const link_drains &Message) {
+    served();
+    DrainsSeen = Message.Version;
+    emit(drains_changed{Message.Backends});
+  }
+
+  // ---- The entry's side. ----
+
+  void takeRequests() {
+    Requests.drain([this](control_link_request &&Request) {
+      std::visit([this](const auto &One) { take(One); }, Request);
+    });
+    flushEvents();
+  }
+
+  void take(const revision_confirmed &Request) {
+    Confirmed = Request.Revision;
+    if (Open)
+      renew(boot_clock::now());
+  }
+  void take(const claim_wanted &Request) { send(Ledger.acquire(Request, wallClock())); }
+  void take(const claim_ended &Request) { send(Ledger.settle(Request, wallClock())); }
+
+  void emit(control_link_event Event) {
+    Backlog.push_back(std::move(Event));
+    flushEvents();
+  }
+
+  void flushEvents() {
+    while (!Backlog.empty() && Events.push(std::move(Backlog.front())))
+      Backlog.pop_front();
+  }
+
+  boost::asio::io_context Io{1};
+  boost::asio::steady_timer Timer;
+  std::shared_ptr<framed_connection> Connection;
+  link_ledger Ledger;
+  std::deque<control_link_event> Backlog; ///< Where the ring is full; no event may be lost.
+  std::map<std::uint64_t, mono_time> Asks;
+  std::uint64_t LastAsk{0};
+  std::optional<revision> Confirmed;
+  std::uint64_t DrainsSeen{0};
+  std::string Hint;
+  std::size_t NextControl{0};
+  milliseconds BackOff;
+  mono_time NextConnect{};
+  mono_time NextRenew{};
+  mono_time LastHeard{};
+  bool Open{false};
+  bool Served{false}; ///< A leader has answered on this connection.
+  std::thread Thread;
+};
+
+control_link::control_link(std::unique_ptr<state> Started) : State(std::move(Started)) {}
+control_link::~control_link() = default;
+
+bool control_link::request(control_link_request Request) {
+  return State->Requests.push(std::move(Request));
+}
+
+std::size_t control_link::drainEvents(const std::function<void(control_link_event &&)> &Handle) {
+  return State->Events.drain(Handle);
+}
+
+control_link_counters control_link::counters() const {
+  return {State->Connects.load(), State->Garbage.load(), State->ClaimTimeouts.load(),
+          State->UnsettledEnds.load()};
+}
+
+control_link_builder::control_link_builder(std::vector<std::string> Controls, std::string Fleet) {
+  requireInvariant(!Controls.empty(), "a control link knows a control host");
+  Plan.Controls = std::move(Controls);
+  Plan.Fleet = std::move(Fleet);
+}
+
+control_link_builder &control_link_builder::process(process_key Process,
+                                                    failure_domain_name Domain) {
+  Plan.Process = std::move(Process);
+  Plan.Domain = std::move(Domain);
+  return *this;
+}
+
+control_link_builder &control_link_builder::onEvents(std::function<void()> Wake) {
+  Plan.WakeEntry = std::move(Wake);
+  return *this;
+}
+
+control_link_builder &control_link_builder::renewEvery(milliseconds Interval) {
+  Plan.RenewEvery = Interval;
+  return *this;
+}
+
+control_link_builder &control_link_builder::answerWithin(milliseconds Limit) {
+  Plan.AnswerWithin = Limit;
+  return *this;
+}
+
+control_link_builder &control_link_builder::backOff(milliseconds Min, milliseconds Max) {
+  Plan.BackOffMin = Min;
+  Plan.BackOffMax = Max;
+  return *this;
+}
+
+control_link_builder &control_link_builder::ringCapacity(std::size_t Items) {
+  Plan.RingCapacity = Items;
+  return *this;
+}
+
+std::unique_ptr<control_link> control_link_builder::start() {
+  auto Made = std::make_unique<control_link::state>(Plan);
+  Made->start();
+  return std::unique_ptr<control_link>(new control_link(std::move(Made)));
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/peer_link/framed_listener.cpp
@@ -0,0 +1,62 @@
+/** @file framed_listener.cpp The accept loop. */
+#include "peer_link/framed_listener_base.h"
+
+#include "peer_link/tcp_address_func.h"
+
+namespace pollenstall {
+
+using boost::asio::ip::tcp;
+
+namespace {
+
+/// After a failed accept (no file descriptor is free): at once would spin.
+constexpr std::chrono::milliseconds PauseAfterFailure{50};
+
+} // namespace
+
+framed_listener::framed_listener(boost::asio::io_context &Io, accepted_hook Hook)
+    : Acceptor(Io), Pause(Io), Accepted(std::move(Hook)) {}
+
+result<std::unique_ptr<framed_listener>, listen_error>
+framed_listener::open(boost::asio::io_context &Io, const std::string &Address,
+                      accepted_hook Accepted) {
+  const auto Endpoint = tcpEndpoint(Address);
+  if (!Endpoint)
+    return listen_error{Address + ": not IP:port"};
+  std::unique_ptr<framed_listener> Listener(new framed_listener(Io, std::move(Accepted)));
+  boost::system::error_code Error;
+  Listener->Acceptor.open(Endpoint->protocol(), Error);
+  if (!Error)
+    Listener->Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Listener->Acceptor.bind(*Endpoint, Error);
+  if (!Error)
+    Listener->Acceptor.listen(tcp::acceptor::max_listen_connections, Error);
+  if (Error)
+    return listen_error{Address + ": " + Error.message()};
+  Listener->accept();
+  return Listener;
+}
+
+std::string framed_listener::address() const {
+  boost::system::error_code Ignored;
+  return toText(Acceptor.local_endpoint(Ignored));
+}
+
+void framed_listener::accept() {
+  Acceptor.async_accept([this](boost::system::error_code Error, tcp::socket Socket) {
+    if (Error == boost::asio::error::operation_aborted)
+      return;
+    if (!Error) {
+      Accepted(std::move(Socket));
+      return accept();
+    }
+    Pause.expires_after(PauseAfterFailure);
+    Pause.async_wait([this](boost::system::error_code Cancelled) {
+      if (!Cancelled)
+        accept();
+    });
+  });
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/peer_link/peer_codec_func.h
@@ -0,0 +1,84 @@
+/** @file peer_codec_func.h cereal functions for the messages between control hosts. */
+#ifndef POLLENSTALL_PEER_LINK_PEER_CODEC_FUNC_H
+#define POLLENSTALL_PEER_LINK_PEER_CODEC_FUNC_H
+
+#include "peer_link/peer_link_type.h"
+#include "wire/wire.h"
+
+#include <type_traits>
+
+namespace pollenstall {
+
+/// Reads or writes an enum; a number beyond the last enumerator is malformed.
+template <typename Archive, typename Enum>
+void serializeEnum(Archive &Into, Enum &Value, Enum Last) {
+  Into(Value);
+  if constexpr (Archive::is_loading::value)
+    if (Value > Last)
+      throw cereal::Exception("number beyond the last enumerator");
+}
+
+template <typename Archive> void serialize(Archive &Into, member_key &Key) {
+  Into(Key.Member, Key.Disk);
+}
+template <typename Archive> void serialize(Archive &Into, log_member &Member) {
+  Into(Member.Key);
+  serializeEnum(Into, Member.Standing, member_standing::Voter);
+}
+template <typename Archive> void serialize(Archive &Into, member_set &Set) {
+  Into(Set.Cluster, Set.Members);
+}
+template <typename Archive> void serialize(Archive &Into, log_entry &Entry) {
+  Into(Entry.Index, Entry.Term);
+  serializeEnum(Into, Entry.Kind, entry_kind::Membership);
+  Into(Entry.Payload);
+}
+template <typename Archive> void serialize(Archive &Into, log_snapshot &Snapshot) {
+  Into(Snapshot.Index, Snapshot.Term, Snapshot.Members, Snapshot.State);
+}
+template <typename Archive> void serialize(Archive &Into, pre_vote_request &Body) {
+  Into(Body.ForTerm, Body.LastIndex, Body.LastTerm);
+}
+template <typename Archive> void serialize(Archive &Into, pre_vote_reply &Body) {
+  Into(Body.ForTerm, Body.Granted);
+}
+template <typename Archive> void serialize(Archive &Into, vote_request &Body) {
+  Into(Body.LastIndex, Body.LastTerm);
+}
+template <typename Archive> void serialize(Archive &Into, vote_reply &Body) { Into(Body.Granted); }
+template <typename Archive> void serialize(Archive &Into, append_request &Body) {
+  Into(Body.PrevIndex, Body.PrevTerm, Body.Commit, Body.Round, Body.SentAt, Body.Entries);
+}
+template <typename Archive> void serialize(Archive &Into, append_reply &Body) {
+  Into(Body.Matched, Body.Match, Body.RejectedPrev, Body.HintIndex, Body.HintTerm, Body.Round,
+       Body.SentAt);
+}
+template <typename Archive> void serialize(Archive &Into, snapshot_request &Body) {
+  Into(Body.Snapshot, Body.Round, Body.SentAt);
+}
+template <typename Archive> void serialize(Archive & /*Into*/, admission_request & /*Body*/) {}
+template <typename Archive> void serialize(Archive & /*Into*/, founder_probe & /*Body*/) {}
+template <typename Archive> void serialize(Archive &Into, consensus_message &Message) {
+  Into(Message.Cluster, Message.From, Message.To, Message.Term, Message.Body);
+}
+template <typename Archive> void serialize(Archive &Into, peer_addresses &Addresses) {
+  Into(Addresses.Peers, Addresses.Entries, Addresses.Operators);
+}
+template <typename Archive> void serialize(Archive &Into, peer_hello &Hello) {
+  Into(Hello.Member, Hello.Addresses);
+}
+
+/// @return The frame of one message.
+inline std::string peerFrame(const std::string &Fleet, const peer_message &Message) {
+  return frameOf(encodeEnvelope(Fleet, message_kind::Consensus, Message));
+}
+
+/// @return The message, or why the bytes are none of this fleet's.
+inline result<peer_message, wire_error> decodePeerMessage(const std::string &Fleet,
+                                                          std::string_view Bytes) {
+  return decodeEnvelope<peer_message>(Fleet, message_kind::Consensus, Bytes, MaxFrameBytes);
+}
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PEER_LINK_PEER_CODEC_FUNC_H
