--- a/bench/policy/entry_policy.cpp
+++ b/bench/policy/entry_policy.cpp
@@ -135,7 +135,7 @@
                              mono_time Now) { State->started(Attempt, Backend, Now); };
     Policy.Answering = [](const attempt_id &, mono_time) {};
     Policy.Advanced = [](const attempt_id &, std::uint64_t, mono_time) {};
-    Policy.Ended = [State](const attempt_id &Attempt, const attempt_end &, mono_time) {
+    Policy.Ended = [State](const attempt_id &Attempt, const attempt_report &, mono_time) {
       State->ended(Attempt);
     };
     return Policy;
@@ -164,7 +164,7 @@
   Policy.Advanced = [Own](const attempt_id &Attempt, std::uint64_t Events, mono_time Now) {
     Own->attemptAdvanced(Attempt, Events, Now);
   };
-  Policy.Ended = [Own](const attempt_id &Attempt, const attempt_end &End, mono_time Now) {
+  Policy.Ended = [Own](const attempt_id &Attempt, const attempt_report &End, mono_time Now) {
     Own->attemptEnded(Attempt, End, Now);
   };
   return Policy;
--- a/bench/policy/entry_policy_type.h
+++ b/bench/policy/entry_policy_type.h
@@ -21,7 +21,7 @@
       Started;
   std::function<void(const attempt_id &, mono_time)> Answering;
   std::function<void(const attempt_id &, std::uint64_t, mono_time)> Advanced;
-  std::function<void(const attempt_id &, const attempt_end &, mono_time)> Ended;
+  std::function<void(const attempt_id &, const attempt_report &, mono_time)> Ended;
 };
 
 /// Makes the policy of the entry with that number.
--- a/bench/policy/simulation.cpp
+++ b/bench/policy/simulation.cpp
@@ -215,7 +215,7 @@
   for (const std::size_t Attempt : Outcome.Completed) {
     const attempt_state &State = Attempts[Attempt];
     const sim_request &Facts = Records[State.Request].Request;
-    attempt_end End;
+    attempt_report End;
     End.Completed = true;
     End.PromptTokens = tokens(Facts.Prompt);
     End.AnswerTokens = tokens(Facts.Answer);
@@ -259,7 +259,7 @@
   if (Found != Current.end()) {
     const attempt_state &State = Attempts[Found->second];
     Engines[State.Engine].Engine.cancel(Found->second);
-    Entries[Entry].Policy.Ended(State.Id, attempt_end(), now());
+    Entries[Entry].Policy.Ended(State.Id, attempt_report(), now());
     Current.erase(Found);
   }
   Entries[Entry].Policy.Withdraw(request_number(Request + 1));
@@ -280,7 +280,7 @@
 void simulation::failAttempt(std::size_t Number, attempt_failure Failure) {
   const attempt_state State = Attempts[Number];
   const sim_request Facts = Records[State.Request].Request;
-  attempt_end End;
+  attempt_report End;
   End.Failure = Failure;
   Entries[Facts.Entry].Policy.Ended(State.Id, End, now());
   Current.erase(State.Request);
