Keep virtual time at the least waiting account; let accounts over share yield

Change: virtual time is the least tag that waits; work of an account 60 engine seconds over its share goes to engines behind all other work.

--- a/src/scheduling/account_queue.cpp
+++ b/src/scheduling/account_queue.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/account_queue_base.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace pollenstall {
 namespace {
@@ -57,7 +58,7 @@
   if (Found == Items.end())
     return std::nullopt;
   waiting_work Work = takeOut(Found);
-  endBusyPeriod();
+  advance();
   return Work;
 }
 
@@ -69,18 +70,26 @@
   account_state &State = Accounts[Work.Item.Account];
   const double Start = std::max(VirtualTime, State.Finish);
   State.Finish = Start + Work.Cost / State.Share;
-  VirtualTime = Start;
-  endBusyPeriod();
+  advance();
   return Work;
 }
 
-void account_queue::endBusyPeriod() {
+void account_queue::advance() {
+  double Least = std::numeric_limits<double>::max();
+  double Greatest = VirtualTime;
+  for (const auto &[Name, State] : Accounts) {
+    Greatest = std::max(Greatest, State.Finish);
+    if (State.Queued > 0)
+      Least = std::min(Least, State.Finish);
+  }
   // With nothing waiting nobody was kept from anything, so what an account used in quiet hours is
   // not held against it in the next busy one.
-  if (!Items.empty())
-    return;
-  for (const auto &[Name, State] : Accounts)
-    VirtualTime = std::max(VirtualTime, State.Finish);
+  VirtualTime = Items.empty() ? Greatest : std::max(VirtualTime, Least);
+}
+
+double account_queue::lead(const client_account_name &Account) const {
+  const auto Found = Accounts.find(Account);
+  return Found == Accounts.end() ? 0.0 : std::max(0.0, Found->second.Finish - VirtualTime);
 }
 
 void account_queue::correct(const client_account_name &Account, double CostDifference) {
@@ -95,7 +104,7 @@
   while (!ByLatestStart.empty() && ByLatestStart.begin()->first < Now)
     Late.push_back(takeOut(Items.find(ByLatestStart.begin()->second)));
   if (!Late.empty())
-    endBusyPeriod();
+    advance();
   return Late;
 }
 
--- a/src/scheduling/account_queue_base.h
+++ b/src/scheduling/account_queue_base.h
@@ -28,9 +28,12 @@
 enum class queue_verdict : std::uint8_t { Accepted, QueueFull, AccountLimit };
 
 /**
- * Start-time fair queueing (Goyal, Vin, Cheng 1996) over accounts: each placement moves its
- * account's finish tag on by cost over share, and the account with the least start tag goes first.
- * Within an account and a length class the oldest goes first.
+ * Fair queueing by virtual time over accounts, after start-time fair queueing (Goyal, Vin, Cheng
+ * 1996): each placement moves its account's finish tag on by cost over share, and the account with
+ * the least start tag goes first. Virtual time is the least tag of the accounts that wait and not
+ * that of the last one served, because classes are served out of order: otherwise the short work of
+ * an account far ahead would pull everybody's tag up to its own. Within an account and a length
+ * class the oldest goes first.
  */
 class account_queue {
 public:
@@ -61,6 +64,8 @@
   [[nodiscard]] std::optional<mono_time> oldest(length_class Class) const;
   /// @return The least latest start of all that wait.
   [[nodiscard]] std::optional<mono_time> nextLate() const;
+  /// @return Engine seconds over share by which the account is ahead of those that wait.
+  [[nodiscard]] double lead(const client_account_name &Account) const;
   /**
    * @return Cost that is served before a new request of the account, as fair shares would have it.
    */
@@ -81,7 +86,7 @@
   };
 
   waiting_work takeOut(std::map<request_number, waiting_work>::iterator Found);
-  void endBusyPeriod();
+  void advance();
 
   std::uint32_t MostQueued{2'048};
   double VirtualTime{0};
--- a/src/scheduling/prefill_ledger.cpp
+++ b/src/scheduling/prefill_ledger.cpp
@@ -24,8 +24,9 @@
 
 } // namespace
 
-void prefill_ledger::add(ticket_number Ticket, length_class Class, double Tokens, mono_time Now) {
-  Own[Ticket] = own_prefill{Class, Tokens, Now};
+void prefill_ledger::add(ticket_number Ticket, length_class Class, double Tokens, bool Yields,
+                         mono_time Now) {
+  Own[Ticket] = own_prefill{Class, Tokens, Yields, Now};
 }
 
 void prefill_ledger::remove(ticket_number Ticket) { Own.erase(Ticket); }
@@ -69,13 +70,14 @@
   return ownPending(Now, Rate) + Others.Long + Others.Other;
 }
 
-double prefill_ledger::ahead(length_class Class, bool Priorities, mono_time Now,
-                             double Rate) const {
-  if (!Priorities || Class == length_class::Long)
+double prefill_ledger::ahead(length_class Class, bool Passes, mono_time Now, double Rate) const {
+  if (!Passes)
     return pending(Now, Rate);
   double Total = others(Now, Rate).Other;
+  if (Class == length_class::Long)
+    Total += others(Now, Rate).Long;
   for (const auto &[Ticket, Entry] : Own)
-    if (Entry.Class <= Class)
+    if (Entry.Class <= Class && !Entry.Yields)
       Total += ownRemaining(Entry, Now, Rate);
   return Total;
 }
--- a/src/scheduling/prefill_ledger_base.h
+++ b/src/scheduling/prefill_ledger_base.h
@@ -16,7 +16,8 @@
 class prefill_ledger {
 public:
   /// @param Tokens Prompt tokens believed not to be in the engine's prefix cache.
-  void add(ticket_number Ticket, length_class Class, double Tokens, mono_time Now);
+  /// @param Yields Whether the engine lets work of every class pass it.
+  void add(ticket_number Ticket, length_class Class, double Tokens, bool Yields, mono_time Now);
   /// The first token came, or the attempt ended.
   void remove(ticket_number Ticket);
   /// @param Waiting Prompt tokens of every host's work that are not processed yet.
@@ -30,10 +31,10 @@
    */
   [[nodiscard]] double pending(mono_time Now, double Rate) const;
   /**
-   * @param Priorities Whether the engine lets shorter classes pass.
+   * @param Passes Whether the engine lets it pass longer and yielding work.
    * @return Tokens that run before a new attempt of the class.
    */
-  [[nodiscard]] double ahead(length_class Class, bool Priorities, mono_time Now, double Rate) const;
+  [[nodiscard]] double ahead(length_class Class, bool Passes, mono_time Now, double Rate) const;
   /// @return Long prompts being processed, of this host and as the report suggests of others.
   [[nodiscard]] std::uint32_t longs(mono_time Now, double Rate) const;
   /// @return Own unanswered attempts.
@@ -43,6 +44,7 @@
   struct own_prefill {
     length_class Class{length_class::Short};
     double Tokens{0};
+    bool Yields{false};
     mono_time Placed;
   };
   struct others_prefill {
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -141,7 +141,8 @@
 
 bool scheduler::placeOneOf(length_class Class, mono_time Now, poll_outcome &Outcome) {
   for (const waiting_work *Work : Queue.candidates(Class, TriedPerAccount, TriedPerClass)) {
-    const failed_key Kind{Work->Item.Service, Work->Item.Model, Work->Group, Class};
+    const bool Yields = Queue.lead(Work->Item.Account) > Settings.Tuning.LeadSeconds;
+    const failed_key Kind{Work->Item.Service, Work->Item.Model, Work->Group, Class, Yields};
     const auto Before = Failed.find(Kind);
     if (Before != Failed.end() && Before->second <= Work->Item.Prompt)
       continue;
--- a/src/scheduling/scheduler_attempt.cpp
+++ b/src/scheduling/scheduler_attempt.cpp
@@ -49,7 +49,7 @@
   Ticket.Deadline = Work.Item.Deadline;
   if (!Work.Item.Model.empty()) {
     Record.Memory.reserve(Number, Record.need(Work.Item));
-    Record.Prefill.add(Number, Work.Class, Ticket.Uncached, Now);
+    Record.Prefill.add(Number, Work.Class, Ticket.Uncached, Choice.Estimate.Yields, Now);
     Affinity.record(Work.Item.PrefixHashes, Record.key());
   }
   ++Record.Outstanding;
--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -21,6 +21,9 @@
   /// Waits that count as equally long when classes compete: the class with the greatest wait
   /// over patience goes first, so that each class starts in the end.
   std::array<double, LengthClasses> Patience{1.0, 8.0, 32.0};
+  /// Engine seconds over share that an account may be ahead of those that wait. Beyond it, its work
+  /// yields to theirs of every class; more than a long prompt takes, so that one is no offence.
+  double LeadSeconds{60.0};
   double NearEqual{0.1};         ///< Costs within this part of the least are drawn from at random.
   double NearEqualSeconds{0.01}; ///< And those within this time of it.
   double ChunkTokens{2'048.0};   ///< Prefill that runs on before a higher priority is looked at.
@@ -105,6 +108,7 @@
     double CachedShare{0};
     double Ahead{0};
     double FirstToken{0}; ///< Seconds from now.
+    bool Yields{false};   ///< Its account is over its share: others' work passes it.
     double Cost{0};       ///< Of the choice, with what it does to other classes.
   };
   struct choice {
@@ -112,7 +116,7 @@
     engine_estimate Estimate;
   };
   /// What could not be placed in this poll, so that work alike is not tried again.
-  using failed_key = std::tuple<service_name, model_name, group_name, length_class>;
+  using failed_key = std::tuple<service_name, model_name, group_name, length_class, bool>;
 
   // scheduler_intake.cpp
   [[nodiscard]] length_class classOf(const work_item &Item) const;
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -11,6 +11,8 @@
 constexpr std::array<std::uint32_t, LengthClasses> BasePriority{100, 200, 300};
 /// For work that has waited half its time or more: before what is longer than short.
 constexpr std::uint32_t AgedPriority = 150;
+/// Added for work of an account that is over its share while others wait.
+constexpr std::uint32_t YieldPriority = 300;
 /// What a plain call counts for another one that runs on the same server.
 constexpr double PlainCallSeconds = 0.01;
 /// A call in the same failure domain weighs little against one on the same server.
@@ -71,7 +73,9 @@
     Result.CachedShare = Cached->Share;
   Result.Uncached = Prompt * (1.0 - Result.CachedShare);
   const double Pending = Record.Prefill.pending(Now, Rate);
-  Result.Ahead = Record.Prefill.ahead(Work.Class, Priorities, Now, Rate);
+  Result.Yields = Queue.lead(Work.Item.Account) > Settings.Tuning.LeadSeconds;
+  const bool Passes = Priorities && !Result.Yields;
+  Result.Ahead = Record.Prefill.ahead(Work.Class, Passes, Now, Rate);
   const double Passed = std::max(0.0, Pending - Result.Ahead);
   Result.Ahead += std::min(Passed, Settings.Tuning.ChunkTokens);
   Result.FirstToken = Record.Costs.secondsPerStep() + (Result.Ahead + Result.Uncached) / Rate;
@@ -170,6 +174,8 @@
 
 std::uint32_t scheduler::priorityOf(const waiting_work &Work, mono_time Now) const {
   const std::uint32_t Base = BasePriority[indexOf(Work.Class)];
+  if (Queue.lead(Work.Item.Account) > Settings.Tuning.LeadSeconds)
+    return Base + YieldPriority;
   const mono_span Allowed = Work.Item.Deadline - Work.Item.Arrived;
   const bool Aged = (Now - Work.Item.Arrived) * 2 >= Allowed;
   return Aged ? std::min(Base, AgedPriority) : Base;
