Name test fixtures in the project's case

Cause: clang-tidy refused CamelCase fixture classes. Ruled out: an ignore pattern, since types are snake_case.

--- a/programs/pollenstallctl/verb_common.cpp
+++ b/programs/pollenstallctl/verb_common.cpp
@@ -193,7 +193,7 @@
 }
 
 std::string announceChangeId(const ctl_options &Options, std::optional<revision> Base) {
-  const std::string Id = Options.ChangeId.empty() ? randomId() : Options.ChangeId;
+  std::string Id = Options.ChangeId.empty() ? randomId() : Options.ChangeId;
   std::ostream &Out = Options.Json ? std::cerr : std::cout;
   Out << "change id " << Id;
   if (Base)
--- a/tests/declaration/declaration_lookup_test.cpp
+++ b/tests/declaration/declaration_lookup_test.cpp
@@ -8,12 +8,12 @@
 
 using testing::ElementsAre;
 
-class ARequest : public testing::Test {
+class a_request : public testing::Test {
 protected:
   declaration_index Index{parsed(SampleText)};
 };
 
-TEST_F(ARequest, IsKnownByItsKeyAndModel) {
+TEST_F(a_request, IsKnownByItsKeyAndModel) {
   EXPECT_EQ(Index.findAccount(SampleHashB)->Name, client_account_name("club-b"));
   EXPECT_EQ(Index.findAccount(std::string(64, 'c')), nullptr);
   EXPECT_EQ(Index.findAccountByName(client_account_name("club-a"))->MaxQueued, 256U);
@@ -23,7 +23,7 @@
   EXPECT_THAT(Index.selectorHeaders(), ElementsAre("x-canary"));
 }
 
-class OnItsWayByPath : public ARequest {
+class a_request_by_path : public a_request {
 protected:
   /// @return "service prefix", with "!" for a call that runs at most once, or "none".
   std::string route(const std::string &Host, const std::string &Method, const std::string &Target) {
@@ -35,7 +35,7 @@
   }
 };
 
-TEST_F(OnItsWayByPath, TakesTheLongestPrefixAtABorderOfSegments) {
+TEST_F(a_request_by_path, TakesTheLongestPrefixAtABorderOfSegments) {
   EXPECT_EQ(route("any", "GET", "/portal"), "portal /portal");
   EXPECT_EQ(route("any", "GET", "/portal/a?b=/portal/send"), "portal /portal");
   EXPECT_EQ(route("any", "GET", "/portals"), "none");
@@ -43,7 +43,7 @@
   EXPECT_EQ(route("any", "POST", "/portal/sender"), "portal /portal");
 }
 
-TEST_F(OnItsWayByPath, TakesTheHostsOwnRoutesFirst) {
+TEST_F(a_request_by_path, TakesTheHostsOwnRoutesFirst) {
   EXPECT_EQ(route("CLIPS.example:8080", "GET", "/portal/x"), "portal clips.example/");
   EXPECT_EQ(route("clips.example.", "GET", "/"), "portal clips.example/");
   EXPECT_EQ(route("[::1]:80", "GET", "/portal"), "portal /portal");
@@ -52,7 +52,7 @@
 // A caller sends the newsletter by an odd spelling of its path. If the spelling matched the
 // idempotent route, a lost answer would be retried, while the backend server reads the same path as
 // the send: every subscriber would get the letter twice.
-TEST_F(OnItsWayByPath, FindsTheNonIdempotentRouteInEverySpelling) {
+TEST_F(a_request_by_path, FindsTheNonIdempotentRouteInEverySpelling) {
   for (const char *Target :
        {"/portal/send", "/portal/send/", "/portal//send", "/portal/./send", "/portal/x/../send",
         "/portal/%73end", "/portal/%2e%2E/portal/send?x=1", "/portal/send;v=1", "/portal/send/7"})
@@ -61,7 +61,7 @@
   EXPECT_EQ(route("any", "GET", "/portal/send"), "portal /portal");
 }
 
-TEST_F(OnItsWayByPath, MatchesNothingThatHidesItsSegments) {
+TEST_F(a_request_by_path, MatchesNothingThatHidesItsSegments) {
   for (const char *Target : {"/portal/a%2Fsend", "/portal/a%5csend", "/portal/a\\send",
                              "/../portal", "/portal/../../portal", "/portal/%zz", "/portal/%7",
                              "/portal/%00", "portal", "", "http://any/portal"})
@@ -69,7 +69,7 @@
   EXPECT_EQ(normalisePath("/a/%252e%252e"), "/a/%2e%2e") << "decoded once only";
 }
 
-class AtTheSelectors : public ARequest {
+class a_request_at_the_selectors : public a_request {
 protected:
   selector_input Input{service_name("llm"),
                        model_name("tactic"),
@@ -92,12 +92,12 @@
   }
 };
 
-TEST_F(AtTheSelectors, GoesByTheFirstThatMatches) {
+TEST_F(a_request_at_the_selectors, GoesByTheFirstThatMatches) {
   EXPECT_EQ(chosen(), selector_name("try-canary"));
   EXPECT_EQ(select(Index.declaration(), Input).Groups.size(), 2U);
 }
 
-TEST_F(AtTheSelectors, IsToldWhichConditionItMissed) {
+TEST_F(a_request_at_the_selectors, IsToldWhichConditionItMissed) {
   const selector_input Matching = Input;
   Input.Prompt = tokens(1000);
   EXPECT_EQ(chosen(), selector_name("rest"));
@@ -112,12 +112,12 @@
   EXPECT_EQ(reason(), "header x-canary is absent or has another value");
 }
 
-TEST_F(AtTheSelectors, FindsNothingForAnUnknownService) {
+TEST_F(a_request_at_the_selectors, FindsNothingForAnUnknownService) {
   Input.Service = service_name("other");
   EXPECT_EQ(chosen(), selector_name());
 }
 
-TEST_F(AtTheSelectors, MatchesServersByAllLabelsOfAGroup) {
+TEST_F(a_request_at_the_selectors, MatchesServersByAllLabelsOfAGroup) {
   EXPECT_TRUE(carriesLabels({{"a", "1"}, {"b", "2"}}, {{"a", "1"}}));
   EXPECT_TRUE(carriesLabels({}, {}));
   EXPECT_FALSE(carriesLabels({{"a", "1"}}, {{"a", "1"}, {"b", "2"}}));
--- a/tests/declaration/declaration_parse_test.cpp
+++ b/tests/declaration/declaration_parse_test.cpp
@@ -28,11 +28,11 @@
   EXPECT_THAT(Errors[0].Allowed, HasSubstr(Case.Allowed));
 }
 
-class AnOperatorsFile : public testing::Test {};
+class an_operators_file : public testing::Test {};
 
-class WithEverythingRight : public AnOperatorsFile {};
+class a_right_file : public an_operators_file {};
 
-TEST_F(WithEverythingRight, GivesTheDeclaredValues) {
+TEST_F(a_right_file, GivesTheDeclaredValues) {
   const fleet_declaration Fleet = parsed(SampleText);
   ASSERT_THAT(Fleet.Selectors, SizeIs(3));
   const selector_declaration &Canary = Fleet.Selectors[0];
@@ -45,11 +45,9 @@
   EXPECT_EQ(Fleet.Services[1].Routes.back().Host, "clips.example");
 }
 
-TEST_F(WithEverythingRight, GivesNoWarning) {
-  EXPECT_THAT(findWarnings(parsed(SampleText)), IsEmpty());
-}
+TEST_F(a_right_file, GivesNoWarning) { EXPECT_THAT(findWarnings(parsed(SampleText)), IsEmpty()); }
 
-TEST_F(WithEverythingRight, IsEqualInAnotherOrderOfWhatHasNone) {
+TEST_F(a_right_file, IsEqualInAnotherOrderOfWhatHasNone) {
   const std::string Moved = sampleWith("[[group]]\nname = \"stable\"\nservice = \"llm\"\n"
                                        "labels = { version = \"1\" }\n",
                                        "") +
@@ -58,14 +56,14 @@
   EXPECT_EQ(parsed(Moved), parsed(SampleText));
 }
 
-TEST_F(WithEverythingRight, MayBeEmptyButWarns) {
+TEST_F(a_right_file, MayBeEmptyButWarns) {
   EXPECT_EQ(parsed(""), fleet_declaration());
   EXPECT_THAT(findWarnings({}), SizeIs(1));
 }
 
-class WithOneKeyWrong : public AnOperatorsFile {};
+class a_file_with_a_wrong_key : public an_operators_file {};
 
-TEST_F(WithOneKeyWrong, NamesPlaceAndWhatIsAllowed) {
+TEST_F(a_file_with_a_wrong_key, NamesPlaceAndWhatIsAllowed) {
   const std::vector<refusal_case> Cases = {
       {"kind = \"model\"", "kind = \"modle\"", "service[0].kind", "\"model\" or \"plain\"", 3},
       {"kind = \"model\"", "kind = 3", "service[0].kind", "\"model\" or \"plain\"", 3},
@@ -102,12 +100,12 @@
     expectRefused(Case);
 }
 
-TEST_F(WithOneKeyWrong, ReportsEveryWrongKeyAtOnce) {
+TEST_F(a_file_with_a_wrong_key, ReportsEveryWrongKeyAtOnce) {
   const auto Errors = refused("[[service]]\nkind = \"model\"\nmodels = \"x\"\nextra = 1\n");
   EXPECT_THAT(Errors, SizeIs(3)) << toText(Errors);
 }
 
-TEST_F(WithOneKeyWrong, RefusesWhatIsNotToml) {
+TEST_F(a_file_with_a_wrong_key, RefusesWhatIsNotToml) {
   const auto Errors = refused("[[service]\nname = \n");
   ASSERT_THAT(Errors, SizeIs(1));
   EXPECT_EQ(Errors[0].Line, 1);
@@ -116,9 +114,9 @@
   EXPECT_THAT(refused(std::string(5U << 20U, '#')), SizeIs(1));
 }
 
-class WithItemsThatDoNotFit : public AnOperatorsFile {};
+class a_file_whose_items_do_not_fit : public an_operators_file {};
 
-TEST_F(WithItemsThatDoNotFit, NamesTheReferenceOrTheRepetition) {
+TEST_F(a_file_whose_items_do_not_fit, NamesTheReferenceOrTheRepetition) {
   const std::vector<refusal_case> Cases = {
       {"accounts = [\"club-a\"]", "accounts = [\"club-z\"]", "selector[0].accounts[0]",
        "club-a, club-b", 32},
@@ -152,7 +150,7 @@
     expectRefused(Case);
 }
 
-TEST_F(WithItemsThatDoNotFit, RefusesAModelThatTwoServicesServe) {
+TEST_F(a_file_whose_items_do_not_fit, RefusesAModelThatTwoServicesServe) {
   const auto Errors = refused(SampleText + "[[service]]\nname = \"b\"\nkind = \"model\"\n"
                                            "models = [\"tactic\"]\n[[group]]\nname = \"g\"\n"
                                            "service = \"b\"\n[[selector]]\nname = \"s\"\n"
@@ -161,7 +159,7 @@
   EXPECT_EQ(Errors[0].Key, "service[2].models[0]");
 }
 
-TEST_F(WithItemsThatDoNotFit, RefusesAServiceWhoseLastSelectorHasConditions) {
+TEST_F(a_file_whose_items_do_not_fit, RefusesAServiceWhoseLastSelectorHasConditions) {
   const auto Errors = refused(sampleWith("name = \"rest\"\nservice = \"llm\"\n",
                                          "name = \"rest\"\nservice = \"llm\"\n"
                                          "prompt_from_tokens = 1\n"));
@@ -172,7 +170,7 @@
   EXPECT_THAT(None[0].Allowed, HasSubstr("has no selector"));
 }
 
-TEST_F(WithItemsThatDoNotFit, WarnsOfWhatIsNeverReached) {
+TEST_F(a_file_whose_items_do_not_fit, WarnsOfWhatIsNeverReached) {
   const auto Warnings = findWarnings(
       parsed(sampleWith("[[selector]]\nname = \"rest\"",
                         "[[selector]]\nname = \"hidden\"\nservice = \"llm\"\n"
--- a/tests/declaration/declaration_text_test.cpp
+++ b/tests/declaration/declaration_text_test.cpp
@@ -131,9 +131,9 @@
             "~ selector rest: tested as number 3 of those kept, was number 2\n");
 }
 
-class AShippedExample : public testing::TestWithParam<std::string> {};
+class a_shipped_example : public testing::TestWithParam<std::string> {};
 
-TEST_P(AShippedExample, IsAcceptedWithoutWarningAndReadsBack) {
+TEST_P(a_shipped_example, IsAcceptedWithoutWarningAndReadsBack) {
   const fleet_declaration Fleet = parsed(sourceFile("examples/" + GetParam()));
   EXPECT_THAT(findWarnings(Fleet), IsEmpty()) << toText(findWarnings(Fleet));
   EXPECT_EQ(parsed(toCanonicalText(Fleet)), Fleet);
@@ -141,7 +141,7 @@
   EXPECT_EQ(Fleet.Accounts.size(), 10U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Examples, AShippedExample,
+INSTANTIATE_TEST_SUITE_P(Examples, a_shipped_example,
                          testing::Values("accra.toml", "sognebrev.toml"));
 
 TEST(SognebrevsExample, RunsASendAtMostOnce) {
--- a/tests/pollenstallctl/pollenstallctl_test.cpp
+++ b/tests/pollenstallctl/pollenstallctl_test.cpp
@@ -36,7 +36,7 @@
   return Text.str();
 }
 
-class TheTool : public testing::Test {
+class the_tool : public testing::Test {
 protected:
   std::string Folder = testing::TempDir() + "pollenstallctl." + std::to_string(getpid()) + ".";
 
@@ -61,9 +61,9 @@
   }
 };
 
-class OnItsOwn : public TheTool {};
+class the_tool_on_its_own : public the_tool {};
 
-TEST_F(OnItsOwn, PrintsHelpAndVersionAndRefusesBadUsage) {
+TEST_F(the_tool_on_its_own, PrintsHelpAndVersionAndRefusesBadUsage) {
   EXPECT_THAT(run("--help").Out, HasSubstr("Exit codes"));
   EXPECT_THAT(run("--version").Out, HasSubstr("pollenstallctl 0."));
   EXPECT_EQ(run("").Exit, 2);
@@ -76,7 +76,7 @@
   EXPECT_EQ(run("validate /absent").Exit, 2);
 }
 
-TEST_F(OnItsOwn, ChecksItsSettings) {
+TEST_F(the_tool_on_its_own, ChecksItsSettings) {
   const std::string Good = file("good.toml", "control = [\"http://127.0.0.1:1\"]\n");
   EXPECT_EQ(run("--check --config " + Good).Exit, 0);
   const tool_run Bad = run("--check --config " + file("bad.toml", "\ncontroll = 1\n"));
@@ -84,7 +84,7 @@
   EXPECT_THAT(Bad.Err, HasSubstr("bad.toml:2: controll: allowed: unknown key"));
 }
 
-TEST_F(OnItsOwn, ValidatesAFile) {
+TEST_F(the_tool_on_its_own, ValidatesAFile) {
   EXPECT_THAT(run("validate " + Example).Out, HasSubstr("valid: 2 services"));
   const tool_run Bad = run("--json validate " + file("x.toml", "[[group]]\nname = 1\n"));
   EXPECT_EQ(Bad.Exit, 1);
@@ -93,7 +93,7 @@
   EXPECT_EQ(Error.at("details").at(0).at("line"), 2);
 }
 
-TEST_F(OnItsOwn, ExplainsByAFile) {
+TEST_F(the_tool_on_its_own, ExplainsByAFile) {
   const std::string Base = "explain --file " + Example + " --account tema-academy ";
   const tool_run Canary = run(Base + "--model tactic-llm --tokens 5 "
                                      "--header X-Pollenstall-Canary=2026-11 --json");
@@ -108,7 +108,7 @@
   EXPECT_EQ(run("explain --file " + Example + " --account nobody --service clip-app").Exit, 1);
 }
 
-class AgainstControl : public TheTool {
+class the_tool_against_control : public the_tool {
 protected:
   static fake_reply declared(std::uint64_t Revision, const std::string &Text) {
     return {200, {{"revision", Revision}, {"text", Text}}};
@@ -119,7 +119,7 @@
   }
 };
 
-TEST_F(AgainstControl, PlansWithTheRevisionItComparedTo) {
+TEST_F(the_tool_against_control, PlansWithTheRevisionItComparedTo) {
   std::string Text = fileText(Example);
   const std::string Old = "short_weight = 3.0";
   Text.replace(Text.find(Old), Old.size(), "short_weight = 2.5");
@@ -136,7 +136,7 @@
 // The operator's apply reaches the leader, which accepts it and dies before it answers. The tool
 // must neither report a failure nor send the change as a new one: it resends the same id, and the
 // next answer is the first one's again.
-TEST_F(AgainstControl, ResendsTheSameChangeAfterALostAnswer) {
+TEST_F(the_tool_against_control, ResendsTheSameChangeAfterALostAnswer) {
   int Sends = 0;
   fake_control Control([&](const fake_call &Call) -> std::optional<fake_reply> {
     if (Call.Path == "/v1/declaration")
@@ -160,7 +160,7 @@
 
 // Every answer is lost until the time is up. The change may be in force or not: the tool must say
 // so, with the id and base that a resend needs, and not claim a failure.
-TEST_F(AgainstControl, SaysThatTheOutcomeIsUnknown) {
+TEST_F(the_tool_against_control, SaysThatTheOutcomeIsUnknown) {
   fake_control Control([](const fake_call &) { return std::nullopt; });
   const std::string Ids = " --change-id mine --base-revision 2 --timeout 1";
   const tool_run Lost = run("apply " + Example + " --control " + Control.url() + Ids);
@@ -168,14 +168,14 @@
   EXPECT_THAT(Lost.Err, HasSubstr("resend with --change-id mine --base-revision 2"));
 }
 
-TEST_F(AgainstControl, SaysThatTheOutcomeIsUnknownWhereControlSaysSo) {
+TEST_F(the_tool_against_control, SaysThatTheOutcomeIsUnknownWhereControlSaysSo) {
   fake_control Control([](const fake_call &) {
     return fake_reply{503, {{"error", {{"code", "unknown_outcome"}, {"message", "again"}}}}};
   });
   EXPECT_EQ(run("drain 10.0.0.1:80 --timeout 1 --control " + Control.url()).Exit, 4);
 }
 
-TEST_F(AgainstControl, SaysThatNothingWasSentWhereNoHostIsReachable) {
+TEST_F(the_tool_against_control, SaysThatNothingWasSentWhereNoHostIsReachable) {
   const std::string Ids = " --change-id mine --base-revision 2 --timeout 1";
   EXPECT_EQ(run("apply " + Example + " --control " + ClosedPort + Ids).Exit, 5);
   EXPECT_EQ(run("status --control " + ClosedPort).Exit, 5);
@@ -187,7 +187,7 @@
 
 // Two operators changed the same revision and this one came second. Its change must not be retried
 // against the new revision, since that would undo what the other one just did.
-TEST_F(AgainstControl, StopsAtAConflict) {
+TEST_F(the_tool_against_control, StopsAtAConflict) {
   fake_control Control([](const fake_call &) {
     return fake_reply{409,
                       {{"error", {{"code", "conflict"}, {"message", "another"}}}, {"revision", 9}}};
@@ -199,7 +199,7 @@
   EXPECT_THAT(Control.callsTo("/v1/changes"), SizeIs(1));
 }
 
-TEST_F(AgainstControl, ReportsARefusalWithItsDetails) {
+TEST_F(the_tool_against_control, ReportsARefusalWithItsDetails) {
   fake_control Control([](const fake_call &) {
     return fake_reply{
         400,
@@ -213,7 +213,7 @@
   EXPECT_THAT(Apply.Err, HasSubstr("f:3: k: allowed: a"));
 }
 
-TEST_F(AgainstControl, ReportsAnIdThatWasUsedForAnotherChangeAsARefusal) {
+TEST_F(the_tool_against_control, ReportsAnIdThatWasUsedForAnotherChangeAsARefusal) {
   fake_control Control([](const fake_call &) {
     return fake_reply{409, {{"error", {{"code", "change_id_reused"}, {"message", "used"}}}}};
   });
@@ -222,13 +222,13 @@
 
 // A resend without its base would take the revision that the first try itself made, and so be
 // another change under the same id.
-TEST_F(AgainstControl, WantsTheBaseWithAChangeId) {
+TEST_F(the_tool_against_control, WantsTheBaseWithAChangeId) {
   const tool_run Apply = run("apply " + Example + " --change-id mine --control " + ClosedPort);
   EXPECT_EQ(Apply.Exit, 2);
   EXPECT_THAT(Apply.Err, HasSubstr("--base-revision"));
 }
 
-TEST_F(AgainstControl, FollowsTheHintToTheLeader) {
+TEST_F(the_tool_against_control, FollowsTheHintToTheLeader) {
   fake_control Leader([](const fake_call &) { return accepted(3, false); });
   fake_control Follower([&](const fake_call &) {
     return fake_reply{421, {{"error", {{"code", "not_leader"}}}, {"leader", Leader.url()}}};
@@ -240,7 +240,7 @@
 }
 
 // Two hosts each take the other for the leader. The tool must not run between them for ever.
-TEST_F(AgainstControl, GivesUpOnHintsThatGoInCircles) {
+TEST_F(the_tool_against_control, GivesUpOnHintsThatGoInCircles) {
   std::string UrlOfOther;
   fake_control One([&](const fake_call &) { return fake_reply{421, {{"leader", UrlOfOther}}}; });
   fake_control Other([&](const fake_call &) { return fake_reply{421, {{"leader", One.url()}}}; });
@@ -248,7 +248,7 @@
   EXPECT_EQ(run("drain 10.0.0.1:80 --timeout 1 --control " + One.url()).Exit, 5);
 }
 
-TEST_F(AgainstControl, WaitsUntilTheChangeIsInForceEverywhere) {
+TEST_F(the_tool_against_control, WaitsUntilTheChangeIsInForceEverywhere) {
   int Asked = 0;
   fake_control Control([&](const fake_call &Call) {
     if (Call.Path == "/v1/changes")
@@ -263,7 +263,7 @@
 
 // An isolated host still answers for its status and may know an old leader's figures. Only what a
 // serving leader says counts as in force.
-TEST_F(AgainstControl, DoesNotTakeAnIsolatedHostsWordForInForce) {
+TEST_F(the_tool_against_control, DoesNotTakeAnIsolatedHostsWordForInForce) {
   fake_control Control([](const fake_call &Call) {
     if (Call.Path == "/v1/changes")
       return accepted(3, false);
@@ -275,7 +275,7 @@
   EXPECT_THAT(Apply.Err, HasSubstr("accepted as revision 3"));
 }
 
-TEST_F(AgainstControl, PrintsStatusOfTheLeaderHistoryAndDump) {
+TEST_F(the_tool_against_control, PrintsStatusOfTheLeaderHistoryAndDump) {
   fake_control Leader([](const fake_call &Call) {
     if (Call.Path == "/v1/history")
       return fake_reply{
@@ -297,7 +297,7 @@
   EXPECT_EQ(run("dump --target " + Leader.url()).Out, "a:\n  b: 1\n");
 }
 
-TEST_F(AgainstControl, SendsDrainsAndMembers) {
+TEST_F(the_tool_against_control, SendsDrainsAndMembers) {
   fake_control Control([](const fake_call &) { return fake_reply{200, {{"version", 1}}}; });
   EXPECT_EQ(run("drain 10.0.0.1:80 --undo --control " + Control.url()).Exit, 0);
   const auto Drains = Control.callsTo("/v1/drains");
