Weigh the slower answer on an engine that has prefill to do

Cause: a short answer on an engine with a long prompt takes a chunk's time a token, so choosing by the first token alone made its end late. Change: a tenth of that delay counts in the cost of a choice.

--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -24,6 +24,8 @@
   /// Engine seconds over share that an account may be ahead of those that wait. Beyond it, its work
   /// yields to theirs of every class; more than a long prompt takes, so that one is no offence.
   double LeadSeconds{60.0};
+  /// Weight of a slower answer against a later first token, second for second.
+  double AnswerWeight{0.1};
   double NearEqual{0.1};         ///< Costs within this part of the least are drawn from at random.
   double NearEqualSeconds{0.01}; ///< And those within this time of it.
   double ChunkTokens{2'048.0};   ///< Prefill that runs on before a higher priority is looked at.
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -83,7 +83,10 @@
   const double LongWeight = Policy.LongWeight / std::max(0.01, Policy.ShortWeight);
   const double Delayed =
       Passed > 0 && Work.Class != length_class::Long ? Result.Uncached / Rate : 0;
-  Result.Cost = Result.FirstToken + LongWeight * Delayed;
+  // While an engine has prefill to do, each token of an answer takes as long as a whole chunk.
+  const double Chunked = expectedAnswer(Work.Item) * Settings.Tuning.ChunkTokens / Rate;
+  const double Slower = std::min(Pending / Rate, Chunked);
+  Result.Cost = Result.FirstToken + LongWeight * Delayed + Settings.Tuning.AnswerWeight * Slower;
   return Result;
 }
 
