Bound requests at once on an engine by the pace of answers

Change: concurrency_limit lowers the requests an engine is given while answers come slower than the callers' limits need.

--- a/src/scheduling/backend_pool.cpp
+++ b/src/scheduling/backend_pool.cpp
@@ -25,6 +25,11 @@
 
 } // namespace
 
+double backend_record::requests() const {
+  const double Reported = static_cast<double>(View.Load.Running) + View.Load.Waiting;
+  return std::max(0.0, Reported - OwnInReport) + Outstanding;
+}
+
 memory_blocks backend_record::need(const work_item &Item) const {
   const std::int64_t BlockTokens = std::max<std::int64_t>(1, View.Announcement.BlockTokens.value());
   const std::int64_t Tokens = Item.Prompt.value() + Item.AnswerLimit.value();
--- a/src/scheduling/backend_pool_base.h
+++ b/src/scheduling/backend_pool_base.h
@@ -28,6 +28,8 @@
 
   [[nodiscard]] const backend_key &key() const { return View.Announcement.Key; }
   [[nodiscard]] bool active() const { return View.Standing == backend_standing::Active; }
+  /// @return Requests on the server, of every host, as far as this host knows.
+  [[nodiscard]] double requests() const;
   /// @return Blocks that the work needs for its prompt and longest answer.
   [[nodiscard]] memory_blocks need(const work_item &Item) const;
   /// @return Whether it has the model of the work; plain work needs none.
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -102,6 +102,8 @@
     return;
   NextReview = Now + ReviewInterval;
   blameStalled(Now);
+  Concurrency.adjust(ConcurrencyBound);
+  ConcurrencyBound = false;
   Pool.review(Limits.EjectPercent, Now);
   Pool.chooseLongEngines(Policy.LongEngineShare, Arrivals.longShare(Now));
 }
--- a/src/scheduling/scheduler_attempt.cpp
+++ b/src/scheduling/scheduler_attempt.cpp
@@ -140,8 +140,14 @@
   backend_record *Record = Pool.find(Ticket.Backend);
   if (Record == nullptr)
     return;
-  if (Ticket.Answered)
-    Record->Costs.observeSteps(Events, Now - Ticket.LastProgress);
+  if (Ticket.Answered && Events > 0) {
+    const mono_span Took = Now - Ticket.LastProgress;
+    Record->Costs.observeSteps(Events, Took);
+    // Beside a long prompt the pace is a chunk a token whatever else runs there.
+    if (Record->Prefill.longs(Now, Record->Costs.prefillRate()) == 0)
+      Concurrency.observe(std::chrono::duration<double>(Took).count() /
+                          static_cast<double>(Events));
+  }
   Ticket.LastProgress = Now;
   Record->LastProgress = Now;
 }
--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -6,6 +6,7 @@
 #include "scheduling/affinity_base.h"
 #include "scheduling/backend_pool_base.h"
 #include "scheduling/class_rates_base.h"
+#include "scheduling/concurrency_limit_base.h"
 
 #include <map>
 #include <optional>
@@ -26,6 +27,10 @@
   double LeadSeconds{60.0};
   /// Weight of a slower answer against a later first token, second for second.
   double AnswerWeight{0.1};
+  /// Part of its time limit that a request's answer may take.
+  double AnswerPart{0.5};
+  /// Part of the limit of requests at once that work of accounts over their share may fill.
+  double YieldPart{0.7};
   double NearEqual{0.1};         ///< Costs within this part of the least are drawn from at random.
   double NearEqualSeconds{0.01}; ///< And those within this time of it.
   double ChunkTokens{2'048.0};   ///< Prefill that runs on before a higher priority is looked at.
@@ -129,6 +134,7 @@
   [[nodiscard]] std::optional<work_refusal> refusalByFleet(const work_item &Item);
   [[nodiscard]] double engineRate(const work_item &Item, length_class Class);
   [[nodiscard]] double waitSeconds(const waiting_work &Work, mono_time Now);
+  void needPace(const work_item &Item);
   [[nodiscard]] std::chrono::seconds retryAfter(const waiting_work &Work, mono_time Now);
 
   // scheduler_choice.cpp
@@ -139,6 +145,7 @@
                                          mono_time Now) const;
   [[nodiscard]] bool hasSlot(const backend_record &Record, const waiting_work &Work,
                              const engine_estimate &Estimate, mono_time Now) const;
+  [[nodiscard]] bool hasRoom(const backend_record &Record, bool Yields);
   std::optional<choice> choose(const waiting_work &Work, mono_time Now);
   choice drawNearLeast(const std::vector<choice> &Choices, length_class Class);
   void holdEngineFor(const waiting_work &Work, mono_time Now);
@@ -170,6 +177,8 @@
   backend_pool Pool;
   class_rates Arrivals;
   class_rates Placed;
+  concurrency_limit Concurrency;
+  bool ConcurrencyBound{false}; ///< The limit held work back since the last review.
   std::map<ticket_number, open_ticket> Tickets;
   std::map<attempt_id, ticket_number> ByAttempt;
   std::map<request_number, ticket_number> Unstarted; ///< Placements without an attempt yet.
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -59,10 +59,7 @@
                                                mono_time Now) const {
   engine_estimate Result;
   if (Work.Item.Model.empty()) {
-    const backend_load &Load = Record.View.Load;
-    const double Reported = static_cast<double>(Load.Running) + Load.Waiting;
-    const double Others = std::max(0.0, Reported - Record.OwnInReport);
-    Result.FirstToken = PlainCallSeconds * (1.0 + Others + Record.Outstanding);
+    Result.FirstToken = PlainCallSeconds * (1.0 + Record.requests());
     Result.Cost = Result.FirstToken;
     return Result;
   }
@@ -104,6 +101,15 @@
   return Estimate.Ahead / Rate <= Settings.Tuning.SlotSeconds[indexOf(Work.Class)];
 }
 
+bool scheduler::hasRoom(const backend_record &Record, bool Yields) {
+  const double Speed = Record.Costs.prefillRate() / Pool.typicalRate();
+  const double Part = Yields ? Settings.Tuning.YieldPart : 1.0;
+  if (Record.requests() < std::max(1.0, Concurrency.value() * Speed * Part))
+    return true;
+  ConcurrencyBound = true;
+  return false;
+}
+
 std::optional<scheduler::choice> scheduler::choose(const waiting_work &Work, mono_time Now) {
   std::vector<choice> Choices;
   const std::optional<cached_prefix> Cached = Affinity.find(Work.Item.PrefixHashes);
@@ -111,7 +117,8 @@
     if (!mayPlace(*Record, Work))
       continue;
     const engine_estimate Estimate = estimate(*Record, Work, Cached, Now);
-    if (hasSlot(*Record, Work, Estimate, Now))
+    const bool Room = Work.Item.Model.empty() || hasRoom(*Record, Estimate.Yields);
+    if (Room && hasSlot(*Record, Work, Estimate, Now))
       Choices.push_back({Record, Estimate});
   }
   if (Choices.empty())
--- a/src/scheduling/scheduler_dump.cpp
+++ b/src/scheduling/scheduler_dump.cpp
@@ -47,6 +47,9 @@
       << ",\"medium\":" << Queue.size(length_class::Medium)
       << ",\"long\":" << Queue.size(length_class::Long) << "},\"open\":" << Tickets.size()
       << ",\"unstarted\":" << Unstarted.size() << ",\"answer_share\":" << AnswerShare
+      << ",\"requests_per_engine\":" << Concurrency.value()
+      << ",\"seconds_per_token\":" << Concurrency.pace()
+      << ",\"seconds_per_token_needed\":" << Concurrency.neededPace()
       << ",\"prefixes\":" << Affinity.size() << ",\"backends\":[";
   bool First = true;
   for (const auto &[Key, Record] : Pool.records()) {
--- a/src/scheduling/scheduler_intake.cpp
+++ b/src/scheduling/scheduler_intake.cpp
@@ -124,6 +124,16 @@
   return Placed.wait(Work.Class, Ahead, engineRate(Work.Item, Work.Class), Now);
 }
 
+void scheduler::needPace(const work_item &Item) {
+  // Twice the usual length stands for a long answer; the allowed length is mostly a default far
+  // beyond any answer.
+  const double LongAnswer = 2.0 * expectedAnswer(Item);
+  if (Item.Model.empty() || LongAnswer < 1.0)
+    return;
+  const double Allowed = secondsUntil(Item.Deadline, Item.Arrived);
+  Concurrency.need(Allowed * Settings.Tuning.AnswerPart / LongAnswer);
+}
+
 std::chrono::seconds scheduler::retryAfter(const waiting_work &Work, mono_time Now) {
   // The caller's next send gets as much time as this one had, so what must pass first is the part
   // of the wait that does not fit into it.
@@ -145,6 +155,7 @@
   const mono_time LatestStart = Item.Deadline - spanOf(runSeconds(Item));
   waiting_work Work{std::move(Item), Class, *Group, Cost, LatestStart};
   Arrivals.add(Class, Cost, Now);
+  needPace(Work.Item);
   if (Now + spanOf(waitSeconds(Work, Now)) > LatestStart)
     return work_refusal{failure_reason::DeadlineUnmeetable, retryAfter(Work, Now)};
   const std::chrono::seconds RetryAfter = retryAfter(Work, Now);
