Membership: reports enter the gossip no faster than the byte budget carries them

Two causes: a host that by chance heard three reports in a row took itself for the regular hearer; and the interval between reports left out datagram headers, so each waited in a full queue. Ruled out: the expiry itself (the engines were all known elsewhere). Change: six reports in a row and a query to others before a verdict; the interval counts headers and a tenth of slack; sizes are estimated closer; 6,500 instead of 5,500 bytes/s for loads.

--- a/src/membership/backend_expiry.cpp
+++ b/src/membership/backend_expiry.cpp
@@ -10,14 +10,18 @@
 
 namespace {
 
-constexpr std::uint32_t SteadyRun = 3;
+constexpr std::uint32_t SteadyRun = 6;    // by chance rarer than 1 in 30,000 among 8 hosts
+constexpr double EnvelopeAllowance = 120; // bytes of a datagram that are no digests
+constexpr double Slack = 1.1;             // a full queue would add its own lag to every report
 
 } // namespace
 
 mono_span backend_table::releaseInterval() const {
-  const std::uint64_t Bytes = Present * DigestWireBytes * Settings.Fanout;
-  const mono_span Budgeted =
-      std::chrono::nanoseconds(std::chrono::seconds(Bytes)) / Settings.LoadBytesPerSecond;
+  const std::chrono::duration<double> Round = Settings.GossipInterval;
+  const double Datagram = Settings.LoadBytesPerSecond * Round.count() / Settings.Fanout;
+  const double Digests = std::max(1.0, (Datagram - EnvelopeAllowance) / DigestWireBytes);
+  const auto Rounds = static_cast<double>(Present) / Digests * Slack;
+  const auto Budgeted = std::chrono::duration_cast<mono_span>(Round * Rounds);
   return std::max(Settings.AnnouncementInterval, Budgeted);
 }
 
@@ -25,19 +29,21 @@
   return Settings.BackendExpiry + 2 * (releaseInterval() - Settings.AnnouncementInterval);
 }
 
-bool backend_table::givenUp(const backend_entry &Entry, mono_span Listened) const {
-  const mono_span Silence = Listened - Entry.HeardListening;
+mono_span backend_table::patience(const backend_entry &Entry) const {
   // Whoever heard it regularly is the first to know. Reports that reach now this host, now that one
   // prove nothing by staying away from here, nor does the lag of the gossip.
-  if (Entry.DirectRun >= SteadyRun && Silence >= Settings.BackendExpiry)
-    return true;
-  return Silence >= quietExpiry() + Settings.QueryGrace;
+  return Entry.DirectRun >= SteadyRun ? Settings.BackendExpiry
+                                      : quietExpiry() + Settings.QueryGrace;
+}
+
+bool backend_table::givenUp(const backend_entry &Entry, mono_span Listened) const {
+  return Listened - Entry.HeardListening >= patience(Entry);
 }
 
 std::vector<std::uint64_t> backend_table::takeDoubtful(mono_span Listened) {
   std::vector<std::uint64_t> Doubtful;
   for (auto &[Subject, Entry] : Entries) {
-    if (Entry.Lost || Listened - Entry.HeardListening < quietExpiry() ||
+    if (Entry.Lost || Listened - Entry.HeardListening < patience(Entry) - Settings.QueryGrace ||
         Listened - Entry.QueriedListening < Settings.QueryGrace / 2)
       continue;
     Entry.QueriedListening = Listened;
--- a/src/membership/backend_table_base.h
+++ b/src/membership/backend_table_base.h
@@ -110,6 +110,7 @@
   void dropDigestId(std::uint64_t Subject, const backend_key &Key);
   [[nodiscard]] bool givenUp(const backend_entry &Entry, mono_span Listened) const;
   [[nodiscard]] mono_span quietExpiry() const;
+  [[nodiscard]] mono_span patience(const backend_entry &Entry) const;
 
   membership_settings Settings;
   std::map<std::uint64_t, backend_entry> Entries;
--- a/src/membership/membership_settings_type.h
+++ b/src/membership/membership_settings_type.h
@@ -29,7 +29,7 @@
   mono_span HearingLimit{ms(3000)};       ///< Without any message for this long: cannot hear.
   mono_span FreshSpan{ms(2000)};          ///< How long one proof of contact keeps the views fresh.
   mono_span StartGrace{ms(3000)};         ///< Without any answer for this long: alone.
-  std::uint32_t LoadBytesPerSecond{5500}; ///< For load digests, packet headers included.
+  std::uint32_t LoadBytesPerSecond{6500}; ///< For load digests, packet headers included.
   std::uint32_t Fanout{3};                ///< Hosts that one round of news goes to.
   std::uint32_t IndirectProbes{3};        ///< Hosts asked to try.
   std::uint32_t MaxLocalHealth{8};        ///< Bound of the local health multiplier.
--- a/src/membership/record.cpp
+++ b/src/membership/record.cpp
@@ -17,8 +17,8 @@
 
 constexpr std::uint32_t MaxRefutation = 1U << 30U; // far from wrapping around
 
-constexpr std::size_t SizeTagBytes = 8;       // before each text and list
-constexpr std::size_t EnvelopeBytes = 120;    // head with the fleet's name, list sizes, HMAC tag
+constexpr std::size_t SizeTagBytes = 2;       // before each text; a list takes less
+constexpr std::size_t EnvelopeBytes = 72;     // head with the fleet's name, list sizes, HMAC tag
 constexpr std::size_t HostFixedBytes = 16;    // incarnation, refutation, standing
 constexpr std::size_t BackendFixedBytes = 64; // numbers and flags
 
--- a/tests/membership/fake_network.h
+++ b/tests/membership/fake_network.h
@@ -97,12 +97,15 @@
     Hosts[Index].Unread.clear();
   }
   void freeze(std::size_t Index) { Hosts[Index].Frozen = Hosts[Index].Process != nullptr; }
-  /// Continues a process; what its socket held in the meantime is read first.
-  void thaw(std::size_t Index) {
+  /// Continues a process; its timers may run before it reads what its socket held in the meantime.
+  void thaw(std::size_t Index) { thaw(Index, Random.chance(0.5)); }
+  void thaw(std::size_t Index, bool TimersFirst) {
     fake_host &Host = Hosts[Index];
     if (!Host.Frozen)
       return;
     Host.Frozen = false;
+    if (TimersFirst)
+      Host.Process->advance(Now);
     for (const auto &[Message, From] : std::exchange(Host.Unread, {}))
       Host.Process->receive(Message, From, Now);
     Host.Process->advance(Now);
--- a/tests/membership/fleet_test.cpp
+++ b/tests/membership/fleet_test.cpp
@@ -78,9 +78,17 @@
   EXPECT_EQ(GivenUp, 0);
 }
 
-// A host is stopped for half a minute and continued. The others gave it up; it comes back without a
-// restart by a higher refutation number, and must not accuse the others for its own absence.
+// A host is stopped for half a minute in the midst of a probe and continued. Its timers run first
+// and find that the answer is overdue. The others gave it up; it comes back without a restart by a
+// higher refutation number, and must not accuse the others for its own absence.
 TEST_F(EightHostsTest, AThawedHostIsTakenBackAndAccusesNobody) {
+  bool Probing = false;
+  Net.OnAction = [&Probing](std::size_t Host, const membership_action &Action) {
+    const auto *Sent = std::get_if<send_message>(&Action);
+    const bool Pings = Sent != nullptr && std::holds_alternative<ping>(Sent->Message.Body);
+    Probing = Probing || (Host == 4 && Pings);
+  };
+  ASSERT_TRUE(Net.runUntil([&Probing] { return Probing; }, 5s, 100us));
   Net.freeze(4);
   ASSERT_TRUE(Net.runUntil([this] { return Net.everyoneSees(4, host_standing::Dead); }, 30s));
   int Accused = 0;
@@ -88,7 +96,7 @@
     const auto *Changed = std::get_if<host_changed>(&Action);
     Accused += Changed != nullptr && Changed->View.Standing != host_standing::Alive ? 1 : 0;
   };
-  Net.thaw(4);
+  Net.thaw(4, true);
   EXPECT_TRUE(Net.runUntil([this] { return Net.allSeeAllAlive(); }, 10s));
   EXPECT_EQ(Accused, 0);
 }
@@ -171,6 +179,7 @@
   leave(1);
   Net.runFor(2s);
   Net.Backends[1].Announcement.Leaving = false;
+  Net.Backends[1].Announcement.Labels["version"] = "2";
   Net.runFor(3s);
   EXPECT_TRUE(Net.everyone(1, backend_standing::Leaving));
 }
@@ -194,7 +203,7 @@
 // engine; so its views are not fresh until another host has compared records with it.
 TEST_F(BackendsTest, AThawedHostIsNotFreshBeforeItKnowsWhatItMissed) {
   Net.freeze(4);
-  Net.runFor(1s);
+  Net.runFor(60s);
   leave(1);
   Net.runFor(60s);
   bool UsedOldView = false;
@@ -264,5 +273,45 @@
       }
 }
 
+/// So many engines that each one's report enters the gossip every five seconds only.
+class ManyBackendsTest : public EightHostsTest {
+protected:
+  void SetUp() override {
+    EightHostsTest::SetUp();
+    for (int Count = 0; Count < 400; ++Count)
+      Net.addBackend(Count % 2 == 0);
+    Net.runFor(30s);
+    Net.OnAction = [this](std::size_t, const membership_action &Action) {
+      const auto *Changed = std::get_if<backend_changed>(&Action);
+      Lost += Changed != nullptr && Changed->View.Standing == backend_standing::Lost ? 1 : 0;
+    };
+  }
+
+  int Lost{0};
+};
+
+TEST_F(ManyBackendsTest, StayActiveThoughTheirReportsAreOld) {
+  Net.runFor(60s);
+  EXPECT_EQ(Lost, 0);
+}
+
+TEST_F(ManyBackendsTest, LeavingDoesNotWaitForTheNextReport) {
+  Net.Backends[7].Announcement.Leaving = true;
+  Net.announceNow(7);
+  Net.runFor(2s);
+  EXPECT_TRUE(Net.everyone(7, backend_standing::Leaving));
+}
+
+// A host heard its engines regularly, was stopped, and they went on elsewhere. Continued, it would
+// count the seconds until their reports reach it through the gossip as their silence, and as their
+// regular hearer be the first to give them up, for everybody.
+TEST_F(ManyBackendsTest, AThawedHostIsNotTheirRegularHearerAnyMore) {
+  Net.freeze(4);
+  Net.runFor(30s);
+  Net.thaw(4);
+  Net.runFor(20s);
+  EXPECT_EQ(Lost, 0);
+}
+
 } // namespace
 } // namespace pollenstall
