--- /dev/null
+++ b/programs/pollenstall-control/control_core.cpp
@@ -0,0 +1,324 @@
+/** @file control_core.cpp The loop of the decision thread and the replica's actions. */
+#include "control_core_base.h"
+
+#include "control_codec_func.h"
+#include "program/program.h"
+
+#include <random>
+
+namespace pollenstall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr std::size_t RequestCapacity = 1024;
+/// Looks at the clock this often, or more often where heartbeats need it.
+constexpr milliseconds MaxTick{25};
+constexpr int TicksPerHeartbeat = 4;
+/// An applicant that has not asked for so long is gone.
+constexpr std::chrono::seconds ApplicantLifetime{10};
+
+std::uint64_t randomNumber() {
+  std::random_device Source;
+  constexpr unsigned HalfBits = 32;
+  return (std::uint64_t{Source()} << HalfBits) | Source();
+}
+
+replica makeReplica(const control_settings &Settings, data_folder &Folder) {
+  std::vector<member_id> Peers;
+  for (const std::string &Text : Settings.Peers)
+    Peers.push_back(peerFromText(Text)->first);
+  replica_builder Builder(Folder.identity().Key);
+  Builder.options(replicaOptions(Settings))
+      .restored(std::move(Folder.restored()))
+      .peers(std::move(Peers))
+      .seed(randomNumber());
+  if (Settings.Bootstrap)
+    Builder.founder(cluster_id(randomNumber()));
+  return Builder.build(boot_clock::now());
+}
+
+} // namespace
+
+control_core::control_core(control_core_parts Given)
+    : Parts(std::move(Given)), Replica(makeReplica(Parts.Settings, *Parts.Folder)), State(Limits),
+      Desk(inForceOptions(Parts.Settings), deskHooks()), Requests(RequestCapacity) {
+  Addresses[member_id(Parts.Settings.MemberId)] = Parts.Own;
+  Requests.onWake([this] { Parts.Wake->notify(); });
+  publishDeclared();
+}
+
+control_core::~control_core() {
+  Stopping.store(true);
+  Parts.Wake->notify();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void control_core::start() {
+  Thread = std::thread([this] { run(); });
+}
+
+void control_core::run() {
+  const auto Heartbeat = Parts.Settings.Heartbeat / TicksPerHeartbeat;
+  const milliseconds Tick = std::clamp(Heartbeat, milliseconds(1), MaxTick);
+  while (!Stopping.load() && !Failed.load()) {
+    step();
+    Parts.Wake->waitFor(Tick);
+  }
+}
+
+void control_core::step() {
+  Now = boot_clock::now();
+  Replica.tick(Now);
+  Parts.Peers->drain([this](peer_message &&Message) { receive(std::move(Message)); });
+  Requests.drain([this](control_request &&Request) { answer(std::move(Request)); });
+  Parts.Entries->drain([this](hub_event &&Event) { Desk.handle(Event, boot_clock::now()); });
+  perform();
+  watchTime();
+}
+
+void control_core::perform() {
+  std::vector<persist_log> Batch;
+  while (!Failed.load()) {
+    const std::vector<consensus_action> Actions = Replica.takeActions(boot_clock::now());
+    if (Actions.empty())
+      return;
+    for (const consensus_action &Action : Actions) {
+      if (const auto *Persist = std::get_if<persist_log>(&Action)) {
+        Batch.push_back(*Persist);
+        continue;
+      }
+      // What comes after a persist may tell others of it, so it waits until that is durable.
+      if (!flush(Batch))
+        return;
+      std::visit([this](const auto &One) { carryOut(One); }, Action);
+    }
+    if (!flush(Batch))
+      return;
+  }
+}
+
+bool control_core::flush(std::vector<persist_log> &Batch) {
+  if (Batch.empty())
+    return true;
+  const mono_time Begin = boot_clock::now();
+  const auto Written = Parts.Folder->write(Batch);
+  if (!succeeded(Written)) {
+    fail("disk_failed", toText(errorOf(Written)));
+    return false;
+  }
+  const mono_time End = boot_clock::now();
+  Parts.Metrics->Sync.Observe(std::chrono::duration<double>(End - Begin).count());
+  Replica.persisted(Batch.back().Number, End);
+  Batch.clear();
+  return true;
+}
+
+void control_core::fail(std::string_view Event, const std::string &Why) {
+  logEvent(log_level::Error, Event, {{"error", Why}});
+  Failed.store(true);
+}
+
+// ---- Actions. ----
+
+void control_core::carryOut(const send_to_member &Action) { Parts.Peers->send(Action.Message); }
+
+void control_core::carryOut(const persist_log & /*Action*/) {} // collected by perform()
+
+void control_core::carryOut(const apply_entry &Action) {
+  Applied = Action.Entry.Index;
+  if (Action.Entry.Kind == entry_kind::Command)
+    execute(Action.Entry);
+  const auto Membership = Memberships.find(Action.Entry.Index);
+  if (Membership == Memberships.end())
+    return;
+  const bool Ours = Membership->second.Term == Action.Entry.Term;
+  Membership->second.Answer->set_value(Ours ? control_outcome(membership_changed{})
+                                            : control_outcome(outcome_unknown{}));
+  Memberships.erase(Membership);
+}
+
+void control_core::execute(const log_entry &Entry) {
+  const auto Command = decodeCommand(Entry.Payload);
+  if (!succeeded(Command))
+    return fail("log_entry_unreadable", "index " + std::to_string(Entry.Index.value()));
+  const revision Before = State.declared().Revision;
+  const std::uint64_t DrainsBefore = State.drainsVersion();
+  const control_answer Answer = State.execute(valueOf(Command));
+  Parts.Metrics->Applied.Increment();
+  announceEffects(Before, DrainsBefore);
+  completeProposal(Entry, Answer);
+}
+
+void control_core::announceEffects(revision Before, std::uint64_t DrainsBefore) {
+  const mono_time Time = boot_clock::now();
+  if (State.declared().Revision != Before) {
+    publishDeclared();
+    if (Desk.inOffice())
+      AwaitingForce.emplace(State.declared().Revision, Time);
+    Desk.declarationChanged(Time);
+  }
+  if (State.drainsVersion() != DrainsBefore)
+    Desk.drainsChanged(Time);
+}
+
+void control_core::completeProposal(const log_entry &Entry, const control_answer &Answer) {
+  const auto Waiting = Proposals.find(Entry.Index);
+  if (Waiting == Proposals.end())
+    return;
+  const bool Ours = Waiting->second.Term == Entry.Term;
+  const answer_hook Answered = std::move(Waiting->second.Answered);
+  Proposals.erase(Waiting);
+  Answered(Ours ? std::optional(Answer) : std::nullopt);
+}
+
+void control_core::publishDeclared() {
+  auto Copy = std::make_shared<const declared_text>(State.declared());
+  const std::lock_guard Lock(DeclaredMutex);
+  Published = std::move(Copy);
+}
+
+void control_core::carryOut(const install_snapshot &Action) {
+  auto Restored = decodeState(Action.Snapshot->State, Limits);
+  if (!succeeded(Restored))
+    return fail("snapshot_unreadable", "index " + std::to_string(Action.Snapshot->Index.value()));
+  State = valueOf(std::move(Restored));
+  Applied = Action.Snapshot->Index;
+  publishDeclared();
+}
+
+void control_core::carryOut(const became_leader &Action) {
+  logEvent(log_level::Info, "became_leader",
+           {{"term", static_cast<std::int64_t>(Action.Term.value())}});
+  LastRead = LastRead.next();
+  OfficeRead = LastRead;
+  Replica.readIndex(LastRead, boot_clock::now());
+}
+
+void control_core::carryOut(const stepped_down &Action) {
+  logEvent(log_level::Info, "stepped_down",
+           {{"term", static_cast<std::int64_t>(Action.Term.value())}});
+  OfficeRead.reset();
+  AwaitingForce.clear();
+  Applicants.clear();
+  Desk.leaveOffice();
+  for (const auto &[Index, Waiting] : std::exchange(Proposals, {}))
+    Waiting.Answered(std::nullopt);
+  for (const auto &[Index, Waiting] : std::exchange(Memberships, {}))
+    Waiting.Answer->set_value(outcome_unknown{});
+}
+
+void control_core::carryOut(const read_ready &Action) {
+  if (OfficeRead == Action.Read) {
+    OfficeRead.reset();
+    Desk.takeOffice(boot_clock::now());
+    return;
+  }
+  const auto Found = Reads.find(Action.Read);
+  if (Found == Reads.end())
+    return;
+  Found->second.Answer->set_value(Found->second.Read(State));
+  Reads.erase(Found);
+}
+
+void control_core::carryOut(const read_refused &Action) {
+  const auto Found = Reads.find(Action.Read);
+  if (Found == Reads.end())
+    return;
+  Found->second.Answer->set_value(elsewhere(Action.LeaderHint));
+  Reads.erase(Found);
+}
+
+void control_core::carryOut(const take_snapshot &Action) {
+  if (!Replica.snapshotTaken(Action.Index, encodeState(State), boot_clock::now()))
+    logEvent(log_level::Warning, "snapshot_refused",
+             {{"index", static_cast<std::int64_t>(Action.Index.value())}});
+}
+
+void control_core::carryOut(const admission_requested &Action) {
+  const bool New = Applicants.count(Action.Key.Member) == 0;
+  Applicants[Action.Key.Member] = {Action.Key, boot_clock::now()};
+  if (New)
+    logEvent(log_level::Warning, "admission_requested", {{"member", toText(Action.Key)}});
+}
+
+void control_core::carryOut(const members_changed &Action) {
+  logEvent(log_level::Info, "members_changed", {{"members", toText(Action.Members)}});
+}
+
+// ---- Time. ----
+
+void control_core::countLinks() {
+  const peer_link_counters Peer = Parts.Peers->counters();
+  const entry_hub_counters Entry = Parts.Entries->counters();
+  control_metrics &Metrics = *Parts.Metrics;
+  const auto RaiseTo = [](prometheus::Counter &Counter, std::uint64_t Value) {
+    Counter.Increment(static_cast<double>(Value) - Counter.Value());
+  };
+  RaiseTo(Metrics.PeerGarbage, Peer.Garbage);
+  RaiseTo(Metrics.PeerDropped, Peer.Dropped);
+  RaiseTo(Metrics.EntryGarbage, Entry.Garbage);
+  Metrics.Entries.Set(static_cast<double>(Entry.Connections));
+}
+
+void control_core::watchTime() {
+  Now = boot_clock::now();
+  const replica_status Status = Replica.status(Now);
+  Ready.store(Status.Leader.Member != member_id() &&
+              (Status.Role != replica_role::Leader || (Desk.inOffice() && Status.LeaseValid)));
+  Parts.Metrics->Leads.Set(Desk.inOffice() && Status.LeaseValid ? 1 : 0);
+  Parts.Metrics->Term.Set(static_cast<double>(Status.Term.value()));
+  Parts.Metrics->Commit.Set(static_cast<double>(Status.Commit.value()));
+  Parts.Metrics->Revision.Set(static_cast<double>(State.declared().Revision.value()));
+  countLinks();
+  giveUpOldWaits();
+  if (!Desk.inOffice())
+    return;
+  expireClaims();
+  reportInForce();
+  std::erase_if(Applicants,
+                [this](const auto &Item) { return Item.second.second + ApplicantLifetime < Now; });
+}
+
+void control_core::giveUpOldWaits() {
+  // Bounds what an outage can collect; the outcome stays open, and a resend resolves it.
+  std::vector<answer_hook> Late;
+  std::erase_if(Proposals, [&](auto &Item) {
+    if (Now < Item.second.GiveUp)
+      return false;
+    Late.push_back(std::move(Item.second.Answered));
+    return true;
+  });
+  for (const answer_hook &Answered : Late)
+    Answered(std::nullopt);
+  std::erase_if(Memberships, [&](auto &Item) {
+    if (Now < Item.second.GiveUp)
+      return false;
+    Item.second.Answer->set_value(outcome_unknown{});
+    return true;
+  });
+}
+
+void control_core::expireClaims() {
+  constexpr std::chrono::seconds Interval{1};
+  const auto Wall =
+      std::chrono::duration_cast<unix_millis>(std::chrono::system_clock::now().time_since_epoch());
+  const auto Expiry = State.claims().nextExpiry();
+  if (Now < NextClaimExpiry || !Expiry || *Expiry > Wall)
+    return;
+  NextClaimExpiry = Now + Interval;
+  propose(claim_expire{Wall}, [](const auto & /*Answer*/) {});
+}
+
+void control_core::reportInForce() {
+  const std::optional<revision> InForce = Desk.inForce(Now);
+  while (InForce && !AwaitingForce.empty() && AwaitingForce.begin()->first <= *InForce) {
+    const mono_span Took = Now - AwaitingForce.begin()->second;
+    Parts.Metrics->InForce.Observe(std::chrono::duration<double>(Took).count());
+    AwaitingForce.erase(AwaitingForce.begin());
+  }
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -0,0 +1,164 @@
+/** @file control_core_request.cpp Operators' questions and proposals on the decision thread. */
+#include "control_core_base.h"
+
+#include "control_codec_func.h"
+
+namespace pollenstall {
+
+namespace {
+
+constexpr std::chrono::seconds ProposalLimit{10};
+
+const char *codeOf(proposal_error Reason) {
+  switch (Reason) {
+  case proposal_error::NotLeader:
+    return "not_leader";
+  case proposal_error::TooLarge:
+    return "too_large";
+  case proposal_error::TooManyInFlight:
+    return "overloaded";
+  case proposal_error::ChangeInProgress:
+    return "membership_change_in_progress";
+  case proposal_error::NotReady:
+    return "not_ready";
+  case proposal_error::UnknownMember:
+    return "unknown_member";
+  case proposal_error::AlreadyMember:
+    return "already_member";
+  case proposal_error::LastVoter:
+    return "last_voter";
+  case proposal_error::MemberActive:
+    return "member_active";
+  }
+  return "refused";
+}
+
+} // namespace
+
+control_outcome control_core::ask(control_question Question, std::chrono::milliseconds Limit) {
+  auto Answer = std::make_shared<std::promise<control_outcome>>();
+  std::future<control_outcome> Future = Answer->get_future();
+  {
+    const std::lock_guard Lock(RequestMutex);
+    if (!Requests.push({std::move(Question), std::move(Answer)}))
+      return request_refused{"overloaded", "too many calls are waiting"};
+  }
+  if (Future.wait_for(Limit) != std::future_status::ready)
+    return outcome_unknown{};
+  return Future.get();
+}
+
+std::shared_ptr<const declared_text> control_core::declared() const {
+  const std::lock_guard Lock(DeclaredMutex);
+  return Published;
+}
+
+void control_core::receive(peer_message &&Message) {
+  if (auto *Hello = std::get_if<peer_hello>(&Message)) {
+    if (Hello->Member != member_id(Parts.Settings.MemberId))
+      Addresses[Hello->Member] = std::move(Hello->Addresses);
+    return;
+  }
+  Replica.receive(std::move(std::get<consensus_message>(Message)), boot_clock::now());
+}
+
+const peer_addresses *control_core::addressesOf(const member_key &Member) const {
+  const auto Found = Addresses.find(Member.Member);
+  return Found == Addresses.end() ? nullptr : &Found->second;
+}
+
+control_outcome control_core::elsewhere(const member_key &Leader) const {
+  const peer_addresses *Known = addressesOf(Leader);
+  const bool Told = Known != nullptr && !Known->Operators.empty();
+  return leader_elsewhere{Told ? "http://" + Known->Operators : std::string()};
+}
+
+control_outcome control_core::refusalOf(const proposal_refusal &Refusal) const {
+  if (Refusal.Reason == proposal_error::NotLeader)
+    return elsewhere(Refusal.LeaderHint);
+  return request_refused{codeOf(Refusal.Reason), "nothing was done"};
+}
+
+std::optional<proposal_refusal> control_core::propose(const control_command &Command,
+                                                      answer_hook Answered) {
+  const mono_time Time = boot_clock::now();
+  const proposal_result Result = Replica.propose(encodeCommand(Command), Time);
+  if (!succeeded(Result))
+    return errorOf(Result);
+  const proposal_place &Place = valueOf(Result);
+  Proposals.insert_or_assign(
+      Place.Index, waiting_proposal{Place.Term, std::move(Answered), Time + ProposalLimit});
+  return std::nullopt;
+}
+
+void control_core::answer(control_request &&Request) {
+  std::visit([&](const auto &Question) { answerQuestion(Question, Request); }, Request.Question);
+}
+
+void control_core::answerQuestion(const status_wanted & /*Question*/,
+                                  const control_request &Request) {
+  Request.Answer->set_value(statusText());
+}
+
+void control_core::answerQuestion(const dump_wanted & /*Question*/,
+                                  const control_request &Request) {
+  Request.Answer->set_value(dumpText());
+}
+
+void control_core::answerQuestion(const command_wanted &Question, const control_request &Request) {
+  const auto Refused = propose(Question.Command, [Answer = Request.Answer](const auto &Known) {
+    Answer->set_value(Known ? control_outcome(*Known) : control_outcome(outcome_unknown{}));
+  });
+  if (Refused)
+    Request.Answer->set_value(refusalOf(*Refused));
+}
+
+void control_core::answerQuestion(const read_wanted &Question, const control_request &Request) {
+  LastRead = LastRead.next();
+  Reads.emplace(LastRead, waiting_read{Question.Read, Request.Answer});
+  Replica.readIndex(LastRead, boot_clock::now());
+}
+
+void control_core::answerQuestion(const admission_wanted &Question,
+                                  const control_request &Request) {
+  const mono_time Time = boot_clock::now();
+  const auto Found = Applicants.find(Question.Member);
+  const replica_status Status = Replica.status(Time);
+  if (Status.Role != replica_role::Leader)
+    return Request.Answer->set_value(elsewhere(Status.Leader));
+  if (Found == Applicants.end())
+    return Request.Answer->set_value(
+        request_refused{"no_applicant", "no empty disk asks to be let in under this id"});
+  answerMembership(Replica.admit(Found->second.first, Time), Request);
+}
+
+void control_core::answerQuestion(const expulsion_wanted &Question,
+                                  const control_request &Request) {
+  answerMembership(Replica.expel(Question.Member, boot_clock::now()), Request);
+}
+
+void control_core::answerMembership(const proposal_result &Result, const control_request &Request) {
+  if (!succeeded(Result))
+    return Request.Answer->set_value(refusalOf(errorOf(Result)));
+  const proposal_place &Place = valueOf(Result);
+  Memberships.insert_or_assign(Place.Index, waiting_membership{Place.Term, Request.Answer,
+                                                               boot_clock::now() + ProposalLimit});
+}
+
+entry_desk_hooks control_core::deskHooks() {
+  entry_desk_hooks Hooks;
+  Hooks.Send = [this](hub_order Order) { Parts.Entries->send(std::move(Order)); };
+  Hooks.MayServe = [this](mono_time Time) { return Replica.leaseValid(Time); };
+  Hooks.LeaderAddress = [this] {
+    const peer_addresses *Known = addressesOf(Replica.status(boot_clock::now()).Leader);
+    return Known == nullptr ? std::string() : Known->Entries;
+  };
+  Hooks.State = [this]() -> const control_state & { return State; };
+  Hooks.Propose = [this](control_command Command, answer_hook Answered) {
+    // Refused: nothing was done and the entry's own time limit answers it.
+    propose(Command, std::move(Answered));
+  };
+  return Hooks;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-control/control_core_status.cpp
@@ -0,0 +1,148 @@
+/** @file control_core_status.cpp What a control host says of itself to operators. */
+#include "control_core_base.h"
+
+#include <boost/json.hpp>
+
+namespace pollenstall {
+
+namespace {
+
+namespace json = boost::json;
+
+/// A member whose log ends within so many entries of the leader's counts as caught up.
+constexpr std::uint64_t CaughtUpWithin = replica_options{}.CaughtUpWithin;
+
+const char *nameOf(replica_role Role) {
+  switch (Role) {
+  case replica_role::Learner:
+    return "learner";
+  case replica_role::Follower:
+    return "follower";
+  case replica_role::PreCandidate:
+    return "pre_candidate";
+  case replica_role::Candidate:
+    return "candidate";
+  default:
+    return "leader";
+  }
+}
+
+std::int64_t wholeMillis(mono_span Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
+json::value orNull(const std::string &Text) { return Text.empty() ? json::value() : json::value(Text); }
+
+json::object memberObject(const log_member &Member, const replica_status &Status,
+                          const peer_addresses *Known) {
+  json::object Object;
+  Object["member"] = Member.Key.Member.value();
+  Object["disk"] = std::to_string(Member.Key.Disk.value());
+  Object["standing"] = Member.Standing == member_standing::Voter ? "voter" : "learner";
+  Object["operator_url"] = Known != nullptr && !Known->Operators.empty()
+                               ? json::value("http://" + Known->Operators)
+                               : json::value();
+  // Only a leader knows how far the others are.
+  Object["caught_up"] = nullptr;
+  if (Status.Role == replica_role::Leader && Member.Key == Status.Self)
+    Object["caught_up"] = true;
+  for (const member_progress &Progress : Status.Progress) {
+    if (Progress.Member.Key != Member.Key)
+      continue;
+    Object["caught_up"] = Progress.Match.value() + CaughtUpWithin >= Status.LastIndex.value();
+    Object["match_index"] = Progress.Match.value();
+    Object["heard_ms_ago"] = wholeMillis(Progress.SinceHeard);
+  }
+  return Object;
+}
+
+/// A lost host that is not fully replaced: one more loss may stop the log.
+bool repairUnfinished(const replica_status &Status, std::size_t Expected, mono_span Silence) {
+  if (voterCount(Status.Members) < Expected)
+    return true;
+  for (const member_progress &Progress : Status.Progress)
+    if (Progress.Member.Standing != member_standing::Voter || Progress.SinceHeard > Silence ||
+        Progress.Match.value() + CaughtUpWithin < Status.LastIndex.value())
+      return true;
+  return false;
+}
+
+json::object entryObject(const entry_lease &Entry, mono_time Now) {
+  json::object Object;
+  Object["host"] = Entry.Process.Host.str();
+  Object["incarnation"] = Entry.Process.Life.value();
+  Object["failure_domain"] = Entry.Domain.str();
+  Object["revision"] = Entry.Confirmed ? json::value(Entry.Confirmed->value()) : json::value();
+  Object["lease_ms"] = std::max<std::int64_t>(0, wholeMillis(Entry.LeaseEnd - Now));
+  return Object;
+}
+
+} // namespace
+
+std::string control_core::statusText() {
+  const mono_time Time = boot_clock::now();
+  const replica_status Status = Replica.status(Time);
+  const bool Serving = Desk.inOffice() && Replica.leaseValid(Time);
+  const peer_addresses *Leader = addressesOf(Status.Leader);
+  json::object Object;
+  Object["host"] = Parts.Settings.Host;
+  Object["member"] = Status.Self.Member.value();
+  Object["role"] = nameOf(Status.Role);
+  Object["serving"] = Serving;
+  Object["lease_ms"] =
+      Serving ? std::max<std::int64_t>(0, wholeMillis(Replica.leaseEnd() - Time)) : 0;
+  Object["isolated"] = !Ready.load();
+  Object["leader"] = Status.Leader.Member == member_id()
+                         ? json::value()
+                         : json::value(Status.Leader.Member.value());
+  Object["leader_url"] =
+      orNull(Leader != nullptr && !Leader->Operators.empty() ? "http://" + Leader->Operators : "");
+  Object["term"] = Status.Term.value();
+  Object["commit_index"] = Status.Commit.value();
+  Object["applied_index"] = Status.Applied.value();
+  Object["snapshot_index"] = Status.SnapshotIndex.value();
+  Object["revision"] = State.declared().Revision.value();
+  const auto InForce = Desk.inForce(Time);
+  Object["in_force_revision"] = InForce ? json::value(InForce->value()) : json::value();
+  json::array Members;
+  for (const log_member &Member : Status.Members.Members)
+    Members.push_back(memberObject(Member, Status, addressesOf(Member.Key)));
+  Object["members"] = std::move(Members);
+  json::array Asking;
+  for (const auto &[Member, Applicant] : Applicants)
+    Asking.push_back(
+        {{"member", Member.value()}, {"disk", std::to_string(Applicant.first.Disk.value())}});
+  Object["asking_admission"] = std::move(Asking);
+  Object["repair_unfinished"] =
+      Serving ? json::value(repairUnfinished(Status, Parts.Settings.Peers.size(),
+                                             2 * mono_span(Parts.Settings.Election)))
+              : json::value();
+  json::array Entries;
+  for (const entry_lease &Entry : Desk.entries())
+    Entries.push_back(entryObject(Entry, Time));
+  Object["entries"] = Serving ? std::move(Entries) : json::array();
+  json::array Drains;
+  for (const backend_address &Backend : State.drains())
+    Drains.push_back(json::value(Backend.str()));
+  Object["drains"] = std::move(Drains);
+  return json::serialize(Object);
+}
+
+std::string control_core::dumpText() {
+  json::object Object;
+  Object["status"] = json::parse(statusText());
+  Object["replica"] = Replica.dump();
+  Object["waiting_proposals"] = Proposals.size();
+  Object["waiting_reads"] = Reads.size();
+  Object["claims"] = State.claims().size();
+  Object["history"] = State.history().size();
+  const peer_link_counters Peers = Parts.Peers->counters();
+  Object["peers"] = {
+      {"received", Peers.Received}, {"garbage", Peers.Garbage}, {"dropped", Peers.Dropped}};
+  const entry_hub_counters Hub = Parts.Entries->counters();
+  Object["entry_link"] = {
+      {"connections", Hub.Connections}, {"garbage", Hub.Garbage}, {"refused", Hub.Refused}};
+  return json::serialize(Object);
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-control/control_main.cpp
@@ -0,0 +1,165 @@
+/** @file control_main.cpp The control host's process: joins its threads and waits for the end. */
+#include "control_core_base.h"
+#include "control_metrics_base.h"
+#include "control_settings_type.h"
+#include "operator_api_base.h"
+#include "program/program.h"
+
+#include <boost/json.hpp>
+
+#include <cstdio>
+#include <fstream>
+#include <random>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr std::chrono::milliseconds WatchInterval{100};
+constexpr std::chrono::milliseconds DumpLimit{2000};
+
+std::optional<std::string> readKeyHash(const std::string &Path) {
+  std::ifstream File(Path);
+  std::string Hash;
+  File >> Hash;
+  if (!File || checkKeyHash(Hash))
+    return std::nullopt;
+  return Hash;
+}
+
+storage_options storageOptions(const control_settings &Settings) {
+  std::random_device Source;
+  constexpr unsigned HalfBits = 32;
+  storage_options Options;
+  Options.Folder = Settings.DataFolder;
+  Options.Fleet = Settings.Fleet;
+  Options.Member = member_id(Settings.MemberId);
+  Options.FreshDisk = disk_identity((std::uint64_t{Source()} << HalfBits) | Source() | 1U);
+  return Options;
+}
+
+void logListening(const char *What, const std::string &Address) {
+  logEvent(log_level::Info, "listening", {{"what", What}, {"address", Address}});
+}
+
+/// Written aside and renamed, so that a reader never sees half a file.
+bool writeAddresses(const std::string &Path, const peer_addresses &Addresses) {
+  const std::string Aside = Path + ".new";
+  {
+    std::ofstream File(Aside);
+    File << boost::json::serialize(boost::json::object{{"peers", Addresses.Peers},
+                                                       {"entries", Addresses.Entries},
+                                                       {"operators", Addresses.Operators}});
+    if (!File.flush())
+      return false;
+  }
+  return std::rename(Aside.c_str(), Path.c_str()) == 0;
+}
+
+exit_code failStart(const std::string &Why) {
+  logEvent(log_level::Error, "start_failed", {{"error", Why}});
+  return exit_code::Failure;
+}
+
+/// The threads of a control host, in the order in which they may be ended.
+struct control_host {
+  wake_signal Wake;
+  control_metrics Metrics;
+  std::unique_ptr<peer_link> Peers;
+  std::unique_ptr<entry_hub> Entries;
+  std::unique_ptr<control_core> Core;
+  std::unique_ptr<operator_api> Api;
+  std::unique_ptr<operator_server> Operators;
+};
+
+std::optional<std::string> startLinks(const control_settings &Settings, control_host &Host) {
+  peer_link_builder Builder(Settings.Fleet, member_id(Settings.MemberId), Settings.ListenPeers);
+  Builder.onMessages([&Host] { Host.Wake.notify(); });
+  for (const std::string &Text : Settings.Peers) {
+    const auto Peer = *peerFromText(Text);
+    Builder.peer(Peer.first, Peer.second);
+  }
+  auto Peers = Builder.start();
+  if (!succeeded(Peers))
+    return errorOf(Peers).Text;
+  Host.Peers = valueOf(std::move(Peers));
+  auto Entries =
+      entry_hub::start({Settings.Fleet, Settings.ListenEntries, [&Host] { Host.Wake.notify(); }});
+  if (!succeeded(Entries))
+    return errorOf(Entries).Text;
+  Host.Entries = valueOf(std::move(Entries));
+  return std::nullopt;
+}
+
+std::optional<std::string> startOperators(const control_settings &Settings,
+                                          const std::string &KeyHash, control_host &Host) {
+  Host.Api = std::make_unique<operator_api>(*Host.Core, declarationValidation());
+  operator_server_builder Server(Settings.ListenOperators, KeyHash);
+  Host.Api->addRoutes(Server);
+  Server.health()
+      .readiness([&Host] { return Host.Core->ready(); })
+      .metrics(Host.Metrics.registry())
+      .dump([&Host] {
+        const control_outcome Outcome = Host.Core->ask(dump_wanted{}, DumpLimit);
+        const auto *Text = std::get_if<std::string>(&Outcome);
+        return Text != nullptr ? *Text : std::string("{}");
+      });
+  auto Started = Server.start();
+  if (!succeeded(Started))
+    return errorOf(Started).Text;
+  Host.Operators = valueOf(std::move(Started));
+  return std::nullopt;
+}
+
+exit_code serve(const control_settings &Settings, const stop_signal &Stop, control_host &Host) {
+  const peer_addresses Own{Host.Peers->address(), Host.Entries->address(),
+                           Host.Operators->address()};
+  Host.Peers->announce(Own);
+  logListening("peers", Own.Peers);
+  logListening("entries", Own.Entries);
+  logListening("operators", Own.Operators);
+  if (!Settings.AddressFile.empty() && !writeAddresses(Settings.AddressFile, Own))
+    return failStart(Settings.AddressFile + ": cannot be written");
+  while (!Stop.waitFor(WatchInterval))
+    if (Host.Core->failed())
+      return exit_code::Failure;
+  logEvent(log_level::Info, "stopping");
+  return exit_code::Ok;
+}
+
+exit_code run(const control_settings &Settings) {
+  startLogging("pollenstall-control", *logLevelFromText(Settings.LogLevel));
+  const stop_signal Stop;
+  const auto KeyHash = readKeyHash(Settings.OperatorKeyHashFile);
+  if (!KeyHash)
+    return failStart(Settings.OperatorKeyHashFile + ": no SHA-256 in hex");
+  auto Folder = data_folder::open(storageOptions(Settings));
+  if (!succeeded(Folder))
+    return failStart(toText(errorOf(Folder)));
+  control_host Host;
+  if (const auto Failure = startLinks(Settings, Host))
+    return failStart(*Failure);
+  control_core_parts Parts;
+  Parts.Settings = Settings;
+  Parts.Wake = &Host.Wake;
+  Parts.Peers = Host.Peers.get();
+  Parts.Entries = Host.Entries.get();
+  Parts.Metrics = &Host.Metrics;
+  Parts.Folder = valueOf(std::move(Folder));
+  Parts.Own = {Host.Peers->address(), Host.Entries->address(), {}};
+  Host.Core = std::make_unique<control_core>(std::move(Parts));
+  if (const auto Failure = startOperators(Settings, *KeyHash, Host))
+    return failStart(*Failure);
+  Host.Core->start();
+  return serve(Settings, Stop, Host);
+}
+
+} // namespace
+
+} // namespace pollenstall
+
+int main(int Count, const char **Values) {
+  return pollenstall::runProgram<pollenstall::control_settings>(
+      Count, Values, {"pollenstall-control", "Keeps the replicated control state on its disk."},
+      pollenstall::controlSettingsTable(), pollenstall::run);
+}
--- /dev/null
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -0,0 +1,125 @@
+/** @file control_settings.cpp The table of a control host's settings. */
+#include "control_settings_type.h"
+
+#include "program/program.h"
+
+#include <charconv>
+
+namespace pollenstall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr const char *PeerForm = "ID=IP:port, with an id of 1 or more";
+/// A whole snapshot travels in one frame, with room for the frame's other fields.
+constexpr std::size_t MaxSnapshotState = 24U << 20U;
+/// The largest declaration with the other fields of its change.
+constexpr std::size_t MaxEntryPayload = 4U << 20U;
+
+std::optional<std::string> checkPeer(const std::string &Text) {
+  return peerFromText(Text) ? std::nullopt : std::optional<std::string>(PeerForm);
+}
+
+std::optional<std::string> checkLevel(const std::string &Text) {
+  return logLevelFromText(Text) ? std::nullopt
+                                : std::optional<std::string>("debug, info, warning or error");
+}
+
+void addIdentity(settings_table<control_settings> &Table) {
+  constexpr const char *Name = "a name of letters, digits, '.', '_' and '-'";
+  Table
+      .text("host.name", &control_settings::Host, presence::Required, Name, checkName,
+            "Name of this host.")
+      .text("host.failure_domain", &control_settings::Domain, presence::Required, Name, checkName,
+            "Failure domain this host is lost with.")
+      .text("fleet", &control_settings::Fleet, presence::Required, Name, checkName,
+            "Name of the fleet; other fleets' messages are dropped.")
+      .number("member_id", &control_settings::MemberId, {1U, 1U, 1'000'000U},
+              "Id of this host in the replicated log; unique among the control hosts.")
+      .text("data.folder", &control_settings::DataFolder, presence::Required, "a path",
+            checkNotEmpty, "Folder for the log, snapshots and promises.");
+}
+
+void addAddresses(settings_table<control_settings> &Table) {
+  constexpr const char *Address = "IP:port, where port 0 takes one from the kernel";
+  Table
+      .text("listen.peers", &control_settings::ListenPeers, presence::Required, Address,
+            checkAddress, "Where other control hosts connect.")
+      .text("listen.entries", &control_settings::ListenEntries, presence::Required, Address,
+            checkAddress, "Where entries connect.")
+      .text("listen.operators", &control_settings::ListenOperators, presence::Required, Address,
+            checkAddress, "Where operators and the platform call by HTTP.")
+      .text("listen.address_file", &control_settings::AddressFile, presence::Optional, "a path", {},
+            "File that the addresses in use are written to as JSON.")
+      .texts("peers", &control_settings::Peers, presence::Optional, PeerForm, checkPeer,
+             "The control hosts of the first start; this host may be among them.")
+      .flag("bootstrap", &control_settings::Bootstrap, false,
+            "On exactly one host: it founds the log once every peer has an empty disk.")
+      .text("operators.key_hash_file", &control_settings::OperatorKeyHashFile, presence::Required,
+            "a path", checkNotEmpty, "File with the SHA-256 of the operators' key in hex.");
+}
+
+void addTimes(settings_table<control_settings> &Table) {
+  Table
+      .span("log.heartbeat_ms", &control_settings::Heartbeat,
+            {milliseconds(100), milliseconds(10), milliseconds(1000)},
+            "Between a leader's heartbeats.")
+      .span("log.election_ms", &control_settings::Election,
+            {milliseconds(1000), milliseconds(100), milliseconds(10'000)},
+            "Least time without a leader before a host stands; at most twice this.")
+      .number("log.snapshot_every", &control_settings::SnapshotEvery, {4096U, 16U, 1'000'000U},
+              "Entries after which a snapshot is taken.")
+      .span("entries.lease_ms", &control_settings::EntryLease,
+            {milliseconds(5000), milliseconds(500), milliseconds(60'000)},
+            "How long an entry may act on its declaration without word from the leader.")
+      .span("entries.confirm_within_ms", &control_settings::ConfirmWithin,
+            {milliseconds(2000), milliseconds(100), milliseconds(60'000)},
+            "An entry that lags behind a change for longer gets no further lease.")
+      .text("log_level", &control_settings::LogLevel, presence::Optional,
+            "debug, info, warning or error", checkLevel, "Least level that is logged.", "info");
+}
+
+} // namespace
+
+settings_table<control_settings> controlSettingsTable() {
+  settings_table<control_settings> Table;
+  addIdentity(Table);
+  addAddresses(Table);
+  addTimes(Table);
+  return Table;
+}
+
+std::optional<std::pair<member_id, std::string>> peerFromText(const std::string &Text) {
+  const std::size_t Equals = Text.find('=');
+  if (Equals == std::string::npos)
+    return std::nullopt;
+  std::uint64_t Id = 0;
+  const char *End = Text.data() + Equals;
+  const auto Parsed = std::from_chars(Text.data(), End, Id);
+  std::string Address = Text.substr(Equals + 1);
+  if (Parsed.ec != std::errc{} || Parsed.ptr != End || Id == 0 || checkAddress(Address))
+    return std::nullopt;
+  return std::pair(member_id(Id), std::move(Address));
+}
+
+replica_options replicaOptions(const control_settings &Settings) {
+  replica_options Options;
+  Options.HeartbeatInterval = Settings.Heartbeat;
+  Options.MinElectionTimeout = Settings.Election;
+  Options.MaxElectionTimeout = 2 * Settings.Election;
+  Options.MaxClockStep = Settings.Election / 2;
+  Options.SnapshotEvery = Settings.SnapshotEvery;
+  Options.MaxSnapshotBytes = MaxSnapshotState;
+  Options.MaxPayloadBytes = MaxEntryPayload;
+  return Options;
+}
+
+in_force_options inForceOptions(const control_settings &Settings) {
+  in_force_options Options;
+  Options.Lease = Settings.EntryLease;
+  Options.ConfirmWithin = Settings.ConfirmWithin;
+  return Options;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-control/control_settings_type.h
@@ -0,0 +1,53 @@
+/** @file control_settings_type.h Settings of a control host. */
+#ifndef POLLENSTALL_CONTROL_CONTROL_SETTINGS_TYPE_H
+#define POLLENSTALL_CONTROL_CONTROL_SETTINGS_TYPE_H
+
+#include "consensus/consensus.h"
+#include "control_state/control_state.h"
+#include "settings/settings.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pollenstall {
+
+/// As the file gives them; docs are in the table.
+struct control_settings {
+  std::string Host;
+  std::string Domain;
+  std::string Fleet;
+  std::uint32_t MemberId{0};
+  std::string DataFolder;
+  std::string ListenPeers;
+  std::string ListenEntries;
+  std::string ListenOperators;
+  std::string AddressFile;
+  std::vector<std::string> Peers;
+  bool Bootstrap{false};
+  std::string OperatorKeyHashFile;
+  std::chrono::milliseconds Heartbeat{0};
+  std::chrono::milliseconds Election{0};
+  std::chrono::milliseconds EntryLease{0};
+  std::chrono::milliseconds ConfirmWithin{0};
+  std::uint32_t SnapshotEvery{0};
+  std::string LogLevel;
+};
+
+/// @return The table of every setting.
+settings_table<control_settings> controlSettingsTable();
+
+/// @return The id and address that "id=IP:port" names, or nothing.
+std::optional<std::pair<member_id, std::string>> peerFromText(const std::string &Text);
+
+/// @return Bounds and times of the log that follow from the settings.
+replica_options replicaOptions(const control_settings &Settings);
+
+/// @return Times of the entries' leases.
+in_force_options inForceOptions(const control_settings &Settings);
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_CONTROL_CONTROL_SETTINGS_TYPE_H
--- /dev/null
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -0,0 +1,139 @@
+/** @file entry_desk.cpp Answers to entries. */
+#include "entry_desk_base.h"
+
+namespace pollenstall {
+
+namespace {
+
+constexpr int SilentLeases = 4; ///< A session without a renewal for so many leases is forgotten.
+
+std::uint32_t wholeMillis(mono_span Span) {
+  return static_cast<std::uint32_t>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(Span).count());
+}
+
+claim_verdict verdictOf(const std::optional<control_answer> &Answer) {
+  const auto *Acquired = Answer ? std::get_if<claim_acquire_answer>(&*Answer) : nullptr;
+  const bool Told = Acquired != nullptr && succeeded(*Acquired);
+  return Told ? valueOf(*Acquired) : VerdictOnRefusal;
+}
+
+} // namespace
+
+entry_desk::entry_desk(const in_force_options &Times, entry_desk_hooks Asked)
+    : Options(Times), Hooks(std::move(Asked)), Tracker(Times) {}
+
+void entry_desk::takeOffice(mono_time Now) {
+  InOffice = true;
+  Tracker.takeOffice(Hooks.State().declared().Revision, Now);
+}
+
+void entry_desk::leaveOffice() {
+  InOffice = false;
+  for (const auto &[Connection, Session] : Sessions)
+    sendAway(Connection);
+  Sessions.clear();
+}
+
+void entry_desk::handle(const hub_event &Event, mono_time Now) {
+  if (std::holds_alternative<connection_closed>(Event.What)) {
+    Sessions.erase(Event.Connection);
+    return;
+  }
+  if (!InOffice)
+    return sendAway(Event.Connection);
+  // In office without a lease: perhaps only a slow heartbeat. The entry asks again, and is sent
+  // away once this host has left office.
+  if (!Hooks.MayServe(Now))
+    return;
+  std::visit([&](const auto &Request) { handleRequest(Event.Connection, Request, Now); },
+             std::get<link_request>(Event.What));
+}
+
+void entry_desk::handleRequest(connection_number From, const link_subscribe &Request,
+                               mono_time Now) {
+  Sessions[From] = {Request, std::nullopt, std::nullopt, Now};
+}
+
+void entry_desk::handleRequest(connection_number From, const link_renew &Request, mono_time Now) {
+  const auto Found = Sessions.find(From);
+  if (Found == Sessions.end() || Found->second.Who.Process != Request.Process)
+    return sendAway(From); // its subscription came while this host held no lease
+  session &Session = Found->second;
+  Session.Confirmed = Request.Confirmed;
+  Session.LastSeen = Now;
+  const auto Lease = Tracker.renew(Request.Process, Session.Who.Domain, Request.Confirmed, Now);
+  const revision Confirmed = Request.Confirmed.value_or(revision());
+  Hooks.Send({From, link_lease{Request.Ask, Confirmed, Lease ? wholeMillis(*Lease) : 0}});
+  sendDeclaration(From, Session);
+  if (Request.DrainsSeen != Hooks.State().drainsVersion())
+    sendDrains(From);
+  forgetSilentSessions(Now);
+}
+
+void entry_desk::handleRequest(connection_number From, const link_claim_acquire &Request,
+                               mono_time /*Now*/) {
+  Hooks.Propose(Request.Claim, [this, From, Call = Request.Call](const auto &Answer) {
+    // Nothing known: the entry asks the next leader, which answers the same send the same way.
+    if (Answer)
+      Hooks.Send({From, link_claim_answer{Call, verdictOf(Answer)}});
+  });
+}
+
+void entry_desk::handleRequest(connection_number From, const link_claim_settle &Request,
+                               mono_time /*Now*/) {
+  Hooks.Propose(Request.Claim, [this, From, Call = Request.Call](const auto &Answer) {
+    if (Answer)
+      Hooks.Send({From, link_settle_answer{Call}});
+  });
+}
+
+void entry_desk::sendAway(connection_number To) {
+  Hooks.Send({To, link_not_leader{Hooks.LeaderAddress()}});
+}
+
+void entry_desk::sendDeclaration(connection_number To, session &Session) {
+  const declared_text &Declared = Hooks.State().declared();
+  const bool Current = Session.Confirmed == Declared.Revision || Session.Sent == Declared.Revision;
+  // One at a time: a burst of changes would otherwise queue every declaration between.
+  const bool UnderWay = Session.Sent && (!Session.Confirmed || *Session.Confirmed < *Session.Sent);
+  if (Current || UnderWay)
+    return;
+  Session.Sent = Declared.Revision;
+  Hooks.Send({To, link_declaration{Declared.Revision, Declared.Text}});
+}
+
+void entry_desk::sendDrains(connection_number To) {
+  const control_state &State = Hooks.State();
+  Hooks.Send(
+      {To, link_drains{State.drainsVersion(), {State.drains().begin(), State.drains().end()}}});
+}
+
+void entry_desk::declarationChanged(mono_time Now) {
+  if (!InOffice)
+    return;
+  Tracker.accepted(Hooks.State().declared().Revision, Now);
+  if (!Hooks.MayServe(Now))
+    return;
+  for (auto &[Connection, Session] : Sessions)
+    sendDeclaration(Connection, Session);
+}
+
+void entry_desk::drainsChanged(mono_time Now) {
+  if (!InOffice || !Hooks.MayServe(Now))
+    return;
+  for (const auto &[Connection, Session] : Sessions)
+    sendDrains(Connection);
+}
+
+std::optional<revision> entry_desk::inForce(mono_time Now) {
+  return InOffice ? Tracker.inForce(Now) : std::nullopt;
+}
+
+void entry_desk::forgetSilentSessions(mono_time Now) {
+  std::erase_if(Sessions, [&](const auto &Item) {
+    return Item.second.LastSeen + SilentLeases * Options.Lease < Now;
+  });
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -0,0 +1,80 @@
+/** @file entry_desk_base.h What the leader answers to entries: leases, declarations, claims. */
+#ifndef POLLENSTALL_CONTROL_ENTRY_DESK_BASE_H
+#define POLLENSTALL_CONTROL_ENTRY_DESK_BASE_H
+
+#include "control_state/control_state.h"
+#include "entry_hub_base.h"
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace pollenstall {
+
+/// What the desk asks of the rest of the control host.
+struct entry_desk_hooks {
+  std::function<void(hub_order)> Send;
+  /// Whether this host leads and holds its lease at this very moment.
+  std::function<bool(mono_time)> MayServe;
+  /// Where the leader listens for entries; empty where not known.
+  std::function<std::string()> LeaderAddress;
+  std::function<const control_state &()> State;
+  /// Puts a command into the log; Answered gets nothing where the outcome is not known.
+  std::function<void(control_command, std::function<void(std::optional<control_answer>)> Answered)>
+      Propose;
+};
+
+/**
+ * Used on the decision thread only.
+ * Leases and declarations are given out only while this host holds its own lease as the leader:
+ * an isolated control host must not keep entries serving on what its successor has replaced.
+ */
+class entry_desk {
+public:
+  entry_desk(const in_force_options &Times, entry_desk_hooks Asked);
+
+  /// This host leads and has applied all that its predecessors acknowledged.
+  void takeOffice(mono_time Now);
+  /// This host leads no more: every entry is sent away.
+  void leaveOffice();
+
+  void handle(const hub_event &Event, mono_time Now);
+
+  /// The state has a newer declaration.
+  void declarationChanged(mono_time Now);
+  /// The state has another list of drains.
+  void drainsChanged(mono_time Now);
+
+  /// @return The highest revision known to be in force everywhere; nothing while that is unknown.
+  std::optional<revision> inForce(mono_time Now);
+  [[nodiscard]] std::vector<entry_lease> entries() const { return Tracker.entries(); }
+  [[nodiscard]] bool inOffice() const { return InOffice; }
+
+private:
+  struct session {
+    link_subscribe Who;
+    std::optional<revision> Confirmed;
+    std::optional<revision> Sent; ///< Declaration sent last on this connection.
+    mono_time LastSeen{};
+  };
+
+  void handleRequest(connection_number From, const link_subscribe &Request, mono_time Now);
+  void handleRequest(connection_number From, const link_renew &Request, mono_time Now);
+  void handleRequest(connection_number From, const link_claim_acquire &Request, mono_time Now);
+  void handleRequest(connection_number From, const link_claim_settle &Request, mono_time Now);
+  void sendAway(connection_number To);
+  void sendDeclaration(connection_number To, session &Session);
+  void sendDrains(connection_number To);
+  void forgetSilentSessions(mono_time Now);
+
+  in_force_options Options;
+  entry_desk_hooks Hooks;
+  in_force_tracker Tracker;
+  std::map<connection_number, session> Sessions;
+  bool InOffice{false};
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_CONTROL_ENTRY_DESK_BASE_H
--- /dev/null
+++ b/programs/pollenstall-control/operator_api.cpp
@@ -0,0 +1,204 @@
+/** @file operator_api.cpp Operators' calls as questions to the decision thread. */
+#include "operator_api_base.h"
+
+#include "declaration/declaration.h"
+#include "operator_reply_func.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::chrono::milliseconds AnswerLimit{5000};
+/// As JSON it fits the operator server's bound on a body, and as an entry the log's.
+constexpr std::size_t MaxTextBytes = 3U << 20U;
+constexpr std::size_t MaxIdBytes = 128;
+constexpr std::size_t MaxListedErrors = 20;
+constexpr std::size_t MaxSummaryBytes = 400;
+constexpr const char *ChangesPath = "/v1/changes/";
+
+unix_millis wallClock() {
+  return std::chrono::duration_cast<unix_millis>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+std::optional<json::object> objectOf(const std::string &Body) {
+  json::error_code Error;
+  json::value Value = json::parse(Body, Error);
+  if (Error || !Value.is_object())
+    return std::nullopt;
+  return std::move(Value.as_object());
+}
+
+std::optional<std::string> textAt(const json::object &Object, std::string_view Key) {
+  const json::value *Value = Object.if_contains(Key);
+  if (Value == nullptr || !Value->is_string())
+    return std::nullopt;
+  return std::string(Value->as_string());
+}
+
+std::optional<std::uint64_t> numberAt(const json::object &Object, std::string_view Key) {
+  const json::value *Value = Object.if_contains(Key);
+  if (Value == nullptr || !Value->is_int64() || Value->as_int64() < 0)
+    return std::nullopt;
+  return static_cast<std::uint64_t>(Value->as_int64());
+}
+
+bool isChangeId(const std::optional<std::string> &Text) {
+  const auto IsPlain = [](unsigned char Byte) { return Byte > ' ' && Byte < 0x7F; };
+  return Text && !Text->empty() && Text->size() <= MaxIdBytes &&
+         std::all_of(Text->begin(), Text->end(), IsPlain);
+}
+
+std::string changeText(const control_state &State, const change_id &Id) {
+  const answer_record *Known = State.findAnswer(Id);
+  const auto *Accepted = Known ? std::get_if<change_accepted>(&Known->Verdict) : nullptr;
+  const bool Drain = Known && std::holds_alternative<drain_recorded>(Known->Verdict);
+  json::object Object;
+  Object["known"] = Known != nullptr;
+  Object["accepted"] = Accepted != nullptr || Drain;
+  Object["revision"] = Accepted ? json::value(Accepted->Revision.value()) : json::value();
+  return json::serialize(Object);
+}
+
+std::string historyText(const control_state &State) {
+  json::array Changes;
+  for (const history_record &Record : State.history())
+    Changes.push_back({{"revision", Record.Revision.value()},
+                       {"change_id", Record.Id.str()},
+                       {"time_unix_ms", Record.Time.count()},
+                       {"summary", Record.Summary}});
+  return json::serialize(json::object{{"changes", std::move(Changes)}});
+}
+
+std::string declarationText(const control_state &State) {
+  const declared_text &Declared = State.declared();
+  return json::serialize(
+      json::object{{"revision", Declared.Revision.value()}, {"text", Declared.Text}});
+}
+
+} // namespace
+
+validation_hook declarationValidation() {
+  return [](const std::string &Text) {
+    const auto Parsed = parseDeclaration(Text, "declaration.toml");
+    if (succeeded(Parsed))
+      return std::string();
+    json::array Details;
+    for (const declaration_error &Error : errorOf(Parsed)) {
+      if (Details.size() >= MaxListedErrors)
+        break;
+      Details.push_back({{"file", Error.File},
+                         {"line", Error.Line},
+                         {"key", Error.Key},
+                         {"allowed", Error.Allowed}});
+    }
+    return json::serialize(Details);
+  };
+}
+
+std::string changeSummary(const std::string &From, const std::string &To) {
+  const auto Old = parseDeclaration(From, "old");
+  const auto New = parseDeclaration(To, "new");
+  if (!succeeded(New))
+    return {};
+  const fleet_declaration Empty;
+  std::string Text = toText(diff(succeeded(Old) ? valueOf(Old) : Empty, valueOf(New)));
+  std::replace(Text.begin(), Text.end(), '\n', ';');
+  if (Text.size() > MaxSummaryBytes)
+    Text = Text.substr(0, MaxSummaryBytes) + "...";
+  return Text;
+}
+
+operator_api::operator_api(control_core &Asked, validation_hook Check)
+    : Core(Asked), Validate(std::move(Check)) {}
+
+void operator_api::addRoutes(operator_server_builder &Server) {
+  const auto Add = [&](const char *Method, const char *Path,
+                       operator_reply (operator_api::*Handle)(const operator_call &)) {
+    Server.route(Method, Path, operator_access::KeyNeeded,
+                 [this, Handle](const operator_call &Call) { return (this->*Handle)(Call); });
+  };
+  Add("POST", "/v1/changes", &operator_api::postChange);
+  Add("GET", ChangesPath, &operator_api::getChange);
+  Add("GET", "/v1/declaration", &operator_api::getDeclaration);
+  Add("GET", "/v1/history", &operator_api::getHistory);
+  Add("GET", "/v1/status", &operator_api::getStatus);
+  Add("POST", "/v1/drains", &operator_api::postDrain);
+  Add("POST", "/v1/members", &operator_api::postMember);
+}
+
+operator_reply operator_api::ask(control_question Question) {
+  return replyTo(Core.ask(std::move(Question), AnswerLimit));
+}
+
+operator_reply operator_api::read(std::function<std::string(const control_state &)> Read) {
+  return ask(read_wanted{std::move(Read)});
+}
+
+operator_reply operator_api::postChange(const operator_call &Call) {
+  const auto Object = objectOf(Call.Body);
+  const auto Id = Object ? textAt(*Object, "change_id") : std::nullopt;
+  const auto Base = Object ? numberAt(*Object, "base_revision") : std::nullopt;
+  auto Text = Object ? textAt(*Object, "text") : std::nullopt;
+  if (!isChangeId(Id) || !Base || !Text)
+    return badCall("needs change_id (1 to 128 visible characters), base_revision and text");
+  if (Text->size() > MaxTextBytes)
+    return badCall("text is larger than 3 MiB");
+  apply_change Change{change_id(*Id), revision(*Base), std::move(*Text), {}, {}, wallClock()};
+  Change.Rejected = Validate(Change.Text);
+  const auto Declared = Core.declared();
+  if (Change.Rejected.empty() && Declared->Revision == Change.Base)
+    Change.Summary = changeSummary(Declared->Text, Change.Text);
+  return ask(command_wanted{std::move(Change)});
+}
+
+operator_reply operator_api::postDrain(const operator_call &Call) {
+  const auto Object = objectOf(Call.Body);
+  const auto Id = Object ? textAt(*Object, "change_id") : std::nullopt;
+  const auto Backend = Object ? textAt(*Object, "backend") : std::nullopt;
+  const json::value *Undo = Object ? Object->if_contains("undo") : nullptr;
+  if (!isChangeId(Id) || !Backend || checkAddress(*Backend))
+    return badCall("needs change_id (1 to 128 visible characters) and backend as IP:port");
+  if (Undo != nullptr && !Undo->is_bool())
+    return badCall("undo is true or false");
+  return ask(command_wanted{set_drain{change_id(*Id), backend_address(*Backend),
+                                      Undo != nullptr && Undo->as_bool(), wallClock()}});
+}
+
+operator_reply operator_api::postMember(const operator_call &Call) {
+  const auto Object = objectOf(Call.Body);
+  const auto Action = Object ? textAt(*Object, "action") : std::nullopt;
+  const auto Member = Object ? numberAt(*Object, "member") : std::nullopt;
+  if (!Action || !Member)
+    return badCall("needs action (admit or remove) and member");
+  if (*Action == "admit")
+    return ask(admission_wanted{member_id(*Member)});
+  if (*Action == "remove")
+    return ask(expulsion_wanted{member_id(*Member)});
+  return badCall("action is admit or remove; a learner that has caught up votes by itself");
+}
+
+operator_reply operator_api::getDeclaration(const operator_call & /*Call*/) {
+  return read(declarationText);
+}
+
+operator_reply operator_api::getChange(const operator_call &Call) {
+  const change_id Id(Call.Path.substr(std::string_view(ChangesPath).size()));
+  return read([Id](const control_state &State) { return changeText(State, Id); });
+}
+
+operator_reply operator_api::getHistory(const operator_call & /*Call*/) {
+  return read(historyText);
+}
+
+operator_reply operator_api::getStatus(const operator_call & /*Call*/) {
+  return ask(status_wanted{});
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-control/operator_reply.cpp
@@ -0,0 +1,110 @@
+/** @file operator_reply.cpp Outcomes of the decision thread as HTTP replies. */
+#include "operator_reply_func.h"
+
+#include <boost/json.hpp>
+
+namespace pollenstall {
+
+namespace {
+
+namespace json = boost::json;
+
+enum http_status : unsigned {
+  HttpOk = 200,
+  HttpBadRequest = 400,
+  HttpConflict = 409,
+  HttpMisdirected = 421,
+  HttpServerError = 500,
+  HttpUnavailable = 503
+};
+
+operator_reply jsonReply(unsigned Status, const json::object &Body) {
+  return {Status, "application/json", json::serialize(Body)};
+}
+
+json::object errorObject(std::string_view Code, std::string_view Message) {
+  return {{"error", {{"code", Code}, {"message", Message}}}};
+}
+
+operator_reply replyToVerdict(const change_accepted &Verdict, bool Repeated) {
+  return jsonReply(HttpOk, {{"revision", Verdict.Revision.value()}, {"repeated", Repeated}});
+}
+
+operator_reply replyToVerdict(const change_conflict &Verdict, bool Repeated) {
+  json::object Body = errorObject("conflict", "another change was accepted first");
+  Body["revision"] = Verdict.Current.value();
+  Body["repeated"] = Repeated;
+  return jsonReply(HttpConflict, Body);
+}
+
+operator_reply replyToVerdict(const change_invalid &Verdict, bool Repeated) {
+  json::object Body = errorObject("invalid", "the declaration is not valid");
+  boost::json::error_code Error;
+  Body["error"].as_object()["details"] = json::parse(Verdict.Details, Error);
+  Body["repeated"] = Repeated;
+  return jsonReply(HttpBadRequest, Body);
+}
+
+operator_reply replyToVerdict(const drain_recorded &Verdict, bool Repeated) {
+  return jsonReply(HttpOk, {{"version", Verdict.Version}, {"repeated", Repeated}});
+}
+
+operator_reply replyToVerdict(const drains_full & /*Verdict*/, bool Repeated) {
+  json::object Body = errorObject("too_many_drains", "too many backend servers are drained");
+  Body["repeated"] = Repeated;
+  return jsonReply(HttpConflict, Body);
+}
+
+operator_reply replyToAnswer(const change_answer &Answer) {
+  return std::visit([&](const auto &Verdict) { return replyToVerdict(Verdict, Answer.Repeated); },
+                    Answer.Verdict);
+}
+
+operator_reply replyToAnswer(const change_id_reused & /*Answer*/) {
+  return jsonReply(HttpConflict,
+                   errorObject("change_id_reused", "the id was used for another change"));
+}
+
+template <typename Other> operator_reply replyToAnswer(const Other & /*Answer*/) {
+  return jsonReply(HttpServerError, errorObject("internal", "not an operator's command"));
+}
+
+operator_reply replyToOutcome(const outcome_unknown & /*Outcome*/) {
+  return jsonReply(HttpUnavailable,
+                   errorObject("unknown_outcome", "send the same change id again"));
+}
+
+operator_reply replyToOutcome(const leader_elsewhere &Outcome) {
+  json::object Body = errorObject("not_leader", "this host does not lead; nothing was done");
+  Body["leader"] = Outcome.OperatorUrl.empty() ? json::value() : json::value(Outcome.OperatorUrl);
+  return jsonReply(HttpMisdirected, Body);
+}
+
+operator_reply replyToOutcome(const request_refused &Outcome) {
+  const unsigned Status = Outcome.Code == "overloaded" ? HttpUnavailable : HttpConflict;
+  return jsonReply(Status, errorObject(Outcome.Code, Outcome.Message));
+}
+
+operator_reply replyToOutcome(const control_answer &Outcome) {
+  return std::visit([](const auto &Answer) { return replyToAnswer(Answer); }, Outcome);
+}
+
+operator_reply replyToOutcome(const membership_changed & /*Outcome*/) {
+  return jsonReply(HttpOk, {{"done", true}});
+}
+
+operator_reply replyToOutcome(const std::string &Outcome) {
+  return {HttpOk, "application/json", Outcome};
+}
+
+} // namespace
+
+operator_reply replyTo(const control_outcome &Outcome) {
+  return std::visit([](const auto &One) { return replyToOutcome(One); }, Outcome);
+}
+
+operator_reply badCall(std::string_view Message) {
+  return jsonReply(HttpBadRequest, errorObject("bad_request", Message));
+}
+
+} // namespace pollenstall
--- a/src/control_link/control_link_message_type.h
+++ b/src/control_link/control_link_message_type.h
@@ -91,7 +91,7 @@
 /// Largest message that a control host takes from an entry.
 constexpr std::size_t MaxLinkRequestBytes = 4U << 10U;
 /// Largest message that an entry takes from a control host: a declaration fits.
-constexpr std::size_t MaxLinkReplyBytes = 2U << 20U;
+constexpr std::size_t MaxLinkReplyBytes = 4U << 20U;
 
 } // namespace pollenstall
 
--- /dev/null
+++ b/tests/control/change_test.cpp
@@ -0,0 +1,192 @@
+/** @file change_test.cpp Operators' changes against three real control hosts. */
+#include "control/control_cluster.h"
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+namespace pollenstall {
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned Conflict = 409;
+
+std::uint64_t revisionIn(const http_answer &Answer) {
+  const auto Object = Answer.json();
+  return Object.contains("revision") ? Object.at("revision").to_number<std::uint64_t>() : 0;
+}
+
+bool repeatedIn(const http_answer &Answer) {
+  const auto Object = Answer.json();
+  return Object.contains("repeated") && Object.at("repeated").as_bool();
+}
+
+class ThreeControlHosts : public testing::Test {
+protected:
+  control_cluster Cluster;
+};
+
+TEST_F(ThreeControlHosts, TakeAChangeAndTellWhereTheLeaderIs) {
+  const std::size_t Leader = Cluster.waitForLeader();
+  EXPECT_EQ(revisionIn(Cluster.change("first", 0, declarationText(1))), 1U);
+  const std::size_t Follower = (Leader + 1) % Cluster.size();
+  const std::string LeaderUrl = "http://" + Cluster.operatorAddress(Leader);
+  ASSERT_TRUE(waitUntil([&] {
+    const auto Refused = Cluster.get(Follower, "/v1/declaration");
+    return Refused.Status == 421 && Refused.json().at("leader") == boost::json::value(LeaderUrl);
+  }));
+  const auto Declared = Cluster.get(Leader, "/v1/declaration").json();
+  EXPECT_EQ(Declared.at("text"), boost::json::value(declarationText(1)));
+  const auto Known = Cluster.get(Leader, "/v1/changes/first").json();
+  EXPECT_TRUE(Known.at("accepted").as_bool());
+  const auto History = Cluster.get(Leader, "/v1/history").json();
+  EXPECT_EQ(History.at("changes").as_array().size(), 1U);
+}
+
+TEST_F(ThreeControlHosts, RefuseWhatIsNotADeclaration) {
+  Cluster.waitForLeader();
+  const auto Answer = Cluster.change("wrong", 0, "[limits]\nmax_queued = \"many\"\n");
+  EXPECT_EQ(Answer.Status, 400U);
+  const auto Details = Answer.json().at("error").at("details").as_array();
+  ASSERT_EQ(Details.size(), 1U);
+  EXPECT_EQ(Details[0].at("line").to_number<int>(), 2);
+  EXPECT_EQ(Details[0].at("key"), boost::json::value("limits.max_queued"));
+}
+
+TEST_F(ThreeControlHosts, AcceptOneOfTwoOperatorsOnTheSameRevision) {
+  // Two operators read the same revision and send their changes at the same moment, through
+  // different hosts. One must be told of the conflict and the revision in force; were both told
+  // "accepted", one of them would have lost a change without knowing.
+  Cluster.waitForLeader();
+  constexpr std::uint64_t Rounds = 20;
+  for (std::uint64_t Base = 0; Base < Rounds; ++Base) {
+    http_answer Answers[2];
+    std::thread Other(
+        [&] { Answers[1] = Cluster.change("b" + std::to_string(Base), Base, declarationText(2)); });
+    Answers[0] = Cluster.change("a" + std::to_string(Base), Base, declarationText(1));
+    Other.join();
+    ASSERT_EQ(Answers[0].Status + Answers[1].Status, Ok + Conflict) << Base;
+    EXPECT_EQ(revisionIn(Answers[0]), Base + 1);
+    EXPECT_EQ(revisionIn(Answers[1]), Base + 1);
+  }
+}
+
+TEST_F(ThreeControlHosts, GiveTheFirstAnswerAgainAfterTheLeaderWasKilled) {
+  // The leader accepts a change and dies before the operator has read the answer. The operator
+  // sends the same change again, to whichever host leads then, and must not be told of a conflict
+  // with the very change that it made.
+  const std::size_t First = Cluster.waitForLeader();
+  EXPECT_EQ(Cluster.change("lost-answer", 0, declarationText(1)).Status, Ok);
+  EXPECT_EQ(Cluster.change("loser", 0, declarationText(2)).Status, Conflict);
+  EXPECT_EQ(Cluster.change("later", 1, declarationText(3)).Status, Ok);
+  Cluster.kill(First);
+  const auto Again = Cluster.change("lost-answer", 0, declarationText(1));
+  EXPECT_EQ(Again.Status, Ok);
+  EXPECT_EQ(revisionIn(Again), 1U);
+  EXPECT_TRUE(repeatedIn(Again));
+  const auto LoserAgain = Cluster.change("loser", 0, declarationText(2));
+  EXPECT_EQ(LoserAgain.Status, Conflict);
+  EXPECT_EQ(revisionIn(LoserAgain), 1U);
+}
+
+TEST_F(ThreeControlHosts, KeepEveryAcceptedChangeWhileLeadersAreKilled) {
+  // Changes are sent one after the other while each leader in turn is killed and started again. An
+  // accepted change that is missing afterwards was answered before a quorum had it on disk.
+  std::vector<std::string> Accepted;
+  std::uint64_t Base = 0;
+  for (int Round = 0; Round < 4; ++Round) {
+    const std::size_t Leader = Cluster.waitForLeader();
+    std::thread Killer([&] { Cluster.kill(Leader); });
+    for (int Step = 0; Step < 5; ++Step) {
+      const std::string Id = std::to_string(Round) + "." + std::to_string(Step);
+      const auto Answer = call(Cluster.operatorAddress((Leader + 1) % 3), "GET", "/healthz");
+      EXPECT_EQ(Answer.Status, Ok);
+      if (Step == 0)
+        Killer.join();
+      const auto Changed = Cluster.change(Id, Base, declarationText(Step));
+      ASSERT_EQ(Changed.Status, Ok) << Changed.Text;
+      EXPECT_EQ(revisionIn(Changed), ++Base);
+      Accepted.push_back(Id);
+    }
+    Cluster.start(Leader);
+  }
+  const std::size_t Leader = Cluster.waitForLeader();
+  const auto History = Cluster.get(Leader, "/v1/history").json();
+  const auto &Changes = History.at("changes").as_array();
+  ASSERT_EQ(Changes.size(), Accepted.size());
+  for (std::size_t Index = 0; Index < Accepted.size(); ++Index)
+    EXPECT_EQ(Changes[Index].at("change_id"), boost::json::value(Accepted[Index]));
+}
+
+TEST_F(ThreeControlHosts, ComeBackWithEverythingAfterAllWereKilledAtOnce) {
+  Cluster.waitForLeader();
+  EXPECT_EQ(Cluster.change("kept", 0, declarationText(1)).Status, Ok);
+  for (std::size_t Host = 0; Host < Cluster.size(); ++Host)
+    Cluster.kill(Host);
+  for (std::size_t Host = 0; Host < Cluster.size(); ++Host)
+    Cluster.start(Host);
+  const auto Again = Cluster.change("kept", 0, declarationText(1));
+  EXPECT_EQ(Again.Status, Ok);
+  EXPECT_TRUE(repeatedIn(Again));
+}
+
+TEST_F(ThreeControlHosts, LetNoFrozenLeaderAcceptAChangeAfterwards) {
+  // The leader is stopped for so long that another one has been elected and has accepted a change.
+  // When it goes on it still believes that it leads. It must accept nothing and say so in its
+  // status, or the operator who reached it would be told of an acceptance that never holds.
+  const std::size_t Old = Cluster.waitForLeader();
+  Cluster.freeze(Old);
+  const std::size_t New = Cluster.waitForLeader(Old);
+  ASSERT_NE(New, Old);
+  std::uint64_t Revision = 0;
+  ASSERT_TRUE(waitUntil([&] {
+    const auto Answer = Cluster.post(New, "/v1/changes", changeBody("new", 0, declarationText(1)));
+    Revision = revisionIn(Answer);
+    return Answer.Status == Ok;
+  }));
+  EXPECT_EQ(Revision, 1U);
+  Cluster.thaw(Old);
+  const auto Answer = Cluster.post(Old, "/v1/changes", changeBody("old", 0, declarationText(2)));
+  EXPECT_NE(Answer.Status, Ok) << Answer.Text;
+  EXPECT_TRUE(waitUntil([&] {
+    const auto Status = Cluster.status(Old);
+    return Status.contains("role") && Status.at("role") == boost::json::value("follower");
+  }));
+  EXPECT_FALSE(Cluster.status(Old).at("serving").as_bool());
+  const auto Final = Cluster.change("check", 1, declarationText(3));
+  EXPECT_EQ(revisionIn(Final), 2U);
+}
+
+TEST_F(ThreeControlHosts, LetNoLeaderWithoutItsQuorumAcceptAChange) {
+  // Both followers are frozen, as if a partition had cut the leader off from them. It may not
+  // answer that a change is accepted, it must leave office by itself, and its status must say so.
+  const std::size_t Leader = Cluster.waitForLeader();
+  for (std::size_t Host = 0; Host < Cluster.size(); ++Host)
+    if (Host != Leader)
+      Cluster.freeze(Host);
+  const auto Answer =
+      Cluster.post(Leader, "/v1/changes", changeBody("cut-off", 0, declarationText(1)));
+  EXPECT_NE(Answer.Status, Ok) << Answer.Text;
+  EXPECT_TRUE(waitUntil([&] {
+    const auto Status = Cluster.status(Leader);
+    return Status.contains("isolated") && Status.at("isolated").as_bool() &&
+           !Status.at("serving").as_bool();
+  }));
+  EXPECT_EQ(Cluster.get(Leader, "/readyz").Status, 503U);
+  EXPECT_EQ(Cluster.get(Leader, "/v1/declaration").Status, 421U);
+  for (std::size_t Host = 0; Host < Cluster.size(); ++Host)
+    if (Host != Leader)
+      Cluster.thaw(Host);
+  EXPECT_EQ(revisionIn(Cluster.change("cut-off", 0, declarationText(1))), 1U);
+}
+
+TEST_F(ThreeControlHosts, StopWhenAskedWithoutLosingAnything) {
+  Cluster.waitForLeader();
+  EXPECT_EQ(Cluster.change("kept", 0, declarationText(1)).Status, Ok);
+  child_process Second(Cluster.command(0), Cluster.root() / "second");
+  EXPECT_EQ(Second.wait(), 1) << "a data folder in use must be refused";
+  EXPECT_NE(readFile(Cluster.root() / "second").find("start_failed"), std::string::npos);
+}
+
+} // namespace
+} // namespace pollenstall
--- /dev/null
+++ b/tests/control/control_cluster.h
@@ -0,0 +1,123 @@
+/** @file control_cluster.h Three control hosts on loopback, and entries that follow them. */
+#ifndef POLLENSTALL_TESTS_CONTROL_CONTROL_CLUSTER_H
+#define POLLENSTALL_TESTS_CONTROL_CONTROL_CLUSTER_H
+
+#include "control/control_process.h"
+#include "control_link/control_link.h"
+
+#include <boost/json.hpp>
+
+#include <atomic>
+#include <condition_variable>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace pollenstall {
+
+/// What a host answered; Status 0 where it did not answer in time.
+struct http_answer {
+  unsigned Status{0};
+  std::string Text;
+
+  [[nodiscard]] boost::json::object json() const;
+};
+
+/// One HTTP call with the operators' key, with a time limit.
+http_answer call(const std::string &Address, const std::string &Method, const std::string &Path,
+                 const std::string &Body = {},
+                 std::chrono::milliseconds Limit = std::chrono::seconds(10));
+
+/// A valid declaration that says which change made it.
+std::string declarationText(int Number);
+/// Body of POST /v1/changes.
+std::string changeBody(const std::string &Id, std::uint64_t Base, const std::string &Text);
+
+class control_cluster {
+public:
+  explicit control_cluster(std::size_t Hosts = 3, std::string MoreSettings = {});
+
+  [[nodiscard]] std::size_t size() const { return Hosts.size(); }
+  void start(std::size_t Host);
+  void kill(std::size_t Host);
+  void freeze(std::size_t Host);
+  void thaw(std::size_t Host);
+  /// The data folder comes back empty; the host must be down.
+  void loseDisk(std::size_t Host);
+  [[nodiscard]] bool runs(std::size_t Host) const { return Hosts[Host].Process != nullptr; }
+
+  http_answer get(std::size_t Host, const std::string &Path) const;
+  http_answer post(std::size_t Host, const std::string &Path, const std::string &Body) const;
+  [[nodiscard]] boost::json::object status(std::size_t Host) const;
+
+  /// Waits for a host that leads and holds its lease. @param Except Not this one.
+  std::size_t waitForLeader(std::optional<std::size_t> Except = std::nullopt);
+
+  /// Sends a change to the hosts in turn, the same id again, until one gives a final answer.
+  http_answer change(const std::string &Id, std::uint64_t Base, const std::string &Text);
+
+  [[nodiscard]] std::vector<std::string> entryAddresses() const;
+  [[nodiscard]] const std::string &peerAddress(std::size_t Host) const;
+  [[nodiscard]] const std::string &operatorAddress(std::size_t Host) const;
+  [[nodiscard]] std::filesystem::path folder(std::size_t Host) const;
+  [[nodiscard]] std::vector<std::string> command(std::size_t Host) const;
+  [[nodiscard]] std::string log(std::size_t Host) const;
+  [[nodiscard]] const std::filesystem::path &root() const { return Folder.path(); }
+
+private:
+  struct host {
+    std::string Peers;
+    std::string Entries;
+    std::string Operators;
+    std::unique_ptr<child_process> Process;
+  };
+
+  void writeSettings(std::size_t Host);
+
+  temporary_folder Folder;
+  std::string More;
+  std::vector<host> Hosts;
+};
+
+/// An entry's control side in this process: takes what is offered and keeps the rules itself.
+class test_entry {
+public:
+  test_entry(const std::vector<std::string> &Controls, const std::string &Host,
+             std::uint64_t Life = 1);
+
+  /// Handles events until the condition holds. @return False after Limit.
+  bool pumpUntil(const std::function<bool()> &Condition,
+                 std::chrono::milliseconds Limit = std::chrono::seconds(30));
+
+  /// @return The verdict on a claim, asked for and waited for.
+  claim_verdict claim(std::uint64_t Request, const std::string &Key,
+                      std::chrono::milliseconds Limit = std::chrono::seconds(20));
+  void settle(std::uint64_t Request, const std::string &Key, claim_standing Standing);
+
+  [[nodiscard]] bool ready() const { return Freshness.ready(boot_clock::now()); }
+  [[nodiscard]] revision inUse() const { return Freshness.current().value_or(revision()); }
+
+  control_link &link() { return *Link; }
+  std::string Text;           ///< Of the declaration in use.
+  std::size_t Offers{0};      ///< Declarations received.
+  std::size_t StaleOffers{0}; ///< Older than the one in use.
+  std::vector<backend_address> Drains;
+  bool Confirms{true}; ///< False: takes declarations but never says so.
+
+private:
+  void pump();
+  void take(const declaration_received &Event);
+  void take(const lease_extended &Event);
+  void take(const claim_answered &Event);
+  void take(const drains_changed &Event);
+  void take(const control_lost &Event);
+
+  entry_freshness Freshness;
+  std::map<request_number, claim_verdict> Verdicts;
+  std::unique_ptr<control_link> Link;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_TESTS_CONTROL_CONTROL_CLUSTER_H
--- /dev/null
+++ b/tests/control/disk_test.cpp
@@ -0,0 +1,81 @@
+/** @file disk_test.cpp A control host loses its disk, and right after the repair another is lost.
+ */
+#include "control/control_cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+constexpr unsigned Ok = 200;
+
+class ALostDisk : public testing::Test {
+protected:
+  bool asksAdmission(std::size_t Leader, std::uint64_t Member) {
+    const auto Status = Cluster.status(Leader);
+    if (!Status.contains("asking_admission"))
+      return false;
+    for (const auto &Applicant : Status.at("asking_admission").as_array())
+      if (Applicant.at("member").to_number<std::uint64_t>() == Member)
+        return true;
+    return false;
+  }
+
+  bool repaired(std::size_t Leader) {
+    const auto Status = Cluster.status(Leader);
+    return Status.contains("repair_unfinished") && Status.at("repair_unfinished").is_bool() &&
+           !Status.at("repair_unfinished").as_bool();
+  }
+
+  control_cluster Cluster;
+};
+
+TEST_F(ALostDisk, IsANewMemberAndASecondLossLosesNothing) {
+  // A follower's disk is lost and comes back empty. It has forgotten its votes and entries, so it
+  // must not count until it is let in anew and has caught up; status says so until then. Right
+  // after that the leader is lost for good: what was accepted before must all be there.
+  const std::size_t Leader = Cluster.waitForLeader();
+  const std::size_t Lost = (Leader + 1) % Cluster.size();
+  std::uint64_t Base = 0;
+  for (; Base < 10; ++Base)
+    ASSERT_EQ(Cluster.change("a" + std::to_string(Base), Base, declarationText(1)).Status, Ok);
+  Cluster.kill(Lost);
+  Cluster.loseDisk(Lost);
+  Cluster.start(Lost);
+  ASSERT_TRUE(waitUntil([&] { return asksAdmission(Leader, Lost + 1); }));
+  EXPECT_TRUE(Cluster.status(Leader).at("repair_unfinished").as_bool());
+  for (; Base < 20; ++Base)
+    ASSERT_EQ(Cluster.change("a" + std::to_string(Base), Base, declarationText(2)).Status, Ok);
+
+  const std::string Admit = R"({"action":"admit","member":)" + std::to_string(Lost + 1) + "}";
+  ASSERT_TRUE(waitUntil([&] { return Cluster.post(Leader, "/v1/members", Admit).Status == Ok; }));
+  ASSERT_TRUE(waitUntil([&] { return repaired(Leader); }))
+      << Cluster.get(Leader, "/v1/status").Text;
+  Cluster.kill(Leader);
+
+  const auto Again = Cluster.change("a0", 0, declarationText(1));
+  EXPECT_EQ(Again.Status, Ok) << Again.Text;
+  EXPECT_TRUE(Again.json().at("repeated").as_bool());
+  const auto More = Cluster.change("more", Base, declarationText(3));
+  EXPECT_EQ(More.Status, Ok) << More.Text;
+  const std::size_t Next = Cluster.waitForLeader();
+  const auto History = Cluster.get(Next, "/v1/history").json();
+  EXPECT_EQ(History.at("changes").as_array().size(), 21U);
+}
+
+TEST_F(ALostDisk, OfTheFounderDoesNotFoundAnotherLog) {
+  // The founder's settings still say "bootstrap" when it comes back with an empty disk. Were it to
+  // found a log of its own, operators who reach it would see an empty declaration.
+  Cluster.waitForLeader();
+  ASSERT_EQ(Cluster.change("kept", 0, declarationText(1)).Status, Ok);
+  Cluster.kill(0);
+  Cluster.loseDisk(0);
+  Cluster.start(0);
+  const std::size_t Leader = Cluster.waitForLeader(0);
+  ASSERT_TRUE(waitUntil([&] { return asksAdmission(Leader, 1); }));
+  EXPECT_NE(Cluster.get(0, "/v1/declaration").Status, Ok);
+  EXPECT_FALSE(Cluster.status(0).at("serving").as_bool());
+}
+
+} // namespace
+} // namespace pollenstall
