--- /dev/null
+++ b/src/relay/backend_exchange.cpp
@@ -0,0 +1,244 @@
+/** @file backend_exchange.cpp Connect, send, judge the head, end. */
+#include "relay/backend_exchange_base.h"
+
+#include "relay/attempt_head_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <array>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr unsigned Ok = 200;
+constexpr unsigned FirstFinalStatus = 200;
+constexpr unsigned FirstRedirect = 300;
+constexpr unsigned TooManyRequests = 429;
+constexpr unsigned FirstServerError = 500;
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+
+constexpr std::string_view AttemptHeader = "X-Pollenstall-Attempt";
+constexpr std::string_view StartedHeader = "X-Pollenstall-Started";
+
+/// An exchange outlives the request's deadline by this at most; the decision thread ends it before.
+constexpr std::chrono::seconds DeadlineGrace{5};
+
+std::string_view failureText(attempt_failure Failure) {
+  switch (Failure) {
+  case attempt_failure::NotConnected:
+    return "not_connected";
+  case attempt_failure::Declined:
+    return "declined";
+  case attempt_failure::BrokenUnsent:
+    return "broken_unsent";
+  case attempt_failure::BrokenSent:
+    return "broken_sent";
+  case attempt_failure::BrokenMidway:
+    return "broken_midway";
+  case attempt_failure::ErrorAnswer:
+    return "error_answer";
+  case attempt_failure::BadAnswer:
+    return "bad_answer";
+  default:
+    return "timed_out";
+  }
+}
+
+boost::beast::string_view beastView(std::string_view Text) { return {Text.data(), Text.size()}; }
+
+} // namespace
+
+void backend_exchange::start() {
+  asio::co_spawn(
+      Context.Io, [Self = shared_from_this()] { return Self->run(errand::Start); },
+      [](const std::exception_ptr &Thrown) {
+        if (Thrown)
+          std::rethrow_exception(Thrown);
+      });
+}
+
+void backend_exchange::resume() {
+  asio::co_spawn(
+      Context.Io, [Self = shared_from_this()] { return Self->run(errand::Resume); },
+      [](const std::exception_ptr &Thrown) {
+        if (Thrown)
+          std::rethrow_exception(Thrown);
+      });
+}
+
+void backend_exchange::abandon() {
+  Abandoned = true;
+  if (Link)
+    Link->abort();
+}
+
+asio::awaitable<void> backend_exchange::run(errand Errand) {
+  const exchange_end End = co_await perform(Errand);
+  if (Call->Relaying) {
+    Call->Relaying = false;
+    Call->Changed.notify();
+  }
+  noteProvedNotRun(End);
+  if (!Abandoned)
+    report(End);
+  if (!End.Failure && !Abandoned)
+    co_await returnLink();
+  if (Link)
+    Link->abort();
+  Ended(*this);
+}
+
+void backend_exchange::noteProvedNotRun(const exchange_end &End) {
+  if (Sent && End.Failure && provesNotRun(*End.Failure) && Call->SentAttempts > 0)
+    --Call->SentAttempts;
+}
+
+void backend_exchange::report(const exchange_end &End) {
+  flushProgress();
+  if (!End.Failure) {
+    Context.Metrics.countAttemptEnd("complete");
+    if (End.Usage.PromptTokens && Call->Kind == service_kind::Model)
+      Context.Tokens.observe(Call->Facts.Model, Call->PromptBytes, *End.Usage.PromptTokens);
+    Context.Outbox.push(attempt_completed{Order.Attempt, End.Usage.PromptTokens,
+                                          End.Usage.AnswerTokens, End.Usage.CachedTokens});
+    return;
+  }
+  Context.Metrics.countAttemptEnd(std::string(failureText(*End.Failure)));
+  Context.Outbox.push(attempt_failed{Order.Attempt, *End.Failure});
+}
+
+asio::awaitable<exchange_end> backend_exchange::perform(errand Errand) {
+  // Bytes of an older attempt at the caller forbid this one's; it is proved not to have run.
+  if (Errand == errand::Start && !Call->mayRelay(Order.Attempt.Ordinal))
+    co_return exchange_end{attempt_failure::BrokenUnsent, {}};
+  const link_age Age = Call->Facts.Idempotent ? link_age::Any : link_age::Fresh;
+  Link = co_await Context.Links.open(Order.Backend, Age);
+  if (!Link)
+    co_return exchange_end{attempt_failure::NotConnected, {}};
+  if (Abandoned)
+    co_return exchange_end{attempt_failure::BrokenUnsent, {}};
+  Link->expireAt(Call->Facts.Deadline + DeadlineGrace);
+  if (const auto Failure = co_await send(Errand))
+    co_return exchange_end{Failure, {}};
+  if (const auto Failure = co_await readHead())
+    co_return exchange_end{Failure, {}};
+  if (const auto Failure = judgeHead(Errand))
+    co_return exchange_end{Failure, {}};
+  const bool Events = Call->Kind == service_kind::Model && isEventStream();
+  // Only one attempt may pass its answer on, and from here on it is this one.
+  if (!Call->mayRelay(Order.Attempt.Ordinal))
+    co_return exchange_end{attempt_failure::BrokenSent, {}};
+  if (Events)
+    co_return co_await relayEvents();
+  co_return co_await relayWhole();
+}
+
+asio::awaitable<std::optional<attempt_failure>> backend_exchange::send(errand Errand) {
+  const std::shared_ptr<const held_body> Body = Call->Request.Body;
+  const bool Start = Errand == errand::Start;
+  const std::string Head = Start ? attemptHead(*Call, Order, boot_clock::now())
+                                 : resumeHead(*Call, resume_attempt{Order.Attempt, Order.Backend});
+  // Told before the first byte is handed to the kernel: from here on "not run" has to be proved.
+  Context.Outbox.push(attempt_sending{Order.Attempt});
+  if (Start)
+    ++Call->SentAttempts;
+  Sent = Start;
+  const asio::const_buffer BodyPart = Start && Body
+                                          ? asio::const_buffer(Body->Text.data(), Body->Text.size())
+                                          : asio::const_buffer();
+  const std::array Buffers{asio::const_buffer(Head.data(), Head.size()), BodyPart};
+  const std::size_t Taken = co_await Link->writeAll(Buffers);
+  if (Taken == 0)
+    co_return attempt_failure::BrokenUnsent;
+  if (!Order.MayRetry)
+    Call->Request.Body.reset();
+  // A server may decline and close before it has read everything: its answer is still looked for.
+  co_return std::nullopt;
+}
+
+asio::awaitable<bool> backend_exchange::readMore() {
+  const std::string_view Read = co_await Link->readSome();
+  co_return !Abandoned && !Read.empty() && Feed->feed(Read);
+}
+
+asio::awaitable<std::optional<attempt_failure>> backend_exchange::readHead() {
+  while (true) {
+    if (Call->Request.Method == "HEAD")
+      Feed->message().skip(true);
+    while (!Feed->headDone()) {
+      const std::string_view Read = co_await Link->readSome();
+      if (Abandoned || (Read.empty() && !Link->expired()))
+        co_return attempt_failure::BrokenSent;
+      if (Read.empty())
+        co_return attempt_failure::TimedOut;
+      if (!Feed->feed(Read))
+        co_return attempt_failure::BadAnswer;
+    }
+    if (Feed->message().get().result_int() >= FirstFinalStatus)
+      co_return std::nullopt;
+    // An interim answer (1xx); the final one follows on the same connection.
+    const std::string Left = Feed->takeLeft();
+    Feed.emplace(Context.Limits.HeaderBytes);
+    if (!Feed->feed(Left))
+      co_return attempt_failure::BadAnswer;
+  }
+}
+
+bool backend_exchange::namesOtherAttempt() {
+  const auto &Message = Feed->message().get();
+  const auto Named = Message[beastView(AttemptHeader)];
+  if (!Named.empty())
+    return std::string_view(Named.data(), Named.size()) != toText(Order.Attempt);
+  // Engines echo the attempt on every answer with content; a plain service need not know of it.
+  const unsigned Status = Message.result_int();
+  return Call->Kind == service_kind::Model && Status >= Ok && Status < FirstRedirect;
+}
+
+bool backend_exchange::isEventStream() {
+  const auto Type = Feed->message().get()[http::field::content_type];
+  return boost::beast::iequals(Type.substr(0, Type.find(';')), "text/event-stream");
+}
+
+bool backend_exchange::isErrorStatus(unsigned Status) const {
+  if (Call->Kind == service_kind::Model)
+    return Status >= FirstServerError;
+  // A plain service's own errors are its answers; these three come from what stands before it.
+  return Status == BadGateway || Status == Unavailable || Status == GatewayTimeout;
+}
+
+std::optional<attempt_failure> backend_exchange::judgeHead(errand Errand) {
+  const auto &Message = Feed->message().get();
+  const unsigned Status = Message.result_int();
+  if (namesOtherAttempt())
+    return attempt_failure::BadAnswer;
+  if (Errand == errand::Resume)
+    return Status == Ok && isEventStream()
+               ? std::nullopt
+               : std::optional<attempt_failure>(attempt_failure::BrokenMidway);
+  const bool Declines = Status == Unavailable || Status == TooManyRequests;
+  if (Declines && boost::beast::iequals(Message[beastView(StartedHeader)], "no"))
+    return attempt_failure::Declined;
+  if (isErrorStatus(Status))
+    return attempt_failure::ErrorAnswer;
+  return std::nullopt;
+}
+
+asio::awaitable<void> backend_exchange::returnLink() {
+  constexpr std::chrono::seconds TrailerLimit{1};
+  Link->expireAt(boot_clock::now() + TrailerLimit);
+  // Behind "[DONE]" the last chunk may still be under way.
+  while (!Feed->done() && Feed->body().empty())
+    if (!co_await readMore())
+      co_return;
+  if (!Feed->done() || !Feed->body().empty() || Feed->hasLeft() || !Feed->message().keep_alive())
+    co_return;
+  Context.Links.giveBack(Order.Backend, std::move(Link));
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/relay/backend_exchange_relay.cpp
@@ -0,0 +1,161 @@
+/** @file backend_exchange_relay.cpp Passes an answer on to the caller. */
+#include "relay/attempt_head_func.h"
+#include "relay/backend_exchange_base.h"
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+/// Progress is told to the decision thread once in so many events, not for each.
+constexpr std::uint64_t EventsPerReport = 16;
+/// The counts stand at the end of a whole answer.
+constexpr std::size_t UsageTailBytes = 2048;
+
+constexpr unsigned NoContent = 204;
+constexpr unsigned NotModified = 304;
+
+void keepTail(std::string &Tail, std::string_view Part) {
+  Tail.append(Part.substr(Part.size() > UsageTailBytes ? Part.size() - UsageTailBytes : 0));
+  if (Tail.size() > UsageTailBytes)
+    Tail.erase(0, Tail.size() - UsageTailBytes);
+}
+
+} // namespace
+
+answer_head backend_exchange::answerHead(answer_framing Framing) {
+  auto &Message = Feed->message();
+  answer_head Head;
+  Head.Status = Message.get().result_int();
+  Head.Headers = forwardedAnswerHeaders(Message.get());
+  Head.Headers.push_back({"X-Request-Id", Call->RequestId});
+  Head.Framing = Framing;
+  if (const auto Length = Message.content_length())
+    Head.Length = *Length;
+  else if (const auto Named = Message.get()[http::field::content_length]; !Named.empty())
+    Head.Length = std::strtoull(std::string(Named).c_str(), nullptr, 10);
+  return Head;
+}
+
+asio::awaitable<bool> backend_exchange::startAnswer(answer_framing Framing,
+                                                    std::string_view First) {
+  Call->RelayedBy = Order.Attempt.Ordinal;
+  Call->Stage = Framing == answer_framing::Chunked && isEventStream() ? answer_stage::Stream
+                                                                      : answer_stage::Whole;
+  Call->FirstByte = boot_clock::now();
+  Call->Request.Body.reset();
+  co_return co_await Call->Caller->writeHead(answerHead(Framing), First);
+}
+
+void backend_exchange::noteRelayed(std::uint64_t Events, std::size_t Bytes) {
+  Context.Metrics.countEvents(Events);
+  Context.Metrics.countAnswerBytes(Bytes);
+  if (!Answering) {
+    Answering = true;
+    Context.Outbox.push(attempt_answering{Order.Attempt});
+    Events = Events > 0 ? Events - 1 : 0;
+  }
+  UnreportedEvents += Events;
+  if (UnreportedEvents >= EventsPerReport)
+    flushProgress();
+}
+
+void backend_exchange::flushProgress() {
+  if (UnreportedEvents == 0)
+    return;
+  Context.Outbox.push(attempt_advanced{Order.Attempt, UnreportedEvents});
+  UnreportedEvents = 0;
+}
+
+asio::awaitable<bool> backend_exchange::relayReadyEvents(const event_scan &Scan) {
+  const std::string_view Ready = std::string_view(Feed->body()).substr(0, Scan.WholeBytes);
+  // Told first: an attempt whose bytes the caller may have must not be taken for unanswered.
+  noteRelayed(Scan.Events, Ready.size());
+  const bool First = Call->Stage == answer_stage::None;
+  const bool Written = First ? co_await startAnswer(answer_framing::Chunked, Ready)
+                             : co_await Call->Caller->writePart(Ready);
+  Call->LastEvent = Scanner.lastId();
+  Feed->body().erase(0, Scan.WholeBytes);
+  co_return Written;
+}
+
+asio::awaitable<exchange_end> backend_exchange::relayEvents() {
+  Scanner = event_scanner(Call->LastEvent);
+  Call->Relaying = true;
+  const exchange_end Cut{attempt_failure::BrokenMidway, {}};
+  const exchange_end Bad{attempt_failure::BadAnswer, {}};
+  while (true) {
+    const auto Scan = Scanner.scan(Feed->body());
+    if (!succeeded(Scan))
+      co_return Bad;
+    if (valueOf(Scan).WholeBytes > 0 && !co_await relayReadyEvents(valueOf(Scan))) {
+      Context.noteCallerGone(*Call);
+      Abandoned = true;
+    }
+    if (Abandoned)
+      co_return Cut;
+    if (Scanner.ended())
+      break;
+    if (Feed->body().size() > Context.Limits.MaxEventBytes)
+      co_return Bad;
+    if (Feed->done() || !co_await readMore())
+      co_return Call->Stage == answer_stage::None ? exchange_end{attempt_failure::BrokenSent, {}}
+                                                  : Cut;
+  }
+  if (!co_await Call->Caller->writeEnd())
+    Context.noteCallerGone(*Call);
+  Call->Stage = answer_stage::Ended;
+  co_return exchange_end{std::nullopt, usageIn(Scanner.usageData())};
+}
+
+std::optional<answer_framing> backend_exchange::framingOfWhole() {
+  auto &Message = Feed->message();
+  const unsigned Status = Message.get().result_int();
+  if (Call->Request.Method == "HEAD" || Status == NoContent || Status == NotModified)
+    return answer_framing::None;
+  if (Message.chunked())
+    return answer_framing::Chunked;
+  if (Message.content_length())
+    return answer_framing::Length;
+  return std::nullopt; // Until the connection closes: a cut would look like an end.
+}
+
+asio::awaitable<exchange_end> backend_exchange::relayWhole() {
+  const auto Framing = framingOfWhole();
+  if (!Framing)
+    co_return exchange_end{attempt_failure::BadAnswer, {}};
+  Call->Relaying = true;
+  std::string Tail;
+  while (true) {
+    std::string &Body = Feed->body();
+    const bool Started = Call->Stage != answer_stage::None;
+    const bool Ready = !Body.empty() || Feed->done();
+    if (Ready) {
+      keepTail(Tail, Body);
+      noteRelayed(0, Body.size());
+      const bool Written =
+          Started ? co_await Call->Caller->writePart(Body) : co_await startAnswer(*Framing, Body);
+      Body.clear();
+      if (!Written) {
+        Context.noteCallerGone(*Call);
+        Abandoned = true;
+      }
+    }
+    if (Abandoned)
+      co_return exchange_end{attempt_failure::BrokenMidway, {}};
+    if (Feed->done())
+      break;
+    if (!co_await readMore())
+      co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
+                                                               : attempt_failure::BrokenMidway,
+                             {}};
+  }
+  if (!co_await Call->Caller->writeEnd())
+    Context.noteCallerGone(*Call);
+  Call->Stage = answer_stage::Ended;
+  co_return exchange_end{std::nullopt, usageIn(Tail)};
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/relay/call_error.cpp
@@ -0,0 +1,153 @@
+/** @file call_error.cpp The table from outcomes to HTTP statuses, and the error body. */
+#include "relay/call_error_func.h"
+
+#include <boost/json.hpp>
+
+#include <array>
+
+namespace pollenstall {
+
+namespace {
+
+/// How one reason is told. A caller's client library retries by the status, so that a status that
+/// libraries retry (429, 503) stands only where nothing was run.
+struct reason_row {
+  failure_reason Reason;
+  std::string_view Code;
+  unsigned NotRunStatus;
+  unsigned UnknownStatus;
+  std::string_view Message;
+};
+
+constexpr unsigned Conflict = 409;
+constexpr unsigned TooManyRequests = 429;
+constexpr unsigned BadGateway = 502;
+constexpr unsigned Unavailable = 503;
+constexpr unsigned GatewayTimeout = 504;
+constexpr unsigned ClientClosed = 499;
+
+constexpr std::array ReasonTable{
+    reason_row{failure_reason::None, "none", Unavailable, BadGateway, "The call did not complete."},
+    reason_row{failure_reason::QueueFull, "queue_full", TooManyRequests, BadGateway,
+               "Too many requests are waiting."},
+    reason_row{failure_reason::AccountLimit, "account_limit", TooManyRequests, BadGateway,
+               "Too many requests of this client account are waiting."},
+    reason_row{failure_reason::DeadlineUnmeetable, "deadline_unmeetable", Unavailable,
+               GatewayTimeout, "The request could not finish within its time."},
+    reason_row{failure_reason::DeadlineExceeded, "deadline_exceeded", GatewayTimeout,
+               GatewayTimeout, "The request's time ran out."},
+    reason_row{failure_reason::NoBackend, "no_backend", Unavailable, BadGateway,
+               "No backend server can take the request now."},
+    reason_row{failure_reason::TooLargeForFleet, "too_large_for_fleet", Unavailable, BadGateway,
+               "No engine of this fleet has the memory for the prompt."},
+    reason_row{failure_reason::NotReady, "not_ready", Unavailable, BadGateway,
+               "This entry has no configuration in force."},
+    reason_row{failure_reason::ClaimUnavailable, "claim_unavailable", Unavailable, BadGateway,
+               "The idempotency key could not be recorded durably."},
+    reason_row{failure_reason::AlreadyRunning, "already_running", Conflict, Conflict,
+               "An earlier send with this idempotency key was started; its end is not known."},
+    reason_row{failure_reason::AlreadyComplete, "already_complete", Conflict, Conflict,
+               "An earlier send with this idempotency key has completed."},
+    reason_row{failure_reason::BackendFailed, "backend_failed", Unavailable, BadGateway,
+               "The backend server failed."},
+    reason_row{failure_reason::RetriesExhausted, "retries_exhausted", Unavailable, BadGateway,
+               "Every attempt failed."},
+    reason_row{failure_reason::CallerLeft, "caller_left", ClientClosed, ClientClosed,
+               "The caller closed the connection."},
+    reason_row{failure_reason::ShuttingDown, "shutting_down", Unavailable, BadGateway,
+               "This entry is stopping."},
+};
+
+const reason_row &rowOf(failure_reason Reason) {
+  for (const reason_row &Row : ReasonTable)
+    if (Row.Reason == Reason)
+      return Row;
+  return ReasonTable.front();
+}
+
+std::string_view typeOf(unsigned Status) {
+  switch (Status) {
+  case Conflict:
+    return "conflict_error";
+  case TooManyRequests:
+    return "rate_limit_error";
+  case Unavailable:
+    return "unavailable_error";
+  case GatewayTimeout:
+    return "timeout_error";
+  default:
+    return "server_error";
+  }
+}
+
+std::string_view outcomeSentence(final_outcome Outcome) {
+  switch (Outcome) {
+  case final_outcome::NotRun:
+    return " It was not run.";
+  case final_outcome::Unknown:
+    return " It may have been run.";
+  default:
+    return "";
+  }
+}
+
+} // namespace
+
+call_error refusal(unsigned Status, std::string Type, std::string Code, std::string Field,
+                   std::string Message) {
+  return {Status,
+          std::move(Type),
+          std::move(Code),
+          std::move(Field),
+          std::move(Message),
+          final_outcome::NotRun,
+          {}};
+}
+
+call_error invalidField(std::string Field, std::string Message) {
+  constexpr unsigned BadRequest = 400;
+  return refusal(BadRequest, "invalid_request_error", "invalid_value", std::move(Field),
+                 std::move(Message));
+}
+
+call_error errorFor(const finish_request &Finish) {
+  const reason_row &Row = rowOf(Finish.Reason);
+  const unsigned Status =
+      Finish.Outcome == final_outcome::NotRun ? Row.NotRunStatus : Row.UnknownStatus;
+  call_error Error;
+  Error.Status = Status;
+  Error.Type = typeOf(Status);
+  Error.Code = Row.Code;
+  Error.Message = std::string(Row.Message) + std::string(outcomeSentence(Finish.Outcome));
+  Error.Outcome = Finish.Outcome;
+  Error.RetryAfter = Finish.RetryAfter;
+  return Error;
+}
+
+std::string errorBody(const call_error &Error) {
+  boost::json::object Inner;
+  Inner["message"] = Error.Message;
+  Inner["type"] = Error.Type;
+  Inner["code"] = Error.Code;
+  Inner["param"] =
+      Error.Field.empty() ? boost::json::value(nullptr) : boost::json::value(Error.Field);
+  Inner["outcome"] = outcomeText(Error.Outcome);
+  boost::json::object Body;
+  Body["error"] = std::move(Inner);
+  return boost::json::serialize(Body);
+}
+
+std::string_view outcomeText(final_outcome Outcome) {
+  switch (Outcome) {
+  case final_outcome::Complete:
+    return "complete";
+  case final_outcome::NotRun:
+    return "not-run";
+  default:
+    return "unknown";
+  }
+}
+
+std::string_view reasonText(failure_reason Reason) { return rowOf(Reason).Code; }
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/relay/caller_connection.cpp
@@ -0,0 +1,217 @@
+/** @file caller_connection.cpp Bounded reads from a caller, framed writes to it. */
+#include "relay/caller_connection_base.h"
+
+#include "relay/call_error_func.h"
+#include "relay/message_feed_base.h"
+#include "relay/request_head_func.h"
+
+#include <boost/beast/http/status.hpp>
+
+#include <array>
+#include <charconv>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view HeadEnd = "\r\n\r\n";
+constexpr std::string_view LineEnd = "\r\n";
+constexpr std::string_view LastChunk = "0\r\n\r\n";
+constexpr std::string_view ContinueAnswer = "HTTP/1.1 100 Continue\r\n\r\n";
+constexpr std::string_view ChunkedHead =
+    "POST / HTTP/1.1\r\nHost: -\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+constexpr unsigned RequestTimeout = 408;
+constexpr unsigned TooLarge = 413;
+constexpr unsigned HeadersTooLarge = 431;
+
+call_error bodyTooLarge(std::size_t Limit) {
+  return refusal(TooLarge, "invalid_request_error", "body_too_large", "body",
+                 "must not be larger than " + std::to_string(Limit) + " bytes");
+}
+
+/// A chunk's size line, without allocation.
+class chunk_size_line {
+public:
+  explicit chunk_size_line(std::size_t Size) {
+    constexpr int Hexadecimal = 16;
+    char *End =
+        std::to_chars(Text.data(), Text.data() + Text.size() - LineEnd.size(), Size, Hexadecimal)
+            .ptr;
+    End = std::copy(LineEnd.begin(), LineEnd.end(), End);
+    Length = static_cast<std::size_t>(End - Text.data());
+  }
+  [[nodiscard]] asio::const_buffer buffer() const { return {Text.data(), Length}; }
+
+private:
+  std::array<char, 20> Text{};
+  std::size_t Length{0};
+};
+
+asio::const_buffer bufferOf(std::string_view Text) { return {Text.data(), Text.size()}; }
+
+std::string headText(const answer_head &Head) {
+  std::string Text = "HTTP/1.1 " + std::to_string(Head.Status) + " " + statusText(Head.Status);
+  Text += LineEnd;
+  for (const header_line &Line : Head.Headers)
+    Text += Line.Name + ": " + Line.Value + std::string(LineEnd);
+  if (Head.Framing == answer_framing::Chunked)
+    Text += "Transfer-Encoding: chunked\r\n";
+  if (Head.Framing == answer_framing::Length || Head.Length > 0)
+    Text += "Content-Length: " + std::to_string(Head.Length) + std::string(LineEnd);
+  Text += Head.Close ? "Connection: close\r\n\r\n" : "\r\n";
+  return Text;
+}
+
+} // namespace
+
+std::string statusText(unsigned Status) {
+  if (Status == 499)
+    return "Client Closed Request";
+  const auto Known = boost::beast::http::int_to_status(Status);
+  return std::string(boost::beast::http::obsolete_reason(Known));
+}
+
+caller_connection::caller_connection(socket_sweeper &Sweeper, asio::ip::tcp::socket Open,
+                                     const relay_limits &Bounds)
+    : Limits(Bounds), Socket(Sweeper, std::move(Open)) {}
+
+call_error caller_connection::slowError(std::string_view What) const {
+  return refusal(RequestTimeout, "invalid_request_error", "request_timeout", std::string(What),
+                 "did not arrive in time");
+}
+
+asio::awaitable<std::variant<request_head, call_error, connection_ended>>
+caller_connection::readHead() {
+  bool Started = !Inbox.empty();
+  const auto FirstLimit = Started ? Limits.HeaderTimeout : Limits.IdleTimeout;
+  Socket.expireAt(boot_clock::now() + FirstLimit);
+  std::size_t End = Inbox.find(HeadEnd);
+  while (End == std::string::npos) {
+    if (Inbox.size() > Limits.HeaderBytes)
+      break;
+    const std::string_view Read = co_await Socket.readSome();
+    if (Read.empty() && Started && Socket.expired())
+      co_return slowError("headers");
+    if (Read.empty())
+      co_return connection_ended{};
+    if (!Started)
+      Socket.expireAt(boot_clock::now() + Limits.HeaderTimeout);
+    Started = true;
+    const std::size_t From = Inbox.size() < HeadEnd.size() ? 0 : Inbox.size() - HeadEnd.size();
+    Inbox.append(Read);
+    End = Inbox.find(HeadEnd, From);
+  }
+  Socket.expireNever();
+  if (End == std::string::npos || End > Limits.HeaderBytes)
+    co_return refusal(HeadersTooLarge, "invalid_request_error", "headers_too_large", "headers",
+                      "must not be larger than " + std::to_string(Limits.HeaderBytes) + " bytes");
+  const std::size_t HeadSize = End + HeadEnd.size();
+  auto Head = readRequestHead(std::string_view(Inbox).substr(0, HeadSize));
+  Inbox.erase(0, HeadSize);
+  if (!succeeded(Head))
+    co_return errorOf(Head);
+  co_return std::move(valueOf(Head));
+}
+
+asio::awaitable<bool> caller_connection::writeContinue() {
+  const std::array Buffers{bufferOf(ContinueAnswer)};
+  co_return co_await write(Buffers);
+}
+
+asio::awaitable<std::variant<std::string, call_error, connection_ended>>
+caller_connection::readBody(const request_head &Head, std::size_t Limit) {
+  if (Head.ContentLength > Limit)
+    co_return bodyTooLarge(Limit);
+  const bool HasBody = Head.Chunked || Head.ContentLength > 0;
+  if (HasBody && Head.ExpectsContinue && Inbox.empty() && !co_await writeContinue())
+    co_return connection_ended{};
+  if (!HasBody)
+    co_return std::string();
+  Socket.expireAt(boot_clock::now() + Limits.BodyTimeout);
+  if (Head.Chunked)
+    co_return co_await readChunked(Limit);
+  std::string Body;
+  Body.reserve(Head.ContentLength);
+  const std::size_t Ready = std::min(Inbox.size(), Head.ContentLength);
+  Body.append(Inbox, 0, Ready);
+  Inbox.erase(0, Ready);
+  const bool Whole = co_await Socket.readInto(Body, Head.ContentLength - Ready);
+  Socket.expireNever();
+  if (!Whole && Socket.expired())
+    co_return slowError("body");
+  if (!Whole)
+    co_return connection_ended{};
+  co_return std::move(Body);
+}
+
+asio::awaitable<std::variant<std::string, call_error, connection_ended>>
+caller_connection::readChunked(std::size_t Limit) {
+  message_feed<true> Feed(Limits.HeaderBytes);
+  bool Valid = Feed.feed(ChunkedHead) && Feed.feed(Inbox);
+  Inbox.clear();
+  while (Valid && !Feed.done() && Feed.body().size() <= Limit) {
+    const std::string_view Read = co_await Socket.readSome();
+    if (Read.empty() && Socket.expired())
+      co_return slowError("body");
+    if (Read.empty())
+      co_return connection_ended{};
+    Valid = Feed.feed(Read);
+  }
+  Socket.expireNever();
+  if (!Valid)
+    co_return invalidField("body", "is not validly chunked");
+  if (Feed.body().size() > Limit)
+    co_return bodyTooLarge(Limit);
+  Inbox = Feed.takeLeft();
+  co_return std::move(Feed.body());
+}
+
+asio::awaitable<bool> caller_connection::write(std::span<const asio::const_buffer> Buffers) {
+  Socket.expireAt(boot_clock::now() + Limits.WriteStall);
+  const std::size_t Taken = co_await Socket.writeAll(Buffers);
+  Socket.expireNever();
+  co_return Taken == asio::buffer_size(Buffers);
+}
+
+asio::awaitable<bool> caller_connection::writeHead(const answer_head &Head,
+                                                   std::string_view FirstPart) {
+  Framing = Head.Framing;
+  const std::string Text = headText(Head);
+  if (Framing == answer_framing::Chunked && !FirstPart.empty()) {
+    const chunk_size_line Size(FirstPart.size());
+    const std::array Buffers{bufferOf(Text), Size.buffer(), bufferOf(FirstPart), bufferOf(LineEnd)};
+    co_return co_await write(Buffers);
+  }
+  const std::array Buffers{bufferOf(Text), bufferOf(FirstPart)};
+  co_return co_await write(Buffers);
+}
+
+asio::awaitable<bool> caller_connection::writePart(std::string_view Part) {
+  if (Part.empty() || Framing == answer_framing::None)
+    co_return true;
+  if (Framing == answer_framing::Length) {
+    const std::array Buffers{bufferOf(Part)};
+    co_return co_await write(Buffers);
+  }
+  const chunk_size_line Size(Part.size());
+  const std::array Buffers{Size.buffer(), bufferOf(Part), bufferOf(LineEnd)};
+  co_return co_await write(Buffers);
+}
+
+asio::awaitable<bool> caller_connection::writeEnd() {
+  if (Framing != answer_framing::Chunked)
+    co_return true;
+  const std::array Buffers{bufferOf(LastChunk)};
+  co_return co_await write(Buffers);
+}
+
+asio::awaitable<bool> caller_connection::writeWhole(answer_head Head, std::string_view Body) {
+  Head.Framing = answer_framing::Length;
+  Head.Length = Body.size();
+  co_return co_await writeHead(Head, Body);
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/relay/caller_session.cpp
@@ -0,0 +1,187 @@
+/** @file caller_session.cpp From a request's head to its place in the queue. */
+#include "relay/caller_session_base.h"
+
+#include "relay/attempt_head_func.h"
+#include "relay/call_error_func.h"
+#include "relay/call_plan_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr unsigned Unavailable = 503;
+constexpr std::chrono::seconds SoonAgain{1};
+/// Places of the ring kept for events of admitted work.
+constexpr std::size_t RingReserve = 1024;
+
+call_error notNow(std::string Code, std::string Message) {
+  call_error Error = refusal(Unavailable, "unavailable_error", std::move(Code), "",
+                             std::move(Message) + " It was not run.");
+  Error.RetryAfter = SoonAgain;
+  return Error;
+}
+
+void rethrow(const std::exception_ptr &Thrown) {
+  if (Thrown)
+    std::rethrow_exception(Thrown);
+}
+
+bool hasBody(const request_head &Head) { return Head.Chunked || Head.ContentLength > 0; }
+
+} // namespace
+
+caller_session::caller_session(relay_context &Shared, asio::ip::tcp::socket Open)
+    : Context(Shared),
+      Caller(std::make_shared<caller_connection>(Shared.Sweeper, std::move(Open), Shared.Limits)),
+      WatchEnded(Shared.Io) {
+  ++Context.Connections;
+  Context.Metrics.Connections.Set(static_cast<double>(Context.Connections));
+}
+
+caller_session::~caller_session() {
+  --Context.Connections;
+  Context.Metrics.Connections.Set(static_cast<double>(Context.Connections));
+}
+
+void caller_session::start() {
+  asio::co_spawn(
+      Context.Io, [Self = shared_from_this()] { return Self->run(); }, rethrow);
+}
+
+asio::awaitable<void> caller_session::run() {
+  next_step Step = next_step::Go;
+  while (Step == next_step::Go)
+    Step = co_await serveOne();
+  if (Step == next_step::CloseAfterDrain)
+    co_await Caller->socket().closeAfterDrain();
+  Caller->socket().close();
+}
+
+asio::awaitable<caller_session::next_step> caller_session::serveOne() {
+  auto Read = co_await Caller->readHead();
+  if (std::holds_alternative<connection_ended>(Read))
+    co_return next_step::Close;
+  if (auto *Error = std::get_if<call_error>(&Read)) {
+    Context.Metrics.countBadMessage();
+    co_return co_await refuse(std::move(*Error), "", next_step::CloseAfterDrain);
+  }
+  const request_head Head = std::move(std::get<request_head>(Read));
+  co_return co_await serve(Head, boot_clock::now());
+}
+
+asio::awaitable<caller_session::next_step> caller_session::serve(const request_head &Head,
+                                                                 mono_time Arrived) {
+  // A body that is not read stands before the next request's head, so the connection ends then.
+  const bool Reusable = Head.KeepAlive && !hasBody(Head);
+  const next_step After = Reusable ? next_step::Go : next_step::CloseAfterDrain;
+  if (Context.Stopping)
+    co_return co_await refuse(notNow("shutting_down", "This entry is stopping."), "",
+                              next_step::CloseAfterDrain);
+  if (!Context.Declaration)
+    co_return co_await refuse(notNow("not_ready", "This entry has no configuration in force."), "",
+                              After);
+  auto Planned = planCall(Head, Context.Declaration);
+  if (!succeeded(Planned))
+    co_return co_await refuse(errorOf(Planned), "", After);
+  const call_plan Plan = valueOf(std::move(Planned));
+  if (std::holds_alternative<models_call>(Plan.Kind))
+    co_return co_await serveModels(Plan, Head);
+  co_return co_await serveCall(Plan, Head, Arrived);
+}
+
+asio::awaitable<caller_session::next_step> caller_session::serveModels(const call_plan &Plan,
+                                                                       const request_head &Head) {
+  const bool Reusable = Head.KeepAlive && !hasBody(Head);
+  const next_step After = Reusable ? next_step::Go : next_step::CloseAfterDrain;
+  const auto Body = modelsBody(std::get<models_call>(Plan.Kind), Plan.Declaration->declaration());
+  if (!succeeded(Body))
+    co_return co_await refuse(errorOf(Body), Plan.Account.str(), After);
+  answer_head Answer;
+  Answer.Headers.push_back({"Content-Type", "application/json"});
+  Answer.Close = !Reusable;
+  const bool Written = co_await Caller->writeWhole(std::move(Answer), valueOf(Body));
+  co_return Written ? After : next_step::Close;
+}
+
+asio::awaitable<caller_session::next_step>
+caller_session::serveCall(const call_plan &Plan, const request_head &Head, mono_time Arrived) {
+  const std::size_t Announced = Head.Chunked ? Plan.BodyLimit : Head.ContentLength;
+  const bool Fits =
+      Announced > Plan.BodyLimit || Context.BodyBytes + Announced <= Context.Limits.BodyMemory;
+  if (!Fits || !Context.Outbox.hasRoom(RingReserve))
+    co_return co_await refuse(notNow("overloaded", "This entry has no room for the request now."),
+                              Plan.Account.str(), next_step::CloseAfterDrain);
+  body_share Share(Context.BodyBytes, std::min(Announced, Plan.BodyLimit));
+  auto Read = co_await Caller->readBody(Head, Plan.BodyLimit);
+  if (std::holds_alternative<connection_ended>(Read))
+    co_return next_step::Close;
+  if (auto *Error = std::get_if<call_error>(&Read))
+    co_return co_await refuse(std::move(*Error), Plan.Account.str(), next_step::CloseAfterDrain);
+  std::string Text = std::move(std::get<std::string>(Read));
+  Share.resize(Text.size());
+  const next_step After = Head.KeepAlive ? next_step::Go : next_step::CloseAfterDrain;
+  auto Planned = planBody(Plan, Head, Text, Context.Tokens, Arrived);
+  if (!succeeded(Planned))
+    co_return co_await refuse(errorOf(Planned), Plan.Account.str(), After);
+  auto Body = std::make_shared<const held_body>(held_body{std::move(Text), std::move(Share)});
+  co_return co_await carryOut(makeCall(valueOf(std::move(Planned)), Head, std::move(Body)),
+                              Head.KeepAlive);
+}
+
+std::shared_ptr<relayed_call> caller_session::makeCall(planned_call Planned,
+                                                       const request_head &Head,
+                                                       std::shared_ptr<const held_body> Body) {
+  Context.LastRequest = Context.LastRequest.next();
+  Planned.Facts.Id = Context.LastRequest;
+  auto Call = std::make_shared<relayed_call>(Context.Io, std::move(Planned), Caller);
+  Call->RequestId = Context.Self.Host.str() + "-" + std::to_string(Context.Self.Life.value()) +
+                    "-" + std::to_string(Context.LastRequest.value());
+  Call->Request.Method = Head.Method;
+  Call->Request.Target = Head.Target;
+  Call->Request.Host = Head.header("Host");
+  Call->Request.Headers = forwardedRequestHeaders(Head.Fields);
+  Call->Request.TraceParent = traceParentFrom(Head.header("traceparent"), Context.Random);
+  Call->Request.Body = std::move(Body);
+  return Call;
+}
+
+asio::awaitable<caller_session::next_step>
+caller_session::carryOut(std::shared_ptr<relayed_call> Call, bool KeepAlive) {
+  Context.Calls.emplace(Call->Facts.Id, Call);
+  Context.Metrics.OpenCalls.Set(static_cast<double>(Context.Calls.size()));
+  Context.Outbox.push(request_arrived{Call->Facts});
+  Watching = true;
+  asio::co_spawn(
+      Context.Io, [Self = shared_from_this(), Call] { return Self->watchCaller(Call); }, rethrow);
+  while (!Call->concluded())
+    co_await Call->Changed.wait();
+  co_await endWatch();
+  co_return co_await conclude(*Call, KeepAlive);
+}
+
+asio::awaitable<void> caller_session::watchCaller(std::shared_ptr<relayed_call> Call) {
+  timed_socket &Socket = Caller->socket();
+  while (!Call->concluded() && co_await Socket.waitReadable()) {
+    if (Socket.peerClosed())
+      Context.noteCallerGone(*Call);
+    if (Call->CallerGone || Socket.hasInput())
+      break; // With the next request here already, only a failing write will tell.
+  }
+  Watching = false;
+  WatchEnded.notify();
+}
+
+asio::awaitable<void> caller_session::endWatch() {
+  boost::system::error_code Ignored;
+  while (Watching) {
+    Caller->socket().raw().cancel(Ignored);
+    co_await WatchEnded.wait();
+  }
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/relay/caller_session_base.h
@@ -0,0 +1,63 @@
+/** @file caller_session_base.h Serves the requests of one caller's connection, one after another.
+ */
+#ifndef POLLENSTALL_RELAY_CALLER_SESSION_BASE_H
+#define POLLENSTALL_RELAY_CALLER_SESSION_BASE_H
+
+#include "relay/async_signal_base.h"
+#include "relay/relay_context_type.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <memory>
+#include <string>
+
+namespace pollenstall {
+
+/**
+ * Reads a request, hands its facts to the decision thread and waits for the end. While it waits it
+ * watches the caller's side: a caller that hangs up must not leave work running for nobody.
+ */
+class caller_session : public std::enable_shared_from_this<caller_session> {
+public:
+  caller_session(relay_context &Shared, boost::asio::ip::tcp::socket Open);
+  ~caller_session();
+  caller_session(const caller_session &) = delete;
+  caller_session &operator=(const caller_session &) = delete;
+
+  /// Serves until the connection ends.
+  void start();
+
+private:
+  /// Whether the connection can be used for another request.
+  enum class next_step : std::uint8_t { Go, Close, CloseAfterDrain };
+
+  boost::asio::awaitable<void> run();
+  boost::asio::awaitable<next_step> serveOne();
+  boost::asio::awaitable<next_step> serve(const request_head &Head, mono_time Arrived);
+  boost::asio::awaitable<next_step> serveModels(const call_plan &Plan, const request_head &Head);
+  boost::asio::awaitable<next_step> serveCall(const call_plan &Plan, const request_head &Head,
+                                              mono_time Arrived);
+  boost::asio::awaitable<next_step> carryOut(std::shared_ptr<relayed_call> Call, bool KeepAlive);
+  boost::asio::awaitable<next_step> conclude(relayed_call &Call, bool KeepAlive);
+  boost::asio::awaitable<next_step> refuse(call_error Error, const std::string &Account,
+                                           next_step After);
+  boost::asio::awaitable<bool> writeError(const call_error &Error, const std::string &RequestId,
+                                          bool Close);
+  boost::asio::awaitable<void> writeErrorEvent(const call_error &Error);
+  boost::asio::awaitable<void> watchCaller(std::shared_ptr<relayed_call> Call);
+  boost::asio::awaitable<void> endWatch();
+
+  std::shared_ptr<relayed_call> makeCall(planned_call Planned, const request_head &Head,
+                                         std::shared_ptr<const held_body> Body);
+  void record(const relayed_call &Call, const finish_request &Finish) const;
+  [[nodiscard]] length_class classOf(tokens Prompt) const;
+
+  relay_context &Context;
+  std::shared_ptr<caller_connection> Caller;
+  async_signal WatchEnded;
+  bool Watching{false};
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_RELAY_CALLER_SESSION_BASE_H
--- /dev/null
+++ b/src/relay/caller_session_end.cpp
@@ -0,0 +1,134 @@
+/** @file caller_session_end.cpp Tells the caller the end, and writes it down. */
+#include "relay/call_error_func.h"
+#include "relay/caller_session_base.h"
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::string_view OutcomeHeader = "X-Pollenstall-Outcome";
+
+std::chrono::milliseconds since(mono_time Start, mono_time End) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(End - Start);
+}
+
+/**
+ * The decision thread may settle on "not run" while the relay thread is handing the first byte to
+ * the kernel. What went out here is known here, so the last word is this thread's.
+ */
+finish_request withSentBytes(const relayed_call &Call) {
+  finish_request Finish = *Call.Finish;
+  const bool NoAttempt = Finish.Reason == failure_reason::AlreadyRunning ||
+                         Finish.Reason == failure_reason::AlreadyComplete;
+  if (Finish.Outcome == final_outcome::NotRun && Call.mayHaveRun() && !NoAttempt)
+    Finish.Outcome = final_outcome::Unknown;
+  if (Call.Stage == answer_stage::Ended) {
+    Finish.Outcome = final_outcome::Complete;
+    Finish.Reason = failure_reason::None;
+  }
+  return Finish;
+}
+
+} // namespace
+
+asio::awaitable<bool> caller_session::writeError(const call_error &Error,
+                                                 const std::string &RequestId, bool Close) {
+  answer_head Head;
+  Head.Status = Error.Status;
+  Head.Headers.push_back({"Content-Type", "application/json"});
+  Head.Headers.push_back({std::string(OutcomeHeader), std::string(outcomeText(Error.Outcome))});
+  if (Error.RetryAfter)
+    Head.Headers.push_back({"Retry-After", std::to_string(Error.RetryAfter->count())});
+  if (!RequestId.empty())
+    Head.Headers.push_back({"X-Request-Id", RequestId});
+  if (Error.Type == "authentication_error")
+    Head.Headers.push_back({"WWW-Authenticate", "Bearer"});
+  Head.Close = Close;
+  const std::string Body = errorBody(Error);
+  co_return co_await Caller->writeWhole(std::move(Head), Body);
+}
+
+asio::awaitable<void> caller_session::writeErrorEvent(const call_error &Error) {
+  const std::string Event = "event: error\ndata: " + errorBody(Error) + "\n\n";
+  // The last chunk is left out: whoever misses the event still finds the answer cut.
+  co_await Caller->writePart(Event);
+}
+
+asio::awaitable<caller_session::next_step>
+caller_session::refuse(call_error Error, const std::string &Account, next_step After) {
+  Context.Metrics.countRequest(Error.Outcome, Error.Code);
+  if (Context.AtCallEnd) {
+    call_record Record;
+    Record.Account = Account;
+    Record.Outcome = Error.Outcome;
+    Record.Reason = Error.Code;
+    Record.Field = Error.Field;
+    Context.AtCallEnd(Record);
+  }
+  const bool Written = co_await writeError(Error, "", After != next_step::Go);
+  co_return Written ? After : next_step::Close;
+}
+
+asio::awaitable<caller_session::next_step> caller_session::conclude(relayed_call &Call,
+                                                                    bool KeepAlive) {
+  const finish_request Finish = withSentBytes(Call);
+  record(Call, Finish);
+  Call.Request.Body.reset();
+  if (Call.CallerGone)
+    co_return next_step::Close;
+  switch (Call.Stage) {
+  case answer_stage::Ended:
+    co_return KeepAlive ? next_step::Go : next_step::Close;
+  case answer_stage::None: {
+    const bool Written = co_await writeError(errorFor(Finish), Call.RequestId, !KeepAlive);
+    co_return Written &&KeepAlive ? next_step::Go : next_step::Close;
+  }
+  case answer_stage::Stream:
+    co_await writeErrorEvent(errorFor(Finish));
+    co_return next_step::CloseAfterDrain;
+  default:
+    // Part of an answer of known length is there already: only a reset says that it is cut.
+    Caller->socket().abort();
+    co_return next_step::Close;
+  }
+}
+
+length_class caller_session::classOf(tokens Prompt) const {
+  if (!Context.Declaration)
+    return length_class::Short;
+  const policy_declaration &Policy = Context.Declaration->declaration().Policy;
+  if (Prompt < Policy.ShortBelow)
+    return length_class::Short;
+  return Prompt < Policy.LongFrom ? length_class::Medium : length_class::Long;
+}
+
+void caller_session::record(const relayed_call &Call, const finish_request &Finish) const {
+  const mono_time Now = boot_clock::now();
+  const std::string Reason(reasonText(Finish.Reason));
+  Context.Metrics.countRequest(Finish.Outcome, Reason);
+  if (Call.FirstByte)
+    Context.Metrics.observeFirstToken(
+        classOf(Call.Facts.Prompt),
+        std::chrono::duration<double>(*Call.FirstByte - Call.Facts.Arrived).count());
+  if (!Context.AtCallEnd)
+    return;
+  call_record Record;
+  Record.RequestId = Call.RequestId;
+  Record.Account = Call.Facts.Account.str();
+  Record.Service = Call.Facts.Service.str();
+  if (Call.LastBackend)
+    Record.Backend = toText(*Call.LastBackend);
+  if (Call.LastAttempt)
+    Record.Attempt = toText(*Call.LastAttempt);
+  Record.Outcome = Finish.Outcome;
+  Record.Reason = Reason;
+  Record.Prompt = Call.Facts.Prompt;
+  Record.Took = since(Call.Facts.Arrived, Now);
+  if (Call.FirstByte)
+    Record.FirstByteAfter = since(Call.Facts.Arrived, *Call.FirstByte);
+  Context.AtCallEnd(Record);
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/relay/relay_metrics.cpp
@@ -0,0 +1,80 @@
+/** @file relay_metrics.cpp Names and buckets of the data plane's metrics. */
+#include "relay/relay_metrics_base.h"
+
+#include "relay/call_error_func.h"
+
+namespace pollenstall {
+
+namespace {
+
+template <typename Builder>
+auto &familyOf(Builder Build, const char *Name, const char *Help, prometheus::Registry &Registry) {
+  return Build().Name(Name).Help(Help).Register(Registry);
+}
+
+prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return familyOf(prometheus::BuildGauge, Name, Help, Registry).Add({});
+}
+
+prometheus::Counter &counter(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return familyOf(prometheus::BuildCounter, Name, Help, Registry).Add({});
+}
+
+prometheus::Histogram::BucketBoundaries firstTokenBuckets() {
+  return {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300};
+}
+
+} // namespace
+
+std::string lengthClassText(length_class Class) {
+  switch (Class) {
+  case length_class::Short:
+    return "short";
+  case length_class::Medium:
+    return "medium";
+  default:
+    return "long";
+  }
+}
+
+relay_metrics::relay_metrics(prometheus::Registry &Registry)
+    : Connections(gauge(Registry, "pollenstall_caller_connections", "Open callers' connections")),
+      OpenCalls(gauge(Registry, "pollenstall_open_requests", "Requests without a final answer")),
+      OpenStreams(gauge(Registry, "pollenstall_open_streams", "Streams being relayed")),
+      BodyBytes(gauge(Registry, "pollenstall_body_bytes", "Bytes of request bodies held")),
+      Requests(familyOf(prometheus::BuildCounter, "pollenstall_requests_total",
+                        "Requests by outcome and reason", Registry)),
+      AttemptEnds(familyOf(prometheus::BuildCounter, "pollenstall_attempt_ends_total",
+                           "Ends of attempts by result", Registry)),
+      FirstTokens(familyOf(prometheus::BuildHistogram, "pollenstall_first_token_seconds",
+                           "From arrival to the first byte of the answer, by length class",
+                           Registry)),
+      Attempts(counter(Registry, "pollenstall_attempts_total", "Attempts started")),
+      Events(counter(Registry, "pollenstall_relayed_events_total", "Token events relayed")),
+      AnswerBytes(counter(Registry, "pollenstall_answer_bytes_total", "Bytes of answers relayed")),
+      BadMessages(counter(Registry, "pollenstall_refused_messages_total",
+                          "Callers' messages that were not valid HTTP")) {
+  for (const length_class Class : {length_class::Short, length_class::Medium, length_class::Long})
+    FirstTokenByClass[static_cast<std::size_t>(Class)] =
+        &FirstTokens.Add({{"class", lengthClassText(Class)}}, firstTokenBuckets());
+}
+
+void relay_metrics::countRequest(final_outcome Outcome, const std::string &Reason) {
+  prometheus::Counter *&Found = RequestByKey[{Outcome, Reason}];
+  if (Found == nullptr)
+    Found = &Requests.Add({{"outcome", std::string(outcomeText(Outcome))}, {"reason", Reason}});
+  Found->Increment();
+}
+
+void relay_metrics::countAttemptEnd(const std::string &Result) {
+  prometheus::Counter *&Found = AttemptByResult[Result];
+  if (Found == nullptr)
+    Found = &AttemptEnds.Add({{"result", Result}});
+  Found->Increment();
+}
+
+void relay_metrics::observeFirstToken(length_class Class, double Seconds) {
+  FirstTokenByClass[static_cast<std::size_t>(Class)]->Observe(Seconds);
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/relay/relay_metrics_base.h
@@ -0,0 +1,61 @@
+/** @file relay_metrics_base.h What the data plane counts for Prometheus. */
+#ifndef POLLENSTALL_RELAY_RELAY_METRICS_BASE_H
+#define POLLENSTALL_RELAY_RELAY_METRICS_BASE_H
+
+#include "dispatch/dispatch_type.h"
+#include "scheduling/scheduling_type.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <array>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace pollenstall {
+
+/// Counters are looked up once; on the token path one costs an atomic addition.
+class relay_metrics {
+public:
+  explicit relay_metrics(prometheus::Registry &Registry);
+
+  /// A request ended; refused ones that reached no queue included.
+  void countRequest(final_outcome Outcome, const std::string &Reason);
+  void countAttempt() { Attempts.Increment(); }
+  /// @param Result "complete", or the failure in lower snake case.
+  void countAttemptEnd(const std::string &Result);
+  void countEvents(std::uint64_t Count) { Events.Increment(static_cast<double>(Count)); }
+  void countAnswerBytes(std::size_t Count) { AnswerBytes.Increment(static_cast<double>(Count)); }
+  void countBadMessage() { BadMessages.Increment(); }
+  void observeFirstToken(length_class Class, double Seconds);
+
+  prometheus::Gauge &Connections; ///< Callers' connections.
+  prometheus::Gauge &OpenCalls;   ///< Requests without a final answer.
+  prometheus::Gauge &OpenStreams; ///< Streams being relayed.
+  prometheus::Gauge &BodyBytes;   ///< Held in request bodies.
+
+private:
+  using request_key = std::pair<final_outcome, std::string>;
+
+  prometheus::Family<prometheus::Counter> &Requests;
+  prometheus::Family<prometheus::Counter> &AttemptEnds;
+  prometheus::Family<prometheus::Histogram> &FirstTokens;
+  prometheus::Counter &Attempts;
+  prometheus::Counter &Events;
+  prometheus::Counter &AnswerBytes;
+  prometheus::Counter &BadMessages;
+  std::array<prometheus::Histogram *, 3> FirstTokenByClass{};
+  std::map<request_key, prometheus::Counter *> RequestByKey;
+  std::map<std::string, prometheus::Counter *> AttemptByResult;
+};
+
+/// @return "short", "medium" or "long".
+std::string lengthClassText(length_class Class);
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_RELAY_RELAY_METRICS_BASE_H
--- /dev/null
+++ b/src/relay/timed_socket.cpp
@@ -0,0 +1,168 @@
+/** @file timed_socket.cpp Reads, writes and deadlines of sockets. */
+#include "relay/timed_socket_base.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <sys/socket.h>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+using error_code = boost::system::error_code;
+
+namespace {
+
+constexpr std::chrono::milliseconds SweepInterval{50};
+constexpr std::chrono::seconds DrainLimit{1};
+constexpr std::size_t ReadBufferBytes = 64U << 10U;
+
+/// What a look at the input without taking it shows.
+enum class input_state : std::uint8_t { Nothing, Bytes, Closed };
+
+input_state peek(int Handle) {
+  char Byte = 0;
+  const ssize_t Got = recv(Handle, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (Got > 0)
+    return input_state::Bytes;
+  const bool Empty = Got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+  return Empty ? input_state::Nothing : input_state::Closed;
+}
+
+/// @return The buffers without their first Count bytes.
+std::vector<asio::const_buffer> withoutFirst(std::span<const asio::const_buffer> Buffers,
+                                             std::size_t Count) {
+  std::vector<asio::const_buffer> Left;
+  for (const asio::const_buffer &Buffer : Buffers) {
+    const std::size_t Skip = std::min(Count, Buffer.size());
+    Count -= Skip;
+    if (Skip < Buffer.size())
+      Left.push_back(Buffer + Skip);
+  }
+  return Left;
+}
+
+} // namespace
+
+timed_socket::timed_socket(socket_sweeper &Owner, asio::ip::tcp::socket Open)
+    : Sweeper(Owner), Socket(std::move(Open)) {
+  error_code Ignored;
+  Socket.non_blocking(true, Ignored);
+  Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
+  Sweeper.Sockets.push_back(*this);
+}
+
+asio::awaitable<bool> timed_socket::waitReadable() {
+  if (Expired)
+    co_return false;
+  error_code Code;
+  co_await Socket.async_wait(asio::ip::tcp::socket::wait_read,
+                             asio::redirect_error(asio::use_awaitable, Code));
+  co_return !Code;
+}
+
+asio::awaitable<std::string_view> timed_socket::readSome() {
+  while (co_await waitReadable()) {
+    error_code Code;
+    const std::span<char> Into = Sweeper.readBuffer();
+    const std::size_t Got = Socket.read_some(asio::buffer(Into.data(), Into.size()), Code);
+    if (Code == asio::error::would_block)
+      continue;
+    co_return Code ? std::string_view() : std::string_view(Into.data(), Got);
+  }
+  co_return std::string_view();
+}
+
+asio::awaitable<bool> timed_socket::readInto(std::string &Into, std::size_t Count) {
+  std::size_t At = Into.size();
+  const std::size_t Wanted = At + Count;
+  Into.resize(Wanted);
+  while (At < Wanted) {
+    error_code Code;
+    At += Socket.read_some(asio::buffer(Into.data() + At, Wanted - At), Code);
+    if (Code == asio::error::would_block) {
+      if (!co_await waitReadable())
+        co_return false;
+    } else if (Code) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+asio::awaitable<std::size_t> timed_socket::writeAll(std::span<const asio::const_buffer> Buffers) {
+  if (Expired)
+    co_return 0;
+  const std::size_t Total = asio::buffer_size(Buffers);
+  error_code Code;
+  const std::size_t Taken = Socket.write_some(Buffers, Code);
+  if (Taken == Total || (Code && Code != asio::error::would_block))
+    co_return Taken;
+  const std::vector<asio::const_buffer> Left = withoutFirst(Buffers, Taken);
+  const std::size_t Rest =
+      co_await asio::async_write(Socket, Left, asio::redirect_error(asio::use_awaitable, Code));
+  co_return Taken + Rest;
+}
+
+bool timed_socket::peerClosed() {
+  return !Socket.is_open() || peek(Socket.native_handle()) == input_state::Closed;
+}
+
+bool timed_socket::hasInput() {
+  return Socket.is_open() && peek(Socket.native_handle()) == input_state::Bytes;
+}
+
+asio::awaitable<void> timed_socket::closeAfterDrain() {
+  error_code Ignored;
+  Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
+  expireAt(boot_clock::now() + DrainLimit);
+  while (!(co_await readSome()).empty()) {
+  }
+  close();
+}
+
+void timed_socket::close() {
+  error_code Ignored;
+  Socket.close(Ignored);
+}
+
+void timed_socket::abort() {
+  error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  Socket.close(Ignored);
+}
+
+void timed_socket::expire() {
+  expireNever();
+  Expired = true;
+  error_code Ignored;
+  Socket.cancel(Ignored);
+}
+
+socket_sweeper::socket_sweeper(asio::io_context &Context)
+    : Io(Context), Timer(Context), Buffer(ReadBufferBytes) {}
+
+void socket_sweeper::start() {
+  Timer.expires_after(SweepInterval);
+  Timer.async_wait([this](const error_code &Code) {
+    if (Code || Stopped)
+      return;
+    sweep();
+    start();
+  });
+}
+
+void socket_sweeper::stop() {
+  Stopped = true;
+  Timer.cancel();
+}
+
+void socket_sweeper::sweep() {
+  const mono_time Now = boot_clock::now();
+  for (timed_socket &Socket : Sockets)
+    if (Socket.Deadline <= Now)
+      Socket.expire();
+}
+
+} // namespace pollenstall
