--- a/src/scheduling/scheduler_attempt.cpp
+++ b/src/scheduling/scheduler_attempt.cpp
@@ -144,7 +144,7 @@
   Record->LastProgress = Now;
 }
 
-void scheduler::learnFromEnd(const open_ticket &Ticket, const attempt_end &End) {
+void scheduler::learnFromEnd(const open_ticket &Ticket, const attempt_report &End) {
   if (!End.Completed)
     return;
   const auto Prompt = static_cast<double>(Ticket.Prompt.value());
@@ -161,7 +161,7 @@
   Queue.correct(Ticket.Account, -FoundShare * Prompt / Pool.typicalRate());
 }
 
-void scheduler::attemptEnded(const attempt_id &Attempt, const attempt_end &End, mono_time Now) {
+void scheduler::attemptEnded(const attempt_id &Attempt, const attempt_report &End, mono_time Now) {
   const auto Found = ByAttempt.find(Attempt);
   if (Found == ByAttempt.end())
     return;
--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -68,7 +68,7 @@
   void attemptAnswering(const attempt_id &Attempt, mono_time Now);
   void attemptAdvanced(const attempt_id &Attempt, std::uint64_t Events, mono_time Now);
   /// The server holds nothing of the attempt any more: it completed, or a cancel was confirmed.
-  void attemptEnded(const attempt_id &Attempt, const attempt_end &End, mono_time Now);
+  void attemptEnded(const attempt_id &Attempt, const attempt_report &End, mono_time Now);
   /**
    * The attempt failed and its server has not yet confirmed that it holds nothing. Its memory
    * stays reserved until attemptEnded(); calling this first is optional.
@@ -151,7 +151,7 @@
   void reportToLedgers(backend_record &Record);
   void blame(open_ticket &Ticket, mono_time Now);
   void blameStalled(mono_time Now);
-  void learnFromEnd(const open_ticket &Ticket, const attempt_end &End);
+  void learnFromEnd(const open_ticket &Ticket, const attempt_report &End);
 
   scheduler_settings Settings;
   random_source Random;
--- a/src/scheduling/scheduling_type.h
+++ b/src/scheduling/scheduling_type.h
@@ -64,7 +64,7 @@
 };
 
 /// How an attempt ended, as far as the scheduler learns from it.
-struct attempt_end {
+struct attempt_report {
   bool Completed{false};
   std::optional<attempt_failure> Failure; ///< Nothing where the server is not to blame.
   std::optional<tokens> PromptTokens;     ///< As the engine counted.
--- a/tests/scheduling/scheduler_fixture.h
+++ b/tests/scheduling/scheduler_fixture.h
@@ -91,13 +91,13 @@
   }
 
   void complete(const attempt_id &Attempt) {
-    attempt_end End;
+    attempt_report End;
     End.Completed = true;
     Scheduler.attemptEnded(Attempt, End, Now);
   }
 
   void fail(const attempt_id &Attempt, attempt_failure Failure) {
-    attempt_end End;
+    attempt_report End;
     End.Failure = Failure;
     Scheduler.attemptEnded(Attempt, End, Now);
   }
