--- /dev/null
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -0,0 +1,199 @@
+/** @file decision_seam.cpp What dispatcher and scheduler tell each other. */
+#include "decision_seam_base.h"
+
+#include "dispatch_dump_func.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+
+dispatcher buildDispatcher(process_key Self, std::uint64_t Seed, dispatch_seam Hooks) {
+  auto Built = dispatcher_builder()
+                   .process(std::move(Self))
+                   .limits({})
+                   .seed(Seed)
+                   .seam(std::move(Hooks))
+                   .build();
+  requireInvariant(succeeded(Built), "the dispatcher has all it needs");
+  return valueOf(std::move(Built));
+}
+
+attempt_report reportOf(const attempt_ending &Ending) {
+  attempt_report Report;
+  Report.Completed = Ending.End == attempt_end::Completed;
+  Report.Failure = Ending.Failure;
+  Report.PromptTokens = Ending.PromptTokens;
+  Report.AnswerTokens = Ending.AnswerTokens;
+  Report.CachedTokens = Ending.CachedTokens;
+  return Report;
+}
+
+} // namespace
+
+decision_seam::decision_seam(process_key Self, std::uint64_t Seed)
+    : Scheduler(scheduler_builder().seed(Seed).host(Self.Host).build()),
+      Dispatcher(buildDispatcher(Self, Seed, hooks())) {}
+
+dispatch_seam decision_seam::hooks() {
+  dispatch_seam Hooks;
+  Hooks.Submit = [this](const work_item &Item, mono_time Now) {
+    PollDue = true;
+    auto Taken = Scheduler.submit(Item, Now);
+    if (succeeded(Taken))
+      Waiting.insert_or_assign(Item.Request, Item);
+    return Taken;
+  };
+  Hooks.Withdraw = [this](request_number Request) {
+    Waiting.erase(Request);
+    Scheduler.withdraw(Request);
+  };
+  Hooks.AttemptStarted = [this](const attempt_start &Start, mono_time Now) {
+    noteStart(Start, Now);
+  };
+  Hooks.AttemptAnswering = [this](const attempt_id &Attempt, mono_time Now) {
+    PollDue = true;
+    Scheduler.attemptAnswering(Attempt, Now);
+  };
+  Hooks.AttemptAdvanced = [this](const attempt_id &Attempt, std::uint64_t Events, mono_time Now) {
+    Scheduler.attemptAdvanced(Attempt, Events, Now);
+  };
+  Hooks.AttemptAbandoned = [this](const attempt_id &Attempt,
+                                  std::optional<attempt_failure> Failure, mono_time Now) {
+    if (Failure)
+      Scheduler.attemptBroken(Attempt, *Failure, Now);
+  };
+  Hooks.AttemptEnded = [this](const attempt_ending &Ending, mono_time Now) {
+    noteEnd(Ending, Now);
+  };
+  Hooks.GroupsFor = [this](const request_facts &Facts) { return groupsFor(Facts); };
+  Hooks.Resumes = [this](const backend_key &Backend) {
+    const auto Found = Backends.find(Backend);
+    return Found != Backends.end() && Found->second.Announcement.Capabilities.Resumes;
+  };
+  return Hooks;
+}
+
+std::vector<candidate_group> decision_seam::groupsFor(const request_facts &Facts) const {
+  if (!Declaration)
+    return {};
+  const selector_input Input{Facts.Service, Facts.Model, Facts.Account, Facts.Headers,
+                             Facts.Prompt};
+  std::vector<candidate_group> Groups;
+  if (const selector_declaration *Selector = Declaration->select(Input))
+    for (const group_share &Share : Selector->Groups)
+      Groups.push_back({Share.Group, Share.Weight});
+  return Groups;
+}
+
+void decision_seam::noteStart(const attempt_start &Start, mono_time Now) {
+  const auto Found = Waiting.find(Start.Request);
+  requireInvariant(Found != Waiting.end(), "an attempt starts for work that was submitted");
+  const work_item Item = std::move(Found->second);
+  Waiting.erase(Found);
+  Scheduler.attemptStarted(Start.Attempt, Item, Start.Backend, Now);
+}
+
+void decision_seam::noteEnd(const attempt_ending &Ending, mono_time Now) {
+  PollDue = true;
+  Scheduler.attemptEnded(Ending.Attempt, reportOf(Ending), Now);
+}
+
+void decision_seam::useDeclaration(declaration_view View) {
+  Declaration = std::move(View);
+  Scheduler.applyDeclaration(Declaration->declaration());
+  Dispatcher.applyLimits(Declaration->declaration().Limits);
+  PollDue = true;
+}
+
+backend_view decision_seam::withDrain(backend_view View) const {
+  const bool Drains = Drained.contains(View.Announcement.Key.Address);
+  if (Drains && View.Standing == backend_standing::Active)
+    View.Standing = backend_standing::Leaving;
+  return View;
+}
+
+void decision_seam::useDrains(const std::vector<backend_address> &Addresses, mono_time Now) {
+  Drained = std::set<backend_address>(Addresses.begin(), Addresses.end());
+  for (const auto &[Key, View] : Backends)
+    Scheduler.updateBackend(withDrain(View), Now);
+  PollDue = true;
+}
+
+void decision_seam::noteBackend(const backend_view &View, mono_time Now) {
+  const backend_key &Key = View.Announcement.Key;
+  const auto Before = Backends.find(Key);
+  const bool WasLost =
+      Before != Backends.end() && Before->second.Standing == backend_standing::Lost;
+  Backends.insert_or_assign(Key, View);
+  Scheduler.updateBackend(withDrain(View), Now);
+  if (View.Standing == backend_standing::Lost && !WasLost)
+    Dispatcher.backendLost(Key, Now);
+  PollDue = true;
+}
+
+void decision_seam::noteGone(const backend_key &Backend, mono_time Now) {
+  Dispatcher.backendGone(Backend, Now);
+  Scheduler.removeBackend(Backend, Now);
+  Backends.erase(Backend);
+  PollDue = true;
+}
+
+void decision_seam::take(const membership_action &Action, mono_time Now) {
+  std::visit(overloaded{[this, Now](const backend_changed &Change) { noteBackend(Change.View, Now); },
+                        [this, Now](const backend_gone &Gone) { noteGone(Gone.Key, Now); },
+                        [this](const views_fresh &Fresh) { FreshUntil = Fresh.Until; },
+                        [](const auto &) {}},
+             Action);
+}
+
+void decision_seam::take(const dispatch_event &Event, mono_time Now) {
+  Dispatcher.handle(Event, Now);
+}
+
+void decision_seam::setReady(bool Ready) { Dispatcher.setReady(Ready); }
+
+void decision_seam::beginShutdown(mono_time Now, mono_span Limit) {
+  Dispatcher.beginShutdown(Now, Limit);
+}
+
+void decision_seam::place(mono_time Now) {
+  PollDue = false;
+  const poll_outcome Outcome = Scheduler.poll(Now);
+  for (const work_placement &Placement : Outcome.Placements)
+    Dispatcher.place(Placement, Now);
+  for (const work_expiry &Expiry : Outcome.Expiries) {
+    Waiting.erase(Expiry.Request);
+    Dispatcher.expire(Expiry, Now);
+  }
+}
+
+std::vector<dispatch_action> decision_seam::step(mono_time Now) {
+  Dispatcher.advance(Now);
+  const auto Wake = Scheduler.nextWake();
+  // On old views a server that has said it leaves could still be given work.
+  if (Now <= FreshUntil && (PollDue || (Wake && *Wake <= Now)))
+    place(Now);
+  return Dispatcher.takeActions();
+}
+
+std::optional<mono_time> decision_seam::nextWake() const {
+  std::optional<mono_time> Next = Dispatcher.nextWake();
+  const auto Poll = Scheduler.nextWake();
+  if (Poll && (!Next || *Poll < *Next))
+    Next = Poll;
+  return Next;
+}
+
+bool decision_seam::takesCancels(const backend_key &Backend) const {
+  const auto Found = Backends.find(Backend);
+  return Found == Backends.end() || Found->second.Announcement.Capabilities.Model;
+}
+
+std::string decision_seam::dump(mono_time Now) const {
+  return R"({"dispatch":)" + dumpText(Dispatcher.dump(Now)) + R"(,"scheduling":)" +
+         Scheduler.dump() + "}";
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -0,0 +1,71 @@
+/** @file decision_seam_base.h Joins dispatcher, scheduler and selectors; no thread, no clock. */
+#ifndef POLLENSTALL_ENTRY_DECISION_SEAM_BASE_H
+#define POLLENSTALL_ENTRY_DECISION_SEAM_BASE_H
+
+#include "declaration/declaration.h"
+#include "dispatch/dispatch.h"
+#include "membership/membership.h"
+#include "scheduling/scheduling.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pollenstall {
+
+/// One entry's decisions: everything but the thread that runs them.
+class decision_seam {
+public:
+  decision_seam(process_key Self, std::uint64_t Seed);
+  decision_seam(const decision_seam &) = delete;
+  decision_seam &operator=(const decision_seam &) = delete;
+
+  /// Takes a declaration into use.
+  void useDeclaration(declaration_view View);
+  /// Operators drain these backend servers; they get no new work.
+  void useDrains(const std::vector<backend_address> &Backends, mono_time Now);
+  void take(const membership_action &Action, mono_time Now);
+  void take(const dispatch_event &Event, mono_time Now);
+  /// Admitted work that was placed on views older than this could go to a server that is leaving.
+  void setReady(bool Ready);
+  void beginShutdown(mono_time Now, mono_span Limit);
+
+  /// Lets time pass and places what can be placed. @return What is to be done.
+  std::vector<dispatch_action> step(mono_time Now);
+  /// @return When step() has something to do at the latest.
+  [[nodiscard]] std::optional<mono_time> nextWake() const;
+
+  /// @return Whether the backend server ends attempts on request.
+  [[nodiscard]] bool takesCancels(const backend_key &Backend) const;
+  [[nodiscard]] mono_time viewsFreshUntil() const { return FreshUntil; }
+  [[nodiscard]] std::size_t liveRequests() const { return Dispatcher.liveRequests(); }
+  [[nodiscard]] std::size_t abandonedAttempts() const { return Dispatcher.abandonedAttempts(); }
+  [[nodiscard]] std::size_t queued() const { return Scheduler.queued(); }
+  /// @return JSON of requests, queue and backend servers, without prompts or keys.
+  [[nodiscard]] std::string dump(mono_time Now) const;
+
+private:
+  dispatch_seam hooks();
+  std::vector<candidate_group> groupsFor(const request_facts &Facts) const;
+  void noteStart(const attempt_start &Start, mono_time Now);
+  void noteEnd(const attempt_ending &Ending, mono_time Now);
+  void noteBackend(const backend_view &View, mono_time Now);
+  void noteGone(const backend_key &Backend, mono_time Now);
+  void place(mono_time Now);
+  [[nodiscard]] backend_view withDrain(backend_view View) const;
+
+  declaration_view Declaration;
+  scheduler Scheduler;
+  std::map<request_number, work_item> Waiting; ///< Submitted, without an attempt yet.
+  std::map<backend_key, backend_view> Backends;
+  std::set<backend_address> Drained;
+  mono_time FreshUntil;
+  bool PollDue{false};
+  dispatcher Dispatcher; ///< Its hooks use the members above.
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_ENTRY_DECISION_SEAM_BASE_H
--- /dev/null
+++ b/programs/pollenstall-entry/dispatch_dump.cpp
@@ -0,0 +1,76 @@
+/** @file dispatch_dump.cpp Names of states, and the members of the dump. */
+#include "dispatch_dump_func.h"
+
+#include <boost/json.hpp>
+
+namespace pollenstall {
+
+namespace {
+
+namespace json = boost::json;
+
+std::string_view phaseText(request_phase Phase) {
+  switch (Phase) {
+  case request_phase::Claiming:
+    return "claiming";
+  case request_phase::Queued:
+    return "queued";
+  default:
+    return "running";
+  }
+}
+
+json::object countersObject(const dispatch_counters &Counters) {
+  return {{"arrived", Counters.Arrived},
+          {"complete", Counters.Complete},
+          {"not_run", Counters.NotRun},
+          {"unknown", Counters.Unknown},
+          {"attempts", Counters.Attempts},
+          {"retries", Counters.Retries},
+          {"retries_over_budget", Counters.RetriesOverBudget},
+          {"resumes", Counters.Resumes},
+          {"abandoned", Counters.Abandoned},
+          {"cancels_sent", Counters.CancelsSent},
+          {"ignored_events", Counters.IgnoredEvents}};
+}
+
+json::object requestObject(const request_dump &Request) {
+  json::object Object{{"request", Request.Request.value()},
+                      {"account", Request.Account.str()},
+                      {"service", Request.Service.str()},
+                      {"model", Request.Model.str()},
+                      {"prompt_tokens", Request.Prompt.value()},
+                      {"phase", phaseText(Request.Phase)},
+                      {"attempts", Request.Attempts},
+                      {"may_have_run", Request.MayHaveRun},
+                      {"remaining_ms", Request.Remaining.count()}};
+  if (Request.Backend)
+    Object["backend"] = toText(*Request.Backend);
+  return Object;
+}
+
+json::object abandonedObject(const abandoned_dump &Attempt) {
+  return {{"attempt", toText(Attempt.Attempt)},
+          {"backend", toText(Attempt.Backend)},
+          {"cancels_sent", Attempt.CancelsSent},
+          {"age_ms", Attempt.Age.count()}};
+}
+
+} // namespace
+
+std::string dumpText(const dispatch_dump &Dump) {
+  json::array Requests;
+  for (const request_dump &Request : Dump.Requests)
+    Requests.emplace_back(requestObject(Request));
+  json::array Abandoned;
+  for (const abandoned_dump &Attempt : Dump.Abandoned)
+    Abandoned.emplace_back(abandonedObject(Attempt));
+  return json::serialize(json::object{{"ready", Dump.Ready},
+                                      {"shutting_down", Dump.ShuttingDown},
+                                      {"counters", countersObject(Dump.Counters)},
+                                      {"retry_budget", Dump.RetryBudget},
+                                      {"requests", std::move(Requests)},
+                                      {"abandoned", std::move(Abandoned)}});
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-entry/dispatch_dump_func.h
@@ -0,0 +1,16 @@
+/** @file dispatch_dump_func.h The dispatcher's state as JSON. */
+#ifndef POLLENSTALL_ENTRY_DISPATCH_DUMP_FUNC_H
+#define POLLENSTALL_ENTRY_DISPATCH_DUMP_FUNC_H
+
+#include "dispatch/dispatch.h"
+
+#include <string>
+
+namespace pollenstall {
+
+/// @return One JSON object.
+std::string dumpText(const dispatch_dump &Dump);
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_ENTRY_DISPATCH_DUMP_FUNC_H
--- /dev/null
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -0,0 +1,129 @@
+/** @file entry_settings.cpp The table of an entry's settings. */
+#include "entry_settings_type.h"
+
+#include "program/program.h"
+
+namespace pollenstall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds Second{1'000};
+constexpr milliseconds Minute{60'000};
+constexpr milliseconds Hour{3'600'000};
+constexpr std::int64_t Kilobyte = 1LL << 10U;
+constexpr std::int64_t Megabyte = 1LL << 20U;
+constexpr std::int64_t Gigabyte = 1LL << 30U;
+
+std::optional<std::string> checkLogLevel(const std::string &Text) {
+  return logLevelFromText(Text) ? std::nullopt : std::optional<std::string>("a level");
+}
+
+void addIdentity(settings_table<entry_settings> &Table) {
+  const std::string Name = "1 to 64 letters, digits, '.', '_' or '-'";
+  Table
+      .text("host.name", &entry_settings::Host, presence::Required, Name, checkName,
+            "Name of this host, unique in the fleet.")
+      .text("host.failure_domain", &entry_settings::FailureDomain, presence::Required, Name,
+            checkName, "Failure domain of this host.")
+      .text("fleet.name", &entry_settings::Fleet, presence::Required, Name, checkName,
+            "Messages of other fleets are dropped.")
+      .text("fleet.key_file", &entry_settings::FleetKeyFile, presence::Optional, "a path", {},
+            "File with the key that backend servers announce themselves with; without it no "
+            "announcement is taken.")
+      .text("operators.key_hash", &entry_settings::OperatorKeyHash, presence::Optional,
+            "a SHA-256 in 64 lower-case hex digits", checkKeyHash,
+            "Hash of the operators' key; without it /dump is refused.");
+}
+
+void addAddresses(settings_table<entry_settings> &Table) {
+  const std::string Address = "IP:port";
+  Table
+      .text("listen.callers", &entry_settings::CallersAddress, presence::Required, Address,
+            checkAddress, "Address for callers; port 0 takes any free one.")
+      .text("listen.operators", &entry_settings::OperatorsAddress, presence::Required, Address,
+            checkAddress, "Address for operators, the balancer and the metrics collector.")
+      .text("listen.announcements", &entry_settings::AnnouncementsAddress, presence::Required,
+            Address, checkAddress, "Address that backend servers announce themselves to.")
+      .text("listen.gossip", &entry_settings::GossipAddress, presence::Required, Address,
+            checkAddress, "UDP address for the system's other hosts.")
+      .text("listen.address_file", &entry_settings::AddressFile, presence::Optional, "a path", {},
+            "File that the bound addresses are written to, as JSON.")
+      .texts("gossip.seeds", &entry_settings::GossipSeeds, presence::Optional, Address,
+             checkAddress, "Gossip addresses of other hosts, asked at the start.")
+      .texts("announcements.peers", &entry_settings::AnnouncementPeers, presence::Optional,
+             Address, checkAddress,
+             "Announcement addresses of other entries, told to backend servers as fall-backs.")
+      .texts("control.addresses", &entry_settings::ControlAddresses, presence::Optional, Address,
+             checkAddress, "Addresses of the control hosts for entries.")
+      .text("declaration.file", &entry_settings::DeclarationFile, presence::Optional, "a path", {},
+            "A fixed declaration instead of control hosts, for trials: it is read once, no lease "
+            "bounds it, and calls with an idempotency key that must run once are refused.");
+}
+
+void addLimits(settings_table<entry_settings> &Table) {
+  Table
+      .number("limits.header_bytes", &entry_settings::HeaderBytes,
+              {16 * Kilobyte, Kilobyte, Megabyte}, "Largest head of a request.")
+      .number("limits.max_connections", &entry_settings::MaxConnections, {8'192, 1, 1'000'000},
+              "Callers' connections at once; more wait in the kernel's queue.")
+      .number("limits.max_event_bytes", &entry_settings::MaxEventBytes,
+              {Megabyte, Kilobyte, 64 * Megabyte}, "Largest event of a stream.")
+      .number("limits.body_memory_bytes", &entry_settings::BodyMemory,
+              {Gigabyte, Megabyte, 1024 * Gigabyte},
+              "All request bodies held at once; more are refused as not run.")
+      .span("limits.header_timeout_ms", &entry_settings::HeaderTimeout,
+            {10 * Second, milliseconds(10), Hour}, "From the first byte of a head to its end.")
+      .span("limits.body_timeout_ms", &entry_settings::BodyTimeout,
+            {Minute, milliseconds(10), Hour}, "From the end of a head to the end of its body.")
+      .span("limits.idle_timeout_ms", &entry_settings::IdleTimeout,
+            {75 * Second, milliseconds(10), Hour}, "A caller's connection between two requests.")
+      .span("limits.write_stall_ms", &entry_settings::WriteStall,
+            {30 * Second, milliseconds(10), Hour},
+            "A caller that takes no byte for so long counts as gone.")
+      .span("limits.connect_timeout_ms", &entry_settings::ConnectTimeout,
+            {Second, milliseconds(1), Minute}, "To connect to a backend server.")
+      .span("limits.user_timeout_ms", &entry_settings::UserTimeout,
+            {10 * Second, milliseconds(100), Hour},
+            "A backend server that acknowledges no sent byte for so long is given up.")
+      .span("limits.cancel_timeout_ms", &entry_settings::CancelTimeout,
+            {2 * Second, milliseconds(10), Minute}, "One request that an attempt be ended.")
+      .span("limits.backend_idle_ms", &entry_settings::BackendIdle,
+            {30 * Second, milliseconds(10), Hour},
+            "An unused connection to a backend server is closed after this.")
+      .span("shutdown_limit_ms", &entry_settings::ShutdownLimit,
+            {30 * Second, milliseconds(0), Hour},
+            "Admitted requests may run on for so long after SIGTERM.")
+      .text("log_level", &entry_settings::LogLevel, presence::Optional,
+            "debug, info, warning or error", checkLogLevel, "Least level that is logged.", "info");
+}
+
+} // namespace
+
+settings_table<entry_settings> entrySettings() {
+  settings_table<entry_settings> Table;
+  addIdentity(Table);
+  addAddresses(Table);
+  addLimits(Table);
+  return Table;
+}
+
+relay_limits limitsOf(const entry_settings &Settings) {
+  relay_limits Limits;
+  Limits.HeaderBytes = static_cast<std::size_t>(Settings.HeaderBytes);
+  Limits.HeaderTimeout = Settings.HeaderTimeout;
+  Limits.BodyTimeout = Settings.BodyTimeout;
+  Limits.IdleTimeout = Settings.IdleTimeout;
+  Limits.WriteStall = Settings.WriteStall;
+  Limits.ConnectTimeout = Settings.ConnectTimeout;
+  Limits.UserTimeout = Settings.UserTimeout;
+  Limits.CancelTimeout = Settings.CancelTimeout;
+  Limits.BackendIdle = Settings.BackendIdle;
+  Limits.MaxConnections = static_cast<std::size_t>(Settings.MaxConnections);
+  Limits.MaxEventBytes = static_cast<std::size_t>(Settings.MaxEventBytes);
+  Limits.BodyMemory = static_cast<std::size_t>(Settings.BodyMemory);
+  return Limits;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-entry/entry_settings_type.h
@@ -0,0 +1,55 @@
+/** @file entry_settings_type.h Settings of an entry. */
+#ifndef POLLENSTALL_ENTRY_ENTRY_SETTINGS_TYPE_H
+#define POLLENSTALL_ENTRY_ENTRY_SETTINGS_TYPE_H
+
+#include "relay/relay.h"
+#include "settings/settings.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace pollenstall {
+
+/// As the TOML file gives them; the table of entrySettings() has the meanings.
+struct entry_settings {
+  std::string Host;
+  std::string FailureDomain;
+  std::string Fleet;
+  std::string FleetKeyFile;
+  std::string OperatorKeyHash;
+  std::string CallersAddress;
+  std::string OperatorsAddress;
+  std::string AnnouncementsAddress;
+  std::string GossipAddress;
+  std::string AddressFile;
+  std::vector<std::string> GossipSeeds;
+  std::vector<std::string> AnnouncementPeers;
+  std::vector<std::string> ControlAddresses;
+  std::string DeclarationFile;
+  std::string LogLevel;
+  std::int64_t HeaderBytes{0};
+  std::int64_t MaxConnections{0};
+  std::int64_t MaxEventBytes{0};
+  std::int64_t BodyMemory{0};
+  std::chrono::milliseconds HeaderTimeout{};
+  std::chrono::milliseconds BodyTimeout{};
+  std::chrono::milliseconds IdleTimeout{};
+  std::chrono::milliseconds WriteStall{};
+  std::chrono::milliseconds ConnectTimeout{};
+  std::chrono::milliseconds UserTimeout{};
+  std::chrono::milliseconds CancelTimeout{};
+  std::chrono::milliseconds BackendIdle{};
+  std::chrono::milliseconds ShutdownLimit{};
+};
+
+/// @return The table that reads them.
+settings_table<entry_settings> entrySettings();
+
+/// @return The part of the settings that bounds the data plane.
+relay_limits limitsOf(const entry_settings &Settings);
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_ENTRY_ENTRY_SETTINGS_TYPE_H
