--- a/programs/pollenstall-entry/announcement.cpp
+++ b/programs/pollenstall-entry/announcement.cpp
@@ -18,7 +18,8 @@
 /// Reads members of one object and remembers the first that is wrong.
 class member_reader {
 public:
-  member_reader(const json::object &Source, std::string Place, std::optional<announcement_fault> &At)
+  member_reader(const json::object &Source, std::string Place,
+                std::optional<announcement_fault> &At)
       : Object(Source), Prefix(std::move(Place)), Fault(At) {}
 
   std::string text(std::string_view Name) {
--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -59,8 +59,8 @@
   Hooks.AttemptAdvanced = [this](const attempt_id &Attempt, std::uint64_t Events, mono_time Now) {
     Scheduler.attemptAdvanced(Attempt, Events, Now);
   };
-  Hooks.AttemptAbandoned = [this](const attempt_id &Attempt,
-                                  std::optional<attempt_failure> Failure, mono_time Now) {
+  Hooks.AttemptAbandoned = [this](const attempt_id &Attempt, std::optional<attempt_failure> Failure,
+                                  mono_time Now) {
     if (Failure)
       Scheduler.attemptBroken(Attempt, *Failure, Now);
   };
@@ -141,11 +141,12 @@
 }
 
 void decision_seam::take(const membership_action &Action, mono_time Now) {
-  std::visit(overloaded{[this, Now](const backend_changed &Change) { noteBackend(Change.View, Now); },
-                        [this, Now](const backend_gone &Gone) { noteGone(Gone.Key, Now); },
-                        [this](const views_fresh &Fresh) { FreshUntil = Fresh.Until; },
-                        [](const auto &) {}},
-             Action);
+  std::visit(
+      overloaded{[this, Now](const backend_changed &Change) { noteBackend(Change.View, Now); },
+                 [this, Now](const backend_gone &Gone) { noteGone(Gone.Key, Now); },
+                 [this](const views_fresh &Fresh) { FreshUntil = Fresh.Until; },
+                 [](const auto &) {}},
+      Action);
 }
 
 void decision_seam::take(const dispatch_event &Event, mono_time Now) {
--- /dev/null
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -0,0 +1,207 @@
+/** @file decision_thread.cpp The loop over the rings. */
+#include "decision_thread_base.h"
+
+#include "program/program.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr mono_span LongestSleep = std::chrono::milliseconds(100);
+/// Sleep while orders wait for room in the ring.
+constexpr mono_span FullRingSleep = std::chrono::milliseconds(1);
+
+prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name, const char *Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add({});
+}
+
+} // namespace
+
+decision_thread::decision_thread(decision_plan Wanted)
+    : Plan(std::move(Wanted)), Events(Plan.RingCapacity), Views(Plan.RingCapacity),
+      Orders(Plan.RingCapacity), Outbox(Orders), Seam(Plan.Self, Plan.Self.Life.value()),
+      QueueGauge(gauge(*Plan.Registry, "pollenstall_queued_requests",
+                       "Requests that wait for a backend server")),
+      LiveGauge(
+          gauge(*Plan.Registry, "pollenstall_live_requests", "Requests that the dispatcher holds")),
+      AbandonedGauge(gauge(*Plan.Registry, "pollenstall_abandoned_attempts",
+                           "Attempts given up and not confirmed as ended")),
+      ReadyGauge(gauge(*Plan.Registry, "pollenstall_ready", "1 where new requests are admitted")),
+      RevisionGauge(gauge(*Plan.Registry, "pollenstall_declaration_revision",
+                          "Revision of the declaration in use")) {
+  Events.onWake([this] { Gate.wake(); });
+  Views.onWake([this] { Gate.wake(); });
+}
+
+decision_thread::~decision_thread() { stop(); }
+
+void decision_thread::start() {
+  Thread = std::thread([this] { run(); });
+}
+
+void decision_thread::stop() {
+  Stopping = true;
+  Gate.wake();
+  if (Thread.joinable())
+    Thread.join();
+}
+
+void decision_thread::beginShutdown(mono_span Limit) {
+  {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    ShutdownWanted = Limit;
+  }
+  Gate.wake();
+}
+
+void decision_thread::run() {
+  if (Plan.Fixed)
+    useIndex(std::make_shared<const declaration_index>(*Plan.Fixed));
+  while (!Stopping) {
+    const mono_time Now = boot_clock::now();
+    turn(Now);
+    Gate.sleepFor(untilNextWake(boot_clock::now()));
+  }
+}
+
+void decision_thread::turn(mono_time Now) {
+  drainInputs(Now);
+  updateReadiness(Now);
+  for (dispatch_action &Action : Seam.step(Now))
+    carryOut(std::move(Action));
+  Outbox.flush();
+  publishGauges();
+  answerDumps(Now);
+}
+
+void decision_thread::drainInputs(mono_time Now) {
+  Views.drain([this, Now](membership_action &&Action) { Seam.take(Action, Now); });
+  if (Control)
+    Control->drainEvents(
+        [this, Now](control_link_event &&Event) { takeControlEvent(std::move(Event), Now); });
+  Events.drain([this, Now](dispatch_event &&Event) { Seam.take(Event, Now); });
+  const std::lock_guard<std::mutex> Lock(Guard);
+  if (ShutdownWanted)
+    Seam.beginShutdown(Now, *std::exchange(ShutdownWanted, std::nullopt));
+}
+
+void decision_thread::takeControlEvent(control_link_event &&Event, mono_time Now) {
+  std::visit(
+      overloaded{
+          [this](const declaration_received &Received) { takeDeclaration(Received); },
+          [this](const lease_extended &Lease) { Freshness.extend(Lease.Revision, Lease.Until); },
+          [this, Now](const claim_answered &Answer) { Seam.take(dispatch_event(Answer), Now); },
+          [this, Now](const drains_changed &Drains) { Seam.useDrains(Drains.Backends, Now); },
+          [](const control_lost &) { logEvent(log_level::Warning, "control_lost"); }},
+      Event);
+}
+
+void decision_thread::takeDeclaration(const declaration_received &Received) {
+  const offer_verdict Verdict = Freshness.offer(Received.Revision);
+  if (Verdict == offer_verdict::Stale)
+    return;
+  if (Verdict == offer_verdict::Take) {
+    auto Parsed = parseDeclaration(Received.Text, "declaration");
+    if (!succeeded(Parsed)) {
+      // Not confirmed, so that the lease runs out: better unready than on an older declaration.
+      ++BadDeclarations;
+      logEvent(log_level::Error, "declaration_refused",
+               {{"revision", static_cast<std::int64_t>(Received.Revision.value())}});
+      return;
+    }
+    useIndex(std::make_shared<const declaration_index>(valueOf(std::move(Parsed))));
+    Freshness.inUse(Received.Revision);
+    RevisionGauge.Set(static_cast<double>(Received.Revision.value()));
+    logEvent(log_level::Info, "declaration_in_use",
+             {{"revision", static_cast<std::int64_t>(Received.Revision.value())}});
+  }
+  Control->request(revision_confirmed{Received.Revision});
+}
+
+void decision_thread::useIndex(declaration_view View) {
+  Declaration = std::move(View);
+  Seam.useDeclaration(Declaration);
+  Announced = false;
+}
+
+bool decision_thread::declarationUsable(mono_time Now) const {
+  return Declaration && (Plan.Fixed || Freshness.ready(Now));
+}
+
+void decision_thread::updateReadiness(mono_time Now) {
+  const bool Usable = declarationUsable(Now) && Now <= Seam.viewsFreshUntil();
+  if (Usable == Ready && (Announced || !Usable))
+    return;
+  Seam.setReady(Usable);
+  Ready = Usable;
+  Announced = Usable;
+  Outbox.push(declaration_in_force{Usable ? Declaration : nullptr});
+  logEvent(log_level::Info, Usable ? "ready" : "unready");
+}
+
+void decision_thread::carryOut(dispatch_action &&Action) {
+  std::visit(
+      overloaded{[this](acquire_claim &&Claim) {
+                   const std::chrono::milliseconds Lifetime = Claim.Lifetime;
+                   const request_number Request = Claim.Request;
+                   if (!Control || !Control->request(claim_wanted{std::move(Claim), Lifetime}))
+                     Seam.take(dispatch_event(claim_answered{Request, claim_verdict::Unavailable}),
+                               boot_clock::now());
+                   Gate.wake(); // The answer may have made actions of its own.
+                 },
+                 [this](settle_claim &&Claim) {
+                   const std::chrono::milliseconds Lifetime = Claim.Lifetime;
+                   if (Control && !Control->request(claim_ended{std::move(Claim), Lifetime}))
+                     logEvent(log_level::Error, "claim_end_not_recorded");
+                 },
+                 [this](cancel_attempt &&Cancel) {
+                   const bool TakesCancels = Seam.takesCancels(Cancel.Backend);
+                   Outbox.push(cancel_order{std::move(Cancel), TakesCancels});
+                 },
+                 [this](auto &&Order) { Outbox.push(std::forward<decltype(Order)>(Order)); }},
+      std::move(Action));
+}
+
+mono_span decision_thread::untilNextWake(mono_time Now) const {
+  if (Outbox.waiting() > 0)
+    return FullRingSleep;
+  mono_span Sleep = LongestSleep;
+  if (const auto Wake = Seam.nextWake())
+    Sleep = std::min(Sleep, *Wake - Now);
+  return std::max(Sleep, mono_span::zero());
+}
+
+void decision_thread::publishGauges() {
+  Abandoned = Seam.abandonedAttempts();
+  QueueGauge.Set(static_cast<double>(Seam.queued()));
+  LiveGauge.Set(static_cast<double>(Seam.liveRequests()));
+  AbandonedGauge.Set(static_cast<double>(Seam.abandonedAttempts()));
+  ReadyGauge.Set(Ready ? 1.0 : 0.0);
+}
+
+void decision_thread::answerDumps(mono_time Now) {
+  std::vector<std::promise<std::string>> Wanted;
+  {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    Wanted.swap(DumpsWanted);
+  }
+  for (std::promise<std::string> &Answer : Wanted)
+    Answer.set_value(Seam.dump(Now));
+}
+
+std::optional<std::string> decision_thread::dump(std::chrono::milliseconds Limit) {
+  std::promise<std::string> Answer;
+  std::future<std::string> Waiting = Answer.get_future();
+  {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    DumpsWanted.push_back(std::move(Answer));
+  }
+  Gate.wake();
+  if (Waiting.wait_for(Limit) != std::future_status::ready)
+    return std::nullopt;
+  return Waiting.get();
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -0,0 +1,113 @@
+/** @file decision_thread_base.h The thread that decides: events come in by rings, orders go out. */
+#ifndef POLLENSTALL_ENTRY_DECISION_THREAD_BASE_H
+#define POLLENSTALL_ENTRY_DECISION_THREAD_BASE_H
+
+#include "control_link/control_link.h"
+#include "decision_seam_base.h"
+#include "relay/relay.h"
+#include "wake_gate_base.h"
+
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+
+#include <atomic>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace pollenstall {
+
+/// What the decision thread is built from.
+struct decision_plan {
+  process_key Self;
+  /// A fixed declaration; with it no lease is asked for. Empty where control hosts declare.
+  std::optional<fleet_declaration> Fixed;
+  std::size_t RingCapacity{1U << 16U};
+  std::shared_ptr<prometheus::Registry> Registry;
+};
+
+/**
+ * Owns the dispatcher, the scheduler and the declaration in use; nothing else touches them.
+ * Rings: callers' events from the relay thread, membership from the gossip thread, declarations,
+ * leases and claims from the control link. The thread sleeps until one of them has something or the
+ * next timeout is due.
+ */
+class decision_thread {
+public:
+  explicit decision_thread(decision_plan Wanted);
+  ~decision_thread();
+  decision_thread(const decision_thread &) = delete;
+  decision_thread &operator=(const decision_thread &) = delete;
+
+  /// Filled by the relay thread.
+  [[nodiscard]] bounded_ring<dispatch_event> &events() { return Events; }
+  /// Filled by the gossip thread.
+  [[nodiscard]] bounded_ring<membership_action> &views() { return Views; }
+  /// Emptied by the relay thread.
+  [[nodiscard]] bounded_ring<relay_order> &orders() { return Orders; }
+  /// Wakes the thread; for the control link.
+  void wake() { Gate.wake(); }
+
+  /// Sets the control link; before start().
+  void useControl(std::unique_ptr<control_link> Link) { Control = std::move(Link); }
+  void start();
+  /// Refuses new requests; those admitted end by themselves or at the limit.
+  void beginShutdown(mono_span Limit);
+  /// Ends the thread.
+  void stop();
+
+  /// @return Whether new requests are admitted; from any thread.
+  [[nodiscard]] bool ready() const { return Ready.load(std::memory_order_relaxed); }
+  /// @return Attempts given up whose end the backend server has not confirmed; from any thread.
+  [[nodiscard]] std::size_t abandoned() const { return Abandoned.load(std::memory_order_relaxed); }
+  /// @return JSON of the decisions' state, or nothing where the thread did not answer in time.
+  [[nodiscard]] std::optional<std::string> dump(std::chrono::milliseconds Limit);
+
+private:
+  void run();
+  void turn(mono_time Now);
+  void drainInputs(mono_time Now);
+  void takeControlEvent(control_link_event &&Event, mono_time Now);
+  void takeDeclaration(const declaration_received &Received);
+  void useIndex(declaration_view View);
+  void updateReadiness(mono_time Now);
+  void carryOut(dispatch_action &&Action);
+  void answerDumps(mono_time Now);
+  void publishGauges();
+  [[nodiscard]] mono_span untilNextWake(mono_time Now) const;
+  [[nodiscard]] bool declarationUsable(mono_time Now) const;
+
+  decision_plan Plan;
+  bounded_ring<dispatch_event> Events;
+  bounded_ring<membership_action> Views;
+  bounded_ring<relay_order> Orders;
+  event_outbox<relay_order> Outbox;
+  wake_gate Gate;
+  std::unique_ptr<control_link> Control;
+  entry_freshness Freshness;
+  declaration_view Declaration;
+  decision_seam Seam;
+  bool Announced{false}; ///< The relay was told of the declaration.
+  std::uint64_t BadDeclarations{0};
+
+  std::atomic<bool> Ready{false};
+  std::atomic<std::size_t> Abandoned{0};
+  std::atomic<bool> Stopping{false};
+  std::mutex Guard; ///< Of the two below, which other threads set.
+  std::vector<std::promise<std::string>> DumpsWanted;
+  std::optional<mono_span> ShutdownWanted;
+  prometheus::Gauge &QueueGauge;
+  prometheus::Gauge &LiveGauge;
+  prometheus::Gauge &AbandonedGauge;
+  prometheus::Gauge &ReadyGauge;
+  prometheus::Gauge &RevisionGauge;
+  std::thread Thread;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_ENTRY_DECISION_THREAD_BASE_H
--- /dev/null
+++ b/programs/pollenstall-entry/entry.cpp
@@ -0,0 +1,286 @@
+/** @file entry.cpp Builds the threads and joins them by rings. */
+#include "entry_base.h"
+
+#include "announcement_func.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/json.hpp>
+
+#include <fstream>
+#include <iterator>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds DumpLimit{2'000};
+constexpr std::chrono::milliseconds PollPause{10};
+/// After the last answer, for backend servers to confirm what was cancelled.
+constexpr std::chrono::seconds CancelGrace{2};
+/// The dispatcher ends what is left at the limit; its answers still have to be written.
+constexpr std::chrono::seconds LastAnswers{1};
+constexpr unsigned BadRequest = 400;
+constexpr unsigned Unavailable = 503;
+
+process_key newLife(const std::string &Host) {
+  const auto Wall = std::chrono::system_clock::now().time_since_epoch();
+  const auto Nanos = std::chrono::duration_cast<std::chrono::nanoseconds>(Wall).count();
+  return {host_name(Host), incarnation(static_cast<std::uint64_t>(Nanos))};
+}
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(File), {});
+}
+
+std::string withoutLineEnd(std::string Text) {
+  while (!Text.empty() && (Text.back() == '\n' || Text.back() == '\r'))
+    Text.pop_back();
+  return Text;
+}
+
+void logListening(const char *What, const std::string &Address) {
+  logEvent(log_level::Info, "listening", {{"what", std::string(What)}, {"address", Address}});
+}
+
+void logCall(const call_record &Record) {
+  const bool Quiet = Record.Outcome == final_outcome::Complete;
+  logEvent(Quiet ? log_level::Info : log_level::Warning, "request_ended",
+           {{"request", Record.RequestId},
+            {"attempt", Record.Attempt},
+            {"account", Record.Account},
+            {"service", Record.Service},
+            {"backend", Record.Backend},
+            {"outcome", std::string(outcomeText(Record.Outcome))},
+            {"reason", Record.Reason},
+            {"field", Record.Field},
+            {"prompt_tokens", Record.Prompt.value()},
+            {"ms", Record.Took.count()},
+            {"first_byte_ms", Record.FirstByteAfter ? Record.FirstByteAfter->count() : -1}});
+}
+
+} // namespace
+
+entry::entry(entry_settings Wanted)
+    : Settings(std::move(Wanted)), Self(newLife(Settings.Host)),
+      Registry(std::make_shared<prometheus::Registry>()), Work(asio::make_work_guard(Io)) {}
+
+entry::~entry() {
+  Announcements.reset();
+  Operators.reset();
+  Membership.reset();
+  if (Decision)
+    Decision->stop();
+  Io.stop();
+  if (RelayThread.joinable())
+    RelayThread.join();
+}
+
+result<done, entry_error> entry::loadDeclaration(std::optional<fleet_declaration> &Into) const {
+  if (Settings.DeclarationFile.empty())
+    return done{};
+  const auto Text = readFile(Settings.DeclarationFile);
+  if (!Text)
+    return entry_error{"cannot read " + Settings.DeclarationFile};
+  auto Parsed = parseDeclaration(*Text, Settings.DeclarationFile);
+  if (!succeeded(Parsed))
+    return entry_error{toText(errorOf(Parsed))};
+  Into = valueOf(std::move(Parsed));
+  return done{};
+}
+
+result<done, entry_error> entry::start() {
+  decision_plan Plan;
+  Plan.Self = Self;
+  Plan.Registry = Registry;
+  const auto Declared = loadDeclaration(Plan.Fixed);
+  if (!succeeded(Declared))
+    return Declared;
+  const bool UsesControl = !Plan.Fixed;
+  Decision = std::make_unique<decision_thread>(std::move(Plan));
+  if (UsesControl)
+    startControl();
+  startMembership();
+  for (const auto Step : {&entry::startRelay, &entry::startOperators, &entry::startAnnouncements}) {
+    const auto Started = (this->*Step)();
+    if (!succeeded(Started))
+      return Started;
+  }
+  Decision->start();
+  Membership->start();
+  RelayThread = std::thread([this] { Io.run(); });
+  return writeAddresses();
+}
+
+void entry::startControl() {
+  Decision->useControl(control_link_builder(Settings.ControlAddresses, Settings.Fleet)
+                           .process(Self, failure_domain_name(Settings.FailureDomain))
+                           .onEvents([this] { Decision->wake(); })
+                           .start());
+}
+
+void entry::startMembership() {
+  fleet_membership_builder Builder;
+  Builder.self(Self, failure_domain_name(Settings.FailureDomain))
+      .address(peer_address(Settings.GossipAddress))
+      .randomSeed(Self.Life.value());
+  for (const std::string &Seed : Settings.GossipSeeds)
+    Builder.seed(peer_address(Seed));
+  Membership =
+      std::make_unique<membership_thread>(Builder.build(boot_clock::now()), Decision->views());
+}
+
+result<done, entry_error> entry::startRelay() {
+  Relay = relay_builder(Io, Decision->events())
+              .process(Self)
+              .limits(limitsOf(Settings))
+              .metrics(Registry)
+              .onCallEnd(logCall)
+              .build();
+  Decision->orders().onWake([this] {
+    asio::post(Io, [this] {
+      Decision->orders().drain([this](relay_order &&Order) { Relay->handle(std::move(Order)); });
+    });
+  });
+  const auto Listening = Relay->listen(Settings.CallersAddress);
+  if (!succeeded(Listening))
+    return entry_error{errorOf(Listening).Text};
+  CallersAddress = valueOf(Listening);
+  logListening("callers", CallersAddress);
+  return done{};
+}
+
+result<done, entry_error> entry::startOperators() {
+  auto Started = operator_server_builder(Settings.OperatorsAddress, Settings.OperatorKeyHash)
+                     .health()
+                     .readiness([this] { return Decision->ready() && !Stopping; })
+                     .metrics(Registry)
+                     .dump([this] { return dump(); })
+                     .start();
+  if (!succeeded(Started))
+    return entry_error{errorOf(Started).Text};
+  Operators = std::move(valueOf(Started));
+  logListening("operators", Operators->address());
+  return done{};
+}
+
+result<done, entry_error> entry::startAnnouncements() {
+  std::string Hash;
+  if (!Settings.FleetKeyFile.empty()) {
+    const auto Key = readFile(Settings.FleetKeyFile);
+    if (!Key)
+      return entry_error{"cannot read " + Settings.FleetKeyFile};
+    Hash = keyHash(withoutLineEnd(*Key));
+  }
+  auto Started = operator_server_builder(Settings.AnnouncementsAddress, Hash)
+                     .route("POST", "/v1/announcements", operator_access::KeyNeeded,
+                            [this](const operator_call &Call) { return takeAnnouncement(Call); })
+                     .start();
+  if (!succeeded(Started))
+    return entry_error{errorOf(Started).Text};
+  Announcements = std::move(valueOf(Started));
+  logListening("announcements", Announcements->address());
+  return done{};
+}
+
+operator_reply entry::takeAnnouncement(const operator_call &Call) {
+  auto Read = readAnnouncement(Call.Body, Settings.Fleet);
+  if (!succeeded(Read)) {
+    const announcement_fault &Fault = errorOf(Read);
+    const call_error Error = invalidField(Fault.Field, Fault.Field + " " + Fault.Message);
+    return {BadRequest, "application/json", errorBody(Error)};
+  }
+  if (!Membership->announce(valueOf(std::move(Read))))
+    return {Unavailable, "application/json", "{}"};
+  return {200, "application/json", announceTo()};
+}
+
+std::string entry::announceTo() const {
+  boost::json::array Addresses;
+  if (Announcements)
+    Addresses.emplace_back(Announcements->address());
+  for (const std::string &Peer : Settings.AnnouncementPeers)
+    Addresses.emplace_back(Peer);
+  return boost::json::serialize(boost::json::object{{"announce_to", std::move(Addresses)}});
+}
+
+result<done, entry_error> entry::writeAddresses() const {
+  if (Settings.AddressFile.empty())
+    return done{};
+  const boost::json::object Addresses{{"callers", CallersAddress},
+                                      {"operators", Operators->address()},
+                                      {"announcements", Announcements->address()},
+                                      {"gossip", Settings.GossipAddress}};
+  // Renamed into place, so that whoever waits for the file never reads half of it.
+  const std::string Draft = Settings.AddressFile + ".new";
+  {
+    std::ofstream File(Draft, std::ios::binary);
+    File << boost::json::serialize(Addresses) << "\n";
+    if (!File.flush())
+      return entry_error{"cannot write " + Draft};
+  }
+  if (std::rename(Draft.c_str(), Settings.AddressFile.c_str()) != 0)
+    return entry_error{"cannot write " + Settings.AddressFile};
+  return done{};
+}
+
+std::optional<std::string> entry::dumpRelay(std::chrono::milliseconds Limit) {
+  auto Answer = std::make_shared<std::promise<std::string>>();
+  std::future<std::string> Waiting = Answer->get_future();
+  asio::post(Io, [this, Answer] { Answer->set_value(Relay->dump()); });
+  if (Waiting.wait_for(Limit) != std::future_status::ready)
+    return std::nullopt;
+  return Waiting.get();
+}
+
+std::string entry::dump() {
+  // A thread that does not answer is itself what the operator looks for.
+  const std::string Silent = R"("no answer")";
+  return R"({"process":{"host":")" + Self.Host.str() + R"(","incarnation":)" +
+         std::to_string(Self.Life.value()) + R"(},"relay":)" +
+         dumpRelay(DumpLimit).value_or(Silent) + R"(,"decisions":)" +
+         Decision->dump(DumpLimit).value_or(Silent) + R"(,"membership":)" +
+         Membership->dump(DumpLimit).value_or(Silent) + "}";
+}
+
+std::size_t entry::openCalls() {
+  auto Answer = std::make_shared<std::promise<std::size_t>>();
+  std::future<std::size_t> Waiting = Answer->get_future();
+  asio::post(Io, [this, Answer] { Answer->set_value(Relay->openCalls()); });
+  return Waiting.get();
+}
+
+bool entry::waitForCalls(mono_time Until, const std::function<std::size_t()> &Count) {
+  while (Count() > 0) {
+    if (boot_clock::now() >= Until)
+      return false;
+    std::this_thread::sleep_for(PollPause);
+  }
+  return true;
+}
+
+exit_code entry::shutDown() {
+  logEvent(log_level::Info, "stopping");
+  Stopping = true;
+  asio::post(Io, [this] { Relay->beginStop(); });
+  Decision->beginShutdown(Settings.ShutdownLimit);
+  const mono_time Limit = boot_clock::now() + Settings.ShutdownLimit;
+  const bool AllEnded = waitForCalls(Limit, [this] { return openCalls(); });
+  if (!AllEnded)
+    waitForCalls(boot_clock::now() + LastAnswers, [this] { return openCalls(); });
+  waitForCalls(boot_clock::now() + CancelGrace, [this] { return Decision->abandoned(); });
+  Membership->stop();
+  Decision->stop();
+  asio::post(Io, [this] { Relay->stop(); });
+  Io.stop();
+  RelayThread.join();
+  const exit_code Code = AllEnded ? exit_code::Ok : exit_code::ShutdownLimit;
+  logEvent(log_level::Info, "stopped", {{"exit_code", static_cast<std::int64_t>(Code)}});
+  return Code;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-entry/entry_base.h
@@ -0,0 +1,72 @@
+/** @file entry_base.h The threads of an entry, started and stopped in order. */
+#ifndef POLLENSTALL_ENTRY_ENTRY_BASE_H
+#define POLLENSTALL_ENTRY_ENTRY_BASE_H
+
+#include "decision_thread_base.h"
+#include "entry_settings_type.h"
+#include "membership_thread_base.h"
+#include "operators/operators.h"
+#include "program/program.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <atomic>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+
+namespace pollenstall {
+
+/// Why an entry could not start; already in words for the log.
+struct entry_error {
+  std::string Text;
+};
+
+/// One entry: relay thread, decision thread, membership thread, control link, operators' servers.
+class entry {
+public:
+  explicit entry(entry_settings Wanted);
+  ~entry();
+  entry(const entry &) = delete;
+  entry &operator=(const entry &) = delete;
+
+  /// Binds every address and starts every thread.
+  result<done, entry_error> start();
+  /// Refuses new work, lets admitted work end up to the limit, then stops.
+  exit_code shutDown();
+
+private:
+  result<done, entry_error> loadDeclaration(std::optional<fleet_declaration> &Into) const;
+  result<done, entry_error> startRelay();
+  result<done, entry_error> startOperators();
+  result<done, entry_error> startAnnouncements();
+  result<done, entry_error> writeAddresses() const;
+  void startControl();
+  void startMembership();
+  [[nodiscard]] operator_reply takeAnnouncement(const operator_call &Call);
+  [[nodiscard]] std::string announceTo() const;
+  [[nodiscard]] std::string dump();
+  [[nodiscard]] std::optional<std::string> dumpRelay(std::chrono::milliseconds Limit);
+  [[nodiscard]] std::size_t openCalls();
+  bool waitForCalls(mono_time Until, const std::function<std::size_t()> &Count);
+
+  entry_settings Settings;
+  process_key Self;
+  std::shared_ptr<prometheus::Registry> Registry;
+  boost::asio::io_context Io{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
+  std::unique_ptr<decision_thread> Decision;
+  std::unique_ptr<membership_thread> Membership;
+  std::unique_ptr<relay> Relay;
+  std::thread RelayThread;
+  std::unique_ptr<operator_server> Operators;
+  std::unique_ptr<operator_server> Announcements;
+  std::string CallersAddress;
+  std::atomic<bool> Stopping{false};
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_ENTRY_ENTRY_BASE_H
--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -52,8 +52,8 @@
             "File that the bound addresses are written to, as JSON.")
       .texts("gossip.seeds", &entry_settings::GossipSeeds, presence::Optional, Address,
              checkAddress, "Gossip addresses of other hosts, asked at the start.")
-      .texts("announcements.peers", &entry_settings::AnnouncementPeers, presence::Optional,
-             Address, checkAddress,
+      .texts("announcements.peers", &entry_settings::AnnouncementPeers, presence::Optional, Address,
+             checkAddress,
              "Announcement addresses of other entries, told to backend servers as fall-backs.")
       .texts("control.addresses", &entry_settings::ControlAddresses, presence::Optional, Address,
              checkAddress, "Addresses of the control hosts for entries.")
--- /dev/null
+++ b/programs/pollenstall-entry/main.cpp
@@ -0,0 +1,28 @@
+/** @file main.cpp pollenstall-entry: serves callers and sends their requests to backend servers. */
+#include "entry_base.h"
+
+namespace {
+
+using namespace pollenstall;
+
+exit_code runEntry(const entry_settings &Settings) {
+  const stop_signal Stop; // Before any thread, so that all of them leave the signals to this one.
+  startLogging("pollenstall-entry", logLevelFromText(Settings.LogLevel).value_or(log_level::Info));
+  entry Entry(Settings);
+  const auto Started = Entry.start();
+  if (!succeeded(Started)) {
+    logEvent(log_level::Error, "start_failed", {{"error", errorOf(Started).Text}});
+    return exit_code::Failure;
+  }
+  Stop.wait();
+  return Entry.shutDown();
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  const program_description Description{
+      "pollenstall-entry", "takes callers' requests and sends them to backend servers"};
+  return runProgram<entry_settings>(Count, const_cast<const char **>(Values), Description,
+                                    entrySettings(), runEntry);
+}
