--- a/src/scheduling/backend_pool.cpp
+++ b/src/scheduling/backend_pool.cpp
@@ -25,13 +25,13 @@
 
 } // namespace
 
-memory_blocks backend_record::need(const work_item &Item) const {
+memory_blocks scheduled_backend::need(const work_item &Item) const {
   const std::int64_t BlockTokens = std::max<std::int64_t>(1, View.Announcement.BlockTokens.value());
   const std::int64_t Tokens = Item.Prompt.value() + Item.AnswerLimit.value();
   return memory_blocks((Tokens + BlockTokens - 1) / BlockTokens);
 }
 
-bool backend_record::serves(const work_item &Item) const {
+bool scheduled_backend::serves(const work_item &Item) const {
   if (Item.Model.empty())
     return true;
   const auto &Models = View.Announcement.Models;
@@ -48,9 +48,9 @@
   Stale = true;
 }
 
-backend_record &backend_pool::update(const backend_view &View, mono_time Now) {
+scheduled_backend &backend_pool::update(const backend_view &View, mono_time Now) {
   const auto [Found, Added] = Records.try_emplace(View.Announcement.Key);
-  backend_record &Record = Found->second;
+  scheduled_backend &Record = Found->second;
   const backend_announcement &Before = Record.View.Announcement;
   if (Added || Before.Labels != View.Announcement.Labels ||
       Before.Service != View.Announcement.Service || Record.View.Standing != View.Standing)
@@ -72,7 +72,7 @@
   rebuild();
 }
 
-backend_record *backend_pool::find(const backend_key &Backend) {
+scheduled_backend *backend_pool::find(const backend_key &Backend) {
   const auto Found = Records.find(Backend);
   return Found == Records.end() ? nullptr : &Found->second;
 }
@@ -83,14 +83,14 @@
     Services[Record.View.Announcement.Service].push_back(&Record);
   for (auto &[Name, Group] : Groups) {
     Group.Servers.clear();
-    for (backend_record *Record : Services[Group.Service])
+    for (scheduled_backend *Record : Services[Group.Service])
       if (carries(Record->View.Announcement.Labels, Group.Labels))
         Group.Servers.push_back(Record);
   }
   Stale = false;
 }
 
-const std::vector<backend_record *> &backend_pool::members(const service_name &Service,
+const std::vector<scheduled_backend *> &backend_pool::members(const service_name &Service,
                                                            const group_name &Group) {
   if (Stale)
     rebuild();
@@ -107,7 +107,7 @@
     rebuild();
   for (auto &[Name, Group] : Groups) {
     std::vector<long_candidate> Candidates;
-    for (const backend_record *Record : Group.Servers)
+    for (const scheduled_backend *Record : Group.Servers)
       if (Record->active() && Ejections.state(Record->key()) == ejection_state::Admitted)
         Candidates.push_back({Record->key(), Record->View.Announcement.Domain});
     std::vector<backend_key> Order = longWorkOrder(Candidates);
@@ -142,7 +142,7 @@
   learnTypical();
   for (auto &[Name, Servers] : Services) {
     std::vector<peer_speed> Peers;
-    for (backend_record *Record : Servers)
+    for (scheduled_backend *Record : Servers)
       if (Record->active())
         Peers.push_back(
             {Record->key(), Record->Costs.prefillRate(), Record->Costs.prefillSamples()});
--- a/src/scheduling/backend_pool_base.h
+++ b/src/scheduling/backend_pool_base.h
@@ -17,7 +17,7 @@
 namespace pollenstall {
 
 /// One backend server: its announcement and report, and this host's ledgers of it.
-struct backend_record {
+struct scheduled_backend {
   backend_view View;
   cost_model Costs;
   prefill_ledger Prefill;
@@ -39,12 +39,12 @@
 public:
   void applyDeclaration(const fleet_declaration &Declaration);
   /// @return The record that was updated.
-  backend_record &update(const backend_view &View, mono_time Now);
+  scheduled_backend &update(const backend_view &View, mono_time Now);
   void remove(const backend_key &Backend);
 
-  [[nodiscard]] backend_record *find(const backend_key &Backend);
+  [[nodiscard]] scheduled_backend *find(const backend_key &Backend);
   /// @return The group's servers of any standing; those of the service where Group is empty.
-  [[nodiscard]] const std::vector<backend_record *> &members(const service_name &Service,
+  [[nodiscard]] const std::vector<scheduled_backend *> &members(const service_name &Service,
                                                              const group_name &Group);
   /// Recomputes which engines of each group take long work. @param LongDemand Part of recent cost.
   void chooseLongEngines(double GreatestShare, double LongDemand);
@@ -54,7 +54,7 @@
 
   [[nodiscard]] ejection &ejections() { return Ejections; }
   [[nodiscard]] const ejection &ejections() const { return Ejections; }
-  [[nodiscard]] const std::map<backend_key, backend_record> &records() const { return Records; }
+  [[nodiscard]] const std::map<backend_key, scheduled_backend> &records() const { return Records; }
   /// @return The median prefill rate of active engines with samples, else the prior.
   [[nodiscard]] double typicalRate() const { return TypicalRate; }
   [[nodiscard]] double typicalStep() const { return TypicalStep; }
@@ -63,17 +63,17 @@
   struct group_members {
     service_name Service;
     label_set Labels;
-    std::vector<backend_record *> Servers;
+    std::vector<scheduled_backend *> Servers;
     std::set<backend_key> LongEngines;
   };
 
   void rebuild();
   void learnTypical();
 
-  std::map<backend_key, backend_record> Records;
+  std::map<backend_key, scheduled_backend> Records;
   std::map<group_name, group_members> Groups;
-  std::map<service_name, std::vector<backend_record *>> Services;
-  std::vector<backend_record *> Nobody;
+  std::map<service_name, std::vector<scheduled_backend *>> Services;
+  std::vector<scheduled_backend *> Nobody;
   ejection Ejections;
   bool Stale{true}; ///< A label, a service or the set of servers changed since the last rebuild.
   double LongFrom{100'000};
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -39,10 +39,10 @@
 }
 
 void scheduler::updateBackend(const backend_view &View, mono_time Now) {
-  const backend_record *Before = Pool.find(View.Announcement.Key);
+  const scheduled_backend *Before = Pool.find(View.Announcement.Key);
   const bool NewReport = Before == nullptr || Before->View.Load.Sequence != View.Load.Sequence;
   const bool NewServer = Before == nullptr || Before->View.Standing != View.Standing;
-  backend_record &Record = Pool.update(View, Now);
+  scheduled_backend &Record = Pool.update(View, Now);
   if (NewReport && View.Load.Sequence > 0)
     reportToLedgers(Record);
   if (NewServer)
--- a/src/scheduling/scheduler_attempt.cpp
+++ b/src/scheduling/scheduler_attempt.cpp
@@ -20,7 +20,7 @@
   return Failure != attempt_failure::Declined;
 }
 
-memory_blocks blocksFor(double Tokens, const backend_record &Record) {
+memory_blocks blocksFor(double Tokens, const scheduled_backend &Record) {
   const std::int64_t PerBlock =
       std::max<std::int64_t>(1, Record.View.Announcement.BlockTokens.value());
   return memory_blocks(static_cast<std::int64_t>(Tokens) / PerBlock);
@@ -30,7 +30,7 @@
 
 ticket_number scheduler::openTicket(const waiting_work &Work, const choice &Choice, mono_time Now) {
   const ticket_number Number = NextTicket++;
-  backend_record &Record = *Choice.Record;
+  scheduled_backend &Record = *Choice.Record;
   open_ticket Ticket;
   Ticket.Backend = Record.key();
   Ticket.Request = Work.Item.Request;
@@ -60,7 +60,7 @@
 void scheduler::closeTicket(std::map<ticket_number, open_ticket>::iterator Found) {
   const ticket_number Number = Found->first;
   const open_ticket &Ticket = Found->second;
-  if (backend_record *Record = Pool.find(Ticket.Backend)) {
+  if (scheduled_backend *Record = Pool.find(Ticket.Backend)) {
     Record->Memory.release(Number);
     Record->Prefill.remove(Number);
     requireInvariant(Record->Outstanding > 0, "a server counts each of its attempts");
@@ -75,7 +75,7 @@
   Tickets.erase(Found);
 }
 
-void scheduler::reportToLedgers(backend_record &Record) {
+void scheduler::reportToLedgers(scheduled_backend &Record) {
   const backend_load &Load = Record.View.Load;
   const mono_time Seen = Record.View.LoadSeen;
   Record.OwnInReport = 0;
@@ -105,7 +105,7 @@
     }
     closeTicket(Tickets.find(Number));
   }
-  backend_record *Record = Pool.find(Backend);
+  scheduled_backend *Record = Pool.find(Backend);
   if (Record == nullptr || ByAttempt.contains(Attempt))
     return;
   const waiting_work Work{Item, classOf(Item), group_name(), costOf(Item), Item.Deadline};
@@ -121,7 +121,7 @@
   if (Found == ByAttempt.end())
     return;
   open_ticket &Ticket = Tickets.at(Found->second);
-  backend_record *Record = Pool.find(Ticket.Backend);
+  scheduled_backend *Record = Pool.find(Ticket.Backend);
   if (Ticket.Answered || Record == nullptr)
     return;
   Ticket.Answered = true;
@@ -137,7 +137,7 @@
   if (Found == ByAttempt.end())
     return;
   open_ticket &Ticket = Tickets.at(Found->second);
-  backend_record *Record = Pool.find(Ticket.Backend);
+  scheduled_backend *Record = Pool.find(Ticket.Backend);
   if (Record == nullptr)
     return;
   if (Ticket.Answered)
@@ -195,7 +195,7 @@
   // An engine that hangs ends no attempt, so it would never show a failure: the callers' time
   // would run out one by one while it still looks the least loaded.
   for (auto &[Number, Ticket] : Tickets) {
-    const backend_record *Record = Pool.find(Ticket.Backend);
+    const scheduled_backend *Record = Pool.find(Ticket.Backend);
     if (Ticket.Answered || !Ticket.Attempt || Record == nullptr)
       continue;
     const bool Overdue = Now - Ticket.Placed > Ticket.Expected * StallFactor + StallMargin;
--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -108,7 +108,7 @@
     double Cost{0};       ///< Of the choice, with what it does to other classes.
   };
   struct choice {
-    backend_record *Record{nullptr};
+    scheduled_backend *Record{nullptr};
     engine_estimate Estimate;
   };
   /// What could not be placed in this poll, so that work alike is not tried again.
@@ -126,12 +126,12 @@
   [[nodiscard]] std::chrono::seconds retryAfter(const waiting_work &Work, mono_time Now);
 
   // scheduler_choice.cpp
-  std::vector<backend_record *> usable(const waiting_work &Work);
-  [[nodiscard]] bool mayPlace(const backend_record &Record, const waiting_work &Work) const;
-  [[nodiscard]] engine_estimate estimate(const backend_record &Record, const waiting_work &Work,
+  std::vector<scheduled_backend *> usable(const waiting_work &Work);
+  [[nodiscard]] bool mayPlace(const scheduled_backend &Record, const waiting_work &Work) const;
+  [[nodiscard]] engine_estimate estimate(const scheduled_backend &Record, const waiting_work &Work,
                                          const std::optional<cached_prefix> &Cached,
                                          mono_time Now) const;
-  [[nodiscard]] bool hasSlot(const backend_record &Record, const waiting_work &Work,
+  [[nodiscard]] bool hasSlot(const scheduled_backend &Record, const waiting_work &Work,
                              const engine_estimate &Estimate, mono_time Now) const;
   std::optional<choice> choose(const waiting_work &Work, mono_time Now);
   choice drawNearLeast(const std::vector<choice> &Choices, length_class Class);
@@ -149,7 +149,7 @@
   // scheduler_attempt.cpp
   ticket_number openTicket(const waiting_work &Work, const choice &Choice, mono_time Now);
   void closeTicket(std::map<ticket_number, open_ticket>::iterator Found);
-  void reportToLedgers(backend_record &Record);
+  void reportToLedgers(scheduled_backend &Record);
   void blame(open_ticket &Ticket, mono_time Now);
   void blameStalled(mono_time Now);
   void learnFromEnd(const open_ticket &Ticket, const attempt_report &End);
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -20,12 +20,12 @@
 
 } // namespace
 
-std::vector<backend_record *> scheduler::usable(const waiting_work &Work) {
+std::vector<scheduled_backend *> scheduler::usable(const waiting_work &Work) {
   const work_item &Item = Work.Item;
-  std::vector<backend_record *> Fresh;
-  std::vector<backend_record *> Tried;
+  std::vector<scheduled_backend *> Fresh;
+  std::vector<scheduled_backend *> Tried;
   const auto Gather = [&](const group_name &Group) {
-    for (backend_record *Record : Pool.members(Item.Service, Group)) {
+    for (scheduled_backend *Record : Pool.members(Item.Service, Group)) {
       if (!Record->active() || !Record->serves(Item))
         continue;
       const bool Avoided =
@@ -41,7 +41,7 @@
   return Fresh.empty() ? Tried : Fresh;
 }
 
-bool scheduler::mayPlace(const backend_record &Record, const waiting_work &Work) const {
+bool scheduler::mayPlace(const scheduled_backend &Record, const waiting_work &Work) const {
   if (!Pool.ejections().admits(Record.key(), Record.Outstanding))
     return false;
   if (Work.Item.Model.empty())
@@ -51,7 +51,7 @@
   return Work.Class == length_class::Long || HeldForLong != Record.key();
 }
 
-scheduler::engine_estimate scheduler::estimate(const backend_record &Record,
+scheduler::engine_estimate scheduler::estimate(const scheduled_backend &Record,
                                                const waiting_work &Work,
                                                const std::optional<cached_prefix> &Cached,
                                                mono_time Now) const {
@@ -83,7 +83,7 @@
   return Result;
 }
 
-bool scheduler::hasSlot(const backend_record &Record, const waiting_work &Work,
+bool scheduler::hasSlot(const scheduled_backend &Record, const waiting_work &Work,
                         const engine_estimate &Estimate, mono_time Now) const {
   if (Work.Item.Model.empty())
     return true;
@@ -100,7 +100,7 @@
 std::optional<scheduler::choice> scheduler::choose(const waiting_work &Work, mono_time Now) {
   std::vector<choice> Choices;
   const std::optional<cached_prefix> Cached = Affinity.find(Work.Item.PrefixHashes);
-  for (backend_record *Record : usable(Work)) {
+  for (scheduled_backend *Record : usable(Work)) {
     if (!mayPlace(*Record, Work))
       continue;
     const engine_estimate Estimate = estimate(*Record, Work, Cached, Now);
@@ -149,9 +149,9 @@
   HoldWanted = true;
   if (HeldForLong)
     return;
-  const backend_record *Best = nullptr;
+  const scheduled_backend *Best = nullptr;
   memory_blocks BestFree;
-  for (const backend_record *Record : usable(Work)) {
+  for (const scheduled_backend *Record : usable(Work)) {
     const memory_ledger &Memory = Record->Memory;
     const bool Slot = Record->Prefill.longs(Now, Record->Costs.prefillRate()) <
                       std::max(1U, Policy.MaxLongPerEngine);
--- a/src/scheduling/scheduler_dump.cpp
+++ b/src/scheduling/scheduler_dump.cpp
@@ -25,7 +25,7 @@
   Out << '"';
 }
 
-void writeRecord(std::ostream &Out, const backend_record &Record, ejection_state Ejection) {
+void writeRecord(std::ostream &Out, const scheduled_backend &Record, ejection_state Ejection) {
   Out << "{\"backend\":";
   writeText(Out, toText(Record.key()));
   Out << ",\"standing\":\"" << StandingNames[static_cast<std::size_t>(Record.View.Standing)]
--- a/src/scheduling/scheduler_intake.cpp
+++ b/src/scheduling/scheduler_intake.cpp
@@ -57,7 +57,7 @@
     return group_name();
   const auto HasServer = [this, &Item](const candidate_group &Candidate) {
     const auto &Servers = Pool.members(Item.Service, Candidate.Group);
-    return std::any_of(Servers.begin(), Servers.end(), [&Item](const backend_record *Record) {
+    return std::any_of(Servers.begin(), Servers.end(), [&Item](const scheduled_backend *Record) {
       return Record->active() && Record->serves(Item);
     });
   };
@@ -86,7 +86,7 @@
   bool Serves = false;
   bool CouldHold = false;
   const auto Look = [&](const group_name &Group) {
-    for (const backend_record *Record : Pool.members(Item.Service, Group)) {
+    for (const scheduled_backend *Record : Pool.members(Item.Service, Group)) {
       if (!Record->serves(Item))
         continue;
       Serves = true;
@@ -107,7 +107,7 @@
 double scheduler::engineRate(const work_item &Item, length_class Class) {
   std::size_t Engines = 0;
   const auto Count = [&](const group_name &Group) {
-    for (const backend_record *Record : Pool.members(Item.Service, Group))
+    for (const scheduled_backend *Record : Pool.members(Item.Service, Group))
       if (Record->active())
         ++Engines;
   };
