--- a/src/relay/backend_links.cpp
+++ b/src/relay/backend_links.cpp
@@ -1,7 +1,7 @@
 /** @file backend_links.cpp Takes, makes and keeps connections to backend servers. */
 #include "relay/backend_links_base.h"
 
-#include "relay/endpoint_func.h"
+#include "peer_link/peer_link.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -43,7 +43,7 @@
 }
 
 asio::awaitable<backend_link> backend_links::connect(const backend_key &Backend) {
-  const auto Endpoint = endpointFromText(Backend.Address.str());
+  const auto Endpoint = tcpEndpoint(Backend.Address.str());
   if (!Endpoint)
     co_return nullptr;
   boost::system::error_code Code;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -4,7 +4,7 @@
 #include "relay/backend_exchange_base.h"
 #include "relay/caller_session_base.h"
 #include "relay/cancel_call_func.h"
-#include "relay/endpoint_func.h"
+#include "peer_link/peer_link.h"
 #include "relay/relay_context_type.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -42,7 +42,7 @@
         Housekeeping(Io) {}
 
   result<std::string, relay_error> listen(std::string_view Address) {
-    const auto Endpoint = endpointFromText(Address);
+    const auto Endpoint = tcpEndpoint(Address);
     if (!Endpoint)
       return relay_error{"not an address: " + std::string(Address)};
     error_code Code;
