--- a/src/fake_backend/session_base.h
+++ b/src/fake_backend/session_base.h
@@ -57,6 +57,7 @@
 private:
   void readRequest();
   void watchPeer();
+  bool peerLeft();
   void send(std::string &&Bytes, plain_hook Then);
   void answered(bool Reuse);
 
@@ -64,13 +65,15 @@
   boost::asio::steady_timer Delayed;
   boost::beast::flat_buffer Buffer;
   std::optional<boost::beast::http::request_parser<boost::beast::http::string_body>> Parser;
-  std::string Out;
+  std::string Head; ///< Of a stream, until it goes out with the first events.
+  std::string Out;  ///< What is being written.
   request_hook Request;
   plain_hook Broken;
   std::uint64_t Turn{0}; ///< Counts requests, so that an old watch does not end a later one.
   bool Writing{false};
   bool Closed{false};
   bool KeepAlive{true};
+  bool Pipelined{false}; ///< The next request is there already; its bytes hide a break.
 };
 
 } // namespace pollenstall
