--- a/src/relay/request_head.cpp
+++ b/src/relay/request_head.cpp
@@ -45,6 +45,10 @@
     return invalidField("Content-Length", "must not stand beside Transfer-Encoding");
   if (Lengths > 1)
     return invalidField("Content-Length", "must stand once");
+  // The parser takes "3, 3" for 3, as a proxy may; another reader need not.
+  const auto Length = Fields[http::field::content_length];
+  if (Length.find_first_not_of("0123456789") != boost::beast::string_view::npos)
+    return invalidField("Content-Length", "must be a whole number");
   if (Codings > 1)
     return invalidField("Transfer-Encoding", "must stand once");
   if (Codings == 1 && !boost::beast::iequals(Fields[http::field::transfer_encoding], "chunked"))
--- /dev/null
+++ b/tests/relay/call_error_test.cpp
@@ -0,0 +1,45 @@
+/** @file call_error_test.cpp What a caller is told of each end. */
+#include "relay/relay.h"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+#include <set>
+
+namespace pollenstall {
+namespace {
+
+std::vector<failure_reason> reasons() {
+  std::vector<failure_reason> All;
+  for (int Reason = 0; Reason <= static_cast<int>(failure_reason::ShuttingDown); ++Reason)
+    All.push_back(static_cast<failure_reason>(Reason));
+  return All;
+}
+
+TEST(CallError, HasOneCodeForEachReason) {
+  std::set<std::string_view> Codes;
+  for (const failure_reason Reason : reasons())
+    EXPECT_TRUE(Codes.insert(reasonText(Reason)).second) << reasonText(Reason);
+}
+
+/// Client libraries retry 429 and 503 by themselves; that must not repeat work that may have run.
+TEST(CallError, InvitesARetryOnlyWhereNothingWasRun) {
+  for (const failure_reason Reason : reasons()) {
+    const call_error Error = errorFor({request_number(1), final_outcome::Unknown, Reason, {}});
+    EXPECT_NE(Error.Status, 429U) << Error.Code;
+    EXPECT_NE(Error.Status, 503U) << Error.Code;
+  }
+}
+
+TEST(CallError, SaysTheOutcomeInTheBody) {
+  const call_error Error =
+      errorFor({request_number(1), final_outcome::NotRun, failure_reason::QueueFull, {}});
+  const boost::json::value Body = boost::json::parse(errorBody(Error));
+  EXPECT_EQ(Body.at("error").at("outcome"), "not-run");
+  EXPECT_EQ(Body.at("error").at("code"), "queue_full");
+  EXPECT_TRUE(Body.at("error").at("param").is_null());
+  EXPECT_EQ(Error.Status, 429U);
+}
+
+} // namespace
+} // namespace pollenstall
