pollenstall-entry: the whole path from a caller to a backend server, with tests by real processes

Cause found by the tests: a whole answer cut midway was resumed and events were glued to half a JSON body. Change: its break is a bad answer, and a resume is refused unless the caller has a stream.

--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -75,9 +75,15 @@
   Membership.reset();
   if (Decision)
     Decision->stop();
-  Io.stop();
-  if (RelayThread.joinable())
-    RelayThread.join();
+  stopRelay();
+}
+
+void entry::stopRelay() {
+  if (!RelayThread.joinable())
+    return;
+  asio::post(Io, [this] { Relay->stop(); });
+  Work.reset();
+  RelayThread.join();
 }
 
 result<done, entry_error> entry::loadDeclaration(std::optional<fleet_declaration> &Into) const {
@@ -275,9 +281,7 @@
   waitForCalls(boot_clock::now() + CancelGrace, [this] { return Decision->abandoned(); });
   Membership->stop();
   Decision->stop();
-  asio::post(Io, [this] { Relay->stop(); });
-  Io.stop();
-  RelayThread.join();
+  stopRelay();
   const exit_code Code = AllEnded ? exit_code::Ok : exit_code::ShutdownLimit;
   logEvent(log_level::Info, "stopped", {{"exit_code", static_cast<std::int64_t>(Code)}});
   return Code;
--- a/programs/pollenstall-entry/entry_base.h
+++ b/programs/pollenstall-entry/entry_base.h
@@ -45,6 +45,7 @@
   result<done, entry_error> writeAddresses() const;
   void startControl();
   void startMembership();
+  void stopRelay();
   [[nodiscard]] operator_reply takeAnnouncement(const operator_call &Call);
   [[nodiscard]] std::string announceTo() const;
   [[nodiscard]] std::string dump();
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -122,6 +122,8 @@
   return std::nullopt; // Until the connection closes: a cut would look like an end.
 }
 
+/// A whole answer that ends before its length is a bad answer, not a broken stream: it has no
+/// events, and a resume would put events behind the half of a JSON body.
 asio::awaitable<exchange_end> backend_exchange::relayWhole() {
   const auto Framing = framingOfWhole();
   if (!Framing)
@@ -143,13 +145,11 @@
         Abandoned = true;
       }
     }
-    if (Abandoned)
-      co_return exchange_end{attempt_failure::BrokenMidway, {}};
     if (Feed->done())
       break;
-    if (!co_await readMore())
+    if (Abandoned || !co_await readMore())
       co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
-                                                               : attempt_failure::BrokenMidway,
+                                                               : attempt_failure::BadAnswer,
                              {}};
   }
   if (!co_await Call->Caller->writeEnd())
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,10 +1,10 @@
 /** @file relay.cpp Accepts callers and carries out the decision thread's orders. */
 #include "relay/relay_base.h"
 
+#include "peer_link/peer_link.h"
 #include "relay/backend_exchange_base.h"
 #include "relay/caller_session_base.h"
 #include "relay/cancel_call_func.h"
-#include "peer_link/peer_link.h"
 #include "relay/relay_context_type.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -75,8 +75,9 @@
 
   void on(resume_attempt &&Order) {
     const auto Call = Context.Calls.find(Order.Attempt.Request);
-    if (Call == Context.Calls.end()) {
-      Context.Outbox.push(attempt_failed{Order.Attempt, attempt_failure::BrokenMidway});
+    // Only events can be gone on with; what else a caller has part of must not get them.
+    if (Call == Context.Calls.end() || Call->second->Stage != answer_stage::Stream) {
+      Context.Outbox.push(attempt_failed{Order.Attempt, attempt_failure::BadAnswer});
       return;
     }
     start_attempt Again;
@@ -110,14 +111,27 @@
 
   void on(declaration_in_force &&Order) { Context.Declaration = std::move(Order.View); }
 
+  /// Ends every coroutine, so that none is left whose sockets outlive what they belong to.
   void stop() {
+    Stopped = true;
     error_code Ignored;
     Acceptor.close(Ignored);
     Housekeeping.cancel();
+    for (const auto &[Attempt, Exchange] : Exchanges)
+      Exchange->abandon();
+    for (const auto &[Number, Call] : Context.Calls) {
+      Call->Finish =
+          finish_request{Number,
+                         Call->mayHaveRun() ? final_outcome::Unknown : final_outcome::NotRun,
+                         failure_reason::ShuttingDown,
+                         {}};
+      Call->Changed.notify();
+    }
     Context.Sweeper.stop();
-    Stopped = true;
   }
 
+  [[nodiscard]] bool stopped() const { return Stopped; }
+
   [[nodiscard]] std::string dump() const {
     boost::json::object State;
     State["connections"] = Context.Connections;
@@ -212,6 +226,8 @@
 }
 
 void relay::handle(relay_order &&Order) {
+  if (State->stopped())
+    return;
   std::visit([this](auto &&Known) { State->on(std::forward<decltype(Known)>(Known)); },
              std::move(Order));
 }
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -40,7 +40,7 @@
   void handle(relay_order &&Order);
   /// Refuses new requests from now on; those admitted go on.
   void beginStop();
-  /// Closes everything, so that the io_context runs out of work.
+  /// Closes everything; once the io_context has run out of work this object may go.
   void stop();
   /// @return Requests without a final answer.
   [[nodiscard]] std::size_t openCalls() const;
--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -156,6 +156,8 @@
 void socket_sweeper::stop() {
   Stopped = true;
   Timer.cancel();
+  for (timed_socket &Socket : Sockets)
+    Socket.abort();
 }
 
 void socket_sweeper::sweep() {
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -91,8 +91,9 @@
 public:
   explicit socket_sweeper(boost::asio::io_context &Context);
 
-  /// Starts the sweeps; they end with stop().
+  /// Starts the sweeps.
   void start();
+  /// Ends the sweeps and closes every socket.
   void stop();
   [[nodiscard]] std::span<char> readBuffer() { return Buffer; }
   [[nodiscard]] boost::asio::io_context &io() { return Io; }
--- /dev/null
+++ b/tests/entry/broken_answer_test.cpp
@@ -0,0 +1,118 @@
+/** @file broken_answer_test.cpp Backend servers that break off, cross or refuse. */
+#include "entry_fleet_base.h"
+
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+class BrokenAnswer : public ::testing::Test {
+protected:
+  void expectRest(entry_fleet &Fleet) {
+    EXPECT_TRUE(eventually([&Fleet] { return Fleet.atRest(); }))
+        << boost::json::serialize(Fleet.dump());
+  }
+};
+
+TEST_F(BrokenAnswer, AStreamCutMidwayGoesOnAtTheExactEvent) {
+  // The engine's connection breaks after five events. The entry asks the same engine for the sixth;
+  // the caller sees one stream without a gap or a repeat, and does not learn of the break.
+  entry_fleet Fleet;
+  ASSERT_TRUE(Fleet.engine().faults(R"({"cut_after_events":5})"));
+  const auto Stream = Fleet.stream("a question", 30);
+  const std::vector<sse_event> Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  for (std::size_t Index = 0; Index < Events.size(); ++Index)
+    EXPECT_EQ(Events[Index].Id, std::to_string(Index + 1));
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  EXPECT_EQ(Fleet.engine().stat("starts"), 1);
+  expectRest(Fleet);
+}
+
+TEST_F(BrokenAnswer, AStreamThatCannotGoOnEndsInAnErrorAndNeverCleanly) {
+  // This engine cannot resume. After the break the caller gets an error event that says "unknown",
+  // and the HTTP body stays unfinished: neither reader can take the part for the whole.
+  entry_fleet Fleet({.EngineTables = "[capabilities]\nresumes = false\n"});
+  ASSERT_TRUE(Fleet.engine().faults(R"({"cut_after_events":5})"));
+  const auto Stream = Fleet.stream("a question", 30);
+  const std::vector<sse_event> Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  const boost::json::value Last = boost::json::parse(Events.back().Data);
+  EXPECT_EQ(Last.at("error").at("outcome"), "unknown");
+  EXPECT_EQ(Last.at("error").at("code"), "backend_failed");
+  EXPECT_FALSE(Stream->endedInOrder());
+  expectRest(Fleet);
+}
+
+TEST_F(BrokenAnswer, AStreamThatEndsWithoutItsEndMarkIsNotTakenForWhole) {
+  // The engine closes the HTTP body in order but never says [DONE]: tokens may be missing.
+  entry_fleet Fleet({.EngineTables = "[capabilities]\nresumes = false\n"});
+  ASSERT_TRUE(Fleet.engine().faults(R"({"no_done_next":1})"));
+  const auto Stream = Fleet.stream("a question", 5);
+  const std::vector<sse_event> Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  EXPECT_NE(Events.back().Data.find("\"outcome\":\"unknown\""), std::string::npos);
+  EXPECT_FALSE(Stream->endedInOrder());
+  expectRest(Fleet);
+}
+
+TEST_F(BrokenAnswer, AWholeAnswerBrokenInTheMiddleIsCutForTheCallerToo) {
+  // Half of the body came, then the engine's connection broke. The head with its length is with the
+  // caller already, so that only a reset can say that the rest will not come.
+  entry_fleet Fleet;
+  ASSERT_TRUE(Fleet.engine().faults(R"({"half_answer_next":1})"));
+  const http_answer Answer = Fleet.chat("a question", 40);
+  EXPECT_EQ(Answer.Status, 200);
+  EXPECT_FALSE(Answer.Error.empty()) << Answer.Body;
+  expectRest(Fleet);
+}
+
+TEST_F(BrokenAnswer, AnAnswerToAnotherAttemptReachesNobody) {
+  // Each engine answers once under another attempt's name, as crossed connections would. The entry
+  // drops both answers and closes their connections; the caller gets its own at the third try.
+  entry_fleet Fleet({.Engines = 2});
+  for (std::size_t Index = 0; Index < Fleet.engines(); ++Index)
+    ASSERT_TRUE(Fleet.engine(Index).faults(R"({"wrong_attempt_next":1})"));
+  const http_answer Answer = Fleet.chat("a question", 3);
+  EXPECT_TRUE(Answer.ok()) << Answer.Body;
+  EXPECT_GE(Fleet.metric("pollenstall_attempt_ends_total", "bad_answer"), 1);
+  expectRest(Fleet);
+}
+
+TEST_F(BrokenAnswer, DeclinedAndFailedWorkIsTriedElsewhere) {
+  entry_fleet Fleet({.Engines = 2});
+  for (std::size_t Index = 0; Index < Fleet.engines(); ++Index)
+    ASSERT_TRUE(Fleet.engine(Index).faults(R"({"decline_next":1,"error_next":0})"));
+  EXPECT_TRUE(Fleet.chat("a question").ok());
+  for (std::size_t Index = 0; Index < Fleet.engines(); ++Index)
+    ASSERT_TRUE(Fleet.engine(Index).faults(R"({"decline_next":0,"error_next":1})"));
+  EXPECT_TRUE(Fleet.chat("another question").ok());
+  expectRest(Fleet);
+}
+
+TEST_F(BrokenAnswer, WorkThatMayNotBeRepeatedIsToldAsUnknown) {
+  // The caller marks its call as not idempotent. The engine starts it and fails with a 500: it may
+  // have had its effect, so it is not sent again, and the caller is told that nobody knows.
+  entry_fleet Fleet({.Engines = 2});
+  for (std::size_t Index = 0; Index < Fleet.engines(); ++Index)
+    ASSERT_TRUE(Fleet.engine(Index).faults(R"({"error_next":1})"));
+  const http_answer Answer = Fleet.chat("send", 1, {{"X-Pollenstall-Idempotent", "false"}});
+  EXPECT_EQ(Answer.Status, 502) << Answer.Body;
+  EXPECT_EQ(Answer.header("X-Pollenstall-Outcome"), "unknown");
+  EXPECT_EQ(Fleet.engine(0).stat("starts") + Fleet.engine(1).stat("starts"), 1);
+  expectRest(Fleet);
+}
+
+TEST_F(BrokenAnswer, WithEveryServerGoneTheCallerIsToldThatItWasNotRun) {
+  // The engine is killed, so connecting is refused: no byte of any attempt has left this process.
+  entry_fleet Fleet({.ServiceLines = "default_timeout_ms = 1500\n"});
+  Fleet.engine().process().kill();
+  (void)Fleet.engine().process().wait();
+  const http_answer Answer = Fleet.chat("a question");
+  EXPECT_GE(Answer.Status, 503) << Answer.Body;
+  EXPECT_EQ(Answer.header("X-Pollenstall-Outcome"), "not-run");
+  EXPECT_FALSE(Answer.header("Retry-After").empty());
+}
+
+} // namespace
+} // namespace pollenstall
--- /dev/null
+++ b/tests/entry/stopping_test.cpp
@@ -0,0 +1,49 @@
+/** @file stopping_test.cpp Settings checks and a stop that cuts off nobody. */
+#include "entry_fleet_base.h"
+
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+TEST(Stopping, LetsRunningWorkEndAndRefusesNewWork) {
+  // SIGTERM comes while a stream runs. The balancer is told by /readyz, new calls are told "not
+  // run" with Retry-After, and the running stream ends whole before the process does.
+  entry_fleet Fleet({.EngineTables = "[step]\nbase_us = 20000\n"});
+  const auto Stream = Fleet.stream("a question", 60);
+  ASSERT_TRUE(Stream->next());
+  Fleet.entry().terminate();
+  ASSERT_TRUE(eventually([&] { return Fleet.operators().get("/readyz").Status == 503; }));
+  const http_answer Refused = Fleet.chat("too late");
+  EXPECT_EQ(Refused.Status, 503);
+  EXPECT_EQ(Refused.header("X-Pollenstall-Outcome"), "not-run");
+  EXPECT_FALSE(Refused.header("Retry-After").empty());
+  const std::vector<sse_event> Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  EXPECT_EQ(Fleet.entry().wait(), 0);
+}
+
+TEST(Stopping, EndsWorkAtTheLimitAndSaysSo) {
+  entry_fleet Fleet(
+      {.EntryTop = "shutdown_limit_ms = 200\n", .EngineTables = "[step]\nbase_us = 20000\n"});
+  const auto Stream = Fleet.stream("a question", 4'000);
+  ASSERT_TRUE(Stream->next());
+  Fleet.entry().terminate();
+  const std::vector<sse_event> Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  EXPECT_NE(Events.back().Data.find("shutting_down"), std::string::npos) << Events.back().Data;
+  EXPECT_EQ(Fleet.entry().wait(), 3);
+  EXPECT_TRUE(eventually([&] { return Fleet.engine().stat("used_blocks") == 0; }));
+}
+
+TEST(Stopping, WrongSettingsEndAtOnceWithTheirPlace) {
+  const auto Process = child_process::withSettings("pollenstall-entry", "[host]\nnam = \"a\"\n");
+  EXPECT_EQ(Process->wait(), 2);
+  const std::vector<std::string> Lines = Process->errorLines();
+  ASSERT_FALSE(Lines.empty());
+  EXPECT_NE(Lines.front().find(":2: host.nam"), std::string::npos) << Lines.front();
+}
+
+} // namespace
+} // namespace pollenstall
--- /dev/null
+++ b/tests/entry/whole_path_test.cpp
@@ -0,0 +1,119 @@
+/** @file whole_path_test.cpp From a caller to a backend server and back. */
+#include "entry_fleet_base.h"
+
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+std::string contentOf(const std::vector<sse_event> &Events) {
+  std::string Text;
+  for (const sse_event &Event : Events) {
+    boost::json::error_code Code;
+    const boost::json::value Data = boost::json::parse(Event.Data, Code);
+    const boost::json::value *Content =
+        Code ? nullptr : Data.find_pointer("/choices/0/delta/content", Code);
+    if (Content && Content->is_string())
+      Text += Content->get_string();
+  }
+  return Text;
+}
+
+class WholePath : public ::testing::Test {
+protected:
+  entry_fleet Fleet{{.Engines = 2, .Plain = 1}};
+};
+
+TEST_F(WholePath, AWholeAnswerArrivesAsTheEngineGaveIt) {
+  const http_answer Answer = Fleet.chat("a question", 3);
+  ASSERT_TRUE(Answer.ok()) << Answer.Error << Answer.Body;
+  EXPECT_EQ(Answer.header("Content-Type"), "application/json");
+  EXPECT_FALSE(Answer.header("X-Request-Id").empty());
+  EXPECT_TRUE(Answer.header("X-Pollenstall-Attempt").empty());
+  EXPECT_EQ(Answer.json().at("usage").at("completion_tokens"), 3);
+}
+
+TEST_F(WholePath, AStreamHasEveryEventOnceAndItsEnd) {
+  const auto Stream = Fleet.stream("a question", 40);
+  ASSERT_EQ(Stream->status(), 200);
+  const std::vector<sse_event> Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  for (std::size_t Index = 0; Index < Events.size(); ++Index)
+    EXPECT_EQ(Events[Index].Id, std::to_string(Index + 1));
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  EXPECT_TRUE(Stream->endedInOrder());
+  const std::string Whole(Fleet.chat("a question", 40)
+                              .json()
+                              .at("choices")
+                              .at(0)
+                              .at("message")
+                              .at("content")
+                              .as_string());
+  EXPECT_EQ(contentOf(Events), Whole);
+  EXPECT_TRUE(eventually([this] { return Fleet.atRest(); }));
+}
+
+TEST_F(WholePath, TheOlderInterfaceAndTheListOfModelsWork) {
+  const http_answer Answer = Fleet.caller().post(
+      "/v1/completions", R"({"model":"m","prompt":"once","max_tokens":2})", callerKey());
+  EXPECT_TRUE(Answer.ok()) << Answer.Body;
+  const http_answer Models = Fleet.caller().get("/v1/models", callerKey());
+  ASSERT_TRUE(Models.ok());
+  EXPECT_EQ(Models.json().at("data").at(0).at("id"), "m");
+  EXPECT_TRUE(Fleet.caller().get("/v1/models/m", callerKey()).ok());
+  EXPECT_EQ(Fleet.caller().get("/v1/models/x", callerKey()).Status, 404);
+}
+
+TEST_F(WholePath, APlainCallKeepsMethodPathQueryBodyAndItsOwnHeaders) {
+  http_headers Headers = callerKey();
+  Headers.emplace_back("X-Mine", "kept");
+  Headers.emplace_back("X-Pollenstall-Account", "someone-else");
+  Headers.emplace_back("traceparent", "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01");
+  const http_answer Answer =
+      Fleet.caller().request("PUT", "/pages/a%20b?x=1&y=2", "body \x01 bytes", Headers);
+  ASSERT_TRUE(Answer.ok()) << Answer.Body;
+  const boost::json::value Echo = Answer.json();
+  EXPECT_EQ(Echo.at("method"), "PUT");
+  EXPECT_EQ(Echo.at("path"), "/pages/a%20b?x=1&y=2");
+  EXPECT_EQ(Echo.at("body"), "body \x01 bytes");
+  EXPECT_EQ(Echo.at("headers").at("X-Mine"), "kept");
+  EXPECT_EQ(Echo.at("headers").at("X-Pollenstall-Account"), "club");
+  EXPECT_EQ(Echo.at("headers").at("traceparent"),
+            "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01");
+  EXPECT_FALSE(Echo.at("headers").as_object().contains("Authorization"));
+}
+
+TEST_F(WholePath, ABodyOfAMillionTokensPassesAndIsNotHeldAfterwards) {
+  const http_answer Answer = Fleet.chat(std::string(6'000'000, 'w'), 1);
+  // The engine of this test has no memory for it and says so; the body has passed all the same.
+  EXPECT_TRUE(Answer.Error.empty()) << Answer.Error;
+  EXPECT_TRUE(eventually([this] { return Fleet.metric("pollenstall_body_bytes") == 0; }));
+}
+
+TEST_F(WholePath, ChunkedBodiesExpectationsAndPipelinedRequestsAreRead) {
+  raw_socket Socket(Fleet.callersAddress());
+  const std::string Body = chatBody("m", "x", false, 1);
+  const std::string Key = "Host: e\r\nAuthorization: Bearer caller-key\r\n";
+  ASSERT_TRUE(Socket.send("POST /v1/chat/completions HTTP/1.1\r\n" + Key +
+                          "Expect: 100-continue\r\nContent-Length: " + std::to_string(Body.size()) +
+                          "\r\n\r\n"));
+  EXPECT_NE(Socket.receiveUntil("\r\n\r\n").find("100 Continue"), std::string::npos);
+  ASSERT_TRUE(Socket.send(Body));
+  EXPECT_NE(Socket.receiveUntil("}}").find("200 OK"), std::string::npos);
+  const std::string Half = Body.substr(0, Body.size() / 2);
+  const std::string Rest = Body.substr(Body.size() / 2);
+  std::ostringstream Chunks;
+  Chunks << std::hex << Half.size() << "\r\n"
+         << Half << "\r\n"
+         << Rest.size() << ";ext=1\r\n"
+         << Rest << "\r\n0\r\nTrailer: t\r\n\r\n";
+  ASSERT_TRUE(Socket.send("POST /v1/chat/completions HTTP/1.1\r\n" + Key +
+                          "Transfer-Encoding: chunked\r\n\r\n" + Chunks.str() +
+                          "GET /v1/models HTTP/1.1\r\n" + Key + "\r\n"));
+  const std::string Answers = Socket.receiveUntil("\"owned_by\"");
+  EXPECT_NE(Answers.find("chat.completion"), std::string::npos);
+  EXPECT_NE(Answers.find("\"owned_by\""), std::string::npos);
+}
+
+} // namespace
+} // namespace pollenstall
