pollenstall-entry: exit 3 where the shutdown limit cut off a request; bound a slow caller's send buffer

Cause: the dispatcher ended requests before the process looked at them, so the exit code said 0; the kernel's send buffer grew to megabytes before a stalled caller was noticed.

--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -145,7 +145,7 @@
               .process(Self)
               .limits(limitsOf(Settings))
               .metrics(Registry)
-              .onCallEnd(logCall)
+              .onCallEnd([this](const call_record &Record) { noteCallEnd(Record); })
               .build();
   Decision->orders().onWake([this] {
     asio::post(Io, [this] {
@@ -253,6 +253,13 @@
          Membership->dump(DumpLimit).value_or(Silent) + "}";
 }
 
+void entry::noteCallEnd(const call_record &Record) {
+  const bool Admitted = !Record.RequestId.empty();
+  if (Admitted && Record.Reason == reasonText(failure_reason::ShuttingDown))
+    CutOff = true;
+  logCall(Record);
+}
+
 std::size_t entry::openCalls() {
   auto Answer = std::make_shared<std::promise<std::size_t>>();
   std::future<std::size_t> Waiting = Answer->get_future();
@@ -260,13 +267,9 @@
   return Waiting.get();
 }
 
-bool entry::waitForCalls(mono_time Until, const std::function<std::size_t()> &Count) {
-  while (Count() > 0) {
-    if (boot_clock::now() >= Until)
-      return false;
+void entry::waitForCalls(mono_time Until, const std::function<std::size_t()> &Count) {
+  while (Count() > 0 && boot_clock::now() < Until)
     std::this_thread::sleep_for(PollPause);
-  }
-  return true;
 }
 
 exit_code entry::shutDown() {
@@ -275,14 +278,12 @@
   asio::post(Io, [this] { Relay->beginStop(); });
   Decision->beginShutdown(Settings.ShutdownLimit);
   const mono_time Limit = boot_clock::now() + Settings.ShutdownLimit;
-  const bool AllEnded = waitForCalls(Limit, [this] { return openCalls(); });
-  if (!AllEnded)
-    waitForCalls(boot_clock::now() + LastAnswers, [this] { return openCalls(); });
+  waitForCalls(Limit + LastAnswers, [this] { return openCalls(); });
   waitForCalls(boot_clock::now() + CancelGrace, [this] { return Decision->abandoned(); });
   Membership->stop();
   Decision->stop();
   stopRelay();
-  const exit_code Code = AllEnded ? exit_code::Ok : exit_code::ShutdownLimit;
+  const exit_code Code = CutOff ? exit_code::ShutdownLimit : exit_code::Ok;
   logEvent(log_level::Info, "stopped", {{"exit_code", static_cast<std::int64_t>(Code)}});
   return Code;
 }
--- a/programs/pollenstall-entry/entry_base.h
+++ b/programs/pollenstall-entry/entry_base.h
@@ -51,7 +51,8 @@
   [[nodiscard]] std::string dump();
   [[nodiscard]] std::optional<std::string> dumpRelay(std::chrono::milliseconds Limit);
   [[nodiscard]] std::size_t openCalls();
-  bool waitForCalls(mono_time Until, const std::function<std::size_t()> &Count);
+  void noteCallEnd(const call_record &Record);
+  void waitForCalls(mono_time Until, const std::function<std::size_t()> &Count);
 
   entry_settings Settings;
   process_key Self;
@@ -66,6 +67,7 @@
   std::unique_ptr<operator_server> Announcements;
   std::string CallersAddress;
   std::atomic<bool> Stopping{false};
+  std::atomic<bool> CutOff{false}; ///< An admitted request was ended by the shutdown limit.
 };
 
 } // namespace pollenstall
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -23,6 +23,10 @@
 constexpr std::string_view ChunkedHead =
     "POST / HTTP/1.1\r\nHost: -\r\nTransfer-Encoding: chunked\r\n\r\n";
 
+/// Bytes that the kernel holds for a slow caller (it takes twice the figure); several milliseconds
+/// of a fast network's traffic.
+constexpr int CallerSendBuffer = 128 << 10;
+
 constexpr unsigned RequestTimeout = 408;
 constexpr unsigned TooLarge = 413;
 constexpr unsigned HeadersTooLarge = 431;
@@ -76,7 +80,11 @@
 
 caller_connection::caller_connection(socket_sweeper &Sweeper, asio::ip::tcp::socket Open,
                                      const relay_limits &Bounds)
-    : Limits(Bounds), Socket(Sweeper, std::move(Open)) {}
+    : Limits(Bounds), Socket(Sweeper, std::move(Open)) {
+  // The kernel would let a caller that stops reading collect megabytes before a write stalls.
+  boost::system::error_code Ignored;
+  Socket.raw().set_option(asio::socket_base::send_buffer_size(CallerSendBuffer), Ignored);
+}
 
 call_error caller_connection::slowError(std::string_view What) const {
   return refusal(RequestTimeout, "invalid_request_error", "request_timeout", std::string(What),
