--- a/programs/pollenstall-entry/announcement_func.h
+++ b/programs/pollenstall-entry/announcement_func.h
@@ -3,19 +3,13 @@
 #define POLLENSTALL_ENTRY_ANNOUNCEMENT_FUNC_H
 
 #include "core/core.h"
-#include "membership/membership.h"
+#include "gossip/gossip.h"
 
 #include <string>
 #include <string_view>
 
 namespace pollenstall {
 
-/// What a backend server said of itself.
-struct received_announcement {
-  backend_announcement Announcement;
-  backend_load Load;
-};
-
 /// The field that is wrong.
 struct announcement_fault {
   std::string Field;
@@ -26,8 +20,8 @@
  * Reads the JSON of docs/BACKEND-PROTOCOL.md; unknown members are ignored.
  * @param Fleet An announcement of another fleet is refused.
  */
-result<received_announcement, announcement_fault> readAnnouncement(std::string_view Body,
-                                                                   std::string_view Fleet);
+result<heard_announcement, announcement_fault> readAnnouncement(std::string_view Body,
+                                                                std::string_view Fleet);
 
 } // namespace pollenstall
 
--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -140,13 +140,13 @@
   PollDue = true;
 }
 
-void decision_seam::take(const membership_action &Action, mono_time Now) {
+void decision_seam::take(const membership_event &Event, mono_time Now) {
   std::visit(
       overloaded{[this, Now](const backend_changed &Change) { noteBackend(Change.View, Now); },
                  [this, Now](const backend_gone &Gone) { noteGone(Gone.Key, Now); },
                  [this](const views_fresh &Fresh) { FreshUntil = Fresh.Until; },
-                 [](const auto &) {}},
-      Action);
+                 [this](const superseded &) { Superseded = true; }, [](const host_changed &) {}},
+      Event);
 }
 
 void decision_seam::take(const dispatch_event &Event, mono_time Now) {
--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -4,7 +4,7 @@
 
 #include "declaration/declaration.h"
 #include "dispatch/dispatch.h"
-#include "membership/membership.h"
+#include "gossip/gossip.h"
 #include "scheduling/scheduling.h"
 
 #include <map>
@@ -26,7 +26,7 @@
   void useDeclaration(declaration_view View);
   /// Operators drain these backend servers; they get no new work.
   void useDrains(const std::vector<backend_address> &Backends, mono_time Now);
-  void take(const membership_action &Action, mono_time Now);
+  void take(const membership_event &Event, mono_time Now);
   void take(const dispatch_event &Event, mono_time Now);
   /// Admitted work that was placed on views older than this could go to a server that is leaving.
   void setReady(bool Ready);
@@ -40,6 +40,8 @@
   /// @return Whether the backend server ends attempts on request.
   [[nodiscard]] bool takesCancels(const backend_key &Backend) const;
   [[nodiscard]] mono_time viewsFreshUntil() const { return FreshUntil; }
+  /// @return Whether a newer life of this host is known, so that this one must stop.
+  [[nodiscard]] bool isSuperseded() const { return Superseded; }
   [[nodiscard]] std::size_t liveRequests() const { return Dispatcher.liveRequests(); }
   [[nodiscard]] std::size_t abandonedAttempts() const { return Dispatcher.abandonedAttempts(); }
   [[nodiscard]] std::size_t queued() const { return Scheduler.queued(); }
@@ -63,6 +65,7 @@
   std::set<backend_address> Drained;
   mono_time FreshUntil;
   bool PollDue{false};
+  bool Superseded{false};
   dispatcher Dispatcher; ///< Its hooks use the members above.
 };
 
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -20,8 +20,8 @@
 } // namespace
 
 decision_thread::decision_thread(decision_plan Wanted)
-    : Plan(std::move(Wanted)), Events(Plan.RingCapacity), Views(Plan.RingCapacity),
-      Orders(Plan.RingCapacity), Outbox(Orders), Seam(Plan.Self, Plan.Self.Life.value()),
+    : Plan(std::move(Wanted)), Events(Plan.RingCapacity), Orders(Plan.RingCapacity), Outbox(Orders),
+      Seam(Plan.Self, Plan.Self.Life.value()),
       QueueGauge(gauge(*Plan.Registry, "pollenstall_queued_requests",
                        "Requests that wait for a backend server")),
       LiveGauge(
@@ -32,7 +32,6 @@
       RevisionGauge(gauge(*Plan.Registry, "pollenstall_declaration_revision",
                           "Revision of the declaration in use")) {
   Events.onWake([this] { Gate.wake(); });
-  Views.onWake([this] { Gate.wake(); });
 }
 
 decision_thread::~decision_thread() { stop(); }
@@ -77,7 +76,9 @@
 }
 
 void decision_thread::drainInputs(mono_time Now) {
-  Views.drain([this, Now](membership_action &&Action) { Seam.take(Action, Now); });
+  if (Views)
+    Views->drain([this, Now](membership_event &&Event) { Seam.take(Event, Now); });
+  Superseded = Seam.isSuperseded();
   if (Control)
     Control->drainEvents(
         [this, Now](control_link_event &&Event) { takeControlEvent(std::move(Event), Now); });
@@ -131,7 +132,8 @@
 }
 
 void decision_thread::updateReadiness(mono_time Now) {
-  const bool Usable = declarationUsable(Now) && Now <= Seam.viewsFreshUntil();
+  const bool Usable =
+      declarationUsable(Now) && Now <= Seam.viewsFreshUntil() && !Seam.isSuperseded();
   if (Usable == Ready && (Announced || !Usable))
     return;
   Seam.setReady(Usable);
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -45,15 +45,15 @@
 
   /// Filled by the relay thread.
   [[nodiscard]] bounded_ring<dispatch_event> &events() { return Events; }
-  /// Filled by the gossip thread.
-  [[nodiscard]] bounded_ring<membership_action> &views() { return Views; }
   /// Emptied by the relay thread.
   [[nodiscard]] bounded_ring<relay_order> &orders() { return Orders; }
-  /// Wakes the thread; for the control link.
+  /// Wakes the thread; for the gossip thread and the control link.
   void wake() { Gate.wake(); }
 
   /// Sets the control link; before start().
   void useControl(std::unique_ptr<control_link> Link) { Control = std::move(Link); }
+  /// Sets the ring of the gossip thread; before start().
+  void useViews(bounded_ring<membership_event> &Source) { Views = &Source; }
   void start();
   /// Refuses new requests; those admitted end by themselves or at the limit.
   void beginShutdown(mono_span Limit);
@@ -62,6 +62,8 @@
 
   /// @return Whether new requests are admitted; from any thread.
   [[nodiscard]] bool ready() const { return Ready.load(std::memory_order_relaxed); }
+  /// @return Whether a newer life of this host runs; from any thread.
+  [[nodiscard]] bool superseded() const { return Superseded.load(std::memory_order_relaxed); }
   /// @return Attempts given up whose end the backend server has not confirmed; from any thread.
   [[nodiscard]] std::size_t abandoned() const { return Abandoned.load(std::memory_order_relaxed); }
   /// @return JSON of the decisions' state, or nothing where the thread did not answer in time.
@@ -83,9 +85,9 @@
 
   decision_plan Plan;
   bounded_ring<dispatch_event> Events;
-  bounded_ring<membership_action> Views;
   bounded_ring<relay_order> Orders;
   event_outbox<relay_order> Outbox;
+  bounded_ring<membership_event> *Views{nullptr};
   wake_gate Gate;
   std::unique_ptr<control_link> Control;
   entry_freshness Freshness;
@@ -96,6 +98,7 @@
 
   std::atomic<bool> Ready{false};
   std::atomic<std::size_t> Abandoned{0};
+  std::atomic<bool> Superseded{false};
   std::atomic<bool> Stopping{false};
   std::mutex Guard; ///< Of the two below, which other threads set.
   std::vector<std::promise<std::string>> DumpsWanted;
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -72,7 +72,7 @@
 entry::~entry() {
   Announcements.reset();
   Operators.reset();
-  Membership.reset();
+  Gossip.reset();
   if (Decision)
     Decision->stop();
   stopRelay();
@@ -110,14 +110,14 @@
   Decision = std::make_unique<decision_thread>(std::move(Plan));
   if (UsesControl)
     startControl();
-  startMembership();
-  for (const auto Step : {&entry::startRelay, &entry::startOperators, &entry::startAnnouncements}) {
+  for (const auto Step : {&entry::startGossip, &entry::startRelay, &entry::startOperators,
+                          &entry::startAnnouncements}) {
     const auto Started = (this->*Step)();
     if (!succeeded(Started))
       return Started;
   }
   Decision->start();
-  Membership->start();
+  Gossip->start();
   RelayThread = std::thread([this] { Io.run(); });
   return writeAddresses();
 }
@@ -129,15 +129,29 @@
                            .start());
 }
 
-void entry::startMembership() {
-  fleet_membership_builder Builder;
-  Builder.self(Self, failure_domain_name(Settings.FailureDomain))
-      .address(peer_address(Settings.GossipAddress))
-      .randomSeed(Self.Life.value());
+result<done, entry_error> entry::startGossip() {
+  gossip_options Options;
+  Options.Secret.Fleet = Settings.Fleet;
+  if (!Settings.GossipKeyFile.empty()) {
+    const auto Key = readFile(Settings.GossipKeyFile);
+    if (!Key)
+      return entry_error{"cannot read " + Settings.GossipKeyFile};
+    Options.Secret.Key = withoutLineEnd(*Key);
+  }
+  Options.Bind = peer_address(Settings.GossipAddress);
+  Options.Identity.Self = Self;
+  Options.Identity.Domain = failure_domain_name(Settings.FailureDomain);
   for (const std::string &Seed : Settings.GossipSeeds)
-    Builder.seed(peer_address(Seed));
-  Membership =
-      std::make_unique<membership_thread>(Builder.build(boot_clock::now()), Decision->views());
+    Options.Identity.Seeds.emplace_back(Seed);
+  Options.RandomSeed = Self.Life.value();
+  auto Created = gossip_service::create(std::move(Options));
+  if (!succeeded(Created))
+    return entry_error{"cannot listen for gossip on " + Settings.GossipAddress};
+  Gossip = std::move(valueOf(Created));
+  Gossip->changes().onWake([this] { Decision->wake(); });
+  Decision->useViews(Gossip->changes());
+  logListening("gossip", Gossip->address().str());
+  return done{};
 }
 
 result<done, entry_error> entry::startRelay() {
@@ -200,7 +214,8 @@
     const call_error Error = invalidField(Fault.Field, Fault.Field + " " + Fault.Message);
     return {BadRequest, "application/json", errorBody(Error)};
   }
-  if (!Membership->announce(valueOf(std::move(Read))))
+  const std::lock_guard<std::mutex> Lock(AnnouncementGuard);
+  if (!Gossip->announcements().push(valueOf(std::move(Read))))
     return {Unavailable, "application/json", "{}"};
   return {200, "application/json", announceTo()};
 }
@@ -220,7 +235,7 @@
   const boost::json::object Addresses{{"callers", CallersAddress},
                                       {"operators", Operators->address()},
                                       {"announcements", Announcements->address()},
-                                      {"gossip", Settings.GossipAddress}};
+                                      {"gossip", Gossip->address().str()}};
   // Renamed into place, so that whoever waits for the file never reads half of it.
   const std::string Draft = Settings.AddressFile + ".new";
   {
@@ -249,8 +264,7 @@
   return R"({"process":{"host":")" + Self.Host.str() + R"(","incarnation":)" +
          std::to_string(Self.Life.value()) + R"(},"relay":)" +
          dumpRelay(DumpLimit).value_or(Silent) + R"(,"decisions":)" +
-         Decision->dump(DumpLimit).value_or(Silent) + R"(,"membership":)" +
-         Membership->dump(DumpLimit).value_or(Silent) + "}";
+         Decision->dump(DumpLimit).value_or(Silent) + R"(,"membership":)" + Gossip->dump() + "}";
 }
 
 void entry::noteCallEnd(const call_record &Record) {
@@ -280,7 +294,7 @@
   const mono_time Limit = boot_clock::now() + Settings.ShutdownLimit;
   waitForCalls(Limit + LastAnswers, [this] { return openCalls(); });
   waitForCalls(boot_clock::now() + CancelGrace, [this] { return Decision->abandoned(); });
-  Membership->stop();
+  Gossip->stop();
   Decision->stop();
   stopRelay();
   const exit_code Code = CutOff ? exit_code::ShutdownLimit : exit_code::Ok;
--- a/programs/pollenstall-entry/entry_base.h
+++ b/programs/pollenstall-entry/entry_base.h
@@ -4,7 +4,6 @@
 
 #include "decision_thread_base.h"
 #include "entry_settings_type.h"
-#include "membership_thread_base.h"
 #include "operators/operators.h"
 #include "program/program.h"
 
@@ -13,6 +12,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 #include <optional>
 #include <string>
 #include <thread>
@@ -34,6 +34,8 @@
 
   /// Binds every address and starts every thread.
   result<done, entry_error> start();
+  /// @return Whether a newer life of this host runs, so that this one must stop.
+  [[nodiscard]] bool superseded() const { return Decision->superseded(); }
   /// Refuses new work, lets admitted work end up to the limit, then stops.
   exit_code shutDown();
 
@@ -44,7 +46,7 @@
   result<done, entry_error> startAnnouncements();
   result<done, entry_error> writeAddresses() const;
   void startControl();
-  void startMembership();
+  result<done, entry_error> startGossip();
   void stopRelay();
   [[nodiscard]] operator_reply takeAnnouncement(const operator_call &Call);
   [[nodiscard]] std::string announceTo() const;
@@ -60,7 +62,8 @@
   boost::asio::io_context Io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::unique_ptr<decision_thread> Decision;
-  std::unique_ptr<membership_thread> Membership;
+  std::unique_ptr<gossip_service> Gossip;
+  std::mutex AnnouncementGuard; ///< The ring takes from one thread, the server has several.
   std::unique_ptr<relay> Relay;
   std::thread RelayThread;
   std::unique_ptr<operator_server> Operators;
--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -52,6 +52,9 @@
             "File that the bound addresses are written to, as JSON.")
       .texts("gossip.seeds", &entry_settings::GossipSeeds, presence::Optional, Address,
              checkAddress, "Gossip addresses of other hosts, asked at the start.")
+      .text("gossip.key_file", &entry_settings::GossipKeyFile, presence::Optional, "a path", {},
+            "File with the key that the system's own hosts share; without it datagrams carry no "
+            "tag, and anyone who reaches the port can forge them.")
       .texts("announcements.peers", &entry_settings::AnnouncementPeers, presence::Optional, Address,
              checkAddress,
              "Announcement addresses of other entries, told to backend servers as fall-backs.")
--- a/programs/pollenstall-entry/entry_settings_type.h
+++ b/programs/pollenstall-entry/entry_settings_type.h
@@ -24,6 +24,7 @@
   std::string AnnouncementsAddress;
   std::string GossipAddress;
   std::string AddressFile;
+  std::string GossipKeyFile;
   std::vector<std::string> GossipSeeds;
   std::vector<std::string> AnnouncementPeers;
   std::vector<std::string> ControlAddresses;
--- a/programs/pollenstall-entry/main.cpp
+++ b/programs/pollenstall-entry/main.cpp
@@ -5,6 +5,8 @@
 
 using namespace pollenstall;
 
+constexpr std::chrono::milliseconds SupersededCheck{500};
+
 exit_code runEntry(const entry_settings &Settings) {
   const stop_signal Stop; // Before any thread, so that all of them leave the signals to this one.
   startLogging("pollenstall-entry", logLevelFromText(Settings.LogLevel).value_or(log_level::Info));
@@ -14,7 +16,12 @@
     logEvent(log_level::Error, "start_failed", {{"error", errorOf(Started).Text}});
     return exit_code::Failure;
   }
-  Stop.wait();
+  while (!Stop.waitFor(SupersededCheck))
+    if (Entry.superseded()) {
+      logEvent(log_level::Error, "superseded");
+      Entry.shutDown();
+      return exit_code::Failure;
+    }
   return Entry.shutDown();
 }
 
