Word plan's count and the wait for a change in force

Cause: a trial against the real pollenstall-control printed '1 changes' and 'no status'. Ruled out: a fault of the answer; a leader without entries reports null. Change: wording. Conclusion: no change of behaviour.

--- a/programs/pollenstallctl/verb_apply.cpp
+++ b/programs/pollenstallctl/verb_apply.cpp
@@ -17,7 +17,7 @@
 }
 
 result<done, verb_failure> waitInForce(control_client &Client, std::uint64_t Revision) {
-  std::string Last = "no status";
+  std::string Last = "no control host tells what is";
   do {
     const auto Status = fetchStatus(Client);
     const auto InForce = succeeded(Status) ? revisionInForce(valueOf(Status)) : std::nullopt;
--- a/programs/pollenstallctl/verb_plan.cpp
+++ b/programs/pollenstallctl/verb_plan.cpp
@@ -21,6 +21,10 @@
   return List;
 }
 
+std::string countText(std::size_t Changes) {
+  return std::to_string(Changes) + (Changes == 1 ? " change" : " changes");
+}
+
 } // namespace
 
 verb_result runPlan(const ctl_options &Options) {
@@ -39,8 +43,8 @@
   std::string Text = toText(Warnings) + toText(Difference);
   Text += Difference.Changes.empty()
               ? "no change against revision " + std::to_string(Base) + "\n"
-              : std::to_string(Difference.Changes.size()) + " changes; apply them with " +
-                    "--base-revision " + std::to_string(Base) + "\n";
+              : countText(Difference.Changes.size()) + "; apply with --base-revision " +
+                    std::to_string(Base) + "\n";
   return verb_output{std::move(Text), boost::json::object{{"base_revision", Base},
                                                           {"changes", toJson(Difference)},
                                                           {"warnings", toJson(Warnings)}}};
--- a/tests/pollenstallctl/pollenstallctl_test.cpp
+++ b/tests/pollenstallctl/pollenstallctl_test.cpp
@@ -128,7 +128,7 @@
   const tool_run Plan =
       run("plan " + Example + " --control " + Control.url() + " --key-file " + Key);
   EXPECT_EQ(Plan.Exit, 0);
-  EXPECT_EQ(Plan.Out, "~ policy: short_weight 2.5 -> 3\n1 changes; apply them with "
+  EXPECT_EQ(Plan.Out, "~ policy: short_weight 2.5 -> 3\n1 change; apply with "
                       "--base-revision 7\n");
   EXPECT_EQ(Control.callsTo("/v1/declaration").at(0).Authorization, "Bearer secret");
 }
