--- a/src/consensus/replica_core_member.cpp
+++ b/src/consensus/replica_core_member.cpp
@@ -100,26 +100,33 @@
   }
 }
 
+bool replica_core::mustAskToJoin(mono_time Now) const {
+  if (isEmpty())
+    return true;
+  // The entry that let this disk in may have been truncated by a later leader, who sends nothing
+  // here, and the log may not even have reached that entry. Without asking again the learner would
+  // wait for good. A member that was taken out asks too; whoever answers knows that it was.
+  return role() == replica_role::Learner && Now - LastHeard >= Options.MaxElectionTimeout;
+}
+
 void replica_core::askToJoin(mono_time Now) {
-  if (Now < NextJoin)
+  if (Now < NextJoin || !mustAskToJoin(Now))
     return;
   NextJoin = Now + Options.JoinInterval;
-  for (const member_id Peer : Peers) {
-    const auto Known = FounderDisks.find(Peer);
-    const disk_identity Disk = Known == FounderDisks.end() ? disk_identity() : Known->second;
+  for (const member_id Peer : Peers)
     if (Peer != Self.Member)
-      sendNow({Peer, Disk}, admission_request{});
-  }
+      sendNow({Peer, disk_identity()}, admission_request{});
 }
 
 void replica_core::receiveBody(const consensus_message &Message, const admission_request &,
                                mono_time) {
   if (role() == replica_role::Leader) {
-    if (findMember(members(), Message.From) == nullptr)
+    const bool Foreign = Message.Cluster != cluster_id() && Message.Cluster != cluster();
+    if (!Foreign && findMember(members(), Message.From) == nullptr)
       Actions.emplace_back(admission_requested{Message.From});
     return;
   }
-  if (!isEmpty() || Fresh == cluster_id())
+  if (!isEmpty() || Fresh == cluster_id() || Message.Cluster != cluster_id())
     return;
   // Only an answer that names this disk was given after this disk was made. An older one could come
   // from a peer that has since taken part in a log which this host founded and then lost.
@@ -129,16 +136,13 @@
     sendNow(Message.From, founder_probe{});
 }
 
-void replica_core::receiveBody(const consensus_message &Message, const founder_probe &,
-                               mono_time Now) {
-  if (!isEmpty())
-    return;
-  FounderDisks[Message.From.Member] = Message.From.Disk;
-  NextJoin = Now;
+void replica_core::receiveBody(const consensus_message &Message, const founder_probe &, mono_time) {
+  if (isEmpty())
+    sendNow(Message.From, admission_request{});
 }
 
 void replica_core::foundWhenAllAreEmpty() {
-  if (Fresh == cluster_id())
+  if (!isEmpty() || Fresh == cluster_id())
     return;
   member_set Set{Fresh, {{Self, member_standing::Voter}}};
   for (const member_id Peer : Peers) {
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -11,6 +11,8 @@
 constexpr std::array<std::uint32_t, LengthClasses> BasePriority{100, 200, 300};
 /// For work that has waited half its time or more: before what is longer than short.
 constexpr std::uint32_t AgedPriority = 150;
+/// Added for work of an account that is over its share while others wait.
+constexpr std::uint32_t YieldPriority = 300;
 /// What a plain call counts for another one that runs on the same server.
 constexpr double PlainCallSeconds = 0.01;
 /// A call in the same failure domain weighs little against one on the same server.
@@ -20,12 +22,12 @@
 
 } // namespace
 
-std::vector<backend_record *> scheduler::usable(const waiting_work &Work) {
+std::vector<scheduled_backend *> scheduler::usable(const waiting_work &Work) {
   const work_item &Item = Work.Item;
-  std::vector<backend_record *> Fresh;
-  std::vector<backend_record *> Tried;
+  std::vector<scheduled_backend *> Fresh;
+  std::vector<scheduled_backend *> Tried;
   const auto Gather = [&](const group_name &Group) {
-    for (backend_record *Record : Pool.members(Item.Service, Group)) {
+    for (scheduled_backend *Record : Pool.members(Item.Service, Group)) {
       if (!Record->active() || !Record->serves(Item))
         continue;
       const bool Avoided =
@@ -41,7 +43,7 @@
   return Fresh.empty() ? Tried : Fresh;
 }
 
-bool scheduler::mayPlace(const backend_record &Record, const waiting_work &Work) const {
+bool scheduler::mayPlace(const scheduled_backend &Record, const waiting_work &Work) const {
   if (!Pool.ejections().admits(Record.key(), Record.Outstanding))
     return false;
   if (Work.Item.Model.empty())
@@ -51,16 +53,13 @@
   return Work.Class == length_class::Long || HeldForLong != Record.key();
 }
 
-scheduler::engine_estimate scheduler::estimate(const backend_record &Record,
+scheduler::engine_estimate scheduler::estimate(const scheduled_backend &Record,
                                                const waiting_work &Work,
                                                const std::optional<cached_prefix> &Cached,
                                                mono_time Now) const {
   engine_estimate Result;
   if (Work.Item.Model.empty()) {
-    const backend_load &Load = Record.View.Load;
-    const double Reported = static_cast<double>(Load.Running) + Load.Waiting;
-    const double Others = std::max(0.0, Reported - Record.OwnInReport);
-    Result.FirstToken = PlainCallSeconds * (1.0 + Others + Record.Outstanding);
+    Result.FirstToken = PlainCallSeconds * (1.0 + Record.requests());
     Result.Cost = Result.FirstToken;
     return Result;
   }
@@ -71,7 +70,9 @@
     Result.CachedShare = Cached->Share;
   Result.Uncached = Prompt * (1.0 - Result.CachedShare);
   const double Pending = Record.Prefill.pending(Now, Rate);
-  Result.Ahead = Record.Prefill.ahead(Work.Class, Priorities, Now, Rate);
+  Result.Yields = Queue.lead(Work.Item.Account) > Settings.Tuning.LeadSeconds;
+  const bool Passes = Priorities && !Result.Yields;
+  Result.Ahead = Record.Prefill.ahead(Work.Class, Passes, Now, Rate);
   const double Passed = std::max(0.0, Pending - Result.Ahead);
   Result.Ahead += std::min(Passed, Settings.Tuning.ChunkTokens);
   Result.FirstToken = Record.Costs.secondsPerStep() + (Result.Ahead + Result.Uncached) / Rate;
@@ -79,11 +80,14 @@
   const double LongWeight = Policy.LongWeight / std::max(0.01, Policy.ShortWeight);
   const double Delayed =
       Passed > 0 && Work.Class != length_class::Long ? Result.Uncached / Rate : 0;
-  Result.Cost = Result.FirstToken + LongWeight * Delayed;
+  // While an engine has prefill to do, each token of an answer takes as long as a whole chunk.
+  const double Chunked = expectedAnswer(Work.Item) * Settings.Tuning.ChunkTokens / Rate;
+  const double Slower = std::min(Pending / Rate, Chunked);
+  Result.Cost = Result.FirstToken + LongWeight * Delayed + Settings.Tuning.AnswerWeight * Slower;
   return Result;
 }
 
-bool scheduler::hasSlot(const backend_record &Record, const waiting_work &Work,
+bool scheduler::hasSlot(const scheduled_backend &Record, const waiting_work &Work,
                         const engine_estimate &Estimate, mono_time Now) const {
   if (Work.Item.Model.empty())
     return true;
@@ -97,14 +101,24 @@
   return Estimate.Ahead / Rate <= Settings.Tuning.SlotSeconds[indexOf(Work.Class)];
 }
 
+bool scheduler::hasRoom(const scheduled_backend &Record, bool Yields) {
+  const double Speed = Record.Costs.prefillRate() / Pool.typicalRate();
+  const double Part = Yields ? Settings.Tuning.YieldPart : 1.0;
+  if (Record.requests() < std::max(1.0, Concurrency.value() * Speed * Part))
+    return true;
+  ConcurrencyBound = true;
+  return false;
+}
+
 std::optional<scheduler::choice> scheduler::choose(const waiting_work &Work, mono_time Now) {
   std::vector<choice> Choices;
   const std::optional<cached_prefix> Cached = Affinity.find(Work.Item.PrefixHashes);
-  for (backend_record *Record : usable(Work)) {
+  for (scheduled_backend *Record : usable(Work)) {
     if (!mayPlace(*Record, Work))
       continue;
     const engine_estimate Estimate = estimate(*Record, Work, Cached, Now);
-    if (hasSlot(*Record, Work, Estimate, Now))
+    const bool Room = Work.Item.Model.empty() || hasRoom(*Record, Estimate.Yields);
+    if (Room && hasSlot(*Record, Work, Estimate, Now))
       Choices.push_back({Record, Estimate});
   }
   if (Choices.empty())
@@ -149,9 +163,9 @@
   HoldWanted = true;
   if (HeldForLong)
     return;
-  const backend_record *Best = nullptr;
+  const scheduled_backend *Best = nullptr;
   memory_blocks BestFree;
-  for (const backend_record *Record : usable(Work)) {
+  for (const scheduled_backend *Record : usable(Work)) {
     const memory_ledger &Memory = Record->Memory;
     const bool Slot = Record->Prefill.longs(Now, Record->Costs.prefillRate()) <
                       std::max(1U, Policy.MaxLongPerEngine);
@@ -170,6 +184,8 @@
 
 std::uint32_t scheduler::priorityOf(const waiting_work &Work, mono_time Now) const {
   const std::uint32_t Base = BasePriority[indexOf(Work.Class)];
+  if (Queue.lead(Work.Item.Account) > Settings.Tuning.LeadSeconds)
+    return Base + YieldPriority;
   const mono_span Allowed = Work.Item.Deadline - Work.Item.Arrived;
   const bool Aged = (Now - Work.Item.Arrived) * 2 >= Allowed;
   return Aged ? std::min(Base, AgedPriority) : Base;
