dispatch: late bytes and late proofs of attempts that were given up

Cause: without the note of a byte that left after the give-up no test failed (found by taking it out). Seen failing with it taken out: KeepsTheLedgerWhenAByteLeftAfterItWasGivenUp; passing after.

--- a/tests/dispatch/outcome_test.cpp
+++ b/tests/dispatch/outcome_test.cpp
@@ -107,6 +107,21 @@
   EXPECT_EQ(Dispatch.abandonedAttempts(), 0U);
 }
 
+// The caller leaves while the start is under way; the first byte goes out after that.
+// A report of "unsent" that comes still later must not free memory that the engine may hold.
+TEST_F(a_running_request, KeepsTheLedgerWhenAByteLeftAfterItWasGivenUp) {
+  happen(caller_left{request_number(1)});
+  send();
+  fail(attempt_failure::BrokenUnsent);
+  EXPECT_EQ(Dispatch.abandonedAttempts(), 1U);
+}
+
+TEST_F(a_running_request, FreesAnAbandonedAttemptThatWasNeverSent) {
+  happen(caller_left{request_number(1)});
+  fail(attempt_failure::NotConnected);
+  EXPECT_EQ(Dispatch.abandonedAttempts(), 0U);
+}
+
 struct a_stream_that_began : a_running_request {
   void SetUp() override {
     a_running_request::SetUp();
