--- a/src/consensus/replica_core_base.h
+++ b/src/consensus/replica_core_base.h
@@ -132,6 +132,7 @@
   proposal_result proposeMembers(member_set Set);
   [[nodiscard]] std::optional<proposal_refusal> refuseChange(const member_set &Set) const;
   void promoteLearner(mono_time Now);
+  [[nodiscard]] bool mustAskToJoin(mono_time Now) const;
   void askToJoin(mono_time Now);
   void foundWhenAllAreEmpty();
   void receiveBody(const consensus_message &Message, const admission_request &Request,
@@ -177,8 +178,7 @@
 
   bool SnapshotAsked{false};
   log_index SnapshotAskedAt;
-  std::map<member_id, member_key> Joined;          ///< Peers that told this founder they are empty.
-  std::map<member_id, disk_identity> FounderDisks; ///< As founders' probes told.
+  std::map<member_id, member_key> Joined; ///< Peers that told this founder they are empty.
 
   std::vector<held_message> Held;
   std::vector<consensus_action> Actions;
--- a/src/scheduling/scheduler_intake.cpp
+++ b/src/scheduling/scheduler_intake.cpp
@@ -57,7 +57,7 @@
     return group_name();
   const auto HasServer = [this, &Item](const candidate_group &Candidate) {
     const auto &Servers = Pool.members(Item.Service, Candidate.Group);
-    return std::any_of(Servers.begin(), Servers.end(), [&Item](const backend_record *Record) {
+    return std::any_of(Servers.begin(), Servers.end(), [&Item](const scheduled_backend *Record) {
       return Record->active() && Record->serves(Item);
     });
   };
@@ -86,7 +86,7 @@
   bool Serves = false;
   bool CouldHold = false;
   const auto Look = [&](const group_name &Group) {
-    for (const backend_record *Record : Pool.members(Item.Service, Group)) {
+    for (const scheduled_backend *Record : Pool.members(Item.Service, Group)) {
       if (!Record->serves(Item))
         continue;
       Serves = true;
@@ -107,7 +107,7 @@
 double scheduler::engineRate(const work_item &Item, length_class Class) {
   std::size_t Engines = 0;
   const auto Count = [&](const group_name &Group) {
-    for (const backend_record *Record : Pool.members(Item.Service, Group))
+    for (const scheduled_backend *Record : Pool.members(Item.Service, Group))
       if (Record->active())
         ++Engines;
   };
@@ -124,6 +124,16 @@
   return Placed.wait(Work.Class, Ahead, engineRate(Work.Item, Work.Class), Now);
 }
 
+void scheduler::needPace(const work_item &Item) {
+  // Twice the usual length stands for a long answer; the allowed length is mostly a default far
+  // beyond any answer.
+  const double LongAnswer = 2.0 * expectedAnswer(Item);
+  if (Item.Model.empty() || LongAnswer < 1.0)
+    return;
+  const double Allowed = secondsUntil(Item.Deadline, Item.Arrived);
+  Concurrency.need(Allowed * Settings.Tuning.AnswerPart / LongAnswer);
+}
+
 std::chrono::seconds scheduler::retryAfter(const waiting_work &Work, mono_time Now) {
   // The caller's next send gets as much time as this one had, so what must pass first is the part
   // of the wait that does not fit into it.
@@ -145,6 +155,7 @@
   const mono_time LatestStart = Item.Deadline - spanOf(runSeconds(Item));
   waiting_work Work{std::move(Item), Class, *Group, Cost, LatestStart};
   Arrivals.add(Class, Cost, Now);
+  needPace(Work.Item);
   if (Now + spanOf(waitSeconds(Work, Now)) > LatestStart)
     return work_refusal{failure_reason::DeadlineUnmeetable, retryAfter(Work, Now)};
   const std::chrono::seconds RetryAfter = retryAfter(Work, Now);
