--- a/src/claim/claim_cmd.cpp
+++ b/src/claim/claim_cmd.cpp
@@ -5,6 +5,9 @@
 
 namespace {
 
+/// Claims forgotten by one command; more at once would hold up the log's other commands.
+constexpr std::size_t MostExpiredAtOnce = 10'000;
+
 claim_verdict verdictFor(const claim_record &Record, const claim_holder &Asking) {
   if (Record.Standing == claim_standing::Complete)
     return claim_verdict::Complete;
@@ -95,8 +98,11 @@
   if (!succeeded(Checked))
     return Checked;
   ExpiredUntil = Command.Now;
-  while (!ByExpiry.empty() && ByExpiry.begin()->first <= ExpiredUntil)
+  for (std::size_t Left = MostExpiredAtOnce; Left > 0 && !ByExpiry.empty(); --Left) {
+    if (ByExpiry.begin()->first > ExpiredUntil)
+      break;
     erase(ByExpiry.begin()->second);
+  }
   requireConsistent();
   return Checked;
 }
--- a/src/claim/claim_type.h
+++ b/src/claim/claim_type.h
@@ -53,7 +53,8 @@
   bool operator==(const claim_settle &) const = default;
 };
 
-/// Forgets every claim whose time is over. The log's leader proposes it from its wall clock.
+/// Forgets claims whose time is over, a bounded number at once: the rest stays held until the next.
+/// The log's leader proposes it from its wall clock while nextExpiry() is not after Now.
 struct claim_expire {
   unix_millis Now{0};
 
--- a/tests/claim/claim_test.cpp
+++ b/tests/claim/claim_test.cpp
@@ -118,6 +118,18 @@
   expectRefused(Table.execute(claim_expire{unix_millis(4)}), claim_error::TimeWentBack);
 }
 
+TEST(ClaimExpiry, TakesManyInSeveralCommands) {
+  claim_table Table(25'000);
+  for (std::uint64_t Key = 0; Key < 25'000; ++Key)
+    Table.execute(claim_acquire{{Key, 0}, send("accra-a-1", 1), Day});
+  std::vector<std::size_t> Sizes;
+  for (int Command = 0; Command < 3; ++Command) {
+    Table.execute(claim_expire{Day});
+    Sizes.push_back(Table.size());
+  }
+  EXPECT_EQ(Sizes, (std::vector<std::size_t>{15'000, 5'000, 0}));
+}
+
 TEST_F(a_table, RefusesABrokenSnapshot) {
   const claim_record Record{Letter, First, claim_standing::Running, Day};
   expectRefused(claim_table::restore({unix_millis(0), {Record, Record}}, 3),
