dispatch: a cancel that overtook its start is no confirmation

Cause: the cancel goes out on a new connection; an engine that has not read the start yet says that it knows no such attempt, and starts it afterwards with nobody left to cancel it. Change: cancel_confirmed::NeverSeen; such an answer counts only 15 s after the attempt was given up, until then the cancel is repeated. Test changed: the run's engines no longer decline starts that come after a cancel, which is harsher.

--- a/src/dispatch/abandoned.cpp
+++ b/src/dispatch/abandoned.cpp
@@ -12,9 +12,15 @@
 constexpr mono_span LongestPause = std::chrono::seconds(10);
 /// Doublings that reach the longest pause; more would overflow the shift.
 constexpr std::uint32_t MostDoublings = 6;
+/// How long the bytes of a closed connection may still reach a slow backend server.
+constexpr mono_span LateStartWindow = std::chrono::seconds(15);
 
 } // namespace
 
+bool abandoned_attempt::startIsOver(mono_time Now) const {
+  return hasAnswered(GivenUpIn) || Now - Since >= LateStartWindow;
+}
+
 void abandoned_ledger::add(abandoned_attempt Attempt, mono_time Now) {
   requireInvariant(Attempt.Life.state() == attempt_state::Cancelling,
                    "an attempt in the ledger is being cancelled");
--- a/src/dispatch/abandoned_base.h
+++ b/src/dispatch/abandoned_base.h
@@ -33,6 +33,12 @@
     if (GivenUpIn == attempt_state::Connecting)
       GivenUpIn = attempt_state::Sent;
   }
+  /**
+   * A cancel on a new connection can overtake the start on the old one: the engine says that it
+   * knows no such attempt, then reads the start, and computes for nobody with its memory taken.
+   * @return Whether "never seen" is final by now, so that no start can follow.
+   */
+  [[nodiscard]] bool startIsOver(mono_time Now) const;
   /// An answer began after the attempt was given up.
   void noteAnswering() { GivenUpIn = attempt_state::Answering; }
 };
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -124,6 +124,7 @@
 /// The backend server confirmed that the attempt holds nothing any more.
 struct cancel_confirmed {
   attempt_id Attempt;
+  bool NeverSeen{false}; ///< It does not know the attempt; the start may still be under way to it.
 };
 struct claim_answered {
   request_number Request;
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -155,6 +155,8 @@
   abandoned_attempt *Late = Abandoned.find(Event.Attempt);
   if (Late == nullptr)
     return ignore();
+  if (Event.NeverSeen && !Late->startIsOver(Now))
+    return; // The cancel is repeated; a later answer tells.
   Late->Life.apply(attempt_step::Confirm);
   endAbandoned(Event.Attempt, attempt_end::Cancelled, Now);
 }
--- a/tests/dispatch/outcome_test.cpp
+++ b/tests/dispatch/outcome_test.cpp
@@ -87,6 +87,19 @@
   EXPECT_EQ(Dispatch.abandonedAttempts(), 0U);
 }
 
+// The cancel on a new connection overtakes the start on the old one: the engine knows no such
+// attempt, and starts it a moment later. Taken for the end, its memory would count as free.
+TEST_F(a_running_request, IsCancelledAgainWhereTheEngineHasNotSeenItYet) {
+  send();
+  happen(caller_left{request_number(1)});
+  happen(cancel_confirmed{attempt(1), true});
+  EXPECT_EQ(Dispatch.abandonedAttempts(), 1U);
+  pass(seconds(15));
+  EXPECT_GE(cancels(), 2U);
+  happen(cancel_confirmed{attempt(1), true});
+  EXPECT_EQ(Dispatch.abandonedAttempts(), 0U);
+}
+
 TEST_F(a_running_request, FreesAnAbandonedAttemptWhenTheEnginesLifeIsOver) {
   send();
   happen(caller_left{request_number(1)});
--- a/tests/dispatch/random_relay.cpp
+++ b/tests/dispatch/random_relay.cpp
@@ -45,7 +45,7 @@
                                const backend_key &Meant) {
   fake_engine &Engine = Engines.at(Index);
   const bool Ours = Entries.at(Entry).Self == Attempt.Owner;
-  const bool Declines = Engine.Key != Meant || Engine.Cancelled.count(Attempt) != 0 || chance(0.1);
+  const bool Declines = Engine.Key != Meant || chance(0.1);
   if (Declines) {
     if (Ours)
       afterAt(Entry, delay(), [this, Entry, Attempt] {
@@ -57,6 +57,7 @@
   ++Works[Send.first].Starts;
   ++Works[Send.first].Sends[Send.second].Starts;
   Engine.Running[Attempt] = 0;
+  Engine.Known.insert(Attempt);
   if (chance(0.08))
     return; // Hangs until it is cancelled.
   if (chance(0.08)) {
@@ -155,9 +156,11 @@
 void random_world::engineCancels(std::size_t Entry, std::size_t Index, const attempt_id &Attempt) {
   fake_engine &Engine = Engines.at(Index);
   Engine.Running.erase(Attempt);
-  Engine.Cancelled.insert(Attempt);
+  const bool NeverSeen = Engine.Known.count(Attempt) == 0;
   if (!chance(0.3) && Entries.at(Entry).Self == Attempt.Owner)
-    afterAt(Entry, delay(), [this, Entry, Attempt] { tell(Entry, cancel_confirmed{Attempt}); });
+    afterAt(Entry, delay(), [this, Entry, Attempt, NeverSeen] {
+      tell(Entry, cancel_confirmed{Attempt, NeverSeen});
+    });
 }
 
 void random_world::engineDies(std::size_t Index) {
--- a/tests/dispatch/random_world.h
+++ b/tests/dispatch/random_world.h
@@ -69,7 +69,7 @@
   backend_key Key;
   std::map<attempt_id, std::uint32_t> Running; ///< Parts produced so far.
   std::set<attempt_id> Produced;               ///< Whole; can still be resumed.
-  std::set<attempt_id> Cancelled;              ///< A start that arrives later is declined.
+  std::set<attempt_id> Known;                  ///< Started here once.
 };
 
 /**
