Work of accounts over their share yields where the fleet is full

Cause: at one entry the other accounts seldom have anything waiting, so fair order in the queue alone let an account at ten times its share fill the engines. Change: decaying usage by account (300 s); at more than twice its share and with the fleet full its work gets 0.4 of the room and the last priority. Longer classes get 0.7 of the room. Affinity looks up by bisection.

--- a/src/scheduling/account_queue.cpp
+++ b/src/scheduling/account_queue.cpp
@@ -2,6 +2,7 @@
 #include "scheduling/account_queue_base.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace pollenstall {
@@ -9,6 +10,11 @@
 
 std::size_t indexOf(length_class Class) { return static_cast<std::size_t>(Class); }
 
+/// Long enough to see one account's long prompts as the pieces they are.
+constexpr double UsageDecaySeconds = 300.0;
+/// Engine seconds below which an account counts as inactive.
+constexpr double LeastUsage = 0.01;
+
 } // namespace
 
 void account_queue::setAccount(const client_account_name &Account, std::uint32_t Share,
@@ -62,7 +68,7 @@
   return Work;
 }
 
-std::optional<waiting_work> account_queue::place(request_number Request) {
+std::optional<waiting_work> account_queue::place(request_number Request, mono_time Now) {
   const auto Found = Items.find(Request);
   if (Found == Items.end())
     return std::nullopt;
@@ -70,6 +76,8 @@
   account_state &State = Accounts[Work.Item.Account];
   const double Start = std::max(VirtualTime, State.Finish);
   State.Finish = Start + Work.Cost / State.Share;
+  State.Usage = usage(State, Now) + Work.Cost;
+  State.UsageAt = Now;
   advance();
   return Work;
 }
@@ -87,9 +95,27 @@
   VirtualTime = Items.empty() ? Greatest : std::max(VirtualTime, Least);
 }
 
-double account_queue::lead(const client_account_name &Account) const {
-  const auto Found = Accounts.find(Account);
-  return Found == Accounts.end() ? 0.0 : std::max(0.0, Found->second.Finish - VirtualTime);
+double account_queue::usage(const account_state &State, mono_time Now) {
+  const double Age = std::chrono::duration<double>(Now - State.UsageAt).count();
+  return State.Usage * std::exp(-std::max(0.0, Age) / UsageDecaySeconds);
+}
+
+double account_queue::usageAgainstShare(const client_account_name &Account, mono_time Now) const {
+  const auto Own = Accounts.find(Account);
+  if (Own == Accounts.end())
+    return 0;
+  double Total = 0;
+  double Shares = 0;
+  for (const auto &[Name, State] : Accounts) {
+    const double Used = usage(State, Now);
+    if (Used < LeastUsage && State.Queued == 0)
+      continue;
+    Total += Used;
+    Shares += State.Share;
+  }
+  if (Total < LeastUsage || Shares <= Own->second.Share)
+    return 0;
+  return usage(Own->second, Now) / Total * Shares / Own->second.Share;
 }
 
 void account_queue::correct(const client_account_name &Account, double CostDifference) {
--- a/src/scheduling/account_queue_base.h
+++ b/src/scheduling/account_queue_base.h
@@ -48,7 +48,7 @@
   /// Takes a request out without a charge. @return The request, if it waits.
   std::optional<waiting_work> withdraw(request_number Request);
   /// Takes a request out because it was placed, and charges its account.
-  std::optional<waiting_work> place(request_number Request);
+  std::optional<waiting_work> place(request_number Request, mono_time Now);
   /// Adds to, or takes from, what an account was charged once the real cost is known.
   void correct(const client_account_name &Account, double CostDifference);
   /// @return Requests that can no longer start in time, taken out.
@@ -64,8 +64,11 @@
   [[nodiscard]] std::optional<mono_time> oldest(length_class Class) const;
   /// @return The least latest start of all that wait.
   [[nodiscard]] std::optional<mono_time> nextLate() const;
-  /// @return Engine seconds over share by which the account is ahead of those that wait.
-  [[nodiscard]] double lead(const client_account_name &Account) const;
+  /**
+   * @return What the account had placed lately against its fair share of what all active accounts
+   * had placed; 1 is exactly fair.
+   */
+  [[nodiscard]] double usageAgainstShare(const client_account_name &Account, mono_time Now) const;
   /**
    * @return Cost that is served before a new request of the account, as fair shares would have it.
    */
@@ -81,12 +84,15 @@
     std::uint32_t MostQueued{256};
     std::uint32_t Queued{0};
     double Finish{0};
+    double Usage{0}; ///< Decaying sum of placed cost.
+    mono_time UsageAt;
     std::array<std::set<arrival>, LengthClasses> Waiting;
     std::array<double, LengthClasses> QueuedCost{};
   };
 
   waiting_work takeOut(std::map<request_number, waiting_work>::iterator Found);
   void advance();
+  static double usage(const account_state &State, mono_time Now);
 
   std::uint32_t MostQueued{2'048};
   double VirtualTime{0};
--- a/src/scheduling/affinity.cpp
+++ b/src/scheduling/affinity.cpp
@@ -28,14 +28,16 @@
 }
 
 std::optional<cached_prefix> affinity::find(const std::vector<std::uint64_t> &PrefixHashes) const {
-  for (std::size_t Depth = PrefixHashes.size(); Depth > 0; --Depth) {
-    const auto Found = ByHash.find(PrefixHashes[Depth - 1]);
-    if (Found == ByHash.end())
-      continue;
-    const double Part = static_cast<double>(Depth) / static_cast<double>(PrefixHashes.size());
-    return cached_prefix{Found->second->Backend, std::min(Part, GreatestShare) * Trust};
-  }
-  return std::nullopt;
+  // A chunk's hash covers what stands before it, so the known chunks are the first ones: a long
+  // prompt has hundreds, and this runs for each try to place it.
+  const auto Known = [this](std::uint64_t Hash) { return ByHash.contains(Hash); };
+  const auto Unknown = std::partition_point(PrefixHashes.begin(), PrefixHashes.end(), Known);
+  if (Unknown == PrefixHashes.begin())
+    return std::nullopt;
+  const auto Depth = static_cast<double>(Unknown - PrefixHashes.begin());
+  const double Part = Depth / static_cast<double>(PrefixHashes.size());
+  const backend_key &Backend = ByHash.at(*(Unknown - 1))->Backend;
+  return cached_prefix{Backend, std::min(Part, GreatestShare) * Trust};
 }
 
 void affinity::learn(double Expected, double Found) {
--- a/src/scheduling/backend_pool.cpp
+++ b/src/scheduling/backend_pool.cpp
@@ -117,13 +117,21 @@
         Candidates.push_back({Record->key(), Record->View.Announcement.Domain});
     std::vector<backend_key> Order = longWorkOrder(Candidates);
     Order.resize(longEngineCount(Order.size(), GreatestShare, LongDemand));
-    Group.LongEngines = std::set<backend_key>(Order.begin(), Order.end());
+    Group.LongEngines.clear();
+    for (const backend_key &Backend : Order)
+      Group.LongEngines.emplace(Backend, Group.LongEngines.size());
   }
 }
 
-bool backend_pool::takesLong(const group_name &Group, const backend_key &Backend) const {
+bool backend_pool::takesLong(const group_name &Group, const backend_key &Backend,
+                             double Part) const {
   const auto Found = Groups.find(Group);
-  return Found == Groups.end() || Found->second.LongEngines.contains(Backend);
+  if (Found == Groups.end())
+    return true;
+  const auto &Engines = Found->second.LongEngines;
+  const auto Place = Engines.find(Backend);
+  return Place != Engines.end() &&
+         static_cast<double>(Place->second) < static_cast<double>(Engines.size()) * Part;
 }
 
 void backend_pool::learnTypical() {
--- a/src/scheduling/backend_pool_base.h
+++ b/src/scheduling/backend_pool_base.h
@@ -50,7 +50,9 @@
                                                              const group_name &Group);
   /// Recomputes which engines of each group take long work. @param LongDemand Part of recent cost.
   void chooseLongEngines(double GreatestShare, double LongDemand);
-  [[nodiscard]] bool takesLong(const group_name &Group, const backend_key &Backend) const;
+  /// @param Part Of the engines that take long work, counted from the first in the common order.
+  [[nodiscard]] bool takesLong(const group_name &Group, const backend_key &Backend,
+                               double Part = 1.0) const;
   /// Reviews every group for slow and failing servers.
   void review(std::uint32_t MostPercent, mono_time Now);
 
@@ -66,7 +68,7 @@
     service_name Service;
     label_set Labels;
     std::vector<backend_record *> Servers;
-    std::set<backend_key> LongEngines;
+    std::map<backend_key, std::size_t> LongEngines; ///< With the place in the common order.
   };
 
   void rebuild();
--- a/src/scheduling/concurrency_limit.cpp
+++ b/src/scheduling/concurrency_limit.cpp
@@ -7,13 +7,13 @@
 namespace {
 
 /// Below this an engine's batch is too small to be worth its steps.
-constexpr double LeastLimit = 8.0;
+constexpr double LeastLimit = 12.0;
 constexpr double GreatestLimit = 512.0;
 constexpr double PaceGain = 0.01;
 /// Downward steps of the tracked need are larger than upward ones by the odds of this quantile, so
 /// that it settles where the tenth with the least time lies.
 constexpr double NeedQuantile = 0.1;
-constexpr double NeedGain = 0.02;
+constexpr double NeedGain = 0.005;
 constexpr double Decrease = 0.97;
 constexpr double Increase = 1.02;
 
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -76,6 +76,7 @@
   reviewServers(Now);
   expireLate(Now, Outcome);
   Failed.clear();
+  Yielding.clear();
   HoldWanted = false;
   while (placeOne(Now, Outcome)) {
   }
@@ -102,8 +103,7 @@
     return;
   NextReview = Now + ReviewInterval;
   blameStalled(Now);
-  Concurrency.adjust(ConcurrencyBound);
-  ConcurrencyBound = false;
+  Concurrency.adjust(LastFull != mono_time() && Now - LastFull < 2 * ReviewInterval);
   Pool.review(Limits.EjectPercent, Now);
   Pool.chooseLongEngines(Policy.LongEngineShare, Arrivals.longShare(Now));
 }
@@ -143,7 +143,7 @@
 
 bool scheduler::placeOneOf(length_class Class, mono_time Now, poll_outcome &Outcome) {
   for (const waiting_work *Work : Queue.candidates(Class, TriedPerAccount, TriedPerClass)) {
-    const bool Yields = Queue.lead(Work->Item.Account) > Settings.Tuning.LeadSeconds;
+    const bool Yields = yields(*Work, Now);
     const failed_key Kind{Work->Item.Service, Work->Item.Model, Work->Group, Class, Yields};
     const auto Before = Failed.find(Kind);
     if (Before != Failed.end() && Before->second <= Work->Item.Prompt)
@@ -159,7 +159,7 @@
       continue;
     }
     const std::uint32_t Priority = priorityOf(*Work, Now);
-    const std::optional<waiting_work> Taken = Queue.place(Work->Item.Request);
+    const std::optional<waiting_work> Taken = Queue.place(Work->Item.Request, Now);
     const ticket_number Number = openTicket(*Taken, *Choice, Now);
     Unstarted[Taken->Item.Request] = Number;
     Placed.add(Class, Taken->Cost, Now);
--- a/src/scheduling/scheduler_attempt.cpp
+++ b/src/scheduling/scheduler_attempt.cpp
@@ -111,7 +111,7 @@
   const waiting_work Work{Item, classOf(Item), group_name(), costOf(Item), Item.Deadline};
   const std::optional<cached_prefix> Cached = Affinity.find(Item.PrefixHashes);
   const ticket_number Number =
-      openTicket(Work, {Record, estimate(*Record, Work, Cached, Now)}, Now);
+      openTicket(Work, {Record, estimate(*Record, Work, Cached, false, Now)}, Now);
   Tickets.at(Number).Attempt = Attempt;
   ByAttempt[Attempt] = Number;
 }
--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -22,15 +22,20 @@
   /// Waits that count as equally long when classes compete: the class with the greatest wait
   /// over patience goes first, so that each class starts in the end.
   std::array<double, LengthClasses> Patience{1.0, 8.0, 32.0};
-  /// Engine seconds over share that an account may be ahead of those that wait. Beyond it, its work
-  /// yields to theirs of every class; more than a long prompt takes, so that one is no offence.
-  double LeadSeconds{60.0};
+  /// Where the fleet is full, work of an account that used this many times its fair share yields to
+  /// all other work.
+  double UsageOverShare{2.0};
+  /// The fleet counts as full for this long after the limit of requests at once held work back.
+  mono_span FullFor{std::chrono::seconds(10)};
   /// Weight of a slower answer against a later first token, second for second.
   double AnswerWeight{0.1};
   /// Part of its time limit that a request's answer may take.
-  double AnswerPart{0.5};
+  double AnswerPart{0.75};
+  /// Part of the limit of requests at once that each class may fill, so that shorter work finds
+  /// room.
+  std::array<double, LengthClasses> ClassPart{1.0, 0.7, 0.7};
   /// Part of the limit of requests at once that work of accounts over their share may fill.
-  double YieldPart{0.7};
+  double YieldPart{0.4};
   double NearEqual{0.1};         ///< Costs within this part of the least are drawn from at random.
   double NearEqualSeconds{0.01}; ///< And those within this time of it.
   double ChunkTokens{2'048.0};   ///< Prefill that runs on before a higher priority is looked at.
@@ -139,17 +144,19 @@
 
   // scheduler_choice.cpp
   std::vector<backend_record *> usable(const waiting_work &Work);
+  [[nodiscard]] bool yields(const waiting_work &Work, mono_time Now);
   [[nodiscard]] bool mayPlace(const backend_record &Record, const waiting_work &Work) const;
   [[nodiscard]] engine_estimate estimate(const backend_record &Record, const waiting_work &Work,
-                                         const std::optional<cached_prefix> &Cached,
+                                         const std::optional<cached_prefix> &Cached, bool Yields,
                                          mono_time Now) const;
   [[nodiscard]] bool hasSlot(const backend_record &Record, const waiting_work &Work,
                              const engine_estimate &Estimate, mono_time Now) const;
-  [[nodiscard]] bool hasRoom(const backend_record &Record, bool Yields);
+  [[nodiscard]] bool hasRoom(const backend_record &Record, length_class Class, bool Yields,
+                             mono_time Now);
   std::optional<choice> choose(const waiting_work &Work, mono_time Now);
   choice drawNearLeast(const std::vector<choice> &Choices, length_class Class);
   void holdEngineFor(const waiting_work &Work, mono_time Now);
-  [[nodiscard]] std::uint32_t priorityOf(const waiting_work &Work, mono_time Now) const;
+  [[nodiscard]] std::uint32_t priorityOf(const waiting_work &Work, mono_time Now);
 
   // scheduler.cpp
   bool placeOne(mono_time Now, poll_outcome &Outcome);
@@ -178,15 +185,16 @@
   class_rates Arrivals;
   class_rates Placed;
   concurrency_limit Concurrency;
-  bool ConcurrencyBound{false}; ///< The limit held work back since the last review.
+  mono_time LastFull; ///< When the limit of requests at once last held work back.
   std::map<ticket_number, open_ticket> Tickets;
   std::map<attempt_id, ticket_number> ByAttempt;
   std::map<request_number, ticket_number> Unstarted; ///< Placements without an attempt yet.
   ticket_number NextTicket{1};
   double AnswerShare{0.5}; ///< Part of the allowed answer that is used, on average.
   std::map<failed_key, tokens> Failed;
-  std::optional<backend_key> HeldForLong; ///< Kept from other work until a long prompt fits.
-  bool HoldWanted{false};                 ///< A long prompt asked for the hold in this poll.
+  std::map<client_account_name, bool> Yielding; ///< Accounts looked at in this poll.
+  std::optional<backend_key> HeldForLong;       ///< Kept from other work until a long prompt fits.
+  bool HoldWanted{false};                       ///< A long prompt asked for the hold in this poll.
   mono_time NextReview;
   std::optional<mono_time> NextWake;
 };
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -43,6 +43,21 @@
   return Fresh.empty() ? Tried : Fresh;
 }
 
+bool scheduler::yields(const waiting_work &Work, mono_time Now) {
+  // The queue's order alone does not keep a large account back: the others have little waiting at
+  // one entry, so it gets every place that is free at a moment when none of theirs waits, and they
+  // find the engines full of work that runs for half a minute.
+  if (LastFull == mono_time() || Now - LastFull >= Settings.Tuning.FullFor)
+    return false;
+  const client_account_name &Account = Work.Item.Account;
+  const auto Known = Yielding.find(Account);
+  if (Known != Yielding.end())
+    return Known->second;
+  const bool Over = Queue.usageAgainstShare(Account, Now) > Settings.Tuning.UsageOverShare;
+  Yielding.emplace(Account, Over);
+  return Over;
+}
+
 bool scheduler::mayPlace(const backend_record &Record, const waiting_work &Work) const {
   if (!Pool.ejections().admits(Record.key(), Record.Outstanding))
     return false;
@@ -56,8 +71,9 @@
 scheduler::engine_estimate scheduler::estimate(const backend_record &Record,
                                                const waiting_work &Work,
                                                const std::optional<cached_prefix> &Cached,
-                                               mono_time Now) const {
+                                               bool Yields, mono_time Now) const {
   engine_estimate Result;
+  Result.Yields = Yields;
   if (Work.Item.Model.empty()) {
     Result.FirstToken = PlainCallSeconds * (1.0 + Record.requests());
     Result.Cost = Result.FirstToken;
@@ -70,7 +86,6 @@
     Result.CachedShare = Cached->Share;
   Result.Uncached = Prompt * (1.0 - Result.CachedShare);
   const double Pending = Record.Prefill.pending(Now, Rate);
-  Result.Yields = Queue.lead(Work.Item.Account) > Settings.Tuning.LeadSeconds;
   const bool Passes = Priorities && !Result.Yields;
   Result.Ahead = Record.Prefill.ahead(Work.Class, Passes, Now, Rate);
   const double Passed = std::max(0.0, Pending - Result.Ahead);
@@ -93,7 +108,8 @@
     return true;
   const double Rate = Record.Costs.prefillRate();
   if (Work.Class == length_class::Long) {
-    if (!Pool.takesLong(Work.Group, Record.key()))
+    const double Part = Estimate.Yields ? Settings.Tuning.YieldPart : 1.0;
+    if (!Pool.takesLong(Work.Group, Record.key(), Part))
       return false;
     if (Record.Prefill.longs(Now, Rate) >= std::max(1U, Policy.MaxLongPerEngine))
       return false;
@@ -101,29 +117,36 @@
   return Estimate.Ahead / Rate <= Settings.Tuning.SlotSeconds[indexOf(Work.Class)];
 }
 
-bool scheduler::hasRoom(const backend_record &Record, bool Yields) {
+bool scheduler::hasRoom(const backend_record &Record, length_class Class, bool Yields,
+                        mono_time Now) {
   const double Speed = Record.Costs.prefillRate() / Pool.typicalRate();
-  const double Part = Yields ? Settings.Tuning.YieldPart : 1.0;
+  const double Most = Settings.Tuning.ClassPart[indexOf(Class)];
+  const double Part = Yields ? std::min(Most, Settings.Tuning.YieldPart) : Most;
   if (Record.requests() < std::max(1.0, Concurrency.value() * Speed * Part))
     return true;
-  ConcurrencyBound = true;
+  LastFull = Now;
   return false;
 }
 
 std::optional<scheduler::choice> scheduler::choose(const waiting_work &Work, mono_time Now) {
+  const bool IsPlain = Work.Item.Model.empty();
+  const bool Yields = yields(Work, Now);
+  std::vector<backend_record *> Open = usable(Work);
+  std::erase_if(Open, [&](const backend_record *Record) {
+    return !mayPlace(*Record, Work) || (!IsPlain && !hasRoom(*Record, Work.Class, Yields, Now));
+  });
+  if (Open.empty())
+    return std::nullopt;
   std::vector<choice> Choices;
   const std::optional<cached_prefix> Cached = Affinity.find(Work.Item.PrefixHashes);
-  for (backend_record *Record : usable(Work)) {
-    if (!mayPlace(*Record, Work))
-      continue;
-    const engine_estimate Estimate = estimate(*Record, Work, Cached, Now);
-    const bool Room = Work.Item.Model.empty() || hasRoom(*Record, Estimate.Yields);
-    if (Room && hasSlot(*Record, Work, Estimate, Now))
+  for (backend_record *Record : Open) {
+    const engine_estimate Estimate = estimate(*Record, Work, Cached, Yields, Now);
+    if (hasSlot(*Record, Work, Estimate, Now))
       Choices.push_back({Record, Estimate});
   }
   if (Choices.empty())
     return std::nullopt;
-  if (Work.Item.Model.empty()) {
+  if (IsPlain) {
     std::map<failure_domain_name, double> Domains;
     for (const choice &Option : Choices)
       Domains[Option.Record->View.Announcement.Domain] += Option.Record->Outstanding;
@@ -182,9 +205,9 @@
     HeldForLong = Best->key();
 }
 
-std::uint32_t scheduler::priorityOf(const waiting_work &Work, mono_time Now) const {
+std::uint32_t scheduler::priorityOf(const waiting_work &Work, mono_time Now) {
   const std::uint32_t Base = BasePriority[indexOf(Work.Class)];
-  if (Queue.lead(Work.Item.Account) > Settings.Tuning.LeadSeconds)
+  if (yields(Work, Now))
     return Base + YieldPriority;
   const mono_span Allowed = Work.Item.Deadline - Work.Item.Arrived;
   const bool Aged = (Now - Work.Item.Arrived) * 2 >= Allowed;
