--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -151,8 +151,7 @@
                                          mono_time Now) const;
   [[nodiscard]] bool hasSlot(const backend_record &Record, const waiting_work &Work,
                              const engine_estimate &Estimate, mono_time Now) const;
-  [[nodiscard]] bool hasRoom(const backend_record &Record, length_class Class, bool Yields,
-                             mono_time Now);
+  [[nodiscard]] bool hasRoom(const backend_record &Record, length_class Class, bool Yields) const;
   std::optional<choice> choose(const waiting_work &Work, mono_time Now);
   choice drawNearLeast(const std::vector<choice> &Choices, length_class Class);
   void holdEngineFor(const waiting_work &Work, mono_time Now);
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -117,26 +117,28 @@
   return Estimate.Ahead / Rate <= Settings.Tuning.SlotSeconds[indexOf(Work.Class)];
 }
 
-bool scheduler::hasRoom(const backend_record &Record, length_class Class, bool Yields,
-                        mono_time Now) {
+bool scheduler::hasRoom(const backend_record &Record, length_class Class, bool Yields) const {
   const double Speed = Record.Costs.prefillRate() / Pool.typicalRate();
   const double Most = Settings.Tuning.ClassPart[indexOf(Class)];
   const double Part = Yields ? std::min(Most, Settings.Tuning.YieldPart) : Most;
-  if (Record.requests() < std::max(1.0, Concurrency.value() * Speed * Part))
-    return true;
-  LastFull = Now;
-  return false;
+  return Record.requests() < std::max(1.0, Concurrency.value() * Speed * Part);
 }
 
 std::optional<scheduler::choice> scheduler::choose(const waiting_work &Work, mono_time Now) {
   const bool IsPlain = Work.Item.Model.empty();
   const bool Yields = yields(Work, Now);
   std::vector<backend_record *> Open = usable(Work);
-  std::erase_if(Open, [&](const backend_record *Record) {
-    return !mayPlace(*Record, Work) || (!IsPlain && !hasRoom(*Record, Work.Class, Yields, Now));
-  });
+  std::erase_if(Open, [&](const backend_record *Record) { return !mayPlace(*Record, Work); });
   if (Open.empty())
     return std::nullopt;
+  if (!IsPlain) {
+    std::erase_if(
+        Open, [&](const backend_record *Record) { return !hasRoom(*Record, Work.Class, Yields); });
+    if (Open.empty()) {
+      LastFull = Now;
+      return std::nullopt;
+    }
+  }
   std::vector<choice> Choices;
   const std::optional<cached_prefix> Cached = Affinity.find(Work.Item.PrefixHashes);
   for (backend_record *Record : Open) {
