--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -6,6 +6,7 @@
 #include "scheduling/affinity_base.h"
 #include "scheduling/backend_pool_base.h"
 #include "scheduling/class_rates_base.h"
+#include "scheduling/concurrency_limit_base.h"
 
 #include <map>
 #include <optional>
@@ -21,6 +22,15 @@
   /// Waits that count as equally long when classes compete: the class with the greatest wait
   /// over patience goes first, so that each class starts in the end.
   std::array<double, LengthClasses> Patience{1.0, 8.0, 32.0};
+  /// Engine seconds over share that an account may be ahead of those that wait. Beyond it, its work
+  /// yields to theirs of every class; more than a long prompt takes, so that one is no offence.
+  double LeadSeconds{60.0};
+  /// Weight of a slower answer against a later first token, second for second.
+  double AnswerWeight{0.1};
+  /// Part of its time limit that a request's answer may take.
+  double AnswerPart{0.5};
+  /// Part of the limit of requests at once that work of accounts over their share may fill.
+  double YieldPart{0.7};
   double NearEqual{0.1};         ///< Costs within this part of the least are drawn from at random.
   double NearEqualSeconds{0.01}; ///< And those within this time of it.
   double ChunkTokens{2'048.0};   ///< Prefill that runs on before a higher priority is looked at.
@@ -68,7 +78,7 @@
   void attemptAnswering(const attempt_id &Attempt, mono_time Now);
   void attemptAdvanced(const attempt_id &Attempt, std::uint64_t Events, mono_time Now);
   /// The server holds nothing of the attempt any more: it completed, or a cancel was confirmed.
-  void attemptEnded(const attempt_id &Attempt, const attempt_end &End, mono_time Now);
+  void attemptEnded(const attempt_id &Attempt, const attempt_report &End, mono_time Now);
   /**
    * The attempt failed and its server has not yet confirmed that it holds nothing. Its memory
    * stays reserved until attemptEnded(); calling this first is optional.
@@ -105,14 +115,15 @@
     double CachedShare{0};
     double Ahead{0};
     double FirstToken{0}; ///< Seconds from now.
+    bool Yields{false};   ///< Its account is over its share: others' work passes it.
     double Cost{0};       ///< Of the choice, with what it does to other classes.
   };
   struct choice {
-    backend_record *Record{nullptr};
+    scheduled_backend *Record{nullptr};
     engine_estimate Estimate;
   };
   /// What could not be placed in this poll, so that work alike is not tried again.
-  using failed_key = std::tuple<service_name, model_name, group_name, length_class>;
+  using failed_key = std::tuple<service_name, model_name, group_name, length_class, bool>;
 
   // scheduler_intake.cpp
   [[nodiscard]] length_class classOf(const work_item &Item) const;
@@ -123,15 +134,18 @@
   [[nodiscard]] std::optional<work_refusal> refusalByFleet(const work_item &Item);
   [[nodiscard]] double engineRate(const work_item &Item, length_class Class);
   [[nodiscard]] double waitSeconds(const waiting_work &Work, mono_time Now);
+  void needPace(const work_item &Item);
   [[nodiscard]] std::chrono::seconds retryAfter(const waiting_work &Work, mono_time Now);
 
   // scheduler_choice.cpp
-  std::vector<backend_record *> usable(const waiting_work &Work);
-  [[nodiscard]] bool mayPlace(const backend_record &Record, const waiting_work &Work) const;
-  [[nodiscard]] engine_estimate estimate(const backend_record &Record, const waiting_work &Work,
+  std::vector<scheduled_backend *> usable(const waiting_work &Work);
+  [[nodiscard]] bool mayPlace(const scheduled_backend &Record, const waiting_work &Work) const;
+  [[nodiscard]] engine_estimate estimate(const scheduled_backend &Record, const waiting_work &Work,
+                                         const std::optional<cached_prefix> &Cached,
                                          mono_time Now) const;
-  [[nodiscard]] bool hasSlot(const backend_record &Record, const waiting_work &Work,
+  [[nodiscard]] bool hasSlot(const scheduled_backend &Record, const waiting_work &Work,
                              const engine_estimate &Estimate, mono_time Now) const;
+  [[nodiscard]] bool hasRoom(const scheduled_backend &Record, bool Yields);
   std::optional<choice> choose(const waiting_work &Work, mono_time Now);
   choice drawNearLeast(const std::vector<choice> &Choices, length_class Class);
   void holdEngineFor(const waiting_work &Work, mono_time Now);
@@ -148,10 +162,10 @@
   // scheduler_attempt.cpp
   ticket_number openTicket(const waiting_work &Work, const choice &Choice, mono_time Now);
   void closeTicket(std::map<ticket_number, open_ticket>::iterator Found);
-  void reportToLedgers(backend_record &Record);
+  void reportToLedgers(scheduled_backend &Record);
   void blame(open_ticket &Ticket, mono_time Now);
   void blameStalled(mono_time Now);
-  void learnFromEnd(const open_ticket &Ticket, const attempt_end &End);
+  void learnFromEnd(const open_ticket &Ticket, const attempt_report &End);
 
   scheduler_settings Settings;
   random_source Random;
@@ -163,6 +177,8 @@
   backend_pool Pool;
   class_rates Arrivals;
   class_rates Placed;
+  concurrency_limit Concurrency;
+  bool ConcurrencyBound{false}; ///< The limit held work back since the last review.
   std::map<ticket_number, open_ticket> Tickets;
   std::map<attempt_id, ticket_number> ByAttempt;
   std::map<request_number, ticket_number> Unstarted; ///< Placements without an attempt yet.
