--- a/src/fake_backend/backend_calls.cpp
+++ b/src/fake_backend/backend_calls.cpp
@@ -90,35 +90,35 @@
 } // namespace
 
 bool backend_server::handleCall(const session_ptr &Session, const backend_request &Request) {
-  const bool Get = Request.method() == http::verb::get;
-  const bool Post = Request.method() == http::verb::post;
   const std::string_view Target = targetOf(Request);
-  const auto Answer = [&Session](const json::object &Body) {
-    Session->reply(jsonResponse(http::status::ok, Body));
+  if (Request.method() == http::verb::get)
+    return handleGet(Session, Request, Target);
+  if (Request.method() == http::verb::post)
+    return handlePost(Session, Request, Target);
+  if (Settings.Kind == "plain" || !Target.starts_with(AttemptsPath))
+    return false;
+  handleAttempt(Session, Request);
+  return true;
+}
+
+bool backend_server::handleGet(const session_ptr &Session, const backend_request &Request,
+                               std::string_view Target) {
+  using body_maker = json::object (backend_server::*)() const;
+  static const std::map<std::string_view, body_maker> Bodies{
+      {"/v1/models", &backend_server::modelsJson},
+      {"/v1/load", &backend_server::loadJson},
+      {"/v1/state", &backend_server::stateJson},
+      {"/v1/attempts", &backend_server::attemptsJson}};
+  if (Target == "/stats") {
+    Session->reply(jsonResponse(http::status::ok, statsJson()));
     return true;
-  };
-  if (Post && Target == "/faults")
-    handleFaults(Session, Request);
-  else if (Get && Target == "/stats")
-    return Answer(statsJson());
-  else if (Settings.Kind == "plain")
+  }
+  if (Settings.Kind == "plain")
     return false;
-  else if (Get && Target == "/v1/models")
-    return Answer(modelsJson());
-  else if (Get && Target == "/v1/load")
-    return Answer(loadJson());
-  else if (Get && Target == "/v1/state")
-    return Answer(stateJson());
-  else if (Get && Target == "/v1/attempts")
-    return Answer(attemptsJson());
-  else if (Get && Target == "/v1/cache-events")
+  if (const auto Found = Bodies.find(Target); Found != Bodies.end())
+    Session->reply(jsonResponse(http::status::ok, (this->*Found->second)()));
+  else if (Target == "/v1/cache-events")
     handleCacheEvents(Session, Request);
-  else if (Post && Target == "/v1/orders")
-    handleOrder(Session, Request);
-  else if (Post && Target == "/v1/kv/export")
-    handleExport(Session, Request);
-  else if (Post && Target == "/v1/kv/import")
-    handleImport(Session, Request);
   else if (Target.starts_with(AttemptsPath))
     handleAttempt(Session, Request);
   else
@@ -126,22 +126,28 @@
   return true;
 }
 
+bool backend_server::handlePost(const session_ptr &Session, const backend_request &Request,
+                                std::string_view Target) {
+  using call_handler = void (backend_server::*)(const session_ptr &, const backend_request &);
+  static const std::map<std::string_view, call_handler> Handlers{
+      {"/v1/orders", &backend_server::handleOrder},
+      {"/v1/kv/export", &backend_server::handleExport},
+      {"/v1/kv/import", &backend_server::handleImport}};
+  if (Target == "/faults") {
+    handleFaults(Session, Request);
+    return true;
+  }
+  const auto Found = Handlers.find(Target);
+  if (Settings.Kind == "plain" || Found == Handlers.end())
+    return false;
+  (this->*Found->second)(Session, Request);
+  return true;
+}
+
 void backend_server::handleAttempt(const session_ptr &Session, const backend_request &Request) {
   std::string Attempt = decoded(targetOf(Request).substr(AttemptsPath.size()));
   if (Request.method() == http::verb::delete_ && Settings.Cancels) {
-    if (strikes(Faults.DropCancelNext)) {
-      Session->close();
-      return;
-    }
-    const auto Before = Engine.cancel(Attempt, boot_clock::now());
-    const bool Running =
-        Before && *Before != job_state::Finished && *Before != job_state::Cancelled;
-    const char *State = Running ? "cancelled" : "unknown";
-    if (Before == job_state::Finished)
-      State = "finished";
-    if (Before == job_state::Cancelled)
-      State = "cancelled";
-    Session->reply(jsonResponse(http::status::ok, {{"state", State}}));
+    cancelAttempt(Session, Attempt);
     return;
   }
   const auto NotFound = [&Session] {
@@ -164,6 +170,18 @@
   std::make_shared<stream_answer>(*this, Session, Job, After + 1)->start(echoOf(Attempt));
 }
 
+void backend_server::cancelAttempt(const session_ptr &Session, const std::string &Attempt) {
+  if (strikes(Faults.DropCancelNext)) {
+    Session->close();
+    return;
+  }
+  const auto Before = Engine.cancel(Attempt, boot_clock::now());
+  const char *State = "unknown";
+  if (Before)
+    State = *Before == job_state::Finished ? "finished" : "cancelled";
+  Session->reply(jsonResponse(http::status::ok, {{"state", State}}));
+}
+
 void backend_server::handleCacheEvents(const session_ptr &Session, const backend_request &Request) {
   const auto LastEvent = Request["Last-Event-ID"];
   std::uint64_t After = 0;
--- a/src/fake_backend/backend_server_base.h
+++ b/src/fake_backend/backend_server_base.h
@@ -78,6 +78,11 @@
 
   // backend_calls.cpp: attempts, state and faults
   bool handleCall(const session_ptr &Session, const backend_request &Request);
+  bool handleGet(const session_ptr &Session, const backend_request &Request,
+                 std::string_view Target);
+  bool handlePost(const session_ptr &Session, const backend_request &Request,
+                  std::string_view Target);
+  void cancelAttempt(const session_ptr &Session, const std::string &Attempt);
   void handleAttempt(const session_ptr &Session, const backend_request &Request);
   void handleCacheEvents(const session_ptr &Session, const backend_request &Request);
   void handleOrder(const session_ptr &Session, const backend_request &Request);
--- a/src/fake_backend/cache_event_log.cpp
+++ b/src/fake_backend/cache_event_log.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 constexpr std::size_t EventsKept = 4096;
-}
+} // namespace
 
 void cache_event_log::add(const prefix_cache::changes &Changes, mono_time Now) {
   addOne("stored", Changes.Stored, Now);
--- a/src/fake_backend/engine.cpp
+++ b/src/fake_backend/engine.cpp
@@ -101,7 +101,8 @@
     Budget -= Part;
     PrefillTokens += Part;
   }
-  const auto PrefillUs = static_cast<std::int64_t>(Limits.PrefillTokenUs * PrefillTokens);
+  const auto PrefillUs =
+      static_cast<std::int64_t>(Limits.PrefillTokenUs * static_cast<double>(PrefillTokens));
   return Limits.StepBase + std::chrono::microseconds(PrefillUs) +
          Limits.PerSequence * static_cast<std::int64_t>(StepDecode.size());
 }
--- a/src/fake_backend/session.cpp
+++ b/src/fake_backend/session.cpp
@@ -137,7 +137,7 @@
 
 void session::openStream(const std::string &Attempt) {
   Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
-        "Transfer-Encoding: chunked\r\n";
+         "Transfer-Encoding: chunked\r\n";
   if (!Attempt.empty())
     Head += "X-Pollenstall-Attempt: " + Attempt + "\r\n";
   Head += "\r\n";
--- a/src/fake_backend/stream_answer.cpp
+++ b/src/fake_backend/stream_answer.cpp
@@ -1,6 +1,7 @@
 /** @file stream_answer.cpp Streams, and the faults that end them early. */
 #include "fake_backend/stream_answer_base.h"
 
+#include <algorithm>
 #include <csignal>
 #include <utility>
 
@@ -8,7 +9,7 @@
 
 namespace {
 constexpr std::size_t WriteBytes = 64UL << 10U;
-}
+} // namespace
 
 stream_answer::stream_answer(backend_server &Server, session_ptr Peer, job_ptr Source,
                              std::int64_t FirstEvent)
--- a/src/load/load_report.cpp
+++ b/src/load/load_report.cpp
@@ -33,6 +33,14 @@
   Metrics[Prefix + "_max_ms"] = Values.back();
 }
 
+/// Counts stand as whole numbers in the report.
+boost::json::value jsonNumber(double Value) {
+  constexpr double WholeLimit = 9007199254740992.0; // 2^53
+  if (std::abs(Value) < WholeLimit && std::trunc(Value) == Value)
+    return static_cast<std::int64_t>(Value);
+  return Value;
+}
+
 } // namespace
 
 void load_report::add(const load_report &Other) {
@@ -91,7 +99,7 @@
 std::string reportJson(const load_metrics &Metrics, const std::vector<std::string> &Bounds) {
   boost::json::object Figures;
   for (const auto &[Name, Value] : Metrics)
-    Figures[Name] = Value;
+    Figures[Name] = jsonNumber(Value);
   boost::json::array Kept;
   for (const std::string &Text : Bounds) {
     const auto Bound = parseBound(Text);
--- a/tests/support/http_client_base.h
+++ b/tests/support/http_client_base.h
@@ -47,15 +47,15 @@
   explicit http_client(std::string PeerAddress, std::chrono::milliseconds Limit = TestLimit)
       : Address(std::move(PeerAddress)), TimeLimit(Limit) {}
 
-  [[nodiscard]] http_answer get(const std::string &Target, const http_headers &Headers = {}) const {
+  http_answer get(const std::string &Target, const http_headers &Headers = {}) const {
     return request("GET", Target, {}, Headers);
   }
-  [[nodiscard]] http_answer post(const std::string &Target, const std::string &Body,
-                                 const http_headers &Headers = {}) const {
+  http_answer post(const std::string &Target, const std::string &Body,
+                   const http_headers &Headers = {}) const {
     return request("POST", Target, Body, Headers);
   }
-  [[nodiscard]] http_answer request(const std::string &Method, const std::string &Target,
-                                    const std::string &Body, const http_headers &Headers) const;
+  http_answer request(const std::string &Method, const std::string &Target, const std::string &Body,
+                      const http_headers &Headers) const;
 
 private:
   std::string Address;
