--- a/src/fake_backend/session.cpp
+++ b/src/fake_backend/session.cpp
@@ -58,7 +58,7 @@
 }
 
 bool session::peerLeft() {
-  // The wait also ends on readiness that an earlier read has used up: only a read tells.
+  // A wait may end without anything to read: only a read tells a close from that.
   char Byte = 0;
   boost::system::error_code Error;
   Socket.non_blocking(true, Error);
--- a/tests/load/answer_check_test.cpp
+++ b/tests/load/answer_check_test.cpp
@@ -51,6 +51,20 @@
   EXPECT_EQ(judged(Events), load_outcome::Wrong);
 }
 
+TEST_F(a_streamed_answer, IsWrongWithATokenTwiceWhereNoIdsTellIt) {
+  for (std::string &Event : Events)
+    Event.erase(0, Event.find('\n') + 1);
+  ASSERT_EQ(judged(Events), load_outcome::Complete);
+  Events.insert(Events.begin() + 3, Events[3]);
+  EXPECT_EQ(judged(Events), load_outcome::Wrong);
+}
+
+TEST_F(a_streamed_answer, IsWrongRatherThanCutAfterAForeignToken) {
+  Events[1] = eventsOf(answerTo("theirs"))[1];
+  Events.resize(2);
+  EXPECT_EQ(judged(Events, false), load_outcome::Wrong);
+}
+
 TEST_F(a_streamed_answer, IsWrongWhenItEndsEarlyAsIfItWereWhole) {
   answer_text Short = answerTo("mine");
   --Short.AnswerTokens;
