--- a/src/fake_backend/session.cpp
+++ b/src/fake_backend/session.cpp
@@ -58,7 +58,7 @@
 }
 
 bool session::peerLeft() {
-  // The wait also ends on readiness that an earlier read has used up: only a read tells.
+  // A wait may end without anything to read: only a read tells a close from that.
   char Byte = 0;
   boost::system::error_code Error;
   Socket.non_blocking(true, Error);
@@ -137,7 +137,7 @@
 
 void session::openStream(const std::string &Attempt) {
   Head = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-cache\r\n"
-        "Transfer-Encoding: chunked\r\n";
+         "Transfer-Encoding: chunked\r\n";
   if (!Attempt.empty())
     Head += "X-Pollenstall-Attempt: " + Attempt + "\r\n";
   Head += "\r\n";
