--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -6,6 +6,7 @@
 #include "scheduling/affinity_base.h"
 #include "scheduling/backend_pool_base.h"
 #include "scheduling/class_rates_base.h"
+#include "scheduling/concurrency_limit_base.h"
 
 #include <map>
 #include <optional>
@@ -24,6 +25,12 @@
   /// Engine seconds over share that an account may be ahead of those that wait. Beyond it, its work
   /// yields to theirs of every class; more than a long prompt takes, so that one is no offence.
   double LeadSeconds{60.0};
+  /// Weight of a slower answer against a later first token, second for second.
+  double AnswerWeight{0.1};
+  /// Part of its time limit that a request's answer may take.
+  double AnswerPart{0.5};
+  /// Part of the limit of requests at once that work of accounts over their share may fill.
+  double YieldPart{0.7};
   double NearEqual{0.1};         ///< Costs within this part of the least are drawn from at random.
   double NearEqualSeconds{0.01}; ///< And those within this time of it.
   double ChunkTokens{2'048.0};   ///< Prefill that runs on before a higher priority is looked at.
@@ -112,7 +119,7 @@
     double Cost{0};       ///< Of the choice, with what it does to other classes.
   };
   struct choice {
-    backend_record *Record{nullptr};
+    scheduled_backend *Record{nullptr};
     engine_estimate Estimate;
   };
   /// What could not be placed in this poll, so that work alike is not tried again.
@@ -127,16 +134,18 @@
   [[nodiscard]] std::optional<work_refusal> refusalByFleet(const work_item &Item);
   [[nodiscard]] double engineRate(const work_item &Item, length_class Class);
   [[nodiscard]] double waitSeconds(const waiting_work &Work, mono_time Now);
+  void needPace(const work_item &Item);
   [[nodiscard]] std::chrono::seconds retryAfter(const waiting_work &Work, mono_time Now);
 
   // scheduler_choice.cpp
-  std::vector<backend_record *> usable(const waiting_work &Work);
-  [[nodiscard]] bool mayPlace(const backend_record &Record, const waiting_work &Work) const;
-  [[nodiscard]] engine_estimate estimate(const backend_record &Record, const waiting_work &Work,
+  std::vector<scheduled_backend *> usable(const waiting_work &Work);
+  [[nodiscard]] bool mayPlace(const scheduled_backend &Record, const waiting_work &Work) const;
+  [[nodiscard]] engine_estimate estimate(const scheduled_backend &Record, const waiting_work &Work,
                                          const std::optional<cached_prefix> &Cached,
                                          mono_time Now) const;
-  [[nodiscard]] bool hasSlot(const backend_record &Record, const waiting_work &Work,
+  [[nodiscard]] bool hasSlot(const scheduled_backend &Record, const waiting_work &Work,
                              const engine_estimate &Estimate, mono_time Now) const;
+  [[nodiscard]] bool hasRoom(const scheduled_backend &Record, bool Yields);
   std::optional<choice> choose(const waiting_work &Work, mono_time Now);
   choice drawNearLeast(const std::vector<choice> &Choices, length_class Class);
   void holdEngineFor(const waiting_work &Work, mono_time Now);
@@ -153,7 +162,7 @@
   // scheduler_attempt.cpp
   ticket_number openTicket(const waiting_work &Work, const choice &Choice, mono_time Now);
   void closeTicket(std::map<ticket_number, open_ticket>::iterator Found);
-  void reportToLedgers(backend_record &Record);
+  void reportToLedgers(scheduled_backend &Record);
   void blame(open_ticket &Ticket, mono_time Now);
   void blameStalled(mono_time Now);
   void learnFromEnd(const open_ticket &Ticket, const attempt_report &End);
@@ -168,6 +177,8 @@
   backend_pool Pool;
   class_rates Arrivals;
   class_rates Placed;
+  concurrency_limit Concurrency;
+  bool ConcurrencyBound{false}; ///< The limit held work back since the last review.
   std::map<ticket_number, open_ticket> Tickets;
   std::map<attempt_id, ticket_number> ByAttempt;
   std::map<request_number, ticket_number> Unstarted; ///< Placements without an attempt yet.
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -22,12 +22,12 @@
 
 } // namespace
 
-std::vector<backend_record *> scheduler::usable(const waiting_work &Work) {
+std::vector<scheduled_backend *> scheduler::usable(const waiting_work &Work) {
   const work_item &Item = Work.Item;
-  std::vector<backend_record *> Fresh;
-  std::vector<backend_record *> Tried;
+  std::vector<scheduled_backend *> Fresh;
+  std::vector<scheduled_backend *> Tried;
   const auto Gather = [&](const group_name &Group) {
-    for (backend_record *Record : Pool.members(Item.Service, Group)) {
+    for (scheduled_backend *Record : Pool.members(Item.Service, Group)) {
       if (!Record->active() || !Record->serves(Item))
         continue;
       const bool Avoided =
@@ -43,7 +43,7 @@
   return Fresh.empty() ? Tried : Fresh;
 }
 
-bool scheduler::mayPlace(const backend_record &Record, const waiting_work &Work) const {
+bool scheduler::mayPlace(const scheduled_backend &Record, const waiting_work &Work) const {
   if (!Pool.ejections().admits(Record.key(), Record.Outstanding))
     return false;
   if (Work.Item.Model.empty())
@@ -53,16 +53,13 @@
   return Work.Class == length_class::Long || HeldForLong != Record.key();
 }
 
-scheduler::engine_estimate scheduler::estimate(const backend_record &Record,
+scheduler::engine_estimate scheduler::estimate(const scheduled_backend &Record,
                                                const waiting_work &Work,
                                                const std::optional<cached_prefix> &Cached,
                                                mono_time Now) const {
   engine_estimate Result;
   if (Work.Item.Model.empty()) {
-    const backend_load &Load = Record.View.Load;
-    const double Reported = static_cast<double>(Load.Running) + Load.Waiting;
-    const double Others = std::max(0.0, Reported - Record.OwnInReport);
-    Result.FirstToken = PlainCallSeconds * (1.0 + Others + Record.Outstanding);
+    Result.FirstToken = PlainCallSeconds * (1.0 + Record.requests());
     Result.Cost = Result.FirstToken;
     return Result;
   }
@@ -83,11 +80,14 @@
   const double LongWeight = Policy.LongWeight / std::max(0.01, Policy.ShortWeight);
   const double Delayed =
       Passed > 0 && Work.Class != length_class::Long ? Result.Uncached / Rate : 0;
-  Result.Cost = Result.FirstToken + LongWeight * Delayed;
+  // While an engine has prefill to do, each token of an answer takes as long as a whole chunk.
+  const double Chunked = expectedAnswer(Work.Item) * Settings.Tuning.ChunkTokens / Rate;
+  const double Slower = std::min(Pending / Rate, Chunked);
+  Result.Cost = Result.FirstToken + LongWeight * Delayed + Settings.Tuning.AnswerWeight * Slower;
   return Result;
 }
 
-bool scheduler::hasSlot(const backend_record &Record, const waiting_work &Work,
+bool scheduler::hasSlot(const scheduled_backend &Record, const waiting_work &Work,
                         const engine_estimate &Estimate, mono_time Now) const {
   if (Work.Item.Model.empty())
     return true;
@@ -101,14 +101,24 @@
   return Estimate.Ahead / Rate <= Settings.Tuning.SlotSeconds[indexOf(Work.Class)];
 }
 
+bool scheduler::hasRoom(const scheduled_backend &Record, bool Yields) {
+  const double Speed = Record.Costs.prefillRate() / Pool.typicalRate();
+  const double Part = Yields ? Settings.Tuning.YieldPart : 1.0;
+  if (Record.requests() < std::max(1.0, Concurrency.value() * Speed * Part))
+    return true;
+  ConcurrencyBound = true;
+  return false;
+}
+
 std::optional<scheduler::choice> scheduler::choose(const waiting_work &Work, mono_time Now) {
   std::vector<choice> Choices;
   const std::optional<cached_prefix> Cached = Affinity.find(Work.Item.PrefixHashes);
-  for (backend_record *Record : usable(Work)) {
+  for (scheduled_backend *Record : usable(Work)) {
     if (!mayPlace(*Record, Work))
       continue;
     const engine_estimate Estimate = estimate(*Record, Work, Cached, Now);
-    if (hasSlot(*Record, Work, Estimate, Now))
+    const bool Room = Work.Item.Model.empty() || hasRoom(*Record, Estimate.Yields);
+    if (Room && hasSlot(*Record, Work, Estimate, Now))
       Choices.push_back({Record, Estimate});
   }
   if (Choices.empty())
@@ -153,9 +163,9 @@
   HoldWanted = true;
   if (HeldForLong)
     return;
-  const backend_record *Best = nullptr;
+  const scheduled_backend *Best = nullptr;
   memory_blocks BestFree;
-  for (const backend_record *Record : usable(Work)) {
+  for (const scheduled_backend *Record : usable(Work)) {
     const memory_ledger &Memory = Record->Memory;
     const bool Slot = Record->Prefill.longs(Now, Record->Costs.prefillRate()) <
                       std::max(1U, Policy.MaxLongPerEngine);
--- a/src/scheduling/scheduler_dump.cpp
+++ b/src/scheduling/scheduler_dump.cpp
@@ -25,7 +25,7 @@
   Out << '"';
 }
 
-void writeRecord(std::ostream &Out, const backend_record &Record, ejection_state Ejection) {
+void writeRecord(std::ostream &Out, const scheduled_backend &Record, ejection_state Ejection) {
   Out << "{\"backend\":";
   writeText(Out, toText(Record.key()));
   Out << ",\"standing\":\"" << StandingNames[static_cast<std::size_t>(Record.View.Standing)]
@@ -47,6 +47,9 @@
       << ",\"medium\":" << Queue.size(length_class::Medium)
       << ",\"long\":" << Queue.size(length_class::Long) << "},\"open\":" << Tickets.size()
       << ",\"unstarted\":" << Unstarted.size() << ",\"answer_share\":" << AnswerShare
+      << ",\"requests_per_engine\":" << Concurrency.value()
+      << ",\"seconds_per_token\":" << Concurrency.pace()
+      << ",\"seconds_per_token_needed\":" << Concurrency.neededPace()
       << ",\"prefixes\":" << Affinity.size() << ",\"backends\":[";
   bool First = true;
   for (const auto &[Key, Record] : Pool.records()) {
