--- a/programs/pollenstall-entry/entry_base.h
+++ b/programs/pollenstall-entry/entry_base.h
@@ -59,7 +59,8 @@
   entry_settings Settings;
   process_key Self;
   std::shared_ptr<prometheus::Registry> Registry;
-  boost::asio::io_context Io{1};
+  /// One thread does all I/O, others only post: the reactor needs no locks of its own.
+  boost::asio::io_context Io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::unique_ptr<decision_thread> Decision;
   std::unique_ptr<gossip_service> Gossip;
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -58,7 +58,7 @@
   boost::asio::awaitable<std::optional<attempt_failure>> readHead();
   boost::asio::awaitable<exchange_end> relayEvents();
   boost::asio::awaitable<exchange_end> relayWhole();
-  boost::asio::awaitable<bool> relayReadyEvents(const event_scan &Scan);
+  bool feedReady();
   boost::asio::awaitable<bool> startAnswer(answer_framing Framing, std::string_view First);
   boost::asio::awaitable<bool> readMore();
   boost::asio::awaitable<void> returnLink();
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -69,40 +69,52 @@
   UnreportedEvents = 0;
 }
 
-asio::awaitable<bool> backend_exchange::relayReadyEvents(const event_scan &Scan) {
-  const std::string_view Ready = std::string_view(Feed->body()).substr(0, Scan.WholeBytes);
-  // Told first: an attempt whose bytes the caller may have must not be taken for unanswered.
-  noteRelayed(Scan.Events, Ready.size());
-  const bool First = Call->Stage == answer_stage::None;
-  const bool Written = First ? co_await startAnswer(answer_framing::Chunked, Ready)
-                             : co_await Call->Caller->writePart(Ready);
-  Call->LastEvent = Scanner.lastId();
-  Feed->body().erase(0, Scan.WholeBytes);
-  co_return Written;
+bool backend_exchange::feedReady() {
+  const timed_socket::read_result Read = Link->readNow();
+  return !Read.Ended && (Read.Bytes.empty() || Feed->feed(Read.Bytes));
 }
 
+// One coroutine for the whole stream: each further one would cost an event its frame.
 asio::awaitable<exchange_end> backend_exchange::relayEvents() {
+  using part_state = caller_connection::part_state;
   Scanner = event_scanner(Call->LastEvent);
   Call->Relaying = true;
-  const exchange_end Cut{attempt_failure::BrokenMidway, {}};
   const exchange_end Bad{attempt_failure::BadAnswer, {}};
+  boost::system::error_code Code;
   while (true) {
     const auto Scan = Scanner.scan(Feed->body());
     if (!succeeded(Scan))
       co_return Bad;
-    if (valueOf(Scan).WholeBytes > 0 && !co_await relayReadyEvents(valueOf(Scan))) {
-      Context.noteCallerGone(*Call);
-      Abandoned = true;
+    const std::size_t Whole = valueOf(Scan).WholeBytes;
+    if (Whole > 0) {
+      const std::string_view Ready = std::string_view(Feed->body()).substr(0, Whole);
+      // Told first: an attempt whose bytes the caller may have must not be taken for unanswered.
+      noteRelayed(valueOf(Scan).Events, Whole);
+      part_state Part = part_state::Written;
+      if (Call->Stage == answer_stage::None)
+        Part = co_await startAnswer(answer_framing::Chunked, Ready) ? part_state::Written
+                                                                    : part_state::Broken;
+      else
+        Part = Call->Caller->tryPart(Ready);
+      if (Part == part_state::Waiting && co_await Call->Caller->flush())
+        Part = part_state::Written;
+      Call->LastEvent = Scanner.lastId();
+      Feed->body().erase(0, Whole);
+      if (Part != part_state::Written) {
+        Context.noteCallerGone(*Call);
+        Abandoned = true;
+      }
     }
-    if (Abandoned)
-      co_return Cut;
-    if (Scanner.ended())
+    if (Scanner.ended() && !Abandoned)
       break;
     if (Feed->body().size() > Context.Limits.MaxEventBytes)
       co_return Bad;
-    if (Feed->done() || !co_await readMore())
-      co_return Call->Stage == answer_stage::None ? exchange_end{attempt_failure::BrokenSent, {}}
-                                                  : Cut;
+    if (!Abandoned && !Feed->done())
+      co_await Link->waitRead(Code);
+    if (Abandoned || Feed->done() || Code || !feedReady())
+      co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
+                                                               : attempt_failure::BrokenMidway,
+                             {}};
   }
   if (!co_await Call->Caller->writeEnd())
     Context.noteCallerGone(*Call);
--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -197,16 +197,36 @@
   co_return co_await write(Buffers);
 }
 
-asio::awaitable<bool> caller_connection::writePart(std::string_view Part) {
+caller_connection::part_state caller_connection::tryPart(std::string_view Part) {
   if (Part.empty() || Framing == answer_framing::None)
-    co_return true;
-  if (Framing == answer_framing::Length) {
-    const std::array Buffers{bufferOf(Part)};
-    co_return co_await write(Buffers);
-  }
+    return part_state::Written;
   const chunk_size_line Size(Part.size());
-  const std::array Buffers{Size.buffer(), bufferOf(Part), bufferOf(LineEnd)};
-  co_return co_await write(Buffers);
+  const bool Chunked = Framing == answer_framing::Chunked;
+  const std::array Buffers{Chunked ? Size.buffer() : asio::const_buffer(), bufferOf(Part),
+                           Chunked ? bufferOf(LineEnd) : asio::const_buffer()};
+  const std::optional<std::size_t> Taken = Socket.writeNow(Buffers);
+  if (!Taken)
+    return part_state::Broken;
+  if (*Taken == asio::buffer_size(Buffers))
+    return part_state::Written;
+  for (const asio::const_buffer &Buffer : Buffers)
+    Unsent.append(static_cast<const char *>(Buffer.data()), Buffer.size());
+  Unsent.erase(0, *Taken);
+  return part_state::Waiting;
+}
+
+asio::awaitable<bool> caller_connection::flush() {
+  const std::array Buffers{bufferOf(Unsent)};
+  const bool Written = co_await write(Buffers);
+  Unsent = {};
+  co_return Written;
+}
+
+asio::awaitable<bool> caller_connection::writePart(std::string_view Part) {
+  const part_state State = tryPart(Part);
+  if (State == part_state::Waiting)
+    co_return co_await flush();
+  co_return State == part_state::Written;
 }
 
 asio::awaitable<bool> caller_connection::writeEnd() {
--- a/src/relay/caller_connection_base.h
+++ b/src/relay/caller_connection_base.h
@@ -51,6 +51,16 @@
 
   /// Starts an answer, with its first part of the body where that is known.
   boost::asio::awaitable<bool> writeHead(const answer_head &Head, std::string_view FirstPart = {});
+  /// How far a part got without waiting.
+  enum class part_state : std::uint8_t {
+    Written,
+    Waiting, ///< The caller is slow: flush() has to follow before anything else is written.
+    Broken,
+  };
+  /// Goes on with the body as far as the kernel takes it at once.
+  part_state tryPart(std::string_view Part);
+  /// Writes what tryPart() left.
+  boost::asio::awaitable<bool> flush();
   /// Goes on with the body, framed as the head said.
   boost::asio::awaitable<bool> writePart(std::string_view Part);
   /// Ends a chunked answer; the others end by their length.
@@ -69,7 +79,8 @@
 
   const relay_limits &Limits;
   timed_socket Socket;
-  std::string Inbox; ///< Read but not taken: part of a head, or the caller's next request.
+  std::string Inbox;  ///< Read but not taken: part of a head, or the caller's next request.
+  std::string Unsent; ///< Of a part that the kernel did not take at once.
   answer_framing Framing{answer_framing::Length};
 };
 
--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -1,8 +1,6 @@
 /** @file timed_socket.cpp Reads, writes and deadlines of sockets. */
 #include "relay/timed_socket_base.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
 #include <sys/socket.h>
@@ -57,23 +55,42 @@
   if (Expired)
     co_return false;
   error_code Code;
-  co_await Socket.async_wait(asio::ip::tcp::socket::wait_read,
-                             asio::redirect_error(asio::use_awaitable, Code));
+  co_await waitRead(Code);
   co_return !Code;
 }
 
 asio::awaitable<std::string_view> timed_socket::readSome() {
   while (co_await waitReadable()) {
-    error_code Code;
-    const std::span<char> Into = Sweeper.readBuffer();
-    const std::size_t Got = Socket.read_some(asio::buffer(Into.data(), Into.size()), Code);
-    if (Code == asio::error::would_block)
-      continue;
-    co_return Code ? std::string_view() : std::string_view(Into.data(), Got);
+    const read_result Read = readNow();
+    if (Read.Ended || !Read.Bytes.empty())
+      co_return Read.Bytes;
   }
   co_return std::string_view();
 }
 
+timed_socket::read_result timed_socket::readNow() {
+  if (Expired)
+    return {{}, true};
+  error_code Code;
+  const std::span<char> Into = Sweeper.readBuffer();
+  const std::size_t Got = Socket.read_some(asio::buffer(Into.data(), Into.size()), Code);
+  if (Code == asio::error::would_block)
+    return {};
+  if (Code)
+    return {{}, true};
+  return {std::string_view(Into.data(), Got), false};
+}
+
+std::optional<std::size_t> timed_socket::writeNow(std::span<const asio::const_buffer> Buffers) {
+  if (Expired)
+    return std::nullopt;
+  error_code Code;
+  const std::size_t Taken = Socket.write_some(Buffers, Code);
+  if (Code && Code != asio::error::would_block)
+    return std::nullopt;
+  return Taken;
+}
+
 asio::awaitable<bool> timed_socket::readInto(std::string &Into, std::size_t Count) {
   std::size_t At = Into.size();
   const std::size_t Wanted = At + Count;
@@ -92,14 +109,12 @@
 }
 
 asio::awaitable<std::size_t> timed_socket::writeAll(std::span<const asio::const_buffer> Buffers) {
-  if (Expired)
-    co_return 0;
-  const std::size_t Total = asio::buffer_size(Buffers);
-  error_code Code;
-  const std::size_t Taken = Socket.write_some(Buffers, Code);
-  if (Taken == Total || (Code && Code != asio::error::would_block))
+  const std::optional<std::size_t> AtOnce = writeNow(Buffers);
+  const std::size_t Taken = AtOnce.value_or(0);
+  if (!AtOnce || Taken == asio::buffer_size(Buffers))
     co_return Taken;
   const std::vector<asio::const_buffer> Left = withoutFirst(Buffers, Taken);
+  error_code Code;
   const std::size_t Rest =
       co_await asio::async_write(Socket, Left, asio::redirect_error(asio::use_awaitable, Code));
   co_return Taken + Rest;
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -8,10 +8,13 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/intrusive/list.hpp>
 
 #include <chrono>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -52,6 +55,21 @@
   /// Reads exactly so many bytes to the end of Into. @return False where the connection ended.
   boost::asio::awaitable<bool> readInto(std::string &Into, std::size_t Count);
 
+  /// What a read that does not wait found.
+  struct read_result {
+    std::string_view Bytes; ///< As readSome().
+    bool Ended{false};      ///< The connection ended, or broke, or the deadline passed.
+  };
+  /// Reads what is there without waiting.
+  read_result readNow();
+  /// Waits for bytes without a coroutine of its own, for the path of each token.
+  auto waitRead(boost::system::error_code &Code) {
+    return Socket.async_wait(boost::asio::ip::tcp::socket::wait_read,
+                             boost::asio::redirect_error(boost::asio::use_awaitable, Code));
+  }
+  /// Writes what the kernel takes at once. @return How much; nothing where the connection broke.
+  std::optional<std::size_t> writeNow(std::span<const boost::asio::const_buffer> Buffers);
+
   /**
    * Writes all of the buffers; tries at once, waits only where the peer is slow.
    * @return How many bytes the kernel took; fewer than asked means that the connection broke.
