orphan: survivors end the attempts of dead entries; pollenstall-entry runs the patrol

Cause: only an attempt's owner cancels it, so an engine would hold a dead entry's memory for good. Ruled out: ending at once the work of a host that counts as dead; it may be cut off from other hosts only.

--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -33,7 +33,7 @@
 } // namespace
 
 decision_seam::decision_seam(process_key Self, std::uint64_t Seed)
-    : Scheduler(scheduler_builder().seed(Seed).host(Self.Host).build()),
+    : Patrol(Self, {}), Scheduler(scheduler_builder().seed(Seed).host(Self.Host).build()),
       Dispatcher(buildDispatcher(Self, Seed, hooks())) {}
 
 dispatch_seam decision_seam::hooks() {
@@ -128,6 +128,7 @@
       Before != Backends.end() && Before->second.Standing == backend_standing::Lost;
   Backends.insert_or_assign(Key, View);
   Scheduler.updateBackend(withDrain(View), Now);
+  Patrol.noteBackend(View.Announcement);
   if (View.Standing == backend_standing::Lost && !WasLost)
     Dispatcher.backendLost(Key, Now);
   PollDue = true;
@@ -136,6 +137,7 @@
 void decision_seam::noteGone(const backend_key &Backend, mono_time Now) {
   Dispatcher.backendGone(Backend, Now);
   Scheduler.removeBackend(Backend, Now);
+  Patrol.forgetBackend(Backend);
   Backends.erase(Backend);
   PollDue = true;
 }
@@ -145,7 +147,8 @@
       overloaded{[this, Now](const backend_changed &Change) { noteBackend(Change.View, Now); },
                  [this, Now](const backend_gone &Gone) { noteGone(Gone.Key, Now); },
                  [this](const views_fresh &Fresh) { FreshUntil = Fresh.Until; },
-                 [this](const superseded &) { Superseded = true; }, [](const host_changed &) {}},
+                 [this](const superseded &) { Superseded = true; },
+                 [this, Now](const host_changed &Change) { Patrol.noteHost(Change.View, Now); }},
       Event);
 }
 
@@ -153,6 +156,14 @@
   Dispatcher.handle(Event, Now);
 }
 
+std::vector<cancel_attempt> decision_seam::orphansIn(const attempts_listed &Listed, mono_time Now) {
+  std::vector<cancel_attempt> Orphans;
+  for (const attempt_id &Attempt : Listed.Attempts)
+    if (Patrol.isOrphan(Attempt, Now))
+      Orphans.push_back({Attempt, Listed.Backend});
+  return Orphans;
+}
+
 void decision_seam::setReady(bool Ready) { Dispatcher.setReady(Ready); }
 
 void decision_seam::beginShutdown(mono_time Now, mono_span Limit) {
--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -5,6 +5,8 @@
 #include "declaration/declaration.h"
 #include "dispatch/dispatch.h"
 #include "gossip/gossip.h"
+#include "orphan/orphan.h"
+#include "relay/relay.h"
 #include "scheduling/scheduling.h"
 
 #include <map>
@@ -28,6 +30,10 @@
   void useDrains(const std::vector<backend_address> &Backends, mono_time Now);
   void take(const membership_event &Event, mono_time Now);
   void take(const dispatch_event &Event, mono_time Now);
+  /// An engine told what it holds. @return What is to be cancelled there for want of an owner.
+  std::vector<cancel_attempt> orphansIn(const attempts_listed &Listed, mono_time Now);
+  /// @return Engines to be asked for what they hold.
+  std::vector<backend_key> enginesToList(mono_time Now) { return Patrol.due(Now); }
   /// Admitted work that was placed on views older than this could go to a server that is leaving.
   void setReady(bool Ready);
   void beginShutdown(mono_time Now, mono_span Limit);
@@ -59,6 +65,7 @@
   [[nodiscard]] backend_view withDrain(backend_view View) const;
 
   declaration_view Declaration;
+  orphan_patrol Patrol;
   scheduler Scheduler;
   std::map<request_number, work_item> Waiting; ///< Submitted, without an attempt yet.
   std::map<backend_key, backend_view> Backends;
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -9,6 +9,7 @@
 
 namespace {
 
+constexpr std::size_t ListCapacity = 256;
 constexpr mono_span LongestSleep = std::chrono::milliseconds(100);
 /// Sleep while orders wait for room in the ring.
 constexpr mono_span FullRingSleep = std::chrono::milliseconds(1);
@@ -20,8 +21,13 @@
 } // namespace
 
 decision_thread::decision_thread(decision_plan Wanted)
-    : Plan(std::move(Wanted)), Events(Plan.RingCapacity), Orders(Plan.RingCapacity), Outbox(Orders),
-      Seam(Plan.Self, Plan.Self.Life.value()),
+    : Plan(std::move(Wanted)), Events(Plan.RingCapacity), Lists(ListCapacity),
+      Orders(Plan.RingCapacity), Outbox(Orders), Seam(Plan.Self, Plan.Self.Life.value()),
+      OrphanCounter(prometheus::BuildCounter()
+                        .Name("pollenstall_orphans_cancelled_total")
+                        .Help("Attempts of dead owners that this entry asked engines to end")
+                        .Register(*Plan.Registry)
+                        .Add({})),
       QueueGauge(gauge(*Plan.Registry, "pollenstall_queued_requests",
                        "Requests that wait for a backend server")),
       LiveGauge(
@@ -32,6 +38,7 @@
       RevisionGauge(gauge(*Plan.Registry, "pollenstall_declaration_revision",
                           "Revision of the declaration in use")) {
   Events.onWake([this] { Gate.wake(); });
+  Lists.onWake([this] { Gate.wake(); });
 }
 
 decision_thread::~decision_thread() { stop(); }
@@ -70,6 +77,8 @@
   updateReadiness(Now);
   for (dispatch_action &Action : Seam.step(Now))
     carryOut(std::move(Action));
+  for (const backend_key &Engine : Seam.enginesToList(Now))
+    Outbox.push(list_attempts{Engine});
   Outbox.flush();
   publishGauges();
   answerDumps(Now);
@@ -83,6 +92,7 @@
     Control->drainEvents(
         [this, Now](control_link_event &&Event) { takeControlEvent(std::move(Event), Now); });
   Events.drain([this, Now](dispatch_event &&Event) { Seam.take(Event, Now); });
+  Lists.drain([this, Now](attempts_listed &&Listed) { endOrphans(Listed, Now); });
   const std::lock_guard<std::mutex> Lock(Guard);
   if (ShutdownWanted)
     Seam.beginShutdown(Now, *std::exchange(ShutdownWanted, std::nullopt));
@@ -166,6 +176,15 @@
       std::move(Action));
 }
 
+void decision_thread::endOrphans(const attempts_listed &Listed, mono_time Now) {
+  for (const cancel_attempt &Orphan : Seam.orphansIn(Listed, Now)) {
+    logEvent(log_level::Warning, "orphan_cancelled",
+             {{"attempt", toText(Orphan.Attempt)}, {"backend", toText(Orphan.Backend)}});
+    OrphanCounter.Increment();
+    Outbox.push(cancel_order{Orphan, true});
+  }
+}
+
 mono_span decision_thread::untilNextWake(mono_time Now) const {
   if (Outbox.waiting() > 0)
     return FullRingSleep;
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -7,6 +7,7 @@
 #include "relay/relay.h"
 #include "wake_gate_base.h"
 
+#include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/registry.h>
 
@@ -45,6 +46,8 @@
 
   /// Filled by the relay thread.
   [[nodiscard]] bounded_ring<dispatch_event> &events() { return Events; }
+  /// Filled by the relay thread with answers to list_attempts.
+  [[nodiscard]] bounded_ring<attempts_listed> &attemptLists() { return Lists; }
   /// Emptied by the relay thread.
   [[nodiscard]] bounded_ring<relay_order> &orders() { return Orders; }
   /// Wakes the thread; for the gossip thread and the control link.
@@ -78,6 +81,7 @@
   void useIndex(declaration_view View);
   void updateReadiness(mono_time Now);
   void carryOut(dispatch_action &&Action);
+  void endOrphans(const attempts_listed &Listed, mono_time Now);
   void answerDumps(mono_time Now);
   void publishGauges();
   [[nodiscard]] mono_span untilNextWake(mono_time Now) const;
@@ -85,6 +89,7 @@
 
   decision_plan Plan;
   bounded_ring<dispatch_event> Events;
+  bounded_ring<attempts_listed> Lists;
   bounded_ring<relay_order> Orders;
   event_outbox<relay_order> Outbox;
   bounded_ring<membership_event> *Views{nullptr};
@@ -103,6 +108,7 @@
   std::mutex Guard; ///< Of the two below, which other threads set.
   std::vector<std::promise<std::string>> DumpsWanted;
   std::optional<mono_span> ShutdownWanted;
+  prometheus::Counter &OrphanCounter;
   prometheus::Gauge &QueueGauge;
   prometheus::Gauge &LiveGauge;
   prometheus::Gauge &AbandonedGauge;
--- a/src/relay/attempt_head.cpp
+++ b/src/relay/attempt_head.cpp
@@ -110,6 +110,13 @@
   return Head;
 }
 
+std::string listHead(const backend_key &Backend) {
+  std::string Head = startLine("GET", "/v1/attempts");
+  addLine(Head, "Host", Backend.Address.str());
+  Head += LineEnd;
+  return Head;
+}
+
 std::string traceParentFrom(std::string_view Given, random_source &Random) {
   if (isTraceParent(Given))
     return std::string(Given);
--- a/src/relay/attempt_head_func.h
+++ b/src/relay/attempt_head_func.h
@@ -18,6 +18,9 @@
 /// @return The request that an attempt be ended.
 std::string cancelHead(const cancel_attempt &Order);
 
+/// @return The request for the attempts that an engine holds.
+std::string listHead(const backend_key &Backend);
+
 /// @return The caller's traceparent where it has the published form, otherwise a new one.
 std::string traceParentFrom(std::string_view Given, random_source &Random);
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -2,6 +2,7 @@
 #include "relay/relay_base.h"
 
 #include "peer_link/peer_link.h"
+#include "relay/attempt_list_func.h"
 #include "relay/backend_exchange_base.h"
 #include "relay/caller_session_base.h"
 #include "relay/cancel_call_func.h"
@@ -109,6 +110,10 @@
     Call->Changed.notify();
   }
 
+  void on(list_attempts &&Order) {
+    asio::co_spawn(Context.Io, list(std::move(Order.Backend)), rethrow);
+  }
+
   void on(declaration_in_force &&Order) { Context.Declaration = std::move(Order.View); }
 
   /// Ends every coroutine, so that none is left whose sockets outlive what they belong to.
@@ -148,6 +153,7 @@
   std::shared_ptr<prometheus::Registry> Registry;
   relay_metrics Metrics;
   relay_context Context;
+  bounded_ring<attempts_listed> *Lists{nullptr};
 
 private:
   std::shared_ptr<backend_exchange> exchangeFor(const std::shared_ptr<relayed_call> &Call,
@@ -175,6 +181,13 @@
       Context.Outbox.push(cancel_confirmed{Order.Attempt});
   }
 
+  asio::awaitable<void> list(backend_key Backend) {
+    auto Attempts = co_await listAttempts(Context.Links, Context.Limits, Backend);
+    // A full ring drops the list: the next look brings a newer one.
+    if (Attempts && Lists)
+      Lists->push({std::move(Backend), std::move(*Attempts)});
+  }
+
   asio::awaitable<void> accept() {
     while (Acceptor.is_open()) {
       error_code Code;
@@ -240,6 +253,11 @@
 relay_builder::relay_builder(asio::io_context &Context, bounded_ring<dispatch_event> &Events)
     : Io(Context), Ring(Events), Registry(std::make_shared<prometheus::Registry>()) {}
 
+relay_builder &relay_builder::attemptLists(bounded_ring<attempts_listed> &Target) {
+  Lists = &Target;
+  return *this;
+}
+
 relay_builder &relay_builder::process(process_key Value) {
   Self = std::move(Value);
   return *this;
@@ -263,6 +281,7 @@
 std::unique_ptr<relay> relay_builder::build() {
   auto State = std::make_unique<relay::state>(Io, Self, Limits, Registry, Ring);
   State->Context.AtCallEnd = AtCallEnd;
+  State->Lists = Lists;
   return std::unique_ptr<relay>(new relay(std::move(State)));
 }
 
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -61,6 +61,8 @@
   /// @param Context Run by one thread. @param Events To the decision thread.
   relay_builder(boost::asio::io_context &Context, bounded_ring<dispatch_event> &Events);
 
+  /// Where answers to list_attempts go; without it they are dropped.
+  relay_builder &attemptLists(bounded_ring<attempts_listed> &Target);
   relay_builder &process(process_key Self);
   relay_builder &limits(const relay_limits &Value);
   relay_builder &metrics(std::shared_ptr<prometheus::Registry> Value);
@@ -72,6 +74,7 @@
 private:
   boost::asio::io_context &Io;
   bounded_ring<dispatch_event> &Ring;
+  bounded_ring<attempts_listed> *Lists{nullptr};
   process_key Self;
   relay_limits Limits;
   std::shared_ptr<prometheus::Registry> Registry;
--- a/src/relay/relay_type.h
+++ b/src/relay/relay_type.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstddef>
 #include <variant>
+#include <vector>
 
 namespace pollenstall {
 
@@ -42,9 +43,20 @@
   bool TakesCancels{true};
 };
 
+/// Ask an engine which attempts it holds; answered by attempts_listed, or not at all.
+struct list_attempts {
+  backend_key Backend;
+};
+
+/// The attempts that an engine holds, of whatever owner.
+struct attempts_listed {
+  backend_key Backend;
+  std::vector<attempt_id> Attempts;
+};
+
 /// What the decision thread asks of the relay thread. Claims go to the control link instead.
-using relay_order =
-    std::variant<start_attempt, resume_attempt, cancel_order, finish_request, declaration_in_force>;
+using relay_order = std::variant<start_attempt, resume_attempt, cancel_order, finish_request,
+                                 declaration_in_force, list_attempts>;
 
 } // namespace pollenstall
 
--- a/tests/entry/entry_fleet.cpp
+++ b/tests/entry/entry_fleet.cpp
@@ -4,6 +4,7 @@
 #include "core/core.h"
 #include "operators/operators.h"
 
+#include <filesystem>
 #include <sstream>
 
 namespace pollenstall {
@@ -27,12 +28,14 @@
          keyHash(CallerKey) + "\"]\n" + Plan.AccountLines + "[limits]\nretry_percent = 100\n";
 }
 
-std::string settingsText(const fleet_plan &Plan, const temp_folder &Folder) {
+std::string settingsText(const fleet_plan &Plan, const temp_folder &Folder,
+                         const std::string &AnnouncementsAddress) {
   return Plan.EntryTop + "[host]\nname = \"e1\"\nfailure_domain = \"a\"\n" +
          "[fleet]\nname = \"test\"\nkey_file = \"" + Folder.path("fleet.key") + "\"\n" +
          "[operators]\nkey_hash = \"" + keyHash(OperatorKey) + "\"\n" +
          "[listen]\ncallers = \"127.0.0.1:0\"\noperators = \"127.0.0.1:0\"\n"
-         "announcements = \"127.0.0.1:0\"\ngossip = \"127.0.0.1:0\"\naddress_file = \"" +
+         "announcements = \"" +
+         AnnouncementsAddress + "\"\ngossip = \"127.0.0.1:0\"\naddress_file = \"" +
          Folder.path("addresses.json") + "\"\n[declaration]\nfile = \"" +
          Folder.path("declaration.toml") + "\"\n[limits]\n" + Plan.EntryLimits;
 }
@@ -53,7 +56,7 @@
   return Value && Value->is_string() ? std::string(Value->get_string()) : std::string();
 }
 
-entry_fleet::entry_fleet(const fleet_plan &Plan) {
+entry_fleet::entry_fleet(const fleet_plan &Plan) : Settings(Plan) {
   startEntry(Plan);
   startBackends(Plan);
   const std::size_t Wanted = Engines.size() + PlainServers.size();
@@ -66,8 +69,10 @@
 void entry_fleet::startEntry(const fleet_plan &Plan) {
   (void)Folder.write("fleet.key", FleetKey);
   (void)Folder.write("declaration.toml", declarationText(Plan));
-  Entry = child_process::withSettings("pollenstall-entry", settingsText(Plan, Folder));
   const std::string File = Folder.path("addresses.json");
+  std::filesystem::remove(File);
+  const std::string Address = Announcements.empty() ? "127.0.0.1:0" : Announcements;
+  Entry = child_process::withSettings("pollenstall-entry", settingsText(Plan, Folder, Address));
   const bool Started = eventually([&File] { return !readFile(File).empty(); });
   requireInvariant(Started, "the entry starts", [this] {
     std::string Text;
@@ -81,6 +86,12 @@
   Announcements = textIn(Addresses, "announcements");
 }
 
+void entry_fleet::restartEntry() {
+  Entry->kill();
+  (void)Entry->wait();
+  startEntry(Settings);
+}
+
 void entry_fleet::startBackends(const fleet_plan &Plan) {
   const std::string Announce = "[announce]\nto = [\"" + Announcements + "\"]\nkey_file = \"" +
                                Folder.path("fleet.key") + "\"\ninterval_ms = 100\n";
--- a/tests/entry/entry_fleet_base.h
+++ b/tests/entry/entry_fleet_base.h
@@ -36,6 +36,9 @@
   [[nodiscard]] backend_process &plain(std::size_t Index = 0) { return *PlainServers.at(Index); }
   [[nodiscard]] std::size_t engines() const { return Engines.size(); }
 
+  /// Kills the entry and starts it anew, as a host that comes back under its name.
+  void restartEntry();
+
   /// @return A chat call's whole answer.
   [[nodiscard]] http_answer chat(const std::string &Prompt, int AnswerTokens = 2,
                                  http_headers More = {}) const;
@@ -55,6 +58,7 @@
   [[nodiscard]] std::size_t knownBackends() const;
 
   temp_folder Folder;
+  fleet_plan Settings;
   std::unique_ptr<child_process> Entry;
   std::vector<std::unique_ptr<backend_process>> Engines;
   std::vector<std::unique_ptr<backend_process>> PlainServers;
--- a/tests/entry/leaving_caller_test.cpp
+++ b/tests/entry/leaving_caller_test.cpp
@@ -73,5 +73,20 @@
   expectRest();
 }
 
+TEST(LostEntry, AnEnginesMemoryComesBackAfterTheEntryThatTookItIsGone) {
+  // The entry dies in the middle of a stream, and the engine keeps the attempt for a resume that
+  // nobody will ask for. The next life of the entry finds the attempt in the engine's list, sees
+  // that its owner is an earlier life, and ends it; nobody else knows of it any more.
+  entry_fleet Fleet({.ServiceLines = "default_timeout_ms = 800000\n",
+                     .EngineTop = "resume_window_ms = 3600000\n",
+                     .EngineTables = "[step]\nbase_us = 5000\n"});
+  const auto Stream = Fleet.stream("a question", 4'000);
+  ASSERT_TRUE(Stream->next());
+  ASSERT_GT(Fleet.engine().stat("used_blocks"), 0);
+  Fleet.restartEntry();
+  EXPECT_TRUE(eventually([&Fleet] { return Fleet.engine().stat("used_blocks") == 0; }));
+  EXPECT_EQ(Fleet.engine().stat("cancels"), 1);
+}
+
 } // namespace
 } // namespace pollenstall
