--- a/tests/entry/leaving_caller_test.cpp
+++ b/tests/entry/leaving_caller_test.cpp
@@ -47,6 +47,8 @@
   ASSERT_TRUE(eventually([this] { return Fleet.engine().stat("running") > 0; }));
   Socket.close();
   expectRest();
+  EXPECT_EQ(Fleet.engine().stat("cancels"), 1);
+  EXPECT_EQ(Fleet.engine().stat("events_sent"), 0) << "it ran on to the first token";
 }
 
 TEST_F(LeavingCaller, WhoStopsReadingStopsTheEngineAndIsCutOffInTheEnd) {
