--- a/src/scheduling/backend_pool.cpp
+++ b/src/scheduling/backend_pool.cpp
@@ -25,6 +25,11 @@
 
 } // namespace
 
+double scheduled_backend::requests() const {
+  const double Reported = static_cast<double>(View.Load.Running) + View.Load.Waiting;
+  return std::max(0.0, Reported - OwnInReport) + Outstanding;
+}
+
 memory_blocks scheduled_backend::need(const work_item &Item) const {
   const std::int64_t BlockTokens = std::max<std::int64_t>(1, View.Announcement.BlockTokens.value());
   const std::int64_t Tokens = Item.Prompt.value() + Item.AnswerLimit.value();
@@ -91,7 +96,7 @@
 }
 
 const std::vector<scheduled_backend *> &backend_pool::members(const service_name &Service,
-                                                           const group_name &Group) {
+                                                              const group_name &Group) {
   if (Stale)
     rebuild();
   if (Group.empty()) {
--- a/src/scheduling/backend_pool_base.h
+++ b/src/scheduling/backend_pool_base.h
@@ -28,6 +28,8 @@
 
   [[nodiscard]] const backend_key &key() const { return View.Announcement.Key; }
   [[nodiscard]] bool active() const { return View.Standing == backend_standing::Active; }
+  /// @return Requests on the server, of every host, as far as this host knows.
+  [[nodiscard]] double requests() const;
   /// @return Blocks that the work needs for its prompt and longest answer.
   [[nodiscard]] memory_blocks need(const work_item &Item) const;
   /// @return Whether it has the model of the work; plain work needs none.
@@ -45,7 +47,7 @@
   [[nodiscard]] scheduled_backend *find(const backend_key &Backend);
   /// @return The group's servers of any standing; those of the service where Group is empty.
   [[nodiscard]] const std::vector<scheduled_backend *> &members(const service_name &Service,
-                                                             const group_name &Group);
+                                                                const group_name &Group);
   /// Recomputes which engines of each group take long work. @param LongDemand Part of recent cost.
   void chooseLongEngines(double GreatestShare, double LongDemand);
   [[nodiscard]] bool takesLong(const group_name &Group, const backend_key &Backend) const;
