relay: an engine that does not know an attempt has not ended it

Cause: a cancel on a connection of its own can overtake the start it is meant for; the answer "unknown" was taken for the attempt's end, and the engine's memory then stayed held by work that nobody waits for. Change: cancelResultFrom() tells cancelled or finished, unknown, and anything else apart.

--- a/src/relay/cancel_call.cpp
+++ b/src/relay/cancel_call.cpp
@@ -4,19 +4,38 @@
 #include "relay/attempt_head_func.h"
 #include "relay/short_call_func.h"
 
+#include <boost/json.hpp>
+
 namespace pollenstall {
 
 namespace {
 
+namespace json = boost::json;
+
 constexpr unsigned Ok = 200;
 
 } // namespace
 
+cancel_result cancelResultFrom(unsigned Status, std::string_view Body) {
+  if (Status != Ok)
+    return cancel_result::Unconfirmed;
+  json::error_code Code;
+  const json::value Parsed = json::parse(json::string_view(Body.data(), Body.size()), Code);
+  const json::object *Object = Code ? nullptr : Parsed.if_object();
+  const json::value *State = Object ? Object->if_contains("state") : nullptr;
+  if (!State || !State->is_string())
+    return cancel_result::Unconfirmed;
+  // A cancel on a connection of its own can overtake the start that it is meant for.
+  if (*State == "unknown")
+    return cancel_result::NeverSeen;
+  const bool Ended = *State == "cancelled" || *State == "finished";
+  return Ended ? cancel_result::Confirmed : cancel_result::Unconfirmed;
+}
+
 boost::asio::awaitable<cancel_result> askToCancel(backend_links &Links, const relay_limits &Limits,
                                                   cancel_attempt Order) {
   const auto Answer = co_await callShortly(Links, Limits, Order.Backend, cancelHead(Order));
-  const bool Confirmed = Answer && Answer->Status == Ok;
-  co_return Confirmed ? cancel_result::Confirmed : cancel_result::Unconfirmed;
+  co_return Answer ? cancelResultFrom(Answer->Status, Answer->Body) : cancel_result::Unconfirmed;
 }
 
 } // namespace pollenstall
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -177,8 +177,8 @@
   asio::awaitable<void> cancel(cancel_attempt Order) {
     const cancel_result Result = co_await askToCancel(Context.Links, Context.Limits, Order);
     Cancels.erase(Order.Attempt);
-    if (Result == cancel_result::Confirmed)
-      Context.Outbox.push(cancel_confirmed{Order.Attempt});
+    if (Result != cancel_result::Unconfirmed)
+      Context.Outbox.push(cancel_confirmed{Order.Attempt, Result == cancel_result::NeverSeen});
   }
 
   asio::awaitable<void> list(backend_key Backend) {
