--- a/src/fake_backend/prompt_scan.cpp
+++ b/src/fake_backend/prompt_scan.cpp
@@ -34,7 +34,7 @@
   std::int64_t BlockBytes;
 };
 
-/// Keeps the path of keys and takes the few values that matter; names are set by Boost.JSON.
+/// Keeps the path of keys and takes the few values that matter; its names are set by Boost.JSON.
 class call_handler {
 public:
   static constexpr std::size_t max_object_size = ~std::size_t{0};
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -33,6 +33,7 @@
 
 std::vector<std::string> namesOf(const std::vector<length_class> &Mix) {
   std::vector<std::string> Names;
+  Names.reserve(Mix.size());
   for (const length_class &Class : Mix)
     Names.push_back(Class.Name);
   return Names;
