Include the verbs by their plain name; plain number in a test

Cause: scripts/lint refuses '../' includes, clang-tidy a widened product. Ruled out: exceptions in lint.

--- a/programs/pollenstallctl/table/verbs.h
+++ b/programs/pollenstallctl/table/verbs.h
@@ -2,7 +2,7 @@
 #ifndef POLLENSTALL_POLLENSTALLCTL_TABLE_VERBS_H
 #define POLLENSTALL_POLLENSTALLCTL_TABLE_VERBS_H
 
-#include "../verb_func.h"
+#include "verb_func.h"
 
 #include <array>
 #include <cstddef>
--- a/tests/pollenstallctl/pollenstallctl_test.cpp
+++ b/tests/pollenstallctl/pollenstallctl_test.cpp
@@ -249,7 +249,7 @@
   fake_control Other([&](const fake_call &) { return fake_reply{421, {{"leader", One.url()}}}; });
   UrlOfOther = Other.url();
   EXPECT_EQ(run("drain 10.0.0.1:80 --timeout 1 --control " + One.url()).Exit, 5);
-  constexpr std::size_t CallsOfSixRounds = 6 * 9;
+  constexpr std::size_t CallsOfSixRounds = 54;
   EXPECT_LE(One.callsTo("/v1/drains").size() + Other.callsTo("/v1/drains").size(),
             CallsOfSixRounds);
 }
