scheduling: a rate that was not learnt yet refuses nobody

Cause: with no sample yet the scheduler took its prior of 8,000 prompt tokens a second for the engines' rate and refused a million-token prompt with two minutes to go as unmeetable, although the stand-in needs about twenty seconds; getting no long prompt, it would have learnt from short ones only. Found by scripts/demo (long request: 503, not run, deadline_unmeetable). Ruled out: a higher prior for placing, which would overfill slow engines. Change: refusals rest on 100,000 tokens a second until an engine has six full samples.

--- a/src/scheduling/backend_pool.cpp
+++ b/src/scheduling/backend_pool.cpp
@@ -8,6 +8,10 @@
 namespace pollenstall {
 namespace {
 
+constexpr double FastGuess = 100'000.0; ///< Prompt tokens per second.
+/// Samples of 4,096 tokens; the estimate moves by a factor of two a sample at most.
+constexpr double SamplesToRefuseBy = 6.0;
+
 bool carries(const label_set &Announced, const label_set &Wanted) {
   return std::all_of(Wanted.begin(), Wanted.end(), [&Announced](const auto &Label) {
     const auto Found = Announced.find(Label.first);
@@ -134,14 +138,20 @@
          static_cast<double>(Place->second) < static_cast<double>(Engines.size()) * Part;
 }
 
+double backend_pool::refusalRate() const {
+  return RateLearnt ? TypicalRate : std::max(TypicalRate, FastGuess);
+}
+
 void backend_pool::learnTypical() {
   std::vector<double> Rates;
   std::vector<double> Steps;
+  RateLearnt = false;
   for (const auto &[Key, Record] : Records) {
     if (!Record.active() || Record.Costs.prefillSamples() < 1.0)
       continue;
     Rates.push_back(Record.Costs.prefillRate());
     Steps.push_back(Record.Costs.secondsPerStep());
+    RateLearnt = RateLearnt || Record.Costs.prefillSamples() >= SamplesToRefuseBy;
   }
   TypicalRate = medianOf(Rates, TypicalRate);
   TypicalStep = medianOf(Steps, TypicalStep);
--- a/src/scheduling/backend_pool_base.h
+++ b/src/scheduling/backend_pool_base.h
@@ -62,6 +62,12 @@
   /// @return The median prefill rate of active engines with samples, else the prior.
   [[nodiscard]] double typicalRate() const { return TypicalRate; }
   [[nodiscard]] double typicalStep() const { return TypicalStep; }
+  /**
+   * The rate that a refusal may rest on. A prior is a guess: a fleet faster than it would refuse
+   * long prompts and, getting none, never learn better. So the guess is a fast one until engines
+   * have shown their rate.
+   */
+  [[nodiscard]] double refusalRate() const;
 
 private:
   struct group_members {
@@ -83,6 +89,7 @@
   double LongFrom{100'000};
   double TypicalRate{cost_model().prefillRate()};
   double TypicalStep{cost_model().secondsPerStep()};
+  bool RateLearnt{false}; ///< An active engine has samples enough to refuse by.
 };
 
 } // namespace pollenstall
--- a/src/scheduling/scheduler_intake.cpp
+++ b/src/scheduling/scheduler_intake.cpp
@@ -48,7 +48,7 @@
 double scheduler::runSeconds(const work_item &Item) const {
   if (Item.Model.empty())
     return 0;
-  const double Prefill = static_cast<double>(Item.Prompt.value()) / Pool.typicalRate();
+  const double Prefill = static_cast<double>(Item.Prompt.value()) / Pool.refusalRate();
   return Prefill + expectedAnswer(Item) * Pool.typicalStep();
 }
 
--- a/tests/scheduling/scheduler_test.cpp
+++ b/tests/scheduling/scheduler_test.cpp
@@ -28,6 +28,17 @@
   EXPECT_EQ(submit(work(399'000)), std::nullopt);
 }
 
+// A fleet has just started and has run nothing. A caller sends a million tokens with a minute to
+// go; the engines would need twenty seconds. Refused by the guess that stands in for a rate not
+// learnt yet, it and every long prompt after it would be told "not run", and the fleet would never
+// learn better.
+TEST_F(ARequestThatArrives, IsNotRefusedByAGuessOfTheEnginesRate) {
+  Scheduler.updateBackend(engine(1, 2'000'000), Now);
+  work_item Item = work(1'000'000);
+  Item.Deadline = Now + 60s;
+  EXPECT_TRUE(succeeded(Scheduler.submit(Item, Now)));
+}
+
 TEST_F(ARequestThatArrives, IsRefusedEarlyWhereItsTimeIsTooShort) {
   addEngines(1);
   work_item Item = work(300'000);
