--- a/programs/pollenstall-control/control_codec.cpp
+++ b/programs/pollenstall-control/control_codec.cpp
@@ -1,7 +1,7 @@
 /** @file control_codec.cpp cereal functions of commands and snapshots, with their versions. */
 #include "control_codec_func.h"
 
-#include "control_link/control_link_codec_func.h"
+#include "control_link/control_link.h"
 
 namespace pollenstall {
 
--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -154,7 +154,7 @@
     return Known == nullptr ? std::string() : Known->Entries;
   };
   Hooks.State = [this]() -> const control_state & { return State; };
-  Hooks.Propose = [this](control_command Command, answer_hook Answered) {
+  Hooks.Propose = [this](const control_command &Command, answer_hook Answered) {
     // Refused: nothing was done and the entry's own time limit answers it.
     propose(Command, std::move(Answered));
   };
--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -21,7 +21,8 @@
   std::function<std::string()> LeaderAddress;
   std::function<const control_state &()> State;
   /// Puts a command into the log; Answered gets nothing where the outcome is not known.
-  std::function<void(control_command, std::function<void(std::optional<control_answer>)> Answered)>
+  std::function<void(const control_command &,
+                     std::function<void(std::optional<control_answer>)> Answered)>
       Propose;
 };
 
--- a/programs/pollenstall-control/entry_hub.cpp
+++ b/programs/pollenstall-control/entry_hub.cpp
@@ -1,7 +1,7 @@
 /** @file entry_hub.cpp The thread that carries messages between entries and this host. */
 #include "entry_hub_base.h"
 
-#include "control_link/control_link_codec_func.h"
+#include "control_link/control_link.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
--- a/src/control_link/control_link.h
+++ b/src/control_link/control_link.h
@@ -5,6 +5,7 @@
 
 #include "control_link/claim_key_func.h"            // IWYU pragma: export
 #include "control_link/control_link_base.h"         // IWYU pragma: export
+#include "control_link/control_link_codec_func.h"   // IWYU pragma: export
 #include "control_link/control_link_message_type.h" // IWYU pragma: export
 #include "control_link/control_link_type.h"         // IWYU pragma: export
 #include "control_link/entry_freshness_base.h"      // IWYU pragma: export
--- a/src/control_link/link_ledger.cpp
+++ b/src/control_link/link_ledger.cpp
@@ -8,7 +8,7 @@
 link_claim_acquire link_ledger::acquire(const claim_wanted &Wanted, unix_millis Now) {
   const claim_acquire Claim{
       claimKeyHash(Wanted.Claim.Key), {Owner, Wanted.Claim.Request}, Now + Wanted.Lifetime};
-  const link_claim_acquire Message{NextCall++, Claim};
+  link_claim_acquire Message{NextCall++, Claim};
   Claims.emplace(Message.Call, open_claim{Message, Wanted.Claim.Request, Wanted.Claim.AnswerBy});
   return Message;
 }
@@ -18,7 +18,7 @@
                            {Owner, Ended.Claim.Request},
                            Ended.Claim.Standing,
                            Now + Ended.Lifetime};
-  const link_claim_settle Message{NextCall++, Claim};
+  link_claim_settle Message{NextCall++, Claim};
   Ends.emplace(Message.Call, Message);
   return Message;
 }
--- a/src/control_state/control_state_cmd.cpp
+++ b/src/control_state/control_state_cmd.cpp
@@ -67,7 +67,7 @@
 }
 
 template <typename Change> control_answer control_state::executeChange(const Change &Command) {
-  const control_answer Answer = checkChange(Command);
+  control_answer Answer = checkChange(Command);
   const auto *Checked = std::get_if<change_answer>(&Answer);
   if (Checked == nullptr || Checked->Repeated)
     return Answer;
@@ -106,7 +106,7 @@
 }
 
 control_answer control_state::executeCommand(const take_fence &Command) {
-  const control_answer Answer = checkOne(Command);
+  control_answer Answer = checkOne(Command);
   LastFence = std::get<fence_granted>(Answer).Fence;
   return Answer;
 }
--- a/tests/control/change_test.cpp
+++ b/tests/control/change_test.cpp
@@ -19,12 +19,12 @@
   return Object.contains("repeated") && Object.at("repeated").as_bool();
 }
 
-class ThreeControlHosts : public testing::Test {
+class ThreeControlHostsTest : public testing::Test {
 protected:
   control_cluster Cluster;
 };
 
-TEST_F(ThreeControlHosts, TakeAChangeAndTellWhereTheLeaderIs) {
+TEST_F(ThreeControlHostsTest, TakeAChangeAndTellWhereTheLeaderIs) {
   const std::size_t Leader = Cluster.waitForLeader();
   EXPECT_EQ(revisionIn(Cluster.change("first", 0, declarationText(1))), 1U);
   const std::size_t Follower = (Leader + 1) % Cluster.size();
@@ -42,7 +42,7 @@
   EXPECT_EQ(History.at("changes").as_array().size(), 1U);
 }
 
-TEST_F(ThreeControlHosts, RefuseWhatIsNotADeclaration) {
+TEST_F(ThreeControlHostsTest, RefuseWhatIsNotADeclaration) {
   Cluster.waitForLeader();
   const auto Answer = Cluster.change("wrong", 0, "[limits]\nmax_queued = \"many\"\n");
   EXPECT_EQ(Answer.Status, 400);
@@ -52,7 +52,7 @@
   EXPECT_EQ(Details[0].at("key"), boost::json::value("limits.max_queued"));
 }
 
-TEST_F(ThreeControlHosts, AcceptOneOfTwoOperatorsOnTheSameRevision) {
+TEST_F(ThreeControlHostsTest, AcceptOneOfTwoOperatorsOnTheSameRevision) {
   // Two operators read the same revision and send their changes at the same moment, through
   // different hosts. One must be told of the conflict and the revision in force; were both told
   // "accepted", one of them would have lost a change without knowing.
@@ -70,7 +70,7 @@
   }
 }
 
-TEST_F(ThreeControlHosts, GiveTheFirstAnswerAgainAfterTheLeaderWasKilled) {
+TEST_F(ThreeControlHostsTest, GiveTheFirstAnswerAgainAfterTheLeaderWasKilled) {
   // The leader accepts a change and dies before the operator has read the answer. The operator
   // sends the same change again, to whichever host leads then, and must not be told of a conflict
   // with the very change that it made.
@@ -88,7 +88,7 @@
   EXPECT_EQ(revisionIn(LoserAgain), 1U);
 }
 
-TEST_F(ThreeControlHosts, KeepEveryAcceptedChangeWhileLeadersAreKilled) {
+TEST_F(ThreeControlHostsTest, KeepEveryAcceptedChangeWhileLeadersAreKilled) {
   // Changes are sent one after the other while each leader in turn is killed and started again. An
   // accepted change that is missing afterwards was answered before a quorum had it on disk.
   std::vector<std::string> Accepted;
@@ -115,7 +115,7 @@
     EXPECT_EQ(Changes[Index].at("change_id"), boost::json::value(Accepted[Index]));
 }
 
-TEST_F(ThreeControlHosts, ComeBackWithEverythingAfterAllWereKilledAtOnce) {
+TEST_F(ThreeControlHostsTest, ComeBackWithEverythingAfterAllWereKilledAtOnce) {
   Cluster.waitForLeader();
   EXPECT_EQ(Cluster.change("kept", 0, declarationText(1)).Status, Ok);
   for (std::size_t Host = 0; Host < Cluster.size(); ++Host)
@@ -127,7 +127,7 @@
   EXPECT_TRUE(repeatedIn(Again));
 }
 
-TEST_F(ThreeControlHosts, LetNoFrozenLeaderAcceptAChangeAfterwards) {
+TEST_F(ThreeControlHostsTest, LetNoFrozenLeaderAcceptAChangeAfterwards) {
   // The leader is stopped for so long that another one has been elected and has accepted a change.
   // When it goes on it still believes that it leads. It must accept nothing and say so in its
   // status, or the operator who reached it would be told of an acceptance that never holds.
@@ -154,7 +154,7 @@
   EXPECT_EQ(revisionIn(Final), 2U);
 }
 
-TEST_F(ThreeControlHosts, LetNoLeaderWithoutItsQuorumAcceptAChange) {
+TEST_F(ThreeControlHostsTest, LetNoLeaderWithoutItsQuorumAcceptAChange) {
   // Both followers are frozen, as if a partition had cut the leader off from them. It may not
   // answer that a change is accepted, it must leave office by itself, and its status must say so.
   const std::size_t Leader = Cluster.waitForLeader();
@@ -177,14 +177,14 @@
   EXPECT_EQ(revisionIn(Cluster.change("cut-off", 0, declarationText(1))), 1U);
 }
 
-TEST_F(ThreeControlHosts, RefuseADataFolderInUse) {
+TEST_F(ThreeControlHostsTest, RefuseADataFolderInUse) {
   Cluster.waitForLeader();
   const auto Second = child_process::withSettings("pollenstall-control", Cluster.settings(0));
   EXPECT_EQ(Second->wait(), 1);
   EXPECT_EQ(Second->events("start_failed").size(), 1U);
 }
 
-TEST_F(ThreeControlHosts, StopWhenAskedAndKeepWhatWasAccepted) {
+TEST_F(ThreeControlHostsTest, StopWhenAskedAndKeepWhatWasAccepted) {
   Cluster.waitForLeader();
   EXPECT_EQ(Cluster.change("kept", 0, declarationText(1)).Status, Ok);
   for (std::size_t Host = 0; Host < Cluster.size(); ++Host) {
--- a/tests/control/disk_test.cpp
+++ b/tests/control/disk_test.cpp
@@ -9,7 +9,7 @@
 
 constexpr int Ok = 200;
 
-class ALostDisk : public testing::Test {
+class ALostDiskTest : public testing::Test {
 protected:
   bool asksAdmission(std::size_t Leader, std::uint64_t Member) {
     const auto Status = Cluster.status(Leader);
@@ -30,7 +30,7 @@
   control_cluster Cluster;
 };
 
-TEST_F(ALostDisk, IsANewMemberAndASecondLossLosesNothing) {
+TEST_F(ALostDiskTest, IsANewMemberAndASecondLossLosesNothing) {
   // A follower's disk is lost and comes back empty. It has forgotten its votes and entries, so it
   // must not count until it is let in anew and has caught up; status says so until then. Right
   // after that the leader is lost for good: what was accepted before must all be there.
@@ -63,7 +63,7 @@
   EXPECT_EQ(History.at("changes").as_array().size(), 21U);
 }
 
-TEST_F(ALostDisk, OfTheFounderDoesNotFoundAnotherLog) {
+TEST_F(ALostDiskTest, OfTheFounderDoesNotFoundAnotherLog) {
   // The founder's settings still say "bootstrap" when it comes back with an empty disk. Were it to
   // found a log of its own, operators who reach it would see an empty declaration.
   Cluster.waitForLeader();
--- a/tests/control/entry_desk_test.cpp
+++ b/tests/control/entry_desk_test.cpp
@@ -6,9 +6,9 @@
 namespace pollenstall {
 namespace {
 
-class EntryDesk : public testing::Test {
+class EntryDeskTest : public testing::Test {
 protected:
-  EntryDesk() : Desk(in_force_options{}, hooks()) {}
+  EntryDeskTest() : Desk(in_force_options{}, hooks()) {}
 
   entry_desk_hooks hooks() {
     entry_desk_hooks Hooks;
@@ -16,7 +16,7 @@
     Hooks.MayServe = [this](mono_time) { return HoldsLease; };
     Hooks.LeaderAddress = [] { return std::string("127.0.0.1:7"); };
     Hooks.State = [this]() -> const control_state & { return State; };
-    Hooks.Propose = [this](control_command Command, auto Answered) {
+    Hooks.Propose = [this](const control_command &Command, const auto &Answered) {
       Answered(OutcomeKnown ? std::optional(State.execute(Command)) : std::nullopt);
     };
     return Hooks;
@@ -57,14 +57,14 @@
   std::uint64_t Ask{0};
 };
 
-TEST_F(EntryDesk, SendsEntriesAwayWhileItDoesNotLead) {
+TEST_F(EntryDeskTest, SendsEntriesAwayWhileItDoesNotLead) {
   subscribe();
   const auto Replies = take<link_not_leader>();
   ASSERT_EQ(Replies.size(), 1U);
   EXPECT_EQ(Replies[0].Leader, "127.0.0.1:7");
 }
 
-TEST_F(EntryDesk, LeasesToAnEntryThatConfirmed) {
+TEST_F(EntryDeskTest, LeasesToAnEntryThatConfirmed) {
   Desk.takeOffice(Now);
   subscribe();
   renew(std::nullopt);
@@ -75,7 +75,7 @@
   EXPECT_GT(Leases[0].LeaseMillis, 0U);
 }
 
-TEST_F(EntryDesk, GivesNothingWithoutItsOwnLease) {
+TEST_F(EntryDeskTest, GivesNothingWithoutItsOwnLease) {
   // A control host is isolated and does not know it yet: its own lease has run out, it has not left
   // office. Were it to extend an entry's lease or hand out its declaration, that entry would go on
   // with what the next leader has replaced and reported as in force.
@@ -91,7 +91,7 @@
   EXPECT_TRUE(Sent.empty());
 }
 
-TEST_F(EntryDesk, SendsOneDeclarationAtATime) {
+TEST_F(EntryDeskTest, SendsOneDeclarationAtATime) {
   Desk.takeOffice(Now);
   subscribe();
   renew(0);
@@ -105,7 +105,7 @@
   EXPECT_EQ(Newest[0].Revision, revision(100));
 }
 
-TEST_F(EntryDesk, AnswersNoClaimWhoseOutcomeIsNotKnown) {
+TEST_F(EntryDeskTest, AnswersNoClaimWhoseOutcomeIsNotKnown) {
   // The leader left office with the claim in its log. It may be granted later, so neither "granted"
   // nor "unavailable" would be true; the entry asks the next leader.
   Desk.takeOffice(Now);
@@ -115,7 +115,7 @@
   EXPECT_TRUE(take<link_claim_answer>().empty());
 }
 
-TEST_F(EntryDesk, SendsEveryEntryAwayWhenItLeavesOffice) {
+TEST_F(EntryDeskTest, SendsEveryEntryAwayWhenItLeavesOffice) {
   Desk.takeOffice(Now);
   subscribe();
   Desk.leaveOffice();
--- a/tests/control/entry_link_test.cpp
+++ b/tests/control/entry_link_test.cpp
@@ -13,7 +13,7 @@
 const std::string QuickLeases = "[log]\nheartbeat_ms = 40\nelection_ms = 400\nsnapshot_every = 64\n"
                                 "[entries]\nlease_ms = 2500\nconfirm_within_ms = 500\n";
 
-class FollowingEntries : public testing::Test {
+class FollowingEntriesTest : public testing::Test {
 protected:
   void SetUp() override { Cluster.waitForLeader(); }
 
@@ -35,14 +35,14 @@
   std::uint64_t Base{0};
 };
 
-TEST_F(FollowingEntries, GetAChangeAndALease) {
+TEST_F(FollowingEntriesTest, GetAChangeAndALease) {
   test_entry Entry(Cluster.entryAddresses(), "entry-1");
   changeTimes(1);
   EXPECT_TRUE(Entry.pumpUntil([&] { return Entry.ready() && Entry.inUse() == revision(1); }));
   EXPECT_EQ(Entry.Text, declarationText(0));
 }
 
-TEST_F(FollowingEntries, AreUnreadyOnceControlIsGone) {
+TEST_F(FollowingEntriesTest, AreUnreadyOnceControlIsGone) {
   // All control hosts are frozen. The entry cannot know whether its declaration has been replaced,
   // so after the lease it must not take new requests.
   test_entry Entry(Cluster.entryAddresses(), "entry-1");
@@ -55,7 +55,7 @@
   EXPECT_TRUE(Entry.pumpUntil([&] { return Entry.ready(); }));
 }
 
-TEST_F(FollowingEntries, StayReadyWhileALeaderIsReplaced) {
+TEST_F(FollowingEntriesTest, StayReadyWhileALeaderIsReplaced) {
   test_entry Entry(Cluster.entryAddresses(), "entry-1");
   ASSERT_TRUE(Entry.pumpUntil([&] { return Entry.ready(); }));
   Cluster.kill(Cluster.waitForLeader());
@@ -64,7 +64,7 @@
   EXPECT_EQ(Entry.StaleOffers, 0U);
 }
 
-TEST_F(FollowingEntries, ThatNeverConfirmDoNotHoldAChangeUpForEver) {
+TEST_F(FollowingEntriesTest, ThatNeverConfirmDoNotHoldAChangeUpForEver) {
   // One entry receives changes but never takes them into use. Until its lease has run out the
   // change is not in force everywhere; then it is, because that entry has turned unready.
   test_entry Good(Cluster.entryAddresses(), "entry-1");
@@ -80,7 +80,7 @@
   EXPECT_TRUE(Good.ready());
 }
 
-TEST_F(FollowingEntries, ThatRestartAfterManyChangesActOnTheNewestOnly) {
+TEST_F(FollowingEntriesTest, ThatRestartAfterManyChangesActOnTheNewestOnly) {
   // The entry was away for 1,000 changes. Its new life must not act on anything it used before, and
   // it must not be walked through the changes in between.
   {
@@ -96,7 +96,7 @@
   EXPECT_EQ(After.Offers, 1U);
 }
 
-TEST_F(FollowingEntries, LearnWhichBackendServersAreDrained) {
+TEST_F(FollowingEntriesTest, LearnWhichBackendServersAreDrained) {
   test_entry Entry(Cluster.entryAddresses(), "entry-1");
   ASSERT_TRUE(Entry.pumpUntil([&] { return Entry.ready(); }));
   const std::string Drain = R"({"change_id":"d","backend":"127.0.0.1:9001","undo":false})";
@@ -105,7 +105,7 @@
   EXPECT_TRUE(Entry.pumpUntil([&] { return Entry.Drains.size() == 1; }));
 }
 
-TEST_F(FollowingEntries, RunAClaimedKeyOnceAcrossAFailover) {
+TEST_F(FollowingEntriesTest, RunAClaimedKeyOnceAcrossAFailover) {
   // The first entry claims a key and dies with its work under way; so does the leader. The caller
   // resends through another entry, which must not be granted the key by the next leader.
   {
@@ -118,7 +118,7 @@
   EXPECT_EQ(Second.claim(2, "parish:letter-2"), claim_verdict::Granted);
 }
 
-TEST_F(FollowingEntries, RecordTheEndOfClaimedWorkAcrossAFailover) {
+TEST_F(FollowingEntriesTest, RecordTheEndOfClaimedWorkAcrossAFailover) {
   test_entry First(Cluster.entryAddresses(), "entry-1");
   test_entry Second(Cluster.entryAddresses(), "entry-2");
   ASSERT_EQ(First.claim(1, "key"), claim_verdict::Granted);
@@ -127,7 +127,7 @@
   EXPECT_TRUE(eventually([&] { return Second.claim(2, "key") == claim_verdict::Complete; }));
 }
 
-TEST_F(FollowingEntries, FreeAClaimThatTheyGaveUp) {
+TEST_F(FollowingEntriesTest, FreeAClaimThatTheyGaveUp) {
   // No leader answers in time, so the entry says "unavailable" and runs nothing. The claim may have
   // been granted all the same; if it were not given back, the caller's resend would be refused.
   test_entry First(Cluster.entryAddresses(), "entry-1");
@@ -154,7 +154,7 @@
   return static_cast<bool>(Error);
 }
 
-TEST_F(FollowingEntries, AreServedWhileOthersSendGarbage) {
+TEST_F(FollowingEntriesTest, AreServedWhileOthersSendGarbage) {
   // Something else connects to both ports: random bytes, a frame of 4 GB that is announced but
   // never sent, an envelope of another fleet. Each is cut off and counted; nothing is allocated for
   // it and nobody else notices.
--- a/tests/control_state/control_link_test.cpp
+++ b/tests/control_state/control_link_test.cpp
@@ -57,7 +57,7 @@
     RC_ASSERT(encodePlain(valueOf(Decoded)).size() <= Bytes.size());
 }
 
-class OpenCalls : public testing::Test {
+class OpenCallsTest : public testing::Test {
 protected:
   claim_wanted wanted(std::uint64_t Request, mono_time AnswerBy) {
     return {{request_number(Request), "account/key", AnswerBy}, std::chrono::seconds(60)};
@@ -67,7 +67,7 @@
   mono_time Now{std::chrono::seconds(10)};
 };
 
-TEST_F(OpenCalls, AreAskedAgainUntilTheyAreAnswered) {
+TEST_F(OpenCallsTest, AreAskedAgainUntilTheyAreAnswered) {
   const auto Message = Ledger.acquire(wanted(1, Now + std::chrono::seconds(1)), unix_millis(0));
   EXPECT_EQ(Ledger.unanswered().size(), 1U);
   const auto Event = Ledger.answered({Message.Call, claim_verdict::Granted});
@@ -77,7 +77,7 @@
   EXPECT_FALSE(Ledger.answered({Message.Call, claim_verdict::Granted}));
 }
 
-TEST_F(OpenCalls, ThatAreGivenUpAreReleased) {
+TEST_F(OpenCallsTest, ThatAreGivenUpAreReleased) {
   // The grant's answer is lost. The entry is told "unavailable" and runs nothing, so the key must
   // be given back: nobody else could use it until the claim expires.
   const auto Message = Ledger.acquire(wanted(1, Now), unix_millis(0));
@@ -94,7 +94,7 @@
   EXPECT_TRUE(Ledger.unanswered().empty());
 }
 
-TEST_F(OpenCalls, NameTheKeyByItsHashOnly) {
+TEST_F(OpenCallsTest, NameTheKeyByItsHashOnly) {
   const auto Message = Ledger.acquire(wanted(1, Now), unix_millis(0));
   EXPECT_EQ(encodePlain(Message).find("account/key"), std::string::npos);
   const auto Other = Ledger.acquire(wanted(2, Now), unix_millis(0));
--- a/tests/control_state/control_state_test.cpp
+++ b/tests/control_state/control_state_test.cpp
@@ -24,14 +24,14 @@
   return valueOf(control_state::restore(State.snapshot(), Limits));
 }
 
-class Changes : public testing::Test {
+class ChangesTest : public testing::Test {
 protected:
   control_state State{control_limits{}};
 };
 
-class RacingOperators : public Changes {};
+class RacingOperatorsTest : public ChangesTest {};
 
-TEST_F(RacingOperators, WithTheSameRevisionAreAcceptedOnce) {
+TEST_F(RacingOperatorsTest, WithTheSameRevisionAreAcceptedOnce) {
   // Both operators read revision 0 and send their own change against it. The log orders them; were
   // the second taken too, the first operator's accepted change would be gone without a word.
   EXPECT_EQ(State.execute(change("a", 0, "A")), accepted(1));
@@ -39,28 +39,28 @@
   EXPECT_EQ(State.declared(), (declared_text{revision(1), "A"}));
 }
 
-TEST_F(RacingOperators, MayGoOnFromTheRevisionInForce) {
+TEST_F(RacingOperatorsTest, MayGoOnFromTheRevisionInForce) {
   State.execute(change("a", 0, "A"));
   EXPECT_EQ(State.execute(change("b2", 1, "B")), accepted(2));
 }
 
-class ResentChanges : public Changes {};
+class ResentChangesTest : public ChangesTest {};
 
-TEST_F(ResentChanges, GetTheFirstAnswerAgain) {
+TEST_F(ResentChangesTest, GetTheFirstAnswerAgain) {
   State.execute(change("a", 0, "A"));
   State.execute(change("b", 1, "B"));
   EXPECT_EQ(State.execute(change("a", 0, "A")), accepted(1, true));
   EXPECT_EQ(State.declared().Revision, revision(2));
 }
 
-TEST_F(ResentChanges, GetTheFirstConflictAgain) {
+TEST_F(ResentChangesTest, GetTheFirstConflictAgain) {
   State.execute(change("a", 0, "A"));
   State.execute(change("b", 0, "B"));
   State.execute(change("c", 1, "C"));
   EXPECT_EQ(State.execute(change("b", 0, "B")), conflict(1, true));
 }
 
-TEST_F(ResentChanges, GetTheFirstAnswerAfterASnapshot) {
+TEST_F(ResentChangesTest, GetTheFirstAnswerAfterASnapshot) {
   // The answer was lost on the way; before the operator sends the change again, the leader has
   // been replaced by a member that knows the state from a snapshot only.
   State.execute(change("a", 0, "A"));
@@ -70,14 +70,14 @@
   EXPECT_EQ(Other.snapshot(), State.snapshot());
 }
 
-TEST_F(ResentChanges, WithOtherContentAreRefused) {
+TEST_F(ResentChangesTest, WithOtherContentAreRefused) {
   State.execute(change("a", 0, "A"));
   EXPECT_EQ(State.execute(change("a", 0, "other")), control_answer(change_id_reused{}));
   EXPECT_EQ(State.execute(change("a", 1, "A")), control_answer(change_id_reused{}));
   EXPECT_EQ(State.declared().Text, "A");
 }
 
-TEST_F(ResentChanges, OfAForgottenIdCannotBeAcceptedTwice) {
+TEST_F(ResentChangesTest, OfAForgottenIdCannotBeAcceptedTwice) {
   control_limits Small;
   Small.MaxAnswers = 2;
   control_state Bounded(Small);
@@ -88,7 +88,7 @@
   EXPECT_EQ(Bounded.execute(change("a", 0, "A")), conflict(3));
 }
 
-TEST_F(ResentChanges, AreForgottenByAgeEvenWhereALeadersClockStepsBack) {
+TEST_F(ResentChangesTest, AreForgottenByAgeEvenWhereALeadersClockStepsBack) {
   const auto Lifetime = control_limits{}.AnswerLifetime.count();
   State.execute(change("a", 0, "A", 1000));
   State.execute(change("b", 1, "B", 1000 + Lifetime));
@@ -99,7 +99,7 @@
   EXPECT_NE(State.findAnswer(change_id("d")), nullptr);
 }
 
-TEST_F(Changes, ThatAreInvalidHaveNoEffectAndKeepTheirAnswer) {
+TEST_F(ChangesTest, ThatAreInvalidHaveNoEffectAndKeepTheirAnswer) {
   apply_change Wrong = change("a", 0, "A");
   Wrong.Rejected = "[line 3]";
   const change_answer First{change_invalid{"[line 3]"}, false};
@@ -110,7 +110,7 @@
   EXPECT_EQ(State.declared().Revision, revision(0));
 }
 
-TEST_F(Changes, AreKeptInABoundedHistory) {
+TEST_F(ChangesTest, AreKeptInABoundedHistory) {
   control_limits Small;
   Small.MaxHistory = 2;
   control_state Bounded(Small);
@@ -120,7 +120,7 @@
   EXPECT_EQ(Bounded.history().back().Revision, revision(3));
 }
 
-TEST_F(Changes, ToDrainsRaiseTheirVersionOnlyWhereTheyChangeSomething) {
+TEST_F(ChangesTest, ToDrainsRaiseTheirVersionOnlyWhereTheyChangeSomething) {
   const backend_address Server("127.0.0.1:9");
   EXPECT_EQ(State.execute(set_drain{change_id("d1"), Server, false, {}}),
             control_answer(change_answer{drain_recorded{1}, false}));
@@ -131,13 +131,13 @@
   EXPECT_TRUE(State.drains().empty());
 }
 
-TEST_F(Changes, NeverLowerAFencingNumber) {
+TEST_F(ChangesTest, NeverLowerAFencingNumber) {
   EXPECT_EQ(State.execute(take_fence{}), control_answer(fence_granted{fencing_number(1)}));
   control_state Other = reloaded(State);
   EXPECT_EQ(Other.execute(take_fence{}), control_answer(fence_granted{fencing_number(2)}));
 }
 
-TEST_F(Changes, CarryClaimsAcrossASnapshot) {
+TEST_F(ChangesTest, CarryClaimsAcrossASnapshot) {
   const claim_holder First{{host_name("e1"), incarnation(1)}, request_number(7)};
   const claim_holder Second{{host_name("e2"), incarnation(1)}, request_number(9)};
   const claim_key_hash Key{1, 2};
@@ -148,7 +148,7 @@
             control_answer(claim_acquire_answer(claim_verdict::Running)));
 }
 
-TEST_F(Changes, RefuseASnapshotThatBreaksARule) {
+TEST_F(ChangesTest, RefuseASnapshotThatBreaksARule) {
   State.execute(change("a", 0, "A"));
   control_snapshot Broken = State.snapshot();
   Broken.Answers.push_back(Broken.Answers.front());
--- a/tests/control_state/in_force_test.cpp
+++ b/tests/control_state/in_force_test.cpp
@@ -9,7 +9,7 @@
 
 using std::chrono::milliseconds;
 
-class InForce : public testing::Test {
+class InForceTest : public testing::Test {
 protected:
   void SetUp() override {
     Tracker.takeOffice(revision(4), Now);
@@ -30,7 +30,7 @@
   process_key Two{host_name("two"), incarnation(1)};
 };
 
-TEST_F(InForce, WaitsForEveryEntryWithALease) {
+TEST_F(InForceTest, WaitsForEveryEntryWithALease) {
   EXPECT_EQ(renew(One, 4), Times.Lease);
   EXPECT_EQ(renew(Two, 4), Times.Lease);
   Tracker.accepted(revision(5), Now);
@@ -41,7 +41,7 @@
   EXPECT_EQ(Tracker.inForce(Now), revision(5));
 }
 
-TEST_F(InForce, WaitsOutTheLeaseOfASilentEntry) {
+TEST_F(InForceTest, WaitsOutTheLeaseOfASilentEntry) {
   // A frozen entry may come back and act on revision 4 until its lease ends; only then is the
   // change in force without its word.
   renew(One, 4);
@@ -52,7 +52,7 @@
   EXPECT_EQ(Tracker.inForce(Now), revision(5));
 }
 
-TEST_F(InForce, IsNotKnownToANewLeaderUntilItsPredecessorsLeasesEnded) {
+TEST_F(InForceTest, IsNotKnownToANewLeaderUntilItsPredecessorsLeasesEnded) {
   // The old leader gave a lease for revision 4 and died; the new one has never heard of that entry
   // and would call revision 5 in force while the entry still acts on 4.
   Tracker.takeOffice(revision(5), Now);
@@ -64,7 +64,7 @@
   EXPECT_EQ(Tracker.inForce(Now), revision(5));
 }
 
-TEST_F(InForce, IsNotHeldUpByAnEntryThatNeverConfirms) {
+TEST_F(InForceTest, IsNotHeldUpByAnEntryThatNeverConfirms) {
   // The entry renews in time but does not take the change. Its lease is not extended for ever, so
   // it turns unready and the change comes in force without it.
   renew(One, 4);
@@ -77,7 +77,7 @@
   EXPECT_EQ(renew(One, 4), std::nullopt);
 }
 
-TEST_F(InForce, GivesNoLeaseToALifeThatConfirmedNothing) {
+TEST_F(InForceTest, GivesNoLeaseToALifeThatConfirmedNothing) {
   EXPECT_EQ(renew(One, std::nullopt), std::nullopt);
   EXPECT_EQ(renew(One, 5), std::nullopt);
 }
