--- a/src/declaration/table/declaration_bounds.h
+++ b/src/declaration/table/declaration_bounds.h
@@ -12,7 +12,8 @@
 
 using whole_range = toml_range<std::int64_t>;
 
-constexpr std::size_t MaxDeclarationBytes = 512U << 10U; ///< Fits an entry of the log; some 3,000 accounts.
+constexpr std::size_t MaxDeclarationBytes =
+    512U << 10U; ///< Fits an entry of the log; some 3,000 accounts.
 constexpr std::size_t MaxNameLength = 64;
 constexpr std::size_t MaxTextLength = 256; ///< Of models, labels, hosts, paths, header values.
 constexpr std::size_t KeyHashDigits = 64;  ///< SHA-256 in hex.
--- a/src/storage/snapshot_files.cpp
+++ b/src/storage/snapshot_files.cpp
@@ -1,7 +1,7 @@
 /** @file snapshot_files.cpp Snapshots as files, the newest two of them kept. */
 #include "storage/snapshot_files_base.h"
 
-#include "consensus/member_set_func.h"
+#include "consensus/consensus.h"
 #include "storage/record_type.h"
 
 #include <algorithm>
