--- a/bench/consensus/consensus_bench.cpp
+++ b/bench/consensus/consensus_bench.cpp
@@ -146,8 +146,10 @@
     const bool Any = !Messages.empty() || !Synced.empty();
     for (const auto &[Place, Number] : std::exchange(Synced, {}))
       Replicas[Place].persisted(Number, Now);
-    for (consensus_message &Message : std::exchange(Messages, {}))
-      Replicas[Message.To.Member.value() - 1].receive(std::move(Message), Now);
+    for (consensus_message &Message : std::exchange(Messages, {})) {
+      replica &Receiver = Replicas[Message.To.Member.value() - 1];
+      Receiver.receive(std::move(Message), Now);
+    }
     return Any;
   }
 
--- a/src/consensus/replica_core_read.cpp
+++ b/src/consensus/replica_core_read.cpp
@@ -12,8 +12,7 @@
     return;
   }
   Reads.push_back({Read, 0, {}});
-  if (Commit >= FirstOwnIndex)
-    startReads();
+  startReads();
 }
 
 void replica_core::startReads() {
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -57,7 +57,7 @@
 }
 
 storage_result data_folder::parts::identify() {
-  const auto Read = readIdentity(Options.Folder);
+  auto Read = readIdentity(Options.Folder);
   if (!succeeded(Read))
     return errorOf(Read);
   if (!valueOf(Read))
@@ -75,7 +75,7 @@
     if (log_segment::firstFromName(Name) || snapshot_files::indexFromName(Name))
       return damaged_file{Options.Folder / "identity", 0, "it is missing, but there is a log"};
   }
-  const auto Meta = writeHardState(Files, Options.Folder, {});
+  auto Meta = writeHardState(Files, Options.Folder, {});
   if (!succeeded(Meta))
     return Meta;
   // The identity is written last: a folder that has one is complete.
@@ -88,11 +88,11 @@
   if (!succeeded(Hard))
     return errorOf(Hard);
   Restored.Hard = valueOf(Hard);
-  const auto Found = Snapshots.open(Repairs);
+  auto Found = Snapshots.open(Repairs);
   if (!succeeded(Found))
     return Found;
   Restored.Snapshot = Snapshots.newest();
-  const auto Read = Log.open(Restored.Entries, Repairs);
+  auto Read = Log.open(Restored.Entries, Repairs);
   if (!succeeded(Read))
     return Read;
   return checkLogFitsSnapshot();
@@ -120,7 +120,7 @@
 }
 
 storage_result data_folder::parts::storeSnapshot(const persist_log &Write) {
-  const auto Stored = Snapshots.store(Write.Snapshot);
+  auto Stored = Snapshots.store(Write.Snapshot);
   if (!succeeded(Stored))
     return Stored;
   if (!Write.ResetLog)
--- a/src/storage/file_handle.cpp
+++ b/src/storage/file_handle.cpp
@@ -92,7 +92,7 @@
   const auto Opened = openFile(Temporary, O_WRONLY | O_CREAT | O_TRUNC);
   if (!succeeded(Opened))
     return errorOf(Opened);
-  const auto Written = writeAll(Files, valueOf(Opened), Bytes, Temporary);
+  auto Written = writeAll(Files, valueOf(Opened), Bytes, Temporary);
   if (!succeeded(Written))
     return Written;
   if (Files.Sync(valueOf(Opened).number()) != 0)
--- a/src/storage/log_files.cpp
+++ b/src/storage/log_files.cpp
@@ -35,7 +35,7 @@
 
 storage_result log_files::rollOver(log_index First) {
   // Only the last segment may be torn, so the one before it is synced first.
-  const auto Synced = sync();
+  auto Synced = sync();
   if (!succeeded(Synced))
     return Synced;
   auto Created = log_segment::create(Files, Folder, First);
@@ -51,7 +51,7 @@
   while (Next != End) {
     const bool Full = Segments.empty() || Segments.back().size() >= SegmentBytes;
     if (Full) {
-      const auto Rolled = rollOver(Next->Index);
+      auto Rolled = rollOver(Next->Index);
       if (!succeeded(Rolled))
         return Rolled;
     }
@@ -63,7 +63,7 @@
       Bytes += RecordHeaderSize + Stop->Payload.size();
       ++Stop;
     }
-    const auto Written = Segments.back().append(Files, Next, Stop);
+    auto Written = Segments.back().append(Files, Next, Stop);
     if (!succeeded(Written))
       return Written;
     Unsynced = true;
@@ -81,10 +81,10 @@
 
 storage_result log_files::truncateFrom(log_index Index) {
   while (!Segments.empty() && Segments.back().first() >= Index) {
-    const auto Removed = removeFile(Segments.back().path());
+    auto Removed = removeFile(Segments.back().path());
     if (!succeeded(Removed))
       return Removed;
-    const auto Synced = syncFolder(Files, Folder);
+    auto Synced = syncFolder(Files, Folder);
     if (!succeeded(Synced))
       return Synced;
     Segments.pop_back();
@@ -98,7 +98,7 @@
 storage_result log_files::compactTo(log_index Index) {
   bool Removed = false;
   while (Segments.size() > 1 && Segments.front().last() <= Index) {
-    const auto Gone = removeFile(Segments.front().path());
+    auto Gone = removeFile(Segments.front().path());
     if (!succeeded(Gone))
       return Gone;
     Segments.pop_front();
--- a/src/storage/log_segment.cpp
+++ b/src/storage/log_segment.cpp
@@ -128,7 +128,7 @@
     Starts.push_back(Size + Bytes.size());
     appendRecord(Bytes, *Entry, Synced);
   }
-  const auto Written = writeAll(Files, File, Bytes, Path);
+  auto Written = writeAll(Files, File, Bytes, Path);
   if (!succeeded(Written)) {
     // What was written of the records goes again, so that a full disk leaves a whole file behind;
     // where even that fails, the next opening cuts them as a torn tail.
--- a/src/storage/snapshot_files.cpp
+++ b/src/storage/snapshot_files.cpp
@@ -1,7 +1,7 @@
 /** @file snapshot_files.cpp Snapshots as files, the newest two of them kept. */
 #include "storage/snapshot_files_base.h"
 
-#include "consensus/member_set_func.h"
+#include "consensus/consensus.h"
 #include "storage/record_type.h"
 
 #include <algorithm>
@@ -92,7 +92,7 @@
   std::sort(Stored.begin(), Stored.end());
   for (auto Index = Stored.rbegin(); Index != Stored.rend() && !Newest; ++Index) {
     const std::filesystem::path Path = Folder / nameOf(*Index);
-    const auto Bytes = readWhole(Path);
+    auto Bytes = readWhole(Path);
     if (!succeeded(Bytes))
       return errorOf(Bytes);
     Newest = decode(valueOf(Bytes));
@@ -105,7 +105,7 @@
 }
 
 storage_result snapshot_files::store(std::shared_ptr<const log_snapshot> Snapshot) {
-  const auto Written = replaceFile(Files, Folder / nameOf(Snapshot->Index), encode(*Snapshot));
+  auto Written = replaceFile(Files, Folder / nameOf(Snapshot->Index), encode(*Snapshot));
   if (!succeeded(Written))
     return Written;
   if (Stored.empty() || Stored.back() != Snapshot->Index)
@@ -118,7 +118,7 @@
 
 storage_result snapshot_files::dropAllBut(std::size_t Kept) {
   while (Stored.size() > Kept) {
-    const auto Removed = removeFile(Folder / nameOf(Stored.front()));
+    auto Removed = removeFile(Folder / nameOf(Stored.front()));
     if (!succeeded(Removed))
       return Removed;
     Stored.erase(Stored.begin());
--- a/tests/consensus/election_test.cpp
+++ b/tests/consensus/election_test.cpp
@@ -4,14 +4,14 @@
 namespace pollenstall {
 namespace {
 
-class AVoter : public ReplicaTest {
+class a_voter : public ReplicaTest {
 protected:
   const vote_request UpToDate{log_index(9), term_number(9)};
 };
 
 // A voter answers, crashes, and comes back without having written its vote. It would vote again in
 // the same term, for another, and two leaders would win it.
-TEST_F(AVoter, TellsAVoteOnlyOnceItIsSynced) {
+TEST_F(a_voter, TellsAVoteOnlyOnceItIsSynced) {
   start(foundedLog());
   pass(1s);
   SyncsAtOnce = false;
@@ -21,7 +21,7 @@
   EXPECT_TRUE(lastSent<vote_reply>(MemberB).Granted);
 }
 
-TEST_F(AVoter, VotesOncePerTermAndRepeatsThatVote) {
+TEST_F(a_voter, VotesOncePerTermAndRepeatsThatVote) {
   start(foundedLog());
   pass(1s);
   deliver(MemberB, 5, UpToDate);
@@ -34,7 +34,7 @@
 
 // A leader holds its lease because a quorum has just answered it. If one of them helped another to
 // office at once, both would act as leader for the rest of the lease.
-TEST_F(AVoter, IgnoresCandidatesWhileItHearsALeader) {
+TEST_F(a_voter, IgnoresCandidatesWhileItHearsALeader) {
   start(foundedLog());
   pass(999ms);
   heartbeatFrom(MemberB, 2);
@@ -47,9 +47,23 @@
   EXPECT_TRUE(lastSent<vote_reply>(MemberC).Granted);
 }
 
+// A member that hears nobody, by a cut in one direction, asks the others, who hear the leader well.
+// If they agreed it would raise the term and depose that leader again and again.
+TEST_F(a_voter, AgreesToNoElectionWhileItHearsALeader) {
+  start(foundedLog());
+  pass(1s);
+  heartbeatFrom(MemberB, 2);
+  const pre_vote_request Request{term_number(3), log_index(9), term_number(9)};
+  deliver(MemberC, 2, Request);
+  EXPECT_FALSE(lastSent<pre_vote_reply>(MemberC).Granted);
+  pass(1s);
+  deliver(MemberC, 2, Request);
+  EXPECT_TRUE(lastSent<pre_vote_reply>(MemberC).Granted);
+}
+
 // A voter answers a leader and restarts at once. It has forgotten the answer, but the leader still
 // counts on it for its lease.
-TEST_F(AVoter, VotesForNobodyRightAfterARestart) {
+TEST_F(a_voter, VotesForNobodyRightAfterARestart) {
   start(foundedLog());
   pass(999ms);
   deliver(MemberB, 5, UpToDate);
@@ -58,7 +72,7 @@
 
 // The clock of a follower is set forward while it is stopped. By that clock the leader has been
 // silent for long; in truth it was heard a moment ago.
-TEST_F(AVoter, CountsAnewAfterAClockJump) {
+TEST_F(a_voter, CountsAnewAfterAClockJump) {
   start(foundedLog());
   heartbeatFrom(MemberB, 2);
   Now += 5s;
@@ -68,7 +82,7 @@
 
 // A member with a shorter log asks without a pre-vote, as a delayed message may. With this vote it
 // would win and overwrite entries that were reported committed.
-TEST_F(AVoter, RefusesACandidateWithAnOlderLog) {
+TEST_F(a_voter, RefusesACandidateWithAnOlderLog) {
   restored_log State = foundedLog();
   State.Entries.push_back(commandAt(2, 1));
   start(State);
@@ -81,14 +95,14 @@
 
 // Host A's disk was replaced. Requests to the old disk arrive late; an answer from the new one
 // would be counted for promises that the old one took along.
-TEST_F(AVoter, IgnoresMessagesToAnOlderDisk) {
+TEST_F(a_voter, IgnoresMessagesToAnOlderDisk) {
   start(foundedLog());
   pass(1s);
   deliver(MemberB, 5, UpToDate, {MemberA.Member, disk_identity(99)});
   EXPECT_EQ(status().Term, term_number(1));
 }
 
-TEST_F(AVoter, IgnoresAnotherCluster) {
+TEST_F(a_voter, IgnoresAnotherCluster) {
   start(foundedLog());
   pass(1s);
   Replica->receive({cluster_id(5), MemberB, MemberA, term_number(5), UpToDate}, Now);
@@ -98,7 +112,7 @@
 
 // Its log was compacted behind a snapshot, and no change of members follows. The snapshot's set
 // must make it a voter again, or three such restarts leave nobody who stands.
-TEST_F(AVoter, IsOneAgainAfterARestartFromASnapshotAlone) {
+TEST_F(a_voter, IsOneAgainAfterARestartFromASnapshotAlone) {
   restored_log State;
   State.Snapshot = std::make_shared<const log_snapshot>(
       log_snapshot{log_index(7), term_number(3), threeVoters(), "state"});
@@ -106,11 +120,11 @@
   EXPECT_EQ(status().Role, replica_role::Follower);
 }
 
-class ACandidate : public ReplicaTest {};
+class a_candidate : public ReplicaTest {};
 
 // A member that was cut off stands again and again. With terms that rise each time it would depose
 // a leader that works as soon as it is back.
-TEST_F(ACandidate, RaisesNoTermBeforeAQuorumWouldVoteForIt) {
+TEST_F(a_candidate, RaisesNoTermBeforeAQuorumWouldVoteForIt) {
   start(foundedLog());
   pass(30s);
   EXPECT_EQ(status().Term, term_number(1));
@@ -119,7 +133,7 @@
 
 // The candidate's vote for itself counts like any other: before it is synced a restart would forget
 // it and could give it to another.
-TEST_F(ACandidate, SyncsItsOwnVoteBeforeItAsksAndCounts) {
+TEST_F(a_candidate, SyncsItsOwnVoteBeforeItAsksAndCounts) {
   start(foundedLog());
   while (status().Role != replica_role::PreCandidate)
     pass(50ms);
@@ -133,7 +147,7 @@
   EXPECT_EQ(status().Role, replica_role::Leader);
 }
 
-TEST_F(ACandidate, DoesNotCountAVoteOfAnUnknownDisk) {
+TEST_F(a_candidate, DoesNotCountAVoteOfAnUnknownDisk) {
   start(foundedLog());
   while (status().Role != replica_role::PreCandidate)
     pass(50ms);
--- a/tests/consensus/history_checker_base.h
+++ b/tests/consensus/history_checker_base.h
@@ -14,9 +14,9 @@
 public:
   /// A member reports that it leads.
   void led(member_key Who, term_number Term) {
-    const auto [Place, New] = LeaderOf.emplace(Term, Who);
-    requireInvariant(New, "at most one leader in a term",
-                     [&] { return toText(Place->second) + " and " + toText(Who); });
+    const bool First = LeaderOf.emplace(Term, Who).second;
+    requireInvariant(First, "at most one leader in a term",
+                     [&] { return toText(LeaderOf.at(Term)) + " and " + toText(Who); });
     NewestTerm = std::max(NewestTerm, Term);
   }
 
--- a/tests/consensus/leader_test.cpp
+++ b/tests/consensus/leader_test.cpp
@@ -6,11 +6,11 @@
 namespace pollenstall {
 namespace {
 
-class AFollower : public ReplicaTest {};
+class a_follower : public ReplicaTest {};
 
 // The follower acknowledges, the leader reports the entry committed, and the follower's host loses
 // power before the entry is on its disk. One more lost host and the entry is gone.
-TEST_F(AFollower, AcknowledgesEntriesOnlyOnceTheyAreSynced) {
+TEST_F(a_follower, AcknowledgesEntriesOnlyOnceTheyAreSynced) {
   start(foundedLog());
   heartbeatFrom(MemberB, 2);
   Sent.clear();
@@ -24,7 +24,17 @@
   EXPECT_EQ(lastSent<append_reply>(MemberB).Match, log_index(2));
 }
 
-TEST_F(AFollower, NamesTheLastPlaceWhereTheLogsMayAgree) {
+// A follower holds an old leader's entry behind the part that it shares with the new one. The new
+// leader's commit index is already past it, but speaks of another entry at that place.
+TEST_F(a_follower, CommitsNoFurtherThanTheMessageShowsToBeEqual) {
+  restored_log State = foundedLog();
+  State.Entries.push_back(commandAt(2, 2));
+  start(State);
+  deliver(MemberB, 3, append_request{log_index(1), term_number(1), log_index(2), 1, 0, {}});
+  EXPECT_EQ(status().Commit, log_index(1));
+}
+
+TEST_F(a_follower, NamesTheLastPlaceWhereTheLogsMayAgree) {
   restored_log State = foundedLog();
   for (std::uint64_t Index = 2; Index <= 9; ++Index)
     State.Entries.push_back(commandAt(Index, 2));
@@ -50,12 +60,12 @@
   EXPECT_EQ(Ledger.durable(), log_index(2));
 }
 
-class ALeader : public ReplicaTest {};
+class a_leader : public ReplicaTest {};
 
 // An entry of an earlier term stands on two of three disks and could still be overwritten by a
 // later leader that never saw it (Raft, figure 8). It is committed only together with an entry of
 // this term.
-TEST_F(ALeader, CommitsNothingOfAnEarlierTermByCount) {
+TEST_F(a_leader, CommitsNothingOfAnEarlierTermByCount) {
   restored_log State = foundedLog();
   State.Entries.push_back(commandAt(2, 1));
   start(State);
@@ -68,7 +78,7 @@
 
 // A new leader does not know yet what its predecessor committed. A read at its own commit index
 // could miss a change that was acknowledged.
-TEST_F(ALeader, ServesNoReadBeforeItsTermHasACommittedEntry) {
+TEST_F(a_leader, ServesNoReadBeforeItsTermHasACommittedEntry) {
   start(foundedLog());
   lead();
   Replica->readIndex(read_id(1), Now);
@@ -81,7 +91,7 @@
 }
 
 // A cut-off leader answers reads from what it knows while others have moved on.
-TEST_F(ALeader, ServesNoReadUntilAQuorumAnswersALaterMessage) {
+TEST_F(a_leader, ServesNoReadUntilAQuorumAnswersALaterMessage) {
   start(foundedLog());
   leadAndCommit();
   const append_request Earlier = lastSent<append_request>(MemberB);
@@ -95,7 +105,7 @@
 
 // B's clock runs fast and A's slow, both within the bound: B votes again before A's full minimum
 // timeout has passed on A's clock. The lease must have ended by then.
-TEST_F(ALeader, HoldsALeaseShorterThanThePromiseByTwiceTheSkew) {
+TEST_F(a_leader, HoldsALeaseShorterThanThePromiseByTwiceTheSkew) {
   start(foundedLog());
   leadAndCommit();
   const mono_time SentAt{mono_span(lastSent<append_request>(MemberB).SentAt)};
@@ -103,7 +113,7 @@
   EXPECT_TRUE(Replica->leaseValid(Now));
 }
 
-TEST_F(ALeader, LosesItsLeaseAtAClockJumpUntilALaterMessageIsAnswered) {
+TEST_F(a_leader, LosesItsLeaseAtAClockJumpUntilALaterMessageIsAnswered) {
   start(foundedLog());
   leadAndCommit();
   const append_request Earlier = lastSent<append_request>(MemberB);
@@ -119,7 +129,7 @@
 }
 
 // A partition cuts the leader off without any error. It must not stay in office on its own word.
-TEST_F(ALeader, LeavesOfficeWithoutAQuorum) {
+TEST_F(a_leader, LeavesOfficeWithoutAQuorum) {
   start(foundedLog());
   leadAndCommit();
   pass(2200ms);
@@ -128,7 +138,7 @@
   EXPECT_FALSE(succeeded(Replica->propose("x", Now)));
 }
 
-TEST_F(ALeader, SendsNoMoreThanTheWindow) {
+TEST_F(a_leader, SendsNoMoreThanTheWindow) {
   replica_options Bounds;
   Bounds.MaxBatchEntries = 1;
   Bounds.MaxInFlight = 3;
@@ -143,7 +153,7 @@
 
 // Everything in a full window is lost, and then compacted behind a snapshot. No answer can empty
 // that window any more; without a snapshot the follower stays behind for good.
-TEST_F(ALeader, SendsASnapshotWhereAFullWindowWasCompacted) {
+TEST_F(a_leader, SendsASnapshotWhereAFullWindowWasCompacted) {
   replica_options Bounds;
   Bounds.MaxInFlight = 1;
   Bounds.KeepAfterSnapshot = 0;
@@ -163,7 +173,7 @@
 
 // The heartbeat that runs beside a snapshot told the newest commit index without noting it, so each
 // answer set off the next heartbeat at once.
-TEST_F(ALeader, DoesNotAnswerAnswersWithHeartbeats) {
+TEST_F(a_leader, DoesNotAnswerAnswersWithHeartbeats) {
   replica_options Bounds;
   Bounds.KeepAfterSnapshot = 0;
   start(foundedLog(), Bounds);
--- a/tests/consensus/member_test.cpp
+++ b/tests/consensus/member_test.cpp
@@ -20,7 +20,7 @@
     EXPECT_EQ(decodeMembers(Text), std::nullopt) << Text;
 }
 
-class AFounder : public ReplicaTest {
+class a_founder : public ReplicaTest {
 protected:
   void SetUp() override {
     Founds = true;
@@ -32,7 +32,7 @@
   }
 };
 
-TEST_F(AFounder, FoundsOnceEveryPeerHasSaidThatItIsEmpty) {
+TEST_F(a_founder, FoundsOnceEveryPeerHasSaidThatItIsEmpty) {
   askFrom(MemberB, MemberA.Disk);
   pass(1s);
   EXPECT_TRUE(status().Empty);
@@ -43,7 +43,7 @@
 
 // This host founded the log, lost its disk, and a request that B had sent before the founding comes
 // late. B is not empty any more; a second log beside the first would lose all that was accepted.
-TEST_F(AFounder, DoesNotBelieveAPeerThatDidNotNameThisDisk) {
+TEST_F(a_founder, DoesNotBelieveAPeerThatDidNotNameThisDisk) {
   askFrom(MemberC, MemberA.Disk);
   askFrom(MemberB, disk_identity());
   askFrom(MemberB, disk_identity(99));
@@ -52,18 +52,18 @@
   EXPECT_GE(countSent<founder_probe>(), 1U);
 }
 
-TEST_F(AFounder, DoesNotCountAPeerThatBelongsToALog) {
+TEST_F(a_founder, DoesNotCountAPeerThatBelongsToALog) {
   askFrom(MemberB, MemberA.Disk, TestCluster);
   askFrom(MemberC, MemberA.Disk);
   pass(1s);
   EXPECT_TRUE(status().Empty);
 }
 
-class AnEmptyDisk : public ReplicaTest {};
+class an_empty_disk : public ReplicaTest {};
 
 // A founder's disk is replaced while it collects answers. Who remembered the first disk would send
 // all later requests to a disk that is gone.
-TEST_F(AnEmptyDisk, AsksEveryPeerWhateverItsDisk) {
+TEST_F(an_empty_disk, AsksEveryPeerWhateverItsDisk) {
   start({});
   const member_key Gone{MemberB.Member, disk_identity(99)};
   Replica->receive({{}, Gone, MemberA, {}, founder_probe{}}, Now);
@@ -76,7 +76,7 @@
   EXPECT_GE(countSent<admission_request>(), 2U);
 }
 
-TEST_F(AnEmptyDisk, NeverStands) {
+TEST_F(an_empty_disk, NeverStands) {
   start({});
   pass(10s);
   EXPECT_EQ(countSent<pre_vote_request>(), 0U);
@@ -84,7 +84,7 @@
 
 // A leader admits a disk and falls before the admission is committed; its successor does not know
 // the disk and sends it nothing. It must ask again, or the repair never ends.
-TEST_F(AnEmptyDisk, AsksAgainWhereItsAdmissionWasTruncated) {
+TEST_F(an_empty_disk, AsksAgainWhereItsAdmissionWasTruncated) {
   start({});
   const member_set Before{TestCluster,
                           {{{MemberA.Member, disk_identity(99)}, member_standing::Voter},
@@ -98,9 +98,9 @@
   EXPECT_GE(countSent<admission_request>(), 2U);
 }
 
-class ALeadersSet : public ReplicaTest {};
+class a_leaders_set : public ReplicaTest {};
 
-TEST_F(ALeadersSet, PutsAnEmptyDiskInTheOldOnesPlaceAndPromotesItOnceCaughtUp) {
+TEST_F(a_leaders_set, PutsAnEmptyDiskInTheOldOnesPlaceAndPromotesItOnceCaughtUp) {
   replica_options Bounds;
   Bounds.CaughtUpWithin = 0;
   start(foundedLog(), Bounds);
@@ -125,7 +125,7 @@
 
 // Two hosts were given the same id. Each asks to be let in, and if each replaced the other the log
 // would lose a voter with every change.
-TEST_F(ALeadersSet, RefusesToReplaceADiskThatAnswers) {
+TEST_F(a_leaders_set, RefusesToReplaceADiskThatAnswers) {
   start(foundedLog());
   leadAndCommit();
   EXPECT_EQ(reasonOf(Replica->admit(NewB, Now)), proposal_error::MemberActive);
@@ -134,7 +134,7 @@
 
 // Two changes under way at once, or one on top of a predecessor's that may yet be overwritten, give
 // quorums that do not meet.
-TEST_F(ALeadersSet, ChangesOneAtATimeAndOnlyAfterAnEntryOfItsTerm) {
+TEST_F(a_leaders_set, ChangesOneAtATimeAndOnlyAfterAnEntryOfItsTerm) {
   start(foundedLog());
   lead();
   EXPECT_EQ(reasonOf(Replica->expel(MemberC.Member, Now)), proposal_error::NotReady);
@@ -143,7 +143,7 @@
   EXPECT_EQ(reasonOf(Replica->expel(MemberB.Member, Now)), proposal_error::ChangeInProgress);
 }
 
-TEST_F(ALeadersSet, LetsTheLeaderTakeItselfOut) {
+TEST_F(a_leaders_set, LetsTheLeaderTakeItselfOut) {
   start(foundedLog());
   leadAndCommit();
   ASSERT_TRUE(succeeded(Replica->expel(MemberA.Member, Now)));
--- a/tests/storage/data_folder_test.cpp
+++ b/tests/storage/data_folder_test.cpp
@@ -25,22 +25,22 @@
   scratch_folder Scratch;
 };
 
-class AFreshFolder : public DataFolderTest {};
+class a_fresh_folder : public DataFolderTest {};
 
-TEST_F(AFreshFolder, TakesTheOfferedDiskAndKeepsIt) {
+TEST_F(a_fresh_folder, TakesTheOfferedDiskAndKeepsIt) {
   EXPECT_EQ(Scratch.open()->identity().Key.Disk, disk_identity(9));
   Scratch.Options.FreshDisk = disk_identity(10);
   EXPECT_EQ(Scratch.open()->identity().Key.Disk, disk_identity(9));
 }
 
-TEST_F(AFreshFolder, IsRefusedToASecondProcess) {
+TEST_F(a_fresh_folder, IsRefusedToASecondProcess) {
   const auto Holder = Scratch.open();
   EXPECT_EQ(refusal<folder_in_use>().Folder, Scratch.Options.Folder);
 }
 
 // Two hosts' folders are mixed up at a repair. Under the other's promises a member could vote
 // twice in a term, so the folder names whose it is and does not open.
-TEST_F(AFreshFolder, IsRefusedToAnotherMemberOrFleet) {
+TEST_F(a_fresh_folder, IsRefusedToAnotherMemberOrFleet) {
   Scratch.open();
   Scratch.Options.Member = member_id(2);
   EXPECT_EQ(refusal<foreign_folder>().Found.Key.Member, member_id(1));
@@ -51,15 +51,15 @@
 
 // An operator restores a backup without the identity. A new identity over an old log would let a
 // disk that gave votes pass for one that never did.
-TEST_F(AFreshFolder, IsNotMadeAroundAnOldLog) {
+TEST_F(a_fresh_folder, IsNotMadeAroundAnOldLog) {
   Scratch.writeOnce({writeOf(1, 1)});
   std::filesystem::remove(Scratch.Options.Folder / "identity");
   refusal<damaged_file>();
 }
 
-class AWrittenFolder : public DataFolderTest {};
+class a_written_folder : public DataFolderTest {};
 
-TEST_F(AWrittenFolder, GivesBackTermVoteAndEntries) {
+TEST_F(a_written_folder, GivesBackTermVoteAndEntries) {
   persist_log Write = writeOf(1, 3);
   Write.Hard = hard_state{term_number(4), {member_id(2), disk_identity(7)}};
   Scratch.writeOnce({Write, writeOf(4, 5)});
@@ -70,7 +70,7 @@
   EXPECT_TRUE(Folder->repairs().empty());
 }
 
-TEST_F(AWrittenFolder, ForgetsWhatWasTruncatedOverSeveralSegments) {
+TEST_F(a_written_folder, ForgetsWhatWasTruncatedOverSeveralSegments) {
   Scratch.Options.SegmentBytes = 100;
   persist_log Cut = writeOf(4, 4, 2);
   Cut.TruncateFrom = log_index(4);
@@ -80,7 +80,7 @@
   EXPECT_EQ(Entries[3], entryAt(4, 2));
 }
 
-TEST_F(AWrittenFolder, DropsSegmentsThatTheOlderSnapshotCovers) {
+TEST_F(a_written_folder, DropsSegmentsThatTheOlderSnapshotCovers) {
   Scratch.Options.SegmentBytes = 100;
   persist_log First;
   First.Snapshot = snapshotAt(6);
@@ -97,7 +97,7 @@
 
 // The newest snapshot decays. The one before it and the log after that lead to the same state, so
 // the member starts and says what it passed over.
-TEST_F(AWrittenFolder, StartsFromTheOlderSnapshotWhereTheNewestIsDamaged) {
+TEST_F(a_written_folder, StartsFromTheOlderSnapshotWhereTheNewestIsDamaged) {
   persist_log First;
   First.Snapshot = snapshotAt(2);
   First.CompactTo = log_index(2);
@@ -114,7 +114,7 @@
 
 // A snapshot is installed in place of a log that differs, and the process dies before the log's
 // files are gone. At the start the old entries must not be taken for what follows the snapshot.
-TEST_F(AWrittenFolder, DropsALogThatASnapshotHasReplaced) {
+TEST_F(a_written_folder, DropsALogThatASnapshotHasReplaced) {
   Scratch.writeOnce({writeOf(1, 9)});
   const std::filesystem::path Old = Scratch.lastSegment();
   std::filesystem::copy_file(Old, Scratch.Path / "kept");
@@ -128,11 +128,11 @@
   EXPECT_EQ(readEntries(), (std::vector<log_entry>{entryAt(8, 3)}));
 }
 
-class ACrash : public DataFolderTest {};
+class a_crash : public DataFolderTest {};
 
 // The power fails in the middle of a write that nobody was told of. The start cuts the torn record
 // off, keeps all before it, and goes on writing there.
-TEST_F(ACrash, LeavesATornTailThatIsCut) {
+TEST_F(a_crash, LeavesATornTailThatIsCut) {
   Scratch.writeOnce({writeOf(1, 3)});
   const auto Size = std::filesystem::file_size(Scratch.lastSegment());
   std::filesystem::resize_file(Scratch.lastSegment(), Size - 1);
@@ -147,7 +147,7 @@
 
 // Sectors of one unsynced batch reach the disk out of order: a hole of zeros, then whole records.
 // That is a torn tail as well, as the later records say that nothing here was synced.
-TEST_F(ACrash, LeavesAHoleInAnUnsyncedBatchThatIsCut) {
+TEST_F(a_crash, LeavesAHoleInAnUnsyncedBatchThatIsCut) {
   Scratch.writeOnce({writeOf(1, 1)});
   const auto Synced = std::filesystem::file_size(Scratch.lastSegment());
   Scratch.writeOnce({writeOf(2, 60)});
@@ -162,11 +162,11 @@
   EXPECT_GE(std::filesystem::file_size(Scratch.lastSegment()), Synced);
 }
 
-class ADecayedDisk : public DataFolderTest {};
+class a_decayed_disk : public DataFolderTest {};
 
 // A byte changes in an entry that was synced and acknowledged. Cutting the log there would take
 // back committed entries without a word, so the folder does not open and says where.
-TEST_F(ADecayedDisk, IsRefusedByNameInTheMiddle) {
+TEST_F(a_decayed_disk, IsRefusedByNameInTheMiddle) {
   Scratch.writeOnce({writeOf(1, 3)});
   Scratch.writeOnce({writeOf(4, 5)});
   scratch_folder::flip(Scratch.lastSegment(), RecordMiddle);
@@ -175,34 +175,34 @@
   EXPECT_EQ(Error.Offset, 0U);
 }
 
-TEST_F(ADecayedDisk, IsRefusedByNameInTheLastRecordToo) {
+TEST_F(a_decayed_disk, IsRefusedByNameInTheLastRecordToo) {
   Scratch.writeOnce({writeOf(1, 3)});
   const auto Size = std::filesystem::file_size(Scratch.lastSegment());
   scratch_folder::flip(Scratch.lastSegment(), Size - 2);
   EXPECT_GT(refusal<damaged_file>().Offset, 0U);
 }
 
-TEST_F(ADecayedDisk, IsRefusedWhereASegmentIsMissing) {
+TEST_F(a_decayed_disk, IsRefusedWhereASegmentIsMissing) {
   Scratch.Options.SegmentBytes = 40;
   Scratch.writeOnce({writeOf(1, 3)});
   std::filesystem::remove(Scratch.Options.Folder / "log-00000000000000000002");
   refusal<damaged_file>();
 }
 
-TEST_F(ADecayedDisk, IsRefusedWhereTermAndVoteAreDamaged) {
+TEST_F(a_decayed_disk, IsRefusedWhereTermAndVoteAreDamaged) {
   Scratch.open();
   scratch_folder::flip(Scratch.Options.Folder / "meta", 3);
   EXPECT_EQ(refusal<damaged_file>().Path, Scratch.Options.Folder / "meta");
 }
 
-class AFailingDisk : public DataFolderTest {
+class a_failing_disk : public DataFolderTest {
 protected:
   file_faults Faults;
 };
 
 // The disk fills up in the middle of a batch. The writer is told so by name, nothing is confirmed,
 // and after space was made everything that had been confirmed is there.
-TEST_F(AFailingDisk, IsFullWithoutDamage) {
+TEST_F(a_failing_disk, IsFullWithoutDamage) {
   {
     const auto Folder = Scratch.open(faultyFiles(Faults));
     ASSERT_TRUE(succeeded(Folder->write({writeOf(1, 3)})));
@@ -214,7 +214,7 @@
   EXPECT_EQ(readEntries().size(), 3U);
 }
 
-TEST_F(AFailingDisk, IsFullForTermAndVoteWithoutDamage) {
+TEST_F(a_failing_disk, IsFullForTermAndVoteWithoutDamage) {
   persist_log Write;
   Write.Hard = hard_state{term_number(4), {}};
   Scratch.writeOnce({Write});
@@ -229,7 +229,7 @@
 
 // A sync fails once and would succeed when it is tried again, because the kernel has dropped the
 // pages that it could not write. The second success would confirm what is not on the disk.
-TEST_F(AFailingDisk, IsNotTrustedAfterAFailedSync) {
+TEST_F(a_failing_disk, IsNotTrustedAfterAFailedSync) {
   const auto Folder = Scratch.open(faultyFiles(Faults));
   Faults.SyncFails = true;
   EXPECT_FALSE(succeeded(Folder->write({writeOf(1, 1)})));
