--- a/src/relay/cancel_call.cpp
+++ b/src/relay/cancel_call.cpp
@@ -2,41 +2,40 @@
 #include "relay/cancel_call_func.h"
 
 #include "relay/attempt_head_func.h"
-#include "relay/message_feed_base.h"
+#include "relay/short_call_func.h"
 
-#include <array>
+#include <boost/json.hpp>
 
 namespace pollenstall {
 
-namespace asio = boost::asio;
-
 namespace {
 
+namespace json = boost::json;
+
 constexpr unsigned Ok = 200;
-constexpr std::size_t MaxAnswerBytes = 64U << 10U;
 
 } // namespace
 
-asio::awaitable<cancel_result> askToCancel(backend_links &Links, const relay_limits &Limits,
-                                           cancel_attempt Order) {
-  backend_link Link = co_await Links.open(Order.Backend, link_age::Any);
-  if (!Link)
-    co_return cancel_result::Unconfirmed;
-  Link->expireAt(boot_clock::now() + Limits.CancelTimeout);
-  const std::string Head = cancelHead(Order);
-  const std::array Buffers{asio::const_buffer(Head.data(), Head.size())};
-  if (co_await Link->writeAll(Buffers) != Head.size())
-    co_return cancel_result::Unconfirmed;
-  message_feed<false> Feed(Limits.HeaderBytes);
-  while (!Feed.done()) {
-    const std::string_view Read = co_await Link->readSome();
-    if (Read.empty() || !Feed.feed(Read) || Feed.body().size() > MaxAnswerBytes)
-      co_return cancel_result::Unconfirmed;
-  }
-  const bool Confirmed = Feed.message().get().result_int() == Ok;
-  if (Feed.message().keep_alive() && !Feed.hasLeft())
-    Links.giveBack(Order.Backend, std::move(Link));
-  co_return Confirmed ? cancel_result::Confirmed : cancel_result::Unconfirmed;
+cancel_result cancelResultFrom(unsigned Status, std::string_view Body) {
+  if (Status != Ok)
+    return cancel_result::Unconfirmed;
+  json::error_code Code;
+  const json::value Parsed = json::parse(json::string_view(Body.data(), Body.size()), Code);
+  const json::object *Object = Code ? nullptr : Parsed.if_object();
+  const json::value *State = Object ? Object->if_contains("state") : nullptr;
+  if (!State || !State->is_string())
+    return cancel_result::Unconfirmed;
+  // A cancel on a connection of its own can overtake the start that it is meant for.
+  if (*State == "unknown")
+    return cancel_result::NeverSeen;
+  const bool Ended = *State == "cancelled" || *State == "finished";
+  return Ended ? cancel_result::Confirmed : cancel_result::Unconfirmed;
+}
+
+boost::asio::awaitable<cancel_result> askToCancel(backend_links &Links, const relay_limits &Limits,
+                                                  cancel_attempt Order) {
+  const auto Answer = co_await callShortly(Links, Limits, Order.Backend, cancelHead(Order));
+  co_return Answer ? cancelResultFrom(Answer->Status, Answer->Body) : cancel_result::Unconfirmed;
 }
 
 } // namespace pollenstall
