--- a/tests/dispatch/outcome_test.cpp
+++ b/tests/dispatch/outcome_test.cpp
@@ -87,6 +87,19 @@
   EXPECT_EQ(Dispatch.abandonedAttempts(), 0U);
 }
 
+// The cancel on a new connection overtakes the start on the old one: the engine knows no such
+// attempt, and starts it a moment later. Taken for the end, its memory would count as free.
+TEST_F(a_running_request, IsCancelledAgainWhereTheEngineHasNotSeenItYet) {
+  send();
+  happen(caller_left{request_number(1)});
+  happen(cancel_confirmed{attempt(1), true});
+  EXPECT_EQ(Dispatch.abandonedAttempts(), 1U);
+  pass(seconds(15));
+  EXPECT_GE(cancels(), 2U);
+  happen(cancel_confirmed{attempt(1), true});
+  EXPECT_EQ(Dispatch.abandonedAttempts(), 0U);
+}
+
 TEST_F(a_running_request, FreesAnAbandonedAttemptWhenTheEnginesLifeIsOver) {
   send();
   happen(caller_left{request_number(1)});
@@ -107,6 +120,21 @@
   EXPECT_EQ(Dispatch.abandonedAttempts(), 0U);
 }
 
+// The caller leaves while the start is under way; the first byte goes out after that.
+// A report of "unsent" that comes still later must not free memory that the engine may hold.
+TEST_F(a_running_request, KeepsTheLedgerWhenAByteLeftAfterItWasGivenUp) {
+  happen(caller_left{request_number(1)});
+  send();
+  fail(attempt_failure::BrokenUnsent);
+  EXPECT_EQ(Dispatch.abandonedAttempts(), 1U);
+}
+
+TEST_F(a_running_request, FreesAnAbandonedAttemptThatWasNeverSent) {
+  happen(caller_left{request_number(1)});
+  fail(attempt_failure::NotConnected);
+  EXPECT_EQ(Dispatch.abandonedAttempts(), 0U);
+}
+
 struct a_stream_that_began : a_running_request {
   void SetUp() override {
     a_running_request::SetUp();
