Do not refuse a request for the long answer that it merely allows

Cause: a chat call without max_tokens, the plainest one of a client library, got 503 deadline_unmeetable from an idle demo system: half of the declared 4,096 tokens at the guessed 30 ms a step is 61 s, over the service's minute. It stayed so after fifteen short answers at 2 ms a step, since the pace is learnt only from engines that have a prefill sample (4,096 prompt tokens). Ruled out: the relay (the facts are right), a larger default timeout (hides it). The test was seen failing without it. Left: a pace learnt from short prompts alone still does not reach typicalStep().

--- a/src/scheduling/scheduler_intake.cpp
+++ b/src/scheduling/scheduler_intake.cpp
@@ -49,7 +49,12 @@
   if (Item.Model.empty())
     return 0;
   const double Prefill = static_cast<double>(Item.Prompt.value()) / Pool.typicalRate();
-  return Prefill + expectedAnswer(Item) * Pool.typicalStep();
+  // Most callers name no answer limit, so that a default far beyond any answer stands for it.
+  // Counted in full it refuses an idle fleet's plainest requests. The concurrency is held to a pace
+  // at which a long answer takes this part of the time allowed, so that no more need be set aside.
+  const double Allowed = secondsUntil(Item.Deadline, Item.Arrived);
+  const double Answer = expectedAnswer(Item) * Pool.typicalStep();
+  return Prefill + std::min(Answer, Allowed * Settings.Tuning.AnswerPart);
 }
 
 std::optional<group_name> scheduler::drawGroup(const work_item &Item) {
--- a/tests/client/client_library.test.mjs
+++ b/tests/client/client_library.test.mjs
@@ -110,6 +110,12 @@
       assert.ok(answer.usage.prompt_tokens > 0);
     });
 
+    it("gets it without naming a limit for the answer", async () => {
+      const client = clientOf(endpoints.entries[0], { maxRetries: 0 });
+      const answer = await client.chat.completions.create(chat("A notice, please.", { max_tokens: undefined }));
+      assert.ok(answer.usage.completion_tokens > 0);
+    });
+
     it("gets it streamed: every delta, the finish reason and the usage", async () => {
       const stream = await clientOf(endpoints.entries[0]).chat.completions.create(
         chat("A notice, please.", { stream: true, stream_options: { include_usage: true } }),
--- a/tests/scheduling/scheduler_test.cpp
+++ b/tests/scheduling/scheduler_test.cpp
@@ -28,6 +28,17 @@
   EXPECT_EQ(submit(work(399'000)), std::nullopt);
 }
 
+// A caller's library sends a short chat call without max_tokens and with the service's minute of
+// time. The declaration's 4,096 tokens stand in for the limit; at the pace of a guess, half of them
+// take more than a minute. Refused, every such call to an idle fleet would be told "not run".
+TEST_F(ARequestThatArrives, IsNotRefusedForALongAnswerThatItMerelyAllows) {
+  addEngines(1);
+  work_item Item = work(10);
+  Item.AnswerLimit = tokens(4'096);
+  Item.Deadline = Now + 60s;
+  EXPECT_TRUE(succeeded(Scheduler.submit(Item, Now)));
+}
+
 TEST_F(ARequestThatArrives, IsRefusedEarlyWhereItsTimeIsTooShort) {
   addEngines(1);
   work_item Item = work(300'000);
