--- a/tests/control/control_cluster.cpp
+++ b/tests/control/control_cluster.cpp
@@ -48,6 +48,9 @@
       boost::json::object{{"change_id", Id}, {"base_revision", Base}, {"text", Text}});
 }
 
+const std::string &control_cluster::operatorKey() { return OperatorKey; }
+const std::string &control_cluster::fleet() { return Fleet; }
+
 control_cluster::control_cluster(std::size_t Count, std::string MoreSettings)
     : More(std::move(MoreSettings)) {
   const auto Addresses = freeAddresses(3 * Count);
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -32,6 +32,10 @@
 public:
   explicit control_cluster(std::size_t Hosts = 3, std::string MoreSettings = {});
 
+  /// @return The key that operators show, and the fleet's name, for entries beside the hosts.
+  static const std::string &operatorKey();
+  static const std::string &fleet();
+
   [[nodiscard]] std::size_t size() const { return Hosts.size(); }
   void start(std::size_t Host);
   void kill(std::size_t Host);
--- /dev/null
+++ b/tests/system/running_system.cpp
@@ -0,0 +1,299 @@
+/** @file running_system.cpp Settings and start of the processes. */
+#include "running_system_base.h"
+
+#include "core/core.h"
+#include "operators/operators.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <filesystem>
+#include <sstream>
+#include <utility>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr int Ok = 200;
+const std::string CallerKey = "caller-key";
+const std::string FleetKey = "fleet-key";
+const std::string ShortTimes = "[log]\nheartbeat_ms = 40\nelection_ms = 400\n"
+                               "[entries]\nlease_ms = 2000\nconfirm_within_ms = 1000\n";
+
+std::string quoted(const std::string &Text) { return "\"" + Text + "\""; }
+
+std::string listOf(const std::vector<std::string> &Texts) {
+  std::string List;
+  for (const std::string &Text : Texts)
+    List += (List.empty() ? "" : ", ") + quoted(Text);
+  return "[" + List + "]";
+}
+
+std::vector<std::string> freeUdpAddresses(std::size_t Count) {
+  using boost::asio::ip::udp;
+  boost::asio::io_context Io;
+  std::vector<udp::socket> Held; // all at once, so that they differ
+  std::vector<std::string> Addresses;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    Held.emplace_back(Io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    Addresses.push_back("127.0.0.1:" + std::to_string(Held.back().local_endpoint().port()));
+  }
+  return Addresses;
+}
+
+std::string bearer(const std::string &Key) { return "Bearer " + Key; }
+
+http_headers asCaller(http_headers More = {}) {
+  More.emplace_back("Authorization", bearer(CallerKey));
+  return More;
+}
+
+std::size_t lengthAt(const boost::json::value &Dump, const char *Place) {
+  boost::json::error_code Code;
+  const boost::json::value *Found = Dump.find_pointer(Place, Code);
+  return Found && Found->is_array() ? Found->get_array().size() : 0;
+}
+
+} // namespace
+
+std::string outcomeOf(const http_answer &Answer) { return Answer.header("X-Pollenstall-Outcome"); }
+
+bool isWhole(const std::vector<sse_event> &Events) {
+  for (std::size_t Index = 0; Index < Events.size(); ++Index)
+    if (Events[Index].Id != std::to_string(Index + 1))
+      return false;
+  return !Events.empty() && Events.back().Data == "[DONE]";
+}
+
+running_system::running_system(const system_plan &Wanted) : Plan(Wanted), Control(3, ShortTimes) {
+  (void)Folder.write("fleet.key", FleetKey);
+  (void)Folder.write("operator.key", control_cluster::operatorKey());
+  const auto Addresses = freeAddresses(3 * EntryCount);
+  const auto Gossip = freeUdpAddresses(EntryCount);
+  for (std::size_t Index = 0; Index < EntryCount; ++Index)
+    Entries.push_back({Addresses[3 * Index], Addresses[3 * Index + 1], Addresses[3 * Index + 2],
+                       Gossip[Index], nullptr});
+  for (std::size_t Index = 0; Index < EntryCount; ++Index)
+    startEntry(Index);
+  for (int Index = 0; Index < Plan.Engines; ++Index)
+    Engines.push_back(
+        std::make_unique<backend_process>(backendSettings(engineTop(), Plan.EngineTables)));
+  for (int Index = 0; Index < Plan.Plain; ++Index)
+    PlainServers.push_back(std::make_unique<backend_process>(
+        backendSettings("service = \"letters\"\nkind = \"plain\"\n", {})));
+  requireInvariant(declare(1'000), "the declaration is accepted");
+  requireInvariant(eventually([this] { return allReady(); }), "the whole system becomes ready");
+}
+
+std::string running_system::declarationWith(int MaxQueued) const {
+  return "[[service]]\nname = \"llm\"\nkind = \"model\"\nmodels = [\"m\"]\n" + Plan.ServiceLines +
+         "[[service]]\nname = \"letters\"\nkind = \"plain\"\nroutes = [{ path_prefix = \"/send\", "
+         "idempotent = false }, { path_prefix = \"/pages\" }]\n"
+         "[[group]]\nname = \"engines\"\nservice = \"llm\"\nlabels = {}\n"
+         "[[group]]\nname = \"sites\"\nservice = \"letters\"\nlabels = {}\n"
+         "[[selector]]\nname = \"any-llm\"\nservice = \"llm\"\ngroups = [{ group = \"engines\" }]\n"
+         "[[selector]]\nname = \"any-letter\"\nservice = \"letters\"\n"
+         "groups = [{ group = \"sites\" }]\n"
+         "[[account]]\nname = \"parish\"\nkey_hashes = [" +
+         quoted(keyHash(CallerKey)) +
+         "]\n[limits]\nretry_percent = 100\nmax_queued = " + std::to_string(MaxQueued) + "\n";
+}
+
+bool running_system::declare(int MaxQueued) {
+  const auto Answer =
+      Control.change("declare-" + std::to_string(Revision), Revision, declarationWith(MaxQueued));
+  if (Answer.Status != Ok)
+    return false;
+  ++Revision;
+  return true;
+}
+
+std::string running_system::addressFile(std::size_t Index) const {
+  return Folder.path("entry-" + std::to_string(Index) + ".json");
+}
+
+std::string running_system::entrySettings(std::size_t Index) const {
+  const entry_process &Entry = Entries[Index];
+  std::vector<std::string> Seeds;
+  std::vector<std::string> Peers;
+  for (const entry_process &Other : Entries) {
+    Seeds.push_back(Other.Gossip);
+    Peers.push_back(Other.Announcements);
+  }
+  return "[host]\nname = " + quoted("entry-" + std::to_string(Index)) +
+         "\nfailure_domain = " + quoted("domain-" + std::to_string(Index + 1)) +
+         "\n[fleet]\nname = " + quoted(control_cluster::fleet()) +
+         "\nkey_file = " + quoted(Folder.path("fleet.key")) +
+         "\n[operators]\nkey_hash = " + quoted(keyHash(control_cluster::operatorKey())) +
+         "\n[listen]\ncallers = " + quoted(Entry.Callers) +
+         "\noperators = " + quoted(Entry.Operators) +
+         "\nannouncements = " + quoted(Entry.Announcements) + "\ngossip = " + quoted(Entry.Gossip) +
+         "\naddress_file = " + quoted(addressFile(Index)) + "\n[gossip]\nseeds = " + listOf(Seeds) +
+         "\n[announcements]\npeers = " + listOf(Peers) +
+         "\n[control]\naddresses = " + listOf(Control.entryAddresses()) + "\n";
+}
+
+void running_system::startEntry(std::size_t Index) {
+  const std::string File = addressFile(Index);
+  std::filesystem::remove(File);
+  entry_process &Entry = Entries.at(Index);
+  Entry.Process = child_process::withSettings("pollenstall-entry", entrySettings(Index));
+  const bool Started = eventually([&File] { return !readFile(File).empty(); });
+  requireInvariant(Started, "the entry starts", [&Entry] {
+    std::string Text;
+    for (const std::string &Line : Entry.Process->errorLines())
+      Text += Line + "\n";
+    return Text;
+  });
+}
+
+void running_system::killEntry(std::size_t Index) {
+  entry(Index).kill();
+  (void)entry(Index).wait();
+}
+
+std::string running_system::engineTop() const {
+  return "service = \"llm\"\nmodels = [\"m\"]\n" + Plan.EngineTop;
+}
+
+std::string running_system::backendSettings(const std::string &Top,
+                                            const std::string &Tables) const {
+  std::vector<std::string> To;
+  for (const entry_process &Entry : Entries)
+    To.push_back(Entry.Announcements);
+  return "fleet = " + quoted(control_cluster::fleet()) + "\n" + Top +
+         "[announce]\nto = " + listOf(To) + "\nkey_file = " + quoted(Folder.path("fleet.key")) +
+         "\ninterval_ms = 100\n" + Tables;
+}
+
+void running_system::restartEngine(std::size_t Index) {
+  const std::string Listen = "listen.address = " + quoted(engine(Index).address()) + "\n";
+  Engines.at(Index).reset();
+  Engines.at(Index) =
+      std::make_unique<backend_process>(backendSettings(engineTop() + Listen, Plan.EngineTables));
+}
+
+http_client running_system::caller(std::size_t Entry) const {
+  return http_client(Entries.at(Entry).Callers);
+}
+
+http_client running_system::operators(std::size_t Entry) const {
+  return http_client(Entries.at(Entry).Operators);
+}
+
+bool running_system::ready(std::size_t Entry) const {
+  return operators(Entry).get("/readyz").Status == Ok;
+}
+
+bool running_system::allReady() const {
+  for (std::size_t Entry = 0; Entry < EntryCount; ++Entry)
+    if (!ready(Entry) || revisionInUse(Entry) < Revision ||
+        lengthAt(dump(Entry), "/decisions/scheduling/backends") <
+            Engines.size() + PlainServers.size())
+      return false;
+  return true;
+}
+
+boost::json::value running_system::dump(std::size_t Entry) const {
+  return operators(Entry)
+      .get("/dump", {{"Authorization", bearer(control_cluster::operatorKey())}})
+      .json();
+}
+
+std::uint64_t running_system::revisionInUse(std::size_t Entry) const {
+  const std::string Name = "pollenstall_declaration_revision ";
+  std::istringstream Lines(operators(Entry).get("/metrics").Body);
+  for (std::string Line; std::getline(Lines, Line);)
+    if (Line.starts_with(Name))
+      return static_cast<std::uint64_t>(std::stod(Line.substr(Name.size())));
+  return 0;
+}
+
+std::size_t running_system::abandoned(std::size_t Entry) const {
+  return lengthAt(dump(Entry), "/decisions/dispatch/abandoned");
+}
+
+http_answer running_system::send(std::size_t Entry, const std::string &Key) const {
+  return caller(Entry).post("/send/letter", "to every subscriber",
+                            asCaller({{"Idempotency-Key", Key}}));
+}
+
+std::future<http_answer> running_system::sendLater(std::size_t Entry,
+                                                   const std::string &Key) const {
+  return std::async(std::launch::async, [this, Entry, Key] { return send(Entry, Key); });
+}
+
+std::int64_t running_system::startsByKey(const std::string &Key) const {
+  std::int64_t Starts = 0;
+  for (const auto &Server : PlainServers)
+    Starts += Server->startsByKey(Key);
+  return Starts;
+}
+
+std::size_t running_system::waitForStart(const std::string &Key) const {
+  std::size_t Found = 0;
+  const bool Started = eventually([&] {
+    for (Found = 0; Found < PlainServers.size(); ++Found)
+      if (PlainServers[Found]->startsByKey(Key) > 0)
+        return true;
+    return false;
+  });
+  EXPECT_TRUE(Started) << Key;
+  return Started ? Found : 0;
+}
+
+bool running_system::plainFaults(const std::string &Json) const {
+  return std::all_of(PlainServers.begin(), PlainServers.end(),
+                     [&Json](const auto &Server) { return Server->faults(Json); });
+}
+
+http_answer running_system::chat(std::size_t Entry, const std::string &Prompt, int AnswerTokens,
+                                 http_headers More) const {
+  return caller(Entry).post("/v1/chat/completions", chatBody("m", Prompt, false, AnswerTokens),
+                            asCaller(std::move(More)));
+}
+
+std::unique_ptr<http_stream> running_system::stream(std::size_t Entry, const std::string &Prompt,
+                                                    int AnswerTokens, http_headers More) const {
+  return std::make_unique<http_stream>(Entries.at(Entry).Callers, "POST", "/v1/chat/completions",
+                                       chatBody("m", Prompt, true, AnswerTokens),
+                                       asCaller(std::move(More)));
+}
+
+std::size_t running_system::busyEngine() const {
+  std::size_t Busy = 0;
+  const bool Found = eventually([&] {
+    for (Busy = 0; Busy < Engines.size(); ++Busy)
+      if (Engines[Busy]->stat("running") > 0)
+        return true;
+    return false;
+  });
+  EXPECT_TRUE(Found) << "no engine runs anything";
+  return Found ? Busy : 0;
+}
+
+bool running_system::memoryAtRest() const {
+  for (const auto &Engine : Engines)
+    if (Engine->stat("used_blocks") != 0 || Engine->stat("running") != 0 ||
+        Engine->stat("waiting") != 0)
+      return false;
+  for (std::size_t Entry = 0; Entry < EntryCount; ++Entry)
+    if (abandoned(Entry) != 0 || lengthAt(dump(Entry), "/decisions/dispatch/requests") != 0)
+      return false;
+  return true;
+}
+
+int running_system::ctl(std::vector<std::string> Words) const {
+  std::string Urls;
+  for (std::size_t Host = 0; Host < Control.size(); ++Host)
+    Urls += (Host == 0 ? "http://" : ",http://") + Control.operatorAddress(Host);
+  std::vector<std::string> Arguments{"--control", Urls, "--key-file", Folder.path("operator.key")};
+  Arguments.insert(Arguments.end(), Words.begin(), Words.end());
+  child_process Tool("pollenstallctl", std::move(Arguments));
+  return Tool.wait().value_or(-1);
+}
+
+} // namespace pollenstall
