System tests: repeatable work completes elsewhere; leaving stops new work and cuts nothing

Twelve stories on three control hosts, three entries and two engines and plain servers each, all real processes.

--- /dev/null
+++ b/tests/system/completion_test.cpp
@@ -0,0 +1,139 @@
+/** @file completion_test.cpp Work that may be repeated, and what must never reach its caller. */
+#include "running_system_base.h"
+
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+std::string contentOf(const http_answer &Answer) {
+  const boost::json::value Body = Answer.json();
+  boost::json::error_code Code;
+  const boost::json::value *Text = Body.find_pointer("/choices/0/message/content", Code);
+  return Text && Text->is_string() ? std::string(Text->get_string()) : std::string();
+}
+
+bool endsInError(const std::vector<sse_event> &Events) {
+  return !Events.empty() && Events.back().Data.find("\"outcome\":\"unknown\"") != std::string::npos;
+}
+
+class WorkThatMayBeRepeated : public testing::Test {
+protected:
+  explicit WorkThatMayBeRepeated(const system_plan &Plan = {}) : System(Plan) {}
+
+  bool engineFaults(const std::string &Json) {
+    for (std::size_t Index = 0; Index < System.engines(); ++Index)
+      if (!System.engine(Index).faults(Json))
+        return false;
+    return true;
+  }
+
+  running_system System;
+};
+
+TEST_F(WorkThatMayBeRepeated, CompletesElsewhereWhenItsEngineDies) {
+  // The engine is killed after it took the question and before it answered. No answer byte has
+  // reached the caller, and running the question twice does no harm: it is asked elsewhere, and
+  // the caller sees one whole answer.
+  ASSERT_TRUE(engineFaults(R"({"late_ms":600000})"));
+  auto Asked = std::async(std::launch::async, [this] { return System.chat(0, "a question", 3); });
+  const std::size_t Busy = System.busyEngine();
+  ASSERT_TRUE(System.engine(1 - Busy).faults(R"({"late_ms":0})"));
+  System.engine(Busy).process().kill();
+  const http_answer Answer = Asked.get();
+  EXPECT_TRUE(Answer.ok()) << Answer.Error << Answer.Body;
+  EXPECT_EQ(System.engine(1 - Busy).stat("starts"), 1);
+}
+
+TEST_F(WorkThatMayBeRepeated, CompletesElsewhereWhenEnginesDeclineOrRefuse) {
+  // One engine declines each question that comes, then its port is closed, while its
+  // announcements go on: every question is answered by the other one.
+  ASSERT_TRUE(System.engine(0).faults(R"({"decline_next":3})"));
+  for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry)
+    EXPECT_TRUE(System.chat(Entry, "declined " + std::to_string(Entry)).ok());
+  ASSERT_TRUE(System.engine(0).faults(R"({"refuse_connections":true})"));
+  for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry) {
+    const http_answer Answer = System.chat(Entry, "refused " + std::to_string(Entry));
+    EXPECT_TRUE(Answer.ok()) << Answer.Body;
+  }
+}
+
+TEST_F(WorkThatMayBeRepeated, IsNeverAnsweredWithTheAnswerOfAnotherAttempt) {
+  // Many callers ask at once while engines answer under other attempts' names, as answers do that
+  // come late on crossed connections. Each caller gets the answer to its own question or a
+  // truthful failure, never another's.
+  constexpr int Callers = 16;
+  const auto Question = [](int Caller) { return "question of caller " + std::to_string(Caller); };
+  std::vector<std::string> Expected;
+  for (int Caller = 0; Caller < Callers; ++Caller)
+    Expected.push_back(contentOf(System.chat(0, Question(Caller), 4)));
+  ASSERT_TRUE(engineFaults(R"({"wrong_attempt_next":4})"));
+  std::vector<std::future<http_answer>> Asked;
+  for (int Caller = 0; Caller < Callers; ++Caller)
+    Asked.push_back(std::async(std::launch::async, [this, Caller, &Question] {
+      return System.chat(static_cast<std::size_t>(Caller) % 3, Question(Caller), 4);
+    }));
+  int Answered = 0;
+  for (std::size_t Caller = 0; Caller < Asked.size(); ++Caller) {
+    const http_answer Answer = Asked[Caller].get();
+    Answered += Answer.ok() ? 1 : 0;
+    EXPECT_TRUE(Answer.ok() || !outcomeOf(Answer).empty()) << Answer.Error << Answer.Body;
+    if (Answer.ok()) {
+      EXPECT_EQ(contentOf(Answer), Expected[Caller]) << Caller;
+    }
+  }
+  EXPECT_GE(Answered, Callers / 2);
+}
+
+TEST_F(WorkThatMayBeRepeated, GoesOnExactlyWhereItsStreamBroke) {
+  // The connection to the engine breaks after five events; the engine still holds the stream. The
+  // entry asks for the sixth, and the caller reads every event once.
+  ASSERT_TRUE(engineFaults(R"({"cut_after_events":5})"));
+  for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry) {
+    const auto Events = System.stream(Entry, "cut " + std::to_string(Entry), 40)->rest();
+    EXPECT_TRUE(isWhole(Events)) << Events.size();
+  }
+}
+
+class AStreamThatCannotGoOn : public WorkThatMayBeRepeated {
+protected:
+  AStreamThatCannotGoOn()
+      : WorkThatMayBeRepeated(
+            {.EngineTables = "[capabilities]\nresumes = false\n[step]\nbase_us = 5000\n"}) {}
+};
+
+TEST_F(AStreamThatCannotGoOn, NeverLooksWholeAfterACut) {
+  // These engines cannot resume. After a cut the caller reads an error event that says "unknown",
+  // and the HTTP body stays unfinished, so that neither reader takes the part for the whole.
+  ASSERT_TRUE(engineFaults(R"({"cut_after_events":5})"));
+  const auto Stream = System.stream(0, "cut", 40);
+  const auto Events = Stream->rest();
+  EXPECT_TRUE(endsInError(Events));
+  EXPECT_FALSE(isWhole(Events));
+  EXPECT_FALSE(Stream->endedInOrder());
+}
+
+TEST_F(AStreamThatCannotGoOn, NeverLooksWholeAfterItsEngineDied) {
+  // The same where the engine itself is killed while its tokens are on their way.
+  const auto Stream = System.stream(1, "killed", 400);
+  ASSERT_TRUE(Stream->next());
+  System.engine(System.busyEngine()).process().kill();
+  const auto Events = Stream->rest();
+  EXPECT_TRUE(endsInError(Events));
+  EXPECT_FALSE(isWhole(Events));
+  EXPECT_FALSE(Stream->endedInOrder());
+}
+
+TEST_F(AStreamThatCannotGoOn, NeverLooksWholeAfterItsEntryDied) {
+  // The entry is killed: nothing can send an error event, but the body ends without its last chunk
+  // and without its end mark.
+  const auto Stream = System.stream(2, "killed", 400);
+  ASSERT_TRUE(Stream->next());
+  System.killEntry(2);
+  const auto Events = Stream->rest();
+  EXPECT_TRUE(Events.empty() || Events.back().Data != "[DONE]");
+  EXPECT_FALSE(Stream->endedInOrder());
+}
+
+} // namespace
+} // namespace pollenstall
--- /dev/null
+++ b/tests/system/leaving_test.cpp
@@ -0,0 +1,167 @@
+/** @file leaving_test.cpp Engines and entries that leave. */
+#include "running_system_base.h"
+
+#include <gtest/gtest.h>
+
+#include <chrono>
+#include <iostream>
+
+namespace pollenstall {
+namespace {
+
+using std::chrono::steady_clock;
+
+class Leaving : public testing::Test {
+protected:
+  /// What the engine was sent, whether it took it or not.
+  std::int64_t sentTo(std::size_t Engine) {
+    return System.engine(Engine).stat("starts") + System.engine(Engine).stat("declined");
+  }
+
+  /// Asks questions through one entry. @return How many were answered.
+  int ask(std::size_t Entry, int Questions) {
+    int Answered = 0;
+    for (int Question = 0; Question < Questions; ++Question)
+      Answered += System.chat(Entry, "question " + std::to_string(++Asked)).ok() ? 1 : 0;
+    return Answered;
+  }
+
+  void askEverywhere() {
+    constexpr int Questions = 6;
+    for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry)
+      EXPECT_EQ(ask(Entry, Questions), Questions) << Entry;
+  }
+
+  /// Waits until no entry of those named would use the engine, and prints how long it took.
+  void expectKnown(std::size_t Engine, const std::vector<std::size_t> &Entries) {
+    const auto Start = steady_clock::now();
+    const std::string &Address = System.engine(Engine).address();
+    for (const std::size_t Entry : Entries)
+      EXPECT_TRUE(eventually([&] { return !System.takesWork(Entry, Address); })) << Entry;
+    const auto Took = steady_clock::now() - Start;
+    const auto Millis = std::chrono::duration_cast<std::chrono::milliseconds>(Took).count();
+    std::cout << "leaving known at " << Entries.size() << " entries after " << Millis << " ms\n";
+    RecordProperty("known_ms", std::to_string(Millis));
+  }
+
+  running_system System{{.EngineTables = "[step]\nbase_us = 5000\n",
+                         .ServiceLines = "default_timeout_ms = 800000\n"}};
+  std::vector<std::size_t> All{0, 1, 2};
+  int Asked{0};
+};
+
+TEST_F(Leaving, OfAnEngineStopsNewWorkAndCutsNoStream) {
+  // An engine that runs a stream gets SIGTERM. It says so to one entry, and within
+  // seconds no entry sends it anything more, while the stream runs to its end. A question sent
+  // there later would find a process that is about to end.
+  const auto First = System.stream(0, "long", 500);
+  const std::size_t Engine = System.busyEngine();
+  ASSERT_TRUE(First->next());
+  System.engine(Engine).process().terminate();
+  expectKnown(Engine, All);
+  const std::int64_t Sent = sentTo(Engine);
+  askEverywhere();
+  EXPECT_EQ(sentTo(Engine), Sent);
+  EXPECT_EQ(System.engine(Engine).stat("running"), 1) << "the stream ended too early for this test";
+  std::vector<sse_event> Events = First->rest();
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  EXPECT_TRUE(First->endedInOrder());
+  EXPECT_EQ(System.engine(Engine).process().wait(), 0);
+}
+
+TEST_F(Leaving, IsNotForgottenByAnEntryThatWasFrozenWhenTheNewsSpread) {
+  // An entry is stopped, an engine leaves and everybody else learns of it. Questions wait in the
+  // frozen entry's sockets. When it goes on, it knows the engine as active; were it to act on that,
+  // they would be sent to the leaving engine. It must hear the news before it sends anything.
+  const auto Running = System.stream(1, "long", 4'000);
+  const std::size_t Engine = System.busyEngine();
+  ASSERT_TRUE(Running->next());
+  System.entry(0).stop();
+  System.engine(Engine).process().terminate();
+  expectKnown(Engine, {1, 2});
+  const std::int64_t Sent = sentTo(Engine);
+  std::vector<std::future<int>> Waiting;
+  constexpr int Callers = 6;
+  for (int Caller = 0; Caller < Callers; ++Caller)
+    Waiting.push_back(std::async(std::launch::async, [this, Caller] {
+      return System.chat(0, "waiting " + std::to_string(Caller)).Status;
+    }));
+  const auto LeaseIsOver = [this] {
+    const auto Status = System.control().status(System.control().waitForLeader());
+    for (const auto &Entry : Status.at("entries").as_array())
+      if (Entry.at("host") == "entry-0")
+        return Entry.at("lease_ms").to_number<int>() == 0;
+    return true;
+  };
+  EXPECT_TRUE(eventually(LeaseIsOver));
+  System.entry(0).resume();
+  for (auto &Answer : Waiting)
+    (void)Answer.get();
+  EXPECT_TRUE(eventually([this] { return System.ready(0); }));
+  EXPECT_EQ(ask(0, Callers), Callers);
+  EXPECT_EQ(sentTo(Engine), Sent);
+  EXPECT_GT(System.engine(Engine).stat("running"), 0);
+}
+
+TEST_F(Leaving, ByOrderOfAnOperatorHoldsUntilItIsUndone) {
+  // The operator drains an engine that knows nothing of it and goes on announcing itself as active:
+  // no entry sends it new work, its stream ends whole, and undoing it brings the work back.
+  const auto Stream = System.stream(0, "long", 300);
+  const std::size_t Engine = System.busyEngine();
+  const std::string Address = System.engine(Engine).address();
+  ASSERT_TRUE(Stream->next());
+  ASSERT_EQ(System.ctl({"drain", Address}), 0);
+  expectKnown(Engine, All);
+  const std::int64_t Sent = sentTo(Engine);
+  askEverywhere();
+  EXPECT_EQ(sentTo(Engine), Sent);
+  const auto Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  ASSERT_EQ(System.ctl({"drain", Address, "--undo"}), 0);
+  EXPECT_TRUE(eventually([&] {
+    (void)ask(0, 2);
+    return sentTo(Engine) > Sent;
+  }));
+}
+
+TEST_F(Leaving, EndsWithANewLifeAtTheSameAddress) {
+  // The engine leaves, ends and comes back at its address. Leaving belonged to the life that is
+  // over: the new one gets work from every entry.
+  System.engine(0).process().terminate();
+  EXPECT_EQ(System.engine(0).process().wait(), 0);
+  expectKnown(0, All);
+  System.restartEngine(0);
+  for (const std::size_t Entry : All) {
+    const std::string &Address = System.engine(0).address();
+    EXPECT_TRUE(eventually([&] { return System.takesWork(Entry, Address); })) << Entry;
+  }
+  EXPECT_TRUE(eventually([this] {
+    askEverywhere();
+    return System.engine(0).stat("starts") > 0;
+  }));
+}
+
+TEST_F(Leaving, OfAnEntryCutsNoStreamAndRunsNothingNew) {
+  // An entry that serves a stream gets SIGTERM. New calls are told "not run" with Retry-After, the
+  // stream ends whole, and only then does the process end; other entries serve on.
+  const auto Stream = System.stream(0, "long", 300);
+  ASSERT_TRUE(Stream->next());
+  System.entry(0).terminate();
+  ASSERT_TRUE(eventually([this] { return !System.ready(0); }));
+  const http_answer Refused = System.send(0, "late");
+  EXPECT_FALSE(Refused.ok());
+  const http_answer Question = System.chat(0, "too late");
+  EXPECT_EQ(outcomeOf(Question), "not-run") << Question.Error << Question.Body;
+  EXPECT_FALSE(Question.header("Retry-After").empty());
+  EXPECT_EQ(System.startsByKey("late"), 0);
+  EXPECT_EQ(ask(1, 2), 2);
+  const auto Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  EXPECT_TRUE(Stream->endedInOrder());
+  EXPECT_EQ(System.entry(0).wait(), 0);
+}
+
+} // namespace
+} // namespace pollenstall
--- a/tests/system/running_system.cpp
+++ b/tests/system/running_system.cpp
@@ -203,6 +203,26 @@
       .json();
 }
 
+bool running_system::takesWork(std::size_t Entry, const std::string &Backend) const {
+  const boost::json::value State = dump(Entry);
+  boost::json::error_code Code;
+  const boost::json::value *Records = State.find_pointer("/decisions/scheduling/backends", Code);
+  if (!Records || !Records->is_array())
+    return true; // Not known: whoever waits for the news waits on.
+  const auto &List = Records->get_array();
+  return std::any_of(List.begin(), List.end(), [&Backend](const boost::json::value &Record) {
+    const std::string Name(Record.at("backend").as_string());
+    return Name.find(Backend) != std::string::npos && Record.at("standing") == "active";
+  });
+}
+
+bool running_system::inForce(std::uint64_t Number) const {
+  for (std::size_t Entry = 0; Entry < EntryCount; ++Entry)
+    if (!ready(Entry) || revisionInUse(Entry) != Number)
+      return false;
+  return true;
+}
+
 std::uint64_t running_system::revisionInUse(std::size_t Entry) const {
   const std::string Name = "pollenstall_declaration_revision ";
   std::istringstream Lines(operators(Entry).get("/metrics").Body);
--- a/tests/system/running_system_base.h
+++ b/tests/system/running_system_base.h
@@ -50,12 +50,16 @@
   [[nodiscard]] bool allReady() const;
   /// @return What /dump shows.
   [[nodiscard]] boost::json::value dump(std::size_t Entry) const;
+  /// @return Whether the entry's scheduler would give the backend server at the address new work.
+  [[nodiscard]] bool takesWork(std::size_t Entry, const std::string &Backend) const;
   /// @return The revision that the entry uses, by its metrics.
   [[nodiscard]] std::uint64_t revisionInUse(std::size_t Entry) const;
   /// @return How many attempts the entry gave up whose end nobody has confirmed.
   [[nodiscard]] std::size_t abandoned(std::size_t Entry) const;
   /// @return The revision of the last declaration that the system accepted from this object.
   [[nodiscard]] std::uint64_t revision() const { return Revision; }
+  /// @return Whether that revision, and no other, is in use at every entry, which admits requests.
+  [[nodiscard]] bool inForce(std::uint64_t Number) const;
   /// Declares the fleet with a bound that tells the changes apart. @return Whether accepted.
   bool declare(int MaxQueued);
   [[nodiscard]] std::string declarationWith(int MaxQueued) const;
