gossip_service_test: stop a host only after it knows whom to tell

The host that stops was known to the other by its request, but had not read the answer yet, so it knew nobody to tell. Change: the test waits for that as well; what it demands is the same.

--- a/tests/gossip/gossip_service_test.cpp
+++ b/tests/gossip/gossip_service_test.cpp
@@ -94,6 +94,7 @@
   listener A("a", {});
   listener B("b", {A.Service->address()});
   ASSERT_TRUE(A.waitFor([](const listener &Seen) { return Seen.Hosts.count(host_name("b")); }));
+  ASSERT_TRUE(B.waitFor([](const listener &Seen) { return Seen.Hosts.count(host_name("a")); }));
   B.Service->stop();
   EXPECT_TRUE(A.waitFor(
       [](const listener &Seen) { return Seen.Hosts.at(host_name("b")) == host_standing::Left; }));
