gossip: read the socket before the timers act

Suspected, not proved: a readiness event that falls between the last read and the next wait is not reported again, and a stopped host sends nothing more. Ruled out: the test's own race (it waits until both hosts know each other).

--- a/src/gossip/gossip_service.cpp
+++ b/src/gossip/gossip_service.cpp
@@ -99,6 +99,8 @@
   }
 
   void advance() {
+    // Answers that wait in the socket are read before the timers find them overdue.
+    readDatagrams();
     Fleet->advance(boot_clock::now());
     act();
   }
