--- a/tests/storage/data_folder_test.cpp
+++ b/tests/storage/data_folder_test.cpp
@@ -175,6 +175,19 @@
   EXPECT_EQ(Error.Offset, 0U);
 }
 
+// A sector of synced records reads as zeros, as a torn one would. A later record says that this
+// part was synced before it was written itself.
+TEST_F(a_decayed_disk, IsRefusedWhereASyncedSectorReadsAsZeros) {
+  Scratch.writeOnce({writeOf(1, 60)});
+  Scratch.writeOnce({writeOf(61, 61)});
+  {
+    std::fstream File(Scratch.lastSegment(), std::ios::in | std::ios::out | std::ios::binary);
+    File.seekp(512);
+    File << std::string(512, '\0');
+  }
+  refusal<damaged_file>();
+}
+
 TEST_F(a_decayed_disk, IsRefusedByNameInTheLastRecordToo) {
   Scratch.writeOnce({writeOf(1, 3)});
   const auto Size = std::filesystem::file_size(Scratch.lastSegment());
