--- a/tests/consensus/leader_test.cpp
+++ b/tests/consensus/leader_test.cpp
@@ -187,6 +187,9 @@
   }
   ASSERT_TRUE(Replica->snapshotTaken(log_index(4), "state", Now));
   pass(200ms);
+  Replica->propose("x", Now);
+  collect();
+  ack(MemberB, log_index(5));
   Sent.clear();
   for (int Count = 0; Count < 50; ++Count)
     deliver(MemberC, 2, append_reply{true, log_index(2), {}, {}, {}, 1, 0});
