--- /dev/null
+++ b/tests/system/declaration_test.cpp
@@ -0,0 +1,161 @@
+/** @file declaration_test.cpp Accepted changes, from the operator to every entry. */
+#include "running_system_base.h"
+
+#include <gtest/gtest.h>
+
+#include <thread>
+
+namespace pollenstall {
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Conflict = 409;
+
+bool repeatedIn(const http_answer &Answer) {
+  const auto Object = objectIn(Answer);
+  return Object.contains("repeated") && Object.at("repeated").as_bool();
+}
+
+std::uint64_t revisionIn(const http_answer &Answer) {
+  const auto Object = objectIn(Answer);
+  return Object.contains("revision") ? Object.at("revision").to_number<std::uint64_t>() : 0;
+}
+
+class AcceptedChanges : public testing::Test {
+protected:
+  void killAllControl() {
+    for (std::size_t Host = 0; Host < System.control().size(); ++Host)
+      System.control().kill(Host);
+  }
+
+  void startAllControl() {
+    for (std::size_t Host = 0; Host < System.control().size(); ++Host)
+      System.control().start(Host);
+  }
+
+  /// A refusal must say that nothing ran and when to come back.
+  void expectRefused(std::size_t Entry) {
+    const http_answer Refused = System.chat(Entry, "a question");
+    EXPECT_EQ(Refused.Status, 503) << Refused.Error << Refused.Body;
+    EXPECT_EQ(outcomeOf(Refused), "not-run");
+    EXPECT_FALSE(Refused.header("Retry-After").empty());
+  }
+
+  running_system System{{.EngineTables = "[step]\nbase_us = 5000\n", .ServiceLines = ""}};
+};
+
+TEST_F(AcceptedChanges, OfTwoOperatorsAtOnceAreExactlyOneAndInForceEverywhere) {
+  // Two operators read the same revision and send different changes at the same moment. One is
+  // accepted and in force at every entry; the other is told of the conflict, and its content is
+  // used nowhere.
+  for (std::uint64_t Base = System.revision(); Base < System.revision() + 5; ++Base) {
+    http_answer Other;
+    std::thread Second([&] {
+      Other = System.control().change("b" + std::to_string(Base), Base, System.declarationWith(20));
+    });
+    const auto Answer =
+        System.control().change("a" + std::to_string(Base), Base, System.declarationWith(10));
+    Second.join();
+    ASSERT_EQ(Answer.Status + Other.Status, Ok + Conflict) << Base;
+    EXPECT_EQ(revisionIn(Answer), Base + 1);
+    EXPECT_EQ(revisionIn(Other), Base + 1);
+    EXPECT_TRUE(eventually([&] { return System.inForce(Base + 1); })) << Base;
+  }
+}
+
+TEST_F(AcceptedChanges, GetTheFirstAnswerAgainThoughTheLeaderWasKilled) {
+  // The leader accepts a change and is killed before the operator reads the answer. Sent again, the
+  // change gets its first answer, not a conflict with itself, and nothing that came after it is
+  // undone at any entry.
+  const std::uint64_t Base = System.revision();
+  const std::size_t Leader = System.control().waitForLeader();
+  const std::string Text = System.declarationWith(30);
+  ASSERT_EQ(System.control().change("lost", Base, Text).Status, Ok);
+  ASSERT_EQ(System.control().change("later", Base + 1, System.declarationWith(40)).Status, Ok);
+  System.control().kill(Leader);
+  const auto Again = System.control().change("lost", Base, Text);
+  EXPECT_EQ(Again.Status, Ok) << Again.Body;
+  EXPECT_EQ(revisionIn(Again), Base + 1);
+  EXPECT_TRUE(repeatedIn(Again));
+  EXPECT_TRUE(eventually([&] { return System.inForce(Base + 2); }));
+}
+
+TEST_F(AcceptedChanges, AreNotMadeByALeaderThatWasFrozen) {
+  // The leader is stopped until another one has been elected and has accepted a change. When it
+  // goes on it still believes that it leads: a change sent to it must not be accepted, and no entry
+  // may go back. With the two others gone it must not keep the entries ready by itself either.
+  const std::uint64_t Base = System.revision();
+  const std::size_t Old = System.control().waitForLeader();
+  System.control().freeze(Old);
+  const std::size_t New = System.control().waitForLeader(Old);
+  const std::string Body = changeBody("new", Base, System.declarationWith(50));
+  ASSERT_TRUE(
+      eventually([&] { return System.control().post(New, "/v1/changes", Body).Status == Ok; }));
+  EXPECT_TRUE(eventually([&] { return System.inForce(Base + 1); }));
+  System.control().thaw(Old);
+  const auto Answer = System.control().post(Old, "/v1/changes",
+                                            changeBody("old", Base, System.declarationWith(60)));
+  EXPECT_NE(Answer.Status, Ok) << Answer.Body;
+  EXPECT_TRUE(eventually([&] { return System.inForce(Base + 1); }));
+  for (std::size_t Host = 0; Host < System.control().size(); ++Host)
+    if (Host != Old)
+      System.control().kill(Host);
+  for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry) {
+    EXPECT_TRUE(eventually([&] { return !System.ready(Entry); })) << Entry;
+    EXPECT_EQ(System.revisionInUse(Entry), Base + 1);
+  }
+  EXPECT_FALSE(System.control().status(Old).at("serving").as_bool());
+}
+
+TEST_F(AcceptedChanges, AreConfirmedByARestartedEntryBeforeItServes) {
+  // An entry is killed, changes pass it by, and it starts while no control host answers. It must
+  // act on nothing that it may remember: it is not ready and runs nothing until it has confirmed
+  // the revision in force in this life.
+  System.killEntry(0);
+  std::uint64_t Last = System.revision();
+  for (int Change = 0; Change < 5; ++Change, ++Last) {
+    const std::string Id = "missed-" + std::to_string(Change);
+    const auto Answer = System.control().change(Id, Last, System.declarationWith(100 + Change));
+    ASSERT_EQ(Answer.Status, Ok) << Answer.Body;
+  }
+  for (std::size_t Host = 0; Host < System.control().size(); ++Host)
+    System.control().freeze(Host);
+  System.startEntry(0);
+  EXPECT_TRUE(eventually([this] { return !System.ready(1) && !System.ready(2); }));
+  EXPECT_FALSE(System.ready(0));
+  EXPECT_EQ(System.revisionInUse(0), 0U);
+  expectRefused(0);
+  for (std::size_t Host = 0; Host < System.control().size(); ++Host)
+    System.control().thaw(Host);
+  ASSERT_TRUE(eventually([this] { return System.ready(0); }));
+  EXPECT_EQ(System.revisionInUse(0), Last);
+  EXPECT_TRUE(eventually([&] { return System.inForce(Last); }));
+}
+
+TEST_F(AcceptedChanges, SurviveTheLossAndReturnOfAllControlHosts) {
+  // All control hosts are killed. When their leases run out the entries refuse new requests as not
+  // run, while the admitted stream ends whole. When the hosts come back the declaration is there
+  // and the entries serve again.
+  const std::uint64_t Base = System.revision();
+  ASSERT_EQ(System.control().change("kept", Base, System.declarationWith(70)).Status, Ok);
+  ASSERT_TRUE(eventually([&] { return System.inForce(Base + 1); }));
+  const auto Stream = System.stream(0, "long", 800);
+  ASSERT_TRUE(Stream->next());
+  killAllControl();
+  for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry) {
+    EXPECT_TRUE(eventually([&] { return !System.ready(Entry); })) << Entry;
+    expectRefused(Entry);
+  }
+  const auto Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  startAllControl();
+  EXPECT_TRUE(eventually([&] { return System.inForce(Base + 1); }));
+  const auto Again = System.control().change("kept", Base, System.declarationWith(70));
+  EXPECT_EQ(Again.Status, Ok);
+  EXPECT_TRUE(repeatedIn(Again));
+  EXPECT_TRUE(System.chat(0, "served again").ok());
+}
+
+} // namespace
+} // namespace pollenstall
