Tests: control hosts and entries listen on a loopback address of the test's own

Six runs of one system test at once: 3 ended with 'Address already in use', since a port that the kernel gave and that is free until its process binds it was given to another test's process. On an address that only this process uses nobody else is given it.

--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -5,6 +5,7 @@
 #include "control_link/control_link.h"
 #include "support/test_support.h"
 
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/json.hpp>
 
 #include <atomic>
@@ -20,7 +21,10 @@
 /// @return The answer as an object; empty where it is none.
 boost::json::object objectIn(const http_answer &Answer);
 
-/// Ports that were free a moment ago.
+/// A loopback address that only this test process listens on.
+boost::asio::ip::address_v4 ownLoopback();
+
+/// Ports of ownLoopback() that were free a moment ago.
 std::vector<std::string> freeAddresses(std::size_t Count);
 
 /// A valid declaration that says which change made it.
