Test support: a started process holds none of the test's sockets

Cause: asio opens sockets without close-on-exec, so an engine started anew held copies of the test's open streams; the test's close of a stream sent nothing, and its entry served on. Ruled out: a request stuck in the entry (its exchange went on to the end, 3,003 events; the caller's side was the one open).

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -28,6 +28,8 @@
   sigprocmask(SIG_SETMASK, &None, nullptr);
   dup2(Output, STDOUT_FILENO);
   dup2(Error, STDERR_FILENO);
+  // Else it would hold copies of the test's sockets, and a peer would not learn of their close.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(Arguments[0], Arguments);
   _exit(ExecFailed);
 }
