--- a/src/scheduling/scheduler_intake.cpp
+++ b/src/scheduling/scheduler_intake.cpp
@@ -48,7 +48,7 @@
 double scheduler::runSeconds(const work_item &Item) const {
   if (Item.Model.empty())
     return 0;
-  const double Prefill = static_cast<double>(Item.Prompt.value()) / Pool.typicalRate();
+  const double Prefill = static_cast<double>(Item.Prompt.value()) / Pool.refusalRate();
   // Most callers name no answer limit, so that a default far beyond any answer stands for it.
   // Counted in full it refuses an idle fleet's plainest requests. The concurrency is held to a pace
   // at which a long answer takes this part of the time allowed, so that no more need be set aside.
