Tell client libraries not to repeat non-idempotent work that may have run

Cause: a call marked X-Pollenstall-Idempotent: false without a key whose engine broke off was answered 502, outcome unknown, as it must be. The openai library repeats 409 and 5xx by default; its second send was a new request to the entry and ran: the caller saw an answer, the engine two runs. Seen in tests/client (the call did not fail). Ruled out: another status (no 5xx is left alone by the library, a 4xx would blame the caller). Change: X-Should-Retry: false, which these libraries read before the status, on every unknown outcome of non-idempotent work, on 409 (a resend meets the same claim) and on too_large_for_fleet.

--- a/src/relay/call_error.cpp
+++ b/src/relay/call_error.cpp
@@ -10,7 +10,7 @@
 namespace {
 
 /// How one reason is told. A caller's client library retries by the status, so that a status that
-/// libraries retry (429, 503) stands only where nothing was run.
+/// every library retries (429, 503) stands only where nothing was run.
 struct reason_row {
   failure_reason Reason;
   std::string_view Code;
@@ -91,6 +91,13 @@
   }
 }
 
+/// Libraries retry 409 and 502 too. Without an idempotency key the second send is a new request
+/// here, and a letter whose first run broke off goes out twice.
+bool isRepeatable(const finish_request &Finish, unsigned Status, bool Idempotent) {
+  const bool RunsTwice = Finish.Outcome == final_outcome::Unknown && !Idempotent;
+  return !RunsTwice && Status != Conflict && Finish.Reason != failure_reason::TooLargeForFleet;
+}
+
 } // namespace
 
 call_error refusal(unsigned Status, std::string Type, std::string Code, std::string Field,
@@ -110,7 +117,7 @@
                  std::move(Message));
 }
 
-call_error errorFor(const finish_request &Finish) {
+call_error errorFor(const finish_request &Finish, bool Idempotent) {
   const reason_row &Row = rowOf(Finish.Reason);
   const unsigned Status =
       Finish.Outcome == final_outcome::NotRun ? Row.NotRunStatus : Row.UnknownStatus;
@@ -121,6 +128,7 @@
   Error.Message = std::string(Row.Message) + std::string(outcomeSentence(Finish.Outcome));
   Error.Outcome = Finish.Outcome;
   Error.RetryAfter = Finish.RetryAfter;
+  Error.Repeatable = isRepeatable(Finish, Status, Idempotent);
   return Error;
 }
 
--- a/src/relay/call_error_func.h
+++ b/src/relay/call_error_func.h
@@ -16,8 +16,11 @@
 call_error refusal(unsigned Status, std::string Type, std::string Code, std::string Field,
                    std::string Message);
 
-/// @return The error that a request's end is told as; see docs/design/relay.md for the table.
-call_error errorFor(const finish_request &Finish);
+/**
+ * @param Idempotent Of the request: whether work that may have run may run again.
+ * @return The error that a request's end is told as; see docs/design/relay.md for the table.
+ */
+call_error errorFor(const finish_request &Finish, bool Idempotent);
 
 /// @return {"error":{...}} as the body of an answer or the data of an error event.
 std::string errorBody(const call_error &Error);
--- a/src/relay/call_error_type.h
+++ b/src/relay/call_error_type.h
@@ -19,6 +19,7 @@
   std::string Message; ///< For people; names the limit where one was passed.
   final_outcome Outcome{final_outcome::NotRun};
   std::optional<std::chrono::seconds> RetryAfter;
+  bool Repeatable{true}; ///< False: a client library must not send the call again by itself.
 };
 
 } // namespace pollenstall
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view OutcomeHeader = "X-Pollenstall-Outcome";
+/// Chat/completions libraries read it before they look at the status.
+constexpr std::string_view ShouldRetryHeader = "X-Should-Retry";
 
 std::chrono::milliseconds since(mono_time Start, mono_time End) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(End - Start);
@@ -41,6 +43,8 @@
   Head.Headers.push_back({std::string(OutcomeHeader), std::string(outcomeText(Error.Outcome))});
   if (Error.RetryAfter)
     Head.Headers.push_back({"Retry-After", std::to_string(Error.RetryAfter->count())});
+  if (!Error.Repeatable)
+    Head.Headers.push_back({std::string(ShouldRetryHeader), "false"});
   if (!RequestId.empty())
     Head.Headers.push_back({"X-Request-Id", RequestId});
   if (Error.Type == "authentication_error")
@@ -82,11 +86,12 @@
   case answer_stage::Ended:
     co_return KeepAlive ? next_step::Go : next_step::Close;
   case answer_stage::None: {
-    const bool Written = co_await writeError(errorFor(Finish), Call.RequestId, !KeepAlive);
+    const bool Written =
+        co_await writeError(errorFor(Finish, Call.Facts.Idempotent), Call.RequestId, !KeepAlive);
     co_return Written &&KeepAlive ? next_step::Go : next_step::Close;
   }
   case answer_stage::Stream:
-    co_await writeErrorEvent(errorFor(Finish));
+    co_await writeErrorEvent(errorFor(Finish, Call.Facts.Idempotent));
     co_return next_step::CloseAfterDrain;
   default:
     // Part of an answer of known length is there already: only a reset says that it is cut.
--- a/tests/relay/call_error_test.cpp
+++ b/tests/relay/call_error_test.cpp
@@ -25,15 +25,29 @@
 /// Client libraries retry 429 and 503 by themselves; that must not repeat work that may have run.
 TEST(CallError, InvitesARetryOnlyWhereNothingWasRun) {
   for (const failure_reason Reason : reasons()) {
-    const call_error Error = errorFor({request_number(1), final_outcome::Unknown, Reason, {}});
+    const call_error Error =
+        errorFor({request_number(1), final_outcome::Unknown, Reason, {}}, true);
     EXPECT_NE(Error.Status, 429U) << Error.Code;
     EXPECT_NE(Error.Status, 503U) << Error.Code;
   }
 }
 
+/// Libraries retry 409 and 5xx too, also those of a call that may have run and must not run twice.
+TEST(CallError, ForbidsLibrariesToRepeatNonIdempotentWorkThatMayHaveRun) {
+  for (const failure_reason Reason : reasons()) {
+    const finish_request MayHaveRun{request_number(1), final_outcome::Unknown, Reason, {}};
+    EXPECT_FALSE(errorFor(MayHaveRun, false).Repeatable) << reasonText(Reason);
+    const finish_request NotRun{request_number(1), final_outcome::NotRun, Reason, {}};
+    EXPECT_EQ(errorFor(NotRun, false).Repeatable, errorFor(NotRun, true).Repeatable);
+  }
+  const finish_request Refused{
+      request_number(1), final_outcome::NotRun, failure_reason::QueueFull, {}};
+  EXPECT_TRUE(errorFor(Refused, false).Repeatable);
+}
+
 TEST(CallError, SaysTheOutcomeInTheBody) {
   const call_error Error =
-      errorFor({request_number(1), final_outcome::NotRun, failure_reason::QueueFull, {}});
+      errorFor({request_number(1), final_outcome::NotRun, failure_reason::QueueFull, {}}, true);
   const boost::json::value Body = boost::json::parse(errorBody(Error));
   EXPECT_EQ(Body.at("error").at("outcome"), "not-run");
   EXPECT_EQ(Body.at("error").at("code"), "queue_full");
