--- a/tests/client/client_library.test.mjs
+++ b/tests/client/client_library.test.mjs
@@ -1,14 +1,14 @@
 /** @file client_library.test.mjs An unmodified chat/completions library, told only base URL and key. */
 import assert from "node:assert/strict";
-import { spawn } from "node:child_process";
+import { execFile, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdtemp, rm } from "node:fs/promises";
-import { createServer } from "node:http";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { createInterface } from "node:readline";
-import { after, before, describe, it } from "node:test";
+import { after, afterEach, before, describe, it } from "node:test";
 import { fileURLToPath } from "node:url";
+import { promisify } from "node:util";
 
 import OpenAI from "openai";
 
@@ -16,6 +16,8 @@
 const ANSWER_TOKENS = 6;
 /** The declaration's max_prompt_tokens is 1,000,000; at four bytes a token this is past it. */
 const TOO_LONG_BYTES = 4_800_000;
+const WAIT_LIMIT_MS = 20_000;
+const POLL_MS = 50;
 
 let folder;
 let system;
@@ -84,6 +86,36 @@
   }
 }
 
+async function operate(...words) {
+  const [program, ...options] = endpoints.ctl.split(" ");
+  await promisify(execFile)(program, [...options, ...words]);
+}
+
+/** Why the entry refuses a call now, or nothing where it answers. */
+async function refusalOf(entry) {
+  try {
+    await clientOf(entry, { maxRetries: 0 }).chat.completions.create(chat("x", { max_tokens: 1 }));
+  } catch (error) {
+    return error.code;
+  }
+  return undefined;
+}
+
+/** Calls that the entry has answered with "no_backend". */
+async function refusals(entry) {
+  const text = await (await fetch(`${entry.operator_url}/metrics`)).text();
+  const line = text.split("\n").find((one) => one.startsWith("pollenstall_requests_total") && one.includes("no_backend"));
+  return line ? Number(line.split(" ").at(-1)) : 0;
+}
+
+async function waitFor(condition) {
+  const end = Date.now() + WAIT_LIMIT_MS;
+  while (!(await condition())) {
+    assert.ok(Date.now() < end, `waited in vain for ${condition}`);
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
 describe("a client library that is told base URL and key", () => {
   describe("asks what there is", () => {
     it("lists the declared models", async () => {
@@ -221,4 +253,77 @@
       assert.equal(answer.usage.completion_tokens, ANSWER_TOKENS);
     });
   });
+
+  describe("meets a failure", () => {
+    // A fault strikes one engine; the other keeps it armed.
+    afterEach(() => setFaults({ error_next: 0, half_answer_next: 0, cut_after_events: null }));
+
+    // The caller sees one late answer and no error. The only engine of its group is drained, so the
+    // entry refuses the call as not run, with Retry-After; the library waits for so long and sends
+    // it again by itself, when the engine is back. Nothing ran before, so this is right to repeat.
+    it("repeats a call that was not run, after Retry-After", async () => {
+      const address = engines()[0].url.replace("http://", "");
+      await operate("drain", address);
+      await waitFor(async () => (await refusalOf(endpoints.entries[0])) === "no_backend");
+      const refused = await refusals(endpoints.entries[0]);
+      const call = clientOf(endpoints.entries[0]).chat.completions.create(chat("Once it is back."));
+      await waitFor(async () => (await refusals(endpoints.entries[0])) > refused);
+      await operate("drain", address, "--undo");
+      assert.equal((await call).usage.completion_tokens, ANSWER_TOKENS);
+    });
+
+    // The caller sees an error that says "unknown". The engine starts the work and breaks off; the
+    // entry may not repeat a call that is marked as non-idempotent, and answers 502. The library
+    // repeats a 502 by default, and without a key nothing tells its second send from a new call:
+    // the entry has to tell the library not to.
+    it("does not repeat a non-idempotent call that may have run", async () => {
+      const client = clientOf(endpoints.entries[0], { defaultHeaders: { "X-Pollenstall-Idempotent": "false" } });
+      await setFaults({ error_next: 1 });
+      const before = await engineStarts();
+      const error = await failureOf(client.chat.completions.create(chat("Send the letter.")));
+      assert.equal(error.error?.outcome, "unknown", String(error));
+      assert.equal((await engineStarts()) - before, 1);
+    });
+
+    // The caller sees an error in the midst of its deltas. The engine breaks the stream off and can't
+    // resume it; a cut must not look like an end, and what was read must not be read twice.
+    it("is told of a broken stream by an error, never by an end", async () => {
+      await setFaults({ cut_after_events: 3 });
+      const before = await engineStarts();
+      const stream = await clientOf(endpoints.entries[0]).chat.completions.create(chat("x", { stream: true }));
+      let deltas = 0;
+      const error = await failureOf(
+        (async () => {
+          for await (const chunk of stream) deltas += chunk.choices[0]?.delta?.content ? 1 : 0;
+        })(),
+      );
+      assert.ok(error instanceof OpenAI.APIError, String(error));
+      assert.equal(error.error?.outcome, "unknown", String(error));
+      assert.ok(deltas < ANSWER_TOKENS, `${deltas} deltas`);
+      assert.equal((await engineStarts()) - before, 1);
+    });
+
+    // The caller sees a failing read, or the answer. The engine breaks a whole answer off in its
+    // middle; half a body must not be taken for an answer, and a marked call must not run again.
+    it("never takes half an answer for a whole one", async () => {
+      const client = clientOf(endpoints.entries[0], { defaultHeaders: { "X-Pollenstall-Idempotent": "false" } });
+      await setFaults({ half_answer_next: 1 });
+      const before = await engineStarts();
+      await failureOf(client.chat.completions.create(chat("Send the letter.")));
+      assert.equal((await engineStarts()) - before, 1);
+    });
+
+    // The caller sees a conflict. The first send's end is unknown; the caller's own resend carries
+    // the same key, goes through the other entry, meets the claim and is not run.
+    it("is told of a conflict when it resends a key through another entry", async () => {
+      const options = { headers: { "X-Pollenstall-Idempotent": "false", "Idempotency-Key": "letter-7" } };
+      await setFaults({ error_next: 1 });
+      const before = await engineStarts();
+      await failureOf(clientOf(endpoints.entries[0]).chat.completions.create(chat("Send it."), options));
+      const error = await failureOf(clientOf(endpoints.entries[1]).chat.completions.create(chat("Send it."), options));
+      assert.ok(error instanceof OpenAI.ConflictError, String(error));
+      assert.equal(error.code, "already_running");
+      assert.equal((await engineStarts()) - before, 1);
+    });
+  });
 });
