--- a/cmake/pollenstall.cmake
+++ b/cmake/pollenstall.cmake
@@ -41,12 +41,19 @@
   set_target_properties(${Name} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 endfunction()
 
+# How many times longer ctest waits for a test that is built with a sanitizer.
+set(POLLENSTALL_SANITIZE_TIMEOUT_FACTOR 5)
+
 # pollenstall_test(NAME [DEPENDS target...] [TIMEOUT seconds]): every *_test.cpp of the folder, one ctest entry.
 function(pollenstall_test Name)
   cmake_parse_arguments(Arg "" "TIMEOUT" "DEPENDS" ${ARGN})
   if(NOT Arg_TIMEOUT)
     set(Arg_TIMEOUT 300)
   endif()
+  # Instrumented code is several times slower; the limit only ends a test that hangs.
+  if(POLLENSTALL_SANITIZE)
+    math(EXPR Arg_TIMEOUT "${Arg_TIMEOUT} * ${POLLENSTALL_SANITIZE_TIMEOUT_FACTOR}")
+  endif()
   file(GLOB Sources CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/*.cpp)
   add_executable(${Name} ${Sources})
   pollenstall_options(${Name})
