--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -18,7 +18,7 @@
 /// What the policy is tuned by beyond what operators declare. Seconds unless said otherwise.
 struct scheduler_tuning {
   /// Work that runs first on an engine, beyond which a class waits at the entry instead.
-  std::array<double, LengthClasses> SlotSeconds{0.5, 0.5, 4.0};
+  std::array<double, LengthClasses> SlotSeconds{0.25, 0.5, 4.0};
   /// Waits that count as equally long when classes compete: the class with the greatest wait
   /// over patience goes first, so that each class starts in the end.
   std::array<double, LengthClasses> Patience{1.0, 8.0, 32.0};
@@ -28,7 +28,7 @@
   /// The fleet counts as full for this long after the limit of requests at once held work back.
   mono_span FullFor{std::chrono::seconds(10)};
   /// Weight of a slower answer against a later first token, second for second.
-  double AnswerWeight{0.1};
+  double AnswerWeight{0.05};
   /// Part of its time limit that a request's answer may take.
   double AnswerPart{0.75};
   /// Part of the limit of requests at once that each class may fill, so that shorter work finds
