--- a/bench/policy/summary.cpp
+++ b/bench/policy/summary.cpp
@@ -2,6 +2,7 @@
 #include "summary_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace pollenstall::bench {
@@ -13,7 +14,7 @@
   if (Sorted.empty())
     return 0;
   const auto Last = static_cast<double>(Sorted.size() - 1);
-  return Sorted[static_cast<std::size_t>(Last * Part + 0.5)];
+  return Sorted[static_cast<std::size_t>(std::lround(Last * Part))];
 }
 
 class_summary summarise(const std::vector<sim_record> &Records, length_class Class) {
