--- a/bench/policy/summary.cpp
+++ b/bench/policy/summary.cpp
@@ -2,6 +2,7 @@
 #include "summary_func.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace pollenstall::bench {
