--- a/tests/gossip/gossip_service_test.cpp
+++ b/tests/gossip/gossip_service_test.cpp
@@ -33,6 +33,11 @@
     Service->start();
   }
 
+  /// The thread writes to the members below, which are destroyed before the service.
+  ~listener() { Service->stop(); }
+  listener(const listener &) = delete;
+  listener &operator=(const listener &) = delete;
+
   /// Waits until the condition on what was told holds. @return Whether it did within 20 s.
   template <typename Condition> bool waitFor(Condition Holds) {
     std::unique_lock<std::mutex> Lock(Mutex);
@@ -89,6 +94,7 @@
   listener A("a", {});
   listener B("b", {A.Service->address()});
   ASSERT_TRUE(A.waitFor([](const listener &Seen) { return Seen.Hosts.count(host_name("b")); }));
+  ASSERT_TRUE(B.waitFor([](const listener &Seen) { return Seen.Hosts.count(host_name("a")); }));
   B.Service->stop();
   EXPECT_TRUE(A.waitFor(
       [](const listener &Seen) { return Seen.Hosts.at(host_name("b")) == host_standing::Left; }));
