--- a/programs/pollenstallctl/ctl_options.cpp
+++ b/programs/pollenstallctl/ctl_options.cpp
@@ -36,6 +36,7 @@
   TokensOption,
   HeaderOption,
   FileOption,
+  ManualOption,
   VersionOption,
   HelpOption
 };
@@ -78,6 +79,7 @@
       textOption("tokens", TokensOption, "explain: length of the prompt", "N"),
       textOption("header", HeaderOption, "explain: a header, may be repeated", "NAME=VALUE"),
       textOption("file", FileOption, "explain: a file instead of what is in force", "FILE"),
+      flagOption("manual", ManualOption, "print every setting and stop"),
       {"version", 'V', POPT_ARG_NONE, nullptr, VersionOption, "print the version and stop",
        nullptr},
       {"help", 'h', POPT_ARG_NONE, nullptr, HelpOption, "print this page and stop", nullptr},
@@ -209,6 +211,12 @@
   poptPrintHelp(Context, stdout, 0);
 }
 
+void printManual() {
+  for (const auto &Row : ctlSettingsTable().rows())
+    std::cout << "| `" << Row.Key << "` | " << Row.Allowed << " | " << Row.Default << " | "
+              << Row.Meaning << " |\n";
+}
+
 /// The value of the option that popt read last; popt hands the copy over.
 std::string takeValue(poptContext Context) {
   char *Value = poptGetOptArg(Context);
@@ -225,6 +233,10 @@
       printHelp(Context);
       return ctl_exit::Ok;
     }
+    if (Option == ManualOption) {
+      printManual();
+      return ctl_exit::Ok;
+    }
     if (Option == VersionOption) {
       std::cout << "pollenstallctl " << POLLENSTALL_VERSION << "\n";
       return ctl_exit::Ok;
--- a/src/load/load_options.cpp
+++ b/src/load/load_options.cpp
@@ -21,6 +21,7 @@
 enum option_value : int {
   HelpOption = 1,
   VersionOption,
+  ManualOption,
   CheckOption,
   ConfigOption,
   FirstText, ///< Options whose value is a text.
@@ -108,6 +109,8 @@
   std::vector<poptOption> Table{
       {"config", 'c', POPT_ARG_STRING, nullptr, ConfigOption, "settings, in TOML", "FILE"},
       {"check", '\0', POPT_ARG_NONE, nullptr, CheckOption, "check the settings and stop", nullptr},
+      {"manual", '\0', POPT_ARG_NONE, nullptr, ManualOption, "print every setting and stop",
+       nullptr},
       {"version", 'V', POPT_ARG_NONE, nullptr, VersionOption, "print the version and stop",
        nullptr},
       {"help", 'h', POPT_ARG_NONE, nullptr, HelpOption, "print this page and stop", nullptr}};
@@ -119,6 +122,13 @@
   return Table;
 }
 
+void printManual() {
+  const settings_table<load_settings> Table = loadSettings();
+  for (const auto &Row : Table.rows())
+    printManualRow(Row.Key, Row.Allowed,
+                   Row.Needed == presence::Required ? "(required)" : Row.Default, Row.Meaning);
+}
+
 result<given_options, exit_code> parseOptions(int Count, const char **Values) {
   const std::vector<poptOption> Table = optionTable();
   const context_holder Context(poptGetContext("pollenstall-load", Count, Values, Table.data(), 0));
@@ -136,6 +146,10 @@
       std::cout << "pollenstall-load " << POLLENSTALL_VERSION << "\n";
       return exit_code::Ok;
     }
+    if (Option == ManualOption) {
+      printManual();
+      return exit_code::Ok;
+    }
     if (Option == CheckOption)
       Given.CheckOnly = true;
     else if (Option == ConfigOption)
