gossip: a dump can no longer hang the stop, nor an announcement race the start

Cause 1: dump() looked whether the thread is joinable while stop() joined it (another thread's object), and what it posted after the thread's last turn was never carried out: the operators' thread waited without end, and with it the process that joins that thread. The promise also stood on the waiter's stack while set_value() was still returning. Cause 2: start() set the announcements' wake hook; the server for announcements listens before that and pushes into the ring. Ruled out: a time limit for dump() alone, which leaves the race and delays every stop by the limit. Change: Running under a mutex, taken where work is posted, so that a dump is queued before the stop or refused; the promise is shared; the hook is set on construction. Result: on the former code, with the thread sanitizer, the first new test did not end within 20 s and the second reported a data race in bounded_ring::push; now gossip_test passes with the thread sanitizer, 12 tests, no report.

--- a/src/gossip/gossip_service.cpp
+++ b/src/gossip/gossip_service.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <future>
+#include <mutex>
 #include <thread>
 
 namespace pollenstall {
@@ -32,7 +33,10 @@
 public:
   explicit duty(gossip_options Chosen)
       : Options(std::move(Chosen)), Socket(Context), Timer(Context),
-        Announcements(AnnouncementRingItems), Changes(ChangeRingItems) {}
+        Announcements(AnnouncementRingItems), Changes(ChangeRingItems) {
+    // Here and not in start(): announcements may come as soon as others can reach the ring.
+    Announcements.onWake([this] { boost::asio::post(Context, [this] { takeAnnouncements(); }); });
+  }
 
   result<done, gossip_error> bind() {
     const auto Endpoint = endpointOf(Options.Bind);
@@ -53,7 +57,6 @@
   }
 
   void start() {
-    Announcements.onWake([this] { boost::asio::post(Context, [this] { takeAnnouncements(); }); });
     Fleet.emplace(Options.Identity, Options.Settings, Options.RandomSeed, boot_clock::now());
     Thread = std::thread([this] {
       takeAnnouncements();
@@ -61,26 +64,37 @@
       waitForDatagram();
       Context.run();
     });
+    const std::lock_guard<std::mutex> Lock(RunningGuard);
+    Running = true;
   }
 
   void stop() {
     if (!Thread.joinable())
       return;
-    boost::asio::post(Context, [this] {
-      Fleet->leave(boot_clock::now());
-      act();
-      Context.stop();
-    });
+    {
+      const std::lock_guard<std::mutex> Lock(RunningGuard);
+      Running = false;
+      boost::asio::post(Context, [this] {
+        Fleet->leave(boot_clock::now());
+        act();
+        Context.stop();
+      });
+    }
     Thread.join();
   }
 
   std::string dump() {
-    if (!Thread.joinable())
-      return {};
-    std::promise<std::string> Promise;
-    std::future<std::string> Future = Promise.get_future();
-    boost::asio::post(Context, [this, &Promise] { Promise.set_value(Fleet->dump()); });
-    return Future.get();
+    // Shared: the waiter may be gone while set_value() still returns.
+    const auto Answer = std::make_shared<std::promise<std::string>>();
+    std::future<std::string> Waiting = Answer->get_future();
+    {
+      // Posted work runs in order, so what is posted while Running is answered before the stop.
+      const std::lock_guard<std::mutex> Lock(RunningGuard);
+      if (!Running)
+        return {};
+      boost::asio::post(Context, [this, Answer] { Answer->set_value(Fleet->dump()); });
+    }
+    return Waiting.get();
   }
 
   bounded_ring<heard_announcement> &announcements() { return Announcements; }
@@ -199,6 +213,8 @@
   peer_address Bound;
   std::optional<fleet_membership> Fleet;
   std::array<char, MaxDatagramBytes + 1> Buffer{};
+  std::mutex RunningGuard; ///< Of Running; stop() and dump() come from different threads.
+  bool Running{false};     ///< Posted work will be carried out.
   std::thread Thread;
 };
 
--- a/src/gossip/gossip_service_base.h
+++ b/src/gossip/gossip_service_base.h
@@ -45,7 +45,7 @@
   /// Tells the fleet that this process stops, then joins the thread.
   void stop();
 
-  /// @return The state as JSON; waits for the thread. Empty where it does not run.
+  /// @return The state as JSON; waits for the thread. Empty where it does not run. From any thread.
   [[nodiscard]] std::string dump();
   [[nodiscard]] const gossip_counters &counters() const;
 
--- a/tests/gossip/gossip_service_test.cpp
+++ b/tests/gossip/gossip_service_test.cpp
@@ -6,9 +6,11 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <mutex>
+#include <thread>
 
 namespace pollenstall {
 namespace {
@@ -132,6 +134,52 @@
   EXPECT_EQ(A.Service->dump().find("\"host\":\"b\""), std::string::npos);
 }
 
+// An operator reads the state while the process stops: the operators' threads ask for dumps without
+// a pause, then stop() is called. A dump that is asked for after the thread's last turn would be
+// waited for without end, and the process with it. Each must be answered or refused.
+TEST(GossipService, AnswersOrRefusesDumpsWhileItStops) {
+  for (int Round = 0; Round < 20; ++Round) {
+    listener A("a", {});
+    std::atomic<int> Answered{0};
+    const auto Ask = [&] {
+      while (!A.Service->dump().empty())
+        ++Answered;
+    };
+    std::thread First(Ask);
+    std::thread Second(Ask);
+    while (Answered < 2)
+      std::this_thread::yield();
+    A.Service->stop();
+    First.join();
+    Second.join();
+    EXPECT_EQ(A.Service->dump(), "");
+  }
+}
+
+// The server for announcements listens before the gossip thread starts. What it pushes by then, and
+// while the thread starts, must neither be lost nor meet a wake hook that is just being set.
+TEST(GossipService, TakesAnnouncementsThatComeBeforeItStarts) {
+  gossip_options Options;
+  Options.Bind = peer_address("127.0.0.1:0");
+  Options.Identity.Self = {host_name("a"), incarnation(1)};
+  auto Created = gossip_service::create(Options);
+  ASSERT_TRUE(succeeded(Created));
+  gossip_service &Service = *valueOf(Created);
+  constexpr std::uint64_t Pushed = 50;
+  std::thread Announcer([&Service] {
+    for (std::uint64_t Sequence = 1; Sequence <= Pushed; ++Sequence) {
+      backend_load Load;
+      Load.Sequence = Sequence;
+      Service.announcements().push({engine(), Load});
+    }
+  });
+  Service.start();
+  Announcer.join();
+  while (Service.dump().find("127.0.0.1:8000") == std::string::npos)
+    std::this_thread::yield();
+  Service.stop();
+}
+
 TEST(GossipService, RefusesAnAddressThatIsNone) {
   gossip_options Options;
   Options.Identity.Self = {host_name("a"), incarnation(1)};
