bounded_ring: the consumer takes the wake flag back by an exchange

Cause: drain() cleared Pending by a plain store. A producer that found the flag still set does not wake; that its item is then seen by the pops that follow is only promised where the clearing reads what the producer wrote. A store reads nothing. Found by reading. Ruled out as a cause of any report: none was seen, and on x86-64 both forms are the same instruction (xchg), so nothing changes there; on a weaker machine a wake-up could be lost. Change: exchange(false, acq_rel).

--- a/src/core/bounded_ring.h
+++ b/src/core/bounded_ring.h
@@ -39,7 +39,9 @@
   /// Consumer's side: handles all that is there. @return How many items were handled.
   template <typename Handler> std::size_t drain(Handler &&Handle) {
     // Cleared before reading: an item pushed after the last pop sets it again and wakes once more.
-    Pending.store(false, std::memory_order_seq_cst);
+    // An exchange, since a plain store orders nothing before it: the push whose wake-up it takes
+    // back must be seen by the pops below.
+    Pending.exchange(false, std::memory_order_acq_rel);
     std::size_t Handled = 0;
     Item Value;
     while (Queue.pop(Value)) {
