--- a/src/order/leader_order_gate.cpp
+++ b/src/order/leader_order_gate.cpp
@@ -42,9 +42,12 @@
   return std::nullopt;
 }
 
-std::optional<gate_refusal> leader_order_gate::refusal(const backend_key &Engine) const {
+std::optional<gate_refusal> leader_order_gate::refusal(const backend_key &Engine,
+                                                       leader_term Planned) const {
   if (const auto Office = officeRefusal())
     return Office;
+  if (Planned != Lease.Term)
+    return gate_refusal::OtherOffice;
   const auto UnderWay = UnderWayUntil.find(Engine);
   if (UnderWay != UnderWayUntil.end() && LastLook < UnderWay->second)
     return gate_refusal::OwnOrderUnderWay;
@@ -53,27 +56,28 @@
   return std::nullopt;
 }
 
-void leader_order_gate::stateRead(const backend_key &Engine, mono_time Asked) {
+bool leader_order_gate::stateRead(const backend_key &Engine, mono_time Asked) {
   // An answer to a question from before the wait's end may not show what the earlier leader did,
   // nor may one from before an own order without an answer had its time.
   const auto UnderWay = UnderWayUntil.find(Engine);
   const bool OwnSettled = UnderWay == UnderWayUntil.end() || Asked >= UnderWay->second;
-  if (Asked >= IssueFrom && OwnSettled && !JumpedAt)
+  const bool Counts = Asked >= IssueFrom && OwnSettled && !JumpedAt;
+  if (Counts)
     Read.insert(Engine);
+  return Counts;
 }
 
-void leader_order_gate::writing(const backend_key &Engine) {
-  requireInvariant(!refusal(Engine), "an order is written only while the gate permits it");
+void leader_order_gate::writing(const backend_key &Engine, leader_term Planned) {
+  requireInvariant(!refusal(Engine, Planned), "an order is written only while the gate permits it");
   // Held until the write has ended, and after that as long as its bytes may be on the way.
   UnderWayUntil[Engine] = mono_time::max();
   Read.erase(Engine);
 }
 
 void leader_order_gate::ended(const backend_key &Engine, order_outcome Outcome) {
-  if (Outcome == order_outcome::Unknown)
-    UnderWayUntil[Engine] = LastLook + Times.LongestUnderWay;
-  else
-    UnderWayUntil.erase(Engine);
+  // Also after an answer: a state that was asked for before it may show what was there before.
+  const bool Answered = Outcome == order_outcome::Done || Outcome == order_outcome::Refused;
+  UnderWayUntil[Engine] = Answered ? LastLook : LastLook + Times.LongestUnderWay;
 }
 
 void leader_order_gate::forget(const backend_key &Engine) {
--- a/src/order/leader_order_gate_base.h
+++ b/src/order/leader_order_gate_base.h
@@ -39,19 +39,22 @@
   /// To be called with the lease at every look at the clock, and right before each write.
   void see(const leader_lease &Lease, mono_time Now);
 
-  /// @return Why no order may be written to the engine now; nothing where one may.
-  [[nodiscard]] std::optional<gate_refusal> refusal(const backend_key &Engine) const;
+  /// @param Planned Term in which the order was planned.
+  /// @return Why the order may not be written to the engine now; nothing where it may.
+  [[nodiscard]] std::optional<gate_refusal> refusal(const backend_key &Engine,
+                                                    leader_term Planned) const;
 
   /// @return Why no order may be written to any engine now; nothing where one may.
   [[nodiscard]] std::optional<gate_refusal> officeRefusal() const;
 
   /// The engine's state arrived. @param Asked When it was asked for, not when it came.
-  void stateRead(const backend_key &Engine, mono_time Asked);
+  /// @return Whether it counts; one that was asked for too early may not show an earlier order.
+  bool stateRead(const backend_key &Engine, mono_time Asked);
 
   /// The next step is the write. Calls without a permission are a broken invariant.
-  void writing(const backend_key &Engine);
+  void writing(const backend_key &Engine, leader_term Planned);
 
-  /// The write's outcome. The engine's state has to be read again in each case.
+  /// The outcome of what writing() announced; the engine's state has to be asked for anew.
   void ended(const backend_key &Engine, order_outcome Outcome);
 
   void forget(const backend_key &Engine);
--- a/src/order/order_planner.cpp
+++ b/src/order/order_planner.cpp
@@ -33,7 +33,8 @@
 
 } // namespace
 
-void order_planner::takeOffice(mono_time Now) {
+void order_planner::takeOffice(fencing_number First, mono_time Now) {
+  OfficeFence = First;
   Engines.clear();
   Counts = {};
   Budget.reset(Now);
@@ -49,18 +50,21 @@
   known_engine &Known = Place->second;
   if (New)
     Known.Since = Now;
-  std::set<model_copy> Loaded = std::move(Known.State.Loaded);
+  const std::set<model_copy> Loaded = std::move(Known.State.Loaded);
+  const fencing_number Fence = Known.State.Fence;
   Known.State = Engine;
-  Known.State.Loaded = std::move(Loaded);
+  Known.State.Loaded = Loaded;
+  Known.State.Fence = Fence;
 }
 
 void order_planner::observed(const backend_key &Engine, std::set<model_copy> Loaded,
-                             mono_time Asked) {
+                             fencing_number Fence, mono_time Asked) {
   const auto Found = Engines.find(Engine);
   if (Found == Engines.end() || Found->second.Busy)
     return; // An answer that crossed an order shows neither the state before nor that after it.
   Found->second.Read = Asked;
   Found->second.State.Loaded = std::move(Loaded);
+  Found->second.State.Fence = Fence;
   for (const model_copy &Copy : Found->second.State.Loaded)
     Budget.end({Engine, order_kind::Load, Copy});
 }
@@ -127,24 +131,41 @@
   return Chosen;
 }
 
-bool order_planner::isReady(const placement &Placement, const engine_list &Chosen,
-                            mono_time Now) const {
-  return !Chosen.empty() &&
-         std::all_of(Chosen.begin(), Chosen.end(), [&](const known_engine *Engine) {
-           return isFresh(*Engine, Now) && !Engine->Busy && holds(Engine->State, Placement.Copy);
-         });
+bool order_planner::mayBeOverruled(const known_engine &Engine) const {
+  // A leader that was stopped right before a write goes on after any time. An engine that has seen
+  // no number of this office yet would still unload its copy then, perhaps the last one left.
+  return Engine.State.Orders == order_check::Fenced && Engine.State.Fence < OfficeFence;
 }
 
-bool order_planner::mayUnload(const placement &Placement, const engine_list &Chosen,
-                              mono_time Now) const {
+order_planner::choice_state order_planner::judge(const placement &Placement,
+                                                 const engine_list &Chosen, mono_time Now) const {
+  choice_state State;
+  for (const known_engine *Engine : Chosen) {
+    if (!isFresh(*Engine, Now) || Engine->Busy || !holds(Engine->State, Placement.Copy))
+      return {};
+    if (mayBeOverruled(*Engine))
+      State.Confirm.push_back({Engine->State.Key, order_kind::Confirm, Placement.Copy});
+  }
+  State.Ready = !Chosen.empty() && State.Confirm.empty();
+  return State;
+}
+
+order_planner::choice_state order_planner::judgeSuccessors(const placement &Placement,
+                                                           const engine_list &Chosen,
+                                                           mono_time Now) const {
   if (Placement.Copies > 0)
-    return isReady(Placement, Chosen, Now);
+    return judge(Placement, Chosen, Now);
   // The model moves to another group or goes for good: its copies there have to be ready first.
-  return std::all_of(Placements.begin(), Placements.end(), [&](const placement &Other) {
-    const bool Successor = Other.Service == Placement.Service &&
-                           Other.Copy.Model == Placement.Copy.Model && Other.Copies > 0;
-    return !Successor || isReady(Other, choose(Other, members(Other), Now), Now);
-  });
+  choice_state All{true, {}};
+  for (const placement &Other : Placements) {
+    if (Other.Service != Placement.Service || Other.Copy.Model != Placement.Copy.Model ||
+        Other.Copies == 0)
+      continue;
+    const choice_state One = judge(Other, choose(Other, members(Other), Now), Now);
+    All.Ready = All.Ready && One.Ready;
+    All.Confirm.insert(All.Confirm.end(), One.Confirm.begin(), One.Confirm.end());
+  }
+  return All;
 }
 
 std::vector<planned_order> order_planner::needed(const placement &Placement, mono_time Now) const {
@@ -156,15 +177,19 @@
   for (const known_engine *Engine : Chosen)
     if (!holds(Engine->State, Placement.Copy))
       Orders.push_back({Engine->State.Key, order_kind::Load, Placement.Copy});
-  if (!mayUnload(Placement, Chosen, Now))
-    return Orders;
+  std::vector<planned_order> Unloads;
   for (const known_engine *Engine : Members) {
     const bool Keeps = std::find(Chosen.begin(), Chosen.end(), Engine) != Chosen.end();
     const bool Orderable = Engine->State.Orders != order_check::None && !Engine->State.Leaving;
     for (const model_copy &Copy : Engine->State.Loaded)
       if (Orderable && Copy.Model == Placement.Copy.Model && !(Keeps && Copy == Placement.Copy))
-        Orders.push_back({Engine->State.Key, order_kind::Unload, Copy});
+        Unloads.push_back({Engine->State.Key, order_kind::Unload, Copy});
   }
+  if (Unloads.empty())
+    return Orders;
+  const choice_state Successors = judgeSuccessors(Placement, Chosen, Now);
+  const std::vector<planned_order> &Next = Successors.Ready ? Unloads : Successors.Confirm;
+  Orders.insert(Orders.end(), Next.begin(), Next.end());
   return Orders;
 }
 
--- a/src/order/order_planner_base.h
+++ b/src/order/order_planner_base.h
@@ -44,7 +44,8 @@
       : Limits(Bounds), Budget(Bounds.Loads) {}
 
   /// A new office: everything has to be observed anew.
-  void takeOffice(mono_time Now);
+  /// @param First A number taken in this office, above all of earlier leaders' orders.
+  void takeOffice(fencing_number First, mono_time Now);
 
   void declare(std::vector<placement> Placements);
 
@@ -52,8 +53,9 @@
   /// is ignored, since announcements lag.
   void announced(const engine_state &Engine, mono_time Now);
 
-  /// An engine's real state was read. @param Asked When it was asked for.
-  void observed(const backend_key &Engine, std::set<model_copy> Loaded, mono_time Asked);
+  /// An engine's real state was read, and the gate counts it. @param Asked When it was asked for.
+  void observed(const backend_key &Engine, std::set<model_copy> Loaded, fencing_number Fence,
+                mono_time Asked);
 
   void forget(const backend_key &Engine);
 
@@ -74,6 +76,11 @@
     bool Busy{false};              ///< An order is being sent.
     std::map<planned_order, mono_time> HeldUntil;
   };
+  /// Engines chosen for a placement, as far as they are ready.
+  struct choice_state {
+    bool Ready{false};                  ///< All hold the copy, and nobody can take it from them.
+    std::vector<planned_order> Confirm; ///< Orders that would make it so.
+  };
   using engine_list = std::vector<const known_engine *>;
 
   [[nodiscard]] const placement *governing(const engine_state &Engine,
@@ -82,10 +89,11 @@
   [[nodiscard]] bool allRead(const engine_list &Members, mono_time Now) const;
   [[nodiscard]] engine_list choose(const placement &Placement, const engine_list &Members,
                                    mono_time Now) const;
-  [[nodiscard]] bool isReady(const placement &Placement, const engine_list &Chosen,
-                             mono_time Now) const;
-  [[nodiscard]] bool mayUnload(const placement &Placement, const engine_list &Chosen,
-                               mono_time Now) const;
+  [[nodiscard]] choice_state judge(const placement &Placement, const engine_list &Chosen,
+                                   mono_time Now) const;
+  [[nodiscard]] choice_state judgeSuccessors(const placement &Placement, const engine_list &Chosen,
+                                             mono_time Now) const;
+  [[nodiscard]] bool mayBeOverruled(const known_engine &Engine) const;
   [[nodiscard]] bool isFresh(const known_engine &Engine, mono_time Now) const;
   [[nodiscard]] std::vector<planned_order> needed(const placement &Placement, mono_time Now) const;
   [[nodiscard]] std::vector<planned_order> allNeeded(mono_time Now) const;
@@ -94,6 +102,7 @@
   load_budget Budget;
   std::vector<placement> Placements;
   std::map<backend_key, known_engine> Engines;
+  fencing_number OfficeFence;
   order_counts Counts;
 };
 
--- a/src/order/order_type.h
+++ b/src/order/order_type.h
@@ -54,7 +54,11 @@
   fencing_number Fence; ///< Highest it has seen; 0 where it does not check.
 };
 
-enum class order_kind : std::uint8_t { Load, Unload };
+enum class order_kind : std::uint8_t {
+  Load,
+  Unload,
+  Confirm, ///< A load of what the engine holds: only raises the fencing number that it has seen.
+};
 
 /// What one engine is to do. Carrying it out twice is the same as once.
 struct planned_order {
@@ -90,6 +94,7 @@
   NoLease,             ///< Not in office, or the lease has run out.
   LeaseTooShort,       ///< The order could still be under way when the lease ends.
   ClockJumped,         ///< The lease was not renewed since the clock jumped.
+  OtherOffice,         ///< The order was planned in an earlier office, from what was true then.
   PredecessorUnderWay, ///< An order of an earlier leader may still arrive.
   StateUnread,         ///< The engine's real state was not read in this office.
   OwnOrderUnderWay,    ///< An earlier order of this leader may still arrive.
--- a/tests/order/order_planner_test.cpp
+++ b/tests/order/order_planner_test.cpp
@@ -13,7 +13,7 @@
 class OrderPlanner : public ::testing::Test {
 protected:
   OrderPlanner() : Planner(limits()) {
-    Planner.takeOffice(at(0));
+    Planner.takeOffice(OfficeFence, at(0));
     for (const engine_state &Engine : {A1, A2, B1})
       Planner.announced(Engine, Time);
   }
@@ -25,7 +25,7 @@
   }
 
   void read(const engine_state &Engine, const std::set<model_copy> &Loaded) {
-    Planner.observed(Engine.Key, Loaded, Time);
+    Planner.observed(Engine.Key, Loaded, OfficeFence, Time);
   }
 
   void readAll(const std::set<model_copy> &InA1, const std::set<model_copy> &InA2,
@@ -47,6 +47,7 @@
     return {Engine.Key, order_kind::Unload, sampleCopy(Version)};
   }
 
+  const fencing_number OfficeFence{10};
   const model_copy V1 = sampleCopy("1");
   const model_copy V2 = sampleCopy("2");
   engine_state A1 = sampleEngine(1, "accra-a");
@@ -94,6 +95,19 @@
   EXPECT_THAT(Planner.plan(Time), UnorderedElementsAre(unload(A1, "1"), unload(B1, "1")));
 }
 
+// A replaced leader was stopped right before it writes an unload to the engine with the new copy.
+// If this leader unloads the others first and the old one goes on, no copy is left. The engine
+// refuses the old order once it has seen a number of this office.
+TEST_F(OrderPlanner, TrustsNoCopyThatAnEarlierLeaderMayStillTakeAway) {
+  Planner.declare({samplePlacement("2", 1)});
+  readAll({V1}, {V2}, {V1});
+  Planner.observed(A2.Key, {V2}, fencing_number(9), Time);
+  EXPECT_THAT(Planner.plan(Time),
+              UnorderedElementsAre(planned_order{A2.Key, order_kind::Confirm, V2}));
+  Planner.observed(A2.Key, {V2}, OfficeFence.next(), Time);
+  EXPECT_THAT(Planner.plan(Time), UnorderedElementsAre(unload(A1, "1"), unload(B1, "1")));
+}
+
 TEST_F(OrderPlanner, ProvesNoCopyReadyByAnOldState) {
   Planner.declare({samplePlacement("2", 2)});
   readAll({V1, V2}, {}, {V2});
@@ -109,7 +123,7 @@
   ASSERT_EQ(First.size(), 2U) << "two at once";
   for (const planned_order &Order : First) {
     carryOut(Order);
-    Planner.observed(Order.Engine, {V1}, Time);
+    Planner.observed(Order.Engine, {V1}, OfficeFence, Time);
   }
   EXPECT_THAT(Planner.plan(Time), IsEmpty()) << "this minute's budget is spent";
   Time += std::chrono::seconds(1);
@@ -118,7 +132,7 @@
 
 // The earlier leader may have begun as many loads as the store takes; nobody can tell the new one.
 TEST_F(OrderPlanner, StartsAnOfficeWithoutBudget) {
-  Planner.takeOffice(Time);
+  Planner.takeOffice(OfficeFence, Time);
   Planner.declare({samplePlacement("1", 1)});
   Planner.announced(A1, Time);
   read(A1, {});
