--- a/src/orphan/orphan_patrol_base.h
+++ b/src/orphan/orphan_patrol_base.h
@@ -17,7 +17,7 @@
   mono_span Interval{std::chrono::seconds(5)}; ///< Between two looks at an engine.
   /**
    * A host must have counted as dead for so long. It may only be cut off from the other hosts and
-   * still be serving; cutting its streams would be truthful ("unknown") but needless.
+   * still be serving; cutting its streams would be right ("unknown") but needless.
    */
   mono_span DeadGrace{std::chrono::seconds(60)};
   /// A host that nobody has told of for so long since its attempt was first seen.
--- a/tests/control/entry_link_test.cpp
+++ b/tests/control/entry_link_test.cpp
@@ -110,12 +110,12 @@
   // resends through another entry, which must not be granted the key by the next leader.
   {
     test_entry First(Cluster.entryAddresses(), "entry-1");
-    ASSERT_EQ(First.claim(7, "parish:letter-1"), claim_verdict::Granted);
+    ASSERT_EQ(First.claim(7, "acme-1:letter-1"), claim_verdict::Granted);
   }
   Cluster.kill(Cluster.waitForLeader());
   test_entry Second(Cluster.entryAddresses(), "entry-2");
-  EXPECT_EQ(Second.claim(1, "parish:letter-1"), claim_verdict::Running);
-  EXPECT_EQ(Second.claim(2, "parish:letter-2"), claim_verdict::Granted);
+  EXPECT_EQ(Second.claim(1, "acme-1:letter-1"), claim_verdict::Running);
+  EXPECT_EQ(Second.claim(2, "acme-1:letter-2"), claim_verdict::Granted);
 }
 
 TEST_F(FollowingEntriesTest, RecordTheEndOfClaimedWorkAcrossAFailover) {
--- a/tests/dispatch/dispatch_story.h
+++ b/tests/dispatch/dispatch_story.h
@@ -59,7 +59,7 @@
   request_facts facts(bool Idempotent, std::string Key = {}, std::uint64_t Number = 1) {
     request_facts Facts;
     Facts.Id = request_number(Number);
-    Facts.Account = client_account_name("parish");
+    Facts.Account = client_account_name("acme-1");
     Facts.Idempotent = Idempotent;
     Facts.IdempotencyKey = std::move(Key);
     Facts.Arrived = Now;
--- a/tests/dispatch/outcome_test.cpp
+++ b/tests/dispatch/outcome_test.cpp
@@ -1,4 +1,4 @@
-/** @file outcome_test.cpp One truthful final answer for each request, whatever its attempt meets.
+/** @file outcome_test.cpp One final answer for each request, whatever its attempt meets.
  */
 #include "dispatch_story.h"
 
--- a/tests/dispatch/random_world.cpp
+++ b/tests/dispatch/random_world.cpp
@@ -178,7 +178,7 @@
   entry_life &Life = Entries.at(Entry);
   request_facts Facts;
   Facts.Id = request_number(Life.NextRequest++);
-  Facts.Account = client_account_name("parish");
+  Facts.Account = client_account_name("acme-1");
   Facts.Idempotent = Works[Work].Idempotent;
   Facts.IdempotencyKey = Works[Work].Key;
   Facts.Arrived = Now;
--- a/tests/dispatch/retry_test.cpp
+++ b/tests/dispatch/retry_test.cpp
@@ -143,7 +143,7 @@
 
 TEST_F(work_under_a_claim, WaitsForTheClaimBeforeAnythingElse) {
   ASSERT_EQ(all<acquire_claim>().size(), 1U);
-  EXPECT_EQ(all<acquire_claim>()[0].Key, "6:parish:letter-7");
+  EXPECT_EQ(all<acquire_claim>()[0].Key, "6:acme-1:letter-7");
   EXPECT_GE(all<acquire_claim>()[0].Lifetime, seconds(60));
   EXPECT_TRUE(Submitted.empty());
   answerClaim(claim_verdict::Granted);
--- a/tests/entry/leaving_caller_test.cpp
+++ b/tests/entry/leaving_caller_test.cpp
@@ -27,8 +27,8 @@
 };
 
 TEST_F(LeavingCaller, MidwayThroughAStreamFreesTheEnginesMemory) {
-  // A coach closes the tablet while tokens arrive. The entry sees the end of the connection, has
-  // the engine end the attempt, and the engine's blocks come back to rest.
+  // A caller closes the connection while tokens arrive. The entry sees the end of the connection,
+  // has the engine end the attempt, and the engine's blocks come back to rest.
   const auto Stream = Fleet.stream("a question", 4'000);
   ASSERT_TRUE(Stream->next());
   waitForWork();
--- a/tests/system/completion_test.cpp
+++ b/tests/system/completion_test.cpp
@@ -61,7 +61,7 @@
 TEST_F(WorkThatMayBeRepeated, IsNeverAnsweredWithTheAnswerOfAnotherAttempt) {
   // Many callers ask at once while engines answer under other attempts' names, as answers do that
   // come late on crossed connections. Each caller gets the answer to its own question or a
-  // truthful failure, never another's.
+  // definite failure, never another's.
   constexpr int Callers = 16;
   const auto Question = [](int Caller) { return "question of caller " + std::to_string(Caller); };
   std::vector<std::string> Expected;
--- a/tests/system/running_system.cpp
+++ b/tests/system/running_system.cpp
@@ -100,7 +100,7 @@
          "[[selector]]\nname = \"any-llm\"\nservice = \"llm\"\ngroups = [{ group = \"engines\" }]\n"
          "[[selector]]\nname = \"any-letter\"\nservice = \"letters\"\n"
          "groups = [{ group = \"sites\" }]\n"
-         "[[account]]\nname = \"parish\"\nkey_hashes = [" +
+         "[[account]]\nname = \"acme-1\"\nkey_hashes = [" +
          quoted(keyHash(CallerKey)) +
          "]\n[limits]\nretry_percent = 100\nmax_queued = " + std::to_string(MaxQueued) + "\n";
 }
