entry: a request that waited while the entry was frozen is judged by the lease first

Cause: a turn of the decision thread took the waiting requests before it looked at the lease, and the relay judged them by the declaration that it was told of before the freeze. Symptom: an operator revoked an account's key, the control hosts said that it was in force, and the entry, continued after its lease, ran requests with that key. Ruled out: views that count as fresh too long (placing waits for them) and a lease that the entry counts longer than the leader (the entry counts from when it asked). Change: requests are taken from the ring, then the clock is read and the lease looked at, then they are admitted or refused; the relay is told the lease's end with the declaration and looks at the clock itself.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -66,15 +66,21 @@
   if (Plan.Fixed)
     useIndex(std::make_shared<const declaration_index>(*Plan.Fixed));
   while (!Stopping) {
-    const mono_time Now = boot_clock::now();
-    turn(Now);
+    turn();
     Gate.sleepFor(untilNextWake(boot_clock::now()));
   }
 }
 
-void decision_thread::turn(mono_time Now) {
-  drainInputs(Now);
+void decision_thread::turn() {
+  drainNews(boot_clock::now());
+  // The clock is read after the requests were taken. Were it the other way round, those that waited
+  // while the process was frozen would be admitted under a declaration whose lease is over, since
+  // they come before the look at the lease. What is taken later waits for the next look.
+  Events.drain([this](dispatch_event &&Event) { Batch.push_back(std::move(Event)); });
+  const mono_time Now = boot_clock::now();
   updateReadiness(Now);
+  for (const dispatch_event &Event : std::exchange(Batch, {}))
+    Seam.take(Event, Now);
   for (dispatch_action &Action : Seam.step(Now))
     carryOut(std::move(Action));
   for (const backend_key &Engine : Seam.enginesToList(Now))
@@ -84,14 +90,13 @@
   answerDumps(Now);
 }
 
-void decision_thread::drainInputs(mono_time Now) {
+void decision_thread::drainNews(mono_time Now) {
   if (Views)
     Views->drain([this, Now](membership_event &&Event) { Seam.take(Event, Now); });
   Superseded = Seam.isSuperseded();
   if (Control)
     Control->drainEvents(
         [this, Now](control_link_event &&Event) { takeControlEvent(std::move(Event), Now); });
-  Events.drain([this, Now](dispatch_event &&Event) { Seam.take(Event, Now); });
   Lists.drain([this, Now](attempts_listed &&Listed) { endOrphans(Listed, Now); });
   const std::lock_guard<std::mutex> Lock(Guard);
   if (ShutdownWanted)
@@ -144,12 +149,18 @@
 void decision_thread::updateReadiness(mono_time Now) {
   const bool Usable =
       declarationUsable(Now) && Now <= Seam.viewsFreshUntil() && !Seam.isSuperseded();
-  if (Usable == Ready && (Announced || !Usable))
+  const mono_time Until = Plan.Fixed ? mono_time::max() : Freshness.leaseEnd();
+  const bool Changed = Usable != Ready || (Usable && !Announced);
+  const bool Extended = Usable && Until != ToldUntil;
+  if (!Changed && !Extended)
+    return;
+  ToldUntil = Until;
+  Outbox.push(declaration_in_force{Usable ? Declaration : nullptr, Until});
+  if (!Changed)
     return;
   Seam.setReady(Usable);
   Ready = Usable;
   Announced = Usable;
-  Outbox.push(declaration_in_force{Usable ? Declaration : nullptr});
   logEvent(log_level::Info, Usable ? "ready" : "unready");
 }
 
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -74,8 +74,8 @@
 
 private:
   void run();
-  void turn(mono_time Now);
-  void drainInputs(mono_time Now);
+  void turn();
+  void drainNews(mono_time Now);
   void takeControlEvent(control_link_event &&Event, mono_time Now);
   void takeDeclaration(const declaration_received &Received);
   void useIndex(declaration_view View);
@@ -89,6 +89,7 @@
 
   decision_plan Plan;
   bounded_ring<dispatch_event> Events;
+  std::vector<dispatch_event> Batch; ///< Taken from the ring in this turn.
   bounded_ring<attempts_listed> Lists;
   bounded_ring<relay_order> Orders;
   event_outbox<relay_order> Outbox;
@@ -99,6 +100,7 @@
   declaration_view Declaration;
   decision_seam Seam;
   bool Announced{false}; ///< The relay was told of the declaration.
+  mono_time ToldUntil{}; ///< End of the lease that the relay was told of.
   std::uint64_t BadDeclarations{0};
 
   std::atomic<bool> Ready{false};
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -82,7 +82,7 @@
   if (Context.Stopping)
     co_return co_await refuse(notNow("shutting_down", "This entry is stopping."), "",
                               next_step::CloseAfterDrain);
-  if (!Context.Declaration)
+  if (!Context.Declaration || boot_clock::now() >= Context.DeclaredUntil)
     co_return co_await refuse(notNow("not_ready", "This entry has no configuration in force."), "",
                               After);
   auto Planned = planCall(Head, Context.Declaration);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -114,7 +114,10 @@
     asio::co_spawn(Context.Io, list(std::move(Order.Backend)), rethrow);
   }
 
-  void on(declaration_in_force &&Order) { Context.Declaration = std::move(Order.View); }
+  void on(declaration_in_force &&Order) {
+    Context.Declaration = std::move(Order.View);
+    Context.DeclaredUntil = Order.Until;
+  }
 
   /// Ends every coroutine, so that none is left whose sockets outlive what they belong to.
   void stop() {
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -34,6 +34,7 @@
   event_outbox<dispatch_event> Outbox;
   random_source Random;
   declaration_view Declaration; ///< Null where new requests are refused.
+  mono_time DeclaredUntil{};    ///< New requests are refused past it.
   token_estimator Tokens;
   std::map<request_number, std::shared_ptr<relayed_call>> Calls; ///< Without a final answer.
   request_number LastRequest;
--- a/src/relay/relay_type.h
+++ b/src/relay/relay_type.h
@@ -33,6 +33,9 @@
 /// The declaration in force; none where this entry may not take new requests.
 struct declaration_in_force {
   declaration_view View;
+  /// End of its lease. The relay thread looks at the clock itself: after a freeze it may run before
+  /// the decision thread has told it that the lease is over.
+  mono_time Until{mono_time::max()};
 };
 
 /// A cancel, with what the relay cannot know of the backend server.
--- a/tests/system/declaration_test.cpp
+++ b/tests/system/declaration_test.cpp
@@ -1,6 +1,8 @@
 /** @file declaration_test.cpp Accepted changes, from the operator to every entry. */
 #include "running_system_base.h"
 
+#include "operators/operators.h"
+
 #include <gtest/gtest.h>
 
 #include <thread>
@@ -132,6 +134,38 @@
   EXPECT_TRUE(eventually([&] { return System.inForce(Last); }));
 }
 
+TEST_F(AcceptedChanges, BindAnEntryThatWasFrozenWhileTheyWereMade) {
+  // An entry is stopped, and the operator takes the account's key away. Requests with that key wait
+  // in the frozen entry's sockets. When it goes on, it remembers a declaration that admits them;
+  // its lease is over, and not one of them may run.
+  System.entry(0).stop();
+  std::string Text = System.declarationWith(110);
+  const std::string Hash = keyHash("caller-key");
+  Text.replace(Text.find(Hash), Hash.size(), keyHash("another-key"));
+  ASSERT_EQ(System.control().change("revoke", System.revision(), Text).Status, Ok);
+  const auto InForce = [this] {
+    const auto Status = System.control().status(System.control().waitForLeader());
+    const boost::json::value *Number = Status.if_contains("in_force_revision");
+    return Number && Number->is_number() &&
+           Number->to_number<std::uint64_t>() == System.revision() + 1;
+  };
+  std::vector<std::future<http_answer>> Waiting;
+  constexpr int Callers = 12;
+  for (int Caller = 0; Caller < Callers; ++Caller)
+    Waiting.push_back(std::async(std::launch::async, [this, Caller] {
+      return System.chat(0, "revoked " + std::to_string(Caller));
+    }));
+  EXPECT_TRUE(eventually(InForce));
+  System.entry(0).resume();
+  for (auto &Waited : Waiting) {
+    const http_answer Answer = Waited.get();
+    EXPECT_NE(Answer.Status, Ok) << "it ran under a declaration that is not in force";
+    EXPECT_EQ(outcomeOf(Answer), "not-run") << Answer.Status << Answer.Error << Answer.Body;
+  }
+  for (std::size_t Index = 0; Index < System.engines(); ++Index)
+    EXPECT_EQ(System.engine(Index).stat("starts"), 0) << Index;
+}
+
 TEST_F(AcceptedChanges, SurviveTheLossAndReturnOfAllControlHosts) {
   // All control hosts are killed. When their leases run out the entries refuse new requests as not
   // run, while the admitted stream ends whole. When the hosts come back the declaration is there
