System tests: streams of a minute, so that no memory comes back by itself

With the patrol for orphans taken out the story of a killed entry still passed: its streams of 9 s ended by themselves within the 20 s of the wait.

--- a/tests/system/memory_test.cpp
+++ b/tests/system/memory_test.cpp
@@ -6,6 +6,9 @@
 namespace pollenstall {
 namespace {
 
+/// A minute's answer: no story waits until it has ended by itself.
+constexpr int EndlessTokens = 20'000;
+
 class EngineMemory : public testing::Test {
 protected:
   using stream_list = std::vector<std::unique_ptr<http_stream>>;
@@ -21,7 +24,7 @@
   stream_list openStreams(std::size_t Entry, int Count) {
     stream_list Streams;
     for (int Number = 0; Number < Count; ++Number) {
-      Streams.push_back(System.stream(Entry, "stream " + std::to_string(Number), 3'000));
+      Streams.push_back(System.stream(Entry, "stream " + std::to_string(Number), EndlessTokens));
       EXPECT_TRUE(Streams.back()->next()) << Streams.back()->error();
     }
     return Streams;
@@ -55,7 +58,7 @@
     for (const auto &Stream : openStreams(Entry, 3))
       Stream->close();
     const http_answer Late =
-        System.chat(Entry, "no time", 3'000, {{"X-Request-Timeout-Ms", "300"}});
+        System.chat(Entry, "no time", EndlessTokens, {{"X-Request-Timeout-Ms", "300"}});
     EXPECT_FALSE(Late.ok());
     EXPECT_FALSE(outcomeOf(Late).empty()) << Late.Error << Late.Body;
   }
@@ -74,7 +77,7 @@
   // The connection to the engine breaks midway; some callers read on to the end, others have left.
   for (int Round = 0; Round < 4; ++Round) {
     ASSERT_TRUE(engineFaults(R"({"cut_after_events":3})"));
-    const auto Left = System.stream(0, "left " + std::to_string(Round), 3'000);
+    const auto Left = System.stream(0, "left " + std::to_string(Round), EndlessTokens);
     EXPECT_TRUE(Left->next());
     EXPECT_TRUE(isWhole(System.stream(1, "read " + std::to_string(Round), 20)->rest()));
     Left->close();
