--- a/scripts/bench_path.py
+++ b/scripts/bench_path.py
@@ -29,6 +29,8 @@
 MILLION = 1000000
 BYTES_PER_TOKEN = 4
 MAX_QUEUED = 8192
+ANNOUNCING = [4, 16, 48]
+REST_S = 5
 ROUNDS = 3
 US = 1e6
 # An entry that has learnt little of an engine refuses a million tokens within less as not to be met in time.
@@ -249,6 +251,26 @@
     return max(0, memory_bytes(system.entry_pid) - before)
 
 
+# ---- announcements ---------------------------------------------------------------------------------
+
+
+def announcements(report):
+    """An entry at rest that all engines announce themselves to, twice a second each."""
+    points = []
+    for engines in ANNOUNCING:
+        with running(engines, FAST_ENGINE) as system:
+            time.sleep(REST_S)
+            begun = time.monotonic()
+            with Usage(system.entry_pid) as usage:
+                time.sleep(REST_S)
+            points.append((engines, usage.cpu_s / (time.monotonic() - begun), memory_bytes(system.entry_pid)))
+    cpu, cpu_base = slope([(engines, cpu_s) for engines, cpu_s, _ in points])
+    memory, _ = slope([(engines, rss) for engines, _, rss in points])
+    report.figures("announcements", engines=ANNOUNCING, cpu_us_per_s=[round(US * cpu_s) for _, cpu_s, _ in points],
+                   rss_kb=[rss // 1024 for _, _, rss in points], cpu_us_per_s_per_engine=round(US * cpu, 1),
+                   cpu_us_per_s_without=round(US * cpu_base), kb_per_engine=round(memory / 1024, 1))
+
+
 def measure_path(report):
     ratios = first_token(report, count=300, concurrency=1, answer_tokens=16)
     report.at_most("path: first token p50 through an entry / direct", ratios["all.ttft_p50_ms"], FIRST_TOKEN_P50_BOUND)
@@ -256,4 +278,5 @@
     for streams in STREAMS:
         cost_at(report, streams, requests=max(REQUESTS_AT_LEAST, 4 * streams))
     stream_memory(report)
+    announcements(report)
     body(report)
