No Retry-After for work that may have run; a resend that a claim makes safe stays open to libraries

Cause, found on reading: where the relay corrects the dispatcher's not-run to unknown because a byte was out, the not-run's Retry-After stayed on the answer and invited a second run (outcomes.md: none is given after a possible run). And X-Should-Retry: false went with claim_unavailable too, where Retry-After invites the same key again. Change: the correction drops Retry-After; an unknown with Retry-After is left to the library. Not seen failing on the wire: the race needs the decision and the first byte to cross. relay_test 37, entry_test 28, tests/client 19 pass.

--- a/src/relay/call_error.cpp
+++ b/src/relay/call_error.cpp
@@ -94,7 +94,10 @@
 /// Libraries retry 409 and 502 too. Without an idempotency key the second send is a new request
 /// here, and a letter whose first run broke off goes out twice.
 bool isRepeatable(const finish_request &Finish, unsigned Status, bool Idempotent) {
-  const bool RunsTwice = Finish.Outcome == final_outcome::Unknown && !Idempotent;
+  // An unknown outcome with a time to come back is one under a key that has no verdict yet: the
+  // claim sees to it that the second send does not run again.
+  const bool RunsTwice =
+      Finish.Outcome == final_outcome::Unknown && !Idempotent && !Finish.RetryAfter;
   return !RunsTwice && Status != Conflict && Finish.Reason != failure_reason::TooLargeForFleet;
 }
 
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -24,8 +24,10 @@
   finish_request Finish = *Call.Finish;
   const bool NoAttempt = Finish.Reason == failure_reason::AlreadyRunning ||
                          Finish.Reason == failure_reason::AlreadyComplete;
-  if (Finish.Outcome == final_outcome::NotRun && Call.mayHaveRun() && !NoAttempt)
+  if (Finish.Outcome == final_outcome::NotRun && Call.mayHaveRun() && !NoAttempt) {
     Finish.Outcome = final_outcome::Unknown;
+    Finish.RetryAfter.reset(); // It would invite a second run.
+  }
   if (Call.Stage == answer_stage::Ended) {
     Finish.Outcome = final_outcome::Complete;
     Finish.Reason = failure_reason::None;
