pollenstall-entry: the answer to an announcement no longer reads a pointer that another thread sets

Cause: announceTo() ran on the server's threads and read the unique_ptr Announcements, which the main thread assigns after that server has begun to answer and resets before it has ended: an announcement in that moment reads a half-set pointer. And a dump during the stop put an empty text where JSON has to have a value. Found by reading; ruled out as reported: entry_test's 28 tests do not hit the moment, with or without the change. Change: the address is kept as a text under the mutex that the handler holds anyway; a membership that does not run is dumped as "no answer", like the other threads. Result: entry_test with the thread sanitizer and its instrumented binaries: 28 tests pass in 11 s, no report.

--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -204,6 +204,10 @@
   if (!succeeded(Started))
     return entry_error{errorOf(Started).Text};
   Announcements = std::move(valueOf(Started));
+  {
+    const std::lock_guard<std::mutex> Lock(AnnouncementGuard);
+    AnnounceAddress = Announcements->address();
+  }
   logListening("announcements", Announcements->address());
   return done{};
 }
@@ -223,8 +227,8 @@
 
 std::string entry::announceTo() const {
   boost::json::array Addresses;
-  if (Announcements)
-    Addresses.emplace_back(Announcements->address());
+  if (!AnnounceAddress.empty())
+    Addresses.emplace_back(AnnounceAddress);
   for (const std::string &Peer : Settings.AnnouncementPeers)
     Addresses.emplace_back(Peer);
   return boost::json::serialize(boost::json::object{{"announce_to", std::move(Addresses)}});
@@ -262,10 +266,12 @@
 std::string entry::dump() {
   // A thread that does not answer is itself what the operator looks for.
   const std::string Silent = R"("no answer")";
+  const std::string Membership = Gossip->dump();
   return R"({"process":{"host":")" + Self.Host.str() + R"(","incarnation":)" +
          std::to_string(Self.Life.value()) + R"(},"relay":)" +
          dumpRelay(DumpLimit).value_or(Silent) + R"(,"decisions":)" +
-         Decision->dump(DumpLimit).value_or(Silent) + R"(,"membership":)" + Gossip->dump() + "}";
+         Decision->dump(DumpLimit).value_or(Silent) + R"(,"membership":)" +
+         (Membership.empty() ? Silent : Membership) + "}";
 }
 
 void entry::noteCallEnd(const call_record &Record) {
--- a/programs/pollenstall-entry/entry_base.h
+++ b/programs/pollenstall-entry/entry_base.h
@@ -64,7 +64,9 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::unique_ptr<decision_thread> Decision;
   std::unique_ptr<gossip_service> Gossip;
-  std::mutex AnnouncementGuard; ///< The ring takes from one thread, the server has several.
+  /// Of AnnounceAddress and the producer's side of the ring: the server has several threads.
+  std::mutex AnnouncementGuard;
+  std::string AnnounceAddress;
   std::unique_ptr<relay> Relay;
   std::thread RelayThread;
   std::unique_ptr<operator_server> Operators;
