operators: the first read of a connection starts on its strand

Cause: read() was called by the thread that accepted. Its continuation runs on the connection's strand, perhaps on another thread, while the first is still inside the stream that is not thread-safe (Beast asks for one strand). Found by reading; no test was seen to report it. Change: the first read is dispatched to the strand. Result: operators_test with the thread sanitizer: 9 tests pass, no report.

--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -3,6 +3,7 @@
 
 #include "operators/operator_routes_base.h"
 
+#include <boost/asio/dispatch.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/strand.hpp>
@@ -46,6 +47,12 @@
   session &operator=(const session &) = delete;
   ~session() { --Open; }
 
+  /// The first read, on the strand: an answer may else be handled while it is still being started.
+  void start() {
+    asio::dispatch(Stream.get_executor(), [Self = shared_from_this()] { Self->read(); });
+  }
+
+private:
   void read() {
     Parser.emplace();
     Parser->body_limit(MaxBodyBytes);
@@ -56,7 +63,6 @@
         [Self = shared_from_this()](beast::error_code Error, std::size_t) { Self->onRead(Error); });
   }
 
-private:
   void onRead(beast::error_code Error) {
     if (Error == http::error::body_limit)
       return write({BodyTooLarge, "application/json", errorBody("too_large", "body over 4 MiB")},
@@ -170,7 +176,7 @@
       return;
     // Over the bound the socket is closed at once: an operator retries, memory stays bounded.
     if (!Error && Open < MaxConnections)
-      std::make_shared<session>(std::move(Socket), Routes, Open)->read();
+      std::make_shared<session>(std::move(Socket), Routes, Open)->start();
     accept();
   }
 
