declaration: placements of model copies

Change: [[placement]] with name, service, group, model, version, copies, spread; parsed, checked, in the canonical text and in plans. One placement for each group and model, since two would undo each other's orders. Declarations without placements keep their canonical text.

--- a/src/declaration/declaration_check.cpp
+++ b/src/declaration/declaration_check.cpp
@@ -27,6 +27,7 @@
     checkGroups();
     checkSelectors();
     checkCoverage();
+    checkPlacements();
     checkAccounts();
     checkPolicy();
     return std::move(Faults);
@@ -52,6 +53,8 @@
     indexItems(Fleet.Accounts, "account", Accounts);
     std::unordered_map<selector_name, const selector_declaration *> Selectors;
     indexItems(Fleet.Selectors, "selector", Selectors);
+    std::unordered_map<placement_name, const placement_declaration *> Placements;
+    indexItems(Fleet.Placements, "placement", Placements);
   }
 
   void checkServices() {
@@ -135,8 +138,7 @@
       refuse(Key + (Selector.PromptBelow ? ".prompt_below_tokens" : ".prompt_from_tokens"),
              "absent, since service " + Service.Name.str() + " is plain");
     for (std::size_t M = 0; M < Selector.Models.size(); ++M)
-      if (std::find(Service.Models.begin(), Service.Models.end(), Selector.Models[M]) ==
-          Service.Models.end())
+      if (!hasModel(Service, Selector.Models[M]))
         refuse(Key + "." + at("models", M), "a model of service " + Service.Name.str());
   }
 
@@ -184,6 +186,30 @@
     }
   }
 
+  void checkPlacements() {
+    std::set<std::pair<group_name, model_name>> Placed;
+    for (std::size_t I = 0; I < Fleet.Placements.size(); ++I) {
+      const placement_declaration &Placement = Fleet.Placements[I];
+      const std::string Key = at("placement", I);
+      checkServiceName(Placement.Service, Key + ".service");
+      const auto Group = Groups.find(Placement.Group);
+      if (Group == Groups.end() || Group->second->Service != Placement.Service)
+        refuse(Key + ".group",
+               "the name of a declared group of service " + Placement.Service.str());
+      const auto Service = Services.find(Placement.Service);
+      if (Service != Services.end() && !hasModel(*Service->second, Placement.Model))
+        refuse(Key + ".model", "a model of service " + Placement.Service.str());
+      // Two wishes for the same engines would undo each other's orders for ever.
+      if (!Placed.emplace(Placement.Group, Placement.Model).second)
+        refuse(Key + ".model", "one placement for each group and model; " + Placement.Model.str() +
+                                   " is placed on " + Placement.Group.str() + " already");
+    }
+  }
+
+  static bool hasModel(const service_declaration &Service, const model_name &Model) {
+    return std::find(Service.Models.begin(), Service.Models.end(), Model) != Service.Models.end();
+  }
+
   void checkAccounts() {
     std::unordered_map<std::string, client_account_name> Owners;
     for (std::size_t I = 0; I < Fleet.Accounts.size(); ++I)
--- a/src/declaration/declaration_diff.cpp
+++ b/src/declaration/declaration_diff.cpp
@@ -116,6 +116,8 @@
     return "group";
   case declaration_item::Selector:
     return "selector";
+  case declaration_item::Placement:
+    return "placement";
   case declaration_item::Account:
     return "account";
   case declaration_item::Policy:
--- a/src/declaration/declaration_diff_type.h
+++ b/src/declaration/declaration_diff_type.h
@@ -9,7 +9,15 @@
 namespace pollenstall {
 
 /// The kinds of item, in the order of the canonical text.
-enum class declaration_item : std::uint8_t { Service, Group, Selector, Account, Policy, Limits };
+enum class declaration_item : std::uint8_t {
+  Service,
+  Group,
+  Selector,
+  Placement,
+  Account,
+  Policy,
+  Limits
+};
 
 /// What became of an item.
 enum class change_kind : std::uint8_t {
--- a/src/declaration/declaration_normal.cpp
+++ b/src/declaration/declaration_normal.cpp
@@ -68,6 +68,7 @@
     sortUnique(Account.KeyHashes);
   sortByName(Fleet.Services);
   sortByName(Fleet.Groups);
+  sortByName(Fleet.Placements);
   sortByName(Fleet.Accounts);
 }
 
--- a/src/declaration/declaration_parse.cpp
+++ b/src/declaration/declaration_parse.cpp
@@ -115,6 +115,21 @@
   return Selector;
 }
 
+placement_declaration readPlacement(toml_reader &Table) {
+  placement_declaration Placement;
+  Placement.Name = placement_name(Table.text("name", toml_need::Required, nameRule()));
+  Placement.Service = service_name(Table.text("service", toml_need::Required, nameRule()));
+  Placement.Group = group_name(Table.text("group", toml_need::Required, nameRule()));
+  Placement.Model = model_name(Table.text("model", toml_need::Required, modelRule()));
+  Placement.Version = Table.text("version", toml_need::Optional, nameRule());
+  Placement.Copies =
+      static_cast<std::uint32_t>(Table.whole("copies", PlacementCopies, Placement.Copies));
+  if (Table.text("spread", toml_need::Optional, spreadRule()) == spreadText(placement_spread::None))
+    Placement.Spread = placement_spread::None;
+  Table.finish("a placement");
+  return Placement;
+}
+
 account_declaration readAccount(toml_reader &Table) {
   account_declaration Account;
   Account.Name = client_account_name(Table.text("name", toml_need::Required, nameRule()));
@@ -168,6 +183,8 @@
     Fleet.Groups.push_back(readGroup(Table));
   for (toml_reader &Table : Root.tables("selector", toml_need::Optional))
     Fleet.Selectors.push_back(readSelector(Table));
+  for (toml_reader &Table : Root.tables("placement", toml_need::Optional))
+    Fleet.Placements.push_back(readPlacement(Table));
   for (toml_reader &Table : Root.tables("account", toml_need::Optional))
     Fleet.Accounts.push_back(readAccount(Table));
   if (auto Table = Root.table("policy"))
--- a/src/declaration/declaration_rule.cpp
+++ b/src/declaration/declaration_rule.cpp
@@ -68,6 +68,10 @@
   return Kind == service_kind::Model ? "model" : "plain";
 }
 
+std::string_view spreadText(placement_spread Spread) {
+  return Spread == placement_spread::Domains ? "domains" : "none";
+}
+
 const toml_text_rule &nameRule() {
   static const toml_text_rule Rule{"1 to 64 letters, digits, '.', '_' or '-'", isName};
   return Rule;
@@ -81,6 +85,14 @@
   return Rule;
 }
 
+const toml_text_rule &spreadRule() {
+  static const toml_text_rule Rule{"\"domains\" or \"none\"", [](const std::string &Text) {
+                                     return Text == spreadText(placement_spread::Domains) ||
+                                            Text == spreadText(placement_spread::None);
+                                   }};
+  return Rule;
+}
+
 const toml_text_rule &modelRule() {
   static const toml_text_rule Rule{
       "1 to 256 visible ASCII characters", [](const std::string &Text) {
--- a/src/declaration/declaration_rule_func.h
+++ b/src/declaration/declaration_rule_func.h
@@ -12,8 +12,12 @@
 /// @return How the file writes a kind.
 std::string_view kindText(service_kind Kind);
 
+/// @return How the file writes a spread.
+std::string_view spreadText(placement_spread Spread);
+
 const toml_text_rule &nameRule();        ///< Items, labels' keys.
 const toml_text_rule &kindRule();        ///< service_kind.
+const toml_text_rule &spreadRule();      ///< placement_spread.
 const toml_text_rule &modelRule();       ///< What callers write as "model".
 const toml_text_rule &labelValueRule();  ///< May be empty.
 const toml_text_rule &hostRule();        ///< No port; empty matches every host.
--- a/src/declaration/declaration_text.cpp
+++ b/src/declaration/declaration_text.cpp
@@ -112,6 +112,18 @@
   return Item;
 }
 
+item_description describeItem(const placement_declaration &Placement) {
+  item_description Item{declaration_item::Placement, Placement.Name.str(), {}};
+  Item.Fields = {{"service", tomlQuote(Placement.Service.str())},
+                 {"group", tomlQuote(Placement.Group.str())},
+                 {"model", tomlQuote(Placement.Model.str())}};
+  if (!Placement.Version.empty())
+    Item.Fields.push_back({"version", tomlQuote(Placement.Version)});
+  Item.Fields.push_back({"copies", number(Placement.Copies)});
+  Item.Fields.push_back({"spread", tomlQuote(spreadText(Placement.Spread))});
+  return Item;
+}
+
 item_description describeItem(const account_declaration &Account) {
   return {declaration_item::Account,
           Account.Name.str(),
@@ -162,6 +174,7 @@
   describeAll(Declaration.Services, Items);
   describeAll(Declaration.Groups, Items);
   describeAll(Declaration.Selectors, Items);
+  describeAll(Declaration.Placements, Items);
   describeAll(Declaration.Accounts, Items);
   Items.push_back(describeItem(Declaration.Policy));
   Items.push_back(describeItem(Declaration.Limits));
--- a/src/declaration/declaration_type.h
+++ b/src/declaration/declaration_type.h
@@ -88,6 +88,26 @@
   bool operator==(const selector_declaration &) const = default;
 };
 
+struct placement_tag {};
+/// A declared placement of copies.
+using placement_name = strong_text<placement_tag>;
+
+/// Whether copies go into different failure domains first.
+enum class placement_spread : std::uint8_t { Domains, None };
+
+/// So many copies of a model on the engines of a group; orders bring them there.
+struct placement_declaration {
+  placement_name Name;
+  service_name Service;
+  group_name Group;
+  model_name Model;
+  std::string Version;     ///< Of the weights; empty where the model has no versions.
+  std::uint32_t Copies{1}; ///< 0 takes the model off the group.
+  placement_spread Spread{placement_spread::Domains};
+
+  bool operator==(const placement_declaration &) const = default;
+};
+
 /// Who calls, and with what share of the fleet.
 struct account_declaration {
   client_account_name Name;
@@ -126,6 +146,7 @@
   std::vector<service_declaration> Services;
   std::vector<group_declaration> Groups;
   std::vector<selector_declaration> Selectors;
+  std::vector<placement_declaration> Placements;
   std::vector<account_declaration> Accounts;
   policy_declaration Policy;
   limits_declaration Limits;
--- a/src/declaration/table/declaration_bounds.h
+++ b/src/declaration/table/declaration_bounds.h
@@ -24,6 +24,7 @@
 constexpr whole_range AnswerTokens{1, 10'000'000};
 constexpr whole_range BodyBytes{1'024, 1LL << 30U};
 constexpr whole_range GroupWeight{0, 1'000'000};
+constexpr whole_range PlacementCopies{0, 10'000};
 constexpr whole_range AccountShare{1, 1'000'000};
 constexpr whole_range QueuedRequests{1, 1'000'000};
 constexpr toml_range<double> LengthWeight{0.0, 1'000.0};
--- a/tests/declaration/declaration_parse_test.cpp
+++ b/tests/declaration/declaration_parse_test.cpp
@@ -45,6 +45,33 @@
   EXPECT_EQ(Fleet.Services[1].Routes.back().Host, "clips.example");
 }
 
+TEST_F(a_right_file, MayPlaceCopiesOfAModel) {
+  const std::string Placed = SampleText + R"([[placement]]
+name = "tactic-2"
+service = "llm"
+group = "canary"
+model = "tactic"
+version = "2"
+copies = 3
+spread = "none"
+
+[[placement]]
+name = "tactic-1"
+service = "llm"
+group = "stable"
+model = "tactic"
+)";
+  const fleet_declaration Fleet = parsed(Placed);
+  ASSERT_THAT(Fleet.Placements, SizeIs(2));
+  EXPECT_EQ(
+      Fleet.Placements[0],
+      (placement_declaration{placement_name("tactic-1"), service_name("llm"), group_name("stable"),
+                             model_name("tactic"), "", 1, placement_spread::Domains}));
+  EXPECT_EQ(Fleet.Placements[1].Version, "2");
+  EXPECT_EQ(Fleet.Placements[1].Copies, 3U);
+  EXPECT_EQ(Fleet.Placements[1].Spread, placement_spread::None);
+}
+
 TEST_F(a_right_file, GivesNoWarning) { EXPECT_THAT(findWarnings(parsed(SampleText)), IsEmpty()); }
 
 TEST_F(a_right_file, IsEqualInAnotherOrderOfWhatHasNone) {
@@ -159,6 +186,23 @@
   EXPECT_EQ(Errors[0].Key, "service[2].models[0]");
 }
 
+TEST_F(a_file_whose_items_do_not_fit, RefusesPlacementsThatCannotBeKept) {
+  const std::string Right = "[[placement]]\nname = \"p\"\nservice = \"llm\"\ngroup = \"stable\"\n"
+                            "model = \"tactic\"\n";
+  const auto KeyOf = [&](const std::string &Text) { return refused(SampleText + Text)[0].Key; };
+  const auto With = [&](const std::string &From, const std::string &To) {
+    std::string Text = Right;
+    return Text.replace(Text.find(From), From.size(), To);
+  };
+  EXPECT_EQ(KeyOf(With("\"stable\"", "\"portal-all\"")), "placement[0].group");
+  EXPECT_EQ(KeyOf(With("\"llm\"", "\"lm\"")), "placement[0].service");
+  EXPECT_EQ(KeyOf(With("\"tactic\"", "\"other\"")), "placement[0].model");
+  EXPECT_EQ(KeyOf(Right + "copies = 10_001\n"), "placement[0].copies");
+  EXPECT_EQ(KeyOf(Right + "spread = \"hosts\"\n"), "placement[0].spread");
+  EXPECT_EQ(KeyOf(Right + Right), "placement[1].name");
+  EXPECT_EQ(KeyOf(Right + With("\"p\"", "\"q\"")), "placement[1].model");
+}
+
 TEST_F(a_file_whose_items_do_not_fit, RefusesAServiceWhoseLastSelectorHasConditions) {
   const auto Errors = refused(sampleWith("name = \"rest\"\nservice = \"llm\"\n",
                                          "name = \"rest\"\nservice = \"llm\"\n"
--- a/tests/declaration/declaration_text_test.cpp
+++ b/tests/declaration/declaration_text_test.cpp
@@ -56,6 +56,11 @@
   const group_name B("gb" + Suffix);
   Fleet.Groups.push_back({A, Service.Name, {{"v", labelValue()}, {"w.x", labelValue()}}});
   Fleet.Groups.push_back({B, Service.Name, {}});
+  if (Service.Kind == service_kind::Model)
+    Fleet.Placements.push_back(
+        {placement_name("p" + Suffix), Service.Name, A, Service.Models[0],
+         *rc::gen::element<std::string>("", "2.1"), *rc::gen::inRange(0U, 9U),
+         *rc::gen::element(placement_spread::Domains, placement_spread::None)});
   const client_account_name Account("a" + Suffix);
   std::string Hash = Suffix;
   Hash.resize(64, 'f');
