--- a/src/fake_backend/order_gate.cpp
+++ b/src/fake_backend/order_gate.cpp
@@ -10,10 +10,12 @@
     return order_refusal::NotSupported;
   if (Checking == order_checking::Fenced && Order.Fence < Fence)
     return order_refusal::OldFence;
-  const auto Held = std::find(Models.begin(), Models.end(), Order.Model);
+  const std::string Listed =
+      Order.Version.empty() ? Order.Model : Order.Model + "@" + Order.Version;
+  const auto Held = std::find(Models.begin(), Models.end(), Listed);
   if (Order.Order == "load") {
     if (Held == Models.end())
-      Models.push_back(Order.Model);
+      Models.push_back(Listed);
   } else if (Order.Order == "unload") {
     if (Held != Models.end())
       Models.erase(Held);
