--- a/tests/system/completion_test.cpp
+++ b/tests/system/completion_test.cpp
@@ -17,9 +17,9 @@
   return !Events.empty() && Events.back().Data.find("\"outcome\":\"unknown\"") != std::string::npos;
 }
 
-class WorkThatMayBeRepeated : public testing::Test {
+class WorkThatMayBeRepeatedTest : public testing::Test {
 protected:
-  explicit WorkThatMayBeRepeated(const system_plan &Plan = {}) : System(Plan) {}
+  explicit WorkThatMayBeRepeatedTest(const system_plan &Plan = {}) : System(Plan) {}
 
   bool engineFaults(const std::string &Json) {
     for (std::size_t Index = 0; Index < System.engines(); ++Index)
@@ -31,7 +31,7 @@
   running_system System;
 };
 
-TEST_F(WorkThatMayBeRepeated, CompletesElsewhereWhenItsEngineDies) {
+TEST_F(WorkThatMayBeRepeatedTest, CompletesElsewhereWhenItsEngineDies) {
   // The engine is killed after it took the question and before it answered. No answer byte has
   // reached the caller, and running the question twice does no harm: it is asked elsewhere, and
   // the caller sees one whole answer.
@@ -45,7 +45,7 @@
   EXPECT_EQ(System.engine(1 - Busy).stat("starts"), 1);
 }
 
-TEST_F(WorkThatMayBeRepeated, CompletesElsewhereWhenEnginesDeclineOrRefuse) {
+TEST_F(WorkThatMayBeRepeatedTest, CompletesElsewhereWhenEnginesDeclineOrRefuse) {
   // One engine declines each question that comes, then its port is closed, while its
   // announcements go on: every question is answered by the other one.
   ASSERT_TRUE(System.engine(0).faults(R"({"decline_next":3})"));
@@ -58,17 +58,19 @@
   }
 }
 
-TEST_F(WorkThatMayBeRepeated, IsNeverAnsweredWithTheAnswerOfAnotherAttempt) {
+TEST_F(WorkThatMayBeRepeatedTest, IsNeverAnsweredWithTheAnswerOfAnotherAttempt) {
   // Many callers ask at once while engines answer under other attempts' names, as answers do that
   // come late on crossed connections. Each caller gets the answer to its own question or a
   // truthful failure, never another's.
   constexpr int Callers = 16;
   const auto Question = [](int Caller) { return "question of caller " + std::to_string(Caller); };
   std::vector<std::string> Expected;
+  Expected.reserve(Callers);
   for (int Caller = 0; Caller < Callers; ++Caller)
     Expected.push_back(contentOf(System.chat(0, Question(Caller), 4)));
   ASSERT_TRUE(engineFaults(R"({"wrong_attempt_next":4})"));
   std::vector<std::future<http_answer>> Asked;
+  Asked.reserve(Callers);
   for (int Caller = 0; Caller < Callers; ++Caller)
     Asked.push_back(std::async(std::launch::async, [this, Caller, &Question] {
       return System.chat(static_cast<std::size_t>(Caller) % 3, Question(Caller), 4);
@@ -85,7 +87,7 @@
   EXPECT_GE(Answered, Callers / 2);
 }
 
-TEST_F(WorkThatMayBeRepeated, GoesOnExactlyWhereItsStreamBroke) {
+TEST_F(WorkThatMayBeRepeatedTest, GoesOnExactlyWhereItsStreamBroke) {
   // The connection to the engine breaks after five events; the engine still holds the stream. The
   // entry asks for the sixth, and the caller reads every event once.
   ASSERT_TRUE(engineFaults(R"({"cut_after_events":5})"));
@@ -95,14 +97,14 @@
   }
 }
 
-class AStreamThatCannotGoOn : public WorkThatMayBeRepeated {
+class AStreamThatCannotGoOnTest : public WorkThatMayBeRepeatedTest {
 protected:
-  AStreamThatCannotGoOn()
-      : WorkThatMayBeRepeated(
+  AStreamThatCannotGoOnTest()
+      : WorkThatMayBeRepeatedTest(
             {.EngineTables = "[capabilities]\nresumes = false\n[step]\nbase_us = 5000\n"}) {}
 };
 
-TEST_F(AStreamThatCannotGoOn, NeverLooksWholeAfterACut) {
+TEST_F(AStreamThatCannotGoOnTest, NeverLooksWholeAfterACut) {
   // These engines cannot resume. After a cut the caller reads an error event that says "unknown",
   // and the HTTP body stays unfinished, so that neither reader takes the part for the whole.
   ASSERT_TRUE(engineFaults(R"({"cut_after_events":5})"));
@@ -113,7 +115,7 @@
   EXPECT_FALSE(Stream->endedInOrder());
 }
 
-TEST_F(AStreamThatCannotGoOn, NeverLooksWholeAfterItsEngineDied) {
+TEST_F(AStreamThatCannotGoOnTest, NeverLooksWholeAfterItsEngineDied) {
   // The same where the engine itself is killed while its tokens are on their way.
   const auto Stream = System.stream(1, "killed", 400);
   ASSERT_TRUE(Stream->next());
@@ -124,7 +126,7 @@
   EXPECT_FALSE(Stream->endedInOrder());
 }
 
-TEST_F(AStreamThatCannotGoOn, NeverLooksWholeAfterItsEntryDied) {
+TEST_F(AStreamThatCannotGoOnTest, NeverLooksWholeAfterItsEntryDied) {
   // The entry is killed: nothing can send an error event, but the body ends without its last chunk
   // and without its end mark.
   const auto Stream = System.stream(2, "killed", 400);
--- a/tests/system/declaration_test.cpp
+++ b/tests/system/declaration_test.cpp
@@ -23,7 +23,7 @@
   return Object.contains("revision") ? Object.at("revision").to_number<std::uint64_t>() : 0;
 }
 
-class AcceptedChanges : public testing::Test {
+class AcceptedChangesTest : public testing::Test {
 protected:
   void killAllControl() {
     for (std::size_t Host = 0; Host < System.control().size(); ++Host)
@@ -46,7 +46,7 @@
   running_system System{{.EngineTables = "[step]\nbase_us = 5000\n", .ServiceLines = ""}};
 };
 
-TEST_F(AcceptedChanges, OfTwoOperatorsAtOnceAreExactlyOneAndInForceEverywhere) {
+TEST_F(AcceptedChangesTest, OfTwoOperatorsAtOnceAreExactlyOneAndInForceEverywhere) {
   // Two operators read the same revision and send different changes at the same moment. One is
   // accepted and in force at every entry; the other is told of the conflict, and its content is
   // used nowhere.
@@ -65,7 +65,7 @@
   }
 }
 
-TEST_F(AcceptedChanges, GetTheFirstAnswerAgainThoughTheLeaderWasKilled) {
+TEST_F(AcceptedChangesTest, GetTheFirstAnswerAgainThoughTheLeaderWasKilled) {
   // The leader accepts a change and is killed before the operator reads the answer. Sent again, the
   // change gets its first answer, not a conflict with itself, and nothing that came after it is
   // undone at any entry.
@@ -82,7 +82,7 @@
   EXPECT_TRUE(eventually([&] { return System.inForce(Base + 2); }));
 }
 
-TEST_F(AcceptedChanges, AreNotMadeByALeaderThatWasFrozen) {
+TEST_F(AcceptedChangesTest, AreNotMadeByALeaderThatWasFrozen) {
   // The leader is stopped until another one has been elected and has accepted a change. When it
   // goes on it still believes that it leads: a change sent to it must not be accepted, and no entry
   // may go back. With the two others gone it must not keep the entries ready by itself either.
@@ -109,7 +109,7 @@
   EXPECT_FALSE(System.control().status(Old).at("serving").as_bool());
 }
 
-TEST_F(AcceptedChanges, AreConfirmedByARestartedEntryBeforeItServes) {
+TEST_F(AcceptedChangesTest, AreConfirmedByARestartedEntryBeforeItServes) {
   // An entry is killed, changes pass it by, and it starts while no control host answers. It must
   // act on nothing that it may remember: it is not ready and runs nothing until it has confirmed
   // the revision in force in this life.
@@ -134,7 +134,7 @@
   EXPECT_TRUE(eventually([&] { return System.inForce(Last); }));
 }
 
-TEST_F(AcceptedChanges, BindAnEntryThatWasFrozenWhileTheyWereMade) {
+TEST_F(AcceptedChangesTest, BindAnEntryThatWasFrozenWhileTheyWereMade) {
   // An entry is stopped, and the operator takes the account's key away. Requests with that key wait
   // in the frozen entry's sockets. When it goes on, it remembers a declaration that admits them;
   // its lease is over, and not one of them may run.
@@ -149,8 +149,9 @@
     return Number && Number->is_number() &&
            Number->to_number<std::uint64_t>() == System.revision() + 1;
   };
-  std::vector<std::future<http_answer>> Waiting;
   constexpr int Callers = 12;
+  std::vector<std::future<http_answer>> Waiting;
+  Waiting.reserve(Callers);
   for (int Caller = 0; Caller < Callers; ++Caller)
     Waiting.push_back(std::async(std::launch::async, [this, Caller] {
       return System.chat(0, "revoked " + std::to_string(Caller));
@@ -166,7 +167,7 @@
     EXPECT_EQ(System.engine(Index).stat("starts"), 0) << Index;
 }
 
-TEST_F(AcceptedChanges, SurviveTheLossAndReturnOfAllControlHosts) {
+TEST_F(AcceptedChangesTest, SurviveTheLossAndReturnOfAllControlHosts) {
   // All control hosts are killed. When their leases run out the entries refuse new requests as not
   // run, while the admitted stream ends whole. When the hosts come back the declaration is there
   // and the entries serve again.
--- a/tests/system/leaving_test.cpp
+++ b/tests/system/leaving_test.cpp
@@ -11,7 +11,7 @@
 
 using std::chrono::steady_clock;
 
-class Leaving : public testing::Test {
+class LeavingTest : public testing::Test {
 protected:
   /// What the engine was sent, whether it took it or not.
   std::int64_t sentTo(std::size_t Engine) {
@@ -50,7 +50,7 @@
   int Asked{0};
 };
 
-TEST_F(Leaving, OfAnEngineStopsNewWorkAndCutsNoStream) {
+TEST_F(LeavingTest, OfAnEngineStopsNewWorkAndCutsNoStream) {
   // An engine that runs a stream gets SIGTERM. It says so to one entry, and within
   // seconds no entry sends it anything more, while the stream runs to its end. A question sent
   // there later would find a process that is about to end.
@@ -69,7 +69,7 @@
   EXPECT_EQ(System.engine(Engine).process().wait(), 0);
 }
 
-TEST_F(Leaving, IsNotForgottenByAnEntryThatWasFrozenWhenTheNewsSpread) {
+TEST_F(LeavingTest, IsNotForgottenByAnEntryThatWasFrozenWhenTheNewsSpread) {
   // An entry is stopped, an engine leaves and everybody else learns of it. Questions wait in the
   // frozen entry's sockets. When it goes on, it knows the engine as active; were it to act on that,
   // they would be sent to the leaving engine. It must hear the news before it sends anything.
@@ -81,8 +81,9 @@
   System.engine(Engine).process().terminate();
   expectKnown(Engine, {1, 2});
   const std::int64_t Sent = sentTo(Engine);
-  std::vector<std::future<int>> Waiting;
   constexpr int Callers = 6;
+  std::vector<std::future<int>> Waiting;
+  Waiting.reserve(Callers);
   for (int Caller = 0; Caller < Callers; ++Caller)
     Waiting.push_back(std::async(std::launch::async, [this, Caller] {
       return System.chat(0, "waiting " + std::to_string(Caller)).Status;
@@ -99,7 +100,7 @@
   EXPECT_GT(System.engine(Engine).stat("running"), 0);
 }
 
-TEST_F(Leaving, ByOrderOfAnOperatorHoldsUntilItIsUndone) {
+TEST_F(LeavingTest, ByOrderOfAnOperatorHoldsUntilItIsUndone) {
   // The operator drains an engine that knows nothing of it and goes on announcing itself as active:
   // no entry sends it new work, its stream ends whole, and undoing it brings the work back.
   const auto Stream = System.stream(0, "long", 300);
@@ -121,7 +122,7 @@
   }));
 }
 
-TEST_F(Leaving, EndsWithANewLifeAtTheSameAddress) {
+TEST_F(LeavingTest, EndsWithANewLifeAtTheSameAddress) {
   // The engine leaves, ends and comes back at its address. Leaving belonged to the life that is
   // over: the new one gets work from every entry.
   System.engine(0).process().terminate();
@@ -138,7 +139,7 @@
   }));
 }
 
-TEST_F(Leaving, OfAnEntryCutsNoStreamAndRunsNothingNew) {
+TEST_F(LeavingTest, OfAnEntryCutsNoStreamAndRunsNothingNew) {
   // An entry that serves a stream gets SIGTERM. New calls are told "not run" with Retry-After, the
   // stream ends whole, and only then does the process end; other entries serve on.
   const auto Stream = System.stream(0, "long", 300);
--- a/tests/system/lost_disk_test.cpp
+++ b/tests/system/lost_disk_test.cpp
@@ -8,7 +8,7 @@
 
 constexpr int Ok = 200;
 
-class ALostDiskOfTheSystem : public testing::Test {
+class ALostDiskOfTheSystemTest : public testing::Test {
 protected:
   bool asksAdmission(std::size_t Leader, std::uint64_t Member) {
     const auto Status = System.control().status(Leader);
@@ -29,7 +29,7 @@
   running_system System;
 };
 
-TEST_F(ALostDiskOfTheSystem, CostsNoAcceptedChangeAndNoClaimThoughASecondHostIsLost) {
+TEST_F(ALostDiskOfTheSystemTest, CostsNoAcceptedChangeAndNoClaimThoughASecondHostIsLost) {
   // A follower comes back with an empty disk, is admitted by the operator's tool and catches up;
   // right after that the leader is killed. Every accepted change is in force at the entries, and
   // a letter that was sent before is not sent again: its claim was repaired with the rest.
--- a/tests/system/memory_test.cpp
+++ b/tests/system/memory_test.cpp
@@ -9,7 +9,7 @@
 /// Longer than any wait of a story: no answer ends by itself within it.
 constexpr int EndlessTokens = 9'000;
 
-class EngineMemory : public testing::Test {
+class EngineMemoryTest : public testing::Test {
 protected:
   using stream_list = std::vector<std::unique_ptr<http_stream>>;
 
@@ -23,6 +23,7 @@
   /// Opens streams through an entry and reads the first event of each.
   stream_list openStreams(std::size_t Entry, int Count) {
     stream_list Streams;
+    Streams.reserve(static_cast<std::size_t>(Count));
     for (int Number = 0; Number < Count; ++Number) {
       Streams.push_back(System.stream(Entry, "stream " + std::to_string(Number), EndlessTokens));
       EXPECT_TRUE(Streams.back()->next()) << Streams.back()->error();
@@ -50,7 +51,7 @@
        .ServiceLines = "default_timeout_ms = 800000\nmax_answer_tokens = 20000\n"}};
 };
 
-TEST_F(EngineMemory, ComesBackAfterHangUpsTimeoutsAndLostCancels) {
+TEST_F(EngineMemoryTest, ComesBackAfterHangUpsTimeoutsAndLostCancels) {
   // Callers leave in the middle of streams and of a prompt of 60,000 tokens, others run out of
   // time, and the first cancels are lost on the way. An engine that keeps a broken stream for its
   // resume would hold the memory for good if the cancel were sent only once.
@@ -74,7 +75,7 @@
   expectRest();
 }
 
-TEST_F(EngineMemory, ComesBackAfterStreamsWereCutAndResumed) {
+TEST_F(EngineMemoryTest, ComesBackAfterStreamsWereCutAndResumed) {
   // The connection to the engine breaks midway; some callers read on to the end, others have left.
   for (int Round = 0; Round < 4; ++Round) {
     ASSERT_TRUE(engineFaults(R"({"cut_after_events":3})"));
@@ -86,7 +87,7 @@
   expectRest();
 }
 
-TEST_F(EngineMemory, ComesBackAfterAnEntryWasKilledWithStreamsOpen) {
+TEST_F(EngineMemoryTest, ComesBackAfterAnEntryWasKilledWithStreamsOpen) {
   // An entry is killed while its streams run, and comes back under its name. The engines keep the
   // streams for a resume that never comes; nobody but their owner would ever cancel them, and it
   // has forgotten them. A living entry lists what the engines hold and ends what belongs to the
@@ -102,7 +103,7 @@
   expectRest();
 }
 
-TEST_F(EngineMemory, ComesBackAfterAnEngineWasKilled) {
+TEST_F(EngineMemoryTest, ComesBackAfterAnEngineWasKilled) {
   // The engine dies with streams on it and comes back empty at its address. The entries must not
   // count the lost attempts as memory taken of the new life.
   const auto Streams = openStreams(0, 4);
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -9,7 +9,7 @@
 constexpr int Conflict = 409;
 const std::string Slow = R"({"late_ms":600000})";
 
-class WorkThatMustRunOnce : public testing::Test {
+class WorkThatMustRunOnceTest : public testing::Test {
 protected:
   /// What every story ends with: whoever was told "not run", nothing ran.
   void expectTruth(const std::string &Key, const http_answer &Answer) const {
@@ -29,7 +29,7 @@
   running_system System;
 };
 
-TEST_F(WorkThatMustRunOnce, IsNotRunAgainWhenItsEntryDies) {
+TEST_F(WorkThatMustRunOnceTest, IsNotRunAgainWhenItsEntryDies) {
   // The caller sends a letter; the entry is killed while the backend server works on it, so the
   // caller sees its connection break and sends again through another entry. The first send may
   // have had its effect: the resend meets the claim that was durable before the first byte went
@@ -44,13 +44,14 @@
   EXPECT_EQ(System.startsByKey("letter"), 1);
 }
 
-TEST_F(WorkThatMustRunOnce, IsNotRunByAnEntryKilledAtAnyStepBeforeItsAnswer) {
+TEST_F(WorkThatMustRunOnceTest, IsNotRunByAnEntryKilledAtAnyStepBeforeItsAnswer) {
   // The entry is killed at a moment nobody chose: before the claim, between claim and send, or
   // after. Wherever it was, the resends together start the work at most once, and one that is told
   // "not run" finds no start at the backend servers.
   ASSERT_TRUE(System.plainFaults(R"({"late_ms":50})"));
-  std::vector<std::future<http_answer>> Sends;
   constexpr int Letters = 12;
+  std::vector<std::future<http_answer>> Sends;
+  Sends.reserve(Letters);
   for (int Letter = 0; Letter < Letters; ++Letter)
     Sends.push_back(System.sendLater(0, "k" + std::to_string(Letter)));
   (void)System.waitForStart("k0");
@@ -64,7 +65,7 @@
   }
 }
 
-TEST_F(WorkThatMustRunOnce, IsNotRunElsewhereWhileItsBackendServerIsFrozen) {
+TEST_F(WorkThatMustRunOnceTest, IsNotRunElsewhereWhileItsBackendServerIsFrozen) {
   // The backend server is stopped with the letter in hand, and the caller sends again through
   // another entry. Another server is free, but the letter may go out yet, and does when the first
   // one goes on: both sends and a later one together start it once.
@@ -85,7 +86,7 @@
   EXPECT_EQ(System.startsByKey("frozen"), 1);
 }
 
-TEST_F(WorkThatMustRunOnce, IsNotRunElsewhereWhenItsBackendServerDies) {
+TEST_F(WorkThatMustRunOnceTest, IsNotRunElsewhereWhenItsBackendServerDies) {
   // The backend server is killed midway. Nobody can tell whether the letter left, so the caller is
   // told "unknown" at once, by the first entry and by any other, and the second server gets none.
   ASSERT_TRUE(System.plainFaults(Slow));
@@ -99,7 +100,7 @@
   EXPECT_EQ(System.plain(1 - Server).startsByKey("killed"), 0);
 }
 
-TEST_F(WorkThatMustRunOnce, IsNotRunAgainByTheNextLeader) {
+TEST_F(WorkThatMustRunOnceTest, IsNotRunAgainByTheNextLeader) {
   // Between the send and the resend the leader that granted the claim is killed. Its successor
   // knows the claim, because a quorum had it on disk before the first byte went out.
   ASSERT_TRUE(System.plainFaults(Slow));
@@ -119,7 +120,7 @@
   EXPECT_EQ(System.startsByKey("leader"), 1);
 }
 
-TEST_F(WorkThatMustRunOnce, WaitsForAQuorumAndItsKeyStaysSafe) {
+TEST_F(WorkThatMustRunOnceTest, WaitsForAQuorumAndItsKeyStaysSafe) {
   // Two of three control hosts are down: no claim can be made durable. A send is refused, before
   // any byte goes out. After recovery a key that was used before is still held, and the refused
   // one runs once, whatever claim of it was under way.
@@ -145,7 +146,7 @@
   EXPECT_EQ(System.startsByKey("before"), 1);
 }
 
-TEST_F(WorkThatMustRunOnce, ThatWasToldNotRunTrulyDidNotRun) {
+TEST_F(WorkThatMustRunOnceTest, ThatWasToldNotRunTrulyDidNotRun) {
   // The backend servers decline and refuse connections, which proves that nothing started. The
   // caller may send the same key again, and then it runs, once.
   ASSERT_TRUE(System.plainFaults(R"({"decline_next":1000})"));
