--- a/tests/order/leader_order_gate_test.cpp
+++ b/tests/order/leader_order_gate_test.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::int64_t Lease = 1'000;
 
-class LeaderOrderGate : public ::testing::Test {
+class an_order_gate : public ::testing::Test {
 protected:
   void see(std::int64_t Now, std::int64_t Renewed) {
     Gate.see({Term, at(Renewed), at(Renewed + Lease), true}, at(Now));
@@ -30,11 +30,11 @@
   leader_order_gate Gate{order_gate_times{}};
 };
 
-TEST_F(LeaderOrderGate, RefusesWithoutALease) { EXPECT_EQ(refusal(), gate_refusal::NoLease); }
+TEST_F(an_order_gate, RefusesWithoutALease) { EXPECT_EQ(refusal(), gate_refusal::NoLease); }
 
 // The lease ends while the order is still in a send buffer; the next leader orders something newer,
 // then the old bytes arrive.
-TEST_F(LeaderOrderGate, RefusesWhereTheLeaseDoesNotOutlastTheOrder) {
+TEST_F(an_order_gate, RefusesWhereTheLeaseDoesNotOutlastTheOrder) {
   openGate();
   see(1'599, 1'000);
   EXPECT_EQ(refusal(), std::nullopt);
@@ -42,7 +42,7 @@
   EXPECT_EQ(refusal(), gate_refusal::LeaseTooShort);
 }
 
-TEST_F(LeaderOrderGate, WaitsOutThePredecessorInEachNewTerm) {
+TEST_F(an_order_gate, WaitsOutThePredecessorInEachNewTerm) {
   openGate();
   Term = leader_term(2);
   see(1'500, 1'500);
@@ -55,13 +55,13 @@
 
 // The lease is lost and won again while an order connects. What it was planned from is old by then:
 // the copy that was to replace the one it unloads may be gone.
-TEST_F(LeaderOrderGate, RefusesAnOrderThatWasPlannedInAnEarlierOffice) {
+TEST_F(an_order_gate, RefusesAnOrderThatWasPlannedInAnEarlierOffice) {
   Term = leader_term(2);
   openGate();
   EXPECT_EQ(Gate.refusal(Engine, leader_term(1)), gate_refusal::OtherOffice);
 }
 
-TEST_F(LeaderOrderGate, TakesNoStateThatWasAskedForTooEarly) {
+TEST_F(an_order_gate, TakesNoStateThatWasAskedForTooEarly) {
   for (std::int64_t Now = 1'000; Now <= 1'400; Now += 100)
     see(Now, Now);
   Gate.stateRead(Engine, at(1'399));
@@ -69,7 +69,7 @@
 }
 
 // The process is stopped for a while. Its lease may look valid where the clock stood still too.
-TEST_F(LeaderOrderGate, CountsAClockJumpAsALostLease) {
+TEST_F(an_order_gate, CountsAClockJumpAsALostLease) {
   openGate();
   see(1'901, 1'901);
   EXPECT_EQ(refusal(), gate_refusal::ClockJumped);
@@ -81,7 +81,7 @@
   EXPECT_EQ(refusal(), gate_refusal::ClockJumped) << "backwards";
 }
 
-TEST_F(LeaderOrderGate, WaitsOutAnOwnOrderThatGotNoAnswer) {
+TEST_F(an_order_gate, WaitsOutAnOwnOrderThatGotNoAnswer) {
   openGate();
   Gate.writing(Engine, Term);
   EXPECT_EQ(refusal(), gate_refusal::OwnOrderUnderWay);
@@ -98,7 +98,7 @@
 
 // The state is asked for, the order takes effect and is answered, then the state arrives as it was
 // before. Taken for the present one, it proves a copy ready that was just unloaded (seed 580).
-TEST_F(LeaderOrderGate, TakesNoStateThatCrossedAnOrder) {
+TEST_F(an_order_gate, TakesNoStateThatCrossedAnOrder) {
   openGate();
   Gate.writing(Engine, Term);
   see(1'500, 1'500);
@@ -109,7 +109,7 @@
   EXPECT_EQ(refusal(), std::nullopt);
 }
 
-TEST(LeaderOrderGateDeathTest, StopsAWriteWithoutPermission) {
+TEST(an_order_gate_death, StopsAWriteWithoutPermission) {
   leader_order_gate Gate{order_gate_times{}};
   EXPECT_DEATH(Gate.writing(sampleEngine(1, "a").Key, leader_term(1)),
                "only while the gate permits it");
--- a/tests/order/order_planner_test.cpp
+++ b/tests/order/order_planner_test.cpp
@@ -10,9 +10,9 @@
 using ::testing::IsEmpty;
 using ::testing::UnorderedElementsAre;
 
-class OrderPlanner : public ::testing::Test {
+class a_planner : public ::testing::Test {
 protected:
-  OrderPlanner() : Planner(limits()) {
+  a_planner() : Planner(limits()) {
     Planner.takeOffice(OfficeFence, at(0));
     for (const engine_state &Engine : {A1, A2, B1})
       Planner.announced(Engine, Time);
@@ -57,20 +57,20 @@
   order_planner Planner;
 };
 
-TEST_F(OrderPlanner, OrdersNothingWhereTheDeclaredStateIsThere) {
+TEST_F(a_planner, OrdersNothingWhereTheDeclaredStateIsThere) {
   Planner.declare({samplePlacement("1", 2)});
   readAll({V1}, {}, {V1});
   EXPECT_THAT(Planner.plan(Time), IsEmpty());
 }
 
-TEST_F(OrderPlanner, PutsCopiesIntoDifferentFailureDomains) {
+TEST_F(a_planner, PutsCopiesIntoDifferentFailureDomains) {
   Planner.declare({samplePlacement("1", 2)});
   readAll({V1}, {}, {});
   EXPECT_THAT(Planner.plan(Time), UnorderedElementsAre(load(B1, "1")));
   EXPECT_THAT(Planner.plan(Time), UnorderedElementsAre(load(B1, "1"))) << "asking changes nothing";
 }
 
-TEST_F(OrderPlanner, WaitsForTheStateOfEveryEngineOfTheGroup) {
+TEST_F(a_planner, WaitsForTheStateOfEveryEngineOfTheGroup) {
   Planner.declare({samplePlacement("1", 1)});
   read(A1, {});
   read(A2, {});
@@ -83,7 +83,7 @@
 
 // A new version replaces the old one. Were the old copies unloaded with the first load, callers
 // would find no copy at all while the weights are still on their way.
-TEST_F(OrderPlanner, UnloadsNoServingCopyBeforeItsSuccessorIsReady) {
+TEST_F(a_planner, UnloadsNoServingCopyBeforeItsSuccessorIsReady) {
   Planner.declare({samplePlacement("2", 2)});
   readAll({V1}, {}, {V1});
   EXPECT_THAT(Planner.plan(Time), UnorderedElementsAre(load(A1, "2"), load(B1, "2")));
@@ -98,7 +98,7 @@
 // A replaced leader was stopped right before it writes an unload to the engine with the new copy.
 // If this leader unloads the others first and the old one goes on, no copy is left. The engine
 // refuses the old order once it has seen a number of this office.
-TEST_F(OrderPlanner, TrustsNoCopyThatAnEarlierLeaderMayStillTakeAway) {
+TEST_F(a_planner, TrustsNoCopyThatAnEarlierLeaderMayStillTakeAway) {
   Planner.declare({samplePlacement("2", 1)});
   readAll({V1}, {V2}, {V1});
   Planner.observed(A2.Key, {V2}, fencing_number(9), Time);
@@ -108,7 +108,7 @@
   EXPECT_THAT(Planner.plan(Time), UnorderedElementsAre(unload(A1, "1"), unload(B1, "1")));
 }
 
-TEST_F(OrderPlanner, ProvesNoCopyReadyByAnOldState) {
+TEST_F(a_planner, ProvesNoCopyReadyByAnOldState) {
   Planner.declare({samplePlacement("2", 2)});
   readAll({V1, V2}, {}, {V2});
   Time += std::chrono::seconds(11);
@@ -116,7 +116,7 @@
   EXPECT_THAT(Planner.plan(Time), IsEmpty()) << "the copy in accra-b may be gone";
 }
 
-TEST_F(OrderPlanner, KeepsWithinTheWeightStoresRate) {
+TEST_F(a_planner, KeepsWithinTheWeightStoresRate) {
   Planner.declare({samplePlacement("1", 3)});
   readAll({}, {}, {});
   const std::vector<planned_order> First = Planner.plan(Time);
@@ -131,7 +131,7 @@
 }
 
 // The earlier leader may have begun as many loads as the store takes; nobody can tell the new one.
-TEST_F(OrderPlanner, StartsAnOfficeWithoutBudget) {
+TEST_F(a_planner, StartsAnOfficeWithoutBudget) {
   Planner.takeOffice(OfficeFence, Time);
   Planner.declare({samplePlacement("1", 1)});
   Planner.announced(A1, Time);
@@ -140,7 +140,7 @@
   EXPECT_EQ(Planner.plan(Time + std::chrono::seconds(1)).size(), 1U);
 }
 
-TEST_F(OrderPlanner, PausesAfterARefusal) {
+TEST_F(a_planner, PausesAfterARefusal) {
   Planner.declare({samplePlacement("1", 3)});
   readAll({V1}, {V1}, {});
   carryOut(load(B1, "1"), order_outcome::Refused);
@@ -152,7 +152,7 @@
   EXPECT_EQ(Planner.counts(Time).Pending, 1U);
 }
 
-TEST_F(OrderPlanner, CutsACanaryGroupOutOfTheWiderOne) {
+TEST_F(a_planner, CutsACanaryGroupOutOfTheWiderOne) {
   placement Canary = samplePlacement("2", 1);
   Canary.Group = group_name("canary");
   Canary.Labels = {{"track", "canary"}};
@@ -163,7 +163,7 @@
   EXPECT_THAT(Planner.plan(Time), UnorderedElementsAre(unload(B1, "1")));
 }
 
-TEST_F(OrderPlanner, MovesAModelBetweenGroupsWithoutAGap) {
+TEST_F(a_planner, MovesAModelBetweenGroupsWithoutAGap) {
   placement Gone = samplePlacement("1", 0);
   placement Canary = samplePlacement("1", 1);
   Canary.Group = group_name("canary");
@@ -177,13 +177,13 @@
   EXPECT_THAT(Planner.plan(Time), UnorderedElementsAre(unload(A1, "1")));
 }
 
-TEST_F(OrderPlanner, LeavesAloneWhatNoPlacementNames) {
+TEST_F(a_planner, LeavesAloneWhatNoPlacementNames) {
   Planner.declare({samplePlacement("1", 1)});
   readAll({V1, {model_name("other"), model_version()}}, {}, {});
   EXPECT_THAT(Planner.plan(Time), IsEmpty());
 }
 
-TEST_F(OrderPlanner, ReplacesTheCopyOfALeavingEngine) {
+TEST_F(a_planner, ReplacesTheCopyOfALeavingEngine) {
   Planner.declare({samplePlacement("1", 1)});
   readAll({V1}, {}, {V1, V2});
   A1.Leaving = true;
