--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -257,6 +257,16 @@
 
 // ---- Time. ----
 
+void control_core::publishLease(const replica_status &Status) {
+  leader_lease Newest;
+  Newest.Term = leader_term(Status.Term.value());
+  Newest.End = Replica.leaseEnd();
+  Newest.Renewed = Newest.End - replicaOptions(Parts.Settings).MinElectionTimeout;
+  Newest.Valid = Desk.inOffice() && Status.LeaseValid;
+  const std::lock_guard Lock(LeaseMutex);
+  Lease = Newest;
+}
+
 void control_core::countLinks() {
   const peer_link_counters Peer = Parts.Peers->counters();
   const entry_hub_counters Entry = Parts.Entries->counters();
@@ -279,6 +289,7 @@
   Parts.Metrics->Term.Set(static_cast<double>(Status.Term.value()));
   Parts.Metrics->Commit.Set(static_cast<double>(Status.Commit.value()));
   Parts.Metrics->Revision.Set(static_cast<double>(State.declared().Revision.value()));
+  publishLease(Status);
   countLinks();
   giveUpOldWaits();
   if (!Desk.inOffice())
--- a/programs/pollenstall-control/control_core_base.h
+++ b/programs/pollenstall-control/control_core_base.h
@@ -7,6 +7,7 @@
 #include "control_settings_type.h"
 #include "control_state/control_state.h"
 #include "entry_desk_base.h"
+#include "order_link/order_link.h"
 #include "peer_link/peer_link.h"
 #include "storage/storage.h"
 #include "wake_signal_base.h"
@@ -28,6 +29,7 @@
   control_metrics *Metrics{nullptr};
   std::unique_ptr<data_folder> Folder;
   peer_addresses Own;
+  std::shared_ptr<order_board> Orders; ///< Null where this host sends no orders.
 };
 
 /**
@@ -49,6 +51,9 @@
   /// @return The declaration as applied here, perhaps not the newest; callable from any thread.
   std::shared_ptr<const declared_text> declared() const;
 
+  /// @return The lease that orders need, as of the last look; callable from any thread.
+  leader_lease lease() const;
+
   /// @return Whether the platform's balancer may send operators here; callable from any thread.
   [[nodiscard]] bool ready() const { return Ready.load(); }
   /// @return Whether the disk failed or the log cannot be carried out: the process must end.
@@ -106,6 +111,7 @@
   void completeProposal(const log_entry &Entry, const control_answer &Answer);
   void announceEffects(revision Before, std::uint64_t DrainsBefore);
   void publishDeclared();
+  void publishLease(const replica_status &Status);
   void fail(std::string_view Event, const std::string &Why);
 
   void watchTime();
@@ -140,6 +146,8 @@
   bounded_ring<control_request> Requests;
   mutable std::mutex DeclaredMutex;
   std::shared_ptr<const declared_text> Published;
+  mutable std::mutex LeaseMutex;
+  leader_lease Lease;
   std::atomic<bool> Ready{false};
   std::atomic<bool> Failed{false};
   std::atomic<bool> Stopping{false};
--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -53,6 +53,11 @@
   return Published;
 }
 
+leader_lease control_core::lease() const {
+  const std::lock_guard Lock(LeaseMutex);
+  return Lease;
+}
+
 void control_core::receive(peer_message &&Message) {
   if (auto *Hello = std::get_if<peer_hello>(&Message)) {
     if (Hello->Member != member_id(Parts.Settings.MemberId))
--- a/programs/pollenstall-control/control_core_status.cpp
+++ b/programs/pollenstall-control/control_core_status.cpp
@@ -80,6 +80,20 @@
   return Object;
 }
 
+json::value ordersValue(const order_board *Board) {
+  if (Board == nullptr)
+    return nullptr;
+  const order_status Status = Board->read();
+  json::object Object;
+  Object["engines"] = Status.Engines;
+  Object["pending"] = Status.Counts.Pending;
+  Object["done"] = Status.Counts.Done;
+  Object["refused"] = Status.Counts.Refused;
+  Object["unknown"] = Status.Counts.Unknown;
+  Object["held"] = Status.Held ? json::value(toText(*Status.Held)) : json::value();
+  return Object;
+}
+
 } // namespace
 
 std::string control_core::statusText() {
@@ -128,6 +142,7 @@
   for (const backend_address &Backend : State.drains())
     Drains.push_back(json::value(Backend.str()));
   Object["drains"] = std::move(Drains);
+  Object["orders"] = ordersValue(Parts.Orders.get());
   return json::serialize(Object);
 }
 
--- a/programs/pollenstall-control/control_main.cpp
+++ b/programs/pollenstall-control/control_main.cpp
@@ -3,6 +3,7 @@
 #include "control_metrics_base.h"
 #include "control_settings_type.h"
 #include "operator_api_base.h"
+#include "order_service_base.h"
 #include "program/program.h"
 
 #include <boost/json.hpp>
@@ -70,6 +71,7 @@
   std::unique_ptr<control_core> Core;
   std::unique_ptr<operator_api> Api;
   std::unique_ptr<operator_server> Operators;
+  order_service Orders;
 };
 
 std::optional<std::string> startLinks(const control_settings &Settings, control_host &Host) {
@@ -118,6 +120,8 @@
   logListening("peers", Own.Peers);
   logListening("entries", Own.Entries);
   logListening("operators", Own.Operators);
+  if (Host.Orders.board())
+    logListening("gossip", Host.Orders.address());
   if (!Settings.AddressFile.empty() && !writeAddresses(Settings.AddressFile, Own))
     return failStart(Settings.AddressFile + ": cannot be written");
   while (!Stop.waitFor(WatchInterval))
@@ -139,6 +143,8 @@
   control_host Host;
   if (const auto Failure = startLinks(Settings, Host))
     return failStart(*Failure);
+  if (const auto Failure = Host.Orders.open(Settings))
+    return failStart(*Failure);
   control_core_parts Parts;
   Parts.Settings = Settings;
   Parts.Wake = &Host.Wake;
@@ -146,11 +152,13 @@
   Parts.Entries = Host.Entries.get();
   Parts.Metrics = &Host.Metrics;
   Parts.Folder = valueOf(std::move(Folder));
+  Parts.Orders = Host.Orders.board();
   Parts.Own = {Host.Peers->address(), Host.Entries->address(), {}};
   Host.Core = std::make_unique<control_core>(std::move(Parts));
   if (const auto Failure = startOperators(Settings, *KeyHash, Host))
     return failStart(*Failure);
   Host.Core->start();
+  Host.Orders.start(Settings, *Host.Core);
   return serve(Settings, Stop, Host);
 }
 
--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -60,6 +60,24 @@
             "a path", checkNotEmpty, "File with the SHA-256 of the operators' key in hex.");
 }
 
+void addOrders(settings_table<control_settings> &Table) {
+  constexpr const char *Address = "IP:port, where port 0 takes one from the kernel";
+  Table
+      .text(
+          "listen.gossip", &control_settings::GossipAddress, presence::Optional, Address,
+          [](const std::string &Text) { return Text.empty() ? std::nullopt : checkAddress(Text); },
+          "UDP address for the system's other hosts; without it no order is sent to engines.")
+      .texts("gossip.seeds", &control_settings::GossipSeeds, presence::Optional, Address,
+             checkAddress, "Gossip addresses of other hosts, asked at the start.")
+      .text("gossip.key_file", &control_settings::GossipKeyFile, presence::Optional, "a path", {},
+            "File with the key that the system's own hosts share; without it datagrams carry no "
+            "tag, and anyone who reaches the port can forge them.")
+      .number("orders.loads_at_once", &control_settings::LoadsAtOnce, {2U, 1U, 10'000U},
+              "Loads that the weight store takes at once.")
+      .number("orders.loads_per_minute", &control_settings::LoadsPerMinute, {30U, 1U, 100'000U},
+              "Loads that the weight store takes per minute.");
+}
+
 void addTimes(settings_table<control_settings> &Table) {
   Table
       .span("log.heartbeat_ms", &control_settings::Heartbeat,
@@ -86,6 +104,7 @@
   settings_table<control_settings> Table;
   addIdentity(Table);
   addAddresses(Table);
+  addOrders(Table);
   addTimes(Table);
   return Table;
 }
--- a/programs/pollenstall-control/control_settings_type.h
+++ b/programs/pollenstall-control/control_settings_type.h
@@ -33,6 +33,11 @@
   std::chrono::milliseconds EntryLease{0};
   std::chrono::milliseconds ConfirmWithin{0};
   std::uint32_t SnapshotEvery{0};
+  std::string GossipAddress; ///< Empty: no engines are known, and no order is sent.
+  std::vector<std::string> GossipSeeds;
+  std::string GossipKeyFile;
+  std::uint32_t LoadsAtOnce{0};
+  std::uint32_t LoadsPerMinute{0};
   std::string LogLevel;
 };
 
--- /dev/null
+++ b/programs/pollenstall-control/order_service.cpp
@@ -0,0 +1,124 @@
+/** @file order_service.cpp Joins gossip, control core and order duty. */
+#include "order_service_base.h"
+
+#include "declaration/declaration.h"
+
+#include <algorithm>
+#include <fstream>
+
+namespace pollenstall {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds MaxUnderWay{400};
+constexpr int LeaseParts = 3; ///< Margin at the end, renewal, and a part in which to send.
+constexpr milliseconds FenceLimit{300};
+
+/// The bounds follow from the lease: a margin as long as the lease would never let an order pass.
+order_duty_options optionsFrom(const control_settings &Settings) {
+  order_duty_options Options;
+  const milliseconds UnderWay = std::min(MaxUnderWay, Settings.Election / LeaseParts);
+  Options.Gate = {UnderWay, UnderWay, UnderWay, replicaOptions(Settings).MaxClockStep};
+  Options.Calls = {UnderWay / 2, UnderWay / 2};
+  Options.Planner.Loads = {Settings.LoadsAtOnce, Settings.LoadsPerMinute};
+  return Options;
+}
+
+/// Reads a declaration once for each revision.
+class placement_reader {
+public:
+  explicit placement_reader(control_core &Asked) : Core(&Asked) {}
+
+  std::optional<std::vector<placement>> operator()() {
+    const auto Declared = Core->declared();
+    if (Declared != Last) {
+      Placements = placementsOf(Declared->Text);
+      Last = Declared;
+    }
+    return Placements;
+  }
+
+private:
+  control_core *Core;
+  std::shared_ptr<const declared_text> Last;
+  std::optional<std::vector<placement>> Placements;
+};
+
+std::optional<fencing_number> takeFence(control_core &Core) {
+  const control_outcome Outcome = Core.ask(command_wanted{take_fence{}}, FenceLimit);
+  const auto *Answer = std::get_if<control_answer>(&Outcome);
+  const auto *Granted = Answer == nullptr ? nullptr : std::get_if<fence_granted>(Answer);
+  return Granted == nullptr ? std::nullopt : std::optional(Granted->Fence);
+}
+
+order_duty_hooks hooksFor(control_core &Core, std::shared_ptr<order_board> Board) {
+  order_duty_hooks Hooks;
+  Hooks.Lease = [&Core] { return Core.lease(); };
+  Hooks.TakeFence = [&Core] { return takeFence(Core); };
+  Hooks.Placements = placement_reader(Core);
+  Hooks.Board = std::move(Board);
+  return Hooks;
+}
+
+} // namespace
+
+std::optional<std::vector<placement>> placementsOf(const std::string &Declaration) {
+  const auto Parsed = parseDeclaration(Declaration, "declaration");
+  if (!succeeded(Parsed))
+    return std::nullopt;
+  const fleet_declaration &Fleet = valueOf(Parsed);
+  std::vector<placement> Placements;
+  for (const placement_declaration &Declared : Fleet.Placements) {
+    const auto Group =
+        std::find_if(Fleet.Groups.begin(), Fleet.Groups.end(),
+                     [&](const group_declaration &One) { return One.Name == Declared.Group; });
+    requireInvariant(Group != Fleet.Groups.end(), "a checked placement names a declared group");
+    const bool Spreads = Declared.Spread == placement_spread::Domains;
+    Placements.push_back({Declared.Service,
+                          Declared.Group,
+                          Group->Labels,
+                          {Declared.Model, model_version(Declared.Version)},
+                          Declared.Copies,
+                          Spreads ? copy_spread::Domains : copy_spread::None});
+  }
+  return Placements;
+}
+
+std::optional<std::string> order_service::open(const control_settings &Settings) {
+  if (Settings.GossipAddress.empty())
+    return std::nullopt;
+  const auto Life = static_cast<std::uint64_t>(std::chrono::system_clock::now().time_since_epoch() /
+                                               std::chrono::nanoseconds(1));
+  gossip_options Options;
+  Options.Secret.Fleet = Settings.Fleet;
+  if (!Settings.GossipKeyFile.empty()) {
+    std::ifstream File(Settings.GossipKeyFile);
+    if (!std::getline(File, Options.Secret.Key))
+      return "cannot read " + Settings.GossipKeyFile;
+  }
+  Options.Bind = peer_address(Settings.GossipAddress);
+  Options.Identity.Self = {host_name(Settings.Host), incarnation(Life)};
+  Options.Identity.Domain = failure_domain_name(Settings.Domain);
+  for (const std::string &Seed : Settings.GossipSeeds)
+    Options.Identity.Seeds.emplace_back(Seed);
+  Options.RandomSeed = Life;
+  auto Created = gossip_service::create(std::move(Options));
+  if (!succeeded(Created))
+    return "cannot listen for gossip on " + Settings.GossipAddress;
+  Gossip = std::move(valueOf(Created));
+  Board = std::make_shared<order_board>();
+  return std::nullopt;
+}
+
+void order_service::start(const control_settings &Settings, control_core &Core) {
+  if (!Gossip)
+    return;
+  Duty =
+      std::make_unique<order_duty>(optionsFrom(Settings), hooksFor(Core, Board), Gossip->changes());
+  Gossip->start();
+  Duty->start();
+}
+
+} // namespace pollenstall
--- a/tests/control/control_cluster.cpp
+++ b/tests/control/control_cluster.cpp
@@ -51,8 +51,9 @@
 const std::string &control_cluster::operatorKey() { return OperatorKey; }
 const std::string &control_cluster::fleet() { return Fleet; }
 
-control_cluster::control_cluster(std::size_t Count, std::string MoreSettings)
-    : More(std::move(MoreSettings)) {
+control_cluster::control_cluster(std::size_t Count, std::string MoreSettings,
+                                 std::string MoreListen)
+    : More(std::move(MoreSettings)), Listen(std::move(MoreListen)) {
   const auto Addresses = freeAddresses(3 * Count);
   for (std::size_t Host = 0; Host < Count; ++Host)
     Hosts.push_back(
@@ -75,8 +76,8 @@
          "\n[listen]\npeers = " + tomlText(Hosts[Host].Peers) +
          "\nentries = " + tomlText(Hosts[Host].Entries) +
          "\noperators = " + tomlText(Hosts[Host].Operators) +
-         "\naddress_file = " + tomlText(Folder.path("addresses" + Number)) +
-         "\n[operators]\nkey_hash_file = " + tomlText(KeyHashFile) + "\n" +
+         "\naddress_file = " + tomlText(Folder.path("addresses" + Number)) + "\n" + Listen +
+         "[operators]\nkey_hash_file = " + tomlText(KeyHashFile) + "\n" +
          (More.empty() ? QuickElections : More);
 }
 
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -30,7 +30,9 @@
 
 class control_cluster {
 public:
-  explicit control_cluster(std::size_t Hosts = 3, std::string MoreSettings = {});
+  /// @param MoreListen Lines of the settings' [listen] table.
+  explicit control_cluster(std::size_t Hosts = 3, std::string MoreSettings = {},
+                           std::string MoreListen = {});
 
   /// @return The key that operators show, and the fleet's name, for entries beside the hosts.
   static const std::string &operatorKey();
@@ -80,6 +82,7 @@
   temp_folder Folder;
   std::string KeyHashFile;
   std::string More;
+  std::string Listen;
   std::vector<host> Hosts;
   std::atomic<std::size_t> LastAnswered{0};
 };
