pollenstallctl_test: what the fake hosts' threads share with the test is guarded

Cause: GivesUpOnHintsThatGoInCircles wrote the text that the host's thread reads, and WaitsUntilTheChangeIsInForceEverywhere read a plain int that the host's thread counts. The first was reported by the thread sanitizer (rc 66), the second found by reading. Ruled out: the tool itself, a process of its own without threads. Change: a mutex and an atomic in the test; what is asserted is the same.

--- a/tests/pollenstallctl/pollenstallctl_test.cpp
+++ b/tests/pollenstallctl/pollenstallctl_test.cpp
@@ -6,8 +6,10 @@
 #include <gtest/gtest.h>
 
 #include <array>
+#include <atomic>
 #include <cstdio>
 #include <fstream>
+#include <mutex>
 #include <sstream>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -244,10 +246,17 @@
 // Two hosts each take the other for the leader. The tool follows a few hints a round and then
 // pauses; without that bound it would send thousands of calls a second to hosts in an election.
 TEST_F(the_tool_against_control, GivesUpOnHintsThatGoInCircles) {
+  std::mutex Guard; // the hosts answer on threads of their own, and One starts before Other
   std::string UrlOfOther;
-  fake_control One([&](const fake_call &) { return fake_reply{421, {{"leader", UrlOfOther}}}; });
+  fake_control One([&](const fake_call &) {
+    const std::lock_guard Lock(Guard);
+    return fake_reply{421, {{"leader", UrlOfOther}}};
+  });
   fake_control Other([&](const fake_call &) { return fake_reply{421, {{"leader", One.url()}}}; });
-  UrlOfOther = Other.url();
+  {
+    const std::lock_guard Lock(Guard);
+    UrlOfOther = Other.url();
+  }
   EXPECT_EQ(run("drain 10.0.0.1:80 --timeout 1 --control " + One.url()).Exit, 5);
   constexpr std::size_t CallsOfSixRounds = 54;
   EXPECT_LE(One.callsTo("/v1/drains").size() + Other.callsTo("/v1/drains").size(),
@@ -255,7 +264,7 @@
 }
 
 TEST_F(the_tool_against_control, WaitsUntilTheChangeIsInForceEverywhere) {
-  int Asked = 0;
+  std::atomic<int> Asked{0}; // counted on the host's thread
   fake_control Control([&](const fake_call &Call) {
     if (Call.Path == "/v1/changes")
       return accepted(3, false);
