Test support: stop() comes back once the process stands still

The signal is delivered some time after kill() returns, and until then a follower may rightly acknowledge the change; the test then expects what is not promised. Ruled out: an acceptance without a quorum (the answer needs a follower's synced acknowledgement). Change: stop() waits until the kernel reports the stop. No expectation is changed.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -101,6 +101,15 @@
     ::kill(Pid, Number);
 }
 
+void child_process::stop() const {
+  if (ExitCode)
+    return;
+  ::kill(Pid, SIGSTOP);
+  siginfo_t Info{};
+  // WNOWAIT leaves an exit that came first to wait().
+  waitid(P_PID, static_cast<id_t>(Pid), &Info, WSTOPPED | WEXITED | WNOWAIT);
+}
+
 std::optional<int> child_process::wait(std::chrono::milliseconds Limit) {
   eventually(
       [this] {
--- a/tests/support/child_process_base.h
+++ b/tests/support/child_process_base.h
@@ -36,7 +36,9 @@
 
   [[nodiscard]] pid_t pid() const { return Pid; }
   void kill() const { signal(SIGKILL); }
-  void stop() const { signal(SIGSTOP); }
+  /// Freezes it. Comes back once the kernel says that it stands still: until then its threads may
+  /// still answer what a test sends next.
+  void stop() const;
   void resume() const { signal(SIGCONT); }
   void terminate() const { signal(SIGTERM); }
   void signal(int Number) const;
