Test support: a frozen process has stopped before the test goes on

Cause: child_process::stop() sent SIGSTOP and returned. The kernel hands the signal to one thread first; until that one runs, the others go on. In LetNoLeaderWithoutItsQuorumAcceptAChange a follower of a loaded machine could so still record the leader's entry and answer, and the change was rightly accepted with status 200, which the test takes for a fault. Ruled out: an acceptance without a quorum (the log is founded with all three as voters); a sanitizer report (none). Change: stop() waits for the kernel's word that all threads have stopped. No assertion changes.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -99,6 +99,16 @@
     ::kill(Pid, Number);
 }
 
+void child_process::stop() const {
+  if (ExitCode)
+    return;
+  ::kill(Pid, SIGSTOP);
+  // The signal only asks: a thread that runs may still answer a message after it was sent.
+  siginfo_t Change{};
+  const int Result = waitid(P_PID, static_cast<id_t>(Pid), &Change, WSTOPPED | WEXITED | WNOWAIT);
+  requireInvariant(Result == 0 && Change.si_code == CLD_STOPPED, "the process stops");
+}
+
 std::optional<int> child_process::wait(std::chrono::milliseconds Limit) {
   eventually(
       [this] {
--- a/tests/support/child_process_base.h
+++ b/tests/support/child_process_base.h
@@ -36,7 +36,8 @@
 
   [[nodiscard]] pid_t pid() const { return Pid; }
   void kill() const { signal(SIGKILL); }
-  void stop() const { signal(SIGSTOP); }
+  /// Freezes it. @return When every thread of it has stopped.
+  void stop() const;
   void resume() const { signal(SIGCONT); }
   void terminate() const { signal(SIGTERM); }
   void signal(int Number) const;
