--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr std::string_view OutcomeHeader = "X-Pollenstall-Outcome";
+/// Chat/completions libraries read it before they look at the status.
+constexpr std::string_view ShouldRetryHeader = "X-Should-Retry";
 
 std::chrono::milliseconds since(mono_time Start, mono_time End) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(End - Start);
@@ -22,8 +24,10 @@
   finish_request Finish = *Call.Finish;
   const bool NoAttempt = Finish.Reason == failure_reason::AlreadyRunning ||
                          Finish.Reason == failure_reason::AlreadyComplete;
-  if (Finish.Outcome == final_outcome::NotRun && Call.mayHaveRun() && !NoAttempt)
+  if (Finish.Outcome == final_outcome::NotRun && Call.mayHaveRun() && !NoAttempt) {
     Finish.Outcome = final_outcome::Unknown;
+    Finish.RetryAfter.reset(); // It would invite a second run.
+  }
   if (Call.Stage == answer_stage::Ended) {
     Finish.Outcome = final_outcome::Complete;
     Finish.Reason = failure_reason::None;
@@ -41,6 +45,8 @@
   Head.Headers.push_back({std::string(OutcomeHeader), std::string(outcomeText(Error.Outcome))});
   if (Error.RetryAfter)
     Head.Headers.push_back({"Retry-After", std::to_string(Error.RetryAfter->count())});
+  if (!Error.Repeatable)
+    Head.Headers.push_back({std::string(ShouldRetryHeader), "false"});
   if (!RequestId.empty())
     Head.Headers.push_back({"X-Request-Id", RequestId});
   if (Error.Type == "authentication_error")
@@ -82,11 +88,12 @@
   case answer_stage::Ended:
     co_return KeepAlive ? next_step::Go : next_step::Close;
   case answer_stage::None: {
-    const bool Written = co_await writeError(errorFor(Finish), Call.RequestId, !KeepAlive);
+    const bool Written =
+        co_await writeError(errorFor(Finish, Call.Facts.Idempotent), Call.RequestId, !KeepAlive);
     co_return Written &&KeepAlive ? next_step::Go : next_step::Close;
   }
   case answer_stage::Stream:
-    co_await writeErrorEvent(errorFor(Finish));
+    co_await writeErrorEvent(errorFor(Finish, Call.Facts.Idempotent));
     co_return next_step::CloseAfterDrain;
   default:
     // Part of an answer of known length is there already: only a reset says that it is cut.
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -5,6 +5,7 @@
 #include "control_link/control_link.h"
 #include "support/test_support.h"
 
+#include <boost/asio/ip/address_v4.hpp>
 #include <boost/json.hpp>
 
 #include <atomic>
@@ -20,7 +21,10 @@
 /// @return The answer as an object; empty where it is none.
 boost::json::object objectIn(const http_answer &Answer);
 
-/// Ports that were free a moment ago.
+/// A loopback address that only this test process listens on.
+boost::asio::ip::address_v4 ownLoopback();
+
+/// Ports of ownLoopback() that were free a moment ago.
 std::vector<std::string> freeAddresses(std::size_t Count);
 
 /// A valid declaration that says which change made it.
@@ -30,7 +34,9 @@
 
 class control_cluster {
 public:
-  explicit control_cluster(std::size_t Hosts = 3, std::string MoreSettings = {});
+  /// @param MoreListen Lines of the settings' [listen] table.
+  explicit control_cluster(std::size_t Hosts = 3, std::string MoreSettings = {},
+                           std::string MoreListen = {});
 
   /// @return The key that operators show, and the fleet's name, for entries beside the hosts.
   static const std::string &operatorKey();
@@ -80,6 +86,7 @@
   temp_folder Folder;
   std::string KeyHashFile;
   std::string More;
+  std::string Listen;
   std::vector<host> Hosts;
   std::atomic<std::size_t> LastAnswered{0};
 };
