--- a/bench/policy/policy_bench.cpp
+++ b/bench/policy/policy_bench.cpp
@@ -2,6 +2,7 @@
 #include "summary_func.h"
 
 #include <iostream>
+#include <string>
 #include <string_view>
 
 namespace pollenstall::bench {
@@ -9,8 +10,10 @@
 
 /// The goal is 1.3; four seeds of 400 s lie on either side of it (docs/design/scheduling.md).
 constexpr double SlowdownBound = 1.4;
+constexpr double SlowdownGoal = 1.3;
 /// The goal of 0.9 is not reached (docs/design/scheduling.md); the bound keeps what is.
 constexpr double FairnessBound = 0.84;
+constexpr double FairnessGoal = 0.9;
 
 /// Sizes of the two modes.
 struct bench_size {
@@ -51,6 +54,11 @@
   void atLeast(std::string_view Name, double Value, double Bound) {
     write(Name, Value, Bound, "at_least", Value >= Bound);
   }
+  /// Says whether a goal that the bound is looser than was reached; it does not fail the run.
+  static void goal(std::string_view Name, double Value, double Goal, bool Reached) {
+    std::cout << "{\"goal\":\"" << Name << "\",\"value\":" << Value << ",\"aim\":" << Goal
+              << ",\"reached\":" << (Reached ? "true" : "false") << "}" << std::endl;
+  }
   [[nodiscard]] bool kept() const { return Passed == 0; }
 
 private:
@@ -88,8 +96,10 @@
     if (Policy.Name == "power_of_two")
       PowerOfTwo = shortOf(Other).P99;
   }
-  Bounds.atMost(Fleet.Scenario + ": short p99 with long work / without",
-                shortOf(Own).P99 / shortOf(OwnWithout).P99, SlowdownBound);
+  const double Slowdown = shortOf(Own).P99 / shortOf(OwnWithout).P99;
+  const std::string SlowdownName = Fleet.Scenario + ": short p99 with long work / without";
+  Bounds.atMost(SlowdownName, Slowdown, SlowdownBound);
+  bounds::goal(SlowdownName, Slowdown, SlowdownGoal, Slowdown <= SlowdownGoal);
   Bounds.atLeast(Fleet.Scenario + ": short p99 of power of two / own",
                  PowerOfTwo / shortOf(Own).P99, 12.0);
   Bounds.atMost(Fleet.Scenario + ": short p99 own / best baseline", shortOf(Own).P99 / BestShort,
@@ -157,8 +167,10 @@
     Before += Equal.AccountServed[Account];
     After += Flood.AccountServed[Account];
   }
-  Bounds.atLeast(Fleet.Scenario + ": cost served of nine accounts beside one at tenfold / without",
-                 After / Before, FairnessBound);
+  const std::string FairnessName =
+      Fleet.Scenario + ": cost served of nine accounts beside one at tenfold / without";
+  Bounds.atLeast(FairnessName, After / Before, FairnessBound);
+  bounds::goal(FairnessName, After / Before, FairnessGoal, After / Before >= FairnessGoal);
 }
 
 /// Without bounds: engines that ignore priorities, and engines with small chunks.
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -105,9 +105,10 @@
   if (ExitCode)
     return;
   ::kill(Pid, SIGSTOP);
-  siginfo_t Info{};
-  // WNOWAIT leaves an exit that came first to wait().
-  waitid(P_PID, static_cast<id_t>(Pid), &Info, WSTOPPED | WEXITED | WNOWAIT);
+  // The signal only asks: a thread that runs may still answer a message after it was sent.
+  siginfo_t Change{};
+  const int Result = waitid(P_PID, static_cast<id_t>(Pid), &Change, WSTOPPED | WEXITED | WNOWAIT);
+  requireInvariant(Result == 0 && Change.si_code == CLD_STOPPED, "the process stops");
 }
 
 std::optional<int> child_process::wait(std::chrono::milliseconds Limit) {
