--- a/tests/entry/bad_input_test.cpp
+++ b/tests/entry/bad_input_test.cpp
@@ -16,7 +16,7 @@
   std::string Field;
 };
 
-class BadInput : public ::testing::Test {
+class BadInputTest : public ::testing::Test {
 protected:
   entry_fleet Fleet{{.EntryLimits = "header_timeout_ms = 200\nbody_timeout_ms = 200\n"
                                     "header_bytes = 4096\n",
@@ -53,7 +53,7 @@
 
 const std::string Key = "Host: e\r\nAuthorization: Bearer caller-key\r\n";
 
-TEST_F(BadInput, InTheBodyIsNamed) {
+TEST_F(BadInputTest, InTheBodyIsNamed) {
   const std::string Good = chatBody("m", "x", false, 1);
   const std::vector<bad_case> Cases{
       {"broken JSON", Good.substr(0, Good.size() - 2), callerKey(), 400, "body"},
@@ -77,7 +77,7 @@
   EXPECT_EQ(Fleet.engine().stat("starts"), 0);
 }
 
-TEST_F(BadInput, InHeadersAndPathsIsNamed) {
+TEST_F(BadInputTest, InHeadersAndPathsIsNamed) {
   const std::string Good = chatBody("m", "x", false, 1);
   const auto Post = [&](const std::string &Name, const std::string &Value) {
     http_headers Headers = callerKey();
@@ -97,7 +97,7 @@
   EXPECT_EQ(Fleet.engine().stat("starts"), 0);
 }
 
-TEST_F(BadInput, TwoReadingsOfOneMessageAreRefusedAndTheConnectionClosed) {
+TEST_F(BadInputTest, TwoReadingsOfOneMessageAreRefusedAndTheConnectionClosed) {
   const std::string Start = "POST /v1/chat/completions HTTP/1.1\r\n" + Key;
   expectRawRefused(Start + "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                    "400", "Content-Length");
@@ -112,7 +112,7 @@
   EXPECT_EQ(Fleet.engine().stat("starts"), 0);
 }
 
-TEST_F(BadInput, SlowSendersAreCutOff) {
+TEST_F(BadInputTest, SlowSendersAreCutOff) {
   // The caller sends half a head, or half a body, and then nothing. It gets a 408 within the limit
   // and its connection ends; without the limit each such caller would hold memory for good.
   expectRawRefused("POST /v1/chat/completions HTTP/1.1\r\nHost: e\r\n", "408", "headers");
@@ -124,7 +124,7 @@
                    "408", "body");
 }
 
-TEST_F(BadInput, GarbageOnEveryPortIsSurvived) {
+TEST_F(BadInputTest, GarbageOnEveryPortIsSurvived) {
   const std::string Garbage(5'000, '\xfe');
   for (const std::string &Address : {Fleet.callersAddress(), Fleet.announcementsAddress()}) {
     raw_socket Socket(Address);
@@ -134,7 +134,7 @@
   }
 }
 
-TEST_F(BadInput, AnnouncementsNameTheFieldThatIsWrong) {
+TEST_F(BadInputTest, AnnouncementsNameTheFieldThatIsWrong) {
   const http_client Client(Fleet.announcementsAddress());
   const http_headers FleetKey{{"Authorization", "Bearer fleet-key"}};
   EXPECT_EQ(Client.post("/v1/announcements", "{}").Status, 401);
--- a/tests/entry/broken_answer_test.cpp
+++ b/tests/entry/broken_answer_test.cpp
@@ -6,7 +6,7 @@
 namespace pollenstall {
 namespace {
 
-class BrokenAnswer : public ::testing::Test {
+class BrokenAnswerTest : public ::testing::Test {
 protected:
   void expectRest(entry_fleet &Fleet) {
     EXPECT_TRUE(eventually([&Fleet] { return Fleet.atRest(); }))
@@ -14,7 +14,7 @@
   }
 };
 
-TEST_F(BrokenAnswer, AStreamCutMidwayGoesOnAtTheExactEvent) {
+TEST_F(BrokenAnswerTest, AStreamCutMidwayGoesOnAtTheExactEvent) {
   // The engine's connection breaks after five events. The entry asks the same engine for the sixth;
   // the caller sees one stream without a gap or a repeat, and does not learn of the break.
   entry_fleet Fleet;
@@ -29,7 +29,7 @@
   expectRest(Fleet);
 }
 
-TEST_F(BrokenAnswer, AStreamThatCannotGoOnEndsInAnErrorAndNeverCleanly) {
+TEST_F(BrokenAnswerTest, AStreamThatCannotGoOnEndsInAnErrorAndNeverCleanly) {
   // This engine cannot resume. After the break the caller gets an error event that says "unknown",
   // and the HTTP body stays unfinished: neither reader can take the part for the whole.
   entry_fleet Fleet({.EngineTables = "[capabilities]\nresumes = false\n"});
@@ -44,7 +44,7 @@
   expectRest(Fleet);
 }
 
-TEST_F(BrokenAnswer, AStreamThatEndsWithoutItsEndMarkIsNotTakenForWhole) {
+TEST_F(BrokenAnswerTest, AStreamThatEndsWithoutItsEndMarkIsNotTakenForWhole) {
   // The engine closes the HTTP body in order but never says [DONE]: tokens may be missing.
   entry_fleet Fleet({.EngineTables = "[capabilities]\nresumes = false\n"});
   ASSERT_TRUE(Fleet.engine().faults(R"({"no_done_next":1})"));
@@ -56,7 +56,7 @@
   expectRest(Fleet);
 }
 
-TEST_F(BrokenAnswer, AWholeAnswerBrokenInTheMiddleIsCutForTheCallerToo) {
+TEST_F(BrokenAnswerTest, AWholeAnswerBrokenInTheMiddleIsCutForTheCallerToo) {
   // Half of the body came, then the engine's connection broke. The head with its length is with the
   // caller already, so that only a reset can say that the rest will not come.
   entry_fleet Fleet;
@@ -67,7 +67,7 @@
   expectRest(Fleet);
 }
 
-TEST_F(BrokenAnswer, AnAnswerToAnotherAttemptReachesNobody) {
+TEST_F(BrokenAnswerTest, AnAnswerToAnotherAttemptReachesNobody) {
   // Each engine answers once under another attempt's name, as crossed connections would. The entry
   // drops both answers and closes their connections; the caller gets its own at the third try.
   entry_fleet Fleet({.Engines = 2});
@@ -79,7 +79,7 @@
   expectRest(Fleet);
 }
 
-TEST_F(BrokenAnswer, DeclinedAndFailedWorkIsTriedElsewhere) {
+TEST_F(BrokenAnswerTest, DeclinedAndFailedWorkIsTriedElsewhere) {
   entry_fleet Fleet({.Engines = 2});
   for (std::size_t Index = 0; Index < Fleet.engines(); ++Index)
     ASSERT_TRUE(Fleet.engine(Index).faults(R"({"decline_next":1,"error_next":0})"));
@@ -90,7 +90,7 @@
   expectRest(Fleet);
 }
 
-TEST_F(BrokenAnswer, WorkThatMayNotBeRepeatedIsToldAsUnknown) {
+TEST_F(BrokenAnswerTest, WorkThatMayNotBeRepeatedIsToldAsUnknown) {
   // The caller marks its call as not idempotent. The engine starts it and fails with a 500: it may
   // have had its effect, so it is not sent again, and the caller is told that nobody knows.
   entry_fleet Fleet({.Engines = 2});
@@ -103,7 +103,7 @@
   expectRest(Fleet);
 }
 
-TEST_F(BrokenAnswer, WithEveryServerGoneTheCallerIsToldThatItWasNotRun) {
+TEST_F(BrokenAnswerTest, WithEveryServerGoneTheCallerIsToldThatItWasNotRun) {
   // The engine is killed, so connecting is refused: no byte of any attempt has left this process.
   entry_fleet Fleet({.ServiceLines = "default_timeout_ms = 1500\n"});
   Fleet.engine().process().kill();
--- a/tests/entry/leaving_caller_test.cpp
+++ b/tests/entry/leaving_caller_test.cpp
@@ -13,7 +13,7 @@
           .EngineTables = "[step]\nbase_us = 5000\nper_prefill_token_us = 100\n"};
 }
 
-class LeavingCaller : public ::testing::Test {
+class LeavingCallerTest : public ::testing::Test {
 protected:
   entry_fleet Fleet{slowFleet()};
 
@@ -26,7 +26,7 @@
   }
 };
 
-TEST_F(LeavingCaller, MidwayThroughAStreamFreesTheEnginesMemory) {
+TEST_F(LeavingCallerTest, MidwayThroughAStreamFreesTheEnginesMemory) {
   // A caller closes the connection while tokens arrive. The entry sees the end of the connection,
   // has the engine end the attempt, and the engine's blocks come back to rest.
   const auto Stream = Fleet.stream("a question", 4'000);
@@ -37,7 +37,7 @@
   EXPECT_EQ(Fleet.engine().stat("cancels"), 1);
 }
 
-TEST_F(LeavingCaller, BeforeTheFirstTokenFreesTheEnginesMemory) {
+TEST_F(LeavingCallerTest, BeforeTheFirstTokenFreesTheEnginesMemory) {
   // Here no write can fail, because nothing is written yet: only watching the connection tells.
   raw_socket Socket(Fleet.callersAddress());
   const std::string Body = chatBody("m", std::string(60'000, 'p'), true, 10);
@@ -51,7 +51,7 @@
   EXPECT_EQ(Fleet.engine().stat("events_sent"), 0) << "it ran on to the first token";
 }
 
-TEST_F(LeavingCaller, WhoStopsReadingStopsTheEngineAndIsCutOffInTheEnd) {
+TEST_F(LeavingCallerTest, WhoStopsReadingStopsTheEngineAndIsCutOffInTheEnd) {
   // The caller's buffers fill, the entry stops reading from the engine, holds no more than one
   // read, and after the stall limit counts the caller as gone.
   raw_socket Socket(Fleet.callersAddress(), 2'048);
@@ -65,7 +65,7 @@
   expectRest();
 }
 
-TEST_F(LeavingCaller, ACancelThatIsLostIsRepeated) {
+TEST_F(LeavingCallerTest, ACancelThatIsLostIsRepeated) {
   // The engine breaks off the first cancel without effect. Its memory counts as taken until a
   // later cancel is confirmed; without repeats it would stay taken for good.
   ASSERT_TRUE(Fleet.engine().faults(R"({"drop_cancel_next":1})"));
--- a/tests/entry/whole_path_test.cpp
+++ b/tests/entry/whole_path_test.cpp
@@ -19,12 +19,12 @@
   return Text;
 }
 
-class WholePath : public ::testing::Test {
+class WholePathTest : public ::testing::Test {
 protected:
   entry_fleet Fleet{{.Engines = 2, .Plain = 1}};
 };
 
-TEST_F(WholePath, AWholeAnswerArrivesAsTheEngineGaveIt) {
+TEST_F(WholePathTest, AWholeAnswerArrivesAsTheEngineGaveIt) {
   const http_answer Answer = Fleet.chat("a question", 3);
   ASSERT_TRUE(Answer.ok()) << Answer.Error << Answer.Body;
   EXPECT_EQ(Answer.header("Content-Type"), "application/json");
@@ -33,7 +33,7 @@
   EXPECT_EQ(Answer.json().at("usage").at("completion_tokens"), 3);
 }
 
-TEST_F(WholePath, AStreamHasEveryEventOnceAndItsEnd) {
+TEST_F(WholePathTest, AStreamHasEveryEventOnceAndItsEnd) {
   const auto Stream = Fleet.stream("a question", 40);
   ASSERT_EQ(Stream->status(), 200);
   const std::vector<sse_event> Events = Stream->rest();
@@ -53,7 +53,7 @@
   EXPECT_TRUE(eventually([this] { return Fleet.atRest(); }));
 }
 
-TEST_F(WholePath, TheOlderInterfaceAndTheListOfModelsWork) {
+TEST_F(WholePathTest, TheOlderInterfaceAndTheListOfModelsWork) {
   const http_answer Answer = Fleet.caller().post(
       "/v1/completions", R"({"model":"m","prompt":"once","max_tokens":2})", callerKey());
   EXPECT_TRUE(Answer.ok()) << Answer.Body;
@@ -64,7 +64,7 @@
   EXPECT_EQ(Fleet.caller().get("/v1/models/x", callerKey()).Status, 404);
 }
 
-TEST_F(WholePath, APlainCallKeepsMethodPathQueryBodyAndItsOwnHeaders) {
+TEST_F(WholePathTest, APlainCallKeepsMethodPathQueryBodyAndItsOwnHeaders) {
   http_headers Headers = callerKey();
   Headers.emplace_back("X-Mine", "kept");
   Headers.emplace_back("X-Pollenstall-Account", "someone-else");
@@ -83,14 +83,14 @@
   EXPECT_FALSE(Echo.at("headers").as_object().contains("Authorization"));
 }
 
-TEST_F(WholePath, ABodyOfAMillionTokensPassesAndIsNotHeldAfterwards) {
+TEST_F(WholePathTest, ABodyOfAMillionTokensPassesAndIsNotHeldAfterwards) {
   const http_answer Answer = Fleet.chat(std::string(6'000'000, 'w'), 1);
   // The engine of this test has no memory for it and says so; the body has passed all the same.
   EXPECT_TRUE(Answer.Error.empty()) << Answer.Error;
   EXPECT_TRUE(eventually([this] { return Fleet.metric("pollenstall_body_bytes") == 0; }));
 }
 
-TEST_F(WholePath, ChunkedBodiesExpectationsAndPipelinedRequestsAreRead) {
+TEST_F(WholePathTest, ChunkedBodiesExpectationsAndPipelinedRequestsAreRead) {
   raw_socket Socket(Fleet.callersAddress());
   const std::string Body = chatBody("m", "x", false, 1);
   const std::string Key = "Host: e\r\nAuthorization: Bearer caller-key\r\n";
--- a/tests/orphan/orphan_patrol_test.cpp
+++ b/tests/orphan/orphan_patrol_test.cpp
@@ -27,31 +27,31 @@
   return Announcement;
 }
 
-class OrphanPatrol : public ::testing::Test {
+class OrphanPatrolTest : public ::testing::Test {
 protected:
   orphan_patrol Patrol{Self, {}};
   mono_time Now{mono_time(1000s)};
 };
 
-TEST_F(OrphanPatrol, LeavesOwnAndLivingWorkAlone) {
+TEST_F(OrphanPatrolTest, LeavesOwnAndLivingWorkAlone) {
   Patrol.noteHost(host("e2", 5, host_standing::Alive), Now);
   EXPECT_FALSE(Patrol.isOrphan(attemptOf("e1", 10), Now));
   EXPECT_FALSE(Patrol.isOrphan(attemptOf("e2", 5), Now));
   EXPECT_FALSE(Patrol.isOrphan(attemptOf("e2", 6), Now)) << "a newer life than is known";
 }
 
-TEST_F(OrphanPatrol, EndsWorkOfAnEarlierLife) {
+TEST_F(OrphanPatrolTest, EndsWorkOfAnEarlierLife) {
   Patrol.noteHost(host("e2", 5, host_standing::Alive), Now);
   EXPECT_TRUE(Patrol.isOrphan(attemptOf("e1", 9), Now));
   EXPECT_TRUE(Patrol.isOrphan(attemptOf("e2", 4), Now));
 }
 
-TEST_F(OrphanPatrol, EndsWorkOfAHostThatSaidItStops) {
+TEST_F(OrphanPatrolTest, EndsWorkOfAHostThatSaidItStops) {
   Patrol.noteHost(host("e2", 5, host_standing::Left), Now);
   EXPECT_TRUE(Patrol.isOrphan(attemptOf("e2", 5), Now));
 }
 
-TEST_F(OrphanPatrol, WaitsBeforeItBelievesThatAHostIsDead) {
+TEST_F(OrphanPatrolTest, WaitsBeforeItBelievesThatAHostIsDead) {
   // The host may be cut off from the other hosts only, and still be answering its callers.
   Patrol.noteHost(host("e2", 5, host_standing::Dead), Now);
   EXPECT_FALSE(Patrol.isOrphan(attemptOf("e2", 5), Now + 59s));
@@ -61,20 +61,20 @@
   EXPECT_FALSE(Patrol.isOrphan(attemptOf("e2", 5), Now + 62s));
 }
 
-TEST_F(OrphanPatrol, EndsWorkOfAHostThatNobodyKnowsAfterAWhile) {
+TEST_F(OrphanPatrolTest, EndsWorkOfAHostThatNobodyKnowsAfterAWhile) {
   EXPECT_FALSE(Patrol.isOrphan(attemptOf("e9", 1), Now));
   EXPECT_FALSE(Patrol.isOrphan(attemptOf("e9", 1), Now + 299s));
   EXPECT_TRUE(Patrol.isOrphan(attemptOf("e9", 1), Now + 300s));
 }
 
-TEST_F(OrphanPatrol, LooksAtEachEngineOnceInAnInterval) {
+TEST_F(OrphanPatrolTest, LooksAtEachEngineOnceInAnInterval) {
   Patrol.noteBackend(engine("127.0.0.1:1"));
   EXPECT_EQ(Patrol.due(Now).size(), 1U);
   EXPECT_TRUE(Patrol.due(Now + 1s).empty());
   EXPECT_EQ(Patrol.due(Now + 5s).size(), 1U);
 }
 
-TEST_F(OrphanPatrol, SharesTheEnginesAmongLivingHosts) {
+TEST_F(OrphanPatrolTest, SharesTheEnginesAmongLivingHosts) {
   orphan_patrol Other({host_name("e2"), incarnation(5)}, {});
   Patrol.noteHost(host("e2", 5, host_standing::Alive), Now);
   Other.noteHost(host("e1", 10, host_standing::Alive), Now);
--- a/tests/scheduling/ejection_test.cpp
+++ b/tests/scheduling/ejection_test.cpp
@@ -8,9 +8,9 @@
 
 using namespace std::chrono_literals;
 
-class AGroupOfTenServers : public ::testing::Test {
+class AGroupOfTenServersTest : public ::testing::Test {
 protected:
-  AGroupOfTenServers() {
+  AGroupOfTenServersTest() {
     for (int Number = 0; Number < 10; ++Number)
       Group.push_back({{backend_address("e" + std::to_string(Number)), incarnation(1)}, 100, 10});
   }
@@ -25,7 +25,7 @@
   mono_time Now{1000s};
 };
 
-TEST_F(AGroupOfTenServers, SetsAsideTheOneThatFailsAndTheOneFarSlowerThanItsPeers) {
+TEST_F(AGroupOfTenServersTest, SetsAsideTheOneThatFailsAndTheOneFarSlowerThanItsPeers) {
   failThrice(2);
   Group[5].Rate = 20;
   Ejection.review(Group, 30, Now);
@@ -37,7 +37,7 @@
 // The caller sees most of the fleet answer although this host's own network drops every second
 // connection. Each server seems to fail; setting all aside would refuse every request, so the cap
 // keeps the rest in work.
-TEST_F(AGroupOfTenServers, NeverSetsAsideMoreThanTheCap) {
+TEST_F(AGroupOfTenServersTest, NeverSetsAsideMoreThanTheCap) {
   for (std::size_t Number = 0; Number < Group.size(); ++Number)
     failThrice(Number);
   Ejection.review(Group, 30, Now);
@@ -47,7 +47,7 @@
   EXPECT_EQ(Aside, 3U);
 }
 
-TEST_F(AGroupOfTenServers, ProbesOneAttemptAtATimeAndAdmitsAgainOnlyAfterItsSuccess) {
+TEST_F(AGroupOfTenServersTest, ProbesOneAttemptAtATimeAndAdmitsAgainOnlyAfterItsSuccess) {
   failThrice(1);
   Ejection.review(Group, 30, Now);
   EXPECT_FALSE(Ejection.admits(Group[1].Backend, 0));
--- a/tests/scheduling/scheduler_test.cpp
+++ b/tests/scheduling/scheduler_test.cpp
@@ -4,25 +4,25 @@
 namespace pollenstall {
 namespace {
 
-class ARequestThatArrives : public scheduler_fixture {};
+class ARequestThatArrivesTest : public scheduler_fixture {};
 
-TEST_F(ARequestThatArrives, IsRefusedBeforeAnyDeclarationIsInForce) {
+TEST_F(ARequestThatArrivesTest, IsRefusedBeforeAnyDeclarationIsInForce) {
   scheduler Fresh = scheduler_builder().build();
   const auto Result = Fresh.submit(work(1'000), Now);
   ASSERT_FALSE(succeeded(Result));
   EXPECT_EQ(errorOf(Result).Reason, failure_reason::NotReady);
 }
 
-TEST_F(ARequestThatArrives, IsRefusedWhereNoServerHasItsModel) {
+TEST_F(ARequestThatArrivesTest, IsRefusedWhereNoServerHasItsModel) {
   EXPECT_EQ(submit(work(1'000)), failure_reason::NoBackend);
 }
 
-TEST_F(ARequestThatArrives, IsPlacedAtOnceOnAnIdleEngine) {
+TEST_F(ARequestThatArrivesTest, IsPlacedAtOnceOnAnIdleEngine) {
   addEngines(1);
   EXPECT_EQ(placeNow(work(1'000)), engineKey(1));
 }
 
-TEST_F(ARequestThatArrives, IsTooLargeAtOnceWhereNoEngineCouldEverHoldIt) {
+TEST_F(ARequestThatArrivesTest, IsTooLargeAtOnceWhereNoEngineCouldEverHoldIt) {
   addEngines(3);
   EXPECT_EQ(submit(work(400'000)), failure_reason::TooLargeForFleet);
   EXPECT_EQ(submit(work(399'000)), std::nullopt);
@@ -32,7 +32,7 @@
 // go; the engines would need twenty seconds. Refused by the guess that stands in for a rate not
 // learnt yet, it and every long prompt after it would be told "not run", and the fleet would never
 // learn better.
-TEST_F(ARequestThatArrives, IsNotRefusedByAGuessOfTheEnginesRate) {
+TEST_F(ARequestThatArrivesTest, IsNotRefusedByAGuessOfTheEnginesRate) {
   Scheduler.updateBackend(engine(1, 2'000'000), Now);
   work_item Item = work(1'000'000);
   Item.Deadline = Now + 60s;
@@ -42,7 +42,7 @@
 // A caller's library sends a short chat call without max_tokens and with the service's minute of
 // time. The declaration's 4,096 tokens stand in for the limit; at the pace of a guess, half of them
 // take more than a minute. Refused, every such call to an idle fleet would be told "not run".
-TEST_F(ARequestThatArrives, IsNotRefusedForALongAnswerThatItMerelyAllows) {
+TEST_F(ARequestThatArrivesTest, IsNotRefusedForALongAnswerThatItMerelyAllows) {
   addEngines(1);
   work_item Item = work(10);
   Item.AnswerLimit = tokens(4'096);
@@ -50,7 +50,7 @@
   EXPECT_TRUE(succeeded(Scheduler.submit(Item, Now)));
 }
 
-TEST_F(ARequestThatArrives, IsRefusedEarlyWhereItsTimeIsTooShort) {
+TEST_F(ARequestThatArrivesTest, IsRefusedEarlyWhereItsTimeIsTooShort) {
   addEngines(1);
   work_item Item = work(300'000);
   Item.Deadline = Now + 2s;
@@ -60,7 +60,7 @@
   EXPECT_GE(errorOf(Result).RetryAfter, std::chrono::seconds(1));
 }
 
-TEST_F(ARequestThatArrives, MeetsTheBoundOfItsAccountWithoutTouchingOthers) {
+TEST_F(ARequestThatArrivesTest, MeetsTheBoundOfItsAccountWithoutTouchingOthers) {
   addEngines(1);
   for (int Index = 0; Index < 64; ++Index)
     ASSERT_EQ(submit(work(1'000)), std::nullopt);
@@ -68,9 +68,9 @@
   EXPECT_EQ(submit(work(1'000, "academy")), std::nullopt);
 }
 
-class AnEngineWithLongWork : public scheduler_fixture {};
+class AnEngineWithLongWorkTest : public scheduler_fixture {};
 
-TEST_F(AnEngineWithLongWork, GetsNoSecondLongPromptAndShortWorkGoesElsewhere) {
+TEST_F(AnEngineWithLongWorkTest, GetsNoSecondLongPromptAndShortWorkGoesElsewhere) {
   addEngines(6);
   const work_item First = work(150'000);
   const backend_key Taken = placeNow(First);
@@ -83,7 +83,7 @@
   EXPECT_NE(Short, Second);
 }
 
-TEST_F(AnEngineWithLongWork, LeavesTheRestOfTheFleetClear) {
+TEST_F(AnEngineWithLongWorkTest, LeavesTheRestOfTheFleetClear) {
   addEngines(6); // The declared share of 0.34 lets two of six take long work.
   std::set<backend_key> Used;
   for (int Index = 0; Index < 4; ++Index) {
@@ -95,12 +95,12 @@
   EXPECT_EQ(Scheduler.queued(), 2U);
 }
 
-class MemoryOfAnEngine : public scheduler_fixture {};
+class MemoryOfAnEngineTest : public scheduler_fixture {};
 
 // The caller hangs up on a long prompt. Its attempt is cancelled, but the engine has not confirmed
 // yet and still holds the blocks. Were they free at once, the next long prompt would be sent to an
 // engine that has no room for it.
-TEST_F(MemoryOfAnEngine, CountsAsTakenUntilTheEndIsConfirmed) {
+TEST_F(MemoryOfAnEngineTest, CountsAsTakenUntilTheEndIsConfirmed) {
   addEngines(1);
   const work_item First = work(300'000);
   const attempt_id Attempt = start(First, placeNow(First));
@@ -113,7 +113,7 @@
   EXPECT_EQ(Outcome.Placements.front().Request, Next.Request);
 }
 
-TEST_F(MemoryOfAnEngine, IsFreeAgainAfterAWithdrawnPlacementAndUnderANewIncarnation) {
+TEST_F(MemoryOfAnEngineTest, IsFreeAgainAfterAWithdrawnPlacementAndUnderANewIncarnation) {
   addEngines(1);
   const work_item First = work(300'000);
   placeNow(First);
@@ -127,16 +127,16 @@
   EXPECT_EQ(placeNow(work(300'000)), Again.Announcement.Key);
 }
 
-TEST_F(MemoryOfAnEngine, IsNotKeptByAPlacementThatNobodyStarted) {
+TEST_F(MemoryOfAnEngineTest, IsNotKeptByAPlacementThatNobodyStarted) {
   addEngines(1);
   placeNow(work(300'000));
   Now += 301s;
   EXPECT_EQ(placeNow(work(300'000)), engineKey(1));
 }
 
-class AServerThatIsLeaving : public scheduler_fixture {};
+class AServerThatIsLeavingTest : public scheduler_fixture {};
 
-TEST_F(AServerThatIsLeaving, GetsNothingNew) {
+TEST_F(AServerThatIsLeavingTest, GetsNothingNew) {
   addEngines(2);
   for (const backend_standing Standing : {backend_standing::Leaving, backend_standing::Lost}) {
     backend_view View = engine(1);
@@ -147,9 +147,9 @@
   }
 }
 
-class ASecondAttempt : public scheduler_fixture {};
+class ASecondAttemptTest : public scheduler_fixture {};
 
-TEST_F(ASecondAttempt, AvoidsTheServerThatFailedWhileAnotherIsLeft) {
+TEST_F(ASecondAttemptTest, AvoidsTheServerThatFailedWhileAnotherIsLeft) {
   addEngines(2);
   work_item Item = work(1'000);
   Item.Avoid = {engineKey(1)};
@@ -159,9 +159,9 @@
   EXPECT_FALSE(placeNow(Item).Address.empty());
 }
 
-class WorkThatWaits : public scheduler_fixture {};
+class WorkThatWaitsTest : public scheduler_fixture {};
 
-TEST_F(WorkThatWaits, IsGivenUpOnceItCouldNoLongerEndInTime) {
+TEST_F(WorkThatWaitsTest, IsGivenUpOnceItCouldNoLongerEndInTime) {
   addEngines(1);
   const work_item First = work(300'000);
   start(First, placeNow(First));
@@ -175,9 +175,9 @@
   EXPECT_TRUE(Outcome.Expiries.front().Refusal.RetryAfter.has_value());
 }
 
-class PlainCalls : public scheduler_fixture {};
+class PlainCallsTest : public scheduler_fixture {};
 
-TEST_F(PlainCalls, GoToTheServerWithTheFewestOutstanding) {
+TEST_F(PlainCallsTest, GoToTheServerWithTheFewestOutstanding) {
   for (int Number = 1; Number <= 3; ++Number) {
     backend_view View = engine(Number);
     View.Announcement.Service = service_name("clips");
