--- a/tests/scheduling/learning_test.cpp
+++ b/tests/scheduling/learning_test.cpp
@@ -94,6 +94,7 @@
 
 TEST(LongPlacement, TakesDomainsInTurnAndGivesEveryHostTheSameOrder) {
   std::vector<long_candidate> Candidates;
+  Candidates.reserve(9);
   for (int Number = 0; Number < 9; ++Number)
     Candidates.push_back({{backend_address("e" + std::to_string(Number)), incarnation(1)},
                           failure_domain_name("d" + std::to_string(Number % 3))});
--- a/tests/scheduling/memory_ledger_test.cpp
+++ b/tests/scheduling/memory_ledger_test.cpp
@@ -11,32 +11,32 @@
 namespace pollenstall {
 namespace {
 
-constexpr memory_blocks Blocks(std::int64_t Count) { return memory_blocks(Count); }
+constexpr memory_blocks blocks(std::int64_t Count) { return memory_blocks(Count); }
 
 TEST(MemoryLedger, RefusesWhatCouldNeverFitAndWhatDoesNotFitNow) {
   memory_ledger Ledger;
-  Ledger.setCapacity(Blocks(100));
-  EXPECT_FALSE(Ledger.couldHold(Blocks(101)));
-  Ledger.reserve(1, Blocks(60));
-  EXPECT_TRUE(Ledger.couldHold(Blocks(41)));
-  EXPECT_FALSE(Ledger.fits(Blocks(41)));
-  EXPECT_TRUE(Ledger.fits(Blocks(40)));
+  Ledger.setCapacity(blocks(100));
+  EXPECT_FALSE(Ledger.couldHold(blocks(101)));
+  Ledger.reserve(1, blocks(60));
+  EXPECT_TRUE(Ledger.couldHold(blocks(41)));
+  EXPECT_FALSE(Ledger.fits(blocks(41)));
+  EXPECT_TRUE(Ledger.fits(blocks(40)));
 }
 
 TEST(MemoryLedger, CountsOwnWorkOnceWhereTheReportHoldsItAsWell) {
   memory_ledger Ledger;
-  Ledger.setCapacity(Blocks(100));
-  Ledger.reserve(1, Blocks(40));
-  Ledger.setHeld(1, Blocks(30));
-  Ledger.report(Blocks(50), Blocks(0));
-  EXPECT_EQ(Ledger.taken(), Blocks(60)) << "40 of its own and 20 of other hosts";
+  Ledger.setCapacity(blocks(100));
+  Ledger.reserve(1, blocks(40));
+  Ledger.setHeld(1, blocks(30));
+  Ledger.report(blocks(50), blocks(0));
+  EXPECT_EQ(Ledger.taken(), blocks(60)) << "40 of its own and 20 of other hosts";
 }
 
 TEST(MemoryLedger, AddsWhatOtherHostsWillTakeForPromptsThatWait) {
   memory_ledger Ledger;
-  Ledger.setCapacity(Blocks(100));
-  Ledger.report(Blocks(10), Blocks(70));
-  EXPECT_FALSE(Ledger.fits(Blocks(21)));
+  Ledger.setCapacity(blocks(100));
+  Ledger.report(blocks(10), blocks(70));
+  EXPECT_FALSE(Ledger.fits(blocks(21)));
 }
 
 RC_GTEST_PROP(MemoryLedgerProperty, ReservesExactlyWhatHasNotBeenReleased, ()) {
@@ -45,7 +45,7 @@
   ticket_number Next = 1;
   for (const auto Step : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 50))) {
     if (Step % 3 != 0 || Open.empty()) {
-      Ledger.reserve(Next, Blocks(Step));
+      Ledger.reserve(Next, blocks(Step));
       Open[Next++] = Step;
     } else {
       const ticket_number Ticket = Open.begin()->first;
@@ -57,7 +57,7 @@
   std::int64_t Sum = 0;
   for (const auto &[Ticket, Count] : Open)
     Sum += Count;
-  RC_ASSERT(Ledger.reserved() == Blocks(Sum));
+  RC_ASSERT(Ledger.reserved() == blocks(Sum));
 }
 
 } // namespace
