--- a/src/wire/envelope_func.h
+++ b/src/wire/envelope_func.h
@@ -29,16 +29,21 @@
   return Bytes;
 }
 
-/// Reads a message that fills the bytes exactly; never throws and never allocates beyond their
-/// size.
-template <typename Message> result<Message, wire_error> decodePlain(std::span<const char> Bytes) {
+/// Reads the last value of an archive: no byte may be left behind it. May throw as cereal does.
+template <typename Message>
+result<Message, wire_error> readLastValue(bounded_input_archive &Archive) {
+  Message Value{};
+  Archive(Value);
+  if (Archive.left() != 0)
+    return wire_error::Malformed;
+  return Value;
+}
+
+/// Runs a reader and turns what cereal throws into a wire_error.
+template <typename Message, typename Reader>
+result<Message, wire_error> withoutExceptions(Reader &&Read) {
   try {
-    bounded_input_archive Archive(Bytes);
-    Message Value{};
-    Archive(Value);
-    if (Archive.left() != 0)
-      return wire_error::Malformed;
-    return Value;
+    return Read();
   } catch (const truncated_message &) {
     return wire_error::Truncated;
   } catch (const std::exception &) {
@@ -47,6 +52,15 @@
   }
 }
 
+/// Reads a message that fills the bytes exactly; never throws and never allocates beyond their
+/// size.
+template <typename Message> result<Message, wire_error> decodePlain(std::span<const char> Bytes) {
+  return withoutExceptions<Message>([Bytes] {
+    bounded_input_archive Archive(Bytes);
+    return readLastValue<Message>(Archive);
+  });
+}
+
 /// What stands before every message.
 struct envelope_head {
   std::uint32_t Magic{0};
@@ -79,23 +93,15 @@
                                            std::span<const char> Bytes, std::size_t Limit) {
   if (Bytes.size() > Limit)
     return wire_error::TooLarge;
-  try {
+  return withoutExceptions<Message>([&]() -> result<Message, wire_error> {
     bounded_input_archive Archive(Bytes);
     envelope_head Head;
     Archive(Head);
     const auto Checked = checkHead(Head, Fleet, Kind);
     if (!succeeded(Checked))
       return errorOf(Checked);
-    Message Value{};
-    Archive(Value);
-    if (Archive.left() != 0)
-      return wire_error::Malformed;
-    return Value;
-  } catch (const truncated_message &) {
-    return wire_error::Truncated;
-  } catch (const std::exception &) {
-    return wire_error::Malformed;
-  }
+    return readLastValue<Message>(Archive);
+  });
 }
 
 } // namespace pollenstall
