--- a/programs/pollenstall-control/control_codec.cpp
+++ b/programs/pollenstall-control/control_codec.cpp
@@ -12,6 +12,9 @@
   Into(Command.Id, Command.Backend, Command.Undo, Command.Time);
 }
 template <typename Archive> void serialize(Archive & /*Into*/, take_fence & /*Command*/) {}
+template <typename Archive> void serialize(Archive &Into, offer_declaration &Command) {
+  Into(Command.Revision, Command.Text, Command.Time);
+}
 template <typename Archive> void serialize(Archive &Into, claim_expire &Command) {
   Into(Command.Now);
 }
--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -19,6 +19,15 @@
 /// An applicant that has not asked for so long is gone.
 constexpr std::chrono::seconds ApplicantLifetime{3};
 
+/// Between two looks at who is lost.
+constexpr milliseconds RepairInterval{200};
+
+directory_options directoryOptions(const control_settings &Settings) {
+  directory_options Options;
+  Options.NoticeInterval = Settings.NoticeInterval;
+  return Options;
+}
+
 std::uint64_t randomNumber() {
   std::random_device Source;
   constexpr unsigned HalfBits = 32;
@@ -34,7 +43,7 @@
       .restored(std::move(Folder.restored()))
       .peers(std::move(Peers))
       .seed(randomNumber());
-  if (Settings.Bootstrap)
+  if (isFounder(Settings))
     Builder.founder(cluster_id(randomNumber()));
   return Builder.build(boot_clock::now());
 }
@@ -43,8 +52,9 @@
 
 control_core::control_core(control_core_parts Given)
     : Parts(std::move(Given)), Replica(makeReplica(Parts.Settings, *Parts.Folder)), State(Limits),
-      Desk(inForceOptions(Parts.Settings), deskHooks()), Requests(RequestCapacity) {
-  Addresses[member_id(Parts.Settings.MemberId)] = Parts.Own;
+      Desk(inForceOptions(Parts.Settings), deskHooks()),
+      Directory(directoryOptions(Parts.Settings)), Requests(RequestCapacity) {
+  Addresses[self()] = Parts.Own;
   Requests.onWake([this] { Parts.Wake->notify(); });
   publishDeclared();
 }
@@ -210,6 +220,7 @@
   OfficeRead.reset();
   AwaitingForce.clear();
   Applicants.clear();
+  Directory.clear();
   Desk.leaveOffice();
   for (const auto &[Index, Waiting] : std::exchange(Proposals, {}))
     Waiting.Answered(std::nullopt);
@@ -249,6 +260,9 @@
   Applicants[Action.Key.Member] = {Action.Key, boot_clock::now()};
   if (New)
     logEvent(log_level::Warning, "admission_requested", {{"member", toText(Action.Key)}});
+  // Refused while another change is under way: it asks again.
+  if (Parts.Settings.SelfManaged)
+    Replica.admit(Action.Key, boot_clock::now());
 }
 
 void control_core::carryOut(const members_changed &Action) {
@@ -294,12 +308,27 @@
   giveUpOldWaits();
   if (!Desk.inOffice())
     return;
+  Desk.backendsChanged(Directory.advance(Now));
+  replaceLostMembers(Status);
   expireClaims();
   reportInForce();
   std::erase_if(Applicants,
                 [this](const auto &Item) { return Item.second.second + ApplicantLifetime < Now; });
 }
 
+void control_core::replaceLostMembers(const replica_status &Status) {
+  if (Now < NextRepair)
+    return;
+  NextRepair = Now + RepairInterval;
+  member_repair_options Options;
+  Options.TargetVoters = targetVoters(Parts.Settings);
+  const std::optional<member_id> Lost = memberToExpel(Status, Options);
+  if (!Lost || !succeeded(Replica.expel(*Lost, Now)))
+    return;
+  logEvent(log_level::Warning, "member_replaced",
+           {{"member", std::to_string(Lost->value())}, {"members", toText(Status.Members)}});
+}
+
 void control_core::giveUpOldWaits() {
   // Bounds what an outage can collect; the outcome stays open, and a resend resolves it.
   std::vector<answer_hook> Late;
--- a/programs/pollenstall-control/control_core_base.h
+++ b/programs/pollenstall-control/control_core_base.h
@@ -6,6 +6,7 @@
 #include "control_request_type.h"
 #include "control_settings_type.h"
 #include "control_state/control_state.h"
+#include "directory/directory.h"
 #include "entry_desk_base.h"
 #include "order_link/order_link.h"
 #include "peer_link/peer_link.h"
@@ -95,6 +96,8 @@
   void carryOut(const members_changed &Action);
 
   void receive(peer_message &&Message);
+  /// @param FirstHand Told by the host itself. @return Whether that was news.
+  bool learnAddresses(member_id Member, const peer_addresses &Told, bool FirstHand);
   void answer(control_request &&Request);
   void answerQuestion(const status_wanted &Question, const control_request &Request);
   void answerQuestion(const dump_wanted &Question, const control_request &Request);
@@ -102,6 +105,10 @@
   void answerQuestion(const read_wanted &Question, const control_request &Request);
   void answerQuestion(const admission_wanted &Question, const control_request &Request);
   void answerQuestion(const expulsion_wanted &Question, const control_request &Request);
+  void answerQuestion(const announcement_wanted &Question, const control_request &Request);
+  void answerQuestion(const withdrawal_wanted &Question, const control_request &Request);
+  /// @return Whether this host may speak for the fleet now; otherwise the request was answered.
+  bool mayServe(const control_request &Request);
   void answerMembership(const proposal_result &Result, const control_request &Request);
   [[nodiscard]] control_outcome refusalOf(const proposal_refusal &Refusal) const;
   [[nodiscard]] control_outcome elsewhere(const member_key &Leader) const;
@@ -115,6 +122,8 @@
   void fail(std::string_view Event, const std::string &Why);
 
   void watchTime();
+  void replaceLostMembers(const replica_status &Status);
+  [[nodiscard]] member_id self() const { return Parts.Folder->identity().Key.Member; }
   void countLinks();
   void giveUpOldWaits();
   void expireClaims();
@@ -129,6 +138,7 @@
   replica Replica;
   control_state State;
   entry_desk Desk;
+  backend_directory Directory; ///< Filled while this host is in office.
   mono_time Now{}; ///< Read at each step and again before anything that needs the lease.
   log_index Applied;
   member_set Members; ///< Committed. One that is only proposed may be lost with this leader.
@@ -141,6 +151,7 @@
   std::map<member_id, std::pair<member_key, mono_time>> Applicants;
   std::map<revision, mono_time> AwaitingForce; ///< Accepted in this office, not yet in force.
   mono_time NextClaimExpiry{};
+  mono_time NextRepair{};
 
   std::mutex RequestMutex; ///< Makes the operators' threads one producer.
   bounded_ring<control_request> Requests;
--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -59,14 +59,28 @@
 }
 
 void control_core::receive(peer_message &&Message) {
-  if (auto *Hello = std::get_if<peer_hello>(&Message)) {
-    if (Hello->Member != member_id(Parts.Settings.MemberId))
-      Addresses[Hello->Member] = std::move(Hello->Addresses);
+  if (const auto *Hello = std::get_if<peer_hello>(&Message)) {
+    bool News = learnAddresses(Hello->Member, Hello->Addresses, true);
+    for (const known_peer &Other : Hello->Known)
+      News = learnAddresses(Other.first, Other.second, false) || News;
+    if (News)
+      Desk.controlsChanged();
     return;
   }
   Replica.receive(std::move(std::get<consensus_message>(Message)), boot_clock::now());
 }
 
+bool control_core::learnAddresses(member_id Member, const peer_addresses &Told, bool FirstHand) {
+  if (Member == self())
+    return false;
+  const auto Known = Addresses.find(Member);
+  if (Known != Addresses.end() && (!FirstHand || Known->second == Told))
+    return false;
+  Addresses[Member] = Told;
+  Replica.learnPeer(Member);
+  return true;
+}
+
 const peer_addresses *control_core::addressesOf(const member_key &Member) const {
   const auto Found = Addresses.find(Member.Member);
   return Found == Addresses.end() ? nullptr : &Found->second;
@@ -142,6 +156,32 @@
   answerMembership(Replica.expel(Question.Member, boot_clock::now()), Request);
 }
 
+bool control_core::mayServe(const control_request &Request) {
+  const mono_time Time = boot_clock::now();
+  if (Desk.inOffice() && Replica.leaseValid(Time))
+    return true;
+  const replica_status Status = Replica.status(Time);
+  Request.Answer->set_value(Status.Role == replica_role::Leader ? control_outcome(outcome_unknown{})
+                                                                : elsewhere(Status.Leader));
+  return false;
+}
+
+void control_core::answerQuestion(const announcement_wanted &Question,
+                                  const control_request &Request) {
+  if (!mayServe(Request))
+    return;
+  Desk.backendsChanged(Directory.hear(Question.Notice, boot_clock::now()));
+  Request.Answer->set_value(backend_noted{});
+}
+
+void control_core::answerQuestion(const withdrawal_wanted &Question,
+                                  const control_request &Request) {
+  if (!mayServe(Request))
+    return;
+  Desk.backendsChanged(Directory.withdraw(Question.Instance, boot_clock::now()));
+  Request.Answer->set_value(backend_noted{});
+}
+
 void control_core::answerMembership(const proposal_result &Result, const control_request &Request) {
   if (!succeeded(Result))
     return Request.Answer->set_value(refusalOf(errorOf(Result)));
@@ -159,6 +199,14 @@
     return Known == nullptr ? std::string() : Known->Entries;
   };
   Hooks.State = [this]() -> const control_state & { return State; };
+  Hooks.Backends = [this] { return Directory.all(); };
+  Hooks.Controls = [this] {
+    std::vector<std::string> Listening;
+    for (const auto &[Member, Known] : Addresses)
+      if (!Known.Entries.empty() && findMember(Members, Member) != nullptr)
+        Listening.push_back(Known.Entries);
+    return Listening;
+  };
   Hooks.Propose = [this](const control_command &Command, answer_hook Answered) {
     // Refused: nothing was done and the entry's own time limit answers it.
     propose(Command, std::move(Answered));
--- a/programs/pollenstall-control/control_main.cpp
+++ b/programs/pollenstall-control/control_main.cpp
@@ -1,9 +1,11 @@
 /** @file control_main.cpp The control host's process: joins its threads and waits for the end. */
 #include "control_core_base.h"
 #include "control_metrics_base.h"
+#include "control_services_func.h"
 #include "control_settings_type.h"
 #include "operator_api_base.h"
 #include "order_service_base.h"
+#include "platform/platform.h"
 #include "program/program.h"
 
 #include <boost/json.hpp>
@@ -74,13 +76,16 @@
   order_service Orders;
 };
 
-std::optional<std::string> startLinks(const control_settings &Settings, control_host &Host) {
-  peer_link_builder Builder(Settings.Fleet, member_id(Settings.MemberId), Settings.ListenPeers);
+std::optional<std::string> startLinks(const control_settings &Settings, member_id Self,
+                                      control_host &Host) {
+  peer_link_builder Builder(Settings.Fleet, Self, Settings.ListenPeers);
   Builder.onMessages([&Host] { Host.Wake.notify(); });
   for (const std::string &Text : Settings.Peers) {
     const auto Peer = *peerFromText(Text);
     Builder.peer(Peer.first, Peer.second);
   }
+  for (const std::string &Seed : seedAddresses(Settings))
+    Builder.seed(Seed);
   auto Peers = Builder.start();
   if (!succeeded(Peers))
     return errorOf(Peers).Text;
@@ -98,6 +103,10 @@
   Host.Api = std::make_unique<operator_api>(*Host.Core, declarationValidation());
   operator_server_builder Server(Settings.ListenOperators, KeyHash);
   Host.Api->addRoutes(Server);
+  if (Settings.Interface == "platform")
+    for (operator_route &Route :
+         platformRoutes(controlServices(*Host.Core, "http://" + Settings.ListenOperators)))
+      Server.route(Route.Method, Route.Path, Route.Access, std::move(Route.Handle));
   Server.health()
       .readiness([&Host] { return Host.Core->ready(); })
       .metrics(Host.Metrics.registry())
@@ -134,14 +143,18 @@
 exit_code run(const control_settings &Settings) {
   startLogging("pollenstall-control", *logLevelFromText(Settings.LogLevel));
   const stop_signal Stop;
-  const auto KeyHash = readKeyHash(Settings.OperatorKeyHashFile);
+  // Without a file nobody has the operators' key, and every call that needs it is refused.
+  const auto KeyHash = Settings.OperatorKeyHashFile.empty()
+                           ? std::optional<std::string>("")
+                           : readKeyHash(Settings.OperatorKeyHashFile);
   if (!KeyHash)
     return failStart(Settings.OperatorKeyHashFile + ": no SHA-256 in hex");
   auto Folder = data_folder::open(storageOptions(Settings));
   if (!succeeded(Folder))
     return failStart(toText(errorOf(Folder)));
   control_host Host;
-  if (const auto Failure = startLinks(Settings, Host))
+  const member_id Self = valueOf(Folder)->identity().Key.Member;
+  if (const auto Failure = startLinks(Settings, Self, Host))
     return failStart(*Failure);
   if (const auto Failure = Host.Orders.open(Settings))
     return failStart(*Failure);
--- a/programs/pollenstall-control/control_request_type.h
+++ b/programs/pollenstall-control/control_request_type.h
@@ -4,6 +4,7 @@
 
 #include "consensus/consensus.h"
 #include "control_state/control_state.h"
+#include "directory/directory.h"
 
 #include <functional>
 #include <future>
@@ -37,8 +38,19 @@
   member_id Member;
 };
 
-using control_question = std::variant<status_wanted, dump_wanted, command_wanted, read_wanted,
-                                      admission_wanted, expulsion_wanted>;
+/// A backend server announced itself.
+struct announcement_wanted {
+  backend_notice Notice;
+};
+
+/// A backend server ends this life.
+struct withdrawal_wanted {
+  instance_name Instance;
+};
+
+using control_question =
+    std::variant<status_wanted, dump_wanted, command_wanted, read_wanted, admission_wanted,
+                 expulsion_wanted, announcement_wanted, withdrawal_wanted>;
 
 /// Nothing was done here.
 struct leader_elsewhere {
@@ -57,9 +69,13 @@
 /// A membership change is in the log of a quorum.
 struct membership_changed {};
 
+/// Every entry in touch is being told of the backend server.
+struct backend_noted {};
+
 /// A text is the JSON that was asked for.
-using control_outcome = std::variant<outcome_unknown, leader_elsewhere, request_refused,
-                                     control_answer, membership_changed, std::string>;
+using control_outcome =
+    std::variant<outcome_unknown, leader_elsewhere, request_refused, control_answer,
+                 membership_changed, backend_noted, std::string>;
 
 struct control_request {
   control_question Question;
--- /dev/null
+++ b/programs/pollenstall-control/control_services.cpp
@@ -0,0 +1,70 @@
+/** @file control_services.cpp Turns the decision thread's outcomes into answers for an adapter. */
+#include "control_services_func.h"
+
+namespace pollenstall {
+
+namespace {
+
+/// A caller of a control host moves on to another one after a second without an answer.
+constexpr std::chrono::milliseconds ServiceLimit{900};
+
+unix_millis wallClock() {
+  return std::chrono::duration_cast<unix_millis>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
+service_answer answerFor(const control_outcome &Outcome) {
+  return std::visit(
+      overloaded{[](const leader_elsewhere &Other) {
+                   return service_answer{service_verdict::Elsewhere, Other.OperatorUrl};
+                 },
+                 [](const control_answer &) {
+                   return service_answer{service_verdict::Done, {}};
+                 },
+                 [](const backend_noted &) {
+                   return service_answer{service_verdict::Done, {}};
+                 },
+                 [](const std::string &) {
+                   return service_answer{service_verdict::Done, {}};
+                 },
+                 [](const auto &) { return service_answer{}; }},
+      Outcome);
+}
+
+declared_answer readDeclared(control_core &Core) {
+  // Filled before the answer is handed over; a read that comes too late fills what nobody looks at.
+  auto Read = std::make_shared<declared_text>();
+  const control_outcome Outcome = Core.ask(read_wanted{[Read](const control_state &State) {
+                                             *Read = State.declared();
+                                             return std::string();
+                                           }},
+                                           ServiceLimit);
+  declared_answer Answer;
+  Answer.Answer = answerFor(Outcome);
+  if (Answer.Answer.Verdict != service_verdict::Done)
+    return Answer;
+  Answer.Revision = Read->Revision;
+  Answer.Text = Read->Text;
+  return Answer;
+}
+
+} // namespace
+
+control_services controlServices(control_core &Core, std::string OwnUrl) {
+  control_services Services;
+  Services.Offer = [&Core](revision Revision, std::string Text) {
+    return answerFor(Core.ask(
+        command_wanted{offer_declaration{Revision, std::move(Text), wallClock()}}, ServiceLimit));
+  };
+  Services.Declared = [&Core] { return readDeclared(Core); };
+  Services.Announce = [&Core](const backend_notice &Notice) {
+    return answerFor(Core.ask(announcement_wanted{Notice}, ServiceLimit));
+  };
+  Services.Withdraw = [&Core](const instance_name &Instance) {
+    return answerFor(Core.ask(withdrawal_wanted{Instance}, ServiceLimit));
+  };
+  Services.OwnUrl = std::move(OwnUrl);
+  return Services;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-control/control_services_func.h
@@ -0,0 +1,17 @@
+/** @file control_services_func.h The decision thread's answers for an adapter. */
+#ifndef POLLENSTALL_CONTROL_CONTROL_SERVICES_FUNC_H
+#define POLLENSTALL_CONTROL_CONTROL_SERVICES_FUNC_H
+
+#include "adapter/adapter.h"
+#include "control_core_base.h"
+
+#include <string>
+
+namespace pollenstall {
+
+/// @param Core Outlives the services. @param OwnUrl Of this host's operators' address.
+control_services controlServices(control_core &Core, std::string OwnUrl);
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_CONTROL_CONTROL_SERVICES_FUNC_H
--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -1,8 +1,10 @@
 /** @file control_settings.cpp The table of a control host's settings. */
 #include "control_settings_type.h"
 
+#include "peer_link/peer_link.h"
 #include "program/program.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace pollenstall {
@@ -35,8 +37,9 @@
             "Failure domain this host is lost with.")
       .text("fleet", &control_settings::Fleet, presence::Required, Name, checkName,
             "Name of the fleet; other fleets' messages are dropped.")
-      .number("member_id", &control_settings::MemberId, {1U, 1U, 1'000'000U},
-              "Id of this host in the replicated log; unique among the control hosts.")
+      .number("member_id", &control_settings::MemberId, {1U, 0U, 1'000'000U},
+              "Id of this host in the replicated log; unique among the control hosts. 0 draws one "
+              "with the disk, so that an emptied disk comes back as another member.")
       .text("data.folder", &control_settings::DataFolder, presence::Required, "a path",
             checkNotEmpty, "Folder for the log, snapshots and promises.");
 }
@@ -54,10 +57,24 @@
             "File that the addresses in use are written to as JSON.")
       .texts("peers", &control_settings::Peers, presence::Optional, PeerForm, checkPeer,
              "The control hosts of the first start; this host may be among them.")
+      .texts("seeds", &control_settings::Seeds, presence::Optional, Address, checkAddress,
+             "Addresses of hosts through which the other control hosts are found.")
+      .number("seeds_port", &control_settings::SeedPort, {0U, 0U, 65'535U},
+              "Port for peers on the seeds' hosts; 0 takes the seeds as they are.")
+      .flag("self_managed", &control_settings::SelfManaged, false,
+            "The control hosts let each other in and replace lost members by themselves; otherwise "
+            "a person does, by `pollenstallctl member`.")
+      .number(
+          "tolerated_losses", &control_settings::ToleratedLosses, {1U, 0U, 4U},
+          "Control hosts that may be lost at once, with their disks: the log gets twice as many "
+          "voters and one more before the first change is accepted. For self_managed only.")
       .flag("bootstrap", &control_settings::Bootstrap, false,
-            "On exactly one host: it founds the log once every peer has an empty disk.")
-      .text("operators.key_hash_file", &control_settings::OperatorKeyHashFile, presence::Required,
-            "a path", checkNotEmpty, "File with the SHA-256 of the operators' key in hex.");
+            "On exactly one host: it founds the log once every peer has an empty disk. With seeds "
+            "on all hosts of the first start: the one with the least address founds.")
+      .text("operators.key_hash_file", &control_settings::OperatorKeyHashFile, presence::Optional,
+            "a path", {},
+            "File with the SHA-256 of the operators' key in hex; without it every call that needs "
+            "the key is refused.");
 }
 
 void addOrders(settings_table<control_settings> &Table) {
@@ -78,6 +95,23 @@
               "Loads that the weight store takes per minute.");
 }
 
+std::optional<std::string> checkInterface(const std::string &Text) {
+  return Text == "own" || Text == "platform" ? std::nullopt
+                                             : std::optional<std::string>("own or platform");
+}
+
+void addInterface(settings_table<control_settings> &Table) {
+  Table
+      .text("interface", &control_settings::Interface, presence::Optional, "own or platform",
+            checkInterface,
+            "What the operators' address answers beside the own calls: platform adds the calls of "
+            "the platform adapter, without the operators' key.",
+            "own")
+      .span("backends.notice_ms", &control_settings::NoticeInterval,
+            {milliseconds(1000), milliseconds(50), milliseconds(60'000)},
+            "How often backend servers announce themselves to control hosts.");
+}
+
 void addTimes(settings_table<control_settings> &Table) {
   Table
       .span("log.heartbeat_ms", &control_settings::Heartbeat,
@@ -105,6 +139,7 @@
   addIdentity(Table);
   addAddresses(Table);
   addOrders(Table);
+  addInterface(Table);
   addTimes(Table);
   return Table;
 }
@@ -122,8 +157,29 @@
   return std::pair(member_id(Id), std::move(Address));
 }
 
+std::vector<std::string> seedAddresses(const control_settings &Settings) {
+  std::vector<std::string> Addresses;
+  for (const std::string &Seed : Settings.Seeds)
+    Addresses.push_back(Settings.SeedPort == 0
+                            ? Seed
+                            : withPort(Seed, static_cast<std::uint16_t>(Settings.SeedPort)));
+  return Addresses;
+}
+
+std::size_t targetVoters(const control_settings &Settings) {
+  return Settings.SelfManaged ? std::size_t{2} * Settings.ToleratedLosses + 1 : 0;
+}
+
+bool isFounder(const control_settings &Settings) {
+  const std::vector<std::string> Seeds = seedAddresses(Settings);
+  if (!Settings.Bootstrap || Seeds.empty())
+    return Settings.Bootstrap;
+  return *std::min_element(Seeds.begin(), Seeds.end()) == Settings.ListenPeers;
+}
+
 replica_options replicaOptions(const control_settings &Settings) {
   replica_options Options;
+  Options.TargetVoters = targetVoters(Settings);
   Options.HeartbeatInterval = Settings.Heartbeat;
   Options.MinElectionTimeout = Settings.Election;
   Options.MaxElectionTimeout = 2 * Settings.Election;
--- a/programs/pollenstall-control/control_settings_type.h
+++ b/programs/pollenstall-control/control_settings_type.h
@@ -26,6 +26,12 @@
   std::string ListenOperators;
   std::string AddressFile;
   std::vector<std::string> Peers;
+  std::vector<std::string> Seeds; ///< Addresses whose hosts may be control hosts.
+  std::uint32_t SeedPort{0};      ///< Where those hosts listen for peers; 0: as Seeds says.
+  bool SelfManaged{false};        ///< Members are let in and replaced without a person.
+  std::uint32_t ToleratedLosses{0};
+  std::string Interface; ///< Of the operators' address beside the own calls.
+  std::chrono::milliseconds NoticeInterval{0};
   bool Bootstrap{false};
   std::string OperatorKeyHashFile;
   std::chrono::milliseconds Heartbeat{0};
@@ -47,6 +53,18 @@
 /// @return The id and address that "id=IP:port" names, or nothing.
 std::optional<std::pair<member_id, std::string>> peerFromText(const std::string &Text);
 
+/// @return The seeds with the port on which control hosts listen for each other.
+std::vector<std::string> seedAddresses(const control_settings &Settings);
+
+/// @return Voters that bear the tolerated losses; 0 where a person manages the members.
+std::size_t targetVoters(const control_settings &Settings);
+
+/**
+ * @return Whether this host may found the log. With seeds every host of a first start is allowed
+ * to, so it is the one with the least address among the seeds: all were given the same ones.
+ */
+bool isFounder(const control_settings &Settings);
+
 /// @return Bounds and times of the log that follow from the settings.
 replica_options replicaOptions(const control_settings &Settings);
 
--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -37,7 +37,8 @@
 
 void entry_desk::handle(const hub_event &Event, mono_time Now) {
   if (std::holds_alternative<connection_closed>(Event.What)) {
-    Sessions.erase(Event.Connection);
+    if (Sessions.erase(Event.Connection) > 0)
+      sendFleet();
     return;
   }
   if (!InOffice)
@@ -52,14 +53,56 @@
 
 void entry_desk::handleRequest(connection_number From, const link_subscribe &Request,
                                mono_time Now) {
+  // An entry that connects again before its old connection was found dead has one session only.
+  std::erase_if(Sessions, [&Request](const auto &Item) {
+    return Item.second.Who.Process.Host == Request.Process.Host;
+  });
   Sessions[From] = {Request, std::nullopt, std::nullopt, Now};
+  introduce(From, Sessions[From]);
+  sendFleet();
+}
+
+void entry_desk::introduce(connection_number To, session &Session) {
+  Session.Introduced = true;
+  if (Hooks.Backends)
+    Hooks.Send({To, link_backends{true, Hooks.Backends()}});
+  sendDeclaration(To, Session);
+}
+
+link_fleet entry_desk::fleet() const {
+  link_fleet Fleet;
+  if (Hooks.Controls)
+    Fleet.Controls = Hooks.Controls();
+  for (const auto &[Connection, Session] : Sessions)
+    if (!Session.Who.WorkAddress.empty())
+      Fleet.WorkAddresses.push_back(Session.Who.WorkAddress);
+  return Fleet;
+}
+
+void entry_desk::sendFleet() {
+  if (!InOffice)
+    return;
+  const link_fleet Fleet = fleet();
+  for (const auto &[Connection, Session] : Sessions)
+    Hooks.Send({Connection, Fleet});
+}
+
+void entry_desk::backendsChanged(const std::vector<backend_listing> &Changes) {
+  if (!InOffice || Changes.empty())
+    return;
+  for (const auto &[Connection, Session] : Sessions)
+    Hooks.Send({Connection, link_backends{false, Changes}});
 }
 
+void entry_desk::controlsChanged() { sendFleet(); }
+
 void entry_desk::handleRequest(connection_number From, const link_renew &Request, mono_time Now) {
   const auto Found = Sessions.find(From);
   if (Found == Sessions.end() || Found->second.Who.Process != Request.Process)
     return sendAway(From); // its subscription came while this host held no lease
   session &Session = Found->second;
+  if (!Session.Introduced)
+    introduce(From, Session);
   Session.Confirmed = Request.Confirmed;
   Session.LastSeen = Now;
   const auto Lease = Tracker.renew(Request.Process, Session.Who.Domain, Request.Confirmed, Now);
--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pollenstall {
 
@@ -20,6 +21,10 @@
   /// Where the leader listens for entries; empty where not known.
   std::function<std::string()> LeaderAddress;
   std::function<const control_state &()> State;
+  /// Every backend server that is listed; empty where backend servers are known by gossip.
+  std::function<std::vector<backend_listing>()> Backends;
+  /// Where the control hosts listen for entries.
+  std::function<std::vector<std::string>()> Controls;
   /// Puts a command into the log; Answered gets nothing where the outcome is not known.
   std::function<void(const control_command &,
                      std::function<void(std::optional<control_answer>)> Answered)>
@@ -47,6 +52,11 @@
   /// The state has another list of drains.
   void drainsChanged(mono_time Now);
 
+  /// Backend servers changed. On return every entry in touch is being told.
+  void backendsChanged(const std::vector<backend_listing> &Changes);
+  /// Another control host is known.
+  void controlsChanged();
+
   /// @return The highest revision known to be in force everywhere; nothing while that is unknown.
   std::optional<revision> inForce(mono_time Now);
   [[nodiscard]] std::vector<entry_lease> entries() const { return Tracker.entries(); }
@@ -58,6 +68,7 @@
     std::optional<revision> Confirmed;
     std::optional<revision> Sent; ///< Declaration sent last on this connection.
     mono_time LastSeen{};
+    bool Introduced{false}; ///< Was told of the backend servers and of the fleet.
   };
 
   void handleRequest(connection_number From, const link_subscribe &Request, mono_time Now);
@@ -67,6 +78,9 @@
   void sendAway(connection_number To);
   void sendDeclaration(connection_number To, session &Session);
   void sendDrains(connection_number To);
+  void introduce(connection_number To, session &Session);
+  [[nodiscard]] link_fleet fleet() const;
+  void sendFleet();
   void forgetSilentSessions(mono_time Now);
 
   in_force_options Options;
--- a/programs/pollenstall-control/operator_reply.cpp
+++ b/programs/pollenstall-control/operator_reply.cpp
@@ -93,6 +93,10 @@
   return jsonReply(HttpOk, {{"done", true}});
 }
 
+operator_reply replyToOutcome(const backend_noted & /*Outcome*/) {
+  return jsonReply(HttpOk, {{"done", true}});
+}
+
 operator_reply replyToOutcome(const std::string &Outcome) {
   return {HttpOk, "application/json", Outcome};
 }
--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -20,6 +20,9 @@
   return valueOf(std::move(Built));
 }
 
+/// Backend servers announce themselves about once a second: a new leader has heard of all by then.
+constexpr mono_span NewLeaderGrace = std::chrono::milliseconds(3000);
+
 attempt_report reportOf(const attempt_ending &Ending) {
   attempt_report Report;
   Report.Completed = Ending.End == attempt_end::Completed;
@@ -32,29 +35,20 @@
 
 } // namespace
 
-decision_seam::decision_seam(const process_key &Self, std::uint64_t Seed)
-    : Patrol(Self, {}), Scheduler(scheduler_builder().seed(Seed).host(Self.Host).build()),
-      Dispatcher(buildDispatcher(Self, Seed, hooks())) {}
+decision_seam::decision_seam(const process_key &Self, std::uint64_t Seed, backend_source Known)
+    : Source(Known), Patrol(Self, {}),
+      Scheduler(scheduler_builder().seed(Seed).host(Self.Host).build()), Placer(Self.Host, Seed),
+      Directory(NewLeaderGrace), Dispatcher(buildDispatcher(Self, Seed, hooks())) {}
 
 dispatch_seam decision_seam::hooks() {
   dispatch_seam Hooks;
-  Hooks.Submit = [this](const work_item &Item, mono_time Now) {
-    PollDue = true;
-    auto Taken = Scheduler.submit(Item, Now);
-    if (succeeded(Taken))
-      Waiting.insert_or_assign(Item.Request, Item);
-    return Taken;
-  };
-  Hooks.Withdraw = [this](request_number Request) {
-    Waiting.erase(Request);
-    Scheduler.withdraw(Request);
-  };
+  Hooks.Submit = [this](const work_item &Item, mono_time Now) { return submit(Item, Now); };
+  Hooks.Withdraw = [this](request_number Request) { withdraw(Request); };
   Hooks.AttemptStarted = [this](const attempt_start &Start, mono_time Now) {
     noteStart(Start, Now);
   };
   Hooks.AttemptAnswering = [this](const attempt_id &Attempt, mono_time Now) {
-    PollDue = true;
-    Scheduler.attemptAnswering(Attempt, Now);
+    noteAnswering(Attempt, Now);
   };
   Hooks.AttemptAdvanced = [this](const attempt_id &Attempt, std::uint64_t Events, mono_time Now) {
     Scheduler.attemptAdvanced(Attempt, Events, Now);
@@ -62,7 +56,7 @@
   Hooks.AttemptAbandoned = [this](const attempt_id &Attempt, std::optional<attempt_failure> Failure,
                                   mono_time Now) {
     if (Failure)
-      Scheduler.attemptBroken(Attempt, *Failure, Now);
+      noteBroken(Attempt, *Failure, Now);
   };
   Hooks.AttemptEnded = [this](const attempt_ending &Ending, mono_time Now) {
     noteEnd(Ending, Now);
@@ -75,9 +69,46 @@
   return Hooks;
 }
 
+std::variant<done, work_refusal> decision_seam::submit(const work_item &Item, mono_time Now) {
+  PollDue = true;
+  auto Taken = usesPlacer() ? Placer.submit(Item, Now) : Scheduler.submit(Item, Now);
+  if (succeeded(Taken))
+    Waiting.insert_or_assign(Item.Request, Item);
+  return Taken;
+}
+
+void decision_seam::withdraw(request_number Request) {
+  Waiting.erase(Request);
+  if (usesPlacer())
+    Placer.withdraw(Request);
+  else
+    Scheduler.withdraw(Request);
+}
+
+void decision_seam::noteAnswering(const attempt_id &Attempt, mono_time Now) {
+  PollDue = true;
+  if (usesPlacer())
+    Placer.attemptAnswering(Attempt, Now);
+  else
+    Scheduler.attemptAnswering(Attempt, Now);
+}
+
+void decision_seam::noteBroken(const attempt_id &Attempt, attempt_failure Failure, mono_time Now) {
+  if (usesPlacer())
+    Placer.attemptBroken(Attempt, Failure, Now);
+  else
+    Scheduler.attemptBroken(Attempt, Failure, Now);
+}
+
 std::vector<candidate_group> decision_seam::groupsFor(const request_facts &Facts) const {
   if (!Declaration)
     return {};
+  if (!Facts.Services.empty()) {
+    std::vector<candidate_group> Shares;
+    for (const auto &[Service, Weight] : Facts.Services)
+      Shares.push_back({group_name(Service.str()), Weight});
+    return Shares;
+  }
   const selector_input Input{Facts.Service, Facts.Model, Facts.Account, Facts.Headers,
                              Facts.Prompt};
   std::vector<candidate_group> Groups;
@@ -92,17 +123,26 @@
   requireInvariant(Found != Waiting.end(), "an attempt starts for work that was submitted");
   const work_item Item = std::move(Found->second);
   Waiting.erase(Found);
-  Scheduler.attemptStarted(Start.Attempt, Item, Start.Backend, Now);
+  if (usesPlacer())
+    Placer.attemptStarted(Start.Attempt, Item, Start.Backend, Now);
+  else
+    Scheduler.attemptStarted(Start.Attempt, Item, Start.Backend, Now);
 }
 
 void decision_seam::noteEnd(const attempt_ending &Ending, mono_time Now) {
   PollDue = true;
-  Scheduler.attemptEnded(Ending.Attempt, reportOf(Ending), Now);
+  if (usesPlacer())
+    Placer.attemptEnded(Ending.Attempt, reportOf(Ending), Now);
+  else
+    Scheduler.attemptEnded(Ending.Attempt, reportOf(Ending), Now);
 }
 
 void decision_seam::useDeclaration(declaration_view View) {
   Declaration = std::move(View);
-  Scheduler.applyDeclaration(Declaration->declaration());
+  if (usesPlacer())
+    Placer.applyDeclaration(Declaration->declaration());
+  else
+    Scheduler.applyDeclaration(Declaration->declaration());
   Dispatcher.applyLimits(Declaration->declaration().Limits);
   PollDue = true;
 }
@@ -152,6 +192,36 @@
       Event);
 }
 
+void decision_seam::take(const backends_listed &Listed, mono_time Now) {
+  const std::vector<backend_listing> Changes =
+      Listed.Whole ? Directory.takeAll(Listed.Listings, Now) : Directory.take(Listed.Listings);
+  for (const backend_listing &Listing : Changes)
+    noteListing(Listing, Now);
+}
+
+void decision_seam::noteListing(const backend_listing &Listing, mono_time Now) {
+  PollDue = true;
+  if (Listing.State != listing_state::Gone)
+    return Placer.updateBackend(Listing);
+  Dispatcher.backendGone(Listing.Key, Now);
+  Placer.removeBackend(Listing.Key);
+}
+
+void decision_seam::takePeerLoads(const host_name &Peer, const std::vector<work_load> &Loads,
+                                  mono_time Now) {
+  Placer.takePeerLoads(Peer, Loads, Now);
+}
+
+std::string decision_seam::instanceOf(const backend_key &Backend) const {
+  const backend_listing *Listing = Directory.find(Backend);
+  return Listing ? Listing->Instance.str() : std::string();
+}
+
+bool decision_seam::viewsUsable(mono_time Now) const {
+  // On old views a server that has said it leaves could still be given work.
+  return usesPlacer() ? Directory.told() : Now <= FreshUntil;
+}
+
 void decision_seam::take(const dispatch_event &Event, mono_time Now) {
   Dispatcher.handle(Event, Now);
 }
@@ -172,7 +242,7 @@
 
 void decision_seam::place(mono_time Now) {
   PollDue = false;
-  const poll_outcome Outcome = Scheduler.poll(Now);
+  const poll_outcome Outcome = usesPlacer() ? Placer.poll(Now) : Scheduler.poll(Now);
   for (const work_placement &Placement : Outcome.Placements)
     Dispatcher.place(Placement, Now);
   for (const work_expiry &Expiry : Outcome.Expiries) {
@@ -182,30 +252,38 @@
 }
 
 std::vector<dispatch_action> decision_seam::step(mono_time Now) {
+  for (const backend_listing &Listing : Directory.advance(Now))
+    noteListing(Listing, Now);
   Dispatcher.advance(Now);
-  const auto Wake = Scheduler.nextWake();
-  // On old views a server that has said it leaves could still be given work.
-  if (Now <= FreshUntil && (PollDue || (Wake && *Wake <= Now)))
+  const auto Wake = nextPoll();
+  if (viewsUsable(Now) && (PollDue || (Wake && *Wake <= Now)))
     place(Now);
   return Dispatcher.takeActions();
 }
 
+std::optional<mono_time> decision_seam::nextPoll() const {
+  return usesPlacer() ? Placer.nextWake() : Scheduler.nextWake();
+}
+
 std::optional<mono_time> decision_seam::nextWake() const {
   std::optional<mono_time> Next = Dispatcher.nextWake();
-  const auto Poll = Scheduler.nextWake();
+  const auto Poll = nextPoll();
   if (Poll && (!Next || *Poll < *Next))
     Next = Poll;
   return Next;
 }
 
 bool decision_seam::takesCancels(const backend_key &Backend) const {
+  // Servers of the directory end what they run when its connection closes.
+  if (usesPlacer())
+    return false;
   const auto Found = Backends.find(Backend);
   return Found == Backends.end() || Found->second.Announcement.Capabilities.Model;
 }
 
 std::string decision_seam::dump(mono_time Now) const {
   return R"({"dispatch":)" + dumpText(Dispatcher.dump(Now)) + R"(,"scheduling":)" +
-         Scheduler.dump() + "}";
+         (usesPlacer() ? Placer.dump(Now) : Scheduler.dump()) + "}";
 }
 
 } // namespace pollenstall
--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -2,10 +2,13 @@
 #ifndef POLLENSTALL_ENTRY_DECISION_SEAM_BASE_H
 #define POLLENSTALL_ENTRY_DECISION_SEAM_BASE_H
 
+#include "control_link/control_link.h"
 #include "declaration/declaration.h"
+#include "directory/directory.h"
 #include "dispatch/dispatch.h"
 #include "gossip/gossip.h"
 #include "orphan/orphan.h"
+#include "placement/placement.h"
 #include "relay/relay.h"
 #include "scheduling/scheduling.h"
 
@@ -17,10 +20,16 @@
 
 namespace pollenstall {
 
+/// Who knows the backend servers, and with it who places work on them.
+enum class backend_source : std::uint8_t {
+  Gossip,  ///< Announcements spread by the entries; engines' figures are learnt.
+  Control, ///< The leading control host's directory; engines' figures are declared.
+};
+
 /// One entry's decisions: everything but the thread that runs them.
 class decision_seam {
 public:
-  decision_seam(const process_key &Self, std::uint64_t Seed);
+  decision_seam(const process_key &Self, std::uint64_t Seed, backend_source Known);
   decision_seam(const decision_seam &) = delete;
   decision_seam &operator=(const decision_seam &) = delete;
 
@@ -30,6 +39,15 @@
   void useDrains(const std::vector<backend_address> &Backends, mono_time Now);
   void take(const membership_event &Event, mono_time Now);
   void take(const dispatch_event &Event, mono_time Now);
+  void take(const backends_listed &Listed, mono_time Now);
+  /// Another entry's work.
+  void takePeerLoads(const host_name &Peer, const std::vector<work_load> &Loads, mono_time Now);
+  [[nodiscard]] std::vector<work_load> ownLoads(mono_time Now) const {
+    return Placer.ownLoads(Now);
+  }
+  /// @return The name that a backend server gives its life; empty where it has none.
+  [[nodiscard]] std::string instanceOf(const backend_key &Backend) const;
+  void setRetryReserve(const retry_reserve &Value) { Dispatcher.setRetryReserve(Value); }
   /// An engine told what it holds. @return What is to be cancelled there for want of an owner.
   std::vector<cancel_attempt> orphansIn(const attempts_listed &Listed, mono_time Now);
   /// @return Engines to be asked for what they hold.
@@ -45,17 +63,27 @@
 
   /// @return Whether the backend server ends attempts on request.
   [[nodiscard]] bool takesCancels(const backend_key &Backend) const;
-  [[nodiscard]] mono_time viewsFreshUntil() const { return FreshUntil; }
+  /// @return Whether the backend servers are known well enough to place work.
+  [[nodiscard]] bool viewsUsable(mono_time Now) const;
   /// @return Whether a newer life of this host is known, so that this one must stop.
   [[nodiscard]] bool isSuperseded() const { return Superseded; }
   [[nodiscard]] std::size_t liveRequests() const { return Dispatcher.liveRequests(); }
   [[nodiscard]] std::size_t abandonedAttempts() const { return Dispatcher.abandonedAttempts(); }
-  [[nodiscard]] std::size_t queued() const { return Scheduler.queued(); }
+  [[nodiscard]] std::size_t queued() const {
+    return usesPlacer() ? Placer.queued() : Scheduler.queued();
+  }
   /// @return JSON of requests, queue and backend servers, without prompts or keys.
   [[nodiscard]] std::string dump(mono_time Now) const;
 
 private:
+  [[nodiscard]] bool usesPlacer() const { return Source == backend_source::Control; }
   dispatch_seam hooks();
+  std::variant<done, work_refusal> submit(const work_item &Item, mono_time Now);
+  void withdraw(request_number Request);
+  void noteAnswering(const attempt_id &Attempt, mono_time Now);
+  void noteBroken(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
+  void noteListing(const backend_listing &Listing, mono_time Now);
+  [[nodiscard]] std::optional<mono_time> nextPoll() const;
   std::vector<candidate_group> groupsFor(const request_facts &Facts) const;
   void noteStart(const attempt_start &Start, mono_time Now);
   void noteEnd(const attempt_ending &Ending, mono_time Now);
@@ -64,9 +92,12 @@
   void place(mono_time Now);
   [[nodiscard]] backend_view withDrain(backend_view View) const;
 
+  backend_source Source;
   declaration_view Declaration;
   orphan_patrol Patrol;
   scheduler Scheduler;
+  placer Placer;
+  directory_follower Directory;
   std::map<request_number, work_item> Waiting; ///< Submitted, without an attempt yet.
   std::map<backend_key, backend_view> Backends;
   std::set<backend_address> Drained;
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -4,6 +4,7 @@
 #include "program/program.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pollenstall {
 
@@ -14,6 +15,18 @@
 /// Sleep while orders wait for room in the ring.
 constexpr mono_span FullRingSleep = std::chrono::milliseconds(1);
 
+/// Between two reports of work: what is placed in between by two entries can meet on one engine.
+constexpr mono_span LoadInterval = std::chrono::milliseconds(10);
+/// Where nothing changes; well within the silence after which a peer's work counts no longer.
+constexpr mono_span LoadRepeat = std::chrono::milliseconds(250);
+
+result<fleet_declaration, std::string> readOwnFormat(const std::string &Text) {
+  auto Parsed = parseDeclaration(Text, "declaration");
+  if (!succeeded(Parsed))
+    return toText(errorOf(Parsed));
+  return valueOf(std::move(Parsed));
+}
+
 prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name, const char *Help) {
   return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add({});
 }
@@ -22,7 +35,8 @@
 
 decision_thread::decision_thread(decision_plan Wanted)
     : Plan(std::move(Wanted)), Events(Plan.RingCapacity), Lists(ListCapacity),
-      Orders(Plan.RingCapacity), Outbox(Orders), Seam(Plan.Self, Plan.Self.Life.value()),
+      Orders(Plan.RingCapacity), Outbox(Orders),
+      Seam(Plan.Self, Plan.Self.Life.value(), Plan.Backends),
       OrphanCounter(prometheus::BuildCounter()
                         .Name("pollenstall_orphans_cancelled_total")
                         .Help("Attempts of dead owners that this entry asked engines to end")
@@ -39,6 +53,8 @@
                           "Revision of the declaration in use")) {
   Events.onWake([this] { Gate.wake(); });
   Lists.onWake([this] { Gate.wake(); });
+  if (!Plan.ReadDeclaration)
+    Plan.ReadDeclaration = readOwnFormat;
 }
 
 decision_thread::~decision_thread() { stop(); }
@@ -86,6 +102,7 @@
   for (const backend_key &Engine : Seam.enginesToList(Now))
     Outbox.push(list_attempts{Engine});
   Outbox.flush();
+  tellLoads(Now);
   publishGauges();
   answerDumps(Now);
 }
@@ -93,6 +110,10 @@
 void decision_thread::drainNews(mono_time Now) {
   if (Views)
     Views->drain([this, Now](membership_event &&Event) { Seam.take(Event, Now); });
+  if (Share)
+    Share->reports().drain([this, Now](work_report &&Report) {
+      Seam.takePeerLoads(Report.Sender.Host, Report.Loads, Now);
+    });
   Superseded = Seam.isSuperseded();
   if (Control)
     Control->drainEvents(
@@ -110,6 +131,8 @@
           [this](const lease_extended &Lease) { Freshness.extend(Lease.Revision, Lease.Until); },
           [this, Now](const claim_answered &Answer) { Seam.take(dispatch_event(Answer), Now); },
           [this, Now](const drains_changed &Drains) { Seam.useDrains(Drains.Backends, Now); },
+          [this, Now](const backends_listed &Listed) { Seam.take(Listed, Now); },
+          [this](const entries_listed &Listed) { takeEntries(Listed); },
           [](const control_lost &) { logEvent(log_level::Warning, "control_lost"); }},
       Event);
 }
@@ -119,14 +142,18 @@
   if (Verdict == offer_verdict::Stale)
     return;
   if (Verdict == offer_verdict::Take) {
-    auto Parsed = parseDeclaration(Received.Text, "declaration");
+    auto Parsed = Plan.ReadDeclaration(Received.Text);
     if (!succeeded(Parsed)) {
       // Not confirmed, so that the lease runs out: better unready than on an older declaration.
       ++BadDeclarations;
       logEvent(log_level::Error, "declaration_refused",
-               {{"revision", static_cast<std::int64_t>(Received.Revision.value())}});
+               {{"revision", static_cast<std::int64_t>(Received.Revision.value())},
+                {"error", errorOf(Parsed)}});
       return;
     }
+    if (Plan.RetryShare > 0)
+      valueOf(Parsed).Limits.RetryPercent =
+          static_cast<std::uint32_t>(std::lround(Plan.RetryShare * 100));
     useIndex(std::make_shared<const declaration_index>(valueOf(std::move(Parsed))));
     Freshness.inUse(Received.Revision);
     RevisionGauge.Set(static_cast<double>(Received.Revision.value()));
@@ -136,6 +163,34 @@
   Control->request(revision_confirmed{Received.Revision});
 }
 
+void decision_thread::takeEntries(const entries_listed &Listed) {
+  WorkPeers = Listed.WorkAddresses;
+  if (Plan.RetryReserve == 0)
+    return;
+  // The fleet's reserve is shared out evenly: most of it can be saved up, the rest comes with time.
+  constexpr double Saved = 0.6;
+  constexpr double Regained = 0.3;
+  const double Entries = std::max<double>(1.0, static_cast<double>(WorkPeers.size()));
+  const double Part = Plan.RetryReserve / Entries;
+  retry_reserve Reserve;
+  Reserve.Burst = std::max<std::uint64_t>(1, static_cast<std::uint64_t>(Part * Saved));
+  Reserve.Floor = std::max<std::uint64_t>(1, static_cast<std::uint64_t>(Part * Regained));
+  Reserve.Refill = Plan.RetryWindow / static_cast<std::int64_t>(Reserve.Floor);
+  Seam.setRetryReserve(Reserve);
+}
+
+void decision_thread::tellLoads(mono_time Now) {
+  if (!Share || Now - LoadsToldAt < LoadInterval)
+    return;
+  std::vector<work_load> Loads = Seam.ownLoads(Now);
+  const bool Due = Now - LoadsToldAt >= LoadRepeat && !Loads.empty();
+  if (Loads == ToldLoads && !Due)
+    return;
+  LoadsToldAt = Now;
+  ToldLoads = Loads;
+  Share->orders().push({std::move(Loads), WorkPeers});
+}
+
 void decision_thread::useIndex(declaration_view View) {
   Declaration = std::move(View);
   Seam.useDeclaration(Declaration);
@@ -143,12 +198,14 @@
 }
 
 bool decision_thread::declarationUsable(mono_time Now) const {
-  return Declaration && (Plan.Fixed || Freshness.ready(Now));
+  // Before the first declaration every route and key would be refused as unknown.
+  const bool Declared = Freshness.current() && *Freshness.current() > revision();
+  const bool Awaits = Plan.Backends == backend_source::Control && !Declared;
+  return Declaration && (Plan.Fixed || (Freshness.ready(Now) && !Awaits));
 }
 
 void decision_thread::updateReadiness(mono_time Now) {
-  const bool Usable =
-      declarationUsable(Now) && Now <= Seam.viewsFreshUntil() && !Seam.isSuperseded();
+  const bool Usable = declarationUsable(Now) && Seam.viewsUsable(Now) && !Seam.isSuperseded();
   const mono_time Until = Plan.Fixed ? mono_time::max() : Freshness.leaseEnd();
   const bool Changed = Usable != Ready || (Usable && !Announced);
   const bool Extended = Usable && Until != ToldUntil;
@@ -183,6 +240,10 @@
                    const bool TakesCancels = Seam.takesCancels(Cancel.Backend);
                    Outbox.push(cancel_order{std::move(Cancel), TakesCancels});
                  },
+                 [this](start_attempt &&Start) {
+                   Start.Instance = Seam.instanceOf(Start.Backend);
+                   Outbox.push(std::move(Start));
+                 },
                  [this](auto &&Order) { Outbox.push(std::forward<decltype(Order)>(Order)); }},
       std::move(Action));
 }
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -6,6 +6,7 @@
 #include "decision_seam_base.h"
 #include "relay/relay.h"
 #include "wake_gate_base.h"
+#include "work_share/work_share.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -27,6 +28,12 @@
   process_key Self;
   /// A fixed declaration; with it no lease is asked for. Empty where control hosts declare.
   std::optional<fleet_declaration> Fixed;
+  backend_source Backends{backend_source::Gossip};
+  /// Reads a declaration's text; empty: the TOML format.
+  declaration_reader ReadDeclaration;
+  double RetryShare{0};          ///< Of first attempts; 0: as declared.
+  std::uint32_t RetryReserve{0}; ///< Of all entries, in the window; 0: a fixed one here.
+  mono_span RetryWindow{std::chrono::seconds(10)};
   std::size_t RingCapacity{1U << 16U};
   std::shared_ptr<prometheus::Registry> Registry;
 };
@@ -55,6 +62,8 @@
 
   /// Sets the control link; before start().
   void useControl(std::unique_ptr<control_link> Link) { Control = std::move(Link); }
+  /// Sets the thread that carries work reports; before start().
+  void useShare(work_share &Used) { Share = &Used; }
   /// Sets the ring of the gossip thread; before start().
   void useViews(bounded_ring<membership_event> &Source) { Views = &Source; }
   void start();
@@ -78,6 +87,8 @@
   void drainNews(mono_time Now);
   void takeControlEvent(control_link_event &&Event, mono_time Now);
   void takeDeclaration(const declaration_received &Received);
+  void takeEntries(const entries_listed &Listed);
+  void tellLoads(mono_time Now);
   void useIndex(declaration_view View);
   void updateReadiness(mono_time Now);
   void carryOut(dispatch_action &&Action);
@@ -94,6 +105,10 @@
   bounded_ring<relay_order> Orders;
   event_outbox<relay_order> Outbox;
   bounded_ring<membership_event> *Views{nullptr};
+  work_share *Share{nullptr};
+  std::vector<std::string> WorkPeers;
+  std::vector<work_load> ToldLoads;
+  mono_time LoadsToldAt{};
   wake_gate Gate;
   std::unique_ptr<control_link> Control;
   entry_freshness Freshness;
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -2,6 +2,8 @@
 #include "entry_base.h"
 
 #include "announcement_func.h"
+#include "peer_link/peer_link.h"
+#include "platform/platform.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
@@ -19,6 +21,8 @@
 constexpr std::chrono::milliseconds PollPause{10};
 /// After the last answer, for backend servers to confirm what was cancelled.
 constexpr std::chrono::seconds CancelGrace{2};
+/// Before the kill: for the last answers to be written.
+constexpr std::chrono::milliseconds KillMargin{1'000};
 /// The dispatcher ends what is left at the limit; its answers still have to be written.
 constexpr std::chrono::seconds LastAnswers{1};
 constexpr unsigned BadRequest = 400;
@@ -75,6 +79,7 @@
   Gossip.reset();
   if (Decision)
     Decision->stop();
+  Share.reset();
   stopRelay();
 }
 
@@ -99,8 +104,28 @@
   return done{};
 }
 
+std::optional<std::string> entry::missingSetting() const {
+  if (Settings.DeclarationFile.empty() && Settings.ControlAddresses.empty())
+    return "control.addresses, or declaration.file";
+  if (usesDirectory() && Settings.WorkAddress.empty())
+    return "listen.work";
+  if (!usesDirectory() && Settings.GossipAddress.empty())
+    return "listen.gossip";
+  if (!usesDirectory() && Settings.AnnouncementsAddress.empty())
+    return "listen.announcements";
+  return std::nullopt;
+}
+
 result<done, entry_error> entry::start() {
+  if (const auto Missing = missingSetting())
+    return entry_error{"the settings lack " + *Missing};
   decision_plan Plan;
+  Plan.Backends = usesDirectory() ? backend_source::Control : backend_source::Gossip;
+  if (usesPlatform())
+    Plan.ReadDeclaration = platformDeclarationReader();
+  Plan.RetryShare = Settings.RetryShare;
+  Plan.RetryReserve = Settings.RetryReserve;
+  Plan.RetryWindow = Settings.RetryWindow;
   Plan.Self = Self;
   Plan.Registry = Registry;
   auto Declared = loadDeclaration(Plan.Fixed);
@@ -108,28 +133,53 @@
     return Declared;
   const bool UsesControl = !Plan.Fixed;
   Decision = std::make_unique<decision_thread>(std::move(Plan));
-  if (UsesControl)
-    startControl();
-  for (const auto Step : {&entry::startGossip, &entry::startRelay, &entry::startOperators,
-                          &entry::startAnnouncements}) {
+  for (const auto Step : {&entry::startGossip, &entry::startWorkShare, &entry::startRelay,
+                          &entry::startOperators, &entry::startAnnouncements}) {
     auto Started = (this->*Step)();
     if (!succeeded(Started))
       return Started;
   }
+  if (UsesControl)
+    startControl();
   Decision->start();
-  Gossip->start();
+  if (Gossip)
+    Gossip->start();
+  if (Share)
+    Share->start();
   RelayThread = std::thread([this] { Io.run(); });
   return writeAddresses();
 }
 
 void entry::startControl() {
-  Decision->useControl(control_link_builder(Settings.ControlAddresses, Settings.Fleet)
+  std::vector<std::string> Controls = Settings.ControlAddresses;
+  if (Settings.ControlPort > 0)
+    for (std::string &Address : Controls)
+      Address = withPort(Address, static_cast<std::uint16_t>(Settings.ControlPort));
+  Decision->useControl(control_link_builder(std::move(Controls), Settings.Fleet)
                            .process(Self, failure_domain_name(Settings.FailureDomain))
+                           .workAddress(Share ? Share->address() : std::string())
+                           .renewEvery(Settings.ControlRenew)
+                           .answerWithin(Settings.ControlAnswer)
                            .onEvents([this] { Decision->wake(); })
                            .start());
 }
 
+result<done, entry_error> entry::startWorkShare() {
+  if (!usesDirectory())
+    return done{};
+  auto Created = work_share::create(Settings.Fleet, Self, Settings.WorkAddress);
+  if (!succeeded(Created))
+    return entry_error{errorOf(Created).Text};
+  Share = std::move(valueOf(Created));
+  Share->reports().onWake([this] { Decision->wake(); });
+  Decision->useShare(*Share);
+  logListening("work", Share->address());
+  return done{};
+}
+
 result<done, entry_error> entry::startGossip() {
+  if (usesDirectory())
+    return done{};
   gossip_options Options;
   Options.Secret.Fleet = Settings.Fleet;
   if (!Settings.GossipKeyFile.empty()) {
@@ -160,6 +210,7 @@
               .process(Self)
               .limits(limitsOf(Settings))
               .metrics(Registry)
+              .interface(usesPlatform() ? platformCalls() : call_interface())
               .onCallEnd([this](const call_record &Record) { noteCallEnd(Record); })
               .build();
   Decision->orders().onWake([this] {
@@ -190,6 +241,8 @@
 }
 
 result<done, entry_error> entry::startAnnouncements() {
+  if (usesDirectory())
+    return done{};
   std::string Hash;
   if (!Settings.FleetKeyFile.empty()) {
     const auto Key = readFile(Settings.FleetKeyFile);
@@ -237,10 +290,13 @@
 result<done, entry_error> entry::writeAddresses() const {
   if (Settings.AddressFile.empty())
     return done{};
-  const boost::json::object Addresses{{"callers", CallersAddress},
-                                      {"operators", Operators->address()},
-                                      {"announcements", Announcements->address()},
-                                      {"gossip", Gossip->address().str()}};
+  boost::json::object Addresses{{"callers", CallersAddress}, {"operators", Operators->address()}};
+  if (Announcements)
+    Addresses["announcements"] = Announcements->address();
+  if (Gossip)
+    Addresses["gossip"] = Gossip->address().str();
+  if (Share)
+    Addresses["work"] = Share->address();
   // Renamed into place, so that whoever waits for the file never reads half of it.
   const std::string Draft = Settings.AddressFile + ".new";
   {
@@ -266,7 +322,7 @@
 std::string entry::dump() {
   // A thread that does not answer is itself what the operator looks for.
   const std::string Silent = R"("no answer")";
-  const std::string Membership = Gossip->dump();
+  const std::string Membership = Gossip ? Gossip->dump() : std::string("null");
   return R"({"process":{"host":")" + Self.Host.str() + R"(","incarnation":)" +
          std::to_string(Self.Life.value()) + R"(},"relay":)" +
          dumpRelay(DumpLimit).value_or(Silent) + R"(,"decisions":)" +
@@ -296,12 +352,21 @@
 exit_code entry::shutDown() {
   logEvent(log_level::Info, "stopping");
   Stopping = true;
+  const mono_time Asked = boot_clock::now();
+  const mono_time Killed =
+      Settings.KillAfter.count() > 0 ? Asked + Settings.KillAfter - KillMargin : mono_time::max();
+  if (Settings.DrainTime.count() > 0) {
+    asio::post(Io, [this] { Relay->beginDrain(); });
+    std::this_thread::sleep_until(std::chrono::steady_clock::now() +
+                                  std::min<mono_span>(Settings.DrainTime, Killed - Asked));
+  }
   asio::post(Io, [this] { Relay->beginStop(); });
-  Decision->beginShutdown(Settings.ShutdownLimit);
-  const mono_time Limit = boot_clock::now() + Settings.ShutdownLimit;
+  const mono_time Limit = std::min(boot_clock::now() + Settings.ShutdownLimit, Killed);
+  Decision->beginShutdown(Limit - boot_clock::now());
   waitForCalls(Limit + LastAnswers, [this] { return openCalls(); });
   waitForCalls(boot_clock::now() + CancelGrace, [this] { return Decision->abandoned(); });
-  Gossip->stop();
+  if (Gossip)
+    Gossip->stop();
   Decision->stop();
   stopRelay();
   const exit_code Code = CutOff ? exit_code::ShutdownLimit : exit_code::Ok;
--- a/programs/pollenstall-entry/entry_base.h
+++ b/programs/pollenstall-entry/entry_base.h
@@ -47,6 +47,10 @@
   result<done, entry_error> writeAddresses() const;
   void startControl();
   result<done, entry_error> startGossip();
+  result<done, entry_error> startWorkShare();
+  [[nodiscard]] std::optional<std::string> missingSetting() const;
+  [[nodiscard]] bool usesDirectory() const { return Settings.BackendSource == "control"; }
+  [[nodiscard]] bool usesPlatform() const { return Settings.Interface == "platform"; }
   void stopRelay();
   [[nodiscard]] operator_reply takeAnnouncement(const operator_call &Call);
   [[nodiscard]] std::string announceTo() const;
@@ -63,7 +67,8 @@
   boost::asio::io_context Io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   std::unique_ptr<decision_thread> Decision;
-  std::unique_ptr<gossip_service> Gossip;
+  std::unique_ptr<gossip_service> Gossip; ///< Null where control hosts know the backend servers.
+  std::unique_ptr<work_share> Share;      ///< Null where gossip does.
   /// Of AnnounceAddress and the producer's side of the ring: the server has several threads.
   std::mutex AnnouncementGuard;
   std::string AnnounceAddress;
--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -44,10 +44,17 @@
             checkAddress, "Address for callers; port 0 takes any free one.")
       .text("listen.operators", &entry_settings::OperatorsAddress, presence::Required, Address,
             checkAddress, "Address for operators, the balancer and the metrics collector.")
-      .text("listen.announcements", &entry_settings::AnnouncementsAddress, presence::Required,
-            Address, checkAddress, "Address that backend servers announce themselves to.")
-      .text("listen.gossip", &entry_settings::GossipAddress, presence::Required, Address,
-            checkAddress, "UDP address for the system's other hosts.")
+      .text("listen.announcements", &entry_settings::AnnouncementsAddress, presence::Optional,
+            Address, checkAddress,
+            "Address that backend servers announce themselves to; needed where they are known by "
+            "gossip.")
+      .text("listen.gossip", &entry_settings::GossipAddress, presence::Optional, Address,
+            checkAddress,
+            "UDP address for the system's other hosts; needed where backend servers are known by "
+            "gossip.")
+      .text("listen.work", &entry_settings::WorkAddress, presence::Optional, Address, checkAddress,
+            "UDP address at which other entries tell what they have under way; needed where "
+            "backend servers are known by control.")
       .text("listen.address_file", &entry_settings::AddressFile, presence::Optional, "a path", {},
             "File that the bound addresses are written to, as JSON.")
       .texts("gossip.seeds", &entry_settings::GossipSeeds, presence::Optional, Address,
@@ -59,12 +66,56 @@
              checkAddress,
              "Announcement addresses of other entries, told to backend servers as fall-backs.")
       .texts("control.addresses", &entry_settings::ControlAddresses, presence::Optional, Address,
-             checkAddress, "Addresses of the control hosts for entries.")
+             checkAddress, "Addresses of the control hosts for entries; of some of them at least.")
+      .number("control.port", &entry_settings::ControlPort, {0U, 0U, 65'535U},
+              "Port for entries on the hosts of control.addresses; 0 takes these as they are.")
+      .span("control.renew_ms", &entry_settings::ControlRenew,
+            {milliseconds(500), milliseconds(50), Minute},
+            "Between two requests for the lease on the declaration.")
+      .span("control.answer_within_ms", &entry_settings::ControlAnswer,
+            {milliseconds(2000), milliseconds(100), Minute},
+            "A control host that is silent for longer is given up for another one.")
       .text("declaration.file", &entry_settings::DeclarationFile, presence::Optional, "a path", {},
             "A fixed declaration instead of control hosts, for trials: it is read once, no lease "
             "bounds it, and calls with an idempotency key that must run once are refused.");
 }
 
+std::optional<std::string> checkInterface(const std::string &Text) {
+  return Text == "chat" || Text == "platform" ? std::nullopt
+                                              : std::optional<std::string>("chat or platform");
+}
+
+std::optional<std::string> checkSource(const std::string &Text) {
+  return Text == "gossip" || Text == "control" ? std::nullopt
+                                               : std::optional<std::string>("gossip or control");
+}
+
+void addInterface(settings_table<entry_settings> &Table) {
+  Table
+      .text("interface", &entry_settings::Interface, presence::Optional, "chat or platform",
+            checkInterface,
+            "What callers and backend servers speak: chat/completions, or what the platform "
+            "adapter translates.",
+            "chat")
+      .text("backends.source", &entry_settings::BackendSource, presence::Optional,
+            "gossip or control", checkSource,
+            "Who knows the backend servers: the entries by gossip, or the control hosts.", "gossip")
+      .fraction("retries.share", &entry_settings::RetryShare, {0.0, 0.0, 1.0},
+                "Retries for each first attempt; 0: as the declaration's limits say.")
+      .number("retries.reserve", &entry_settings::RetryReserve, {0U, 0U, 1'000'000U},
+              "Further retries of all entries together in each window; 0: a small one each.")
+      .span("retries.window_ms", &entry_settings::RetryWindow, {10 * Second, Second, Hour},
+            "The window of the reserve.")
+      .span("shutdown_drain_ms", &entry_settings::DrainTime,
+            {milliseconds(0), milliseconds(0), Hour},
+            "After SIGTERM requests are still admitted for so long, until the balancer has seen "
+            "that this host is not ready.")
+      .span("shutdown_kill_ms", &entry_settings::KillAfter,
+            {milliseconds(0), milliseconds(0), Hour},
+            "The process is killed so long after SIGTERM, so that all must end a second earlier; "
+            "0: it is not.");
+}
+
 void addLimits(settings_table<entry_settings> &Table) {
   Table
       .number("limits.header_bytes", &entry_settings::HeaderBytes,
@@ -108,6 +159,7 @@
   settings_table<entry_settings> Table;
   addIdentity(Table);
   addAddresses(Table);
+  addInterface(Table);
   addLimits(Table);
   return Table;
 }
--- a/programs/pollenstall-entry/entry_settings_type.h
+++ b/programs/pollenstall-entry/entry_settings_type.h
@@ -29,6 +29,17 @@
   std::vector<std::string> AnnouncementPeers;
   std::vector<std::string> ControlAddresses;
   std::string DeclarationFile;
+  std::string Interface;
+  std::string BackendSource;
+  std::string WorkAddress;
+  std::uint32_t ControlPort{0};
+  std::uint32_t RetryReserve{0};
+  double RetryShare{0};
+  std::chrono::milliseconds RetryWindow{};
+  std::chrono::milliseconds ControlRenew{};
+  std::chrono::milliseconds ControlAnswer{};
+  std::chrono::milliseconds DrainTime{};
+  std::chrono::milliseconds KillAfter{};
   std::string LogLevel;
   std::int64_t HeaderBytes{0};
   std::int64_t MaxConnections{0};
--- /dev/null
+++ b/src/adapter/control_services_type.h
@@ -0,0 +1,44 @@
+/** @file control_services_type.h What a control host does for callers of another protocol. */
+#ifndef POLLENSTALL_ADAPTER_CONTROL_SERVICES_TYPE_H
+#define POLLENSTALL_ADAPTER_CONTROL_SERVICES_TYPE_H
+
+#include "core/core.h"
+#include "directory/directory_type.h"
+
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace pollenstall {
+
+/// How a control host has answered.
+enum class service_verdict : std::uint8_t {
+  Done,        ///< Durable, or on its way to every entry in touch.
+  Elsewhere,   ///< Nothing was done: another host leads.
+  Unavailable, ///< Not known, or nothing was done: ask again.
+};
+
+struct service_answer {
+  service_verdict Verdict{service_verdict::Unavailable};
+  std::string LeaderUrl; ///< For Elsewhere: "http://IP:port"; empty where not known.
+};
+
+/// The declaration in force, never older than what was acknowledged before it was asked for.
+struct declared_answer {
+  service_answer Answer;
+  revision Revision; ///< 0 where nothing was declared yet.
+  std::string Text;
+};
+
+/// Calls that may block for as long as an operator's call may; from any thread.
+struct control_services {
+  std::function<service_answer(revision, std::string Text)> Offer; ///< The highest revision counts.
+  std::function<declared_answer()> Declared;
+  std::function<service_answer(const backend_notice &)> Announce;
+  std::function<service_answer(const instance_name &)> Withdraw;
+  std::string OwnUrl; ///< Of this host's operators' address.
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_ADAPTER_CONTROL_SERVICES_TYPE_H
--- a/src/consensus/consensus.h
+++ b/src/consensus/consensus.h
@@ -2,8 +2,9 @@
 #ifndef POLLENSTALL_CONSENSUS_CONSENSUS_H
 #define POLLENSTALL_CONSENSUS_CONSENSUS_H
 
-#include "consensus/consensus_type.h"  // IWYU pragma: export
-#include "consensus/member_set_func.h" // IWYU pragma: export
-#include "consensus/replica_base.h"    // IWYU pragma: export
+#include "consensus/consensus_type.h"     // IWYU pragma: export
+#include "consensus/member_repair_func.h" // IWYU pragma: export
+#include "consensus/member_set_func.h"    // IWYU pragma: export
+#include "consensus/replica_base.h"       // IWYU pragma: export
 
 #endif // POLLENSTALL_CONSENSUS_CONSENSUS_H
--- a/src/consensus/consensus_type.h
+++ b/src/consensus/consensus_type.h
@@ -307,6 +307,8 @@
   std::size_t SnapshotEvery{4096};          ///< Entries after which take_snapshot is asked for.
   std::size_t KeepAfterSnapshot{512};       ///< Entries kept for followers that lag a little.
   std::size_t CaughtUpWithin{64};           ///< A learner that lags no more than this is promoted.
+  /// Learners are promoted only up to so many voters; 0 promotes every one that has caught up.
+  std::size_t TargetVoters{0};
 };
 
 } // namespace pollenstall
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -66,6 +66,8 @@
   proposal_result admit(const member_key &Key, mono_time Now);
   /// Leader: takes a member out.
   proposal_result expel(member_id Member, mono_time Now);
+  /// A host was heard of that may let this disk in while it belongs to no log.
+  void learnPeer(member_id Peer);
 
   /// @return What is to be done, in order. Entries proposed since the last call go out in batches.
   std::vector<consensus_action> takeActions(mono_time Now);
@@ -95,8 +97,9 @@
   /// Members whom an empty disk asks to be let in: all of the settings' control hosts.
   replica_builder &peers(std::vector<member_id> Ids);
   /**
-   * This host may found the log, once every peer has said that its disk is empty too. Safe to leave
-   * in the settings: a founder that lost its disk finds peers that are not empty and joins instead.
+   * This host may found the log, once every peer has said that its disk is empty too; with a target
+   * of voters, once so many disks are known to be empty. Safe to leave in the settings: a founder
+   * that lost its disk finds peers that are not empty and joins instead.
    * @param Fresh A random id for the log.
    */
   replica_builder &founder(cluster_id Fresh);
--- a/src/consensus/replica_core_member.cpp
+++ b/src/consensus/replica_core_member.cpp
@@ -85,7 +85,15 @@
   return proposeMembers(withoutMember(members(), Member));
 }
 
+void replica_core::learnPeer(member_id Peer) {
+  if (Peer != Self.Member && std::find(Peers.begin(), Peers.end(), Peer) == Peers.end())
+    Peers.push_back(Peer);
+}
+
 void replica_core::promoteLearner(mono_time Now) {
+  // A voter beyond the target raises the quorum: with one more lost host it could not be reached.
+  if (Options.TargetVoters > 0 && voterCount(members()) >= Options.TargetVoters)
+    return;
   for (const follower_progress &Progress : Followers) {
     const bool Learns = !isVoter(members(), Progress.key());
     const bool InContact =
@@ -144,13 +152,20 @@
 void replica_core::foundWhenAllAreEmpty() {
   if (!isEmpty() || Fresh == cluster_id())
     return;
+  // With a target the others are not known beforehand: so many must have said that they are empty,
+  // or the first change could be accepted by too few disks to outlive the loss that is to be borne.
+  const std::size_t Needed = Options.TargetVoters;
+  if (Needed > 0 && Joined.size() + 1 < Needed)
+    return;
   member_set Set{Fresh, {{Self, member_standing::Voter}}};
   for (const member_id Peer : Peers) {
     if (Peer == Self.Member)
       continue;
     const auto Known = Joined.find(Peer);
-    if (Known == Joined.end())
+    if (Known == Joined.end() && Needed == 0)
       return;
+    if (Known == Joined.end() || (Needed > 0 && voterCount(Set) >= Needed))
+      continue;
     Set = withVoter(withLearner(std::move(Set), Known->second), Known->second);
   }
   if (Hard.Term < FoundingTerm)
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -110,9 +110,9 @@
   // ---- Connection. ----
 
   void connect(mono_time Now) {
-    const std::string Address = Hint.empty() ? Plan.Controls[NextControl] : Hint;
+    const std::string Address = Hint.empty() ? Controls[NextControl % Controls.size()] : Hint;
     if (Hint.empty())
-      NextControl = (NextControl + 1) % Plan.Controls.size();
+      ++NextControl;
     Hint.clear();
     NextConnect = Now + BackOff;
     BackOff = std::min(BackOff * 2, Plan.BackOffMax);
@@ -128,7 +128,7 @@
 
   void opened() {
     Open = true;
-    send(link_subscribe{Plan.Process, Plan.Domain});
+    send(link_subscribe{Plan.Process, Plan.Domain, Plan.WorkAddress});
     renew(boot_clock::now());
     for (const link_request &Message : Ledger.unanswered())
       send(Message);
@@ -215,6 +215,25 @@
 
   void handle(const link_settle_answer &Message) { Ledger.settled(Message); }
 
+  void handle(const link_backends &Message) {
+    served();
+    for (const backend_listing &Listing : Message.Listings)
+      if (!isState(Listing.State))
+        return;
+    emit(backends_listed{Message.Whole, Message.Listings});
+  }
+
+  void handle(const link_fleet &Message) {
+    served();
+    // The settings' hosts stay in the list: they are all that is left when these are replaced.
+    Controls = Plan.Controls;
+    for (const std::string &Address : Message.Controls)
+      if (tcpEndpoint(Address) &&
+          std::find(Controls.begin(), Controls.end(), Address) == Controls.end())
+        Controls.push_back(Address);
+    emit(entries_listed{Message.WorkAddresses});
+  }
+
   void handle(const link_drains &Message) {
     served();
     DrainsSeen = Message.Version;
@@ -258,6 +277,7 @@
   std::optional<revision> Confirmed;
   std::uint64_t DrainsSeen{0};
   std::string Hint;
+  std::vector<std::string> Controls{Plan.Controls}; ///< Asked in turn.
   std::size_t NextControl{0};
   milliseconds BackOff;
   mono_time NextConnect{};
@@ -297,6 +317,11 @@
   return *this;
 }
 
+control_link_builder &control_link_builder::workAddress(std::string Address) {
+  Plan.WorkAddress = std::move(Address);
+  return *this;
+}
+
 control_link_builder &control_link_builder::onEvents(std::function<void()> Wake) {
   Plan.WakeEntry = std::move(Wake);
   return *this;
--- a/src/control_link/control_link_base.h
+++ b/src/control_link/control_link_base.h
@@ -19,6 +19,7 @@
   std::string Fleet;
   process_key Process;
   failure_domain_name Domain;
+  std::string WorkAddress; ///< Where other entries tell of their work; may be empty.
   std::chrono::milliseconds RenewEvery{500};    ///< Between two requests for the lease.
   std::chrono::milliseconds AnswerWithin{2000}; ///< A silent control host is given up after this.
   std::chrono::milliseconds BackOffMin{50};     ///< Between two attempts to connect.
@@ -63,6 +64,8 @@
   control_link_builder(std::vector<std::string> Controls, std::string Fleet);
 
   control_link_builder &process(process_key Process, failure_domain_name Domain);
+  /// Told to other entries.
+  control_link_builder &workAddress(std::string Address);
   /// Called on the link's thread when events wait for drainEvents().
   control_link_builder &onEvents(std::function<void()> Wake);
   control_link_builder &renewEvery(std::chrono::milliseconds Interval);
--- a/src/control_link/control_link_codec_func.h
+++ b/src/control_link/control_link_codec_func.h
@@ -22,7 +22,7 @@
   Into(Claim.Key, Claim.Holder, Claim.Standing, Claim.ExpiresAt);
 }
 template <typename Archive> void serialize(Archive &Into, link_subscribe &Message) {
-  Into(Message.Process, Message.Domain);
+  Into(Message.Process, Message.Domain, Message.WorkAddress);
 }
 template <typename Archive> void serialize(Archive &Into, link_renew &Message) {
   Into(Message.Ask, Message.Process, Message.Confirmed, Message.DrainsSeen);
@@ -48,6 +48,16 @@
 template <typename Archive> void serialize(Archive &Into, link_settle_answer &Message) {
   Into(Message.Call);
 }
+template <typename Archive> void serialize(Archive &Into, backend_listing &Listing) {
+  Into(Listing.Key, Listing.Instance, Listing.Service, Listing.Domain, Listing.Places,
+       Listing.State);
+}
+template <typename Archive> void serialize(Archive &Into, link_backends &Message) {
+  Into(Message.Whole, Message.Listings);
+}
+template <typename Archive> void serialize(Archive &Into, link_fleet &Message) {
+  Into(Message.Controls, Message.WorkAddresses);
+}
 template <typename Archive> void serialize(Archive &Into, link_drains &Message) {
   Into(Message.Version, Message.Backends);
 }
@@ -59,6 +69,8 @@
 
 /// @return Whether a number that arrived is one of the standings.
 inline bool isStanding(claim_standing Standing) { return Standing <= claim_standing::Released; }
+/// @return Whether a number that arrived is one of the states.
+inline bool isState(listing_state State) { return State <= listing_state::Gone; }
 /// @return Whether a number that arrived is one of the verdicts.
 inline bool isVerdict(claim_verdict Verdict) { return Verdict <= claim_verdict::Unavailable; }
 
--- a/src/control_link/control_link_message_type.h
+++ b/src/control_link/control_link_message_type.h
@@ -6,6 +6,7 @@
 
 #include "claim/claim.h"
 #include "core/core.h"
+#include "directory/directory_type.h"
 
 #include <cstdint>
 #include <optional>
@@ -21,6 +22,7 @@
 struct link_subscribe {
   process_key Process;
   failure_domain_name Domain;
+  std::string WorkAddress{}; ///< Where other entries tell of their work, "IP:port"; may be empty.
 };
 
 /**
@@ -85,8 +87,20 @@
   std::vector<backend_address> Backends;
 };
 
+/// Backend servers: all at the start of a connection, then those that changed.
+struct link_backends {
+  bool Whole{false};
+  std::vector<backend_listing> Listings;
+};
+
+/// Who else there is; sent at the start of a connection and after each change.
+struct link_fleet {
+  std::vector<std::string> Controls;      ///< Where control hosts listen for entries.
+  std::vector<std::string> WorkAddresses; ///< Of every entry that the leader serves.
+};
+
 using link_reply = std::variant<link_declaration, link_lease, link_not_leader, link_claim_answer,
-                                link_settle_answer, link_drains>;
+                                link_settle_answer, link_drains, link_backends, link_fleet>;
 
 /// Largest message that a control host takes from an entry.
 constexpr std::size_t MaxLinkRequestBytes = 4U << 10U;
--- a/src/control_link/control_link_type.h
+++ b/src/control_link/control_link_type.h
@@ -4,6 +4,7 @@
 #define POLLENSTALL_CONTROL_LINK_CONTROL_LINK_TYPE_H
 
 #include "core/core.h"
+#include "directory/directory_type.h"
 #include "dispatch/dispatch_type.h"
 
 #include <chrono>
@@ -57,11 +58,23 @@
   std::vector<backend_address> Backends;
 };
 
+/// A leader told of backend servers.
+struct backends_listed {
+  bool Whole{false}; ///< All that it knows, at the start of a connection.
+  std::vector<backend_listing> Listings;
+};
+
+/// The entries that the leader serves, this one included.
+struct entries_listed {
+  std::vector<std::string> WorkAddresses;
+};
+
 /// No leader is connected; the lease at hand still counts until its end.
 struct control_lost {};
 
-using control_link_event = std::variant<declaration_received, lease_extended, claim_answered,
-                                        drains_changed, control_lost>;
+using control_link_event =
+    std::variant<declaration_received, lease_extended, claim_answered, drains_changed,
+                 backends_listed, entries_listed, control_lost>;
 
 /// What the link says of itself, for metrics and dumps.
 struct control_link_counters {
--- a/src/control_state/control_state_base.h
+++ b/src/control_state/control_state_base.h
@@ -45,6 +45,7 @@
   [[nodiscard]] control_answer checkOne(const apply_change &Command) const;
   [[nodiscard]] control_answer checkOne(const set_drain &Command) const;
   [[nodiscard]] control_answer checkOne(const take_fence &Command) const;
+  [[nodiscard]] control_answer checkOne(const offer_declaration &Command) const;
   [[nodiscard]] control_answer checkOne(const claim_acquire &Command) const;
   [[nodiscard]] control_answer checkOne(const claim_settle &Command) const;
   [[nodiscard]] control_answer checkOne(const claim_expire &Command) const;
@@ -53,6 +54,7 @@
   void executeOne(const set_drain &Command, const change_verdict &Verdict);
   template <typename Change> control_answer executeChange(const Change &Command);
   control_answer executeCommand(const take_fence &Command);
+  control_answer executeCommand(const offer_declaration &Command);
   template <typename Claim> control_answer executeClaim(const Claim &Command);
 
   [[nodiscard]] change_verdict judge(const apply_change &Command) const;
--- a/src/control_state/control_state_cmd.cpp
+++ b/src/control_state/control_state_cmd.cpp
@@ -25,6 +25,7 @@
   return std::visit(overloaded{[this](const apply_change &One) { return executeChange(One); },
                                [this](const set_drain &One) { return executeChange(One); },
                                [this](const take_fence &One) { return executeCommand(One); },
+                               [this](const offer_declaration &One) { return executeCommand(One); },
                                [this](const auto &Claim) { return executeClaim(Claim); }},
                     Command);
 }
@@ -111,6 +112,26 @@
   return Answer;
 }
 
+// ---- Offers. ----
+
+control_answer control_state::checkOne(const offer_declaration &Command) const {
+  const bool Taken = Command.Revision > Declared.Revision;
+  return offer_answer{Taken ? Command.Revision : Declared.Revision, Taken};
+}
+
+control_answer control_state::executeCommand(const offer_declaration &Command) {
+  control_answer Answer = checkOne(Command);
+  if (!std::get<offer_answer>(Answer).Taken)
+    return Answer;
+  LatestTime = std::max(LatestTime, Command.Time);
+  Declared = {Command.Revision, Command.Text};
+  History.push_back({Command.Revision, change_id(), LatestTime, {}});
+  if (History.size() > Limits.MaxHistory)
+    History.pop_front();
+  requireConsistent();
+  return Answer;
+}
+
 // ---- Claims. ----
 
 control_answer control_state::checkOne(const claim_acquire &Command) const {
--- a/src/control_state/control_state_type.h
+++ b/src/control_state/control_state_type.h
@@ -35,8 +35,19 @@
 /// Takes a number for an order to an engine.
 struct take_fence {};
 
-using control_command =
-    std::variant<apply_change, set_drain, claim_acquire, claim_settle, claim_expire, take_fence>;
+/**
+ * Offers a declaration under a revision that whoever sends it has chosen: the highest one counts.
+ * An older one is answered as done and changes nothing, so that a resend, a race or a late copy can
+ * never take a newer one back.
+ */
+struct offer_declaration {
+  revision Revision;
+  std::string Text;
+  unix_millis Time{0}; ///< The proposing leader's wall clock.
+};
+
+using control_command = std::variant<apply_change, set_drain, claim_acquire, claim_settle,
+                                     claim_expire, take_fence, offer_declaration>;
 
 // ---- Answers. ----
 
@@ -93,11 +104,19 @@
   bool operator==(const fence_granted &) const = default;
 };
 
+/// Answer to offer_declaration.
+struct offer_answer {
+  revision Current;  ///< In the log now; never below the offered one.
+  bool Taken{false}; ///< The offered one is it.
+
+  bool operator==(const offer_answer &) const = default;
+};
+
 using claim_acquire_answer = result<claim_verdict, claim_error>;
 using claim_done_answer = result<done, claim_error>; ///< Of a settle or an expiry.
 
 using control_answer = std::variant<change_answer, change_id_reused, fence_granted,
-                                    claim_acquire_answer, claim_done_answer>;
+                                    claim_acquire_answer, claim_done_answer, offer_answer>;
 
 // ---- Stored records. ----
 
--- a/src/declaration/declaration_index.cpp
+++ b/src/declaration/declaration_index.cpp
@@ -49,6 +49,7 @@
   indexServices();
   indexSelectors();
   indexAccounts();
+  indexCallRoutes();
 }
 
 void declaration_index::indexServices() {
@@ -86,6 +87,26 @@
   }
 }
 
+void declaration_index::indexCallRoutes() {
+  for (const call_route &Route : Fleet.Routes)
+    CallRoutesByHost[plainHost(Route.Host)].push_back(&Route);
+  for (auto &[Host, Routes] : CallRoutesByHost)
+    std::sort(Routes.begin(), Routes.end(), [](const call_route *A, const call_route *B) {
+      return A->PathPrefix.size() > B->PathPrefix.size();
+    });
+}
+
+const call_route *declaration_index::findCallRoute(std::string_view Host,
+                                                   std::string_view Path) const {
+  const auto Routes = CallRoutesByHost.find(plainHost(Host));
+  if (Routes == CallRoutesByHost.end())
+    return nullptr;
+  for (const call_route *Route : Routes->second)
+    if (Path.starts_with(Route->PathPrefix))
+      return Route;
+  return nullptr;
+}
+
 const account_declaration *declaration_index::findAccount(std::string_view KeyHash) const {
   return valueAt(AccountByKey, KeyHash);
 }
--- a/src/declaration/declaration_index_base.h
+++ b/src/declaration/declaration_index_base.h
@@ -57,6 +57,10 @@
   [[nodiscard]] std::optional<route_match> findRoute(std::string_view Host, std::string_view Method,
                                                      std::string_view Target) const;
 
+  /// @param Host The Host header. @param Path The path as it was sent, without query.
+  /// @return The route with the longest prefix that begins the path, or null.
+  [[nodiscard]] const call_route *findCallRoute(std::string_view Host, std::string_view Path) const;
+
   /// @return The first selector of the service that matches, or null.
   [[nodiscard]] const selector_declaration *select(const selector_input &Input) const;
 
@@ -74,6 +78,7 @@
   void indexServices();
   void indexSelectors();
   void indexAccounts();
+  void indexCallRoutes();
   [[nodiscard]] std::optional<route_match> findIn(const std::string &Host, const std::string &Path,
                                                   const std::string &Method) const;
 
@@ -86,6 +91,8 @@
   std::unordered_map<std::string_view, const group_declaration *> GroupByName;
   std::unordered_map<std::string, route_list> RoutesByHost; ///< "" for every host.
   std::unordered_map<std::string_view, std::vector<const selector_declaration *>> SelectorsOf;
+  std::unordered_map<std::string, std::vector<const call_route *>> CallRoutesByHost; ///< Longest
+                                                                                     ///< first.
   std::vector<std::string> HeaderNames;
 };
 
--- a/src/declaration/declaration_parse_func.h
+++ b/src/declaration/declaration_parse_func.h
@@ -5,6 +5,8 @@
 #include "declaration/declaration_error_type.h"
 #include "declaration/declaration_type.h"
 
+#include <functional>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -21,6 +23,10 @@
 result<fleet_declaration, std::vector<declaration_error>>
 parseDeclaration(std::string_view Toml, std::string_view FileName);
 
+/// Reads a declaration from text of any format. @return The declaration, or what is wrong with it.
+using declaration_reader =
+    std::function<result<fleet_declaration, std::string>(const std::string &Text)>;
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_DECLARATION_DECLARATION_PARSE_FUNC_H
--- a/src/declaration/declaration_type.h
+++ b/src/declaration/declaration_type.h
@@ -4,6 +4,7 @@
 #define POLLENSTALL_DECLARATION_DECLARATION_TYPE_H
 
 #include "core/core.h"
+#include "declaration/call_route_type.h"
 
 #include <chrono>
 #include <cstdint>
@@ -44,6 +45,8 @@
   tokens MaxPrompt{1'000'000};                      ///< A longer prompt is refused.
   tokens MaxAnswer{8'192};                          ///< A caller's larger max_tokens is refused.
   byte_count MaxBody{16LL << 20};                   ///< A larger body is refused.
+  std::optional<engine_figures> Engine;             ///< Where its engines' figures are declared.
+  std::uint32_t ConnectionLimit{0};                 ///< Of one server, for all callers; 0: none.
 
   bool operator==(const service_declaration &) const = default;
 };
@@ -111,9 +114,10 @@
 /// Who calls, and with what share of the fleet.
 struct account_declaration {
   client_account_name Name;
-  std::vector<std::string> KeyHashes; ///< SHA-256 of each bearer key, lower-case hex.
-  std::uint32_t Share{1};             ///< Relative share by cost when the fleet is busy.
-  std::uint32_t MaxQueued{256};       ///< Requests of the account that wait at one entry.
+  std::vector<std::string> KeyHashes;      ///< SHA-256 of each bearer key, lower-case hex.
+  std::uint32_t Share{1};                  ///< Relative share by cost when the fleet is busy.
+  std::uint32_t MaxQueued{256};            ///< Requests of the account that wait at one entry.
+  std::optional<std::uint32_t> Priority{}; ///< Goes before the route's; 0 is the most urgent.
 
   bool operator==(const account_declaration &) const = default;
 };
@@ -148,6 +152,8 @@
   std::vector<selector_declaration> Selectors;
   std::vector<placement_declaration> Placements;
   std::vector<account_declaration> Accounts;
+  std::vector<call_route> Routes;
+  std::optional<caller_limits> Callers;
   policy_declaration Policy;
   limits_declaration Limits;
 
--- /dev/null
+++ b/src/directory/backend_directory.cpp
@@ -0,0 +1,157 @@
+/** @file backend_directory.cpp Notices, lives that replace each other, and silence. */
+#include "directory/backend_directory_base.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+
+/// A holder that was heard of within so many intervals is not replaced by a single notice.
+constexpr int TrustedIntervals = 2;
+
+} // namespace
+
+std::vector<backend_listing> backend_directory::hear(const backend_notice &Notice, mono_time Now) {
+  if (Retired.count(Notice.Instance) != 0) {
+    const auto Known = Records.find(Notice.Instance);
+    if (Known != Records.end())
+      Known->second.LastHeard = Now;
+    return {};
+  }
+  const auto Known = Records.find(Notice.Instance);
+  if (Known != Records.end())
+    return refresh(Known->second, Notice, Now);
+  return meet(Notice, Now);
+}
+
+std::vector<backend_listing> backend_directory::refresh(record &Known, const backend_notice &Notice,
+                                                        mono_time Now) {
+  if (Notice.Sequence <= Known.Sequence)
+    return {}; // Late: what it says is out of date.
+  Known.Sequence = Notice.Sequence;
+  Known.LastHeard = Now;
+  const bool Leaves = Notice.Leaving || Known.Listing.State == listing_state::Leaving;
+  const listing_state State = Leaves ? listing_state::Leaving : listing_state::Active;
+  if (State == Known.Listing.State)
+    return {};
+  Known.Listing.State = State;
+  return {Known.Listing};
+}
+
+std::vector<backend_listing> backend_directory::meet(const backend_notice &Notice, mono_time Now) {
+  std::vector<backend_listing> Changes;
+  if (record *Holder = holderOf(Notice.Address)) {
+    if (!mayTakeOver(*Holder, Notice, Now))
+      return {};
+    Holder->Listing.State = listing_state::Gone;
+    Changes.push_back(Holder->Listing);
+    const instance_name Ended = Holder->Listing.Instance;
+    retire(Ended);
+    Records.erase(Ended);
+  }
+  Challengers.erase(Notice.Address);
+  if (Records.size() >= Options.MaxBackends)
+    return Changes;
+  record Made;
+  Made.Listing = {keyOf(Notice.Address, Notice.Instance),
+                  Notice.Instance,
+                  Notice.Service,
+                  Notice.Domain,
+                  std::max(1U, Notice.Places),
+                  Notice.Leaving ? listing_state::Leaving : listing_state::Active};
+  Made.Sequence = Notice.Sequence;
+  Made.LastHeard = Now;
+  Changes.push_back(Made.Listing);
+  Records.emplace(Notice.Instance, std::move(Made));
+  return Changes;
+}
+
+bool backend_directory::mayTakeOver(const record &Holder, const backend_notice &Notice,
+                                    mono_time Now) {
+  if (Now - Holder.LastHeard >= TrustedIntervals * Options.NoticeInterval)
+    return true;
+  // A notice that a partition held back can arrive after its sender has died and another life has
+  // its address. Only a life that goes on speaking while the holder is silent replaces it.
+  const auto Found = Challengers.find(Notice.Address);
+  const bool Again = Found != Challengers.end() && Found->second.Instance == Notice.Instance &&
+                     Found->second.Sequence < Notice.Sequence &&
+                     Holder.LastHeard < Found->second.Since;
+  if (!Again)
+    Challengers[Notice.Address] = {Notice.Instance, Now, Notice.Sequence};
+  return Again;
+}
+
+backend_directory::record *backend_directory::holderOf(const backend_address &Address) {
+  const auto Found = std::find_if(Records.begin(), Records.end(), [&Address](const auto &Item) {
+    return Item.second.Listing.Key.Address == Address;
+  });
+  return Found == Records.end() ? nullptr : &Found->second;
+}
+
+std::vector<backend_listing> backend_directory::withdraw(const instance_name &Instance,
+                                                         mono_time Now) {
+  retire(Instance);
+  const auto Known = Records.find(Instance);
+  if (Known == Records.end()) {
+    // An earlier leader may have listed it: entries know it by the number of its life.
+    backend_listing Listing;
+    Listing.Key = keyOf(backend_address(), Instance);
+    Listing.Instance = Instance;
+    Listing.State = listing_state::Leaving;
+    return {Listing};
+  }
+  Known->second.LastHeard = Now;
+  if (Known->second.Listing.State == listing_state::Leaving)
+    return {};
+  Known->second.Listing.State = listing_state::Leaving;
+  return {Known->second.Listing};
+}
+
+std::vector<backend_listing> backend_directory::advance(mono_time Now) {
+  std::vector<backend_listing> Changes;
+  for (auto At = Records.begin(); At != Records.end();) {
+    record &Known = At->second;
+    const mono_span Silence = Now - Known.LastHeard;
+    if (Silence > Options.ForgetAfter) {
+      Known.Listing.State = listing_state::Gone;
+      Changes.push_back(Known.Listing);
+      retire(At->first);
+      At = Records.erase(At);
+      continue;
+    }
+    const bool Falls = Known.Listing.State == listing_state::Active &&
+                       Silence > Options.SilentAfter * Options.NoticeInterval;
+    if (Falls) {
+      Known.Listing.State = listing_state::Silent;
+      Changes.push_back(Known.Listing);
+    }
+    ++At;
+  }
+  return Changes;
+}
+
+std::vector<backend_listing> backend_directory::all() const {
+  std::vector<backend_listing> Listings;
+  Listings.reserve(Records.size());
+  for (const auto &[Instance, Known] : Records)
+    Listings.push_back(Known.Listing);
+  return Listings;
+}
+
+void backend_directory::clear() {
+  Records.clear();
+  Challengers.clear();
+}
+
+void backend_directory::retire(const instance_name &Instance) {
+  if (!Retired.insert(Instance).second)
+    return;
+  RetiredOrder.push_back(Instance);
+  if (RetiredOrder.size() <= Options.MaxRetired)
+    return;
+  Retired.erase(RetiredOrder.front());
+  RetiredOrder.pop_front();
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/directory/backend_directory_base.h
@@ -0,0 +1,63 @@
+/** @file backend_directory_base.h The leader's list of backend servers, made of their notices. */
+#ifndef POLLENSTALL_DIRECTORY_BACKEND_DIRECTORY_BASE_H
+#define POLLENSTALL_DIRECTORY_BACKEND_DIRECTORY_BASE_H
+
+#include "directory/directory_type.h"
+
+#include <deque>
+#include <map>
+#include <set>
+#include <vector>
+
+namespace pollenstall {
+
+/**
+ * Soft state: a new leader starts with an empty one and has it whole after one notice interval.
+ * A life that has ended never comes back, whatever late notice of it arrives.
+ */
+class backend_directory {
+public:
+  explicit backend_directory(const directory_options &Times) : Options(Times) {}
+
+  /// A notice arrived. @return The listings that it changed.
+  std::vector<backend_listing> hear(const backend_notice &Notice, mono_time Now);
+  /// A backend server ends this life: it gets no new work; what it runs goes on.
+  std::vector<backend_listing> withdraw(const instance_name &Instance, mono_time Now);
+  /// Lets time pass. @return Listings of those that have fallen silent.
+  std::vector<backend_listing> advance(mono_time Now);
+
+  /// @return Every listing, those of lives that ended a short time ago included.
+  [[nodiscard]] std::vector<backend_listing> all() const;
+  /// Forgets everything: this host leads no more.
+  void clear();
+
+private:
+  struct record {
+    backend_listing Listing;
+    std::uint64_t Sequence{0};
+    mono_time LastHeard;
+    bool Withdrawn{false};
+  };
+  /// A life that claims the address of one that was heard of a moment ago.
+  struct challenger {
+    instance_name Instance;
+    mono_time Since;
+    std::uint64_t Sequence{0};
+  };
+
+  std::vector<backend_listing> refresh(record &Known, const backend_notice &Notice, mono_time Now);
+  std::vector<backend_listing> meet(const backend_notice &Notice, mono_time Now);
+  [[nodiscard]] bool mayTakeOver(const record &Holder, const backend_notice &Notice, mono_time Now);
+  record *holderOf(const backend_address &Address);
+  void retire(const instance_name &Instance);
+
+  directory_options Options;
+  std::map<instance_name, record> Records;
+  std::map<backend_address, challenger> Challengers;
+  std::set<instance_name> Retired;
+  std::deque<instance_name> RetiredOrder; ///< Oldest first.
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_DIRECTORY_BACKEND_DIRECTORY_BASE_H
--- /dev/null
+++ b/src/directory/directory_type.h
@@ -0,0 +1,65 @@
+/** @file directory_type.h What backend servers say of themselves, and what entries are told. */
+#ifndef POLLENSTALL_DIRECTORY_DIRECTORY_TYPE_H
+#define POLLENSTALL_DIRECTORY_DIRECTORY_TYPE_H
+
+#include "core/core.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace pollenstall {
+
+struct instance_tag {};
+/// The name that a backend server gives one life of its own; names have no order.
+using instance_name = strong_text<instance_tag>;
+
+/// What a backend server says of itself, at a steady interval and before it leaves.
+struct backend_notice {
+  instance_name Instance;
+  backend_address Address;
+  service_name Service;
+  failure_domain_name Domain;
+  std::uint32_t Places{1};   ///< Requests that it runs at once.
+  bool Leaving{false};       ///< Takes no new work.
+  std::uint64_t Sequence{0}; ///< Rises with each notice of one life, so that a late one shows.
+};
+
+/// How a backend server stands.
+enum class listing_state : std::uint8_t {
+  Active,  ///< May be given work.
+  Leaving, ///< Finishes what it has.
+  Silent,  ///< Said nothing for some time: gone, or cut off from the control hosts alone.
+  Gone,    ///< Its life is over: another one has its address, or it was silent for very long.
+};
+
+/// One backend server as entries are told of it.
+struct backend_listing {
+  backend_key Key;
+  instance_name Instance;
+  service_name Service;
+  failure_domain_name Domain;
+  std::uint32_t Places{1};
+  listing_state State{listing_state::Active};
+
+  bool operator==(const backend_listing &) const = default;
+};
+
+/// @return The key of a life that has only a name. Its number has no order: which of two lives is
+/// the newer one is known to the directory alone.
+inline backend_key keyOf(const backend_address &Address, const instance_name &Instance) {
+  return {Address, incarnation(stableHash(Instance.str()) | 1U)};
+}
+
+/// Times of the directory.
+struct directory_options {
+  mono_span NoticeInterval{std::chrono::milliseconds(1000)}; ///< Backend servers' own.
+  std::uint32_t SilentAfter{4};                              ///< Intervals without a notice.
+  mono_span ForgetAfter{std::chrono::seconds(60)};           ///< Silence that ends a life.
+  std::size_t MaxBackends{4096};                             ///< Listed at once.
+  std::size_t MaxRetired{16'384};                            ///< Names of ended lives remembered.
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_DIRECTORY_DIRECTORY_TYPE_H
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -28,6 +28,15 @@
   std::vector<std::uint64_t> PrefixHashes; ///< One for each leading chunk of the prompt.
   mono_time Arrived;
   mono_time Deadline; ///< The final answer is given by then.
+
+  // Of calls whose route is declared with its own rules; the defaults stand for none.
+  std::vector<std::pair<service_name, std::uint32_t>> Services; ///< With their weights.
+  bool Resumable{false};               ///< A broken stream goes on behind its last event elsewhere.
+  std::uint32_t MaxAttempts{0};        ///< 0: as the declaration's limits say.
+  std::uint32_t Urgency{0};            ///< Declared priority; 0 is the most urgent.
+  std::chrono::milliseconds Target{0}; ///< To the first event; 0 where none is declared.
+  std::chrono::milliseconds LongestGap{0}; ///< Between events; 0 where none is declared.
+  tokens AnswerHint;                       ///< The caller's estimate; 0 where it gave none.
 };
 
 /// The final outcome of a request, as the caller is told.
@@ -164,6 +173,8 @@
   std::uint32_t Priority{0}; ///< Lower runs first.
   mono_time AnswerBy;        ///< A first byte later is slow; the dispatcher watches this itself.
   bool MayRetry{false};      ///< The body must be kept until the answer begins.
+  std::vector<backend_key> Helpers{}; ///< Read parts of the prompt.
+  std::string Instance{};             ///< The server's name for its life, where it has one.
 };
 /// Reconnect to the same server and go on at the exact event that was relayed last.
 struct resume_attempt {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -35,9 +35,15 @@
 
 work_item workItem(const live_request &Request, std::vector<candidate_group> Groups) {
   const request_facts &Facts = Request.Facts;
-  return {Facts.Id,          Facts.Account, Facts.Service,     Facts.Model,
-          std::move(Groups), Facts.Prompt,  Facts.AnswerLimit, Facts.PrefixHashes,
-          Request.Tried,     Facts.Arrived, Facts.Deadline};
+  work_item Item{Facts.Id,          Facts.Account, Facts.Service,     Facts.Model,
+                 std::move(Groups), Facts.Prompt,  Facts.AnswerLimit, Facts.PrefixHashes,
+                 Request.Tried,     Facts.Arrived, Facts.Deadline};
+  Item.Urgency = Facts.Urgency;
+  Item.Target = Facts.Target;
+  Item.LongestGap = Facts.LongestGap;
+  Item.AnswerHint = Facts.AnswerHint;
+  Item.Resumed = Request.Answered;
+  return Item;
 }
 
 } // namespace
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -64,7 +64,7 @@
   ++Counters.Attempts;
   if (Request.Attempts == 1)
     Budget.earn();
-  const bool MoreAllowed = Request.Attempts < Limits.MaxAttempts;
+  const bool MoreAllowed = Request.Attempts < mostAttempts(Request);
   const mono_time Patience =
       Now + std::max(LeastPatience, Placement.ExpectedFirstToken * SlowFactor);
   // Where no other attempt may follow, giving a slow one up could only lose its answer.
@@ -81,8 +81,8 @@
                                           false});
   Request.Current->Life.apply(attempt_step::Start);
   const attempt_id Id = Request.Current->Id;
-  Actions.emplace_back(
-      start_attempt{Id, Placement.Backend, Placement.Priority, AnswerBy, MoreAllowed});
+  Actions.emplace_back(start_attempt{
+      Id, Placement.Backend, Placement.Priority, AnswerBy, MoreAllowed, Placement.Helpers, {}});
   if (Seam.AttemptStarted)
     Seam.AttemptStarted({Id, Placement.Backend, Request.Facts.Id}, Now);
   setWake(Request);
@@ -169,7 +169,10 @@
   if (resumeAttempt(Request, Failure, Now))
     return;
   closeAttempt(Request, Failure, Now);
-  if (hasAnswered(State))
+  // Another engine goes on behind the last event that the caller has.
+  const bool GoesOn = Request.Facts.Resumable && mayResume(Failure);
+  Request.Answered = Request.Answered || hasAnswered(State);
+  if (hasAnswered(State) && !GoesOn)
     return finishShort(Request, failure_reason::BackendFailed, std::nullopt, Now);
   retryOrFinish(Request, Now);
 }
@@ -238,9 +241,13 @@
     Seam.AttemptAbandoned(Id, Failure, Now);
 }
 
+std::uint32_t dispatcher::mostAttempts(const live_request &Request) const {
+  return Request.Facts.MaxAttempts > 0 ? Request.Facts.MaxAttempts : Limits.MaxAttempts;
+}
+
 bool dispatcher::mayRetry(const live_request &Request, mono_time Now) const {
   const bool Safe = Request.Facts.Idempotent || !Request.MayHaveRun;
-  return Safe && Request.Attempts < Limits.MaxAttempts && Now < Request.Facts.Deadline;
+  return Safe && Request.Attempts < mostAttempts(Request) && Now < Request.Facts.Deadline;
 }
 
 bool dispatcher::payForRetry(const live_request &Request, mono_time Now) {
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -63,6 +63,8 @@
   void setReady(bool Value) { Ready = Value; }
   /// Takes the limits of a new declaration; running attempts keep theirs.
   void applyLimits(const limits_declaration &Value);
+  /// Bounds retries that no first attempt has paid for; see retry_budget.
+  void setRetryReserve(const retry_reserve &Value) { Budget.setReserve(Value); }
 
   /// @return Requests without a final answer.
   [[nodiscard]] std::size_t liveRequests() const { return Requests.size(); }
@@ -109,6 +111,7 @@
   void closeAttempt(live_request &Request, std::optional<attempt_failure> Failure, mono_time Now);
   void abandon(live_request &Request, std::optional<attempt_failure> Failure, mono_time Now);
   bool resumeAttempt(live_request &Request, attempt_failure Failure, mono_time Now);
+  [[nodiscard]] std::uint32_t mostAttempts(const live_request &Request) const;
   bool mayRetry(const live_request &Request, mono_time Now) const;
   bool payForRetry(const live_request &Request, mono_time Now);
   void retryOrFinish(live_request &Request, mono_time Now);
--- a/src/dispatch/live_request_type.h
+++ b/src/dispatch/live_request_type.h
@@ -42,6 +42,7 @@
   std::chrono::milliseconds ClaimLifetime{0};
   mono_time ClaimBy;
   std::uint32_t Attempts{0};
+  bool Answered{false};   ///< The caller has part of the answer of an attempt that broke.
   bool MayHaveRun{false}; ///< Some ended attempt is not proved to have never started.
   std::vector<backend_key> Tried;
   std::optional<running_attempt> Current;
--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -8,25 +8,28 @@
 namespace {
 
 constexpr std::uint64_t OneRetry = 100;
-/// Time in which the floor regains one retry.
-constexpr mono_span FloorRefill = std::chrono::seconds(1);
 
 } // namespace
 
 void retry_budget::earn() {
-  Hundredths = std::min(Hundredths + RetryPercent, MostRetries * OneRetry);
+  Hundredths = std::min(Hundredths + RetryPercent, Reserve.Burst * OneRetry);
+}
+
+void retry_budget::setReserve(const retry_reserve &Value) {
+  Reserve = Value;
+  Hundredths = std::min(Hundredths, Reserve.Burst * OneRetry);
 }
 
 void retry_budget::refillFloor(mono_time Now) {
   if (Now <= LastRefill)
     return;
-  const auto Regained = static_cast<std::uint64_t>((Now - LastRefill) / FloorRefill);
+  const auto Regained = static_cast<std::uint64_t>((Now - LastRefill) / Reserve.Refill);
   if (Regained == 0)
     return;
-  LastRefill += FloorRefill * static_cast<std::int64_t>(Regained);
-  const std::uint64_t Floor = FloorRetries * OneRetry;
+  LastRefill += Reserve.Refill * static_cast<std::int64_t>(Regained);
+  const std::uint64_t Floor = Reserve.Floor * OneRetry;
   if (Hundredths < Floor)
-    Hundredths = std::min(Floor, Hundredths + std::min(Regained, FloorRetries) * OneRetry);
+    Hundredths = std::min(Floor, Hundredths + std::min(Regained, Reserve.Floor) * OneRetry);
 }
 
 bool retry_budget::spend(mono_time Now) {
--- a/src/dispatch/retry_budget_base.h
+++ b/src/dispatch/retry_budget_base.h
@@ -4,10 +4,18 @@
 
 #include "core/core.h"
 
+#include <chrono>
 #include <cstdint>
 
 namespace pollenstall {
 
+/// Retries beside those that first attempts earn.
+struct retry_reserve {
+  std::uint64_t Floor{3};                    ///< Reached again by time alone.
+  std::uint64_t Burst{100};                  ///< Most that can be saved up.
+  mono_span Refill{std::chrono::seconds(1)}; ///< Time in which the floor regains one retry.
+};
+
 /**
  * Token bucket over retries: each first attempt earns RetryPercent hundredths of a retry.
  * Without it, backend servers that fail under load get up to MaxAttempts times the load, and stay
@@ -20,6 +28,8 @@
 
   /// Takes a new share from the declaration; what was earned stays.
   void setPercent(std::uint32_t Percent) { RetryPercent = Percent; }
+  /// Bounds what may be spent beyond the share, and saved; what is over the burst is lost.
+  void setReserve(const retry_reserve &Value);
   /// A request's first attempt starts.
   void earn();
   /// @return Whether a retry may start now; if so it is paid for.
@@ -31,11 +41,9 @@
   void refillFloor(mono_time Now);
 
   std::uint32_t RetryPercent;
-  std::uint64_t Hundredths{FloorRetries * 100};
+  retry_reserve Reserve;
+  std::uint64_t Hundredths{Reserve.Floor * 100};
   mono_time LastRefill{};
-
-  static constexpr std::uint64_t FloorRetries = 3;  ///< Reached again by time alone.
-  static constexpr std::uint64_t MostRetries = 100; ///< A burst after a long good time.
 };
 
 } // namespace pollenstall
--- a/src/operators/operator_routes.cpp
+++ b/src/operators/operator_routes.cpp
@@ -44,8 +44,7 @@
 bool operator_routes::answersAtOnce(std::string_view Method, std::string_view Target) const {
   const std::string_view Path = pathOf(Target);
   return std::none_of(Routes.begin(), Routes.end(), [Method, Path](const operator_route &Route) {
-    return Route.Access == operator_access::KeyNeeded && Route.Method == Method &&
-           covers(Route, Path);
+    return Route.Access != operator_access::Open && Route.Method == Method && covers(Route, Path);
   });
 }
 
--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -32,7 +32,8 @@
 constexpr std::size_t MaxHeaderBytes = 16U << 10U;
 constexpr std::size_t MaxConnections = 128;
 constexpr std::size_t Threads = 2;
-/// Handlers behind the key may block; they never run on the threads that serve the platform.
+/// Handlers that are not merely open may block; they never run on the threads that serve the
+/// platform.
 constexpr std::size_t HandlerThreads = 4;
 constexpr std::size_t MaxHandling = 32;
 constexpr std::chrono::seconds CallLimit{30};
@@ -123,6 +124,8 @@
   void write(operator_reply Reply, bool KeepAlive) {
     Response.emplace(static_cast<http::status>(Reply.Status), 11);
     Response->set(http::field::content_type, Reply.ContentType);
+    if (!Reply.Location.empty())
+      Response->set(http::field::location, Reply.Location);
     Response->keep_alive(KeepAlive);
     Response->body() = std::move(Reply.Body);
     Response->prepare_payload();
--- a/src/operators/operator_type.h
+++ b/src/operators/operator_type.h
@@ -21,15 +21,17 @@
   unsigned Status{200};
   std::string ContentType{"application/json"};
   std::string Body;
+  std::string Location{}; ///< Where to ask instead, as a URL; empty where nowhere.
 };
 
-/// Behind the key it may block for as long as the call may take; an open one must answer at once.
+/// It may block for as long as the call may take, but for one of operator_access::Open.
 using operator_handler = std::function<operator_reply(const operator_call &)>;
 
 /// Whether a route asks for the operators' key.
 enum class operator_access : std::uint8_t {
-  Open,      ///< For the platform's balancer and the metrics collector.
-  KeyNeeded, ///< 401 without the key.
+  Open,      ///< For the platform's balancer and the metrics collector; answers at once.
+  OpenWaits, ///< Without a key as well, but its handler may block.
+  KeyNeeded, ///< 401 without the key; its handler may block.
 };
 
 /// Why the server could not start.
--- a/src/peer_link/peer_codec_func.h
+++ b/src/peer_link/peer_codec_func.h
@@ -65,7 +65,7 @@
   Into(Addresses.Peers, Addresses.Entries, Addresses.Operators);
 }
 template <typename Archive> void serialize(Archive &Into, peer_hello &Hello) {
-  Into(Hello.Member, Hello.Addresses);
+  Into(Hello.Member, Hello.Addresses, Hello.Known);
 }
 
 /// @return The frame of one message.
--- a/src/peer_link/peer_link.cpp
+++ b/src/peer_link/peer_link.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
 #include <atomic>
 #include <set>
 #include <thread>
@@ -47,15 +48,17 @@
     Address = Listener->address();
     for (const auto &[Member, To] : Plan.Peers)
       addSender(Member, To);
+    for (const std::string &Seed : Plan.Seeds)
+      if (Seed != Address)
+        Dialers.emplace(Seed, std::make_unique<peer_sender>(Io, Plan, Seed));
     Thread = std::thread([this] { Io.run(); });
     return std::nullopt;
   }
 
   void announce(peer_addresses Addresses) {
     boost::asio::post(Io, [this, Addresses = std::move(Addresses)] {
-      Greeting = peerFrame(Plan.Fleet, peer_hello{Plan.Self, Addresses});
-      for (const auto &[Member, Sender] : Senders)
-        Sender->greetWith(Greeting);
+      Own = Addresses;
+      greetAll();
     });
   }
 
@@ -73,6 +76,14 @@
   std::atomic<std::uint64_t> Dropped{0};
 
 private:
+  void greetAll() {
+    Greeting = peerFrame(Plan.Fleet, peer_hello{Plan.Self, Own, {Known.begin(), Known.end()}});
+    for (const auto &[Member, Sender] : Senders)
+      Sender->greetWith(Greeting);
+    for (const auto &[Seed, Dialer] : Dialers)
+      Dialer->greetWith(Greeting);
+  }
+
   void addSender(member_id Member, const std::string &To) {
     auto Sender = std::make_unique<peer_sender>(Io, Plan, To);
     if (!Greeting.empty())
@@ -122,20 +133,59 @@
 
   /// A host that is not in the settings may be admitted later; it is answered where it listens.
   void learn(const peer_hello &Hello) {
-    const bool Settled = Hello.Member == Plan.Self || Plan.Peers.count(Hello.Member) != 0;
-    if (Settled || Hello.Addresses.Peers.empty())
+    bool Changed = note(Hello.Member, Hello.Addresses, true);
+    for (const auto &[Member, Addresses] : Hello.Known)
+      Changed = note(Member, Addresses, false) || Changed;
+    if (Changed && !Greeting.empty())
+      greetAll();
+  }
+
+  /// @param FirstHand Told by the host itself. @return Whether that was news.
+  bool note(member_id Member, const peer_addresses &Addresses, bool FirstHand) {
+    if (Member == Plan.Self || Addresses.Peers.empty() || Addresses.Peers == Address)
+      return false;
+    const auto Before = Known.find(Member);
+    if (Before != Known.end() && (Before->second == Addresses || !FirstHand))
+      return false;
+    // Another member at the same address has lost its disk; who only heard of that one is behind.
+    const auto Holder = std::find_if(Known.begin(), Known.end(), [&](const auto &Other) {
+      return Other.first != Member && Other.second.Peers == Addresses.Peers;
+    });
+    if (Holder != Known.end() && !FirstHand)
+      return false;
+    if (Holder != Known.end())
+      forget(Holder->first);
+    if (Known.size() >= MaxIncoming)
+      return false;
+    Known[Member] = Addresses;
+    Dialers.erase(Addresses.Peers);
+    reach(Member, Addresses.Peers);
+    return true;
+  }
+
+  void forget(member_id Member) {
+    Known.erase(Member);
+    if (Plan.Peers.count(Member) == 0)
+      Senders.erase(Member);
+  }
+
+  void reach(member_id Member, const std::string &To) {
+    if (Plan.Peers.count(Member) != 0)
       return;
-    const auto Known = Senders.find(Hello.Member);
-    if (Known != Senders.end())
-      Known->second->moveTo(Hello.Addresses.Peers);
-    else if (Senders.size() < MaxIncoming)
-      addSender(Hello.Member, Hello.Addresses.Peers);
+    const auto Sender = Senders.find(Member);
+    if (Sender != Senders.end())
+      Sender->second->moveTo(To);
+    else
+      addSender(Member, To);
   }
 
   boost::asio::io_context Io{1};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Guard;
   std::unique_ptr<framed_listener> Listener;
   std::map<member_id, std::unique_ptr<peer_sender>> Senders;
+  std::map<std::string, std::unique_ptr<peer_sender>> Dialers; ///< To seeds that are not known yet.
+  std::map<member_id, peer_addresses> Known;
+  peer_addresses Own;
   std::set<std::shared_ptr<framed_connection>> Incoming;
   std::string Greeting;
   std::thread Thread;
@@ -170,6 +220,11 @@
   return *this;
 }
 
+peer_link_builder &peer_link_builder::seed(std::string Address) {
+  Plan.Seeds.push_back(std::move(Address));
+  return *this;
+}
+
 peer_link_builder &peer_link_builder::onMessages(std::function<void()> Wake) {
   Plan.WakeOwner = std::move(Wake);
   return *this;
--- a/src/peer_link/peer_link_base.h
+++ b/src/peer_link/peer_link_base.h
@@ -10,6 +10,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace pollenstall {
 
@@ -19,6 +20,7 @@
   member_id Self;
   std::string Listen;                     ///< "IP:port"; port 0 takes one from the kernel.
   std::map<member_id, std::string> Peers; ///< Where the others listen.
+  std::vector<std::string> Seeds;         ///< Where others may listen whose ids are not known.
   std::chrono::milliseconds BackOffMin{20};
   std::chrono::milliseconds BackOffMax{500};
   std::size_t RingCapacity{4096};
@@ -65,6 +67,8 @@
   peer_link_builder(std::string Fleet, member_id Self, std::string Listen);
 
   peer_link_builder &peer(member_id Member, std::string Address);
+  /// An address at which some control host may listen; greeted until that host has greeted back.
+  peer_link_builder &seed(std::string Address);
   /// Called on the link's thread when messages wait for drain().
   peer_link_builder &onMessages(std::function<void()> Wake);
   peer_link_builder &backOff(std::chrono::milliseconds Min, std::chrono::milliseconds Max);
--- a/src/peer_link/peer_link_type.h
+++ b/src/peer_link/peer_link_type.h
@@ -6,7 +6,9 @@
 
 #include <cstdint>
 #include <string>
+#include <utility>
 #include <variant>
+#include <vector>
 
 namespace pollenstall {
 
@@ -19,10 +21,15 @@
   bool operator==(const peer_addresses &) const = default;
 };
 
-/// First message of a connection, so that a host can point entries and operators to the leader.
+/// A control host and where it listens.
+using known_peer = std::pair<member_id, peer_addresses>;
+
+/// First message of a connection, so that a host can point entries and operators to the leader. It
+/// also names the others that the sender knows: a host that starts with a few seeds finds all.
 struct peer_hello {
   member_id Member;
   peer_addresses Addresses;
+  std::vector<known_peer> Known;
 };
 
 using peer_message = std::variant<peer_hello, consensus_message>;
--- a/src/peer_link/tcp_address.cpp
+++ b/src/peer_link/tcp_address.cpp
@@ -25,6 +25,11 @@
   return boost::asio::ip::tcp::endpoint(Address, Port);
 }
 
+std::string withPort(const std::string &Address, std::uint16_t Port) {
+  const auto Endpoint = tcpEndpoint(Address);
+  return Endpoint ? toText({Endpoint->address(), Port}) : Address;
+}
+
 std::string toText(const boost::asio::ip::tcp::endpoint &Endpoint) {
   const std::string Host = Endpoint.address().to_string();
   const std::string Port = std::to_string(Endpoint.port());
--- /dev/null
+++ b/src/placement/engine_state.cpp
@@ -0,0 +1,33 @@
+/** @file engine_state.cpp Others' work, and pauses after failures. */
+#include "placement/engine_state_base.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+
+void engine_state::takePeer(const host_name &Peer, const work_load &Load, mono_time Now) {
+  Peers[Peer] = {Load, Now};
+}
+
+engine_view engine_state::peerWork(mono_time Now, mono_span Silence) const {
+  engine_view Sum;
+  for (const auto &[Peer, Known] : Peers) {
+    if (Now - Known.Heard > Silence)
+      continue;
+    const double Since = std::chrono::duration<double, std::milli>(Now - Known.Heard).count();
+    Sum.Requests += Known.Load.Requests;
+    Sum.Writers += Known.Load.Writers;
+    Sum.ReadMs += std::max(0.0, Known.Load.ReadMs - Since);
+    Sum.Tokens += Known.Load.Tokens;
+  }
+  return Sum;
+}
+
+void engine_state::noteFailure(const placement_tuning &Tuning, mono_time Now) {
+  constexpr std::uint32_t MostDoublings = 6;
+  const mono_span Pause = Tuning.FailurePause * (1U << std::min(Failures, MostDoublings));
+  PausedUntil = Now + std::min(Pause, Tuning.LongestPause);
+  ++Failures;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/placement/engine_state_base.h
@@ -0,0 +1,57 @@
+/** @file engine_state_base.h What one entry knows of the work at one backend server. */
+#ifndef POLLENSTALL_PLACEMENT_ENGINE_STATE_BASE_H
+#define POLLENSTALL_PLACEMENT_ENGINE_STATE_BASE_H
+
+#include "declaration/declaration_type.h"
+#include "directory/directory_type.h"
+#include "placement/placement_type.h"
+
+#include <map>
+
+namespace pollenstall {
+
+/// All entries' work at one backend server, as of now.
+struct engine_view {
+  std::uint32_t Requests{0};
+  std::uint32_t Writers{0};
+  double ReadMs{0}; ///< Still to be read.
+  double Tokens{0}; ///< Memory taken.
+};
+
+/// One backend server with what is under way there, of this entry and of others.
+class engine_state {
+public:
+  explicit engine_state(backend_listing Known) : Listing(std::move(Known)) {}
+
+  void update(backend_listing Known) { Listing = std::move(Known); }
+  void takePeer(const host_name &Peer, const work_load &Load, mono_time Now);
+  void forgetPeer(const host_name &Peer) { Peers.erase(Peer); }
+
+  /// @return The work of other entries that have spoken lately. Reading they told of has gone on.
+  [[nodiscard]] engine_view peerWork(mono_time Now, mono_span Silence) const;
+
+  /// An attempt failed for a reason that is the server's.
+  void noteFailure(const placement_tuning &Tuning, mono_time Now);
+  void noteSuccess() { Failures = 0; }
+  [[nodiscard]] bool paused(mono_time Now) const { return Now < PausedUntil; }
+  [[nodiscard]] bool active() const { return Listing.State == listing_state::Active; }
+  [[nodiscard]] const backend_key &key() const { return Listing.Key; }
+  [[nodiscard]] const service_name &service() const { return Listing.Service; }
+  /// Requests that it runs at once, as it announced.
+  [[nodiscard]] std::uint32_t places() const { return Listing.Places; }
+
+private:
+  struct peer_load {
+    work_load Load;
+    mono_time Heard;
+  };
+
+  backend_listing Listing;
+  std::map<host_name, peer_load> Peers;
+  std::uint32_t Failures{0}; ///< In a row.
+  mono_time PausedUntil;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PLACEMENT_ENGINE_STATE_BASE_H
--- /dev/null
+++ b/src/placement/pass_model.cpp
@@ -0,0 +1,27 @@
+/** @file pass_model.cpp Reading and writing times of an engine. */
+#include "placement/pass_model_func.h"
+
+namespace pollenstall {
+
+namespace {
+
+constexpr double Thousand = 1e3;
+constexpr double Million = 1e6;
+
+} // namespace
+
+double readMs(const engine_figures &Figures, tokens Prompt) {
+  const auto Count = static_cast<double>(Prompt.value());
+  const double Pairs = Count * Count / 2.0;
+  return Count / Figures.ReadPerSecond * Thousand + Pairs / Million * Figures.PairsMs;
+}
+
+double passMs(const engine_figures &Figures, std::uint32_t Writers, double Context) {
+  if (Writers == 0)
+    return 0;
+  const double Step =
+      Figures.StepMs + Writers * Figures.PerSequenceMs + Context / Thousand * Figures.PerContextMs;
+  return Figures.StepsPerPass * Step;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/placement/placement_type.h
@@ -0,0 +1,54 @@
+/** @file placement_type.h Loads that entries tell each other, and what placement is tuned by. */
+#ifndef POLLENSTALL_PLACEMENT_PLACEMENT_TYPE_H
+#define POLLENSTALL_PLACEMENT_PLACEMENT_TYPE_H
+
+#include "core/core.h"
+#include "directory/directory_type.h"
+#include "scheduling/scheduling_type.h"
+
+#include <chrono>
+#include <cstdint>
+#include <vector>
+
+namespace pollenstall {
+
+/// What one entry has under way at one backend server.
+struct work_load {
+  incarnation Life;          ///< Of the backend server.
+  std::uint32_t Requests{0}; ///< Started and not ended.
+  std::uint32_t Writers{0};  ///< Of these, those that have answered.
+  std::uint32_t ReadMs{0};   ///< Reading that is still to be done there, parts of others' included.
+  std::uint32_t Tokens{0};   ///< Memory that they take.
+
+  bool operator==(const work_load &) const = default;
+};
+
+/// Milliseconds unless said otherwise.
+struct placement_tuning {
+  /// Part of the longest declared gap that a pass may last with what it reads: the rest is for
+  /// delays on the way and for what other entries place in the same moment.
+  double GapPart{0.80};
+  /// Part of the time to the target at which the first event is expected at the latest.
+  double TargetPart{0.6};
+  /// Reading up to this is done by one engine beside others' writing.
+  double WholeReadMs{60.0};
+  /// Length of a part for which an engine that writes nothing is taken.
+  double FreePartMs{400.0};
+  /// Places of an engine that stay free: two entries may choose it in the same moment.
+  std::uint32_t SparePlaces{2};
+  /// Engines among which short work is spread at random, first in the common order: enough that
+  /// entries rarely meet on one, few enough that the others stay free for long reads.
+  std::size_t PackedChoices{2};
+  std::uint32_t MostReaders{17};                         ///< Of one prompt, the first one included.
+  mono_span PollInterval{std::chrono::milliseconds(10)}; ///< While work waits.
+  mono_span PeerSilence{std::chrono::seconds(1)};        ///< A peer's loads count no longer.
+  mono_span FailurePause{std::chrono::milliseconds(500)}; ///< After a failure; doubles.
+  mono_span LongestPause{std::chrono::seconds(8)};
+  /// Part of the time limit after which work that waits is refused, so that its caller can come
+  /// back.
+  double WaitPart{0.3};
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PLACEMENT_PLACEMENT_TYPE_H
--- /dev/null
+++ b/src/placement/placer.cpp
@@ -0,0 +1,292 @@
+/** @file placer.cpp The queue, polls, and what is under way. */
+#include "placement/placer_base.h"
+
+#include "placement/pass_model_func.h"
+
+#include <algorithm>
+#include <sstream>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr std::chrono::seconds RetrySoon{1};
+/// Waiting requests looked at in one poll: bounds its time under overload.
+constexpr std::size_t TriesPerPoll = 64;
+/// Part of its length that a part counts for that should be done and has not been seen to be.
+constexpr double OverduePart = 0.25;
+
+double millisUntil(mono_time Then, mono_time Now) {
+  return std::chrono::duration<double, std::milli>(Then - Now).count();
+}
+
+mono_span spanOf(double Millis) {
+  return std::chrono::duration_cast<mono_span>(std::chrono::duration<double, std::milli>(Millis));
+}
+
+} // namespace
+
+placer::placer(host_name Host, std::uint64_t Seed, const placement_tuning &Values)
+    : HostHash(stableHash(Host.str())), Random(mixHash(Seed, HostHash)), Tuning(Values) {}
+
+void placer::applyDeclaration(const fleet_declaration &Declaration) {
+  Services.clear();
+  for (const service_declaration &Service : Declaration.Services)
+    Services.emplace(Service.Name, Service);
+  ShortestGapMs = 0;
+  for (const call_route &Route : Declaration.Routes) {
+    const auto Gap = static_cast<double>(Route.LongestGap.count());
+    if (Route.Repeat == repeat_rule::Resume && Gap > 0)
+      ShortestGapMs = ShortestGapMs == 0 ? Gap : std::min(ShortestGapMs, Gap);
+  }
+}
+
+void placer::updateBackend(const backend_listing &Listing) {
+  const auto Known = Engines.find(Listing.Key);
+  if (Known == Engines.end())
+    Engines.emplace(Listing.Key, engine_state(Listing));
+  else
+    Known->second.update(Listing);
+}
+
+void placer::removeBackend(const backend_key &Backend) { Engines.erase(Backend); }
+
+void placer::takePeerLoads(const host_name &Peer, const std::vector<work_load> &Loads,
+                           mono_time Now) {
+  for (auto &[Key, Engine] : Engines) {
+    const auto Told = std::find_if(Loads.begin(), Loads.end(), [&Key = Key](const work_load &Load) {
+      return Load.Life == Key.Life;
+    });
+    if (Told == Loads.end())
+      Engine.forgetPeer(Peer);
+    else
+      Engine.takePeer(Peer, *Told, Now);
+  }
+}
+
+double placer::memoryOf(const work_item &Item) const {
+  const tokens Answer = Item.AnswerHint.value() > 0 ? Item.AnswerHint : Item.AnswerLimit;
+  return static_cast<double>((Item.Prompt + Answer).value());
+}
+
+std::optional<service_name> placer::drawService(const work_item &Item) {
+  std::uint64_t Total = 0;
+  for (const candidate_group &Candidate : Item.Groups)
+    Total += Candidate.Weight;
+  if (Total == 0)
+    return std::nullopt;
+  std::uint64_t Draw = Random.below(Total);
+  for (const candidate_group &Candidate : Item.Groups) {
+    if (Draw < Candidate.Weight)
+      return service_name(Candidate.Group.str());
+    Draw -= Candidate.Weight;
+  }
+  return std::nullopt;
+}
+
+std::optional<work_refusal> placer::refusalFor(const work_item &Item,
+                                               const service_name &Service) const {
+  const auto Declared = Services.find(Service);
+  if (Declared == Services.end())
+    return work_refusal{failure_reason::NoBackend, RetrySoon};
+  const std::optional<engine_figures> &Figures = Declared->second.Engine;
+  if (Figures && Item.Prompt > Figures->Memory)
+    return work_refusal{failure_reason::TooLargeForFleet, std::nullopt};
+  return std::nullopt;
+}
+
+std::variant<done, work_refusal> placer::submit(const work_item &Item, mono_time Now) {
+  const std::optional<service_name> Service = drawService(Item);
+  if (!Service)
+    return work_refusal{failure_reason::NoBackend, RetrySoon};
+  if (const auto Refusal = refusalFor(Item, *Service))
+    return *Refusal;
+  Waiting.insert_or_assign(Item.Request, waiting_work{Item, *Service});
+  NextWake = Now;
+  return done{};
+}
+
+void placer::withdraw(request_number Request) {
+  Waiting.erase(Request);
+  Placed.erase(Request);
+}
+
+bool placer::isLate(const waiting_work &Work, mono_time Now) const {
+  return Work.Item.Target.count() > 0 && Now > Work.Item.Arrived + Work.Item.Target;
+}
+
+std::vector<request_number> placer::order(mono_time Now) const {
+  // What can still be answered in time goes first, by declared urgency and then by what is left of
+  // its time. What is late already earns little; it runs on what the others leave.
+  std::vector<const waiting_work *> Order;
+  for (const auto &[Request, Work] : Waiting)
+    Order.push_back(&Work);
+  const auto Rank = [this, Now](const waiting_work *Work) {
+    const bool Late = !Work->Item.Resumed && isLate(*Work, Now);
+    return std::tuple(Late, !Work->Item.Resumed, Work->Item.Urgency,
+                      Work->Item.Arrived + Work->Item.Target);
+  };
+  std::sort(Order.begin(), Order.end(),
+            [&Rank](const waiting_work *A, const waiting_work *B) { return Rank(A) < Rank(B); });
+  std::vector<request_number> Requests;
+  for (const waiting_work *Work : Order)
+    if (Requests.size() < TriesPerPoll)
+      Requests.push_back(Work->Item.Request);
+  return Requests;
+}
+
+void placer::expireLate(mono_time Now, poll_outcome &Outcome) {
+  for (auto At = Waiting.begin(); At != Waiting.end();) {
+    const work_item &Item = At->second.Item;
+    const double Whole = millisUntil(Item.Deadline, Item.Arrived);
+    if (millisUntil(Now, Item.Arrived) < Whole * Tuning.WaitPart) {
+      ++At;
+      continue;
+    }
+    Outcome.Expiries.push_back({Item.Request, {failure_reason::QueueFull, RetrySoon}});
+    At = Waiting.erase(At);
+  }
+}
+
+poll_outcome placer::poll(mono_time Now) {
+  poll_outcome Outcome;
+  expireLate(Now, Outcome);
+  Own = ownWork(Now);
+  for (const request_number Request : order(Now)) {
+    const waiting_work Work = Waiting.at(Request);
+    const std::optional<read_plan> Plan = choose(Work, Now);
+    if (!Plan)
+      continue;
+    Waiting.erase(Request);
+    start(Work, *Plan, Now, Outcome);
+  }
+  NextWake.reset();
+  if (!Waiting.empty())
+    NextWake = Now + Tuning.PollInterval;
+  return Outcome;
+}
+
+void placer::start(const waiting_work &Work, const read_plan &Plan, mono_time Now,
+                   poll_outcome &Outcome) {
+  running_work Started;
+  Started.Request = Work.Item.Request;
+  Started.Tokens = memoryOf(Work.Item);
+  work_placement Placement;
+  Placement.Request = Work.Item.Request;
+  Placement.Backend = Plan.Readers.front().Engine->key();
+  Placement.ExpectedFirstToken = spanOf(Plan.FinishMs);
+  for (const engine_option &Reader : Plan.Readers) {
+    const backend_key &Key = Reader.Engine->key();
+    Started.Parts.push_back({Key, Plan.PartMs, Now + spanOf(Plan.FinishMs)});
+    if (Key != Placement.Backend)
+      Placement.Helpers.push_back(Key);
+  }
+  addWork(Own, Started, Now);
+  Placed.insert_or_assign(Work.Item.Request, std::move(Started));
+  Outcome.Placements.push_back(std::move(Placement));
+}
+
+void placer::addWork(own_work &Sum, const running_work &Work, mono_time Now) {
+  for (const reading_part &Part : Work.Parts) {
+    if (Work.Answered)
+      break;
+    const double Left = std::min(Part.Ms, millisUntil(Part.Until, Now));
+    Sum[Part.Backend].ReadMs += std::max(Left, Part.Ms * OverduePart);
+  }
+  engine_view &First = Sum[Work.Parts.front().Backend];
+  ++First.Requests;
+  First.Writers += Work.Answered ? 1 : 0;
+  First.Tokens += Work.Tokens;
+}
+
+placer::own_work placer::ownWork(mono_time Now) const {
+  own_work Sum;
+  for (const auto &[Request, Work] : Placed)
+    addWork(Sum, Work, Now);
+  for (const auto &[Attempt, Work] : Running)
+    addWork(Sum, Work, Now);
+  return Sum;
+}
+
+std::vector<work_load> placer::ownLoads(mono_time Now) const {
+  std::vector<work_load> Loads;
+  for (const auto &[Backend, View] : ownWork(Now))
+    Loads.push_back({Backend.Life, View.Requests, View.Writers,
+                     static_cast<std::uint32_t>(View.ReadMs),
+                     static_cast<std::uint32_t>(View.Tokens)});
+  return Loads;
+}
+
+void placer::attemptStarted(const attempt_id &Attempt, const work_item &Item,
+                            const backend_key &Backend, mono_time Now) {
+  const auto Found = Placed.find(Item.Request);
+  if (Found != Placed.end()) {
+    Running.insert_or_assign(Attempt, std::move(Found->second));
+    Placed.erase(Found);
+    return;
+  }
+  running_work Started;
+  Started.Request = Item.Request;
+  Started.Tokens = memoryOf(Item);
+  Started.Parts.push_back({Backend, 0, Now});
+  Running.insert_or_assign(Attempt, std::move(Started));
+}
+
+void placer::attemptAnswering(const attempt_id &Attempt, mono_time Now) {
+  const auto Found = Running.find(Attempt);
+  if (Found == Running.end())
+    return;
+  Found->second.Answered = true;
+  NextWake = Now;
+}
+
+void placer::attemptEnded(const attempt_id &Attempt, const attempt_report &End, mono_time Now) {
+  const auto Found = Running.find(Attempt);
+  if (Found == Running.end())
+    return;
+  if (End.Failure)
+    blame(Attempt, *End.Failure, Now);
+  const auto Engine = Engines.find(Found->second.Parts.front().Backend);
+  if (End.Completed && Engine != Engines.end())
+    Engine->second.noteSuccess();
+  Running.erase(Found);
+  NextWake = Now;
+}
+
+void placer::attemptBroken(const attempt_id &Attempt, attempt_failure Failure, mono_time Now) {
+  blame(Attempt, Failure, Now);
+}
+
+void placer::blame(const attempt_id &Attempt, attempt_failure Failure, mono_time Now) {
+  // A server that declines is full, and an answer with an error status may be the caller's fault.
+  if (Failure == attempt_failure::Declined || Failure == attempt_failure::ErrorAnswer)
+    return;
+  const auto Found = Running.find(Attempt);
+  if (Found == Running.end())
+    return;
+  const auto Engine = Engines.find(Found->second.Parts.front().Backend);
+  if (Engine != Engines.end())
+    Engine->second.noteFailure(Tuning, Now);
+}
+
+std::string placer::dump(mono_time Now) const {
+  std::ostringstream Out;
+  Out << R"({"waiting":)" << Waiting.size() << R"(,"running":)" << Running.size()
+      << R"(,"backends":[)";
+  const own_work Sum = ownWork(Now);
+  const char *Comma = "";
+  for (const auto &[Key, Engine] : Engines) {
+    const auto Mine = Sum.find(Key);
+    const engine_view Others = Engine.peerWork(Now, Tuning.PeerSilence);
+    const engine_view Ours = Mine == Sum.end() ? engine_view{} : Mine->second;
+    Out << Comma << R"({"backend":")" << toText(Key) << R"(","active":)"
+        << (Engine.active() ? "true" : "false") << R"(,"own_requests":)" << Ours.Requests
+        << R"(,"own_read_ms":)" << Ours.ReadMs << R"(,"others_requests":)" << Others.Requests
+        << R"(,"others_read_ms":)" << Others.ReadMs << "}";
+    Comma = ",";
+  }
+  Out << "]}";
+  return Out.str();
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/placement/placer_base.h
@@ -0,0 +1,127 @@
+/** @file placer_base.h Decides where waiting work runs, and which engines help to read it. */
+#ifndef POLLENSTALL_PLACEMENT_PLACER_BASE_H
+#define POLLENSTALL_PLACEMENT_PLACER_BASE_H
+
+#include "placement/engine_state_base.h"
+#include "placement/placement_type.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pollenstall {
+
+/**
+ * One entry's placement of calls whose routes and engines are declared. Prompts that one engine
+ * would read for long are read by several at once; no pass of an engine that writes gets longer
+ * than the declared gaps allow. Every call is made from one thread.
+ */
+class placer {
+public:
+  placer(host_name Host, std::uint64_t Seed, const placement_tuning &Values = {});
+
+  void applyDeclaration(const fleet_declaration &Declaration);
+  void updateBackend(const backend_listing &Listing);
+  /// The life is over and holds nothing any more.
+  void removeBackend(const backend_key &Backend);
+  /// Another entry told what it has under way; replaces what it told before.
+  void takePeerLoads(const host_name &Peer, const std::vector<work_load> &Loads, mono_time Now);
+
+  /// Takes a request in, or refuses it at once where it can't run.
+  std::variant<done, work_refusal> submit(const work_item &Item, mono_time Now);
+  void withdraw(request_number Request);
+  poll_outcome poll(mono_time Now);
+  [[nodiscard]] std::optional<mono_time> nextWake() const { return NextWake; }
+
+  void attemptStarted(const attempt_id &Attempt, const work_item &Item, const backend_key &Backend,
+                      mono_time Now);
+  void attemptAnswering(const attempt_id &Attempt, mono_time Now);
+  /// The server holds nothing of the attempt any more.
+  void attemptEnded(const attempt_id &Attempt, const attempt_report &End, mono_time Now);
+  void attemptBroken(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
+
+  /// @return What this entry has under way, for the others.
+  [[nodiscard]] std::vector<work_load> ownLoads(mono_time Now) const;
+  [[nodiscard]] std::size_t queued() const { return Waiting.size(); }
+  /// @return JSON of the queue and of each backend server.
+  [[nodiscard]] std::string dump(mono_time Now) const;
+
+private:
+  struct waiting_work {
+    work_item Item;
+    service_name Service; ///< Drawn by the route's weights.
+  };
+  /// A reader of one prompt.
+  struct reading_part {
+    backend_key Backend;
+    double Ms{0};
+    mono_time Until; ///< When it is expected to be done.
+  };
+  struct running_work {
+    request_number Request;
+    std::vector<reading_part> Parts; ///< The first is at the engine that answers.
+    double Tokens{0};
+    bool Answered{false};
+  };
+  struct engine_option {
+    engine_state *Engine{nullptr};
+    engine_view View;
+  };
+  /// A choice of engines; the first one answers.
+  struct read_plan {
+    std::vector<engine_option> Readers;
+    double PartMs{0};
+    double FinishMs{0}; ///< From now to the first event.
+  };
+
+  /// An engine as a possible reader of one prompt. Milliseconds.
+  struct reader_option {
+    engine_option Option;
+    std::size_t Place{0}; ///< In the order that all entries share.
+    double PassMs{0};
+    double StartMs{0}; ///< From now until it can begin to read.
+    double RoomMs{0};  ///< Longest part that its streams' gaps allow.
+    bool MayAnswer{false};
+  };
+  using own_work = std::map<backend_key, engine_view>;
+
+  [[nodiscard]] own_work ownWork(mono_time Now) const;
+  static void addWork(own_work &Sum, const running_work &Work, mono_time Now);
+  [[nodiscard]] std::vector<request_number> order(mono_time Now) const;
+  void expireLate(mono_time Now, poll_outcome &Outcome);
+  std::optional<service_name> drawService(const work_item &Item);
+  [[nodiscard]] std::optional<work_refusal> refusalFor(const work_item &Item,
+                                                       const service_name &Service) const;
+  std::vector<engine_option> options(const waiting_work &Work, mono_time Now);
+  std::optional<read_plan> choose(const waiting_work &Work, mono_time Now);
+  std::optional<read_plan> chooseServer(std::vector<engine_option> Options);
+  std::optional<read_plan> chooseEngines(const waiting_work &Work, const engine_figures &Figures,
+                                         std::vector<engine_option> Options, mono_time Now);
+  std::optional<read_plan> packShort(const std::vector<reader_option> &Readers, double WholeMs,
+                                     double LeftMs);
+  [[nodiscard]] std::optional<read_plan> gather(std::vector<reader_option> Readers, double WholeMs,
+                                                double LeftMs) const;
+  static std::optional<read_plan> withReaders(const std::vector<reader_option> &Readers,
+                                              std::size_t Count, double PartMs);
+  void start(const waiting_work &Work, const read_plan &Plan, mono_time Now, poll_outcome &Outcome);
+  [[nodiscard]] bool isLate(const waiting_work &Work, mono_time Now) const;
+  [[nodiscard]] double memoryOf(const work_item &Item) const;
+  void blame(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
+
+  std::uint64_t HostHash;
+  random_source Random;
+  placement_tuning Tuning;
+  std::map<service_name, service_declaration> Services;
+  double ShortestGapMs{0}; ///< Declared; 0 where none is.
+  std::map<backend_key, engine_state> Engines;
+  std::map<request_number, waiting_work> Waiting;
+  std::map<request_number, running_work> Placed; ///< Without an attempt yet.
+  std::map<attempt_id, running_work> Running;
+  own_work Own; ///< As of the present poll.
+  std::optional<mono_time> NextWake;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PLACEMENT_PLACER_BASE_H
--- a/src/relay/attempt_head.cpp
+++ b/src/relay/attempt_head.cpp
@@ -91,6 +91,32 @@
   return Head;
 }
 
+std::string headedAttemptHead(const relayed_call &Call, const start_attempt &Order,
+                              const call_interface &Interface, mono_time Now) {
+  const forwarded_request &Request = Call.Request;
+  attempt_facts Facts;
+  Facts.TimeLeft =
+      std::max(std::chrono::milliseconds(1),
+               std::chrono::duration_cast<std::chrono::milliseconds>(Call.Facts.Deadline - Now));
+  Facts.Instance = Order.Instance;
+  Facts.Account = Call.Facts.Account;
+  Facts.LastEvent = Call.LastEvent;
+  for (const backend_key &Helper : Order.Helpers)
+    Facts.Helpers.push_back(Helper.Address);
+  std::vector<header_line> Lines = Request.Headers;
+  Interface.WriteAttempt(Facts, Lines);
+  std::string Head = startLine(Request.Method, Request.Target);
+  addLine(Head, "Host", Request.Host);
+  for (const header_line &Line : Lines)
+    addLine(Head, Line.Name, Line.Value);
+  const std::size_t Length = Request.Body ? Request.Body->Text.size() : 0;
+  if (Length > 0 || Request.Method == "POST" || Request.Method == "PUT" ||
+      Request.Method == "PATCH")
+    addLine(Head, "Content-Length", std::to_string(Length));
+  Head += LineEnd;
+  return Head;
+}
+
 std::string resumeHead(const relayed_call &Call, const resume_attempt &Order) {
   std::string Head = startLine("GET", attemptPath(Order.Attempt) + "/stream");
   addLine(Head, "Host", Order.Backend.Address.str());
--- a/src/relay/attempt_head_func.h
+++ b/src/relay/attempt_head_func.h
@@ -24,6 +24,10 @@
 /// @return The caller's traceparent where it has the published form, otherwise a new one.
 std::string traceParentFrom(std::string_view Given, random_source &Random);
 
+/// @return The request of a call of a declared route; behind its last event where it has begun.
+std::string headedAttemptHead(const relayed_call &Call, const start_attempt &Order,
+                              const call_interface &Interface, mono_time Now);
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_RELAY_ATTEMPT_HEAD_FUNC_H
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -5,7 +5,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 
+#include <algorithm>
 #include <array>
+#include <charconv>
 
 namespace pollenstall {
 
@@ -50,6 +52,24 @@
   }
 }
 
+/// @return How long a server that says "timeout=SECONDS" keeps an idle connection, less a margin
+/// for the way; nothing where it does not say.
+std::optional<std::chrono::milliseconds> idleLimitOf(boost::beast::string_view KeepAlive) {
+  constexpr std::string_view Key = "timeout=";
+  constexpr std::chrono::milliseconds Margin{500};
+  const std::string_view Text(KeepAlive.data(), KeepAlive.size());
+  const std::size_t At = Text.find(Key);
+  if (At == std::string_view::npos)
+    return std::nullopt;
+  std::int64_t Seconds = 0;
+  const std::string_view Number = Text.substr(At + Key.size());
+  const auto Parsed = std::from_chars(Number.data(), Number.data() + Number.size(), Seconds);
+  if (Parsed.ec != std::errc{} || Seconds < 0)
+    return std::nullopt;
+  return std::max(std::chrono::milliseconds(0),
+                  std::chrono::milliseconds(std::chrono::seconds(Seconds)) - Margin);
+}
+
 boost::beast::string_view beastView(std::string_view Text) { return {Text.data(), Text.size()}; }
 
 } // namespace
@@ -131,9 +151,12 @@
   if (const auto Failure = judgeHead(Errand))
     co_return exchange_end{Failure, {}};
   const bool Events = Call->Kind == service_kind::Model && isEventStream();
+  const bool OpenEvents = Call->Headed && isEventStream();
   // Only one attempt may pass its answer on, and from here on it is this one.
   if (!Call->mayRelay(Order.Attempt.Ordinal))
     co_return exchange_end{attempt_failure::BrokenSent, {}};
+  if (OpenEvents)
+    co_return co_await relayOpenEvents();
   if (Events)
     co_return co_await relayEvents();
   co_return co_await relayWhole();
@@ -142,8 +165,10 @@
 asio::awaitable<std::optional<attempt_failure>> backend_exchange::send(errand Errand) {
   const std::shared_ptr<const held_body> Body = Call->Request.Body;
   const bool Start = Errand == errand::Start;
-  const std::string Head = Start ? attemptHead(*Call, Order, boot_clock::now())
-                                 : resumeHead(*Call, resume_attempt{Order.Attempt, Order.Backend});
+  const std::string Head =
+      Call->Headed ? headedAttemptHead(*Call, Order, Context.Interface, boot_clock::now())
+      : Start      ? attemptHead(*Call, Order, boot_clock::now())
+                   : resumeHead(*Call, resume_attempt{Order.Attempt, Order.Backend});
   // Told before the first byte is handed to the kernel: from here on "not run" has to be proved.
   Context.Outbox.push(attempt_sending{Order.Attempt});
   if (Start)
@@ -156,6 +181,7 @@
   const std::size_t Taken = co_await Link->writeAll(Buffers);
   if (Taken == 0)
     co_return attempt_failure::BrokenUnsent;
+  SentAll = Taken == asio::buffer_size(Buffers);
   if (!Order.MayRetry)
     Call->Request.Body.reset();
   // A server may decline and close before it has read everything: its answer is still looked for.
@@ -213,6 +239,8 @@
 }
 
 std::optional<attempt_failure> backend_exchange::judgeHead(errand Errand) {
+  if (Call->Headed)
+    return judgeHeadedAnswer();
   const auto &Message = Feed->message().get();
   const unsigned Status = Message.result_int();
   if (namesOtherAttempt())
@@ -229,8 +257,29 @@
   return std::nullopt;
 }
 
+std::optional<attempt_failure> backend_exchange::judgeHeadedAnswer() {
+  const auto &Message = Feed->message().get();
+  const unsigned Status = Message.result_int();
+  const answer_facts Facts = Context.Interface.ReadAnswer(Message, Call->SendName);
+  if (Facts.OtherSend)
+    return attempt_failure::BadAnswer;
+  if (Facts.NotRun)
+    return attempt_failure::Declined;
+  if (Call->goesOn())
+    return Status == Ok && isEventStream()
+               ? std::nullopt
+               : std::optional<attempt_failure>(attempt_failure::BrokenMidway);
+  // A failure that no other attempt may better is the answer; it is passed on as it is.
+  if (Status >= FirstServerError && Call->Facts.Idempotent && Order.MayRetry)
+    return attempt_failure::ErrorAnswer;
+  return std::nullopt;
+}
+
 asio::awaitable<void> backend_exchange::returnLink() {
   constexpr std::chrono::seconds TrailerLimit{1};
+  // What of the request is still due would be read as the next one's.
+  if (!SentAll || Unframed)
+    co_return;
   Link->expireAt(boot_clock::now() + TrailerLimit);
   // Behind "[DONE]" the last chunk may still be under way.
   while (!Feed->done() && Feed->body().empty())
@@ -238,7 +287,8 @@
       co_return;
   if (!Feed->done() || !Feed->body().empty() || Feed->hasLeft() || !Feed->message().keep_alive())
     co_return;
-  Context.Links.giveBack(Order.Backend, std::move(Link));
+  Context.Links.giveBack(Order.Backend, std::move(Link),
+                         idleLimitOf(Feed->message().get()[http::field::keep_alive]));
 }
 
 } // namespace pollenstall
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -57,6 +57,8 @@
   boost::asio::awaitable<std::optional<attempt_failure>> send(errand Errand);
   boost::asio::awaitable<std::optional<attempt_failure>> readHead();
   boost::asio::awaitable<exchange_end> relayEvents();
+  boost::asio::awaitable<exchange_end> relayOpenEvents();
+  boost::asio::awaitable<bool> passEvents(std::string_view Ready, std::uint64_t Events);
   boost::asio::awaitable<exchange_end> relayWhole();
   bool feedReady();
   boost::asio::awaitable<bool> startAnswer(answer_framing Framing, std::string_view First);
@@ -64,6 +66,7 @@
   boost::asio::awaitable<void> returnLink();
 
   std::optional<attempt_failure> judgeHead(errand Errand);
+  std::optional<attempt_failure> judgeHeadedAnswer();
   [[nodiscard]] bool namesOtherAttempt();
   [[nodiscard]] bool isEventStream();
   [[nodiscard]] bool isErrorStatus(unsigned Status) const;
@@ -84,7 +87,9 @@
   std::uint64_t UnreportedEvents{0};
   bool Answering{false};
   bool Abandoned{false};
-  bool Sent{false}; ///< The first byte went out.
+  bool Sent{false};     ///< The first byte went out.
+  bool SentAll{false};  ///< So did the last one.
+  bool Unframed{false}; ///< The answer ends with its connection.
 };
 
 } // namespace pollenstall
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -29,8 +29,13 @@
   auto &Message = Feed->message();
   answer_head Head;
   Head.Status = Message.get().result_int();
-  Head.Headers = forwardedAnswerHeaders(Message.get());
-  Head.Headers.push_back({"X-Request-Id", Call->RequestId});
+  if (Call->Headed) {
+    Head.Headers = endToEndHeaders(Message.get(), [](std::string_view) { return false; });
+  } else {
+    Head.Headers = forwardedAnswerHeaders(Message.get());
+    Head.Headers.push_back({"X-Request-Id", Call->RequestId});
+  }
+  Head.Close = Context.Draining;
   Head.Framing = Framing;
   if (const auto Length = Message.content_length())
     Head.Length = *Length;
@@ -137,9 +142,12 @@
 /// A whole answer that ends before its length is a bad answer, not a broken stream: it has no
 /// events, and a resume would put events behind the half of a JSON body.
 asio::awaitable<exchange_end> backend_exchange::relayWhole() {
-  const auto Framing = framingOfWhole();
-  if (!Framing)
+  auto Framing = framingOfWhole();
+  Unframed = !Framing;
+  if (!Framing && !Call->Headed)
     co_return exchange_end{attempt_failure::BadAnswer, {}};
+  if (!Framing)
+    Framing = answer_framing::Chunked;
   Call->Relaying = true;
   std::string Tail;
   while (true) {
@@ -159,10 +167,14 @@
     }
     if (Feed->done())
       break;
-    if (Abandoned || !co_await readMore())
-      co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
-                                                               : attempt_failure::BadAnswer,
-                             {}};
+    if (!Abandoned && co_await readMore())
+      continue;
+    // A server that ends its answer by closing has ended it; one that was reset has not.
+    if (!Abandoned && Unframed && Link->closedCleanly() && Feed->finish())
+      continue;
+    co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
+                                                             : attempt_failure::BadAnswer,
+                           {}};
   }
   if (!co_await Call->Caller->writeEnd())
     Context.noteCallerGone(*Call);
--- a/src/relay/backend_links.cpp
+++ b/src/relay/backend_links.cpp
@@ -33,7 +33,10 @@
   std::deque<idle_link> &Links = Found->second;
   while (!Links.empty()) {
     backend_link Link = std::move(Links.back().Link);
+    const bool InTime = boot_clock::now() < Links.back().Until;
     Links.pop_back();
+    if (!InTime)
+      continue; // The server may be closing it at this very moment.
     // Input on an idle connection belongs to nobody; its sender is out of step.
     if (!Link->peerClosed() && !Link->hasInput())
       return Link;
@@ -68,18 +71,19 @@
   co_return co_await connect(Backend);
 }
 
-void backend_links::giveBack(const backend_key &Backend, backend_link Link) {
+void backend_links::giveBack(const backend_key &Backend, backend_link Link,
+                             std::optional<std::chrono::milliseconds> IdleLimit) {
+  const auto Limit = std::min(IdleLimit.value_or(Limits.BackendIdle), Limits.BackendIdle);
   Link->expireNever();
   std::deque<idle_link> &Links = Idle[Backend];
   if (Links.size() < MaxIdlePerBackend)
-    Links.push_back({std::move(Link), boot_clock::now()});
+    Links.push_back({std::move(Link), boot_clock::now() + Limit});
 }
 
 void backend_links::closeIdle(mono_time Now) {
   for (auto At = Idle.begin(); At != Idle.end();) {
     std::deque<idle_link> &Links = At->second;
-    while (!Links.empty() && Links.front().Since + Limits.BackendIdle <= Now)
-      Links.pop_front();
+    std::erase_if(Links, [Now](const idle_link &Link) { return Link.Until <= Now; });
     At = Links.empty() ? Idle.erase(At) : std::next(At);
   }
 }
--- a/src/relay/backend_links_base.h
+++ b/src/relay/backend_links_base.h
@@ -7,9 +7,11 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <chrono>
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace pollenstall {
 
@@ -36,7 +38,9 @@
   /// @return A connection to send on, or null where none could be made in time.
   boost::asio::awaitable<backend_link> open(const backend_key &Backend, link_age Age);
   /// Takes a connection back whose answer has been read to its end.
-  void giveBack(const backend_key &Backend, backend_link Link);
+  /// @param IdleLimit How long the server keeps it open unused, where it said so.
+  void giveBack(const backend_key &Backend, backend_link Link,
+                std::optional<std::chrono::milliseconds> IdleLimit = std::nullopt);
   /// Closes what has been idle for too long.
   void closeIdle(mono_time Now);
   [[nodiscard]] std::size_t idle() const;
@@ -44,7 +48,7 @@
 private:
   struct idle_link {
     backend_link Link;
-    mono_time Since;
+    mono_time Until;
   };
 
   backend_link takeIdle(const backend_key &Backend);
--- a/src/relay/call_plan.cpp
+++ b/src/relay/call_plan.cpp
@@ -233,6 +233,8 @@
                                           mono_time Now) {
   if (const auto *Model = std::get_if<model_call>(&Plan.Kind))
     return planPrompt(Plan, Model->Form, Head, Body, Tokens, Now);
+  if (std::holds_alternative<headed_call>(Plan.Kind))
+    return planHeaded(Plan, Now);
   const plain_call &Plain = std::get<plain_call>(Plan.Kind);
   return planCommon(Plan, Head, *Plain.Service, Plain.Idempotent, Now);
 }
--- a/src/relay/call_plan_func.h
+++ b/src/relay/call_plan_func.h
@@ -23,6 +23,13 @@
 /// Checks key, method and path. @return The plan, or a refusal: 401, 404 or 405.
 result<call_plan, call_error> planCall(const request_head &Head, const declaration_view &View);
 
+/// The same for a call of a declared route. @return The plan, or a refusal: 400, 401 or 404.
+result<call_plan, call_error> planHeadedCall(const request_head &Head, const declaration_view &View,
+                                             const call_interface &Interface);
+
+/// @return The facts of a call of a declared route; its body is only passed on.
+planned_call planHeaded(const call_plan &Plan, mono_time Now);
+
 /**
  * Checks the body and the headers that bound the call.
  * @param Tokens Turns bytes of a prompt into tokens.
--- a/src/relay/call_plan_type.h
+++ b/src/relay/call_plan_type.h
@@ -4,6 +4,7 @@
 #define POLLENSTALL_RELAY_CALL_PLAN_TYPE_H
 
 #include "declaration/declaration.h"
+#include "relay/call_interface_type.h"
 #include "relay/prompt_facts_type.h"
 
 #include <cstddef>
@@ -25,11 +26,18 @@
   bool Idempotent{true};
 };
 
+/// A call of a declared route; its head says everything. The route lives as long as the plan's
+/// declaration.
+struct headed_call {
+  const call_route *Route{nullptr};
+  head_facts Head;
+};
+
 /// Who calls, and what.
 struct call_plan {
   declaration_view Declaration;
   client_account_name Account;
-  std::variant<models_call, model_call, plain_call> Kind;
+  std::variant<models_call, model_call, plain_call, headed_call> Kind;
   std::size_t BodyLimit{0};
 };
 
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -85,7 +85,9 @@
   if (!Context.Declaration || boot_clock::now() >= Context.DeclaredUntil)
     co_return co_await refuse(notNow("not_ready", "This entry has no configuration in force."), "",
                               After);
-  auto Planned = planCall(Head, Context.Declaration);
+  auto Planned = Context.Interface.isSet()
+                     ? planHeadedCall(Head, Context.Declaration, Context.Interface)
+                     : planCall(Head, Context.Declaration);
   if (!succeeded(Planned))
     co_return co_await refuse(errorOf(Planned), "", After);
   const call_plan Plan = valueOf(std::move(Planned));
@@ -129,11 +131,11 @@
   if (!succeeded(Planned))
     co_return co_await refuse(errorOf(Planned), Plan.Account.str(), After);
   auto Body = std::make_shared<const held_body>(held_body{std::move(Text), std::move(Share)});
-  co_return co_await carryOut(makeCall(valueOf(std::move(Planned)), Head, std::move(Body)),
+  co_return co_await carryOut(makeCall(valueOf(std::move(Planned)), Plan, Head, std::move(Body)),
                               Head.KeepAlive);
 }
 
-std::shared_ptr<relayed_call> caller_session::makeCall(planned_call Planned,
+std::shared_ptr<relayed_call> caller_session::makeCall(planned_call Planned, const call_plan &Plan,
                                                        const request_head &Head,
                                                        std::shared_ptr<const held_body> Body) {
   Context.LastRequest = Context.LastRequest.next();
@@ -147,6 +149,12 @@
   Call->Request.Headers = forwardedRequestHeaders(Head.Fields);
   Call->Request.TraceParent = traceParentFrom(Head.header("traceparent"), Context.Random);
   Call->Request.Body = std::move(Body);
+  if (const auto *Headed = std::get_if<headed_call>(&Plan.Kind)) {
+    Call->Headed = true;
+    Call->SendName = Headed->Head.SendName;
+    Call->LastEvent = Headed->Head.LastEvent;
+    Call->Request.Headers = endToEndHeaders(Head.Fields, Context.Interface.IsSystemHeader);
+  }
   return Call;
 }
 
--- a/src/relay/caller_session_base.h
+++ b/src/relay/caller_session_base.h
@@ -47,7 +47,8 @@
   boost::asio::awaitable<void> watchCaller(std::shared_ptr<relayed_call> Call);
   boost::asio::awaitable<void> endWatch();
 
-  std::shared_ptr<relayed_call> makeCall(planned_call Planned, const request_head &Head,
+  std::shared_ptr<relayed_call> makeCall(planned_call Planned, const call_plan &Plan,
+                                         const request_head &Head,
                                          std::shared_ptr<const held_body> Body);
   void record(const relayed_call &Call, const finish_request &Finish) const;
   [[nodiscard]] length_class classOf(tokens Prompt) const;
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -41,6 +41,12 @@
                                                  const std::string &RequestId, bool Close) {
   answer_head Head;
   Head.Status = Error.Status;
+  // Callers of declared routes take 503 for the promise that nothing was run, and 504 for none.
+  constexpr unsigned Unavailable = 503;
+  constexpr unsigned FirstServerError = 500;
+  if (Context.Interface.isSet() && Error.Outcome == final_outcome::NotRun &&
+      Error.Status >= FirstServerError)
+    Head.Status = Unavailable;
   Head.Headers.push_back({"Content-Type", "application/json"});
   Head.Headers.push_back({std::string(OutcomeHeader), std::string(outcomeText(Error.Outcome))});
   if (Error.RetryAfter)
@@ -79,6 +85,7 @@
 
 asio::awaitable<caller_session::next_step> caller_session::conclude(relayed_call &Call,
                                                                     bool KeepAlive) {
+  KeepAlive = KeepAlive && !Context.Draining;
   const finish_request Finish = withSentBytes(Call);
   record(Call, Finish);
   Call.Request.Body.reset();
@@ -93,6 +100,9 @@
     co_return Written &&KeepAlive ? next_step::Go : next_step::Close;
   }
   case answer_stage::Stream:
+    // The body must stay the engine's own; without the last chunk it does not look whole.
+    if (Call.Headed)
+      co_return next_step::CloseAfterDrain;
     co_await writeErrorEvent(errorFor(Finish, Call.Facts.Idempotent));
     co_return next_step::CloseAfterDrain;
   default:
--- a/src/relay/event_scanner.cpp
+++ b/src/relay/event_scanner.cpp
@@ -1,8 +1,7 @@
 /** @file event_scanner.cpp Server-sent events: lines, ids, the end mark. */
 #include "relay/event_scanner_base.h"
 
-#include <charconv>
-#include <optional>
+#include "relay/event_text_func.h"
 
 namespace pollenstall {
 
@@ -12,63 +11,6 @@
 constexpr std::string_view UsageKey = "\"usage\":{";
 constexpr std::string_view SpacedUsageKey = "\"usage\": {";
 
-/// The fields of one event that matter here.
-struct event_fields {
-  std::string_view Id;
-  std::string_view Data; ///< The first data line; engines write one.
-  bool HasData{false};
-};
-
-/// @return The end of the event that starts the bytes (behind its blank line), or nothing.
-std::optional<std::size_t> endOfEvent(std::string_view Bytes, std::size_t From) {
-  for (std::size_t At = Bytes.find('\n', From); At != std::string_view::npos;
-       At = Bytes.find('\n', At + 1)) {
-    if (At + 1 < Bytes.size() && Bytes[At + 1] == '\n')
-      return At + 2;
-    if (At + 2 < Bytes.size() && Bytes[At + 1] == '\r' && Bytes[At + 2] == '\n')
-      return At + 3;
-  }
-  return std::nullopt;
-}
-
-std::string_view valueAfter(std::string_view Line, std::size_t Colon) {
-  Line.remove_prefix(Colon + 1);
-  if (!Line.empty() && Line.front() == ' ')
-    Line.remove_prefix(1);
-  return Line;
-}
-
-void readLine(std::string_view Line, event_fields &Into) {
-  if (!Line.empty() && Line.back() == '\r')
-    Line.remove_suffix(1);
-  if (Line.starts_with("id:")) {
-    Into.Id = valueAfter(Line, 2);
-  } else if (Line.starts_with("data:") && !Into.HasData) {
-    Into.Data = valueAfter(Line, 4);
-    Into.HasData = true;
-  }
-}
-
-event_fields readEvent(std::string_view Event) {
-  event_fields Fields;
-  while (!Event.empty()) {
-    const std::size_t End = Event.find('\n');
-    readLine(Event.substr(0, End), Fields);
-    if (End == std::string_view::npos)
-      break;
-    Event.remove_prefix(End + 1);
-  }
-  return Fields;
-}
-
-std::optional<std::uint64_t> idFrom(std::string_view Text) {
-  std::uint64_t Value = 0;
-  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Text.empty() || Error != std::errc{} || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
-}
-
 bool namesUsage(std::string_view Data) {
   return Data.find(UsageKey) != std::string_view::npos ||
          Data.find(SpacedUsageKey) != std::string_view::npos;
@@ -80,7 +22,7 @@
   const event_fields Fields = readEvent(Event);
   if (!Fields.HasData)
     return false; // A comment, as engines send to keep a connection open.
-  const auto Id = idFrom(Fields.Id);
+  const auto Id = eventIdFrom(Fields.Id);
   if (!Id)
     return event_stream_error::IdMissing;
   if (*Id != Last + 1)
--- /dev/null
+++ b/src/relay/event_text.cpp
@@ -0,0 +1,61 @@
+/** @file event_text.cpp Lines and fields of server-sent events. */
+#include "relay/event_text_func.h"
+
+#include <charconv>
+
+namespace pollenstall {
+
+namespace {
+
+std::string_view valueAfter(std::string_view Line, std::size_t Colon) {
+  Line.remove_prefix(Colon + 1);
+  if (!Line.empty() && Line.front() == ' ')
+    Line.remove_prefix(1);
+  return Line;
+}
+
+void readLine(std::string_view Line, event_fields &Into) {
+  if (!Line.empty() && Line.back() == '\r')
+    Line.remove_suffix(1);
+  if (Line.starts_with("id:")) {
+    Into.Id = valueAfter(Line, 2);
+  } else if (Line.starts_with("data:") && !Into.HasData) {
+    Into.Data = valueAfter(Line, 4);
+    Into.HasData = true;
+  }
+}
+
+} // namespace
+
+std::optional<std::size_t> endOfEvent(std::string_view Bytes, std::size_t From) {
+  for (std::size_t At = Bytes.find('\n', From); At != std::string_view::npos;
+       At = Bytes.find('\n', At + 1)) {
+    if (At + 1 < Bytes.size() && Bytes[At + 1] == '\n')
+      return At + 2;
+    if (At + 2 < Bytes.size() && Bytes[At + 1] == '\r' && Bytes[At + 2] == '\n')
+      return At + 3;
+  }
+  return std::nullopt;
+}
+
+event_fields readEvent(std::string_view Event) {
+  event_fields Fields;
+  while (!Event.empty()) {
+    const std::size_t End = Event.find('\n');
+    readLine(Event.substr(0, End), Fields);
+    if (End == std::string_view::npos)
+      break;
+    Event.remove_prefix(End + 1);
+  }
+  return Fields;
+}
+
+std::optional<std::uint64_t> eventIdFrom(std::string_view Text) {
+  std::uint64_t Value = 0;
+  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Text.empty() || Error != std::errc{} || End != Text.data() + Text.size())
+    return std::nullopt;
+  return Value;
+}
+
+} // namespace pollenstall
--- a/src/relay/header_filter.cpp
+++ b/src/relay/header_filter.cpp
@@ -62,8 +62,7 @@
   for (const auto &Field : Fields) {
     const std::string_view Name(Field.name_string().data(), Field.name_string().size());
     const std::string Folded = folded(Name);
-    if (contains(HopByHop, Folded) || contains(Named, Folded) || isOwnHeader(Name) ||
-        IsDropped(Folded))
+    if (contains(HopByHop, Folded) || contains(Named, Folded) || IsDropped(Folded))
       continue;
     Lines.push_back({std::string(Name), std::string(Field.value().data(), Field.value().size())});
   }
@@ -75,11 +74,20 @@
 bool isOwnHeader(std::string_view Name) { return folded(Name).starts_with("x-pollenstall-"); }
 
 std::vector<header_line> forwardedRequestHeaders(const http::fields &Fields) {
-  return filtered(Fields, [](const std::string &Name) { return contains(EntryOnly, Name); });
+  return filtered(Fields, [](const std::string &Name) {
+    return isOwnHeader(Name) || contains(EntryOnly, Name);
+  });
 }
 
 std::vector<header_line> forwardedAnswerHeaders(const http::fields &Fields) {
-  return filtered(Fields, [](const std::string &Name) { return Name == "x-request-id"; });
+  return filtered(
+      Fields, [](const std::string &Name) { return isOwnHeader(Name) || Name == "x-request-id"; });
+}
+
+std::vector<header_line>
+endToEndHeaders(const http::fields &Fields,
+                const std::function<bool(std::string_view Name)> &IsDropped) {
+  return filtered(Fields, [&IsDropped](const std::string &Name) { return IsDropped(Name); });
 }
 
 } // namespace pollenstall
--- a/src/relay/header_filter_func.h
+++ b/src/relay/header_filter_func.h
@@ -4,6 +4,7 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,11 @@
  */
 std::vector<header_line> forwardedRequestHeaders(const boost::beast::http::fields &Fields);
 
+/// @return The end-to-end headers for which IsDropped does not hold, nothing else left out.
+std::vector<header_line>
+endToEndHeaders(const boost::beast::http::fields &Fields,
+                const std::function<bool(std::string_view Name)> &IsDropped);
+
 /// @return A backend server's end-to-end headers, without framing and without the system's own.
 std::vector<header_line> forwardedAnswerHeaders(const boost::beast::http::fields &Fields);
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -117,6 +117,12 @@
   void on(declaration_in_force &&Order) {
     Context.Declaration = std::move(Order.View);
     Context.DeclaredUntil = Order.Until;
+    if (!Context.Declaration || !Context.Declaration->declaration().Callers)
+      return;
+    const caller_limits &Callers = *Context.Declaration->declaration().Callers;
+    Context.Limits.HeaderBytes = Callers.HeaderBytes;
+    Context.Limits.HeaderTimeout = Callers.HeaderTimeout;
+    Context.Limits.IdleTimeout = Callers.IdleTimeout;
   }
 
   /// Ends every coroutine, so that none is left whose sockets outlive what they belong to.
@@ -248,6 +254,7 @@
              std::move(Order));
 }
 
+void relay::beginDrain() { State->Context.Draining = true; }
 void relay::beginStop() { State->Context.Stopping = true; }
 void relay::stop() { State->stop(); }
 std::size_t relay::openCalls() const { return State->Context.Calls.size(); }
@@ -276,6 +283,11 @@
   return *this;
 }
 
+relay_builder &relay_builder::interface(call_interface Hooks) {
+  Interface = std::move(Hooks);
+  return *this;
+}
+
 relay_builder &relay_builder::onCallEnd(std::function<void(const call_record &)> Hook) {
   AtCallEnd = std::move(Hook);
   return *this;
@@ -283,6 +295,7 @@
 
 std::unique_ptr<relay> relay_builder::build() {
   auto State = std::make_unique<relay::state>(Io, Self, Limits, Registry, Ring);
+  State->Context.Interface = Interface;
   State->Context.AtCallEnd = AtCallEnd;
   State->Lists = Lists;
   return std::unique_ptr<relay>(new relay(std::move(State)));
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -5,6 +5,7 @@
 #define POLLENSTALL_RELAY_RELAY_BASE_H
 
 #include "core/core.h"
+#include "relay/call_interface_type.h"
 #include "relay/call_record_type.h"
 #include "relay/relay_metrics_base.h"
 #include "relay/relay_type.h"
@@ -38,6 +39,8 @@
   result<std::string, relay_error> listen(std::string_view Address);
   /// Carries out an order of the decision thread.
   void handle(relay_order &&Order);
+  /// Ends each caller's connection with its present answer; new requests are still taken.
+  void beginDrain();
   /// Refuses new requests from now on; those admitted go on.
   void beginStop();
   /// Closes everything; once the io_context has run out of work this object may go.
@@ -66,6 +69,8 @@
   relay_builder &process(process_key Self);
   relay_builder &limits(const relay_limits &Value);
   relay_builder &metrics(std::shared_ptr<prometheus::Registry> Value);
+  /// Speaks another protocol than chat/completions.
+  relay_builder &interface(call_interface Hooks);
   /// Called at the end of each call, refused ones included.
   relay_builder &onCallEnd(std::function<void(const call_record &)> Hook);
 
@@ -78,6 +83,7 @@
   process_key Self;
   relay_limits Limits;
   std::shared_ptr<prometheus::Registry> Registry;
+  call_interface Interface;
   std::function<void(const call_record &)> AtCallEnd;
 };
 
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_RELAY_RELAY_CONTEXT_TYPE_H
 
 #include "relay/backend_links_base.h"
+#include "relay/call_interface_type.h"
 #include "relay/call_record_type.h"
 #include "relay/event_outbox_base.h"
 #include "relay/relay_metrics_base.h"
@@ -27,12 +28,13 @@
 
   boost::asio::io_context &Io;
   const process_key Self;
-  const relay_limits Limits;
+  relay_limits Limits; ///< A declaration may set those of callers anew.
   socket_sweeper Sweeper;
   backend_links Links;
   relay_metrics &Metrics;
   event_outbox<dispatch_event> Outbox;
   random_source Random;
+  call_interface Interface;     ///< Not set: the chat/completions interface.
   declaration_view Declaration; ///< Null where new requests are refused.
   mono_time DeclaredUntil{};    ///< New requests are refused past it.
   token_estimator Tokens;
@@ -41,6 +43,7 @@
   std::size_t BodyBytes{0};   ///< Held in request bodies, or promised to bodies being read.
   std::size_t Connections{0}; ///< Callers'.
   bool Stopping{false};       ///< New requests are refused for good.
+  bool Draining{false};       ///< Connections end with the answer that is under way.
   std::function<void(const call_record &)> AtCallEnd;
 
   /// Tells the decision thread once that the caller is gone.
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -45,14 +45,19 @@
   /// @return Whether an attempt of this ordinal may still pass answer bytes to the caller. An
   /// answer put together from two attempts would look whole and be neither's.
   [[nodiscard]] bool mayRelay(std::uint32_t Ordinal) const {
-    return !Finish && !CallerGone && (RelayedBy == 0 || RelayedBy == Ordinal);
+    const bool GoesOn = goesOn() && Facts.Resumable && Ordinal > RelayedBy;
+    return !Finish && !CallerGone && (RelayedBy == 0 || RelayedBy == Ordinal || GoesOn);
   }
+  /// @return Whether the caller has events that another attempt can go on behind.
+  [[nodiscard]] bool goesOn() const { return Headed && Stage == answer_stage::Stream; }
   /// @return Whether the end has been decided and nobody writes to the caller any more.
   [[nodiscard]] bool concluded() const { return Finish && !Relaying; }
   /// @return Whether bytes of an attempt went out that has not been proved not to have run.
   [[nodiscard]] bool mayHaveRun() const { return SentAttempts > 0; }
 
   request_facts Facts;
+  bool Headed{false};   ///< A call of a declared route, by way of relay_context::Interface.
+  std::string SendName; ///< Of a headed call: the caller's own name for this send.
   service_kind Kind;
   byte_count PromptBytes;
   std::string RequestId; ///< As the caller is told it.
--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -76,6 +76,7 @@
   const std::size_t Got = Socket.read_some(asio::buffer(Into.data(), Into.size()), Code);
   if (Code == asio::error::would_block)
     return {};
+  ClosedCleanly = Code == asio::error::eof;
   if (Code)
     return {{}, true};
   return {std::string_view(Into.data(), Got), false};
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -45,6 +45,8 @@
   void expireNever() { Deadline = mono_time::max(); }
   /// @return Whether the last deadline passed; the socket is still open.
   [[nodiscard]] bool expired() const { return Expired; }
+  /// @return Whether the last read found that the peer has closed, without a reset.
+  [[nodiscard]] bool closedCleanly() const { return ClosedCleanly; }
 
   /**
    * Waits for bytes and reads what is there.
@@ -102,6 +104,7 @@
   boost::asio::ip::tcp::socket Socket;
   mono_time Deadline{mono_time::max()};
   bool Expired{false};
+  bool ClosedCleanly{false};
 };
 
 /// Ends operations whose deadline has passed; also owns the thread's read buffer.
--- a/src/scheduling/scheduling_type.h
+++ b/src/scheduling/scheduling_type.h
@@ -35,6 +35,11 @@
   std::vector<backend_key> Avoid; ///< Tried before; used again only where nothing else is left.
   mono_time Arrived;
   mono_time Deadline;
+  std::uint32_t Urgency{0}; ///< As in request_facts, with the four below.
+  std::chrono::milliseconds Target{0};
+  std::chrono::milliseconds LongestGap{0};
+  tokens AnswerHint{};
+  bool Resumed{false}; ///< Part of the answer is out: the caller waits for the next event.
 };
 
 /// Why the scheduler takes no more work, and when it would.
@@ -48,7 +53,8 @@
   request_number Request;
   backend_key Backend;
   std::uint32_t Priority{0};
-  mono_span ExpectedFirstToken{}; ///< From now.
+  mono_span ExpectedFirstToken{};     ///< From now.
+  std::vector<backend_key> Helpers{}; ///< That read parts of the prompt.
 };
 
 /// A decision that a waiting request has no way to run in time any more.
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -63,7 +63,8 @@
   if (!valueOf(Read))
     return makeFresh();
   Identity = *valueOf(Read);
-  if (Identity.Fleet != Options.Fleet || Identity.Key.Member != Options.Member)
+  const bool OtherMember = Options.Member != member_id() && Identity.Key.Member != Options.Member;
+  if (Identity.Fleet != Options.Fleet || OtherMember)
     return foreign_folder{Identity};
   return done{};
 }
@@ -79,7 +80,9 @@
   if (!succeeded(Meta))
     return Meta;
   // The identity is written last: a folder that has one is complete.
-  Identity = {Options.Fleet, {Options.Member, Options.FreshDisk}};
+  const bool Drawn = Options.Member == member_id();
+  Identity = {Options.Fleet,
+              {Drawn ? member_id(Options.FreshDisk.value()) : Options.Member, Options.FreshDisk}};
   return writeIdentity(Files, Options.Folder, Identity);
 }
 
--- a/src/storage/storage_type.h
+++ b/src/storage/storage_type.h
@@ -21,9 +21,9 @@
 
 /// How a data folder is opened.
 struct storage_options {
-  std::filesystem::path Folder;          ///< Made where it is missing.
-  std::string Fleet;                     ///< Must equal the identity file's.
-  member_id Member;                      ///< Must equal the identity file's.
+  std::filesystem::path Folder; ///< Made where it is missing.
+  std::string Fleet;            ///< Must equal the identity file's.
+  member_id Member; ///< Must equal the identity file's; 0 takes that, or a fresh disk's number.
   disk_identity FreshDisk;               ///< Random; taken where the folder is empty.
   std::uint64_t SegmentBytes{4U << 20U}; ///< A segment is closed beyond this size.
 };
--- a/src/wire/envelope_func.h
+++ b/src/wire/envelope_func.h
@@ -19,6 +19,7 @@
   Consensus = 2,   ///< TCP between control hosts.
   ControlLink = 3, ///< TCP between an entry and a control host.
   State = 4,       ///< Records in files of a control host.
+  WorkShare = 5,   ///< UDP between entries.
 };
 
 /// @return The message's bytes alone.
--- /dev/null
+++ b/src/work_share/work_share.h
@@ -0,0 +1,9 @@
+/** @file work_share.h Public header of work_share: entries tell each other what they have under
+ * way. */
+#ifndef POLLENSTALL_WORK_SHARE_WORK_SHARE_H
+#define POLLENSTALL_WORK_SHARE_WORK_SHARE_H
+
+#include "work_share/work_share_base.h" // IWYU pragma: export
+#include "work_share/work_share_type.h" // IWYU pragma: export
+
+#endif // POLLENSTALL_WORK_SHARE_WORK_SHARE_H
--- a/tests/control/control_cluster.cpp
+++ b/tests/control/control_cluster.cpp
@@ -233,6 +233,8 @@
 }
 void test_entry::take(const claim_answered &Event) { Verdicts[Event.Request] = Event.Verdict; }
 void test_entry::take(const drains_changed &Event) { Drains = Event.Backends; }
+void test_entry::take(const backends_listed & /*Event*/) {}
+void test_entry::take(const entries_listed & /*Event*/) {}
 void test_entry::take(const control_lost & /*Event*/) {}
 
 claim_verdict test_entry::claim(std::uint64_t Request, const std::string &Key,
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -122,6 +122,8 @@
   void take(const lease_extended &Event);
   void take(const claim_answered &Event);
   void take(const drains_changed &Event);
+  void take(const backends_listed &Event);
+  void take(const entries_listed &Event);
   void take(const control_lost &Event);
 
   entry_freshness Freshness;
