relay: a stream that goes on elsewhere is asked for with its whole body

Ruled out: the head (method, path and headers were the first attempt's), early answers (the first engine had read everything). Change: a resumable call keeps its body to the end.

--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -50,7 +50,9 @@
   Call->Stage = Framing == answer_framing::Chunked && isEventStream() ? answer_stage::Stream
                                                                       : answer_stage::Whole;
   Call->FirstByte = boot_clock::now();
-  Call->Request.Body.reset();
+  // A stream that breaks off is asked for again elsewhere, with the same body.
+  if (!Call->Headed || !Call->Facts.Resumable)
+    Call->Request.Body.reset();
   co_return co_await Call->Caller->writeHead(answerHead(Framing), First);
 }
 
--- /dev/null
+++ b/tests/relay/headed_relay.cpp
@@ -0,0 +1,222 @@
+/** @file headed_relay.cpp Sockets and threads around a relay under test. */
+#include "headed_relay_base.h"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+#include <future>
+#include <sstream>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr std::chrono::seconds Limit{10};
+constexpr std::size_t RingCapacity = 4096;
+
+/// A protocol of the tests' own: names of headers that no other one has.
+call_interface testInterface() {
+  call_interface Calls;
+  Calls.ReadHead = [](const request_head &Head) -> result<head_facts, call_error> {
+    head_facts Facts;
+    Facts.SendName = Head.header("X-Send");
+    return Facts;
+  };
+  Calls.IsSystemHeader = [](std::string_view Name) {
+    return Name == "host" || Name == "authorization" || Name == "x-after";
+  };
+  Calls.WriteAttempt = [](const attempt_facts &Given, std::vector<header_line> &Into) {
+    Into.push_back({"X-After", std::to_string(Given.LastEvent)});
+    Into.push_back({"X-Left", std::to_string(Given.TimeLeft.count())});
+  };
+  Calls.ReadAnswer = [](const boost::beast::http::response_header<> &Head,
+                        const std::string &SendName) {
+    answer_facts Facts;
+    Facts.NotRun = Head.count("X-Not-Run") > 0;
+    Facts.OtherSend = Head["X-Send"] != SendName;
+    return Facts;
+  };
+  return Calls;
+}
+
+declaration_view declarationWith(repeat_rule Repeat) {
+  fleet_declaration Fleet;
+  service_declaration Service;
+  Service.Name = service_name("svc");
+  Service.Kind = service_kind::Plain;
+  Fleet.Services.push_back(Service);
+  call_route Route;
+  Route.Name = "route";
+  Route.Host = "example.test";
+  Route.PathPrefix = "/a/";
+  Route.Repeat = Repeat;
+  Route.MaxAttempts = 3;
+  Route.Services = {{service_name("svc"), 1}};
+  Fleet.Routes.push_back(Route);
+  return std::make_shared<const declaration_index>(std::move(Fleet));
+}
+
+} // namespace
+
+scripted_server::scripted_server(script Wanted)
+    : Acceptor(Io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)), Answer(std::move(Wanted)),
+      Thread([this] { serve(); }) {}
+
+scripted_server::~scripted_server() {
+  {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    Stopping = true;
+  }
+  // Wakes the thread that waits for a connection.
+  boost::system::error_code Ignored;
+  tcp::socket Last(Io);
+  Last.connect(Acceptor.local_endpoint(), Ignored);
+  Thread.join();
+}
+
+backend_key scripted_server::key() const {
+  return {backend_address("127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port())),
+          incarnation(1)};
+}
+
+std::vector<seen_request> scripted_server::requests() const {
+  const std::lock_guard<std::mutex> Lock(Guard);
+  return Requests;
+}
+
+void scripted_server::serve() {
+  while (true) {
+    boost::system::error_code Code;
+    tcp::socket Socket = Acceptor.accept(Code);
+    {
+      const std::lock_guard<std::mutex> Lock(Guard);
+      if (Stopping || Code)
+        return;
+    }
+    std::string Bytes;
+    const std::size_t End = asio::read_until(Socket, asio::dynamic_buffer(Bytes), "\r\n\r\n", Code);
+    if (Code)
+      continue;
+    seen_request Request{Bytes.substr(0, End), Bytes.substr(End)};
+    const std::size_t At = Request.Head.find("Content-Length: ");
+    const std::size_t Length =
+        At == std::string::npos ? 0 : std::stoul(Request.Head.substr(At + 16));
+    if (Request.Body.size() < Length)
+      asio::read(Socket, asio::dynamic_buffer(Request.Body),
+                 asio::transfer_exactly(Length - Request.Body.size()), Code);
+    {
+      const std::lock_guard<std::mutex> Lock(Guard);
+      Requests.push_back(Request);
+    }
+    Answer(Socket, Request);
+  }
+}
+
+void sendText(tcp::socket &Socket, const std::string &Text) {
+  boost::system::error_code Ignored;
+  asio::write(Socket, asio::buffer(Text), Ignored);
+}
+
+void resetConnection(tcp::socket &Socket) {
+  boost::system::error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  Socket.close(Ignored);
+}
+
+std::string eventText(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: part " + std::to_string(Id) + "\n\n";
+}
+
+std::string streamHead() {
+  return "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Type: text/event-stream\r\n"
+         "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string chunkOf(const std::string &Part) {
+  std::ostringstream Out;
+  Out << std::hex << Part.size() << "\r\n" << Part << "\r\n";
+  return Out.str();
+}
+
+headed_relay::headed_relay(repeat_rule Repeat)
+    : Work(asio::make_work_guard(Io)), Ring(RingCapacity) {
+  Relay = relay_builder(Io, Ring)
+              .process({host_name("entry"), incarnation(1)})
+              .interface(testInterface())
+              .build();
+  Address = std::get<std::string>(Relay->listen("127.0.0.1:0"));
+  Relay->handle(declaration_in_force{declarationWith(Repeat), mono_time::max()});
+  Thread = std::thread([this] { Io.run(); });
+}
+
+headed_relay::~headed_relay() {
+  hangUp();
+  asio::post(Io, [this] { Relay->stop(); });
+  Work.reset();
+  Thread.join();
+}
+
+void headed_relay::call(const std::string &Body, const std::string &MoreHeaders) {
+  Caller = std::make_unique<tcp::socket>(CallerIo);
+  const std::size_t Colon = Address.rfind(':');
+  Caller->connect({asio::ip::make_address(Address.substr(0, Colon)),
+                   static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)))});
+  sendText(*Caller, "POST /a/b HTTP/1.1\r\nHost: example.test\r\nX-Send: s1\r\n" + MoreHeaders +
+                        "Connection: close\r\nContent-Length: " + std::to_string(Body.size()) +
+                        "\r\n\r\n" + Body);
+  Facts = next<request_arrived>().Facts;
+}
+
+void headed_relay::hangUp() {
+  boost::system::error_code Ignored;
+  if (Caller)
+    Caller->close(Ignored);
+}
+
+std::string headed_relay::answer() {
+  std::string Bytes;
+  boost::system::error_code Code;
+  asio::read(*Caller, asio::dynamic_buffer(Bytes), Code);
+  return Bytes;
+}
+
+dispatch_event headed_relay::nextEvent() {
+  const auto Until = std::chrono::steady_clock::now() + Limit;
+  while (Pending.empty() && std::chrono::steady_clock::now() < Until) {
+    Ring.drain([this](dispatch_event &&Event) { Pending.push_back(std::move(Event)); });
+    if (Pending.empty())
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  if (Pending.empty())
+    throw std::runtime_error("no event of the relay came in time");
+  dispatch_event First = std::move(Pending.front());
+  Pending.erase(Pending.begin());
+  return First;
+}
+
+void headed_relay::order(relay_order Order) {
+  auto Shared = std::make_shared<relay_order>(std::move(Order));
+  asio::post(Io, [this, Shared] { Relay->handle(std::move(*Shared)); });
+}
+
+void headed_relay::start(const scripted_server &Server, std::uint32_t Ordinal, bool MayRetry) {
+  start_attempt Order;
+  Order.Attempt = {{host_name("entry"), incarnation(1)}, Facts.Id, Ordinal};
+  Order.Backend = Server.key();
+  Order.AnswerBy = boot_clock::now() + Limit;
+  Order.MayRetry = MayRetry;
+  order(std::move(Order));
+}
+
+void headed_relay::finish(final_outcome Outcome, failure_reason Reason) {
+  order(finish_request{Facts.Id, Outcome, Reason, std::chrono::seconds(1)});
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/tests/relay/headed_relay_base.h
@@ -0,0 +1,111 @@
+/** @file headed_relay_base.h A relay in this process between a caller and servers that follow a
+ * script.
+ */
+#ifndef POLLENSTALL_TESTS_RELAY_HEADED_RELAY_BASE_H
+#define POLLENSTALL_TESTS_RELAY_HEADED_RELAY_BASE_H
+
+#include "relay/relay.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+namespace pollenstall {
+
+/// One request as a server has read it.
+struct seen_request {
+  std::string Head;
+  std::string Body;
+};
+
+/// Reads one request on each connection and answers by its script, one connection after another.
+class scripted_server {
+public:
+  using tcp_socket = boost::asio::ip::tcp::socket;
+  /// Writes the answer's bytes; the connection is closed behind it, by a reset where it says so.
+  using script = std::function<void(tcp_socket &, const seen_request &)>;
+
+  explicit scripted_server(script Answer);
+  ~scripted_server();
+  scripted_server(const scripted_server &) = delete;
+  scripted_server &operator=(const scripted_server &) = delete;
+
+  [[nodiscard]] backend_key key() const;
+  [[nodiscard]] std::vector<seen_request> requests() const;
+
+private:
+  void serve();
+
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  script Answer;
+  mutable std::mutex Guard;
+  std::vector<seen_request> Requests;
+  bool Stopping{false};
+  std::thread Thread;
+};
+
+/// Writes text to a socket; the peer may have gone.
+void sendText(scripted_server::tcp_socket &Socket, const std::string &Text);
+/// Closes so that the peer sees a reset.
+void resetConnection(scripted_server::tcp_socket &Socket);
+/// @return An event with its id and a line of data.
+std::string eventText(int Id);
+/// @return The head of an event stream, chunked.
+std::string streamHead();
+/// @return One chunk of a body.
+std::string chunkOf(const std::string &Part);
+
+/// The relay with one declared route, and the test in place of the decision thread.
+class headed_relay {
+public:
+  explicit headed_relay(repeat_rule Repeat = repeat_rule::Resume);
+  ~headed_relay();
+  headed_relay(const headed_relay &) = delete;
+  headed_relay &operator=(const headed_relay &) = delete;
+
+  /// Sends a request in the background; answer() waits for the end of its connection.
+  void call(const std::string &Body, const std::string &MoreHeaders = {});
+  /// Closes the caller's connection without waiting for an answer.
+  void hangUp();
+  [[nodiscard]] std::string answer();
+
+  /// Waits for the next event of a kind; others are dropped.
+  template <typename Event> Event next() {
+    while (true) {
+      dispatch_event Any = nextEvent();
+      if (auto *Known = std::get_if<Event>(&Any))
+        return *Known;
+    }
+  }
+  void order(relay_order Order);
+  /// Orders an attempt of the call that arrived last.
+  void start(const scripted_server &Server, std::uint32_t Ordinal = 1, bool MayRetry = true);
+  void finish(final_outcome Outcome, failure_reason Reason);
+
+  request_facts Facts; ///< Of the call that arrived last.
+
+private:
+  dispatch_event nextEvent();
+
+  boost::asio::io_context Io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
+  bounded_ring<dispatch_event> Ring;
+  std::vector<dispatch_event> Pending;
+  std::unique_ptr<relay> Relay;
+  std::string Address;
+  std::thread Thread;
+  boost::asio::io_context CallerIo;
+  std::unique_ptr<boost::asio::ip::tcp::socket> Caller;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_TESTS_RELAY_HEADED_RELAY_BASE_H
