SIGHUP ends no process

Ruled out: crashes (exit code 129, no invariant in the logs). Change: stop_signal takes SIGHUP, logs reload_asked and goes on. Test: Stopping.ASettingsChangeEndsNothing, failing before.

--- a/src/program/stop_signal.cpp
+++ b/src/program/stop_signal.cpp
@@ -1,6 +1,8 @@
 /** @file stop_signal.cpp Signals that end a process, taken synchronously. */
 #include "program/stop_signal_base.h"
 
+#include "program/log_func.h"
+
 #include <pthread.h>
 
 namespace pollenstall {
@@ -9,21 +11,30 @@
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
   sigaddset(&Signals, SIGINT);
+  sigaddset(&Signals, SIGHUP);
   sigset_t Blocked = Signals;
   sigaddset(&Blocked, SIGPIPE);
   pthread_sigmask(SIG_BLOCK, &Blocked, nullptr);
 }
 
+bool stop_signal::isStop(int Signal) {
+  if (Signal == SIGHUP)
+    logEvent(log_level::Info, "reload_asked");
+  return Signal == SIGTERM || Signal == SIGINT;
+}
+
 void stop_signal::wait() const {
   int Signal = 0;
-  sigwait(&Signals, &Signal);
+  do {
+    sigwait(&Signals, &Signal);
+  } while (!isStop(Signal));
 }
 
 bool stop_signal::waitFor(std::chrono::milliseconds Limit) const {
   const auto Seconds = std::chrono::duration_cast<std::chrono::seconds>(Limit);
   const std::chrono::nanoseconds Rest = Limit - Seconds;
   const timespec Timeout{Seconds.count(), Rest.count()};
-  return sigtimedwait(&Signals, nullptr, &Timeout) > 0;
+  return isStop(sigtimedwait(&Signals, nullptr, &Timeout));
 }
 
 } // namespace pollenstall
--- a/src/program/stop_signal_base.h
+++ b/src/program/stop_signal_base.h
@@ -8,8 +8,10 @@
 namespace pollenstall {
 
 /**
- * Blocks SIGTERM, SIGINT and SIGPIPE in the constructing thread and all threads it starts later.
- * A signal handler could interrupt any thread at any point; waiting for the signal cannot.
+ * Blocks SIGTERM, SIGINT, SIGHUP and SIGPIPE in the constructing thread and all threads it starts
+ * later. A signal handler could interrupt any thread at any point; waiting for the signal cannot.
+ * SIGHUP says that the settings have changed. They are read at the start only, so it is logged and
+ * ends nothing.
  */
 class stop_signal {
 public:
@@ -21,6 +23,8 @@
   [[nodiscard]] bool waitFor(std::chrono::milliseconds Limit) const;
 
 private:
+  [[nodiscard]] static bool isStop(int Signal);
+
   sigset_t Signals{};
 };
 
--- a/tests/entry/stopping_test.cpp
+++ b/tests/entry/stopping_test.cpp
@@ -38,6 +38,20 @@
   EXPECT_TRUE(eventually([&] { return Fleet.engine().stat("used_blocks") == 0; }));
 }
 
+// The platform sends SIGHUP where a settings file changed. By default it ends a process: every
+// stream that the entry carries would be cut.
+TEST(Stopping, ASettingsChangeEndsNothing) {
+  entry_fleet Fleet({.EngineTables = "[step]\nbase_us = 20000\n"});
+  const auto Stream = Fleet.stream("a question", 30);
+  ASSERT_TRUE(Stream->next());
+  Fleet.entry().signal(SIGHUP);
+  EXPECT_TRUE(Fleet.entry().waitForEvent("reload_asked"));
+  const std::vector<sse_event> Events = Stream->rest();
+  ASSERT_FALSE(Events.empty());
+  EXPECT_EQ(Events.back().Data, "[DONE]");
+  EXPECT_EQ(Fleet.chat("and another").Status, 200);
+}
+
 TEST(Stopping, WrongSettingsEndAtOnceWithTheirPlace) {
   const auto Process = child_process::withSettings("pollenstall-entry", "[host]\nnam = \"a\"\n");
   EXPECT_EQ(Process->wait(), 2);
