pollenstall-control: a full or failing disk is waited for, not died of

Change: the life ends inside the process; it probes the folder and begins a new life from what the disk holds once a write is taken. What a failed sync left behind is never trusted, as before.

--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -116,6 +116,7 @@
   const mono_time Begin = boot_clock::now();
   const auto Written = Parts.Folder->write(Batch);
   if (!succeeded(Written)) {
+    DiskFailed.store(true);
     fail("disk_failed", toText(errorOf(Written)));
     return false;
   }
--- a/programs/pollenstall-control/control_core_base.h
+++ b/programs/pollenstall-control/control_core_base.h
@@ -57,8 +57,10 @@
 
   /// @return Whether the platform's balancer may send operators here; callable from any thread.
   [[nodiscard]] bool ready() const { return Ready.load(); }
-  /// @return Whether the disk failed or the log cannot be carried out: the process must end.
+  /// @return Whether the disk failed or the log cannot be carried out: this object must go.
   [[nodiscard]] bool failed() const { return Failed.load(); }
+  /// @return Whether it was the disk: it may take writes again later.
+  [[nodiscard]] bool diskFailed() const { return DiskFailed.load(); }
 
 private:
   using answer_hook = std::function<void(std::optional<control_answer>)>;
@@ -161,6 +163,7 @@
   leader_lease Lease;
   std::atomic<bool> Ready{false};
   std::atomic<bool> Failed{false};
+  std::atomic<bool> DiskFailed{false};
   std::atomic<bool> Stopping{false};
   std::thread Thread;
 };
--- a/programs/pollenstall-control/control_main.cpp
+++ b/programs/pollenstall-control/control_main.cpp
@@ -20,6 +20,7 @@
 
 constexpr std::chrono::milliseconds WatchInterval{100};
 constexpr std::chrono::milliseconds DumpLimit{2000};
+constexpr std::chrono::milliseconds DiskRetryInterval{250};
 
 std::optional<std::string> readKeyHash(const std::string &Path) {
   std::ifstream File(Path);
@@ -59,11 +60,6 @@
   return std::rename(Aside.c_str(), Path.c_str()) == 0;
 }
 
-exit_code failStart(const std::string &Why) {
-  logEvent(log_level::Error, "start_failed", {{"error", Why}});
-  return exit_code::Failure;
-}
-
 /// The threads of a control host, in the order in which they may be ended.
 struct control_host {
   wake_signal Wake;
@@ -122,7 +118,19 @@
   return std::nullopt;
 }
 
-exit_code serve(const control_settings &Settings, const stop_signal &Stop, control_host &Host) {
+/// How one life of a control host ended; the process may begin another one.
+enum class life_end : std::uint8_t {
+  Stopped,    ///< It was asked to stop.
+  Failed,     ///< It cannot go on; the log says why.
+  DiskFailed, ///< The disk refused a write: what it holds is to be read anew.
+};
+
+life_end failStart(const std::string &Why) {
+  logEvent(log_level::Error, "start_failed", {{"error", Why}});
+  return life_end::Failed;
+}
+
+life_end serve(const control_settings &Settings, const stop_signal &Stop, control_host &Host) {
   const peer_addresses Own{Host.Peers->address(), Host.Entries->address(),
                            Host.Operators->address()};
   Host.Peers->announce(Own);
@@ -133,25 +141,26 @@
     logListening("gossip", Host.Orders.address());
   if (!Settings.AddressFile.empty() && !writeAddresses(Settings.AddressFile, Own))
     return failStart(Settings.AddressFile + ": cannot be written");
-  while (!Stop.waitFor(WatchInterval))
+  while (!Stop.waitFor(WatchInterval)) {
+    if (Host.Core->diskFailed())
+      return life_end::DiskFailed;
     if (Host.Core->failed())
-      return exit_code::Failure;
+      return life_end::Failed;
+  }
   logEvent(log_level::Info, "stopping");
-  return exit_code::Ok;
+  return life_end::Stopped;
 }
 
-exit_code run(const control_settings &Settings) {
-  startLogging("pollenstall-control", *logLevelFromText(Settings.LogLevel));
-  const stop_signal Stop;
-  // Without a file nobody has the operators' key, and every call that needs it is refused.
-  const auto KeyHash = Settings.OperatorKeyHashFile.empty()
-                           ? std::optional<std::string>("")
-                           : readKeyHash(Settings.OperatorKeyHashFile);
-  if (!KeyHash)
-    return failStart(Settings.OperatorKeyHashFile + ": no SHA-256 in hex");
+/// From the opening of the disk to the end of all threads.
+life_end live(const control_settings &Settings, const std::string &KeyHash,
+              const stop_signal &Stop) {
   auto Folder = data_folder::open(storageOptions(Settings));
-  if (!succeeded(Folder))
-    return failStart(toText(errorOf(Folder)));
+  if (!succeeded(Folder)) {
+    const bool MayPass = std::holds_alternative<file_failure>(errorOf(Folder)) ||
+                         std::holds_alternative<disk_full>(errorOf(Folder));
+    failStart(toText(errorOf(Folder)));
+    return MayPass ? life_end::DiskFailed : life_end::Failed;
+  }
   control_host Host;
   const member_id Self = valueOf(Folder)->identity().Key.Member;
   if (const auto Failure = startLinks(Settings, Self, Host))
@@ -168,13 +177,49 @@
   Parts.Orders = Host.Orders.board();
   Parts.Own = {Host.Peers->address(), Host.Entries->address(), {}};
   Host.Core = std::make_unique<control_core>(std::move(Parts));
-  if (const auto Failure = startOperators(Settings, *KeyHash, Host))
+  if (const auto Failure = startOperators(Settings, KeyHash, Host))
     return failStart(*Failure);
   Host.Core->start();
   Host.Orders.start(Settings, *Host.Core);
   return serve(Settings, Stop, Host);
 }
 
+/**
+ * Waits until the folder takes a write again. A process that ended instead would be started again
+ * and again for as long as the disk is full.
+ * @return False where the process was asked to stop.
+ */
+bool waitForDisk(const control_settings &Settings, const stop_signal &Stop) {
+  logEvent(log_level::Warning, "disk_awaited", {{"folder", Settings.DataFolder}});
+  while (!Stop.waitFor(DiskRetryInterval)) {
+    if (!takesWrites(Settings.DataFolder))
+      continue;
+    logEvent(log_level::Info, "disk_back", {{"folder", Settings.DataFolder}});
+    return true;
+  }
+  return false;
+}
+
+exit_code run(const control_settings &Settings) {
+  startLogging("pollenstall-control", *logLevelFromText(Settings.LogLevel));
+  const stop_signal Stop;
+  // Without a file nobody has the operators' key, and every call that needs it is refused.
+  const auto KeyHash = Settings.OperatorKeyHashFile.empty()
+                           ? std::optional<std::string>("")
+                           : readKeyHash(Settings.OperatorKeyHashFile);
+  if (!KeyHash) {
+    failStart(Settings.OperatorKeyHashFile + ": no SHA-256 in hex");
+    return exit_code::Failure;
+  }
+  while (true) {
+    const life_end End = live(Settings, *KeyHash, Stop);
+    if (End == life_end::Failed)
+      return exit_code::Failure;
+    if (End == life_end::Stopped || !waitForDisk(Settings, Stop))
+      return exit_code::Ok;
+  }
+}
+
 } // namespace
 
 } // namespace pollenstall
--- a/src/storage/data_folder.cpp
+++ b/src/storage/data_folder.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <sys/file.h>
 #include <system_error>
+#include <unistd.h>
 
 namespace pollenstall {
 
@@ -183,4 +184,24 @@
   return Result;
 }
 
+bool takesWrites(const std::filesystem::path &Folder) {
+  constexpr std::size_t ProbeBytes = 64U << 10U;
+  const std::filesystem::path Probe = Folder / "probe.tmp";
+  const std::string Bytes(ProbeBytes, 'x');
+  bool Taken = false;
+  {
+    std::error_code Ignored;
+    std::filesystem::create_directories(Folder, Ignored);
+    auto File = openFile(Probe, O_WRONLY | O_CREAT | O_TRUNC);
+    if (succeeded(File)) {
+      const int Handle = valueOf(File).number();
+      const auto Size = static_cast<ssize_t>(Bytes.size());
+      Taken = ::write(Handle, Bytes.data(), Bytes.size()) == Size && ::fdatasync(Handle) == 0;
+    }
+  }
+  std::error_code Ignored;
+  std::filesystem::remove(Probe, Ignored);
+  return Taken;
+}
+
 } // namespace pollenstall
--- a/src/storage/data_folder_base.h
+++ b/src/storage/data_folder_base.h
@@ -47,6 +47,9 @@
   std::unique_ptr<parts> Parts;
 };
 
+/// @return Whether a file of some size can be written and synced in the folder now; it is removed.
+bool takesWrites(const std::filesystem::path &Folder);
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_STORAGE_DATA_FOLDER_BASE_H
