Placement: long prompts are read by every idle engine, none queues at an engine

Ruled out: waiting at the entry (1 ms), memory (no preemption), too few engines (half idle). Change: engines with more than 30 ms to read are left out; the rest read parts of 80 ms or more; whoever answers is an engine that writes anyway where its streams allow; what finds too few idle engines waits at the entry while a quarter of its target is left.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -27,6 +27,19 @@
   return valueOf(std::move(Parsed));
 }
 
+void logStart(const start_attempt &Start) {
+  std::string Helpers;
+  for (const backend_key &Helper : Start.Helpers)
+    Helpers += (Helpers.empty() ? "" : ",") + Helper.Address.str();
+  logEvent(log_level::Info, "attempt_started",
+           {{"attempt", toText(Start.Attempt)},
+            {"backend", Start.Backend.Address.str()},
+            {"instance", Start.Instance},
+            {"helpers", Helpers},
+            {"expected_ms",
+             std::chrono::duration_cast<std::chrono::milliseconds>(Start.Expected).count()}});
+}
+
 prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name, const char *Help) {
   return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add({});
 }
@@ -242,6 +255,7 @@
                  },
                  [this](start_attempt &&Start) {
                    Start.Instance = Seam.instanceOf(Start.Backend);
+                   logStart(Start);
                    Outbox.push(std::move(Start));
                  },
                  [this](auto &&Order) { Outbox.push(std::forward<decltype(Order)>(Order)); }},
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -174,6 +174,7 @@
   mono_time AnswerBy;        ///< A first byte later is slow; the dispatcher watches this itself.
   bool MayRetry{false};      ///< The body must be kept until the answer begins.
   std::vector<backend_key> Helpers{}; ///< Read parts of the prompt.
+  mono_span Expected{};               ///< To the first event, for the log.
   std::string Instance{};             ///< The server's name for its life, where it has one.
 };
 /// Reconnect to the same server and go on at the exact event that was relayed last.
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -81,8 +81,14 @@
                                           false});
   Request.Current->Life.apply(attempt_step::Start);
   const attempt_id Id = Request.Current->Id;
-  Actions.emplace_back(start_attempt{
-      Id, Placement.Backend, Placement.Priority, AnswerBy, MoreAllowed, Placement.Helpers, {}});
+  Actions.emplace_back(start_attempt{Id,
+                                     Placement.Backend,
+                                     Placement.Priority,
+                                     AnswerBy,
+                                     MoreAllowed,
+                                     Placement.Helpers,
+                                     Placement.ExpectedFirstToken,
+                                     {}});
   if (Seam.AttemptStarted)
     Seam.AttemptStarted({Id, Placement.Backend, Request.Facts.Id}, Now);
   setWake(Request);
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -32,8 +32,12 @@
   double TargetPart{0.6};
   /// Reading up to this is done by one engine beside others' writing.
   double WholeReadMs{60.0};
-  /// Length of a part for which an engine that writes nothing is taken.
-  double FreePartMs{400.0};
+  /// A prompt is not cut into shorter parts.
+  double PartMs{80.0};
+  /// An engine with no more than this to read counts as idle.
+  double IdleReadMs{30.0};
+  /// Part of the target that must be left for work to wait for more idle engines.
+  double SlackPart{0.25};
   /// Places of an engine that stay free: two entries may choose it in the same moment.
   std::uint32_t SparePlaces{2};
   /// Engines among which short work is spread at random, first in the common order: enough that
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -83,6 +83,9 @@
     double StartMs{0}; ///< From now until it can begin to read.
     double RoomMs{0};  ///< Longest part that its streams' gaps allow.
     bool MayAnswer{false};
+
+    /// A request that is being read there writes in a moment: it counts as one that does.
+    [[nodiscard]] bool occupied() const { return Option.View.Requests > 0; }
   };
   using own_work = std::map<backend_key, engine_view>;
 
@@ -100,10 +103,15 @@
                                          std::vector<engine_option> Options, mono_time Now);
   std::optional<read_plan> packShort(const std::vector<reader_option> &Readers, double WholeMs,
                                      double LeftMs);
-  [[nodiscard]] std::optional<read_plan> gather(std::vector<reader_option> Readers, double WholeMs,
-                                                double LeftMs) const;
-  static std::optional<read_plan> withReaders(const std::vector<reader_option> &Readers,
-                                              std::size_t Count, double PartMs);
+  [[nodiscard]] std::optional<read_plan> gather(const std::vector<reader_option> &Readers,
+                                                double WholeMs, double LeftMs,
+                                                double TargetMs) const;
+  [[nodiscard]] std::optional<read_plan> split(const std::vector<reader_option> &Free,
+                                               const std::vector<reader_option> &Writing,
+                                               double WholeMs, bool Widely) const;
+  static std::optional<read_plan> withReaders(const std::vector<reader_option> &Free,
+                                              const std::vector<reader_option> &Writing,
+                                              std::size_t Count, double PartMs, bool Widely);
   void start(const waiting_work &Work, const read_plan &Plan, mono_time Now, poll_outcome &Outcome);
   [[nodiscard]] bool isLate(const waiting_work &Work, mono_time Now) const;
   [[nodiscard]] double memoryOf(const work_item &Item) const;
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -3,6 +3,7 @@
 #include "placement/placer_base.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace pollenstall {
@@ -80,10 +81,8 @@
     Reader.Option = Option;
     Reader.Place = Place;
     Reader.PassMs = passMs(Figures, Option.View.Writers, Option.View.Tokens);
-    // A request that is being read there writes in a moment: it counts as a writer.
-    const bool Occupied = Option.View.Requests > 0;
     Reader.StartMs = Reader.PassMs + Option.View.ReadMs;
-    Reader.RoomMs = Occupied ? GapMs - Reader.StartMs : std::numeric_limits<double>::max();
+    Reader.RoomMs = Reader.occupied() ? GapMs - Reader.StartMs : std::numeric_limits<double>::max();
     Reader.MayAnswer = Option.View.Requests + Tuning.SparePlaces < Figures.Places &&
                        Option.View.Tokens + Memory <= Holds;
     Readers.push_back(Reader);
@@ -95,7 +94,7 @@
   if (WholeMs <= Tuning.WholeReadMs)
     if (auto Plan = packShort(Readers, WholeMs, LeftMs))
       return Plan;
-  return gather(std::move(Readers), WholeMs, LeftMs);
+  return gather(Readers, WholeMs, LeftMs, static_cast<double>(Work.Item.Target.count()));
 }
 
 /**
@@ -118,47 +117,74 @@
   return read_plan{{Chosen.Option}, WholeMs, Chosen.StartMs + WholeMs};
 }
 
-std::optional<placer::read_plan> placer::gather(std::vector<reader_option> Readers, double WholeMs,
-                                                double LeftMs) const {
-  // The engines that write least first, and of these the last in the common order: short work
-  // comes from the other end.
-  std::sort(Readers.begin(), Readers.end(), [](const reader_option &A, const reader_option &B) {
-    return std::tuple(A.StartMs, B.Place) < std::tuple(B.StartMs, A.Place);
-  });
-  std::optional<read_plan> Best;
-  const std::size_t Most = std::min<std::size_t>(Tuning.MostReaders, Readers.size());
-  for (std::size_t Count = 1; Count <= Most; ++Count) {
-    const double PartMs = WholeMs / static_cast<double>(Count);
-    auto Plan = withReaders(Readers, Count, PartMs);
-    if (!Plan)
-      continue;
-    const bool Enough = PartMs <= Tuning.FreePartMs && Plan->FinishMs <= LeftMs * Tuning.TargetPart;
-    if (!Best || Plan->FinishMs < Best->FinishMs)
-      Best = std::move(Plan);
-    if (Enough)
-      break;
-  }
-  if (Best && Best->FinishMs > LeftMs)
-    Best.reset();
-  return Best;
+/**
+ * A prompt that takes long is read by as many engines as are idle: each is held for a moment only,
+ * and nothing queues at an engine, where a part for another prompt would be read first and what
+ * waits there would wait for good. What finds too few idle engines waits here, where the order is
+ * kept.
+ */
+std::optional<placer::read_plan> placer::gather(const std::vector<reader_option> &Readers,
+                                                double WholeMs, double LeftMs,
+                                                double TargetMs) const {
+  const auto Idle = [this](const reader_option &Reader) {
+    return Reader.Option.View.ReadMs <= Tuning.IdleReadMs;
+  };
+  std::vector<reader_option> Free;
+  std::vector<reader_option> Writing;
+  for (const reader_option &Reader : Readers)
+    if (Idle(Reader))
+      (Reader.occupied() ? Writing : Free).push_back(Reader);
+  // The last in the common order first: short work comes from the other end.
+  std::reverse(Free.begin(), Free.end());
+  auto Plan = split(Free, Writing, WholeMs, false);
+  if (!Plan || Plan->FinishMs > LeftMs * Tuning.TargetPart)
+    if (auto Wider = split(Free, Writing, WholeMs, true))
+      if (!Plan || Wider->FinishMs < Plan->FinishMs)
+        Plan = std::move(Wider);
+  if (!Plan || Plan->FinishMs <= LeftMs * Tuning.TargetPart)
+    return Plan;
+  const bool MayWait = LeftMs - Plan->FinishMs > TargetMs * Tuning.SlackPart;
+  const bool InTime = Plan->FinishMs <= LeftMs;
+  return InTime && !MayWait ? Plan : std::nullopt;
 }
 
-std::optional<placer::read_plan> placer::withReaders(const std::vector<reader_option> &Readers,
-                                                     std::size_t Count, double PartMs) {
-  std::vector<const reader_option *> Chosen;
-  for (const reader_option &Reader : Readers) {
-    if (PartMs <= Reader.RoomMs)
-      Chosen.push_back(&Reader);
-    if (Chosen.size() == Count)
-      break;
+/// @param Widely Whether engines that write read parts too, as far as their streams allow.
+std::optional<placer::read_plan> placer::split(const std::vector<reader_option> &Free,
+                                               const std::vector<reader_option> &Writing,
+                                               double WholeMs, bool Widely) const {
+  const auto Wanted = static_cast<std::size_t>(std::ceil(WholeMs / Tuning.PartMs));
+  const std::size_t Most = std::clamp<std::size_t>(Wanted, 1, Tuning.MostReaders);
+  for (std::size_t Count = Most; Count >= 1; --Count)
+    if (auto Plan = withReaders(Free, Writing, Count, WholeMs / static_cast<double>(Count), Widely))
+      return Plan;
+  return std::nullopt;
+}
+
+std::optional<placer::read_plan> placer::withReaders(const std::vector<reader_option> &Free,
+                                                     const std::vector<reader_option> &Writing,
+                                                     std::size_t Count, double PartMs,
+                                                     bool Widely) {
+  // Whoever answers writes for a while: an engine that does so anyway leaves the free ones free.
+  const auto Answers = [PartMs](const reader_option &Reader) {
+    return Reader.MayAnswer && PartMs <= Reader.RoomMs;
+  };
+  auto First = std::find_if(Writing.begin(), Writing.end(), Answers);
+  if (First == Writing.end()) {
+    First = std::find_if(Free.begin(), Free.end(), Answers);
+    if (First == Free.end())
+      return std::nullopt;
   }
+  std::vector<const reader_option *> Chosen{&*First};
+  const auto Add = [&](const std::vector<reader_option> &Options) {
+    for (const reader_option &Reader : Options)
+      if (Chosen.size() < Count && Reader.Place != First->Place && PartMs <= Reader.RoomMs)
+        Chosen.push_back(&Reader);
+  };
+  Add(Free);
+  if (Widely)
+    Add(Writing);
   if (Chosen.size() < Count)
     return std::nullopt;
-  const auto Answers = std::find_if(Chosen.begin(), Chosen.end(),
-                                    [](const reader_option *Reader) { return Reader->MayAnswer; });
-  if (Answers == Chosen.end())
-    return std::nullopt;
-  std::iter_swap(Chosen.begin(), Answers);
   read_plan Plan;
   Plan.PartMs = PartMs;
   for (const reader_option *Reader : Chosen) {
