--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -141,6 +141,9 @@
       .span("limits.user_timeout_ms", &entry_settings::UserTimeout,
             {10 * Second, milliseconds(100), Hour},
             "A backend server that acknowledges no sent byte for so long is given up.")
+      .span("limits.ready_wait_ms", &entry_settings::ReadyWait,
+            {milliseconds(0), milliseconds(0), Minute},
+            "A request that comes while no declaration is in force waits so long for one.")
       .span("limits.cancel_timeout_ms", &entry_settings::CancelTimeout,
             {2 * Second, milliseconds(10), Minute}, "One request that an attempt be ended.")
       .span("limits.backend_idle_ms", &entry_settings::BackendIdle,
@@ -173,6 +176,7 @@
   Limits.WriteStall = Settings.WriteStall;
   Limits.ConnectTimeout = Settings.ConnectTimeout;
   Limits.UserTimeout = Settings.UserTimeout;
+  Limits.ReadyWait = Settings.ReadyWait;
   Limits.CancelTimeout = Settings.CancelTimeout;
   Limits.BackendIdle = Settings.BackendIdle;
   Limits.MaxConnections = static_cast<std::size_t>(Settings.MaxConnections);
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -7,6 +7,7 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace pollenstall {
 
@@ -82,7 +83,8 @@
   if (Context.Stopping)
     co_return co_await refuse(notNow("shutting_down", "This entry is stopping."), "",
                               next_step::CloseAfterDrain);
-  if (!Context.Declaration || boot_clock::now() >= Context.DeclaredUntil)
+  co_await waitUntilReady(Arrived + Context.Limits.ReadyWait);
+  if (!Context.isReady())
     co_return co_await refuse(notNow("not_ready", "This entry has no configuration in force."), "",
                               After);
   auto Planned = Context.Interface.isSet()
@@ -96,6 +98,20 @@
   co_return co_await serveCall(Plan, Head, Arrived);
 }
 
+/**
+ * After the loss of all control hosts the next declaration is a moment away. A refusal would bring
+ * the caller back into the same moment, and its second refusal is its last.
+ */
+asio::awaitable<void> caller_session::waitUntilReady(mono_time Until) {
+  constexpr std::chrono::milliseconds Pause{20};
+  boost::system::error_code Ignored;
+  asio::steady_timer Timer(Context.Io);
+  while (!Context.isReady() && !Context.Stopping && boot_clock::now() < Until) {
+    Timer.expires_after(Pause);
+    co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+}
+
 asio::awaitable<caller_session::next_step> caller_session::serveModels(const call_plan &Plan,
                                                                        const request_head &Head) {
   const bool Reusable = Head.KeepAlive && !hasBody(Head);
--- a/src/relay/caller_session_base.h
+++ b/src/relay/caller_session_base.h
@@ -34,6 +34,7 @@
   boost::asio::awaitable<void> run();
   boost::asio::awaitable<next_step> serveOne();
   boost::asio::awaitable<next_step> serve(const request_head &Head, mono_time Arrived);
+  boost::asio::awaitable<void> waitUntilReady(mono_time Until);
   boost::asio::awaitable<next_step> serveModels(const call_plan &Plan, const request_head &Head);
   boost::asio::awaitable<next_step> serveCall(const call_plan &Plan, const request_head &Head,
                                               mono_time Arrived);
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -46,6 +46,10 @@
   bool Draining{false};       ///< Connections end with the answer that is under way.
   std::function<void(const call_record &)> AtCallEnd;
 
+  /// @return Whether a declaration is in force now.
+  [[nodiscard]] bool isReady() const {
+    return Declaration != nullptr && boot_clock::now() < DeclaredUntil;
+  }
   /// Tells the decision thread once that the caller is gone.
   void noteCallerGone(relayed_call &Call) {
     if (Call.CallerGone)
--- a/src/relay/relay_type.h
+++ b/src/relay/relay_type.h
@@ -23,9 +23,10 @@
   ms WriteStall{30'000};               ///< A caller that takes nothing for so long has left.
   ms ConnectTimeout{1'000};            ///< To a backend server.
   ms UserTimeout{10'000};              ///< Sent bytes that a peer does not acknowledge for so long.
-  ms CancelTimeout{2'000};             ///< One request that an attempt be ended.
-  ms BackendIdle{30'000};              ///< An unused connection to a backend server is closed then.
-  std::size_t MaxConnections{8'192};   ///< Callers' connections.
+  ms ReadyWait{0}; ///< A request waits so long for a declaration in force before it is refused.
+  ms CancelTimeout{2'000};           ///< One request that an attempt be ended.
+  ms BackendIdle{30'000};            ///< An unused connection to a backend server is closed then.
+  std::size_t MaxConnections{8'192}; ///< Callers' connections.
   std::size_t MaxEventBytes{1U << 20U}; ///< Of one event of a stream.
   std::size_t BodyMemory{1U << 30U};    ///< All bodies held at once.
 };
--- a/tests/relay/headed_call_test.cpp
+++ b/tests/relay/headed_call_test.cpp
@@ -143,7 +143,8 @@
 // the one status that promises it.
 TEST(AnAnswer, ThatSaysNotRunBecomesAPromise) {
   const scripted_server Full([](auto &Socket, const seen_request &) {
-    sendText(Socket, "HTTP/1.1 503 Full\r\nX-Send: s1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+    sendText(Socket,
+             "HTTP/1.1 503 Full\r\nX-Send: s1\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
   });
   headed_relay Relay(repeat_rule::Never);
   Relay.call("p");
@@ -175,6 +176,26 @@
   EXPECT_TRUE(Answer.ends_with("oops"));
 }
 
+// All control hosts were lost for a moment. The entry has no declaration in force when a request
+// comes, and has one again before its patience ends: the request is served, not refused.
+TEST(AnEntryWithoutADeclaration, LetsARequestWaitForTheNextOne) {
+  const scripted_server Server([](auto &Socket, const seen_request &) {
+    sendText(Socket, "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 2\r\n\r\nok");
+  });
+  relay_limits Limits;
+  Limits.ReadyWait = std::chrono::seconds(10);
+  headed_relay Relay(repeat_rule::Never, Limits);
+  Relay.setDeclared(false);
+  const auto Called = std::async(std::launch::async, [&Relay] { Relay.call("p"); });
+  EXPECT_EQ(Called.wait_for(std::chrono::milliseconds(50)), std::future_status::timeout);
+  Relay.setDeclared(true);
+  Called.wait();
+  Relay.start(Server, 1, false);
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_TRUE(Relay.answer().ends_with("ok"));
+}
+
 // The caller hangs up while its stream runs. The decision thread is told, and once it has given the
 // attempt up, the server sees its connection end.
 TEST(ACallerThatLeaves, EndsTheWorkOfItsStream) {
--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -145,14 +145,15 @@
   return Out.str();
 }
 
-headed_relay::headed_relay(repeat_rule Repeat)
-    : Work(asio::make_work_guard(Io)), Ring(RingCapacity) {
+headed_relay::headed_relay(repeat_rule Repeat, const relay_limits &Limits)
+    : Declaration(declarationWith(Repeat)), Work(asio::make_work_guard(Io)), Ring(RingCapacity) {
   Relay = relay_builder(Io, Ring)
               .process({host_name("entry"), incarnation(1)})
+              .limits(Limits)
               .interface(testInterface())
               .build();
   Address = std::get<std::string>(Relay->listen("127.0.0.1:0"));
-  Relay->handle(declaration_in_force{declarationWith(Repeat), mono_time::max()});
+  Relay->handle(declaration_in_force{Declaration, mono_time::max()});
   Thread = std::thread([this] { Io.run(); });
 }
 
@@ -215,6 +216,10 @@
   order(std::move(Order));
 }
 
+void headed_relay::setDeclared(bool Declared) {
+  order(declaration_in_force{Declared ? Declaration : nullptr, mono_time::max()});
+}
+
 void headed_relay::finish(final_outcome Outcome, failure_reason Reason) {
   order(finish_request{Facts.Id, Outcome, Reason, std::chrono::seconds(1)});
 }
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -66,7 +66,7 @@
 /// The relay with one declared route, and the test in place of the decision thread.
 class headed_relay {
 public:
-  explicit headed_relay(repeat_rule Repeat = repeat_rule::Resume);
+  explicit headed_relay(repeat_rule Repeat = repeat_rule::Resume, const relay_limits &Limits = {});
   ~headed_relay();
   headed_relay(const headed_relay &) = delete;
   headed_relay &operator=(const headed_relay &) = delete;
@@ -77,6 +77,9 @@
   void hangUp();
   [[nodiscard]] std::string answer();
 
+  /// Takes the declaration away, or gives it back.
+  void setDeclared(bool Declared);
+
   /// Waits for the next event of a kind; others are dropped.
   template <typename Event> Event next() {
     while (true) {
@@ -95,6 +98,7 @@
 private:
   dispatch_event nextEvent();
 
+  declaration_view Declaration;
   boost::asio::io_context Io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   bounded_ring<dispatch_event> Ring;
