--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -163,6 +163,11 @@
   claim_standing Standing{claim_standing::Unknown};
   std::chrono::milliseconds Lifetime{0}; ///< As in the request's acquire_claim.
 };
+/// Memory to be set aside at a backend server before an attempt is sent, and given back behind it.
+struct memory_hold {
+  backend_key Backend;
+  tokens Amount;
+};
 /**
  * Start an attempt. The relay passes on answer bytes of the newest attempt only; where bytes of an
  * older one have reached the caller it starts nothing and reports BrokenUnsent.
@@ -174,6 +179,7 @@
   mono_time AnswerBy;        ///< A first byte later is slow; the dispatcher watches this itself.
   bool MayRetry{false};      ///< The body must be kept until the answer begins.
   std::vector<backend_key> Helpers{}; ///< Read parts of the prompt.
+  std::vector<memory_hold> Holds{};   ///< At helpers, for what the first engine has no room for.
   mono_span Expected{};               ///< To the first event, for the log.
   std::string Instance{};             ///< The server's name for its life, where it has one.
 };
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -87,6 +87,7 @@
                                      AnswerBy,
                                      MoreAllowed,
                                      Placement.Helpers,
+                                     Placement.Holds,
                                      Placement.ExpectedFirstToken,
                                      {}});
   if (Seam.AttemptStarted)
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -32,6 +32,11 @@
   double TargetPart{0.6};
   /// Reading up to this is done by one engine beside others' writing.
   double WholeReadMs{60.0};
+  /// Part of an engine's memory that one prompt may take: the rest is for what came a moment
+  /// before.
+  double MemoryPart{0.94};
+  /// Engines beside the first that keep memory of one prompt.
+  std::uint32_t MostHolders{3};
   /// A prompt is not cut into shorter parts.
   double PartMs{80.0};
   /// An engine with no more than this to read counts as idle.
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -90,7 +90,10 @@
   if (Declared == Services.end())
     return work_refusal{failure_reason::NoBackend, RetrySoon};
   const std::optional<engine_figures> &Figures = Declared->second.Engine;
-  if (Figures && Item.Prompt > Figures->Memory)
+  const double Most = Figures ? static_cast<double>(Figures->Memory.value()) *
+                                    (1 + Tuning.MostHolders) * Tuning.MemoryPart
+                              : 0;
+  if (Figures && memoryOf(Item) > Most)
     return work_refusal{failure_reason::TooLargeForFleet, std::nullopt};
   return std::nullopt;
 }
@@ -170,7 +173,7 @@
                    poll_outcome &Outcome) {
   running_work Started;
   Started.Request = Work.Item.Request;
-  Started.Tokens = memoryOf(Work.Item);
+  double Kept = memoryOf(Work.Item);
   work_placement Placement;
   Placement.Request = Work.Item.Request;
   Placement.Backend = Plan.Readers.front().Engine->key();
@@ -180,7 +183,14 @@
     Started.Parts.push_back({Key, Plan.PartMs, Now + spanOf(Plan.FinishMs)});
     if (Key != Placement.Backend)
       Placement.Helpers.push_back(Key);
+    if (const auto Held = Plan.Held.find(Key); Held != Plan.Held.end()) {
+      Started.Parts.back().Tokens = Held->second;
+      Kept -= Held->second;
+    }
   }
+  Started.Parts.front().Tokens = Kept;
+  for (const auto &[Key, Amount] : Plan.Held)
+    Placement.Holds.push_back({Key, tokens(static_cast<std::int64_t>(Amount))});
   addWork(Own, Started, Now);
   Placed.insert_or_assign(Work.Item.Request, std::move(Started));
   Outcome.Placements.push_back(std::move(Placement));
@@ -188,15 +198,16 @@
 
 void placer::addWork(own_work &Sum, const running_work &Work, mono_time Now) {
   for (const reading_part &Part : Work.Parts) {
+    if (Part.Tokens > 0)
+      Sum[Part.Backend].Tokens += Part.Tokens;
     if (Work.Answered)
-      break;
+      continue;
     const double Left = std::min(Part.Ms, millisUntil(Part.Until, Now));
     Sum[Part.Backend].ReadMs += std::max(Left, Part.Ms * OverduePart);
   }
   engine_view &First = Sum[Work.Parts.front().Backend];
   ++First.Requests;
   First.Writers += Work.Answered ? 1 : 0;
-  First.Tokens += Work.Tokens;
 }
 
 placer::own_work placer::ownWork(mono_time Now) const {
@@ -227,8 +238,7 @@
   }
   running_work Started;
   Started.Request = Item.Request;
-  Started.Tokens = memoryOf(Item);
-  Started.Parts.push_back({Backend, 0, Now});
+  Started.Parts.push_back({Backend, 0, Now, memoryOf(Item)});
   Running.insert_or_assign(Attempt, std::move(Started));
 }
 
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -56,12 +56,12 @@
   struct reading_part {
     backend_key Backend;
     double Ms{0};
-    mono_time Until; ///< When it is expected to be done.
+    mono_time Until;  ///< When it is expected to be done.
+    double Tokens{0}; ///< Memory taken there until the end.
   };
   struct running_work {
     request_number Request;
     std::vector<reading_part> Parts; ///< The first is at the engine that answers.
-    double Tokens{0};
     bool Answered{false};
   };
   struct engine_option {
@@ -72,7 +72,8 @@
   struct read_plan {
     std::vector<engine_option> Readers;
     double PartMs{0};
-    double FinishMs{0}; ///< From now to the first event.
+    double FinishMs{0};                 ///< From now to the first event.
+    std::map<backend_key, double> Held{}; ///< Tokens kept at readers other than the first.
   };
 
   /// An engine as a possible reader of one prompt. Milliseconds.
@@ -113,6 +114,9 @@
                                               const std::vector<reader_option> &Writing,
                                               std::size_t Count, double PartMs, bool Widely);
   void start(const waiting_work &Work, const read_plan &Plan, mono_time Now, poll_outcome &Outcome);
+  std::optional<read_plan> chooseHolders(std::vector<reader_option> Readers,
+                                         const engine_figures &Figures, double Memory,
+                                         double WholeMs, double LeftMs) const;
   [[nodiscard]] bool isLate(const waiting_work &Work, mono_time Now) const;
   [[nodiscard]] double memoryOf(const work_item &Item) const;
   void blame(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -91,6 +91,8 @@
   const double LeftMs = Late ? millisUntil(Work.Item.Deadline, Now) * LatePart
                              : millisUntil(Work.Item.Arrived + Work.Item.Target, Now);
   const double WholeMs = readMs(Figures, Work.Item.Prompt);
+  if (Memory > Holds * Tuning.MemoryPart)
+    return chooseHolders(std::move(Readers), Figures, Memory, WholeMs, LeftMs);
   if (WholeMs <= Tuning.WholeReadMs)
     if (auto Plan = packShort(Readers, WholeMs, LeftMs))
       return Plan;
@@ -148,6 +150,43 @@
   return InTime && !MayWait ? Plan : std::nullopt;
 }
 
+/**
+ * A prompt that no engine can keep alone: the first one keeps what it can, others set memory aside
+ * for the rest. Only idle engines that write nothing take part: each is held for long.
+ */
+std::optional<placer::read_plan> placer::chooseHolders(std::vector<reader_option> Readers,
+                                                       const engine_figures &Figures, double Memory,
+                                                       double WholeMs, double LeftMs) const {
+  const double Whole = static_cast<double>(Figures.Memory.value()) * Tuning.MemoryPart;
+  std::erase_if(Readers, [this](const reader_option &Reader) {
+    return Reader.occupied() || Reader.Option.View.ReadMs > Tuning.IdleReadMs;
+  });
+  std::stable_sort(Readers.begin(), Readers.end(),
+                   [](const reader_option &A, const reader_option &B) {
+                     return A.Option.View.Tokens < B.Option.View.Tokens;
+                   });
+  if (Readers.size() > Tuning.MostReaders)
+    Readers.resize(Tuning.MostReaders);
+  read_plan Plan;
+  double Missing = Memory;
+  for (const reader_option &Reader : Readers) {
+    const double Room = Whole - Reader.Option.View.Tokens;
+    const bool First = Plan.Readers.empty();
+    Plan.Readers.push_back(Reader.Option);
+    if (Missing <= 0 || Room <= 0 || Plan.Held.size() >= Tuning.MostHolders)
+      continue;
+    const double Taken = std::min(Room, Missing);
+    if (!First)
+      Plan.Held[Reader.Option.Engine->key()] = std::ceil(Taken);
+    Missing -= Taken;
+  }
+  if (Plan.Readers.empty() || Missing > 0)
+    return std::nullopt;
+  Plan.PartMs = WholeMs / static_cast<double>(Plan.Readers.size());
+  Plan.FinishMs = Plan.PartMs;
+  return Plan.FinishMs <= LeftMs ? std::optional(std::move(Plan)) : std::nullopt;
+}
+
 /// @param Widely Whether engines that write read parts too, as far as their streams allow.
 std::optional<placer::read_plan> placer::split(const std::vector<reader_option> &Free,
                                                const std::vector<reader_option> &Writing,
--- a/src/relay/attempt_head.cpp
+++ b/src/relay/attempt_head.cpp
@@ -91,6 +91,19 @@
   return Head;
 }
 
+std::string holdName(const attempt_id &Attempt, const backend_key &Backend) {
+  constexpr std::size_t Digits = 16;
+  return "h" + hexText(stableHash(toText(Attempt) + "@" + Backend.Address.str()), Digits);
+}
+
+std::string backendCallText(const backend_call &Call, const backend_key &Backend) {
+  std::string Text = startLine(Call.Method, Call.Target);
+  addLine(Text, "Host", Backend.Address.str());
+  addLine(Text, "Content-Type", "application/json");
+  addLine(Text, "Content-Length", std::to_string(Call.Body.size()));
+  return Text + std::string(LineEnd) + Call.Body;
+}
+
 std::string headedAttemptHead(const relayed_call &Call, const start_attempt &Order,
                               const call_interface &Interface, mono_time Now) {
   const forwarded_request &Request = Call.Request;
@@ -101,8 +114,14 @@
   Facts.Instance = Order.Instance;
   Facts.Account = Call.Facts.Account;
   Facts.LastEvent = Call.LastEvent;
-  for (const backend_key &Helper : Order.Helpers)
-    Facts.Helpers.push_back(Helper.Address);
+  for (const backend_key &Helper : Order.Helpers) {
+    const auto Hold =
+        std::find_if(Order.Holds.begin(), Order.Holds.end(),
+                     [&Helper](const memory_hold &One) { return One.Backend == Helper; });
+    Facts.Helpers.push_back({Helper.Address, Hold == Order.Holds.end()
+                                                 ? std::string()
+                                                 : holdName(Order.Attempt, Helper)});
+  }
   std::vector<header_line> Lines = Request.Headers;
   Interface.WriteAttempt(Facts, Lines);
   std::string Head = startLine(Request.Method, Request.Target);
--- a/src/relay/attempt_head_func.h
+++ b/src/relay/attempt_head_func.h
@@ -24,6 +24,12 @@
 /// @return The caller's traceparent where it has the published form, otherwise a new one.
 std::string traceParentFrom(std::string_view Given, random_source &Random);
 
+/// @return The name under which memory is set aside for an attempt; no two attempts share one.
+std::string holdName(const attempt_id &Attempt, const backend_key &Backend);
+
+/// @return The whole request of a small call.
+std::string backendCallText(const backend_call &Call, const backend_key &Backend);
+
 /// @return The request of a call of a declared route; behind its last event where it has begun.
 std::string headedAttemptHead(const relayed_call &Call, const start_attempt &Order,
                               const call_interface &Interface, mono_time Now);
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -94,6 +94,8 @@
 
 void backend_exchange::abandon() {
   Abandoned = true;
+  if (Holds)
+    Holds->release();
   if (Link)
     Link->abort();
 }
@@ -111,6 +113,8 @@
     co_await returnLink();
   if (Link)
     Link->abort();
+  if (Holds)
+    Holds->release();
   Ended(*this);
 }
 
@@ -137,6 +141,13 @@
   // Bytes of an older attempt at the caller forbid this one's; it is proved not to have run.
   if (Errand == errand::Start && !Call->mayRelay(Order.Attempt.Ordinal))
     co_return exchange_end{attempt_failure::BrokenUnsent, {}};
+  if (!Order.Holds.empty() && Errand == errand::Start) {
+    Holds = std::make_shared<memory_holds>(Context, Order.Attempt, Order.Holds);
+    if (!co_await Holds->take())
+      co_return exchange_end{attempt_failure::Declined, {}};
+  }
+  if (Abandoned)
+    co_return exchange_end{attempt_failure::BrokenUnsent, {}};
   const link_age Age = Call->Facts.Idempotent ? link_age::Any : link_age::Fresh;
   Link = co_await Context.Links.open(Order.Backend, Age);
   if (!Link)
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_RELAY_BACKEND_EXCHANGE_BASE_H
 
 #include "relay/event_scanner_base.h"
+#include "relay/memory_holds_base.h"
 #include "relay/message_feed_base.h"
 #include "relay/relay_context_type.h"
 #include "relay/usage_func.h"
@@ -78,6 +79,7 @@
   void report(const exchange_end &End);
 
   relay_context &Context;
+  std::shared_ptr<memory_holds> Holds; ///< Null where none is needed.
   std::shared_ptr<relayed_call> Call;
   start_attempt Order;
   end_hook Ended;
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -33,12 +33,32 @@
   std::uint64_t LastEvent{0}; ///< The caller goes on behind this event; 0: from the start.
 };
 
+/// An engine that reads a part of a prompt.
+struct helper_facts {
+  backend_address Address;
+  std::string Hold; ///< Name of the memory that is set aside there for this attempt; may be empty.
+};
+
+/// Memory that an engine is asked to set aside.
+struct hold_facts {
+  std::string Name; ///< Chosen here, unique.
+  tokens Amount;
+  std::chrono::milliseconds Lasts{0}; ///< From the call's arrival; asking again starts it anew.
+};
+
+/// A small call of a backend server: method, target and body.
+struct backend_call {
+  std::string Method;
+  std::string Target;
+  std::string Body;
+};
+
 /// What a backend server is told beside the caller's own headers.
 struct attempt_facts {
   std::chrono::milliseconds TimeLeft{0};
   std::string Instance;        ///< The server's name for its life; another life refuses.
   client_account_name Account; ///< Empty where the caller needs none.
-  std::vector<backend_address> Helpers;
+  std::vector<helper_facts> Helpers;
   std::uint64_t LastEvent{0}; ///< 0: from the start.
 };
 
@@ -59,6 +79,9 @@
                              const std::string &SendName)>
       ReadAnswer;
 
+  std::function<backend_call(const hold_facts &)> TakeHold; ///< Answered by 200 where it is held.
+  std::function<backend_call(const std::string &Name)> EndHold;
+
   [[nodiscard]] bool isSet() const { return static_cast<bool>(ReadHead); }
 };
 
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -128,6 +128,7 @@
   /// Ends every coroutine, so that none is left whose sockets outlive what they belong to.
   void stop() {
     Stopped = true;
+    Context.Ended = true;
     error_code Ignored;
     Acceptor.close(Ignored);
     Housekeeping.cancel();
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -43,6 +43,7 @@
   std::size_t BodyBytes{0};   ///< Held in request bodies, or promised to bodies being read.
   std::size_t Connections{0}; ///< Callers'.
   bool Stopping{false};       ///< New requests are refused for good.
+  bool Ended{false};          ///< Every coroutine is to end.
   bool Draining{false};       ///< Connections end with the answer that is under way.
   std::function<void(const call_record &)> AtCallEnd;
 
