--- a/tests/consensus/fake_cluster.cpp
+++ b/tests/consensus/fake_cluster.cpp
@@ -1,6 +1,8 @@
 /** @file fake_cluster.cpp Replicas over a network and disks that misbehave, in simulated time. */
 #include "consensus/fake_cluster_base.h"
 
+#include <algorithm>
+
 namespace pollenstall {
 
 namespace {
@@ -13,7 +15,7 @@
   const double Skew = static_cast<double>(Options.ClockSkewPermille) / 1000;
   for (std::size_t Place = 0; Place < Size; ++Place) {
     fake_host &Host = Hosts[Place];
-    Host.Id = member_id(Place + 1);
+    Host.Id = member_id(++LastId);
     Host.Disk = std::make_unique<fake_disk>(disk_identity(Random() | 1U));
     Host.ClockRate = 1 - Skew + 2 * Skew * Random.unit();
     Host.ClockOffset += upTo(10s);
@@ -89,10 +91,53 @@
 void fake_cluster::tickLater(fake_host &Host) {
   later(TickInterval / 2 + upTo(TickInterval / 2), Host, [this](fake_host &Ticked) {
     Ticked.Process->tick(clockOf(Ticked));
+    replaceLost(Ticked);
     tickLater(Ticked);
   });
 }
 
+void fake_cluster::replaceLost(fake_host &Host) {
+  if (!SelfManaged)
+    return;
+  member_repair_options Repair;
+  Repair.TargetVoters = Options.TargetVoters;
+  Repair.CaughtUpWithin = Options.CaughtUpWithin;
+  if (const auto Lost = memberToExpel(statusOf(Host), Repair))
+    Host.Process->expel(*Lost, clockOf(Host));
+}
+
+fake_host *fake_cluster::holderOf(member_id Id) {
+  const auto Found = std::find_if(Hosts.begin(), Hosts.end(),
+                                  [Id](const fake_host &Host) { return Host.Id == Id; });
+  return Found == Hosts.end() ? nullptr : &*Found;
+}
+
+void fake_cluster::replace(fake_host &Host) {
+  crash(Host);
+  Host.Disk = std::make_unique<fake_disk>(disk_identity(Random() | 1U));
+  Host.Id = member_id(++LastId);
+  start(Host);
+  for (fake_host &Other : Hosts)
+    if (Other.Process && Other.Id != Host.Id)
+      Other.Process->learnPeer(Host.Id);
+}
+
+bool fake_cluster::hasTargetVoters() {
+  const fake_host *Leading = leader();
+  if (Leading == nullptr)
+    return false;
+  const replica_status Wanted = statusOf(*Leading);
+  if (voterCount(Wanted.Members) != Options.TargetVoters || Wanted.Commit != Wanted.LastIndex)
+    return false;
+  for (const fake_host &Host : Hosts) {
+    const replica_status Status = statusOf(Host);
+    const bool Same = Status.Applied == Wanted.LastIndex && Status.Leader == Wanted.Self;
+    if (isVoter(Wanted.Members, Status.Self) && !Same)
+      return false;
+  }
+  return true;
+}
+
 void fake_cluster::start(fake_host &Host) {
   ++Host.Life;
   Host.Applied = {};
@@ -203,12 +248,11 @@
 }
 
 void fake_cluster::deliverLater(const consensus_message &Message) {
-  const auto Place = Message.To.Member.value() - 1;
-  if (Place >= Hosts.size())
+  fake_host *Receiver = holderOf(Message.To.Member);
+  if (Receiver == nullptr)
     return;
   const bool Long = Random.chance(Rates.LongDelay);
-  fake_host &Receiver = Hosts[Place];
-  later(upTo(Long ? Rates.LongDelayMax : Rates.MaxDelay), Receiver,
+  later(upTo(Long ? Rates.LongDelayMax : Rates.MaxDelay), *Receiver,
         [this, Message](fake_host &To) { To.Process->receive(Message, clockOf(To)); });
 }
 
--- a/tests/consensus/fake_cluster_base.h
+++ b/tests/consensus/fake_cluster_base.h
@@ -54,6 +54,8 @@
   void crash(fake_host &Host);
   void start(fake_host &Host);
   void loseDisk(fake_host &Host);
+  /// The host comes back with an empty disk as another member, as a host whose id is drawn does.
+  void replace(fake_host &Host);
   /// Stops a process as SIGSTOP does: messages wait, the clock goes on.
   void freeze(fake_host &Host, mono_span Span) { Host.FrozenUntil = Time + Span; }
   /**
@@ -76,12 +78,16 @@
   [[nodiscard]] replica_status statusOf(const fake_host &Host) const;
   /// @return Who leads with a committed entry of its term, or null.
   [[nodiscard]] fake_host *leader();
+  /// @return Whether as many hosts as are to vote do, follow one leader and have applied the same.
+  [[nodiscard]] bool hasTargetVoters();
   /// @return Whether all hosts vote, follow one leader and have applied the same entries.
   [[nodiscard]] bool isWhole();
   [[nodiscard]] std::string dumps() const;
   [[nodiscard]] std::uint64_t steps() const { return Steps; }
   [[nodiscard]] std::size_t readsServed() const { return ReadsServed; }
 
+  /// Who leads lets everybody in and replaces lost members; needs replica_options::TargetVoters.
+  bool SelfManaged{false};
   fault_rates Rates;
   std::function<void(const consensus_message &)> OnSend; ///< Sees every message, also lost ones.
 
@@ -100,6 +106,8 @@
   void later(mono_span Delay, fake_host &Host, std::function<void(fake_host &)> Run);
   void step();
   void tickLater(fake_host &Host);
+  void replaceLost(fake_host &Host);
+  fake_host *holderOf(member_id Id);
   void carryOut(fake_host &Host);
   void deliverLater(const consensus_message &Message);
   void syncLater(fake_host &Host);
@@ -129,6 +137,7 @@
   std::uint64_t Steps{0};
   std::uint64_t NextPayload{0};
   std::uint64_t NextRead{1};
+  std::uint64_t LastId{0};
   std::size_t ReadsServed{0};
 };
 
