Self-managed log: a silent voter goes only behind a promoted one; an expelled member that is back asks anew

Cause 1: a voter that was cut off was expelled before the one that stood by was promoted: four voters, whose quorum of three is gone with two more disks although three of the five disks were there. Cause 2: a voter that was expelled while cut off stood for office among the others for good: nobody told it. Ruled out: lost entries (the checker saw none), elections (pre-votes answered). Change: one safe change at a time, promotion first, but for members whose host is known to have come back under another id; a pre-candidate that hears no leader asks to be let in.

--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -323,11 +323,19 @@
   NextRepair = Now + RepairInterval;
   member_repair_options Options;
   Options.TargetVoters = targetVoters(Parts.Settings);
-  const std::optional<member_id> Lost = memberToExpel(Status, Options);
-  if (!Lost || !succeeded(Replica.expel(*Lost, Now)))
+  const std::optional<member_change> Wanted = memberRepair(Status, Emptied, Options);
+  if (!Wanted)
     return;
-  logEvent(log_level::Warning, "member_replaced",
-           {{"member", std::to_string(Lost->value())}, {"members", toText(Status.Members)}});
+  const auto *Expelled = std::get_if<expel_member>(&*Wanted);
+  const bool Proposed =
+      succeeded(Expelled ? Replica.expel(Expelled->Member, Now)
+                         : Replica.promote(std::get<promote_member>(*Wanted).Member, Now));
+  if (!Proposed)
+    return;
+  const member_id Member =
+      Expelled ? Expelled->Member : std::get<promote_member>(*Wanted).Member.Member;
+  logEvent(log_level::Warning, Expelled ? "member_expelled" : "member_promoted",
+           {{"member", std::to_string(Member.value())}, {"members", toText(Status.Members)}});
 }
 
 void control_core::giveUpOldWaits() {
--- a/programs/pollenstall-control/control_core_base.h
+++ b/programs/pollenstall-control/control_core_base.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <thread>
 
 namespace pollenstall {
@@ -150,6 +151,7 @@
   read_id LastRead;
   std::optional<read_id> OfficeRead; ///< Its answer opens the office.
   std::map<member_id, peer_addresses> Addresses;
+  std::set<member_id> Emptied; ///< Members at whose addresses others have come up.
   std::map<member_id, std::pair<member_key, mono_time>> Applicants;
   std::map<revision, mono_time> AwaitingForce; ///< Accepted in this office, not yet in force.
   mono_time NextClaimExpiry{};
--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -76,6 +76,11 @@
   const auto Known = Addresses.find(Member);
   if (Known != Addresses.end() && (!FirstHand || Known->second == Told))
     return false;
+  // A host that comes up under another id has lost its disk, and with it the member that it was.
+  if (FirstHand)
+    for (const auto &[Other, Kept] : Addresses)
+      if (Other != Member && Other != self() && Kept.Peers == Told.Peers)
+        Emptied.insert(Other);
   Addresses[Member] = Told;
   Replica.learnPeer(Member);
   return true;
--- a/src/consensus/member_repair_func.h
+++ b/src/consensus/member_repair_func.h
@@ -5,6 +5,8 @@
 #include "consensus/replica_base.h"
 
 #include <optional>
+#include <set>
+#include <variant>
 
 namespace pollenstall {
 
@@ -19,14 +21,31 @@
   std::uint64_t CaughtUpWithin{64}; ///< Entries; as replica_options has it.
 };
 
+struct expel_member {
+  member_id Member;
+
+  bool operator==(const expel_member &) const = default;
+};
+struct promote_member {
+  member_key Member;
+
+  bool operator==(const promote_member &) const = default;
+};
+using member_change = std::variant<expel_member, promote_member>;
+
 /**
- * The lost voter goes first and the one that stands by is promoted after it. The other way round
- * there would be six voters for a moment, whose quorum of four the four that are left could reach
- * only without any further loss.
- * @param Status Of the leader. @return Whom the leader is to expel now, or nobody.
+ * One safe change at a time. A voter that is silent may have its disk all the same: another one is
+ * promoted first and the silent one expelled after it. Expelled first, it would leave four voters
+ * whose quorum of three is gone with two more disks, although three disks of the five are there.
+ *
+ * A voter whose disk is known to be gone is expelled first: a sixth voter would raise the quorum to
+ * four while three may be all that is left.
+ * @param Status Of the leader. @param Emptied Members whose hosts came back as others.
+ * @return What the leader is to do now, or nothing.
  */
-std::optional<member_id> memberToExpel(const replica_status &Status,
-                                       const member_repair_options &Options);
+std::optional<member_change> memberRepair(const replica_status &Status,
+                                          const std::set<member_id> &Emptied,
+                                          const member_repair_options &Options);
 
 } // namespace pollenstall
 
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -31,6 +31,9 @@
 }
 
 proposal_result replica::expel(member_id Member, mono_time Now) { return Core->expel(Member, Now); }
+proposal_result replica::promote(const member_key &Key, mono_time Now) {
+  return Core->promote(Key, Now);
+}
 void replica::learnPeer(member_id Peer) { Core->learnPeer(Peer); }
 
 std::vector<consensus_action> replica::takeActions(mono_time Now) { return Core->takeActions(Now); }
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -66,6 +66,8 @@
   proposal_result admit(const member_key &Key, mono_time Now);
   /// Leader: takes a member out.
   proposal_result expel(member_id Member, mono_time Now);
+  /// Leader: lets a learner vote, also beyond the target of voters.
+  proposal_result promote(const member_key &Key, mono_time Now);
   /// A host was heard of that may let this disk in while it belongs to no log.
   void learnPeer(member_id Peer);
 
--- a/src/consensus/replica_core_base.h
+++ b/src/consensus/replica_core_base.h
@@ -39,6 +39,7 @@
   bool snapshotTaken(log_index Index, std::string State, mono_time Now);
   proposal_result admit(const member_key &Key, mono_time Now);
   proposal_result expel(member_id Member, mono_time Now);
+  proposal_result promote(const member_key &Key, mono_time Now);
   void learnPeer(member_id Peer);
   std::vector<consensus_action> takeActions(mono_time Now);
 
--- a/src/consensus/replica_core_member.cpp
+++ b/src/consensus/replica_core_member.cpp
@@ -85,6 +85,17 @@
   return proposeMembers(withoutMember(members(), Member));
 }
 
+proposal_result replica_core::promote(const member_key &Key, mono_time Now) {
+  enter(Now);
+  if (role() != replica_role::Leader)
+    return proposal_refusal{proposal_error::NotLeader, Leader};
+  if (findMember(members(), Key) == nullptr)
+    return proposal_refusal{proposal_error::UnknownMember, Leader};
+  if (isVoter(members(), Key))
+    return proposal_refusal{proposal_error::AlreadyMember, Leader};
+  return proposeMembers(withVoter(members(), Key));
+}
+
 void replica_core::learnPeer(member_id Peer) {
   if (Peer != Self.Member && std::find(Peers.begin(), Peers.end(), Peer) == Peers.end())
     Peers.push_back(Peer);
@@ -114,7 +125,11 @@
   // The entry that let this disk in may have been truncated by a later leader, who sends nothing
   // here, and the log may not even have reached that entry. Without asking again the learner would
   // wait for good. A member that was taken out asks too; whoever answers knows that it was.
-  return role() == replica_role::Learner && Now - LastHeard >= Options.MaxElectionTimeout;
+  if (role() == replica_role::Learner)
+    return Now - LastHeard >= Options.MaxElectionTimeout;
+  // A voter that was expelled while it was cut off never hears of it: nobody sends to it any more,
+  // and it would stand for office among the others for good.
+  return role() == replica_role::PreCandidate && Now - LastHeard >= 2 * Options.MaxElectionTimeout;
 }
 
 void replica_core::askToJoin(mono_time Now) {
--- a/tests/consensus/fake_cluster_base.h
+++ b/tests/consensus/fake_cluster_base.h
@@ -78,7 +78,7 @@
   [[nodiscard]] replica_status statusOf(const fake_host &Host) const;
   /// @return Who leads with a committed entry of its term, or null.
   [[nodiscard]] fake_host *leader();
-  /// @return Whether as many hosts as are to vote do, follow one leader and have applied the same.
+  /// @return Whether as many as are to vote do, all of them there, behind one leader and equal.
   [[nodiscard]] bool hasTargetVoters();
   /// @return Whether all hosts vote, follow one leader and have applied the same entries.
   [[nodiscard]] bool isWhole();
@@ -88,6 +88,8 @@
 
   /// Who leads lets everybody in and replaces lost members; needs replica_options::TargetVoters.
   bool SelfManaged{false};
+  /// Hosts come back where they were, so that the leader knows whose disk is gone.
+  bool SameAddresses{true};
   fault_rates Rates;
   std::function<void(const consensus_message &)> OnSend; ///< Sees every message, also lost ones.
 
--- /dev/null
+++ b/tests/placement/placer_test.cpp
@@ -0,0 +1,184 @@
+/** @file placer_test.cpp Long prompts among short ones, several entries, and what no engine can
+ * keep. */
+#include "placer_story.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+namespace {
+
+TEST(APassModel, CountsThePairsOfAPrompt) {
+  // 154,000 tokens: 870 ms of tokens and 2,182 ms of pairs.
+  EXPECT_NEAR(readMs(placer_story::figures(), tokens(154'000)), 3'052, 2);
+  EXPECT_NEAR(readMs(placer_story::figures(), tokens(5'000)), 30.5, 0.1);
+  EXPECT_EQ(passMs(placer_story::figures(), 0, 0), 0);
+  EXPECT_NEAR(passMs(placer_story::figures(), 10, 50'000), 52.8, 0.1);
+}
+
+TEST_F(placer_story, AShortPromptIsReadByOneEngine) {
+  arrive(5'000);
+  const auto Placed = poll();
+  ASSERT_EQ(Placed.size(), 1U);
+  EXPECT_TRUE(Placed[0].Helpers.empty());
+}
+
+TEST_F(placer_story, ALongPromptIsReadByManyAndInTime) {
+  arrive(154'000);
+  const auto Placed = poll();
+  ASSERT_EQ(Placed.size(), 1U);
+  EXPECT_EQ(Placed[0].Helpers.size(), 16U);
+  EXPECT_LT(Placed[0].ExpectedFirstToken, 300ms);
+}
+
+// Six long prompts come within a tenth of a second. Parts for one prompt go ahead of another's that
+// waits at the same engine: an engine with two of them finishes the first one last, seconds late.
+TEST_F(placer_story, NoEngineIsGivenASecondLongReadBeforeTheFirstIsDone) {
+  std::map<backend_key, mono_time> BusyUntil;
+  std::map<request_number, mono_time> DoneAt;
+  std::size_t Started = 0;
+  for (int Step = 0; Step < 400; ++Step) {
+    if (Step % 2 == 0 && Step < 12)
+      arrive(154'000);
+    for (const work_placement &Placement : poll()) {
+      ++Started;
+      std::vector<backend_key> Readers = Placement.Helpers;
+      Readers.push_back(Placement.Backend);
+      const double Part = readMs(figures(), tokens(154'000)) / static_cast<double>(Readers.size());
+      DoneAt[Placement.Request] = Now + std::chrono::milliseconds(static_cast<int>(Part));
+      for (const backend_key &Reader : Readers) {
+        EXPECT_LE(BusyUntil[Reader], Now + 31ms) << toText(Reader);
+        BusyUntil[Reader] = Now + std::chrono::milliseconds(static_cast<int>(Part));
+      }
+    }
+    Now += 10ms;
+    for (const auto &[Request, Done] : DoneAt)
+      if (Now >= Done)
+        answer(Request);
+  }
+  EXPECT_EQ(Started, 6U);
+}
+
+// Streams run on every engine. A part of a long prompt must not make a pass longer than they may
+// pause: all of them would be late for the sake of one.
+TEST_F(placer_story, NoPartOutlastsThePauseOfAStream) {
+  for (std::size_t Count = 0; Count < 60; ++Count) {
+    arrive(5'000);
+    for (const work_placement &Placement : poll())
+      answer(Placement.Request);
+    Now += 40ms;
+  }
+  arrive(154'000);
+  for (int Step = 0; Step < 100; ++Step) {
+    for (const work_placement &Placement : poll()) {
+      const std::size_t Readers = Placement.Helpers.size() + 1;
+      const double Part = readMs(figures(), tokens(154'000)) / static_cast<double>(Readers);
+      const bool Alone = Part > 250 * 0.65;
+      EXPECT_FALSE(Alone && Placement.Request.value() <= 60) << Part;
+    }
+    Now += 10ms;
+  }
+}
+
+TEST_F(placer_story, ShortWorkIsPackedSoThatEnginesStayFree) {
+  std::set<backend_key> Used;
+  for (int Count = 0; Count < 24; ++Count) {
+    arrive(3'000);
+    for (const work_placement &Placement : poll()) {
+      Used.insert(Placement.Backend);
+      answer(Placement.Request);
+    }
+    Now += 60ms;
+  }
+  EXPECT_LE(Used.size(), 4U) << "24 streams have room on two engines";
+}
+
+// Another entry has just put a long read on most engines. This one must not book them again.
+TEST_F(placer_story, WhatOtherEntriesHaveUnderWayCounts) {
+  std::vector<work_load> Loads;
+  for (std::size_t Place = 0; Place < 15; ++Place)
+    Loads.push_back({listing(Place).Key.Life, 0, 0, 400, 0});
+  Placer.takePeerLoads(host_name("entry-2"), Loads, Now);
+  arrive(154'000);
+  const auto Placed = poll();
+  ASSERT_EQ(Placed.size(), 1U);
+  EXPECT_EQ(Placed[0].Helpers.size(), 4U);
+  for (const backend_key &Helper : Placed[0].Helpers)
+    for (const work_load &Load : Loads)
+      EXPECT_NE(Helper.Life, Load.Life);
+}
+
+TEST_F(placer_story, ASilentEntrysWorkCountsNoLonger) {
+  std::vector<work_load> Loads;
+  for (std::size_t Place = 0; Place < Engines; ++Place)
+    Loads.push_back({listing(Place).Key.Life, 16, 16, 5'000, 300'000});
+  Placer.takePeerLoads(host_name("entry-2"), Loads, Now);
+  arrive(5'000);
+  EXPECT_TRUE(poll().empty());
+  Now += 1100ms;
+  EXPECT_EQ(poll().size(), 1U);
+}
+
+// A prompt that no engine can keep: the first one keeps what it can, others the rest, and no engine
+// is asked for more than it has.
+TEST_F(placer_story, APromptOverOneEnginesMemoryIsKeptBySeveral) {
+  arrive(500'000);
+  const auto Placed = poll();
+  ASSERT_EQ(Placed.size(), 1U);
+  ASSERT_FALSE(Placed[0].Holds.empty());
+  std::int64_t Held = 0;
+  for (const memory_hold &Hold : Placed[0].Holds) {
+    EXPECT_LE(Hold.Amount.value(), 315'000);
+    EXPECT_NE(Hold.Backend, Placed[0].Backend);
+    EXPECT_NE(std::find(Placed[0].Helpers.begin(), Placed[0].Helpers.end(), Hold.Backend),
+              Placed[0].Helpers.end());
+    Held += Hold.Amount.value();
+  }
+  EXPECT_GE(Held + 315'000, 501'000);
+}
+
+TEST_F(placer_story, APromptOverAllMemoryIsRefusedAtOnce) {
+  work_item Item;
+  Item.Request = request_number(1);
+  Item.Groups = {{group_name("llm"), 1}};
+  Item.Prompt = tokens(2'000'000);
+  Item.Arrived = Now;
+  Item.Deadline = Now + 10s;
+  const auto Refused = Placer.submit(Item, Now);
+  ASSERT_FALSE(succeeded(Refused));
+  EXPECT_EQ(errorOf(Refused).Reason, failure_reason::TooLargeForFleet);
+}
+
+TEST_F(placer_story, AnEngineThatFailsIsLeftAloneForAWhile) {
+  arrive(5'000);
+  const auto First = poll();
+  ASSERT_EQ(First.size(), 1U);
+  attempt_report Report;
+  Report.Failure = attempt_failure::NotConnected;
+  Placer.attemptEnded(attempt(First[0].Request), Report, Now);
+  for (int Count = 0; Count < 10; ++Count) {
+    arrive(5'000);
+    for (const work_placement &Placement : poll())
+      EXPECT_NE(Placement.Backend, First[0].Backend);
+  }
+}
+
+TEST_F(placer_story, WhatFindsNoPlaceIsRefusedWithATimeToComeBack) {
+  std::vector<work_load> Loads;
+  for (std::size_t Place = 0; Place < Engines; ++Place)
+    Loads.push_back({listing(Place).Key.Life, 16, 16, 0, 300'000});
+  arrive(5'000);
+  for (int Step = 0; Step < 35; ++Step) {
+    Placer.takePeerLoads(host_name("entry-2"), Loads, Now);
+    const poll_outcome Outcome = Placer.poll(Now);
+    EXPECT_TRUE(Outcome.Placements.empty());
+    if (!Outcome.Expiries.empty()) {
+      EXPECT_TRUE(Outcome.Expiries[0].Refusal.RetryAfter.has_value());
+      return;
+    }
+    Now += 100ms;
+  }
+  ADD_FAILURE() << "it waits for good";
+}
+
+} // namespace
+} // namespace pollenstall
--- /dev/null
+++ b/tests/platform/platform_test.cpp
@@ -0,0 +1,250 @@
+/** @file platform_test.cpp Messages of the platform, right and wrong ones. */
+#include "platform/platform.h"
+
+#include <boost/json.hpp>
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+const std::string Valid = R"({"version":7,"routes":[
+ {"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","timeout_ms":10000,
+  "target_latency_ms":300,"priority":1,"traffic_split":[{"service":"s1","weight":90},
+  {"service":"s2","weight":10}],"max_attempts":2,"anonymous":false,"stream_resumption":true,
+  "gap_aim_ms":250},
+ {"name":"r2","host":"a.example","path_prefix":"/x/y/","kind":"non_idempotent","timeout_ms":1000,
+  "service":"s2","max_attempts":1,"anonymous":true}],
+ "services":[{"name":"s1","health_check_path":"/h","connection_limit":10,"engine":{"slots":16,
+  "kv_capacity_tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.00425,
+  "context_per_k":0.00285,"read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048}},
+  {"name":"s2","health_check_path":"/h","connection_limit":10}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+  "idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["k1","k2"],"priority":1},{"name":"t2","api_keys":["k3"]}]})";
+
+std::string replaced(const std::string &Old, const std::string &New) {
+  std::string Text = Valid;
+  const std::size_t At = Text.find(Old);
+  EXPECT_NE(At, std::string::npos) << Old;
+  return Text.replace(At, Old.size(), New);
+}
+
+TEST(AConfiguration, IsReadWhole) {
+  const auto Read = readPlatformConfiguration(Valid);
+  ASSERT_TRUE(succeeded(Read)) << errorOf(Read);
+  EXPECT_EQ(valueOf(Read).Revision, revision(7));
+  const fleet_declaration &Fleet = valueOf(Read).Fleet;
+  ASSERT_EQ(Fleet.Routes.size(), 2U);
+  EXPECT_EQ(Fleet.Routes[0].Repeat, repeat_rule::Resume);
+  EXPECT_EQ(Fleet.Routes[0].Services.size(), 2U);
+  EXPECT_EQ(Fleet.Routes[0].LongestGap.count(), 250);
+  EXPECT_EQ(Fleet.Routes[1].Repeat, repeat_rule::Never);
+  EXPECT_TRUE(Fleet.Routes[1].Anonymous);
+  ASSERT_TRUE(Fleet.Services[0].Engine);
+  EXPECT_EQ(Fleet.Services[0].Engine->StepsPerPass, 51U);
+  EXPECT_FALSE(Fleet.Services[1].Engine);
+  ASSERT_EQ(Fleet.Accounts.size(), 2U);
+  EXPECT_EQ(Fleet.Accounts[0].KeyHashes.size(), 2U);
+  EXPECT_EQ(Fleet.Callers->IdleTimeout.count(), 15'000);
+}
+
+TEST(AConfiguration, SendsAPathByItsLongestPrefix) {
+  const declaration_index Index(valueOf(readPlatformConfiguration(Valid)).Fleet);
+  ASSERT_NE(Index.findCallRoute("a.example", "/x/y/z"), nullptr);
+  EXPECT_EQ(Index.findCallRoute("a.example", "/x/y/z")->Name, "r2");
+  EXPECT_EQ(Index.findCallRoute("a.example:80", "/x/z")->Name, "r1");
+  EXPECT_EQ(Index.findCallRoute("a.example", "/y"), nullptr);
+  EXPECT_EQ(Index.findCallRoute("b.example", "/x/z"), nullptr);
+}
+
+TEST(AConfiguration, ThatIsInvalidIsRefusedWithItsPlace) {
+  const std::vector<std::pair<std::string, std::string>> Wrong{
+      {"\"service\":\"s2\",\"max", "\"service\":\"s9\",\"max"},
+      {"/x/y/", "/x/"},
+      {"\"weight\":90},\n  {\"service\":\"s2\",\"weight\":10}",
+       "\"weight\":0},{\"service\":\"s2\",\"weight\":0}"},
+      {"\"timeout_ms\":1000", "\"timeout_ms\":0"},
+      {"\"k3\"", "\"k1\""},
+      {"\"version\":7", "\"version\":0"},
+      {"\"version\":7", "\"version\":\"x\""},
+      {"non_idempotent", "sometimes"},
+      {"\"name\":\"r2\",", ""}};
+  for (const auto &[Old, New] : Wrong) {
+    const auto Read = readPlatformConfiguration(replaced(Old, New));
+    ASSERT_FALSE(succeeded(Read)) << New;
+    EXPECT_FALSE(errorOf(Read).empty());
+  }
+}
+
+// An operator's call was cut on its way. Whatever part arrived, it is no configuration.
+TEST(AConfiguration, ThatIsCutAnywhereIsRefused) {
+  for (std::size_t Length = 0; Length < Valid.size(); Length += 7)
+    EXPECT_FALSE(succeeded(readPlatformConfiguration(Valid.substr(0, Length)))) << Length;
+}
+
+TEST(ANotice, IsReadAndCheckedByField) {
+  const std::string Text = R"({"service":"s","address":"10.0.0.1:8080","zone":"z","slots":16,
+    "state":"draining","sequence":4})";
+  const auto Read = readPlatformNotice("i-1", Text);
+  ASSERT_TRUE(succeeded(Read)) << errorOf(Read);
+  EXPECT_TRUE(valueOf(Read).Leaving);
+  EXPECT_EQ(valueOf(Read).Places, 16U);
+  EXPECT_FALSE(succeeded(readPlatformNotice("", Text)));
+  for (const char *Bad :
+       {"", "[]", "{}", R"({"service":"s","address":"x","zone":"z","state":"ready","sequence":1})",
+        R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"odd","sequence":1})"})
+    EXPECT_FALSE(succeeded(readPlatformNotice("i-1", Bad))) << Bad;
+}
+
+request_head headWith(std::vector<std::pair<std::string, std::string>> Lines) {
+  request_head Head;
+  Head.Method = "POST";
+  Head.Target = "/x/1";
+  for (const auto &[Name, Value] : Lines)
+    Head.Fields.insert(Name, Value);
+  return Head;
+}
+
+TEST(ARequestHead, SaysWhatTheProductNeeds) {
+  const auto Read = platformCalls().ReadHead(headWith({{"Attempt-Id", "a1"},
+                                                       {"Authorization", "Bearer k1"},
+                                                       {"Deadline-Ms", "9000"},
+                                                       {"Token-Usage", "1460,80"},
+                                                       {"Length-Hint", "70"},
+                                                       {"Last-Event-Id", "12"},
+                                                       {"Prompt-Prefix", "5c:800,91:410"}}));
+  ASSERT_TRUE(succeeded(Read));
+  const head_facts &Facts = valueOf(Read);
+  EXPECT_EQ(Facts.SendName, "a1");
+  EXPECT_EQ(Facts.Key, "k1");
+  EXPECT_EQ(Facts.TimeLeft->count(), 9000);
+  EXPECT_EQ(Facts.Prompt, tokens(1460));
+  EXPECT_EQ(Facts.AnswerLimit, tokens(80));
+  EXPECT_EQ(Facts.AnswerHint, tokens(70));
+  EXPECT_EQ(Facts.LastEvent, 12U);
+  EXPECT_EQ(Facts.PrefixHashes.size(), 2U);
+}
+
+TEST(ARequestHead, WithANumberThatIsNoneIsRefused) {
+  for (const char *Name : {"Deadline-Ms", "Last-Event-Id", "Length-Hint", "Token-Usage"})
+    EXPECT_FALSE(succeeded(platformCalls().ReadHead(headWith({{Name, "many"}})))) << Name;
+}
+
+// A caller that could set the account's name, the instance or the helpers could run its work in
+// another account's name or take another's memory.
+TEST(ARequestHead, CannotSetWhatOnlyTheSystemSays) {
+  const call_interface Calls = platformCalls();
+  for (const char *Name : {"tenant-name", "expected-instance", "helper-instances", "deadline-ms",
+                           "authorization", "last-event-id"})
+    EXPECT_TRUE(Calls.IsSystemHeader(Name)) << Name;
+  EXPECT_FALSE(Calls.IsSystemHeader("attempt-id"));
+  EXPECT_FALSE(Calls.IsSystemHeader("token-usage"));
+}
+
+TEST(AnAttempt, CarriesTheSystemsHeaders) {
+  std::vector<header_line> Lines;
+  attempt_facts Facts;
+  Facts.TimeLeft = std::chrono::milliseconds(1234);
+  Facts.Instance = "i-1";
+  Facts.Account = client_account_name("t1");
+  Facts.LastEvent = 3;
+  Facts.Helpers = {{backend_address("10.0.0.1:1"), "h1"}, {backend_address("10.0.0.2:1"), ""}};
+  platformCalls().WriteAttempt(Facts, Lines);
+  std::map<std::string, std::string> Seen;
+  for (const header_line &Line : Lines)
+    Seen[Line.Name] = Line.Value;
+  EXPECT_EQ(Seen["Deadline-Ms"], "1234");
+  EXPECT_EQ(Seen["Expected-Instance"], "i-1");
+  EXPECT_EQ(Seen["Tenant-Name"], "t1");
+  EXPECT_EQ(Seen["Last-Event-Id"], "3");
+  EXPECT_EQ(Seen["Helper-Instances"], "10.0.0.1:1/h1,10.0.0.2:1");
+}
+
+answer_facts answerWith(unsigned Status, std::vector<std::pair<std::string, std::string>> Lines) {
+  boost::beast::http::response_header<> Head;
+  Head.result(Status);
+  for (const auto &[Name, Value] : Lines)
+    Head.insert(Name, Value);
+  return platformCalls().ReadAnswer(Head, "a1");
+}
+
+TEST(AnAnswerHead, TellsWhoseItIsAndWhetherAnythingRan) {
+  EXPECT_FALSE(answerWith(200, {{"Attempt-Id", "a1"}}).OtherSend);
+  EXPECT_TRUE(answerWith(200, {{"Attempt-Id", "a0"}}).OtherSend);
+  EXPECT_TRUE(answerWith(200, {}).OtherSend) << "a success names its send";
+  EXPECT_TRUE(answerWith(503, {{"Not-Executed", "1"}}).NotRun);
+  EXPECT_TRUE(answerWith(421, {}).NotRun);
+  EXPECT_FALSE(answerWith(503, {{"Attempt-Id", "a1"}}).NotRun);
+  EXPECT_FALSE(answerWith(500, {{"Attempt-Id", "a1"}}).NotRun);
+}
+
+/// A control host whose answers the test sets.
+struct a_control_host : testing::Test {
+  service_answer Answer{service_verdict::Done, {}};
+  revision Offered;
+  std::vector<backend_notice> Notices;
+  std::vector<operator_route> Routes;
+
+  void SetUp() override {
+    control_services Services;
+    Services.Offer = [this](revision Revision, const std::string &) {
+      Offered = Revision;
+      return Answer;
+    };
+    Services.Declared = [this] { return declared_answer{Answer, Offered, Valid}; };
+    Services.Announce = [this](const backend_notice &Notice) {
+      Notices.push_back(Notice);
+      return Answer;
+    };
+    Services.Withdraw = [this](const instance_name &) { return Answer; };
+    Services.OwnUrl = "http://10.0.0.9:1";
+    Routes = platformRoutes(Services);
+  }
+  operator_reply call(const std::string &Method, const std::string &Path,
+                      const std::string &Body = {}) {
+    for (const operator_route &Route : Routes) {
+      const bool Prefix = Route.Path.ends_with('/') && Path.starts_with(Route.Path);
+      if (Route.Method == Method && (Prefix || Route.Path == Path))
+        return Route.Handle({Method, Path, {}, Body});
+    }
+    return {404, {}, {}, {}};
+  }
+};
+
+TEST_F(a_control_host, TakesAConfigurationAndGivesItBack) {
+  EXPECT_EQ(call("GET", "/pollenstall/configuration").Status, 503U) << "none is known yet";
+  EXPECT_EQ(call("PUT", "/pollenstall/configuration", Valid).Status, 200U);
+  EXPECT_EQ(Offered, revision(7));
+  EXPECT_EQ(call("GET", "/pollenstall/configuration").Body, Valid);
+}
+
+TEST_F(a_control_host, NeverAcknowledgesWhatIsInvalid) {
+  EXPECT_EQ(call("PUT", "/pollenstall/configuration", Valid.substr(0, 200)).Status, 400U);
+  EXPECT_EQ(Offered, revision());
+}
+
+TEST_F(a_control_host, SendsCallersToTheLeader) {
+  Answer = {service_verdict::Elsewhere, "http://10.0.0.4:8"};
+  const operator_reply Reply = call("PUT", "/pollenstall/configuration", Valid);
+  EXPECT_EQ(Reply.Status, 307U);
+  EXPECT_EQ(Reply.Location, "http://10.0.0.4:8/pollenstall/configuration");
+  Answer.LeaderUrl.clear();
+  EXPECT_EQ(call("GET", "/pollenstall/configuration").Status, 503U);
+}
+
+// Acknowledged, a leaving engine waits only so long for its last requests. Where nobody can tell
+// the entries, it must ask another host.
+TEST_F(a_control_host, AcknowledgesANoticeOnlyWhereItIsPassedOn) {
+  const std::string Body =
+      R"({"service":"s","address":"10.0.0.1:1","zone":"z","state":"draining","sequence":1})";
+  EXPECT_EQ(call("PUT", "/pollenstall/instances/i-1", Body).Status, 200U);
+  ASSERT_EQ(Notices.size(), 1U);
+  EXPECT_EQ(Notices[0].Instance.str(), "i-1");
+  Answer = {service_verdict::Unavailable, {}};
+  EXPECT_EQ(call("PUT", "/pollenstall/instances/i-1", Body).Status, 503U);
+  EXPECT_EQ(call("DELETE", "/pollenstall/instances/i-1").Status, 503U);
+  EXPECT_EQ(call("PUT", "/pollenstall/instances/i-1", "{").Status, 400U);
+}
+
+} // namespace
+} // namespace pollenstall
