A host that is to stop closes its idle callers' connections at once

Change: idle connections end when the drain begins; what is under way ends with its answer, as before. Tests: AHostThatStops.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -220,7 +220,8 @@
 void decision_thread::updateReadiness(mono_time Now) {
   const bool Usable = declarationUsable(Now) && Seam.viewsUsable(Now) && !Seam.isSuperseded();
   const mono_time Until = Plan.Fixed ? mono_time::max() : Freshness.leaseEnd();
-  const bool Changed = Usable != Ready || (Usable && !Announced);
+  const bool Turned = Usable != Ready;
+  const bool Changed = Turned || (Usable && !Announced);
   const bool Extended = Usable && Until != ToldUntil;
   if (!Changed && !Extended)
     return;
@@ -231,7 +232,8 @@
   Seam.setReady(Usable);
   Ready = Usable;
   Announced = Usable;
-  logEvent(log_level::Info, Usable ? "ready" : "unready");
+  if (Turned)
+    logEvent(log_level::Info, Usable ? "ready" : "unready");
 }
 
 void decision_thread::carryOut(dispatch_action &&Action) {
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -72,7 +72,7 @@
   struct read_plan {
     std::vector<engine_option> Readers;
     double PartMs{0};
-    double FinishMs{0};                 ///< From now to the first event.
+    double FinishMs{0};                   ///< From now to the first event.
     std::map<backend_key, double> Held{}; ///< Tokens kept at readers other than the first.
   };
 
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -64,7 +64,9 @@
 }
 
 asio::awaitable<caller_session::next_step> caller_session::serveOne() {
+  Context.IdleCallers.insert(&Caller->socket());
   auto Read = co_await Caller->readHead();
+  Context.IdleCallers.erase(&Caller->socket());
   if (std::holds_alternative<connection_ended>(Read))
     co_return next_step::Close;
   if (auto *Error = std::get_if<call_error>(&Read)) {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -255,7 +255,13 @@
              std::move(Order));
 }
 
-void relay::beginDrain() { State->Context.Draining = true; }
+void relay::beginDrain() {
+  State->Context.Draining = true;
+  // A caller that kept its connection would send its next request here for as long as it lasts, and
+  // have it refused once this host takes none; without the connection it goes to another host.
+  for (timed_socket *Socket : State->Context.IdleCallers)
+    Socket->expireAt(boot_clock::now());
+}
 void relay::beginStop() { State->Context.Stopping = true; }
 void relay::stop() { State->stop(); }
 std::size_t relay::openCalls() const { return State->Context.Calls.size(); }
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -16,6 +16,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace pollenstall {
 
@@ -40,11 +41,12 @@
   token_estimator Tokens;
   std::map<request_number, std::shared_ptr<relayed_call>> Calls; ///< Without a final answer.
   request_number LastRequest;
-  std::size_t BodyBytes{0};   ///< Held in request bodies, or promised to bodies being read.
-  std::size_t Connections{0}; ///< Callers'.
-  bool Stopping{false};       ///< New requests are refused for good.
-  bool Ended{false};          ///< Every coroutine is to end.
-  bool Draining{false};       ///< Connections end with the answer that is under way.
+  std::size_t BodyBytes{0}; ///< Held in request bodies, or promised to bodies being read.
+  std::set<timed_socket *> IdleCallers; ///< Wait for the next request's first byte.
+  std::size_t Connections{0};           ///< Callers'.
+  bool Stopping{false};                 ///< New requests are refused for good.
+  bool Ended{false};                    ///< Every coroutine is to end.
+  bool Draining{false};                 ///< Connections end with the answer that is under way.
   std::function<void(const call_record &)> AtCallEnd;
 
   /// @return Whether a declaration is in force now.
--- a/tests/relay/headed_call_test.cpp
+++ b/tests/relay/headed_call_test.cpp
@@ -196,6 +196,31 @@
   EXPECT_TRUE(Relay.answer().ends_with("ok"));
 }
 
+// A host that stops is told to. A caller's idle connection to it would carry the next request to a
+// host that takes none any more; closed, the caller goes elsewhere.
+TEST(AHostThatStops, ClosesIdleConnectionsAtOnce) {
+  headed_relay Relay;
+  Relay.connect();
+  auto Answer = std::async(std::launch::async, [&Relay] { return Relay.answer(); });
+  // Asked again until the connection has been accepted.
+  while (Answer.wait_for(std::chrono::milliseconds(5)) != std::future_status::ready)
+    Relay.drain();
+  EXPECT_EQ(Answer.get(), "");
+}
+
+TEST(AHostThatStops, StillServesAndEndsTheConnectionBehindTheAnswer) {
+  const scripted_server Server([](auto &Socket, const seen_request &) {
+    sendText(Socket, "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 2\r\n\r\nok");
+  });
+  headed_relay Relay(repeat_rule::Never);
+  Relay.drain();
+  Relay.call("p");
+  Relay.start(Server, 1, false);
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_EQ(countOf(Relay.answer(), "Connection: close"), 1U);
+}
+
 // The caller hangs up while its stream runs. The decision thread is told, and once it has given the
 // attempt up, the server sees its connection end.
 TEST(ACallerThatLeaves, EndsTheWorkOfItsStream) {
--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -164,11 +164,19 @@
   Thread.join();
 }
 
-void headed_relay::call(const std::string &Body, const std::string &MoreHeaders) {
+void headed_relay::drain() {
+  asio::post(Io, [this] { Relay->beginDrain(); });
+}
+
+void headed_relay::connect() {
   Caller = std::make_unique<tcp::socket>(CallerIo);
   const std::size_t Colon = Address.rfind(':');
   Caller->connect({asio::ip::make_address(Address.substr(0, Colon)),
                    static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)))});
+}
+
+void headed_relay::call(const std::string &Body, const std::string &MoreHeaders) {
+  connect();
   sendText(*Caller, "POST /a/b HTTP/1.1\r\nHost: example.test\r\nX-Send: s1\r\n" + MoreHeaders +
                         "Connection: close\r\nContent-Length: " + std::to_string(Body.size()) +
                         "\r\n\r\n" + Body);
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -73,6 +73,10 @@
 
   /// Sends a request in the background; answer() waits for the end of its connection.
   void call(const std::string &Body, const std::string &MoreHeaders = {});
+  /// Opens a connection on which nothing is sent.
+  void connect();
+  /// The host is to stop soon: see relay::beginDrain().
+  void drain();
   /// Closes the caller's connection without waiting for an answer.
   void hangUp();
   [[nodiscard]] std::string answer();
