--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -30,6 +30,7 @@
   Report.PromptTokens = Ending.PromptTokens;
   Report.AnswerTokens = Ending.AnswerTokens;
   Report.CachedTokens = Ending.CachedTokens;
+  Report.AtFault = Ending.AtFault;
   return Report;
 }
 
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -55,6 +55,7 @@
   const bool Quiet = Record.Outcome == final_outcome::Complete;
   logEvent(Quiet ? log_level::Info : log_level::Warning, "request_ended",
            {{"request", Record.RequestId},
+            {"send", Record.SendName},
             {"attempt", Record.Attempt},
             {"account", Record.Account},
             {"service", Record.Service},
--- a/src/dispatch/dispatch_seam_type.h
+++ b/src/dispatch/dispatch_seam_type.h
@@ -39,6 +39,7 @@
   std::optional<tokens> PromptTokens;
   std::optional<tokens> AnswerTokens;
   std::optional<tokens> CachedTokens;
+  backend_address AtFault{}; ///< As in attempt_failed.
 };
 
 /**
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -129,6 +129,7 @@
 struct attempt_failed {
   attempt_id Attempt;
   attempt_failure Failure{attempt_failure::NotConnected};
+  backend_address AtFault{}; ///< Where the server named another one as the cause.
 };
 /// The backend server confirmed that the attempt holds nothing any more.
 struct cancel_confirmed {
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -148,7 +148,7 @@
 
 void dispatcher::on(const attempt_failed &Event, mono_time Now) {
   if (live_request *Request = withCurrent(Event.Attempt))
-    return failAttempt(*Request, Event.Failure, Now);
+    return failAttempt(*Request, Event, Now);
   ignore();
   abandoned_attempt *Late = Abandoned.find(Event.Attempt);
   if (Late == nullptr || mayHoldMemory(failureInState(Event.Failure, Late->GivenUpIn)))
@@ -168,14 +168,14 @@
   endAbandoned(Event.Attempt, attempt_end::Cancelled, Now);
 }
 
-void dispatcher::failAttempt(live_request &Request, attempt_failure Reported, mono_time Now) {
+void dispatcher::failAttempt(live_request &Request, const attempt_failed &Event, mono_time Now) {
   if (Request.Current->ResumeAt)
     return ignore(); // The connection is broken already; this tells of the same break.
   const attempt_state State = Request.Current->Life.state();
-  const attempt_failure Failure = failureInState(Reported, State);
+  const attempt_failure Failure = failureInState(Event.Failure, State);
   if (resumeAttempt(Request, Failure, Now))
     return;
-  closeAttempt(Request, Failure, Now);
+  closeAttempt(Request, Failure, Now, Event.AtFault);
   // Another engine goes on behind the last event that the caller has.
   const bool GoesOn = Request.Facts.Resumable && mayResume(Failure);
   Request.Answered = Request.Answered || hasAnswered(State);
@@ -200,7 +200,7 @@
 }
 
 void dispatcher::closeAttempt(live_request &Request, std::optional<attempt_failure> Failure,
-                              mono_time Now) {
+                              mono_time Now, const backend_address &AtFault) {
   const bool Proved = Failure && provesNotRun(*Failure);
   const bool HoldsNothing = Failure && !mayHoldMemory(*Failure);
   Request.MayHaveRun = Request.MayHaveRun || !Proved;
@@ -210,10 +210,12 @@
   Request.Current->Life.apply(attempt_step::Fail);
   requireInvariant(Request.Current->Life.state() == attempt_state::Failed,
                    "an attempt that holds nothing has failed", [this] { return text(); });
-  const attempt_ending Ending{Request.Current->Id, Request.Current->Backend,
-                              attempt_end::Failed, Failure,
-                              std::nullopt,        std::nullopt,
-                              std::nullopt};
+  attempt_ending Ending;
+  Ending.Attempt = Request.Current->Id;
+  Ending.Backend = Request.Current->Backend;
+  Ending.End = attempt_end::Failed;
+  Ending.Failure = Failure;
+  Ending.AtFault = AtFault;
   Request.Current.reset();
   reportEnd(Ending, Now);
 }
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -107,8 +107,9 @@
   live_request *withCurrent(const attempt_id &Attempt);
   bool stepCurrent(const attempt_id &Attempt, attempt_step Step);
   void startAttempt(live_request &Request, const work_placement &Placement, mono_time Now);
-  void failAttempt(live_request &Request, attempt_failure Reported, mono_time Now);
-  void closeAttempt(live_request &Request, std::optional<attempt_failure> Failure, mono_time Now);
+  void failAttempt(live_request &Request, const attempt_failed &Event, mono_time Now);
+  void closeAttempt(live_request &Request, std::optional<attempt_failure> Failure, mono_time Now,
+                    const backend_address &AtFault = {});
   void abandon(live_request &Request, std::optional<attempt_failure> Failure, mono_time Now);
   bool resumeAttempt(live_request &Request, attempt_failure Failure, mono_time Now);
   [[nodiscard]] std::uint32_t mostAttempts(const live_request &Request) const;
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -26,7 +26,7 @@
 
 } // namespace
 
-placer::placer(host_name Host, std::uint64_t Seed, const placement_tuning &Values)
+placer::placer(const host_name &Host, std::uint64_t Seed, const placement_tuning &Values)
     : HostHash(stableHash(Host.str())), Random(mixHash(Seed, HostHash)), Tuning(Values) {}
 
 void placer::applyDeclaration(const fleet_declaration &Declaration) {
@@ -254,7 +254,12 @@
   const auto Found = Running.find(Attempt);
   if (Found == Running.end())
     return;
-  if (End.Failure)
+  const auto AtFault = std::find_if(Engines.begin(), Engines.end(), [&End](const auto &Item) {
+    return !End.AtFault.empty() && Item.first.Address == End.AtFault;
+  });
+  if (AtFault != Engines.end())
+    AtFault->second.noteFailure(Tuning, Now);
+  else if (End.Failure)
     blame(Attempt, *End.Failure, Now);
   const auto Engine = Engines.find(Found->second.Parts.front().Backend);
   if (End.Completed && Engine != Engines.end())
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -19,7 +19,7 @@
  */
 class placer {
 public:
-  placer(host_name Host, std::uint64_t Seed, const placement_tuning &Values = {});
+  placer(const host_name &Host, std::uint64_t Seed, const placement_tuning &Values = {});
 
   void applyDeclaration(const fleet_declaration &Declaration);
   void updateBackend(const backend_listing &Listing);
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -134,7 +134,7 @@
     return;
   }
   Context.Metrics.countAttemptEnd(std::string(failureText(*End.Failure)));
-  Context.Outbox.push(attempt_failed{Order.Attempt, *End.Failure});
+  Context.Outbox.push(attempt_failed{Order.Attempt, *End.Failure, AtFault});
 }
 
 asio::awaitable<exchange_end> backend_exchange::perform(errand Errand) {
@@ -274,6 +274,7 @@
   const answer_facts Facts = Context.Interface.ReadAnswer(Message, Call->SendName);
   if (Facts.OtherSend)
     return attempt_failure::BadAnswer;
+  AtFault = Facts.AtFault;
   if (Facts.NotRun)
     return attempt_failure::Declined;
   if (Call->goesOn())
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -89,9 +89,10 @@
   std::uint64_t UnreportedEvents{0};
   bool Answering{false};
   bool Abandoned{false};
-  bool Sent{false};     ///< The first byte went out.
-  bool SentAll{false};  ///< So did the last one.
-  bool Unframed{false}; ///< The answer ends with its connection.
+  bool Sent{false};        ///< The first byte went out.
+  bool SentAll{false};     ///< So did the last one.
+  backend_address AtFault; ///< Named by the server as the cause of a refusal.
+  bool Unframed{false};    ///< The answer ends with its connection.
 };
 
 } // namespace pollenstall
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -66,6 +66,8 @@
 struct answer_facts {
   bool NotRun{false};    ///< The server says that it did not start.
   bool OtherSend{false}; ///< It belongs to another send.
+  backend_address
+      AtFault; ///< Another server because of which nothing ran; empty where none is named.
 };
 
 /// How callers and backend servers of another protocol are spoken to. All hooks are set, or none.
--- a/src/relay/call_record_type.h
+++ b/src/relay/call_record_type.h
@@ -13,7 +13,8 @@
 /// One ended call.
 struct call_record {
   std::string RequestId;
-  std::string Account; ///< Empty where the key was not known.
+  std::string SendName; ///< The caller's own name for it; empty where it gave none.
+  std::string Account;  ///< Empty where the key was not known.
   std::string Service;
   std::string Backend; ///< Of the last attempt; empty where there was none.
   std::string Attempt; ///< The last one.
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -133,6 +133,7 @@
     return;
   call_record Record;
   Record.RequestId = Call.RequestId;
+  Record.SendName = Call.SendName;
   Record.Account = Call.Facts.Account.str();
   Record.Service = Call.Facts.Service.str();
   if (Call.LastBackend)
--- a/src/scheduling/scheduling_type.h
+++ b/src/scheduling/scheduling_type.h
@@ -77,6 +77,7 @@
   std::optional<tokens> PromptTokens;     ///< As the engine counted.
   std::optional<tokens> AnswerTokens;
   std::optional<tokens> CachedTokens;
+  backend_address AtFault{}; ///< Another server that is to blame; empty where none is named.
 };
 
 } // namespace pollenstall
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -162,6 +162,24 @@
   }
 }
 
+// A helper has died. The engine that was to answer refuses and names it: another attempt with the
+// same helper would be refused in the same way, and that was the last one.
+TEST_F(placer_story, AHelperThatIsNamedAsTheCauseIsLeftAlone) {
+  arrive(154'000);
+  const auto First = poll();
+  ASSERT_EQ(First.size(), 1U);
+  const backend_key Dead = First[0].Helpers.front();
+  attempt_report Report;
+  Report.Failure = attempt_failure::Declined;
+  Report.AtFault = Dead.Address;
+  Placer.attemptEnded(attempt(First[0].Request), Report, Now);
+  arrive(154'000);
+  const auto Second = poll();
+  ASSERT_EQ(Second.size(), 1U);
+  EXPECT_NE(Second[0].Backend, Dead);
+  EXPECT_EQ(std::count(Second[0].Helpers.begin(), Second[0].Helpers.end(), Dead), 0);
+}
+
 TEST_F(placer_story, WhatFindsNoPlaceIsRefusedWithATimeToComeBack) {
   std::vector<work_load> Loads;
   for (std::size_t Place = 0; Place < Engines; ++Place)
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -96,7 +96,7 @@
     EXPECT_FALSE(succeeded(readPlatformNotice("i-1", Bad))) << Bad;
 }
 
-request_head headWith(std::vector<std::pair<std::string, std::string>> Lines) {
+request_head headWith(const std::vector<std::pair<std::string, std::string>> &Lines) {
   request_head Head;
   Head.Method = "POST";
   Head.Target = "/x/1";
@@ -160,7 +160,8 @@
   EXPECT_EQ(Seen["Helper-Instances"], "10.0.0.1:1/h1,10.0.0.2:1");
 }
 
-answer_facts answerWith(unsigned Status, std::vector<std::pair<std::string, std::string>> Lines) {
+answer_facts answerWith(unsigned Status,
+                        const std::vector<std::pair<std::string, std::string>> &Lines) {
   boost::beast::http::response_header<> Head;
   Head.result(Status);
   for (const auto &[Name, Value] : Lines)
@@ -174,6 +175,8 @@
   EXPECT_TRUE(answerWith(200, {}).OtherSend) << "a success names its send";
   EXPECT_TRUE(answerWith(503, {{"Not-Executed", "1"}}).NotRun);
   EXPECT_TRUE(answerWith(421, {}).NotRun);
+  EXPECT_EQ(answerWith(503, {{"Not-Executed", "1"}, {"At-Server", "10.0.0.2:1"}}).AtFault.str(),
+            "10.0.0.2:1");
   EXPECT_FALSE(answerWith(503, {{"Attempt-Id", "a1"}}).NotRun);
   EXPECT_FALSE(answerWith(500, {{"Attempt-Id", "a1"}}).NotRun);
 }
