Memory at an engine is given back only after the order that takes it is answered

Cause: an attempt that was given up while an engine was being asked for memory (first time or renewal) sent the release on another connection at once; the engine could carry out the order after it and hold memory for 3.5 s that nobody used. Read in the code, not seen in a run.

--- a/src/relay/memory_holds.cpp
+++ b/src/relay/memory_holds.cpp
@@ -42,10 +42,8 @@
   if (Holds.empty())
     co_return true;
   Asked = true;
-  for (const memory_hold &Hold : Holds) {
-    const bool Held = co_await ask(Hold);
-    if (Held && !Released)
-      continue;
+  const bool Held = co_await askAll(on_refusal::Stop);
+  if (!Held || Released) {
     release();
     co_return false;
   }
@@ -54,21 +52,37 @@
   co_return true;
 }
 
+asio::awaitable<bool> memory_holds::askAll(on_refusal Then) {
+  bool Held = true;
+  Asking = true;
+  for (const memory_hold &Hold : Holds)
+    if (!Released && (Held || Then == on_refusal::GoOn))
+      Held = co_await ask(Hold) && Held;
+  Asking = false;
+  if (Released)
+    startEnd();
+  co_return Held;
+}
+
 asio::awaitable<void> memory_holds::renew() {
   boost::system::error_code Ignored;
   asio::steady_timer Timer(Context.Io);
   while (!Released) {
     Timer.expires_after(RenewInterval);
     co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
-    for (const memory_hold &Hold : Holds)
-      if (!Released)
-        co_await ask(Hold);
+    if (!Released)
+      co_await askAll(on_refusal::GoOn);
   }
 }
 
 void memory_holds::release() {
   if (!Asked || std::exchange(Released, true))
     return;
+  if (!Asking)
+    startEnd();
+}
+
+void memory_holds::startEnd() {
   asio::co_spawn(
       Context.Io, [Self = shared_from_this()] { return Self->end(); }, rethrow);
 }
--- a/src/relay/memory_holds_base.h
+++ b/src/relay/memory_holds_base.h
@@ -24,18 +24,25 @@
 
   /// @return Whether all of them are held; otherwise none is kept.
   boost::asio::awaitable<bool> take();
-  /// Gives them back and renews them no more; may be called again.
+  /// Gives them back and renews them no more; may be called again. Where an engine is being asked
+  /// just now, its answer is waited for: a release that arrives first leaves memory held that
+  /// nobody uses.
   void release();
 
 private:
+  enum class on_refusal { Stop, GoOn };
+  /// @return Whether all engines that were asked hold it.
+  boost::asio::awaitable<bool> askAll(on_refusal Then);
   boost::asio::awaitable<bool> ask(const memory_hold &Hold) const;
   boost::asio::awaitable<void> renew();
+  void startEnd();
   boost::asio::awaitable<void> end();
 
   relay_context &Context;
   const attempt_id Attempt;
   const std::vector<memory_hold> Holds;
-  bool Asked{false};
+  bool Asked{false};  ///< An engine may hold some.
+  bool Asking{false}; ///< An engine's answer is waited for.
   bool Released{false};
 };
 
--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
+#include <poll.h>
+
 #include <future>
 #include <sstream>
 
@@ -43,6 +45,12 @@
     Facts.OtherSend = Head["X-Send"] != SendName;
     return Facts;
   };
+  Calls.TakeHold = [](const hold_facts &Hold) {
+    return backend_call{"POST", "/hold/" + Hold.Name, {}};
+  };
+  Calls.EndHold = [](const std::string &Name) {
+    return backend_call{"POST", "/free/" + Name, {}};
+  };
   return Calls;
 }
 
@@ -91,6 +99,11 @@
   return Requests;
 }
 
+bool scripted_server::anotherWaits() {
+  pollfd Asked{Acceptor.native_handle(), POLLIN, 0};
+  return ::poll(&Asked, 1, 0) == 1;
+}
+
 void scripted_server::serve() {
   while (true) {
     boost::system::error_code Code;
@@ -215,12 +228,23 @@
   asio::post(Io, [this, Shared] { Relay->handle(std::move(*Shared)); });
 }
 
-void headed_relay::start(const scripted_server &Server, std::uint32_t Ordinal, bool MayRetry) {
+void headed_relay::settle() {
+  constexpr int Rounds = 20;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    std::promise<void> Done;
+    asio::post(Io, [&Done] { Done.set_value(); });
+    Done.get_future().wait();
+  }
+}
+
+void headed_relay::start(const scripted_server &Server, std::uint32_t Ordinal, bool MayRetry,
+                         std::vector<memory_hold> Holds) {
   start_attempt Order;
   Order.Attempt = {{host_name("entry"), incarnation(1)}, Facts.Id, Ordinal};
   Order.Backend = Server.key();
   Order.AnswerBy = boot_clock::now() + Limit;
   Order.MayRetry = MayRetry;
+  Order.Holds = std::move(Holds);
   order(std::move(Order));
 }
 
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -39,6 +39,8 @@
 
   [[nodiscard]] backend_key key() const;
   [[nodiscard]] std::vector<seen_request> requests() const;
+  /// For its script: whether another connection waits to be served.
+  [[nodiscard]] bool anotherWaits();
 
 private:
   void serve();
@@ -94,7 +96,10 @@
   }
   void order(relay_order Order);
   /// Orders an attempt of the call that arrived last.
-  void start(const scripted_server &Server, std::uint32_t Ordinal = 1, bool MayRetry = true);
+  void start(const scripted_server &Server, std::uint32_t Ordinal = 1, bool MayRetry = true,
+             std::vector<memory_hold> Holds = {});
+  /// Returns once what was ordered has been begun, as far as it needs no peer's answer.
+  void settle();
   void finish(final_outcome Outcome, failure_reason Reason);
 
   request_facts Facts; ///< Of the call that arrived last.
