--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -48,9 +48,7 @@
   Calls.TakeHold = [](const hold_facts &Hold) {
     return backend_call{"POST", "/hold/" + Hold.Name, {}};
   };
-  Calls.EndHold = [](const std::string &Name) {
-    return backend_call{"POST", "/free/" + Name, {}};
-  };
+  Calls.EndHold = [](const std::string &Name) { return backend_call{"POST", "/free/" + Name, {}}; };
   return Calls;
 }
 
--- a/tests/relay/memory_holds_test.cpp
+++ b/tests/relay/memory_holds_test.cpp
@@ -1,4 +1,5 @@
-/** @file memory_holds_test.cpp Memory of several engines for one prompt: taken, used, given back. */
+/** @file memory_holds_test.cpp Memory of several engines for one prompt: taken, used, given back.
+ */
 #include "headed_relay_base.h"
 
 #include <gtest/gtest.h>
@@ -66,8 +67,9 @@
                                                      "first /free/", "second /free/"}));
 }
 
-// The second engine has no room. The attempt fails before its prompt is sent, and the first engine's
-// memory is given back at once: two prompts that each hold a part would wait for each other.
+// The second engine has no room. The attempt fails before its prompt is sent, and the first
+// engine's memory is given back at once: two prompts that each hold a part would wait for each
+// other.
 TEST_F(memory_of_two_engines, IsGivenBackWhereOneOfThemRefuses) {
   const scripted_server First(answering("first", Held));
   const scripted_server Second(answering("second", NoRoom));
