Tell a choice for a long prompt before acting on it; of two entries one gives way

Cause: two entries that wait for idle engines see one become free in the same moment and both read there. Change: a choice of more than one engine or over 60 ms is a claim for 6 ms. It is told at once, and given up where an entry with a lower hash has told reading there; then it is chosen anew. Test: DoNotReadTwoPromptsOnOneEngine (17 engines shared before, 0 after; seen failing with the comparison taken out), AClaimHoldsAfterItsTime, AClaimOnAnEngineThatLeavesIsMadeAnew. The stories' poll() lets claims run out; none of their expectations changed.

--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -69,6 +69,7 @@
   [[nodiscard]] bool isSuperseded() const { return Superseded; }
   [[nodiscard]] std::size_t liveRequests() const { return Dispatcher.liveRequests(); }
   [[nodiscard]] std::size_t abandonedAttempts() const { return Dispatcher.abandonedAttempts(); }
+  [[nodiscard]] std::uint64_t claimsMade() const { return Placer.claimsMade(); }
   [[nodiscard]] std::size_t queued() const {
     return usesPlacer() ? Placer.queued() : Scheduler.queued();
   }
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -193,8 +193,11 @@
 }
 
 void decision_thread::tellLoads(mono_time Now) {
-  if (!Share || Now - LoadsToldAt < LoadInterval)
+  // A claim is told before it is acted upon, whatever was told a moment ago.
+  const bool Claimed = Seam.claimsMade() != ToldClaims;
+  if (!Share || (Now - LoadsToldAt < LoadInterval && !Claimed))
     return;
+  ToldClaims = Seam.claimsMade();
   std::vector<work_load> Loads = Seam.ownLoads(Now);
   const bool Due = Now - LoadsToldAt >= LoadRepeat && !Loads.empty();
   if (Loads == ToldLoads && !Due)
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -108,6 +108,7 @@
   work_share *Share{nullptr};
   std::vector<std::string> WorkPeers;
   std::vector<work_load> ToldLoads;
+  std::uint64_t ToldClaims{0}; ///< Of placer::claimsMade().
   mono_time LoadsToldAt{};
   wake_gate Gate;
   std::unique_ptr<control_link> Control;
--- a/src/placement/engine_state.cpp
+++ b/src/placement/engine_state.cpp
@@ -9,15 +9,28 @@
   Peers[Peer] = {Load, Now};
 }
 
+double engine_state::peer_load::readMs(mono_time Now) const {
+  return std::max(0.0,
+                  Load.ReadMs - std::chrono::duration<double, std::milli>(Now - Heard).count());
+}
+
+bool engine_state::readBy(std::uint64_t HostHash, double MoreThanMs, mono_time Now,
+                          mono_span Silence) const {
+  return std::any_of(Peers.begin(), Peers.end(), [&](const auto &Item) {
+    const auto &[Peer, Known] = Item;
+    return stableHash(Peer.str()) < HostHash && Now - Known.Heard <= Silence &&
+           Known.readMs(Now) > MoreThanMs;
+  });
+}
+
 engine_view engine_state::peerWork(mono_time Now, mono_span Silence) const {
   engine_view Sum;
   for (const auto &[Peer, Known] : Peers) {
     if (Now - Known.Heard > Silence)
       continue;
-    const double Since = std::chrono::duration<double, std::milli>(Now - Known.Heard).count();
     Sum.Requests += Known.Load.Requests;
     Sum.Writers += Known.Load.Writers;
-    Sum.ReadMs += std::max(0.0, Known.Load.ReadMs - Since);
+    Sum.ReadMs += Known.readMs(Now);
     Sum.Tokens += Known.Load.Tokens;
   }
   return Sum;
--- a/src/placement/engine_state_base.h
+++ b/src/placement/engine_state_base.h
@@ -30,6 +30,10 @@
   /// @return The work of other entries that have spoken lately. Reading they told of has gone on.
   [[nodiscard]] engine_view peerWork(mono_time Now, mono_span Silence) const;
 
+  /// @return Whether an entry that goes first, by its hash, has more than this to read here.
+  [[nodiscard]] bool readBy(std::uint64_t HostHash, double MoreThanMs, mono_time Now,
+                            mono_span Silence) const;
+
   /// An attempt failed for a reason that is the server's.
   void noteFailure(const placement_tuning &Tuning, mono_time Now);
   void noteSuccess() { Failures = 0; }
@@ -44,6 +48,9 @@
   struct peer_load {
     work_load Load;
     mono_time Heard;
+
+    /// @return Milliseconds; what was told has gone on since.
+    [[nodiscard]] double readMs(mono_time Now) const;
   };
 
   backend_listing Listing;
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -37,6 +37,10 @@
   double MemoryPart{0.94};
   /// Engines beside the first that keep memory of one prompt.
   std::uint32_t MostHolders{3};
+  /// So long an entry holds its choice for a long prompt back after it has told it: two entries
+  /// that see an engine become free in the same moment would both read there, and the part that
+  /// came first would be done last, seconds late. Twice the way to a peer.
+  mono_span ClaimSpan{std::chrono::milliseconds(6)};
   /// A prompt is not cut into shorter parts.
   double PartMs{80.0};
   /// An engine with no more than this to read counts as idle.
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -111,6 +111,7 @@
 
 void placer::withdraw(request_number Request) {
   Waiting.erase(Request);
+  Claimed.erase(Request);
   Placed.erase(Request);
 }
 
@@ -153,6 +154,7 @@
 
 poll_outcome placer::poll(mono_time Now) {
   poll_outcome Outcome;
+  settleClaims(Now, Outcome);
   expireLate(Now, Outcome);
   Own = ownWork(Now);
   for (const request_number Request : order(Now)) {
@@ -163,10 +165,42 @@
     Waiting.erase(Request);
     start(Work, *Plan, Now, Outcome);
   }
+  setNextWake(Now);
+  return Outcome;
+}
+
+void placer::setNextWake(mono_time Now) {
   NextWake.reset();
   if (!Waiting.empty())
     NextWake = Now + Tuning.PollInterval;
-  return Outcome;
+  for (const auto &[Request, Claim] : Claimed)
+    NextWake = std::min(NextWake.value_or(Claim.Due), Claim.Due);
+}
+
+void placer::settleClaims(mono_time Now, poll_outcome &Outcome) {
+  for (auto At = Claimed.begin(); At != Claimed.end();) {
+    claimed_work &Claim = At->second;
+    if (Now < Claim.Due) {
+      ++At;
+      continue;
+    }
+    if (givesWay(Claim, Now)) {
+      Waiting.insert_or_assign(At->first, std::move(Claim.Work));
+    } else {
+      Placed.insert_or_assign(At->first, std::move(Claim.Started));
+      Outcome.Placements.push_back(std::move(Claim.Placement));
+    }
+    At = Claimed.erase(At);
+  }
+}
+
+bool placer::givesWay(const claimed_work &Claim, mono_time Now) const {
+  return std::any_of(
+      Claim.Started.Parts.begin(), Claim.Started.Parts.end(), [&](const reading_part &Part) {
+        const auto Engine = Engines.find(Part.Backend);
+        return Engine == Engines.end() || !Engine->second.active() ||
+               Engine->second.readBy(HostHash, Tuning.IdleReadMs, Now, Tuning.PeerSilence);
+      });
 }
 
 void placer::start(const waiting_work &Work, const read_plan &Plan, mono_time Now,
@@ -192,6 +226,13 @@
   for (const auto &[Key, Amount] : Plan.Held)
     Placement.Holds.push_back({Key, tokens(static_cast<std::int64_t>(Amount))});
   addWork(Own, Started, Now);
+  if (Plan.Readers.size() > 1 || Plan.PartMs > Tuning.WholeReadMs) {
+    ++ClaimsMade;
+    Claimed.insert_or_assign(
+        Work.Item.Request,
+        claimed_work{Work, std::move(Started), std::move(Placement), Now + Tuning.ClaimSpan});
+    return;
+  }
   Placed.insert_or_assign(Work.Item.Request, std::move(Started));
   Outcome.Placements.push_back(std::move(Placement));
 }
@@ -212,6 +253,8 @@
 
 placer::own_work placer::ownWork(mono_time Now) const {
   own_work Sum;
+  for (const auto &[Request, Claim] : Claimed)
+    addWork(Sum, Claim.Started, Now);
   for (const auto &[Request, Work] : Placed)
     addWork(Sum, Work, Now);
   for (const auto &[Attempt, Work] : Running)
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -43,7 +43,9 @@
 
   /// @return What this entry has under way, for the others.
   [[nodiscard]] std::vector<work_load> ownLoads(mono_time Now) const;
-  [[nodiscard]] std::size_t queued() const { return Waiting.size(); }
+  /// @return How many choices were ever held back. Each is to be told to the others at once.
+  [[nodiscard]] std::uint64_t claimsMade() const { return ClaimsMade; }
+  [[nodiscard]] std::size_t queued() const { return Waiting.size() + Claimed.size(); }
   /// @return JSON of the queue and of each backend server.
   [[nodiscard]] std::string dump(mono_time Now) const;
 
@@ -64,6 +66,13 @@
     std::vector<reading_part> Parts; ///< The first is at the engine that answers.
     bool Answered{false};
   };
+  /// A choice that the other entries are being told of.
+  struct claimed_work {
+    waiting_work Work;
+    running_work Started;
+    work_placement Placement;
+    mono_time Due; ///< When it holds, unless an entry that goes first has told the same.
+  };
   struct engine_option {
     engine_state *Engine{nullptr};
     engine_view View;
@@ -117,6 +126,9 @@
   std::optional<read_plan> chooseHolders(std::vector<reader_option> Readers,
                                          const engine_figures &Figures, double Memory,
                                          double WholeMs, double LeftMs) const;
+  void settleClaims(mono_time Now, poll_outcome &Outcome);
+  [[nodiscard]] bool givesWay(const claimed_work &Claim, mono_time Now) const;
+  void setNextWake(mono_time Now);
   [[nodiscard]] bool isLate(const waiting_work &Work, mono_time Now) const;
   [[nodiscard]] double memoryOf(const work_item &Item) const;
   void blame(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
@@ -128,6 +140,8 @@
   double ShortestGapMs{0}; ///< Declared; 0 where none is.
   std::map<backend_key, engine_state> Engines;
   std::map<request_number, waiting_work> Waiting;
+  std::map<request_number, claimed_work> Claimed;
+  std::uint64_t ClaimsMade{0};
   std::map<request_number, running_work> Placed; ///< Without an attempt yet.
   std::map<attempt_id, running_work> Running;
   own_work Own; ///< As of the present poll.
--- a/tests/placement/placer_story.h
+++ b/tests/placement/placer_story.h
@@ -22,6 +22,7 @@
   placer Placer{host_name("entry-1"), 1};
   mono_time Now{1h};
   std::uint64_t LastRequest{0};
+  std::uint64_t SettledClaims{0};
   std::map<request_number, work_item> Items;
 
   void SetUp() override {
@@ -82,8 +83,18 @@
     EXPECT_TRUE(succeeded(Placer.submit(Item, Now)));
     return Item.Request;
   }
-  /// Places what can be placed and starts it.
+  /// Places what can be placed and starts it; what is only claimed has its time run out at once.
   std::vector<work_placement> poll() {
+    std::vector<work_placement> Placements = pollOnce();
+    if (Placer.claimsMade() == SettledClaims)
+      return Placements;
+    SettledClaims = Placer.claimsMade();
+    Now += placement_tuning().ClaimSpan;
+    const std::vector<work_placement> Settled = pollOnce();
+    Placements.insert(Placements.end(), Settled.begin(), Settled.end());
+    return Placements;
+  }
+  std::vector<work_placement> pollOnce() {
     const poll_outcome Outcome = Placer.poll(Now);
     for (const work_placement &Placement : Outcome.Placements)
       Placer.attemptStarted(attempt(Placement.Request), Items.at(Placement.Request),
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -107,6 +107,95 @@
       EXPECT_NE(Helper.Life, Load.Life);
 }
 
+/// Two entries that hear of each other only between polls.
+struct two_entries : placer_story {
+  placer Other{host_name("entry-2"), 2};
+
+  void SetUp() override {
+    placer_story::SetUp();
+    Other.applyDeclaration(declaration());
+    for (std::size_t Place = 0; Place < Engines; ++Place)
+      Other.updateBackend(listing(Place));
+  }
+  /// Each hears what the other one has under way.
+  void tell() {
+    const auto Mine = Placer.ownLoads(Now);
+    Placer.takePeerLoads(host_name("entry-2"), Other.ownLoads(Now), Now);
+    Other.takePeerLoads(host_name("entry-1"), Mine, Now);
+  }
+  /// @return How many engines were given parts of more than one of these.
+  static std::size_t shared(const std::vector<work_placement> &Placements) {
+    std::map<backend_key, int> Count;
+    for (const work_placement &Placement : Placements) {
+      ++Count[Placement.Backend];
+      for (const backend_key &Helper : Placement.Helpers)
+        ++Count[Helper];
+    }
+    return static_cast<std::size_t>(std::count_if(
+        Count.begin(), Count.end(), [](const auto &Item) { return Item.second > 1; }));
+  }
+};
+
+// A long prompt comes to each of two entries in the same moment, and both see the same idle
+// engines. One of them is to be read at once; the other caller waits until engines are free, and
+// neither finds its first token behind the other's whole prompt.
+TEST_F(two_entries, DoNotReadTwoPromptsOnOneEngine) {
+  const request_number Request = arrive(154'000);
+  EXPECT_TRUE(succeeded(Other.submit(Items.at(Request), Now)));
+  std::vector<work_placement> Placed;
+  const auto Poll = [&] {
+    for (placer *Entry : {&Placer, &Other})
+      for (const work_placement &Placement : Entry->poll(Now).Placements) {
+        Entry->attemptStarted(attempt(Placement.Request), Items.at(Request), Placement.Backend,
+                              Now);
+        Placed.push_back(Placement);
+      }
+  };
+  Poll();
+  Now += 2ms;
+  tell();
+  Now += placement_tuning().ClaimSpan;
+  Poll();
+  tell();
+  EXPECT_GE(Placed.size(), 1U) << "one of them goes on";
+  Now += placement_tuning().ClaimSpan;
+  Poll();
+  EXPECT_EQ(shared(Placed), 0U);
+}
+
+// A claim that nobody else has told of is acted upon once its time is over, and its engine is not
+// given away meanwhile. One whose caller has left is forgotten.
+TEST_F(placer_story, AClaimHoldsAfterItsTime) {
+  const request_number Request = arrive(154'000);
+  EXPECT_TRUE(pollOnce().empty());
+  EXPECT_FALSE(Placer.ownLoads(Now).empty()) << "the others are told before it starts";
+  ASSERT_TRUE(Placer.nextWake());
+  EXPECT_EQ(*Placer.nextWake(), Now + placement_tuning().ClaimSpan);
+  Now = *Placer.nextWake();
+  EXPECT_EQ(pollOnce().size(), 1U);
+  end(Request);
+  const request_number Left = arrive(154'000);
+  EXPECT_TRUE(pollOnce().empty());
+  Placer.withdraw(Left);
+  EXPECT_TRUE(Placer.ownLoads(Now).empty());
+  Now += placement_tuning().ClaimSpan;
+  EXPECT_TRUE(pollOnce().empty());
+}
+
+// The engine that a claim named leaves before it is acted upon: the work is placed elsewhere.
+TEST_F(placer_story, AClaimOnAnEngineThatLeavesIsMadeAnew) {
+  arrive(154'000);
+  EXPECT_TRUE(pollOnce().empty());
+  for (std::size_t Place = 0; Place < Engines; Place += 2)
+    Placer.removeBackend(listing(Place).Key);
+  Now += placement_tuning().ClaimSpan;
+  EXPECT_TRUE(pollOnce().empty());
+  Now += placement_tuning().ClaimSpan;
+  const auto Placed = pollOnce();
+  ASSERT_EQ(Placed.size(), 1U);
+  EXPECT_LT(Placed[0].Helpers.size(), Engines / 2);
+}
+
 TEST_F(placer_story, ASilentEntrysWorkCountsNoLonger) {
   std::vector<work_load> Loads;
   for (std::size_t Place = 0; Place < Engines; ++Place)
