--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -161,6 +161,7 @@
                            .workAddress(Share ? Share->address() : std::string())
                            .renewEvery(Settings.ControlRenew)
                            .answerWithin(Settings.ControlAnswer)
+                           .connectWithin(Settings.ControlConnect)
                            .onEvents([this] { Decision->wake(); })
                            .start());
 }
--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -75,6 +75,9 @@
       .span("control.answer_within_ms", &entry_settings::ControlAnswer,
             {milliseconds(2000), milliseconds(100), Minute},
             "A control host that is silent for longer is given up for another one.")
+      .span("control.connect_within_ms", &entry_settings::ControlConnect,
+            {milliseconds(1000), milliseconds(10), Minute},
+            "A control host that cannot be reached by then is given up for another one.")
       .text("declaration.file", &entry_settings::DeclarationFile, presence::Optional, "a path", {},
             "A fixed declaration instead of control hosts, for trials: it is read once, no lease "
             "bounds it, and calls with an idempotency key that must run once are refused.");
--- a/programs/pollenstall-entry/entry_settings_type.h
+++ b/programs/pollenstall-entry/entry_settings_type.h
@@ -38,6 +38,7 @@
   std::chrono::milliseconds RetryWindow{};
   std::chrono::milliseconds ControlRenew{};
   std::chrono::milliseconds ControlAnswer{};
+  std::chrono::milliseconds ControlConnect{};
   std::chrono::milliseconds ReadyWait{};
   std::chrono::milliseconds DrainTime{};
   std::chrono::milliseconds KillAfter{};
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -92,7 +92,7 @@
   }
 
   void watchConnection(mono_time Now) {
-    if (Now - LastHeard > Plan.AnswerWithin)
+    if (Now - LastHeard > (Open ? Plan.AnswerWithin : Plan.ConnectWithin))
       return lose(Now);
     if (Open && Now >= NextRenew)
       renew(Now);
@@ -128,6 +128,7 @@
 
   void opened() {
     Open = true;
+    LastHeard = boot_clock::now();
     send(link_subscribe{Plan.Process, Plan.Domain, Plan.WorkAddress});
     renew(boot_clock::now());
     for (const link_request &Message : Ledger.unanswered())
@@ -337,6 +338,11 @@
   return *this;
 }
 
+control_link_builder &control_link_builder::connectWithin(milliseconds Limit) {
+  Plan.ConnectWithin = Limit;
+  return *this;
+}
+
 control_link_builder &control_link_builder::backOff(milliseconds Min, milliseconds Max) {
   Plan.BackOffMin = Min;
   Plan.BackOffMax = Max;
--- a/src/control_link/control_link_base.h
+++ b/src/control_link/control_link_base.h
@@ -22,8 +22,11 @@
   std::string WorkAddress; ///< Where other entries tell of their work; may be empty.
   std::chrono::milliseconds RenewEvery{500};    ///< Between two requests for the lease.
   std::chrono::milliseconds AnswerWithin{2000}; ///< A silent control host is given up after this.
-  std::chrono::milliseconds BackOffMin{50};     ///< Between two attempts to connect.
-  std::chrono::milliseconds BackOffMax{1000};
+  /// A connection that is not open by then is given up: a host without power answers nothing, and
+  /// the system's own next try at it comes after a second only.
+  std::chrono::milliseconds ConnectWithin{1000};
+  std::chrono::milliseconds BackOffMin{50}; ///< Between two attempts to connect.
+  std::chrono::milliseconds BackOffMax{200};
   std::size_t RingCapacity{4096};
   std::function<void()> WakeEntry; ///< Called on the link's thread when events wait.
 };
@@ -70,6 +73,7 @@
   control_link_builder &onEvents(std::function<void()> Wake);
   control_link_builder &renewEvery(std::chrono::milliseconds Interval);
   control_link_builder &answerWithin(std::chrono::milliseconds Limit);
+  control_link_builder &connectWithin(std::chrono::milliseconds Limit);
   control_link_builder &backOff(std::chrono::milliseconds Min, std::chrono::milliseconds Max);
   /// Capacity of each ring.
   control_link_builder &ringCapacity(std::size_t Items);
