--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -27,6 +27,13 @@
   return valueOf(std::move(Parsed));
 }
 
+void logFailure(const attempt_failed &Failed) {
+  logEvent(log_level::Warning, "attempt_failed",
+           {{"attempt", toText(Failed.Attempt)},
+            {"failure", std::string(attemptFailureText(Failed.Failure))},
+            {"at_fault", Failed.AtFault.str()}});
+}
+
 void logStart(const start_attempt &Start) {
   std::string Helpers;
   for (const backend_key &Helper : Start.Helpers)
@@ -108,8 +115,11 @@
   Events.drain([this](dispatch_event &&Event) { Batch.push_back(std::move(Event)); });
   const mono_time Now = boot_clock::now();
   updateReadiness(Now);
-  for (const dispatch_event &Event : std::exchange(Batch, {}))
+  for (const dispatch_event &Event : std::exchange(Batch, {})) {
+    if (const auto *Failed = std::get_if<attempt_failed>(&Event))
+      logFailure(*Failed);
     Seam.take(Event, Now);
+  }
   for (dispatch_action &Action : Seam.step(Now))
     carryOut(std::move(Action));
   for (const backend_key &Engine : Seam.enginesToList(Now))
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -2,6 +2,7 @@
 #include "relay/backend_exchange_base.h"
 
 #include "relay/attempt_head_func.h"
+#include "relay/call_error_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -31,27 +32,6 @@
 /// An exchange outlives the request's deadline by this at most; the decision thread ends it before.
 constexpr std::chrono::seconds DeadlineGrace{5};
 
-std::string_view failureText(attempt_failure Failure) {
-  switch (Failure) {
-  case attempt_failure::NotConnected:
-    return "not_connected";
-  case attempt_failure::Declined:
-    return "declined";
-  case attempt_failure::BrokenUnsent:
-    return "broken_unsent";
-  case attempt_failure::BrokenSent:
-    return "broken_sent";
-  case attempt_failure::BrokenMidway:
-    return "broken_midway";
-  case attempt_failure::ErrorAnswer:
-    return "error_answer";
-  case attempt_failure::BadAnswer:
-    return "bad_answer";
-  default:
-    return "timed_out";
-  }
-}
-
 /// @return How long a server that says "timeout=SECONDS" keeps an idle connection, less a margin
 /// for the way; nothing where it does not say.
 std::optional<std::chrono::milliseconds> idleLimitOf(boost::beast::string_view KeepAlive) {
@@ -133,7 +113,7 @@
                                           End.Usage.AnswerTokens, End.Usage.CachedTokens});
     return;
   }
-  Context.Metrics.countAttemptEnd(std::string(failureText(*End.Failure)));
+  Context.Metrics.countAttemptEnd(std::string(attemptFailureText(*End.Failure)));
   Context.Outbox.push(attempt_failed{Order.Attempt, *End.Failure, AtFault});
 }
 
--- a/src/relay/call_error.cpp
+++ b/src/relay/call_error.cpp
@@ -148,6 +148,27 @@
   return boost::json::serialize(Body);
 }
 
+std::string_view attemptFailureText(attempt_failure Failure) {
+  switch (Failure) {
+  case attempt_failure::NotConnected:
+    return "not_connected";
+  case attempt_failure::Declined:
+    return "declined";
+  case attempt_failure::BrokenUnsent:
+    return "broken_unsent";
+  case attempt_failure::BrokenSent:
+    return "broken_sent";
+  case attempt_failure::BrokenMidway:
+    return "broken_midway";
+  case attempt_failure::ErrorAnswer:
+    return "error_answer";
+  case attempt_failure::BadAnswer:
+    return "bad_answer";
+  default:
+    return "timed_out";
+  }
+}
+
 std::string_view outcomeText(final_outcome Outcome) {
   switch (Outcome) {
   case final_outcome::Complete:
--- a/src/relay/call_error_func.h
+++ b/src/relay/call_error_func.h
@@ -27,6 +27,8 @@
 
 /// @return "complete", "not-run" or "unknown", as headers, bodies, logs and metrics write it.
 std::string_view outcomeText(final_outcome Outcome);
+/// @return Name of the failure in logs and metrics.
+std::string_view attemptFailureText(attempt_failure Failure);
 
 /// @return The reason in lower snake case, as codes, logs and metrics write it.
 std::string_view reasonText(failure_reason Reason);
