The rest of a broken answer is not refused for the request's age

Change: the bound counts from when this attempt began to wait, and a rest waits until the deadline: its refusal would cut an answer of which the caller has a part. Tests: AnAnswerThatBreaksOffLateIsNotRefusedForItsAge, ASecondAttemptHasItsOwnTimeToWait; both failed before.

--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -104,7 +104,7 @@
     return work_refusal{failure_reason::NoBackend, RetrySoon};
   if (const auto Refusal = refusalFor(Item, *Service))
     return *Refusal;
-  Waiting.insert_or_assign(Item.Request, waiting_work{Item, *Service});
+  Waiting.insert_or_assign(Item.Request, waiting_work{Item, *Service, Now});
   NextWake = Now;
   return done{};
 }
@@ -143,7 +143,8 @@
   for (auto At = Waiting.begin(); At != Waiting.end();) {
     const work_item &Item = At->second.Item;
     const double Whole = millisUntil(Item.Deadline, Item.Arrived);
-    if (millisUntil(Now, Item.Arrived) < Whole * Tuning.WaitPart) {
+    // A refusal would cut an answer that the caller has a part of: it waits until its deadline.
+    if (Item.Resumed || millisUntil(Now, At->second.Since) < Whole * Tuning.WaitPart) {
       ++At;
       continue;
     }
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -53,6 +53,7 @@
   struct waiting_work {
     work_item Item;
     service_name Service; ///< Drawn by the route's weights.
+    mono_time Since;      ///< When this attempt began to wait.
   };
   /// A reader of one prompt.
   struct reading_part {
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -269,6 +269,41 @@
   EXPECT_EQ(std::count(Second[0].Helpers.begin(), Second[0].Helpers.end(), Dead), 0);
 }
 
+// An engine dies 3.5 s after the request came, in the middle of its answer. The rest is to come
+// from another engine at once; the time that the request has had already is no reason to refuse it.
+// Where no engine is free it goes on waiting: a refusal would cut an answer that the caller has
+// half of.
+TEST_F(placer_story, AnAnswerThatBreaksOffLateIsNotRefusedForItsAge) {
+  const request_number Request = arrive(5'000);
+  ASSERT_EQ(poll().size(), 1U);
+  answer(Request);
+  Now += 3500ms;
+  end(Request);
+  work_item Rest = Items.at(Request);
+  Rest.Resumed = true;
+  std::vector<work_load> Loads;
+  for (std::size_t Place = 0; Place < Engines; ++Place)
+    Loads.push_back({listing(Place).Key.Life, 16, 16, 5'000, 300'000});
+  Placer.takePeerLoads(host_name("entry-2"), Loads, Now);
+  EXPECT_TRUE(succeeded(Placer.submit(Rest, Now)));
+  EXPECT_TRUE(Placer.poll(Now).Expiries.empty());
+  Placer.takePeerLoads(host_name("entry-2"), {}, Now);
+  EXPECT_EQ(poll().size(), 1U);
+}
+
+// The first attempt failed after 3.5 s without a byte of an answer. The second one may wait as long
+// as the first one could have.
+TEST_F(placer_story, ASecondAttemptHasItsOwnTimeToWait) {
+  const request_number Request = arrive(5'000);
+  ASSERT_EQ(poll().size(), 1U);
+  Now += 3500ms;
+  end(Request);
+  EXPECT_TRUE(succeeded(Placer.submit(Items.at(Request), Now)));
+  const poll_outcome Outcome = Placer.poll(Now);
+  EXPECT_TRUE(Outcome.Expiries.empty());
+  EXPECT_EQ(Outcome.Placements.size(), 1U);
+}
+
 TEST_F(placer_story, WhatFindsNoPlaceIsRefusedWithATimeToComeBack) {
   std::vector<work_load> Loads;
   for (std::size_t Place = 0; Place < Engines; ++Place)
