--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -130,6 +130,18 @@
     EXPECT_FALSE(succeeded(platformCalls().ReadHead(headWith({{Name, "many"}})))) << Name;
 }
 
+// A number too large for 64 bits, or for its sign, must not become a small or a negative one: a
+// prompt of minus one token fits everywhere, and a time of minus one is over.
+TEST(ARequestHead, WithAHugeNumberStaysHuge) {
+  for (const std::string Huge : {"18446744073709551615", "99999999999999999999999999"}) {
+    const auto Read = platformCalls().ReadHead(
+        headWith({{"Deadline-Ms", Huge}, {"Token-Usage", Huge + "," + Huge}}));
+    ASSERT_TRUE(succeeded(Read)) << Huge;
+    EXPECT_GT(valueOf(Read).TimeLeft->count(), 1'000'000'000) << Huge;
+    EXPECT_GT((valueOf(Read).Prompt + valueOf(Read).AnswerLimit).value(), 1'000'000'000) << Huge;
+  }
+}
+
 // A caller that could set the account's name, the instance or the helpers could run its work in
 // another account's name or take another's memory.
 TEST(ARequestHead, CannotSetWhatOnlyTheSystemSays) {
--- a/tests/relay/memory_holds_test.cpp
+++ b/tests/relay/memory_holds_test.cpp
@@ -49,6 +49,12 @@
     };
   }
 
+  static void callWithHolds(headed_relay &Relay, const scripted_server &Writer,
+                            std::vector<memory_hold> Holds) {
+    Relay.call("p");
+    Relay.start(Writer, 1, true, std::move(Holds));
+  }
+
   shared_order Order;
   const std::string Ok = "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 2\r\n\r\nok";
 };
@@ -58,8 +64,7 @@
   const scripted_server Second(answering("second", Held));
   const scripted_server Writer(answering("writer", Ok));
   headed_relay Relay;
-  Relay.call("p");
-  Relay.start(Writer, 1, true, {{First.key(), Amount}, {Second.key(), Amount}});
+  callWithHolds(Relay, Writer, {{First.key(), Amount}, {Second.key(), Amount}});
   Relay.next<attempt_completed>();
   Relay.finish(final_outcome::Complete, failure_reason::None);
   EXPECT_TRUE(Relay.answer().ends_with("ok"));
@@ -75,8 +80,7 @@
   const scripted_server Second(answering("second", NoRoom));
   const scripted_server Writer(answering("writer", Ok));
   headed_relay Relay;
-  Relay.call("p");
-  Relay.start(Writer, 1, true, {{First.key(), Amount}, {Second.key(), Amount}});
+  callWithHolds(Relay, Writer, {{First.key(), Amount}, {Second.key(), Amount}});
   EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::Declined);
   EXPECT_EQ(Order.wait(4), (std::vector<std::string>{"first /hold/", "second /hold/",
                                                      "first /free/", "second /free/"}));
@@ -103,8 +107,7 @@
   Self = &First;
   const scripted_server Writer(answering("writer", Ok));
   headed_relay Relay;
-  Relay.call("p");
-  Relay.start(Writer, 1, true, {{First.key(), Amount}});
+  callWithHolds(Relay, Writer, {{First.key(), Amount}});
   Asked.get_future().wait();
   Relay.order(cancel_order{
       {{{host_name("entry"), incarnation(1)}, Relay.Facts.Id, 1}, Writer.key()}, false});
