--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -72,7 +72,7 @@
 
 std::variant<done, work_refusal> decision_seam::submit(const work_item &Item, mono_time Now) {
   PollDue = true;
-  auto Taken = usesPlacer() ? Placer.submit(Item, Now) : Scheduler.submit(Item, Now);
+  auto Taken = withPolicy([&](auto &Policy) { return Policy.submit(Item, Now); });
   if (succeeded(Taken))
     Waiting.insert_or_assign(Item.Request, Item);
   return Taken;
@@ -80,25 +80,16 @@
 
 void decision_seam::withdraw(request_number Request) {
   Waiting.erase(Request);
-  if (usesPlacer())
-    Placer.withdraw(Request);
-  else
-    Scheduler.withdraw(Request);
+  withPolicy([&](auto &Policy) { Policy.withdraw(Request); });
 }
 
 void decision_seam::noteAnswering(const attempt_id &Attempt, mono_time Now) {
   PollDue = true;
-  if (usesPlacer())
-    Placer.attemptAnswering(Attempt, Now);
-  else
-    Scheduler.attemptAnswering(Attempt, Now);
+  withPolicy([&](auto &Policy) { Policy.attemptAnswering(Attempt, Now); });
 }
 
 void decision_seam::noteBroken(const attempt_id &Attempt, attempt_failure Failure, mono_time Now) {
-  if (usesPlacer())
-    Placer.attemptBroken(Attempt, Failure, Now);
-  else
-    Scheduler.attemptBroken(Attempt, Failure, Now);
+  withPolicy([&](auto &Policy) { Policy.attemptBroken(Attempt, Failure, Now); });
 }
 
 std::vector<candidate_group> decision_seam::groupsFor(const request_facts &Facts) const {
@@ -124,26 +115,17 @@
   requireInvariant(Found != Waiting.end(), "an attempt starts for work that was submitted");
   const work_item Item = std::move(Found->second);
   Waiting.erase(Found);
-  if (usesPlacer())
-    Placer.attemptStarted(Start.Attempt, Item, Start.Backend, Now);
-  else
-    Scheduler.attemptStarted(Start.Attempt, Item, Start.Backend, Now);
+  withPolicy([&](auto &Policy) { Policy.attemptStarted(Start.Attempt, Item, Start.Backend, Now); });
 }
 
 void decision_seam::noteEnd(const attempt_ending &Ending, mono_time Now) {
   PollDue = true;
-  if (usesPlacer())
-    Placer.attemptEnded(Ending.Attempt, reportOf(Ending), Now);
-  else
-    Scheduler.attemptEnded(Ending.Attempt, reportOf(Ending), Now);
+  withPolicy([&](auto &Policy) { Policy.attemptEnded(Ending.Attempt, reportOf(Ending), Now); });
 }
 
 void decision_seam::useDeclaration(declaration_view View) {
   Declaration = std::move(View);
-  if (usesPlacer())
-    Placer.applyDeclaration(Declaration->declaration());
-  else
-    Scheduler.applyDeclaration(Declaration->declaration());
+  withPolicy([&](auto &Policy) { Policy.applyDeclaration(Declaration->declaration()); });
   Dispatcher.applyLimits(Declaration->declaration().Limits);
   PollDue = true;
 }
@@ -243,7 +225,7 @@
 
 void decision_seam::place(mono_time Now) {
   PollDue = false;
-  const poll_outcome Outcome = usesPlacer() ? Placer.poll(Now) : Scheduler.poll(Now);
+  const poll_outcome Outcome = withPolicy([&](auto &Policy) { return Policy.poll(Now); });
   for (const work_placement &Placement : Outcome.Placements)
     Dispatcher.place(Placement, Now);
   for (const work_expiry &Expiry : Outcome.Expiries) {
@@ -262,8 +244,12 @@
   return Dispatcher.takeActions();
 }
 
+std::size_t decision_seam::queued() const {
+  return withPolicy([](auto &Policy) { return Policy.queued(); });
+}
+
 std::optional<mono_time> decision_seam::nextPoll() const {
-  return usesPlacer() ? Placer.nextWake() : Scheduler.nextWake();
+  return withPolicy([&](auto &Policy) { return Policy.nextWake(); });
 }
 
 std::optional<mono_time> decision_seam::nextWake() const {
--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -70,14 +70,20 @@
   [[nodiscard]] std::size_t liveRequests() const { return Dispatcher.liveRequests(); }
   [[nodiscard]] std::size_t abandonedAttempts() const { return Dispatcher.abandonedAttempts(); }
   [[nodiscard]] std::uint64_t claimsMade() const { return Placer.claimsMade(); }
-  [[nodiscard]] std::size_t queued() const {
-    return usesPlacer() ? Placer.queued() : Scheduler.queued();
-  }
+  [[nodiscard]] std::size_t queued() const;
   /// @return JSON of requests, queue and backend servers, without prompts or keys.
   [[nodiscard]] std::string dump(mono_time Now) const;
 
 private:
   [[nodiscard]] bool usesPlacer() const { return Source == backend_source::Control; }
+  /// Both policies have the same calls: the placer serves backend servers that control hosts list,
+  /// the scheduler those that entries hear of by gossip.
+  template <typename Use> auto withPolicy(Use &&Call) {
+    return usesPlacer() ? Call(Placer) : Call(Scheduler);
+  }
+  template <typename Use> [[nodiscard]] auto withPolicy(Use &&Call) const {
+    return usesPlacer() ? Call(Placer) : Call(Scheduler);
+  }
   dispatch_seam hooks();
   std::variant<done, work_refusal> submit(const work_item &Item, mono_time Now);
   void withdraw(request_number Request);
