A backend server that was cut off for long is listed again

Cause, read in the code: a server that nobody had heard of for 60 s was remembered as ended, so that its later notices were passed over until the next leader. Regions that lose each other for minutes would lose each other's engines for good. Change: only one that was to leave is remembered when it is dropped. Tests: AServerThatWasCutOffForLongIsListedAgain failed before; AServerThatWasToLeaveIsNotListedAgain passed before and after. directory_test 11 of 11.

--- a/src/directory/backend_directory.cpp
+++ b/src/directory/backend_directory.cpp
@@ -114,9 +114,12 @@
     record &Known = At->second;
     const mono_span Silence = Now - Known.LastHeard;
     if (Silence > Options.ForgetAfter) {
+      const bool Leaves = Known.Listing.State == listing_state::Leaving;
       Known.Listing.State = listing_state::Gone;
       Changes.push_back(Known.Listing);
-      retire(At->first);
+      // Silence may be a cut that ends: only what was to leave must never be given work again.
+      if (Leaves)
+        retire(At->first);
       At = Records.erase(At);
       continue;
     }
--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -55,7 +55,7 @@
 struct directory_options {
   mono_span NoticeInterval{std::chrono::milliseconds(1000)}; ///< Backend servers' own.
   std::uint32_t SilentAfter{4};                              ///< Intervals without a notice.
-  mono_span ForgetAfter{std::chrono::seconds(60)};           ///< Silence that ends a life.
+  mono_span ForgetAfter{std::chrono::seconds(60)};           ///< Silence after which it is dropped.
   std::size_t MaxBackends{4096};                             ///< Listed at once.
   std::size_t MaxRetired{16'384};                            ///< Names of ended lives remembered.
 };
--- a/tests/directory/directory_test.cpp
+++ b/tests/directory/directory_test.cpp
@@ -96,6 +96,28 @@
   EXPECT_EQ(hear(notice("a", 2))[0].State, listing_state::Active);
 }
 
+// Regions lose each other for minutes. The engines of the other side fall silent and are forgotten;
+// they have run on all the while, and are wanted again once they are heard.
+TEST_F(a_directory, AServerThatWasCutOffForLongIsListedAgain) {
+  hear(notice("a", 1));
+  pass(10min);
+  const auto Ended = Directory.advance(Now);
+  ASSERT_EQ(Ended.size(), 1U);
+  EXPECT_EQ(Ended[0].State, listing_state::Gone);
+  ASSERT_EQ(hear(notice("a", 700)).size(), 1U);
+  EXPECT_EQ(active(), std::vector<std::string>{"a"});
+}
+
+// It was to leave before it was cut off: no work is placed on it however long that is ago.
+TEST_F(a_directory, AServerThatWasToLeaveIsNotListedAgain) {
+  hear(notice("a", 1));
+  hear(notice("a", 2, true));
+  pass(10min);
+  Directory.advance(Now);
+  EXPECT_TRUE(hear(notice("a", 700)).empty());
+  EXPECT_TRUE(active().empty());
+}
+
 struct an_entry : testing::Test {
   directory_follower Follower{mono_span(3s)};
   mono_time Now{1h};
