--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -134,8 +134,10 @@
 // prompt of minus one token fits everywhere, and a time of minus one is over.
 TEST(ARequestHead, WithAHugeNumberStaysHuge) {
   for (const std::string Huge : {"18446744073709551615", "99999999999999999999999999"}) {
-    const auto Read = platformCalls().ReadHead(
-        headWith({{"Deadline-Ms", Huge}, {"Token-Usage", Huge + "," + Huge}}));
+    std::string Usage = Huge;
+    Usage.append(",").append(Huge);
+    const auto Read =
+        platformCalls().ReadHead(headWith({{"Deadline-Ms", Huge}, {"Token-Usage", Usage}}));
     ASSERT_TRUE(succeeded(Read)) << Huge;
     EXPECT_GT(valueOf(Read).TimeLeft->count(), 1'000'000'000) << Huge;
     EXPECT_GT((valueOf(Read).Prompt + valueOf(Read).AnswerLimit).value(), 1'000'000'000) << Huge;
