Add up all entries' work once a poll, not once for each waiting request

Each choice asked every engine for its peers' work again, though nothing of it changes within a poll; and a poll without anything waiting added up the own work for nothing. Both stand in one view now, made where something waits. The two copies of millisUntil() are one.

--- a/src/placement/engine_state.cpp
+++ b/src/placement/engine_state.cpp
@@ -1,6 +1,8 @@
 /** @file engine_state.cpp Others' work, and pauses after failures. */
 #include "placement/engine_state_base.h"
 
+#include "placement/millis_func.h"
+
 #include <algorithm>
 
 namespace pollenstall {
@@ -10,8 +12,7 @@
 }
 
 double engine_state::peer_load::readMs(mono_time Now) const {
-  return std::max(0.0,
-                  Load.ReadMs - std::chrono::duration<double, std::milli>(Now - Heard).count());
+  return std::max(0.0, Load.ReadMs - millisUntil(Now, Heard));
 }
 
 bool engine_state::readBy(std::uint64_t HostHash, double MoreThanMs, mono_time Now,
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -1,7 +1,7 @@
 /** @file placer.cpp The queue, polls, and what is under way. */
 #include "placement/placer_base.h"
 
-#include "placement/pass_model_func.h"
+#include "placement/millis_func.h"
 
 #include <algorithm>
 #include <sstream>
@@ -16,14 +16,6 @@
 /// Part of its length that a part counts for that should be done and has not been seen to be.
 constexpr double OverduePart = 0.25;
 
-double millisUntil(mono_time Then, mono_time Now) {
-  return std::chrono::duration<double, std::milli>(Then - Now).count();
-}
-
-mono_span spanOf(double Millis) {
-  return std::chrono::duration_cast<mono_span>(std::chrono::duration<double, std::milli>(Millis));
-}
-
 } // namespace
 
 placer::placer(const host_name &Host, std::uint64_t Seed, const placement_tuning &Values)
@@ -157,7 +149,8 @@
   poll_outcome Outcome;
   settleClaims(Now, Outcome);
   expireLate(Now, Outcome);
-  Own = ownWork(Now);
+  if (!Waiting.empty())
+    AllWork = allWork(Now);
   for (const request_number Request : order(Now)) {
     const waiting_work Work = Waiting.at(Request);
     const std::optional<read_plan> Plan = choose(Work, Now);
@@ -226,7 +219,7 @@
   Started.Parts.front().Tokens = Kept;
   for (const auto &[Key, Amount] : Plan.Held)
     Placement.Holds.push_back({Key, tokens(static_cast<std::int64_t>(Amount))});
-  addWork(Own, Started, Now);
+  addWork(AllWork, Started, Now);
   if (Plan.Readers.size() > 1 || Plan.PartMs > Tuning.WholeReadMs) {
     ++ClaimsMade;
     Claimed.insert_or_assign(
@@ -238,7 +231,7 @@
   Outcome.Placements.push_back(std::move(Placement));
 }
 
-void placer::addWork(own_work &Sum, const running_work &Work, mono_time Now) {
+void placer::addWork(work_views &Sum, const running_work &Work, mono_time Now) {
   for (const reading_part &Part : Work.Parts) {
     if (Part.Tokens > 0)
       Sum[Part.Backend].Tokens += Part.Tokens;
@@ -252,8 +245,8 @@
   First.Writers += Work.Answered ? 1 : 0;
 }
 
-placer::own_work placer::ownWork(mono_time Now) const {
-  own_work Sum;
+placer::work_views placer::ownWork(mono_time Now) const {
+  work_views Sum;
   for (const auto &[Request, Claim] : Claimed)
     addWork(Sum, Claim.Started, Now);
   for (const auto &[Request, Work] : Placed)
@@ -263,6 +256,19 @@
   return Sum;
 }
 
+placer::work_views placer::allWork(mono_time Now) const {
+  work_views Sum = ownWork(Now);
+  for (const auto &[Key, Engine] : Engines) {
+    const engine_view Others = Engine.peerWork(Now, Tuning.PeerSilence);
+    engine_view &View = Sum[Key];
+    View.Requests += Others.Requests;
+    View.Writers += Others.Writers;
+    View.ReadMs += Others.ReadMs;
+    View.Tokens += Others.Tokens;
+  }
+  return Sum;
+}
+
 std::vector<work_load> placer::ownLoads(mono_time Now) const {
   std::vector<work_load> Loads;
   for (const auto &[Backend, View] : ownWork(Now))
@@ -332,7 +338,7 @@
   std::ostringstream Out;
   Out << R"({"waiting":)" << Waiting.size() << R"(,"running":)" << Running.size()
       << R"(,"backends":[)";
-  const own_work Sum = ownWork(Now);
+  const work_views Sum = ownWork(Now);
   const char *Comma = "";
   for (const auto &[Key, Engine] : Engines) {
     const auto Mine = Sum.find(Key);
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -98,10 +98,11 @@
     /// A request that is being read there writes in a moment: it counts as one that does.
     [[nodiscard]] bool occupied() const { return Option.View.Requests > 0; }
   };
-  using own_work = std::map<backend_key, engine_view>;
+  using work_views = std::map<backend_key, engine_view>;
 
-  [[nodiscard]] own_work ownWork(mono_time Now) const;
-  static void addWork(own_work &Sum, const running_work &Work, mono_time Now);
+  [[nodiscard]] work_views ownWork(mono_time Now) const;
+  [[nodiscard]] work_views allWork(mono_time Now) const;
+  static void addWork(work_views &Sum, const running_work &Work, mono_time Now);
   [[nodiscard]] std::vector<request_number> order(mono_time Now) const;
   void expireLate(mono_time Now, poll_outcome &Outcome);
   std::optional<service_name> drawService(const work_item &Item);
@@ -145,7 +146,7 @@
   std::uint64_t ClaimsMade{0};
   std::map<request_number, running_work> Placed; ///< Without an attempt yet.
   std::map<attempt_id, running_work> Running;
-  own_work Own; ///< As of the present poll.
+  work_views AllWork; ///< This entry's and the others', as of the present poll.
   std::optional<mono_time> NextWake;
 };
 
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -1,4 +1,5 @@
 /** @file placer_choice.cpp Which engines read and answer one waiting request. */
+#include "placement/millis_func.h"
 #include "placement/pass_model_func.h"
 #include "placement/placer_base.h"
 
@@ -10,10 +11,6 @@
 
 namespace {
 
-double millisUntil(mono_time Then, mono_time Now) {
-  return std::chrono::duration<double, std::milli>(Then - Now).count();
-}
-
 /// Requests beyond its places that a server without declared figures may be given: they wait there.
 constexpr double FullFactor = 1.5;
 /// Part of what is left of the time limit that work which is late already may still take.
@@ -28,13 +25,7 @@
   for (auto &[Key, Engine] : Engines) {
     if (Engine.service() != Work.Service || !Engine.active())
       continue;
-    engine_option Option{&Engine, Engine.peerWork(Now, Tuning.PeerSilence)};
-    if (const auto Mine = Own.find(Key); Mine != Own.end()) {
-      Option.View.Requests += Mine->second.Requests;
-      Option.View.Writers += Mine->second.Writers;
-      Option.View.ReadMs += Mine->second.ReadMs;
-      Option.View.Tokens += Mine->second.Tokens;
-    }
+    const engine_option Option{&Engine, AllWork[Key]};
     const bool Tried = std::find(Avoid.begin(), Avoid.end(), Key) != Avoid.end();
     (Tried || Engine.paused(Now) ? Second : Fresh).push_back(Option);
   }
