--- a/src/consensus/member_repair.cpp
+++ b/src/consensus/member_repair.cpp
@@ -30,8 +30,6 @@
   return Count;
 }
 
-constexpr std::size_t quorumOf(std::size_t Voters) { return Voters / 2 + 1; }
-
 /// @return A learner that could vote now, or null.
 const member_progress *standBy(const replica_status &Status, const member_repair_options &Options) {
   for (const member_progress &Progress : Status.Progress) {
--- a/src/consensus/member_repair_func.h
+++ b/src/consensus/member_repair_func.h
@@ -18,7 +18,7 @@
   mono_span VoterSilence{std::chrono::milliseconds(2000)};
   /// A learner that answers nothing for so long is forgotten; it asks again when it is back.
   mono_span LearnerSilence{std::chrono::milliseconds(10'000)};
-  std::uint64_t CaughtUpWithin{64}; ///< Entries; as replica_options has it.
+  std::uint64_t CaughtUpWithin{replica_options().CaughtUpWithin}; ///< Entries.
 };
 
 struct expel_member {
--- a/src/consensus/member_set.cpp
+++ b/src/consensus/member_set.cpp
@@ -113,7 +113,7 @@
       }));
 }
 
-std::size_t quorumSize(const member_set &Set) { return voterCount(Set) / 2 + 1; }
+std::size_t quorumSize(const member_set &Set) { return quorumOf(voterCount(Set)); }
 
 bool hasQuorum(const member_set &Set, const std::function<bool(const member_key &)> &Agrees) {
   std::size_t Agreeing = 0;
--- a/src/consensus/member_set_func.h
+++ b/src/consensus/member_set_func.h
@@ -28,6 +28,9 @@
 /// @return How many voters there are.
 std::size_t voterCount(const member_set &Set);
 
+/// @return How many of so many voters make a quorum.
+constexpr std::size_t quorumOf(std::size_t Voters) { return Voters / 2 + 1; }
+
 /// @return How many voters make a quorum.
 std::size_t quorumSize(const member_set &Set);
 
