--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -57,7 +57,7 @@
   Hooks.AttemptAbandoned = [this](const attempt_id &Attempt, std::optional<attempt_failure> Failure,
                                   mono_time Now) {
     if (Failure)
-      noteBroken(Attempt, *Failure, Now);
+      withPolicy([&](auto &Policy) { Policy.attemptBroken(Attempt, *Failure, Now); });
   };
   Hooks.AttemptEnded = [this](const attempt_ending &Ending, mono_time Now) {
     noteEnd(Ending, Now);
@@ -88,10 +88,6 @@
   withPolicy([&](auto &Policy) { Policy.attemptAnswering(Attempt, Now); });
 }
 
-void decision_seam::noteBroken(const attempt_id &Attempt, attempt_failure Failure, mono_time Now) {
-  withPolicy([&](auto &Policy) { Policy.attemptBroken(Attempt, Failure, Now); });
-}
-
 std::vector<candidate_group> decision_seam::groupsFor(const request_facts &Facts) const {
   if (!Declaration)
     return {};
--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -88,7 +88,6 @@
   std::variant<done, work_refusal> submit(const work_item &Item, mono_time Now);
   void withdraw(request_number Request);
   void noteAnswering(const attempt_id &Attempt, mono_time Now);
-  void noteBroken(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
   void noteListing(const backend_listing &Listing, mono_time Now);
   [[nodiscard]] std::optional<mono_time> nextPoll() const;
   std::vector<candidate_group> groupsFor(const request_facts &Facts) const;
