Read addresses, numbers and the wall clock in one place each

Four readers of "IP:port" (peer_link, gossip, operators, fake_backend) and three writers stood beside each other, and relay, order_link, work_share and entry hung on peer_link for one of them: the library address has them now, for TCP and UDP, with the rule that a port of 0 leaves an address its own, which entry and control had once each. Ten readers of whole decimal texts call numberFrom() of core, three clocks wallClock(), five ends of coroutines rethrow(). A text that operators took although its bracket was not closed ("[::1x:80") is refused now, as everywhere else.

--- a/programs/pollenstall-control/control_services.cpp
+++ b/programs/pollenstall-control/control_services.cpp
@@ -8,11 +8,6 @@
 /// A caller of a control host moves on to another one after a second without an answer.
 constexpr std::chrono::milliseconds ServiceLimit{900};
 
-unix_millis wallClock() {
-  return std::chrono::duration_cast<unix_millis>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 service_answer answerFor(const control_outcome &Outcome) {
   return std::visit(
       overloaded{[](const leader_elsewhere &Other) {
--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -1,11 +1,11 @@
 /** @file control_settings.cpp The table of a control host's settings. */
 #include "control_settings_type.h"
 
-#include "peer_link/peer_link.h"
+#include "address/address.h"
+#include "core/core.h"
 #include "program/program.h"
 
 #include <algorithm>
-#include <charconv>
 
 namespace pollenstall {
 
@@ -148,22 +148,15 @@
   const std::size_t Equals = Text.find('=');
   if (Equals == std::string::npos)
     return std::nullopt;
-  std::uint64_t Id = 0;
-  const char *End = Text.data() + Equals;
-  const auto Parsed = std::from_chars(Text.data(), End, Id);
+  const auto Id = numberFrom<std::uint64_t>(std::string_view(Text).substr(0, Equals));
   std::string Address = Text.substr(Equals + 1);
-  if (Parsed.ec != std::errc{} || Parsed.ptr != End || Id == 0 || checkAddress(Address))
+  if (!Id || *Id == 0 || checkAddress(Address))
     return std::nullopt;
-  return std::pair(member_id(Id), std::move(Address));
+  return std::pair(member_id(*Id), std::move(Address));
 }
 
 std::vector<std::string> seedAddresses(const control_settings &Settings) {
-  std::vector<std::string> Addresses;
-  for (const std::string &Seed : Settings.Seeds)
-    Addresses.push_back(Settings.SeedPort == 0
-                            ? Seed
-                            : withPort(Seed, static_cast<std::uint16_t>(Settings.SeedPort)));
-  return Addresses;
+  return withPort(Settings.Seeds, Settings.SeedPort);
 }
 
 std::size_t targetVoters(const control_settings &Settings) {
--- a/programs/pollenstall-control/operator_api.cpp
+++ b/programs/pollenstall-control/operator_api.cpp
@@ -22,11 +22,6 @@
 constexpr std::size_t MaxSummaryBytes = 400;
 constexpr const char *ChangesPath = "/v1/changes/";
 
-unix_millis wallClock() {
-  return std::chrono::duration_cast<unix_millis>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 std::optional<json::object> objectOf(const std::string &Body) {
   json::error_code Error;
   json::value Value = json::parse(Body, Error);
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -1,8 +1,8 @@
 /** @file entry.cpp Builds the threads and joins them by rings. */
 #include "entry_base.h"
 
+#include "address/address.h"
 #include "announcement_func.h"
-#include "peer_link/peer_link.h"
 #include "platform/platform.h"
 
 #include <boost/asio/post.hpp>
@@ -152,18 +152,16 @@
 }
 
 void entry::startControl() {
-  std::vector<std::string> Controls = Settings.ControlAddresses;
-  if (Settings.ControlPort > 0)
-    for (std::string &Address : Controls)
-      Address = withPort(Address, static_cast<std::uint16_t>(Settings.ControlPort));
-  Decision->useControl(control_link_builder(std::move(Controls), Settings.Fleet)
-                           .process(Self, failure_domain_name(Settings.FailureDomain))
-                           .workAddress(Share ? Share->address() : std::string())
-                           .renewEvery(Settings.ControlRenew)
-                           .answerWithin(Settings.ControlAnswer)
-                           .connectWithin(Settings.ControlConnect)
-                           .onEvents([this] { Decision->wake(); })
-                           .start());
+  Decision->useControl(
+      control_link_builder(withPort(Settings.ControlAddresses, Settings.ControlPort),
+                           Settings.Fleet)
+          .process(Self, failure_domain_name(Settings.FailureDomain))
+          .workAddress(Share ? Share->address() : std::string())
+          .renewEvery(Settings.ControlRenew)
+          .answerWithin(Settings.ControlAnswer)
+          .connectWithin(Settings.ControlConnect)
+          .onEvents([this] { Decision->wake(); })
+          .start());
 }
 
 result<done, entry_error> entry::startWorkShare() {
--- a/programs/pollenstallctl/ctl_options.cpp
+++ b/programs/pollenstallctl/ctl_options.cpp
@@ -1,12 +1,12 @@
 /** @file ctl_options.cpp The command line by popt. */
 #include "ctl_options_func.h"
 
+#include "core/core.h"
 #include "table/verbs.h"
 
 #include <popt.h>
 
 #include <algorithm>
-#include <charconv>
 #include <cstdlib>
 #include <functional>
 #include <iostream>
@@ -88,10 +88,8 @@
 }
 
 std::optional<std::int64_t> numberIn(const std::string &Text, std::int64_t Max) {
-  std::int64_t Value = 0;
-  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  const bool Whole = Error == std::errc{} && End == Text.data() + Text.size();
-  return Whole && Value >= 0 && Value <= Max ? std::optional(Value) : std::nullopt;
+  const auto Value = numberFrom<std::int64_t>(Text);
+  return Value && *Value >= 0 && *Value <= Max ? Value : std::nullopt;
 }
 
 std::vector<std::string> splitAtCommas(const std::string &Text) {
--- a/programs/pollenstallctl/http_client.cpp
+++ b/programs/pollenstallctl/http_client.cpp
@@ -1,13 +1,13 @@
 /** @file http_client.cpp The client by Boost.Beast. */
 #include "http_client_func.h"
 
+#include "core/core.h"
+
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
-#include <charconv>
-
 namespace pollenstall {
 
 namespace {
@@ -97,12 +97,10 @@
     Host = Host.substr(1, Host.size() - 2);
   error_code NotAnAddress;
   asio::ip::make_address(std::string(Host), NotAnAddress);
-  std::uint16_t Port = 0;
-  const std::string_view Digits = Authority.substr(Colon + 1);
-  const auto [End, Error] = std::from_chars(Digits.data(), Digits.data() + Digits.size(), Port);
-  if (NotAnAddress || Error != std::errc{} || End != Digits.data() + Digits.size() || Port == 0)
+  const auto Port = numberFrom<std::uint16_t>(Authority.substr(Colon + 1));
+  if (NotAnAddress || !Port || *Port == 0)
     return std::nullopt;
-  return http_url{std::string(Host), Port, std::string(Path)};
+  return http_url{std::string(Host), *Port, std::string(Path)};
 }
 
 result<http_answer, http_failure> exchange(const http_url &Url, const http_call &Call,
--- /dev/null
+++ b/src/address/address.cpp
@@ -0,0 +1,55 @@
+/** @file address.cpp Numeric addresses to endpoints and back. */
+#include "address/address_func.h"
+
+#include "core/core.h"
+
+namespace pollenstall {
+
+namespace ip = boost::asio::ip;
+
+namespace {
+
+template <typename Endpoint> std::optional<Endpoint> endpointFrom(std::string_view Text) {
+  const std::size_t Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos)
+    return std::nullopt;
+  std::string_view Host = Text.substr(0, Colon);
+  if (Host.size() > 1 && Host.front() == '[' && Host.back() == ']')
+    Host = Host.substr(1, Host.size() - 2);
+  const auto Port = numberFrom<std::uint16_t>(Text.substr(Colon + 1));
+  boost::system::error_code Error;
+  const auto Address = ip::make_address(std::string(Host), Error);
+  if (!Port || Error)
+    return std::nullopt;
+  return Endpoint(Address, *Port);
+}
+
+template <typename Endpoint> std::string textOf(const Endpoint &Of) {
+  const std::string Host = Of.address().to_string();
+  const std::string Port = std::to_string(Of.port());
+  return Of.address().is_v6() ? "[" + Host + "]:" + Port : Host + ":" + Port;
+}
+
+} // namespace
+
+std::optional<ip::tcp::endpoint> tcpEndpoint(std::string_view Text) {
+  return endpointFrom<ip::tcp::endpoint>(Text);
+}
+
+std::optional<ip::udp::endpoint> udpEndpoint(std::string_view Text) {
+  return endpointFrom<ip::udp::endpoint>(Text);
+}
+
+std::vector<std::string> withPort(std::vector<std::string> Addresses, std::uint32_t Port) {
+  if (Port == 0)
+    return Addresses;
+  for (std::string &Address : Addresses)
+    if (const auto Known = tcpEndpoint(Address))
+      Address = toText(ip::tcp::endpoint(Known->address(), static_cast<std::uint16_t>(Port)));
+  return Addresses;
+}
+
+std::string toText(const ip::tcp::endpoint &Endpoint) { return textOf(Endpoint); }
+std::string toText(const ip::udp::endpoint &Endpoint) { return textOf(Endpoint); }
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/address/address.h
@@ -0,0 +1,7 @@
+/** @file address.h Public header of address: numeric addresses as text and as endpoints. */
+#ifndef POLLENSTALL_ADDRESS_ADDRESS_H
+#define POLLENSTALL_ADDRESS_ADDRESS_H
+
+#include "address/address_func.h" // IWYU pragma: export
+
+#endif // POLLENSTALL_ADDRESS_ADDRESS_H
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -1,6 +1,7 @@
 /** @file control_link.cpp The thread that finds the leading control host and keeps the lease. */
 #include "control_link/control_link_base.h"
 
+#include "address/address.h"
 #include "control_link/control_link_codec_func.h"
 #include "control_link/link_ledger_base.h"
 #include "peer_link/peer_link.h"
@@ -28,11 +29,6 @@
 /// Renewals without an answer that are remembered; more mean that the host is silent.
 constexpr std::size_t MaxOpenAsks = 64;
 
-unix_millis wallClock() {
-  return std::chrono::duration_cast<unix_millis>(
-      std::chrono::system_clock::now().time_since_epoch());
-}
-
 framed_limits linkLimits() {
   framed_limits Limits;
   Limits.MaxFrame = MaxLinkReplyBytes;
--- a/src/core/clock_type.h
+++ b/src/core/clock_type.h
@@ -1,4 +1,5 @@
-/** @file clock_type.h The monotonic clock that leases and timeouts are measured on. */
+/** @file clock_type.h The monotonic clock that leases and timeouts are measured on, and the wall
+ * clock. */
 #ifndef POLLENSTALL_CORE_CLOCK_TYPE_H
 #define POLLENSTALL_CORE_CLOCK_TYPE_H
 
@@ -31,6 +32,12 @@
 /// A span on the boot clock.
 using mono_span = boot_clock::duration;
 
+/// @return Milliseconds since 1970; for records that outlive the process, never for timeouts.
+inline std::chrono::milliseconds wallClock() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch());
+}
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_CORE_CLOCK_TYPE_H
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -1,5 +1,5 @@
-/** @file core.h Public header of core: strong types, clock, invariants, results, rings, random
- * numbers. */
+/** @file core.h Public header of core: strong types, clocks, invariants, results, rings, random
+ * numbers, numbers from text. */
 #ifndef POLLENSTALL_CORE_CORE_H
 #define POLLENSTALL_CORE_CORE_H
 
@@ -8,6 +8,7 @@
 #include "core/hash_func.h"      // IWYU pragma: export
 #include "core/identity_type.h"  // IWYU pragma: export
 #include "core/invariant_func.h" // IWYU pragma: export
+#include "core/number_func.h"    // IWYU pragma: export
 #include "core/random_type.h"    // IWYU pragma: export
 #include "core/result_type.h"    // IWYU pragma: export
 #include "core/strong_type.h"    // IWYU pragma: export
--- a/src/core/identity.cpp
+++ b/src/core/identity.cpp
@@ -1,8 +1,9 @@
 /** @file identity.cpp Text forms of ids that cross process borders. */
 #include "core/identity_type.h"
 
+#include "core/number_func.h"
+
 #include <array>
-#include <charconv>
 
 namespace pollenstall {
 
@@ -10,14 +11,6 @@
 
 constexpr std::size_t AttemptParts = 4;
 
-template <typename Number> std::optional<Number> parseNumber(std::string_view Text) {
-  Number Value{};
-  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Error != std::errc{} || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
-}
-
 std::optional<std::array<std::string_view, AttemptParts>> splitAttempt(std::string_view Text) {
   std::array<std::string_view, AttemptParts> Parts;
   for (std::size_t Index = 0; Index + 1 < AttemptParts; ++Index) {
@@ -42,9 +35,9 @@
   const auto Parts = splitAttempt(Text);
   if (!Parts || (*Parts)[0].empty())
     return std::nullopt;
-  const auto Life = parseNumber<std::uint64_t>((*Parts)[1]);
-  const auto Request = parseNumber<std::uint64_t>((*Parts)[2]);
-  const auto Ordinal = parseNumber<std::uint32_t>((*Parts)[3]);
+  const auto Life = numberFrom<std::uint64_t>((*Parts)[1]);
+  const auto Request = numberFrom<std::uint64_t>((*Parts)[2]);
+  const auto Ordinal = numberFrom<std::uint32_t>((*Parts)[3]);
   if (!Life || !Request || !Ordinal)
     return std::nullopt;
   return attempt_id{{host_name(std::string((*Parts)[0])), incarnation(*Life)},
--- a/src/fake_backend/announcer.cpp
+++ b/src/fake_backend/announcer.cpp
@@ -1,6 +1,7 @@
 /** @file announcer.cpp One short connection for each announcement. */
 #include "fake_backend/announcer_base.h"
-#include "fake_backend/endpoint_func.h"
+
+#include "address/address.h"
 #include "program/program.h"
 
 #include <boost/json.hpp>
@@ -31,7 +32,7 @@
 
 void announcer::announce() {
   const std::uint64_t Turn = ++LastTurn;
-  const auto Endpoint = Known.empty() ? std::nullopt : parseEndpoint(Known[Current]);
+  const auto Endpoint = Known.empty() ? std::nullopt : tcpEndpoint(Known[Current]);
   const auto Exchange = std::make_shared<exchange_state>(Context);
   if (!Endpoint) {
     boost::asio::post(Context, [this, Exchange, Turn] { finish(Exchange, Turn, false); });
@@ -101,7 +102,7 @@
     if (!Item.is_string() || Known.size() >= EntriesKept)
       continue;
     const std::string Address(Item.get_string());
-    if (parseEndpoint(Address) && std::find(Known.begin(), Known.end(), Address) == Known.end())
+    if (tcpEndpoint(Address) && std::find(Known.begin(), Known.end(), Address) == Known.end())
       Known.push_back(Address);
   }
 }
--- a/src/fake_backend/backend_server.cpp
+++ b/src/fake_backend/backend_server.cpp
@@ -1,6 +1,7 @@
 /** @file backend_server.cpp Connections, the step timer, sampling and leaving. */
 #include "fake_backend/backend_server_base.h"
-#include "fake_backend/endpoint_func.h"
+
+#include "address/address.h"
 #include "program/program.h"
 
 #include <boost/asio/post.hpp>
@@ -69,7 +70,7 @@
 }
 
 result<done, std::string> backend_server::openPort() {
-  const auto Endpoint = parseEndpoint(Address);
+  const auto Endpoint = tcpEndpoint(Address);
   if (!Endpoint)
     return "not an address: " + Address;
   boost::system::error_code Error;
@@ -82,7 +83,7 @@
     Acceptor.listen(asio::socket_base::max_listen_connections, Error);
   if (Error)
     return Address + ": " + Error.message();
-  Address = endpointText(Acceptor.local_endpoint());
+  Address = toText(Acceptor.local_endpoint());
   accept();
   return done{};
 }
--- a/src/fake_backend/fake_backend.h
+++ b/src/fake_backend/fake_backend.h
@@ -6,7 +6,6 @@
 #include "fake_backend/answer_text_func.h"      // IWYU pragma: export
 #include "fake_backend/backend_server_base.h"   // IWYU pragma: export
 #include "fake_backend/backend_settings_type.h" // IWYU pragma: export
-#include "fake_backend/endpoint_func.h"         // IWYU pragma: export
 #include "fake_backend/engine_base.h"           // IWYU pragma: export
 #include "fake_backend/prompt_scan_func.h"      // IWYU pragma: export
 
--- a/src/gossip/gossip_service.cpp
+++ b/src/gossip/gossip_service.cpp
@@ -1,8 +1,8 @@
 /** @file gossip_service.cpp The thread that carries membership over UDP. */
 #include "gossip/gossip_service_base.h"
 
+#include "address/address.h"
 #include "gossip/change_outbox_base.h"
-#include "gossip/peer_endpoint_func.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -39,7 +39,7 @@
   }
 
   result<done, gossip_error> bind() {
-    const auto Endpoint = endpointOf(Options.Bind);
+    const auto Endpoint = udpEndpoint(Options.Bind.str());
     if (!Endpoint)
       return gossip_error::BadAddress;
     boost::system::error_code Error;
@@ -50,7 +50,7 @@
       return gossip_error::NotBound;
     Socket.non_blocking(true, Error);
     Socket.set_option(boost::asio::socket_base::receive_buffer_size(SocketBufferBytes), Error);
-    Bound = addressOf(Socket.local_endpoint(Error));
+    Bound = peer_address(toText(Socket.local_endpoint(Error)));
     if (Options.Identity.Addresses.empty())
       Options.Identity.Addresses.push_back(Bound);
     return done{};
@@ -150,7 +150,7 @@
       countDrop(errorOf(Message));
       return;
     }
-    Fleet->receive(valueOf(Message), addressOf(Sender), boot_clock::now());
+    Fleet->receive(valueOf(Message), peer_address(toText(Sender)), boot_clock::now());
   }
 
   void countDrop(datagram_error Error) {
@@ -185,7 +185,7 @@
   }
 
   void transmit(const send_message &Send) {
-    const auto Endpoint = endpointOf(Send.To);
+    const auto Endpoint = udpEndpoint(Send.To.str());
     if (!Endpoint) {
       ++Counters.SendErrors;
       return;
--- a/src/load/load_run.cpp
+++ b/src/load/load_run.cpp
@@ -1,4 +1,5 @@
 /** @file load_run.cpp Arrivals on one or more threads, each with its own connections. */
+#include "address/address.h"
 #include "core/core.h"
 #include "fake_backend/fake_backend.h"
 #include "load/load_call_base.h"
@@ -49,7 +50,7 @@
         Io(1), Timer(Io) {
     Left = share(Settings.Count);
     for (const std::string &Target : Settings.Targets)
-      if (const auto Endpoint = parseEndpoint(Target))
+      if (const auto Endpoint = tcpEndpoint(Target))
         Targets.push_back(*Endpoint);
     Idle.resize(Targets.size());
   }
--- a/src/load/load_settings.cpp
+++ b/src/load/load_settings.cpp
@@ -1,9 +1,9 @@
 /** @file load_settings.cpp The settings' keys, bounds and meanings. */
+#include "core/core.h"
 #include "load/load_bound_func.h"
 #include "load/load_type.h"
 
 #include <array>
-#include <charconv>
 
 namespace pollenstall {
 
@@ -30,9 +30,8 @@
 }
 
 template <typename Number> bool readNumber(const std::string &Text, Number &Into) {
-  const char *End = Text.data() + Text.size();
-  const auto [Stop, Problem] = std::from_chars(Text.data(), End, Into);
-  return Problem == std::errc() && Stop == End && Into > 0;
+  Into = numberFrom<Number>(Text).value_or(Number{});
+  return Into > 0;
 }
 
 void addCalls(settings_table<load_settings> &Table) {
--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -1,6 +1,7 @@
 /** @file operator_server.cpp HTTP by Beast: one call at a time on each connection, all bounded. */
 #include "operators/operator_server_base.h"
 
+#include "address/address.h"
 #include "operators/operator_routes_base.h"
 
 #include <boost/asio/dispatch.hpp>
@@ -14,7 +15,6 @@
 #include <prometheus/text_serializer.h>
 
 #include <atomic>
-#include <charconv>
 #include <chrono>
 #include <optional>
 #include <thread>
@@ -144,23 +144,6 @@
   std::optional<http::response<http::string_body>> Response;
 };
 
-std::optional<tcp::endpoint> endpointFrom(const std::string &Address) {
-  const std::size_t Colon = Address.rfind(':');
-  if (Colon == std::string::npos)
-    return std::nullopt;
-  std::uint16_t Port = 0;
-  const char *Last = Address.data() + Address.size();
-  const auto [End, Wrong] = std::from_chars(Address.data() + Colon + 1, Last, Port);
-  std::string Host = Address.substr(0, Colon);
-  if (Host.size() > 2 && Host.front() == '[')
-    Host = Host.substr(1, Host.size() - 2);
-  boost::system::error_code Error;
-  const auto Ip = asio::ip::make_address(Host, Error);
-  if (Error || Wrong != std::errc{} || End != Last)
-    return std::nullopt;
-  return tcp::endpoint(Ip, Port);
-}
-
 } // namespace
 
 /// Owns the listener and its threads.
@@ -179,7 +162,7 @@
   }
 
   result<done, operator_server_error> start(const std::string &Address) {
-    const auto Endpoint = endpointFrom(Address);
+    const auto Endpoint = tcpEndpoint(Address);
     if (!Endpoint)
       return operator_server_error{"not an address: " + Address};
     boost::system::error_code Error;
--- a/src/order_link/engine_call.cpp
+++ b/src/order_link/engine_call.cpp
@@ -2,7 +2,7 @@
  */
 #include "order_link/engine_call_func.h"
 
-#include "peer_link/peer_link.h"
+#include "address/address.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/beast/core.hpp>
--- a/src/peer_link/framed_listener.cpp
+++ b/src/peer_link/framed_listener.cpp
@@ -1,7 +1,7 @@
 /** @file framed_listener.cpp The accept loop. */
 #include "peer_link/framed_listener_base.h"
 
-#include "peer_link/tcp_address_func.h"
+#include "address/address.h"
 
 namespace pollenstall {
 
--- a/src/peer_link/peer_link.h
+++ b/src/peer_link/peer_link.h
@@ -6,6 +6,5 @@
 #include "peer_link/framed_listener_base.h"   // IWYU pragma: export
 #include "peer_link/peer_link_base.h"         // IWYU pragma: export
 #include "peer_link/peer_link_type.h"         // IWYU pragma: export
-#include "peer_link/tcp_address_func.h"       // IWYU pragma: export
 
 #endif // POLLENSTALL_PEER_LINK_PEER_LINK_H
--- a/src/peer_link/peer_sender.cpp
+++ b/src/peer_link/peer_sender.cpp
@@ -1,7 +1,7 @@
 /** @file peer_sender.cpp Reconnects to one peer with growing pauses. */
 #include "peer_link/peer_sender_base.h"
 
-#include "peer_link/tcp_address_func.h"
+#include "address/address.h"
 
 #include <algorithm>
 
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -3,6 +3,7 @@
 
 #include "relay/attempt_head_func.h"
 #include "relay/call_error_func.h"
+#include "relay/rethrow_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -56,20 +57,12 @@
 
 void backend_exchange::start() {
   asio::co_spawn(
-      Context.Io, [Self = shared_from_this()] { return Self->run(errand::Start); },
-      [](const std::exception_ptr &Thrown) {
-        if (Thrown)
-          std::rethrow_exception(Thrown);
-      });
+      Context.Io, [Self = shared_from_this()] { return Self->run(errand::Start); }, rethrow);
 }
 
 void backend_exchange::resume() {
   asio::co_spawn(
-      Context.Io, [Self = shared_from_this()] { return Self->run(errand::Resume); },
-      [](const std::exception_ptr &Thrown) {
-        if (Thrown)
-          std::rethrow_exception(Thrown);
-      });
+      Context.Io, [Self = shared_from_this()] { return Self->run(errand::Resume); }, rethrow);
 }
 
 void backend_exchange::abandon() {
--- a/src/relay/backend_links.cpp
+++ b/src/relay/backend_links.cpp
@@ -1,7 +1,7 @@
 /** @file backend_links.cpp Takes, makes and keeps connections to backend servers. */
 #include "relay/backend_links_base.h"
 
-#include "peer_link/peer_link.h"
+#include "address/address.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/src/relay/call_plan.cpp
+++ b/src/relay/call_plan.cpp
@@ -1,6 +1,7 @@
 /** @file call_plan.cpp From a checked head and body to the facts of a request. */
 #include "relay/call_plan_func.h"
 
+#include "core/core.h"
 #include "operators/operators.h"
 #include "relay/call_error_func.h"
 #include "relay/prompt_reader_func.h"
@@ -8,7 +9,6 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace pollenstall {
 
@@ -79,11 +79,8 @@
 }
 
 std::optional<std::int64_t> positiveNumber(std::string_view Text) {
-  std::int64_t Value = 0;
-  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Error != std::errc{} || End != Text.data() + Text.size() || Value < 1)
-    return std::nullopt;
-  return Value;
+  const auto Value = numberFrom<std::int64_t>(Text);
+  return Value && *Value >= 1 ? Value : std::nullopt;
 }
 
 result<mono_span, call_error> timeoutOf(const request_head &Head,
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "relay/attempt_head_func.h"
 #include "relay/call_error_func.h"
 #include "relay/call_plan_func.h"
+#include "relay/rethrow_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -27,11 +28,6 @@
   return Error;
 }
 
-void rethrow(const std::exception_ptr &Thrown) {
-  if (Thrown)
-    std::rethrow_exception(Thrown);
-}
-
 bool hasBody(const request_head &Head) { return Head.Chunked || Head.ContentLength > 0; }
 
 } // namespace
--- a/src/relay/event_text.cpp
+++ b/src/relay/event_text.cpp
@@ -1,7 +1,7 @@
 /** @file event_text.cpp Lines and fields of server-sent events. */
 #include "relay/event_text_func.h"
 
-#include <charconv>
+#include "core/core.h"
 
 namespace pollenstall {
 
@@ -51,11 +51,7 @@
 }
 
 std::optional<std::uint64_t> eventIdFrom(std::string_view Text) {
-  std::uint64_t Value = 0;
-  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Text.empty() || Error != std::errc{} || End != Text.data() + Text.size())
-    return std::nullopt;
-  return Value;
+  return numberFrom<std::uint64_t>(Text);
 }
 
 } // namespace pollenstall
--- a/src/relay/memory_holds.cpp
+++ b/src/relay/memory_holds.cpp
@@ -2,6 +2,7 @@
 #include "relay/memory_holds_base.h"
 
 #include "relay/attempt_head_func.h"
+#include "relay/rethrow_func.h"
 #include "relay/short_call_func.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -23,11 +24,6 @@
 constexpr int ReleaseTries = 3;
 constexpr std::chrono::milliseconds ReleasePause{200};
 
-void rethrow(const std::exception_ptr &Thrown) {
-  if (Thrown)
-    std::rethrow_exception(Thrown);
-}
-
 } // namespace
 
 asio::awaitable<bool> memory_holds::ask(const memory_hold &Hold) const {
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -1,12 +1,13 @@
 /** @file relay.cpp Accepts callers and carries out the decision thread's orders. */
 #include "relay/relay_base.h"
 
-#include "peer_link/peer_link.h"
+#include "address/address.h"
 #include "relay/attempt_list_func.h"
 #include "relay/backend_exchange_base.h"
 #include "relay/caller_session_base.h"
 #include "relay/cancel_call_func.h"
 #include "relay/relay_context_type.h"
+#include "relay/rethrow_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -27,11 +28,6 @@
 /// A caller that has taken nothing when its request ends keeps the session this long at most.
 constexpr std::chrono::seconds LastWriteLimit{2};
 
-void rethrow(const std::exception_ptr &Thrown) {
-  if (Thrown)
-    std::rethrow_exception(Thrown);
-}
-
 } // namespace
 
 class relay::state {
--- a/src/settings/setting_checks.cpp
+++ b/src/settings/setting_checks.cpp
@@ -1,10 +1,10 @@
 /** @file setting_checks.cpp Checks of addresses, names and key hashes. */
+#include "core/core.h"
 #include "settings/setting_checks_func.h"
 #include "settings/settings_type.h"
 
 #include <algorithm>
 #include <arpa/inet.h>
-#include <charconv>
 
 namespace pollenstall {
 
@@ -25,9 +25,8 @@
 }
 
 bool isPort(const std::string &Text) {
-  int Port = -1;
-  const auto [End, Error] = std::from_chars(Text.data(), Text.data() + Text.size(), Port);
-  return Error == std::errc{} && End == Text.data() + Text.size() && Port >= 0 && Port <= MaxPort;
+  const auto Port = numberFrom<int>(Text);
+  return Port && *Port >= 0 && *Port <= MaxPort;
 }
 
 bool isNumericHost(const std::string &Host) {
--- a/src/storage/log_segment.cpp
+++ b/src/storage/log_segment.cpp
@@ -1,9 +1,10 @@
 /** @file log_segment.cpp Reading, appending to and cutting one file of the log. */
 #include "storage/log_segment_base.h"
 
+#include "core/core.h"
+
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <fcntl.h>
 #include <unistd.h>
@@ -66,13 +67,8 @@
 std::optional<log_index> log_segment::firstFromName(const std::string &Name) {
   if (Name.compare(0, NamePrefix.size(), NamePrefix) != 0)
     return std::nullopt;
-  std::uint64_t First = 0;
-  const char *Begin = Name.data() + NamePrefix.size();
-  const char *End = Name.data() + Name.size();
-  const auto [Stop, Error] = std::from_chars(Begin, End, First);
-  if (Error != std::errc{} || Stop != End)
-    return std::nullopt;
-  return log_index(First);
+  const auto First = numberFrom<std::uint64_t>(std::string_view(Name).substr(NamePrefix.size()));
+  return First ? std::optional(log_index(*First)) : std::nullopt;
 }
 
 result<log_segment, storage_error> log_segment::create(const file_system &Files,
--- a/src/storage/snapshot_files.cpp
+++ b/src/storage/snapshot_files.cpp
@@ -2,11 +2,11 @@
 #include "storage/snapshot_files_base.h"
 
 #include "consensus/consensus.h"
+#include "core/core.h"
 #include "storage/record_type.h"
 
 #include <algorithm>
 #include <array>
-#include <charconv>
 #include <cstdio>
 #include <system_error>
 
@@ -70,12 +70,8 @@
 std::optional<log_index> snapshot_files::indexFromName(const std::string &Name) {
   if (Name.compare(0, NamePrefix.size(), NamePrefix) != 0)
     return std::nullopt;
-  std::uint64_t Index = 0;
-  const char *End = Name.data() + Name.size();
-  const auto [Stop, Error] = std::from_chars(Name.data() + NamePrefix.size(), End, Index);
-  if (Error != std::errc{} || Stop != End)
-    return std::nullopt;
-  return log_index(Index);
+  const auto Index = numberFrom<std::uint64_t>(std::string_view(Name).substr(NamePrefix.size()));
+  return Index ? std::optional(log_index(*Index)) : std::nullopt;
 }
 
 storage_result snapshot_files::open(std::vector<std::string> &Repairs) {
--- a/src/toml_text/toml_parse.cpp
+++ b/src/toml_text/toml_parse.cpp
@@ -1,8 +1,9 @@
 /** @file toml_parse.cpp The only file of this library that sees tomlplusplus and its exceptions. */
 #include "toml_text/toml_parse_func.h"
 
+#include "core/core.h"
+
 #include <algorithm>
-#include <charconv>
 
 #include <toml++/toml.h>
 
@@ -55,10 +56,8 @@
 
 const toml_node *itemOf(const toml_node &Node, std::string_view Digits) {
   const auto *List = std::get_if<toml_list>(&Node.Value);
-  std::size_t Index = 0;
-  const auto [End, Error] = std::from_chars(Digits.data(), Digits.data() + Digits.size(), Index);
-  const bool IsNumber = Error == std::errc{} && End == Digits.data() + Digits.size();
-  return List && IsNumber && Index < List->size() ? &(*List)[Index] : nullptr;
+  const auto Index = numberFrom<std::size_t>(Digits);
+  return List && Index && *Index < List->size() ? &(*List)[*Index] : nullptr;
 }
 
 /// Takes the first step, ".key", "key" or "[index]", off a path.
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -1,7 +1,7 @@
 /** @file work_share.cpp UDP by Asio, one thread. */
 #include "work_share/work_share_base.h"
 
-#include "peer_link/peer_link.h"
+#include "address/address.h"
 #include "wire/wire.h"
 
 #include <boost/asio/io_context.hpp>
@@ -45,19 +45,17 @@
   }
 
   result<done, work_share_error> open(const std::string &Bind) {
-    const auto Address = tcpEndpoint(Bind);
-    if (!Address)
+    const auto Local = udpEndpoint(Bind);
+    if (!Local)
       return work_share_error{"not an address: " + Bind};
-    const udp::endpoint Local(Address->address(), Address->port());
     boost::system::error_code Code;
-    Socket.open(Local.protocol(), Code);
+    Socket.open(Local->protocol(), Code);
     if (!Code)
-      Socket.bind(Local, Code);
+      Socket.bind(*Local, Code);
     if (Code)
       return work_share_error{Bind + ": " + Code.message()};
     Socket.non_blocking(true, Code);
-    const udp::endpoint Bound = Socket.local_endpoint();
-    Listening = toText(asio::ip::tcp::endpoint(Bound.address(), Bound.port()));
+    Listening = toText(Socket.local_endpoint());
     return done{};
   }
 
@@ -84,11 +82,10 @@
     const std::string Bytes = encodeEnvelope(Fleet, message_kind::WorkShare,
                                              work_report{Self, ++Sequence, std::move(Last->Loads)});
     for (const std::string &Peer : Last->Peers) {
-      const auto Address = tcpEndpoint(Peer);
+      const auto Address = udpEndpoint(Peer);
       boost::system::error_code Ignored; // As good as lost on the way.
       if (Address && Peer != Listening)
-        Socket.send_to(asio::buffer(Bytes), udp::endpoint(Address->address(), Address->port()), 0,
-                       Ignored);
+        Socket.send_to(asio::buffer(Bytes), *Address, 0, Ignored);
     }
   }
 
--- a/tests/control/entry_link_test.cpp
+++ b/tests/control/entry_link_test.cpp
@@ -1,6 +1,6 @@
 /** @file entry_link_test.cpp Entries that follow real control hosts. */
+#include "address/address.h"
 #include "control/control_cluster.h"
-#include "peer_link/peer_link.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
