Search a stream's bytes once for the ends of its events; one maker of free addresses for tests

The scanner of streams without an end mark searched an event that comes in pieces from its start each time, which the other scanner has long avoided: both use event_end_finder now. tests/control and tests/system each had their own way to free addresses; tests/support has it for both.

--- a/src/relay/event_scanner.cpp
+++ b/src/relay/event_scanner.cpp
@@ -1,8 +1,6 @@
 /** @file event_scanner.cpp Server-sent events: lines, ids, the end mark. */
 #include "relay/event_scanner_base.h"
 
-#include "relay/event_text_func.h"
-
 namespace pollenstall {
 
 namespace {
@@ -43,15 +41,9 @@
     if (Ended)
       return event_stream_error::AfterEnd;
     const std::string_view Left = Bytes.substr(Found.WholeBytes);
-    // The last three bytes searched may hold the start of the blank line.
-    constexpr std::size_t Overlap = 3;
-    const std::size_t From = Searched > Overlap ? Searched - Overlap : 0;
-    const auto End = endOfEvent(Left, From);
-    if (!End) {
-      Searched = Left.size();
+    const auto End = Ends.next(Left);
+    if (!End)
       break;
-    }
-    Searched = 0;
     const auto Taken = take(Left.substr(0, *End));
     if (!succeeded(Taken))
       return errorOf(Taken);
--- a/src/relay/event_scanner_base.h
+++ b/src/relay/event_scanner_base.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_RELAY_EVENT_SCANNER_BASE_H
 
 #include "core/core.h"
+#include "relay/event_text_func.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -51,7 +52,7 @@
   result<bool, event_stream_error> take(std::string_view Event);
 
   std::uint64_t Last;
-  std::size_t Searched{0}; ///< Bytes of the incomplete event that hold no end.
+  event_end_finder Ends;
   bool Ended{false};
   std::string Usage;
 };
--- a/src/relay/event_text.cpp
+++ b/src/relay/event_text.cpp
@@ -25,8 +25,6 @@
   }
 }
 
-} // namespace
-
 std::optional<std::size_t> endOfEvent(std::string_view Bytes, std::size_t From) {
   for (std::size_t At = Bytes.find('\n', From); At != std::string_view::npos;
        At = Bytes.find('\n', At + 1)) {
@@ -38,6 +36,16 @@
   return std::nullopt;
 }
 
+} // namespace
+
+std::optional<std::size_t> event_end_finder::next(std::string_view Left) {
+  // The last three bytes searched may hold the start of the blank line.
+  constexpr std::size_t Overlap = 3;
+  const auto End = endOfEvent(Left, Searched > Overlap ? Searched - Overlap : 0);
+  Searched = End ? 0 : Left.size();
+  return End;
+}
+
 event_fields readEvent(std::string_view Event) {
   event_fields Fields;
   while (!Event.empty()) {
--- a/src/relay/event_text_func.h
+++ b/src/relay/event_text_func.h
@@ -16,9 +16,16 @@
   bool HasData{false};
 };
 
-/// @param From Bytes before it were searched already.
-/// @return The end of the event that starts the bytes (behind its blank line), or nothing.
-std::optional<std::size_t> endOfEvent(std::string_view Bytes, std::size_t From);
+/// Finds ends of events in bytes that grow at their end; what was searched is not searched again.
+class event_end_finder {
+public:
+  /// @param Left What follows the last event that was found, as far as it has come.
+  /// @return The end of its first event, behind the blank line; nothing where it is not whole.
+  std::optional<std::size_t> next(std::string_view Left);
+
+private:
+  std::size_t Searched{0};
+};
 
 /// @return The fields of one whole event.
 event_fields readEvent(std::string_view Event);
--- a/src/relay/open_event_scanner.cpp
+++ b/src/relay/open_event_scanner.cpp
@@ -1,8 +1,6 @@
 /** @file open_event_scanner.cpp Whole events and their ids. */
 #include "relay/open_event_scanner_base.h"
 
-#include "relay/event_text_func.h"
-
 namespace pollenstall {
 
 result<bool, event_stream_error> open_event_scanner::isNew(std::string_view Event) {
@@ -26,7 +24,7 @@
 result<open_event_scan, event_stream_error> open_event_scanner::scan(std::string_view Bytes,
                                                                      bool AtEnd) {
   open_event_scan Found;
-  while (const auto End = endOfEvent(Bytes.substr(Found.Taken), 0)) {
+  while (const auto End = Ends.next(Bytes.substr(Found.Taken))) {
     const std::string_view Event = Bytes.substr(Found.Taken, *End);
     const auto New = isNew(Event);
     if (!succeeded(New))
--- a/src/relay/open_event_scanner_base.h
+++ b/src/relay/open_event_scanner_base.h
@@ -36,6 +36,7 @@
 private:
   result<bool, event_stream_error> isNew(std::string_view Event);
 
+  event_end_finder Ends;
   std::uint64_t Last;
   bool Seen{false}; ///< An event with an id came from this engine.
 };
--- a/tests/control/control_cluster.cpp
+++ b/tests/control/control_cluster.cpp
@@ -7,8 +7,6 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <gtest/gtest.h>
 
-#include <unistd.h>
-
 #include <filesystem>
 
 namespace pollenstall {
@@ -29,27 +27,6 @@
   return Value.is_object() ? Value.as_object() : boost::json::object();
 }
 
-boost::asio::ip::address_v4 ownLoopback() {
-  // A port that the kernel gave and that is free again until its process binds it is soon given to
-  // another test's process. On an address of its own nobody else asks for one.
-  constexpr unsigned First = 0x7f400000; // 127.64.0.0
-  constexpr unsigned Pids = (1U << 22U) - 1;
-  return boost::asio::ip::address_v4(First + (static_cast<unsigned>(getpid()) & Pids));
-}
-
-std::vector<std::string> freeAddresses(std::size_t Count) {
-  using boost::asio::ip::tcp;
-  boost::asio::io_context Io;
-  std::vector<tcp::acceptor> Held; // all at once, so that they differ
-  std::vector<std::string> Addresses;
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    Held.emplace_back(Io, tcp::endpoint(ownLoopback(), 0));
-    Addresses.push_back(ownLoopback().to_string() + ":" +
-                        std::to_string(Held.back().local_endpoint().port()));
-  }
-  return Addresses;
-}
-
 std::string declarationText(int Number) {
   return "[limits]\nmax_queued = " + std::to_string(Number + 1) + "\n";
 }
@@ -65,7 +42,7 @@
 control_cluster::control_cluster(std::size_t Count, std::string MoreSettings,
                                  std::string MoreListen)
     : More(std::move(MoreSettings)), Listen(std::move(MoreListen)) {
-  const auto Addresses = freeAddresses(3 * Count);
+  const auto Addresses = freeTcpAddresses(3 * Count);
   for (std::size_t Host = 0; Host < Count; ++Host)
     Hosts.push_back(
         {Addresses[3 * Host], Addresses[3 * Host + 1], Addresses[3 * Host + 2], nullptr});
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -21,12 +21,6 @@
 /// @return The answer as an object; empty where it is none.
 boost::json::object objectIn(const http_answer &Answer);
 
-/// A loopback address that only this test process listens on.
-boost::asio::ip::address_v4 ownLoopback();
-
-/// Ports of ownLoopback() that were free a moment ago.
-std::vector<std::string> freeAddresses(std::size_t Count);
-
 /// A valid declaration that says which change made it.
 std::string declarationText(int Number);
 /// Body of POST /v1/changes.
--- /dev/null
+++ b/tests/support/free_address_func.h
@@ -0,0 +1,16 @@
+/** @file free_address_func.h Addresses for processes that a test starts. */
+#ifndef POLLENSTALL_SUPPORT_FREE_ADDRESS_FUNC_H
+#define POLLENSTALL_SUPPORT_FREE_ADDRESS_FUNC_H
+
+#include <string>
+#include <vector>
+
+namespace pollenstall {
+
+/// @return "IP:port" of an address that no other test's process uses; free a moment ago.
+std::vector<std::string> freeTcpAddresses(std::size_t Count);
+std::vector<std::string> freeUdpAddresses(std::size_t Count);
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_SUPPORT_FREE_ADDRESS_FUNC_H
--- a/tests/support/test_support.h
+++ b/tests/support/test_support.h
@@ -5,6 +5,7 @@
 #include "support/backend_process_base.h" // IWYU pragma: export
 #include "support/child_process_base.h"   // IWYU pragma: export
 #include "support/eventually_func.h"      // IWYU pragma: export
+#include "support/free_address_func.h"    // IWYU pragma: export
 #include "support/http_client_base.h"     // IWYU pragma: export
 #include "support/http_stub_base.h"       // IWYU pragma: export
 #include "support/raw_socket_base.h"      // IWYU pragma: export
--- a/tests/system/running_system.cpp
+++ b/tests/system/running_system.cpp
@@ -5,7 +5,6 @@
 #include "operators/operators.h"
 
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -33,19 +32,6 @@
   return "[" + List + "]";
 }
 
-std::vector<std::string> freeUdpAddresses(std::size_t Count) {
-  using boost::asio::ip::udp;
-  boost::asio::io_context Io;
-  std::vector<udp::socket> Held; // all at once, so that they differ
-  std::vector<std::string> Addresses;
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    Held.emplace_back(Io, udp::endpoint(ownLoopback(), 0));
-    Addresses.push_back(ownLoopback().to_string() + ":" +
-                        std::to_string(Held.back().local_endpoint().port()));
-  }
-  return Addresses;
-}
-
 std::string bearer(const std::string &Key) { return "Bearer " + Key; }
 
 http_headers asCaller(http_headers More = {}) {
@@ -74,7 +60,7 @@
   (void)Folder.write("fleet.key", FleetKey);
   (void)Folder.write("operator.key", control_cluster::operatorKey());
   (void)Control.waitForLeader(); // Its hosts hold their ports now, and none is drawn twice.
-  const auto Addresses = freeAddresses(3 * EntryCount);
+  const auto Addresses = freeTcpAddresses(3 * EntryCount);
   const auto Gossip = freeUdpAddresses(EntryCount);
   for (std::size_t Index = 0; Index < EntryCount; ++Index)
     Entries.push_back({Addresses[3 * Index], Addresses[3 * Index + 1], Addresses[3 * Index + 2],
