--- /dev/null
+++ b/src/fleet_model/entry_policy.cpp
@@ -0,0 +1,198 @@
+/** @file entry_policy.cpp The placer and two plain balancers behind the same hooks. */
+#include "fleet_model/entry_policy_func.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <memory>
+
+namespace pollenstall {
+
+namespace {
+
+fleet_declaration declarationOf(const model_load &Load) {
+  fleet_declaration Declared;
+  service_declaration Service;
+  Service.Name = modelService();
+  Service.Engine = Load.Engine;
+  Declared.Services.push_back(Service);
+  for (const request_kind &Kind : Load.Kinds) {
+    call_route Route;
+    Route.Name = Kind.Name;
+    Route.Repeat = repeat_rule::Resume;
+    Route.Target = std::chrono::milliseconds(static_cast<std::int64_t>(Kind.TargetMs));
+    Route.LongestGap = std::chrono::milliseconds(static_cast<std::int64_t>(Kind.GapMs));
+    Route.Services = {{modelService(), 1}};
+    Declared.Routes.push_back(Route);
+  }
+  return Declared;
+}
+
+host_name entryName(std::size_t Entry) { return host_name("entry-" + std::to_string(Entry)); }
+
+model_policy makePlacement(const model_load &Load, std::size_t Entry, std::uint64_t Seed) {
+  const auto Placer = std::make_shared<placer>(entryName(Entry), Seed, Load.Tuning);
+  Placer->applyDeclaration(declarationOf(Load));
+  model_policy Policy;
+  Policy.Submit = [Placer](const work_item &Item, mono_time Now) {
+    return Placer->submit(Item, Now);
+  };
+  Policy.Withdraw = [Placer](request_number Request) { Placer->withdraw(Request); };
+  Policy.Poll = [Placer](mono_time Now) { return Placer->poll(Now); };
+  Policy.NextWake = [Placer] { return Placer->nextWake(); };
+  Policy.UpdateBackend = [Placer](const backend_listing &Listing) {
+    if (Listing.State == listing_state::Gone)
+      Placer->removeBackend(Listing.Key);
+    else
+      Placer->updateBackend(Listing);
+  };
+  Policy.Started = [Placer](const attempt_id &Attempt, const work_item &Item,
+                            const backend_key &Backend,
+                            mono_time Now) { Placer->attemptStarted(Attempt, Item, Backend, Now); };
+  Policy.Answering = [Placer](const attempt_id &Attempt, mono_time Now) {
+    Placer->attemptAnswering(Attempt, Now);
+  };
+  Policy.Ended = [Placer](const attempt_id &Attempt, const attempt_report &End, mono_time Now) {
+    Placer->attemptEnded(Attempt, End, Now);
+  };
+  Policy.OwnLoads = [Placer](mono_time Now) { return Placer->ownLoads(Now); };
+  Policy.TakeLoads = [Placer](const host_name &Peer, const std::vector<work_load> &Loads,
+                              mono_time Now) { Placer->takePeerLoads(Peer, Loads, Now); };
+  Policy.ClaimsMade = [Placer] { return Placer->claimsMade(); };
+  return Policy;
+}
+
+enum class balancer_kind : std::uint8_t { LeastOutstanding, PowerOfTwo };
+
+/// Sends each request at once to one engine, by the count of requests alone.
+class plain_balancer {
+public:
+  plain_balancer(balancer_kind Given, std::uint64_t Seed) : Kind(Given), Random(Seed) {}
+
+  void update(const backend_listing &Listing) {
+    if (Listing.State == listing_state::Gone)
+      Counts.erase(Listing.Key);
+    else
+      Counts.try_emplace(Listing.Key);
+  }
+  void submit(const work_item &Item) { Pending.push_back(Item); }
+  poll_outcome poll() {
+    poll_outcome Outcome;
+    for (const work_item &Item : std::exchange(Pending, {}))
+      if (const auto Chosen = choose())
+        Outcome.Placements.push_back({Item.Request, *Chosen});
+    return Outcome;
+  }
+  void started(const attempt_id &Attempt, const backend_key &Backend) {
+    Attempts[Attempt] = Backend;
+    if (const auto Found = Counts.find(Backend); Found != Counts.end())
+      ++Found->second.Own;
+  }
+  void ended(const attempt_id &Attempt) {
+    const auto Found = Attempts.find(Attempt);
+    if (Found == Attempts.end())
+      return;
+    if (const auto Count = Counts.find(Found->second); Count != Counts.end())
+      --Count->second.Own;
+    Attempts.erase(Found);
+  }
+  [[nodiscard]] std::vector<work_load> loads() const {
+    std::vector<work_load> Loads;
+    for (const auto &[Key, Count] : Counts)
+      if (Count.Own > 0)
+        Loads.push_back({Key.Life, Count.Own, 0, 0, 0});
+    return Loads;
+  }
+  void takeLoads(const host_name &Peer, const std::vector<work_load> &Loads) {
+    for (auto &[Key, Count] : Counts) {
+      const auto Told =
+          std::find_if(Loads.begin(), Loads.end(),
+                       [&Key = Key](const work_load &Load) { return Load.Life == Key.Life; });
+      Count.Others[Peer] = Told == Loads.end() ? 0 : Told->Requests;
+    }
+  }
+
+private:
+  struct request_count {
+    std::uint32_t Own{0};
+    std::map<host_name, std::uint32_t> Others;
+
+    [[nodiscard]] std::uint32_t all() const {
+      std::uint32_t Sum = Own;
+      for (const auto &[Peer, Count] : Others)
+        Sum += Count;
+      return Sum;
+    }
+  };
+
+  std::optional<backend_key> choose() {
+    if (Counts.empty())
+      return std::nullopt;
+    const auto Draw = [this] {
+      return std::next(Counts.begin(), static_cast<std::ptrdiff_t>(Random.below(Counts.size())));
+    };
+    if (Kind == balancer_kind::PowerOfTwo) {
+      const auto A = Draw();
+      const auto B = Draw();
+      return A->second.all() <= B->second.all() ? A->first : B->first;
+    }
+    std::vector<backend_key> Best;
+    std::uint32_t Least = std::numeric_limits<std::uint32_t>::max();
+    for (const auto &[Key, Count] : Counts) {
+      if (Count.all() < Least)
+        Best.clear();
+      Least = std::min(Least, Count.all());
+      if (Count.all() == Least)
+        Best.push_back(Key);
+    }
+    return Best[Random.below(Best.size())];
+  }
+
+  balancer_kind Kind;
+  random_source Random;
+  std::map<backend_key, request_count> Counts;
+  std::map<attempt_id, backend_key> Attempts;
+  std::vector<work_item> Pending;
+};
+
+model_policy_maker balancerOf(balancer_kind Kind) {
+  return [Kind](const model_load &, std::size_t, std::uint64_t Seed) {
+    const auto Balancer = std::make_shared<plain_balancer>(Kind, Seed);
+    model_policy Policy;
+    Policy.Submit = [Balancer](const work_item &Item, mono_time) {
+      Balancer->submit(Item);
+      return std::variant<done, work_refusal>(done{});
+    };
+    Policy.Withdraw = [](request_number) {};
+    Policy.Poll = [Balancer](mono_time) { return Balancer->poll(); };
+    Policy.NextWake = [] { return std::optional<mono_time>(); };
+    Policy.UpdateBackend = [Balancer](const backend_listing &Listing) {
+      Balancer->update(Listing);
+    };
+    Policy.Started = [Balancer](const attempt_id &Attempt, const work_item &,
+                                const backend_key &Backend,
+                                mono_time) { Balancer->started(Attempt, Backend); };
+    Policy.Answering = [](const attempt_id &, mono_time) {};
+    Policy.Ended = [Balancer](const attempt_id &Attempt, const attempt_report &, mono_time) {
+      Balancer->ended(Attempt);
+    };
+    Policy.OwnLoads = [Balancer](mono_time) { return Balancer->loads(); };
+    Policy.TakeLoads = [Balancer](const host_name &Peer, const std::vector<work_load> &Loads,
+                                  mono_time) { Balancer->takeLoads(Peer, Loads); };
+    Policy.ClaimsMade = [] { return std::uint64_t{0}; };
+    return Policy;
+  };
+}
+
+} // namespace
+
+service_name modelService() { return service_name("model"); }
+
+named_model_policy placementPolicy() { return {"placement", makePlacement}; }
+
+std::vector<named_model_policy> baselineModelPolicies() {
+  return {{"least_outstanding", balancerOf(balancer_kind::LeastOutstanding)},
+          {"power_of_two", balancerOf(balancer_kind::PowerOfTwo)}};
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/fleet_model/fleet_run.cpp
@@ -0,0 +1,275 @@
+/** @file fleet_run.cpp The event loop, and what callers do. */
+#include "fleet_model/fleet_run_base.h"
+
+#include "fleet_model/entry_policy_func.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr double Second = 1e3; // ms
+/// Virtual time zero; not the clock's own zero, which code may take for "never".
+constexpr mono_time Start{std::chrono::hours(1)};
+/// A caller that is told to come back waits for this part of its time at most.
+constexpr double WaitPart = 1.0 / 3.0;
+constexpr double ReturnAfterMs = 50;
+constexpr std::size_t MostAttempts = 2;
+
+mono_span spanOfMs(double Ms) {
+  return std::chrono::duration_cast<mono_span>(std::chrono::duration<double, std::milli>(Ms));
+}
+
+double exponential(random_source &Random, double Mean) {
+  return -Mean * std::log(1.0 - Random.unit());
+}
+
+/// Box and Muller's transformation; one of the two numbers is enough here.
+double normal(random_source &Random) {
+  const double Radius = std::sqrt(-2.0 * std::log(1.0 - Random.unit()));
+  return Radius * std::cos(2.0 * std::numbers::pi * Random.unit());
+}
+
+double drawSize(random_source &Random, const size_spread &Size) {
+  const double Drawn =
+      Size.Mean * std::exp(Size.Spread * normal(Random) - Size.Spread * Size.Spread / 2.0);
+  return std::clamp(Drawn, 1.0, Size.Most);
+}
+
+backend_listing listingOf(std::size_t Engine, std::uint64_t Life, const engine_figures &Figures) {
+  const instance_name Name("engine-" + std::to_string(Engine) + "-" + std::to_string(Life));
+  // Padded, so that the order of addresses is that of numbers.
+  const std::string Port = std::to_string(10'000 + Engine);
+  backend_listing Listing;
+  Listing.Key = keyOf(backend_address("10.0.0.1:" + Port), Name);
+  Listing.Instance = Name;
+  Listing.Service = modelService();
+  Listing.Places = Figures.Places;
+  return Listing;
+}
+
+} // namespace
+
+fleet_run::fleet_run(const model_load &Played, const named_model_policy &Policy, std::uint64_t Seed)
+    : Load(Played), Random(mixHash(Seed, 1)) {
+  for (std::size_t Number = 0; Number < Load.Entries; ++Number)
+    Entries.push_back({Policy.Make(Load, Number, mixHash(Seed, Number + 2)), -1, -1e9, 0, {}});
+  for (std::size_t Number = 0; Number < Load.Engines; ++Number) {
+    Engines.push_back({engine_model(Load.Engine, Load.TokensPerEvent),
+                       listingOf(Number, 0, Load.Engine), false, 0});
+    EngineNumbers[Engines.back().Listing.Key] = Number;
+    for (entry_state &Entry : Entries)
+      Entry.Policy.UpdateBackend(Engines.back().Listing);
+  }
+  drawRequests();
+  for (std::size_t Number = 0; Number < Load.Losses.size(); ++Number)
+    push(Load.Losses[Number].At * Second, event_kind::Lose, Number);
+}
+
+double fleet_run::rateFactor(const request_kind &Kind, double Seconds) const {
+  double Factor = 1;
+  for (const load_phase &Phase : Load.Phases)
+    if ((Phase.Kind.empty() || Phase.Kind == Kind.Name) && Seconds >= Phase.From &&
+        Seconds < Phase.Until)
+      Factor *= Phase.Factor;
+  return Factor;
+}
+
+void fleet_run::drawRequests() {
+  for (std::size_t Kind = 0; Kind < Load.Kinds.size(); ++Kind) {
+    const request_kind &Drawn = Load.Kinds[Kind];
+    double Highest = 1;
+    for (const load_phase &Phase : Load.Phases)
+      Highest *= std::max(1.0, Phase.Kind.empty() || Phase.Kind == Drawn.Name ? Phase.Factor : 1.0);
+    // Drawn at the highest rate and thinned out, so that phases meet the same random numbers.
+    for (double At = 0;;) {
+      At += exponential(Random, 1.0 / (Drawn.PerSecond * Highest));
+      if (At >= Load.Seconds)
+        break;
+      request_state State;
+      State.Record.Kind = Kind;
+      State.Record.ArrivedMs = At * Second;
+      State.Record.Prompt = drawSize(Random, Drawn.Prompt);
+      State.Record.Events = static_cast<std::uint32_t>(std::lround(drawSize(Random, Drawn.Events)));
+      State.Entry = static_cast<std::size_t>(Random.below(Load.Entries));
+      State.GivenUpMs = State.Record.ArrivedMs + Drawn.TimeoutMs;
+      if (Random.chance(rateFactor(Drawn, At) / Highest))
+        Requests.push_back(State);
+    }
+  }
+  for (std::size_t Number = 0; Number < Requests.size(); ++Number) {
+    push(Requests[Number].Record.ArrivedMs + Load.CallerDelayMs, event_kind::Arrive, Number);
+    push(Requests[Number].GivenUpMs, event_kind::TimeOut, Number);
+  }
+}
+
+mono_time fleet_run::momentOf(double At) const { return Start + spanOfMs(At); }
+
+mono_time fleet_run::now() const { return momentOf(Ms); }
+
+void fleet_run::push(double At, event_kind Kind, std::size_t Index, std::uint64_t Life) {
+  Events.push({At, NextOrder++, Kind, Index, Life});
+}
+
+std::vector<request_record> fleet_run::play() {
+  std::size_t Open = Requests.size();
+  while (!Events.empty() && Open > 0) {
+    const event Next = Events.top();
+    Events.pop();
+    Ms = Next.Ms;
+    handle(Next);
+    if (Next.Kind == event_kind::TimeOut)
+      --Open; // Each request has exactly one, so that the run goes on until the last has passed.
+  }
+  std::vector<request_record> Records;
+  for (const request_state &State : Requests)
+    Records.push_back(State.Record);
+  return Records;
+}
+
+void fleet_run::handle(const event &Event) {
+  switch (Event.Kind) {
+  case event_kind::Arrive:
+    return arrive(Event.Index);
+  case event_kind::Turn:
+    if (Entries[Event.Index].TurnAtMs == Event.Ms)
+      turn(Event.Index);
+    return;
+  case event_kind::Loads: {
+    const load_report &Report = Reports[Event.Index];
+    Entries[Report.To].Policy.TakeLoads(host_name("entry-" + std::to_string(Report.From)),
+                                        Report.Loads, now());
+    return turn(Report.To);
+  }
+  case event_kind::Reach:
+    return reach(Event.Index);
+  case event_kind::PartRead: {
+    const std::size_t Engine = Attempts[Event.Index].Engine;
+    tell(Engines[Engine].Model.partRead(Event.Index));
+    return runEngine(Engine);
+  }
+  case event_kind::PassEnd:
+    if (Engines[Event.Index].Life == Event.Life)
+      endPass(Event.Index);
+    return;
+  case event_kind::Event:
+    return takeEvent(Event.Index);
+  case event_kind::Ended:
+    return endAttempt(Event.Index, std::nullopt);
+  case event_kind::Broken:
+    return endAttempt(Event.Index, attempt_failure::BrokenMidway);
+  case event_kind::TimeOut:
+    return giveUp(Event.Index);
+  case event_kind::Lose:
+    return lose(Event.Index);
+  case event_kind::Regain:
+    return regain(Event.Index);
+  }
+}
+
+void fleet_run::arrive(std::size_t Request) {
+  if (Requests[Request].Over)
+    return;
+  submit(Request);
+  turn(Requests[Request].Entry);
+}
+
+work_item fleet_run::itemOf(std::size_t Request) const {
+  const request_state &State = Requests[Request];
+  const request_kind &Kind = Load.Kinds[State.Record.Kind];
+  const double Answer = State.Record.Events * Load.TokensPerEvent;
+  work_item Item;
+  Item.Request = request_number(Request + 1);
+  Item.Service = service_name(Kind.Name);
+  Item.Groups = {{group_name(modelService().str()), 1}};
+  Item.Prompt = tokens(std::llround(State.Record.Prompt));
+  Item.AnswerLimit = tokens(std::llround(Answer));
+  Item.Avoid = State.Avoid;
+  Item.Arrived = momentOf(State.Record.ArrivedMs + Load.CallerDelayMs);
+  Item.Deadline = momentOf(State.GivenUpMs - Load.CallerDelayMs);
+  Item.Urgency = Kind.Urgency;
+  Item.Target = std::chrono::milliseconds(std::llround(Kind.TargetMs));
+  Item.LongestGap = std::chrono::milliseconds(std::llround(Kind.GapMs));
+  Item.Resumed = State.EventsSeen > 0;
+  return Item;
+}
+
+void fleet_run::submit(std::size_t Request) {
+  const auto Taken = Entries[Requests[Request].Entry].Policy.Submit(itemOf(Request), now());
+  if (!succeeded(Taken))
+    refuse(Request, errorOf(Taken));
+}
+
+void fleet_run::refuse(std::size_t Request, const work_refusal &Refusal) {
+  request_state &State = Requests[Request];
+  ++State.Record.Refusals;
+  const double Left = State.GivenUpMs - Ms;
+  const double Told =
+      Refusal.RetryAfter ? static_cast<double>(Refusal.RetryAfter->count()) * Second : 0;
+  if (State.Returned || State.EventsSeen > 0 || !Random.chance(Load.ReturnChance)) {
+    State.Over = true;
+    return;
+  }
+  State.Returned = true;
+  State.Entry = static_cast<std::size_t>(Random.below(Load.Entries));
+  const double Wait = std::max(ReturnAfterMs, std::min(Told, Left * WaitPart));
+  push(Ms + Wait + 2 * Load.CallerDelayMs, event_kind::Arrive, Request);
+}
+
+void fleet_run::takeEvent(std::size_t Attempt) {
+  attempt_state &State = Attempts[Attempt];
+  request_state &Request = Requests[State.Request];
+  if (State.Over || Request.Over)
+    return;
+  if (State.Events++ == 0)
+    Entries[State.Entry].Policy.Answering(State.Id, now());
+  const double SeenMs = Ms + Load.CallerDelayMs;
+  if (Request.EventsSeen++ == 0)
+    Request.Record.FirstEventMs = SeenMs - Request.Record.ArrivedMs;
+  else
+    Request.Record.LongestGapMs =
+        std::max(Request.Record.LongestGapMs, SeenMs - Request.LastEventMs);
+  Request.LastEventMs = SeenMs;
+  if (State.Events == 1)
+    turn(State.Entry);
+}
+
+void fleet_run::endAttempt(std::size_t Attempt, std::optional<attempt_failure> Failure) {
+  attempt_state &State = Attempts[Attempt];
+  if (State.Over)
+    return;
+  State.Over = true;
+  freeEngines(State);
+  attempt_report Report;
+  Report.Completed = !Failure;
+  Report.Failure = Failure;
+  Entries[State.Entry].Policy.Ended(State.Id, Report, now());
+  request_state &Request = Requests[State.Request];
+  Request.Attempt.reset();
+  if (!Failure && !Request.Over) {
+    Request.Over = true;
+    Request.Record.EndedMs = Ms + Load.CallerDelayMs - Request.Record.ArrivedMs;
+  } else if (Failure && !Request.Over) {
+    Request.Avoid.push_back(Engines[State.Engine].Listing.Key);
+    if (Request.Record.Attempts < MostAttempts)
+      submit(State.Request);
+    else
+      Request.Over = true;
+  }
+  turn(State.Entry);
+}
+
+void fleet_run::giveUp(std::size_t Request) {
+  request_state &State = Requests[Request];
+  if (State.Over)
+    return;
+  State.Over = true;
+  Entries[State.Entry].Policy.Withdraw(request_number(Request + 1));
+  if (State.Attempt)
+    endAttempt(*State.Attempt, attempt_failure::TimedOut);
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/fleet_model/model_load.cpp
@@ -0,0 +1,149 @@
+/** @file model_load.cpp Maps the keys of a load file onto its types. */
+#include "fleet_model/model_load_func.h"
+
+#include <algorithm>
+
+namespace pollenstall {
+
+namespace {
+
+using faults = std::vector<toml_fault>;
+
+constexpr toml_range<double> Positive{1e-6, 1e9};
+constexpr toml_range<double> Amount{0, 1e9};
+constexpr toml_range<double> Part{0, 1};
+constexpr toml_range<double> Spread{0, 3};
+constexpr toml_range<std::int64_t> Count{1, 4'096};
+constexpr toml_range<std::int64_t> Tokens{1, 1'000'000'000};
+constexpr toml_range<std::int64_t> Steps{1, 100'000};
+constexpr toml_range<std::int64_t> Urgencies{0, 9};
+
+toml_text_rule anyName() {
+  return {"a name", [](const std::string &Text) { return !Text.empty(); }};
+}
+
+engine_figures readEngine(toml_reader &Table) {
+  engine_figures Figures;
+  Figures.Places = static_cast<std::uint32_t>(Table.whole("places", Count, Figures.Places));
+  Figures.Memory = tokens(Table.whole("memory_tokens", Tokens, 315'000));
+  Figures.StepsPerPass =
+      static_cast<std::uint32_t>(Table.whole("steps_per_pass", Steps, Figures.StepsPerPass));
+  Figures.StepMs = Table.number("step_ms", Positive, Figures.StepMs);
+  Figures.PerSequenceMs = Table.number("per_sequence_ms", Amount, Figures.PerSequenceMs);
+  Figures.PerContextMs = Table.number("per_context_ms", Amount, Figures.PerContextMs);
+  Figures.ReadPerSecond = Table.number("read_per_second", Positive, Figures.ReadPerSecond);
+  Figures.PairsMs = Table.number("pairs_ms", Amount, Figures.PairsMs);
+  Figures.Chunk = tokens(Table.whole("chunk_tokens", Tokens, Figures.Chunk.value()));
+  Table.finish("an engine");
+  return Figures;
+}
+
+size_spread readSize(toml_reader &Table, const std::string &Name, double Mean) {
+  size_spread Size;
+  Size.Mean = Table.number(Name, Positive, Mean);
+  Size.Spread = Table.number(Name + "_spread", Spread, 0);
+  Size.Most = Table.number(Name + "_most", Positive, Positive.Max);
+  return Size;
+}
+
+request_kind readKind(toml_reader &Table) {
+  request_kind Kind;
+  Kind.Name = Table.text("name", toml_need::Required, anyName());
+  Kind.PerSecond = Table.number("per_second", Positive, Kind.PerSecond);
+  Kind.Prompt = readSize(Table, "prompt_tokens", 1'000);
+  Kind.Events = readSize(Table, "answer_events", 1);
+  Kind.TargetMs = Table.number("target_ms", Positive, Kind.TargetMs);
+  Kind.GapMs = Table.number("gap_ms", Positive, Kind.GapMs);
+  Kind.TimeoutMs = Table.number("timeout_ms", Positive, Kind.TimeoutMs);
+  Kind.Urgency = static_cast<std::uint32_t>(Table.whole("urgency", Urgencies, Kind.Urgency));
+  Kind.Worth = Table.number("worth", Amount, Kind.Worth);
+  Kind.LateWorth = Table.number("late_worth", Amount, Kind.LateWorth);
+  Table.finish("a kind of request");
+  return Kind;
+}
+
+load_phase readPhase(toml_reader &Table) {
+  load_phase Phase;
+  Phase.Kind = Table.text("kind", toml_need::Optional, anyName());
+  Phase.From = Table.number("from_s", Amount, Phase.From);
+  Phase.Until = Table.number("until_s", Amount, Phase.Until);
+  Phase.Factor = Table.number("factor", Amount, Phase.Factor);
+  Table.finish("a phase");
+  return Phase;
+}
+
+engine_loss readLoss(toml_reader &Table) {
+  engine_loss Loss;
+  Loss.At = Table.number("at_s", Amount, Loss.At);
+  Loss.For = Table.number("for_s", Amount, Loss.For);
+  Loss.Share = Table.number("share", Part, Loss.Share);
+  Table.finish("a loss of engines");
+  return Loss;
+}
+
+/// Trials of placement, without a build for each.
+void readTuning(toml_reader &Table, placement_tuning &Tuning) {
+  Tuning.GapPart = Table.number("gap_part", Part, Tuning.GapPart);
+  Tuning.TargetPart = Table.number("target_part", Part, Tuning.TargetPart);
+  Tuning.WholeReadMs = Table.number("whole_read_ms", Amount, Tuning.WholeReadMs);
+  Tuning.PartMs = Table.number("part_ms", Positive, Tuning.PartMs);
+  Tuning.IdleReadMs = Table.number("idle_read_ms", Amount, Tuning.IdleReadMs);
+  Tuning.SlackPart = Table.number("slack_part", Part, Tuning.SlackPart);
+  Tuning.WaitPart = Table.number("wait_part", Part, Tuning.WaitPart);
+  Tuning.MostReaders =
+      static_cast<std::uint32_t>(Table.whole("most_readers", Count, Tuning.MostReaders));
+  Tuning.SparePlaces =
+      static_cast<std::uint32_t>(Table.whole("spare_places", Urgencies, Tuning.SparePlaces));
+  Tuning.PackedChoices = static_cast<std::size_t>(
+      Table.whole("packed_choices", Count, static_cast<std::int64_t>(Tuning.PackedChoices)));
+  Table.finish("placement's tuning");
+}
+
+void checkNames(const model_load &Load, faults &Faults) {
+  if (Load.Kinds.empty())
+    Faults.push_back({0, "kind", "at least one"});
+  for (const load_phase &Phase : Load.Phases) {
+    const bool Known = Phase.Kind.empty() || std::any_of(Load.Kinds.begin(), Load.Kinds.end(),
+                                                         [&Phase](const request_kind &Kind) {
+                                                           return Kind.Name == Phase.Kind;
+                                                         });
+    if (!Known)
+      Faults.push_back({0, "phase.kind", "the name of a kind, not \"" + Phase.Kind + "\""});
+  }
+}
+
+} // namespace
+
+result<model_load, faults> parseModelLoad(std::string_view Text) {
+  auto Root = parseToml(Text);
+  if (!succeeded(Root))
+    return faults{errorOf(Root)};
+  faults Faults;
+  toml_reader Table(valueOf(Root), "", Faults);
+  model_load Load;
+  Load.Name = Table.text("name", toml_need::Required, anyName());
+  Load.Seconds = Table.number("seconds", Positive, Load.Seconds);
+  Load.Entries = static_cast<std::size_t>(Table.whole("entries", Count, 8));
+  Load.Engines = static_cast<std::size_t>(Table.whole("engines", Count, 18));
+  Load.HostDelayMs = Table.number("host_delay_ms", Amount, Load.HostDelayMs);
+  Load.CallerDelayMs = Table.number("caller_delay_ms", Amount, Load.CallerDelayMs);
+  Load.ReturnChance = Table.number("return_chance", Part, Load.ReturnChance);
+  Load.TokensPerEvent = Table.number("tokens_per_event", Positive, Load.TokensPerEvent);
+  if (auto Engine = Table.table("engine"))
+    Load.Engine = readEngine(*Engine);
+  for (toml_reader &Kind : Table.tables("kind", toml_need::Required))
+    Load.Kinds.push_back(readKind(Kind));
+  for (toml_reader &Phase : Table.tables("phase", toml_need::Optional))
+    Load.Phases.push_back(readPhase(Phase));
+  for (toml_reader &Loss : Table.tables("loss", toml_need::Optional))
+    Load.Losses.push_back(readLoss(Loss));
+  if (auto Tuning = Table.table("tuning"))
+    readTuning(*Tuning, Load.Tuning);
+  Table.finish("a load");
+  checkNames(Load, Faults);
+  if (!Faults.empty())
+    return Faults;
+  return Load;
+}
+
+} // namespace pollenstall
