--- a/src/fleet_model/engine_model.cpp
+++ b/src/fleet_model/engine_model.cpp
@@ -158,6 +158,8 @@
   const double Steps = Writes ? static_cast<double>(Figures.StepsPerPass) : 1.0;
   double Budget = Steps * static_cast<double>(Figures.Chunk.value());
   const double ReadMs = readParts(Budget) + readJobs(Budget);
+  Spent.Read += ReadMs;
+  Spent.Write += Writes ? Steps * StepMs : 0;
   return Steps * StepMs + ReadMs;
 }
 
--- a/src/fleet_model/engine_model_base.h
+++ b/src/fleet_model/engine_model_base.h
@@ -22,6 +22,12 @@
   std::uint32_t Urgency{5}; ///< 0 goes first.
 };
 
+/// How an engine has spent its time, in milliseconds.
+struct engine_time {
+  double Read{0};  ///< Prompts, own ones and parts.
+  double Write{0}; ///< The rest of passes with writers.
+};
+
 /// What one pass brought.
 struct pass_outcome {
   std::vector<std::size_t> Events;    ///< Jobs that wrote an event.
@@ -59,6 +65,7 @@
   /// Begins a pass. @return Its length in milliseconds.
   double start();
   pass_outcome finish();
+  [[nodiscard]] const engine_time &spent() const { return Spent; }
 
 private:
   struct active_job {
@@ -101,6 +108,7 @@
   std::list<active_job> Waiting; ///< The same.
   std::list<foreign_part> Parts; ///< In the order in which they came.
   std::vector<held_memory> Held;
+  engine_time Spent;
 };
 
 } // namespace pollenstall
--- a/src/fleet_model/fleet_run.cpp
+++ b/src/fleet_model/fleet_run.cpp
@@ -53,10 +53,12 @@
 
 } // namespace
 
-fleet_run::fleet_run(const model_load &Played, const named_model_policy &Policy, std::uint64_t Seed)
-    : Load(Played), Random(mixHash(Seed, 1)) {
+fleet_run::fleet_run(const model_load &Played, const named_model_policy &Wanted,
+                     std::uint64_t FirstSeed)
+    : Load(Played), Policy(Wanted), Seed(FirstSeed), Random(mixHash(FirstSeed, 1)) {
+  Entries.resize(Load.Entries);
   for (std::size_t Number = 0; Number < Load.Entries; ++Number)
-    Entries.push_back({Policy.Make(Load, Number, mixHash(Seed, Number + 2)), -1, -1e9, 0, {}});
+    Entries[Number].Policy = Policy.Make(Load, Number, mixHash(Seed, Number + 2));
   for (std::size_t Number = 0; Number < Load.Engines; ++Number) {
     Engines.push_back({engine_model(Load.Engine, Load.TokensPerEvent),
                        listingOf(Number, 0, Load.Engine), false, 0});
@@ -67,6 +69,8 @@
   drawRequests();
   for (std::size_t Number = 0; Number < Load.Losses.size(); ++Number)
     push(Load.Losses[Number].At * Second, event_kind::Lose, Number);
+  for (std::size_t Number = 0; Number < Load.EntryLosses.size(); ++Number)
+    push(Load.EntryLosses[Number].At * Second, event_kind::LoseEntry, Number);
 }
 
 double fleet_run::rateFactor(const request_kind &Kind, double Seconds) const {
@@ -119,6 +123,8 @@
   while (!Events.empty() && Open > 0) {
     const event Next = Events.top();
     Events.pop();
+    if (Next.Ms >= Load.Seconds * Second && Ms < Load.Seconds * Second)
+      noteSpent();
     Ms = Next.Ms;
     handle(Next);
     if (Next.Kind == event_kind::TimeOut)
@@ -130,6 +136,18 @@
   return Records;
 }
 
+void fleet_run::noteSpent() {
+  for (const engine_state &Engine : Engines) {
+    SpentUntilLast.Read += Engine.Model.spent().Read;
+    SpentUntilLast.Write += Engine.Model.spent().Write;
+  }
+}
+
+engine_time fleet_run::spent() const {
+  const double All = Load.Seconds * Second * static_cast<double>(Engines.size());
+  return {SpentUntilLast.Read / All, SpentUntilLast.Write / All};
+}
+
 void fleet_run::handle(const event &Event) {
   switch (Event.Kind) {
   case event_kind::Arrive:
@@ -140,6 +158,8 @@
     return;
   case event_kind::Loads: {
     const load_report &Report = Reports[Event.Index];
+    if (Entries[Report.To].Lost)
+      return;
     Entries[Report.To].Policy.TakeLoads(host_name("entry-" + std::to_string(Report.From)),
                                         Report.Loads, now());
     return turn(Report.To);
@@ -167,12 +187,18 @@
     return lose(Event.Index);
   case event_kind::Regain:
     return regain(Event.Index);
+  case event_kind::LoseEntry:
+    return loseEntries(Event.Index);
+  case event_kind::RegainEntry:
+    return addEntry(Event.Index);
   }
 }
 
 void fleet_run::arrive(std::size_t Request) {
   if (Requests[Request].Over)
     return;
+  if (Entries[Requests[Request].Entry].Lost)
+    Requests[Request].Entry = drawEntry();
   submit(Request);
   turn(Requests[Request].Entry);
 }
@@ -213,10 +239,60 @@
     State.Over = true;
     return;
   }
+  comeBack(Request, std::max(ReturnAfterMs, std::min(Told, Left * WaitPart)));
+}
+
+std::size_t fleet_run::drawEntry() {
+  while (true) {
+    const std::size_t Drawn = Random.below(Load.Entries);
+    if (!Entries[Drawn].Lost)
+      return Drawn;
+  }
+}
+
+void fleet_run::comeBack(std::size_t Request, double WaitMs) {
+  request_state &State = Requests[Request];
   State.Returned = true;
-  State.Entry = static_cast<std::size_t>(Random.below(Load.Entries));
-  const double Wait = std::max(ReturnAfterMs, std::min(Told, Left * WaitPart));
-  push(Ms + Wait + 2 * Load.CallerDelayMs, event_kind::Arrive, Request);
+  State.Entry = drawEntry();
+  push(Ms + WaitMs + 2 * Load.CallerDelayMs, event_kind::Arrive, Request);
+}
+
+void fleet_run::loseEntries(std::size_t Number) {
+  const entry_loss &Loss = Load.EntryLosses[Number];
+  for (std::size_t Taken = 0; Taken < Loss.Count; ++Taken) {
+    const std::size_t Entry = drawEntry();
+    Entries[Entry].Lost = true;
+    push(Ms + Loss.For * Second, event_kind::RegainEntry, Entry);
+  }
+  for (std::size_t Entry = 0; Entry < Entries.size(); ++Entry)
+    if (Entries[Entry].Lost)
+      loseEntry(Entry);
+}
+
+/// Its callers see their connections break and come back; its engines end what they ran for it.
+void fleet_run::loseEntry(std::size_t Entry) {
+  for (std::size_t Number = 0; Number < Requests.size(); ++Number) {
+    request_state &State = Requests[Number];
+    const bool Here = State.Entry == Entry && State.Record.ArrivedMs <= Ms && !State.Over;
+    if (!Here)
+      continue;
+    if (State.Attempt) {
+      Attempts[*State.Attempt].Over = true;
+      freeEngines(Attempts[*State.Attempt]);
+      State.Attempt.reset();
+    }
+    if (State.Returned)
+      State.Over = true;
+    else
+      comeBack(Number, Load.CallerDelayMs);
+  }
+}
+
+void fleet_run::addEntry(std::size_t Number) {
+  Entries[Number] = entry_state();
+  Entries[Number].Policy = Policy.Make(Load, Number, mixHash(Seed, Number + 2));
+  for (const engine_state &Engine : Engines)
+    Entries[Number].Policy.UpdateBackend(Engine.Listing);
 }
 
 void fleet_run::takeEvent(std::size_t Attempt) {
--- a/src/fleet_model/fleet_run_base.h
+++ b/src/fleet_model/fleet_run_base.h
@@ -32,21 +32,25 @@
 public:
   fleet_run(const model_load &Played, const named_model_policy &Policy, std::uint64_t Seed);
   std::vector<request_record> play();
+  /// @return What all engines did, as parts of their time until the last request came.
+  [[nodiscard]] engine_time spent() const;
 
 private:
   enum class event_kind : std::uint8_t {
-    Arrive,   ///< Index: request.
-    Turn,     ///< Index: entry. It polls and tells the others what it has under way.
-    Loads,    ///< Index: report. It reaches one entry.
-    Reach,    ///< Index: attempt. It reaches its engines.
-    PartRead, ///< Index: attempt. Its first engine hears that a part is read.
-    PassEnd,  ///< Index: engine.
-    Event,    ///< Index: attempt. An event reaches the entry.
-    Ended,    ///< Index: attempt. The last event has reached the entry.
-    Broken,   ///< Index: attempt. The entry sees that its engine is gone.
-    TimeOut,  ///< Index: request.
-    Lose,     ///< Index: loss.
-    Regain,   ///< Index: engine.
+    Arrive,      ///< Index: request.
+    Turn,        ///< Index: entry. It polls and tells the others what it has under way.
+    Loads,       ///< Index: report. It reaches one entry.
+    Reach,       ///< Index: attempt. It reaches its engines.
+    PartRead,    ///< Index: attempt. Its first engine hears that a part is read.
+    PassEnd,     ///< Index: engine.
+    Event,       ///< Index: attempt. An event reaches the entry.
+    Ended,       ///< Index: attempt. The last event has reached the entry.
+    Broken,      ///< Index: attempt. The entry sees that its engine is gone.
+    TimeOut,     ///< Index: request.
+    Lose,        ///< Index: loss.
+    Regain,      ///< Index: engine.
+    LoseEntry,   ///< Index: loss.
+    RegainEntry, ///< Index: entry.
   };
   struct event {
     double Ms{0};
@@ -71,6 +75,7 @@
     double ToldAtMs{-1e9};
     std::uint64_t ToldClaims{0};
     std::vector<work_load> Told;
+    bool Lost{false};
   };
   struct attempt_state {
     std::size_t Request{0};
@@ -103,6 +108,7 @@
   void push(double Ms, event_kind Kind, std::size_t Index, std::uint64_t Life = 0);
   void drawRequests();
   [[nodiscard]] double rateFactor(const request_kind &Kind, double Seconds) const;
+  void noteSpent();
   void handle(const event &Event);
   void arrive(std::size_t Request);
   void submit(std::size_t Request);
@@ -121,14 +127,22 @@
   void giveUp(std::size_t Request);
   void lose(std::size_t Loss);
   void regain(std::size_t Engine);
+  void loseEntries(std::size_t Loss);
+  void loseEntry(std::size_t Entry);
+  void comeBack(std::size_t Request, double WaitMs);
+  std::size_t drawEntry();
+  void addEntry(std::size_t Number);
   void freeEngines(const attempt_state &Attempt);
   [[nodiscard]] mono_time now() const;
   [[nodiscard]] mono_time momentOf(double Ms) const;
   [[nodiscard]] std::size_t engineOf(const backend_key &Key) const { return EngineNumbers.at(Key); }
 
   model_load Load;
+  named_model_policy Policy;
+  std::uint64_t Seed;
   random_source Random;
   double Ms{0};
+  engine_time SpentUntilLast; ///< Of all engines.
   std::uint64_t NextOrder{0};
   std::priority_queue<event, std::vector<event>, std::greater<>> Events;
   std::vector<request_state> Requests;
--- a/src/fleet_model/fleet_run_engines.cpp
+++ b/src/fleet_model/fleet_run_engines.cpp
@@ -27,6 +27,8 @@
 
 void fleet_run::turn(std::size_t Number) {
   entry_state &Entry = Entries[Number];
+  if (Entry.Lost)
+    return;
   const poll_outcome Outcome = Entry.Policy.Poll(now());
   for (const work_expiry &Expiry : Outcome.Expiries)
     refuse(static_cast<std::size_t>(Expiry.Request.value() - 1), Expiry.Refusal);
@@ -49,7 +51,7 @@
   Entry.ToldAtMs = Ms;
   Entry.Told = Loads;
   for (std::size_t To = 0; To < Entries.size(); ++To) {
-    if (To == Number)
+    if (To == Number || Entries[To].Lost)
       continue;
     Reports.push_back({Number, To, Loads});
     push(Ms + Load.HostDelayMs, event_kind::Loads, Reports.size() - 1);
--- a/src/fleet_model/model_load.cpp
+++ b/src/fleet_model/model_load.cpp
@@ -81,6 +81,15 @@
   return Loss;
 }
 
+entry_loss readEntryLoss(toml_reader &Table) {
+  entry_loss Loss;
+  Loss.At = Table.number("at_s", Amount, Loss.At);
+  Loss.For = Table.number("for_s", Amount, Loss.For);
+  Loss.Count = static_cast<std::size_t>(Table.whole("count", Count, 1));
+  Table.finish("a loss of entries");
+  return Loss;
+}
+
 /// Trials of placement, without a build for each.
 void readTuning(toml_reader &Table, placement_tuning &Tuning) {
   Tuning.GapPart = Table.number("gap_part", Part, Tuning.GapPart);
@@ -100,6 +109,9 @@
 }
 
 void checkNames(const model_load &Load, faults &Faults) {
+  for (const entry_loss &Loss : Load.EntryLosses)
+    if (Loss.Count >= Load.Entries)
+      Faults.push_back({0, "entry_loss.count", "less than the number of entries"});
   if (Load.Kinds.empty())
     Faults.push_back({0, "kind", "at least one"});
   for (const load_phase &Phase : Load.Phases) {
@@ -137,6 +149,8 @@
     Load.Phases.push_back(readPhase(Phase));
   for (toml_reader &Loss : Table.tables("loss", toml_need::Optional))
     Load.Losses.push_back(readLoss(Loss));
+  for (toml_reader &Loss : Table.tables("entry_loss", toml_need::Optional))
+    Load.EntryLosses.push_back(readEntryLoss(Loss));
   if (auto Tuning = Table.table("tuning"))
     readTuning(*Tuning, Load.Tuning);
   Table.finish("a load");
--- a/src/fleet_model/model_load_type.h
+++ b/src/fleet_model/model_load_type.h
@@ -47,6 +47,13 @@
   double Share{0}; ///< Of all engines.
 };
 
+/// Entries that are gone for some seconds; their callers come back to others at once.
+struct entry_loss {
+  double At{0};         ///< Seconds.
+  double For{0};        ///< Seconds.
+  std::size_t Count{1}; ///< Of entries.
+};
+
 /// Entries, engines and callers of one run.
 struct model_load {
   std::string Name;
@@ -61,6 +68,7 @@
   std::vector<request_kind> Kinds;
   std::vector<load_phase> Phases;
   std::vector<engine_loss> Losses;
+  std::vector<entry_loss> EntryLosses;
   placement_tuning Tuning;
 };
 
--- a/src/fleet_model/run_summary.cpp
+++ b/src/fleet_model/run_summary.cpp
@@ -87,12 +87,15 @@
 run_summary playLoad(const model_load &Load, const named_model_policy &Policy, std::uint64_t First,
                      std::size_t Seeds) {
   std::vector<request_record> All;
+  run_summary Summary;
+  Summary.Policy = Policy.Name;
   for (std::size_t Index = 0; Index < Seeds; ++Index) {
-    const std::vector<request_record> Records = fleet_run(Load, Policy, First + Index).play();
+    fleet_run Run(Load, Policy, First + Index);
+    const std::vector<request_record> Records = Run.play();
     All.insert(All.end(), Records.begin(), Records.end());
+    Summary.Spent.Read += Run.spent().Read / static_cast<double>(Seeds);
+    Summary.Spent.Write += Run.spent().Write / static_cast<double>(Seeds);
   }
-  run_summary Summary;
-  Summary.Policy = Policy.Name;
   earned_worth Total;
   for (std::size_t Kind = 0; Kind < Load.Kinds.size(); ++Kind)
     Summary.Kinds.push_back(summarise(Load.Kinds[Kind], ofKind(All, Kind), Total));
@@ -104,7 +107,8 @@
   std::ostringstream Out;
   Out.precision(4);
   Out << R"({"load":")" << Load.Name << R"(","policy":")" << Summary.Policy << R"(","worth":)"
-      << Summary.Worth << R"(,"kinds":[)";
+      << Summary.Worth << R"(,"engines_read":)" << Summary.Spent.Read << R"(,"engines_write":)"
+      << Summary.Spent.Write << R"(,"kinds":[)";
   for (std::size_t Kind = 0; Kind < Summary.Kinds.size(); ++Kind) {
     const kind_summary &Part = Summary.Kinds[Kind];
     Out << (Kind > 0 ? "," : "") << R"({"kind":")" << Load.Kinds[Kind].Name << R"(","count":)"
--- a/src/fleet_model/run_summary_func.h
+++ b/src/fleet_model/run_summary_func.h
@@ -29,6 +29,7 @@
   std::string Policy;
   std::vector<kind_summary> Kinds; ///< In the order of the load.
   double Worth{0};                 ///< Part of what all requests on time would be worth.
+  engine_time Spent;               ///< Parts of all engines' time.
 };
 
 /// Plays a load with seeds First, First + 1 and so on, and puts the requests together.
--- a/tests/fleet_model/fleet_run_test.cpp
+++ b/tests/fleet_model/fleet_run_test.cpp
@@ -95,6 +95,26 @@
   EXPECT_GT(Served, static_cast<std::ptrdiff_t>(Records.size() * 9 / 10));
 }
 
+// Two of three entries die while streams are under way. Their callers come back to the third one
+// and go on behind what they have; nobody is served twice or left out.
+TEST(ARun, GoesOnWhereEntriesAreLost) {
+  model_load Load = smallLoad();
+  Load.Entries = 3;
+  Load.EntryLosses.push_back({4, 1, 2});
+  const auto Records = fleet_run(Load, placementPolicy(), 5).play();
+  const auto Served =
+      std::count_if(Records.begin(), Records.end(),
+                    [](const request_record &Record) { return Record.EndedMs >= 0; });
+  EXPECT_GT(Served, static_cast<std::ptrdiff_t>(Records.size() * 19 / 20));
+}
+
+TEST(ALoadFile, ThatLosesAllEntriesIsRefused) {
+  const auto Parsed = parseModelLoad("name = \"x\"\nentries = 2\n[[kind]]\nname = \"a\"\n"
+                                     "[[entry_loss]]\ncount = 2\n");
+  ASSERT_FALSE(succeeded(Parsed));
+  EXPECT_EQ(errorOf(Parsed)[0].Key, "entry_loss.count");
+}
+
 // The mix turns from long prompts to short ones and back. Placement by declared figures serves far
 // more on time than a balancer that counts requests: a margin that a change must not lose.
 TEST(Placement, ServesMoreOnTimeThanPlainBalancers) {
