Placement: an engine reads beside its streams as long as their own gaps allow

Cause: the shortest gap of any route (250 ms) bounded every engine that wrote anything. Change: entries tell the shortest gap of what they have at each engine; what an engine may read beside is bounded by that.

--- a/src/placement/engine_state.cpp
+++ b/src/placement/engine_state.cpp
@@ -33,6 +33,7 @@
     Sum.Writers += Known.Load.Writers;
     Sum.ReadMs += Known.readMs(Now);
     Sum.Tokens += Known.Load.Tokens;
+    Sum.noteGap(Known.Load.GapMs);
   }
   return Sum;
 }
--- a/src/placement/engine_state_base.h
+++ b/src/placement/engine_state_base.h
@@ -6,6 +6,7 @@
 #include "directory/directory_type.h"
 #include "placement/placement_type.h"
 
+#include <algorithm>
 #include <map>
 
 namespace pollenstall {
@@ -16,6 +17,13 @@
   std::uint32_t Writers{0};
   double ReadMs{0}; ///< Still to be read.
   double Tokens{0}; ///< Memory taken.
+  double GapMs{0};  ///< The shortest that the requests allow between two events; 0: any.
+
+  /// Another request is there, with its own gap; 0: any.
+  void noteGap(double Ms) {
+    if (Ms > 0)
+      GapMs = GapMs > 0 ? std::min(GapMs, Ms) : Ms;
+  }
 };
 
 /// One backend server with what is under way there, of this entry and of others.
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -19,6 +19,7 @@
   std::uint32_t Writers{0};  ///< Of these, those that have answered.
   std::uint32_t ReadMs{0};   ///< Reading that is still to be done there, parts of others' included.
   std::uint32_t Tokens{0};   ///< Memory that they take.
+  std::uint32_t GapMs{0};    ///< The shortest that their callers allow between two events; 0: any.
 
   bool operator==(const work_load &) const = default;
 };
@@ -47,6 +48,8 @@
   double IdleReadMs{30.0};
   /// Part of the target that must be left for work to wait for more idle engines.
   double SlackPart{0.25};
+  /// Engines that can begin within this of each other are the same to a stream that broke off.
+  double SameStartMs{10.0};
   /// Places of an engine that stay free: two entries may choose it in the same moment.
   std::uint32_t SparePlaces{2};
   /// Engines among which short work is spread at random, first in the common order: enough that
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -25,12 +25,6 @@
   Services.clear();
   for (const service_declaration &Service : Declaration.Services)
     Services.emplace(Service.Name, Service);
-  ShortestGapMs = 0;
-  for (const call_route &Route : Declaration.Routes) {
-    const auto Gap = static_cast<double>(Route.LongestGap.count());
-    if (Route.Repeat == repeat_rule::Resume && Gap > 0)
-      ShortestGapMs = ShortestGapMs == 0 ? Gap : std::min(ShortestGapMs, Gap);
-  }
 }
 
 void placer::updateBackend(const backend_listing &Listing) {
@@ -201,6 +195,7 @@
                    poll_outcome &Outcome) {
   running_work Started;
   Started.Request = Work.Item.Request;
+  Started.GapMs = static_cast<double>(Work.Item.LongestGap.count());
   double Kept = memoryOf(Work.Item);
   work_placement Placement;
   Placement.Request = Work.Item.Request;
@@ -241,6 +236,7 @@
     Sum[Part.Backend].ReadMs += std::max(Left, Part.Ms * OverduePart);
   }
   engine_view &First = Sum[Work.Parts.front().Backend];
+  First.noteGap(Work.GapMs);
   ++First.Requests;
   First.Writers += Work.Answered ? 1 : 0;
 }
@@ -265,6 +261,7 @@
     View.Writers += Others.Writers;
     View.ReadMs += Others.ReadMs;
     View.Tokens += Others.Tokens;
+    View.noteGap(Others.GapMs);
   }
   return Sum;
 }
@@ -272,9 +269,9 @@
 std::vector<work_load> placer::ownLoads(mono_time Now) const {
   std::vector<work_load> Loads;
   for (const auto &[Backend, View] : ownWork(Now))
-    Loads.push_back({Backend.Life, View.Requests, View.Writers,
-                     static_cast<std::uint32_t>(View.ReadMs),
-                     static_cast<std::uint32_t>(View.Tokens)});
+    Loads.push_back(
+        {Backend.Life, View.Requests, View.Writers, static_cast<std::uint32_t>(View.ReadMs),
+         static_cast<std::uint32_t>(View.Tokens), static_cast<std::uint32_t>(View.GapMs)});
   return Loads;
 }
 
@@ -288,6 +285,7 @@
   }
   running_work Started;
   Started.Request = Item.Request;
+  Started.GapMs = static_cast<double>(Item.LongestGap.count());
   Started.Parts.push_back({Backend, 0, Now, memoryOf(Item)});
   Running.insert_or_assign(Attempt, std::move(Started));
 }
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -65,6 +65,7 @@
   struct running_work {
     request_number Request;
     std::vector<reading_part> Parts; ///< The first is at the engine that answers.
+    double GapMs{0};                 ///< Longest that the caller allows between two events.
     bool Answered{false};
   };
   /// A choice that the other entries are being told of.
@@ -115,6 +116,7 @@
                                          std::vector<engine_option> Options, mono_time Now);
   std::optional<read_plan> packShort(const std::vector<reader_option> &Readers, double WholeMs,
                                      double LeftMs);
+  std::optional<read_plan> soonest(const std::vector<reader_option> &Readers, double WholeMs);
   [[nodiscard]] std::optional<read_plan> gather(const std::vector<reader_option> &Readers,
                                                 double WholeMs, double LeftMs,
                                                 double TargetMs) const;
@@ -139,7 +141,6 @@
   random_source Random;
   placement_tuning Tuning;
   std::map<service_name, service_declaration> Services;
-  double ShortestGapMs{0}; ///< Declared; 0 where none is.
   std::map<backend_key, engine_state> Engines;
   std::map<request_number, waiting_work> Waiting;
   std::map<request_number, claimed_work> Claimed;
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -63,8 +63,6 @@
                                                        mono_time Now) {
   const double Memory = memoryOf(Work.Item);
   const auto Holds = static_cast<double>(Figures.Memory.value());
-  const double GapMs =
-      ShortestGapMs > 0 ? ShortestGapMs * Tuning.GapPart : std::numeric_limits<double>::max();
   std::vector<reader_option> Readers;
   for (std::size_t Place = 0; Place < Options.size(); ++Place) {
     const engine_option &Option = Options[Place];
@@ -73,7 +71,8 @@
     Reader.Place = Place;
     Reader.PassMs = passMs(Figures, Option.View.Writers, Option.View.Tokens);
     Reader.StartMs = Reader.PassMs + Option.View.ReadMs;
-    Reader.RoomMs = Reader.occupied() ? GapMs - Reader.StartMs : std::numeric_limits<double>::max();
+    Reader.RoomMs = Option.View.GapMs > 0 ? Option.View.GapMs * Tuning.GapPart - Reader.StartMs
+                                          : std::numeric_limits<double>::max();
     Reader.MayAnswer = Option.View.Requests + Tuning.SparePlaces < Figures.Places &&
                        Option.View.Tokens + Memory <= Holds;
     Readers.push_back(Reader);
@@ -110,6 +109,29 @@
   return read_plan{{Chosen.Option}, WholeMs, Chosen.StartMs + WholeMs};
 }
 
+/**
+ * A stream that broke off goes on where it can go on first: its caller counts the time since the
+ * last event. When an entry dies many come back in the same moment, to entries that have not heard
+ * of each other's choices: packed, they would all wait for the same two engines.
+ */
+std::optional<placer::read_plan> placer::soonest(const std::vector<reader_option> &Readers,
+                                                 double WholeMs) {
+  std::vector<const reader_option *> Best;
+  for (const reader_option &Reader : Readers) {
+    if (!Reader.MayAnswer || WholeMs > Reader.RoomMs)
+      continue;
+    if (!Best.empty() && Reader.StartMs > Best.front()->StartMs + Tuning.SameStartMs)
+      continue;
+    if (!Best.empty() && Reader.StartMs + Tuning.SameStartMs < Best.front()->StartMs)
+      Best.clear();
+    Best.push_back(&Reader);
+  }
+  if (Best.empty())
+    return std::nullopt;
+  const reader_option &Chosen = *Best[Random.below(Best.size())];
+  return read_plan{{Chosen.Option}, WholeMs, Chosen.StartMs + WholeMs};
+}
+
 /**
  * A prompt that takes long is read by as many engines as are idle: each is held for a moment only,
  * and nothing queues at an engine, where a part for another prompt would be read first and what
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -18,7 +18,7 @@
 using asio::ip::udp;
 
 template <typename Archive> void serialize(Archive &Into, work_load &Load) {
-  Into(Load.Life, Load.Requests, Load.Writers, Load.ReadMs, Load.Tokens);
+  Into(Load.Life, Load.Requests, Load.Writers, Load.ReadMs, Load.Tokens, Load.GapMs);
 }
 template <typename Archive> void serialize(Archive &Into, work_report &Report) {
   Into(Report.Sender, Report.Sequence, Report.Loads);
--- a/tests/placement/placer_story.h
+++ b/tests/placement/placer_story.h
@@ -68,7 +68,8 @@
   }
 
   /// A request comes; its target is 300 ms up to 24,000 tokens, 3 s above.
-  request_number arrive(std::int64_t Prompt) {
+  request_number arrive(std::int64_t Prompt, std::chrono::milliseconds Gap = 250ms,
+                        bool Resumed = false) {
     work_item Item;
     Item.Request = request_number(++LastRequest);
     Item.Service = service_name("route");
@@ -78,7 +79,8 @@
     Item.Arrived = Now;
     Item.Deadline = Now + 10s;
     Item.Target = Prompt > 24'000 ? 3000ms : 300ms;
-    Item.LongestGap = 250ms;
+    Item.LongestGap = Gap;
+    Item.Resumed = Resumed;
     Items[Item.Request] = Item;
     EXPECT_TRUE(succeeded(Placer.submit(Item, Now)));
     return Item.Request;
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -92,6 +92,47 @@
   EXPECT_LE(Used.size(), 4U) << "24 streams have room on two engines";
 }
 
+// An entry dies. Its callers come back to this one within a moment, and count the time since their
+// last event. Packed, two dozen would wait for each other on two engines; they go on in a tenth of
+// a second where each takes the engine that can begin first.
+TEST_F(placer_story, StreamsThatBrokeOffGoOnWhereTheyCanFirst) {
+  std::map<backend_key, int> Streams;
+  for (int Count = 0; Count < 24; ++Count)
+    arrive(5'000, 250ms, true);
+  for (const work_placement &Placement : poll()) {
+    ++Streams[Placement.Backend];
+    EXPECT_LT(Placement.ExpectedFirstToken, 100ms);
+  }
+  EXPECT_EQ(Streams.size(), Engines);
+}
+
+// Long prompts are answered with a second between events at most, and an engine that writes one of
+// them may read for half a second beside it. Kept from that by the shortest gap of any route, each
+// answer took an engine for itself.
+TEST_F(placer_story, AnEngineReadsBesideItsStreamsAsLongAsTheirOwnGapsAllow) {
+  const request_number Writes = arrive(20'000, 1000ms);
+  const auto First = poll();
+  ASSERT_EQ(First.size(), 1U);
+  answer(Writes);
+  for (std::size_t Place = 0; Place < Engines; ++Place)
+    if (listing(Place).Key != First[0].Backend)
+      Placer.removeBackend(listing(Place).Key);
+  arrive(50'000, 1000ms); // 512 ms alone
+  EXPECT_EQ(poll().size(), 1U);
+}
+
+TEST_F(placer_story, AnEngineThatWritesAShortAnswerReadsNothingLong) {
+  const request_number Writes = arrive(20'000, 250ms);
+  const auto First = poll();
+  ASSERT_EQ(First.size(), 1U);
+  answer(Writes);
+  for (std::size_t Place = 0; Place < Engines; ++Place)
+    if (listing(Place).Key != First[0].Backend)
+      Placer.removeBackend(listing(Place).Key);
+  arrive(50'000, 1000ms);
+  EXPECT_TRUE(poll().empty());
+}
+
 // Another entry has just put a long read on most engines. This one must not book them again.
 TEST_F(placer_story, WhatOtherEntriesHaveUnderWayCounts) {
   std::vector<work_load> Loads;
