Streams that broke off go on where they can begin first, also where their callers ask for the rest

Cause: when an entry dies, the callers of its streams come back within 0.1 s. Change: work that goes on behind a part of its answer is placed first, on the engine that can begin first; a caller that names its last event is known to wait for that.

--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -37,6 +37,7 @@
   std::chrono::milliseconds Target{0}; ///< To the first event; 0 where none is declared.
   std::chrono::milliseconds LongestGap{0}; ///< Between events; 0 where none is declared.
   tokens AnswerHint;                       ///< The caller's estimate; 0 where it gave none.
+  bool Continues{false}; ///< The caller has a part of the answer, from a send that broke off.
 };
 
 /// The final outcome of a request, as the caller is told.
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -42,7 +42,7 @@
   Item.Target = Facts.Target;
   Item.LongestGap = Facts.LongestGap;
   Item.AnswerHint = Facts.AnswerHint;
-  Item.Resumed = Request.Answered;
+  Item.Resumed = Request.Answered || Facts.Continues;
   return Item;
 }
 
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -83,6 +83,9 @@
   const double WholeMs = readMs(Figures, Work.Item.Prompt);
   if (Memory > Holds * Tuning.MemoryPart)
     return chooseHolders(std::move(Readers), Figures, Memory, WholeMs, LeftMs);
+  if (Work.Item.Resumed && WholeMs <= Tuning.WholeReadMs)
+    if (auto Plan = soonest(Readers, WholeMs))
+      return Plan;
   if (WholeMs <= Tuning.WholeReadMs)
     if (auto Plan = packShort(Readers, WholeMs, LeftMs))
       return Plan;
--- a/src/relay/headed_plan.cpp
+++ b/src/relay/headed_plan.cpp
@@ -72,6 +72,7 @@
   Facts.Urgency = Account && Account->Priority ? *Account->Priority : Route.Priority;
   Facts.Target = Route.Target;
   Facts.LongestGap = Route.LongestGap;
+  Facts.Continues = Facts.Resumable && Call.Head.LastEvent > 0;
   for (const service_share &Share : Route.Services)
     Facts.Services.emplace_back(Share.Service, Share.Weight);
   Facts.Arrived = Now;
--- a/tests/relay/headed_call_test.cpp
+++ b/tests/relay/headed_call_test.cpp
@@ -50,6 +50,18 @@
   EXPECT_NE(Second[0].Head.find("X-After: 2"), std::string::npos) << Second[0].Head;
 }
 
+// The entry that a caller read from has died; the caller asks for the rest elsewhere. The decision
+// must know that the caller waits for its next event and not for its first.
+TEST(AStreamThatBreaksOff, IsKnownToGoOnWhereItsCallerAsksForTheRest) {
+  headed_relay Relay;
+  Relay.call("p", "X-Last: 7\r\n");
+  EXPECT_TRUE(Relay.Facts.Continues);
+  Relay.finish(final_outcome::NotRun, failure_reason::QueueFull);
+  EXPECT_FALSE(Relay.answer().empty());
+  Relay.call("p");
+  EXPECT_FALSE(Relay.Facts.Continues);
+}
+
 // The second engine starts one event too early, as one that was asked to go on behind 2 and has
 // counted differently. The caller has event 2 already.
 TEST(AStreamThatBreaksOff, LeavesOutWhatTheCallerHas) {
--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -29,6 +29,7 @@
   Calls.ReadHead = [](const request_head &Head) -> result<head_facts, call_error> {
     head_facts Facts;
     Facts.SendName = Head.header("X-Send");
+    Facts.LastEvent = numberFrom<std::uint64_t>(Head.header("X-Last")).value_or(0);
     return Facts;
   };
   Calls.IsSystemHeader = [](std::string_view Name) {
