Entries are sent differences between declarations

Cause: each change went whole to each entry: 159 KB for 1,100 accounts, 51 MB a change at 320 entries; a new leader sent all of them once more. Change: an entry says whose text it holds, also in its first message on a connection; the leader keeps texts of up to 1 MiB and sends steps that copy from the held text, with the hashes of both. What does not fit is not used: the entry connects anew, says that it holds nothing, and gets the whole.

--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -6,6 +6,8 @@
 namespace {
 
 constexpr int SilentLeases = 4; ///< A session without a renewal for so many leases is forgotten.
+/// Of older declarations' texts: several of a few hundred routes, for entries that lag by as many.
+constexpr std::size_t MaxRecentBytes = 1U << 20U;
 
 std::uint32_t wholeMillis(mono_span Span) {
   return static_cast<std::uint32_t>(
@@ -25,6 +27,8 @@
 
 void entry_desk::takeOffice(mono_time Now) {
   InOffice = true;
+  Recent.clear(); // Another leader may have declared meanwhile.
+  keepText();
   Tracker.takeOffice(Hooks.State().declared().Revision, Now);
 }
 
@@ -57,7 +61,7 @@
   std::erase_if(Sessions, [&Request](const auto &Item) {
     return Item.second.Who.Process.Host == Request.Process.Host;
   });
-  Sessions[From] = {Request, std::nullopt, std::nullopt, Now};
+  Sessions[From] = {Request, std::nullopt, std::nullopt, Request.Holds, Now};
   introduce(From, Sessions[From]);
   sendFleet();
 }
@@ -104,6 +108,7 @@
   if (!Session.Introduced)
     introduce(From, Session);
   Session.Confirmed = Request.Confirmed;
+  Session.Holds = Request.Holds;
   Session.LastSeen = Now;
   const auto Lease = Tracker.renew(Request.Process, Session.Who.Domain, Request.Confirmed, Now);
   const revision Confirmed = Request.Confirmed.value_or(revision());
@@ -137,13 +142,41 @@
 
 void entry_desk::sendDeclaration(connection_number To, session &Session) {
   const declared_text &Declared = Hooks.State().declared();
-  const bool Current = Session.Confirmed == Declared.Revision || Session.Sent == Declared.Revision;
+  const bool Current = Session.Confirmed == Declared.Revision ||
+                       Session.Sent == Declared.Revision || Session.Holds == Declared.Revision;
   // One at a time: a burst of changes would otherwise queue every declaration between.
   const bool UnderWay = Session.Sent && (!Session.Confirmed || *Session.Confirmed < *Session.Sent);
   if (Current || UnderWay)
     return;
   Session.Sent = Declared.Revision;
-  Hooks.Send({To, link_declaration{Declared.Revision, Declared.Text}});
+  if (!sendDifference(To, Session))
+    Hooks.Send({To, link_declaration{Declared.Revision, Declared.Text}});
+}
+
+/// @return Whether the entry holds a text that a difference can build on, and was sent one.
+bool entry_desk::sendDifference(connection_number To, const session &Session) {
+  const declared_text &Declared = Hooks.State().declared();
+  const auto Base = Session.Holds ? Recent.find(*Session.Holds) : Recent.end();
+  if (Base == Recent.end())
+    return false;
+  if (LastChange.Base != Base->first || LastChange.Revision != Declared.Revision)
+    LastChange = {Base->first, Declared.Revision, differenceOf(Base->second, Declared.Text)};
+  if (sizeOf(LastChange.Change) >= Declared.Text.size())
+    return false;
+  Hooks.Send({To, LastChange});
+  return true;
+}
+
+void entry_desk::keepText() {
+  const declared_text &Declared = Hooks.State().declared();
+  Recent.insert_or_assign(Declared.Revision, Declared.Text);
+  std::size_t Bytes = 0;
+  for (const auto &[Revision, Text] : Recent)
+    Bytes += Text.size();
+  while (Recent.size() > 1 && Bytes > MaxRecentBytes) {
+    Bytes -= Recent.begin()->second.size();
+    Recent.erase(Recent.begin());
+  }
 }
 
 void entry_desk::sendDrains(connection_number To) {
@@ -155,6 +188,7 @@
 void entry_desk::declarationChanged(mono_time Now) {
   if (!InOffice)
     return;
+  keepText();
   Tracker.accepted(Hooks.State().declared().Revision, Now);
   if (!Hooks.MayServe(Now))
     return;
--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -66,7 +66,8 @@
   struct session {
     link_subscribe Who;
     std::optional<revision> Confirmed;
-    std::optional<revision> Sent; ///< Declaration sent last on this connection.
+    std::optional<revision> Sent;  ///< Declaration sent last on this connection.
+    std::optional<revision> Holds; ///< Whose text the entry has.
     mono_time LastSeen{};
     bool Introduced{false}; ///< Was told of the backend servers and of the fleet.
   };
@@ -77,6 +78,8 @@
   void handleRequest(connection_number From, const link_claim_settle &Request, mono_time Now);
   void sendAway(connection_number To);
   void sendDeclaration(connection_number To, session &Session);
+  [[nodiscard]] bool sendDifference(connection_number To, const session &Session);
+  void keepText();
   void sendDrains(connection_number To);
   void introduce(connection_number To, session &Session);
   [[nodiscard]] link_fleet fleet() const;
@@ -87,6 +90,8 @@
   entry_desk_hooks Hooks;
   in_force_tracker Tracker;
   std::map<connection_number, session> Sessions;
+  std::map<revision, std::string> Recent; ///< Texts that differences may build on.
+  link_declaration_change LastChange;     ///< Most entries hold the same one.
   bool InOffice{false};
 };
 
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -125,7 +125,7 @@
   void opened() {
     Open = true;
     LastHeard = boot_clock::now();
-    send(link_subscribe{Plan.Process, Plan.Domain, Plan.WorkAddress});
+    send(link_subscribe{Plan.Process, Plan.Domain, Plan.WorkAddress, Held.Revision});
     renew(boot_clock::now());
     for (const link_request &Message : Ledger.unanswered())
       send(Message);
@@ -155,7 +155,7 @@
       return;
     // The time is taken before the request can leave: the lease must end here before it ends there.
     Asks.emplace(++LastAsk, Now);
-    send(link_renew{LastAsk, Plan.Process, Confirmed, DrainsSeen});
+    send(link_renew{LastAsk, Plan.Process, Confirmed, DrainsSeen, Held.Revision});
   }
 
   // ---- Messages. ----
@@ -180,7 +180,29 @@
 
   void handle(const link_declaration &Message) {
     served();
-    emit(declaration_received{Message.Revision, Message.Text});
+    hold(Message.Revision, Message.Text);
+  }
+
+  void handle(const link_declaration_change &Message) {
+    auto Text = Held.Revision == Message.Base
+                    ? applyDifference(Held.Text, Message.Change, MaxLinkReplyBytes)
+                    : std::nullopt;
+    if (!Text) {
+      // On the next connection this host says that it holds nothing, and is sent the whole text.
+      Held = {};
+      Garbage.fetch_add(1, std::memory_order_relaxed);
+      return lose(boot_clock::now());
+    }
+    served();
+    hold(Message.Revision, std::move(*Text));
+  }
+
+  void hold(revision Revision, std::string Text) {
+    // An older one, from a former leader, is nothing to build on.
+    if (Held.Revision && *Held.Revision >= Revision)
+      return emit(declaration_received{Revision, std::move(Text)});
+    Held = {Revision, Text};
+    emit(declaration_received{Revision, std::move(Text)});
   }
 
   void handle(const link_lease &Message) {
@@ -271,6 +293,12 @@
   std::deque<control_link_event> Backlog; ///< Where the ring is full; no event may be lost.
   std::map<std::uint64_t, mono_time> Asks;
   std::uint64_t LastAsk{0};
+  /// The newest declaration that arrived in this life, for differences to build on.
+  struct held_text {
+    std::optional<revision> Revision;
+    std::string Text;
+  };
+  held_text Held;
   std::optional<revision> Confirmed;
   std::uint64_t DrainsSeen{0};
   std::string Hint;
--- a/src/control_link/control_link_codec_func.h
+++ b/src/control_link/control_link_codec_func.h
@@ -22,10 +22,10 @@
   Into(Claim.Key, Claim.Holder, Claim.Standing, Claim.ExpiresAt);
 }
 template <typename Archive> void serialize(Archive &Into, link_subscribe &Message) {
-  Into(Message.Process, Message.Domain, Message.WorkAddress);
+  Into(Message.Process, Message.Domain, Message.WorkAddress, Message.Holds);
 }
 template <typename Archive> void serialize(Archive &Into, link_renew &Message) {
-  Into(Message.Ask, Message.Process, Message.Confirmed, Message.DrainsSeen);
+  Into(Message.Ask, Message.Process, Message.Confirmed, Message.DrainsSeen, Message.Holds);
 }
 template <typename Archive> void serialize(Archive &Into, link_claim_acquire &Message) {
   Into(Message.Call, Message.Claim);
@@ -36,6 +36,15 @@
 template <typename Archive> void serialize(Archive &Into, link_declaration &Message) {
   Into(Message.Revision, Message.Text);
 }
+template <typename Archive> void serialize(Archive &Into, difference_step &Step) {
+  Into(Step.From, Step.Bytes, Step.Own);
+}
+template <typename Archive> void serialize(Archive &Into, text_difference &Difference) {
+  Into(Difference.OldHash, Difference.NewHash, Difference.Steps);
+}
+template <typename Archive> void serialize(Archive &Into, link_declaration_change &Message) {
+  Into(Message.Base, Message.Revision, Message.Change);
+}
 template <typename Archive> void serialize(Archive &Into, link_lease &Message) {
   Into(Message.Ask, Message.Revision, Message.LeaseMillis);
 }
--- a/src/control_link/control_link_message_type.h
+++ b/src/control_link/control_link_message_type.h
@@ -7,6 +7,7 @@
 #include "claim/claim.h"
 #include "core/core.h"
 #include "directory/directory_type.h"
+#include "text_difference/text_difference.h"
 
 #include <cstdint>
 #include <optional>
@@ -23,6 +24,7 @@
   process_key Process;
   failure_domain_name Domain;
   std::string WorkAddress{}; ///< Where other entries tell of their work, "IP:port"; may be empty.
+  std::optional<revision> Holds{}; ///< As in link_renew.
 };
 
 /**
@@ -34,6 +36,7 @@
   process_key Process;               ///< A confirmation counts for this life only.
   std::optional<revision> Confirmed; ///< In use in this life; nothing where none is.
   std::uint64_t DrainsSeen{0};       ///< link_drains::Version last received; 0 where none was.
+  std::optional<revision> Holds{};   ///< Its text is at hand: a difference may build on it.
 };
 
 /// Answered by link_claim_answer. Sent again on the next connection until it is answered.
@@ -59,6 +62,13 @@
   std::string Text;
 };
 
+/// The same as a difference to an older one, whose text the entry holds.
+struct link_declaration_change {
+  revision Base;
+  revision Revision;
+  text_difference Change;
+};
+
 /// Extends the lease. Given only while the control host holds its own lease as the leader.
 struct link_lease {
   std::uint64_t Ask{0}; ///< Of the link_renew that it answers.
@@ -100,7 +110,8 @@
 };
 
 using link_reply = std::variant<link_declaration, link_lease, link_not_leader, link_claim_answer,
-                                link_settle_answer, link_drains, link_backends, link_fleet>;
+                                link_settle_answer, link_drains, link_backends, link_fleet,
+                                link_declaration_change>;
 
 /// Largest message that a control host takes from an entry.
 constexpr std::size_t MaxLinkRequestBytes = 4U << 10U;
--- /dev/null
+++ b/src/text_difference/text_difference.h
@@ -0,0 +1,8 @@
+/** @file text_difference.h Public header of text_difference: what changes one text into another. */
+#ifndef POLLENSTALL_TEXT_DIFFERENCE_TEXT_DIFFERENCE_H
+#define POLLENSTALL_TEXT_DIFFERENCE_TEXT_DIFFERENCE_H
+
+#include "text_difference/text_difference_func.h" // IWYU pragma: export
+#include "text_difference/text_difference_type.h" // IWYU pragma: export
+
+#endif // POLLENSTALL_TEXT_DIFFERENCE_TEXT_DIFFERENCE_H
--- a/tests/control/entry_desk_test.cpp
+++ b/tests/control/entry_desk_test.cpp
@@ -24,16 +24,16 @@
 
   void handle(link_request Request) { Desk.handle({Connection, std::move(Request)}, Now); }
   void subscribe() { handle(link_subscribe{Process, failure_domain_name("a")}); }
-  void renew(std::optional<std::uint64_t> Confirmed) {
-    std::optional<revision> Number;
-    if (Confirmed)
-      Number = revision(*Confirmed);
-    handle(link_renew{++Ask, Process, Number, State.drainsVersion()});
+  /// @param Holds Whose text the entry has; without it, none.
+  void renew(std::optional<std::uint64_t> Confirmed, std::optional<std::uint64_t> Holds = {}) {
+    const auto Number = [](std::optional<std::uint64_t> Value) {
+      return Value ? std::optional(revision(*Value)) : std::nullopt;
+    };
+    handle(link_renew{++Ask, Process, Number(Confirmed), State.drainsVersion(), Number(Holds)});
   }
-  void accept() {
+  void accept(const std::string &Text = "text") {
     const std::uint64_t Base = State.declared().Revision.value();
-    State.execute(
-        apply_change{change_id(std::to_string(Base)), revision(Base), "text", {}, {}, {}});
+    State.execute(apply_change{change_id(std::to_string(Base)), revision(Base), Text, {}, {}, {}});
     Desk.declarationChanged(Now);
   }
 
@@ -105,6 +105,58 @@
   EXPECT_EQ(Newest[0].Revision, revision(100));
 }
 
+/// A declaration of many lines; each revision changes one of them.
+std::string longText(int Revision) {
+  std::string Text;
+  for (int Line = 0; Line < 200; ++Line)
+    Text += "line " + std::to_string(Line == 100 ? 1'000 + Revision : Line) + "\n";
+  return Text;
+}
+
+TEST_F(EntryDeskTest, SendsTheDifferenceToAnEntryThatHoldsTheTextBefore) {
+  Desk.takeOffice(Now);
+  subscribe();
+  accept(longText(1));
+  renew(1, 1);
+  Sent.clear();
+  accept(longText(2));
+  EXPECT_TRUE(take<link_declaration>().empty());
+  renew(1, 1);
+  accept(longText(3));
+  renew(2, 2);
+  const auto Changes = take<link_declaration_change>();
+  ASSERT_EQ(Changes.size(), 1U);
+  EXPECT_EQ(Changes[0].Base, revision(2));
+  EXPECT_EQ(Changes[0].Revision, revision(3));
+  EXPECT_EQ(applyDifference(longText(2), Changes[0].Change, 1U << 20U), longText(3));
+  EXPECT_LT(sizeOf(Changes[0].Change), longText(3).size() / 10);
+}
+
+TEST_F(EntryDeskTest, SendsTheWholeToAnEntryThatHoldsNothingItKnows) {
+  // An entry was away for hundreds of changes, or was led by another control host meanwhile. A
+  // difference to a text that this host has not kept, or that nobody declared, can't be made.
+  Desk.takeOffice(Now);
+  accept(longText(1));
+  subscribe();
+  renew(std::nullopt);
+  EXPECT_EQ(take<link_declaration>().size(), 1U);
+  handle(link_subscribe{Process, failure_domain_name("a"), {}, revision(77)});
+  const auto Whole = take<link_declaration>();
+  ASSERT_EQ(Whole.size(), 1U);
+  EXPECT_EQ(Whole[0].Text, longText(1));
+}
+
+TEST_F(EntryDeskTest, SendsNothingAgainToAnEntryThatComesBackWithTheNewest) {
+  Desk.takeOffice(Now);
+  accept(longText(1));
+  handle(link_subscribe{Process, failure_domain_name("a"), {}, revision(1)});
+  renew(1, 1);
+  for (const hub_order &Order : Sent) {
+    EXPECT_FALSE(std::holds_alternative<link_declaration>(Order.Reply));
+    EXPECT_FALSE(std::holds_alternative<link_declaration_change>(Order.Reply));
+  }
+}
+
 TEST_F(EntryDeskTest, AnswersNoClaimWhoseOutcomeIsNotKnown) {
   // The leader left office with the claim in its log. It may be granted later, so neither "granted"
   // nor "unavailable" would be true; the entry asks the next leader.
--- a/tests/control_state/control_link_test.cpp
+++ b/tests/control_state/control_link_test.cpp
@@ -21,7 +21,8 @@
           link_not_leader{"127.0.0.1:1"},
           link_claim_answer{4, claim_verdict::Running},
           link_settle_answer{4},
-          link_drains{2, {backend_address("127.0.0.1:9")}}};
+          link_drains{2, {backend_address("127.0.0.1:9")}},
+          link_declaration_change{revision(3), revision(4), differenceOf("{a}{b}", "{b}{c}")}};
 }
 
 TEST(LinkMessages, ComeBackAsTheyWereSent) {
