--- a/tests/consensus/self_managed_run_test.cpp
+++ b/tests/consensus/self_managed_run_test.cpp
@@ -4,6 +4,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
 
@@ -153,5 +154,40 @@
 TEST(SelfManagedRun, LosesNothingWhileEmptiedHostsComeBackWhereTheyWere) { runAll(true); }
 TEST(SelfManagedRun, LosesNothingWhileHostsAreReplacedAtOtherAddresses) { runAll(false); }
 
+/// Hosts that start one after the other, each a moment after the one before.
+void expectOneLog(const std::vector<std::size_t> &Order, mono_span Apart) {
+  random_source Options(1);
+  fake_cluster Cluster(Target, 1 + Order[0], selfManaged(Options));
+  Cluster.SelfManaged = true;
+  for (fake_host &Host : Cluster.hosts())
+    Cluster.crash(Host);
+  for (const std::size_t Place : Order) {
+    EXPECT_EQ(Cluster.leader(), nullptr) << "a change could be accepted by too few disks";
+    Cluster.start(Cluster.hosts()[Place]);
+    Cluster.run(Apart);
+  }
+  ASSERT_TRUE(Cluster.runUntil([&Cluster] { return Cluster.hasTargetVoters(); }, 30s))
+      << Cluster.dumps();
+  std::set<cluster_id> Logs;
+  for (const fake_host &Host : Cluster.hosts())
+    Logs.insert(Cluster.statusOf(Host).Members.Cluster);
+  EXPECT_EQ(Logs.size(), 1U);
+  EXPECT_EQ(*Logs.begin(), Cluster.statusOf(Cluster.hosts()[0]).Members.Cluster);
+}
+
+// Five hosts with empty disks start within a second in any order; the others are not listening yet.
+// Whatever the order, one log is founded, by all five, and nothing is accepted before.
+TEST(SelfManagedStart, FoundsOneLogInEveryOrderOfStarts) {
+  std::vector<std::size_t> Order{0, 1, 2, 3, 4};
+  std::size_t Orders = 0;
+  do {
+    expectOneLog(Order, 50ms);
+    expectOneLog(Order, 700ms);
+    ASSERT_FALSE(testing::Test::HasFailure()) << "order " << Orders;
+    ++Orders;
+  } while (std::next_permutation(Order.begin(), Order.end()));
+  EXPECT_EQ(Orders, 120U);
+}
+
 } // namespace
 } // namespace pollenstall
