--- a/scripts/bench_program.py
+++ b/scripts/bench_program.py
@@ -6,6 +6,10 @@
 from local_system import ROOT
 
 BENCHES = ROOT / "build" / "bench"
+MODEL = ROOT / "build" / "bin" / "pollenstall-model"
+PLACEMENT_LOADS = ["accra.load.toml", "sognebrev.load.toml"]
+# Pairs of seeds of either load lie between 1.41 and 1.72.
+PLACEMENT_BOUND = 1.35
 # One sync for 256 entries against one each; a disk that gains nothing by sharing would give 1.
 SHARED_SYNC_BOUND = 0.5
 # An entry of a burst of 256 through the replicas against an entry alone.
@@ -35,6 +39,20 @@
     return finish_program(report, part, start_program(name, *words))
 
 
+def measure_placement(report, seeds):
+    """The fleet model's example loads: placement against plain balancers on the same requests."""
+    for load in PLACEMENT_LOADS:
+        shown = subprocess.run([MODEL, "--seeds", str(seeds), ROOT / "examples" / load], capture_output=True,
+                               text=True, check=True)
+        worth = {}
+        for line in shown.stdout.splitlines():
+            report.line(line)
+            worth[json.loads(line)["policy"]] = json.loads(line)["worth"]
+        best = max(part for policy, part in worth.items() if policy != "placement")
+        report.at_least(f"placement: {load}: worth served against the best plain balancer",
+                        worth["placement"] / best, PLACEMENT_BOUND)
+
+
 def measure_consensus(report):
     """Google Benchmark's figures, and what sharing a sync or a burst is worth."""
     shown = subprocess.run([BENCHES / "consensus_bench", "--benchmark_format=json"], capture_output=True,
