Retries are bounded over a sliding window; servers out of reach use up no attempt; a target bounds patience

Requests at engines without power waited 2 s, until their callers left: nothing was called slow before 30 s. Change: retry_window counts first attempts and retries of the last window by entry (0.9 of its part of the fleet's extra); attempts of declared routes that reached no server count neither for the route's bound (six more at most) nor for the budget; where a target is declared an attempt is slow at twice of it. Tests (failed before): ServersOutOfReachUseUpNoAttemptOfADeclaredRoute, WorkWithATargetIsTriedElsewhereAtTwiceOfIt; ARetryWindow: the bound holds in any span of 20,000 random steps, and all of it may be used at once.

--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -47,7 +47,7 @@
   }
   /// @return The name that a backend server gives its life; empty where it has none.
   [[nodiscard]] std::string instanceOf(const backend_key &Backend) const;
-  void setRetryReserve(const retry_reserve &Value) { Dispatcher.setRetryReserve(Value); }
+  void setRetryAllowance(const retry_allowance &Value) { Dispatcher.setRetryAllowance(Value); }
   /// An engine told what it holds. @return What is to be cancelled there for want of an owner.
   std::vector<cancel_attempt> orphansIn(const attempts_listed &Listed, mono_time Now);
   /// @return Engines to be asked for what they hold.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -190,16 +190,11 @@
   WorkPeers = Listed.WorkAddresses;
   if (Plan.RetryReserve == 0)
     return;
-  // The fleet's reserve is shared out evenly: most of it can be saved up, the rest comes with time.
-  constexpr double Saved = 0.6;
-  constexpr double Regained = 0.3;
+  // Shared out evenly. A tenth stays back: for entries that restart and have forgotten what they
+  // spent, and for requests that are counted here a moment before their caller counts them.
+  constexpr double Used = 0.9;
   const double Entries = std::max<double>(1.0, static_cast<double>(WorkPeers.size()));
-  const double Part = Plan.RetryReserve / Entries;
-  retry_reserve Reserve;
-  Reserve.Burst = std::max<std::uint64_t>(1, static_cast<std::uint64_t>(Part * Saved));
-  Reserve.Floor = std::max<std::uint64_t>(1, static_cast<std::uint64_t>(Part * Regained));
-  Reserve.Refill = Plan.RetryWindow / static_cast<std::int64_t>(Reserve.Floor);
-  Seam.setRetryReserve(Reserve);
+  Seam.setRetryAllowance({Plan.RetryReserve * Used / Entries, Plan.RetryWindow});
 }
 
 void decision_thread::tellLoads(mono_time Now) {
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -13,9 +13,20 @@
 constexpr int SlowFactor = 4;
 /// Nothing is called slow earlier; expectations of short prompts are noisy.
 constexpr mono_span LeastPatience = std::chrono::seconds(30);
+/// Where a target is declared nothing is called slow before this many times the target: it is late
+/// by then, and its caller still waits (callers of streams leave after 2 s without an event).
+constexpr int TargetFactor = 2;
 constexpr std::uint32_t MostResumes = 3;
+/// Servers beyond the declared bound that may be found out of reach for one request.
+constexpr std::uint32_t MostUnsent = 6;
 constexpr mono_span ResumePause = std::chrono::milliseconds(200);
 
+/// @return After which time without an answer an attempt is slow.
+mono_span patienceFor(const request_facts &Facts, mono_span ExpectedFirstToken) {
+  const mono_span Least = Facts.Target.count() > 0 ? Facts.Target * TargetFactor : LeastPatience;
+  return std::max(Least, ExpectedFirstToken * SlowFactor);
+}
+
 } // namespace
 
 live_request *dispatcher::withCurrent(const attempt_id &Attempt) {
@@ -63,10 +74,9 @@
   ++Request.Attempts;
   ++Counters.Attempts;
   if (Request.Attempts == 1)
-    Budget.earn();
+    Budget.earn(Now);
   const bool MoreAllowed = Request.Attempts < mostAttempts(Request);
-  const mono_time Patience =
-      Now + std::max(LeastPatience, Placement.ExpectedFirstToken * SlowFactor);
+  const mono_time Patience = Now + patienceFor(Request.Facts, Placement.ExpectedFirstToken);
   // Where no other attempt may follow, giving a slow one up could only lose its answer.
   const bool MayMove = MoreAllowed && Request.Facts.Idempotent;
   const mono_time AnswerBy =
@@ -204,6 +214,9 @@
   const bool Proved = Failure && provesNotRun(*Failure);
   const bool HoldsNothing = Failure && !mayHoldMemory(*Failure);
   Request.MayHaveRun = Request.MayHaveRun || !Proved;
+  const bool Unsent =
+      Failure == attempt_failure::NotConnected || Failure == attempt_failure::BrokenUnsent;
+  Request.Unsent += Unsent ? 1 : 0;
   Request.Tried.push_back(Request.Current->Backend);
   if (!HoldsNothing)
     return abandon(Request, Failure, Now);
@@ -251,7 +264,11 @@
 }
 
 std::uint32_t dispatcher::mostAttempts(const live_request &Request) const {
-  return Request.Facts.MaxAttempts > 0 ? Request.Facts.MaxAttempts : Limits.MaxAttempts;
+  // A declared route bounds the servers that a request is sent to; those that could not be reached
+  // were sent nothing. When a failure domain is lost, two of its servers would use up two attempts.
+  if (Request.Facts.MaxAttempts > 0)
+    return Request.Facts.MaxAttempts + std::min(Request.Unsent, MostUnsent);
+  return Limits.MaxAttempts;
 }
 
 bool dispatcher::mayRetry(const live_request &Request, mono_time Now) const {
@@ -262,7 +279,9 @@
 bool dispatcher::payForRetry(const live_request &Request, mono_time Now) {
   if (!mayRetry(Request, Now))
     return false;
-  if (!Budget.spend(Now)) {
+  // The bound is on what servers get: after attempts that reached none the next one is the first.
+  const bool Free = Request.Facts.MaxAttempts > 0 && Request.Unsent == Request.Attempts;
+  if (!Free && !Budget.spend(Now)) {
     ++Counters.RetriesOverBudget;
     return false;
   }
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -64,7 +64,7 @@
   /// Takes the limits of a new declaration; running attempts keep theirs.
   void applyLimits(const limits_declaration &Value);
   /// Bounds retries that no first attempt has paid for; see retry_budget.
-  void setRetryReserve(const retry_reserve &Value) { Budget.setReserve(Value); }
+  void setRetryAllowance(const retry_allowance &Value) { Budget.setAllowance(Value); }
 
   /// @return Requests without a final answer.
   [[nodiscard]] std::size_t liveRequests() const { return Requests.size(); }
--- a/src/dispatch/live_request_type.h
+++ b/src/dispatch/live_request_type.h
@@ -42,8 +42,9 @@
   std::chrono::milliseconds ClaimLifetime{0};
   mono_time ClaimBy;
   std::uint32_t Attempts{0};
-  bool Answered{false};   ///< The caller has part of the answer of an attempt that broke.
-  bool MayHaveRun{false}; ///< Some ended attempt is not proved to have never started.
+  std::uint32_t Unsent{0}; ///< Of these, those of which no byte can have reached a server.
+  bool Answered{false};    ///< The caller has part of the answer of an attempt that broke.
+  bool MayHaveRun{false};  ///< Some ended attempt is not proved to have never started.
   std::vector<backend_key> Tried;
   std::optional<running_attempt> Current;
 
--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -11,13 +11,21 @@
 
 } // namespace
 
-void retry_budget::earn() {
+double retry_budget::share() const {
+  return static_cast<double>(RetryPercent) / static_cast<double>(OneRetry);
+}
+
+void retry_budget::earn(mono_time Now) {
+  if (Window)
+    Window->noteFirst(Now);
   Hundredths = std::min(Hundredths + RetryPercent, Reserve.Burst * OneRetry);
 }
 
-void retry_budget::setReserve(const retry_reserve &Value) {
-  Reserve = Value;
-  Hundredths = std::min(Hundredths, Reserve.Burst * OneRetry);
+void retry_budget::setAllowance(const retry_allowance &Value) {
+  if (Window)
+    Window->setAllowance(Value);
+  else
+    Window.emplace(Value);
 }
 
 void retry_budget::refillFloor(mono_time Now) {
@@ -33,6 +41,8 @@
 }
 
 bool retry_budget::spend(mono_time Now) {
+  if (Window)
+    return Window->spend(share(), Now);
   refillFloor(Now);
   if (Hundredths < OneRetry)
     return false;
@@ -41,6 +51,8 @@
 }
 
 double retry_budget::available() const {
+  if (Window)
+    return Window->available(share());
   return static_cast<double>(Hundredths) / static_cast<double>(OneRetry);
 }
 
--- a/src/dispatch/retry_budget_base.h
+++ b/src/dispatch/retry_budget_base.h
@@ -3,9 +3,11 @@
 #define POLLENSTALL_DISPATCH_RETRY_BUDGET_BASE_H
 
 #include "core/core.h"
+#include "dispatch/retry_window_base.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 
 namespace pollenstall {
 
@@ -28,20 +30,22 @@
 
   /// Takes a new share from the declaration; what was earned stays.
   void setPercent(std::uint32_t Percent) { RetryPercent = Percent; }
-  /// Bounds what may be spent beyond the share, and saved; what is over the burst is lost.
-  void setReserve(const retry_reserve &Value);
+  /// Bounds the retries of any window in place of what is saved up.
+  void setAllowance(const retry_allowance &Value);
   /// A request's first attempt starts.
-  void earn();
+  void earn(mono_time Now);
   /// @return Whether a retry may start now; if so it is paid for.
   bool spend(mono_time Now);
   /// @return Retries that are paid for, as of the last spend().
   [[nodiscard]] double available() const;
 
 private:
+  [[nodiscard]] double share() const;
   void refillFloor(mono_time Now);
 
   std::uint32_t RetryPercent;
   retry_reserve Reserve;
+  std::optional<retry_window> Window; ///< Where an allowance was set.
   std::uint64_t Hundredths{Reserve.Floor * 100};
   mono_time LastRefill{};
 };
--- a/tests/dispatch/retry_test.cpp
+++ b/tests/dispatch/retry_test.cpp
@@ -59,6 +59,20 @@
   EXPECT_EQ(all<finish_request>().size(), 1U);
 }
 
+// Engines without power answer nothing and reset nothing. Where a target is declared the first
+// event is late at twice of it, and the work is tried elsewhere while its caller still waits.
+TEST_F(dispatch_story, WorkWithATargetIsTriedElsewhereAtTwiceOfIt) {
+  request_facts Facts = facts(true);
+  Facts.Target = std::chrono::milliseconds(300);
+  arrive(Facts);
+  place(EngineA);
+  pass(std::chrono::milliseconds(590));
+  EXPECT_EQ(Submitted.size(), 1U);
+  pass(std::chrono::milliseconds(20));
+  ASSERT_EQ(Submitted.size(), 2U);
+  EXPECT_EQ(Submitted[1].Avoid, std::vector<backend_key>{EngineA});
+}
+
 TEST_F(idempotent_work, KeepsASlowAttemptWhereNoRetryMayStart) {
   limits_declaration Fewer = Limits;
   Fewer.MaxAttempts = 1;
@@ -78,6 +92,71 @@
 
 // All engines fail at once. Each request would be sent MaxAttempts times, and the load of the
 // retries keeps the engines down. The budget bounds them to a share of the first attempts.
+// A failure domain is lost and its engines are still listed: two attempts meet two of them and are
+// not connected. No server was sent anything, so that neither the route's bound of two nor the
+// budget ends the request; it is run by the third.
+TEST_F(dispatch_story, ServersOutOfReachUseUpNoAttemptOfADeclaredRoute) {
+  limits_declaration None = Limits;
+  None.RetryPercent = 0;
+  Dispatch.applyLimits(None);
+  Dispatch.setRetryAllowance({});
+  request_facts Facts = facts(true);
+  Facts.MaxAttempts = 2;
+  arrive(Facts);
+  for (std::uint32_t Ordinal = 1; Ordinal <= 3; ++Ordinal) {
+    place(Ordinal % 2 == 0 ? EngineB : EngineA);
+    fail(attempt_failure::NotConnected, Ordinal);
+  }
+  EXPECT_EQ(Submitted.size(), 4U);
+  EXPECT_TRUE(all<finish_request>().empty());
+}
+
+TEST(ARetryWindow, BoundsTheRetriesOfAnySpanOfItsLength) {
+  retry_window Window({3, std::chrono::seconds(10)});
+  constexpr double Share = 0.2;
+  std::vector<mono_time> Retries;
+  std::vector<mono_time> Firsts;
+  random_source Random(7);
+  mono_time Now{std::chrono::hours(1)};
+  for (int Step = 0; Step < 20'000; ++Step) {
+    Now += std::chrono::milliseconds(Random.below(60));
+    if (Random.chance(0.5)) {
+      Window.noteFirst(Now);
+      Firsts.push_back(Now);
+    } else if (Window.spend(Share, Now)) {
+      Retries.push_back(Now);
+    }
+  }
+  ASSERT_GT(Retries.size(), 1'000U);
+  const auto In = [](const std::vector<mono_time> &Times, mono_time From, mono_time To) {
+    return std::lower_bound(Times.begin(), Times.end(), To) -
+           std::lower_bound(Times.begin(), Times.end(), From);
+  };
+  for (const mono_time End : Retries) {
+    // First attempts of the half second before the window may count, as its slots do.
+    const mono_time Begin = End - std::chrono::seconds(10);
+    const auto Allowed =
+        3 + Share * static_cast<double>(In(Firsts, Begin - std::chrono::milliseconds(600),
+                                           End + std::chrono::nanoseconds(1)));
+    EXPECT_LE(static_cast<double>(In(Retries, Begin, End + std::chrono::nanoseconds(1))), Allowed);
+  }
+}
+
+// Thirty streams break off at once after a minute of calm. The bound of a window allows to go on
+// with all of them; what a bucket had saved up allowed seven.
+TEST(ARetryWindow, AllowsItsWholeBoundAtOnce) {
+  retry_window Window({12, std::chrono::seconds(10)});
+  mono_time Now{std::chrono::hours(1)};
+  for (int Step = 0; Step < 600; ++Step) {
+    Now += std::chrono::milliseconds(100);
+    Window.noteFirst(Now);
+  }
+  int Allowed = 0;
+  while (Window.spend(0.2, Now))
+    ++Allowed;
+  EXPECT_GE(Allowed, 30);
+}
+
 TEST_F(dispatch_story, RetriesStayWithinTheirBudget) {
   for (std::uint64_t Number = 1; Number <= 200; ++Number) {
     arrive(facts(true, {}, Number));
