Silent engines are left after three gaps; an engine that failed is tried with one request at a time

Cause: streams on engines without power hung until their callers left after 2 s, and new work was sent there for another 4.8 s: such an engine seems free of work, and each pause of 0.5 s ended with all short work of 0.3 to 0.6 s. Change: a stream that may go on elsewhere is asked for there when its engine was silent for three declared gaps (0.5 s at least), counted without the caller's own time. Failures while an engine pauses count once; after a pause one request tries it, and no other for a second unless that one is answered. Tests (failed before): relay AStreamThatFallsSilent.*, placement FailuresWhileAnEnginePausesCountOnce and AnEngineThatFailedIsTriedWithOneRequest.

--- a/src/placement/engine_state.cpp
+++ b/src/placement/engine_state.cpp
@@ -39,10 +39,18 @@
 }
 
 void engine_state::noteFailure(const placement_tuning &Tuning, mono_time Now) {
+  // Streams that break off together are one failure.
+  if (Now < PausedUntil)
+    return;
   constexpr std::uint32_t MostDoublings = 6;
   const mono_span Pause = Tuning.FailurePause * (1U << std::min(Failures, MostDoublings));
   PausedUntil = Now + std::min(Pause, Tuning.LongestPause);
   ++Failures;
 }
 
+void engine_state::notePlaced(const placement_tuning &Tuning, mono_time Now) {
+  if (Failures > 0)
+    TrialUntil = Now + Tuning.TrialSpan;
+}
+
 } // namespace pollenstall
--- a/src/placement/engine_state_base.h
+++ b/src/placement/engine_state_base.h
@@ -45,7 +45,11 @@
   /// An attempt failed for a reason that is the server's.
   void noteFailure(const placement_tuning &Tuning, mono_time Now);
   void noteSuccess() { Failures = 0; }
-  [[nodiscard]] bool paused(mono_time Now) const { return Now < PausedUntil; }
+  /// Work was placed here. After a failure the next work is a trial, and for a while the only one.
+  void notePlaced(const placement_tuning &Tuning, mono_time Now);
+  [[nodiscard]] bool paused(mono_time Now) const {
+    return Now < PausedUntil || (Failures > 0 && Now < TrialUntil);
+  }
   [[nodiscard]] bool active() const { return Listing.State == listing_state::Active; }
   [[nodiscard]] const backend_key &key() const { return Listing.Key; }
   [[nodiscard]] const service_name &service() const { return Listing.Service; }
@@ -65,6 +69,7 @@
   std::map<host_name, peer_load> Peers;
   std::uint32_t Failures{0}; ///< In a row.
   mono_time PausedUntil;
+  mono_time TrialUntil;
 };
 
 } // namespace pollenstall
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -203,6 +203,7 @@
   Placement.ExpectedFirstToken = spanOf(Plan.FinishMs);
   for (const engine_option &Reader : Plan.Readers) {
     const backend_key &Key = Reader.Engine->key();
+    Reader.Engine->notePlaced(Tuning, Now);
     Started.Parts.push_back({Key, Plan.PartMs, Now + spanOf(Plan.FinishMs)});
     if (Key != Placement.Backend)
       Placement.Helpers.push_back(Key);
@@ -295,6 +296,9 @@
   if (Found == Running.end())
     return;
   Found->second.Answered = true;
+  for (const reading_part &Part : Found->second.Parts)
+    if (const auto Engine = Engines.find(Part.Backend); Engine != Engines.end())
+      Engine->second.noteSuccess();
   NextWake = Now;
 }
 
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -30,9 +30,6 @@
 constexpr std::string_view AttemptHeader = "X-Pollenstall-Attempt";
 constexpr std::string_view StartedHeader = "X-Pollenstall-Started";
 
-/// An exchange outlives the request's deadline by this at most; the decision thread ends it before.
-constexpr std::chrono::seconds DeadlineGrace{5};
-
 /// @return How long a server that says "timeout=SECONDS" keeps an idle connection, less a margin
 /// for the way; nothing where it does not say.
 std::optional<std::chrono::milliseconds> idleLimitOf(boost::beast::string_view KeepAlive) {
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -33,6 +33,10 @@
  */
 class backend_exchange : public std::enable_shared_from_this<backend_exchange> {
 public:
+  /// An exchange outlives the request's deadline by this at most; the decision thread ends it
+  /// before.
+  static constexpr std::chrono::seconds DeadlineGrace{5};
+
   /// Called once at the end, also of an exchange that was abandoned.
   using end_hook = std::function<void(const backend_exchange &)>;
 
@@ -62,6 +66,7 @@
   boost::asio::awaitable<bool> passEvents(std::string_view Ready, std::uint64_t Events);
   boost::asio::awaitable<exchange_end> relayWhole();
   bool feedReady();
+  void watchSilence();
   [[nodiscard]] bool heldUntilWhole();
   boost::asio::awaitable<bool> startAnswer(answer_framing Framing, std::string_view First);
   boost::asio::awaitable<bool> readMore();
--- a/src/relay/backend_exchange_stream.cpp
+++ b/src/relay/backend_exchange_stream.cpp
@@ -6,6 +6,25 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// A stream whose engine is silent for so many times its declared gap is asked for elsewhere. It is
+/// late by then; its caller leaves after eight gaps or two seconds.
+constexpr int SilentGaps = 3;
+/// Passes with a long read take up to that on engines that work.
+constexpr std::chrono::milliseconds LeastSilence{500};
+
+} // namespace
+
+/// An engine without power resets nothing: only the time since its last event tells.
+void backend_exchange::watchSilence() {
+  const std::chrono::milliseconds Gap = Call->Facts.LongestGap;
+  if (!Order.MayRetry || !Call->Facts.Resumable || Gap.count() == 0)
+    return;
+  Link->expireAt(std::min(boot_clock::now() + std::max<mono_span>(LeastSilence, Gap * SilentGaps),
+                          Call->Facts.Deadline + DeadlineGrace));
+}
+
 asio::awaitable<bool> backend_exchange::passEvents(std::string_view Ready, std::uint64_t Events) {
   using part_state = caller_connection::part_state;
   // Told first: an attempt whose bytes the caller may have must not be taken for unanswered.
@@ -49,6 +68,9 @@
     if (Done && !Abandoned)
       break;
     const bool TooLong = Feed->body().size() > Context.Limits.MaxEventBytes;
+    // Only now: time that the caller takes to read is not the engine's.
+    if (Answering)
+      watchSilence();
     if (!Abandoned && !TooLong)
       co_await Link->waitRead(Code);
     const bool Read = !Abandoned && !TooLong && !Code && feedReady();
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -133,6 +133,62 @@
   EXPECT_TRUE(poll().empty());
 }
 
+// Five streams break off on one engine in the same moment. That is one failure of the engine: taken
+// for five in a row, a reset of its connections would keep it from all work for eight seconds.
+TEST_F(placer_story, FailuresWhileAnEnginePausesCountOnce) {
+  std::vector<request_number> Streams;
+  for (std::size_t Place = 1; Place < Engines; ++Place)
+    Placer.removeBackend(listing(Place).Key);
+  for (int Count = 0; Count < 5; ++Count) {
+    Streams.push_back(arrive(1'000));
+    ASSERT_EQ(poll().size(), 1U);
+    answer(Streams.back());
+  }
+  for (const request_number Stream : Streams) {
+    attempt_report Report;
+    Report.Failure = attempt_failure::BrokenMidway;
+    Placer.attemptEnded(attempt(Stream), Report, Now);
+  }
+  Placer.updateBackend(listing(1));
+  Now += placement_tuning().FailurePause + 1ms;
+  std::set<backend_key> Used;
+  for (int Count = 0; Count < 20; ++Count) {
+    arrive(1'000);
+    for (const work_placement &Placement : poll())
+      Used.insert(Placement.Backend);
+  }
+  EXPECT_TRUE(Used.contains(listing(0).Key));
+}
+
+// An engine without power seems free of work, so that all short work would go there in the third of
+// a second until the next connection fails. After its pause it gets one request, and no other
+// before that one was answered.
+TEST_F(placer_story, AnEngineThatFailedIsTriedWithOneRequest) {
+  const request_number Broken = arrive(1'000);
+  const auto First = poll();
+  ASSERT_EQ(First.size(), 1U);
+  attempt_report Report;
+  Report.Failure = attempt_failure::NotConnected;
+  Placer.attemptEnded(attempt(Broken), Report, Now);
+  Now += placement_tuning().FailurePause + 1ms;
+  std::vector<request_number> Trials;
+  for (int Count = 0; Count < 40; ++Count) {
+    const request_number Number = arrive(1'000);
+    for (const work_placement &Placement : poll())
+      if (Placement.Backend == First[0].Backend)
+        Trials.push_back(Number);
+  }
+  ASSERT_EQ(Trials.size(), 1U);
+  answer(Trials[0]);
+  std::size_t Later = 0;
+  for (int Count = 0; Count < 40; ++Count) {
+    arrive(1'000);
+    for (const work_placement &Placement : poll())
+      Later += Placement.Backend == First[0].Backend ? 1 : 0;
+  }
+  EXPECT_GT(Later, 1U);
+}
+
 // Another entry has just put a long read on most engines. This one must not book them again.
 TEST_F(placer_story, WhatOtherEntriesHaveUnderWayCounts) {
   std::vector<work_load> Loads;
--- a/tests/relay/headed_call_test.cpp
+++ b/tests/relay/headed_call_test.cpp
@@ -62,6 +62,37 @@
   EXPECT_FALSE(Relay.Facts.Continues);
 }
 
+// An engine falls silent in the middle of a stream and its connection stays open: a machine without
+// power resets nothing. The caller would leave after two seconds; three gaps after the last event
+// the rest is asked for elsewhere.
+TEST(AStreamThatFallsSilent, IsGivenUpWhereAnotherAttemptMayFollow) {
+  const scripted_server Silent([](auto &Socket, const seen_request &) {
+    sendText(Socket, streamHead() + chunkOf(eventText(1)));
+    waitForClose(Socket);
+  });
+  headed_relay Relay;
+  Relay.call("p");
+  Relay.start(Silent, 1);
+  EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::BrokenMidway);
+  Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+  EXPECT_FALSE(looksWhole(Relay.answer()));
+}
+
+// The same where no other attempt may follow: an engine's silence is no reason to end its answer.
+TEST(AStreamThatFallsSilent, IsWaitedForWhereNoOtherAttemptMayFollow) {
+  const scripted_server Slow([](auto &Socket, const seen_request &) {
+    sendText(Socket, streamHead() + chunkOf(eventText(1)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(900));
+    sendText(Socket, chunkOf(eventText(2)) + "0\r\n\r\n");
+  });
+  headed_relay Relay;
+  Relay.call("p");
+  Relay.start(Slow, 1, false);
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_EQ(countOf(Relay.answer(), eventText(2)), 1U);
+}
+
 // The second engine starts one event too early, as one that was asked to go on behind 2 and has
 // counted differently. The caller has event 2 already.
 TEST(AStreamThatBreaksOff, LeavesOutWhatTheCallerHas) {
--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -65,6 +65,7 @@
   Route.PathPrefix = "/a/";
   Route.Repeat = Repeat;
   Route.MaxAttempts = 3;
+  Route.LongestGap = std::chrono::milliseconds(100);
   Route.Services = {{service_name("svc"), 1}};
   Fleet.Routes.push_back(Route);
   return std::make_shared<const declaration_index>(std::move(Fleet));
@@ -136,6 +137,12 @@
   asio::write(Socket, asio::buffer(Text), Ignored);
 }
 
+void waitForClose(scripted_server::tcp_socket &Socket) {
+  boost::system::error_code Code;
+  std::string Ignored;
+  asio::read(Socket, asio::dynamic_buffer(Ignored), Code);
+}
+
 void resetConnection(tcp::socket &Socket) {
   boost::system::error_code Ignored;
   Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -56,6 +56,8 @@
 
 /// Writes text to a socket; the peer may have gone.
 void sendText(scripted_server::tcp_socket &Socket, const std::string &Text);
+/// Returns once the peer has closed.
+void waitForClose(scripted_server::tcp_socket &Socket);
 /// Closes so that the peer sees a reset.
 void resetConnection(scripted_server::tcp_socket &Socket);
 /// @return An event with its id and a line of data.
