--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -13,9 +13,10 @@
 constexpr int SlowFactor = 4;
 /// Nothing is called slow earlier; expectations of short prompts are noisy.
 constexpr mono_span LeastPatience = std::chrono::seconds(30);
-/// Where a target is declared nothing is called slow before this many times the target: it is late
-/// by then, and its caller still waits (callers of streams leave after 2 s without an event).
-constexpr int TargetFactor = 2;
+/// Where a target is declared nothing is called slow before this many times the target: its caller
+/// still waits (callers of short streams leave after 2 s). At twice the target, engines that were
+/// only full of the work of a fleet that had just restarted were left: 85 requests in a second.
+constexpr int TargetFactor = 4;
 constexpr std::uint32_t MostResumes = 3;
 /// Servers beyond the declared bound that may be found out of reach for one request.
 constexpr std::uint32_t MostUnsent = 6;
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -62,8 +62,8 @@
   mono_span LongestPause{std::chrono::seconds(8)};
   /// After a pause one request tries a server, and no other for so long unless it answers. A server
   /// that is dark seems free of work: all that came in the time until the next failure was seen
-  /// (0.3 s to connect, 0.6 s without an answer) was lost to it, again after each pause.
-  mono_span TrialSpan{std::chrono::seconds(1)};
+  /// (0.3 s to connect, 1.2 s without an answer) was lost to it, again after each pause.
+  mono_span TrialSpan{std::chrono::milliseconds(1500)};
   /// Part of the time limit after which work that waits is refused, so that its caller can come
   /// back.
   double WaitPart{0.3};
