Log lines are written by a thread of their own: a reader that stands still delays no request

Cause: logEvent wrote to standard error in the thread that logs. With the pipe to a collector full the entry answered nobody (ALogThatNobodyReads: stood still after some two hundred requests). Change: lines wait in 4 MiB of memory for a thread that writes them; ordinary ones are dropped while a quarter is left for warnings and errors, and log_lines_dropped says how many. An attempt that is given up (caller gone, time over, slow) has a line of its own, attempt_cancelled.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -261,6 +261,9 @@
                  },
                  [this](cancel_attempt &&Cancel) {
                    const bool TakesCancels = Seam.takesCancels(Cancel.Backend);
+                   logEvent(log_level::Info, "attempt_cancelled",
+                            {{"attempt", toText(Cancel.Attempt)},
+                             {"backend", Cancel.Backend.Address.str()}});
                    Outbox.push(cancel_order{std::move(Cancel), TakesCancels});
                  },
                  [this](start_attempt &&Start) {
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -1,6 +1,8 @@
 /** @file log.cpp One JSON object a line; log4cxx does levels, buffering and output. */
 #include "program/log_func.h"
 
+#include "program/log_writer_base.h"
+
 #include <boost/json.hpp>
 #include <log4cxx/consoleappender.h>
 #include <log4cxx/logger.h>
@@ -13,7 +15,11 @@
 
 namespace {
 
+/// Lines that wait for the reader of the log: about 10,000 of them.
+constexpr std::size_t MostLogBytes = 4U << 20U;
+
 std::string ProgramName;
+std::unique_ptr<log_writer> Writer; ///< Null before startLogging().
 
 log4cxx::LoggerPtr eventLogger() {
   static const log4cxx::LoggerPtr Logger = log4cxx::Logger::getLogger("pollenstall");
@@ -51,6 +57,23 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(Now).count();
 }
 
+boost::json::object lineOf(log_level Level, std::string_view Event) {
+  boost::json::object Line;
+  Line["time_unix_ms"] = unixMilliseconds();
+  Line["level"] = nameOf(Level);
+  Line["program"] = ProgramName;
+  Line["event"] = Event;
+  return Line;
+}
+
+void write(const std::string &Line) { eventLogger()->forcedLog(log4cxx::Level::getInfo(), Line); }
+
+std::string droppedLine(std::uint64_t Count) {
+  boost::json::object Line = lineOf(log_level::Warning, "log_lines_dropped");
+  Line["lines"] = Count;
+  return boost::json::serialize(Line);
+}
+
 } // namespace
 
 void startLogging(std::string_view Program, log_level Least) {
@@ -62,6 +85,7 @@
   eventLogger()->removeAllAppenders();
   eventLogger()->addAppender(Appender);
   eventLogger()->setLevel(levelOf(Least));
+  Writer = std::make_unique<log_writer>(MostLogBytes, write, droppedLine);
 }
 
 std::optional<log_level> logLevelFromText(std::string_view Text) {
@@ -76,14 +100,15 @@
   const log4cxx::LevelPtr Wanted = levelOf(Level);
   if (!eventLogger()->isEnabledFor(Wanted))
     return;
-  boost::json::object Line;
-  Line["time_unix_ms"] = unixMilliseconds();
-  Line["level"] = nameOf(Level);
-  Line["program"] = ProgramName;
-  Line["event"] = Event;
+  boost::json::object Line = lineOf(Level, Event);
   for (const auto &[Name, Value] : Fields)
     std::visit([&Line, Key = Name](const auto &Plain) { Line[Key] = Plain; }, Value);
-  eventLogger()->forcedLog(Wanted, boost::json::serialize(Line));
+  std::string Text = boost::json::serialize(Line);
+  const bool Severe = Level == log_level::Warning || Level == log_level::Error;
+  if (Writer)
+    Writer->push(std::move(Text), Severe ? line_weight::Severe : line_weight::Ordinary);
+  else
+    write(Text);
 }
 
 } // namespace pollenstall
--- a/src/program/log_func.h
+++ b/src/program/log_func.h
@@ -26,7 +26,7 @@
 std::optional<log_level> logLevelFromText(std::string_view Text);
 
 /**
- * Writes one line: time, level, program, event and the fields.
+ * Writes one line: time, level, program, event and the fields. Never waits for the log's reader.
  * @param Event A fixed lower_snake name, listed in docs/OPERATING.md.
  */
 void logEvent(log_level Level, std::string_view Event,
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -87,6 +87,7 @@
 }
 
 child_process::~child_process() {
+  ErrorsHeld = false; // Or the reader would wait for good.
   if (!ExitCode) {
     kill();
     wait();
@@ -131,6 +132,8 @@
     for (pollfd &Pipe : Pipes) {
       if (Pipe.fd < 0 || Pipe.revents == 0)
         continue;
+      while (Pipe.fd == ErrorPipe && ErrorsHeld)
+        std::this_thread::sleep_for(std::chrono::milliseconds(1));
       const ssize_t Count = read(Pipe.fd, Bytes.data(), Bytes.size());
       const std::lock_guard<std::mutex> Lock(Guard);
       if (Count <= 0)
--- a/tests/support/child_process_base.h
+++ b/tests/support/child_process_base.h
@@ -9,6 +9,7 @@
 
 #include <sys/types.h>
 
+#include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <csignal>
@@ -46,6 +47,10 @@
   /// Waits for its end. @return Exit code, 128 + signal where one ended it, nothing past the limit.
   std::optional<int> wait(std::chrono::milliseconds Limit = TestLimit);
 
+  /// Reads nothing of standard error until readErrors(): its pipe fills, and a write to it blocks.
+  void holdErrors() { ErrorsHeld = true; }
+  void readErrors() { ErrorsHeld = false; }
+
   /// @return The lines of standard error so far.
   [[nodiscard]] std::vector<std::string> errorLines() const;
   /// @return Standard output so far.
@@ -73,6 +78,7 @@
   std::string Partial;
   std::string Output;
   bool Closed{false};
+  std::atomic<bool> ErrorsHeld{false};
   std::unique_ptr<temp_folder> Folder;
 };
 
