--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -1,4 +1,4 @@
-/** @file dispatcher_attempt.cpp Starts, failures, retries, resumes and ends of attempts. */
+/** @file dispatcher_attempt.cpp Starts, failures, resumes and ends of attempts. */
 #include "dispatch/dispatcher_base.h"
 #include "dispatch/outcome_func.h"
 
@@ -18,8 +18,6 @@
 /// only full of the work of a fleet that had just restarted were left: 85 requests in a second.
 constexpr int TargetFactor = 4;
 constexpr std::uint32_t MostResumes = 3;
-/// Servers beyond the declared bound that may be found out of reach for one request.
-constexpr std::uint32_t MostUnsent = 6;
 constexpr mono_span ResumePause = std::chrono::milliseconds(200);
 
 /// @return After which time without an answer an attempt is slow.
@@ -264,75 +262,6 @@
     Seam.AttemptAbandoned(Id, Failure, Now);
 }
 
-std::uint32_t dispatcher::mostAttempts(const live_request &Request) const {
-  // A declared route bounds the servers that a request is sent to; those that could not be reached
-  // were sent nothing. When a failure domain is lost, two of its servers would use up two attempts.
-  if (Request.Facts.MaxAttempts > 0)
-    return Request.Facts.MaxAttempts + std::min(Request.Unsent, MostUnsent);
-  return Limits.MaxAttempts;
-}
-
-bool dispatcher::mayRetry(const live_request &Request, mono_time Now) const {
-  const bool Safe = Request.Facts.Idempotent || !Request.MayHaveRun;
-  return Safe && Request.Attempts < mostAttempts(Request) && Now < Request.Facts.Deadline;
-}
-
-bool dispatcher::payForRetry(const live_request &Request, mono_time Now) {
-  if (!mayRetry(Request, Now))
-    return false;
-  // The bound is on what servers get: after attempts that reached none the next one is the first.
-  const bool Free = Request.Facts.MaxAttempts > 0 && Request.Unsent == Request.Attempts;
-  if (!Free && !Budget.spend(Now)) {
-    ++Counters.RetriesOverBudget;
-    return false;
-  }
-  ++Counters.Retries;
-  return true;
-}
-
-void dispatcher::retryOrFinish(live_request &Request, mono_time Now) {
-  if (payForRetry(Request, Now))
-    return submit(Request, Now);
-  const bool Forbidden = !Request.Facts.Idempotent && Request.MayHaveRun;
-  finishShort(Request, Forbidden ? failure_reason::BackendFailed : failure_reason::RetriesExhausted,
-              std::nullopt, Now);
-}
-
-void dispatcher::retryElsewhere(live_request &Request, attempt_failure Failure, mono_time Now) {
-  const bool Unanswered = Request.Current && !hasAnswered(Request.Current->Life.state());
-  if (!Unanswered || !Request.Facts.Idempotent || !payForRetry(Request, Now))
-    return;
-  closeAttempt(Request, Failure, Now);
-  submit(Request, Now);
-}
-
-void dispatcher::moveUnanswered(const backend_key &Backend, mono_time Now) {
-  std::vector<request_number> There;
-  for (const auto &[Number, Request] : Requests)
-    if (Request.Current && Request.Current->Backend == Backend)
-      There.push_back(Number);
-  for (const request_number Number : There)
-    if (live_request *Request = find(Number))
-      retryElsewhere(*Request, attempt_failure::BrokenSent, Now);
-}
-
-void dispatcher::backendLost(const backend_key &Backend, mono_time Now) {
-  moveUnanswered(Backend, Now);
-  sendDueCancels(Now);
-}
-
-void dispatcher::backendGone(const backend_key &Backend, mono_time Now) {
-  for (auto &[Number, Request] : Requests)
-    if (Request.Current && Request.Current->Backend == Backend)
-      Request.Current->BackendGone = true;
-  for (const attempt_id &Attempt : Abandoned.onBackend(Backend)) {
-    Abandoned.find(Attempt)->Life.apply(attempt_step::BackendGone);
-    endAbandoned(Attempt, attempt_end::BackendGone, Now);
-  }
-  moveUnanswered(Backend, Now);
-  sendDueCancels(Now);
-}
-
 void dispatcher::endAbandoned(const attempt_id &Attempt, attempt_end End, mono_time Now) {
   const abandoned_attempt Ended = Abandoned.take(Attempt);
   reportEnd({Attempt, Ended.Backend, End, Ended.Failure, std::nullopt, std::nullopt, std::nullopt},
--- a/src/fleet_model/fleet_run_base.h
+++ b/src/fleet_model/fleet_run_base.h
@@ -134,7 +134,8 @@
   void addEntry(std::size_t Number);
   void freeEngines(const attempt_state &Attempt);
   [[nodiscard]] mono_time now() const;
-  [[nodiscard]] mono_time momentOf(double Ms) const;
+  static mono_time momentOf(double Ms);
+  static double millisOf(mono_time Moment);
   [[nodiscard]] std::size_t engineOf(const backend_key &Key) const { return EngineNumbers.at(Key); }
 
   model_load Load;
--- a/src/fleet_model/fleet_run_engines.cpp
+++ b/src/fleet_model/fleet_run_engines.cpp
@@ -18,11 +18,6 @@
 /// Urgency of engines' own scale, in the middle; what is declared is added.
 constexpr std::uint32_t MiddleUrgency = 4;
 
-double millisOf(mono_time Moment) {
-  constexpr mono_time Start{std::chrono::hours(1)};
-  return std::chrono::duration<double, std::milli>(Moment - Start).count();
-}
-
 } // namespace
 
 void fleet_run::turn(std::size_t Number) {
--- a/tests/placement/placer_story.h
+++ b/tests/placement/placer_story.h
@@ -103,6 +103,12 @@
                             Placement.Backend, Now);
     return Outcome.Placements;
   }
+  /// All other engines are gone.
+  void keepOnly(const backend_key &Backend) {
+    for (std::size_t Place = 0; Place < Engines; ++Place)
+      if (listing(Place).Key != Backend)
+        Placer.removeBackend(listing(Place).Key);
+  }
   void answer(request_number Request) { Placer.attemptAnswering(attempt(Request), Now); }
   void end(request_number Request) {
     attempt_report Report;
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -114,9 +114,7 @@
   const auto First = poll();
   ASSERT_EQ(First.size(), 1U);
   answer(Writes);
-  for (std::size_t Place = 0; Place < Engines; ++Place)
-    if (listing(Place).Key != First[0].Backend)
-      Placer.removeBackend(listing(Place).Key);
+  keepOnly(First[0].Backend);
   arrive(50'000, 1000ms); // 512 ms alone
   EXPECT_EQ(poll().size(), 1U);
 }
@@ -126,9 +124,7 @@
   const auto First = poll();
   ASSERT_EQ(First.size(), 1U);
   answer(Writes);
-  for (std::size_t Place = 0; Place < Engines; ++Place)
-    if (listing(Place).Key != First[0].Backend)
-      Placer.removeBackend(listing(Place).Key);
+  keepOnly(First[0].Backend);
   arrive(50'000, 1000ms);
   EXPECT_TRUE(poll().empty());
 }
