--- a/src/fleet_model/engine_model.cpp
+++ b/src/fleet_model/engine_model.cpp
@@ -12,11 +12,11 @@
 /// Less than this is read: sums of parts of a prompt miss its length by rounding.
 constexpr double ReadOver = 0.5;
 
-template <typename List, typename Entry> void insertByUrgency(List &Into, Entry &&New) {
+template <typename List, typename Entry> void insertByUrgency(List &Into, const Entry &New) {
   const auto Place = std::find_if(Into.begin(), Into.end(), [&New](const auto &Other) {
     return Other.Job.Urgency > New.Job.Urgency;
   });
-  Into.insert(Place, std::forward<Entry>(New));
+  Into.insert(Place, New);
 }
 
 } // namespace
@@ -27,7 +27,7 @@
   Entry.Order = NextOrder++;
   Entry.ToRead = Job.Prompt / static_cast<double>(Job.Readers);
   Entry.PartsOpen = Job.Readers - 1;
-  insertByUrgency(Waiting, std::move(Entry));
+  insertByUrgency(Waiting, Entry);
 }
 
 void engine_model::takePart(std::size_t Number, double Tokens, double Prompt) {
@@ -110,7 +110,7 @@
     active_job &Entry = Waiting.front();
     if (memoryUsed() + Entry.Job.Prompt - Entry.Job.HeldElsewhere + Entry.Job.Answer > Memory)
       return;
-    insertByUrgency(Running, std::move(Entry));
+    insertByUrgency(Running, Entry);
     Waiting.pop_front();
   }
 }
