--- a/tests/fleet_model/engine_model_test.cpp
+++ b/tests/fleet_model/engine_model_test.cpp
@@ -44,7 +44,7 @@
   /// Passes until one brings an event.
   pass_outcome untilEvent() {
     for (int Pass = 0; Pass < 1'000; ++Pass)
-      if (const pass_outcome Outcome = pass(); !Outcome.Events.empty())
+      if (pass_outcome Outcome = pass(); !Outcome.Events.empty())
         return Outcome;
     ADD_FAILURE() << "no event";
     return {};
