The log's last lines are written before log4cxx's statics are gone

Change: the writer ends by an exit handler that is registered after log4cxx's statics exist, so that it runs before they are destroyed.

--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -9,6 +9,7 @@
 #include <log4cxx/patternlayout.h>
 
 #include <chrono>
+#include <cstdlib>
 #include <memory>
 
 namespace pollenstall {
@@ -86,6 +87,9 @@
   eventLogger()->addAppender(Appender);
   eventLogger()->setLevel(levelOf(Least));
   Writer = std::make_unique<log_writer>(MostLogBytes, write, droppedLine);
+  // What is registered now runs before log4cxx's own statics are destroyed. Left to the static
+  // objects, a process that ended at once wrote its last line through a logger that was gone.
+  std::atexit([] { Writer.reset(); });
 }
 
 std::optional<log_level> logLevelFromText(std::string_view Text) {
