Use what was there: one wall clock, one reading of spans, one set of figures; drop what nothing sets any more

Found by reading the whole change again: the log had a wall clock beside core's; the fleet model its own conversions of spans beside placement's, and an order of jobs that nothing read; the retry budget a table of settings that nobody sets since the sliding window came, and a bucket that went on earning beside the window; the engine figures stood twice in tests.

--- a/src/dispatch/retry_budget.cpp
+++ b/src/dispatch/retry_budget.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint64_t OneRetry = 100;
+constexpr std::uint64_t Burst = 100;                  ///< Retries that can be saved up at most.
+constexpr mono_span Refill = std::chrono::seconds(1); ///< The floor regains one retry in it.
 
 } // namespace
 
@@ -17,8 +19,8 @@
 
 void retry_budget::earn(mono_time Now) {
   if (Window)
-    Window->noteFirst(Now);
-  Hundredths = std::min(Hundredths + RetryPercent, Reserve.Burst * OneRetry);
+    return Window->noteFirst(Now);
+  Hundredths = std::min(Hundredths + RetryPercent, Burst * OneRetry);
 }
 
 void retry_budget::setAllowance(const retry_allowance &Value) {
@@ -31,13 +33,13 @@
 void retry_budget::refillFloor(mono_time Now) {
   if (Now <= LastRefill)
     return;
-  const auto Regained = static_cast<std::uint64_t>((Now - LastRefill) / Reserve.Refill);
+  const auto Regained = static_cast<std::uint64_t>((Now - LastRefill) / Refill);
   if (Regained == 0)
     return;
-  LastRefill += Reserve.Refill * static_cast<std::int64_t>(Regained);
-  const std::uint64_t Floor = Reserve.Floor * OneRetry;
-  if (Hundredths < Floor)
-    Hundredths = std::min(Floor, Hundredths + std::min(Regained, Reserve.Floor) * OneRetry);
+  LastRefill += Refill * static_cast<std::int64_t>(Regained);
+  constexpr std::uint64_t Full = Floor * OneRetry;
+  if (Hundredths < Full)
+    Hundredths = std::min(Full, Hundredths + std::min(Regained, Floor) * OneRetry);
 }
 
 bool retry_budget::spend(mono_time Now) {
--- a/src/dispatch/retry_budget_base.h
+++ b/src/dispatch/retry_budget_base.h
@@ -11,13 +11,6 @@
 
 namespace pollenstall {
 
-/// Retries beside those that first attempts earn.
-struct retry_reserve {
-  std::uint64_t Floor{3};                    ///< Reached again by time alone.
-  std::uint64_t Burst{100};                  ///< Most that can be saved up.
-  mono_span Refill{std::chrono::seconds(1)}; ///< Time in which the floor regains one retry.
-};
-
 /**
  * Token bucket over retries: each first attempt earns RetryPercent hundredths of a retry.
  * Without it, backend servers that fail under load get up to MaxAttempts times the load, and stay
@@ -40,13 +33,14 @@
   [[nodiscard]] double available() const;
 
 private:
+  static constexpr std::uint64_t Floor = 3; ///< Retries; reached again by time alone.
+
   [[nodiscard]] double share() const;
   void refillFloor(mono_time Now);
 
   std::uint32_t RetryPercent;
-  retry_reserve Reserve;
   std::optional<retry_window> Window; ///< Where an allowance was set.
-  std::uint64_t Hundredths{Reserve.Floor * 100};
+  std::uint64_t Hundredths{Floor * 100};
   mono_time LastRefill{};
 };
 
--- a/src/fleet_model/engine_model.cpp
+++ b/src/fleet_model/engine_model.cpp
@@ -24,7 +24,6 @@
 void engine_model::take(const engine_job &Job) {
   active_job Entry;
   Entry.Job = Job;
-  Entry.Order = NextOrder++;
   Entry.ToRead = Job.Prompt / static_cast<double>(Job.Readers);
   Entry.PartsOpen = Job.Readers - 1;
   insertByUrgency(Waiting, Entry);
--- a/src/fleet_model/engine_model_base.h
+++ b/src/fleet_model/engine_model_base.h
@@ -70,7 +70,6 @@
 private:
   struct active_job {
     engine_job Job;
-    std::uint64_t Order{0};
     double ToRead{0};           ///< Tokens of its own part.
     double ThisPass{0};         ///< Of these, in the pass that runs.
     std::size_t PartsOpen{0};   ///< At helpers.
@@ -103,7 +102,6 @@
   engine_figures Figures;
   double EventTokens;
   bool InPass{false};
-  std::uint64_t NextOrder{0};
   std::list<active_job> Running; ///< By urgency and age.
   std::list<active_job> Waiting; ///< The same.
   std::list<foreign_part> Parts; ///< In the order in which they came.
--- a/src/fleet_model/fleet_run.cpp
+++ b/src/fleet_model/fleet_run.cpp
@@ -15,10 +15,6 @@
 /// Virtual time zero; not the clock's own zero, which code may take for "never".
 constexpr mono_time Start{std::chrono::hours(1)};
 
-mono_span spanOfMs(double Ms) {
-  return std::chrono::duration_cast<mono_span>(std::chrono::duration<double, std::milli>(Ms));
-}
-
 double exponential(random_source &Random, double Mean) {
   return -Mean * std::log(1.0 - Random.unit());
 }
@@ -106,11 +102,9 @@
   }
 }
 
-mono_time fleet_run::momentOf(double At) { return Start + spanOfMs(At); }
+mono_time fleet_run::momentOf(double At) { return Start + spanOf(At); }
 
-double fleet_run::millisOf(mono_time Moment) {
-  return std::chrono::duration<double, std::milli>(Moment - Start).count();
-}
+double fleet_run::millisOf(mono_time Moment) { return millisUntil(Moment, Start); }
 
 mono_time fleet_run::now() const { return momentOf(Ms); }
 
--- a/src/placement/placement.h
+++ b/src/placement/placement.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_PLACEMENT_PLACEMENT_H
 #define POLLENSTALL_PLACEMENT_PLACEMENT_H
 
+#include "placement/millis_func.h"     // IWYU pragma: export
 #include "placement/pass_model_func.h" // IWYU pragma: export
 #include "placement/placement_type.h"  // IWYU pragma: export
 #include "placement/placer_base.h"     // IWYU pragma: export
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -1,6 +1,7 @@
 /** @file log.cpp One JSON object a line; log4cxx does levels, buffering and output. */
 #include "program/log_func.h"
 
+#include "core/core.h"
 #include "program/log_writer_base.h"
 
 #include <boost/json.hpp>
@@ -8,7 +9,6 @@
 #include <log4cxx/logger.h>
 #include <log4cxx/patternlayout.h>
 
-#include <chrono>
 #include <cstdlib>
 #include <memory>
 
@@ -53,14 +53,9 @@
   }
 }
 
-std::int64_t unixMilliseconds() {
-  const auto Now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Now).count();
-}
-
 boost::json::object lineOf(log_level Level, std::string_view Event) {
   boost::json::object Line;
-  Line["time_unix_ms"] = unixMilliseconds();
+  Line["time_unix_ms"] = wallClock().count();
   Line["level"] = nameOf(Level);
   Line["program"] = ProgramName;
   Line["event"] = Event;
--- a/tests/fleet_model/engine_model_test.cpp
+++ b/tests/fleet_model/engine_model_test.cpp
@@ -1,5 +1,6 @@
 /** @file engine_model_test.cpp Passes of one modelled engine, as engines' pages describe them. */
 #include "fleet_model/fleet_model.h"
+#include "placement/placer_story.h"
 
 #include <gtest/gtest.h>
 
@@ -9,16 +10,8 @@
 constexpr double TokensPerEvent = 51;
 
 engine_figures figures() {
-  engine_figures Figures;
+  engine_figures Figures = placer_story::figures();
   Figures.Places = 4;
-  Figures.Memory = tokens(315'000);
-  Figures.StepsPerPass = 51;
-  Figures.StepMs = 0.85;
-  Figures.PerSequenceMs = 0.00425;
-  Figures.PerContextMs = 0.00285;
-  Figures.ReadPerSecond = 177'000;
-  Figures.PairsMs = 0.184;
-  Figures.Chunk = tokens(2'048);
   return Figures;
 }
 
