--- a/tests/system/leaving_test.cpp
+++ b/tests/system/leaving_test.cpp
@@ -18,11 +18,16 @@
     return System.engine(Engine).stat("starts") + System.engine(Engine).stat("declined");
   }
 
-  /// Asks questions through one entry. @return How many were answered.
+  /// Asks questions through one entry; prints what a refusal says. @return How many were answered.
   int ask(std::size_t Entry, int Questions) {
     int Answered = 0;
-    for (int Question = 0; Question < Questions; ++Question)
-      Answered += System.chat(Entry, "question " + std::to_string(++Asked)).ok() ? 1 : 0;
+    for (int Question = 0; Question < Questions; ++Question) {
+      const http_answer Answer = System.chat(Entry, "question " + std::to_string(++Asked));
+      Answered += Answer.ok() ? 1 : 0;
+      if (!Answer.ok())
+        std::cout << "refused: " << Answer.Status << ' ' << Answer.Error << ' ' << Answer.Body
+                  << '\n';
+    }
     return Answered;
   }
 
