Readiness ends with what it rests on, whichever thread goes on first after a freeze

Cause: /readyz was answered from a flag that the decision thread had set before the freeze; until that thread had its turn the operators' thread said "ready" while the relay, which holds the lease's end, refused. Ruled out: a lease that runs out between the check and the request (its control hosts were reachable; the four checks of a freeze agreed); views that turn old again. Change: ready_span, an end in time: the lease's or the views', set at each turn, compared with the clock at each check.

--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -196,9 +196,11 @@
   return Listing ? Listing->Instance.str() : std::string();
 }
 
-bool decision_seam::viewsUsable(mono_time Now) const {
+mono_time decision_seam::viewsUsableUntil() const {
   // On old views a server that has said it leaves could still be given work.
-  return usesPlacer() ? Directory.told() : Now <= FreshUntil;
+  if (usesPlacer())
+    return Directory.told() ? mono_time::max() : mono_time::min();
+  return FreshUntil;
 }
 
 void decision_seam::take(const dispatch_event &Event, mono_time Now) {
@@ -235,7 +237,7 @@
     noteListing(Listing, Now);
   Dispatcher.advance(Now);
   const auto Wake = nextPoll();
-  if (viewsUsable(Now) && (PollDue || (Wake && *Wake <= Now)))
+  if (Now <= viewsUsableUntil() && (PollDue || (Wake && *Wake <= Now)))
     place(Now);
   return Dispatcher.takeActions();
 }
--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -63,8 +63,8 @@
 
   /// @return Whether the backend server ends attempts on request.
   [[nodiscard]] bool takesCancels(const backend_key &Backend) const;
-  /// @return Whether the backend servers are known well enough to place work.
-  [[nodiscard]] bool viewsUsable(mono_time Now) const;
+  /// @return Until when the backend servers are known well enough to place work.
+  [[nodiscard]] mono_time viewsUsableUntil() const;
   /// @return Whether a newer life of this host is known, so that this one must stop.
   [[nodiscard]] bool isSuperseded() const { return Superseded; }
   [[nodiscard]] std::size_t liveRequests() const { return Dispatcher.liveRequests(); }
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -218,17 +218,28 @@
   Announced = false;
 }
 
-bool decision_thread::declarationUsable(mono_time Now) const {
+mono_time decision_thread::declarationUsableUntil() const {
+  if (!Declaration)
+    return mono_time::min();
+  if (Plan.Fixed)
+    return mono_time::max();
   // Before the first declaration every route and key would be refused as unknown.
   const bool Declared = Freshness.current() && *Freshness.current() > revision();
   const bool Awaits = Plan.Backends == backend_source::Control && !Declared;
-  return Declaration && (Plan.Fixed || (Freshness.ready(Now) && !Awaits));
+  return Awaits ? mono_time::min() : Freshness.leaseEnd();
+}
+
+mono_time decision_thread::usableUntil() const {
+  if (Seam.isSuperseded())
+    return mono_time::min();
+  return std::min(declarationUsableUntil(), Seam.viewsUsableUntil());
 }
 
 void decision_thread::updateReadiness(mono_time Now) {
-  const bool Usable = declarationUsable(Now) && Seam.viewsUsable(Now) && !Seam.isSuperseded();
+  const mono_time ReadyUntil = usableUntil();
+  Ready.set(ReadyUntil);
+  const bool Turned = std::exchange(Usable, Now < ReadyUntil) != (Now < ReadyUntil);
   const mono_time Until = Plan.Fixed ? mono_time::max() : Freshness.leaseEnd();
-  const bool Turned = Usable != Ready;
   const bool Changed = Turned || (Usable && !Announced);
   const bool Extended = Usable && Until != ToldUntil;
   if (!Changed && !Extended)
@@ -238,7 +249,6 @@
   if (!Changed)
     return;
   Seam.setReady(Usable);
-  Ready = Usable;
   Announced = Usable;
   if (Turned)
     logEvent(log_level::Info, Usable ? "ready" : "unready");
@@ -298,7 +308,7 @@
   QueueGauge.Set(static_cast<double>(Seam.queued()));
   LiveGauge.Set(static_cast<double>(Seam.liveRequests()));
   AbandonedGauge.Set(static_cast<double>(Seam.abandonedAttempts()));
-  ReadyGauge.Set(Ready ? 1.0 : 0.0);
+  ReadyGauge.Set(Usable ? 1.0 : 0.0);
 }
 
 void decision_thread::answerDumps(mono_time Now) {
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -73,7 +73,7 @@
   void stop();
 
   /// @return Whether new requests are admitted; from any thread.
-  [[nodiscard]] bool ready() const { return Ready.load(std::memory_order_relaxed); }
+  [[nodiscard]] bool ready() const { return Ready.holds(boot_clock::now()); }
   /// @return Whether a newer life of this host runs; from any thread.
   [[nodiscard]] bool superseded() const { return Superseded.load(std::memory_order_relaxed); }
   /// @return Attempts given up whose end the backend server has not confirmed; from any thread.
@@ -96,7 +96,10 @@
   void answerDumps(mono_time Now);
   void publishGauges();
   [[nodiscard]] mono_span untilNextWake(mono_time Now) const;
-  [[nodiscard]] bool declarationUsable(mono_time Now) const;
+  /// @return Until when the declaration may be acted upon.
+  [[nodiscard]] mono_time declarationUsableUntil() const;
+  /// @return Until when new requests may be admitted, as far as is known.
+  [[nodiscard]] mono_time usableUntil() const;
 
   decision_plan Plan;
   bounded_ring<dispatch_event> Events;
@@ -115,11 +118,12 @@
   entry_freshness Freshness;
   declaration_view Declaration;
   decision_seam Seam;
+  bool Usable{false};    ///< New requests were admitted at the last look.
   bool Announced{false}; ///< The relay was told of the declaration.
   mono_time ToldUntil{}; ///< End of the lease that the relay was told of.
   std::uint64_t BadDeclarations{0};
 
-  std::atomic<bool> Ready{false};
+  ready_span Ready;
   std::atomic<std::size_t> Abandoned{0};
   std::atomic<bool> Superseded{false};
   std::atomic<bool> Stopping{false};
--- a/src/control_link/control_link.h
+++ b/src/control_link/control_link.h
@@ -9,5 +9,6 @@
 #include "control_link/control_link_message_type.h" // IWYU pragma: export
 #include "control_link/control_link_type.h"         // IWYU pragma: export
 #include "control_link/entry_freshness_base.h"      // IWYU pragma: export
+#include "control_link/ready_span_base.h"           // IWYU pragma: export
 
 #endif // POLLENSTALL_CONTROL_LINK_CONTROL_LINK_H
--- a/tests/control_state/in_force_test.cpp
+++ b/tests/control_state/in_force_test.cpp
@@ -1,5 +1,6 @@
 /** @file in_force_test.cpp When a change is in force, at the leader and at an entry. */
 #include "control_link/entry_freshness_base.h"
+#include "control_link/ready_span_base.h"
 #include "control_state/control_state.h"
 
 #include <gtest/gtest.h>
@@ -110,6 +111,19 @@
   EXPECT_FALSE(Freshness.ready(Now));
 }
 
+TEST(ReadySpan, IsOverAtItsEndThoughNobodyHasSetItSince) {
+  // An entry is frozen past its lease. The thread that answers readiness checks goes on first: what
+  // the deciding thread set before the freeze must not be taken for true.
+  ready_span Ready;
+  const mono_time Now(std::chrono::seconds(10));
+  EXPECT_FALSE(Ready.holds(Now));
+  Ready.set(Now + milliseconds(5));
+  EXPECT_TRUE(Ready.holds(Now));
+  EXPECT_FALSE(Ready.holds(Now + milliseconds(5)));
+  Ready.set(mono_time::min());
+  EXPECT_FALSE(Ready.holds(Now));
+}
+
 TEST(EntryFreshnessDeathTest, AbortsRatherThanReverts) {
   entry_freshness Freshness;
   Freshness.inUse(revision(3));
--- a/tests/system/declaration_test.cpp
+++ b/tests/system/declaration_test.cpp
@@ -167,6 +167,31 @@
     EXPECT_EQ(System.engine(Index).stat("starts"), 0) << Index;
 }
 
+TEST_F(AcceptedChangesTest, LeaveAnEntryThatWasFrozenPastItsLeaseUnready) {
+  // An entry and all control hosts are stopped until the entry's lease is over; the balancer's checks
+  // wait in its sockets. When the entry goes on, nobody can renew the lease: a check that is answered
+  // "ready" by what held before would bring callers who are then refused.
+  constexpr std::chrono::milliseconds Lease{2'000}; // As these systems' control hosts give it.
+  constexpr int Rounds = 4;
+  constexpr int Checks = 4;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    ASSERT_TRUE(eventually([this] { return System.ready(0); }));
+    for (std::size_t Host = 0; Host < System.control().size(); ++Host)
+      System.control().freeze(Host);
+    System.entry(0).stop();
+    std::vector<std::future<bool>> Answers;
+    Answers.reserve(Checks);
+    for (int Check = 0; Check < Checks; ++Check)
+      Answers.push_back(std::async(std::launch::async, [this] { return System.ready(0); }));
+    std::this_thread::sleep_for(Lease);
+    System.entry(0).resume();
+    for (auto &Answer : Answers)
+      EXPECT_FALSE(Answer.get()) << Round;
+    for (std::size_t Host = 0; Host < System.control().size(); ++Host)
+      System.control().thaw(Host);
+  }
+}
+
 TEST_F(AcceptedChangesTest, SurviveTheLossAndReturnOfAllControlHosts) {
   // All control hosts are killed. When their leases run out the entries refuse new requests as not
   // run, while the admitted stream ends whole. When the hosts come back the declaration is there
