--- a/src/fleet_model/fleet_run.cpp
+++ b/src/fleet_model/fleet_run.cpp
@@ -177,6 +177,8 @@
     return endAttempt(Event.Index, attempt_failure::BrokenMidway);
   case event_kind::TimeOut:
     return giveUp(Event.Index);
+  case event_kind::Leave:
+    return leave(Event.Index, Event.Life != 0);
   case event_kind::Lose:
     return lose(Event.Index);
   case event_kind::Regain:
--- a/src/fleet_model/fleet_run_base.h
+++ b/src/fleet_model/fleet_run_base.h
@@ -47,6 +47,7 @@
     Ended,       ///< Index: attempt. The last event has reached the entry.
     Broken,      ///< Index: attempt. The entry sees that its engine is gone.
     TimeOut,     ///< Index: request.
+    Leave,       ///< Index: request; Life: whether it had come back.
     Lose,        ///< Index: loss.
     Regain,      ///< Index: engine.
     LoseEntry,   ///< Index: loss.
@@ -57,7 +58,7 @@
     std::uint64_t Order{0};
     event_kind Kind{event_kind::Arrive};
     std::size_t Index{0};
-    std::uint64_t Life{0}; ///< Of the engine of a pass.
+    std::uint64_t Life{0}; ///< Of the engine of a pass, or of the request that is left.
 
     bool operator>(const event &Other) const {
       return Ms != Other.Ms ? Ms > Other.Ms : Order > Other.Order;
@@ -125,6 +126,8 @@
   void takeEvent(std::size_t Attempt);
   void endAttempt(std::size_t Attempt, std::optional<attempt_failure> Failure);
   void giveUp(std::size_t Request);
+  void leave(std::size_t Request, bool Returned);
+  void drop(std::size_t Request);
   void lose(std::size_t Loss);
   void regain(std::size_t Engine);
   void loseEntries(std::size_t Loss);
--- a/src/fleet_model/fleet_run_callers.cpp
+++ b/src/fleet_model/fleet_run_callers.cpp
@@ -24,6 +24,10 @@
     return;
   if (Entries[Requests[Request].Entry].Lost)
     Requests[Request].Entry = drawEntry();
+  const double PatienceMs = Load.Kinds[Requests[Request].Record.Kind].PatienceMs;
+  if (PatienceMs > 0)
+    push(Ms + PatienceMs - Load.CallerDelayMs, event_kind::Leave, Request,
+         Requests[Request].Returned ? 1 : 0);
   submit(Request);
   turn(Requests[Request].Entry);
 }
@@ -163,11 +167,28 @@
   turn(State.Entry);
 }
 
+/// A caller that has waited long enough for the first event of this try.
+void fleet_run::leave(std::size_t Request, bool Returned) {
+  request_state &State = Requests[Request];
+  if (State.Over || State.EventsSeen > 0 || State.Returned != Returned)
+    return;
+  State.Over = true; // What it had under way is not tried elsewhere.
+  drop(Request);
+  State.Over = Returned;
+  if (!Returned)
+    comeBack(Request, ReturnAfterMs);
+}
+
 void fleet_run::giveUp(std::size_t Request) {
   request_state &State = Requests[Request];
   if (State.Over)
     return;
   State.Over = true;
+  drop(Request);
+}
+
+void fleet_run::drop(std::size_t Request) {
+  request_state &State = Requests[Request];
   Entries[State.Entry].Policy.Withdraw(request_number(Request + 1));
   if (State.Attempt)
     endAttempt(*State.Attempt, attempt_failure::TimedOut);
--- a/src/fleet_model/model_load.cpp
+++ b/src/fleet_model/model_load.cpp
@@ -55,6 +55,7 @@
   Kind.TargetMs = Table.number("target_ms", Positive, Kind.TargetMs);
   Kind.GapMs = Table.number("gap_ms", Positive, Kind.GapMs);
   Kind.TimeoutMs = Table.number("timeout_ms", Positive, Kind.TimeoutMs);
+  Kind.PatienceMs = Table.number("patience_ms", Amount, Kind.PatienceMs);
   Kind.Urgency = static_cast<std::uint32_t>(Table.whole("urgency", Urgencies, Kind.Urgency));
   Kind.Worth = Table.number("worth", Amount, Kind.Worth);
   Kind.LateWorth = Table.number("late_worth", Amount, Kind.LateWorth);
--- a/src/fleet_model/model_load_type.h
+++ b/src/fleet_model/model_load_type.h
@@ -27,6 +27,8 @@
   double TargetMs{1'000};
   double GapMs{1'000};
   double TimeoutMs{10'000};
+  /// A caller leaves where no event came for so long, and comes back once; 0: at its timeout.
+  double PatienceMs{0};
   std::uint32_t Urgency{0};
   double Worth{1};     ///< Of a request of mean size that is answered on time.
   double LateWorth{0}; ///< Of one that is answered late.
--- a/tests/fleet_model/fleet_run_test.cpp
+++ b/tests/fleet_model/fleet_run_test.cpp
@@ -108,6 +108,24 @@
   EXPECT_GT(Served, static_cast<std::ptrdiff_t>(Records.size() * 19 / 20));
 }
 
+// One engine, far too much for it. A caller leaves where no event came for half a second and comes
+// back once: none is served an answer whose first event came later than two such waits and the time
+// in between, which a refusal may make a second long.
+TEST(ARun, LetsCallersLeaveThatHaveWaitedLongEnough) {
+  model_load Load = smallLoad();
+  Load.Engines = 1;
+  for (request_kind &Kind : Load.Kinds)
+    Kind.PatienceMs = 500;
+  const auto Records = fleet_run(Load, placementPolicy(), 5).play();
+  std::size_t Left = 0;
+  for (const request_record &Record : Records) {
+    Left += Record.FirstEventMs < 0 ? 1 : 0;
+    EXPECT_LT(Record.FirstEventMs, 2 * 500 + 1'100);
+  }
+  EXPECT_GT(Left, 0U);
+  EXPECT_LT(Left, Records.size());
+}
+
 TEST(ALoadFile, ThatLosesAllEntriesIsRefused) {
   const auto Parsed = parseModelLoad("name = \"x\"\nentries = 2\n[[kind]]\nname = \"a\"\n"
                                      "[[entry_loss]]\ncount = 2\n");
