--- /dev/null
+++ b/tests/platform/platform_path_test.cpp
@@ -0,0 +1,260 @@
+/** @file platform_path_test.cpp The whole path in the platform's manner, with real processes. */
+#include "platform_system_base.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <functional>
+#include <iostream>
+#include <set>
+#include <sstream>
+#include <thread>
+
+namespace pollenstall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::steady_clock;
+
+constexpr int Ok = 200;
+const std::string ConfigurationPath = "/pollenstall/configuration";
+const std::string Signature = "3e1b.07.5a2.600.0.c9f2a4d1";
+
+std::string configuration(int Version) {
+  return R"({"version":)" + std::to_string(Version) + R"(,"routes":[
+ {"name":"r1","host":"a.example","path_prefix":"/x/","kind":"streaming","timeout_ms":10000,
+  "target_latency_ms":300,"priority":1,"service":"s1","max_attempts":2,"anonymous":false,
+  "stream_resumption":true,"gap_aim_ms":250}],
+ "services":[{"name":"s1","health_check_path":"/h","connection_limit":100,"engine":{"slots":16,
+  "kv_capacity_tokens":315000,"stride":51,"step_ms":0.85,"per_seq_ms":0.00425,
+  "context_per_k":0.00285,"read_per_s":177000.0,"pairs_per_m":0.184,"chunk":2048}}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,
+  "idle_timeout_ms":15000},
+ "tenants":[{"name":"t1","api_keys":["k1"],"priority":1}]})";
+}
+
+/// An engine's answer of three events, the first after what an engine takes at the least.
+void answerWithEvents(scripted_server::tcp_socket &Socket, const seen_request &Request) {
+  constexpr milliseconds FirstEvent{20};
+  const std::size_t At = Request.Head.find("Attempt-Id: ") + 12;
+  const std::string Send = Request.Head.substr(At, Request.Head.find("\r\n", At) - At);
+  sendText(Socket, "HTTP/1.1 200 OK\r\nAttempt-Id: " + Send + "\r\nResponse-Signature: " +
+                       Signature + "\r\nContent-Type: text/event-stream\r\n" +
+                       "Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n");
+  std::this_thread::sleep_for(FirstEvent);
+  for (int Id = 1; Id <= 3; ++Id)
+    sendText(Socket, chunkOf(eventText(Id)));
+  sendText(Socket, "0\r\n\r\n");
+}
+
+class PlatformPathTest : public testing::Test {
+protected:
+  void startAll(std::size_t Entries) {
+    System = std::make_unique<platform_system>(5, Entries);
+    for (std::size_t Host = 0; Host < System->controls(); ++Host)
+      System->startControl(Host, true);
+    for (std::size_t Entry = 0; Entry < Entries; ++Entry)
+      System->startEntry(Entry);
+    ASSERT_TRUE(System->acknowledged("PUT", ConfigurationPath, configuration(1)));
+    for (std::size_t Entry = 0; Entry < Entries; ++Entry)
+      ASSERT_TRUE(eventually([&] { return System->ready(Entry); })) << Entry;
+  }
+
+  /// The engine says that it is there, as it does again and again.
+  bool announce(const std::string &Instance, const scripted_server &Engine,
+                const std::string &State = "ready") {
+    return System->acknowledged("PUT", "/pollenstall/instances/" + Instance,
+                                R"({"service":"s1","address":")" + Engine.key().Address.str() +
+                                    R"(","zone":"zone-1","version":"v1","slots":16,"state":")" +
+                                    State + R"(","cold_remaining_ms":0,"sequence":)" +
+                                    std::to_string(++Sequence) + "}");
+  }
+
+  static http_headers headers(const std::string &Send) {
+    return {{"Host", "a.example"},          {"Attempt-Id", Send}, {"Deadline-Ms", "8000"},
+            {"Authorization", "Bearer k1"}, {"Model-Name", "m"},  {"Token-Usage", "1000,100"},
+            {"Prompt-Prefix", "ab12:1000"}};
+  }
+
+  /// @return What a caller gets of one request through an entry.
+  std::pair<int, std::vector<sse_event>> ask(std::size_t Entry) {
+    http_stream Stream(System->callers(Entry), "POST", "/x/2f", "a body", headers(nextSend()));
+    const int Status = Stream.status();
+    return {Status, Status == Ok ? Stream.rest() : std::vector<sse_event>()};
+  }
+
+  /// @return The voters that a control host has logged last.
+  std::set<std::string> voters(std::size_t Host) {
+    const auto Changes = System->controlHost(Host).events("members_changed");
+    std::set<std::string> Voters;
+    if (Changes.empty())
+      return Voters;
+    std::istringstream Text(std::string(Changes.back().at("members").as_string()));
+    std::string Member;
+    std::string Standing;
+    while (Text >> Member >> Standing)
+      if (Standing.rfind("voter", 0) == 0)
+        Voters.insert(Member);
+    return Voters;
+  }
+
+  static double timed(const std::function<void()> &Done) {
+    const auto Start = steady_clock::now();
+    Done();
+    return std::chrono::duration<double, std::milli>(steady_clock::now() - Start).count();
+  }
+
+  /// @return From the connection's opening to the first event of an answer.
+  double firstEventMs(const std::string &Address) {
+    return timed([&] {
+      http_stream Stream(Address, "POST", "/x/2f", "a body", headers(nextSend()));
+      EXPECT_TRUE(Stream.next()) << Stream.status() << Stream.error();
+    });
+  }
+
+  void tell(const std::string &What, std::vector<double> Times) {
+    std::sort(Times.begin(), Times.end());
+    const double Middle = Times[Times.size() / 2];
+    const double High = Times[Times.size() * 99 / 100];
+    std::cout << What << ": p50 " << Middle << " ms, p99 " << High << " ms\n";
+  }
+
+  std::string nextSend() { return "send-" + std::to_string(++Sends); }
+
+  std::unique_ptr<platform_system> System;
+  int Sequence{0};
+  int Sends{0};
+};
+
+TEST_F(PlatformPathTest, ARequestReachesAnEngineAndItsAnswerComesBackUnchanged) {
+  scripted_server Engine(answerWithEvents);
+  ASSERT_NO_FATAL_FAILURE(startAll(1));
+  ASSERT_TRUE(announce("i-1", Engine));
+  std::unique_ptr<http_stream> Stream;
+  ASSERT_TRUE(eventually([&] {
+    Stream = std::make_unique<http_stream>(System->callers(0), "POST", "/x/2f?q=1", "a body",
+                                           headers(nextSend()));
+    return Stream->status() == Ok;
+  }));
+  EXPECT_EQ(Stream->header("Response-Signature"), Signature);
+  EXPECT_EQ(Stream->header("Attempt-Id"), "send-" + std::to_string(Sends));
+  const std::vector<sse_event> Events = Stream->rest();
+  ASSERT_EQ(Events.size(), 3U);
+  EXPECT_EQ(Events[2].Id, "3");
+  EXPECT_TRUE(Stream->endedInOrder());
+  ASSERT_EQ(Engine.requests().size(), 1U);
+  const seen_request Seen = Engine.requests()[0];
+  EXPECT_EQ(Seen.Head.rfind("POST /x/2f?q=1 HTTP/1.1\r\n", 0), 0U);
+  EXPECT_EQ(Seen.Body, "a body");
+  EXPECT_NE(Seen.Head.find("Expected-Instance: i-1\r\n"), std::string::npos);
+  EXPECT_NE(Seen.Head.find("Tenant-Name: t1\r\n"), std::string::npos);
+  EXPECT_EQ(Seen.Head.find("Authorization"), std::string::npos);
+}
+
+// An engine says that it leaves, to whichever control host. Once that is acknowledged no entry may
+// send it anything: it will be gone in a moment, and what it was sent would be lost.
+TEST_F(PlatformPathTest, AnEngineThatLeavesGetsNothingMoreFromAnyEntry) {
+  constexpr std::size_t Entries = 2;
+  scripted_server Leaving(answerWithEvents);
+  scripted_server Staying(answerWithEvents);
+  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
+  ASSERT_TRUE(announce("i-1", Leaving));
+  for (std::size_t Entry = 0; Entry < Entries; ++Entry)
+    ASSERT_TRUE(eventually([&] { return ask(Entry).first == Ok; }));
+  ASSERT_TRUE(announce("i-2", Staying));
+  ASSERT_TRUE(announce("i-1", Leaving, "draining"));
+  const std::size_t Before = Leaving.requests().size();
+  for (int Request = 0; Request < 8; ++Request)
+    for (std::size_t Entry = 0; Entry < Entries; ++Entry)
+      EXPECT_EQ(ask(Entry).first, Ok);
+  EXPECT_EQ(Leaving.requests().size(), Before);
+}
+
+// All control hosts are killed at once after a change was acknowledged. They come back with their
+// disks, knowing nothing but the seeds. The change is there, and the entry serves again.
+TEST_F(PlatformPathTest, AnAcknowledgedChangeOutlivesAllControlHosts) {
+  scripted_server Engine(answerWithEvents);
+  ASSERT_NO_FATAL_FAILURE(startAll(1));
+  ASSERT_TRUE(System->acknowledged("PUT", ConfigurationPath, configuration(7)));
+  for (std::size_t Host = 0; Host < System->controls(); ++Host)
+    System->killControl(Host);
+  for (std::size_t Host = 0; Host < System->controls(); ++Host)
+    System->startControl(Host, false);
+  for (std::size_t Host = 0; Host < System->controls(); ++Host) {
+    http_answer Read;
+    EXPECT_TRUE(eventually([&] {
+      Read = System->control(Host, "GET", ConfigurationPath);
+      return Read.Status == Ok;
+    }));
+    EXPECT_EQ(Read.Body, configuration(7)) << Host;
+  }
+  ASSERT_TRUE(eventually([&] { return System->ready(0); }));
+  ASSERT_TRUE(announce("i-1", Engine));
+  EXPECT_TRUE(eventually([&] { return ask(0).first == Ok; }));
+}
+
+// Two control hosts lose their disks right after a change was acknowledged and come back empty at
+// their addresses. Nobody repairs anything by hand. Once they vote again two others are killed for
+// good: were they not whole members by then, no further change could be accepted.
+TEST_F(PlatformPathTest, TwoEmptyDisksAreRepairedWithoutAPerson) {
+  ASSERT_NO_FATAL_FAILURE(startAll(0));
+  const std::set<std::string> Founders = voters(2);
+  ASSERT_EQ(Founders.size(), 5U);
+  for (const std::size_t Host : {0, 3}) {
+    System->killControl(Host);
+    System->loseDisk(Host);
+    System->startControl(Host, false);
+  }
+  ASSERT_TRUE(eventually([&] {
+    const std::set<std::string> Now = voters(2);
+    const auto Kept = std::count_if(Now.begin(), Now.end(), [&](const std::string &Member) {
+      return Founders.count(Member) > 0;
+    });
+    return Now.size() == 5 && Kept == 3;
+  }));
+  System->killControl(1);
+  System->killControl(4);
+  EXPECT_TRUE(System->acknowledged("PUT", ConfigurationPath, configuration(2)));
+  const http_answer Read = System->control(0, "GET", ConfigurationPath);
+  EXPECT_EQ(Read.Body, configuration(2)) << Read.Status;
+}
+
+// The seeds start last: the others have nobody to ask until then, and still come together.
+TEST_F(PlatformPathTest, SeedsThatListenLateHoldNothingUpForGood) {
+  System = std::make_unique<platform_system>(5, 1);
+  System->startEntry(0);
+  for (const std::size_t Host : {4, 3, 2, 1, 0})
+    System->startControl(Host, true);
+  EXPECT_TRUE(System->acknowledged("PUT", ConfigurationPath, configuration(1)));
+  EXPECT_TRUE(eventually([&] { return System->ready(0); }));
+}
+
+// Not a bound, a figure: what an entry adds to the first event of an engine that takes 20 ms, and
+// how long a change takes, each by itself on an otherwise idle system.
+TEST_F(PlatformPathTest, TellsWhatAnEntryAddsAndHowLongAChangeTakes) {
+  constexpr int Requests = 100;
+  scripted_server Engine(answerWithEvents);
+  ASSERT_NO_FATAL_FAILURE(startAll(1));
+  ASSERT_TRUE(announce("i-1", Engine));
+  ASSERT_TRUE(eventually([&] { return ask(0).first == Ok; }));
+  std::vector<double> Direct;
+  std::vector<double> Through;
+  std::vector<double> Changes;
+  for (int Request = 0; Request < Requests; ++Request) {
+    if (Request % 4 == 0) { // An engine that falls silent is taken for gone.
+      ASSERT_TRUE(announce("i-1", Engine));
+    }
+    Direct.push_back(firstEventMs(Engine.key().Address.str()));
+    Through.push_back(firstEventMs(System->callers(0)));
+  }
+  for (int Change = 0; Change < Requests; ++Change)
+    Changes.push_back(timed([&] {
+      EXPECT_TRUE(System->acknowledged("PUT", ConfigurationPath, configuration(10 + Change)));
+    }));
+  tell("first event met directly", Direct);
+  tell("first event through an entry", Through);
+  tell("change acknowledged", Changes);
+}
+
+} // namespace
+} // namespace pollenstall
--- /dev/null
+++ b/tests/platform/platform_system.cpp
@@ -0,0 +1,159 @@
+/** @file platform_system.cpp Settings from the templates, processes, and calls to them. */
+#include "platform_system_base.h"
+
+#include <boost/asio/ip/address_v4.hpp>
+
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace pollenstall {
+
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Redirect = 307;
+constexpr std::size_t Seeds = 3;
+/// Places in Ports.
+constexpr std::size_t FirstInner = 0;
+constexpr std::size_t SecondInner = 1;
+constexpr std::size_t Frontend = 2;
+constexpr std::size_t Ready = 3;
+constexpr std::size_t ControlPlane = 4;
+constexpr std::size_t PortCount = 5;
+constexpr std::chrono::milliseconds CallLimit{1'500};
+
+std::string ownIp(std::size_t Host) {
+  // Ports are the same on all hosts, so each host needs an address, and each test's process its
+  // own.
+  constexpr unsigned First = 0x7f800000; // 127.128.0.0
+  constexpr unsigned Hosts = 16;
+  constexpr unsigned Pids = (1U << 18U) - 1;
+  const unsigned Own = (static_cast<unsigned>(getpid()) & Pids) * Hosts;
+  return boost::asio::ip::address_v4(First + Own + static_cast<unsigned>(Host) + 1).to_string();
+}
+
+std::string readTemplate(const std::string &Role) {
+  std::ifstream In(std::string(POLLENSTALL_SOURCE_DIR) + "/deploy/" + Role + ".template");
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+void replaceAll(std::string &Text, const std::string &Old, const std::string &New) {
+  for (std::size_t At = Text.find(Old); At != std::string::npos;
+       At = Text.find(Old, At + New.size()))
+    Text.replace(At, Old.size(), New);
+}
+
+} // namespace
+
+std::string filledIn(std::string Template,
+                     const std::vector<std::pair<std::string, std::string>> &Fields,
+                     const std::vector<std::string> &SeedList) {
+  std::string List;
+  for (const std::string &Seed : SeedList)
+    List += (List.empty() ? "\"" : ",\"") + Seed + "\"";
+  replaceAll(Template, R"({{#seed_nodes}}"{{.}}"{{,}}{{/seed_nodes}})", List);
+  for (const auto &[Name, Value] : Fields)
+    replaceAll(Template, "{{" + Name + "}}", Value);
+  return Template;
+}
+
+platform_system::platform_system(std::size_t ControlCount, std::size_t EntryCount) {
+  for (const std::string &Address : freeTcpAddresses(PortCount))
+    Ports.push_back(Address.substr(Address.rfind(':') + 1));
+  for (std::size_t Host = 0; Host < ControlCount; ++Host)
+    Controls.push_back({ownIp(Host), nullptr});
+  for (std::size_t Host = 0; Host < EntryCount; ++Host)
+    Entries.push_back({ownIp(ControlCount + Host), nullptr});
+}
+
+std::string platform_system::at(const host &Host, std::size_t Port) const {
+  return Host.Ip + ":" + Ports[Port];
+}
+
+std::string platform_system::folder(std::size_t Host) const {
+  return Folder.path("data" + std::to_string(Host));
+}
+
+std::unique_ptr<child_process> platform_system::start(const std::string &Role, const host &Host,
+                                                      std::size_t Number, bool First) const {
+  std::vector<std::string> SeedList;
+  for (std::size_t Seed = 0; Seed < Seeds && Seed < Controls.size(); ++Seed)
+    SeedList.push_back(at(Controls[Seed], ControlPlane));
+  const std::string Text =
+      filledIn(readTemplate(Role),
+               {{"node_name", Role + "-" + std::to_string(Number)},
+                {"zone", "zone-" + std::to_string(Number % Seeds)},
+                {"region", "region"},
+                {"ip_address", Host.Ip},
+                {"internal_port_range.0", Ports[FirstInner]},
+                {"internal_port_range.1", Ports[SecondInner]},
+                {"listen_addresses.frontend", at(Host, Frontend)},
+                {"listen_addresses.ready", at(Host, Ready)},
+                {"listen_addresses.control_plane", at(Host, ControlPlane)},
+                {"data_directory", folder(Number)},
+                {"is_bootstrap", First ? "true" : "false"},
+                {"fault_tolerance.machines", std::to_string(Controls.size() / 2)},
+                {"heartbeat_interval_ms", "300"},
+                {"bounds.grace_s", "8"},
+                {"bounds.retry_budget_ratio", "0.2"},
+                {"bounds.retry_budget_extra", "100"},
+                {"bounds.budget_window_s", "10"}},
+               SeedList);
+  return child_process::withSettings("pollenstall-" + Role, Text);
+}
+
+void platform_system::startControl(std::size_t Host, bool First) {
+  Controls[Host].Process = start("control", Controls[Host], Host, First);
+}
+
+void platform_system::startEntry(std::size_t Host) {
+  Entries[Host].Process = start("entry", Entries[Host], Host, false);
+}
+
+void platform_system::killControl(std::size_t Host) {
+  Controls[Host].Process->kill();
+  Controls[Host].Process->wait();
+  Controls[Host].Process.reset();
+}
+
+void platform_system::loseDisk(std::size_t Host) { std::filesystem::remove_all(folder(Host)); }
+
+http_answer platform_system::control(std::size_t Host, const std::string &Method,
+                                     const std::string &Path, const std::string &Body) const {
+  std::string Address = at(Controls[Host], ControlPlane);
+  http_answer Answer;
+  for (int Follows = 0; Follows <= 2; ++Follows) {
+    Answer = http_client(Address, CallLimit).request(Method, Path, Body, {});
+    if (Answer.Status != Redirect)
+      break;
+    const std::string Location = Answer.header("Location");
+    const std::size_t Start = Location.find("//") + 2;
+    Address = Location.substr(Start, Location.find('/', Start) - Start);
+  }
+  return Answer;
+}
+
+bool platform_system::acknowledged(const std::string &Method, const std::string &Path,
+                                   const std::string &Body) {
+  return eventually([&] {
+    for (std::size_t Host = 0; Host < Controls.size(); ++Host)
+      if (Controls[Host].Process && control(Host, Method, Path, Body).Status == Ok)
+        return true;
+    return false;
+  });
+}
+
+std::string platform_system::callers(std::size_t Entry) const {
+  return at(Entries[Entry], Frontend);
+}
+
+bool platform_system::ready(std::size_t Entry) const {
+  return http_client(at(Entries[Entry], Ready)).get("/readyz").Status == Ok;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/tests/platform/platform_system_base.h
@@ -0,0 +1,65 @@
+/** @file platform_system_base.h Real processes under the settings that the platform would write. */
+#ifndef POLLENSTALL_TESTS_PLATFORM_PLATFORM_SYSTEM_BASE_H
+#define POLLENSTALL_TESTS_PLATFORM_PLATFORM_SYSTEM_BASE_H
+
+#include "support/test_support.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pollenstall {
+
+/// Fills a settings template in as the platform does: values, and the section of seeds.
+/// @return The settings; a placeholder that has no value stays and is refused by the program.
+std::string filledIn(std::string Template,
+                     const std::vector<std::pair<std::string, std::string>> &Fields,
+                     const std::vector<std::string> &Seeds);
+
+/**
+ * Control hosts and entries, each on a loopback address of its own with the same ports, started
+ * from deploy/'s templates. Nothing is declared and no engine is known at first.
+ */
+class platform_system {
+public:
+  platform_system(std::size_t Controls, std::size_t Entries);
+
+  /// Starts or restarts one. @param First Whether the whole system starts for the first time.
+  void startControl(std::size_t Host, bool First);
+  void startEntry(std::size_t Host);
+  void killControl(std::size_t Host);
+  /// Its disk comes back empty; the host must be down.
+  void loseDisk(std::size_t Host);
+  [[nodiscard]] std::size_t controls() const { return Controls.size(); }
+  [[nodiscard]] child_process &controlHost(std::size_t Host) { return *Controls.at(Host).Process; }
+  [[nodiscard]] child_process &entry(std::size_t Host) { return *Entries.at(Host).Process; }
+
+  /// One call to a control host. A redirect is followed, as the platform's callers do.
+  [[nodiscard]] http_answer control(std::size_t Host, const std::string &Method,
+                                    const std::string &Path, const std::string &Body = {}) const;
+  /// Sends a call to the hosts in turn until one answers with 200. @return Whether one did.
+  bool acknowledged(const std::string &Method, const std::string &Path, const std::string &Body);
+  [[nodiscard]] std::string callers(std::size_t Entry) const;
+  [[nodiscard]] bool ready(std::size_t Entry) const;
+
+private:
+  struct host {
+    std::string Ip;
+    std::unique_ptr<child_process> Process;
+  };
+
+  [[nodiscard]] std::string folder(std::size_t Host) const;
+  [[nodiscard]] std::unique_ptr<child_process> start(const std::string &Role, const host &Host,
+                                                     std::size_t Number, bool First) const;
+  [[nodiscard]] std::string at(const host &Host, std::size_t Port) const;
+
+  temp_folder Folder;
+  std::vector<host> Controls;
+  std::vector<host> Entries;
+  std::vector<std::string> Ports;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_TESTS_PLATFORM_PLATFORM_SYSTEM_BASE_H
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -5,6 +5,7 @@
 #define POLLENSTALL_TESTS_RELAY_HEADED_RELAY_BASE_H
 
 #include "relay/relay.h"
+#include "support/scripted_server_base.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -19,53 +20,8 @@
 
 namespace pollenstall {
 
-/// One request as a server has read it.
-struct seen_request {
-  std::string Head;
-  std::string Body;
-};
-
-/// Reads one request on each connection and answers by its script, one connection after another.
-class scripted_server {
-public:
-  using tcp_socket = boost::asio::ip::tcp::socket;
-  /// Writes the answer's bytes; the connection is closed behind it, by a reset where it says so.
-  using script = std::function<void(tcp_socket &, const seen_request &)>;
-
-  explicit scripted_server(script Answer);
-  ~scripted_server();
-  scripted_server(const scripted_server &) = delete;
-  scripted_server &operator=(const scripted_server &) = delete;
-
-  [[nodiscard]] backend_key key() const;
-  [[nodiscard]] std::vector<seen_request> requests() const;
-  /// For its script: whether another connection waits to be served.
-  [[nodiscard]] bool anotherWaits();
-
-private:
-  void serve();
-
-  boost::asio::io_context Io;
-  boost::asio::ip::tcp::acceptor Acceptor;
-  script Answer;
-  mutable std::mutex Guard;
-  std::vector<seen_request> Requests;
-  bool Stopping{false};
-  std::thread Thread;
-};
-
-/// Writes text to a socket; the peer may have gone.
-void sendText(scripted_server::tcp_socket &Socket, const std::string &Text);
-/// Returns once the peer has closed.
-void waitForClose(scripted_server::tcp_socket &Socket);
-/// Closes so that the peer sees a reset.
-void resetConnection(scripted_server::tcp_socket &Socket);
-/// @return An event with its id and a line of data.
-std::string eventText(int Id);
 /// @return The head of an event stream, chunked.
 std::string streamHead();
-/// @return One chunk of a body.
-std::string chunkOf(const std::string &Part);
 
 /// The relay with one declared route, and the test in place of the decision thread.
 class headed_relay {
--- /dev/null
+++ b/tests/support/scripted_server.cpp
@@ -0,0 +1,104 @@
+/** @file scripted_server.cpp One thread, one connection after another. */
+#include "support/scripted_server_base.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include <poll.h>
+
+#include <sstream>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+scripted_server::scripted_server(script Wanted)
+    : Acceptor(Io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)), Answer(std::move(Wanted)),
+      Thread([this] { serve(); }) {}
+
+scripted_server::~scripted_server() {
+  {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    Stopping = true;
+  }
+  // Wakes the thread that waits for a connection.
+  boost::system::error_code Ignored;
+  tcp::socket Last(Io);
+  Last.connect(Acceptor.local_endpoint(), Ignored);
+  Thread.join();
+}
+
+backend_key scripted_server::key() const {
+  return {backend_address("127.0.0.1:" + std::to_string(Acceptor.local_endpoint().port())),
+          incarnation(1)};
+}
+
+std::vector<seen_request> scripted_server::requests() const {
+  const std::lock_guard<std::mutex> Lock(Guard);
+  return Requests;
+}
+
+bool scripted_server::anotherWaits() {
+  pollfd Asked{Acceptor.native_handle(), POLLIN, 0};
+  return ::poll(&Asked, 1, 0) == 1;
+}
+
+void scripted_server::serve() {
+  while (true) {
+    boost::system::error_code Code;
+    tcp::socket Socket = Acceptor.accept(Code);
+    {
+      const std::lock_guard<std::mutex> Lock(Guard);
+      if (Stopping || Code)
+        return;
+    }
+    std::string Bytes;
+    const std::size_t End = asio::read_until(Socket, asio::dynamic_buffer(Bytes), "\r\n\r\n", Code);
+    if (Code)
+      continue;
+    seen_request Request{Bytes.substr(0, End), Bytes.substr(End)};
+    const std::size_t At = Request.Head.find("Content-Length: ");
+    const std::size_t Length =
+        At == std::string::npos ? 0 : std::stoul(Request.Head.substr(At + 16));
+    if (Request.Body.size() < Length)
+      asio::read(Socket, asio::dynamic_buffer(Request.Body),
+                 asio::transfer_exactly(Length - Request.Body.size()), Code);
+    {
+      const std::lock_guard<std::mutex> Lock(Guard);
+      Requests.push_back(Request);
+    }
+    Answer(Socket, Request);
+  }
+}
+
+void sendText(tcp::socket &Socket, const std::string &Text) {
+  boost::system::error_code Ignored;
+  asio::write(Socket, asio::buffer(Text), Ignored);
+}
+
+void waitForClose(scripted_server::tcp_socket &Socket) {
+  boost::system::error_code Code;
+  std::string Ignored;
+  asio::read(Socket, asio::dynamic_buffer(Ignored), Code);
+}
+
+void resetConnection(tcp::socket &Socket) {
+  boost::system::error_code Ignored;
+  Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+  Socket.close(Ignored);
+}
+
+std::string eventText(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: part " + std::to_string(Id) + "\n\n";
+}
+
+std::string chunkOf(const std::string &Part) {
+  std::ostringstream Out;
+  Out << std::hex << Part.size() << "\r\n" << Part << "\r\n";
+  return Out.str();
+}
+
+} // namespace pollenstall
--- a/tests/support/test_support.h
+++ b/tests/support/test_support.h
@@ -9,6 +9,7 @@
 #include "support/http_client_base.h"     // IWYU pragma: export
 #include "support/http_stub_base.h"       // IWYU pragma: export
 #include "support/raw_socket_base.h"      // IWYU pragma: export
+#include "support/scripted_server_base.h" // IWYU pragma: export
 #include "support/temp_folder_base.h"     // IWYU pragma: export
 
 #endif // POLLENSTALL_SUPPORT_TEST_SUPPORT_H
