Each failed request is explained by the logs: refused sends keep their name, gaps of streams are logged, trace counts causes

Tests: a refused call is recorded under its name, a stream with its longest gap also across engines, three of trace (the one of refused calls seen failing).

--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -65,7 +65,8 @@
             {"field", Record.Field},
             {"prompt_tokens", Record.Prompt.value()},
             {"ms", Record.Took.count()},
-            {"first_byte_ms", Record.FirstByteAfter ? Record.FirstByteAfter->count() : -1}});
+            {"first_byte_ms", Record.FirstByteAfter ? Record.FirstByteAfter->count() : -1},
+            {"longest_gap_ms", Record.LongestGap ? Record.LongestGap->count() : -1}});
 }
 
 } // namespace
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -58,6 +58,8 @@
 
 void backend_exchange::noteRelayed(std::uint64_t Events, std::size_t Bytes) {
   Context.Metrics.countEvents(Events);
+  if (Events > 0)
+    Call->Gaps.note(boot_clock::now());
   Context.Metrics.countAnswerBytes(Bytes);
   if (!Answering) {
     Answering = true;
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -22,8 +22,7 @@
 
 /// What the head of a caller's request says.
 struct head_facts {
-  std::string SendName; ///< The caller's own name for this send; answers carry it.
-  std::string Key;      ///< Bearer key; empty where none was sent.
+  std::string Key; ///< Bearer key; empty where none was sent.
   std::optional<std::chrono::milliseconds> TimeLeft; ///< How long the caller waits.
   model_name Model;
   tokens Prompt;
@@ -73,6 +72,8 @@
 /// How callers and backend servers of another protocol are spoken to. All hooks are set, or none.
 struct call_interface {
   std::function<result<head_facts, call_error>(const request_head &)> ReadHead;
+  /// The caller's own name for this send, which answers carry; also of a head that can't be read.
+  std::function<std::string(const request_head &)> SendName;
   /// Whether only the system may set this header towards a backend server.
   std::function<bool(std::string_view Name)> IsSystemHeader;
   /// Adds the system's own headers to those that are passed on.
--- a/src/relay/call_record_type.h
+++ b/src/relay/call_record_type.h
@@ -24,6 +24,8 @@
   tokens Prompt;
   std::chrono::milliseconds Took{0};
   std::optional<std::chrono::milliseconds> FirstByteAfter;
+  /// Between two events as they were passed on; empty where there were fewer than two.
+  std::optional<std::chrono::milliseconds> LongestGap;
 };
 
 } // namespace pollenstall
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -78,6 +78,7 @@
   // A body that is not read stands before the next request's head, so the connection ends then.
   const bool Reusable = Head.KeepAlive && !hasBody(Head);
   const next_step After = Reusable ? next_step::Go : next_step::CloseAfterDrain;
+  SendName = Context.Interface.isSet() ? Context.Interface.SendName(Head) : std::string();
   if (Context.Stopping)
     co_return co_await refuse(notNow("shutting_down", "This entry is stopping."), "",
                               next_step::CloseAfterDrain);
@@ -165,7 +166,7 @@
   Call->Request.Body = std::move(Body);
   if (const auto *Headed = std::get_if<headed_call>(&Plan.Kind)) {
     Call->Headed = true;
-    Call->SendName = Headed->Head.SendName;
+    Call->SendName = SendName;
     Call->LastEvent = Headed->Head.LastEvent;
     Call->Request.Headers = endToEndHeaders(Head.Fields, Context.Interface.IsSystemHeader);
   }
--- a/src/relay/caller_session_base.h
+++ b/src/relay/caller_session_base.h
@@ -56,6 +56,7 @@
 
   relay_context &Context;
   std::shared_ptr<caller_connection> Caller;
+  std::string SendName; ///< Of the request that is being served; empty where it has none.
   async_signal WatchEnded;
   bool Watching{false};
 };
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -16,6 +16,12 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(End - Start);
 }
 
+/// Callers name their sends, known callers or not: what goes to the log is bounded.
+std::string loggedName(const std::string &SendName) {
+  constexpr std::size_t MostBytes = 128;
+  return SendName.substr(0, MostBytes);
+}
+
 /**
  * The decision thread may settle on "not run" while the relay thread is handing the first byte to
  * the kernel. What went out here is known here, so the last word is this thread's.
@@ -73,6 +79,7 @@
   Context.Metrics.countRequest(Error.Outcome, Error.Code);
   if (Context.AtCallEnd) {
     call_record Record;
+    Record.SendName = loggedName(SendName);
     Record.Account = Account;
     Record.Outcome = Error.Outcome;
     Record.Reason = Error.Code;
@@ -129,11 +136,14 @@
     Context.Metrics.observeFirstToken(
         classOf(Call.Facts.Prompt),
         std::chrono::duration<double>(*Call.FirstByte - Call.Facts.Arrived).count());
+  if (const auto Gap = Call.Gaps.longest())
+    Context.Metrics.observeGap(classOf(Call.Facts.Prompt),
+                               std::chrono::duration<double>(*Gap).count());
   if (!Context.AtCallEnd)
     return;
   call_record Record;
   Record.RequestId = Call.RequestId;
-  Record.SendName = Call.SendName;
+  Record.SendName = loggedName(Call.SendName);
   Record.Account = Call.Facts.Account.str();
   Record.Service = Call.Facts.Service.str();
   if (Call.LastBackend)
@@ -146,6 +156,8 @@
   Record.Took = since(Call.Facts.Arrived, Now);
   if (Call.FirstByte)
     Record.FirstByteAfter = since(Call.Facts.Arrived, *Call.FirstByte);
+  if (const auto Gap = Call.Gaps.longest())
+    Record.LongestGap = std::chrono::duration_cast<std::chrono::milliseconds>(*Gap);
   Context.AtCallEnd(Record);
 }
 
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -20,7 +20,7 @@
   return familyOf(prometheus::BuildCounter, Name, Help, Registry).Add({});
 }
 
-prometheus::Histogram::BucketBoundaries firstTokenBuckets() {
+prometheus::Histogram::BucketBoundaries latencyBuckets() {
   return {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300};
 }
 
@@ -49,14 +49,19 @@
       FirstTokens(familyOf(prometheus::BuildHistogram, "pollenstall_first_token_seconds",
                            "From arrival to the first byte of the answer, by length class",
                            Registry)),
+      Gaps(familyOf(prometheus::BuildHistogram, "pollenstall_longest_gap_seconds",
+                    "Longest time between two events of an answer, by length class", Registry)),
       Attempts(counter(Registry, "pollenstall_attempts_total", "Attempts started")),
       Events(counter(Registry, "pollenstall_relayed_events_total", "Token events relayed")),
       AnswerBytes(counter(Registry, "pollenstall_answer_bytes_total", "Bytes of answers relayed")),
       BadMessages(counter(Registry, "pollenstall_refused_messages_total",
                           "Callers' messages that were not valid HTTP")) {
-  for (const length_class Class : {length_class::Short, length_class::Medium, length_class::Long})
-    FirstTokenByClass[static_cast<std::size_t>(Class)] =
-        &FirstTokens.Add({{"class", lengthClassText(Class)}}, firstTokenBuckets());
+  for (const length_class Class : {length_class::Short, length_class::Medium, length_class::Long}) {
+    const auto Place = static_cast<std::size_t>(Class);
+    const prometheus::Labels Labels{{"class", lengthClassText(Class)}};
+    FirstTokenByClass[Place] = &FirstTokens.Add(Labels, latencyBuckets());
+    GapByClass[Place] = &Gaps.Add(Labels, latencyBuckets());
+  }
 }
 
 void relay_metrics::countRequest(final_outcome Outcome, const std::string &Reason) {
@@ -73,6 +78,10 @@
   Found->Increment();
 }
 
+void relay_metrics::observeGap(length_class Class, double Seconds) {
+  GapByClass[static_cast<std::size_t>(Class)]->Observe(Seconds);
+}
+
 void relay_metrics::observeFirstToken(length_class Class, double Seconds) {
   FirstTokenByClass[static_cast<std::size_t>(Class)]->Observe(Seconds);
 }
--- a/src/relay/relay_metrics_base.h
+++ b/src/relay/relay_metrics_base.h
@@ -32,6 +32,8 @@
   void countAnswerBytes(std::size_t Count) { AnswerBytes.Increment(static_cast<double>(Count)); }
   void countBadMessage() { BadMessages.Increment(); }
   void observeFirstToken(length_class Class, double Seconds);
+  /// The longest of an answer, once it has ended.
+  void observeGap(length_class Class, double Seconds);
 
   prometheus::Gauge &Connections; ///< Callers' connections.
   prometheus::Gauge &OpenCalls;   ///< Requests without a final answer.
@@ -44,11 +46,13 @@
   prometheus::Family<prometheus::Counter> &Requests;
   prometheus::Family<prometheus::Counter> &AttemptEnds;
   prometheus::Family<prometheus::Histogram> &FirstTokens;
+  prometheus::Family<prometheus::Histogram> &Gaps;
   prometheus::Counter &Attempts;
   prometheus::Counter &Events;
   prometheus::Counter &AnswerBytes;
   prometheus::Counter &BadMessages;
   std::array<prometheus::Histogram *, 3> FirstTokenByClass{};
+  std::array<prometheus::Histogram *, 3> GapByClass{};
   std::map<request_key, prometheus::Counter *> RequestByKey;
   std::map<std::string, prometheus::Counter *> AttemptByResult;
 };
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -5,6 +5,7 @@
 #include "relay/async_signal_base.h"
 #include "relay/call_plan_func.h"
 #include "relay/caller_connection_base.h"
+#include "relay/event_gaps_base.h"
 #include "relay/header_filter_func.h"
 #include "relay/held_body_type.h"
 
@@ -74,6 +75,7 @@
   std::optional<finish_request> Finish;
   std::optional<attempt_id> LastAttempt; ///< For the log.
   std::optional<backend_key> LastBackend;
+  event_gaps Gaps;
   std::optional<mono_time> FirstByte; ///< When the caller got the first byte of the answer.
 };
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -106,16 +106,17 @@
 }
 
 TEST(ARequestHead, SaysWhatTheProductNeeds) {
-  const auto Read = platformCalls().ReadHead(headWith({{"Attempt-Id", "a1"},
-                                                       {"Authorization", "Bearer k1"},
-                                                       {"Deadline-Ms", "9000"},
-                                                       {"Token-Usage", "1460,80"},
-                                                       {"Length-Hint", "70"},
-                                                       {"Last-Event-Id", "12"},
-                                                       {"Prompt-Prefix", "5c:800,91:410"}}));
+  const request_head Head = headWith({{"Attempt-Id", "a1"},
+                                      {"Authorization", "Bearer k1"},
+                                      {"Deadline-Ms", "9000"},
+                                      {"Token-Usage", "1460,80"},
+                                      {"Length-Hint", "70"},
+                                      {"Last-Event-Id", "12"},
+                                      {"Prompt-Prefix", "5c:800,91:410"}});
+  const auto Read = platformCalls().ReadHead(Head);
   ASSERT_TRUE(succeeded(Read));
   const head_facts &Facts = valueOf(Read);
-  EXPECT_EQ(Facts.SendName, "a1");
+  EXPECT_EQ(platformCalls().SendName(Head), "a1");
   EXPECT_EQ(Facts.Key, "k1");
   EXPECT_EQ(Facts.TimeLeft->count(), 9000);
   EXPECT_EQ(Facts.Prompt, tokens(1460));
--- a/tests/relay/headed_call_test.cpp
+++ b/tests/relay/headed_call_test.cpp
@@ -93,6 +93,63 @@
   EXPECT_EQ(countOf(Relay.answer(), eventText(2)), 1U);
 }
 
+// A caller complains of a pause, though its answer was whole and began in time. The record of the call
+// has the longest time between two events, also where the next one came from another engine.
+TEST(AStreamWithAPause, IsRecordedWithTheLongestTimeBetweenTwoEvents) {
+  constexpr std::chrono::milliseconds Pause{60};
+  const scripted_server Breaks([&](auto &Socket, const seen_request &) {
+    sendText(Socket, streamHead() + chunkOf(eventText(1)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    sendText(Socket, chunkOf(eventText(2)));
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+    resetConnection(Socket);
+  });
+  const scripted_server Resumes([&](auto &Socket, const seen_request &) {
+    std::this_thread::sleep_for(Pause);
+    sendText(Socket, streamHead() + chunkOf(eventText(3)) + "0\r\n\r\n");
+  });
+  headed_relay Relay;
+  Relay.call("p");
+  Relay.start(Breaks, 1);
+  Relay.next<attempt_failed>();
+  Relay.start(Resumes, 2);
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_FALSE(Relay.answer().empty());
+  Relay.settle();
+  ASSERT_EQ(Relay.records().size(), 1U);
+  ASSERT_TRUE(Relay.records()[0].LongestGap);
+  EXPECT_GE(*Relay.records()[0].LongestGap, Pause);
+}
+
+TEST(AStreamWithAPause, HasNoTimeBetweenEventsWhereThereIsOne) {
+  const scripted_server One([](auto &Socket, const seen_request &) {
+    sendText(Socket, streamHead() + chunkOf(eventText(1)) + "0\r\n\r\n");
+  });
+  headed_relay Relay;
+  Relay.call("p");
+  Relay.start(One, 1);
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_FALSE(Relay.answer().empty());
+  Relay.settle();
+  ASSERT_EQ(Relay.records().size(), 1U);
+  EXPECT_FALSE(Relay.records()[0].LongestGap);
+}
+
+// A caller complains that it was refused. The entry had no declaration, and never took the request in:
+// its record still has the caller's own name for it, or nobody could tell which refusal was meant.
+TEST(ACallThatIsRefusedAtOnce, IsRecordedUnderItsCallersName) {
+  headed_relay Relay;
+  Relay.setDeclared(false);
+  Relay.send("p");
+  EXPECT_NE(Relay.answer().find("HTTP/1.1 503"), std::string::npos);
+  Relay.settle();
+  ASSERT_EQ(Relay.records().size(), 1U);
+  EXPECT_EQ(Relay.records()[0].SendName, "s1");
+  EXPECT_EQ(Relay.records()[0].Reason, "not_ready");
+}
+
 // The second engine starts one event too early, as one that was asked to go on behind 2 and has
 // counted differently. The caller has event 2 already.
 TEST(AStreamThatBreaksOff, LeavesOutWhatTheCallerHas) {
--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -24,10 +24,10 @@
   call_interface Calls;
   Calls.ReadHead = [](const request_head &Head) -> result<head_facts, call_error> {
     head_facts Facts;
-    Facts.SendName = Head.header("X-Send");
     Facts.LastEvent = numberFrom<std::uint64_t>(Head.header("X-Last")).value_or(0);
     return Facts;
   };
+  Calls.SendName = [](const request_head &Head) { return std::string(Head.header("X-Send")); };
   Calls.IsSystemHeader = [](std::string_view Name) {
     return Name == "host" || Name == "authorization" || Name == "x-after";
   };
@@ -80,6 +80,7 @@
               .process({host_name("entry"), incarnation(1)})
               .limits(Limits)
               .interface(testInterface())
+              .onCallEnd([this](const call_record &Record) { Records.push_back(Record); })
               .build();
   Address = std::get<std::string>(Relay->listen("127.0.0.1:0"));
   Relay->handle(declaration_in_force{Declaration, mono_time::max()});
@@ -104,11 +105,15 @@
                    static_cast<std::uint16_t>(std::stoul(Address.substr(Colon + 1)))});
 }
 
-void headed_relay::call(const std::string &Body, const std::string &MoreHeaders) {
+void headed_relay::send(const std::string &Body, const std::string &MoreHeaders) {
   connect();
   sendText(*Caller, "POST /a/b HTTP/1.1\r\nHost: example.test\r\nX-Send: s1\r\n" + MoreHeaders +
                         "Connection: close\r\nContent-Length: " + std::to_string(Body.size()) +
                         "\r\n\r\n" + Body);
+}
+
+void headed_relay::call(const std::string &Body, const std::string &MoreHeaders) {
+  send(Body, MoreHeaders);
   Facts = next<request_arrived>().Facts;
 }
 
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -31,6 +31,8 @@
   headed_relay(const headed_relay &) = delete;
   headed_relay &operator=(const headed_relay &) = delete;
 
+  /// Sends a request that is refused before it arrives at the decision.
+  void send(const std::string &Body, const std::string &MoreHeaders = {});
   /// Sends a request in the background; answer() waits for the end of its connection.
   void call(const std::string &Body, const std::string &MoreHeaders = {});
   /// Opens a connection on which nothing is sent.
@@ -60,6 +62,9 @@
   void settle();
   void finish(final_outcome Outcome, failure_reason Reason);
 
+  /// @return What was recorded of ended calls; after settle().
+  [[nodiscard]] const std::vector<call_record> &records() const { return Records; }
+
   request_facts Facts; ///< Of the call that arrived last.
 
 private:
@@ -70,6 +75,7 @@
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   bounded_ring<dispatch_event> Ring;
   std::vector<dispatch_event> Pending;
+  std::vector<call_record> Records; ///< Filled by the relay's thread.
   std::unique_ptr<relay> Relay;
   std::string Address;
   std::thread Thread;
--- a/tests/system/declaration_test.cpp
+++ b/tests/system/declaration_test.cpp
@@ -168,9 +168,9 @@
 }
 
 TEST_F(AcceptedChangesTest, LeaveAnEntryThatWasFrozenPastItsLeaseUnready) {
-  // An entry and all control hosts are stopped until the entry's lease is over; the balancer's checks
-  // wait in its sockets. When the entry goes on, nobody can renew the lease: a check that is answered
-  // "ready" by what held before would bring callers who are then refused.
+  // An entry and all control hosts are stopped until the entry's lease is over; the balancer's
+  // checks wait in its sockets. When the entry goes on, nobody can renew the lease: a check that is
+  // answered "ready" by what held before would bring callers who are then refused.
   constexpr std::chrono::milliseconds Lease{2'000}; // As these systems' control hosts give it.
   constexpr int Rounds = 4;
   constexpr int Checks = 4;
--- a/tests/trace/trace_test.py
+++ b/tests/trace/trace_test.py
@@ -68,6 +68,36 @@
         self.assertIn("not_ready", shown[0])
         self.assertEqual(len(shown), 2)
 
+    # An entry was killed while an answer was under way: no line tells an end, but the entry's next life begins later. The
+    # start of another host says nothing of it.
+    def test_names_the_next_start_where_the_entrys_process_ended(self):
+        log = ["  1.0 host-a " + line(1, "listening", what="callers"),
+               "  1.1 host-a " + line(2, "attempt_started", attempt="a/7/6/1", backend="x"),
+               "  1.2 host-b " + line(3, "listening", what="callers"),
+               "  1.3 host-a " + line(9, "listening", what="callers")]
+        code, shown = self.trace("a/7/6/1", log)
+        self.assertEqual(code, 0)
+        self.assertEqual([text for text in shown if text.startswith("=>")], [text for text in shown if " 9 " in text])
+
+    # A day's failed requests by cause: whole ones are left out, and one that nothing explains is said to be so.
+    def test_counts_the_causes_of_all_failed_requests(self):
+        log = [ended(1, "h-7-1", "s1", "complete", "none"),
+               ended(2, "h-7-2", "s2", "not-run", "queue_full"),
+               ended(3, "h-7-3", "s3", "not-run", "queue_full"),
+               ended(4, "", "s4", "not-run", "not_ready"),
+               line(5, "attempt_started", attempt="h/7/5/1", backend="x")]
+        code, shown = self.trace("--failed", log)
+        self.assertEqual(code, 1)
+        self.assertEqual([text.split(",")[0].split(None, 1) for text in shown],
+                         [["2", "not-run queue_full"], ["1", "not-run not_ready"], ["1", "no cause found"]])
+        self.assertEqual(self.trace("--failed", log[:4])[0], 0)
+
+    # The entry refused it before it had an id of ours: only the caller's own name tells it.
+    def test_finds_a_call_that_was_refused_at_once(self):
+        code, shown = self.trace("s7", [ended(5, "", "s7", "not-run", "not_ready"), ended(6, "", "s8", "not-run", "not_ready")])
+        self.assertEqual((code, len(shown)), (0, 1))
+        self.assertTrue(shown[0].startswith("=>"))
+
     def test_says_so_where_nothing_is_known(self):
         code, shown = self.trace("s9", [ended(8, "a-1-1", "s4", "complete", "none")])
         self.assertEqual((code, shown), (1, []))
