--- a/src/fleet_model/model_load.cpp
+++ b/src/fleet_model/model_load.cpp
@@ -100,6 +100,8 @@
   Tuning.IdleReadMs = Table.number("idle_read_ms", Amount, Tuning.IdleReadMs);
   Tuning.SlackPart = Table.number("slack_part", Part, Tuning.SlackPart);
   Tuning.WaitPart = Table.number("wait_part", Part, Tuning.WaitPart);
+  Tuning.RoomPart = Table.number("room_part", Part, Tuning.RoomPart);
+  Tuning.LongPartMs = Table.number("long_part_ms", Amount, Tuning.LongPartMs);
   Tuning.MostReaders =
       static_cast<std::uint32_t>(Table.whole("most_readers", Count, Tuning.MostReaders));
   Tuning.SparePlaces =
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -46,6 +46,12 @@
   double PartMs{80.0};
   /// An engine with no more than this to read counts as idle.
   double IdleReadMs{30.0};
+  /// Part of the engines, rounded down, that must be left with room for a short prompt where a read
+  /// takes each of its engines for longer than LongPartMs. One prompt of 570,000 tokens that took
+  /// all idle engines for two seconds made 51 short ones late.
+  double RoomPart{0.12};
+  /// A short prompt can wait for less than that beside its target of some hundred milliseconds.
+  double LongPartMs{500.0};
   /// Part of the target that must be left for work to wait for more idle engines.
   double SlackPart{0.25};
   /// Engines that can begin within this of each other are the same to a stream that broke off.
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -99,6 +99,11 @@
     /// A request that is being read there writes in a moment: it counts as one that does.
     [[nodiscard]] bool occupied() const { return Option.View.Requests > 0; }
   };
+  /// Engines that read nothing long.
+  struct idle_readers {
+    std::vector<reader_option> Free;    ///< Without any request.
+    std::vector<reader_option> Writing; ///< With requests of their own.
+  };
   using work_views = std::map<backend_key, engine_view>;
 
   [[nodiscard]] work_views ownWork(mono_time Now) const;
@@ -120,6 +125,9 @@
   [[nodiscard]] std::optional<read_plan> gather(const std::vector<reader_option> &Readers,
                                                 double WholeMs, double LeftMs,
                                                 double TargetMs) const;
+  [[nodiscard]] idle_readers idleReaders(const std::vector<reader_option> &Readers) const;
+  void leaveRoom(std::vector<reader_option> &Free, const std::vector<reader_option> &Writing,
+                 std::size_t All, double WholeMs) const;
   [[nodiscard]] std::optional<read_plan> split(const std::vector<reader_option> &Free,
                                                const std::vector<reader_option> &Writing,
                                                double WholeMs, bool Widely) const;
@@ -127,7 +135,7 @@
                                               const std::vector<reader_option> &Writing,
                                               std::size_t Count, double PartMs, bool Widely);
   void start(const waiting_work &Work, const read_plan &Plan, mono_time Now, poll_outcome &Outcome);
-  std::optional<read_plan> chooseHolders(std::vector<reader_option> Readers,
+  std::optional<read_plan> chooseHolders(const std::vector<reader_option> &All,
                                          const engine_figures &Figures, double Memory,
                                          double WholeMs, double LeftMs) const;
   void settleClaims(mono_time Now, poll_outcome &Outcome);
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -82,7 +82,7 @@
                              : millisUntil(Work.Item.Arrived + Work.Item.Target, Now);
   const double WholeMs = readMs(Figures, Work.Item.Prompt);
   if (Memory > Holds * Tuning.MemoryPart)
-    return chooseHolders(std::move(Readers), Figures, Memory, WholeMs, LeftMs);
+    return chooseHolders(Readers, Figures, Memory, WholeMs, LeftMs);
   if (Work.Item.Resumed && WholeMs <= Tuning.WholeReadMs)
     if (auto Plan = soonest(Readers, WholeMs))
       return Plan;
@@ -135,6 +135,33 @@
   return read_plan{{Chosen.Option}, WholeMs, Chosen.StartMs + WholeMs};
 }
 
+placer::idle_readers placer::idleReaders(const std::vector<reader_option> &Readers) const {
+  idle_readers Idle;
+  for (const reader_option &Reader : Readers)
+    if (Reader.Option.View.ReadMs <= Tuning.IdleReadMs)
+      (Reader.occupied() ? Idle.Writing : Idle.Free).push_back(Reader);
+  // The last in the common order first: short work comes from the other end.
+  std::reverse(Idle.Free.begin(), Idle.Free.end());
+  return Idle;
+}
+
+/**
+ * A long read that takes the last engines with room makes every short prompt late that comes before
+ * it is done: each waits for its whole target and then longer. As many as are missing are left out.
+ */
+void placer::leaveRoom(std::vector<reader_option> &Free, const std::vector<reader_option> &Writing,
+                       std::size_t All, double WholeMs) const {
+  const auto Wanted = static_cast<std::size_t>(static_cast<double>(All) * Tuning.RoomPart);
+  const auto Roomy = static_cast<std::size_t>(
+      std::count_if(Writing.begin(), Writing.end(), [this](const reader_option &Reader) {
+        return Reader.MayAnswer && Reader.RoomMs >= Tuning.WholeReadMs;
+      }));
+  const std::size_t Readers = std::clamp<std::size_t>(Free.size(), 1, Tuning.MostReaders);
+  if (Roomy >= Wanted || WholeMs / static_cast<double>(Readers) <= Tuning.LongPartMs)
+    return;
+  Free.resize(Free.size() - std::min(Free.size(), Wanted - Roomy));
+}
+
 /**
  * A prompt that takes long is read by as many engines as are idle: each is held for a moment only,
  * and nothing queues at an engine, where a part for another prompt would be read first and what
@@ -144,16 +171,8 @@
 std::optional<placer::read_plan> placer::gather(const std::vector<reader_option> &Readers,
                                                 double WholeMs, double LeftMs,
                                                 double TargetMs) const {
-  const auto Idle = [this](const reader_option &Reader) {
-    return Reader.Option.View.ReadMs <= Tuning.IdleReadMs;
-  };
-  std::vector<reader_option> Free;
-  std::vector<reader_option> Writing;
-  for (const reader_option &Reader : Readers)
-    if (Idle(Reader))
-      (Reader.occupied() ? Writing : Free).push_back(Reader);
-  // The last in the common order first: short work comes from the other end.
-  std::reverse(Free.begin(), Free.end());
+  auto [Free, Writing] = idleReaders(Readers);
+  leaveRoom(Free, Writing, Readers.size(), WholeMs);
   auto Plan = split(Free, Writing, WholeMs, false);
   if (!Plan || Plan->FinishMs > LeftMs * Tuning.TargetPart)
     if (auto Wider = split(Free, Writing, WholeMs, true))
@@ -170,13 +189,12 @@
  * A prompt that no engine can keep alone: the first one keeps what it can, others set memory aside
  * for the rest. Only idle engines that write nothing take part: each is held for long.
  */
-std::optional<placer::read_plan> placer::chooseHolders(std::vector<reader_option> Readers,
+std::optional<placer::read_plan> placer::chooseHolders(const std::vector<reader_option> &All,
                                                        const engine_figures &Figures, double Memory,
                                                        double WholeMs, double LeftMs) const {
   const double Whole = static_cast<double>(Figures.Memory.value()) * Tuning.MemoryPart;
-  std::erase_if(Readers, [this](const reader_option &Reader) {
-    return Reader.occupied() || Reader.Option.View.ReadMs > Tuning.IdleReadMs;
-  });
+  auto [Readers, Writing] = idleReaders(All);
+  leaveRoom(Readers, Writing, All.size(), WholeMs);
   std::stable_sort(Readers.begin(), Readers.end(),
                    [](const reader_option &A, const reader_option &B) {
                      return A.Option.View.Tokens < B.Option.View.Tokens;
