--- a/src/address/address.cpp
+++ b/src/address/address.cpp
@@ -52,4 +52,23 @@
 std::string toText(const ip::tcp::endpoint &Endpoint) { return textOf(Endpoint); }
 std::string toText(const ip::udp::endpoint &Endpoint) { return textOf(Endpoint); }
 
+result<done, std::string> listenOn(boost::asio::ip::tcp::acceptor &Acceptor,
+                                   std::string_view Address) {
+  using boost::asio::ip::tcp;
+  const auto Endpoint = tcpEndpoint(Address);
+  if (!Endpoint)
+    return "not an address: " + std::string(Address);
+  boost::system::error_code Error;
+  Acceptor.open(Endpoint->protocol(), Error);
+  if (!Error)
+    Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
+  if (!Error)
+    Acceptor.bind(*Endpoint, Error);
+  if (!Error)
+    Acceptor.listen(tcp::acceptor::max_listen_connections, Error);
+  if (Error)
+    return std::string(Address) + ": " + Error.message();
+  return done{};
+}
+
 } // namespace pollenstall
--- a/src/address/address_func.h
+++ b/src/address/address_func.h
@@ -2,6 +2,8 @@
 #ifndef POLLENSTALL_ADDRESS_ADDRESS_FUNC_H
 #define POLLENSTALL_ADDRESS_ADDRESS_FUNC_H
 
+#include "core/core.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
 
@@ -25,6 +27,11 @@
 std::string toText(const boost::asio::ip::tcp::endpoint &Endpoint);
 std::string toText(const boost::asio::ip::udp::endpoint &Endpoint);
 
+/// Opens the acceptor on "IP:port", where port 0 takes one from the kernel, and listens.
+/// @return What went wrong, with the address, as a sentence's end.
+result<done, std::string> listenOn(boost::asio::ip::tcp::acceptor &Acceptor,
+                                   std::string_view Address);
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_ADDRESS_ADDRESS_FUNC_H
--- a/src/fake_backend/backend_server.cpp
+++ b/src/fake_backend/backend_server.cpp
@@ -70,19 +70,9 @@
 }
 
 result<done, std::string> backend_server::openPort() {
-  const auto Endpoint = tcpEndpoint(Address);
-  if (!Endpoint)
-    return "not an address: " + Address;
-  boost::system::error_code Error;
-  Acceptor.open(Endpoint->protocol(), Error);
-  if (!Error)
-    Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    Acceptor.bind(*Endpoint, Error);
-  if (!Error)
-    Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-  if (Error)
-    return Address + ": " + Error.message();
+  auto Listening = listenOn(Acceptor, Address);
+  if (!succeeded(Listening))
+    return Listening;
   Address = toText(Acceptor.local_endpoint());
   accept();
   return done{};
--- a/src/operators/operator_server.cpp
+++ b/src/operators/operator_server.cpp
@@ -162,19 +162,9 @@
   }
 
   result<done, operator_server_error> start(const std::string &Address) {
-    const auto Endpoint = tcpEndpoint(Address);
-    if (!Endpoint)
-      return operator_server_error{"not an address: " + Address};
-    boost::system::error_code Error;
-    Acceptor.open(Endpoint->protocol(), Error);
-    if (!Error)
-      Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-    if (!Error)
-      Acceptor.bind(*Endpoint, Error);
-    if (!Error)
-      Acceptor.listen(asio::socket_base::max_listen_connections, Error);
-    if (Error)
-      return operator_server_error{Address + ": " + Error.message()};
+    const auto Listening = listenOn(Acceptor, Address);
+    if (!succeeded(Listening))
+      return operator_server_error{errorOf(Listening)};
     accept();
     for (std::size_t Count = 0; Count < Threads; ++Count)
       Workers.emplace_back([this] { Context.run(); });
--- a/src/peer_link/framed_listener.cpp
+++ b/src/peer_link/framed_listener.cpp
@@ -20,20 +20,10 @@
 result<std::unique_ptr<framed_listener>, listen_error>
 framed_listener::open(boost::asio::io_context &Io, const std::string &Address,
                       accepted_hook Accepted) {
-  const auto Endpoint = tcpEndpoint(Address);
-  if (!Endpoint)
-    return listen_error{Address + ": not IP:port"};
   std::unique_ptr<framed_listener> Listener(new framed_listener(Io, std::move(Accepted)));
-  boost::system::error_code Error;
-  Listener->Acceptor.open(Endpoint->protocol(), Error);
-  if (!Error)
-    Listener->Acceptor.set_option(tcp::acceptor::reuse_address(true), Error);
-  if (!Error)
-    Listener->Acceptor.bind(*Endpoint, Error);
-  if (!Error)
-    Listener->Acceptor.listen(tcp::acceptor::max_listen_connections, Error);
-  if (Error)
-    return listen_error{Address + ": " + Error.message()};
+  const auto Listening = listenOn(Listener->Acceptor, Address);
+  if (!succeeded(Listening))
+    return listen_error{errorOf(Listening)};
   Listener->accept();
   return Listener;
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -39,19 +39,9 @@
         Housekeeping(Io) {}
 
   result<std::string, relay_error> listen(std::string_view Address) {
-    const auto Endpoint = tcpEndpoint(Address);
-    if (!Endpoint)
-      return relay_error{"not an address: " + std::string(Address)};
-    error_code Code;
-    Acceptor.open(Endpoint->protocol(), Code);
-    if (!Code)
-      Acceptor.set_option(asio::socket_base::reuse_address(true), Code);
-    if (!Code)
-      Acceptor.bind(*Endpoint, Code);
-    if (!Code)
-      Acceptor.listen(asio::socket_base::max_listen_connections, Code);
-    if (Code)
-      return relay_error{std::string(Address) + ": " + Code.message()};
+    const auto Listening = listenOn(Acceptor, Address);
+    if (!succeeded(Listening))
+      return relay_error{errorOf(Listening)};
     asio::co_spawn(Context.Io, accept(), rethrow);
     Context.Sweeper.start();
     keepHouse();
--- a/tests/address/address_test.cpp
+++ b/tests/address/address_test.cpp
@@ -1,6 +1,7 @@
 /** @file address_test.cpp Numeric addresses to endpoints and back. */
 #include "address/address.h"
 
+#include <boost/asio/io_context.hpp>
 #include <gtest/gtest.h>
 
 namespace pollenstall {
@@ -31,5 +32,20 @@
   EXPECT_EQ(withPort(Hosts, 0), Hosts) << "0 leaves each its own";
 }
 
+TEST(AnAcceptor, ListensWhereItIsToldAndSaysWhyItCannot) {
+  boost::asio::io_context Io;
+  boost::asio::ip::tcp::acceptor First(Io);
+  ASSERT_TRUE(succeeded(listenOn(First, "127.0.0.1:0")));
+  const std::string Taken = toText(First.local_endpoint());
+  boost::asio::ip::tcp::acceptor Second(Io);
+  const auto Refused = listenOn(Second, Taken);
+  ASSERT_FALSE(succeeded(Refused));
+  EXPECT_EQ(errorOf(Refused).rfind(Taken + ": ", 0), 0U) << errorOf(Refused);
+  boost::asio::ip::tcp::acceptor Third(Io);
+  const auto Nowhere = listenOn(Third, "host:80");
+  ASSERT_FALSE(succeeded(Nowhere));
+  EXPECT_EQ(errorOf(Nowhere), "not an address: host:80");
+}
+
 } // namespace
 } // namespace pollenstall
