--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -3,6 +3,7 @@
 
 #include "address/address.h"
 #include "control_link/control_link_codec_func.h"
+#include "control_link/control_rotation_base.h"
 #include "control_link/link_ledger_base.h"
 #include "peer_link/peer_link.h"
 
@@ -42,7 +43,7 @@
 public:
   explicit state(control_link_plan Settings)
       : Plan(std::move(Settings)), Requests(Plan.RingCapacity), Events(Plan.RingCapacity),
-        Timer(Io), Ledger(Plan.Process), BackOff(Plan.BackOffMin) {
+        Timer(Io), Ledger(Plan.Process), Rotation(Plan.Controls, Plan.BackOffMin, Plan.BackOffMax) {
     Events.onWake(Plan.WakeEntry);
     Requests.onWake([this] { boost::asio::post(Io, [this] { takeRequests(); }); });
   }
@@ -76,8 +77,8 @@
     expireClaims(Now);
     if (Connection)
       watchConnection(Now);
-    else if (Now >= NextConnect)
-      connect(Now);
+    else if (const auto Address = Rotation.next(Now))
+      connect(*Address, Now);
     flushEvents();
     UnsettledEnds.store(Ledger.openEnds(), std::memory_order_relaxed);
     Timer.expires_after(TickInterval);
@@ -105,13 +106,7 @@
 
   // ---- Connection. ----
 
-  void connect(mono_time Now) {
-    const std::string Address = Hint.empty() ? Controls[NextControl % Controls.size()] : Hint;
-    if (Hint.empty())
-      ++NextControl;
-    Hint.clear();
-    NextConnect = Now + BackOff;
-    BackOff = std::min(BackOff * 2, Plan.BackOffMax);
+  void connect(const std::string &Address, mono_time Now) {
     const auto Endpoint = tcpEndpoint(Address);
     if (!Endpoint)
       return;
@@ -136,11 +131,9 @@
     Connection.reset();
     Open = false;
     Asks.clear();
-    NextConnect = std::max(NextConnect, Now);
-    if (std::exchange(Served, false)) {
-      NextConnect = Now;
+    Rotation.noteLost(Served, Now);
+    if (std::exchange(Served, false))
       emit(control_lost{});
-    }
   }
 
   template <typename Message> void send(const Message &Value) {
@@ -175,7 +168,7 @@
     if (std::exchange(Served, true))
       return;
     Connects.fetch_add(1, std::memory_order_relaxed);
-    BackOff = Plan.BackOffMin;
+    Rotation.noteServed();
   }
 
   void handle(const link_declaration &Message) {
@@ -217,12 +210,9 @@
   }
 
   void handle(const link_not_leader &Message) {
-    // A hint is followed at once; without one the other hosts are asked in turn, with pauses.
-    Hint = tcpEndpoint(Message.Leader) ? Message.Leader : std::string();
     const mono_time Now = boot_clock::now();
     lose(Now);
-    if (!Hint.empty())
-      NextConnect = Now + Plan.BackOffMin;
+    Rotation.noteRedirect(Message.Leader, Now);
   }
 
   void handle(const link_claim_answer &Message) {
@@ -244,12 +234,7 @@
 
   void handle(const link_fleet &Message) {
     served();
-    // The settings' hosts stay in the list: they are all that is left when these are replaced.
-    Controls = Plan.Controls;
-    for (const std::string &Address : Message.Controls)
-      if (tcpEndpoint(Address) &&
-          std::find(Controls.begin(), Controls.end(), Address) == Controls.end())
-        Controls.push_back(Address);
+    Rotation.useHosts(Message.Controls);
     emit(entries_listed{Message.WorkAddresses});
   }
 
@@ -301,11 +286,7 @@
   held_text Held;
   std::optional<revision> Confirmed;
   std::uint64_t DrainsSeen{0};
-  std::string Hint;
-  std::vector<std::string> Controls{Plan.Controls}; ///< Asked in turn.
-  std::size_t NextControl{0};
-  milliseconds BackOff;
-  mono_time NextConnect{};
+  control_rotation Rotation;
   mono_time NextRenew{};
   mono_time LastHeard{};
   bool Open{false};
