--- /dev/null
+++ b/programs/pollenstall-entry/entry_file.cpp
@@ -0,0 +1,28 @@
+/** @file entry_file.cpp Reads small files. */
+#include "entry_file_func.h"
+
+#include "program/program.h"
+
+#include <fstream>
+#include <iterator>
+
+namespace pollenstall {
+
+std::optional<std::string> readFile(const std::string &Path) {
+  std::ifstream File(Path, std::ios::binary);
+  if (!File)
+    return std::nullopt;
+  return std::string(std::istreambuf_iterator<char>(File), {});
+}
+
+std::string withoutLineEnd(std::string Text) {
+  while (!Text.empty() && (Text.back() == '\n' || Text.back() == '\r'))
+    Text.pop_back();
+  return Text;
+}
+
+void logListening(const char *What, const std::string &Address) {
+  logEvent(log_level::Info, "listening", {{"what", std::string(What)}, {"address", Address}});
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/programs/pollenstall-entry/entry_report.cpp
@@ -0,0 +1,62 @@
+/** @file entry_report.cpp What an entry tells of itself: ended calls in the log, its state on
+ * request. */
+#include "entry_base.h"
+
+#include <boost/asio/post.hpp>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr std::chrono::milliseconds DumpLimit{2'000};
+
+void logCall(const call_record &Record) {
+  const bool Quiet = Record.Outcome == final_outcome::Complete;
+  logEvent(Quiet ? log_level::Info : log_level::Warning, "request_ended",
+           {{"request", Record.RequestId},
+            {"send", Record.SendName},
+            {"attempt", Record.Attempt},
+            {"account", Record.Account},
+            {"service", Record.Service},
+            {"backend", Record.Backend},
+            {"outcome", std::string(outcomeText(Record.Outcome))},
+            {"reason", Record.Reason},
+            {"field", Record.Field},
+            {"prompt_tokens", Record.Prompt.value()},
+            {"ms", Record.Took.count()},
+            {"first_byte_ms", Record.FirstByteAfter ? Record.FirstByteAfter->count() : -1},
+            {"longest_gap_ms", Record.LongestGap ? Record.LongestGap->count() : -1}});
+}
+
+} // namespace
+
+void entry::noteCallEnd(const call_record &Record) {
+  const bool Admitted = !Record.RequestId.empty();
+  if (Admitted && Record.Reason == reasonText(failure_reason::ShuttingDown))
+    CutOff = true;
+  logCall(Record);
+}
+
+std::optional<std::string> entry::dumpRelay(std::chrono::milliseconds Limit) {
+  auto Answer = std::make_shared<std::promise<std::string>>();
+  std::future<std::string> Waiting = Answer->get_future();
+  asio::post(Io, [this, Answer] { Answer->set_value(Relay->dump()); });
+  if (Waiting.wait_for(Limit) != std::future_status::ready)
+    return std::nullopt;
+  return Waiting.get();
+}
+
+std::string entry::dump() {
+  // A thread that does not answer is itself what the operator looks for.
+  const std::string Silent = R"("no answer")";
+  const std::string Membership = Gossip ? Gossip->dump() : std::string("null");
+  return R"({"process":{"host":")" + Self.Host.str() + R"(","incarnation":)" +
+         std::to_string(Self.Life.value()) + R"(},"relay":)" +
+         dumpRelay(DumpLimit).value_or(Silent) + R"(,"decisions":)" +
+         Decision->dump(DumpLimit).value_or(Silent) + R"(,"membership":)" +
+         (Membership.empty() ? Silent : Membership) + "}";
+}
+
+} // namespace pollenstall
