--- a/tests/control/control_cluster.cpp
+++ b/tests/control/control_cluster.cpp
@@ -116,6 +116,22 @@
   return objectIn(http_client(Hosts[Host].Operators, Limit).get("/v1/status", Authorised));
 }
 
+bool control_cluster::asksAdmission(std::size_t Leader, std::uint64_t Member) const {
+  const auto Status = status(Leader);
+  if (!Status.contains("asking_admission"))
+    return false;
+  for (const auto &Applicant : Status.at("asking_admission").as_array())
+    if (Applicant.at("member").to_number<std::uint64_t>() == Member)
+      return true;
+  return false;
+}
+
+bool control_cluster::repairIsFinished(std::size_t Leader) const {
+  const auto Status = status(Leader);
+  return Status.contains("repair_unfinished") && Status.at("repair_unfinished").is_bool() &&
+         !Status.at("repair_unfinished").as_bool();
+}
+
 std::size_t control_cluster::waitForLeader(std::optional<std::size_t> Except) {
   std::size_t Leader = 0;
   const bool Found = eventually([&] {
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -53,6 +53,11 @@
   http_answer post(std::size_t Host, const std::string &Path, const std::string &Body) const;
   [[nodiscard]] boost::json::object status(std::size_t Host) const;
 
+  /// @return Whether the leader says that this member, with an empty disk, asks to be let in.
+  [[nodiscard]] bool asksAdmission(std::size_t Leader, std::uint64_t Member) const;
+  /// @return Whether the leader says that every member it let in anew has caught up.
+  [[nodiscard]] bool repairIsFinished(std::size_t Leader) const;
+
   /// Waits for a host that leads and holds its lease. @param Except Not this one.
   std::size_t waitForLeader(std::optional<std::size_t> Except = std::nullopt);
 
--- a/tests/control/disk_test.cpp
+++ b/tests/control/disk_test.cpp
@@ -11,22 +11,6 @@
 
 class ALostDiskTest : public testing::Test {
 protected:
-  bool asksAdmission(std::size_t Leader, std::uint64_t Member) {
-    const auto Status = Cluster.status(Leader);
-    if (!Status.contains("asking_admission"))
-      return false;
-    for (const auto &Applicant : Status.at("asking_admission").as_array())
-      if (Applicant.at("member").to_number<std::uint64_t>() == Member)
-        return true;
-    return false;
-  }
-
-  bool repaired(std::size_t Leader) {
-    const auto Status = Cluster.status(Leader);
-    return Status.contains("repair_unfinished") && Status.at("repair_unfinished").is_bool() &&
-           !Status.at("repair_unfinished").as_bool();
-  }
-
   control_cluster Cluster;
 };
 
@@ -42,14 +26,14 @@
   Cluster.kill(Lost);
   Cluster.loseDisk(Lost);
   Cluster.start(Lost);
-  ASSERT_TRUE(eventually([&] { return asksAdmission(Leader, Lost + 1); }));
+  ASSERT_TRUE(eventually([&] { return Cluster.asksAdmission(Leader, Lost + 1); }));
   EXPECT_TRUE(Cluster.status(Leader).at("repair_unfinished").as_bool());
   for (; Base < 20; ++Base)
     ASSERT_EQ(Cluster.change("a" + std::to_string(Base), Base, declarationText(2)).Status, Ok);
 
   const std::string Admit = R"({"action":"admit","member":)" + std::to_string(Lost + 1) + "}";
   ASSERT_TRUE(eventually([&] { return Cluster.post(Leader, "/v1/members", Admit).Status == Ok; }));
-  ASSERT_TRUE(eventually([&] { return repaired(Leader); }))
+  ASSERT_TRUE(eventually([&] { return Cluster.repairIsFinished(Leader); }))
       << Cluster.get(Leader, "/v1/status").Body;
   Cluster.kill(Leader);
 
@@ -72,7 +56,7 @@
   Cluster.loseDisk(0);
   Cluster.start(0);
   const std::size_t Leader = Cluster.waitForLeader(0);
-  ASSERT_TRUE(eventually([&] { return asksAdmission(Leader, 1); }));
+  ASSERT_TRUE(eventually([&] { return Cluster.asksAdmission(Leader, 1); }));
   EXPECT_NE(Cluster.get(0, "/v1/declaration").Status, Ok);
   EXPECT_FALSE(Cluster.status(0).at("serving").as_bool());
 }
--- a/tests/system/lost_disk_test.cpp
+++ b/tests/system/lost_disk_test.cpp
@@ -10,22 +10,6 @@
 
 class ALostDiskOfTheSystemTest : public testing::Test {
 protected:
-  bool asksAdmission(std::size_t Leader, std::uint64_t Member) {
-    const auto Status = System.control().status(Leader);
-    if (!Status.contains("asking_admission"))
-      return false;
-    for (const auto &Applicant : Status.at("asking_admission").as_array())
-      if (Applicant.at("member").to_number<std::uint64_t>() == Member)
-        return true;
-    return false;
-  }
-
-  bool repairIsFinished(std::size_t Leader) {
-    const auto Status = System.control().status(Leader);
-    return Status.contains("repair_unfinished") && Status.at("repair_unfinished").is_bool() &&
-           !Status.at("repair_unfinished").as_bool();
-  }
-
   running_system System;
 };
 
@@ -39,13 +23,13 @@
   System.control().kill(Lost);
   System.control().loseDisk(Lost);
   System.control().start(Lost);
-  ASSERT_TRUE(eventually([&] { return asksAdmission(Leader, Lost + 1); }));
+  ASSERT_TRUE(eventually([&] { return System.control().asksAdmission(Leader, Lost + 1); }));
   ASSERT_TRUE(System.declare(80));
   // Refused while the leader may still hear from the life that had the disk.
   ASSERT_TRUE(eventually([&] {
     return System.ctl({"member", "admit", std::to_string(Lost + 1)}) == 0;
   }));
-  ASSERT_TRUE(eventually([&] { return repairIsFinished(Leader); }));
+  ASSERT_TRUE(eventually([&] { return System.control().repairIsFinished(Leader); }));
   System.control().kill(Leader);
   (void)System.control().waitForLeader(Leader);
   EXPECT_TRUE(eventually([this] { return System.inForce(System.revision()); }));
