--- a/tests/relay/headed_call_test.cpp
+++ b/tests/relay/headed_call_test.cpp
@@ -93,8 +93,8 @@
   EXPECT_EQ(countOf(Relay.answer(), eventText(2)), 1U);
 }
 
-// A caller complains of a pause, though its answer was whole and began in time. The record of the call
-// has the longest time between two events, also where the next one came from another engine.
+// A caller complains of a pause, though its answer was whole and began in time. The record of the
+// call has the longest time between two events, also where the next one came from another engine.
 TEST(AStreamWithAPause, IsRecordedWithTheLongestTimeBetweenTwoEvents) {
   constexpr std::chrono::milliseconds Pause{60};
   const scripted_server Breaks([&](auto &Socket, const seen_request &) {
@@ -137,8 +137,9 @@
   EXPECT_FALSE(Relay.records()[0].LongestGap);
 }
 
-// A caller complains that it was refused. The entry had no declaration, and never took the request in:
-// its record still has the caller's own name for it, or nobody could tell which refusal was meant.
+// A caller complains that it was refused. The entry had no declaration, and never took the request
+// in: its record still has the caller's own name for it, or nobody could tell which refusal was
+// meant.
 TEST(ACallThatIsRefusedAtOnce, IsRecordedUnderItsCallersName) {
   headed_relay Relay;
   Relay.setDeclared(false);
