--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -22,7 +22,7 @@
 
 /// What the head of a caller's request says.
 struct head_facts {
-  std::string Key; ///< Bearer key; empty where none was sent.
+  std::string Key;                                   ///< Bearer key; empty where none was sent.
   std::optional<std::chrono::milliseconds> TimeLeft; ///< How long the caller waits.
   model_name Model;
   tokens Prompt;
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -194,7 +194,8 @@
   arrive(154'000);
   const auto Placed = poll();
   ASSERT_EQ(Placed.size(), 1U);
-  EXPECT_EQ(Placed[0].Helpers.size(), 2U) << "five are free, and two of them stay so for short work";
+  EXPECT_EQ(Placed[0].Helpers.size(), 2U)
+      << "five are free, and two of them stay so for short work";
   for (const backend_key &Helper : Placed[0].Helpers)
     for (const work_load &Load : Loads)
       EXPECT_NE(Helper.Life, Load.Life);
@@ -300,9 +301,10 @@
   EXPECT_EQ(poll().size(), 1U);
 }
 
-// The fleet is idle, and a prompt that takes 33 engine-seconds comes. Read by all seventeen engines it
-// would be done in two seconds, in which each short prompt finds every engine busy, waits for its whole
-// target and is late. Two engines are left out of it: the short ones that follow begin at once.
+// The fleet is idle, and a prompt that takes 33 engine-seconds comes. Read by all seventeen engines
+// it would be done in two seconds, in which each short prompt finds every engine busy, waits for
+// its whole target and is late. Two engines are left out of it: the short ones that follow begin at
+// once.
 TEST_F(placer_story, AnEnormousPromptLeavesRoomForShortOnes) {
   for (std::size_t Place = 17; Place < Engines; ++Place)
     Placer.removeBackend(listing(Place).Key);
