--- a/programs/pollenstall-entry/entry_base.h
+++ b/programs/pollenstall-entry/entry_base.h
@@ -57,6 +57,8 @@
   [[nodiscard]] std::string dump();
   [[nodiscard]] std::optional<std::string> dumpRelay(std::chrono::milliseconds Limit);
   [[nodiscard]] std::size_t openCalls();
+  /// Logs that a port is open. @param What Whom it is for.
+  static void logListening(const char *What, const std::string &Address);
   void noteCallEnd(const call_record &Record);
   void waitForCalls(mono_time Until, const std::function<std::size_t()> &Count);
 
--- a/programs/pollenstall-entry/entry_file.cpp
+++ b/programs/pollenstall-entry/entry_file.cpp
@@ -1,8 +1,6 @@
 /** @file entry_file.cpp Reads small files. */
 #include "entry_file_func.h"
 
-#include "program/program.h"
-
 #include <fstream>
 #include <iterator>
 
@@ -21,8 +19,4 @@
   return Text;
 }
 
-void logListening(const char *What, const std::string &Address) {
-  logEvent(log_level::Info, "listening", {{"what", std::string(What)}, {"address", Address}});
-}
-
 } // namespace pollenstall
--- a/programs/pollenstall-entry/entry_file_func.h
+++ b/programs/pollenstall-entry/entry_file_func.h
@@ -1,4 +1,4 @@
-/** @file entry_file_func.h Files that the settings name, and the log line of an open port. */
+/** @file entry_file_func.h Small files that the settings name. */
 #ifndef POLLENSTALL_ENTRY_ENTRY_FILE_FUNC_H
 #define POLLENSTALL_ENTRY_ENTRY_FILE_FUNC_H
 
@@ -13,9 +13,6 @@
 /// @return The text without the line ends behind it.
 std::string withoutLineEnd(std::string Text);
 
-/// Logs that a port is open. @param What Whom it is for.
-void logListening(const char *What, const std::string &Address);
-
 } // namespace pollenstall
 
 #endif // POLLENSTALL_ENTRY_ENTRY_FILE_FUNC_H
--- a/programs/pollenstall-entry/entry_report.cpp
+++ b/programs/pollenstall-entry/entry_report.cpp
@@ -32,6 +32,10 @@
 
 } // namespace
 
+void entry::logListening(const char *What, const std::string &Address) {
+  logEvent(log_level::Info, "listening", {{"what", std::string(What)}, {"address", Address}});
+}
+
 void entry::noteCallEnd(const call_record &Record) {
   const bool Admitted = !Record.RequestId.empty();
   if (Admitted && Record.Reason == reasonText(failure_reason::ShuttingDown))
