--- a/tests/platform/platform_path_test.cpp
+++ b/tests/platform/platform_path_test.cpp
@@ -246,8 +246,9 @@
   std::vector<double> Direct;
   std::vector<double> Through;
   std::vector<double> Changes;
-  for (std::vector<double> *Times : {&Direct, &Through, &Changes})
-    Times->reserve(Requests);
+  Direct.reserve(Requests);
+  Through.reserve(Requests);
+  Changes.reserve(Requests);
   for (int Request = 0; Request < Requests; ++Request) {
     if (Request % 4 == 0) { // An engine that falls silent is taken for gone.
       ASSERT_TRUE(announce("i-1", Engine));
