Sight: why control was lost, what of a message had come, when a change was accepted and in force

Logs could not tell a host that is silent from one that is still sending, nor reading time from the way. Nothing decides by the new fields.

--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -174,13 +174,21 @@
   if (State.declared().Revision != Before) {
     publishDeclared();
     if (Desk.inOffice())
-      AwaitingForce.emplace(State.declared().Revision, Time);
+      noteAccepted(Time);
     Desk.declarationChanged(Time);
   }
   if (State.drainsVersion() != DrainsBefore)
     Desk.drainsChanged(Time);
 }
 
+void control_core::noteAccepted(mono_time Time) {
+  const declared_text &Declared = State.declared();
+  AwaitingForce.emplace(Declared.Revision, Time);
+  logEvent(log_level::Info, "declaration_accepted",
+           {{"revision", static_cast<std::int64_t>(Declared.Revision.value())},
+            {"bytes", static_cast<std::int64_t>(Declared.Text.size())}});
+}
+
 void control_core::completeProposal(const log_entry &Entry, const control_answer &Answer) {
   const auto Waiting = Proposals.find(Entry.Index);
   if (Waiting == Proposals.end())
@@ -378,6 +386,9 @@
   while (InForce && !AwaitingForce.empty() && AwaitingForce.begin()->first <= *InForce) {
     const mono_span Took = Now - AwaitingForce.begin()->second;
     Parts.Metrics->InForce.Observe(std::chrono::duration<double>(Took).count());
+    logEvent(log_level::Info, "declaration_in_force",
+             {{"revision", static_cast<std::int64_t>(AwaitingForce.begin()->first.value())},
+              {"took_ms", std::chrono::duration_cast<milliseconds>(Took).count()}});
     AwaitingForce.erase(AwaitingForce.begin());
   }
 }
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -27,6 +27,10 @@
   return valueOf(std::move(Parsed));
 }
 
+std::int64_t wholeMillis(mono_span Span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
+}
+
 void logFailure(const attempt_failed &Failed) {
   logEvent(log_level::Warning, "attempt_failed",
            {{"attempt", toText(Failed.Attempt)},
@@ -34,6 +38,13 @@
             {"at_fault", Failed.AtFault.str()}});
 }
 
+void logLoss(const control_lost &Lost) {
+  logEvent(log_level::Warning, "control_lost",
+           {{"why", std::string(controlLossText(Lost.Why))},
+            {"part_bytes", static_cast<std::int64_t>(Lost.PartBytes)},
+            {"since_message_ms", static_cast<std::int64_t>(Lost.SinceMessage.count())}});
+}
+
 void logStart(const start_attempt &Start) {
   std::string Helpers;
   for (const backend_key &Helper : Start.Helpers)
@@ -43,8 +54,7 @@
             {"backend", Start.Backend.Address.str()},
             {"instance", Start.Instance},
             {"helpers", Helpers},
-            {"expected_ms",
-             std::chrono::duration_cast<std::chrono::milliseconds>(Start.Expected).count()}});
+            {"expected_ms", wholeMillis(Start.Expected)}});
 }
 
 prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name, const char *Help) {
@@ -156,7 +166,7 @@
           [this, Now](const drains_changed &Drains) { Seam.useDrains(Drains.Backends, Now); },
           [this, Now](const backends_listed &Listed) { Seam.take(Listed, Now); },
           [this](const entries_listed &Listed) { takeEntries(Listed); },
-          [](const control_lost &) { logEvent(log_level::Warning, "control_lost"); }},
+          [](const control_lost &Lost) { logLoss(Lost); }},
       Event);
 }
 
@@ -165,6 +175,7 @@
   if (Verdict == offer_verdict::Stale)
     return;
   if (Verdict == offer_verdict::Take) {
+    const mono_time Begun = boot_clock::now();
     auto Parsed = Plan.ReadDeclaration(Received.Text);
     if (!succeeded(Parsed)) {
       // Not confirmed, so that the lease runs out: better unready than on an older declaration.
@@ -181,7 +192,9 @@
     Freshness.inUse(Received.Revision);
     RevisionGauge.Set(static_cast<double>(Received.Revision.value()));
     logEvent(log_level::Info, "declaration_in_use",
-             {{"revision", static_cast<std::int64_t>(Received.Revision.value())}});
+             {{"revision", static_cast<std::int64_t>(Received.Revision.value())},
+              {"bytes", static_cast<std::int64_t>(Received.Text.size())},
+              {"reading_ms", wholeMillis(boot_clock::now() - Begun)}});
   }
   Control->request(revision_confirmed{Received.Revision});
 }
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -90,7 +90,7 @@
 
   void watchConnection(mono_time Now) {
     if (Now - LastHeard > (Open ? Plan.AnswerWithin : Plan.ConnectWithin))
-      return lose(Now);
+      return lose(Now, control_loss::Silent);
     if (Open && Now >= NextRenew)
       renew(Now);
   }
@@ -117,8 +117,10 @@
       return;
     Connection = std::make_shared<framed_connection>(tcp::socket(Io), linkLimits());
     Connection->tell({[this] { opened(); }, [this](std::string &&Bytes) { received(Bytes); },
-                      [this] { lose(boot_clock::now()); }});
+                      [this] { lose(boot_clock::now(), control_loss::Closed); },
+                      [this](std::size_t Bytes) { PartBytes += Bytes; }});
     LastHeard = Now;
+    PartBytes = 0;
     Connection->connect(*Endpoint);
   }
 
@@ -131,14 +133,14 @@
       send(Message);
   }
 
-  void lose(mono_time Now) {
+  void lose(mono_time Now, control_loss Why) {
     Connection->close();
     Connection.reset();
     Open = false;
     Asks.clear();
     Rotation.noteLost(Served, Now);
     if (std::exchange(Served, false))
-      emit(control_lost{});
+      emit(control_lost{Why, PartBytes, std::chrono::duration_cast<milliseconds>(Now - LastHeard)});
   }
 
   template <typename Message> void send(const Message &Value) {
@@ -163,9 +165,10 @@
         decodeEnvelope<link_reply>(Plan.Fleet, message_kind::ControlLink, Bytes, MaxLinkReplyBytes);
     if (!succeeded(Decoded)) {
       Garbage.fetch_add(1, std::memory_order_relaxed);
-      return lose(boot_clock::now());
+      return lose(boot_clock::now(), control_loss::Unreadable);
     }
     LastHeard = boot_clock::now();
+    PartBytes = 0;
     std::visit([this](const auto &Message) { handle(Message); }, valueOf(Decoded));
   }
 
@@ -189,7 +192,7 @@
       // On the next connection this host says that it holds nothing, and is sent the whole text.
       Held = {};
       Garbage.fetch_add(1, std::memory_order_relaxed);
-      return lose(boot_clock::now());
+      return lose(boot_clock::now(), control_loss::Unreadable);
     }
     served();
     hold(Message.Revision, std::move(*Text));
@@ -216,7 +219,7 @@
 
   void handle(const link_not_leader &Message) {
     const mono_time Now = boot_clock::now();
-    lose(Now);
+    lose(Now, control_loss::Redirected);
     Rotation.noteRedirect(Message.Leader, Now);
     connectWhenDue(Now);
   }
@@ -295,6 +298,7 @@
   control_rotation Rotation;
   mono_time NextRenew{};
   mono_time LastHeard{};
+  std::uint64_t PartBytes{0}; ///< Arrived since the last whole message.
   bool Open{false};
   bool Served{false}; ///< A leader has answered on this connection.
   std::thread Thread;
--- a/src/control_link/control_link_type.h
+++ b/src/control_link/control_link_type.h
@@ -7,8 +7,11 @@
 #include "directory/directory_type.h"
 #include "dispatch/dispatch_type.h"
 
+#include <array>
 #include <chrono>
+#include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -69,8 +72,26 @@
   std::vector<std::string> WorkAddresses;
 };
 
+/// Why a connection to a control host ended.
+enum class control_loss : std::uint8_t {
+  Silent,     ///< Nothing came for control_link_plan::AnswerWithin.
+  Closed,     ///< By the other side, or by the network.
+  Redirected, ///< That host does not lead.
+  Unreadable, ///< What came is no message, or no difference to the text held.
+};
+
+/// @return The loss's name in logs.
+constexpr std::string_view controlLossText(control_loss Loss) {
+  constexpr std::array<std::string_view, 4> Names{"silent", "closed", "redirected", "unreadable"};
+  return Names[static_cast<std::size_t>(Loss)];
+}
+
 /// No leader is connected; the lease at hand still counts until its end.
-struct control_lost {};
+struct control_lost {
+  control_loss Why{control_loss::Closed};
+  std::uint64_t PartBytes{0};                ///< Of a message that was under way.
+  std::chrono::milliseconds SinceMessage{0}; ///< Since the last whole message.
+};
 
 using control_link_event =
     std::variant<declaration_received, lease_extended, claim_answered, drains_changed,
--- a/src/peer_link/framed_connection.cpp
+++ b/src/peer_link/framed_connection.cpp
@@ -58,6 +58,8 @@
 }
 
 void framed_connection::received(std::size_t Count) {
+  if (const auto Told = Hooks; Told->Arrived)
+    Told->Arrived(Count);
   Reader.append(std::string_view(Input.data(), Count));
   while (Open && !Ending) {
     auto Next = Reader.next();
