--- a/src/peer_link/framed_connection_base.h
+++ b/src/peer_link/framed_connection_base.h
@@ -26,7 +26,7 @@
   std::function<void()> Opened; ///< Only after connect().
   std::function<void(std::string &&Message)> Received;
   std::function<void()> Closed; ///< By the other side, by an error or by a frame over the limit.
-  std::function<void(std::size_t Bytes)> Arrived; ///< Bytes came, perhaps part of a message only.
+  std::function<void(std::size_t Bytes)> Arrived{}; ///< Bytes came, perhaps part of a message only.
 };
 
 /**
