--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -316,7 +316,7 @@
   publishLease(Status);
   countLinks();
   giveUpOldWaits();
-  Desk.tellWaiting(Now);
+  Desk.advance(Now);
   if (!Desk.inOffice())
     return;
   if (auto Fallen = Directory.advance(Now); !Fallen.empty()) {
--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -54,7 +54,7 @@
   Entry.Requests.push_back(Request);
 }
 
-void entry_desk::tellWaiting(mono_time Now) {
+void entry_desk::advance(mono_time Now) {
   if (InOffice || Waiting.empty())
     return;
   const bool Known = !Hooks.LeaderAddress().empty();
@@ -242,6 +242,10 @@
   return InOffice ? Tracker.inForce(Now) : std::nullopt;
 }
 
+bool entry_desk::mayAcknowledge(revision Accepted, mono_time Now) const {
+  return InOffice && Tracker.mayAcknowledge(Accepted, Now);
+}
+
 void entry_desk::forgetSilentSessions(mono_time Now) {
   std::erase_if(Sessions, [&](const auto &Item) {
     return Item.second.LastSeen + SilentLeases * Options.Lease < Now;
--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -44,8 +44,8 @@
   void takeOffice(mono_time Now);
   /// This host leads no more: every entry is sent away.
   void leaveOffice();
-  /// Lets time pass while this host does not lead: entries that wait are told the leader.
-  void tellWaiting(mono_time Now);
+  /// Lets time pass. While this host does not lead, entries that wait are told the leader.
+  void advance(mono_time Now);
 
   void handle(const hub_event &Event, mono_time Now);
 
@@ -61,6 +61,8 @@
 
   /// @return The highest revision known to be in force everywhere; nothing while that is unknown.
   std::optional<revision> inForce(mono_time Now);
+  /// @return Whether an accepted change may be acknowledged to whoever made it.
+  [[nodiscard]] bool mayAcknowledge(revision Accepted, mono_time Now) const;
   [[nodiscard]] std::vector<entry_lease> entries() const { return Tracker.entries(); }
   [[nodiscard]] bool inOffice() const { return InOffice; }
 
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -5,6 +5,7 @@
 #include "control_link/control_link_codec_func.h"
 #include "control_link/control_rotation_base.h"
 #include "control_link/link_ledger_base.h"
+#include "control_link/silence_watch_base.h"
 #include "peer_link/peer_link.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -89,7 +90,7 @@
   }
 
   void watchConnection(mono_time Now) {
-    if (Now - LastHeard > (Open ? Plan.AnswerWithin : Plan.ConnectWithin))
+    if (Silence.isOver(Now, Open ? Plan.AnswerWithin : Plan.ConnectWithin))
       return lose(Now, control_loss::Silent);
     if (Open && Now >= NextRenew)
       renew(Now);
@@ -118,15 +119,14 @@
     Connection = std::make_shared<framed_connection>(tcp::socket(Io), linkLimits());
     Connection->tell({[this] { opened(); }, [this](std::string &&Bytes) { received(Bytes); },
                       [this] { lose(boot_clock::now(), control_loss::Closed); },
-                      [this](std::size_t Bytes) { PartBytes += Bytes; }});
-    LastHeard = Now;
-    PartBytes = 0;
+                      [this](std::size_t Bytes) { Silence.arrived(Bytes, boot_clock::now()); }});
+    Silence.begin(Now);
     Connection->connect(*Endpoint);
   }
 
   void opened() {
     Open = true;
-    LastHeard = boot_clock::now();
+    Silence.begin(boot_clock::now());
     send(link_subscribe{Plan.Process, Plan.Domain, Plan.WorkAddress, Held.Revision});
     renew(boot_clock::now());
     for (const link_request &Message : Ledger.unanswered())
@@ -140,7 +140,7 @@
     Asks.clear();
     Rotation.noteLost(Served, Now);
     if (std::exchange(Served, false))
-      emit(control_lost{Why, PartBytes, std::chrono::duration_cast<milliseconds>(Now - LastHeard)});
+      emit(control_lost{Why, Silence.partBytes(), Silence.sinceMessage(Now)});
   }
 
   template <typename Message> void send(const Message &Value) {
@@ -167,8 +167,7 @@
       Garbage.fetch_add(1, std::memory_order_relaxed);
       return lose(boot_clock::now(), control_loss::Unreadable);
     }
-    LastHeard = boot_clock::now();
-    PartBytes = 0;
+    Silence.message(boot_clock::now());
     std::visit([this](const auto &Message) { handle(Message); }, valueOf(Decoded));
   }
 
@@ -297,8 +296,7 @@
   std::uint64_t DrainsSeen{0};
   control_rotation Rotation;
   mono_time NextRenew{};
-  mono_time LastHeard{};
-  std::uint64_t PartBytes{0}; ///< Arrived since the last whole message.
+  silence_watch Silence;
   bool Open{false};
   bool Served{false}; ///< A leader has answered on this connection.
   std::thread Thread;
--- a/src/control_state/in_force_tracker.cpp
+++ b/src/control_state/in_force_tracker.cpp
@@ -77,6 +77,10 @@
   return Reported;
 }
 
+bool in_force_tracker::mayAcknowledge(revision Accepted, mono_time /*Now*/) const {
+  return Accepted <= Current;
+}
+
 void in_force_tracker::forgetOldEntries(mono_time Now) {
   for (auto Entry = Entries.begin(); Entry != Entries.end();)
     if (Entry->second.LeaseEnd <= Now &&
--- a/src/control_state/in_force_tracker_base.h
+++ b/src/control_state/in_force_tracker_base.h
@@ -18,6 +18,8 @@
   mono_span Lease{std::chrono::milliseconds(5000)};
   /// An entry that lags behind a change for longer gets no further lease.
   mono_span ConfirmWithin{std::chrono::milliseconds(2000)};
+  /// Nobody acts on an older declaration for longer after a change was acknowledged.
+  mono_span ApplyWithin{std::chrono::seconds(10)};
   /// How much faster or slower than true time a clock may run, in parts per thousand.
   std::uint32_t ClockSkewPermille{20};
 };
@@ -56,6 +58,9 @@
   /// @return The highest revision known to be in force everywhere; nothing while that is unknown.
   std::optional<revision> inForce(mono_time Now);
 
+  /// @return Whether an accepted change may be acknowledged now.
+  [[nodiscard]] bool mayAcknowledge(revision Accepted, mono_time Now) const;
+
   /// @return Entries seen lately, those without a lease included.
   [[nodiscard]] std::vector<entry_lease> entries() const;
 
--- a/tests/control/entry_desk_test.cpp
+++ b/tests/control/entry_desk_test.cpp
@@ -78,14 +78,14 @@
 
 // Sent away, an entry would come back after its pause; every request waits for it meanwhile.
 TEST_F(EntriesWithoutALeaderTest, AreToldTheLeaderTheMomentItIsKnown) {
-  Desk.tellWaiting(Now += std::chrono::milliseconds(30));
+  Desk.advance(Now += std::chrono::milliseconds(30));
   EXPECT_TRUE(Sent.empty());
   Leader = "127.0.0.1:7";
-  Desk.tellWaiting(Now);
+  Desk.advance(Now);
   const auto Replies = take<link_not_leader>();
   ASSERT_EQ(Replies.size(), 1U);
   EXPECT_EQ(Replies[0].Leader, "127.0.0.1:7");
-  Desk.tellWaiting(Now);
+  Desk.advance(Now);
   EXPECT_TRUE(Sent.empty()) << "once";
 }
 
@@ -104,7 +104,7 @@
 
 // The host is cut off from the others, which have a leader by now. The entry must ask elsewhere.
 TEST_F(EntriesWithoutALeaderTest, AreSentAwayWhereNoneIsFoundSoon) {
-  Desk.tellWaiting(Now += std::chrono::milliseconds(200));
+  Desk.advance(Now += std::chrono::milliseconds(200));
   EXPECT_EQ(take<link_not_leader>().size(), 1U);
 }
 
