--- a/tests/control/modelled_fleet.cpp
+++ b/tests/control/modelled_fleet.cpp
@@ -49,6 +49,7 @@
   Desk.takeOffice(Agenda.now());
   for (std::size_t Number = 0; Number < Entries.size(); ++Number) {
     Entries[Number].Process = {host_name("entry-" + std::to_string(Number)), incarnation(1)};
+    Entries[Number].Silence.begin(Agenda.now());
     Agenda.after(milliseconds(Number), [this, Number] { connect(Number); });
   }
   look();
