A change is acknowledged once no entry can act on an older one for too long

Callers saw: 404 for a route that had been added, 2.53 s after the change was acknowledged. Cause: a lease lasts 3.5 s, and one could be given to a laggard up to 2 s after a change; the acknowledgement waited for nothing, and neither was tied to the promise (config_apply_ms 2.5 s, revocation_ms 5 s): 5.5 s in the worst case. Now a laggard's lease ends within the promise after the first change that it has not taken, and an offer is acknowledged when all other leases for an older declaration, a former leader's among them, end in time too: at once where all have confirmed, else within lease - promise (1.14 s). Weighed: leases cut to the promise for all, which turns entries unready 1 s sooner in each loss of control. An offer that is sent again for want of an answer goes into the log once. Ruled out: a leader that gives leases without holding its own (the lease came from the leader in office).

--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -231,6 +231,7 @@
   Applicants.clear();
   Directory.clear();
   Desk.leaveOffice();
+  Offers.giveUp();
   for (const auto &[Index, Waiting] : std::exchange(Proposals, {}))
     Waiting.Answered(std::nullopt);
   for (const auto &[Index, Waiting] : std::exchange(Memberships, {}))
@@ -317,6 +318,7 @@
   countLinks();
   giveUpOldWaits();
   Desk.advance(Now);
+  answerOffers();
   if (!Desk.inOffice())
     return;
   if (auto Fallen = Directory.advance(Now); !Fallen.empty()) {
--- a/programs/pollenstall-control/control_core_base.h
+++ b/programs/pollenstall-control/control_core_base.h
@@ -8,6 +8,7 @@
 #include "control_state/control_state.h"
 #include "directory/directory.h"
 #include "entry_desk_base.h"
+#include "offer_queue_base.h"
 #include "order_link/order_link.h"
 #include "peer_link/peer_link.h"
 #include "storage/storage.h"
@@ -117,6 +118,8 @@
   [[nodiscard]] bool leavesUnkept(const instance_name &Instance) const;
   void keepBackends(std::vector<backend_listing> Changes,
                     const std::shared_ptr<std::promise<control_outcome>> &Asker);
+  void answerOffer(const offer_declaration &Offer, const control_request &Request);
+  void answerOffers();
   void answerMembership(const proposal_result &Result, const control_request &Request);
   [[nodiscard]] control_outcome refusalOf(const proposal_refusal &Refusal) const;
   [[nodiscard]] control_outcome elsewhere(const member_key &Leader) const;
@@ -152,6 +155,7 @@
   log_index Applied;
   member_set Members; ///< Committed. One that is only proposed may be lost with this leader.
   std::map<log_index, waiting_proposal> Proposals;
+  offer_queue Offers;
   std::map<log_index, waiting_membership> Memberships;
   std::map<read_id, waiting_read> Reads;
   read_id LastRead;
--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -132,6 +132,8 @@
 }
 
 void control_core::answerQuestion(const command_wanted &Question, const control_request &Request) {
+  if (const auto *Offer = std::get_if<offer_declaration>(&Question.Command))
+    return answerOffer(*Offer, Request);
   const auto Refused = propose(Question.Command, [Answer = Request.Answer](const auto &Known) {
     Answer->set_value(Known ? control_outcome(*Known) : control_outcome(outcome_unknown{}));
   });
@@ -139,6 +141,34 @@
     Request.Answer->set_value(refusalOf(*Refused));
 }
 
+void control_core::answerOffer(const offer_declaration &Offer, const control_request &Request) {
+  const mono_time Time = boot_clock::now();
+  const replica_status Status = Replica.status(Time);
+  if (Status.Role != replica_role::Leader)
+    return Request.Answer->set_value(elsewhere(Status.Leader));
+  if (Offers.isNews(Offer.Revision, State.declared().Revision)) {
+    const auto Refused = propose(Offer, [this](const auto &Known) {
+      if (!Known)
+        Offers.lost();
+    });
+    if (Refused)
+      return Request.Answer->set_value(refusalOf(*Refused));
+    Offers.proposed(Offer.Revision);
+  }
+  Offers.wait(
+      Offer.Revision,
+      [Answer = Request.Answer, Offered = Offer.Revision](bool Accepted) {
+        Answer->set_value(Accepted ? control_outcome(control_answer(offer_answer{Offered, true}))
+                                   : control_outcome(outcome_unknown{}));
+      },
+      Time + ProposalLimit);
+}
+
+void control_core::answerOffers() {
+  Offers.answerDue(State.declared().Revision, Now,
+                   [this](revision Offered) { return Desk.mayAcknowledge(Offered, Now); });
+}
+
 void control_core::answerQuestion(const read_wanted &Question, const control_request &Request) {
   LastRead = LastRead.next();
   Reads.emplace(LastRead, waiting_read{Question.Read, Request.Answer});
--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -128,6 +128,13 @@
       .span("entries.confirm_within_ms", &control_settings::ConfirmWithin,
             {milliseconds(2000), milliseconds(100), milliseconds(60'000)},
             "An entry that lags behind a change for longer gets no further lease.")
+      .span("entries.apply_within_ms", &control_settings::ApplyWithin,
+            {milliseconds(10'000), milliseconds(100), milliseconds(600'000)},
+            "No entry acts on an older declaration for longer after a change was acknowledged. "
+            "Where a lease lasts longer, an acknowledgement may wait for what it lasts longer.")
+      .span("entries.revoke_within_ms", &control_settings::RevokeWithin,
+            {milliseconds(10'000), milliseconds(100), milliseconds(600'000)},
+            "The same for keys that a change took away; the shorter of both counts.")
       .text("log_level", &control_settings::LogLevel, presence::Optional,
             "debug, info, warning or error", checkLevel, "Least level that is logged.", "info");
 }
@@ -190,6 +197,7 @@
   in_force_options Options;
   Options.Lease = Settings.EntryLease;
   Options.ConfirmWithin = Settings.ConfirmWithin;
+  Options.ApplyWithin = std::min(Settings.ApplyWithin, Settings.RevokeWithin);
   return Options;
 }
 
--- a/programs/pollenstall-control/control_settings_type.h
+++ b/programs/pollenstall-control/control_settings_type.h
@@ -38,6 +38,8 @@
   std::chrono::milliseconds Election{0};
   std::chrono::milliseconds EntryLease{0};
   std::chrono::milliseconds ConfirmWithin{0};
+  std::chrono::milliseconds ApplyWithin{0};
+  std::chrono::milliseconds RevokeWithin{0};
   std::uint32_t SnapshotEvery{0};
   std::string GossipAddress; ///< Empty: no engines are known, and no order is sent.
   std::vector<std::string> GossipSeeds;
--- a/src/control_state/in_force_tracker.cpp
+++ b/src/control_state/in_force_tracker.cpp
@@ -13,9 +13,19 @@
 
 } // namespace
 
-mono_span in_force_tracker::longestLease() const {
+mono_span in_force_tracker::longest(mono_span Lease) const {
   // The entry's clock may run slow and this one fast, each by the skew.
-  return Options.Lease + Options.Lease * (2 * Options.ClockSkewPermille) / Permille;
+  return Lease + Lease * (2 * Options.ClockSkewPermille) / Permille;
+}
+
+mono_span in_force_tracker::leaseFor(revision Confirmed, mono_time Now) const {
+  // What was accepted longer ago than ConfirmWithin is below the floor, so nobody lags behind it.
+  const auto Missed = std::find_if(Recent.begin(), Recent.end(),
+                                   [&](const auto &Change) { return Confirmed < Change.first; });
+  if (Missed == Recent.end())
+    return Options.Lease;
+  const mono_span Left = Missed->second + Options.ApplyWithin - Now;
+  return std::min(Options.Lease, Left * Permille / (Permille + 2 * Options.ClockSkewPermille));
 }
 
 void in_force_tracker::takeOffice(revision Declared, mono_time Now) {
@@ -24,7 +34,7 @@
   Recent.clear();
   Entries.clear();
   Reported.reset();
-  PredecessorsEnd = Now + longestLease();
+  PredecessorsEnd = Now + longest(Options.Lease);
 }
 
 void in_force_tracker::accepted(revision Declared, mono_time Now) {
@@ -60,8 +70,12 @@
   // ever; without a lease it turns unready and the change is in force without it.
   if (!Confirmed || *Confirmed < Floor || *Confirmed > Current)
     return std::nullopt;
-  Entry.LeaseEnd = Now + longestLease();
-  return Options.Lease;
+  const mono_span Lease = leaseFor(*Confirmed, Now);
+  if (Lease <= mono_span::zero())
+    return std::nullopt;
+  // An earlier lease, given before the change that it lags behind, may end later.
+  Entry.LeaseEnd = std::max(Entry.LeaseEnd, Now + longest(Lease));
+  return Lease;
 }
 
 std::optional<revision> in_force_tracker::inForce(mono_time Now) {
@@ -77,8 +91,14 @@
   return Reported;
 }
 
-bool in_force_tracker::mayAcknowledge(revision Accepted, mono_time /*Now*/) const {
-  return Accepted <= Current;
+bool in_force_tracker::mayAcknowledge(revision Accepted, mono_time Now) const {
+  const mono_time Limit = Now + Options.ApplyWithin;
+  if (Accepted > Current || Limit < PredecessorsEnd)
+    return false;
+  return std::all_of(Entries.begin(), Entries.end(), [&](const auto &Item) {
+    const entry_lease &Entry = Item.second;
+    return Entry.LeaseEnd <= Limit || (Entry.Confirmed && *Entry.Confirmed >= Accepted);
+  });
 }
 
 void in_force_tracker::forgetOldEntries(mono_time Now) {
--- a/src/control_state/in_force_tracker_base.h
+++ b/src/control_state/in_force_tracker_base.h
@@ -18,7 +18,8 @@
   mono_span Lease{std::chrono::milliseconds(5000)};
   /// An entry that lags behind a change for longer gets no further lease.
   mono_span ConfirmWithin{std::chrono::milliseconds(2000)};
-  /// Nobody acts on an older declaration for longer after a change was acknowledged.
+  /// Nobody acts on an older declaration for longer after a change was acknowledged: leases of
+  /// entries that lag end by then, and a change is acknowledged no sooner than the others allow.
   mono_span ApplyWithin{std::chrono::seconds(10)};
   /// How much faster or slower than true time a clock may run, in parts per thousand.
   std::uint32_t ClockSkewPermille{20};
@@ -51,21 +52,31 @@
   /// A change was accepted.
   void accepted(revision Current, mono_time Now);
 
-  /// An entry asks for a lease. @return The lease, or nothing where it lags behind too far.
+  /// An entry asks for a lease. @return The lease, shorter where it lags, or nothing where it
+  /// lags behind too far.
   std::optional<mono_span> renew(const process_key &Process, const failure_domain_name &Domain,
                                  std::optional<revision> Confirmed, mono_time Now);
 
   /// @return The highest revision known to be in force everywhere; nothing while that is unknown.
   std::optional<revision> inForce(mono_time Now);
 
-  /// @return Whether an accepted change may be acknowledged now.
+  /**
+   * A lease may be longer than ApplyWithin, so that entries serve on while leaders change. One that
+   * was given a moment before a change would then outlast the promise, so that a caller is told "no
+   * such route" of a route that an operator was told is there. The operator is told once every such
+   * lease ends in time; where all entries have confirmed, that is at once.
+   * @return Whether an accepted change may be acknowledged now.
+   */
   [[nodiscard]] bool mayAcknowledge(revision Accepted, mono_time Now) const;
 
   /// @return Entries seen lately, those without a lease included.
   [[nodiscard]] std::vector<entry_lease> entries() const;
 
 private:
-  [[nodiscard]] mono_span longestLease() const;
+  /// @return The longest that a lease lasts by any clock.
+  [[nodiscard]] mono_span longest(mono_span Lease) const;
+  /// @return What may be given to an entry that acts on this revision.
+  [[nodiscard]] mono_span leaseFor(revision Confirmed, mono_time Now) const;
   [[nodiscard]] revision leaseFloor(mono_time Now);
   void forgetOldEntries(mono_time Now);
 
--- a/tests/platform/platform_system.cpp
+++ b/tests/platform/platform_system.cpp
@@ -57,8 +57,12 @@
   for (const std::string &Seed : SeedList)
     List += (List.empty() ? "\"" : ",\"") + Seed + "\"";
   replaceAll(Template, R"({{#seed_nodes}}"{{.}}"{{,}}{{/seed_nodes}})", List);
-  for (const auto &[Name, Value] : Fields)
+  for (const auto &[Name, Value] : Fields) {
+    // Every field has a value here, so that its section stands.
+    replaceAll(Template, "{{#" + Name + "}}", "");
+    replaceAll(Template, "{{/" + Name + "}}", "");
     replaceAll(Template, "{{" + Name + "}}", Value);
+  }
   return Template;
 }
 
@@ -102,7 +106,9 @@
                 {"bounds.grace_s", "8"},
                 {"bounds.retry_budget_ratio", "0.2"},
                 {"bounds.retry_budget_extra", "100"},
-                {"bounds.budget_window_s", "10"}},
+                {"bounds.budget_window_s", "10"},
+                {"bounds.config_apply_ms", "2000"},
+                {"bounds.revocation_ms", "5000"}},
                SeedList);
   return child_process::withSettings("pollenstall-" + Role, Text);
 }
