Declarations travel packed, and as differences also where they are large

Callers saw: as before, entries refused after two large changes. Cause: a leader kept 1 MiB of texts for differences, and with a text of 0.62 MB the one before was gone: each change of one number sent the whole to all 59 entries, 52 MB for a text of 0.88 MB. A new leader kept none, and the difference was made anew for each other base. Texts were not packed, though every route repeats the same words. Now whole texts and differences travel through zlib (RFC 1950, packed once, unpacked within a bound), every control host keeps the texts of two largest declarations, and a difference is made once a base. Weighed: packing each frame (packs 59 times), a dictionary of routes in the protocol (more than zlib gives, and our own codec to keep).

--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -1,6 +1,8 @@
 /** @file entry_desk.cpp Answers to entries. */
 #include "entry_desk_base.h"
 
+#include "control_link/control_link_codec_func.h"
+
 #include <utility>
 
 namespace pollenstall {
@@ -11,8 +13,9 @@
 /// So long an entry waits here for a leader: this host may be the one that is cut off from it.
 constexpr std::chrono::milliseconds LeaderWait{200};
 constexpr std::size_t MaxHeldRequests = 64; ///< Of one entry that waits.
-/// Of older declarations' texts: several of a few hundred routes, for entries that lag by as many.
-constexpr std::size_t MaxRecentBytes = 1U << 20U;
+/// Of declarations' texts, the newest among them: two of the largest, or many of usual size. Where
+/// the one before the newest is not kept, every change goes to every entry whole.
+constexpr std::size_t MaxRecentBytes = 2 * MaxLinkReplyBytes;
 
 std::uint32_t wholeMillis(mono_span Span) {
   return static_cast<std::uint32_t>(
@@ -32,7 +35,6 @@
 
 void entry_desk::takeOffice(mono_time Now) {
   InOffice = true;
-  Recent.clear(); // Another leader may have declared meanwhile.
   keepText();
   Tracker.takeOffice(Hooks.State().declared().Revision, Now);
   for (const auto &[Connection, Entry] : std::exchange(Waiting, {}))
@@ -184,27 +186,41 @@
   if (Current || UnderWay)
     return;
   Session.Sent = Declared.Revision;
-  if (!sendDifference(To, Session))
-    Hooks.Send({To, link_declaration{Declared.Revision, Declared.Text}});
+  Hooks.Send({To, messageFor(Session.Holds)});
 }
 
-/// @return Whether the entry holds a text that a difference can build on, and was sent one.
-bool entry_desk::sendDifference(connection_number To, const session &Session) {
+link_reply entry_desk::messageFor(std::optional<revision> Holds) {
   const declared_text &Declared = Hooks.State().declared();
-  const auto Base = Session.Holds ? Recent.find(*Session.Holds) : Recent.end();
+  const auto Base = Holds ? Recent.find(*Holds) : Recent.end();
   if (Base == Recent.end())
-    return false;
-  if (LastChange.Base != Base->first || LastChange.Revision != Declared.Revision)
-    LastChange = {Base->first, Declared.Revision, differenceOf(Base->second, Declared.Text)};
-  if (sizeOf(LastChange.Change) >= Declared.Text.size())
-    return false;
-  Hooks.Send({To, LastChange});
-  return true;
+    return link_declaration{Declared.Revision, packedText()};
+  const packed_text &Change = packedDifference(Base->first, Base->second);
+  // A difference as long as the text it makes saves nothing.
+  if (Change.Size >= Declared.Text.size())
+    return link_declaration{Declared.Revision, packedText()};
+  return link_declaration_change{Base->first, Declared.Revision, Change};
+}
+
+const packed_text &entry_desk::packedText() {
+  if (!Whole)
+    Whole = pack(Hooks.State().declared().Text);
+  return *Whole;
+}
+
+const packed_text &entry_desk::packedDifference(revision Base, const std::string &Old) {
+  const auto Made = Differences.find(Base);
+  if (Made != Differences.end())
+    return Made->second;
+  const text_difference Change = differenceOf(Old, Hooks.State().declared().Text);
+  return Differences.emplace(Base, packDifference(Change)).first->second;
 }
 
 void entry_desk::keepText() {
   const declared_text &Declared = Hooks.State().declared();
-  Recent.insert_or_assign(Declared.Revision, Declared.Text);
+  if (!Recent.insert_or_assign(Declared.Revision, Declared.Text).second)
+    return;
+  Whole.reset();
+  Differences.clear();
   std::size_t Bytes = 0;
   for (const auto &[Revision, Text] : Recent)
     Bytes += Text.size();
@@ -221,9 +237,11 @@
 }
 
 void entry_desk::declarationChanged(mono_time Now) {
+  // Kept while another host leads, too: entries come to the next leader with the texts of the last
+  // one, and all at once.
+  keepText();
   if (!InOffice)
     return;
-  keepText();
   Tracker.accepted(Hooks.State().declared().Revision, Now);
   if (!Hooks.MayServe(Now))
     return;
--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -89,7 +89,10 @@
   void handleRequest(connection_number From, const link_claim_settle &Request, mono_time Now);
   void sendAway(connection_number To);
   void sendDeclaration(connection_number To, session &Session);
-  [[nodiscard]] bool sendDifference(connection_number To, const session &Session);
+  /// @return The declaration as it goes to an entry that holds this text, or none.
+  [[nodiscard]] link_reply messageFor(std::optional<revision> Holds);
+  [[nodiscard]] const packed_text &packedText();
+  [[nodiscard]] const packed_text &packedDifference(revision Base, const std::string &Old);
   void keepText();
   void sendDrains(connection_number To);
   void introduce(connection_number To, session &Session);
@@ -103,7 +106,10 @@
   std::map<connection_number, session> Sessions;
   std::map<connection_number, waiting_entry> Waiting;
   std::map<revision, std::string> Recent; ///< Texts that differences may build on.
-  link_declaration_change LastChange;     ///< Most entries hold the same one.
+  /// The newest declaration as it travels, whole and by the base of a difference; made once for
+  /// all.
+  std::optional<packed_text> Whole;
+  std::map<revision, packed_text> Differences;
   bool InOffice{false};
 };
 
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -143,6 +143,11 @@
       emit(control_lost{Why, Silence.partBytes(), Silence.sinceMessage(Now)});
   }
 
+  void loseUnreadable() {
+    Garbage.fetch_add(1, std::memory_order_relaxed);
+    lose(boot_clock::now(), control_loss::Unreadable);
+  }
+
   template <typename Message> void send(const Message &Value) {
     // A full queue means a host that reads nothing; it is found silent and given up.
     if (Open)
@@ -163,10 +168,8 @@
   void received(const std::string &Bytes) {
     const auto Decoded =
         decodeEnvelope<link_reply>(Plan.Fleet, message_kind::ControlLink, Bytes, MaxLinkReplyBytes);
-    if (!succeeded(Decoded)) {
-      Garbage.fetch_add(1, std::memory_order_relaxed);
-      return lose(boot_clock::now(), control_loss::Unreadable);
-    }
+    if (!succeeded(Decoded))
+      return loseUnreadable();
     Silence.message(boot_clock::now());
     std::visit([this](const auto &Message) { handle(Message); }, valueOf(Decoded));
   }
@@ -179,19 +182,20 @@
   }
 
   void handle(const link_declaration &Message) {
+    auto Text = unpack(Message.Text, MaxLinkReplyBytes);
+    if (!Text)
+      return loseUnreadable();
     served();
-    hold(Message.Revision, Message.Text);
+    hold(Message.Revision, std::move(*Text));
   }
 
   void handle(const link_declaration_change &Message) {
-    auto Text = Held.Revision == Message.Base
-                    ? applyDifference(Held.Text, Message.Change, MaxLinkReplyBytes)
-                    : std::nullopt;
+    auto Text = Held.Revision == Message.Base ? applyPackedDifference(Held.Text, Message.Change)
+                                              : std::nullopt;
     if (!Text) {
       // On the next connection this host says that it holds nothing, and is sent the whole text.
       Held = {};
-      Garbage.fetch_add(1, std::memory_order_relaxed);
-      return lose(boot_clock::now(), control_loss::Unreadable);
+      return loseUnreadable();
     }
     served();
     hold(Message.Revision, std::move(*Text));
--- a/src/control_link/control_link_codec_func.h
+++ b/src/control_link/control_link_codec_func.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_CONTROL_LINK_CONTROL_LINK_CODEC_FUNC_H
 
 #include "control_link/control_link_message_type.h"
+#include "text_difference/text_difference.h"
 #include "wire/wire.h"
 
 #include <string>
@@ -33,6 +34,9 @@
 template <typename Archive> void serialize(Archive &Into, link_claim_settle &Message) {
   Into(Message.Call, Message.Claim);
 }
+template <typename Archive> void serialize(Archive &Into, packed_text &Packed) {
+  Into(Packed.Size, Packed.Bytes);
+}
 template <typename Archive> void serialize(Archive &Into, link_declaration &Message) {
   Into(Message.Revision, Message.Text);
 }
@@ -71,6 +75,23 @@
   Into(Message.Version, Message.Backends);
 }
 
+/// @return The difference as it travels.
+inline packed_text packDifference(const text_difference &Difference) {
+  return pack(encodePlain(Difference));
+}
+
+/// @return The new text, or nothing where the difference cannot be read or is not meant for Old.
+inline std::optional<std::string> applyPackedDifference(std::string_view Old,
+                                                        const packed_text &Change) {
+  const auto Plain = unpack(Change, MaxLinkReplyBytes);
+  if (!Plain)
+    return std::nullopt;
+  const auto Difference = decodePlain<text_difference>(*Plain);
+  if (!succeeded(Difference))
+    return std::nullopt;
+  return applyDifference(Old, valueOf(Difference), MaxLinkReplyBytes);
+}
+
 /// @return The frame of one message to a control host or to an entry.
 template <typename Message> std::string linkFrame(const std::string &Fleet, const Message &Value) {
   return frameOf(encodeEnvelope(Fleet, message_kind::ControlLink, Value));
--- a/src/control_link/control_link_message_type.h
+++ b/src/control_link/control_link_message_type.h
@@ -7,7 +7,7 @@
 #include "claim/claim.h"
 #include "core/core.h"
 #include "directory/directory_type.h"
-#include "text_difference/text_difference.h"
+#include "packed_text/packed_text.h"
 
 #include <cstdint>
 #include <optional>
@@ -59,14 +59,14 @@
 /// The declaration in force; sent where the entry confirmed less.
 struct link_declaration {
   revision Revision;
-  std::string Text;
+  packed_text Text;
 };
 
 /// The same as a difference to an older one, whose text the entry holds.
 struct link_declaration_change {
   revision Base;
   revision Revision;
-  text_difference Change;
+  packed_text Change; ///< A text_difference, see packDifference().
 };
 
 /// Extends the lease. Given only while the control host holds its own lease as the leader.
--- /dev/null
+++ b/src/packed_text/packed_text_type.h
@@ -0,0 +1,20 @@
+/** @file packed_text_type.h A compressed text. */
+#ifndef POLLENSTALL_PACKED_TEXT_PACKED_TEXT_TYPE_H
+#define POLLENSTALL_PACKED_TEXT_PACKED_TEXT_TYPE_H
+
+#include <cstdint>
+#include <string>
+
+namespace pollenstall {
+
+/// Text in the zlib format (RFC 1950). Declarations repeat their words in every route.
+struct packed_text {
+  std::uint32_t Size{0}; ///< Bytes of the text.
+  std::string Bytes;
+
+  bool operator==(const packed_text &) const = default;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PACKED_TEXT_PACKED_TEXT_TYPE_H
--- a/tests/control/entry_desk_test.cpp
+++ b/tests/control/entry_desk_test.cpp
@@ -1,4 +1,5 @@
 /** @file entry_desk_test.cpp What a leader tells entries, and what it must not. */
+#include "control_link/control_link_codec_func.h"
 #include "entry_desk_base.h"
 
 #include <gtest/gtest.h>
@@ -178,8 +179,8 @@
   ASSERT_EQ(Changes.size(), 1U);
   EXPECT_EQ(Changes[0].Base, revision(2));
   EXPECT_EQ(Changes[0].Revision, revision(3));
-  EXPECT_EQ(applyDifference(longText(2), Changes[0].Change, 1U << 20U), longText(3));
-  EXPECT_LT(sizeOf(Changes[0].Change), longText(3).size() / 10);
+  EXPECT_EQ(applyPackedDifference(longText(2), Changes[0].Change), longText(3));
+  EXPECT_LT(Changes[0].Change.Bytes.size(), longText(3).size() / 10);
 }
 
 TEST_F(EntryDeskTest, SendsTheWholeToAnEntryThatHoldsNothingItKnows) {
@@ -193,7 +194,32 @@
   handle(link_subscribe{Process, failure_domain_name("a"), {}, revision(77)});
   const auto Whole = take<link_declaration>();
   ASSERT_EQ(Whole.size(), 1U);
-  EXPECT_EQ(Whole[0].Text, longText(1));
+  EXPECT_EQ(unpack(Whole[0].Text, MaxLinkReplyBytes), longText(1));
+}
+
+// A large declaration changes by one line: the text before it was not kept, since the two together
+// were over the bound, and 59 entries were sent 0.88 MB each for one changed number.
+TEST_F(EntryDeskTest, SendsTheDifferenceOfALargeDeclaration) {
+  const std::string Padding(MaxLinkReplyBytes / 2, 'x');
+  Desk.takeOffice(Now);
+  subscribe();
+  accept(Padding + longText(1));
+  renew(1, 1);
+  Sent.clear();
+  accept(Padding + longText(2));
+  EXPECT_EQ(take<link_declaration_change>().size(), 1U);
+}
+
+// Leaders change. Every entry comes to the new one with the text that the last one declared; sent
+// whole to all of them, the next change would fill the link of a host that has just been elected.
+TEST_F(EntryDeskTest, SendsTheDifferenceToATextThatAnotherLeaderDeclared) {
+  accept(longText(1));
+  Desk.takeOffice(Now);
+  handle(link_subscribe{Process, failure_domain_name("a"), {}, revision(1)});
+  renew(1, 1);
+  Sent.clear();
+  accept(longText(2));
+  EXPECT_EQ(take<link_declaration_change>().size(), 1U);
 }
 
 TEST_F(EntryDeskTest, SendsNothingAgainToAnEntryThatComesBackWithTheNewest) {
--- a/tests/control_state/control_link_connect_test.cpp
+++ b/tests/control_state/control_link_connect_test.cpp
@@ -125,9 +125,12 @@
 // same text from its first byte, as all others did, and no entry ever got it ("control_lost", "why"
 // "silent", "part_bytes" 382,873 on the average of 1,004).
 TEST(AControlLink, StaysWithAHostWhoseMessageIsOnItsWay) {
-  const std::string Text(400'000, 'x');
-  const slow_host Host(linkFrame("fleet", link_reply(link_declaration{revision(3), Text})), 30,
-                       30ms);
+  random_source Random(7);
+  std::string Text(400'000, ' ');
+  for (char &Letter : Text)
+    Letter = static_cast<char>('a' + Random.below('z' - 'a'));
+  const slow_host Host(linkFrame("fleet", link_reply(link_declaration{revision(3), pack(Text)})),
+                       30, 30ms);
   const auto Link = control_link_builder({Host.address()}, "fleet")
                         .process({host_name("entry"), incarnation(1)}, failure_domain_name("d"))
                         .answerWithin(300ms)
--- a/tests/control_state/control_link_test.cpp
+++ b/tests/control_state/control_link_test.cpp
@@ -16,13 +16,14 @@
 }
 
 std::vector<link_reply> sampleReplies() {
-  return {link_declaration{revision(3), "text"},
+  return {link_declaration{revision(3), pack("text")},
           link_lease{1, revision(3), 5000},
           link_not_leader{"127.0.0.1:1"},
           link_claim_answer{4, claim_verdict::Running},
           link_settle_answer{4},
           link_drains{2, {backend_address("127.0.0.1:9")}},
-          link_declaration_change{revision(3), revision(4), differenceOf("{a}{b}", "{b}{c}")}};
+          link_declaration_change{revision(3), revision(4),
+                                  packDifference(differenceOf("{a}{b}", "{b}{c}"))}};
 }
 
 TEST(LinkMessages, ComeBackAsTheyWereSent) {
--- a/tests/control_state/held_text_test.cpp
+++ b/tests/control_state/held_text_test.cpp
@@ -100,11 +100,11 @@
 
 link_declaration_change change(std::uint64_t Base, const std::string &Old, std::uint64_t Number,
                                const std::string &New) {
-  return {revision(Base), revision(Number), differenceOf(Old, New)};
+  return {revision(Base), revision(Number), packDifference(differenceOf(Old, New))};
 }
 
 TEST(AHeldText, IsBuiltOnByTheNextDifferences) {
-  scripted_control Control({{link_declaration{revision(1), "{a}{b}"},
+  scripted_control Control({{link_declaration{revision(1), pack("{a}{b}")},
                              change(1, "{a}{b}", 2, "{a}{c}"), change(2, "{a}{c}", 3, "{c}")}});
   const auto Link = linkTo(Control);
   const auto Received = receive(*Link, 3);
@@ -119,8 +119,8 @@
 // it holds nothing, and gets the whole text.
 TEST(AHeldText, ThatADifferenceDoesNotFitIsGivenUpForTheWhole) {
   scripted_control Control(
-      {{link_declaration{revision(1), "{a}{b}"}, change(1, "{other}", 2, "{other}{c}")},
-       {link_declaration{revision(2), "{other}{c}"}}});
+      {{link_declaration{revision(1), pack("{a}{b}")}, change(1, "{other}", 2, "{other}{c}")},
+       {link_declaration{revision(2), pack("{other}{c}")}}});
   const auto Link = linkTo(Control);
   const auto Received = receive(*Link, 2);
   ASSERT_EQ(Received.size(), 2U);
@@ -134,7 +134,7 @@
 // The connection is lost and another control host leads: the entry says at once what it holds, so
 // that a fleet's change of leaders does not send every declaration whole.
 TEST(AHeldText, IsToldOnTheNextConnection) {
-  scripted_control Control({{link_declaration{revision(1), "{a}{b}"}, link_not_leader{""}},
+  scripted_control Control({{link_declaration{revision(1), pack("{a}{b}")}, link_not_leader{""}},
                             {change(1, "{a}{b}", 2, "{a}")}});
   const auto Link = linkTo(Control);
   const auto Received = receive(*Link, 2);
