Texts for entries take turns, so that heartbeats find the link free

Callers saw: refusals while leaders changed six times, though nothing was killed. Cause: all texts left at once by the link that carries heartbeats, so followers elected others, which began to send from nothing. Ruled out: slow disks and a busy processor (12 %). Now no more is on its way than the link (a setting, link_mbps) carries between two heartbeats; who spoke last comes first, a silent entry holds a place for 0.5 s at most, and an entry says at once that a text has arrived. The list of who there is goes out every 200 ms at most: all entries connecting anew were sent it once for each. Weighed: a limit in texts, which a link of another rate breaks; a rate in bytes a second, which leaves a fast entry's link idle; frames cut into parts with priorities, more code in the transport for the same wait. Left: 25 small changes to a large text put 83 MB into the log's copies.

--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -28,6 +28,14 @@
   return Options;
 }
 
+entry_desk_options deskOptions(const control_settings &Settings) {
+  constexpr double BytesPerMegabit = 1e6 / 8;
+  const std::chrono::duration<double> Heartbeat = Settings.Heartbeat;
+  // What the link carries between two heartbeats: none waits for longer behind texts.
+  return {inForceOptions(Settings),
+          static_cast<std::size_t>(Settings.LinkMegabits * BytesPerMegabit * Heartbeat.count())};
+}
+
 std::uint64_t randomNumber() {
   std::random_device Source;
   constexpr unsigned HalfBits = 32;
@@ -52,8 +60,8 @@
 
 control_core::control_core(control_core_parts Given)
     : Parts(std::move(Given)), Replica(makeReplica(Parts.Settings, *Parts.Folder)), State(Limits),
-      Desk(inForceOptions(Parts.Settings), deskHooks()),
-      Directory(directoryOptions(Parts.Settings)), Requests(RequestCapacity) {
+      Desk(deskOptions(Parts.Settings), deskHooks()), Directory(directoryOptions(Parts.Settings)),
+      Requests(RequestCapacity) {
   Addresses[self()] = Parts.Own;
   Requests.onWake([this] { Parts.Wake->notify(); });
   publishDeclared();
--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -135,6 +135,9 @@
       .span("entries.revoke_within_ms", &control_settings::RevokeWithin,
             {milliseconds(10'000), milliseconds(100), milliseconds(600'000)},
             "The same for keys that a change took away; the shorter of both counts.")
+      .fraction("link_mbps", &control_settings::LinkMegabits, {1000.0, 1.0, 1'000'000.0},
+                "Rate of this host's link in Mbit/s. Declarations on their way to entries take no "
+                "more than it carries between two heartbeats.")
       .text("log_level", &control_settings::LogLevel, presence::Optional,
             "debug, info, warning or error", checkLevel, "Least level that is logged.", "info");
 }
--- a/programs/pollenstall-control/control_settings_type.h
+++ b/programs/pollenstall-control/control_settings_type.h
@@ -40,6 +40,7 @@
   std::chrono::milliseconds ConfirmWithin{0};
   std::chrono::milliseconds ApplyWithin{0};
   std::chrono::milliseconds RevokeWithin{0};
+  double LinkMegabits{0};
   std::uint32_t SnapshotEvery{0};
   std::string GossipAddress; ///< Empty: no engines are known, and no order is sent.
   std::vector<std::string> GossipSeeds;
--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -3,6 +3,8 @@
 
 #include "control_link/control_link_codec_func.h"
 
+#include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace pollenstall {
@@ -13,6 +15,8 @@
 /// So long an entry waits here for a leader: this host may be the one that is cut off from it.
 constexpr std::chrono::milliseconds LeaderWait{200};
 constexpr std::size_t MaxHeldRequests = 64; ///< Of one entry that waits.
+/// Between two lists of who there is: entries that connect at once are told of each other once.
+constexpr std::chrono::milliseconds FleetInterval{200};
 /// Of declarations' texts, the newest among them: two of the largest, or many of usual size. Where
 /// the one before the newest is not kept, every change goes to every entry whole.
 constexpr std::size_t MaxRecentBytes = 2 * MaxLinkReplyBytes;
@@ -30,8 +34,9 @@
 
 } // namespace
 
-entry_desk::entry_desk(const in_force_options &Times, entry_desk_hooks Asked)
-    : Options(Times), Hooks(std::move(Asked)), Tracker(Times) {}
+entry_desk::entry_desk(const entry_desk_options &Given, entry_desk_hooks Asked)
+    : Options(Given), Hooks(std::move(Asked)), Tracker(Options.Leases),
+      Pace(Options.MostBytesUnderWay) {}
 
 void entry_desk::takeOffice(mono_time Now) {
   InOffice = true;
@@ -57,7 +62,16 @@
 }
 
 void entry_desk::advance(mono_time Now) {
-  if (InOffice || Waiting.empty())
+  if (!InOffice)
+    return tellWaiting(Now);
+  Pace.endOverdue(Now);
+  sendTexts(Now);
+  if (FleetChanged && Now >= NextFleet)
+    sendFleet(Now);
+}
+
+void entry_desk::tellWaiting(mono_time Now) {
+  if (Waiting.empty())
     return;
   const bool Known = !Hooks.LeaderAddress().empty();
   std::erase_if(Waiting, [&](const auto &Item) {
@@ -73,13 +87,14 @@
   for (const auto &[Connection, Session] : Sessions)
     sendAway(Connection);
   Sessions.clear();
+  Pace.clear();
 }
 
 void entry_desk::handle(const hub_event &Event, mono_time Now) {
   if (std::holds_alternative<connection_closed>(Event.What)) {
     Waiting.erase(Event.Connection);
-    if (Sessions.erase(Event.Connection) > 0)
-      sendFleet();
+    Pace.ended(Event.Connection);
+    FleetChanged = Sessions.erase(Event.Connection) > 0 || FleetChanged;
     return;
   }
   if (!InOffice)
@@ -95,19 +110,22 @@
 void entry_desk::handleRequest(connection_number From, const link_subscribe &Request,
                                mono_time Now) {
   // An entry that connects again before its old connection was found dead has one session only.
-  std::erase_if(Sessions, [&Request](const auto &Item) {
-    return Item.second.Who.Process.Host == Request.Process.Host;
+  std::erase_if(Sessions, [&](const auto &Item) {
+    const bool Same = Item.second.Who.Process.Host == Request.Process.Host;
+    if (Same)
+      Pace.ended(Item.first);
+    return Same;
   });
   Sessions[From] = {Request, std::nullopt, std::nullopt, Request.Holds, Now};
   introduce(From, Sessions[From]);
-  sendFleet();
+  FleetChanged = true;
+  sendTexts(Now);
 }
 
 void entry_desk::introduce(connection_number To, session &Session) {
   Session.Introduced = true;
   if (Hooks.Backends)
     Hooks.Send({To, link_backends{true, Hooks.Backends()}});
-  sendDeclaration(To, Session);
 }
 
 link_fleet entry_desk::fleet() const {
@@ -120,9 +138,13 @@
   return Fleet;
 }
 
-void entry_desk::sendFleet() {
-  if (!InOffice)
-    return;
+/**
+ * The list grows with the entries and goes to all of them. When all connect anew it would change
+ * as often as there are entries: at 195 of them 0.9 MB each time, more than their texts.
+ */
+void entry_desk::sendFleet(mono_time Now) {
+  FleetChanged = false;
+  NextFleet = Now + FleetInterval;
   const link_fleet Fleet = fleet();
   for (const auto &[Connection, Session] : Sessions)
     Hooks.Send({Connection, Fleet});
@@ -135,7 +157,7 @@
     Hooks.Send({Connection, link_backends{false, Changes}});
 }
 
-void entry_desk::controlsChanged() { sendFleet(); }
+void entry_desk::controlsChanged() { FleetChanged = true; }
 
 void entry_desk::handleRequest(connection_number From, const link_renew &Request, mono_time Now) {
   const auto Found = Sessions.find(From);
@@ -147,10 +169,11 @@
   Session.Confirmed = Request.Confirmed;
   Session.Holds = Request.Holds;
   Session.LastSeen = Now;
+  noteArrival(From, Session);
   const auto Lease = Tracker.renew(Request.Process, Session.Who.Domain, Request.Confirmed, Now);
   const revision Confirmed = Request.Confirmed.value_or(revision());
   Hooks.Send({From, link_lease{Request.Ask, Confirmed, Lease ? wholeMillis(*Lease) : 0}});
-  sendDeclaration(From, Session);
+  sendTexts(Now);
   if (Request.DrainsSeen != Hooks.State().drainsVersion())
     sendDrains(From);
   forgetSilentSessions(Now);
@@ -177,16 +200,45 @@
   Hooks.Send({To, link_not_leader{Hooks.LeaderAddress()}});
 }
 
-void entry_desk::sendDeclaration(connection_number To, session &Session) {
-  const declared_text &Declared = Hooks.State().declared();
-  const bool Current = Session.Confirmed == Declared.Revision ||
-                       Session.Sent == Declared.Revision || Session.Holds == Declared.Revision;
+void entry_desk::noteArrival(connection_number From, const session &Session) {
+  const revision Known =
+      std::max(Session.Holds.value_or(revision()), Session.Confirmed.value_or(revision()));
+  if (Session.Sent && Known >= *Session.Sent)
+    Pace.ended(From);
+}
+
+bool entry_desk::needsText(const session &Session) const {
+  const revision Declared = Hooks.State().declared().Revision;
+  const bool Current =
+      Session.Confirmed == Declared || Session.Sent == Declared || Session.Holds == Declared;
   // One at a time: a burst of changes would otherwise queue every declaration between.
   const bool UnderWay = Session.Sent && (!Session.Confirmed || *Session.Confirmed < *Session.Sent);
-  if (Current || UnderWay)
+  return Session.Introduced && !Current && !UnderWay;
+}
+
+void entry_desk::sendTexts(mono_time Now) {
+  if (!Hooks.MayServe(Now))
     return;
-  Session.Sent = Declared.Revision;
-  Hooks.Send({To, messageFor(Session.Holds)});
+  std::vector<std::pair<mono_time, connection_number>> Due;
+  for (const auto &[Connection, Session] : Sessions)
+    if (needsText(Session))
+      Due.emplace_back(Session.LastSeen, Connection);
+  // Who has just spoken is there to take it; one that is cut off comes last.
+  std::sort(Due.begin(), Due.end(), std::greater<>());
+  for (const auto &[LastSeen, Connection] : Due) {
+    if (!Pace.hasRoom())
+      return;
+    sendText(Connection, Sessions.at(Connection), Now);
+  }
+}
+
+void entry_desk::sendText(connection_number To, session &Session, mono_time Now) {
+  link_reply Message = messageFor(Session.Holds);
+  const auto *Change = std::get_if<link_declaration_change>(&Message);
+  const packed_text &Text = Change ? Change->Change : std::get<link_declaration>(Message).Text;
+  Pace.began(To, Text.Bytes.size(), Now);
+  Session.Sent = Hooks.State().declared().Revision;
+  Hooks.Send({To, std::move(Message)});
 }
 
 link_reply entry_desk::messageFor(std::optional<revision> Holds) {
@@ -243,10 +295,7 @@
   if (!InOffice)
     return;
   Tracker.accepted(Hooks.State().declared().Revision, Now);
-  if (!Hooks.MayServe(Now))
-    return;
-  for (auto &[Connection, Session] : Sessions)
-    sendDeclaration(Connection, Session);
+  sendTexts(Now);
 }
 
 void entry_desk::drainsChanged(mono_time Now) {
@@ -266,7 +315,7 @@
 
 void entry_desk::forgetSilentSessions(mono_time Now) {
   std::erase_if(Sessions, [&](const auto &Item) {
-    return Item.second.LastSeen + SilentLeases * Options.Lease < Now;
+    return Item.second.LastSeen + SilentLeases * Options.Leases.Lease < Now;
   });
 }
 
--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -4,6 +4,7 @@
 
 #include "control_state/control_state.h"
 #include "entry_hub_base.h"
+#include "send_pace_base.h"
 
 #include <functional>
 #include <map>
@@ -31,6 +32,13 @@
       Propose;
 };
 
+/// Times and bounds of a desk.
+struct entry_desk_options {
+  in_force_options Leases;
+  /// Of declarations on their way to entries at once, see send_pace.
+  std::size_t MostBytesUnderWay{1U << 20U};
+};
+
 /**
  * Used on the decision thread only.
  * Leases and declarations are given out only while this host holds its own lease as the leader:
@@ -38,13 +46,14 @@
  */
 class entry_desk {
 public:
-  entry_desk(const in_force_options &Times, entry_desk_hooks Asked);
+  entry_desk(const entry_desk_options &Given, entry_desk_hooks Asked);
 
   /// This host leads and has applied all that its predecessors acknowledged.
   void takeOffice(mono_time Now);
   /// This host leads no more: every entry is sent away.
   void leaveOffice();
-  /// Lets time pass. While this host does not lead, entries that wait are told the leader.
+  /// Lets time pass: sends what is due. While this host does not lead, entries that wait are told
+  /// the leader.
   void advance(mono_time Now);
 
   void handle(const hub_event &Event, mono_time Now);
@@ -88,7 +97,10 @@
   void handleRequest(connection_number From, const link_claim_acquire &Request, mono_time Now);
   void handleRequest(connection_number From, const link_claim_settle &Request, mono_time Now);
   void sendAway(connection_number To);
-  void sendDeclaration(connection_number To, session &Session);
+  void tellWaiting(mono_time Now);
+  [[nodiscard]] bool needsText(const session &Session) const;
+  void sendTexts(mono_time Now);
+  void sendText(connection_number To, session &Session, mono_time Now);
   /// @return The declaration as it goes to an entry that holds this text, or none.
   [[nodiscard]] link_reply messageFor(std::optional<revision> Holds);
   [[nodiscard]] const packed_text &packedText();
@@ -96,13 +108,15 @@
   void keepText();
   void sendDrains(connection_number To);
   void introduce(connection_number To, session &Session);
+  void noteArrival(connection_number From, const session &Session);
   [[nodiscard]] link_fleet fleet() const;
-  void sendFleet();
+  void sendFleet(mono_time Now);
   void forgetSilentSessions(mono_time Now);
 
-  in_force_options Options;
+  entry_desk_options Options;
   entry_desk_hooks Hooks;
   in_force_tracker Tracker;
+  send_pace Pace;
   std::map<connection_number, session> Sessions;
   std::map<connection_number, waiting_entry> Waiting;
   std::map<revision, std::string> Recent; ///< Texts that differences may build on.
@@ -111,6 +125,8 @@
   std::optional<packed_text> Whole;
   std::map<revision, packed_text> Differences;
   bool InOffice{false};
+  bool FleetChanged{false}; ///< Since entries were last told who there is.
+  mono_time NextFleet{};
 };
 
 } // namespace pollenstall
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -207,6 +207,8 @@
       return emit(declaration_received{Revision, std::move(Text)});
     Held = {Revision, Text};
     emit(declaration_received{Revision, std::move(Text)});
+    // The control host sends the next entry its text once it knows that this one has arrived.
+    renew(boot_clock::now());
   }
 
   void handle(const link_lease &Message) {
--- a/tests/control/entry_desk_test.cpp
+++ b/tests/control/entry_desk_test.cpp
@@ -9,7 +9,7 @@
 
 class EntryDeskTest : public testing::Test {
 protected:
-  EntryDeskTest() : Desk(in_force_options{}, hooks()) {}
+  EntryDeskTest() : Desk({}, hooks()) {}
 
   entry_desk_hooks hooks() {
     entry_desk_hooks Hooks;
--- a/tests/control/link_model.cpp
+++ b/tests/control/link_model.cpp
@@ -49,7 +49,8 @@
       Busy = false;
       if (const auto Still = Connections.find(Number); Still != Connections.end()) {
         const mono_time Reaches = std::max(Agenda.now() + Rates.Delay, Still->second.ReceiverFree);
-        Still->second.ReceiverFree = Reaches + timeFor(Bytes, Rates.Receiver);
+        const double Rate = Still->second.Rate > 0 ? Still->second.Rate : Rates.Receiver;
+        Still->second.ReceiverFree = Reaches + timeFor(Bytes, Rate);
         Agenda.at(Still->second.ReceiverFree, [this, Number, Bytes] { arrived(Number, Bytes); });
       }
       serve();
--- a/tests/control/link_model.h
+++ b/tests/control/link_model.h
@@ -25,10 +25,10 @@
   mono_time Time{std::chrono::seconds(1000)};
 };
 
-/// Rates of a link in bytes a second, and what stands between two hosts.
+/// Rates of links in bytes a second, and what stands between two hosts.
 struct link_rates {
   double Sender{0};
-  double Receiver{0};
+  double Receiver{0}; ///< Where none is said for a connection.
   mono_span Delay{0};
   /// Of one connection: no more is on its way, so that many connections share the link in turns.
   std::size_t Window{64U << 10U};
@@ -44,6 +44,8 @@
   /// @param Arrived Each time bytes come. @param Whole When all of them have.
   void send(std::uint64_t Connection, std::size_t Bytes, std::function<void(std::size_t)> Arrived,
             hook Whole);
+  /// The link of the host at the other end, in bytes a second.
+  void setReceiver(std::uint64_t Connection, double Rate) { Connections[Connection].Rate = Rate; }
   /// What has not left by then never does.
   void close(std::uint64_t Connection) { Connections.erase(Connection); }
   [[nodiscard]] std::uint64_t bytesSent() const { return Sent; }
@@ -58,6 +60,7 @@
     std::deque<message> Messages;
     bool OnItsWay{false};
     mono_time ReceiverFree{};
+    double Rate{0};
   };
 
   void serve();
--- a/tests/control/modelled_fleet.cpp
+++ b/tests/control/modelled_fleet.cpp
@@ -43,15 +43,27 @@
   return Text + "}";
 }
 
+namespace {
+
+entry_desk_options deskOptions(const fleet_plan &Plan) {
+  const std::chrono::duration<double> Heartbeat = Plan.Heartbeat;
+  return {Plan.Leases, static_cast<std::size_t>(Plan.ToEntries.Sender * Heartbeat.count())};
+}
+
+} // namespace
+
 modelled_fleet::modelled_fleet(const fleet_plan &Wanted)
-    : Plan(Wanted), Link(Agenda, Plan.ToEntries), Desk(Plan.Leases, hooks()), Entries(Plan.Entries),
-      Beats(Plan.Followers, Agenda.now()) {
+    : Plan(Wanted), Link(Agenda, Plan.ToEntries), Desk(deskOptions(Plan), hooks()),
+      Entries(Plan.Entries), Beats(Plan.Followers, Agenda.now()) {
   Desk.takeOffice(Agenda.now());
   for (std::size_t Number = 0; Number < Entries.size(); ++Number) {
     Entries[Number].Process = {host_name("entry-" + std::to_string(Number)), incarnation(1)};
     Entries[Number].Silence.begin(Agenda.now());
     Agenda.after(milliseconds(Number), [this, Number] { connect(Number); });
   }
+  // Control hosts are alike.
+  for (std::size_t Number = 0; Number < Plan.Followers; ++Number)
+    Link.setReceiver(followerStream(Number), Plan.ToEntries.Sender);
   look();
   beat();
 }
@@ -196,6 +208,7 @@
 void modelled_fleet::takeText(std::size_t Number, revision Revision) {
   entry &One = Entries[Number];
   One.Holds = Revision;
+  renew(Number);
   const auto Reading = std::chrono::duration_cast<mono_span>(std::chrono::duration<double>(
       static_cast<double>(State.declared().Text.size()) / Plan.ReadBytesPerSecond));
   One.ReadingUntil = std::max(Agenda.now(), One.ReadingUntil) + Reading;
