An entry that knows of a newer declaration does not say that a route or key is none

Cause: an entry answered from the declaration in use although a newer one was on its way; it was not told of that before the text was whole. What it does know is served as before. Ruled out: a route that no declaration has (404 as before where the entry does not lag). Weighed: waiting for every request while the entry lags (holds what needs no waiting).

--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -98,6 +98,10 @@
   auto Planned = Context.Interface.isSet()
                      ? planHeadedCall(Head, Context.Declaration, Context.Interface)
                      : planCall(Head, Context.Declaration);
+  // Its route or key may have been added, in a declaration that this entry knows of and does not
+  // have yet: "no such route" would be wrong, and the caller would not come back.
+  if (!succeeded(Planned) && errorOf(Planned).Undeclared && Context.DeclarationLags)
+    return notNow(std::string(NotReadyCode), "A newer configuration is on its way to this entry.");
   return Planned;
 }
 
