--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -157,9 +157,10 @@
   }
   Offers.wait(
       Offer.Revision,
-      [Answer = Request.Answer, Offered = Offer.Revision](bool Accepted) {
-        Answer->set_value(Accepted ? control_outcome(control_answer(offer_answer{Offered, true}))
-                                   : control_outcome(outcome_unknown{}));
+      [this, Answer = Request.Answer, Offered = Offer.Revision](bool Accepted) {
+        const revision Current = State.declared().Revision;
+        const control_answer Told = offer_answer{Current, Current == Offered};
+        Answer->set_value(Accepted ? control_outcome(Told) : control_outcome(outcome_unknown{}));
       },
       Time + ProposalLimit);
 }
--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -140,8 +140,8 @@
 }
 
 /**
- * The list grows with the entries and goes to all of them. When all connect anew it would change
- * as often as there are entries: at 195 of them 0.9 MB each time, more than their texts.
+ * The list grows with the entries and goes to all of them. Sent for each one that connects, it
+ * fills the link when all connect anew, as they do when leaders change.
  */
 void entry_desk::sendFleet(mono_time Now) {
   FleetChanged = false;
