--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -1,7 +1,7 @@
 /** @file entry_desk.cpp Answers to entries. */
 #include "entry_desk_base.h"
 
-#include "control_link/control_link_codec_func.h"
+#include "control_link/control_link.h"
 
 #include <algorithm>
 #include <functional>
--- a/tests/control/large_change_test.cpp
+++ b/tests/control/large_change_test.cpp
@@ -39,6 +39,12 @@
     Fleet.runFor(milliseconds(5000));
   }
 
+  static void expectEverywhere(const modelled_fleet &Fleet, revision Change, milliseconds Limit) {
+    const auto Took = Fleet.tookEverywhere(Change);
+    ASSERT_TRUE(Took) << "an entry never got " << Change.value();
+    EXPECT_LT(*Took, Limit) << "revision " << Change.value();
+  }
+
   static void expectCalm(const modelled_fleet &Fleet) {
     EXPECT_EQ(Fleet.lostControl(), 0U) << "entries gave up a leader that was sending to them";
     EXPECT_LT(Fleet.longestHeartbeatGap(), LeastElection) << "followers stand for election";
@@ -51,9 +57,7 @@
   settle(Fleet);
   const revision Large = Fleet.change(textOf(1640));
   Fleet.runFor(milliseconds(5000));
-  const auto Took = Fleet.tookEverywhere(Large);
-  ASSERT_TRUE(Took) << "an entry never got it";
-  EXPECT_LT(*Took, milliseconds(1000));
+  expectEverywhere(Fleet, Large, milliseconds(1000));
   expectCalm(Fleet);
 }
 
@@ -64,12 +68,8 @@
   Fleet.runFor(milliseconds(500));
   const revision Second = Fleet.change(textOf(3040));
   Fleet.runFor(milliseconds(6000));
-  const auto Took = Fleet.tookEverywhere(First);
-  ASSERT_TRUE(Took) << "an entry never got the first";
-  EXPECT_LT(*Took, milliseconds(1000));
-  const auto TookSecond = Fleet.tookEverywhere(Second);
-  ASSERT_TRUE(TookSecond) << "an entry never got the second";
-  EXPECT_LT(*TookSecond, milliseconds(1000));
+  expectEverywhere(Fleet, First, milliseconds(1000));
+  expectEverywhere(Fleet, Second, milliseconds(1000));
   expectCalm(Fleet);
 }
 
@@ -89,8 +89,7 @@
     Fleet.runFor(milliseconds(80));
   }
   Fleet.runFor(milliseconds(4000));
-  ASSERT_TRUE(Fleet.tookEverywhere(Last));
-  EXPECT_LT(*Fleet.tookEverywhere(Last), milliseconds(1000));
+  expectEverywhere(Fleet, Last, milliseconds(1000));
   // The log has each change once a follower; an entry never needs one of these texts whole.
   const std::uint64_t OneTextToAll = std::uint64_t{59} * textOf(3040).size();
   EXPECT_LT(Fleet.bytesSent() - Before, OneTextToAll);
@@ -117,9 +116,7 @@
   settle(Fleet);
   const revision Large = Fleet.change(textOf(1640));
   Fleet.runFor(milliseconds(6000));
-  const auto Took = Fleet.tookEverywhere(Large);
-  ASSERT_TRUE(Took) << "an entry never got it";
-  EXPECT_LT(*Took, milliseconds(2500));
+  expectEverywhere(Fleet, Large, milliseconds(2500));
   expectCalm(Fleet);
 }
 
