--- a/tests/control/entry_desk_test.cpp
+++ b/tests/control/entry_desk_test.cpp
@@ -9,7 +9,7 @@
 
 class EntryDeskTest : public testing::Test {
 protected:
-  EntryDeskTest() : Desk({}, hooks()) {}
+  explicit EntryDeskTest(const entry_desk_options &Options = {}) : Desk(Options, hooks()) {}
 
   entry_desk_hooks hooks() {
     entry_desk_hooks Hooks;
@@ -262,6 +262,101 @@
   }
 }
 
+// Leaders change, and every entry connects anew. A list of all to all for each one of them would be
+// more bytes than their declarations.
+TEST_F(EntryDeskTest, TellsEntriesThatConnectAtOnceOfEachOtherOnce) {
+  Desk.takeOffice(Now);
+  constexpr std::uint64_t Entries = 40;
+  for (std::uint64_t Number = 1; Number <= Entries; ++Number) {
+    const process_key Each{host_name("e" + std::to_string(Number)), incarnation(1)};
+    const link_subscribe Subscribe{Each, failure_domain_name("a"), "127.0.0.1:9"};
+    Desk.handle({connection_number(Number), Subscribe}, Now);
+    Desk.advance(Now);
+  }
+  Desk.advance(Now += std::chrono::seconds(1));
+  std::size_t Lists = 0;
+  std::size_t Longest = 0;
+  for (const link_fleet &Fleet : take<link_fleet>()) {
+    ++Lists;
+    Longest = std::max(Longest, Fleet.WorkAddresses.size());
+  }
+  EXPECT_EQ(Longest, Entries) << "everyone is told of all";
+  EXPECT_LE(Lists, Entries + 1) << "once, but for the first one";
+}
+
+/// Texts go out one at a time.
+class TextsInTurnTest : public EntryDeskTest {
+protected:
+  TextsInTurnTest() : EntryDeskTest({in_force_options{}, 1}) {}
+
+  void SetUp() override {
+    Desk.takeOffice(Now);
+    for (std::uint64_t Number = 1; Number <= 3; ++Number)
+      tell(Number, 0);
+    Sent.clear();
+    accept("text");
+  }
+
+  /// The entry renews, and has a connection of its own number.
+  void tell(std::uint64_t Number, std::uint64_t Holds) {
+    const process_key Each{host_name("e" + std::to_string(Number)), incarnation(1)};
+    if (Holds == 0)
+      Desk.handle({connection_number(Number), link_subscribe{Each, failure_domain_name("a")}}, Now);
+    Desk.handle({connection_number(Number),
+                 link_renew{++Ask, Each, revision(0), State.drainsVersion(), revision(Holds)}},
+                Now);
+  }
+
+  /// @return Whom texts went to since the last look.
+  std::vector<std::uint64_t> receivers() {
+    std::vector<std::uint64_t> Numbers;
+    for (const hub_order &Order : Sent)
+      if (std::holds_alternative<link_declaration>(Order.Reply) ||
+          std::holds_alternative<link_declaration_change>(Order.Reply))
+        Numbers.push_back(Order.Connection.value());
+    Sent.clear();
+    return Numbers;
+  }
+};
+
+TEST_F(TextsInTurnTest, SendTheNextWhenOneHasArrived) {
+  const auto First = receivers();
+  ASSERT_EQ(First.size(), 1U);
+  Desk.advance(Now += std::chrono::milliseconds(20));
+  EXPECT_TRUE(receivers().empty());
+  tell(First[0], 1);
+  const auto Second = receivers();
+  ASSERT_EQ(Second.size(), 1U);
+  EXPECT_NE(Second[0], First[0]);
+}
+
+TEST_F(TextsInTurnTest, SendTheNextWhenAConnectionIsGone) {
+  const auto First = receivers();
+  ASSERT_EQ(First.size(), 1U);
+  Desk.handle({connection_number(First[0]), connection_closed{}}, Now);
+  Desk.advance(Now);
+  EXPECT_EQ(receivers().size(), 1U);
+}
+
+// The first entry is frozen: its text stands in its connection, and nobody says that it arrived.
+TEST_F(TextsInTurnTest, AreNotHeldUpByAnEntryThatTakesNothing) {
+  ASSERT_EQ(receivers().size(), 1U);
+  Desk.advance(Now += std::chrono::milliseconds(500));
+  EXPECT_EQ(receivers().size(), 1U);
+}
+
+// Entries 2 and 3 are cut off, which nobody knows yet; 1 has just renewed.
+TEST_F(TextsInTurnTest, GoFirstToWhoSpokeLast) {
+  const auto First = receivers();
+  ASSERT_EQ(First.size(), 1U);
+  const std::uint64_t Speaks = First[0] == 1 ? 2 : 1;
+  Now += std::chrono::milliseconds(100);
+  tell(Speaks, 9); // holds what nobody here declared
+  Desk.handle({connection_number(First[0]), connection_closed{}}, Now);
+  Desk.advance(Now);
+  EXPECT_EQ(receivers(), std::vector{Speaks});
+}
+
 TEST_F(EntryDeskTest, AnswersNoClaimWhoseOutcomeIsNotKnown) {
   // The leader left office with the claim in its log. It may be granted later, so neither "granted"
   // nor "unavailable" would be true; the entry asks the next leader.
