Settings that a platform fills in may be fractions, zero, missing or large

Every process of a site that is played at a share of its size ended at its start with code 2: its figure of retries beyond the ratio is a fraction, and retries.reserve took whole numbers only. Gone through key by key: spans take fractions; grace_s and budget_window_s were made milliseconds by writing three zeros behind them, which turns 8.5 s into 8.5 ms and a missing figure into a file that is no TOML; a missing ratio, reserve, link or tolerance ended the process; a ratio over 1 and more than 4 tolerated losses were refused; a reserve of 0 meant "a small one".

Spans are given in seconds where the platform has seconds (shutdown_limit_s, shutdown_kill_s, retries.window_s), share and reserve tell none from 0, sections of the templates leave out what is missing. A tolerance given in failure domains and not in hosts is not read yet.

--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -65,7 +65,7 @@
             "The control hosts let each other in and replace lost members by themselves; otherwise "
             "a person does, by `pollenstallctl member`.")
       .number(
-          "tolerated_losses", &control_settings::ToleratedLosses, {1U, 0U, 4U},
+          "tolerated_losses", &control_settings::ToleratedLosses, {1U, 0U, 1'000U},
           "Control hosts that may be lost at once, with their disks: the log gets twice as many "
           "voters and one more before the first change is accepted. For self_managed only.")
       .flag("bootstrap", &control_settings::Bootstrap, false,
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -186,9 +186,9 @@
                 {"error", errorOf(Parsed)}});
       return;
     }
-    if (Plan.RetryShare > 0)
+    if (Plan.RetryShare)
       valueOf(Parsed).Limits.RetryPercent =
-          static_cast<std::uint32_t>(std::lround(Plan.RetryShare * 100));
+          static_cast<std::uint32_t>(std::lround(*Plan.RetryShare * 100));
     useIndex(std::make_shared<const declaration_index>(valueOf(std::move(Parsed))));
     Freshness.inUse(Received.Revision);
     RevisionGauge.Set(static_cast<double>(Received.Revision.value()));
@@ -202,13 +202,13 @@
 
 void decision_thread::takeEntries(const entries_listed &Listed) {
   WorkPeers = Listed.WorkAddresses;
-  if (Plan.RetryReserve == 0)
+  if (!Plan.RetryReserve)
     return;
   // Shared out evenly. A tenth stays back: for entries that restart and have forgotten what they
   // spent, and for requests that are counted here a moment before their caller counts them.
   constexpr double Used = 0.9;
   const double Entries = std::max<double>(1.0, static_cast<double>(WorkPeers.size()));
-  Seam.setRetryAllowance({Plan.RetryReserve * Used / Entries, Plan.RetryWindow});
+  Seam.setRetryAllowance({*Plan.RetryReserve * Used / Entries, Plan.RetryWindow});
 }
 
 void decision_thread::tellLoads(mono_time Now) {
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -31,8 +31,8 @@
   backend_source Backends{backend_source::Gossip};
   /// Reads a declaration's text; empty: the TOML format.
   declaration_reader ReadDeclaration;
-  double RetryShare{0};          ///< Of first attempts; 0: as declared.
-  std::uint32_t RetryReserve{0}; ///< Of all entries, in the window; 0: a fixed one here.
+  std::optional<double> RetryShare;   ///< Of first attempts; none: as declared.
+  std::optional<double> RetryReserve; ///< Of all entries, in the window; none: a fixed one here.
   mono_span RetryWindow{std::chrono::seconds(10)};
   std::size_t RingCapacity{1U << 16U};
   std::shared_ptr<prometheus::Registry> Registry;
--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -103,18 +103,17 @@
       .text("backends.source", &entry_settings::BackendSource, presence::Optional,
             "gossip or control", checkSource,
             "Who knows the backend servers: the entries by gossip, or the control hosts.", "gossip")
-      .fraction("retries.share", &entry_settings::RetryShare, {0.0, 0.0, 1.0},
-                "Retries for each first attempt; 0: as the declaration's limits say.")
-      .number("retries.reserve", &entry_settings::RetryReserve, {0U, 0U, 1'000'000U},
-              "Further retries of all entries together in each window; 0: a small one each.")
-      .span("retries.window_ms", &entry_settings::RetryWindow, {10 * Second, Second, Hour},
-            "The window of the reserve.")
+      .fraction("retries.share", &entry_settings::RetryShare, 0.0, 100.0, "as declared",
+                "Retries for each first attempt, instead of what the declaration's limits say.")
+      .fraction("retries.reserve", &entry_settings::RetryReserve, 0.0, 1e9, "a small one each",
+                "Further retries of all entries together in each window.")
+      .span("retries.window_s", &entry_settings::RetryWindow,
+            {10 * Second, milliseconds(100), Hour}, "The window of the reserve.")
       .span("shutdown_drain_ms", &entry_settings::DrainTime,
             {milliseconds(0), milliseconds(0), Hour},
             "After SIGTERM requests are still admitted for so long, until the balancer has seen "
             "that this host is not ready.")
-      .span("shutdown_kill_ms", &entry_settings::KillAfter,
-            {milliseconds(0), milliseconds(0), Hour},
+      .span("shutdown_kill_s", &entry_settings::KillAfter, {milliseconds(0), milliseconds(0), Hour},
             "The process is killed so long after SIGTERM, so that all must end a second earlier; "
             "0: it is not.");
 }
@@ -156,7 +155,7 @@
       .span("limits.backend_idle_ms", &entry_settings::BackendIdle,
             {30 * Second, milliseconds(10), Hour},
             "An unused connection to a backend server is closed after this.")
-      .span("shutdown_limit_ms", &entry_settings::ShutdownLimit,
+      .span("shutdown_limit_s", &entry_settings::ShutdownLimit,
             {30 * Second, milliseconds(0), Hour},
             "Admitted requests may run on for so long after SIGTERM.")
       .text("log_level", &entry_settings::LogLevel, presence::Optional,
--- a/programs/pollenstall-entry/entry_settings_type.h
+++ b/programs/pollenstall-entry/entry_settings_type.h
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,8 +34,8 @@
   std::string BackendSource;
   std::string WorkAddress;
   std::uint32_t ControlPort{0};
-  std::uint32_t RetryReserve{0};
-  double RetryShare{0};
+  std::optional<double> RetryReserve;
+  std::optional<double> RetryShare;
   std::chrono::milliseconds RetryWindow{};
   std::chrono::milliseconds ControlRenew{};
   std::chrono::milliseconds ControlAnswer{};
--- a/src/settings/settings_table_base.h
+++ b/src/settings/settings_table_base.h
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <functional>
 #include <optional>
 #include <string>
@@ -59,19 +60,26 @@
     return *this;
   }
 
-  /// A span; the key must end in "_ms".
+  /// A span, in milliseconds where the key ends in "_ms" and in seconds where it ends in "_s". The
+  /// file may give a fraction.
   settings_table &span(std::string Key, std::chrono::milliseconds Settings::*Member,
                        number_range<std::chrono::milliseconds> Range, std::string Meaning) {
-    const std::string Allowed = "milliseconds from " + std::to_string(Range.Min.count()) + " to " +
-                                std::to_string(Range.Max.count());
+    const bool InMillis = Key.ends_with("_ms");
+    const double UnitMs = InMillis ? 1.0 : 1000.0;
+    const auto Shown = [UnitMs](std::chrono::milliseconds Span) {
+      return shownNumber(static_cast<double>(Span.count()) / UnitMs);
+    };
+    const std::string Allowed = std::string(InMillis ? "milliseconds" : "seconds") + " from " +
+                                Shown(Range.Min) + " to " + Shown(Range.Max);
     Defaults.push_back([Member, Range](Settings &Into) { Into.*Member = Range.Default; });
-    Rows.push_back({std::move(Key), Allowed, std::to_string(Range.Default.count()),
-                    std::move(Meaning), presence::Optional,
-                    [Member, Range](Settings &Into, const raw_setting &Raw) {
-                      const auto *Value = std::get_if<std::int64_t>(&Raw);
-                      if (!Value || *Value < Range.Min.count() || *Value > Range.Max.count())
+    Rows.push_back({std::move(Key), Allowed, Shown(Range.Default), std::move(Meaning),
+                    presence::Optional,
+                    [Member, Range, UnitMs](Settings &Into, const raw_setting &Raw) {
+                      const auto Value = numberOf(Raw);
+                      if (!Value || !(*Value * UnitMs >= static_cast<double>(Range.Min.count())) ||
+                          !(*Value * UnitMs <= static_cast<double>(Range.Max.count())))
                         return false;
-                      Into.*Member = std::chrono::milliseconds(*Value);
+                      Into.*Member = std::chrono::milliseconds(std::llround(*Value * UnitMs));
                       return true;
                     }});
     return *this;
@@ -85,14 +93,26 @@
     Defaults.push_back([Member, Range](Settings &Into) { Into.*Member = Range.Default; });
     Rows.push_back({std::move(Key), Allowed, std::to_string(Range.Default), std::move(Meaning),
                     presence::Optional, [Member, Range](Settings &Into, const raw_setting &Raw) {
-                      const auto *Whole = std::get_if<std::int64_t>(&Raw);
-                      const auto *Real = std::get_if<double>(&Raw);
-                      if (!Whole && !Real)
+                      const auto Value = numberOf(Raw);
+                      if (!Value || !(*Value >= Range.Min && *Value <= Range.Max))
                         return false;
-                      const double Value = Real ? *Real : static_cast<double>(*Whole);
-                      if (!(Value >= Range.Min && Value <= Range.Max))
+                      Into.*Member = *Value;
+                      return true;
+                    }});
+    return *this;
+  }
+
+  /// A number with a fraction that has no value where the file is silent. @param Absent What that
+  /// means, for the manual.
+  settings_table &fraction(std::string Key, std::optional<double> Settings::*Member, double Min,
+                           double Max, std::string Absent, std::string Meaning) {
+    Rows.push_back({std::move(Key), "a number from " + shownNumber(Min) + " to " + shownNumber(Max),
+                    std::move(Absent), std::move(Meaning), presence::Optional,
+                    [Member, Min, Max](Settings &Into, const raw_setting &Raw) {
+                      const auto Value = numberOf(Raw);
+                      if (!Value || !(*Value >= Min && *Value <= Max))
                         return false;
-                      Into.*Member = Value;
+                      Into.*Member = *Value;
                       return true;
                     }});
     return *this;
--- a/src/settings/settings_type.h
+++ b/src/settings/settings_type.h
@@ -4,7 +4,10 @@
 
 #include <cstdint>
 #include <functional>
+#include <iomanip>
+#include <limits>
 #include <optional>
+#include <sstream>
 #include <string>
 #include <variant>
 #include <vector>
@@ -14,6 +17,22 @@
 /// A value as the file gives it.
 using raw_setting = std::variant<bool, std::int64_t, double, std::string, std::vector<std::string>>;
 
+/// @return The number that the file gives, whole or not; nothing where it gives something else.
+inline std::optional<double> numberOf(const raw_setting &Raw) {
+  if (const auto *Whole = std::get_if<std::int64_t>(&Raw))
+    return static_cast<double>(*Whole);
+  if (const auto *Real = std::get_if<double>(&Raw))
+    return *Real;
+  return std::nullopt;
+}
+
+/// @return The number as the manual prints it, without digits that say nothing.
+inline std::string shownNumber(double Value) {
+  std::ostringstream Text;
+  Text << std::setprecision(std::numeric_limits<double>::digits10) << Value;
+  return Text.str();
+}
+
 /// One key of the file, with the place where it stands.
 struct raw_entry {
   std::string Key; ///< Dotted path, for example "listen.callers".
--- a/tests/entry/stopping_test.cpp
+++ b/tests/entry/stopping_test.cpp
@@ -25,7 +25,7 @@
 }
 
 TEST(Stopping, EndsWorkAtTheLimitAndSaysSo) {
-  entry_fleet Fleet({.EntryTop = "shutdown_limit_ms = 200\n",
+  entry_fleet Fleet({.EntryTop = "shutdown_limit_s = 0.2\n",
                      .ServiceLines = "default_timeout_ms = 800000\n",
                      .EngineTables = "[step]\nbase_us = 20000\n"});
   const auto Stream = Fleet.stream("a question", 4'000);
--- a/tests/platform/platform_system.cpp
+++ b/tests/platform/platform_system.cpp
@@ -35,21 +35,28 @@
   return boost::asio::ip::address_v4(First + Own + static_cast<unsigned>(Host) + 1).to_string();
 }
 
-std::string readTemplate(const std::string &Role) {
-  std::ifstream In(std::string(POLLENSTALL_SOURCE_DIR) + "/deploy/" + Role + ".template");
-  std::ostringstream Text;
-  Text << In.rdbuf();
-  return Text.str();
-}
-
 void replaceAll(std::string &Text, const std::string &Old, const std::string &New) {
   for (std::size_t At = Text.find(Old); At != std::string::npos;
        At = Text.find(Old, At + New.size()))
     Text.replace(At, Old.size(), New);
 }
 
+void removeSections(std::string &Text, const std::string &Name) {
+  const std::string Begin = "{{#" + Name + "}}";
+  const std::string End = "{{/" + Name + "}}";
+  for (std::size_t From = Text.find(Begin); From != std::string::npos; From = Text.find(Begin))
+    Text.erase(From, Text.find(End, From) + End.size() - From);
+}
+
 } // namespace
 
+std::string readTemplate(const std::string &Role) {
+  std::ifstream In(std::string(POLLENSTALL_SOURCE_DIR) + "/deploy/" + Role + ".template");
+  std::ostringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
 std::string filledIn(std::string Template,
                      const std::vector<std::pair<std::string, std::string>> &Fields,
                      const std::vector<std::string> &SeedList) {
@@ -58,7 +65,8 @@
     List += (List.empty() ? "\"" : ",\"") + Seed + "\"";
   replaceAll(Template, R"({{#seed_nodes}}"{{.}}"{{,}}{{/seed_nodes}})", List);
   for (const auto &[Name, Value] : Fields) {
-    // Every field has a value here, so that its section stands.
+    if (Value.empty())
+      removeSections(Template, Name);
     replaceAll(Template, "{{#" + Name + "}}", "");
     replaceAll(Template, "{{/" + Name + "}}", "");
     replaceAll(Template, "{{" + Name + "}}", Value);
--- /dev/null
+++ b/tests/platform/settings_template_test.cpp
@@ -0,0 +1,109 @@
+/** @file settings_template_test.cpp The settings templates, filled in with figures of platforms. */
+#include "control_settings_type.h"
+#include "entry_settings_type.h"
+#include "platform_system_base.h"
+
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+using fields = std::vector<std::pair<std::string, std::string>>;
+
+/// What an ordinary platform fills in, with some fields replaced; an empty text: it has no value.
+fields platformFields(const fields &Replaced = {}) {
+  fields Fields{{"node_name", "n-1"},
+                {"zone", "z-1"},
+                {"region", "r"},
+                {"ip_address", "127.0.0.1"},
+                {"internal_port_range.0", "7340"},
+                {"internal_port_range.1", "7355"},
+                {"listen_addresses.frontend", "127.0.0.1:8227"},
+                {"listen_addresses.ready", "127.0.0.1:8220"},
+                {"listen_addresses.control_plane", "127.0.0.1:8229"},
+                {"data_directory", "/data"},
+                {"is_bootstrap", "true"},
+                {"fault_tolerance.machines", "2"},
+                {"heartbeat_interval_ms", "1200"},
+                {"bounds.grace_s", "8"},
+                {"bounds.retry_budget_ratio", "0.2"},
+                {"bounds.retry_budget_extra", "104"},
+                {"bounds.budget_window_s", "10"},
+                {"limits.link_mbps", "170.0"},
+                {"bounds.config_apply_ms", "2000"},
+                {"bounds.revocation_ms", "5000"}};
+  for (auto &[Name, Value] : Fields)
+    for (const auto &[Other, New] : Replaced)
+      if (Other == Name)
+        Value = New;
+  return Fields;
+}
+
+/// Each template with the fields, and what is wrong with it.
+struct filled_templates {
+  explicit filled_templates(const fields &Replaced)
+      : Entry(entrySettings().loadText(
+            filledIn(readTemplate("entry"), platformFields(Replaced), {"127.0.0.1:1"}), "entry")),
+        Control(controlSettingsTable().loadText(
+            filledIn(readTemplate("control"), platformFields(Replaced), {"127.0.0.1:1"}),
+            "control")) {}
+
+  result<entry_settings, std::vector<settings_error>> Entry;
+  result<control_settings, std::vector<settings_error>> Control;
+};
+
+void expectTaken(const fields &Replaced) {
+  const filled_templates Filled(Replaced);
+  const std::string What = Replaced.empty() ? "as usual" : Replaced.front().first;
+  EXPECT_TRUE(succeeded(Filled.Entry)) << What << "\n" << toText(errorOf(Filled.Entry));
+  EXPECT_TRUE(succeeded(Filled.Control)) << What << "\n" << toText(errorOf(Filled.Control));
+}
+
+// Figures of a site that is played at a share of its size are fractions: 51.8 retries beyond the
+// ratio, notices each 1,199.7 ms. Every process of such a site ended at its start.
+TEST(SettingsTemplates, TakeFractions) {
+  expectTaken({});
+  for (const char *Name : {"heartbeat_interval_ms", "bounds.grace_s", "bounds.retry_budget_extra",
+                           "bounds.budget_window_s", "limits.link_mbps", "bounds.config_apply_ms",
+                           "bounds.revocation_ms"})
+    expectTaken({{Name, "1199.7"}});
+}
+
+// A platform that tolerates the loss of a failure domain, and of no single host, says 0 hosts; one
+// that allows no retries beyond the ratio says 0 of them.
+TEST(SettingsTemplates, TakeZero) {
+  for (const char *Name :
+       {"fault_tolerance.machines", "bounds.retry_budget_ratio", "bounds.retry_budget_extra"})
+    expectTaken({{Name, "0"}});
+}
+
+// Figures that a platform does not give leave the defaults in force.
+TEST(SettingsTemplates, DoWithoutFiguresThatAreMissing) {
+  for (const char *Name :
+       {"bounds.grace_s", "bounds.retry_budget_ratio", "bounds.retry_budget_extra",
+        "bounds.budget_window_s", "fault_tolerance.machines", "heartbeat_interval_ms",
+        "limits.link_mbps", "bounds.config_apply_ms", "bounds.revocation_ms"})
+    expectTaken({{Name, ""}});
+}
+
+TEST(SettingsTemplates, TakeLargeFigures) {
+  expectTaken({{"fault_tolerance.machines", "9"},
+               {"bounds.retry_budget_extra", "2500000"},
+               {"bounds.retry_budget_ratio", "1.5"},
+               {"limits.link_mbps", "400000.0"}});
+}
+
+// Eight and a half seconds are not eight, and 0 retries are not "as many as we like".
+TEST(SettingsTemplates, KeepWhatTheFiguresMean) {
+  const filled_templates Filled({{"bounds.grace_s", "8.5"},
+                                 {"bounds.retry_budget_extra", "0"},
+                                 {"bounds.budget_window_s", "2.5"}});
+  ASSERT_TRUE(succeeded(Filled.Entry));
+  const entry_settings &Entry = valueOf(Filled.Entry);
+  EXPECT_EQ(Entry.KillAfter.count(), 8'500);
+  EXPECT_EQ(Entry.RetryWindow.count(), 2'500);
+  EXPECT_EQ(Entry.RetryReserve, 0.0);
+}
+
+} // namespace
+} // namespace pollenstall
--- a/tests/settings/settings_test.cpp
+++ b/tests/settings/settings_test.cpp
@@ -10,6 +10,8 @@
   std::string Name;
   std::uint32_t Queue{0};
   std::chrono::milliseconds Wait{0};
+  std::chrono::milliseconds Grace{0};
+  std::optional<double> Reserve;
   double Part{0};
   bool Loud{false};
   std::vector<std::string> Peers;
@@ -23,6 +25,10 @@
             {std::chrono::milliseconds(500), std::chrono::milliseconds(10),
              std::chrono::milliseconds(60'000)},
             "How long.")
+      .span("grace_s", &sample_settings::Grace,
+            {std::chrono::seconds(30), std::chrono::milliseconds(100), std::chrono::hours(1)},
+            "How long, in seconds.")
+      .fraction("reserve", &sample_settings::Reserve, 0.0, 1e6, "none", "Spare.")
       .fraction("part", &sample_settings::Part, {0.5, 0.0, 1.0}, "Part.")
       .flag("loud", &sample_settings::Loud, false, "Loud.")
       .texts("peers", &sample_settings::Peers, presence::Optional, "IP:port", checkAddress, "Who.");
@@ -53,6 +59,33 @@
   EXPECT_EQ(valueOf(Loaded).Queue, 7U);
 }
 
+// A platform computes some figures for a site of its size: 103.6 retries, 1,200.5 ms, 7.5 s. A
+// program that took whole numbers only would not start there.
+TEST(Settings, TakeAFractionForEveryNumberThatIsNoCount) {
+  const auto Loaded = sampleTable().loadText(
+      "wait_ms = 20.4\ngrace_s = 7.5\nreserve = 103.6\n[host]\nname = \"a\"\n", "f.toml");
+  ASSERT_TRUE(succeeded(Loaded));
+  EXPECT_EQ(valueOf(Loaded).Wait.count(), 20);
+  EXPECT_EQ(valueOf(Loaded).Grace.count(), 7'500);
+  EXPECT_DOUBLE_EQ(valueOf(Loaded).Reserve.value(), 103.6);
+}
+
+// None at all is not the same as none given.
+TEST(Settings, TellZeroFromAbsence) {
+  const auto Silent = sampleTable().loadText("[host]\nname = \"a\"\n", "f.toml");
+  ASSERT_TRUE(succeeded(Silent));
+  EXPECT_EQ(valueOf(Silent).Reserve, std::nullopt);
+  const auto Zero = sampleTable().loadText("reserve = 0\n[host]\nname = \"a\"\n", "f.toml");
+  ASSERT_TRUE(succeeded(Zero));
+  EXPECT_EQ(valueOf(Zero).Reserve, 0.0);
+}
+
+TEST(Settings, NameTheBoundsOfSecondsInSeconds) {
+  const auto Errors = errorsOf("grace_s = 0.05\n[host]\nname = \"a\"\n");
+  ASSERT_EQ(Errors.size(), 1U);
+  EXPECT_EQ(Errors[0].Allowed, "seconds from 0.1 to 3600");
+}
+
 TEST(Settings, NameFileLineKeyAndWhatIsAllowed) {
   const auto Errors = errorsOf("wait_ms = 5\n[host]\nname = \"a\"\n");
   ASSERT_EQ(Errors.size(), 1U);
