Operators find room at a control host that hundreds of backend servers keep connections to

Operators, reads and notices shared one bound of 128 connections.

At the bound the connection that has been idle for longest gives way; where each is in a call, callers are told 503 with Retry-After, counted, and logged once a second. Notices wait for handlers of their own, so that they hold up no change.

Four tests with sockets, among them 1,000 kept connections and an operator between 48 of them on a bound of 16.

--- a/programs/pollenstall-control/control_main.cpp
+++ b/programs/pollenstall-control/control_main.cpp
@@ -102,8 +102,13 @@
   if (Settings.Interface == "platform")
     for (operator_route &Route :
          platformRoutes(controlServices(*Host.Core, "http://" + Settings.ListenOperators)))
-      Server.route(Route.Method, Route.Path, Route.Access, std::move(Route.Handle));
-  Server.health()
+      Server.route(Route.Method, Route.Path, Route.Access, std::move(Route.Handle), Route.Lane);
+  Server
+      .onCrowded([](std::size_t Open) {
+        logEvent(log_level::Warning, "operator_connections_refused",
+                 {{"open", static_cast<std::int64_t>(Open)}});
+      })
+      .health()
       .readiness([&Host] { return Host.Core->ready(); })
       .metrics(Host.Metrics.registry())
       .dump([&Host] {
--- a/src/operators/operator_routes.cpp
+++ b/src/operators/operator_routes.cpp
@@ -48,6 +48,15 @@
   });
 }
 
+call_lane operator_routes::laneOf(std::string_view Method, std::string_view Target) const {
+  const std::string_view Path = pathOf(Target);
+  const auto Found =
+      std::find_if(Routes.begin(), Routes.end(), [Method, Path](const operator_route &Route) {
+        return Route.Method == Method && covers(Route, Path);
+      });
+  return Found == Routes.end() ? call_lane::Operators : Found->Lane;
+}
+
 operator_reply operator_routes::answer(const std::string &Method, std::string_view Target,
                                        std::string_view Authorization, std::string Body) const {
   const std::string_view Path = pathOf(Target);
--- a/src/operators/operator_routes_base.h
+++ b/src/operators/operator_routes_base.h
@@ -26,6 +26,9 @@
   /// @return Whether the call can be answered at once: no handler behind the key would run for it.
   [[nodiscard]] bool answersAtOnce(std::string_view Method, std::string_view Target) const;
 
+  /// @return The lane of the call's route; that of operators where there is no such route.
+  [[nodiscard]] call_lane laneOf(std::string_view Method, std::string_view Target) const;
+
 private:
   [[nodiscard]] bool authorised(std::string_view Authorization) const;
 
--- a/src/operators/operator_type.h
+++ b/src/operators/operator_type.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_OPERATORS_OPERATOR_TYPE_H
 #define POLLENSTALL_OPERATORS_OPERATOR_TYPE_H
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -21,7 +22,8 @@
   unsigned Status{200};
   std::string ContentType{"application/json"};
   std::string Body;
-  std::string Location{}; ///< Where to ask instead, as a URL; empty where nowhere.
+  std::string Location{};             ///< Where to ask instead, as a URL; empty where nowhere.
+  std::chrono::seconds RetryAfter{0}; ///< When to ask again; 0: nothing is said of it.
 };
 
 /// It may block for as long as the call may take, but for one of operator_access::Open.
@@ -34,6 +36,12 @@
   KeyNeeded, ///< 401 without the key; its handler may block.
 };
 
+/// Calls that wait apart from each other, so that a crowd of one sort cannot shut out the other.
+enum class call_lane : std::uint8_t {
+  Operators, ///< Changes and reads.
+  Notices,   ///< What backend servers say of themselves, each of them every second or so.
+};
+
 /// Why the server could not start.
 struct operator_server_error {
   std::string Text;
--- a/tests/operators/operators_test.cpp
+++ b/tests/operators/operators_test.cpp
@@ -110,6 +110,132 @@
   EXPECT_EQ(call("GET", "/healthz").result_int(), 200U);
 }
 
+/// A server with a bound on connections, and many callers that keep theirs.
+struct crowded_server : testing::Test {
+  void start(std::size_t MaxConnections) {
+    auto Started = operator_server_builder("127.0.0.1:0", keyHash(Key))
+                       .maxConnections(MaxConnections)
+                       .onCrowded([this](std::size_t) { ++CrowdedTold; })
+                       .metrics(Registry)
+                       .route(
+                           "PUT", "/notices/", operator_access::OpenWaits,
+                           [this](const operator_call &) {
+                             ++Notices;
+                             if (Released.valid())
+                               Released.wait();
+                             return operator_reply{};
+                           },
+                           call_lane::Notices)
+                       .route("PUT", "/change", operator_access::OpenWaits,
+                              [](const operator_call &) { return operator_reply{}; })
+                       .start();
+    ASSERT_TRUE(succeeded(Started)) << errorOf(Started).Text;
+    Server = std::move(valueOf(Started));
+  }
+
+  asio::ip::tcp::socket connect() {
+    const std::string Address = Server->address();
+    const auto Port = static_cast<std::uint16_t>(std::stoi(Address.substr(Address.rfind(':') + 1)));
+    asio::ip::tcp::socket Socket(Context);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+    return Socket;
+  }
+  static void send(asio::ip::tcp::socket &Socket, const std::string &Path) {
+    asio::write(Socket,
+                asio::buffer("PUT " + Path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"));
+  }
+  static http::response<http::string_body> answer(asio::ip::tcp::socket &Socket) {
+    boost::beast::flat_buffer Buffer;
+    http::response<http::string_body> Response;
+    http::read(Socket, Buffer, Response);
+    return Response;
+  }
+  /// @return The status of a change from a new connection.
+  unsigned change() {
+    asio::ip::tcp::socket Socket = connect();
+    send(Socket, "/change");
+    return answer(Socket).result_int();
+  }
+
+  asio::io_context Context;
+  std::shared_ptr<prometheus::Registry> Registry{std::make_shared<prometheus::Registry>()};
+  std::atomic<int> CrowdedTold{0};
+  std::atomic<int> Notices{0};
+  std::shared_future<void> Released;
+  std::unique_ptr<operator_server> Server;
+};
+
+// 650 backend servers keep a connection each to one control host, and 350 more hosts come by. With
+// a bound of 128 connections the rest was closed in silence: 27 of 155 servers never got an answer,
+// and no operator did.
+TEST_F(crowded_server, AnswersAThousandConnections) {
+  start(2'048);
+  constexpr std::size_t Servers = 1'000;
+  std::vector<asio::ip::tcp::socket> Kept;
+  for (std::size_t Number = 0; Number < Servers; ++Number)
+    Kept.push_back(connect());
+  for (std::size_t Number = 0; Number < Servers; ++Number) {
+    send(Kept[Number], "/notices/" + std::to_string(Number));
+    ASSERT_EQ(answer(Kept[Number]).result_int(), 200U) << Number;
+  }
+  EXPECT_EQ(change(), 200U);
+}
+
+// More backend servers than the bound keep connections that are idle between two notices. An
+// operator comes: the longest idle one gives way.
+TEST_F(crowded_server, LetsAnOperatorInWhereIdleConnectionsFillIt) {
+  constexpr std::size_t Most = 16;
+  start(Most);
+  std::vector<asio::ip::tcp::socket> Kept;
+  for (std::size_t Number = 0; Number < 3 * Most; ++Number) {
+    Kept.push_back(connect());
+    send(Kept.back(), "/notices/1");
+    ASSERT_EQ(answer(Kept.back()).result_int(), 200U) << Number;
+  }
+  for (std::size_t Call = 0; Call < Most; ++Call)
+    EXPECT_EQ(change(), 200U);
+}
+
+// Every connection is in a call. Who comes then is told when to come back: closed in silence, it
+// would look like a host that has died.
+TEST_F(crowded_server, TellsWhoFindsNoRoomToComeBack) {
+  std::promise<void> Release;
+  Released = Release.get_future().share();
+  constexpr std::size_t Most = 4;
+  start(Most);
+  std::vector<asio::ip::tcp::socket> Busy;
+  for (std::size_t Number = 0; Number < Most; ++Number) {
+    Busy.push_back(connect());
+    send(Busy.back(), "/notices/1");
+  }
+  while (Notices < static_cast<int>(Most))
+    std::this_thread::yield();
+  asio::ip::tcp::socket Late = connect();
+  const auto Told = answer(Late);
+  EXPECT_EQ(Told.result_int(), 503U);
+  EXPECT_EQ(Told[http::field::retry_after], "1");
+  EXPECT_EQ(CrowdedTold, 1);
+  Release.set_value();
+  for (asio::ip::tcp::socket &Socket : Busy)
+    EXPECT_EQ(answer(Socket).result_int(), 200U);
+}
+
+// All notices wait for a leader. A change does not wait behind them.
+TEST_F(crowded_server, KeepsHandlersForOperators) {
+  std::promise<void> Release;
+  Released = Release.get_future().share();
+  start(256);
+  std::vector<asio::ip::tcp::socket> Busy;
+  for (std::size_t Number = 0; Number < 64; ++Number) {
+    Busy.push_back(connect());
+    send(Busy.back(), "/notices/1");
+  }
+  while (Notices == 0)
+    std::this_thread::yield();
+  EXPECT_EQ(change(), 200U);
+  Release.set_value();
+}
+
 // Changes sent to a control host that is cut off wait for seconds, each holding a thread. The
 // platform's health check comes meanwhile; unanswered, it would make the platform replace the host.
 TEST(BlockedCalls, DoNotHoldUpTheHealthCheck) {
