--- a/bench/decision/decision_bench.cpp
+++ b/bench/decision/decision_bench.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/dispatch.h"
 #include "measure_func.h"
 #include "sample_fleet_func.h"
+#include "work_bench_func.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -239,6 +240,7 @@
 int main() {
   using namespace pollenstall::bench;
   measureScheduler();
+  measureWork();
   measureDispatcher();
   for (const std::size_t Accounts : {10UL, 110UL, 1'100UL})
     measureDeclaration(Accounts);
--- a/src/fleet_model/fleet_run.cpp
+++ b/src/fleet_model/fleet_run.cpp
@@ -139,6 +139,17 @@
   }
 }
 
+std::vector<report_traffic> fleet_run::reportTraffic() const {
+  std::vector<report_traffic> All;
+  const double Seconds = Ms / Second;
+  for (const entry_state &Entry : Entries) {
+    const report_traffic &Sum = Entry.Traffic;
+    All.push_back({Sum.SentDatagrams / Seconds, Sum.SentBytes / Seconds,
+                   Sum.TakenDatagrams / Seconds, Sum.TakenBytes / Seconds});
+  }
+  return All;
+}
+
 engine_time fleet_run::spent() const {
   const double All = Load.Seconds * Second * static_cast<double>(Engines.size());
   return {SpentUntilLast.Read / All, SpentUntilLast.Write / All};
--- a/src/fleet_model/fleet_run_base.h
+++ b/src/fleet_model/fleet_run_base.h
@@ -29,6 +29,14 @@
   std::uint32_t Attempts{0};
 };
 
+/// Work reports of one entry.
+struct report_traffic {
+  double SentDatagrams{0};
+  double SentBytes{0}; ///< Without the heads of UDP and IP.
+  double TakenDatagrams{0};
+  double TakenBytes{0};
+};
+
 /// Plays one load under one policy. The same load and seed make the same requests for each policy.
 class fleet_run {
 public:
@@ -36,6 +44,8 @@
   std::vector<request_record> play();
   /// @return What all engines did, as parts of their time until the last request came.
   [[nodiscard]] engine_time spent() const;
+  /// @return Of each entry, a second on the average; of its last life where it was lost.
+  [[nodiscard]] std::vector<report_traffic> reportTraffic() const;
 
 private:
   enum class event_kind : std::uint8_t {
@@ -80,6 +90,7 @@
     std::uint64_t ToldClaims{0};
     std::unique_ptr<work_board> Board;
     double ExchangeAtMs{-1};
+    report_traffic Traffic;
     bool Lost{false};
   };
   struct attempt_state {
@@ -107,6 +118,7 @@
   struct load_report {
     std::size_t From{0};
     work_datagram Datagram;
+    double Bytes{0};
   };
 
   void push(double Ms, event_kind Kind, std::size_t Index, std::uint64_t Life = 0);
--- a/src/fleet_model/fleet_run_engines.cpp
+++ b/src/fleet_model/fleet_run_engines.cpp
@@ -1,6 +1,7 @@
 /** @file fleet_run_engines.cpp Entries' turns, attempts, and the engines' passes. */
 #include "fleet_model/entry_policy_func.h"
 #include "fleet_model/fleet_run_base.h"
+#include "work_share/work_report_codec_func.h"
 
 #include <algorithm>
 
@@ -51,9 +52,12 @@
   if (Entry.Lost)
     return;
   for (work_datagram &Datagram : Entry.Board->due(now())) {
+    const auto Bytes = static_cast<double>(encodeWorkReport(Load.Name, Datagram.Report).size());
+    ++Entry.Traffic.SentDatagrams;
+    Entry.Traffic.SentBytes += Bytes;
     if (ReportRandom.chance(Load.ReportLoss))
       continue;
-    Reports[NextReport] = {Number, std::move(Datagram)};
+    Reports[NextReport] = {Number, std::move(Datagram), Bytes};
     push(Ms + Load.HostDelayMs + Load.ReportDelayMs, event_kind::Loads, NextReport++);
   }
   const double At = std::max(millisOf(Entry.Board->nextWake(now())), Ms + ExchangeStepMs);
@@ -68,6 +72,8 @@
   const std::size_t To = EntryNumbers.at(Arrived.Datagram.To);
   if (Entries[To].Lost)
     return;
+  ++Entries[To].Traffic.TakenDatagrams;
+  Entries[To].Traffic.TakenBytes += Arrived.Bytes;
   Entries[To].Board->take(Arrived.Datagram.Report, "entry-" + std::to_string(Arrived.From), now());
   exchange(To);
 }
--- a/src/fleet_model/run_summary.cpp
+++ b/src/fleet_model/run_summary.cpp
@@ -82,6 +82,25 @@
   return Found;
 }
 
+/// Puts the figures of all entries in order. @param Part 0.5: the middle one; 1: the largest.
+report_traffic trafficAt(const std::vector<report_traffic> &Entries, double Part) {
+  const auto At = [&](double report_traffic::*Figure) {
+    std::vector<double> Values;
+    for (const report_traffic &Entry : Entries)
+      Values.push_back(Entry.*Figure);
+    std::sort(Values.begin(), Values.end());
+    return percentile(Values, Part);
+  };
+  return {At(&report_traffic::SentDatagrams), At(&report_traffic::SentBytes),
+          At(&report_traffic::TakenDatagrams), At(&report_traffic::TakenBytes)};
+}
+
+void writeTraffic(std::ostream &Out, const char *Name, const report_traffic &Traffic) {
+  Out << R"(,")" << Name << R"(":{"datagrams_sent":)" << Traffic.SentDatagrams
+      << R"(,"bytes_sent":)" << Traffic.SentBytes << R"(,"datagrams_taken":)"
+      << Traffic.TakenDatagrams << R"(,"bytes_taken":)" << Traffic.TakenBytes << '}';
+}
+
 } // namespace
 
 run_summary playLoad(const model_load &Load, const named_model_policy &Policy, std::uint64_t First,
@@ -93,6 +112,10 @@
     fleet_run Run(Load, Policy, First + Index);
     const std::vector<request_record> Records = Run.play();
     All.insert(All.end(), Records.begin(), Records.end());
+    if (Index == 0) {
+      Summary.MedianTraffic = trafficAt(Run.reportTraffic(), 0.5);
+      Summary.MostTraffic = trafficAt(Run.reportTraffic(), 1.0);
+    }
     Summary.Spent.Read += Run.spent().Read / static_cast<double>(Seeds);
     Summary.Spent.Write += Run.spent().Write / static_cast<double>(Seeds);
   }
@@ -108,7 +131,10 @@
   Out.precision(4);
   Out << R"({"load":")" << Load.Name << R"(","policy":")" << Summary.Policy << R"(","worth":)"
       << Summary.Worth << R"(,"engines_read":)" << Summary.Spent.Read << R"(,"engines_write":)"
-      << Summary.Spent.Write << R"(,"kinds":[)";
+      << Summary.Spent.Write;
+  writeTraffic(Out, "reports_a_second_median", Summary.MedianTraffic);
+  writeTraffic(Out, "reports_a_second_most", Summary.MostTraffic);
+  Out << R"(,"kinds":[)";
   for (std::size_t Kind = 0; Kind < Summary.Kinds.size(); ++Kind) {
     const kind_summary &Part = Summary.Kinds[Kind];
     Out << (Kind > 0 ? "," : "") << R"({"kind":")" << Load.Kinds[Kind].Name << R"(","count":)"
--- a/src/fleet_model/run_summary_func.h
+++ b/src/fleet_model/run_summary_func.h
@@ -30,6 +30,8 @@
   std::vector<kind_summary> Kinds; ///< In the order of the load.
   double Worth{0};                 ///< Part of what all requests on time would be worth.
   engine_time Spent;               ///< Parts of all engines' time.
+  report_traffic MedianTraffic;    ///< Of the first run, of the entry in the middle by each figure.
+  report_traffic MostTraffic;      ///< The same of the entry that has most.
 };
 
 /// Plays a load with seeds First, First + 1 and so on, and puts the requests together.
