Who tells whom of which work stands apart from the thread that carries it

work_exchange (groups, sums, what is told next) is decision code without sockets and clocks, which the fleet model and the bench use alone; work_share keeps the codec and the UDP thread. The model counts bytes by workReportSize(), which a test holds against the codec. Tests of the operators' server share their callers. No change of behaviour.

--- a/bench/decision/work_bench.cpp
+++ b/bench/decision/work_bench.cpp
@@ -4,7 +4,7 @@
 #include "work_bench_func.h"
 
 #include "placement/placement.h"
-#include "work_share/work_share.h"
+#include "work_exchange/work_exchange.h"
 
 #include <cmath>
 #include <cstdio>
--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -11,7 +11,7 @@
 #include "placement/placement.h"
 #include "relay/relay.h"
 #include "scheduling/scheduling.h"
-#include "work_share/work_share.h"
+#include "work_exchange/work_exchange.h"
 
 #include <map>
 #include <optional>
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -6,6 +6,7 @@
 #include "decision_seam_base.h"
 #include "relay/relay.h"
 #include "wake_gate_base.h"
+#include "work_exchange/work_exchange.h"
 #include "work_share/work_share.h"
 
 #include <prometheus/counter.h>
--- a/src/fleet_model/entry_policy_type.h
+++ b/src/fleet_model/entry_policy_type.h
@@ -4,7 +4,7 @@
 
 #include "fleet_model/model_load_type.h"
 #include "placement/placement.h"
-#include "work_share/work_share_type.h"
+#include "work_exchange/work_exchange_type.h"
 
 #include <functional>
 #include <optional>
--- a/src/fleet_model/fleet_run_base.h
+++ b/src/fleet_model/fleet_run_base.h
@@ -4,7 +4,7 @@
 
 #include "fleet_model/engine_model_base.h"
 #include "fleet_model/entry_policy_type.h"
-#include "work_share/work_share.h"
+#include "work_exchange/work_exchange.h"
 
 #include <cstdint>
 #include <map>
--- a/src/fleet_model/fleet_run_engines.cpp
+++ b/src/fleet_model/fleet_run_engines.cpp
@@ -1,7 +1,6 @@
 /** @file fleet_run_engines.cpp Entries' turns, attempts, and the engines' passes. */
 #include "fleet_model/entry_policy_func.h"
 #include "fleet_model/fleet_run_base.h"
-#include "work_share/work_report_codec_func.h"
 
 #include <algorithm>
 
@@ -52,7 +51,8 @@
   if (Entry.Lost)
     return;
   for (work_datagram &Datagram : Entry.Board->due(now())) {
-    const auto Bytes = static_cast<double>(encodeWorkReport(Load.Name, Datagram.Report).size());
+    const auto Bytes = static_cast<double>(
+        workReportSize(Load.Name, Datagram.Report.Sender.Host.str(), Datagram.Report.Loads.size()));
     ++Entry.Traffic.SentDatagrams;
     Entry.Traffic.SentBytes += Bytes;
     if (ReportRandom.chance(Load.ReportLoss))
--- a/src/work_share/work_board.cpp
+++ b/src/work_exchange/work_board.cpp
@@ -1,5 +1,5 @@
 /** @file work_board.cpp What is taken, and the entry's part in its group. */
-#include "work_share/work_board_base.h"
+#include "work_exchange/work_board_base.h"
 
 #include <algorithm>
 
--- a/src/work_share/work_board_base.h
+++ b/src/work_exchange/work_board_base.h
@@ -1,10 +1,10 @@
 /** @file work_board_base.h Decides whom this entry tells of which work, and when. */
-#ifndef POLLENSTALL_WORK_SHARE_WORK_BOARD_BASE_H
-#define POLLENSTALL_WORK_SHARE_WORK_BOARD_BASE_H
+#ifndef POLLENSTALL_WORK_EXCHANGE_WORK_BOARD_BASE_H
+#define POLLENSTALL_WORK_EXCHANGE_WORK_BOARD_BASE_H
 
-#include "work_share/work_feed_base.h"
-#include "work_share/work_groups_func.h"
-#include "work_share/work_ledger_base.h"
+#include "work_exchange/work_feed_base.h"
+#include "work_exchange/work_groups_func.h"
+#include "work_exchange/work_ledger_base.h"
 
 #include <map>
 #include <optional>
@@ -148,4 +148,4 @@
 
 } // namespace pollenstall
 
-#endif // POLLENSTALL_WORK_SHARE_WORK_BOARD_BASE_H
+#endif // POLLENSTALL_WORK_EXCHANGE_WORK_BOARD_BASE_H
--- a/src/work_share/work_feed.cpp
+++ b/src/work_exchange/work_feed.cpp
@@ -1,5 +1,5 @@
 /** @file work_feed.cpp Whether a receiver is to be told. */
-#include "work_share/work_feed_base.h"
+#include "work_exchange/work_feed_base.h"
 
 namespace pollenstall {
 
--- a/src/work_share/work_feed_base.h
+++ b/src/work_exchange/work_feed_base.h
@@ -1,8 +1,8 @@
 /** @file work_feed_base.h What one receiver has been told, and so what it is to be told next. */
-#ifndef POLLENSTALL_WORK_SHARE_WORK_FEED_BASE_H
-#define POLLENSTALL_WORK_SHARE_WORK_FEED_BASE_H
+#ifndef POLLENSTALL_WORK_EXCHANGE_WORK_FEED_BASE_H
+#define POLLENSTALL_WORK_EXCHANGE_WORK_FEED_BASE_H
 
-#include "work_share/work_ledger_base.h"
+#include "work_exchange/work_ledger_base.h"
 
 #include <algorithm>
 #include <functional>
@@ -72,4 +72,4 @@
 
 } // namespace pollenstall
 
-#endif // POLLENSTALL_WORK_SHARE_WORK_FEED_BASE_H
+#endif // POLLENSTALL_WORK_EXCHANGE_WORK_FEED_BASE_H
--- a/src/work_share/work_groups.cpp
+++ b/src/work_exchange/work_groups.cpp
@@ -1,5 +1,5 @@
 /** @file work_groups.cpp Groups of about equal size within each failure domain. */
-#include "work_share/work_groups_func.h"
+#include "work_exchange/work_groups_func.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/work_share/work_groups_func.h
+++ b/src/work_exchange/work_groups_func.h
@@ -1,8 +1,8 @@
 /** @file work_groups_func.h Which entries relay for which. */
-#ifndef POLLENSTALL_WORK_SHARE_WORK_GROUPS_FUNC_H
-#define POLLENSTALL_WORK_SHARE_WORK_GROUPS_FUNC_H
+#ifndef POLLENSTALL_WORK_EXCHANGE_WORK_GROUPS_FUNC_H
+#define POLLENSTALL_WORK_EXCHANGE_WORK_GROUPS_FUNC_H
 
-#include "work_share/work_share_type.h"
+#include "work_exchange/work_exchange_type.h"
 
 #include <cstddef>
 #include <string>
@@ -22,4 +22,4 @@
 
 } // namespace pollenstall
 
-#endif // POLLENSTALL_WORK_SHARE_WORK_GROUPS_FUNC_H
+#endif // POLLENSTALL_WORK_EXCHANGE_WORK_GROUPS_FUNC_H
--- a/src/work_share/work_ledger.cpp
+++ b/src/work_exchange/work_ledger.cpp
@@ -1,5 +1,5 @@
 /** @file work_ledger.cpp Parts by source, and when they changed. */
-#include "work_share/work_ledger_base.h"
+#include "work_exchange/work_ledger_base.h"
 
 #include <algorithm>
 
--- a/src/work_share/work_ledger_base.h
+++ b/src/work_exchange/work_ledger_base.h
@@ -1,8 +1,8 @@
 /** @file work_ledger_base.h What each sender told of its work at each backend server. */
-#ifndef POLLENSTALL_WORK_SHARE_WORK_LEDGER_BASE_H
-#define POLLENSTALL_WORK_SHARE_WORK_LEDGER_BASE_H
+#ifndef POLLENSTALL_WORK_EXCHANGE_WORK_LEDGER_BASE_H
+#define POLLENSTALL_WORK_EXCHANGE_WORK_LEDGER_BASE_H
 
-#include "work_share/work_share_type.h"
+#include "work_exchange/work_exchange_type.h"
 
 #include <cstdint>
 #include <unordered_map>
@@ -63,4 +63,4 @@
 
 } // namespace pollenstall
 
-#endif // POLLENSTALL_WORK_SHARE_WORK_LEDGER_BASE_H
+#endif // POLLENSTALL_WORK_EXCHANGE_WORK_LEDGER_BASE_H
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -2,7 +2,7 @@
 #include "work_share/work_share_base.h"
 
 #include "address/address.h"
-#include "work_share/work_board_base.h"
+#include "work_exchange/work_exchange.h"
 #include "work_share/work_report_codec_func.h"
 
 #include <boost/asio/io_context.hpp>
--- a/src/work_share/work_share.h
+++ b/src/work_share/work_share.h
@@ -3,7 +3,6 @@
 #ifndef POLLENSTALL_WORK_SHARE_WORK_SHARE_H
 #define POLLENSTALL_WORK_SHARE_WORK_SHARE_H
 
-#include "work_share/work_board_base.h" // IWYU pragma: export
 #include "work_share/work_share_base.h" // IWYU pragma: export
 #include "work_share/work_share_type.h" // IWYU pragma: export
 
--- a/tests/operators/operators_test.cpp
+++ b/tests/operators/operators_test.cpp
@@ -21,7 +21,21 @@
 
 constexpr std::string_view Key = "operators-key";
 
-struct operator_server_running : testing::Test {
+/// A server, and callers with connections of their own.
+struct served_callers : testing::Test {
+  asio::ip::tcp::socket connect() {
+    const std::string Address = Server->address();
+    const auto Port = static_cast<std::uint16_t>(std::stoi(Address.substr(Address.rfind(':') + 1)));
+    asio::ip::tcp::socket Socket(Context);
+    Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+    return Socket;
+  }
+
+  asio::io_context Context;
+  std::unique_ptr<operator_server> Server;
+};
+
+struct operator_server_running : served_callers {
   void SetUp() override {
     auto Started =
         operator_server_builder("127.0.0.1:0", keyHash(Key))
@@ -42,14 +56,6 @@
     Server = std::move(valueOf(Started));
   }
 
-  asio::ip::tcp::socket connect() {
-    const std::string Address = Server->address();
-    const auto Port = static_cast<std::uint16_t>(std::stoi(Address.substr(Address.rfind(':') + 1)));
-    asio::ip::tcp::socket Socket(Context);
-    Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
-    return Socket;
-  }
-
   http::response<http::string_body> answerTo(const std::string &Bytes) {
     asio::ip::tcp::socket Socket = connect();
     asio::write(Socket, asio::buffer(Bytes));
@@ -67,9 +73,7 @@
                     Body);
   }
 
-  asio::io_context Context;
   bool Ready{true};
-  std::unique_ptr<operator_server> Server;
 };
 
 TEST_F(operator_server_running, AnswersThePlatformWithoutAKey) {
@@ -111,7 +115,7 @@
 }
 
 /// A server with a bound on connections, and many callers that keep theirs.
-struct crowded_server : testing::Test {
+struct crowded_server : served_callers {
   void start(std::size_t MaxConnections) {
     auto Started = operator_server_builder("127.0.0.1:0", keyHash(Key))
                        .maxConnections(MaxConnections)
@@ -133,13 +137,6 @@
     Server = std::move(valueOf(Started));
   }
 
-  asio::ip::tcp::socket connect() {
-    const std::string Address = Server->address();
-    const auto Port = static_cast<std::uint16_t>(std::stoi(Address.substr(Address.rfind(':') + 1)));
-    asio::ip::tcp::socket Socket(Context);
-    Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
-    return Socket;
-  }
   static void send(asio::ip::tcp::socket &Socket, const std::string &Path) {
     asio::write(Socket,
                 asio::buffer("PUT " + Path + " HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"));
@@ -157,12 +154,10 @@
     return answer(Socket).result_int();
   }
 
-  asio::io_context Context;
   std::shared_ptr<prometheus::Registry> Registry{std::make_shared<prometheus::Registry>()};
   std::atomic<int> CrowdedTold{0};
   std::atomic<int> Notices{0};
   std::shared_future<void> Released;
-  std::unique_ptr<operator_server> Server;
 };
 
 // 650 backend servers keep a connection each to one control host, and 350 more hosts come by. With
--- a/tests/work_share/board_network.h
+++ b/tests/work_share/board_network.h
@@ -2,8 +2,8 @@
 #ifndef POLLENSTALL_TESTS_WORK_SHARE_BOARD_NETWORK_H
 #define POLLENSTALL_TESTS_WORK_SHARE_BOARD_NETWORK_H
 
+#include "work_exchange/work_exchange.h"
 #include "work_share/work_report_codec_func.h"
-#include "work_share/work_share.h"
 
 #include <map>
 #include <memory>
--- a/tests/work_share/work_board_test.cpp
+++ b/tests/work_share/work_board_test.cpp
@@ -153,6 +153,37 @@
   EXPECT_EQ(Net.thinks(40, 4).FirstReader, 99U);
 }
 
+// The model counts bytes by this size.
+TEST(AWorkReport, HasTheSizeThatIsSaid) {
+  for (const std::size_t Count : {0U, 3U, 56U}) {
+    work_report Report;
+    Report.Sender = {host_name("entry-12"), incarnation(5)};
+    for (std::size_t Engine = 0; Engine < Count; ++Engine)
+      Report.Loads.push_back(board_network::load(Engine, 2, 100));
+    EXPECT_EQ(encodeWorkReport("fleet", Report).size(), workReportSize("fleet", "entry-12", Count));
+    EXPECT_LE(encodeWorkReport("fleet", Report).size(), MaxReportBytes);
+  }
+}
+
+// Memory is rounded up on the way and the rest is as it was; what is over a field's range is cut.
+TEST(AWorkReport, KeepsWhatItTellsOnTheWay) {
+  work_report Report;
+  Report.Sender = {host_name("e"), incarnation(5)};
+  Report.Sequence = 9;
+  Report.Scope = report_scope::Group;
+  Report.Urgent = true;
+  Report.Loads.push_back({incarnation(7), 3, 2, 450, 5'001, 250, 77});
+  Report.Loads.push_back({incarnation(8), 700, 600, 100'000, 0, 0, 0});
+  const std::string Bytes = encodeWorkReport("fleet", Report);
+  const auto Read = decodeWorkReport("fleet", {Bytes.data(), Bytes.size()});
+  ASSERT_TRUE(succeeded(Read));
+  EXPECT_EQ(valueOf(Read).Scope, report_scope::Group);
+  EXPECT_TRUE(valueOf(Read).Urgent);
+  EXPECT_EQ(valueOf(Read).Loads[0], (work_load{incarnation(7), 3, 2, 450, 5'056, 250, 77}));
+  EXPECT_EQ(valueOf(Read).Loads[1], (work_load{incarnation(8), 255, 255, 65'535, 0, 0, 0}));
+  EXPECT_FALSE(succeeded(decodeWorkReport("other", {Bytes.data(), Bytes.size()})));
+}
+
 // ---- What goes wrong. ----
 
 struct a_relayed_fleet : testing::Test {
