An entry that reaches nobody blames no server and keeps its requests' attempts

Seen in a storm of large changes before 81 entries: from 10.05 to 15.1 s eleven attempts of one entry ended as not_connected after 0.3 s at eight healthy servers that others reached meanwhile; one request used up eight attempts, each server was paused for it.

Silence at three servers of two failure domains within a second, and no answer of any: the entry suspects its own link. It lifts the pauses of that spell, blames nobody, tries one request each 0.3 s and lets the others wait, which are refused as not run when their time to wait is over. A connection refused at once, an answer or an error status shows that the link works. Log events and a gauge say so.

--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -73,6 +73,7 @@
   [[nodiscard]] bool isSuperseded() const { return Superseded; }
   [[nodiscard]] std::size_t liveRequests() const { return Dispatcher.liveRequests(); }
   [[nodiscard]] std::size_t abandonedAttempts() const { return Dispatcher.abandonedAttempts(); }
+  [[nodiscard]] bool reachesNobody() const { return usesPlacer() && Placer.reachesNobody(); }
   [[nodiscard]] std::uint64_t claimsMade() const { return Placer.claimsMade(); }
   [[nodiscard]] std::size_t queued() const;
   /// @return JSON of requests, queue and backend servers, without prompts or keys.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -82,6 +82,8 @@
       ReadyGauge(gauge(*Plan.Registry, "pollenstall_ready", "1 where new requests are admitted")),
       RevisionGauge(gauge(*Plan.Registry, "pollenstall_declaration_revision",
                           "Revision of the declaration in use")),
+      OutOfReachGauge(gauge(*Plan.Registry, "pollenstall_backends_out_of_reach",
+                            "1 where this entry connects to no backend server")),
       WorkDatagramsGauge(gauge(*Plan.Registry, "pollenstall_work_datagrams_sent",
                                "Reports of work sent to other entries since the start")),
       WorkBytesGauge(gauge(*Plan.Registry, "pollenstall_work_bytes_sent",
@@ -141,6 +143,7 @@
     Outbox.push(list_attempts{Engine});
   Outbox.flush();
   tellLoads(Now);
+  logReach();
   publishGauges();
   answerDumps(Now);
 }
@@ -333,6 +336,15 @@
   return std::max(Sleep, mono_span::zero());
 }
 
+void decision_thread::logReach() {
+  if (ReachesNobody == Seam.reachesNobody())
+    return;
+  ReachesNobody = !ReachesNobody;
+  OutOfReachGauge.Set(ReachesNobody ? 1.0 : 0.0);
+  logEvent(log_level::Warning, ReachesNobody ? "backends_out_of_reach" : "backends_reached",
+           {{"queued", static_cast<std::int64_t>(Seam.queued())}});
+}
+
 void decision_thread::publishGauges() {
   Abandoned = Seam.abandonedAttempts();
   QueueGauge.Set(static_cast<double>(Seam.queued()));
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -97,6 +97,7 @@
   void endOrphans(const attempts_listed &Listed, mono_time Now);
   void answerDumps(mono_time Now);
   void publishGauges();
+  void logReach();
   [[nodiscard]] mono_span untilNextWake(mono_time Now) const;
   /// @return Until when the declaration may be acted upon.
   [[nodiscard]] mono_time declarationUsableUntil() const;
@@ -120,10 +121,11 @@
   entry_freshness Freshness;
   declaration_view Declaration;
   decision_seam Seam;
-  bool Usable{false};    ///< New requests were admitted at the last look.
-  bool Announced{false}; ///< The relay was told of the declaration.
-  mono_time ToldUntil{}; ///< End of the lease that the relay was told of.
-  bool ToldLags{false};  ///< The relay was told that a newer declaration is on its way.
+  bool Usable{false};        ///< New requests were admitted at the last look.
+  bool ReachesNobody{false}; ///< No backend server answers, as far as the log says.
+  bool Announced{false};     ///< The relay was told of the declaration.
+  mono_time ToldUntil{};     ///< End of the lease that the relay was told of.
+  bool ToldLags{false};      ///< The relay was told that a newer declaration is on its way.
   std::uint64_t BadDeclarations{0};
 
   ready_span Ready;
@@ -139,6 +141,7 @@
   prometheus::Gauge &AbandonedGauge;
   prometheus::Gauge &ReadyGauge;
   prometheus::Gauge &RevisionGauge;
+  prometheus::Gauge &OutOfReachGauge;
   prometheus::Gauge &WorkDatagramsGauge;
   prometheus::Gauge &WorkBytesGauge;
   std::thread Thread;
--- a/src/placement/engine_state_base.h
+++ b/src/placement/engine_state_base.h
@@ -46,6 +46,11 @@
   /// An attempt failed for a reason that is the server's.
   void noteFailure(const placement_tuning &Tuning, mono_time Now);
   void noteSuccess() { Failures = 0; }
+  /// What failed was not the server's fault.
+  void forgive() {
+    Failures = 0;
+    PausedUntil = TrialUntil = mono_time();
+  }
   /// Work was placed here. After a failure the next work is a trial, and for a while the only one.
   void notePlaced(const placement_tuning &Tuning, mono_time Now);
   [[nodiscard]] bool paused(mono_time Now) const {
@@ -54,6 +59,7 @@
   [[nodiscard]] bool active() const { return Listing.State == listing_state::Active; }
   [[nodiscard]] const backend_key &key() const { return Listing.Key; }
   [[nodiscard]] const service_name &service() const { return Listing.Service; }
+  [[nodiscard]] const failure_domain_name &domain() const { return Listing.Domain; }
   /// Requests that it runs at once, as it announced.
   [[nodiscard]] std::uint32_t places() const { return Listing.Places; }
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -188,17 +188,23 @@
     AllWork = allWork(Now);
   expireLate(Now, Outcome);
   for (const request_number Request : order(Now)) {
+    if (!mayPlace(Now))
+      break;
     const waiting_work Work = Waiting.at(Request);
     const std::optional<read_plan> Plan = choose(Work, Now);
     if (!Plan)
       continue;
     Waiting.erase(Request);
     start(Work, *Plan, Now, Outcome);
+    if (Reach.isOut())
+      Reach.noteTry(Now);
   }
   setNextWake(Now);
   return Outcome;
 }
 
+bool placer::mayPlace(mono_time Now) const { return !Reach.isOut() || Reach.mayTry(Now); }
+
 void placer::setNextWake(mono_time Now) {
   NextWake.reset();
   if (!Waiting.empty())
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -4,6 +4,7 @@
 
 #include "placement/engine_state_base.h"
 #include "placement/placement_type.h"
+#include "placement/reach_watch_base.h"
 #include "placement/request_rate_base.h"
 
 #include <map>
@@ -49,6 +50,9 @@
   [[nodiscard]] std::vector<work_load> ownLoads(mono_time Now) const;
   /// @return How many choices were ever held back. Each is to be told to the others at once.
   [[nodiscard]] std::uint64_t claimsMade() const { return ClaimsMade; }
+  /// @return Whether no backend server can be reached from here: work waits but for a trial now and
+  /// then, and is refused as not run when its time to wait is over.
+  [[nodiscard]] bool reachesNobody() const { return Reach.isOut(); }
   [[nodiscard]] std::size_t queued() const { return Waiting.size() + Claimed.size(); }
   /// @return JSON of the queue and of each backend server.
   [[nodiscard]] std::string dump(mono_time Now) const;
@@ -71,6 +75,7 @@
     std::vector<reading_part> Parts; ///< The first is at the engine that answers.
     double GapMs{0};                 ///< Longest that the caller allows between two events.
     bool Answered{false};
+    mono_time Sent; ///< When the attempt was started.
   };
   /// A choice that the other entries are being told of.
   struct claimed_work {
@@ -151,6 +156,8 @@
   [[nodiscard]] bool isLate(const waiting_work &Work, mono_time Now) const;
   [[nodiscard]] double memoryOf(const work_item &Item) const;
   void blame(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
+  void noteNotConnected(const running_work &Work, const engine_state &Engine, mono_time Now);
+  [[nodiscard]] bool mayPlace(mono_time Now) const;
 
   std::uint32_t Precedence; ///< Of this entry, where two would read on one engine.
   random_source Random;
@@ -164,6 +171,7 @@
   std::map<request_number, running_work> Placed; ///< Without an attempt yet.
   std::map<attempt_id, running_work> Running;
   exchange_facts Exchange;
+  reach_watch Reach;
   request_rate Rate;  ///< Of all entries, as far as this one has heard.
   work_views AllWork; ///< This entry's and the others', as of the present poll.
   std::optional<mono_time> NextWake;
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -11,6 +11,9 @@
 
 /// Part of its length that a part counts for that should be done and has not been seen to be.
 constexpr double OverduePart = 0.25;
+/// A connection that is refused fails within that, and shows that the server's host was reached;
+/// one that meets silence fails at the connect timeout.
+constexpr mono_span RefusedWithin = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -75,6 +78,7 @@
   Rate.add(1, Now);
   const auto Found = Placed.find(Item.Request);
   if (Found != Placed.end()) {
+    Found->second.Sent = Now;
     Running.insert_or_assign(Attempt, std::move(Found->second));
     Placed.erase(Found);
     return;
@@ -82,6 +86,7 @@
   running_work Started;
   Started.Request = Item.Request;
   Started.GapMs = static_cast<double>(Item.LongestGap.count());
+  Started.Sent = Now;
   Started.Parts.push_back({Backend, 0, Now, memoryOf(Item)});
   Running.insert_or_assign(Attempt, std::move(Started));
 }
@@ -91,6 +96,7 @@
   if (Found == Running.end())
     return;
   Found->second.Answered = true;
+  Reach.noteReached();
   for (const reading_part &Part : Found->second.Parts)
     if (const auto Engine = Engines.find(Part.Backend); Engine != Engines.end())
       Engine->second.noteSuccess();
@@ -109,6 +115,8 @@
   else if (End.Failure)
     blame(Attempt, *End.Failure, Now);
   const auto Engine = Engines.find(Found->second.Parts.front().Backend);
+  if (End.Completed)
+    Reach.noteReached();
   if (End.Completed && Engine != Engines.end())
     Engine->second.noteSuccess();
   Running.erase(Found);
@@ -122,15 +130,32 @@
 void placer::blame(const attempt_id &Attempt, attempt_failure Failure, mono_time Now) {
   // A server that declines is full, and an answer with an error status may be the caller's fault.
   if (Failure == attempt_failure::Declined || Failure == attempt_failure::ErrorAnswer)
-    return;
+    return Reach.noteReached();
   const auto Found = Running.find(Attempt);
   if (Found == Running.end())
     return;
   const auto Engine = Engines.find(Found->second.Parts.front().Backend);
-  if (Engine != Engines.end())
+  if (Engine == Engines.end())
+    return;
+  if (Failure == attempt_failure::NotConnected)
+    noteNotConnected(Found->second, Engine->second, Now);
+  if (!Reach.isOut())
     Engine->second.noteFailure(Tuning, Now);
 }
 
+void placer::noteNotConnected(const running_work &Work, const engine_state &Engine, mono_time Now) {
+  if (Now - Work.Sent < RefusedWithin)
+    return Reach.noteReached();
+  const bool WasOut = Reach.isOut();
+  Reach.noteUnreached(Engine.key(), Engine.domain(), Now);
+  if (WasOut || !Reach.isOut())
+    return;
+  for (const backend_key &Unreached : Reach.unreached())
+    if (const auto Found = Engines.find(Unreached); Found != Engines.end())
+      Found->second.forgive();
+  Reach.noteTry(Now);
+}
+
 std::string placer::dump(mono_time Now) const {
   std::ostringstream Out;
   Out << R"({"waiting":)" << Waiting.size() << R"(,"running":)" << Running.size()
