Four silent servers within three seconds before an entry suspects its own link

Three within a second were too few where a fifth or two fifths of all servers lose their links: 6 in 100 threes in a row would be taken for the entry's link.

--- a/src/placement/reach_watch_base.h
+++ b/src/placement/reach_watch_base.h
@@ -31,9 +31,10 @@
   [[nodiscard]] mono_time nextTry() const { return NextTry; }
 
 private:
-  /// Failures that are further apart have nothing to do with each other.
-  static constexpr mono_span Spell = std::chrono::seconds(1);
-  static constexpr std::size_t LeastServers = 3;
+  /// Failures that are further apart have nothing to do with each other. Where two fifths of all
+  /// servers lose their links four in a row are met twice in a hundred times.
+  static constexpr mono_span Spell = std::chrono::seconds(3);
+  static constexpr std::size_t LeastServers = 4;
   static constexpr std::size_t LeastDomains = 2;
   static constexpr mono_span TryInterval = std::chrono::milliseconds(300);
 
