--- a/src/fleet_model/run_summary.cpp
+++ b/src/fleet_model/run_summary.cpp
@@ -86,6 +86,7 @@
 report_traffic trafficAt(const std::vector<report_traffic> &Entries, double Part) {
   const auto At = [&](double report_traffic::*Figure) {
     std::vector<double> Values;
+    Values.reserve(Entries.size());
     for (const report_traffic &Entry : Entries)
       Values.push_back(Entry.*Figure);
     std::sort(Values.begin(), Values.end());
