The board keeps relays that were given up as a set

When each was given up was never read. The loop over the group says what it leaves out; unused includes are gone.

--- a/src/work_exchange/work_board.cpp
+++ b/src/work_exchange/work_board.cpp
@@ -157,7 +157,7 @@
 
 void work_board::chooseRelay(mono_time Now) {
   if (!Relay.empty() && Now - RelayHeard > Tuning.RelaySilence)
-    Suspects[Relay] = Now;
+    Suspects.insert(Relay);
   for (const std::string &Address : Group) {
     if (Address == Own)
       return useRelay({}, Now);
@@ -331,10 +331,9 @@
       Addresses.push_back(Sender.Address);
   if (!Relay.empty() || Now - KnowsSince < Tuning.Refresh)
     return Addresses;
-  const auto After = std::find(Group.begin(), Group.end(), Own);
-  for (auto At = Group.begin(); At != Group.end(); ++At)
-    if (At != After && std::find(Addresses.begin(), Addresses.end(), *At) == Addresses.end())
-      Addresses.push_back(*At);
+  for (const std::string &Address : Group)
+    if (Address != Own && std::find(Addresses.begin(), Addresses.end(), Address) == Addresses.end())
+      Addresses.push_back(Address);
   return Addresses;
 }
 
--- a/src/work_exchange/work_board_base.h
+++ b/src/work_exchange/work_board_base.h
@@ -7,7 +7,7 @@
 #include "work_exchange/work_ledger_base.h"
 
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -125,9 +125,9 @@
   mono_time RelayToldAt{mono_time::min()};
   mono_time GroupToldAt{mono_time::min()};
   bool Relaying{true};
-  mono_time RelayHeard{mono_time::min()};    ///< Or when it was chosen.
-  std::map<std::string, mono_time> Suspects; ///< Relays that were given up.
-  mono_time KnowsSince{mono_time::min()};    ///< Reports have been taken since then.
+  mono_time RelayHeard{mono_time::min()}; ///< Or when it was chosen.
+  std::set<std::string> Suspects;         ///< Relays that were given up.
+  mono_time KnowsSince{mono_time::min()}; ///< Reports have been taken since then.
   work_ledger Ledger;
   std::vector<incarnation> OwnLives; ///< Backend servers at which this entry has work.
   std::map<host_name, sender> Senders;
--- a/src/work_exchange/work_feed_base.h
+++ b/src/work_exchange/work_feed_base.h
@@ -4,8 +4,6 @@
 
 #include "work_exchange/work_ledger_base.h"
 
-#include <algorithm>
-#include <functional>
 #include <unordered_map>
 #include <vector>
 
