request_ended tells when the last attempt was handed to the kernel

sent_ms is the time from the request's arrival until the first byte of its last attempt went to the kernel; what comes after it is the link's and the server's.

Before: not known. After: ARequestThatWaitsForAnAttempt.IsRecordedWithTheTimeUntilItWasSent.

--- a/programs/pollenstall-entry/entry_report.cpp
+++ b/programs/pollenstall-entry/entry_report.cpp
@@ -26,6 +26,7 @@
             {"field", Record.Field},
             {"prompt_tokens", Record.Prompt.value()},
             {"ms", Record.Took.count()},
+            {"sent_ms", Record.SentAfter ? Record.SentAfter->count() : -1},
             {"first_byte_ms", Record.FirstByteAfter ? Record.FirstByteAfter->count() : -1},
             {"longest_gap_ms", Record.LongestGap ? Record.LongestGap->count() : -1}});
 }
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -159,6 +159,7 @@
                                           ? asio::const_buffer(Body->Text.data(), Body->Text.size())
                                           : asio::const_buffer();
   const std::array Buffers{asio::const_buffer(Head.data(), Head.size()), BodyPart};
+  Call->LastSent = boot_clock::now();
   const std::size_t Taken = co_await Link->writeAll(Buffers);
   if (Taken == 0)
     co_return attempt_failure::BrokenUnsent;
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -154,6 +154,8 @@
   Record.Reason = Reason;
   Record.Prompt = Call.Facts.Prompt;
   Record.Took = since(Call.Facts.Arrived, Now);
+  if (Call.LastSent)
+    Record.SentAfter = since(Call.Facts.Arrived, *Call.LastSent);
   if (Call.FirstByte)
     Record.FirstByteAfter = since(Call.Facts.Arrived, *Call.FirstByte);
   if (const auto Gap = Call.Gaps.longest())
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -75,6 +75,7 @@
   std::optional<finish_request> Finish;
   std::optional<attempt_id> LastAttempt; ///< For the log.
   std::optional<backend_key> LastBackend;
+  std::optional<mono_time> LastSent; ///< When the first byte of the last attempt sent went out.
   event_gaps Gaps;
   std::optional<mono_time> FirstByte; ///< When the caller got the first byte of the answer.
 };
--- a/tests/relay/headed_call_test.cpp
+++ b/tests/relay/headed_call_test.cpp
@@ -122,6 +122,25 @@
   EXPECT_GE(*Relay.records()[0].LongestGap, Pause);
 }
 
+// A request reaches its server late. The record tells time in the entry from time on the way.
+TEST(ARequestThatWaitsForAnAttempt, IsRecordedWithTheTimeUntilItWasSent) {
+  constexpr std::chrono::milliseconds Waits{30};
+  const scripted_server Server([](auto &Socket, const seen_request &) {
+    sendText(Socket, streamHead() + chunkOf(eventText(1)) + "0\r\n\r\n");
+  });
+  headed_relay Relay;
+  Relay.call("p");
+  std::this_thread::sleep_for(Waits);
+  Relay.start(Server, 1);
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_FALSE(Relay.answer().empty());
+  Relay.settle();
+  ASSERT_EQ(Relay.records().size(), 1U);
+  ASSERT_TRUE(Relay.records()[0].SentAfter);
+  EXPECT_GE(*Relay.records()[0].SentAfter, Waits);
+}
+
 TEST(AStreamWithAPause, HasNoTimeBetweenEventsWhereThereIsOne) {
   const scripted_server One([](auto &Socket, const seen_request &) {
     sendText(Socket, streamHead() + chunkOf(eventText(1)) + "0\r\n\r\n");
