Failing tests: requests that are sent after their caller has left or their time is over

The relay's thread knows that a caller has left, or could know by a look at its socket and at the clock, and sends the request all the same: it looks before it asks for memory and opens a connection, and not after.

--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -25,6 +25,8 @@
   Calls.ReadHead = [](const request_head &Head) -> result<head_facts, call_error> {
     head_facts Facts;
     Facts.LastEvent = numberFrom<std::uint64_t>(Head.header("X-Last")).value_or(0);
+    if (const auto Time = numberFrom<std::int64_t>(Head.header("X-Time")))
+      Facts.TimeLeft = std::chrono::milliseconds(*Time);
     return Facts;
   };
   Calls.SendName = [](const request_head &Head) { return std::string(Head.header("X-Send")); };
@@ -159,12 +161,29 @@
   }
 }
 
-void headed_relay::start(const scripted_server &Server, std::uint32_t Ordinal, bool MayRetry,
-                         std::vector<memory_hold> Holds) {
+start_attempt headed_relay::startOrder(const scripted_server &Server,
+                                       std::uint32_t Ordinal) const {
   start_attempt Order;
   Order.Attempt = {{host_name("entry"), incarnation(1)}, Facts.Id, Ordinal};
   Order.Backend = Server.key();
   Order.AnswerBy = boot_clock::now() + Limit;
+  return Order;
+}
+
+void headed_relay::hangUpAndStart(const scripted_server &Server) {
+  asio::post(Io, [this, Order = startOrder(Server, 1)]() mutable {
+    hangUp();
+    Relay->handle(std::move(Order));
+  });
+}
+
+void headed_relay::stop() {
+  asio::post(Io, [this] { Relay->stop(); });
+}
+
+void headed_relay::start(const scripted_server &Server, std::uint32_t Ordinal, bool MayRetry,
+                         std::vector<memory_hold> Holds) {
+  start_attempt Order = startOrder(Server, Ordinal);
   Order.MayRetry = MayRetry;
   Order.Holds = std::move(Holds);
   order(std::move(Order));
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -63,6 +63,11 @@
   /// Orders an attempt of the call that arrived last.
   void start(const scripted_server &Server, std::uint32_t Ordinal = 1, bool MayRetry = true,
              std::vector<memory_hold> Holds = {});
+  /// The caller closes and an attempt is ordered while the relay's thread is busy with another task:
+  /// both wait for it when it goes on.
+  void hangUpAndStart(const scripted_server &Server);
+  /// Ends the relay and its connections.
+  void stop();
   /// Returns once what was ordered has been begun, as far as it needs no peer's answer.
   void settle();
   void finish(final_outcome Outcome, failure_reason Reason);
@@ -74,6 +79,7 @@
 
 private:
   dispatch_event nextEvent();
+  [[nodiscard]] start_attempt startOrder(const scripted_server &Server, std::uint32_t Ordinal) const;
 
   declaration_view Declaration;
   boost::asio::io_context Io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO};
