A request is not sent once its caller has left or its time is over

Callers had left, and engines worked for nobody: the relay looks whether the caller is there when an attempt is ordered, then asks engines for memory and opens a connection, and sends. Each of these lasts as long as a peer likes; the cancel comes by a queue from the decision thread, which may be behind.

Ruled out: a look in the dispatcher (place() has one; the time passes after it).

Change: the last thing before the first byte is a look at the caller's socket, the end that was decided and the clock. Such an attempt ends as not_wanted: proved not run, and no fault of the server's. The tests, which asked for broken_unsent, ask for the new name; AnEngineIsNotBlamedForARequest... is new.

--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -76,12 +76,18 @@
   ErrorAnswer,  ///< A whole answer with a 5xx status; the work may have been done.
   BadAnswer,    ///< Not valid HTTP, or an answer for another attempt.
   TimedOut,     ///< No answer within the attempt's time.
+  NotWanted,    ///< Not sent: its caller had left, or its time was over. No fault of the server's.
 };
 
+/// @return Whether no byte of the request was written.
+constexpr bool leftUnsent(attempt_failure Failure) {
+  return Failure == attempt_failure::NotConnected || Failure == attempt_failure::BrokenUnsent ||
+         Failure == attempt_failure::NotWanted;
+}
+
 /// @return Whether this end proves that the backend server did not start.
 constexpr bool provesNotRun(attempt_failure Failure) {
-  return Failure == attempt_failure::NotConnected || Failure == attempt_failure::Declined ||
-         Failure == attempt_failure::BrokenUnsent;
+  return leftUnsent(Failure) || Failure == attempt_failure::Declined;
 }
 
 /// What the holders of claims say of a key.
@@ -172,7 +178,7 @@
 };
 /**
  * Start an attempt. The relay passes on answer bytes of the newest attempt only; where bytes of an
- * older one have reached the caller it starts nothing and reports BrokenUnsent.
+ * older one have reached the caller it starts nothing and reports NotWanted.
  */
 struct start_attempt {
   attempt_id Attempt;
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -213,9 +213,7 @@
   const bool Proved = Failure && provesNotRun(*Failure);
   const bool HoldsNothing = Failure && !mayHoldMemory(*Failure);
   Request.MayHaveRun = Request.MayHaveRun || !Proved;
-  const bool Unsent =
-      Failure == attempt_failure::NotConnected || Failure == attempt_failure::BrokenUnsent;
-  Request.Unsent += Unsent ? 1 : 0;
+  Request.Unsent += Failure && leftUnsent(*Failure) ? 1 : 0;
   Request.Tried.push_back(Request.Current->Backend);
   if (!HoldsNothing)
     return abandon(Request, Failure, Now);
--- a/src/dispatch/outcome.cpp
+++ b/src/dispatch/outcome.cpp
@@ -7,9 +7,7 @@
   if (hasAnswered(State))
     return Reported == attempt_failure::BadAnswer ? Reported : attempt_failure::BrokenMidway;
   const bool BytesMayBeOut = State != attempt_state::Connecting;
-  const bool ClaimsUnsent =
-      Reported == attempt_failure::NotConnected || Reported == attempt_failure::BrokenUnsent;
-  return BytesMayBeOut && ClaimsUnsent ? attempt_failure::BrokenSent : Reported;
+  return BytesMayBeOut && leftUnsent(Reported) ? attempt_failure::BrokenSent : Reported;
 }
 
 bool mayHoldMemory(attempt_failure Failure) {
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -128,6 +128,8 @@
 }
 
 void placer::blame(const attempt_id &Attempt, attempt_failure Failure, mono_time Now) {
+  if (Failure == attempt_failure::NotWanted)
+    return;
   // A server that declines is full, and an answer with an error status may be the caller's fault.
   if (Failure == attempt_failure::Declined || Failure == attempt_failure::ErrorAnswer)
     return Reach.noteReached();
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -110,20 +110,20 @@
 asio::awaitable<exchange_end> backend_exchange::perform(errand Errand) {
   // Bytes of an older attempt at the caller forbid this one's; it is proved not to have run.
   if (Errand == errand::Start && !Call->mayRelay(Order.Attempt.Ordinal))
-    co_return exchange_end{attempt_failure::BrokenUnsent, {}};
+    co_return exchange_end{attempt_failure::NotWanted, {}};
   if (!Order.Holds.empty() && Errand == errand::Start) {
     Holds = std::make_shared<memory_holds>(Context, Order.Attempt, Order.Holds);
     if (!co_await Holds->take())
       co_return exchange_end{attempt_failure::Declined, {}};
   }
   if (Abandoned)
-    co_return exchange_end{attempt_failure::BrokenUnsent, {}};
+    co_return exchange_end{attempt_failure::NotWanted, {}};
   const link_age Age = Call->Facts.Idempotent ? link_age::Any : link_age::Fresh;
   Link = co_await Context.Links.open(Order.Backend, Age);
   if (!Link)
     co_return exchange_end{attempt_failure::NotConnected, {}};
-  if (Abandoned)
-    co_return exchange_end{attempt_failure::BrokenUnsent, {}};
+  if (!isStillWanted())
+    co_return exchange_end{attempt_failure::NotWanted, {}};
   Link->expireAt(Call->Facts.Deadline + DeadlineGrace);
   if (const auto Failure = co_await send(Errand))
     co_return exchange_end{Failure, {}};
@@ -143,6 +143,14 @@
   co_return co_await relayWhole();
 }
 
+bool backend_exchange::isStillWanted() {
+  // Its watcher runs when this thread comes to it; the close may have arrived already.
+  if (Call->Caller->socket().peerClosed())
+    Context.noteCallerGone(*Call);
+  return !Abandoned && !Call->Finish && !Call->CallerGone &&
+         boot_clock::now() < Call->Facts.Deadline;
+}
+
 asio::awaitable<std::optional<attempt_failure>> backend_exchange::send(errand Errand) {
   const std::shared_ptr<const held_body> Body = Call->Request.Body;
   const bool Start = Errand == errand::Start;
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -59,6 +59,9 @@
 
   boost::asio::awaitable<void> run(errand Errand);
   boost::asio::awaitable<exchange_end> perform(errand Errand);
+  /// @return Whether anybody waits for the answer at this very moment. An engine cannot tell, and
+  /// would work for nobody.
+  bool isStillWanted();
   boost::asio::awaitable<std::optional<attempt_failure>> send(errand Errand);
   boost::asio::awaitable<std::optional<attempt_failure>> readHead();
   boost::asio::awaitable<exchange_end> relayEvents();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -51,7 +51,7 @@
   void on(start_attempt &&Order) {
     const auto Call = Context.Calls.find(Order.Attempt.Request);
     if (Call == Context.Calls.end()) {
-      Context.Outbox.push(attempt_failed{Order.Attempt, attempt_failure::BrokenUnsent});
+      Context.Outbox.push(attempt_failed{Order.Attempt, attempt_failure::NotWanted});
       return;
     }
     Context.Metrics.countAttempt();
--- a/src/scheduling/scheduler_attempt.cpp
+++ b/src/scheduling/scheduler_attempt.cpp
@@ -17,7 +17,7 @@
 
 bool blamesServer(attempt_failure Failure) {
   // A server that declines is full, not broken; it says so itself and its memory ledger shows it.
-  return Failure != attempt_failure::Declined;
+  return Failure != attempt_failure::Declined && Failure != attempt_failure::NotWanted;
 }
 
 memory_blocks blocksFor(double Tokens, const scheduled_backend &Record) {
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -156,6 +156,18 @@
   EXPECT_TRUE(Used.contains(listing(0).Key));
 }
 
+// Guards against engines that are paused because callers leave before their requests are sent.
+TEST_F(placer_story, AnEngineIsNotBlamedForARequestThatNobodyWaitsFor) {
+  keepOnly(listing(0).Key);
+  const request_number Left = arrive(1'000);
+  ASSERT_EQ(poll().size(), 1U);
+  attempt_report Report;
+  Report.Failure = attempt_failure::NotWanted;
+  Placer.attemptEnded(attempt(Left), Report, Now);
+  arrive(1'000);
+  EXPECT_EQ(poll().size(), 1U);
+}
+
 // An engine without power seems free of work, so that all short work would go there in the third of
 // a second until the next connection fails. After its pause it gets one request, and no other
 // before that one was answered.
--- a/tests/relay/late_send_test.cpp
+++ b/tests/relay/late_send_test.cpp
@@ -43,7 +43,7 @@
   Relay.hangUp();
   Relay.next<caller_left>();
   MayAnswer.set_value();
-  EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::BrokenUnsent);
+  EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::NotWanted);
   EXPECT_TRUE(Writer.requests().empty());
 }
 
@@ -53,7 +53,7 @@
   callWithHold(Relay, "X-Time: 40\r\n");
   std::this_thread::sleep_until(Relay.Facts.Deadline);
   MayAnswer.set_value();
-  EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::BrokenUnsent);
+  EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::NotWanted);
   EXPECT_TRUE(Writer.requests().empty());
 }
 
@@ -81,7 +81,7 @@
   EXPECT_FALSE(Relay.answer().empty());
   Relay.call("p");
   Relay.hangUpAndStart(Server);
-  EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::BrokenUnsent);
+  EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::NotWanted);
   Relay.stop();
   EXPECT_FALSE(MoreCame.get_future().get());
 }
