No memory is asked for once the caller has left

An engine set memory aside that nobody used until the cancel had come through the decision thread.

Evidence: AsksNoFurtherEngineOnceItsCallerHasLeft, seen failing on the code before (POST /hold at the second engine). Change: memory_holds asks its owner before each engine; what was taken is given back as before. An attempt that ends for this is not_wanted, not declined: the engine did not refuse it.

--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -112,11 +112,14 @@
   if (Errand == errand::Start && !Call->mayRelay(Order.Attempt.Ordinal))
     co_return exchange_end{attempt_failure::NotWanted, {}};
   if (!Order.Holds.empty() && Errand == errand::Start) {
-    Holds = std::make_shared<memory_holds>(Context, Order.Attempt, Order.Holds);
-    if (!co_await Holds->take())
+    // The holds outlive this exchange while they are given back, and ask no more then.
+    Holds = std::make_shared<memory_holds>(Context, Order.Attempt, Order.Holds,
+                                           [this] { return isStillWanted(); });
+    const bool Held = co_await Holds->take();
+    if (!Held && isStillWanted())
       co_return exchange_end{attempt_failure::Declined, {}};
   }
-  if (Abandoned)
+  if (!isStillWanted())
     co_return exchange_end{attempt_failure::NotWanted, {}};
   const link_age Age = Call->Facts.Idempotent ? link_age::Any : link_age::Fresh;
   Link = co_await Context.Links.open(Order.Backend, Age);
--- a/src/relay/memory_holds.cpp
+++ b/src/relay/memory_holds.cpp
@@ -52,8 +52,10 @@
   bool Held = true;
   Asking = true;
   for (const memory_hold &Hold : Holds)
-    if (!Released && (Held || Then == on_refusal::GoOn))
+    if (!Released && (Then == on_refusal::GoOn || (Held && IsNeeded())))
       Held = co_await ask(Hold) && Held;
+    else
+      Held = false;
   Asking = false;
   if (Released)
     startEnd();
--- a/src/relay/memory_holds_base.h
+++ b/src/relay/memory_holds_base.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -19,8 +20,10 @@
  */
 class memory_holds : public std::enable_shared_from_this<memory_holds> {
 public:
-  memory_holds(relay_context &Shared, const attempt_id &For, std::vector<memory_hold> Wanted)
-      : Context(Shared), Attempt(For), Holds(std::move(Wanted)) {}
+  /// @param Needed Whether the attempt is still to be sent; asked before each engine.
+  memory_holds(relay_context &Shared, const attempt_id &For, std::vector<memory_hold> Wanted,
+               std::function<bool()> Needed)
+      : Context(Shared), Attempt(For), Holds(std::move(Wanted)), IsNeeded(std::move(Needed)) {}
 
   /// @return Whether all of them are held; otherwise none is kept.
   boost::asio::awaitable<bool> take();
@@ -41,6 +44,7 @@
   relay_context &Context;
   const attempt_id Attempt;
   const std::vector<memory_hold> Holds;
+  const std::function<bool()> IsNeeded;
   bool Asked{false};  ///< An engine may hold some.
   bool Asking{false}; ///< An engine's answer is waited for.
   bool Released{false};
--- a/tests/relay/late_send_test.cpp
+++ b/tests/relay/late_send_test.cpp
@@ -57,6 +57,21 @@
   EXPECT_TRUE(Writer.requests().empty());
 }
 
+// Guards against memory that is set aside for a caller who has left.
+TEST_F(request_that_waits_for_memory, AsksNoFurtherEngineOnceItsCallerHasLeft) {
+  const scripted_server Second([](auto &Socket, const seen_request &) { sendText(Socket, Held); });
+  headed_relay Relay;
+  Relay.call("p");
+  Relay.start(Writer, 1, true, {{Keeper.key(), Amount}, {Second.key(), Amount}});
+  Asked.get_future().wait();
+  Relay.hangUp();
+  Relay.next<caller_left>();
+  MayAnswer.set_value();
+  Relay.next<attempt_failed>();
+  for (const seen_request &Request : Second.requests())
+    EXPECT_EQ(Request.Head.find("/hold/"), std::string::npos) << Request.Head;
+}
+
 /// Two requests on one kept connection to a server; the second one waits for no connection.
 struct request_on_a_kept_connection : testing::Test {
   const std::string Ok = "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 2\r\n\r\nok";
