--- a/src/fake_backend/backend_work.cpp
+++ b/src/fake_backend/backend_work.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <charconv>
+#include <csignal>
 #include <utility>
 
 namespace pollenstall {
@@ -165,6 +166,8 @@
     return;
   }
   countStart(Request, Job->Attempt);
+  if (!Faults.DieOnPrompt.empty() && Request.body().find(Faults.DieOnPrompt) != std::string::npos)
+    std::raise(SIGKILL);
   if (failsStarted(Session, Job->Attempt)) {
     Engine.cancel(Job->Attempt, boot_clock::now());
     return;
--- a/src/fake_backend/fault.cpp
+++ b/src/fake_backend/fault.cpp
@@ -41,6 +41,13 @@
   return true;
 }
 
+bool setDieOnPrompt(fault_plan &Plan, const boost::json::value &Value) {
+  if (!Value.is_string())
+    return false;
+  Plan.DieOnPrompt = Value.get_string().c_str();
+  return true;
+}
+
 bool setRefuse(fault_plan &Plan, const boost::json::value &Value) {
   if (!Value.is_bool())
     return false;
@@ -51,6 +58,7 @@
 const std::map<std::string_view, setter> &setters() {
   static const std::map<std::string_view, setter> Table{
       {"die_after_events", optionalCount(&fault_plan::DieAfterEvents)},
+      {"die_on_prompt", setDieOnPrompt},
       {"cut_after_events", optionalCount(&fault_plan::CutAfterEvents)},
       {"freeze_ms", count(&fault_plan::FreezeMs)},
       {"slow_factor", setSlowFactor},
--- a/src/fake_backend/fault_type.h
+++ b/src/fake_backend/fault_type.h
@@ -14,6 +14,7 @@
 /// Faults still to come; each "next" counts down as it strikes.
 struct fault_plan {
   std::optional<std::int64_t> DieAfterEvents; ///< Events of all streams, then the process ends.
+  std::string DieOnPrompt; ///< The process ends when it begins a body with this text; empty: none.
   std::optional<std::int64_t> CutAfterEvents; ///< The next stream breaks after so many events.
   std::int64_t FreezeMs{0};                   ///< The process stands still once, as if stopped.
   double SlowFactor{1.0};                     ///< Stretches every step.
--- /dev/null
+++ b/tests/system/crashing_request_test.cpp
@@ -0,0 +1,49 @@
+/** @file crashing_request_test.cpp A request under which each engine that begins it crashes. */
+#include "running_system_base.h"
+
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+constexpr int Ok = 200;
+constexpr int Unavailable = 503;
+const std::string Crashing = "crash-this-engine";
+
+class CrashingRequestTest : public testing::Test {
+protected:
+  static bool isRefused(const http_answer &Answer) {
+    return Answer.Status == Unavailable &&
+           Answer.Body.find("\"request_crashes_servers\"") != std::string::npos;
+  }
+
+  running_system System{{.Engines = 6,
+                         .EngineTop = "faults = '{\"die_on_prompt\":\"" + Crashing + "\"}'\n"}};
+};
+
+// Guards against one request that, sent again and again, ends one engine after the other.
+TEST_F(CrashingRequestTest, IsRefusedByEveryEntryOnceItHasCrashedThreeEngines) {
+  constexpr int MostRounds = 60;
+  bool Refused = false;
+  std::size_t Lost = 0;
+  for (int Round = 0; Round < MostRounds && !Refused; ++Round) {
+    Refused = isRefused(System.chat(Round % running_system::EntryCount, Crashing));
+    Lost += System.restartEndedEngines();
+    ASSERT_TRUE(Refused || eventually([this] { return System.allReady(); }));
+  }
+  ASSERT_TRUE(Refused) << Lost << " engines were lost in " << MostRounds << " rounds";
+  EXPECT_GE(Lost, 3U);
+  for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry)
+    ASSERT_TRUE(eventually([&] { return isRefused(System.chat(Entry, Crashing)); })) << Entry;
+  System.restartEndedEngines();
+  for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry) {
+    const http_answer Again = System.chat(Entry, Crashing);
+    EXPECT_TRUE(isRefused(Again)) << Again.Status << Again.Body;
+    EXPECT_EQ(outcomeOf(Again), "not-run");
+    EXPECT_EQ(System.chat(Entry, "another prompt").Status, Ok);
+  }
+  EXPECT_EQ(System.restartEndedEngines(), 0U);
+}
+
+} // namespace
+} // namespace pollenstall
--- a/tests/system/running_system.cpp
+++ b/tests/system/running_system.cpp
@@ -165,6 +165,16 @@
       std::make_unique<backend_process>(backendSettings(engineTop() + Listen, Plan.EngineTables));
 }
 
+std::size_t running_system::restartEndedEngines() {
+  std::size_t Ended = 0;
+  for (std::size_t Index = 0; Index < Engines.size(); ++Index)
+    if (engine(Index).process().wait(std::chrono::milliseconds(0))) {
+      restartEngine(Index);
+      ++Ended;
+    }
+  return Ended;
+}
+
 http_client running_system::caller(std::size_t Entry) const {
   return http_client(Entries.at(Entry).Callers);
 }
--- a/tests/system/running_system_base.h
+++ b/tests/system/running_system_base.h
@@ -43,6 +43,8 @@
   void startEntry(std::size_t Index);
   /// Starts a new life of an engine at its old address; the old one must have ended.
   void restartEngine(std::size_t Index);
+  /// Starts a new life of each engine that has ended. @return How many.
+  std::size_t restartEndedEngines();
 
   /// @return Whether the entry admits new requests.
   [[nodiscard]] bool ready(std::size_t Entry) const;
