--- a/programs/pollenstall-control/control_codec.cpp
+++ b/programs/pollenstall-control/control_codec.cpp
@@ -49,13 +49,23 @@
 template <typename Archive> void serialize(Archive &Into, note_backends &Command) {
   Into(Command.Changes);
 }
+template <typename Archive> void serialize(Archive &Into, note_crash &Command) {
+  Into(Command.Marks, Command.Life, Command.Time);
+}
+template <typename Archive> void serialize(Archive &Into, clear_suspect &Command) {
+  Into(Command.High);
+}
+template <typename Archive> void serialize(Archive &Into, suspect_record &Record) {
+  Into(Record.Mark, Record.Crashes, Record.Blocks, Record.LastCrash, Record.BlockedUntil,
+       Record.Lives);
+}
 template <typename Archive> void serializeInitial(Archive &Into, control_snapshot &Snapshot) {
   Into(Snapshot.Declared, Snapshot.History, Snapshot.Answers, Snapshot.Drains,
        Snapshot.DrainsVersion, Snapshot.LastFence, Snapshot.LatestTime, Snapshot.Claims);
 }
 template <typename Archive> void serialize(Archive &Into, control_snapshot &Snapshot) {
   serializeInitial(Into, Snapshot);
-  Into(Snapshot.Backends);
+  Into(Snapshot.Backends, Snapshot.Suspects, Snapshot.SuspectsVersion);
 }
 
 /// A snapshot of the first version, which knew no backend servers.
@@ -64,6 +74,15 @@
   template <typename Archive> void serialize(Archive &Into) { serializeInitial(Into, Snapshot); }
 };
 
+/// A snapshot of the second version, which knew no suspected requests.
+struct backends_snapshot {
+  control_snapshot Snapshot;
+  template <typename Archive> void serialize(Archive &Into) {
+    serializeInitial(Into, Snapshot);
+    Into(Snapshot.Backends);
+  }
+};
+
 namespace {
 
 /// The largest declaration with the other fields of its change.
@@ -118,16 +137,26 @@
                      [](const claim_record &Record) { return isStanding(Record.Standing); });
 }
 
+template <typename Older>
+result<control_snapshot, control_codec_error> decodeOlder(std::string_view Bytes) {
+  auto Decoded = decodeBody<Older, state_version>(Bytes);
+  if (!succeeded(Decoded))
+    return errorOf(Decoded);
+  return std::move(valueOf(Decoded).Snapshot);
+}
+
 result<control_snapshot, control_codec_error> decodeSnapshot(std::string_view Bytes) {
-  const auto Number = versionOf(Bytes, state_version::Backends);
+  const auto Number = versionOf(Bytes, state_version::Suspects);
   if (!succeeded(Number))
     return errorOf(Number);
-  if (valueOf(Number) == state_version::Backends)
+  switch (valueOf(Number)) {
+  case state_version::Initial:
+    return decodeOlder<initial_snapshot>(Bytes);
+  case state_version::Backends:
+    return decodeOlder<backends_snapshot>(Bytes);
+  default:
     return decodeBody<control_snapshot, state_version>(Bytes);
-  const auto Initial = decodeBody<initial_snapshot, state_version>(Bytes);
-  if (!succeeded(Initial))
-    return errorOf(Initial);
-  return valueOf(Initial).Snapshot;
+  }
 }
 
 /// A command with a text goes to every follower by the link that carries its heartbeats, in one
@@ -150,6 +179,14 @@
   return valueOf(std::move(Command));
 }
 
+command_version versionFor(const control_command &Command) {
+  if (std::holds_alternative<note_backends>(Command))
+    return command_version::Backends;
+  const bool Suspects = std::holds_alternative<note_crash>(Command) ||
+                        std::holds_alternative<clear_suspect>(Command);
+  return Suspects ? command_version::Suspects : command_version::Initial;
+}
+
 } // namespace
 
 std::string encodeCommand(const control_command &Command) {
@@ -157,13 +194,11 @@
   if (hasText(Command))
     return encodePlain(version_head<command_version>{command_version::Packed}) +
            encodePlain(pack(encodePlain(Command)));
-  const bool Newer = std::holds_alternative<note_backends>(Command);
-  const command_version Number = Newer ? command_version::Backends : command_version::Initial;
-  return encodePlain(version_head<command_version>{Number}) + encodePlain(Command);
+  return encodePlain(version_head<command_version>{versionFor(Command)}) + encodePlain(Command);
 }
 
 result<control_command, control_codec_error> decodeCommand(std::string_view Bytes) {
-  const auto Number = versionOf(Bytes, command_version::Packed);
+  const auto Number = versionOf(Bytes, command_version::Suspects);
   if (!succeeded(Number))
     return errorOf(Number);
   auto Decoded = valueOf(Number) == command_version::Packed
@@ -175,7 +210,7 @@
 }
 
 std::string encodeState(const control_state &State) {
-  return encodePlain(version_head<state_version>{state_version::Backends}) +
+  return encodePlain(version_head<state_version>{state_version::Suspects}) +
          encodePlain(State.snapshot());
 }
 
--- a/programs/pollenstall-control/control_codec_func.h
+++ b/programs/pollenstall-control/control_codec_func.h
@@ -14,9 +14,10 @@
   Initial = 1,
   Backends = 2, ///< Of note_backends alone.
   Packed = 3,   ///< Of commands with a declaration: a packed_text of the command.
+  Suspects = 4, ///< Of note_crash and clear_suspect alone.
 };
 /// Versions of a snapshot's bytes.
-enum class state_version : std::uint16_t { Initial = 1, Backends = 2 };
+enum class state_version : std::uint16_t { Initial = 1, Backends = 2, Suspects = 3 };
 
 /// Why bytes of the log cannot be carried out. Skipping them would part this member's state from
 /// the others', so the process must stop.
--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -171,9 +171,12 @@
     return fail("log_entry_unreadable", "index " + std::to_string(Entry.Index.value()));
   const revision Before = State.declared().Revision;
   const std::uint64_t DrainsBefore = State.drainsVersion();
+  const std::uint64_t SuspectsBefore = State.suspects().version();
   const control_answer Answer = State.execute(valueOf(Command));
   Parts.Metrics->Applied.Increment();
   announceEffects(Before, DrainsBefore);
+  if (State.suspects().version() != SuspectsBefore)
+    announceSuspects();
   completeProposal(Entry, Answer);
 }
 
@@ -189,6 +192,20 @@
     Desk.drainsChanged(Time);
 }
 
+void control_core::announceSuspects() {
+  Desk.suspectsChanged(boot_clock::now());
+  std::string Blocked;
+  std::size_t Watched = 0;
+  for (const told_suspect &Told : State.suspects().told(wallClock())) {
+    if (Told.BlockedFor.count() == 0)
+      ++Watched;
+    else
+      Blocked += (Blocked.empty() ? "" : ",") + toText(Told.Mark);
+  }
+  logEvent(log_level::Warning, "suspects_changed",
+           {{"blocked", Blocked}, {"watched", static_cast<std::int64_t>(Watched)}});
+}
+
 void control_core::noteAccepted(mono_time Time) {
   const declared_text &Declared = State.declared();
   AwaitingForce.emplace(Declared.Revision, Time);
--- a/programs/pollenstall-control/control_core_base.h
+++ b/programs/pollenstall-control/control_core_base.h
@@ -128,6 +128,7 @@
   void execute(const log_entry &Entry);
   void completeProposal(const log_entry &Entry, const control_answer &Answer);
   void announceEffects(revision Before, std::uint64_t DrainsBefore);
+  void announceSuspects();
   void noteAccepted(mono_time Time);
   void publishDeclared();
   void publishLease(const replica_status &Status);
--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -127,6 +127,29 @@
   if (Hooks.Backends)
     Hooks.Send({To, link_backends{true, Hooks.Backends()}});
   Hooks.Send({To, link_declared{Hooks.State().declared().Revision}});
+  Hooks.Send({To, suspects()});
+}
+
+link_suspects entry_desk::suspects() const {
+  return {Hooks.State().suspects().told(wallClock())};
+}
+
+void entry_desk::suspectsChanged(mono_time Now) {
+  if (!InOffice || !Hooks.MayServe(Now))
+    return;
+  const link_suspects All = suspects();
+  for (const auto &[Connection, Session] : Sessions)
+    Hooks.Send({Connection, All});
+}
+
+void entry_desk::handleRequest(connection_number /*From*/, const link_crash &Request,
+                               mono_time /*Now*/) {
+  Hooks.Propose(note_crash{Request.Marks, Request.Life, wallClock()}, [](const auto & /*Known*/) {});
+}
+
+void entry_desk::handleRequest(connection_number /*From*/, const link_clear_suspect &Request,
+                               mono_time /*Now*/) {
+  Hooks.Propose(clear_suspect{Request.Mark.High}, [](const auto & /*Known*/) {});
 }
 
 link_fleet entry_desk::fleet() const {
--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -63,6 +63,9 @@
   /// The state has another list of drains.
   void drainsChanged(mono_time Now);
 
+  /// The state tells other requests as suspected.
+  void suspectsChanged(mono_time Now);
+
   /// Backend servers changed. On return every entry in touch is being told.
   void backendsChanged(const std::vector<backend_listing> &Changes);
   /// Another control host is known.
@@ -96,6 +99,9 @@
   void handleRequest(connection_number From, const link_renew &Request, mono_time Now);
   void handleRequest(connection_number From, const link_claim_acquire &Request, mono_time Now);
   void handleRequest(connection_number From, const link_claim_settle &Request, mono_time Now);
+  void handleRequest(connection_number From, const link_crash &Request, mono_time Now);
+  void handleRequest(connection_number From, const link_clear_suspect &Request, mono_time Now);
+  [[nodiscard]] link_suspects suspects() const;
   void sendAway(connection_number To);
   void tellWaiting(mono_time Now);
   [[nodiscard]] bool needsText(const session &Session) const;
--- a/programs/pollenstall-control/operator_api.cpp
+++ b/programs/pollenstall-control/operator_api.cpp
@@ -71,6 +71,13 @@
   return json::serialize(json::object{{"changes", std::move(Changes)}});
 }
 
+std::string suspectsText(const control_state &State) {
+  json::array Suspects;
+  for (const told_suspect &Told : State.suspects().told(wallClock()))
+    Suspects.push_back({{"request", toText(Told.Mark)}, {"blocked_ms", Told.BlockedFor.count()}});
+  return json::serialize(json::object{{"suspects", std::move(Suspects)}});
+}
+
 std::string declarationText(const control_state &State) {
   const declared_text &Declared = State.declared();
   return json::serialize(
@@ -126,6 +133,8 @@
   Add("GET", "/v1/status", &operator_api::getStatus);
   Add("POST", "/v1/drains", &operator_api::postDrain);
   Add("POST", "/v1/members", &operator_api::postMember);
+  Add("GET", "/v1/suspects", &operator_api::getSuspects);
+  Add("POST", "/v1/suspects", &operator_api::postSuspect);
 }
 
 operator_reply operator_api::ask(control_question Question) {
@@ -179,6 +188,19 @@
   return badCall("action is admit or remove; a learner that has caught up votes by itself");
 }
 
+operator_reply operator_api::getSuspects(const operator_call & /*Call*/) {
+  return read(suspectsText);
+}
+
+operator_reply operator_api::postSuspect(const operator_call &Call) {
+  const auto Object = objectOf(Call.Body);
+  const auto Request = Object ? textAt(*Object, "request") : std::nullopt;
+  const auto High = Request ? markFromText(*Request) : std::nullopt;
+  if (!High)
+    return badCall("needs request, as the list of suspects names it");
+  return ask(command_wanted{clear_suspect{*High}});
+}
+
 operator_reply operator_api::getDeclaration(const operator_call & /*Call*/) {
   return read(declarationText);
 }
--- a/programs/pollenstall-control/operator_api_base.h
+++ b/programs/pollenstall-control/operator_api_base.h
@@ -32,6 +32,8 @@
   operator_reply postChange(const operator_call &Call);
   operator_reply postDrain(const operator_call &Call);
   operator_reply postMember(const operator_call &Call);
+  operator_reply getSuspects(const operator_call &Call);
+  operator_reply postSuspect(const operator_call &Call);
   operator_reply getDeclaration(const operator_call &Call);
   operator_reply getChange(const operator_call &Call);
   operator_reply getHistory(const operator_call &Call);
--- a/programs/pollenstall-control/operator_reply.cpp
+++ b/programs/pollenstall-control/operator_reply.cpp
@@ -65,6 +65,10 @@
                    errorObject("change_id_reused", "the id was used for another change"));
 }
 
+operator_reply replyToAnswer(const suspects_kept & /*Answer*/) {
+  return jsonReply(HttpOk, {{"done", true}});
+}
+
 template <typename Other> operator_reply replyToAnswer(const Other & /*Answer*/) {
   return jsonReply(HttpServerError, errorObject("internal", "not an operator's command"));
 }
--- a/programs/pollenstall-entry/decision_seam.cpp
+++ b/programs/pollenstall-entry/decision_seam.cpp
@@ -186,6 +186,15 @@
   Placer.removeBackend(Listing.Key);
 }
 
+bool decision_seam::isLeaving(const backend_key &Backend) const {
+  if (usesPlacer()) {
+    const backend_listing *Listing = Directory.find(Backend);
+    return Listing && Listing->State == listing_state::Leaving;
+  }
+  const auto Found = Backends.find(Backend);
+  return Found != Backends.end() && Found->second.Standing == backend_standing::Leaving;
+}
+
 std::string decision_seam::instanceOf(const backend_key &Backend) const {
   const backend_listing *Listing = Directory.find(Backend);
   return Listing ? Listing->Instance.str() : std::string();
--- a/programs/pollenstall-entry/decision_seam_base.h
+++ b/programs/pollenstall-entry/decision_seam_base.h
@@ -49,6 +49,8 @@
   [[nodiscard]] std::vector<work_load> ownLoads(mono_time Now) const {
     return Placer.ownLoads(Now);
   }
+  /// @return Whether the backend server has said that it takes no new work.
+  [[nodiscard]] bool isLeaving(const backend_key &Backend) const;
   /// @return The name that a backend server gives its life; empty where it has none.
   [[nodiscard]] std::string instanceOf(const backend_key &Backend) const;
   void setRetryAllowance(const retry_allowance &Value) { Dispatcher.setRetryAllowance(Value); }
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -66,6 +66,7 @@
 
 decision_thread::decision_thread(decision_plan Wanted)
     : Plan(std::move(Wanted)), Events(Plan.RingCapacity), Lists(ListCapacity),
+      CrashNews(ListCapacity),
       Orders(Plan.RingCapacity), Outbox(Orders),
       Seam(Plan.Self, Plan.Self.Life.value(), Plan.Backends),
       OrphanCounter(prometheus::BuildCounter()
@@ -90,6 +91,7 @@
                            "Their bytes, without the heads of UDP and IP")) {
   Events.onWake([this] { Gate.wake(); });
   Lists.onWake([this] { Gate.wake(); });
+  CrashNews.onWake([this] { Gate.wake(); });
   if (!Plan.ReadDeclaration)
     Plan.ReadDeclaration = readOwnFormat;
 }
@@ -158,6 +160,10 @@
     Control->drainEvents(
         [this, Now](control_link_event &&Event) { takeControlEvent(std::move(Event), Now); });
   Lists.drain([this, Now](attempts_listed &&Listed) { endOrphans(Listed, Now); });
+  CrashNews.drain([this](crash_news &&News) {
+    std::visit([this](auto &&One) { tellOfCrash(std::forward<decltype(One)>(One)); },
+               std::move(News));
+  });
   const std::lock_guard<std::mutex> Lock(Guard);
   if (ShutdownWanted)
     Seam.beginShutdown(Now, *std::exchange(ShutdownWanted, std::nullopt));
@@ -173,6 +179,9 @@
           [this, Now](const drains_changed &Drains) { Seam.useDrains(Drains.Backends, Now); },
           [this, Now](const backends_listed &Listed) { Seam.take(Listed, Now); },
           [this](const entries_listed &Listed) { takeEntries(Listed); },
+          [this, Now](const suspects_listed &Listed) {
+            Outbox.push(suspects_known{std::make_shared<const suspect_list>(Listed.Suspects, Now)});
+          },
           [](const control_lost &Lost) { logLoss(Lost); }},
       Event);
 }
@@ -222,6 +231,23 @@
   Seam.setRetryAllowance({*Plan.RetryReserve * Used / Entries, Plan.RetryWindow});
 }
 
+void decision_thread::tellOfCrash(crash_seen &&Crash) {
+  std::string Marks;
+  for (const request_mark &Mark : Crash.Marks)
+    Marks += (Marks.empty() ? "" : ",") + toText(Mark);
+  logEvent(log_level::Warning, "backend_crashed",
+           {{"backend", toText(Crash.Backend)}, {"requests", Marks}});
+  // A server that has said that it leaves ends with what it has not finished.
+  if (Control && !Seam.isLeaving(Crash.Backend))
+    Control->request(std::move(Crash));
+}
+
+void decision_thread::tellOfCrash(suspect_cleared &&Cleared) {
+  logEvent(log_level::Info, "suspect_cleared", {{"request", toText(Cleared.Mark)}});
+  if (Control)
+    Control->request(Cleared);
+}
+
 void decision_thread::tellLoads(mono_time Now) {
   // A claim is told before it is acted upon, whatever was told a moment ago.
   const bool Claimed = Seam.claimsMade() != ToldClaims;
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -56,6 +56,8 @@
   [[nodiscard]] bounded_ring<dispatch_event> &events() { return Events; }
   /// Filled by the relay thread with answers to list_attempts.
   [[nodiscard]] bounded_ring<attempts_listed> &attemptLists() { return Lists; }
+  /// Filled by the relay thread.
+  [[nodiscard]] bounded_ring<crash_news> &crashNews() { return CrashNews; }
   /// Emptied by the relay thread.
   [[nodiscard]] bounded_ring<relay_order> &orders() { return Orders; }
   /// Wakes the thread; for the gossip thread and the control link.
@@ -88,6 +90,8 @@
   void drainNews(mono_time Now);
   void takeControlEvent(control_link_event &&Event, mono_time Now);
   void takeDeclaration(const declaration_received &Received);
+  void tellOfCrash(crash_seen &&Crash);
+  void tellOfCrash(suspect_cleared &&Cleared);
   void takeEntries(const entries_listed &Listed);
   void tellLoads(mono_time Now);
   [[nodiscard]] bool toldOtherwise(const std::vector<work_load> &Loads, mono_time Now) const;
@@ -108,6 +112,7 @@
   bounded_ring<dispatch_event> Events;
   std::vector<dispatch_event> Batch; ///< Taken from the ring in this turn.
   bounded_ring<attempts_listed> Lists;
+  bounded_ring<crash_news> CrashNews;
   bounded_ring<relay_order> Orders;
   event_outbox<relay_order> Outbox;
   bounded_ring<membership_event> *Views{nullptr};
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -152,6 +152,7 @@
 result<done, entry_error> entry::startRelay() {
   Relay = relay_builder(Io, Decision->events())
               .attemptLists(Decision->attemptLists())
+              .crashNews(Decision->crashNews())
               .process(Self)
               .limits(limitsOf(Settings))
               .metrics(Registry)
--- a/programs/pollenstallctl/table/verbs.h
+++ b/programs/pollenstallctl/table/verbs.h
@@ -18,7 +18,7 @@
   verb_result (*Run)(const ctl_options &Options);
 };
 
-inline constexpr std::size_t VerbCount = 9;
+inline constexpr std::size_t VerbCount = 11;
 inline constexpr std::array<verb_row, VerbCount> Verbs{{
     {"validate", 1, "FILE", "check a declaration", runValidate},
     {"plan", 1, "FILE", "show what applying it would change", runPlan},
@@ -28,6 +28,8 @@
     {"history", 0, "", "the accepted changes", runHistory},
     {"drain", 1, "IP:PORT [--undo] [--change-id ID]", "no new work for a backend server", runDrain},
     {"member", 2, "admit|remove NUMBER", "which control hosts keep the log", runMember},
+    {"suspects", 0, "", "requests under which backend servers crash", runSuspects},
+    {"unblock", 1, "REQUEST", "let such a request run again", runUnblock},
     {"dump", 0, "--target URL", "the state of one process", runDump},
     {"explain", 0,
      "--account A (--service S | --model M) [--tokens N] [--header NAME=VALUE]... [--file F]",
--- a/programs/pollenstallctl/verb_func.h
+++ b/programs/pollenstallctl/verb_func.h
@@ -13,6 +13,8 @@
 verb_result runHistory(const ctl_options &Options);  ///< Lists accepted changes.
 verb_result runDrain(const ctl_options &Options);    ///< Takes a backend server out, or back in.
 verb_result runMember(const ctl_options &Options);   ///< Admits or removes a control host.
+verb_result runSuspects(const ctl_options &Options); ///< Lists requests that crash servers.
+verb_result runUnblock(const ctl_options &Options);  ///< Lets such a request run again.
 verb_result runDump(const ctl_options &Options);     ///< Fetches the state of one process.
 verb_result runExplain(const ctl_options &Options);  ///< Says where a request would go and why.
 
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds TickInterval{10};
 /// Renewals without an answer that are remembered; more mean that the host is silent.
 constexpr std::size_t MaxOpenAsks = 64;
+/// How long a crash is told on new connections: it may have been told to a leader that failed.
+constexpr std::chrono::seconds CrashKept{10};
+constexpr std::size_t MaxCrashes = 64;
 
 framed_limits linkLimits() {
   framed_limits Limits;
@@ -131,6 +134,8 @@
     renew(boot_clock::now());
     for (const link_request &Message : Ledger.unanswered())
       send(Message);
+    for (const auto &[Seen, Crash] : Crashes)
+      send(Crash);
   }
 
   void lose(mono_time Now, control_loss Why) {
@@ -257,6 +262,11 @@
     emit(entries_listed{Message.Entries});
   }
 
+  void handle(const link_suspects &Message) {
+    served();
+    emit(suspects_listed{Message.Suspects});
+  }
+
   void handle(const link_drains &Message) {
     served();
     DrainsSeen = Message.Version;
@@ -277,6 +287,20 @@
     if (Open)
       renew(boot_clock::now());
   }
+  void take(const crash_seen &Request) {
+    const mono_time Now = boot_clock::now();
+    std::erase_if(Crashes, [Now](const auto &Item) { return Now - Item.first > CrashKept; });
+    for (std::size_t At = 0; At < Request.Marks.size(); At += MaxCrashMarks) {
+      const auto First = Request.Marks.begin() + static_cast<std::ptrdiff_t>(At);
+      const auto Count = std::min(MaxCrashMarks, Request.Marks.size() - At);
+      link_crash Crash{Request.Backend.Life, {First, First + static_cast<std::ptrdiff_t>(Count)}};
+      send(Crash);
+      Crashes.emplace_back(Now, std::move(Crash));
+    }
+    while (Crashes.size() > MaxCrashes)
+      Crashes.pop_front();
+  }
+  void take(const suspect_cleared &Request) { send(link_clear_suspect{Request.Mark}); }
   void take(const claim_wanted &Request) { send(Ledger.acquire(Request, wallClock())); }
   void take(const claim_ended &Request) { send(Ledger.settle(Request, wallClock())); }
 
@@ -305,6 +329,7 @@
   held_text Held;
   std::optional<revision> Confirmed;
   std::uint64_t DrainsSeen{0};
+  std::deque<std::pair<mono_time, link_crash>> Crashes; ///< The last ones, for the next connection.
   control_rotation Rotation;
   mono_time NextRenew{};
   silence_watch Silence;
--- a/src/control_link/control_link_codec_func.h
+++ b/src/control_link/control_link_codec_func.h
@@ -68,6 +68,21 @@
   Into(Listing.Key, Listing.Instance, Listing.Service, Listing.Domain, Listing.Places,
        Listing.State, Listing.Started);
 }
+template <typename Archive> void serialize(Archive &Into, request_mark &Mark) {
+  Into(Mark.Account, Mark.Shape, Mark.High, Mark.Low);
+}
+template <typename Archive> void serialize(Archive &Into, told_suspect &Told) {
+  Into(Told.Mark, Told.BlockedFor);
+}
+template <typename Archive> void serialize(Archive &Into, link_crash &Message) {
+  Into(Message.Life, Message.Marks);
+}
+template <typename Archive> void serialize(Archive &Into, link_clear_suspect &Message) {
+  Into(Message.Mark);
+}
+template <typename Archive> void serialize(Archive &Into, link_suspects &Message) {
+  Into(Message.Suspects);
+}
 template <typename Archive> void serialize(Archive &Into, link_backends &Message) {
   Into(Message.Whole, Message.Listings);
 }
--- a/src/control_link/control_link_message_type.h
+++ b/src/control_link/control_link_message_type.h
@@ -9,6 +9,7 @@
 #include "core/core.h"
 #include "directory/directory_type.h"
 #include "packed_text/packed_text.h"
+#include "suspect/suspect.h"
 
 #include <cstdint>
 #include <optional>
@@ -52,8 +53,20 @@
   claim_settle Claim;
 };
 
-using link_request =
-    std::variant<link_subscribe, link_renew, link_claim_acquire, link_claim_settle>;
+/// Requests that this entry had on a backend server when it crashed. Sent again on the next
+/// connection: the log counts a life once.
+struct link_crash {
+  incarnation Life; ///< Of the backend server.
+  std::vector<request_mark> Marks;
+};
+
+/// A run of a suspected request ended well.
+struct link_clear_suspect {
+  request_mark Mark;
+};
+
+using link_request = std::variant<link_subscribe, link_renew, link_claim_acquire, link_claim_settle,
+                                  link_crash, link_clear_suspect>;
 
 // ---- From the control host. ----
 
@@ -115,9 +128,17 @@
   revision Revision;
 };
 
+/// All suspected requests; at the start of a connection and after each change.
+struct link_suspects {
+  std::vector<told_suspect> Suspects;
+};
+
 using link_reply = std::variant<link_declaration, link_lease, link_not_leader, link_claim_answer,
                                 link_settle_answer, link_drains, link_backends, link_fleet,
-                                link_declaration_change, link_declared>;
+                                link_declaration_change, link_declared, link_suspects>;
+
+/// Of one link_crash; more go into the next one.
+constexpr std::size_t MaxCrashMarks = 64;
 
 /// Largest message that a control host takes from an entry.
 constexpr std::size_t MaxLinkRequestBytes = 4U << 10U;
--- a/src/control_link/control_link_type.h
+++ b/src/control_link/control_link_type.h
@@ -6,6 +6,7 @@
 #include "core/core.h"
 #include "directory/directory_type.h"
 #include "dispatch/dispatch_type.h"
+#include "suspect/suspect.h"
 
 #include <array>
 #include <chrono>
@@ -36,7 +37,8 @@
   std::chrono::milliseconds Lifetime{0}; ///< limits_declaration::ClaimLifetime.
 };
 
-using control_link_request = std::variant<revision_confirmed, claim_wanted, claim_ended>;
+using control_link_request =
+    std::variant<revision_confirmed, claim_wanted, claim_ended, crash_seen, suspect_cleared>;
 
 // ---- Events: from the link to the entry's decision thread. ----
 
@@ -83,6 +85,11 @@
   std::vector<served_entry> Entries;
 };
 
+/// All requests to be refused or watched; replaces the last such list.
+struct suspects_listed {
+  std::vector<told_suspect> Suspects;
+};
+
 /// Why a connection to a control host ended.
 enum class control_loss : std::uint8_t {
   Silent,     ///< Nothing came for control_link_plan::AnswerWithin.
@@ -106,7 +113,8 @@
 
 using control_link_event =
     std::variant<declaration_received, lease_extended, claim_answered, drains_changed,
-                 backends_listed, entries_listed, control_lost, declaration_announced>;
+                 backends_listed, entries_listed, control_lost, declaration_announced,
+                 suspects_listed>;
 
 /// What the link says of itself, for metrics and dumps.
 struct control_link_counters {
--- a/src/control_state/control_state_base.h
+++ b/src/control_state/control_state_base.h
@@ -11,8 +11,8 @@
 namespace pollenstall {
 
 /**
- * Declaration, drains, claims, fencing numbers and the backend servers that leaders have heard of,
- * with the answers to the changes that made them.
+ * Declaration, drains, claims, fencing numbers, the backend servers that leaders have heard of and
+ * the requests under which some crashed, with the answers to the changes that made them.
  * The one way to change it is execute(), which is a function of the state and the command alone, so
  * that every member comes to the same state and the same answers.
  */
@@ -31,6 +31,7 @@
   [[nodiscard]] const std::set<backend_address> &drains() const { return Drains; }
   [[nodiscard]] std::uint64_t drainsVersion() const { return DrainsVersion; }
   [[nodiscard]] const claim_table &claims() const { return Claims; }
+  [[nodiscard]] const suspect_table &suspects() const { return Suspects; }
 
   /// @return The backend servers that the last leader listed.
   [[nodiscard]] std::vector<backend_listing> backends() const;
@@ -56,6 +57,8 @@
   [[nodiscard]] control_answer checkOne(const claim_settle &Command) const;
   [[nodiscard]] control_answer checkOne(const claim_expire &Command) const;
   [[nodiscard]] static control_answer checkOne(const note_backends &Command);
+  [[nodiscard]] static control_answer checkOne(const note_crash &Command);
+  [[nodiscard]] static control_answer checkOne(const clear_suspect &Command);
 
   void executeOne(const apply_change &Command, const change_verdict &Verdict);
   void executeOne(const set_drain &Command, const change_verdict &Verdict);
@@ -63,6 +66,8 @@
   control_answer executeCommand(const take_fence &Command);
   control_answer executeCommand(const offer_declaration &Command);
   control_answer executeCommand(const note_backends &Command);
+  control_answer executeCommand(const note_crash &Command);
+  control_answer executeCommand(const clear_suspect &Command);
   void keepBackend(const backend_listing &Listing);
   template <typename Claim> control_answer executeClaim(const Claim &Command);
 
@@ -85,6 +90,7 @@
   unix_millis LatestTime{0}; ///< Rises only, whatever the leaders' clocks do.
   claim_table Claims;
   std::map<instance_name, backend_listing> Backends; ///< The newest life of each name.
+  suspect_table Suspects;
 };
 
 } // namespace pollenstall
--- a/src/control_state/control_state_cmd.cpp
+++ b/src/control_state/control_state_cmd.cpp
@@ -27,6 +27,8 @@
                                [this](const take_fence &One) { return executeCommand(One); },
                                [this](const offer_declaration &One) { return executeCommand(One); },
                                [this](const note_backends &One) { return executeCommand(One); },
+                               [this](const note_crash &One) { return executeCommand(One); },
+                               [this](const clear_suspect &One) { return executeCommand(One); },
                                [this](const auto &Claim) { return executeClaim(Claim); }},
                     Command);
 }
@@ -145,6 +147,23 @@
   return backends_kept{};
 }
 
+// ---- Requests under which backend servers crash. ----
+
+control_answer control_state::checkOne(const note_crash & /*Command*/) { return suspects_kept{}; }
+control_answer control_state::checkOne(const clear_suspect & /*Command*/) {
+  return suspects_kept{};
+}
+
+control_answer control_state::executeCommand(const note_crash &Command) {
+  Suspects.noteCrash(Command.Marks, Command.Life, Command.Time);
+  return suspects_kept{};
+}
+
+control_answer control_state::executeCommand(const clear_suspect &Command) {
+  Suspects.clear(Command.High);
+  return suspects_kept{};
+}
+
 void control_state::keepBackend(const backend_listing &Listing) {
   const auto Known = Backends.find(Listing.Instance);
   const bool IsKnown = Known != Backends.end();
--- a/src/control_state/control_state_sl.cpp
+++ b/src/control_state/control_state_sl.cpp
@@ -29,6 +29,8 @@
   Snapshot.LatestTime = LatestTime;
   Snapshot.Claims = Claims.snapshot();
   Snapshot.Backends = backends();
+  Snapshot.Suspects = Suspects.records();
+  Snapshot.SuspectsVersion = Suspects.version();
   return Snapshot;
 }
 
@@ -55,6 +57,8 @@
   for (const backend_listing &Listing : Snapshot.Backends)
     if (!State.Backends.emplace(Listing.Instance, Listing).second)
       return control_state_error::InvalidSnapshot;
+  if (!State.Suspects.restore(Snapshot.Suspects, Snapshot.SuspectsVersion))
+    return control_state_error::InvalidSnapshot;
   return State;
 }
 
--- a/src/control_state/control_state_type.h
+++ b/src/control_state/control_state_type.h
@@ -5,6 +5,7 @@
 #include "claim/claim.h"
 #include "core/core.h"
 #include "directory/directory_type.h"
+#include "suspect/suspect.h"
 
 #include <cstdint>
 #include <string>
@@ -52,8 +53,21 @@
   std::vector<backend_listing> Changes;
 };
 
-using control_command = std::variant<apply_change, set_drain, claim_acquire, claim_settle,
-                                     claim_expire, take_fence, offer_declaration, note_backends>;
+/// Requests that an entry had on a backend server when it crashed.
+struct note_crash {
+  std::vector<request_mark> Marks;
+  incarnation Life;    ///< Of the backend server.
+  unix_millis Time{0}; ///< The proposing leader's wall clock.
+};
+
+/// A request does not crash backend servers: a run of it ended well, or an operator says so.
+struct clear_suspect {
+  std::uint64_t High{0}; ///< Of its mark, which operators are told.
+};
+
+using control_command =
+    std::variant<apply_change, set_drain, claim_acquire, claim_settle, claim_expire, take_fence,
+                 offer_declaration, note_backends, note_crash, clear_suspect>;
 
 // ---- Answers. ----
 
@@ -123,12 +137,17 @@
   bool operator==(const backends_kept &) const = default;
 };
 
+/// Answer to note_crash and clear_suspect.
+struct suspects_kept {
+  bool operator==(const suspects_kept &) const = default;
+};
+
 using claim_acquire_answer = result<claim_verdict, claim_error>;
 using claim_done_answer = result<done, claim_error>; ///< Of a settle or an expiry.
 
 using control_answer =
     std::variant<change_answer, change_id_reused, fence_granted, claim_acquire_answer,
-                 claim_done_answer, offer_answer, backends_kept>;
+                 claim_done_answer, offer_answer, backends_kept, suspects_kept>;
 
 // ---- Stored records. ----
 
@@ -185,6 +204,8 @@
   unix_millis LatestTime{0};
   claim_snapshot Claims;
   std::vector<backend_listing> Backends; ///< By their names.
+  std::vector<suspect_record> Suspects;  ///< By their marks.
+  std::uint64_t SuspectsVersion{0};
 
   bool operator==(const control_snapshot &) const = default;
 };
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -3,6 +3,7 @@
 
 #include "relay/attempt_head_func.h"
 #include "relay/call_error_func.h"
+#include "relay/request_mark_func.h"
 #include "relay/rethrow_func.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -77,6 +78,7 @@
     Call->Changed.notify();
   }
   noteProvedNotRun(End);
+  noteForSuspects(End);
   if (!Abandoned)
     report(End);
   if (!End.Failure && !Abandoned)
@@ -93,6 +95,17 @@
     --Call->SentAttempts;
 }
 
+void backend_exchange::noteForSuspects(const exchange_end &End) {
+  const bool Broke = End.Failure == attempt_failure::BrokenSent ||
+                     End.Failure == attempt_failure::BrokenMidway;
+  if (Broke && Link && !Abandoned && !Link->expired())
+    return Context.Crashes.noteBroken(Order.Backend, Call);
+  if (End.Failure || !Context.AtSuspectCleared)
+    return;
+  if (const auto Mark = markIfSuspected(*Context.Suspects, *Call))
+    Context.AtSuspectCleared({*Mark});
+}
+
 void backend_exchange::report(const exchange_end &End) {
   flushProgress();
   if (!End.Failure) {
@@ -109,7 +122,7 @@
 
 asio::awaitable<exchange_end> backend_exchange::perform(errand Errand) {
   // Bytes of an older attempt at the caller forbid this one's; it is proved not to have run.
-  if (Errand == errand::Start && !Call->mayRelay(Order.Attempt.Ordinal))
+  if (Errand == errand::Start && (!Call->mayRelay(Order.Attempt.Ordinal) || isBlocked()))
     co_return exchange_end{attempt_failure::NotWanted, {}};
   if (!Order.Holds.empty() && Errand == errand::Start) {
     // The holds outlive this exchange while they are given back, and ask no more then.
@@ -146,6 +159,11 @@
   co_return co_await relayWhole();
 }
 
+bool backend_exchange::isBlocked() const {
+  const auto Mark = markIfSuspected(*Context.Suspects, *Call);
+  return Mark && Context.Suspects->blockedUntil(*Mark, boot_clock::now());
+}
+
 bool backend_exchange::isStillWanted() {
   // Its watcher runs when this thread comes to it; the close may have arrived already.
   if (Call->Caller->socket().peerClosed())
@@ -175,8 +193,6 @@
   if (Taken == 0)
     co_return attempt_failure::BrokenUnsent;
   SentAll = Taken == asio::buffer_size(Buffers);
-  if (!Order.MayRetry)
-    Call->Request.Body.reset();
   // A server may decline and close before it has read everything: its answer is still looked for.
   co_return std::nullopt;
 }
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -85,6 +85,9 @@
   void noteRelayed(std::uint64_t Events, std::size_t Bytes);
   void flushProgress();
   void noteProvedNotRun(const exchange_end &End);
+  void noteForSuspects(const exchange_end &End);
+  /// @return Whether the request was found to crash servers since it was admitted.
+  [[nodiscard]] bool isBlocked() const;
   void report(const exchange_end &End);
 
   relay_context &Context;
--- a/src/relay/backend_links.cpp
+++ b/src/relay/backend_links.cpp
@@ -45,11 +45,11 @@
   return nullptr;
 }
 
-asio::awaitable<backend_link> backend_links::connect(const backend_key &Backend) {
+asio::awaitable<backend_link> backend_links::connect(const backend_key &Backend,
+                                                     boost::system::error_code &Code) {
   const auto Endpoint = tcpEndpoint(Backend.Address.str());
   if (!Endpoint)
     co_return nullptr;
-  boost::system::error_code Code;
   asio::ip::tcp::socket Socket(Sweeper.io());
   Socket.open(Endpoint->protocol(), Code);
   if (Code)
@@ -68,7 +68,14 @@
   if (Age == link_age::Any)
     if (backend_link Kept = takeIdle(Backend))
       co_return Kept;
-  co_return co_await connect(Backend);
+  boost::system::error_code Code;
+  co_return co_await connect(Backend, Code);
+}
+
+asio::awaitable<bool> backend_links::refusesConnections(const backend_key &Backend) {
+  boost::system::error_code Code;
+  const backend_link Made = co_await connect(Backend, Code);
+  co_return !Made && Code == asio::error::connection_refused;
 }
 
 void backend_links::giveBack(const backend_key &Backend, backend_link Link,
--- a/src/relay/backend_links_base.h
+++ b/src/relay/backend_links_base.h
@@ -37,6 +37,8 @@
 
   /// @return A connection to send on, or null where none could be made in time.
   boost::asio::awaitable<backend_link> open(const backend_key &Backend, link_age Age);
+  /// @return Whether nobody listens at its address: the server has ended.
+  boost::asio::awaitable<bool> refusesConnections(const backend_key &Backend);
   /// Takes a connection back whose answer has been read to its end.
   /// @param IdleLimit How long the server keeps it open unused, where it said so.
   void giveBack(const backend_key &Backend, backend_link Link,
@@ -52,7 +54,8 @@
   };
 
   backend_link takeIdle(const backend_key &Backend);
-  boost::asio::awaitable<backend_link> connect(const backend_key &Backend);
+  boost::asio::awaitable<backend_link> connect(const backend_key &Backend,
+                                               boost::system::error_code &Code);
 
   socket_sweeper &Sweeper;
   const relay_limits &Limits;
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -4,6 +4,7 @@
 #include "relay/attempt_head_func.h"
 #include "relay/call_error_func.h"
 #include "relay/call_plan_func.h"
+#include "relay/request_mark_func.h"
 #include "relay/rethrow_func.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -155,12 +156,38 @@
   std::string Text = std::move(std::get<std::string>(Read));
   Share.resize(Text.size());
   const next_step After = Head.KeepAlive ? next_step::Go : next_step::CloseAfterDrain;
-  auto Planned = planBody(Plan, Head, Text, Context.Tokens, Arrived);
+  auto Admitted = admit(Plan, Head, held_body{std::move(Text), std::move(Share)}, Arrived);
+  if (!succeeded(Admitted))
+    co_return co_await refuse(errorOf(Admitted), Plan.Account.str(), After);
+  co_return co_await carryOut(valueOf(std::move(Admitted)), Head.KeepAlive);
+}
+
+result<std::shared_ptr<relayed_call>, call_error> caller_session::admit(const call_plan &Plan,
+                                                                        const request_head &Head,
+                                                                        held_body &&Body,
+                                                                        mono_time Arrived) {
+  auto Planned = planBody(Plan, Head, Body.Text, Context.Tokens, Arrived);
   if (!succeeded(Planned))
-    co_return co_await refuse(errorOf(Planned), Plan.Account.str(), After);
-  auto Body = std::make_shared<const held_body>(held_body{std::move(Text), std::move(Share)});
-  co_return co_await carryOut(makeCall(valueOf(std::move(Planned)), Plan, Head, std::move(Body)),
-                              Head.KeepAlive);
+    return errorOf(Planned);
+  auto Call = makeCall(valueOf(std::move(Planned)), Plan, Head,
+                       std::make_shared<const held_body>(std::move(Body)));
+  if (auto Refused = refusalOfSuspect(*Call))
+    return std::move(*Refused);
+  return Call;
+}
+
+std::optional<call_error> caller_session::refusalOfSuspect(const relayed_call &Call) const {
+  const mono_time Now = boot_clock::now();
+  const auto Mark = markIfSuspected(*Context.Suspects, Call);
+  const auto Until = Mark ? Context.Suspects->blockedUntil(*Mark, Now) : std::nullopt;
+  if (!Until)
+    return std::nullopt;
+  call_error Error = notNow("request_crashes_servers",
+                            "Servers crashed each time that this request ran (" + toText(*Mark) +
+                                "). It is not passed on until the time to come back is over.");
+  Error.RetryAfter = std::chrono::ceil<std::chrono::seconds>(*Until - Now);
+  Error.Repeatable = false;
+  return Error;
 }
 
 std::shared_ptr<relayed_call> caller_session::makeCall(planned_call Planned, const call_plan &Plan,
--- a/src/relay/caller_session_base.h
+++ b/src/relay/caller_session_base.h
@@ -52,6 +52,9 @@
   boost::asio::awaitable<void> watchCaller(std::shared_ptr<relayed_call> Call);
   boost::asio::awaitable<void> endWatch();
 
+  result<std::shared_ptr<relayed_call>, call_error>
+  admit(const call_plan &Plan, const request_head &Head, held_body &&Body, mono_time Arrived);
+  [[nodiscard]] std::optional<call_error> refusalOfSuspect(const relayed_call &Call) const;
   std::shared_ptr<relayed_call> makeCall(planned_call Planned, const call_plan &Plan,
                                          const request_head &Head,
                                          std::shared_ptr<const held_body> Body);
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -96,6 +96,8 @@
     Call->Changed.notify();
   }
 
+  void on(suspects_known &&Order) { Context.Suspects = std::move(Order.List); }
+
   void on(list_attempts &&Order) {
     asio::co_spawn(Context.Io, list(std::move(Order.Backend)), rethrow);
   }
@@ -262,6 +264,11 @@
   return *this;
 }
 
+relay_builder &relay_builder::crashNews(bounded_ring<crash_news> &Target) {
+  News = &Target;
+  return *this;
+}
+
 relay_builder &relay_builder::process(process_key Value) {
   Self = std::move(Value);
   return *this;
@@ -292,6 +299,11 @@
   State->Context.Interface = Interface;
   State->Context.AtCallEnd = AtCallEnd;
   State->Lists = Lists;
+  if (News != nullptr) {
+    // A full ring drops it: the same request is seen at the next crash.
+    State->Context.Crashes.onCrash([To = News](crash_seen Crash) { To->push(std::move(Crash)); });
+    State->Context.AtSuspectCleared = [To = News](suspect_cleared Cleared) { To->push(Cleared); };
+  }
   return std::unique_ptr<relay>(new relay(std::move(State)));
 }
 
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -66,6 +66,9 @@
 
   /// Where answers to list_attempts go; without it they are dropped.
   relay_builder &attemptLists(bounded_ring<attempts_listed> &Target);
+  /// Where crashes of backend servers and good ends of suspected requests are told; without it
+  /// neither is looked for.
+  relay_builder &crashNews(bounded_ring<crash_news> &Target);
   relay_builder &process(process_key Self);
   relay_builder &limits(const relay_limits &Value);
   relay_builder &metrics(std::shared_ptr<prometheus::Registry> Value);
@@ -80,6 +83,7 @@
   boost::asio::io_context &Io;
   bounded_ring<dispatch_event> &Ring;
   bounded_ring<attempts_listed> *Lists{nullptr};
+  bounded_ring<crash_news> *News{nullptr};
   process_key Self;
   relay_limits Limits;
   std::shared_ptr<prometheus::Registry> Registry;
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -5,11 +5,13 @@
 #include "relay/backend_links_base.h"
 #include "relay/call_interface_type.h"
 #include "relay/call_record_type.h"
+#include "relay/crash_watch_base.h"
 #include "relay/event_outbox_base.h"
 #include "relay/relay_metrics_base.h"
 #include "relay/relay_type.h"
 #include "relay/relayed_call_base.h"
 #include "scheduling/scheduling.h"
+#include "suspect/suspect.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -25,13 +27,15 @@
   relay_context(boost::asio::io_context &Context, process_key Process, const relay_limits &Bounds,
                 relay_metrics &Counters, bounded_ring<dispatch_event> &Events, std::uint64_t Seed)
       : Io(Context), Self(std::move(Process)), Limits(Bounds), Sweeper(Context),
-        Links(Sweeper, Limits), Metrics(Counters), Outbox(Events), Random(Seed) {}
+        Links(Sweeper, Limits), Crashes(Context, Links), Metrics(Counters), Outbox(Events),
+        Random(Seed) {}
 
   boost::asio::io_context &Io;
   const process_key Self;
   relay_limits Limits; ///< A declaration may set those of callers anew.
   socket_sweeper Sweeper;
   backend_links Links;
+  crash_watch Crashes;
   relay_metrics &Metrics;
   event_outbox<dispatch_event> Outbox;
   random_source Random;
@@ -49,6 +53,8 @@
   bool Ended{false};                    ///< Every coroutine is to end.
   bool Draining{false};                 ///< Connections end with the answer that is under way.
   std::function<void(const call_record &)> AtCallEnd;
+  std::shared_ptr<const suspect_list> Suspects{std::make_shared<const suspect_list>()};
+  std::function<void(suspect_cleared)> AtSuspectCleared; ///< Not set where nobody is told.
 
   /// @return Whether a declaration is in force now.
   [[nodiscard]] bool isReady() const {
--- a/src/relay/relay_type.h
+++ b/src/relay/relay_type.h
@@ -4,9 +4,11 @@
 
 #include "declaration/declaration.h"
 #include "dispatch/dispatch_type.h"
+#include "suspect/suspect.h"
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <variant>
 #include <vector>
 
@@ -62,9 +64,17 @@
   std::vector<attempt_id> Attempts;
 };
 
+/// Requests to be refused, or whose good end is to be told.
+struct suspects_known {
+  std::shared_ptr<const suspect_list> List;
+};
+
+/// What the relay tells of crashes.
+using crash_news = std::variant<crash_seen, suspect_cleared>;
+
 /// What the decision thread asks of the relay thread. Claims go to the control link instead.
 using relay_order = std::variant<start_attempt, resume_attempt, cancel_order, finish_request,
-                                 declaration_in_force, list_attempts>;
+                                 declaration_in_force, list_attempts, suspects_known>;
 
 } // namespace pollenstall
 
--- /dev/null
+++ b/src/suspect/suspect.h
@@ -0,0 +1,9 @@
+/** @file suspect.h Public header of suspect: requests under which backend servers crash. */
+#ifndef POLLENSTALL_SUSPECT_SUSPECT_H
+#define POLLENSTALL_SUSPECT_SUSPECT_H
+
+#include "suspect/suspect_list_base.h"  // IWYU pragma: export
+#include "suspect/suspect_table_base.h" // IWYU pragma: export
+#include "suspect/suspect_type.h"       // IWYU pragma: export
+
+#endif // POLLENSTALL_SUSPECT_SUSPECT_H
--- a/tests/control/control_cluster.cpp
+++ b/tests/control/control_cluster.cpp
@@ -230,6 +230,7 @@
 void test_entry::take(const entries_listed & /*Event*/) {}
 void test_entry::take(const control_lost & /*Event*/) {}
 void test_entry::take(const declaration_announced & /*Event*/) {}
+void test_entry::take(const suspects_listed &Event) { Suspects = Event.Suspects; }
 
 claim_verdict test_entry::claim(std::uint64_t Request, const std::string &Key,
                                 std::chrono::milliseconds Limit) {
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -113,6 +113,7 @@
   std::size_t Offers{0};      ///< Declarations received.
   std::size_t StaleOffers{0}; ///< Older than the one in use.
   std::vector<backend_address> Drains;
+  std::vector<told_suspect> Suspects;
   bool Confirms{true}; ///< False: takes declarations but never says so.
 
 private:
@@ -125,6 +126,7 @@
   void take(const entries_listed &Event);
   void take(const control_lost &Event);
   void take(const declaration_announced &Event);
+  void take(const suspects_listed &Event);
 
   entry_freshness Freshness;
   std::map<request_number, claim_verdict> Verdicts;
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -33,16 +33,25 @@
   EXPECT_EQ(valueOf(Decoded).snapshot(), State.snapshot());
 }
 
-// Hosts are replaced one by one: a new program starts on the disk of an older one.
-TEST(ControlCodec, ReadsASnapshotOfTheFirstVersion) {
+/// A snapshot of an empty state as an older program wrote it, without what came since.
+std::string olderSnapshot(char Version, std::size_t NewerBytes) {
   std::string Bytes = encodeState(control_state{control_limits{}});
+  EXPECT_EQ(Bytes[0], 3);
+  Bytes[0] = Version;
+  Bytes.resize(Bytes.size() - NewerBytes);
+  return Bytes;
+}
+
+// Hosts are replaced one by one: a new program starts on the disk of an older one.
+TEST(ControlCodec, ReadsSnapshotsOfOlderVersions) {
   constexpr std::size_t CountOfBackends = 8;
-  ASSERT_EQ(Bytes[0], 2);
-  Bytes[0] = 1;
-  Bytes.resize(Bytes.size() - CountOfBackends);
-  const auto Decoded = decodeState(Bytes, {});
-  ASSERT_TRUE(succeeded(Decoded));
-  EXPECT_EQ(valueOf(Decoded).snapshot(), control_state{control_limits{}}.snapshot());
+  constexpr std::size_t CountAndVersionOfSuspects = 16;
+  for (const std::string &Bytes : {olderSnapshot(1, CountOfBackends + CountAndVersionOfSuspects),
+                                   olderSnapshot(2, CountAndVersionOfSuspects)}) {
+    const auto Decoded = decodeState(Bytes, {});
+    ASSERT_TRUE(succeeded(Decoded));
+    EXPECT_EQ(valueOf(Decoded).snapshot(), control_state{control_limits{}}.snapshot());
+  }
 }
 
 // An older program must stop at what it cannot carry out, and only there.
@@ -50,6 +59,9 @@
   EXPECT_EQ(encodeCommand(take_fence{})[0], 1);
   EXPECT_EQ(encodeCommand(note_backends{})[0], 2);
   EXPECT_TRUE(succeeded(decodeCommand(encodeCommand(note_backends{}))));
+  EXPECT_EQ(encodeCommand(note_crash{})[0], 4);
+  EXPECT_EQ(encodeCommand(clear_suspect{})[0], 4);
+  EXPECT_TRUE(succeeded(decodeCommand(encodeCommand(note_crash{}))));
 }
 
 TEST(ControlCodec, BringsCommandsBack) {
@@ -64,6 +76,20 @@
   EXPECT_EQ(First.snapshot(), Second.snapshot());
 }
 
+TEST(ControlCodec, BringsSuspectedRequestsBack) {
+  control_state State{control_limits{}};
+  for (std::uint64_t Life = 1; Life <= 3; ++Life) {
+    const note_crash Crash{{{1, 2, 3, 4}}, incarnation(Life), unix_millis(Life * 1'000)};
+    const auto Command = decodeCommand(encodeCommand(Crash));
+    ASSERT_TRUE(succeeded(Command));
+    State.execute(valueOf(Command));
+  }
+  const auto Decoded = decodeState(encodeState(State), {});
+  ASSERT_TRUE(succeeded(Decoded));
+  EXPECT_EQ(valueOf(Decoded).snapshot(), State.snapshot());
+  ASSERT_EQ(valueOf(Decoded).suspects().told(unix_millis(3'000)).size(), 1U);
+}
+
 /// Of a command's bytes: the number of their version.
 constexpr std::size_t HeadBytes = 2;
 
--- /dev/null
+++ b/tests/control/suspect_link_test.cpp
@@ -0,0 +1,77 @@
+/** @file suspect_link_test.cpp What entries report of crashes, and what all of them are told. */
+#include "control/control_cluster.h"
+
+#include <gtest/gtest.h>
+
+namespace pollenstall {
+namespace {
+
+constexpr std::size_t Hosts = 3;
+
+class EntriesThatSeeCrashesTest : public testing::Test {
+protected:
+  void SetUp() override { Cluster.waitForLeader(); }
+
+  /// Reports crashes of one server after the other until this entry is told that the request is
+  /// blocked.
+  bool reportUntilBlocked(test_entry &Entry) {
+    return Entry.pumpUntil([&] {
+      Entry.link().request(
+          crash_seen{{backend_address("127.0.0.1:1"), incarnation(++LastLife)}, {Cause}});
+      return isBlocked(Entry);
+    });
+  }
+  [[nodiscard]] bool isBlocked(const test_entry &Entry) const {
+    return Entry.Suspects.size() == 1 && Entry.Suspects[0].Mark == Cause &&
+           Entry.Suspects[0].BlockedFor.count() > 0;
+  }
+
+  control_cluster Cluster{Hosts};
+  const request_mark Cause{1, 2, 3, 4};
+  std::uint64_t LastLife{0};
+};
+
+// Guards against an entry that did not see the crashes, or starts later, and runs the request.
+TEST_F(EntriesThatSeeCrashesTest, MakeAllEntriesBlockTheRequest) {
+  test_entry Reporter(Cluster.entryAddresses(), "entry-1");
+  test_entry Other(Cluster.entryAddresses(), "entry-2");
+  ASSERT_TRUE(reportUntilBlocked(Reporter));
+  EXPECT_TRUE(Other.pumpUntil([&] { return isBlocked(Other); }));
+  test_entry Later(Cluster.entryAddresses(), "entry-3");
+  EXPECT_TRUE(Later.pumpUntil([&] { return isBlocked(Later); }));
+}
+
+// Guards against a block that is forgotten with the leader, or when all control hosts are killed.
+TEST_F(EntriesThatSeeCrashesTest, KeepTheRequestBlockedThroughTheLossOfAllControlHosts) {
+  {
+    test_entry Reporter(Cluster.entryAddresses(), "entry-1");
+    ASSERT_TRUE(reportUntilBlocked(Reporter));
+  }
+  for (std::size_t Host = 0; Host < Hosts; ++Host)
+    Cluster.kill(Host);
+  for (std::size_t Host = 0; Host < Hosts; ++Host)
+    Cluster.start(Host);
+  test_entry Later(Cluster.entryAddresses(), "entry-2");
+  EXPECT_TRUE(Later.pumpUntil([&] { return isBlocked(Later); }));
+}
+
+// Guards against a request that stays blocked though it runs to a good end.
+TEST_F(EntriesThatSeeCrashesTest, MakeAllEntriesTakeTheRequestAgainOnceItEndsWell) {
+  test_entry Reporter(Cluster.entryAddresses(), "entry-1");
+  test_entry Other(Cluster.entryAddresses(), "entry-2");
+  ASSERT_TRUE(reportUntilBlocked(Reporter));
+  ASSERT_TRUE(Other.pumpUntil([&] { return isBlocked(Other); }));
+  Reporter.link().request(suspect_cleared{Cause});
+  EXPECT_TRUE(Other.pumpUntil([&] { return Other.Suspects.empty(); }));
+}
+
+// Guards against a crash that is told to nobody since no host leads at that moment.
+TEST_F(EntriesThatSeeCrashesTest, TellTheNextLeaderOfCrashes) {
+  test_entry Reporter(Cluster.entryAddresses(), "entry-1");
+  ASSERT_TRUE(Reporter.pumpUntil([&] { return Reporter.ready(); }));
+  Cluster.kill(Cluster.waitForLeader());
+  EXPECT_TRUE(reportUntilBlocked(Reporter));
+}
+
+} // namespace
+} // namespace pollenstall
--- a/tests/system/crashing_request_test.cpp
+++ b/tests/system/crashing_request_test.cpp
@@ -34,7 +34,8 @@
   ASSERT_TRUE(Refused) << Lost << " engines were lost in " << MostRounds << " rounds";
   EXPECT_GE(Lost, 3U);
   for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry)
-    ASSERT_TRUE(eventually([&] { return isRefused(System.chat(Entry, Crashing)); })) << Entry;
+    ASSERT_TRUE(eventually([&] { return isRefused(System.chat(Entry, Crashing)); }))
+        << Entry << " " << System.chat(Entry, Crashing).Body;
   System.restartEndedEngines();
   for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry) {
     const http_answer Again = System.chat(Entry, Crashing);
@@ -43,6 +44,25 @@
     EXPECT_EQ(System.chat(Entry, "another prompt").Status, Ok);
   }
   EXPECT_EQ(System.restartEndedEngines(), 0U);
+  EXPECT_EQ(System.ctl({"suspects"}), 0);
+}
+
+// Guards against operators who cannot let a request run again that they have mended servers for.
+TEST_F(CrashingRequestTest, RunsAgainOnceAnOperatorSaysSo) {
+  std::string Answer;
+  const auto Send = [&] { return System.chat(0, Crashing); };
+  ASSERT_TRUE(eventually([&] {
+    const http_answer Sent = Send();
+    System.restartEndedEngines();
+    Answer = Sent.Body;
+    return isRefused(Sent);
+  }));
+  const std::size_t At = Answer.find('(');
+  ASSERT_NE(At, std::string::npos) << Answer;
+  EXPECT_EQ(System.ctl({"unblock", Answer.substr(At + 1, 16)}), 0);
+  for (std::size_t Index = 0; Index < System.engines(); ++Index)
+    ASSERT_TRUE(System.engine(Index).faults(R"({"die_on_prompt":""})"));
+  EXPECT_TRUE(eventually([&] { return Send().Status == Ok; }));
 }
 
 } // namespace
