--- a/tests/relay/headed_relay.cpp
+++ b/tests/relay/headed_relay.cpp
@@ -1,6 +1,8 @@
 /** @file headed_relay.cpp Sockets and threads around a relay under test. */
 #include "headed_relay_base.h"
 
+#include "support/eventually_func.h"
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
@@ -77,11 +79,13 @@
 }
 
 headed_relay::headed_relay(repeat_rule Repeat, const relay_limits &Limits)
-    : Declaration(declarationWith(Repeat)), Work(asio::make_work_guard(Io)), Ring(RingCapacity) {
+    : Declaration(declarationWith(Repeat)), Work(asio::make_work_guard(Io)), Ring(RingCapacity),
+      NewsRing(RingCapacity) {
   Relay = relay_builder(Io, Ring)
               .process({host_name("entry"), incarnation(1)})
               .limits(Limits)
               .interface(testInterface())
+              .crashNews(NewsRing)
               .onCallEnd([this](const call_record &Record) { Records.push_back(Record); })
               .build();
   Address = std::get<std::string>(Relay->listen("127.0.0.1:0"));
@@ -161,17 +165,16 @@
   }
 }
 
-start_attempt headed_relay::startOrder(const scripted_server &Server,
-                                       std::uint32_t Ordinal) const {
+start_attempt headed_relay::startOrder(const backend_key &Backend, std::uint32_t Ordinal) const {
   start_attempt Order;
   Order.Attempt = {{host_name("entry"), incarnation(1)}, Facts.Id, Ordinal};
-  Order.Backend = Server.key();
+  Order.Backend = Backend;
   Order.AnswerBy = boot_clock::now() + Limit;
   return Order;
 }
 
 void headed_relay::hangUpAndStart(const scripted_server &Server) {
-  asio::post(Io, [this, Order = startOrder(Server, 1)]() mutable {
+  asio::post(Io, [this, Order = startOrder(Server.key(), 1)]() mutable {
     hangUp();
     Relay->handle(std::move(Order));
   });
@@ -183,12 +186,31 @@
 
 void headed_relay::start(const scripted_server &Server, std::uint32_t Ordinal, bool MayRetry,
                          std::vector<memory_hold> Holds) {
-  start_attempt Order = startOrder(Server, Ordinal);
+  start_attempt Order = startOrder(Server.key(), Ordinal);
   Order.MayRetry = MayRetry;
   Order.Holds = std::move(Holds);
   order(std::move(Order));
 }
 
+void headed_relay::start(const backend_key &Backend) { order(startOrder(Backend, 1)); }
+
+void headed_relay::drainNews() {
+  NewsRing.drain([this](crash_news &&One) { News.push_back(std::move(One)); });
+}
+
+bool headed_relay::hasNews() {
+  drainNews();
+  return !News.empty();
+}
+
+crash_news headed_relay::nextNews() {
+  if (!eventually([this] { return hasNews(); }))
+    throw std::runtime_error("the relay told nothing of crashes in time");
+  crash_news First = std::move(News.front());
+  News.erase(News.begin());
+  return First;
+}
+
 void headed_relay::setDeclared(bool Declared) {
   order(declaration_in_force{Declared ? Declaration : nullptr, mono_time::max()});
 }
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -63,6 +63,10 @@
   /// Orders an attempt of the call that arrived last.
   void start(const scripted_server &Server, std::uint32_t Ordinal = 1, bool MayRetry = true,
              std::vector<memory_hold> Holds = {});
+  void start(const backend_key &Backend);
+  /// Waits for what the relay tells of crashes.
+  crash_news nextNews();
+  [[nodiscard]] bool hasNews();
   /// The caller closes and an attempt is ordered while the relay's thread is busy with another task:
   /// both wait for it when it goes on.
   void hangUpAndStart(const scripted_server &Server);
@@ -79,13 +83,16 @@
 
 private:
   dispatch_event nextEvent();
-  [[nodiscard]] start_attempt startOrder(const scripted_server &Server, std::uint32_t Ordinal) const;
+  [[nodiscard]] start_attempt startOrder(const backend_key &Backend, std::uint32_t Ordinal) const;
+  void drainNews();
 
   declaration_view Declaration;
   boost::asio::io_context Io{BOOST_ASIO_CONCURRENCY_HINT_UNSAFE_IO};
   boost::asio::executor_work_guard<boost::asio::io_context::executor_type> Work;
   bounded_ring<dispatch_event> Ring;
   std::vector<dispatch_event> Pending;
+  bounded_ring<crash_news> NewsRing;
+  std::vector<crash_news> News;
   std::vector<call_record> Records; ///< Filled by the relay's thread.
   std::unique_ptr<relay> Relay;
   std::string Address;
