--- a/bench/decision/decision_bench.cpp
+++ b/bench/decision/decision_bench.cpp
@@ -4,6 +4,7 @@
 #include "dispatch/dispatch.h"
 #include "measure_func.h"
 #include "sample_fleet_func.h"
+#include "suspect_bench_func.h"
 #include "work_bench_func.h"
 
 #include <algorithm>
@@ -241,6 +242,7 @@
   using namespace pollenstall::bench;
   measureScheduler();
   measureWork();
+  measureSuspects();
   measureDispatcher();
   for (const std::size_t Accounts : {10UL, 110UL, 1'100UL})
     measureDeclaration(Accounts);
