--- a/bench/decision/suspect_bench.cpp
+++ b/bench/decision/suspect_bench.cpp
@@ -64,8 +64,8 @@
 void measureMark(std::size_t Bytes) {
   const sample_call Sample(Bytes);
   std::uint64_t Sum = 0;
-  const double Us = cpuOfCall(
-      20, [&] { Sum += requestMark(Sample.call(), *Sample.call().Request.Body).High; });
+  const double Us =
+      cpuOfCall(20, [&] { Sum += requestMark(Sample.call(), *Sample.call().Request.Body).High; });
   std::printf("{\"bench\":\"request_mark\",\"body_bytes\":%zu,\"cpu_us\":%.1f,\"sum\":%llu}\n",
               Bytes, Us, static_cast<unsigned long long>(Sum));
 }
@@ -75,8 +75,7 @@
   const double Before = heapBytes();
   std::optional<suspect_table> Table(Tuning);
   for (std::uint64_t Number = 0; Number < Tuning.MostRecords; ++Number)
-    Table->noteCrash({{Number, Number, Number, Number}}, incarnation(Number),
-                     milliseconds(Number));
+    Table->noteCrash({{Number, Number, Number, Number}}, incarnation(Number), milliseconds(Number));
   const double Bytes = heapBytes() - Before;
   std::uint64_t Next = Tuning.MostRecords;
   const double Us = cpuOfCall(50, [&] {
--- a/programs/pollenstall-control/control_codec.cpp
+++ b/programs/pollenstall-control/control_codec.cpp
@@ -182,8 +182,8 @@
 command_version versionFor(const control_command &Command) {
   if (std::holds_alternative<note_backends>(Command))
     return command_version::Backends;
-  const bool Suspects = std::holds_alternative<note_crash>(Command) ||
-                        std::holds_alternative<clear_suspect>(Command);
+  const bool Suspects =
+      std::holds_alternative<note_crash>(Command) || std::holds_alternative<clear_suspect>(Command);
   return Suspects ? command_version::Suspects : command_version::Initial;
 }
 
--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -130,9 +130,7 @@
   Hooks.Send({To, suspects()});
 }
 
-link_suspects entry_desk::suspects() const {
-  return {Hooks.State().suspects().told(wallClock())};
-}
+link_suspects entry_desk::suspects() const { return {Hooks.State().suspects().told(wallClock())}; }
 
 void entry_desk::suspectsChanged(mono_time Now) {
   if (!InOffice || !Hooks.MayServe(Now))
@@ -144,7 +142,8 @@
 
 void entry_desk::handleRequest(connection_number /*From*/, const link_crash &Request,
                                mono_time /*Now*/) {
-  Hooks.Propose(note_crash{Request.Marks, Request.Life, wallClock()}, [](const auto & /*Known*/) {});
+  Hooks.Propose(note_crash{Request.Marks, Request.Life, wallClock()},
+                [](const auto & /*Known*/) {});
 }
 
 void entry_desk::handleRequest(connection_number /*From*/, const link_clear_suspect &Request,
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -66,8 +66,7 @@
 
 decision_thread::decision_thread(decision_plan Wanted)
     : Plan(std::move(Wanted)), Events(Plan.RingCapacity), Lists(ListCapacity),
-      CrashNews(ListCapacity),
-      Orders(Plan.RingCapacity), Outbox(Orders),
+      CrashNews(ListCapacity), Orders(Plan.RingCapacity), Outbox(Orders),
       Seam(Plan.Self, Plan.Self.Life.value(), Plan.Backends),
       OrphanCounter(prometheus::BuildCounter()
                         .Name("pollenstall_orphans_cancelled_total")
--- a/programs/pollenstallctl/verb_suspects.cpp
+++ b/programs/pollenstallctl/verb_suspects.cpp
@@ -18,9 +18,9 @@
     const std::uint64_t Blocked = numberAt(Suspect, "blocked_ms").value_or(0);
     Rows.push_back(boost::json::object{
         {"request", textAt(Suspect, "request")},
-        {"standing", Blocked > 0 ? "refused for " + std::to_string(Blocked / MillisecondsPerSecond) +
-                                       " s more"
-                                 : std::string("watched")}});
+        {"standing",
+         Blocked > 0 ? "refused for " + std::to_string(Blocked / MillisecondsPerSecond) + " s more"
+                     : std::string("watched")}});
   }
   return Rows;
 }
--- a/src/control_link/control_link_type.h
+++ b/src/control_link/control_link_type.h
@@ -111,10 +111,9 @@
   std::chrono::milliseconds SinceMessage{0}; ///< Since the last whole message.
 };
 
-using control_link_event =
-    std::variant<declaration_received, lease_extended, claim_answered, drains_changed,
-                 backends_listed, entries_listed, control_lost, declaration_announced,
-                 suspects_listed>;
+using control_link_event = std::variant<declaration_received, lease_extended, claim_answered,
+                                        drains_changed, backends_listed, entries_listed,
+                                        control_lost, declaration_announced, suspects_listed>;
 
 /// What the link says of itself, for metrics and dumps.
 struct control_link_counters {
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -96,8 +96,8 @@
 }
 
 void backend_exchange::noteForSuspects(const exchange_end &End) {
-  const bool Broke = End.Failure == attempt_failure::BrokenSent ||
-                     End.Failure == attempt_failure::BrokenMidway;
+  const bool Broke =
+      End.Failure == attempt_failure::BrokenSent || End.Failure == attempt_failure::BrokenMidway;
   if (Broke && Link && !Abandoned && !Link->expired())
     return Context.Crashes.noteBroken(Order.Backend, Call);
   if (End.Failure || !Context.AtSuspectCleared)
--- a/src/relay/call_record_type.h
+++ b/src/relay/call_record_type.h
@@ -23,8 +23,8 @@
   std::string Field;  ///< What was wrong in a refused call.
   tokens Prompt;
   std::chrono::milliseconds Took{0};
-  /// From its arrival until the first byte of the last attempt was handed to the kernel; empty where
-  /// nothing was sent.
+  /// From its arrival until the first byte of the last attempt was handed to the kernel; empty
+  /// where nothing was sent.
   std::optional<std::chrono::milliseconds> SentAfter;
   std::optional<std::chrono::milliseconds> FirstByteAfter;
   /// Between two events as they were passed on; empty where there were fewer than two.
--- a/src/relay/crash_watch_base.h
+++ b/src/relay/crash_watch_base.h
@@ -1,4 +1,5 @@
-/** @file crash_watch_base.h Tells a backend server that has crashed from a connection that broke. */
+/** @file crash_watch_base.h Tells a backend server that has crashed from a connection that broke.
+ */
 #ifndef POLLENSTALL_RELAY_CRASH_WATCH_BASE_H
 #define POLLENSTALL_RELAY_CRASH_WATCH_BASE_H
 
--- a/src/relay/request_mark.cpp
+++ b/src/relay/request_mark.cpp
@@ -39,8 +39,7 @@
 request_mark requestMark(const relayed_call &Call, const held_body &Body) {
   const std::string Head = headText(Call);
   std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
-  const std::unique_ptr<EVP_MD_CTX, void (*)(EVP_MD_CTX *)> Hash(EVP_MD_CTX_new(),
-                                                                 EVP_MD_CTX_free);
+  const std::unique_ptr<EVP_MD_CTX, void (*)(EVP_MD_CTX *)> Hash(EVP_MD_CTX_new(), EVP_MD_CTX_free);
   const bool Hashed = Hash && EVP_DigestInit_ex(Hash.get(), EVP_sha256(), nullptr) == 1 &&
                       EVP_DigestUpdate(Hash.get(), Head.data(), Head.size()) == 1 &&
                       EVP_DigestUpdate(Hash.get(), Body.Text.data(), Body.Text.size()) == 1 &&
--- a/src/suspect/suspect_list.cpp
+++ b/src/suspect/suspect_list.cpp
@@ -37,8 +37,7 @@
   return nullptr;
 }
 
-std::optional<mono_time> suspect_list::blockedUntil(const request_mark &Mark,
-                                                    mono_time Now) const {
+std::optional<mono_time> suspect_list::blockedUntil(const request_mark &Mark, mono_time Now) const {
   const item *Found = find(Mark);
   if (Found == nullptr || Found->Until <= Now)
     return std::nullopt;
--- a/src/suspect/suspect_table.cpp
+++ b/src/suspect/suspect_table.cpp
@@ -82,8 +82,7 @@
   });
 }
 
-template <typename Counts>
-bool suspect_table::dropOldest(milliseconds Now, const Counts &Of) {
+template <typename Counts> bool suspect_table::dropOldest(milliseconds Now, const Counts &Of) {
   auto Oldest = Records.end();
   for (auto At = Records.begin(); At != Records.end(); ++At) {
     const suspect_record &Record = At->second;
--- a/src/suspect/suspect_table_base.h
+++ b/src/suspect/suspect_table_base.h
@@ -1,4 +1,5 @@
-/** @file suspect_table_base.h Counts the crashes of backend servers by the requests that they ran. */
+/** @file suspect_table_base.h Counts the crashes of backend servers by the requests that they ran.
+ */
 #ifndef POLLENSTALL_SUSPECT_SUSPECT_TABLE_BASE_H
 #define POLLENSTALL_SUSPECT_SUSPECT_TABLE_BASE_H
 
--- a/src/suspect/suspect_type.h
+++ b/src/suspect/suspect_type.h
@@ -1,4 +1,5 @@
-/** @file suspect_type.h Requests by what makes them the same, and bounds of what is kept of them. */
+/** @file suspect_type.h Requests by what makes them the same, and bounds of what is kept of them.
+ */
 #ifndef POLLENSTALL_SUSPECT_SUSPECT_TYPE_H
 #define POLLENSTALL_SUSPECT_SUSPECT_TYPE_H
 
@@ -47,7 +48,7 @@
 struct suspect_record {
   request_mark Mark;
   std::uint32_t Crashes{0};
-  std::uint32_t Blocks{0};                 ///< How often it was blocked.
+  std::uint32_t Blocks{0}; ///< How often it was blocked.
   std::chrono::milliseconds LastCrash{0};
   std::chrono::milliseconds BlockedUntil{0};
   std::vector<incarnation> Lives; ///< Of backend servers whose crashes were counted last.
--- a/tests/relay/headed_relay_base.h
+++ b/tests/relay/headed_relay_base.h
@@ -67,8 +67,8 @@
   /// Waits for what the relay tells of crashes.
   crash_news nextNews();
   [[nodiscard]] bool hasNews();
-  /// The caller closes and an attempt is ordered while the relay's thread is busy with another task:
-  /// both wait for it when it goes on.
+  /// The caller closes and an attempt is ordered while the relay's thread is busy with another
+  /// task: both wait for it when it goes on.
   void hangUpAndStart(const scripted_server &Server);
   /// Ends the relay and its connections.
   void stop();
--- a/tests/relay/request_mark_test.cpp
+++ b/tests/relay/request_mark_test.cpp
@@ -39,9 +39,7 @@
 };
 
 // Guards against one request that counts as several since callers use the entries' addresses.
-TEST_F(request_marks, AreTheSameAtEveryEntry) {
-  EXPECT_EQ(markOf({.Host = "entry-2:80"}), Usual);
-}
+TEST_F(request_marks, AreTheSameAtEveryEntry) { EXPECT_EQ(markOf({.Host = "entry-2:80"}), Usual); }
 
 // Guards against a request that is refused for what another one, or another account's, has done.
 TEST_F(request_marks, DifferWhereTheRequestDoes) {
--- a/tests/suspect/crash_world_test.cpp
+++ b/tests/suspect/crash_world_test.cpp
@@ -41,7 +41,7 @@
   }
 
   std::size_t InnocentRefused{0};
-  std::size_t Ended{0};    ///< Servers, under the crashing request.
+  std::size_t Ended{0};     ///< Servers, under the crashing request.
   std::size_t LateSends{0}; ///< Later than 3 s after the third of them.
 
 private:
@@ -205,8 +205,9 @@
       MostEnded = std::max(MostEnded, World.Ended);
       Refused += World.InnocentRefused;
     }
-  std::cout << "servers ended at the most: " << MostEnded << "; innocent requests refused in all: "
-            << Refused << " in " << 2 * seeds() << " runs\n";
+  std::cout << "servers ended at the most: " << MostEnded
+            << "; innocent requests refused in all: " << Refused << " in " << 2 * seeds()
+            << " runs\n";
 }
 
 } // namespace
--- a/tests/suspect/suspect_table_test.cpp
+++ b/tests/suspect/suspect_table_test.cpp
@@ -90,8 +90,7 @@
 TEST_F(suspects, AreNotBlockedForLongerByRunsFromBeforeTheBlock) {
   crashThrice(Cause);
   crash({Cause}, Tuning.Apart);
-  EXPECT_EQ(Table.told(Now),
-            (std::vector<told_suspect>{{Cause, Tuning.BlockFor - Tuning.Apart}}));
+  EXPECT_EQ(Table.told(Now), (std::vector<told_suspect>{{Cause, Tuning.BlockFor - Tuning.Apart}}));
 }
 
 TEST_F(suspects, AreForgottenInTheEnd) {
--- a/tests/system/crashing_request_test.cpp
+++ b/tests/system/crashing_request_test.cpp
@@ -17,8 +17,8 @@
            Answer.Body.find("\"request_crashes_servers\"") != std::string::npos;
   }
 
-  running_system System{{.Engines = 6,
-                         .EngineTop = "faults = '{\"die_on_prompt\":\"" + Crashing + "\"}'\n"}};
+  running_system System{
+      {.Engines = 6, .EngineTop = "faults = '{\"die_on_prompt\":\"" + Crashing + "\"}'\n"}};
 };
 
 // Guards against one request that, sent again and again, ends one engine after the other.
