--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -137,11 +137,13 @@
   ASSERT_TRUE(eventually([&] { return System.allReady(); }));
   for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry)
     expectTruth("before", System.send(Entry, "before"));
+  http_answer Sent;
   ASSERT_TRUE(eventually([&] {
-    const http_answer Sent = System.send(1, "during");
+    Sent = System.send(1, "during");
     expectTruth("during", Sent);
     return System.startsByKey("during") == 1;
-  }));
+  })) << Refused.Body
+      << " and at last " << Sent.Status << Sent.Error << Sent.Body;
   expectTruth("during", System.send(2, "during"));
   EXPECT_EQ(System.startsByKey("before"), 1);
 }
