--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -86,7 +86,7 @@
     std::optional<revision> Holds; ///< Whose text the entry has.
     mono_time LastSeen{};
     std::uint64_t SuspectsTold{0}; ///< Version of the list sent last.
-    bool Introduced{false}; ///< Was told of the backend servers and of the fleet.
+    bool Introduced{false};        ///< Was told of the backend servers and of the fleet.
   };
 
   /// An entry that came while no leader was known.
