The desk sends the list of suspects in one place

Three places noted the version told and sent the list. One function does both; the list is still made once for all entries.

--- a/programs/pollenstall-control/entry_desk.cpp
+++ b/programs/pollenstall-control/entry_desk.cpp
@@ -127,20 +127,22 @@
   if (Hooks.Backends)
     Hooks.Send({To, link_backends{true, Hooks.Backends()}});
   Hooks.Send({To, link_declared{Hooks.State().declared().Revision}});
-  Session.SuspectsTold = Hooks.State().suspects().version();
-  Hooks.Send({To, suspects()});
+  sendSuspects(To, Session, suspects());
 }
 
 link_suspects entry_desk::suspects() const { return {Hooks.State().suspects().told(wallClock())}; }
 
+void entry_desk::sendSuspects(connection_number To, session &Session, const link_suspects &All) {
+  Session.SuspectsTold = Hooks.State().suspects().version();
+  Hooks.Send({To, All});
+}
+
 void entry_desk::suspectsChanged(mono_time Now) {
   if (!InOffice || !Hooks.MayServe(Now))
     return;
   const link_suspects All = suspects();
-  for (auto &[Connection, Session] : Sessions) {
-    Session.SuspectsTold = Hooks.State().suspects().version();
-    Hooks.Send({Connection, All});
-  }
+  for (auto &[Connection, Session] : Sessions)
+    sendSuspects(Connection, Session, All);
 }
 
 void entry_desk::handleRequest(connection_number /*From*/, const link_crash &Request,
@@ -203,10 +205,8 @@
   if (Request.DrainsSeen != Hooks.State().drainsVersion())
     sendDrains(From);
   // They may have changed while this host held no lease.
-  if (Session.SuspectsTold != Hooks.State().suspects().version()) {
-    Session.SuspectsTold = Hooks.State().suspects().version();
-    Hooks.Send({From, suspects()});
-  }
+  if (Session.SuspectsTold != Hooks.State().suspects().version())
+    sendSuspects(From, Session, suspects());
   forgetSilentSessions(Now);
 }
 
--- a/programs/pollenstall-control/entry_desk_base.h
+++ b/programs/pollenstall-control/entry_desk_base.h
@@ -103,6 +103,7 @@
   void handleRequest(connection_number From, const link_crash &Request, mono_time Now);
   void handleRequest(connection_number From, const link_clear_suspect &Request, mono_time Now);
   [[nodiscard]] link_suspects suspects() const;
+  void sendSuspects(connection_number To, session &Session, const link_suspects &All);
   void sendAway(connection_number To);
   void tellWaiting(mono_time Now);
   [[nodiscard]] bool needsText(const session &Session) const;
