Resend claim calls until a leader answers them

Cause, of WorkThatMustRunOnceTest.WaitsForAQuorumAndItsKeyStaysSafe (a key answered 409 already_running for 20 s): a leader that holds no lease for a moment drops what entries send it, since they repeat it; but claim calls were repeated only on a new connection. The release of the refused send was lost that way on a connection that stayed open, so that its claim, which had been granted late, stayed until it expired. Traced by the logs of all processes of a failing run: the entry ended the request at 766.043 with its claim unanswered, was ready 25 ms later on a new leader, and nothing released the key in the next 20 s. Change: the link resends claims and outcomes that have no answer for 500 ms. A request whose outcome is recorded sends its claim no more: a late copy could be granted once another request has used and released the key. Cause, of IdempotentWorkTest.CompletesOnAnotherEngineAfterACrash ("no engine runs anything"): the test. The stand-in generates its three tokens in some 30 ms and then holds the answer back; its figure "running" is above 0 in that time only, which a poll missed beside other load: the failing run shows starts 1, running 0. It waits for a started attempt now, which is as strict: the answer is held back for 600 s, so that the engine still dies before it answers. A failing system test prints the dumps and logs of all processes now. Tests: LostCallsTest, PendingCallsTest.

--- a/programs/pollenstall-control/entry_server.cpp
+++ b/programs/pollenstall-control/entry_server.cpp
@@ -100,8 +100,8 @@
   }
   if (!Leading)
     return holdRequest(Event.Connection, std::get<link_request>(Event.Message), Now);
-  // This host leads without a lease, perhaps due to a slow heartbeat. The entry resends its
-  // request, and is redirected once this host no longer leads.
+  // This host leads without a lease, perhaps due to a slow heartbeat. The entry repeats renewals
+  // and unanswered claim calls, and is redirected once this host no longer leads.
   if (!Callbacks.MayServe(Now))
     return;
   std::visit([&](const auto &Request) { handleRequest(Event.Connection, Request, Now); },
--- a/src/control_link/claim_call_tracker.cpp
+++ b/src/control_link/claim_call_tracker.cpp
@@ -5,23 +5,36 @@
 
 namespace pollenstall {
 
-link_claim_acquire claim_call_tracker::acquire(const request_claim &Requested, unix_millis Now) {
+namespace {
+
+/// Longer than an answer takes unless the call or its proposal is lost.
+constexpr std::chrono::milliseconds ResendInterval{500};
+
+} // namespace
+
+link_claim_acquire claim_call_tracker::acquire(const request_claim &Requested, unix_millis Wall,
+                                               mono_time Now) {
   const claim_acquire Claim{claimKeyHash(Requested.Claim.Key),
                             {Owner, Requested.Claim.Request},
-                            Now + Requested.Lifetime};
+                            Wall + Requested.Lifetime};
   link_claim_acquire Message{NextCall++, Claim};
   Claims.emplace(Message.Call,
-                 pending_claim{Message, Requested.Claim.Request, Requested.Claim.AnswerBy});
+                 pending_claim{Message, Requested.Claim.Request, Requested.Claim.AnswerBy, Now});
   return Message;
 }
 
-link_claim_settle claim_call_tracker::settle(const report_claim_outcome &Ended, unix_millis Now) {
+link_claim_settle claim_call_tracker::settle(const report_claim_outcome &Ended, unix_millis Wall,
+                                             mono_time Now) {
+  // A copy of the claim call that arrived after its release could be granted once another request
+  // has used and released the key.
+  std::erase_if(
+      Claims, [&Ended](const auto &Claim) { return Claim.second.Request == Ended.Claim.Request; });
   const claim_settle Claim{claimKeyHash(Ended.Claim.Key),
                            {Owner, Ended.Claim.Request},
                            Ended.Claim.FinalState,
-                           Now + Ended.Lifetime};
+                           Wall + Ended.Lifetime};
   link_claim_settle Message{NextCall++, Claim};
-  PendingSettles.emplace(Message.Call, Message);
+  PendingSettles.emplace(Message.Call, pending_settle{Message, Now});
   return Message;
 }
 
@@ -44,26 +57,35 @@
     }
     const claim_acquire &TimedOut = Claim->second.Message.Claim;
     Events.push_back({Claim->second.Request, claim_status::Unavailable});
-    Releases.push_back(
-        {NextCall++, {TimedOut.Key, TimedOut.Holder, claim_state::Released, TimedOut.ExpiresAt}});
-    PendingSettles.emplace(Releases.back().Call, Releases.back());
+    const link_claim_settle Release{
+        NextCall++, {TimedOut.Key, TimedOut.Holder, claim_state::Released, TimedOut.ExpiresAt}};
+    PendingSettles.emplace(Release.Call, pending_settle{Release, mono_time::min()});
     Claim = Claims.erase(Claim);
   }
   return Events;
 }
 
-std::vector<link_claim_settle> claim_call_tracker::takeReleases() {
-  return std::exchange(Releases, {});
-}
-
-std::vector<link_request> claim_call_tracker::unanswered() const {
+std::vector<link_request> claim_call_tracker::takeSentBefore(mono_time Limit, mono_time Now) {
   std::vector<link_request> Messages;
-  Messages.reserve(Claims.size() + PendingSettles.size());
-  for (const auto &[Call, Claim] : Claims)
-    Messages.emplace_back(Claim.Message);
-  for (const auto &[Call, End] : PendingSettles)
-    Messages.emplace_back(End);
+  const auto Take = [&](auto &Calls) {
+    for (auto &[Number, Call] : Calls) {
+      if (Call.SentAt > Limit)
+        continue;
+      Call.SentAt = Now;
+      Messages.emplace_back(Call.Message);
+    }
+  };
+  Take(Claims);
+  Take(PendingSettles);
   return Messages;
 }
 
+std::vector<link_request> claim_call_tracker::takeOverdue(mono_time Now) {
+  return takeSentBefore(Now - ResendInterval, Now);
+}
+
+std::vector<link_request> claim_call_tracker::takeUnanswered(mono_time Now) {
+  return takeSentBefore(Now, Now);
+}
+
 } // namespace pollenstall
--- a/src/control_link/claim_call_tracker_base.h
+++ b/src/control_link/claim_call_tracker_base.h
@@ -13,7 +13,9 @@
 namespace pollenstall {
 
 /**
- * Keeps the calls that must be resent on the next connection.
+ * Keeps the calls that must be resent until a leader answers them, on the same connection or on the
+ * next. A leader drops calls while it holds no lease, and does not answer those whose proposals are
+ * lost; a release that got lost would leave its key claimed until ExpiresAt.
  * A claim call without an answer by AnswerBy is followed by a release: the claim may have been
  * granted although the answer was lost, and no other request could use the key until ExpiresAt.
  */
@@ -21,24 +23,26 @@
 public:
   explicit claim_call_tracker(process_key Self) : Owner(std::move(Self)) {}
 
-  /// @param Now Wall-clock time, for the claim's expiry.
-  link_claim_acquire acquire(const request_claim &Requested, unix_millis Now);
-  link_claim_settle settle(const report_claim_outcome &Ended, unix_millis Now);
+  /// @param Wall Wall-clock time, for the claim's expiry.
+  link_claim_acquire acquire(const request_claim &Requested, unix_millis Wall, mono_time Now);
+  link_claim_settle settle(const report_claim_outcome &Ended, unix_millis Wall, mono_time Now);
 
   /// Removes the answered call. @return The event for the entry, or nothing if the call is not
   /// pending.
   std::optional<claim_answered> handleClaimAnswer(const link_claim_answer &Answer);
   void handleSettleAnswer(const link_settle_answer &Answer) { PendingSettles.erase(Answer.Call); }
 
-  /// Removes claims without an answer by their AnswerBy, and creates a release for each.
+  /// Removes claims without an answer by their AnswerBy, and creates a release for each, which is
+  /// overdue at once.
   /// @return An Unavailable answer for each removed claim.
   std::vector<claim_answered> timeOut(mono_time Now);
 
-  /// Removes and returns the releases that timeOut() created and that have not been sent yet.
-  std::vector<link_claim_settle> takeReleases();
+  /// @return The calls that were sent ResendInterval ago or earlier and have no answer; they count
+  /// as sent now.
+  std::vector<link_request> takeOverdue(mono_time Now);
 
-  /// @return All calls without an answer, to be sent on a new connection.
-  [[nodiscard]] std::vector<link_request> unanswered() const;
+  /// @return All calls without an answer, for a new connection; they count as sent now.
+  std::vector<link_request> takeUnanswered(mono_time Now);
 
   [[nodiscard]] std::size_t unrecordedOutcomes() const { return PendingSettles.size(); }
 
@@ -47,13 +51,20 @@
     link_claim_acquire Message;
     request_number Request;
     mono_time AnswerBy;
+    mono_time SentAt;
   };
+  struct pending_settle {
+    link_claim_settle Message;
+    mono_time SentAt;
+  };
+
+  /// Claims come first: a claim and its release must arrive in the order in which they were made.
+  std::vector<link_request> takeSentBefore(mono_time Limit, mono_time Now);
 
   process_key Owner;
   std::uint64_t NextCall{1};
   std::map<std::uint64_t, pending_claim> Claims;
-  std::map<std::uint64_t, link_claim_settle> PendingSettles;
-  std::vector<link_claim_settle> Releases;
+  std::map<std::uint64_t, pending_settle> PendingSettles;
 };
 
 } // namespace pollenstall
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -107,8 +107,10 @@
       ClaimTimeouts.fetch_add(1, std::memory_order_relaxed);
       emit(Event);
     }
-    for (const link_claim_settle &Release : Calls.takeReleases())
-      send(Release);
+    // Without a connection, all unanswered calls are sent once there is one.
+    if (Open)
+      for (const link_request &Message : Calls.takeOverdue(Now))
+        send(Message);
   }
 
   // ---- Connection. ----
@@ -136,7 +138,7 @@
     IdleMonitor.reset(boot_clock::now());
     send(link_subscribe{Options.Process, Options.Domain, Options.WorkAddress, StoredText.Revision});
     renew(boot_clock::now());
-    for (const link_request &Message : Calls.unanswered())
+    for (const link_request &Message : Calls.takeUnanswered(boot_clock::now()))
       send(Message);
     for (const auto &[ReportedAt, Crash] : Crashes)
       send(Crash);
@@ -313,9 +315,11 @@
   void handleRequest(const suspect_cleared &Request) {
     send(link_clear_suspect{Request.Fingerprint});
   }
-  void handleRequest(const request_claim &Request) { send(Calls.acquire(Request, wallClock())); }
+  void handleRequest(const request_claim &Request) {
+    send(Calls.acquire(Request, wallClock(), boot_clock::now()));
+  }
   void handleRequest(const report_claim_outcome &Request) {
-    send(Calls.settle(Request, wallClock()));
+    send(Calls.settle(Request, wallClock(), boot_clock::now()));
   }
 
   void emit(control_link_event Event) {
--- a/tests/control/change_test.cpp
+++ b/tests/control/change_test.cpp
@@ -147,7 +147,9 @@
   EXPECT_TRUE(eventually([&] {
     const auto Status = Cluster.status(Old);
     return Status.contains("role") && Status.at("role") == boost::json::value("follower");
-  }));
+  })) << Answer.Error
+      << Answer.Body << Cluster.get(Old, "/v1/status").Error << "\n"
+      << Cluster.log(Old);
   EXPECT_FALSE(Cluster.status(Old).at("serving").as_bool());
   const auto Final = Cluster.change("check", 1, declarationText(3));
   EXPECT_EQ(revisionIn(Final), 2U);
--- a/tests/control_state/control_link_test.cpp
+++ b/tests/control_state/control_link_test.cpp
@@ -9,6 +9,8 @@
 namespace pollenstall {
 namespace {
 
+using namespace std::chrono_literals;
+
 const std::string Fleet = "f";
 const process_key Owner{host_name("entry-1"), incarnation(5)};
 
@@ -73,39 +75,113 @@
 
 TEST_F(PendingCallsTest, StayUnansweredUntilTheirAnswer) {
   const auto Message =
-      Ledger.acquire(sampleClaimRequest(1, Now + std::chrono::seconds(1)), unix_millis(0));
-  EXPECT_EQ(Ledger.unanswered().size(), 1U);
+      Ledger.acquire(sampleClaimRequest(1, Now + std::chrono::seconds(1)), unix_millis(0), Now);
+  EXPECT_EQ(Ledger.takeUnanswered(Now).size(), 1U);
   const auto Event = Ledger.handleClaimAnswer({Message.Call, claim_status::Granted});
   ASSERT_TRUE(Event);
   EXPECT_EQ(Event->Request, request_number(1));
-  EXPECT_TRUE(Ledger.unanswered().empty());
+  EXPECT_TRUE(Ledger.takeUnanswered(Now).empty());
   EXPECT_FALSE(Ledger.handleClaimAnswer({Message.Call, claim_status::Granted}));
 }
 
 TEST_F(PendingCallsTest, ReleaseTheirClaimOnTimeout) {
   // The answer with the grant is lost. The entry gets the verdict Unavailable and runs nothing, so
   // the key must be released, or no other request can use it until the claim expires.
-  const auto Message = Ledger.acquire(sampleClaimRequest(1, Now), unix_millis(0));
+  const auto Message = Ledger.acquire(sampleClaimRequest(1, Now), unix_millis(0), Now);
   const auto Events = Ledger.timeOut(Now);
   ASSERT_EQ(Events.size(), 1U);
   EXPECT_EQ(Events[0].Status, claim_status::Unavailable);
-  const auto Releases = Ledger.takeReleases();
-  ASSERT_EQ(Releases.size(), 1U);
-  EXPECT_EQ(Releases[0].Claim.State, claim_state::Released);
-  EXPECT_EQ(Releases[0].Claim.Holder, Message.Claim.Holder);
-  EXPECT_EQ(Ledger.unanswered().size(), 1U);
+  const auto Overdue = Ledger.takeOverdue(Now);
+  ASSERT_EQ(Overdue.size(), 1U) << "the release is sent at once";
+  const auto Release = std::get<link_claim_settle>(Overdue[0]);
+  EXPECT_EQ(Release.Claim.State, claim_state::Released);
+  EXPECT_EQ(Release.Claim.Holder, Message.Claim.Holder);
+  EXPECT_EQ(Ledger.takeUnanswered(Now).size(), 1U);
   EXPECT_FALSE(Ledger.handleClaimAnswer({Message.Call, claim_status::Granted}))
       << "the answer is too late to run the request";
-  Ledger.handleSettleAnswer({Releases[0].Call});
-  EXPECT_TRUE(Ledger.unanswered().empty());
+  Ledger.handleSettleAnswer({Release.Call});
+  EXPECT_TRUE(Ledger.takeUnanswered(Now).empty());
 }
 
 TEST_F(PendingCallsTest, ContainOnlyTheHashOfTheKey) {
-  const auto Message = Ledger.acquire(sampleClaimRequest(1, Now), unix_millis(0));
+  const auto Message = Ledger.acquire(sampleClaimRequest(1, Now), unix_millis(0), Now);
   EXPECT_EQ(encodePlain(Message).find("account/key"), std::string::npos);
-  const auto Other = Ledger.acquire(sampleClaimRequest(2, Now), unix_millis(0));
+  const auto Other = Ledger.acquire(sampleClaimRequest(2, Now), unix_millis(0), Now);
   EXPECT_EQ(Message.Claim.Key, Other.Claim.Key);
 }
 
+/// Calls whose messages or proposals are lost.
+class LostCallsTest : public testing::Test {
+protected:
+  LostCallsTest() {
+    Claim.Claim = {request_number(7), "key", Now + 2s, 60s};
+    Claim.Lifetime = 60s;
+    Release.Claim = {request_number(7), "key", claim_state::Released, 60s};
+    Release.Lifetime = 60s;
+  }
+
+  /// Sends the overdue calls. @return Their number.
+  std::size_t resend() { return Tracker.takeOverdue(Now).size(); }
+
+  static constexpr unix_millis Wall{1'700'000'000'000};
+  mono_time Now{1h};
+  request_claim Claim;
+  report_claim_outcome Release;
+  claim_call_tracker Tracker{process_key{host_name("entry"), incarnation(1)}};
+};
+
+// Guards against a release that the leader drops while it holds no lease: the connection stays
+// open, and nobody else could use the key until the claim expires.
+TEST_F(LostCallsTest, ResendsAReleaseOnTheSameConnectionUntilItIsAnswered) {
+  const link_claim_settle Sent = Tracker.settle(Release, Wall, Now);
+  EXPECT_EQ(resend(), 0U);
+  for (int Round = 0; Round < 3; ++Round) {
+    Now += 500ms;
+    const auto Overdue = Tracker.takeOverdue(Now);
+    ASSERT_EQ(Overdue.size(), 1U);
+    EXPECT_EQ(std::get<link_claim_settle>(Overdue[0]).Call, Sent.Call);
+    EXPECT_EQ(resend(), 0U) << "it has just been sent";
+  }
+  Tracker.handleSettleAnswer({Sent.Call});
+  Now += 10s;
+  EXPECT_EQ(resend(), 0U);
+}
+
+TEST_F(LostCallsTest, ResendsAClaimUntilItsTimeIsOver) {
+  const link_claim_acquire Sent = Tracker.acquire(Claim, Wall, Now);
+  Now += 500ms;
+  const auto Overdue = Tracker.takeOverdue(Now);
+  ASSERT_EQ(Overdue.size(), 1U);
+  EXPECT_EQ(std::get<link_claim_acquire>(Overdue[0]).Call, Sent.Call);
+  Now += 2s;
+  const auto Events = Tracker.timeOut(Now);
+  ASSERT_EQ(Events.size(), 1U);
+  EXPECT_EQ(Events[0].Status, claim_status::Unavailable);
+  const auto AfterTimeout = Tracker.takeOverdue(Now);
+  ASSERT_EQ(AfterTimeout.size(), 1U) << "its release, at once";
+  EXPECT_EQ(std::get<link_claim_settle>(AfterTimeout[0]).Claim.State, claim_state::Released);
+}
+
+// Guards against a copy of a claim call that arrives after its release, when another request has
+// used and released the key: the key would be granted to a request that has ended.
+TEST_F(LostCallsTest, ResendsNoClaimOfAReleasedRequest) {
+  Tracker.acquire(Claim, Wall, Now);
+  Tracker.settle(Release, Wall, Now);
+  Now += 500ms;
+  for (const link_request &Message : Tracker.takeOverdue(Now))
+    EXPECT_TRUE(std::holds_alternative<link_claim_settle>(Message));
+  EXPECT_TRUE(Tracker.timeOut(Now + 5s).empty());
+  EXPECT_EQ(Tracker.unrecordedOutcomes(), 1U);
+}
+
+TEST_F(LostCallsTest, SendsAllUnansweredCallsOnANewConnection) {
+  Tracker.acquire(Claim, Wall, Now);
+  Release.Claim.Request = request_number(8);
+  Tracker.settle(Release, Wall, Now);
+  const auto Messages = Tracker.takeUnanswered(Now);
+  ASSERT_EQ(Messages.size(), 2U);
+  EXPECT_TRUE(std::holds_alternative<link_claim_acquire>(Messages[0]));
+}
+
 } // namespace
 } // namespace pollenstall
--- a/tests/system/completion_test.cpp
+++ b/tests/system/completion_test.cpp
@@ -37,7 +37,7 @@
   // the caller gets one complete answer.
   ASSERT_TRUE(engineFaults(R"({"late_ms":600000})"));
   auto Pending = std::async(std::launch::async, [this] { return System.chat(0, "a question", 3); });
-  const std::size_t Busy = System.busyEngine();
+  const std::size_t Busy = System.startedEngine();
   ASSERT_TRUE(System.engine(1 - Busy).faults(R"({"late_ms":0})"));
   System.engine(Busy).process().kill();
   const http_answer Answer = Pending.get();
--- a/tests/system/once_test.cpp
+++ b/tests/system/once_test.cpp
@@ -143,7 +143,7 @@
     expectAtMostOneStart("during", Sent);
     return System.startsByKey("during") == 1;
   })) << Refused.Body
-      << " and at last " << Sent.Status << Sent.Error << Sent.Body;
+      << " and at last " << Sent.Status << Sent.Error << Sent.Body << System.description();
   expectAtMostOneStart("during", System.send(2, "during"));
   EXPECT_EQ(System.startsByKey("before"), 1);
 }
--- a/tests/system/running_system.cpp
+++ b/tests/system/running_system.cpp
@@ -204,6 +204,22 @@
       .json();
 }
 
+std::string running_system::description() const {
+  std::ostringstream Text;
+  for (std::size_t Index = 0; Index < EntryCount; ++Index) {
+    Text << "\nentry " << Index << ": " << dump(Index);
+    for (const std::string &Line : Entries[Index].Process->errorLines())
+      Text << "\n  " << Line;
+  }
+  for (const auto &Engine : Engines)
+    Text << "\nengine " << Engine->address() << ": running " << Engine->stat("running")
+         << ", waiting " << Engine->stat("waiting") << ", starts " << Engine->stat("starts");
+  for (std::size_t Host = 0; Host < Control.size(); ++Host)
+    Text << "\ncontrol " << Host << ": "
+         << (Control.runs(Host) ? Control.log(Host) : "not running");
+  return Text.str();
+}
+
 bool running_system::acceptsWork(std::size_t Entry, const std::string &Backend) const {
   const boost::json::value State = dump(Entry);
   boost::json::error_code Code;
@@ -285,16 +301,16 @@
                                        asCaller(std::move(ExtraHeaders)));
 }
 
-std::size_t running_system::busyEngine() const {
-  std::size_t Busy = 0;
+std::size_t running_system::engineWith(const std::string &Statistic) const {
+  std::size_t Engine = 0;
   const bool Found = eventually([&] {
-    for (Busy = 0; Busy < Engines.size(); ++Busy)
-      if (Engines[Busy]->stat("running") > 0)
+    for (Engine = 0; Engine < Engines.size(); ++Engine)
+      if (Engines[Engine]->stat(Statistic) > 0)
         return true;
     return false;
   });
-  EXPECT_TRUE(Found) << "no engine runs anything";
-  return Found ? Busy : 0;
+  EXPECT_TRUE(Found) << "no engine reports " << Statistic << description();
+  return Found ? Engine : 0;
 }
 
 bool running_system::isMemoryReleased() const {
--- a/tests/system/running_system_base.h
+++ b/tests/system/running_system_base.h
@@ -50,6 +50,9 @@
   [[nodiscard]] bool ready(std::size_t Entry) const;
   /// @return Whether all entries admit new requests and know every backend server.
   [[nodiscard]] bool allReady() const;
+  /// @return The dumps of all entries, the statistics of all engines and the log of each entry, for
+  /// the message of a test that fails.
+  [[nodiscard]] std::string description() const;
   /// @return The JSON of /dump.
   [[nodiscard]] boost::json::value dump(std::size_t Entry) const;
   /// @return Whether the scheduler of the entry would place new work on the backend server at the
@@ -85,7 +88,10 @@
                                                     int AnswerTokens,
                                                     http_headers ExtraHeaders = {}) const;
   /// Waits until an engine runs an attempt. @return Its index.
-  [[nodiscard]] std::size_t busyEngine() const;
+  [[nodiscard]] std::size_t busyEngine() const { return engineWith("running"); }
+  /// Waits until an engine has started an attempt, which it may have run by now without having
+  /// answered. @return Its index.
+  [[nodiscard]] std::size_t startedEngine() const { return engineWith("starts"); }
   /// @return Whether all engine memory is free and no entry has a request or an unconfirmed
   /// attempt.
   [[nodiscard]] bool isMemoryReleased() const;
@@ -94,6 +100,8 @@
   int ctl(std::vector<std::string> CommandArguments) const;
 
 private:
+  /// Waits until an engine reports a statistic above 0. @return Its index.
+  [[nodiscard]] std::size_t engineWith(const std::string &Statistic) const;
   struct entry_process {
     std::string Callers;
     std::string Operators;
