End a stopping entry before the platform kills it

A stopping entry waits for its last answers until 1 s after the kill deadline, which is the platform's kill itself, and only then up to 2 s for backend servers to confirm cancels: an engine that is stuck or cut off confirms none. Change: both waits end 0.6 s after the kill deadline, 0.4 s before the kill. Test: Stopping.EndsBeforeThePlatformKillsIt.

--- a/programs/pollenstall-entry/entry_stop.cpp
+++ b/programs/pollenstall-entry/entry_stop.cpp
@@ -17,6 +17,8 @@
 /// Time after the shutdown limit or the kill deadline, at which the dispatcher ends the remaining
 /// requests, to write their answers.
 constexpr std::chrono::seconds FinalWriteTime{1};
+/// Part of KillMargin in which the threads end after all waits.
+constexpr std::chrono::milliseconds ExitTime{400};
 
 } // namespace
 
@@ -56,8 +58,13 @@
   asio::post(Io, [this] { Relay->beginStop(); });
   const mono_time Limit = std::min(boot_clock::now() + Settings.ShutdownLimit, KillDeadline);
   Decision->beginShutdown(Limit - boot_clock::now());
-  waitForZero(Limit + FinalWriteTime, [this] { return openCalls(); });
-  waitForZero(boot_clock::now() + CancelGrace, [this] { return Decision->abandoned(); });
+  const mono_time WaitsEnd = Settings.KillAfter.count() > 0
+                                 ? KillDeadline + KillMargin - ExitTime
+                                 : mono_time::max();
+  waitForZero(std::min<mono_time>(Limit + FinalWriteTime, WaitsEnd),
+              [this] { return openCalls(); });
+  waitForZero(std::min<mono_time>(boot_clock::now() + CancelGrace, WaitsEnd),
+              [this] { return Decision->abandoned(); });
   if (Gossip)
     Gossip->stop();
   Decision->stop();
--- a/tests/entry/stopping_test.cpp
+++ b/tests/entry/stopping_test.cpp
@@ -38,6 +38,19 @@
   EXPECT_TRUE(eventually([&] { return Fleet.engine().stat("used_blocks") == 0; }));
 }
 
+// Guards against a process that the platform has to kill: a stuck engine confirms no cancel, and the
+// wait for it began only after the wait for the last answers.
+TEST(Stopping, EndsBeforeThePlatformKillsIt) {
+  constexpr std::chrono::milliseconds KillAfter{2'500};
+  entry_fleet Fleet({.EntryTopLevelLines = "shutdown_limit_s = 2.5\nshutdown_kill_s = 2.5\n",
+                     .EngineTables = "[step]\nbase_us = 20000\n"});
+  const auto Stream = Fleet.stream("a question", 4'000);
+  ASSERT_TRUE(Stream->next());
+  Fleet.engine().process().stop();
+  Fleet.entry().terminate();
+  EXPECT_TRUE(Fleet.entry().wait(KillAfter));
+}
+
 // The platform sends SIGHUP when a settings file has changed. By default SIGHUP would end the
 // process, which would interrupt every stream of the entry.
 TEST(Stopping, SighupInterruptsNoStream) {
