--- a/tests/fleet_model/fleet_run_test.cpp
+++ b/tests/fleet_model/fleet_run_test.cpp
@@ -24,8 +24,9 @@
 }
 
 TEST(load_file, IsValidInTheExamples) {
-  for (const char *Path : {"examples/accra.load.toml", "examples/sognebrev.load.toml",
-                           "examples/grown.load.toml", "examples/large.load.toml"})
+  for (const char *Path :
+       {"examples/accra.load.toml", "examples/sognebrev.load.toml", "examples/grown.load.toml",
+        "examples/large.load.toml", "examples/shifted.load.toml"})
     EXPECT_EQ(loadOf(Path).Kinds.size(), 3U);
 }
 
