Send entries the list of backend servers in parts

Cause: 300 entries that connect together received 3,000 listings each, 90 MB at once over the leader's 170 Mbit/s. In the model of that link each entry closed its connection after 0.9 s without a complete message and began again; none knew a server after 12 s, and heartbeats waited behind the lists. An entry that keeps an earlier list extends its grace period with each part that confirms some of it. A list of today's fleets stays one part; the messages are the same.

--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -291,7 +291,9 @@
     return LeaderAddresses == nullptr ? std::string() : LeaderAddresses->Entries;
   };
   Callbacks.State = [this]() -> const control_state & { return State; };
-  Callbacks.Backends = [this] { return Directory.all(); };
+  Callbacks.BackendsAfter = [this](const instance_name &After, std::size_t MaxCount) {
+    return Directory.listingsAfter(After, MaxCount);
+  };
   Callbacks.Controls = [this] {
     std::vector<std::string> Listening;
     for (const auto &[Member, Listed] : Addresses)
--- a/programs/pollenstall-control/entry_server.cpp
+++ b/programs/pollenstall-control/entry_server.cpp
@@ -37,7 +37,11 @@
 
 entry_server::entry_server(const entry_server_options &Settings, entry_server_callbacks Host)
     : Options(Settings), Callbacks(std::move(Host)), Tracker(Options.Leases),
-      Limiter(Options.MaxBytesInFlight) {}
+      Limiter(Options.MaxBytesInFlight),
+      Lists(Options.ListBytesPerSecond,
+            {Callbacks.BackendsAfter, [this](connection_number To, link_backends Part) {
+               Callbacks.Send({To, std::move(Part)});
+             }}) {}
 
 void entry_server::startLeading(mono_time Now) {
   Leading = true;
@@ -66,6 +70,7 @@
   if (!Leading)
     return redirectWaiting(Now);
   Limiter.expireOverdue(Now);
+  Lists.advance(Now);
   sendTexts(Now);
   if (FleetChanged && Now >= NextFleet)
     sendFleet(Now);
@@ -88,12 +93,14 @@
   for (const auto &[Connection, Session] : Sessions)
     redirect(Connection);
   Sessions.clear();
+  Lists.clear();
   Limiter.clear();
 }
 
 void entry_server::handle(const entry_event &Event, mono_time Now) {
   if (std::holds_alternative<connection_closed>(Event.Message)) {
     Waiting.erase(Event.Connection);
+    Lists.stop(Event.Connection);
     Limiter.sendFinished(Event.Connection);
     FleetChanged = Sessions.erase(Event.Connection) > 0 || FleetChanged;
     return;
@@ -113,20 +120,22 @@
   // An entry may reconnect before its old connection is found dead; it keeps one session only.
   std::erase_if(Sessions, [&](const auto &Existing) {
     const bool Same = Existing.second.Subscription.Process.Host == Request.Process.Host;
-    if (Same)
+    if (Same) {
+      Lists.stop(Existing.first);
       Limiter.sendFinished(Existing.first);
+    }
     return Same;
   });
   Sessions[From] = {Request, std::nullopt, std::nullopt, Request.HeldRevision, Now};
-  sendInitialState(From, Sessions[From]);
+  sendInitialState(From, Sessions[From], Now);
   FleetChanged = true;
   sendTexts(Now);
 }
 
-void entry_server::sendInitialState(connection_number To, session &Session) {
+void entry_server::sendInitialState(connection_number To, session &Session, mono_time Now) {
   Session.InitialStateSent = true;
-  if (Callbacks.Backends)
-    Callbacks.Send({To, link_backends{true, Callbacks.Backends()}});
+  if (Callbacks.BackendsAfter)
+    Lists.start(To, Now);
   Callbacks.Send({To, link_declaration_announced{Callbacks.State().declared().Revision}});
   sendSuspects(To, Session, suspects());
 }
@@ -196,7 +205,7 @@
     return redirect(From); // its subscription arrived while this host held no lease
   session &Session = Found->second;
   if (!Session.InitialStateSent)
-    sendInitialState(From, Session);
+    sendInitialState(From, Session, Now);
   Session.Confirmed = Request.Confirmed;
   Session.HeldRevision = Request.HeldRevision;
   Session.LastSeen = Now;
--- a/programs/pollenstall-control/entry_server_base.h
+++ b/programs/pollenstall-control/entry_server_base.h
@@ -4,6 +4,7 @@
 
 #include "control_state/control_state.h"
 #include "entry_listener_base.h"
+#include "list_sender_base.h"
 #include "send_limiter_base.h"
 
 #include <functional>
@@ -22,8 +23,10 @@
   /// Returns where the leader listens for entries; empty if it is unknown or is this host.
   std::function<std::string()> LeaderAddress;
   std::function<const control_state &()> State;
-  /// Returns every listed backend server; no function is set if gossip announces backend servers.
-  std::function<std::vector<backend_listing>()> Backends;
+  /// Returns listed backend servers, as list_sender requires; no function is set if gossip
+  /// announces backend servers.
+  std::function<std::vector<backend_listing>(const instance_name &After, std::size_t MaxCount)>
+      BackendsAfter;
   /// Returns the addresses at which control hosts listen for entries.
   std::function<std::vector<std::string>()> Controls;
   /// Proposes a command to the log; Answered gets nothing if the outcome is unknown.
@@ -37,6 +40,9 @@
   in_force_options Leases;
   /// Limit on the declarations in flight to entries, see send_limiter.
   std::size_t MaxBytesInFlight{1U << 20U};
+  /// Rate at which lists of backend servers are sent to all entries together. Part of the link's
+  /// rate, because heartbeats and changes share the link.
+  double ListBytesPerSecond{10e6};
 };
 
 /**
@@ -118,7 +124,7 @@
   [[nodiscard]] const packed_text &packedDifference(revision Base, const std::string &Old);
   void retainText();
   void sendDrains(connection_number To);
-  void sendInitialState(connection_number To, session &Session);
+  void sendInitialState(connection_number To, session &Session, mono_time Now);
   void recordArrival(connection_number From, const session &Session);
   [[nodiscard]] link_fleet fleet() const;
   void sendFleet(mono_time Now);
@@ -128,6 +134,7 @@
   entry_server_callbacks Callbacks;
   in_force_tracker Tracker;
   send_limiter Limiter;
+  list_sender Lists;
   std::map<connection_number, session> Sessions;
   std::map<connection_number, waiting_entry> Waiting;
   std::map<revision, std::string> Recent; ///< Texts that differences may refer to.
--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -181,7 +181,7 @@
 void decision_core::handleEvent(const backends_listed &Listed, mono_time Now) {
   const std::vector<backend_listing> Changes = Listed.IsFullList
                                                    ? Directory.applyFullList(Listed.Listings, Now)
-                                                   : Directory.applyUpdates(Listed.Listings);
+                                                   : Directory.applyUpdates(Listed.Listings, Now);
   for (const backend_listing &Listing : Changes)
     onListingChanged(Listing, Now);
 }
--- a/programs/pollenstall-entry/entry_stop.cpp
+++ b/programs/pollenstall-entry/entry_stop.cpp
@@ -58,9 +58,8 @@
   asio::post(Io, [this] { Relay->beginStop(); });
   const mono_time Limit = std::min(boot_clock::now() + Settings.ShutdownLimit, KillDeadline);
   Decision->beginShutdown(Limit - boot_clock::now());
-  const mono_time WaitsEnd = Settings.KillAfter.count() > 0
-                                 ? KillDeadline + KillMargin - ExitTime
-                                 : mono_time::max();
+  const mono_time WaitsEnd =
+      Settings.KillAfter.count() > 0 ? KillDeadline + KillMargin - ExitTime : mono_time::max();
   waitForZero(std::min<mono_time>(Limit + FinalWriteTime, WaitsEnd),
               [this] { return openCalls(); });
   waitForZero(std::min<mono_time>(boot_clock::now() + CancelGrace, WaitsEnd),
--- a/src/directory/backend_directory.cpp
+++ b/src/directory/backend_directory.cpp
@@ -206,6 +206,15 @@
   return Listings;
 }
 
+std::vector<backend_listing> backend_directory::listingsAfter(const instance_name &After,
+                                                              std::size_t MaxCount) const {
+  std::vector<backend_listing> Listings;
+  for (auto Next = Records.upper_bound(After); Next != Records.end() && Listings.size() < MaxCount;
+       ++Next)
+    Listings.push_back(Next->second.Listing);
+  return Listings;
+}
+
 const backend_listing *backend_directory::find(const instance_name &Instance) const {
   const auto Record = Records.find(Instance);
   return Record == Records.end() ? nullptr : &Record->second.Listing;
--- a/src/directory/backend_directory_base.h
+++ b/src/directory/backend_directory_base.h
@@ -38,6 +38,10 @@
 
   /// @return All listings.
   [[nodiscard]] std::vector<backend_listing> all() const;
+  /// @return At most MaxCount listings whose names follow After in the order of names. An empty
+  /// name precedes all others.
+  [[nodiscard]] std::vector<backend_listing> listingsAfter(const instance_name &After,
+                                                           std::size_t MaxCount) const;
   /// @return The listing of the name's newest incarnation, or null.
   [[nodiscard]] const backend_listing *find(const instance_name &Instance) const;
   /// Removes all listings, because this host is no longer the leader.
--- a/src/directory/directory_follower.cpp
+++ b/src/directory/directory_follower.cpp
@@ -11,11 +11,20 @@
     Existing.Confirmed = false;
   HasFullList = true;
   GraceEndsAt = Now + Grace;
-  return applyUpdates(Listings);
+  return applyUpdates(Listings, Now);
+}
+
+bool directory_follower::confirmsAny(const std::vector<backend_listing> &Listings) const {
+  return std::any_of(Listings.begin(), Listings.end(), [this](const backend_listing &Listing) {
+    const auto Existing = Records.find(Listing.Key.Incarnation);
+    return Existing != Records.end() && !Existing->second.Confirmed;
+  });
 }
 
 std::vector<backend_listing>
-directory_follower::applyUpdates(const std::vector<backend_listing> &Listings) {
+directory_follower::applyUpdates(const std::vector<backend_listing> &Listings, mono_time Now) {
+  if (GraceEndsAt && confirmsAny(Listings))
+    GraceEndsAt = Now + Grace;
   std::vector<backend_listing> Changes;
   for (const backend_listing &Listing : Listings)
     applyListing(Listing, Changes);
--- a/src/directory/directory_follower_base.h
+++ b/src/directory/directory_follower_base.h
@@ -12,9 +12,9 @@
 
 /**
  * Keeps the list over changes of the leader. A new leader knows only the backend servers that it
- * has a notice of, so those that it does not list yet keep their state for a grace period. After
- * that, active ones count as unresponsive, because they may have notified the former leader that
- * they leave.
+ * has a notice of, and sends its list in parts, so those that it does not list yet keep their state
+ * for a grace period, which each part that confirms some of them extends. After that, active ones
+ * count as unresponsive, because they may have notified the former leader that they leave.
  */
 class directory_follower {
 public:
@@ -22,12 +22,14 @@
   /// server.
   explicit directory_follower(mono_duration GracePeriod) : Grace(GracePeriod) {}
 
-  /// Applies the full list that a leader sends at the start of a connection. @return The changed
-  /// listings.
+  /// Applies the full list that a leader sends at the start of a connection, or its first part.
+  /// @return The changed listings.
   std::vector<backend_listing> applyFullList(const std::vector<backend_listing> &Listings,
                                              mono_time Now);
-  /// Applies listings that the leader changed. @return The listings that changed here.
-  std::vector<backend_listing> applyUpdates(const std::vector<backend_listing> &Listings);
+  /// Applies listings that the leader changed, or a further part of its list. @return The listings
+  /// that changed here.
+  std::vector<backend_listing> applyUpdates(const std::vector<backend_listing> &Listings,
+                                            mono_time Now);
   /// Marks active listings as unresponsive once the grace period has ended at Now. @return Listings
   /// that the new leader did not confirm within the grace period.
   std::vector<backend_listing> advance(mono_time Now);
@@ -41,6 +43,7 @@
     bool Confirmed{true}; ///< The leader of the current connection has listed or withdrawn it.
   };
 
+  [[nodiscard]] bool confirmsAny(const std::vector<backend_listing> &Listings) const;
   void applyListing(const backend_listing &Listing, std::vector<backend_listing> &Changes);
   void addListing(const backend_listing &Listing, std::vector<backend_listing> &Changes);
   void applyWithdrawal(const backend_listing &Listing, std::vector<backend_listing> &Changes);
--- a/tests/control/large_change_test.cpp
+++ b/tests/control/large_change_test.cpp
@@ -143,5 +143,37 @@
   EXPECT_LT(BytesForOneMore(3000), 2 * BytesForOneMore(300));
 }
 
+class ListOfBackendsTest : public LargeChangeTest {
+protected:
+  /// Lets all entries connect within a moment, as after the loss of all processes.
+  static simulated_fleet_options optionsFor(std::size_t Entries, std::size_t Backends) {
+    simulated_fleet_options Options;
+    Options.Entries = Entries;
+    Options.Backends = Backends;
+    Options.Leases.Lease = milliseconds(3500);
+    return Options;
+  }
+};
+
+TEST_F(ListOfBackendsTest, ReachesAUsualFleetAtOnce) {
+  simulated_fleet Fleet(optionsFor(58, 81));
+  Fleet.runFor(milliseconds(1000));
+  ASSERT_TRUE(Fleet.timeToAllBackends());
+  EXPECT_LT(*Fleet.timeToAllBackends(), milliseconds(200));
+  expectStable(Fleet);
+}
+
+// Guards against lists that saturate the leader's link: 300 entries that connect together receive
+// 3,000 listings each, 90 MB in all. Heartbeats waited behind them, followers elected another
+// leader, which started over, and no entry served for 30 s.
+TEST_F(ListOfBackendsTest, DelaysNoHeartbeatInALargeFleet) {
+  simulated_fleet Fleet(optionsFor(300, 3000));
+  Fleet.runFor(milliseconds(12'000));
+  ASSERT_TRUE(Fleet.timeToFirstBackend());
+  EXPECT_LT(*Fleet.timeToFirstBackend(), milliseconds(1000));
+  EXPECT_TRUE(Fleet.timeToAllBackends());
+  expectStable(Fleet);
+}
+
 } // namespace
 } // namespace pollenstall
--- a/tests/control/simulated_fleet.cpp
+++ b/tests/control/simulated_fleet.cpp
@@ -45,9 +45,28 @@
 
 namespace {
 
+/// @return A notice of a backend server with a name and address of usual length.
+backend_notice noticeOf(std::size_t Index) {
+  constexpr std::size_t PerNetwork = 200;
+  constexpr std::size_t NameLength = 10;
+  random_source Random(Index + 1);
+  backend_notice Notice;
+  Notice.Instance = instance_name("i-" + drawnName(Random, NameLength));
+  Notice.Address = backend_address("10." + std::to_string(1 + Index / PerNetwork) + ".64." +
+                                   std::to_string(Index % PerNetwork) + ":8388");
+  Notice.Service = service_name("app");
+  Notice.Domain = failure_domain_name("zone-a");
+  Notice.Slots = 12;
+  Notice.Sequence = 1;
+  Notice.Started = incarnation_start(1'700'000'000'000 + Index);
+  return Notice;
+}
+
 entry_server_options entryServerOptions(const simulated_fleet_options &Options) {
   const std::chrono::duration<double> Heartbeat = Options.Heartbeat;
-  return {Options.Leases, static_cast<std::size_t>(Options.ToEntries.Sender * Heartbeat.count())};
+  constexpr double ListShare = 0.7;
+  return {Options.Leases, static_cast<std::size_t>(Options.ToEntries.Sender * Heartbeat.count()),
+          Options.ToEntries.Sender * ListShare};
 }
 
 } // namespace
@@ -56,7 +75,10 @@
     : Options(Settings), Link(Clock, Options.ToEntries),
       EntryServer(entryServerOptions(Options), hooks()), Entries(Options.Entries),
       LastHeartbeats(Options.Followers, Clock.now()) {
-  EntryServer.startLeading(Clock.now());
+  Start = Clock.now();
+  for (std::size_t Index = 0; Index < Options.Backends; ++Index)
+    Directory.handleNotice(noticeOf(Index), Start);
+  EntryServer.startLeading(Start);
   for (std::size_t Index = 0; Index < Entries.size(); ++Index) {
     Entries[Index].Process = {host_name("entry-" + std::to_string(Index)), incarnation(1)};
     Entries[Index].IdleMonitor.reset(Clock.now());
@@ -76,6 +98,10 @@
   Callbacks.LeaderAddress = [] { return std::string(); };
   Callbacks.State = [this]() -> const control_state & { return State; };
   Callbacks.Propose = [](const control_command &, const auto &) {};
+  if (Options.Backends > 0)
+    Callbacks.BackendsAfter = [this](const instance_name &After, std::size_t MaxCount) {
+      return Directory.listingsAfter(After, MaxCount);
+    };
   return Callbacks;
 }
 
@@ -193,9 +219,31 @@
                                 State.drainsVersion(), Entry.HeldRevision});
 }
 
+void simulated_fleet::handleBackends(entry &Entry, const link_backends &List) {
+  for (const backend_listing &Listing : List.Listings)
+    Entry.Backends.insert(Listing.Key.Incarnation);
+  if (!Entry.FirstBackendAt && !Entry.Backends.empty())
+    Entry.FirstBackendAt = Clock.now();
+  if (!Entry.AllBackendsAt && Entry.Backends.size() == Options.Backends)
+    Entry.AllBackendsAt = Clock.now();
+}
+
+std::optional<mono_duration>
+simulated_fleet::longestTime(std::optional<mono_time> entry::*Moment) const {
+  mono_duration Longest{0};
+  for (const entry &Entry : Entries) {
+    if (!(Entry.*Moment))
+      return std::nullopt;
+    Longest = std::max(Longest, *(Entry.*Moment) - Start);
+  }
+  return Longest;
+}
+
 void simulated_fleet::handleReply(std::size_t Index, const link_reply &Reply) {
   entry &Entry = Entries[Index];
   Entry.IdleMonitor.recordMessage(Clock.now());
+  if (const auto *List = std::get_if<link_backends>(&Reply))
+    return handleBackends(Entry, *List);
   if (const auto *Lease = std::get_if<link_lease>(&Reply)) {
     const auto Renewal = Entry.UnansweredRenewals.find(Lease->RenewId);
     if (Renewal != Entry.UnansweredRenewals.end() && Lease->LeaseMillis > 0)
--- a/tests/control/simulated_fleet.h
+++ b/tests/control/simulated_fleet.h
@@ -4,12 +4,14 @@
 
 #include "control_link/declaration_lease_base.h"
 #include "control_link/receive_idle_monitor_base.h"
+#include "directory/directory.h"
 #include "entry_server_base.h"
 #include "simulated_link.h"
 
 #include <chrono>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -19,6 +21,7 @@
 struct simulated_fleet_options {
   std::size_t Entries{59};
   std::size_t Followers{4};
+  std::size_t Backends{0}; ///< Backend servers in the leader's list.
   link_rates ToEntries{170e6 / 8, 20e6 / 8, std::chrono::microseconds(500)};
   in_force_options Leases;
   mono_duration LeaseRenewInterval{std::chrono::milliseconds(300)};
@@ -65,6 +68,14 @@
   [[nodiscard]] std::size_t samplesWithoutLease() const { return SamplesWithoutLease; }
   /// @return Number of samples at which an entry could act on a declaration older than promised.
   [[nodiscard]] std::size_t staleSamples() const { return StaleSamples; }
+  /// @return Time since the start until the entry that waited longest knew a backend server, or all
+  /// of them; nothing if an entry does not yet.
+  [[nodiscard]] std::optional<mono_duration> timeToFirstBackend() const {
+    return longestTime(&entry::FirstBackendAt);
+  }
+  [[nodiscard]] std::optional<mono_duration> timeToAllBackends() const {
+    return longestTime(&entry::AllBackendsAt);
+  }
   [[nodiscard]] std::uint64_t bytesSent() const { return Link.bytesSent(); }
   [[nodiscard]] mono_time now() const { return Clock.now(); }
 
@@ -80,8 +91,15 @@
     std::uint64_t LastRenewId{0};
     mono_time NextRenew{};
     mono_time ReadingUntil{};
+    std::set<incarnation> Backends;
+    std::optional<mono_time> FirstBackendAt;
+    std::optional<mono_time> AllBackendsAt;
   };
 
+  [[nodiscard]] std::optional<mono_duration>
+  longestTime(std::optional<mono_time> entry::*Moment) const;
+  void handleBackends(entry &Entry, const link_backends &List);
+
   entry_server_callbacks hooks();
   void sample();
   void sendHeartbeats();
@@ -100,6 +118,8 @@
   control_state State{control_limits{}};
   entry_server EntryServer;
   std::vector<entry> Entries;
+  backend_directory Directory{directory_options{}};
+  mono_time Start;
   std::map<connection_number, std::size_t> Owners;
   connection_number LastConnection;
   revision LastChange;
--- a/tests/directory/directory_test.cpp
+++ b/tests/directory/directory_test.cpp
@@ -307,9 +307,26 @@
   EXPECT_EQ(Changes[0].State, listing_state::Unresponsive);
 }
 
+// Guards against a large list that arrives in parts over seconds: backend servers whose part is
+// still to come would count as unresponsive.
+TEST_F(DirectoryFollowerTest, KeepsListingsWhileFurtherPartsOfTheListArrive) {
+  Follower.applyFullList({makeListing("a", listing_state::Active),
+                          makeListing("b", listing_state::Active),
+                          makeListing("c", listing_state::Active)},
+                         Now);
+  Follower.applyFullList({makeListing("a", listing_state::Active)}, Now);
+  Now += 2s;
+  EXPECT_TRUE(Follower.applyUpdates({makeListing("b", listing_state::Active)}, Now).empty());
+  Now += 2s;
+  EXPECT_TRUE(Follower.advance(Now).empty());
+  EXPECT_TRUE(Follower.applyUpdates({makeListing("c", listing_state::Active)}, Now).empty());
+  Now += 10s;
+  EXPECT_TRUE(Follower.advance(Now).empty());
+}
+
 TEST_F(DirectoryFollowerTest, LeavingSticksAgainstANewLeader) {
   Follower.applyFullList({makeListing("a", listing_state::Active)}, Now);
-  Follower.applyUpdates({makeListing("a", listing_state::Leaving)});
+  Follower.applyUpdates({makeListing("a", listing_state::Leaving)}, Now);
   EXPECT_TRUE(Follower.applyFullList({makeListing("a", listing_state::Active)}, Now).empty());
 }
 
@@ -333,7 +350,7 @@
   Follower.applyFullList({makeListing("a", listing_state::Active)}, Now);
   backend_listing Withdrawal = makeListing("a", listing_state::Leaving);
   Withdrawal.Key.Address = backend_address();
-  const auto Changes = Follower.applyUpdates({Withdrawal});
+  const auto Changes = Follower.applyUpdates({Withdrawal}, Now);
   ASSERT_EQ(Changes.size(), 1U);
   EXPECT_EQ(Changes[0].Key.Address.str(), "127.0.0.1:9");
 }
--- a/tests/entry/stopping_test.cpp
+++ b/tests/entry/stopping_test.cpp
@@ -38,8 +38,8 @@
   EXPECT_TRUE(eventually([&] { return Fleet.engine().stat("used_blocks") == 0; }));
 }
 
-// Guards against a process that the platform has to kill: a stuck engine confirms no cancel, and the
-// wait for it began only after the wait for the last answers.
+// Guards against a process that the platform has to kill: a stuck engine confirms no cancel, and
+// the wait for it began only after the wait for the last answers.
 TEST(Stopping, EndsBeforeThePlatformKillsIt) {
   constexpr std::chrono::milliseconds KillAfter{2'500};
   entry_fleet Fleet({.EntryTopLevelLines = "shutdown_limit_s = 2.5\nshutdown_kill_s = 2.5\n",
