Correct two comments of placement and scheduling

Cause: the comment of spreadLongPrompt said that work never waits at an engine and is split as widely as possible; a part waits for the engine's pass, and parts have a least length. The comment of longShare left out the share assumed while there is little cost. Change: comments only. Result: the code's tokens are the same.

--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -190,10 +190,11 @@
 }
 
 /**
- * Splits the prefill of a long prompt over as many idle engines as possible, so that each is
- * occupied only briefly. Work never waits at an engine: an engine processes later parts of other
- * prompts first, so waiting work could wait forever. A prompt that finds too few idle engines waits
- * here, where the order is kept.
+ * Splits the prefill of a long prompt over as many idle engines as keep parts of MinPartMs, so that
+ * each is occupied only briefly; engines with streams take part only if the first event would be
+ * late without them. A part starts with the engine's next pass. It does not wait behind other long
+ * prefill, because an engine processes later parts of other prompts first and the wait could last
+ * forever. A prompt that finds too few engines waits here, where the order is kept.
  */
 std::optional<placer::prefill_plan>
 placer::spreadLongPrompt(const std::vector<prefill_candidate> &Candidates, double PromptMs,
--- a/src/scheduling/class_rates_base.h
+++ b/src/scheduling/class_rates_base.h
@@ -20,7 +20,8 @@
    */
   [[nodiscard]] double expectedWaitSeconds(length_class Class, double CostBefore, double MinRate,
                                            mono_time Now) const;
-  /// Returns the share of the recent cost that is in the long class, from 0 to 1.
+  /// Returns the share of the long class in the recent cost, from 0 to 1. While there is little
+  /// cost, it stays near an assumed share.
   [[nodiscard]] double longShare(mono_time Now) const;
 
 private:
