Tests read a process's last lines before they say that it has ended

Change: wait() waits for the end of both pipes too, within its limit, unless the test has paused the reader. The check is unchanged.

--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -121,6 +121,10 @@
         return ExitCode.has_value();
       },
       Limit);
+  // The last lines may still be in the pipes when the process has ended.
+  std::unique_lock<std::mutex> Lock(Guard);
+  if (ExitCode && !ErrorReaderPaused)
+    Changed.wait_for(Lock, Limit, [this] { return Closed; });
   return ExitCode;
 }
 
