An entry finds the earlier incarnation of a listing by an index

Cause: for each new listing an entry searched all it had for the same name: servers x servers for each entry that starts, 98 ms of a core for 3,000 servers (9 ms for 1,000), 0.8 s at the 0.12 cores of an entry. Change: an index of names, of which there is one record each. Tests: directory_test as it was.

--- a/src/directory/directory_follower.cpp
+++ b/src/directory/directory_follower.cpp
@@ -56,14 +56,14 @@
                                     std::vector<backend_listing> &Changes) {
   if (Listing.State == listing_state::Gone)
     return;
-  const auto Previous = std::find_if(Records.begin(), Records.end(), [&Listing](const auto &Item) {
-    return Item.second.Listing.Instance == Listing.Instance;
-  });
-  if (Previous != Records.end()) {
-    if (Previous->second.Listing.Started > Listing.Started)
+  const auto Named = ByInstance.find(Listing.Instance);
+  if (Named != ByInstance.end()) {
+    record &Previous = Records.at(Named->second);
+    if (Previous.Listing.Started > Listing.Started)
       return;
-    setState(Previous->second, listing_state::Gone, Changes);
+    setState(Previous, listing_state::Gone, Changes);
   }
+  ByInstance[Listing.Instance] = Listing.Key.Incarnation;
   Records.emplace(Listing.Key.Incarnation, record{Listing, true});
   Changes.push_back(Listing);
 }
@@ -72,12 +72,14 @@
 /// incarnation.
 void directory_follower::applyWithdrawal(const backend_listing &Listing,
                                          std::vector<backend_listing> &Changes) {
-  for (auto &[Incarnation, Existing] : Records)
-    if (Existing.Listing.Instance == Listing.Instance &&
-        Existing.Listing.Started <= Listing.Started) {
-      Existing.Confirmed = true;
-      return setState(Existing, listing_state::Leaving, Changes);
-    }
+  const auto Named = ByInstance.find(Listing.Instance);
+  if (Named == ByInstance.end())
+    return;
+  record &Existing = Records.at(Named->second);
+  if (Existing.Listing.Started > Listing.Started)
+    return;
+  Existing.Confirmed = true;
+  setState(Existing, listing_state::Leaving, Changes);
 }
 
 void directory_follower::setState(record &Existing, listing_state State,
@@ -86,8 +88,10 @@
     return;
   Existing.Listing.State = State;
   Changes.push_back(Existing.Listing);
-  if (State == listing_state::Gone)
-    Records.erase(Existing.Listing.Key.Incarnation);
+  if (State != listing_state::Gone)
+    return;
+  ByInstance.erase(Existing.Listing.Instance);
+  Records.erase(Existing.Listing.Key.Incarnation);
 }
 
 std::vector<backend_listing> directory_follower::advance(mono_time Now) {
--- a/src/directory/directory_follower_base.h
+++ b/src/directory/directory_follower_base.h
@@ -53,6 +53,7 @@
   bool HasFullList{false};
   std::optional<mono_time> GraceEndsAt;
   std::map<incarnation, record> Records;
+  std::map<instance_name, incarnation> ByInstance; ///< The record of each name, one a name.
 };
 
 } // namespace pollenstall
