Revert "Entries that start together spread short work until they know the rate"

With seven entries before 23 engines the first half second of an entry's short work takes engines that long prompts wait for. Change: the standing way again, its test and constant gone with it. What it was built for stays open: after the loss of all processes two of 78 engines get a quarter of the requests that waited.

--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -97,12 +97,6 @@
   /// two choices for 195 entries, 46 in 100 short prompts began within 20 ms of another one on the
   /// same engine.
   double ChoicesPerUnseenRequest{2.0};
-  /// After its start, an entry chooses among all suitable engines until it has observed requests
-  /// for this time. Entries that start at the same time, after all processes were lost, have the
-  /// waiting requests of all callers and know nothing of each other. When each of 58 packed its
-  /// part onto the first engines, two of 78 engines got 75 of 290 requests at once and rejected
-  /// most of them.
-  mono_duration MinRateObservation{std::chrono::milliseconds(500)};
   /// Averaging window of the request rate.
   mono_duration RateWindow{std::chrono::seconds(2)};
   std::uint32_t MaxPrefillEngines{17}; ///< Maximum for one prompt, including the first engine.
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -103,8 +103,6 @@
 }
 
 std::size_t placer::packedChoiceCount(mono_time Now) const {
-  if (!Rate.isObservedFor(Tuning.MinRateObservation, Now))
-    return Engines.size();
   const double UnseenRequests = Rate.expectedRequests(Exchange.PropagationDelay, Now);
   return std::max(Tuning.MinPackedChoices, static_cast<std::size_t>(std::ceil(
                                                UnseenRequests * Tuning.ChoicesPerUnseenRequest)));
--- a/src/placement/request_rate_base.h
+++ b/src/placement/request_rate_base.h
@@ -7,7 +7,6 @@
 #include <algorithm>
 #include <chrono>
 #include <cmath>
-#include <optional>
 
 namespace pollenstall {
 
@@ -17,8 +16,6 @@
   explicit request_rate(mono_duration AveragingWindow) : Window(AveragingWindow) {}
 
   void add(double Requests, mono_time Now) {
-    if (!ObservedSince)
-      ObservedSince = Now;
     DecayedRequests = decayedSum(Now) + Requests;
     Updated = Now;
   }
@@ -27,12 +24,6 @@
     return decayedSum(Now) * secondsOf(Period) / secondsOf(Window);
   }
 
-  /// Returns whether requests have been observed for at least this period. Before, the average is
-  /// far too low.
-  [[nodiscard]] bool isObservedFor(mono_duration Period, mono_time Now) const {
-    return ObservedSince && Now - *ObservedSince >= Period;
-  }
-
 private:
   static double secondsOf(mono_duration Period) {
     return std::chrono::duration<double>(Period).count();
@@ -45,7 +36,6 @@
   mono_duration Window;
   double DecayedRequests{0};
   mono_time Updated{};
-  std::optional<mono_time> ObservedSince;
 };
 
 } // namespace pollenstall
