--- a/tests/platform/platform_path_test.cpp
+++ b/tests/platform/platform_path_test.cpp
@@ -101,6 +101,15 @@
     return Voters;
   }
 
+  /// @return The log lines of all control hosts.
+  std::string controlLogs() {
+    std::string Text;
+    for (std::size_t Host = 0; Host < System->controls(); ++Host)
+      for (const std::string &Line : System->controlHost(Host).errorLines())
+        Text += "\n" + std::to_string(Host) + " " + Line;
+    return Text;
+  }
+
   static double measureMs(const std::function<void()> &Action) {
     const auto Start = steady_clock::now();
     Action();
@@ -276,7 +285,7 @@
         std::count_if(CurrentVoters.begin(), CurrentVoters.end(),
                       [&](const std::string &Member) { return Founders.count(Member) > 0; });
     return CurrentVoters.size() == 5 && Kept == 3;
-  }));
+  })) << controlLogs();
   System->killControl(1);
   System->killControl(4);
   EXPECT_TRUE(System->acknowledged("PUT", ConfigurationPath, configuration(2)));
