--- a/tests/experiment/experiment_test.py
+++ b/tests/experiment/experiment_test.py
@@ -31,7 +31,8 @@
 import json, pathlib, sys
 seed = int(sys.argv[sys.argv.index("--seed") + 1])
 gain = float(pathlib.Path("gain").read_text())
-figures = {"G": 0.1 * (seed % 3) + gain, "served": 1, "refused": 0, "failed": 0, "fault": None}
+fault = "late" if gain and seed == 2 else None
+figures = {"G": 0.1 * (seed % 3) + gain, "served": 1, "refused": 0, "failed": 0, "fault": fault}
 pathlib.Path(sys.argv[sys.argv.index("--report") + 1]).write_text(json.dumps(figures))
 """
 
@@ -90,6 +91,8 @@
             trees += ["--tree", f"{name}={self.folder / name}"]
         output, _ = self.run_script("days", "--program", player, "--day", "d1", "--seeds", "3", *trees, "place.toml")
         self.assertIn("+0.0500 +- 0.0000 (3 pairs) higher", output)
+        self.assertEqual(output.count("broke a rule"), 1)
+        self.assertIn("new broke a rule: place d1, seed 2: late", output)
 
 
 if __name__ == "__main__":
