Entries read and log the rate limits that backend servers state

No log line said that an answer stated a limit, at which entry, when, and when it ended, so that an unread limit, one kept by each entry for itself, and one known too late looked alike. An entry now logs server_rate_limit at the start, change and end of a limit, marks attempt_started of such a server, and counts servers and attempts. Decisions are the same as before.

A limit ends by an answer without one whose request was sent after the last answer with one arrived, since answers overtake each other. What is not a plain decimal number, or stands twice, changes nothing and is logged.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -192,6 +192,11 @@
     return Placer.updateBackend(Listing);
   Dispatcher.backendGone(Listing.Key, Now);
   Placer.removeBackend(Listing.Key);
+  Limited.remove(Listing.Key);
+}
+
+rate_limit_change decision_core::recordRateLimit(const rate_limit_answer &Answer, mono_time Now) {
+  return Limited.record(Answer, Now);
 }
 
 bool decision_core::isLeaving(const backend_key &Backend) const {
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -10,6 +10,7 @@
 #include "gossip/gossip.h"
 #include "orphan/orphan.h"
 #include "placement/placement.h"
+#include "rate_limit/rate_limit.h"
 #include "relay/relay.h"
 #include "scheduling/scheduling.h"
 #include "work_exchange/work_exchange.h"
@@ -54,6 +55,12 @@
   /// @return The instance name of the backend server; empty if it has none.
   [[nodiscard]] std::string instanceOf(const backend_key &Backend) const;
   void setRetryAllowance(const retry_allowance &Value) { Dispatcher.setRetryAllowance(Value); }
+  /// Records the limit that an answer states. @return How the known limit of its server changed.
+  rate_limit_change recordRateLimit(const rate_limit_answer &Answer, mono_time Now);
+  [[nodiscard]] bool isRateLimited(const backend_key &Backend) const {
+    return Limited.isLimited(Backend);
+  }
+  [[nodiscard]] std::size_t rateLimitedServers() const { return Limited.count(); }
   /// Checks the attempts that an engine has listed. @return Cancels for those without a live owner.
   std::vector<cancel_attempt> findOrphans(const attempts_listed &Listed, mono_time Now);
   /// Takes the engines whose attempts are due to be listed.
@@ -112,6 +119,7 @@
   scheduler Scheduler;
   placer Placer;
   directory_follower Directory;
+  limited_servers Limited;
   std::map<request_number, work_item> Waiting; ///< Submitted work that has no attempt yet.
   std::map<backend_key, backend_view> Backends;
   std::set<backend_address> Drained;
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -56,6 +56,7 @@
             {"backend", Start.Backend.Address.str()},
             {"instance", Start.Instance},
             {"helpers", Helpers},
+            {"rate_limited", Start.RateLimited},
             {"expected_ms", toMillis(Start.ExpectedFirstToken)}});
 }
 
@@ -67,9 +68,10 @@
 
 decision_thread::decision_thread(decision_options Requested)
     : DecisionOptions(std::move(Requested)), Events(DecisionOptions.RingCapacity),
-      Lists(ListCapacity), CrashNews(ListCapacity), Orders(DecisionOptions.RingCapacity),
-      Outbox(Orders), Core(DecisionOptions.Self, DecisionOptions.Self.Incarnation.value(),
-                           DecisionOptions.Backends),
+      Lists(ListCapacity), CrashNews(ListCapacity), RateLimits(ListCapacity),
+      Orders(DecisionOptions.RingCapacity), Outbox(Orders),
+      Core(DecisionOptions.Self, DecisionOptions.Self.Incarnation.value(),
+           DecisionOptions.Backends),
       OrphanCounter(prometheus::BuildCounter()
                         .Name("pollenstall_orphans_cancelled_total")
                         .Help("Attempts without a live owner that this entry asked engines to end")
@@ -87,6 +89,13 @@
                           "Revision of the declaration in use")),
       OutOfReachGauge(gauge(*DecisionOptions.Registry, "pollenstall_backends_out_of_reach",
                             "1 if this entry can connect to no backend server, else 0")),
+      LimitedServersGauge(gauge(*DecisionOptions.Registry, "pollenstall_rate_limited_servers",
+                                "Backend servers that state a limit on requests")),
+      LimitedRequestsCounter(prometheus::BuildCounter()
+                                 .Name("pollenstall_rate_limited_requests_total")
+                                 .Help("Attempts started at backend servers that state a limit")
+                                 .Register(*DecisionOptions.Registry)
+                                 .Add({})),
       WorkDatagramsGauge(gauge(*DecisionOptions.Registry, "pollenstall_work_datagrams_sent",
                                "Work report datagrams sent to other entries since the start")),
       WorkBytesGauge(gauge(*DecisionOptions.Registry, "pollenstall_work_bytes_sent",
@@ -94,6 +103,7 @@
   Events.onWake([this] { WakeEvent.wake(); });
   Lists.onWake([this] { WakeEvent.wake(); });
   CrashNews.onWake([this] { WakeEvent.wake(); });
+  RateLimits.onWake([this] { WakeEvent.wake(); });
   if (!DecisionOptions.ReadDeclaration)
     DecisionOptions.ReadDeclaration = readTomlDeclaration;
 }
@@ -172,6 +182,7 @@
         },
         std::move(News));
   });
+  RateLimits.drain([this, Now](rate_limit_answer &&Answer) { handleRateLimit(Answer, Now); });
   const std::lock_guard<std::mutex> Lock(Guard);
   if (PendingShutdown)
     Core.beginShutdown(Now, *std::exchange(PendingShutdown, std::nullopt));
@@ -231,6 +242,19 @@
   Control->request(confirm_revision{Received.Revision});
 }
 
+void decision_thread::handleRateLimit(const rate_limit_answer &Answer, mono_time Now) {
+  const rate_limit_change Change = Core.recordRateLimit(Answer, Now);
+  if (Change == rate_limit_change::None)
+    return;
+  const auto *Limit = std::get_if<requests_per_second>(&Answer.Stated);
+  logEvent(Change == rate_limit_change::Unreadable ? log_level::Warning : log_level::Info,
+           "server_rate_limit",
+           {{"backend", toText(Answer.Backend)},
+            {"change", std::string(rateLimitChangeText(Change))},
+            {"per_second", Limit ? std::to_string(Limit->value()) : std::string()},
+            {"attempt", toText(Answer.Attempt)}});
+}
+
 void decision_thread::handleEntries(const entries_listed &Listed) {
   if (WorkShare) {
     entries_update PeerEntries;
@@ -361,6 +385,9 @@
           },
           [this](start_attempt &&Start) {
             Start.Instance = Core.instanceOf(Start.Backend);
+            Start.RateLimited = Core.isRateLimited(Start.Backend);
+            if (Start.RateLimited)
+              LimitedRequestsCounter.Increment();
             logStart(Start);
             Outbox.push(std::move(Start));
           },
@@ -401,6 +428,7 @@
   LiveGauge.Set(static_cast<double>(Core.liveRequests()));
   AbandonedGauge.Set(static_cast<double>(Core.abandonedAttempts()));
   ReadyGauge.Set(Admitting ? 1.0 : 0.0);
+  LimitedServersGauge.Set(static_cast<double>(Core.rateLimitedServers()));
   if (!WorkShare)
     return;
   const work_share_counts Counts = WorkShare->counts();
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -60,6 +60,8 @@
   [[nodiscard]] bounded_ring<attempts_listed> &attemptLists() { return Lists; }
   /// Filled by the relay thread.
   [[nodiscard]] bounded_ring<crash_update> &crashUpdates() { return CrashNews; }
+  /// Filled by the relay thread.
+  [[nodiscard]] bounded_ring<rate_limit_answer> &rateLimits() { return RateLimits; }
   /// Emptied by the relay thread.
   [[nodiscard]] bounded_ring<relay_order> &orders() { return Orders; }
   /// Wakes the thread; for the gossip thread and the control link.
@@ -95,6 +97,7 @@
   void handleDeclaration(const declaration_received &Received);
   void reportCrash(crash_report &&Crash);
   void reportCrash(suspect_cleared &&Cleared);
+  void handleRateLimit(const rate_limit_answer &Answer, mono_time Now);
   void handleEntries(const entries_listed &Listed);
   void publishLoads(mono_time Now);
   [[nodiscard]] bool loadsDiffer(const std::vector<work_load> &Loads, mono_time Now) const;
@@ -116,6 +119,7 @@
   std::vector<dispatch_event> Batch; ///< Events that this iteration has read from the ring.
   bounded_ring<attempts_listed> Lists;
   bounded_ring<crash_update> CrashNews;
+  bounded_ring<rate_limit_answer> RateLimits;
   bounded_ring<relay_order> Orders;
   event_outbox<relay_order> Outbox;
   bounded_ring<membership_event> *MembershipEvents{nullptr};
@@ -150,6 +154,8 @@
   prometheus::Gauge &ReadyGauge;
   prometheus::Gauge &RevisionGauge;
   prometheus::Gauge &OutOfReachGauge;
+  prometheus::Gauge &LimitedServersGauge;
+  prometheus::Counter &LimitedRequestsCounter;
   prometheus::Gauge &WorkDatagramsGauge;
   prometheus::Gauge &WorkBytesGauge;
   std::thread Thread;
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -154,6 +154,7 @@
   Relay = relay_builder(Io, Decision->events())
               .attemptLists(Decision->attemptLists())
               .crashUpdates(Decision->crashUpdates())
+              .rateLimits(Decision->rateLimits())
               .process(Self)
               .limits(limitsOf(Settings))
               .metrics(Registry)
--- /dev/null
+++ b/src/rate_limit/rate_limit_type.h
@@ -0,0 +1,65 @@
+/** @file rate_limit_type.h What answers state about the rate limit of their backend server. */
+#ifndef POLLENSTALL_RATE_LIMIT_RATE_LIMIT_TYPE_H
+#define POLLENSTALL_RATE_LIMIT_RATE_LIMIT_TYPE_H
+
+#include "core/core.h"
+
+#include <cstdint>
+#include <variant>
+
+namespace pollenstall {
+
+struct requests_per_second_tag {};
+using requests_per_second = strong_amount<requests_per_second_tag, double>;
+
+/// The answer states no limit: the server accepts requests without one.
+struct no_rate_limit {
+  bool operator==(const no_rate_limit &) const = default;
+};
+/// The answer states a limit that is not a number, or several. The limit stays as it was.
+struct unreadable_rate_limit {
+  bool operator==(const unreadable_rate_limit &) const = default;
+};
+
+/// The limit that an answer states: the requests per second that its backend server accepts from
+/// all entries together.
+using rate_limit_statement =
+    std::variant<no_rate_limit, requests_per_second, unreadable_rate_limit>;
+
+/// The limit stated by the answer to one attempt.
+struct rate_limit_answer {
+  backend_key Backend;
+  attempt_id Attempt;
+  rate_limit_statement Stated;
+  mono_time SentAt; ///< When the attempt's request was sent.
+};
+
+/// How an answer changed what is known of a server's limit.
+enum class rate_limit_change : std::uint8_t {
+  None,
+  Started,    ///< The server had no limit before.
+  Changed,    ///< It states another limit.
+  Ended,      ///< It no longer states a limit.
+  Unreadable, ///< Its statement is not a limit.
+};
+
+/// @return "started", "changed" and so on, for the log.
+constexpr const char *rateLimitChangeText(rate_limit_change Change) {
+  switch (Change) {
+  case rate_limit_change::Started:
+    return "started";
+  case rate_limit_change::Changed:
+    return "changed";
+  case rate_limit_change::Ended:
+    return "ended";
+  case rate_limit_change::Unreadable:
+    return "unreadable";
+  case rate_limit_change::None:
+    break;
+  }
+  return "none";
+}
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_RATE_LIMIT_RATE_LIMIT_TYPE_H
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -274,12 +274,20 @@
   return std::nullopt;
 }
 
+void backend_exchange::reportRateLimit(const rate_limit_statement &Stated) {
+  const bool StatesNone = std::holds_alternative<no_rate_limit>(Stated);
+  if (Context.AtRateLimit && (Order.RateLimited || !StatesNone))
+    Context.AtRateLimit(
+        {Order.Backend, Order.Attempt, Stated, Call->LastSent.value_or(mono_time())});
+}
+
 std::optional<attempt_failure> backend_exchange::checkHeaderRoutedAnswer() {
   const auto &Message = Feed->message().get();
   const unsigned Status = Message.result_int();
   const answer_facts Facts = Context.Interface.ReadAnswer(Message, Call->SendName);
   if (Facts.AnswersOtherRequest)
     return attempt_failure::BadAnswer;
+  reportRateLimit(Facts.RateLimit);
   AtFault = Facts.AtFault;
   if (Facts.NotRun)
     return attempt_failure::Declined;
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -78,6 +78,7 @@
 
   std::optional<attempt_failure> checkAnswerHead(exchange_mode Mode);
   std::optional<attempt_failure> checkHeaderRoutedAnswer();
+  void reportRateLimit(const rate_limit_statement &Stated);
   [[nodiscard]] bool namesOtherAttempt();
   [[nodiscard]] bool isEventStream();
   [[nodiscard]] bool isErrorStatus(unsigned Status) const;
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -4,6 +4,7 @@
 #define POLLENSTALL_RELAY_CALL_INTERFACE_TYPE_H
 
 #include "core/core.h"
+#include "rate_limit/rate_limit_type.h"
 #include "relay/call_error_type.h"
 #include "relay/header_filter_func.h"
 #include "relay/request_head_type.h"
@@ -70,6 +71,7 @@
   bool AnswersOtherRequest{false}; ///< The answer lacks the caller's name for this request.
   backend_address
       AtFault; ///< Another server that prevented the request from running; empty if none is named.
+  rate_limit_statement RateLimit; ///< The limit of the server that answers.
 };
 
 /// Adapter for callers and backend servers that use another protocol. Either all hooks are set or
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -274,6 +274,11 @@
   return *this;
 }
 
+relay_builder &relay_builder::rateLimits(bounded_ring<rate_limit_answer> &Target) {
+  RateLimits = &Target;
+  return *this;
+}
+
 relay_builder &relay_builder::process(process_key Value) {
   Self = std::move(Value);
   return *this;
@@ -304,6 +309,11 @@
   State->Context.Interface = Interface;
   State->Context.AtCallEnd = AtCallEnd;
   State->Lists = Lists;
+  // A full ring drops the answer; the next one states the limit again.
+  if (RateLimits != nullptr)
+    State->Context.AtRateLimit = [Target = RateLimits](rate_limit_answer Answer) {
+      Target->push(std::move(Answer));
+    };
   if (CrashUpdates != nullptr) {
     // A full ring drops the update; the next crash reports the same request again.
     State->Context.Crashes.onCrash(
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -67,6 +67,8 @@
   /// Sets the ring for backend server crashes and for suspected requests that completed; without it
   /// neither is detected.
   relay_builder &crashUpdates(bounded_ring<crash_update> &Target);
+  /// Sets the ring for limits that answers state; without it they are dropped.
+  relay_builder &rateLimits(bounded_ring<rate_limit_answer> &Target);
   relay_builder &process(process_key Self);
   relay_builder &limits(const relay_limits &Value);
   relay_builder &metrics(std::shared_ptr<prometheus::Registry> Value);
@@ -82,6 +84,7 @@
   bounded_ring<dispatch_event> &Ring;
   bounded_ring<attempts_listed> *Lists{nullptr};
   bounded_ring<crash_update> *CrashUpdates{nullptr};
+  bounded_ring<rate_limit_answer> *RateLimits{nullptr};
   process_key Self;
   relay_limits Limits;
   std::shared_ptr<prometheus::Registry> Registry;
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_RELAY_RELAY_CONTEXT_TYPE_H
 #define POLLENSTALL_RELAY_RELAY_CONTEXT_TYPE_H
 
+#include "rate_limit/rate_limit_type.h"
 #include "relay/backend_connection_pool_base.h"
 #include "relay/call_interface_type.h"
 #include "relay/call_record_type.h"
@@ -55,6 +56,7 @@
   std::function<void(const call_record &)> AtCallEnd;
   std::shared_ptr<const suspect_list> Suspects{std::make_shared<const suspect_list>()};
   std::function<void(suspect_cleared)> AtSuspectCleared; ///< Not set if the result is not needed.
+  std::function<void(rate_limit_answer)> AtRateLimit;    ///< Not set if limits are not needed.
 
   /// Returns whether a declaration is in force now.
   [[nodiscard]] bool isReady() const {
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -224,6 +224,21 @@
   EXPECT_FALSE(answerWith(500, {{"Attempt-Id", "a1"}}).NotRun);
 }
 
+TEST(PlatformAnswerHeadTest, ReadsTheRateLimitOfTheServer) {
+  const auto Stated = [](const std::string &Text) {
+    return answerWith(200, {{"Attempt-Id", "a1"}, {"Server-Limit", Text}}).RateLimit;
+  };
+  EXPECT_EQ(answerWith(200, {{"Attempt-Id", "a1"}}).RateLimit,
+            rate_limit_statement(no_rate_limit{}));
+  EXPECT_EQ(Stated("2.4"), rate_limit_statement(requests_per_second(2.4)));
+  EXPECT_EQ(Stated(" 0.5 "), rate_limit_statement(requests_per_second(0.5)));
+  EXPECT_EQ(Stated("0"), rate_limit_statement(requests_per_second(0)));
+  for (const char *Text : {"", "-1", "1e300", "nan", "inf", "2, 3", "2 3", ".", "0x2", "many"})
+    EXPECT_EQ(Stated(Text), rate_limit_statement(unreadable_rate_limit{})) << Text;
+  EXPECT_EQ(answerWith(200, {{"Server-Limit", "2"}, {"Server-Limit", "3"}}).RateLimit,
+            rate_limit_statement(unreadable_rate_limit{}));
+}
+
 /// The routes of a control host whose services return the answer that the test sets.
 struct ControlHostRoutesTest : testing::Test {
   service_answer Answer{service_status::Accepted, {}};
