A failing test: entries exceed the rate limit of an engine together

Three entries, two stand-in engines, one of which states a limit of 2 requests a second: it gets 33 in 4 s, allowed 17 (1.5 x 4 x 2 + 5). The rule is taken in its strictest reading: windows that end 3 s after the first answer with a limit or later, with all that arrived in them.

--- /dev/null
+++ b/tests/platform/rate_limit_path_test.cpp
@@ -0,0 +1,140 @@
+/** @file rate_limit_path_test.cpp Entries keep the rate limit of an engine together. */
+#include "platform_path_fixture.h"
+
+#include <atomic>
+
+namespace pollenstall {
+namespace {
+
+using std::chrono::seconds;
+
+constexpr seconds Window{4}; ///< In which the requests of all entries count together.
+
+/// An engine that states a rate limit while one is set, and records when requests arrive.
+class limiting_engine {
+public:
+  limiting_engine()
+      : Server([this](scripted_server::tcp_socket &Socket, const received_request &Request) {
+          answer(Socket, Request);
+        }) {}
+
+  void state(const std::string &Value) {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    Limit = Value;
+  }
+  [[nodiscard]] const scripted_server &server() const { return Server; }
+  /// @return The most requests in any 4 s that begin at this time or later.
+  [[nodiscard]] std::size_t mostInWindow(steady_clock::time_point Since) const {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    std::size_t Most = 0;
+    auto First = std::lower_bound(Arrivals.begin(), Arrivals.end(), Since);
+    for (auto Last = First; Last != Arrivals.end(); ++Last) {
+      while (*Last - *First > Window)
+        ++First;
+      Most = std::max(Most, static_cast<std::size_t>(Last - First) + 1);
+    }
+    return Most;
+  }
+  [[nodiscard]] std::size_t arrivedSince(steady_clock::time_point Since) const {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    return static_cast<std::size_t>(Arrivals.end() -
+                                    std::lower_bound(Arrivals.begin(), Arrivals.end(), Since));
+  }
+
+private:
+  void answer(scripted_server::tcp_socket &Socket, const received_request &Request) {
+    std::string Line;
+    {
+      const std::lock_guard<std::mutex> Lock(Guard);
+      Arrivals.push_back(steady_clock::now());
+      if (!Limit.empty())
+        Line = "Server-Limit: " + Limit + "\r\n";
+    }
+    answerWithEvents(Socket, Request, Line);
+  }
+
+  mutable std::mutex Guard;
+  std::string Limit;
+  std::vector<steady_clock::time_point> Arrivals;
+  scripted_server Server; ///< Last, since its thread uses the members above.
+};
+
+/// Three entries under steady load before engines that are announced as long as the test runs.
+class RateLimitPathTest : public PlatformPathTest {
+protected:
+  static constexpr std::size_t Entries = 3;
+  /// Most requests in a window: one and a half times those of a limit of 2 a second, and 5.
+  static constexpr std::size_t Allowed = 17;
+  /// Time after the first answer with a limit from which on it must hold.
+  static constexpr seconds Grace{3};
+
+  /// Time between two requests of one caller. The engine gets about 7 a second before it states its
+  /// limit, so that the second before that may count too.
+  static constexpr milliseconds Pause{380};
+
+  void startLoad(std::size_t ThreadsPerEntry) {
+    for (std::size_t Thread = 0; Thread < ThreadsPerEntry * Entries; ++Thread)
+      Callers.emplace_back([this, Entry = Thread % Entries, Thread] {
+        for (int Request = 0; !Stopping; ++Request) {
+          const std::string Send = "load-" + std::to_string(Thread) + "-" + std::to_string(Request);
+          http_stream Stream(System->callers(Entry), "POST", "/x/2f", "a body", headers(Send));
+          if (Stream.status() == Ok && Stream.remainingEvents().size() == 3)
+            ++Served;
+          else
+            ++NotServed;
+          std::this_thread::sleep_for(Pause);
+        }
+      });
+  }
+
+  /// Announces the engines each second, as they would themselves.
+  void announceFor(seconds Duration, const std::vector<const limiting_engine *> &Engines) {
+    const auto End = steady_clock::now() + Duration;
+    while (steady_clock::now() < End) {
+      for (std::size_t Engine = 0; Engine < Engines.size(); ++Engine)
+        EXPECT_TRUE(announce("i-" + std::to_string(Engine), Engines[Engine]->server()));
+      std::this_thread::sleep_for(milliseconds(500));
+    }
+  }
+
+  void stopLoad() {
+    Stopping = true;
+    for (std::thread &Caller : Callers)
+      Caller.join();
+    Callers.clear();
+  }
+  void TearDown() override { stopLoad(); }
+
+  std::vector<std::thread> Callers;
+  std::atomic<bool> Stopping{false};
+  std::atomic<int> Served{0};
+  std::atomic<int> NotServed{0};
+};
+
+// Guards against entries that each keep the limit of an engine for themselves, or not at all: their
+// sum exceeds it.
+TEST_F(RateLimitPathTest, AllEntriesTogetherKeepTheLimitOfAnEngine) {
+  limiting_engine InNeed;
+  limiting_engine Other;
+  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
+  announceFor(seconds(1), {&InNeed, &Other});
+  startLoad(2);
+  announceFor(seconds(2), {&InNeed, &Other});
+  EXPECT_GT(InNeed.arrivedSince({}), 0U) << "the load does not reach the engine at all";
+
+  InNeed.state("2");
+  const auto Stated = steady_clock::now();
+  announceFor(seconds(9), {&InNeed, &Other});
+  EXPECT_LE(InNeed.mostInWindow(Stated + Grace - Window), Allowed);
+
+  InNeed.state("");
+  announceFor(seconds(8), {&InNeed, &Other});
+  EXPECT_GT(InNeed.arrivedSince(steady_clock::now() - Window), Allowed)
+      << "the engine is not used like the others again";
+  stopLoad();
+  EXPECT_EQ(NotServed, 0);
+  EXPECT_GT(Served, 0);
+}
+
+} // namespace
+} // namespace pollenstall
