Entries keep the rate limit of a backend server together, by permits of one issuer

Cause: a backend server states one limit for all entries, and no decision knew of it.

Change: each request to a server with a limit needs a permit. One entry issues the permits of a server, chosen by rendezvous hashing over the list of entries; it issues them at the rate of the limit, saves up two, keeps waiting requests in order, and tells all entries when a limit starts, changes or ends. What it cannot know (requests before the limit was known, permits of an earlier issuer, a suspension) it waits out for 2 s. A permit that is not used expires after 250 ms. No permit means no request: work goes to other servers, and is refused at once where all servers of its service are limited and no permit can come in time. The placer asks for a permit where it would choose such a server, and once for work that finds no other. A limit ends by an answer without one to a request whose permit was issued after the last answer with one had arrived at the issuer.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -192,11 +192,21 @@
     return Placer.updateBackend(Listing);
   Dispatcher.backendGone(Listing.Key, Now);
   Placer.removeBackend(Listing.Key);
-  Limited.remove(Listing.Key);
+  Placer.permits().remove(Listing.Key.Incarnation);
 }
 
 rate_limit_change decision_core::recordRateLimit(const rate_limit_answer &Answer, mono_time Now) {
-  return Limited.record(Answer, Now);
+  return Placer.permits().record(Answer, Now);
+}
+
+rate_limit_change decision_core::receivePermitReply(const permit_reply &Reply, mono_time Now) {
+  PollPending = true;
+  return Placer.permits().receive(Reply, Now);
+}
+
+std::string decision_core::backendText(incarnation Server) const {
+  const backend_key *Backend = Placer.findBackend(Server);
+  return Backend ? toText(*Backend) : std::to_string(Server.value());
 }
 
 bool decision_core::isLeaving(const backend_key &Backend) const {
@@ -271,9 +281,9 @@
 
 std::optional<mono_time> decision_core::nextWake() const {
   std::optional<mono_time> Next = Dispatcher.nextWake();
-  const auto Poll = nextPoll();
-  if (Poll && (!Next || *Poll < *Next))
-    Next = Poll;
+  for (const auto &Other : {nextPoll(), Placer.permits().nextWake()})
+    if (Other && (!Next || *Other < *Next))
+      Next = Other;
   return Next;
 }
 
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -57,10 +57,15 @@
   void setRetryAllowance(const retry_allowance &Value) { Dispatcher.setRetryAllowance(Value); }
   /// Records the limit that an answer states. @return How the known limit of its server changed.
   rate_limit_change recordRateLimit(const rate_limit_answer &Answer, mono_time Now);
-  [[nodiscard]] bool isRateLimited(const backend_key &Backend) const {
-    return Limited.isLimited(Backend);
+  /// Records a reply of an issuer of permits. @return How the known limit of its server changed.
+  rate_limit_change receivePermitReply(const permit_reply &Reply, mono_time Now);
+  /// @return Messages to issuers of permits that are due.
+  std::vector<permit_message> takePermitMessages(mono_time Now) {
+    return Placer.permits().takeMessages(Now);
   }
-  [[nodiscard]] std::size_t rateLimitedServers() const { return Limited.count(); }
+  [[nodiscard]] std::size_t rateLimitedServers() const { return Placer.permits().limitedServers(); }
+  /// @return Address and incarnation of a server, for the log.
+  [[nodiscard]] std::string backendText(incarnation Server) const;
   /// Checks the attempts that an engine has listed. @return Cancels for those without a live owner.
   std::vector<cancel_attempt> findOrphans(const attempts_listed &Listed, mono_time Now);
   /// Takes the engines whose attempts are due to be listed.
@@ -119,7 +124,6 @@
   scheduler Scheduler;
   placer Placer;
   directory_follower Directory;
-  limited_servers Limited;
   std::map<request_number, work_item> Waiting; ///< Submitted work that has no attempt yet.
   std::map<backend_key, backend_view> Backends;
   std::set<backend_address> Drained;
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -56,10 +56,23 @@
             {"backend", Start.Backend.Address.str()},
             {"instance", Start.Instance},
             {"helpers", Helpers},
-            {"rate_limited", Start.RateLimited},
+            {"rate_limited", Start.Permit.isSet()},
             {"expected_ms", toMillis(Start.ExpectedFirstToken)}});
 }
 
+/// @param Attempt The attempt whose answer changed the limit; empty if another entry reported it.
+void logRateLimit(rate_limit_change Change, const std::string &Backend,
+                  std::optional<requests_per_second> Limit, const std::string &Attempt) {
+  if (Change == rate_limit_change::None)
+    return;
+  logEvent(Change == rate_limit_change::Unreadable ? log_level::Warning : log_level::Info,
+           "server_rate_limit",
+           {{"backend", Backend},
+            {"change", std::string(rateLimitChangeText(Change))},
+            {"per_second", Limit ? std::to_string(Limit->value()) : std::string()},
+            {"attempt", Attempt}});
+}
+
 prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name, const char *Help) {
   return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add({});
 }
@@ -96,6 +109,8 @@
                                  .Help("Attempts started at backend servers that state a limit")
                                  .Register(*DecisionOptions.Registry)
                                  .Add({})),
+      PermitDatagramsGauge(gauge(*DecisionOptions.Registry, "pollenstall_permit_datagrams_sent",
+                                 "Datagrams about permits sent to other entries since the start")),
       WorkDatagramsGauge(gauge(*DecisionOptions.Registry, "pollenstall_work_datagrams_sent",
                                "Work report datagrams sent to other entries since the start")),
       WorkBytesGauge(gauge(*DecisionOptions.Registry, "pollenstall_work_bytes_sent",
@@ -110,6 +125,11 @@
 
 decision_thread::~decision_thread() { stop(); }
 
+void decision_thread::setWorkShare(work_share &NewShare) {
+  WorkShare = &NewShare;
+  WorkShare->permitReplies().onWake([this] { WakeEvent.wake(); });
+}
+
 void decision_thread::start() {
   Thread = std::thread([this] { run(); });
 }
@@ -157,6 +177,7 @@
   for (const backend_key &Engine : Core.takeEnginesToList(Now))
     Outbox.push(list_attempts{Engine});
   Outbox.flush();
+  sendPermitMessages(Now);
   publishLoads(Now);
   logReachability();
   publishGauges();
@@ -182,6 +203,9 @@
         },
         std::move(News));
   });
+  if (WorkShare)
+    WorkShare->permitReplies().drain(
+        [this, Now](permit_reply &&Reply) { handlePermitReply(Reply, Now); });
   RateLimits.drain([this, Now](rate_limit_answer &&Answer) { handleRateLimit(Answer, Now); });
   const std::lock_guard<std::mutex> Lock(Guard);
   if (PendingShutdown)
@@ -243,16 +267,20 @@
 }
 
 void decision_thread::handleRateLimit(const rate_limit_answer &Answer, mono_time Now) {
-  const rate_limit_change Change = Core.recordRateLimit(Answer, Now);
-  if (Change == rate_limit_change::None)
-    return;
   const auto *Limit = std::get_if<requests_per_second>(&Answer.Stated);
-  logEvent(Change == rate_limit_change::Unreadable ? log_level::Warning : log_level::Info,
-           "server_rate_limit",
-           {{"backend", toText(Answer.Backend)},
-            {"change", std::string(rateLimitChangeText(Change))},
-            {"per_second", Limit ? std::to_string(Limit->value()) : std::string()},
-            {"attempt", toText(Answer.Attempt)}});
+  logRateLimit(Core.recordRateLimit(Answer, Now), toText(Answer.Backend),
+               Limit ? std::optional(*Limit) : std::nullopt, toText(Answer.Attempt));
+}
+
+void decision_thread::handlePermitReply(const permit_reply &Reply, mono_time Now) {
+  logRateLimit(Core.receivePermitReply(Reply, Now), Core.backendText(Reply.Server), Reply.Limit,
+               {});
+}
+
+void decision_thread::sendPermitMessages(mono_time Now) {
+  std::vector<permit_message> Messages = Core.takePermitMessages(Now);
+  if (WorkShare && !Messages.empty())
+    WorkShare->commands().push(permit_messages{std::move(Messages)});
 }
 
 void decision_thread::handleEntries(const entries_listed &Listed) {
@@ -385,8 +413,7 @@
           },
           [this](start_attempt &&Start) {
             Start.Instance = Core.instanceOf(Start.Backend);
-            Start.RateLimited = Core.isRateLimited(Start.Backend);
-            if (Start.RateLimited)
+            if (Start.Permit.isSet())
               LimitedRequestsCounter.Increment();
             logStart(Start);
             Outbox.push(std::move(Start));
@@ -434,6 +461,7 @@
   const work_share_counts Counts = WorkShare->counts();
   WorkDatagramsGauge.Set(static_cast<double>(Counts.SentDatagrams));
   WorkBytesGauge.Set(static_cast<double>(Counts.SentBytes));
+  PermitDatagramsGauge.Set(static_cast<double>(Counts.PermitDatagrams));
 }
 
 void decision_thread::fulfilDumps(mono_time Now) {
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -70,7 +70,7 @@
   /// Sets the control link; call before start().
   void setControlLink(std::unique_ptr<control_link> Link) { Control = std::move(Link); }
   /// Sets the thread that exchanges work reports with other entries; call before start().
-  void setWorkShare(work_share &NewShare) { WorkShare = &NewShare; }
+  void setWorkShare(work_share &NewShare);
   /// Sets the ring of the gossip thread; call before start().
   void setMembershipEvents(bounded_ring<membership_event> &Source) { MembershipEvents = &Source; }
   void start();
@@ -98,6 +98,8 @@
   void reportCrash(crash_report &&Crash);
   void reportCrash(suspect_cleared &&Cleared);
   void handleRateLimit(const rate_limit_answer &Answer, mono_time Now);
+  void handlePermitReply(const permit_reply &Reply, mono_time Now);
+  void sendPermitMessages(mono_time Now);
   void handleEntries(const entries_listed &Listed);
   void publishLoads(mono_time Now);
   [[nodiscard]] bool loadsDiffer(const std::vector<work_load> &Loads, mono_time Now) const;
@@ -156,6 +158,7 @@
   prometheus::Gauge &OutOfReachGauge;
   prometheus::Gauge &LimitedServersGauge;
   prometheus::Counter &LimitedRequestsCounter;
+  prometheus::Gauge &PermitDatagramsGauge;
   prometheus::Gauge &WorkDatagramsGauge;
   prometheus::Gauge &WorkBytesGauge;
   std::thread Thread;
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_DISPATCH_DISPATCH_TYPE_H
 
 #include "core/core.h"
+#include "rate_limit/rate_limit_type.h"
 
 #include <chrono>
 #include <cstdint>
@@ -195,9 +196,8 @@
   mono_duration ExpectedFirstToken{}; ///< Expected time to the first event, for the log.
   std::string Instance{}; ///< The server's own name of its incarnation; empty if it has none. Set
                           ///< by the entry, not by the dispatcher.
-  /// The backend server limits the rate of requests. The relay then reports the limit of the answer
-  /// also if it states none. Set by the entry, not by the dispatcher.
-  bool RateLimited{false};
+  permit_stamp Permit{};  ///< Set if Backend states a rate limit. The relay then also reports an
+                          ///< answer that states none.
 };
 /// Reconnects to the same backend server and continues after the event that was relayed last.
 struct resume_attempt {
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -101,7 +101,8 @@
                                      Placement.Helpers,
                                      Placement.Holds,
                                      Placement.ExpectedFirstToken,
-                                     {}});
+                                     {},
+                                     Placement.Permit});
   if (Callbacks.AttemptStarted)
     Callbacks.AttemptStarted({Id, Placement.Backend, Request.Facts.Id}, Now);
   updateTimer(Request);
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -197,8 +197,15 @@
       break;
     const waiting_work Work = Waiting.at(Request);
     const std::optional<prefill_plan> Plan = choose(Work, Now);
-    if (!Plan)
+    if (!Plan) {
+      requestPermitForWaiting(Work, Now);
+      refuseWithoutPermits(Work, Now, Outcome);
       continue;
+    }
+    if (requestPermits(*Plan, Now)) {
+      Waiting.at(Request).AskedForPermits = true;
+      continue;
+    }
     Waiting.erase(Request);
     placeWork(Work, *Plan, Now, Outcome);
     if (Reachability.isIsolated())
@@ -238,13 +245,14 @@
 }
 
 bool placer::isClaimLost(const claimed_work &Claim, mono_time Now) const {
-  return std::any_of(Claim.Assigned.Parts.begin(), Claim.Assigned.Parts.end(),
-                     [&](const prefill_part &Part) {
-                       const auto Engine = Engines.find(Part.Backend);
-                       return Engine == Engines.end() || !Engine->second.active() ||
-                              Engine->second.hasWinningClaim(ClaimRank, Tuning.IdlePrefillMs, Now,
-                                                             Tuning.PeerLoadTimeout);
-                     });
+  return std::any_of(
+      Claim.Assigned.Parts.begin(), Claim.Assigned.Parts.end(), [&](const prefill_part &Part) {
+        const auto Engine = Engines.find(Part.Backend);
+        const bool LacksPermit = !Part.Permit.isSet() && Permits.limitOf(Part.Backend.Incarnation);
+        return Engine == Engines.end() || !Engine->second.active() || LacksPermit ||
+               Engine->second.hasWinningClaim(ClaimRank, Tuning.IdlePrefillMs, Now,
+                                              Tuning.PeerLoadTimeout);
+      });
 }
 
 void placer::placeWork(const waiting_work &Work, const prefill_plan &Plan, mono_time Now,
@@ -260,7 +268,9 @@
   for (const engine_option &PrefillEngine : Plan.PrefillEngines) {
     const backend_key &Key = PrefillEngine.Engine->key();
     PrefillEngine.Engine->recordPlacement(Tuning, Now);
-    Assigned.Parts.push_back({Key, Plan.PartMs, Now + durationFromMs(Plan.FirstEventMs)});
+    Assigned.Parts.push_back({Key, Plan.PartMs, Now + durationFromMs(Plan.FirstEventMs), 0, {}});
+    if (PrefillEngine.Limited)
+      Assigned.Parts.back().Permit = Permits.take(Key.Incarnation, Now);
     if (Key != Placement.Backend)
       Placement.Helpers.push_back(Key);
     if (const auto FoundHold = Plan.HeldTokens.find(Key); FoundHold != Plan.HeldTokens.end()) {
@@ -269,6 +279,7 @@
     }
   }
   Assigned.Parts.front().Tokens = RemainingTokens;
+  Placement.Permit = Assigned.Parts.front().Permit;
   for (const auto &[Key, Amount] : Plan.HeldTokens)
     Placement.Holds.push_back({Key, tokens(static_cast<std::int64_t>(Amount))});
   addWork(AllWork, Assigned, Now);
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -6,6 +6,7 @@
 #include "placement/reachability_monitor_base.h"
 #include "placement/request_rate_base.h"
 #include "placement/tracked_engine_base.h"
+#include "rate_limit/rate_limit.h"
 
 #include <map>
 #include <optional>
@@ -55,21 +56,28 @@
   /// periodic probe requests, and is refused with QueueFull after WaitFraction of its time limit.
   [[nodiscard]] bool reachesNoBackend() const { return Reachability.isIsolated(); }
   [[nodiscard]] std::size_t queued() const { return Waiting.size() + Claimed.size(); }
+  /// The rate limits of servers. Placements at such a server use up one permit.
+  [[nodiscard]] permit_client &permits() { return Permits; }
+  [[nodiscard]] const permit_client &permits() const { return Permits; }
+  /// Returns the server of an incarnation; nullptr if it is unknown.
+  [[nodiscard]] const backend_key *findBackend(incarnation Server) const;
   /// Returns the state of the queue and each backend server as JSON.
   [[nodiscard]] std::string dump(mono_time Now) const;
 
 private:
   struct waiting_work {
     work_item Item;
-    service_name Service;   ///< Chosen at random by the weights of the route.
-    mono_time WaitingSince; ///< When this attempt began to wait.
+    service_name Service;        ///< Chosen at random by the weights of the route.
+    mono_time WaitingSince;      ///< When this attempt began to wait.
+    bool AskedForPermits{false}; ///< It no longer waits for permits if it can be placed elsewhere.
   };
   /// Part of a prompt's prefill on one engine.
   struct prefill_part {
     backend_key Backend;
     double DurationMs{0};
-    mono_time Until;  ///< Expected end of the prefill.
-    double Tokens{0}; ///< Memory that stays allocated until the end of the request.
+    mono_time Until;     ///< Expected end of the prefill.
+    double Tokens{0};    ///< Memory that stays allocated until the end of the request.
+    permit_stamp Permit; ///< Set if the server states a rate limit.
   };
   /// Work with its parts on engines, from its claim or placement until its attempt has ended.
   struct assigned_work {
@@ -91,6 +99,8 @@
   struct engine_option {
     tracked_engine *Engine{nullptr};
     engine_view View;
+    bool Limited{false};     ///< It states a rate limit.
+    bool NeedsPermit{false}; ///< It does, and there is no permit for it yet.
   };
   /// Engines chosen for one request; the first one answers.
   struct prefill_plan {
@@ -156,6 +166,12 @@
   planWithEngines(const std::vector<prefill_candidate> &Unoccupied,
                   const std::vector<prefill_candidate> &Occupied, std::size_t Count, double PartMs,
                   bool UseOccupied);
+  /// Requests the permits that the plan lacks. @return Whether it lacks any.
+  bool requestPermits(const prefill_plan &Plan, mono_time Now);
+  void requestPermitForWaiting(const waiting_work &Work, mono_time Now);
+  void refuseWithoutPermits(const waiting_work &Work, mono_time Now, poll_outcome &Outcome);
+  [[nodiscard]] std::optional<mono_time> permitsDeniedUntil(const service_name &Service,
+                                                            mono_time Now) const;
   void placeWork(const waiting_work &Work, const prefill_plan &Plan, mono_time Now,
                  poll_outcome &Outcome);
   std::optional<prefill_plan> chooseHolders(const std::vector<prefill_candidate> &AllCandidates,
@@ -183,6 +199,7 @@
   std::map<request_number, assigned_work> Unstarted; ///< Placements whose attempt has not started.
   std::map<attempt_id, assigned_work> Running;
   load_exchange_properties Exchange;
+  permit_client Permits;
   reachability_monitor Reachability;
   request_rate Rate;    ///< Requests of all entries, as far as reported.
   engine_views AllWork; ///< Work of this and the other entries, as of the current poll.
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -26,10 +26,17 @@
   // Engines that were tried before or are in backoff; used only if there is no other.
   std::vector<engine_option> Fallback;
   const std::vector<backend_key> &Avoid = Work.Item.Avoid;
+  const bool AnyLimited = Permits.limitedServers() > 0;
   for (auto &[Key, Engine] : Engines) {
     if (Engine.service() != Work.Service || !Engine.active())
       continue;
-    const engine_option Option{&Engine, AllWork[Key]};
+    engine_option Option{&Engine, AllWork[Key]};
+    if (AnyLimited && Permits.limitOf(Key.Incarnation)) {
+      Option.Limited = true;
+      Option.NeedsPermit = !Permits.hasPermit(Key.Incarnation, Now);
+      if (Option.NeedsPermit && (Work.AskedForPermits || !Permits.mayAsk(Key.Incarnation, Now)))
+        continue;
+    }
     const bool WasTried = std::find(Avoid.begin(), Avoid.end(), Key) != Avoid.end();
     (WasTried || Engine.inBackoff(Now) ? Fallback : Preferred).push_back(Option);
   }
@@ -224,6 +231,9 @@
       static_cast<double>(Figures.Memory.value()) * Tuning.MemoryFraction;
   auto [IdleCandidates, Occupied] = findIdleEngines(AllCandidates);
   keepHeadroom(IdleCandidates, Occupied, AllCandidates.size(), PromptMs);
+  // A hold takes several requests, which must also be sent while there is no permit.
+  std::erase_if(IdleCandidates,
+                [](const prefill_candidate &Candidate) { return Candidate.Option.Limited; });
   std::stable_sort(IdleCandidates.begin(), IdleCandidates.end(),
                    [](const prefill_candidate &A, const prefill_candidate &B) {
                      return A.Option.View.Tokens < B.Option.View.Tokens;
--- /dev/null
+++ b/src/placement/placer_permits.cpp
@@ -0,0 +1,80 @@
+/** @file placer_permits.cpp Permits for placements on servers that state a rate limit. */
+#include "placement/millis_func.h"
+#include "placement/placer_base.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace pollenstall {
+
+const backend_key *placer::findBackend(incarnation Server) const {
+  const auto Found = EnginesByIncarnation.find(Server);
+  return Found == EnginesByIncarnation.end() ? nullptr : &Found->second->key();
+}
+
+bool placer::requestPermits(const prefill_plan &Plan, mono_time Now) {
+  bool Lacks = false;
+  for (const engine_option &Option : Plan.PrefillEngines) {
+    if (!Option.NeedsPermit)
+      continue;
+    Lacks = true;
+    Permits.ask(Option.Engine->key().Incarnation, std::chrono::milliseconds(0), Now);
+  }
+  return Lacks;
+}
+
+/// Requests a permit of the least loaded server with a limit, for work that finds no other server.
+void placer::requestPermitForWaiting(const waiting_work &Work, mono_time Now) {
+  if (Permits.limitedServers() == 0)
+    return;
+  const tracked_engine *LeastLoaded = nullptr;
+  std::uint32_t LowestRequests = std::numeric_limits<std::uint32_t>::max();
+  for (const auto &[Key, Engine] : Engines) {
+    const bool IsUsable = Engine.service() == Work.Service && Engine.active() &&
+                          !Engine.inBackoff(Now) && Permits.mayAsk(Key.Incarnation, Now) &&
+                          !Permits.hasPermit(Key.Incarnation, Now);
+    const std::uint32_t Requests = AllWork[Key].Requests;
+    if (!IsUsable || Requests >= LowestRequests)
+      continue;
+    LeastLoaded = &Engine;
+    LowestRequests = Requests;
+  }
+  if (LeastLoaded != nullptr)
+    Permits.askPatiently(LeastLoaded->key().Incarnation, Now);
+}
+
+/// Returns the earliest time at which an issuer may have a permit for a server of the service;
+/// nothing if some server needs no permit, or if its permits were not denied.
+std::optional<mono_time> placer::permitsDeniedUntil(const service_name &Service,
+                                                    mono_time Now) const {
+  std::optional<mono_time> Earliest;
+  for (const auto &[Key, Engine] : Engines) {
+    if (Engine.service() != Service || !Engine.active())
+      continue;
+    const auto DeniedUntil = Permits.deniedUntil(Key.Incarnation, Now);
+    if (!DeniedUntil || Permits.hasPermit(Key.Incarnation, Now))
+      return std::nullopt;
+    Earliest = std::min(Earliest.value_or(*DeniedUntil), *DeniedUntil);
+  }
+  return Earliest;
+}
+
+/**
+ * Refuses work at once if all servers of its service state a limit and no permit can come before
+ * it would be refused anyway. The caller is told when one may come.
+ */
+void placer::refuseWithoutPermits(const waiting_work &Work, mono_time Now, poll_outcome &Outcome) {
+  if (Permits.limitedServers() == 0 || Work.Item.Resumed)
+    return;
+  const auto DeniedUntil = permitsDeniedUntil(Work.Service, Now);
+  const double TimeLimitMs = millisUntil(Work.Item.Deadline, Work.Item.Arrived);
+  const mono_time WaitsUntil =
+      Work.WaitingSince + durationFromMs(TimeLimitMs * Tuning.WaitFraction);
+  if (!DeniedUntil || *DeniedUntil <= WaitsUntil)
+    return;
+  const auto RetryAfter = std::chrono::ceil<std::chrono::seconds>(*DeniedUntil - Now);
+  Outcome.Expiries.push_back({Work.Item.Request, {failure_reason::QueueFull, RetryAfter}});
+  Waiting.erase(Work.Item.Request);
+}
+
+} // namespace pollenstall
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -16,6 +16,11 @@
 /// reached. A connection without any response fails at the connect timeout.
 constexpr mono_duration MaxConnectionRefusedDelay = std::chrono::milliseconds(100);
 
+/// Returns requests per second, or null if there is no limit.
+std::string limitText(std::optional<requests_per_second> Limit) {
+  return Limit ? std::to_string(Limit->value()) : "null";
+}
+
 } // namespace
 
 void placer::addWork(engine_views &Views, const assigned_work &Work, mono_time Now) {
@@ -88,7 +93,7 @@
   Assigned.Request = Item.Request;
   Assigned.GapMs = static_cast<double>(Item.LongestGap.count());
   Assigned.SentTime = Now;
-  Assigned.Parts.push_back({Backend, 0, Now, memoryOf(Item)});
+  Assigned.Parts.push_back({Backend, 0, Now, memoryOf(Item), {}});
   Running.insert_or_assign(Attempt, std::move(Assigned));
 }
 
@@ -173,7 +178,8 @@
     const engine_view Others = Engine.othersLoad(Now, Tuning.PeerLoadTimeout);
     const engine_view OwnView = OwnEntry == Views.end() ? engine_view{} : OwnEntry->second;
     Out << Comma << R"({"backend":")" << toText(Key) << R"(","active":)"
-        << (Engine.active() ? "true" : "false") << R"(,"own_requests":)" << OwnView.Requests
+        << (Engine.active() ? "true" : "false") << R"(,"rate_limit":)"
+        << limitText(Permits.limitOf(Key.Incarnation)) << R"(,"own_requests":)" << OwnView.Requests
         << R"(,"own_read_ms":)" << OwnView.PrefillMs << R"(,"others_requests":)" << Others.Requests
         << R"(,"others_read_ms":)" << Others.PrefillMs << "}";
     Comma = ",";
--- a/src/rate_limit/rate_limit_type.h
+++ b/src/rate_limit/rate_limit_type.h
@@ -26,12 +26,21 @@
 using rate_limit_statement =
     std::variant<no_rate_limit, requests_per_second, unreadable_rate_limit>;
 
+/// Identifies one permit to send a request to a server with a limit.
+struct permit_stamp {
+  std::uint64_t Issuer{0}; ///< Incarnation of the process that issued it.
+  std::uint64_t Number{0}; ///< Rises with each permit of the issuer; 0: no permit.
+
+  [[nodiscard]] bool isSet() const { return Number != 0; }
+  bool operator==(const permit_stamp &) const = default;
+};
+
 /// The limit stated by the answer to one attempt.
 struct rate_limit_answer {
   backend_key Backend;
   attempt_id Attempt;
   rate_limit_statement Stated;
-  mono_time SentAt; ///< When the attempt's request was sent.
+  permit_stamp Permit; ///< Under which the attempt was sent, if any.
 };
 
 /// How an answer changed what is known of a server's limit.
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -276,9 +276,8 @@
 
 void backend_exchange::reportRateLimit(const rate_limit_statement &Stated) {
   const bool StatesNone = std::holds_alternative<no_rate_limit>(Stated);
-  if (Context.AtRateLimit && (Order.RateLimited || !StatesNone))
-    Context.AtRateLimit(
-        {Order.Backend, Order.Attempt, Stated, Call->LastSent.value_or(mono_time())});
+  if (Context.AtRateLimit && (Order.Permit.isSet() || !StatesNone))
+    Context.AtRateLimit({Order.Backend, Order.Attempt, Stated, Order.Permit});
 }
 
 std::optional<attempt_failure> backend_exchange::checkHeaderRoutedAnswer() {
--- a/src/scheduling/scheduling_type.h
+++ b/src/scheduling/scheduling_type.h
@@ -57,6 +57,7 @@
   mono_duration ExpectedFirstToken{}; ///< Expected time from now to the first token.
   std::vector<memory_hold> Holds{};   ///< Memory to reserve on some of the helpers.
   std::vector<backend_key> Helpers{}; ///< Other servers that prefill parts of the prompt.
+  permit_stamp Permit{};              ///< Set if Backend states a rate limit.
 };
 
 /// Decision that a waiting request can no longer run in time.
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -2,7 +2,9 @@
 #include "work_share/work_share_base.h"
 
 #include "address/address.h"
+#include "rate_limit/rate_limit.h"
 #include "work_exchange/work_exchange.h"
+#include "work_share/permit_codec_func.h"
 #include "work_share/work_report_codec_func.h"
 
 #include <boost/asio/io_context.hpp>
@@ -35,7 +37,7 @@
 public:
   state(std::string FleetName, process_key Process)
       : Fleet(std::move(FleetName)), Self(std::move(Process)), Commands(RingCapacity),
-        PeerUpdates(RingCapacity), Socket(Io), Timer(Io) {
+        PeerUpdates(RingCapacity), PermitReplies(RingCapacity), Socket(Io), Timer(Io) {
     Commands.onWake([this] { asio::post(Io, [this] { processCommands(); }); });
   }
 
@@ -58,6 +60,7 @@
     Socket.non_blocking(true, Code);
     LocalAddress = toText(Socket.local_endpoint());
     View.emplace(Self, LocalAddress);
+    Permits.emplace(Self, LocalAddress);
     return done{};
   }
 
@@ -71,10 +74,12 @@
   const process_key Self;
   bounded_ring<share_command> Commands;
   bounded_ring<peer_work_update> PeerUpdates;
+  bounded_ring<permit_reply> PermitReplies;
   std::string LocalAddress;
   std::atomic<std::uint64_t> SentDatagrams{0};
   std::atomic<std::uint64_t> SentBytes{0};
   std::atomic<std::uint64_t> ReceivedDatagrams{0};
+  std::atomic<std::uint64_t> PermitDatagrams{0};
 
 private:
   void processCommands() {
@@ -82,8 +87,11 @@
     std::optional<own_work_update> LatestOwnWork;
     bool Urgent = false;
     Commands.drain([&](share_command &&Command) {
-      if (auto *Update = std::get_if<entries_update>(&Command)) {
-        View->setEntries(Update->Entries, boot_clock::now());
+      if (const auto *Update = std::get_if<entries_update>(&Command))
+        return setEntries(*Update);
+      if (const auto *Outgoing = std::get_if<permit_messages>(&Command)) {
+        for (const permit_message &Message : Outgoing->Messages)
+          Permits->send(Message, boot_clock::now());
         return;
       }
       LatestOwnWork = std::move(std::get<own_work_update>(Command));
@@ -94,9 +102,27 @@
     runRound();
   }
 
+  void setEntries(const entries_update &Update) {
+    View->setEntries(Update.Entries, boot_clock::now());
+    std::vector<std::string> Addresses;
+    for (const work_entry &Entry : Update.Entries)
+      Addresses.push_back(Entry.Address);
+    Permits->setEntries(Addresses);
+  }
+
+  void runPermits(mono_time Now) {
+    Permits->advance(Now);
+    for (const permit_datagram &Datagram : Permits->takeDatagrams())
+      if (sendBytes(Datagram.To, encodePermitMessage(Fleet, Datagram.Message)))
+        PermitDatagrams.fetch_add(1, std::memory_order_relaxed);
+    for (permit_reply &Reply : Permits->takeReplies())
+      PermitReplies.push(std::move(Reply));
+  }
+
   /// Sends due datagrams, publishes changes to placement, and sets the timer for the next round.
   void runRound() {
     const mono_time Now = boot_clock::now();
+    runPermits(Now);
     for (const work_datagram &Datagram : View->dueDatagrams(Now))
       send(Datagram);
     if (Now - LastPublishAt >= PublishInterval) {
@@ -104,24 +130,33 @@
       if (std::vector<work_load> Changed = View->changedPeerLoads(Now); !Changed.empty())
         PeerUpdates.push({std::move(Changed), View->exchangeStats()});
     }
-    Timer.expires_after(std::max(View->nextWake(Now) - Now, PublishInterval));
+    const mono_time Wake =
+        std::min(View->nextWake(Now), Permits->nextWake().value_or(mono_time::max()));
+    Timer.expires_after(std::max(Wake - Now, PublishInterval));
     Timer.async_wait([this](boost::system::error_code TimerError) {
       if (!TimerError)
         runRound();
     });
   }
 
-  void send(const work_datagram &Datagram) {
-    const udp::endpoint *Endpoint = endpointOf(Datagram.To);
+  /// @return False if the address is not valid. A failure to send is handled like a lost datagram.
+  bool sendBytes(const std::string &To, const std::string &Bytes) {
+    const udp::endpoint *Endpoint = endpointOf(To);
     if (!Endpoint)
-      return;
+      return false;
+    boost::system::error_code Ignored;
+    Socket.send_to(asio::buffer(Bytes), *Endpoint, 0, Ignored);
+    return true;
+  }
+
+  void send(const work_datagram &Datagram) {
     // A report to several receivers is encoded once.
     if (Datagram.Report.Sequence != CachedSequence) {
       CachedSequence = Datagram.Report.Sequence;
       CachedDatagram = encodeWorkReport(Fleet, Datagram.Report);
     }
-    boost::system::error_code Ignored; // Handled like a lost datagram, and counted as sent.
-    Socket.send_to(asio::buffer(CachedDatagram), *Endpoint, 0, Ignored);
+    if (!sendBytes(Datagram.To, CachedDatagram))
+      return;
     SentDatagrams.fetch_add(1, std::memory_order_relaxed);
     SentBytes.fetch_add(CachedDatagram.size(), std::memory_order_relaxed);
   }
@@ -166,18 +201,28 @@
 
   void handleDatagram(std::span<const char> Bytes) {
     const auto Report = decodeWorkReport(Fleet, Bytes);
-    if (!succeeded(Report))
+    if (!succeeded(Report)) {
+      if (errorOf(Report) == wire_error::OtherKind)
+        handlePermitDatagram(Bytes);
       return;
+    }
     ReceivedDatagrams.fetch_add(1, std::memory_order_relaxed);
     View->receive(valueOf(Report), toText(SenderEndpoint), boot_clock::now());
   }
 
+  void handlePermitDatagram(std::span<const char> Bytes) {
+    const auto Message = decodePermitMessage(Fleet, Bytes);
+    if (succeeded(Message))
+      Permits->receive(valueOf(Message), toText(SenderEndpoint), boot_clock::now());
+  }
+
   asio::io_context Io{1};
   udp::socket Socket;
   udp::endpoint SenderEndpoint;
   std::array<char, MaxReportBytes> Buffer{};
   asio::steady_timer Timer;
   std::optional<work_view> View;
+  std::optional<permit_exchange> Permits;
   mono_time LastPublishAt{};
   std::uint64_t CachedSequence{0};
   std::string CachedDatagram;
@@ -200,8 +245,9 @@
 std::string work_share::address() const { return State->LocalAddress; }
 bounded_ring<share_command> &work_share::commands() { return State->Commands; }
 bounded_ring<peer_work_update> &work_share::peerUpdates() { return State->PeerUpdates; }
+bounded_ring<permit_reply> &work_share::permitReplies() { return State->PermitReplies; }
 work_share_counts work_share::counts() const {
-  return {State->SentDatagrams, State->SentBytes, State->ReceivedDatagrams};
+  return {State->SentDatagrams, State->SentBytes, State->ReceivedDatagrams, State->PermitDatagrams};
 }
 void work_share::start() { State->start(); }
 
--- a/src/work_share/work_share_base.h
+++ b/src/work_share/work_share_base.h
@@ -27,6 +27,8 @@
   /// Updates for the decision thread. An update does not wake that thread, which polls the ring in
   /// each iteration.
   bounded_ring<peer_work_update> &peerUpdates();
+  /// Replies of issuers to the decision thread, which sets onWake().
+  bounded_ring<permit_reply> &permitReplies();
   /// May be called from any thread.
   [[nodiscard]] work_share_counts counts() const;
   void start();
--- a/src/work_share/work_share_type.h
+++ b/src/work_share/work_share_type.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_WORK_SHARE_WORK_SHARE_TYPE_H
 #define POLLENSTALL_WORK_SHARE_WORK_SHARE_TYPE_H
 
+#include "rate_limit/permit_type.h"
 #include "work_exchange/work_exchange_type.h"
 
 #include <cstdint>
@@ -29,13 +30,19 @@
   std::vector<work_entry> Entries;
 };
 
-using share_command = std::variant<own_work_update, entries_update>;
+/// From the decision thread: messages to the issuers of permits.
+struct permit_messages {
+  std::vector<permit_message> Messages;
+};
+
+using share_command = std::variant<own_work_update, entries_update, permit_messages>;
 
 /// Counters since the work_share was created.
 struct work_share_counts {
   std::uint64_t SentDatagrams{0};
   std::uint64_t SentBytes{0};
   std::uint64_t ReceivedDatagrams{0};
+  std::uint64_t PermitDatagrams{0}; ///< Sent, about permits; not contained in the others.
 };
 
 } // namespace pollenstall
