--- a/tests/platform/rate_limit_path_test.cpp
+++ b/tests/platform/rate_limit_path_test.cpp
@@ -136,5 +136,67 @@
   EXPECT_GT(Served, 0);
 }
 
+// Guards against permits of an issuer that is lost and of its successor at the same time, and
+// against entries that forget the limit when they restart. The issuer is one of the entries.
+TEST_F(RateLimitPathTest, LimitIsKeptWhileEachEntryIsKilledAndRestarted) {
+  limiting_engine InNeed;
+  limiting_engine Other;
+  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
+  announceFor(seconds(1), {&InNeed, &Other});
+  startLoad(2);
+  InNeed.state("2");
+  announceFor(seconds(4), {&InNeed, &Other});
+  const auto Settled = steady_clock::now();
+  for (std::size_t Entry = 0; Entry < Entries; ++Entry) {
+    System->killEntry(Entry);
+    System->startEntry(Entry);
+    announceFor(seconds(5), {&InNeed, &Other});
+  }
+  EXPECT_LE(InNeed.mostInWindow(Settled), Allowed);
+  EXPECT_GT(InNeed.arrivedSince(Settled), 0U) << "nothing is sent to the engine at all";
+}
+
+// Guards against an issuer that thaws with the permits of the time in which it was frozen.
+TEST_F(RateLimitPathTest, LimitIsKeptWhileEachEntryIsFrozen) {
+  limiting_engine InNeed;
+  limiting_engine Other;
+  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
+  announceFor(seconds(1), {&InNeed, &Other});
+  startLoad(2);
+  InNeed.state("2");
+  announceFor(seconds(4), {&InNeed, &Other});
+  const auto Settled = steady_clock::now();
+  for (std::size_t Entry = 0; Entry < Entries; ++Entry) {
+    System->entry(Entry).stop();
+    announceFor(seconds(3), {&InNeed, &Other});
+    System->entry(Entry).resume();
+    announceFor(seconds(3), {&InNeed, &Other});
+  }
+  EXPECT_LE(InNeed.mostInWindow(Settled), Allowed);
+}
+
+// All servers of the service state a limit: together they get no more, and what cannot be served in
+// time is refused with the time at which to return.
+TEST_F(RateLimitPathTest, ServiceWithOnlyLimitedEnginesServesTheirSum) {
+  limiting_engine First;
+  limiting_engine Second;
+  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
+  announceFor(seconds(1), {&First, &Second});
+  startLoad(2);
+  First.state("2");
+  Second.state("2");
+  const auto Stated = steady_clock::now();
+  announceFor(seconds(4), {&First, &Second});
+  const auto Settled = steady_clock::now();
+  constexpr seconds Measured{10};
+  announceFor(Measured, {&First, &Second});
+  stopLoad();
+  EXPECT_LE(First.mostInWindow(Stated + Grace - Window), Allowed);
+  EXPECT_LE(Second.mostInWindow(Stated + Grace - Window), Allowed);
+  // Work always waits, so that nine in ten of the permits are to be used.
+  const std::size_t Together = First.arrivedSince(Settled) + Second.arrivedSince(Settled);
+  EXPECT_GE(Together, static_cast<std::size_t>(0.9 * 2 * 2 * Measured.count()));
+}
+
 } // namespace
 } // namespace pollenstall
