Idle connections of all entries together leave half of those that a server accepts

A declared connection_limit was read and never used; each entry kept up to 256 idle connections to a server, whatever their number (58 entries: 14,848 where a server accepts 558). An entry now keeps its share of half of the declared number.

--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -64,6 +64,10 @@
     return Placer.permits().takeMessages(Now);
   }
   [[nodiscard]] std::size_t rateLimitedServers() const { return Placer.permits().limitedServers(); }
+  /// @return How many idle connections to the server this entry may keep.
+  [[nodiscard]] std::size_t maxIdleConnections(const backend_key &Backend) const {
+    return usesPlacer() ? Placer.maxIdleConnections(Backend) : DefaultMaxIdleConnections;
+  }
   /// @return Address and incarnation of a server, for the log.
   [[nodiscard]] std::string backendText(incarnation Server) const;
   /// Checks the attempts that an engine has listed. @return Cancels for those without a live owner.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -413,6 +413,7 @@
           },
           [this](start_attempt &&Start) {
             Start.Instance = Core.instanceOf(Start.Backend);
+            Start.MaxIdleConnections = Core.maxIdleConnections(Start.Backend);
             if (Start.Permit.isSet())
               LimitedRequestsCounter.Increment();
             logStart(Start);
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -175,6 +175,9 @@
   claim_state FinalState{claim_state::Unknown};
   std::chrono::milliseconds Lifetime{0}; ///< As in the request's acquire_claim.
 };
+/// Idle connections to a backend server that an entry keeps if the server declares no limit.
+constexpr std::size_t DefaultMaxIdleConnections = 256;
+
 /// Memory to reserve at a backend server before an attempt is sent and to release after it ends.
 struct memory_hold {
   backend_key Backend;
@@ -198,6 +201,8 @@
                           ///< by the entry, not by the dispatcher.
   permit_stamp Permit{};  ///< Set if Backend states a rate limit. The relay then also reports an
                           ///< answer that states none.
+  /// Idle connections to Backend that this entry may keep. Set by the entry, not by the dispatcher.
+  std::size_t MaxIdleConnections{DefaultMaxIdleConnections};
 };
 /// Reconnects to the same backend server and continues after the event that was relayed last.
 struct resume_attempt {
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -59,6 +59,9 @@
   /// The rate limits of servers. Placements at such a server use up one permit.
   [[nodiscard]] permit_client &permits() { return Permits; }
   [[nodiscard]] const permit_client &permits() const { return Permits; }
+  /// Returns how many idle connections to the server this entry may keep, so that those of all
+  /// entries stay well below the number that the server declares.
+  [[nodiscard]] std::size_t maxIdleConnections(const backend_key &Backend) const;
   /// Returns the server of an incarnation; nullptr if it is unknown.
   [[nodiscard]] const backend_key *findBackend(incarnation Server) const;
   /// Returns the state of the queue and each backend server as JSON.
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -12,6 +12,8 @@
 /// Fraction of a prefill part's duration that it counts for if it is past its expected end but not
 /// known to be done.
 constexpr double OverdueFraction = 0.25;
+/// Part of the connections to a server that may be idle; the rest is for requests.
+constexpr double IdleFraction = 0.5;
 /// A connection that fails within this time was refused by the server's host, which was therefore
 /// reached. A connection without any response fails at the connect timeout.
 constexpr mono_duration MaxConnectionRefusedDelay = std::chrono::milliseconds(100);
@@ -167,6 +169,17 @@
   Reachability.recordProbe(Now);
 }
 
+std::size_t placer::maxIdleConnections(const backend_key &Backend) const {
+  const auto Engine = Engines.find(Backend);
+  const auto Service =
+      Engine == Engines.end() ? Services.end() : Services.find(Engine->second.service());
+  if (Service == Services.end() || Service->second.ConnectionLimit == 0)
+    return DefaultMaxIdleConnections;
+  const auto Share = static_cast<std::size_t>(Service->second.ConnectionLimit * IdleFraction /
+                                              static_cast<double>(Exchange.Entries));
+  return std::clamp<std::size_t>(Share, 1, DefaultMaxIdleConnections);
+}
+
 std::string placer::dump(mono_time Now) const {
   std::ostringstream Out;
   Out << R"({"waiting":)" << Waiting.size() << R"(,"running":)" << Running.size()
--- a/src/relay/backend_connection_pool.cpp
+++ b/src/relay/backend_connection_pool.cpp
@@ -16,8 +16,6 @@
 
 namespace {
 
-constexpr std::size_t MaxIdlePerBackend = 256;
-
 /// Without it, a connection to an unreachable peer stays open for as long as the kernel
 /// retransmits.
 void limitUnacknowledged(int Handle, std::chrono::milliseconds Limit) {
@@ -83,11 +81,12 @@
 
 void backend_connection_pool::returnToPool(const backend_key &Backend,
                                            backend_connection Connection,
-                                           std::optional<std::chrono::milliseconds> IdleLimit) {
+                                           std::optional<std::chrono::milliseconds> IdleLimit,
+                                           std::size_t MaxIdle) {
   const auto Limit = std::min(IdleLimit.value_or(Limits.BackendIdle), Limits.BackendIdle);
   Connection->expireNever();
   std::deque<idle_connection> &IdleConnections = Idle[Backend];
-  if (IdleConnections.size() < MaxIdlePerBackend)
+  if (IdleConnections.size() < MaxIdle)
     IdleConnections.push_back({std::move(Connection), boot_clock::now() + Limit});
 }
 
--- a/src/relay/backend_connection_pool_base.h
+++ b/src/relay/backend_connection_pool_base.h
@@ -43,8 +43,10 @@
   boost::asio::awaitable<bool> refusesConnections(const backend_key &Backend);
   /// Returns a connection to the pool after its answer has been read completely.
   /// @param IdleLimit The server's own idle timeout for the connection, if it named one.
+  /// @param MaxIdle Further idle connections to the server are closed.
   void returnToPool(const backend_key &Backend, backend_connection Connection,
-                    std::optional<std::chrono::milliseconds> IdleLimit = std::nullopt);
+                    std::optional<std::chrono::milliseconds> IdleLimit = std::nullopt,
+                    std::size_t MaxIdle = DefaultMaxIdleConnections);
   /// Closes connections whose idle timeout has passed.
   void closeIdle(mono_time Now);
   [[nodiscard]] std::size_t idle() const;
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -314,7 +314,8 @@
       !Feed->message().keep_alive())
     co_return;
   Context.Pool.returnToPool(Order.Backend, std::move(Connection),
-                            idleLimitOf(Feed->message().get()[http::field::keep_alive]));
+                            idleLimitOf(Feed->message().get()[http::field::keep_alive]),
+                            Order.MaxIdleConnections);
 }
 
 } // namespace pollenstall
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -115,8 +115,8 @@
     for (const permit_datagram &Datagram : Permits->takeDatagrams())
       if (sendBytes(Datagram.To, encodePermitMessage(Fleet, Datagram.Message)))
         PermitDatagrams.fetch_add(1, std::memory_order_relaxed);
-    for (permit_reply &Reply : Permits->takeReplies())
-      PermitReplies.push(std::move(Reply));
+    for (const permit_reply &Reply : Permits->takeReplies())
+      PermitReplies.push(permit_reply(Reply));
   }
 
   /// Sends due datagrams, publishes changes to placement, and sets the timer for the next round.
