Limits: rounding, notices of start and end only, ended servers

Three faults found by reading the permits again. A limit with more than three decimals differed from the issuer's by rounding, so that each answer counted as a change, was logged, and told to all entries twice. A limit that moves was told to all entries with each answer; only its start and end concern them. A notice that came after the end of its server was kept for good. Tests: LimitIsKeptAsTheIssuerReceivesIt, AllEntriesAreToldOfStartAndEndOnly (not run on the code before). after_the_issue_delay and with_a_known_limit have the case of types now.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -196,10 +196,15 @@
 }
 
 rate_limit_change decision_core::recordRateLimit(const rate_limit_answer &Answer, mono_time Now) {
+  // The server's end may be known before its last answers arrive.
+  if (!Placer.findBackend(Answer.Backend.Incarnation))
+    return rate_limit_change::None;
   return Placer.permits().record(Answer, Now);
 }
 
 rate_limit_change decision_core::receivePermitReply(const permit_reply &Reply, mono_time Now) {
+  if (!Placer.findBackend(Reply.Server))
+    return rate_limit_change::None;
   PollPending = true;
   return Placer.permits().receive(Reply, Now);
 }
--- a/src/rate_limit/permit_client.cpp
+++ b/src/rate_limit/permit_client.cpp
@@ -2,14 +2,24 @@
 #include "rate_limit/permit_client_base.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace pollenstall {
 
+namespace {
+
+/// Returns the limit as the issuer receives it; another value would count as a change.
+requests_per_second rounded(requests_per_second Limit) {
+  return requests_per_second(std::round(Limit.value() * RateLimitUnits) / RateLimitUnits);
+}
+
+} // namespace
+
 rate_limit_change permit_client::record(const rate_limit_answer &Answer, mono_time Now) {
   if (std::holds_alternative<unreadable_rate_limit>(Answer.Stated))
     return rate_limit_change::Unreadable;
   if (const auto *Limit = std::get_if<requests_per_second>(&Answer.Stated))
-    return recordLimit(Answer, *Limit, Now);
+    return recordLimit(Answer, rounded(*Limit), Now);
   if (Answer.Permit.isSet() && Servers.contains(Answer.Backend.Incarnation))
     Messages.emplace_back(limit_report{Answer.Backend.Incarnation, std::nullopt, Answer.Permit});
   return rate_limit_change::None;
--- a/src/rate_limit/permit_issuer.cpp
+++ b/src/rate_limit/permit_issuer.cpp
@@ -40,17 +40,18 @@
   return std::max(Server.FilledAt + secondsOf(Missing / rateOf(Server)), Server.IssueFrom);
 }
 
+/// Sets the limit. All entries are told of its start and end; a new number only concerns the
+/// issuer.
 void permit_issuer::setLimit(incarnation ServerId, server &Server,
                              std::optional<requests_per_second> Limit, mono_time Now) {
-  if (Server.Limit && Limit)
-    refill(Server, Now);
-  if (!Server.Limit && Limit) {
-    Server.Permits = 0;
-    Server.FilledAt = Server.IssueFrom = Now + Tuning.IssueDelay;
-  }
+  refill(Server, Now);
+  const bool StartsOrEnds = Server.Limit.has_value() != Limit.has_value();
   Server.Limit = Limit;
-  if (!Limit)
-    Server.Waiting.clear();
+  if (!StartsOrEnds)
+    return;
+  Server.Waiting.clear();
+  Server.Permits = 0;
+  Server.FilledAt = Server.IssueFrom = Now + Tuning.IssueDelay;
   Server.RepeatNoticeAt = Now + Tuning.NoticeRepeat;
   Replies.push_back({{}, {ServerId, Limit, {}, milliseconds(0), false}});
 }
--- a/src/rate_limit/rate_limit_type.h
+++ b/src/rate_limit/rate_limit_type.h
@@ -12,6 +12,9 @@
 struct requests_per_second_tag {};
 using requests_per_second = strong_amount<requests_per_second_tag, double>;
 
+/// Limits are kept and sent in thousandths of a request per second.
+constexpr double RateLimitUnits = 1'000;
+
 /// The answer states no limit: the server accepts requests without one.
 struct no_rate_limit {
   bool operator==(const no_rate_limit &) const = default;
--- a/src/work_share/permit_codec.cpp
+++ b/src/work_share/permit_codec.cpp
@@ -15,8 +15,6 @@
 
 enum class packed_kind : std::uint8_t { Request, Report, Reply };
 
-constexpr double LimitUnitsPerRequest = 1'000;
-
 /// A message as encoded on the wire; fields that a kind does not have are 0.
 struct packed_permit_message {
   packed_kind Kind{packed_kind::Request};
@@ -39,7 +37,7 @@
 }
 
 std::uint32_t packLimit(requests_per_second Limit) {
-  const double Units = std::round(Limit.value() * LimitUnitsPerRequest);
+  const double Units = std::round(Limit.value() * RateLimitUnits);
   return static_cast<std::uint32_t>(
       std::clamp<double>(Units, 0, std::numeric_limits<std::uint32_t>::max()));
 }
@@ -86,7 +84,7 @@
   if (!succeeded(Decoded))
     return errorOf(Decoded);
   const packed_permit_message &Packed = valueOf(Decoded);
-  const requests_per_second Limit(Packed.LimitUnits / LimitUnitsPerRequest);
+  const requests_per_second Limit(Packed.LimitUnits / RateLimitUnits);
   const auto OptionalLimit = Packed.HasLimit ? std::optional(Limit) : std::nullopt;
   const permit_stamp Permit{Packed.Issuer, Packed.Number};
   const milliseconds Time(Packed.Millis);
--- a/tests/rate_limit/permit_client_test.cpp
+++ b/tests/rate_limit/permit_client_test.cpp
@@ -29,7 +29,7 @@
   bool permitted() const { return Client.hasPermit(Server.Incarnation, Now); }
 };
 
-struct WithAKnownLimit : PermitClientTest {
+struct with_a_known_limit : PermitClientTest {
   void SetUp() override {
     ASSERT_EQ(record(requests_per_second(2)), rate_limit_change::Started);
     ASSERT_EQ(reply(2), rate_limit_change::None);
@@ -61,6 +61,14 @@
   EXPECT_FALSE(limited());
 }
 
+// Guards against a limit that differs from the issuer's by rounding, and so changes with each
+// answer.
+TEST_F(PermitClientTest, LimitIsKeptAsTheIssuerReceivesIt) {
+  record(requests_per_second(7.0 / 3));
+  EXPECT_EQ(reply(2.333), rate_limit_change::None);
+  EXPECT_EQ(record(requests_per_second(7.0 / 3)), rate_limit_change::None);
+}
+
 // Guards against a report that is lost: the issuer would not know of the limit.
 TEST_F(PermitClientTest, ReportOfALimitIsRepeatedUntilTheIssuerReplies) {
   record(requests_per_second(2));
@@ -85,7 +93,7 @@
 
 // An answer without a limit, made before the server stated one, may arrive after one that states
 // it.
-TEST_F(WithAKnownLimit, AnswerToARequestWithoutPermitDoesNotEndTheLimit) {
+TEST_F(with_a_known_limit, AnswerToARequestWithoutPermitDoesNotEndTheLimit) {
   EXPECT_EQ(record(no_rate_limit{}), rate_limit_change::None);
   EXPECT_TRUE(limited());
   EXPECT_TRUE(Client.takeMessages(Now).empty());
@@ -94,7 +102,7 @@
   EXPECT_EQ(Client.takeMessages(Now).size(), 1U);
 }
 
-TEST_F(WithAKnownLimit, PermitIsUsedOnce) {
+TEST_F(with_a_known_limit, PermitIsUsedOnce) {
   EXPECT_FALSE(permitted());
   Client.askPatiently(Server.Incarnation, Now);
   EXPECT_EQ(Client.takeMessages(Now).size(), 1U);
@@ -106,7 +114,7 @@
 }
 
 // Guards against an entry that was suspended and then sends with permits of long ago.
-TEST_F(WithAKnownLimit, OldPermitsAreNotUsed) {
+TEST_F(with_a_known_limit, OldPermitsAreNotUsed) {
   Client.askPatiently(Server.Incarnation, Now);
   reply(2, Permit);
   Now += milliseconds(260);
@@ -118,7 +126,7 @@
   EXPECT_FALSE(permitted()) << "the reply was late by more than its lifetime";
 }
 
-TEST_F(WithAKnownLimit, DeniedEntryAsksAgainAfterTheTimeThatItWasTold) {
+TEST_F(with_a_known_limit, DeniedEntryAsksAgainAfterTheTimeThatItWasTold) {
   Client.askPatiently(Server.Incarnation, Now);
   reply(2, {}, milliseconds(700));
   EXPECT_FALSE(Client.mayAsk(Server.Incarnation, Now + milliseconds(699)));
--- a/tests/rate_limit/permit_issuer_test.cpp
+++ b/tests/rate_limit/permit_issuer_test.cpp
@@ -49,7 +49,7 @@
   }
 };
 
-struct AfterTheIssueDelay : PermitIssuerTest {
+struct after_the_issue_delay : PermitIssuerTest {
   void SetUp() override {
     Issuer.advance(Now);
     report(2);
@@ -71,14 +71,14 @@
   EXPECT_EQ(permitsFor("b").size(), 1U);
 }
 
-TEST_F(AfterTheIssueDelay, PermitsThatNobodyAskedForAreNotSavedUp) {
+TEST_F(after_the_issue_delay, PermitsThatNobodyAskedForAreNotSavedUp) {
   wait(seconds(60));
   for (int Request = 0; Request < 5; ++Request)
     ask("b");
   EXPECT_EQ(permitsFor("b").size(), 2U);
 }
 
-TEST_F(AfterTheIssueDelay, WaitingRequestsGetPermitsInTheirOrder) {
+TEST_F(after_the_issue_delay, WaitingRequestsGetPermitsInTheirOrder) {
   ask("b");
   EXPECT_EQ(permitsFor("b").size(), 1U);
   ask("c", milliseconds(500));
@@ -90,7 +90,7 @@
 }
 
 // Guards against a resumed issuer that issues permits beside the one that replaced it.
-TEST_F(AfterTheIssueDelay, SuspendedIssuerWaitsAgain) {
+TEST_F(after_the_issue_delay, SuspendedIssuerWaitsAgain) {
   Now += seconds(3);
   ask("b");
   EXPECT_TRUE(permitsFor("b").empty());
@@ -100,7 +100,7 @@
 }
 
 // Guards against an answer without a limit that was made before the last one with a limit.
-TEST_F(AfterTheIssueDelay, LimitEndsByAnAnswerToALaterRequestOnly) {
+TEST_F(after_the_issue_delay, LimitEndsByAnAnswerToALaterRequestOnly) {
   ask("b");
   const permit_stamp Earlier = permitsFor("b").at(0);
   report(2); // The answer to another request states it again.
@@ -118,7 +118,15 @@
   EXPECT_FALSE(*Told);
 }
 
-TEST_F(AfterTheIssueDelay, ServerThatAcceptsNothingIsStillTried) {
+// Guards against datagrams to all entries with each answer of a server whose limit moves.
+TEST_F(after_the_issue_delay, AllEntriesAreToldOfStartAndEndOnly) {
+  report(2.5);
+  EXPECT_FALSE(notice());
+  wait(seconds(1));
+  EXPECT_FALSE(notice());
+}
+
+TEST_F(after_the_issue_delay, ServerThatAcceptsNothingIsStillTried) {
   report(0);
   wait(seconds(30));
   Issuer.takeReplies();
@@ -132,7 +140,7 @@
   EXPECT_LE(Permits, 4);
 }
 
-TEST_F(AfterTheIssueDelay, LaggardLearnsThatTheLimitHasEnded) {
+TEST_F(after_the_issue_delay, LaggardLearnsThatTheLimitHasEnded) {
   ask("b");
   report(std::nullopt, permitsFor("b").at(0));
   Issuer.takeReplies();
