--- a/tests/platform/rate_limit_path_test.cpp
+++ b/tests/platform/rate_limit_path_test.cpp
@@ -87,16 +87,29 @@
       });
   }
 
-  /// Announces the engines each second, as they would themselves.
-  void announceFor(seconds Duration, const std::vector<const limiting_engine *> &Engines) {
+  /// Waits, and announces both engines as they would themselves.
+  void announceFor(seconds Duration) {
     const auto End = steady_clock::now() + Duration;
     while (steady_clock::now() < End) {
-      for (std::size_t Engine = 0; Engine < Engines.size(); ++Engine)
-        EXPECT_TRUE(announce("i-" + std::to_string(Engine), Engines[Engine]->server()));
+      EXPECT_TRUE(announce("i-1", InNeed.server()));
+      EXPECT_TRUE(announce("i-2", Other.server()));
       std::this_thread::sleep_for(milliseconds(500));
     }
   }
 
+  void startUnderLoad() {
+    ASSERT_NO_FATAL_FAILURE(startAll(Entries));
+    announceFor(seconds(1));
+    startLoad(2);
+  }
+
+  /// Returns when the limit of one engine holds.
+  void startWithALimit() {
+    ASSERT_NO_FATAL_FAILURE(startUnderLoad());
+    InNeed.state("2");
+    announceFor(Grace + seconds(1));
+  }
+
   void stopLoad() {
     Stopping = true;
     for (std::thread &Caller : Callers)
@@ -105,6 +118,8 @@
   }
   void TearDown() override { stopLoad(); }
 
+  limiting_engine InNeed;
+  limiting_engine Other;
   std::vector<std::thread> Callers;
   std::atomic<bool> Stopping{false};
   std::atomic<int> Served{0};
@@ -114,21 +129,17 @@
 // Guards against entries that each keep the limit of an engine for themselves, or not at all: their
 // sum exceeds it.
 TEST_F(RateLimitPathTest, AllEntriesTogetherKeepTheLimitOfAnEngine) {
-  limiting_engine InNeed;
-  limiting_engine Other;
-  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
-  announceFor(seconds(1), {&InNeed, &Other});
-  startLoad(2);
-  announceFor(seconds(2), {&InNeed, &Other});
+  ASSERT_NO_FATAL_FAILURE(startUnderLoad());
+  announceFor(seconds(2));
   EXPECT_GT(InNeed.arrivedSince({}), 0U) << "the load does not reach the engine at all";
 
   InNeed.state("2");
   const auto Stated = steady_clock::now();
-  announceFor(seconds(9), {&InNeed, &Other});
+  announceFor(seconds(9));
   EXPECT_LE(InNeed.mostInWindow(Stated + Grace - Window), Allowed);
 
   InNeed.state("");
-  announceFor(seconds(8), {&InNeed, &Other});
+  announceFor(seconds(8));
   EXPECT_GT(InNeed.arrivedSince(steady_clock::now() - Window), Allowed)
       << "the engine is not used like the others again";
   stopLoad();
@@ -139,18 +150,12 @@
 // Guards against permits of an issuer that is lost and of its successor at the same time, and
 // against entries that forget the limit when they restart. The issuer is one of the entries.
 TEST_F(RateLimitPathTest, LimitIsKeptWhileEachEntryIsKilledAndRestarted) {
-  limiting_engine InNeed;
-  limiting_engine Other;
-  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
-  announceFor(seconds(1), {&InNeed, &Other});
-  startLoad(2);
-  InNeed.state("2");
-  announceFor(seconds(4), {&InNeed, &Other});
+  ASSERT_NO_FATAL_FAILURE(startWithALimit());
   const auto Settled = steady_clock::now();
   for (std::size_t Entry = 0; Entry < Entries; ++Entry) {
     System->killEntry(Entry);
     System->startEntry(Entry);
-    announceFor(seconds(5), {&InNeed, &Other});
+    announceFor(seconds(5));
   }
   EXPECT_LE(InNeed.mostInWindow(Settled), Allowed);
   EXPECT_GT(InNeed.arrivedSince(Settled), 0U) << "nothing is sent to the engine at all";
@@ -158,19 +163,13 @@
 
 // Guards against an issuer that thaws with the permits of the time in which it was frozen.
 TEST_F(RateLimitPathTest, LimitIsKeptWhileEachEntryIsFrozen) {
-  limiting_engine InNeed;
-  limiting_engine Other;
-  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
-  announceFor(seconds(1), {&InNeed, &Other});
-  startLoad(2);
-  InNeed.state("2");
-  announceFor(seconds(4), {&InNeed, &Other});
+  ASSERT_NO_FATAL_FAILURE(startWithALimit());
   const auto Settled = steady_clock::now();
   for (std::size_t Entry = 0; Entry < Entries; ++Entry) {
     System->entry(Entry).stop();
-    announceFor(seconds(3), {&InNeed, &Other});
+    announceFor(seconds(3));
     System->entry(Entry).resume();
-    announceFor(seconds(3), {&InNeed, &Other});
+    announceFor(seconds(3));
   }
   EXPECT_LE(InNeed.mostInWindow(Settled), Allowed);
 }
@@ -178,23 +177,19 @@
 // All servers of the service state a limit: together they get no more, and what cannot be served in
 // time is refused with the time at which to return.
 TEST_F(RateLimitPathTest, ServiceWithOnlyLimitedEnginesServesTheirSum) {
-  limiting_engine First;
-  limiting_engine Second;
-  ASSERT_NO_FATAL_FAILURE(startAll(Entries));
-  announceFor(seconds(1), {&First, &Second});
-  startLoad(2);
-  First.state("2");
-  Second.state("2");
+  ASSERT_NO_FATAL_FAILURE(startUnderLoad());
+  InNeed.state("2");
+  Other.state("2");
   const auto Stated = steady_clock::now();
-  announceFor(seconds(4), {&First, &Second});
+  announceFor(seconds(4));
   const auto Settled = steady_clock::now();
   constexpr seconds Measured{10};
-  announceFor(Measured, {&First, &Second});
+  announceFor(Measured);
   stopLoad();
-  EXPECT_LE(First.mostInWindow(Stated + Grace - Window), Allowed);
-  EXPECT_LE(Second.mostInWindow(Stated + Grace - Window), Allowed);
+  EXPECT_LE(InNeed.mostInWindow(Stated + Grace - Window), Allowed);
+  EXPECT_LE(Other.mostInWindow(Stated + Grace - Window), Allowed);
   // Work always waits, so that nine in ten of the permits are to be used.
-  const std::size_t Together = First.arrivedSince(Settled) + Second.arrivedSince(Settled);
+  const std::size_t Together = InNeed.arrivedSince(Settled) + Other.arrivedSince(Settled);
   EXPECT_GE(Together, static_cast<std::size_t>(0.9 * 2 * 2 * Measured.count()));
 }
 
