Rate limit tests: the world's steps do not own themselves

Found by the address sanitizer on rate_limit_test (leaks of test code; no finding in the product's sources there).

--- a/tests/rate_limit/permit_world.cpp
+++ b/tests/rate_limit/permit_world.cpp
@@ -31,19 +31,20 @@
 void permit_world::start(std::size_t Entry) {
   node &Node = Nodes[Entry];
   Node.Up = true;
+  Node.Start = ++Starts;
   Node.Client = std::make_unique<permit_client>();
   Node.Exchange = std::make_unique<permit_exchange>(
-      process_key{host_name(Node.Address), incarnation(1'000 + ++Starts)}, Node.Address);
+      process_key{host_name(Node.Address), incarnation(1'000 + Starts)}, Node.Address);
   announceList();
-  const auto StartedAs = Starts;
-  const auto Loop = std::make_shared<std::function<void()>>();
-  *Loop = [this, Entry, Loop, StartedAs, Alive = Node.Client.get()] {
-    if (!Nodes[Entry].Up || Nodes[Entry].Client.get() != Alive || StartedAs > Starts)
-      return;
-    step(Entry);
-    atEntry(Entry, Now + StepInterval, *Loop);
-  };
-  atEntry(Entry, Now + between(milliseconds(0), StepInterval), *Loop);
+  atEntry(Entry, Now + between(milliseconds(0), StepInterval),
+          [this, Entry, Start = Starts] { tick(Entry, Start); });
+}
+
+void permit_world::tick(std::size_t Entry, std::uint64_t Start) {
+  if (!Nodes[Entry].Up || Nodes[Entry].Start != Start)
+    return;
+  step(Entry);
+  atEntry(Entry, Now + StepInterval, [this, Entry, Start] { tick(Entry, Start); });
 }
 
 void permit_world::announceList() {
--- a/tests/rate_limit/permit_world.h
+++ b/tests/rate_limit/permit_world.h
@@ -65,6 +65,7 @@
     bool Frozen{false};
     mono_time CutAt{mono_time::max()};
     std::uint64_t ListVersion{0};
+    std::uint64_t Start{0};                  ///< Rises with each start of an entry.
     std::vector<std::function<void()>> Held; ///< Events of a frozen entry.
   };
 
@@ -72,6 +73,8 @@
   /// Runs an action of an entry, after its thaw if it is frozen.
   void atEntry(std::size_t Entry, mono_time Time, std::function<void()> Action);
   void start(std::size_t Entry);
+  /// Steps an entry until it is killed.
+  void tick(std::size_t Entry, std::uint64_t Start);
   void step(std::size_t Entry);
   void trySend(node &Node, std::size_t Entry);
   void send(std::size_t Entry, const permit_stamp &Permit);
