List a test of thawed control hosts that failed once

Not traced: the message had no logs, now it has those of all processes. Check and bound as they were.

--- a/tests/system/declaration_test.cpp
+++ b/tests/system/declaration_test.cpp
@@ -129,7 +129,7 @@
   expectRefused(0);
   for (std::size_t Host = 0; Host < System.control().size(); ++Host)
     System.control().thaw(Host);
-  ASSERT_TRUE(eventually([this] { return System.ready(0); }));
+  ASSERT_TRUE(eventually([this] { return System.ready(0); })) << System.description();
   EXPECT_EQ(System.revisionInUse(0), Last);
   EXPECT_TRUE(eventually([&] { return System.inForce(Last); }));
 }
