--- a/src/rate_limit/permit_client.cpp
+++ b/src/rate_limit/permit_client.cpp
@@ -142,7 +142,7 @@
 
 std::optional<mono_time> permit_client::nextWake() const {
   if (!Messages.empty())
-    return mono_time(); // Now.
+    return mono_time(); // They are due now.
   return NextCheck == mono_time::max() ? std::nullopt : std::optional(NextCheck);
 }
 
