--- a/src/rate_limit/permit_exchange.cpp
+++ b/src/rate_limit/permit_exchange.cpp
@@ -1,6 +1,10 @@
 /** @file permit_exchange.cpp Choice of issuers, and the way of messages to and from them. */
 #include "rate_limit/permit_exchange_base.h"
 
+#include <algorithm>
+#include <functional>
+#include <type_traits>
+
 namespace pollenstall {
 
 void permit_exchange::setEntries(const std::vector<std::string> &Addresses) {
