--- a/programs/pollenstall-entry/entry_report.cpp
+++ b/programs/pollenstall-entry/entry_report.cpp
@@ -12,6 +12,7 @@
 constexpr std::chrono::milliseconds DumpLimit{2'000};
 
 void logCall(const call_record &Record) {
+  const std::optional<answer_progress> &Answer = Record.LastAnswer;
   const bool IsComplete = Record.Outcome == final_outcome::Complete;
   logEvent(IsComplete ? log_level::Info : log_level::Warning, "request_ended",
            {{"request", Record.RequestId},
@@ -27,7 +28,11 @@
             {"ms", Record.Took.count()},
             {"sent_ms", Record.SentAfter ? Record.SentAfter->count() : -1},
             {"first_byte_ms", Record.FirstByteAfter ? Record.FirstByteAfter->count() : -1},
-            {"longest_gap_ms", Record.LongestGap ? Record.LongestGap->count() : -1}});
+            {"longest_gap_ms", Record.LongestGap ? Record.LongestGap->count() : -1},
+            {"framing", std::string(Answer ? bodyFramingText(Answer->Framing) : "")},
+            {"connection", std::string(Answer ? connectionEndText(Answer->Connection) : "")},
+            {"events", static_cast<std::int64_t>(Answer ? Answer->Events : 0)},
+            {"unfinished_bytes", static_cast<std::int64_t>(Answer ? Answer->UnfinishedBytes : 0)}});
 }
 
 } // namespace
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -76,6 +76,7 @@
 
 asio::awaitable<void> backend_exchange::run(exchange_mode Mode) {
   const exchange_end End = co_await perform(Mode);
+  recordProgress();
   if (Call->Relaying) {
     Call->Relaying = false;
     Call->Changed.notify();
@@ -153,6 +154,8 @@
     co_return exchange_end{Failure, {}};
   if (const auto Failure = checkAnswerHead(Mode))
     co_return exchange_end{Failure, {}};
+  Progress.Framing = bodyFraming();
+  Progress.IsEventStream = isEventStream();
   const bool Events = Call->Kind == service_kind::Model && isEventStream();
   const bool OpenEvents = Call->HeaderRouted && isEventStream();
   // Another attempt may have begun to relay meanwhile; then this answer is dropped.
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -83,7 +83,8 @@
   [[nodiscard]] bool isEventStream();
   [[nodiscard]] bool isErrorStatus(unsigned Status) const;
   [[nodiscard]] answer_head makeAnswerHead(answer_framing Framing);
-  [[nodiscard]] std::optional<answer_framing> wholeAnswerFraming();
+  [[nodiscard]] body_framing bodyFraming();
+  void recordProgress();
   void noteRelayed(std::uint64_t Events, std::size_t Bytes);
   void flushProgress();
   void uncountIfNotRun(const exchange_end &End);
@@ -100,6 +101,7 @@
   backend_connection Connection;
   std::optional<message_feed<false>> Feed; ///< Replaced after each interim (1xx) answer.
   event_scanner Scanner;
+  answer_progress Progress; ///< Complete after recordProgress().
   std::uint64_t UnreportedEvents{0};
   bool Answering{false};
   bool Abandoned{false};
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -17,6 +17,19 @@
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
 
+/// An answer that ends with the server's connection is sent in chunks: the caller's connection can
+/// then serve further requests, and the answer of a killed entry is visibly incomplete.
+answer_framing callerFraming(body_framing Framing) {
+  switch (Framing) {
+  case body_framing::Empty:
+    return answer_framing::None;
+  case body_framing::Length:
+    return answer_framing::Length;
+  default:
+    return answer_framing::Chunked;
+  }
+}
+
 void keepTail(std::string &Tail, std::string_view Part) {
   Tail.append(Part.substr(Part.size() > UsageTailBytes ? Part.size() - UsageTailBytes : 0));
   if (Tail.size() > UsageTailBytes)
@@ -96,6 +109,8 @@
     if (!succeeded(Scan))
       co_return Bad;
     const std::size_t EventBytes = valueOf(Scan).WholeBytes;
+    Progress.Events += valueOf(Scan).Events;
+    Progress.UnfinishedBytes = Feed->body().size() - EventBytes;
     if (EventBytes > 0) {
       const std::string_view Ready = std::string_view(Feed->body()).substr(0, EventBytes);
       // Report first: an attempt whose bytes the caller may have must not count as unanswered.
@@ -132,17 +147,22 @@
   co_return exchange_end{std::nullopt, parseUsage(Scanner.usageData())};
 }
 
-std::optional<answer_framing> backend_exchange::wholeAnswerFraming() {
+body_framing backend_exchange::bodyFraming() {
   auto &Message = Feed->message();
   const unsigned Status = Message.get().result_int();
   if (Call->Request.Method == "HEAD" || Status == NoContent || Status == NotModified)
-    return answer_framing::None;
+    return body_framing::Empty;
   if (Message.chunked())
-    return answer_framing::Chunked;
-  if (Message.content_length())
-    return answer_framing::Length;
-  return std::nullopt; // The answer ends when the connection closes; a truncated one would look
-                       // complete.
+    return body_framing::Chunked;
+  return Message.content_length() ? body_framing::Length : body_framing::Connection;
+}
+
+void backend_exchange::recordProgress() {
+  if (!Connection || !Feed->headDone())
+    return;
+  Progress.MessageDone = Feed->done();
+  Progress.Connection = Connection->receivingEnd();
+  Call->LastAnswer = Progress;
 }
 
 /**
@@ -159,12 +179,10 @@
 /// Once its head has been relayed, a truncated answer without events is a BadAnswer, not a broken
 /// stream: a resume would append events to half of a JSON body.
 asio::awaitable<exchange_end> backend_exchange::relayWholeAnswer() {
-  auto Framing = wholeAnswerFraming();
-  EndsWithConnection = !Framing;
-  if (!Framing && !Call->HeaderRouted)
+  EndsWithConnection = Progress.Framing == body_framing::Connection;
+  if (EndsWithConnection && !Call->HeaderRouted)
     co_return exchange_end{attempt_failure::BadAnswer, {}};
-  if (!Framing)
-    Framing = answer_framing::Chunked;
+  const answer_framing Framing = callerFraming(Progress.Framing);
   Call->Relaying = true;
   const bool Held = isBufferedAnswer();
   std::string Tail;
@@ -176,7 +194,7 @@
       keepTail(Tail, Body);
       noteRelayed(0, Body.size());
       const bool Written =
-          Started ? co_await Call->Caller->writePart(Body) : co_await startAnswer(*Framing, Body);
+          Started ? co_await Call->Caller->writePart(Body) : co_await startAnswer(Framing, Body);
       Body.clear();
       if (!Written) {
         Context.noteCallerGone(*Call);
@@ -188,7 +206,8 @@
     if (!Abandoned && co_await readMore())
       continue;
     // A server that closes the connection has completed its answer; a reset means that it has not.
-    if (!Abandoned && EndsWithConnection && Connection->closedCleanly() && Feed->finish())
+    if (!Abandoned && EndsWithConnection && Connection->receivingEnd() == connection_end::Closed &&
+        Feed->finish())
       continue;
     co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
                                                              : attempt_failure::BadAnswer,
--- a/src/relay/backend_exchange_stream.cpp
+++ b/src/relay/backend_exchange_stream.cpp
@@ -48,7 +48,7 @@
 asio::awaitable<exchange_end> backend_exchange::relayOpenEvents() {
   open_event_scanner Events(Call->LastEvent);
   Call->Relaying = true;
-  EndsWithConnection = !Feed->message().chunked() && !Feed->message().content_length();
+  EndsWithConnection = Progress.Framing == body_framing::Connection;
   boost::system::error_code Code;
   bool Closed = false;
   while (true) {
@@ -59,6 +59,8 @@
                                                                : attempt_failure::BrokenMidway,
                              {}};
     const open_event_scan &Found = valueOf(Scan);
+    Progress.Events += Found.Events;
+    Progress.UnfinishedBytes = Events.unfinishedBytes();
     if (!Found.Ready.empty() || (Done && Call->Stage == answer_stage::None)) {
       const bool Forwarded = co_await forwardEvents(Found.Ready, Found.Events);
       Call->LastEvent = Events.lastId();
@@ -79,7 +81,8 @@
       co_await Connection->waitRead(Code);
     const bool Read = !Abandoned && !TooLong && !Code && feedAvailable();
     // A server that closes the connection has completed its answer; a reset means that it has not.
-    Closed = !Read && !Abandoned && !TooLong && EndsWithConnection && Connection->closedCleanly();
+    Closed = !Read && !Abandoned && !TooLong && EndsWithConnection &&
+             Connection->receivingEnd() == connection_end::Closed;
     if (!Read && !Closed)
       co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
                                                                : attempt_failure::BrokenMidway,
--- a/src/relay/call_record_type.h
+++ b/src/relay/call_record_type.h
@@ -4,6 +4,7 @@
 #define POLLENSTALL_RELAY_CALL_RECORD_TYPE_H
 
 #include "dispatch/dispatch_type.h"
+#include "relay/answer_end_type.h"
 
 #include <chrono>
 #include <optional>
@@ -30,6 +31,7 @@
   std::optional<std::chrono::milliseconds> FirstByteAfter;
   /// Longest gap between two relayed events; empty if there were fewer than two.
   std::optional<std::chrono::milliseconds> LongestGap;
+  std::optional<answer_progress> LastAnswer; ///< Of the last attempt whose answer began.
 };
 
 } // namespace pollenstall
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -162,6 +162,7 @@
     Record.FirstByteAfter = elapsed(Call.Facts.Arrived, *Call.FirstByte);
   if (const auto Gap = Call.Gaps.longest())
     Record.LongestGap = std::chrono::duration_cast<std::chrono::milliseconds>(*Gap);
+  Record.LastAnswer = Call.LastAnswer;
   Context.AtCallEnd(Record);
 }
 
--- a/src/relay/open_event_scanner.cpp
+++ b/src/relay/open_event_scanner.cpp
@@ -35,6 +35,7 @@
     Found.Ready += Event;
     ++Found.Events;
   }
+  Unfinished = Bytes.size() - Found.Consumed;
   if (AtEnd) {
     Found.Ready += Bytes.substr(Found.Consumed);
     Found.Consumed = Bytes.size();
--- a/src/relay/open_event_scanner_base.h
+++ b/src/relay/open_event_scanner_base.h
@@ -33,12 +33,15 @@
   result<open_event_scan, event_stream_error> scan(std::string_view Bytes, bool AtEnd);
   /// Returns the id of the last complete event.
   [[nodiscard]] std::uint64_t lastId() const { return Last; }
+  /// Returns the number of bytes after the last complete event of the last scan.
+  [[nodiscard]] std::size_t unfinishedBytes() const { return Unfinished; }
 
 private:
   result<bool, event_stream_error> isNew(std::string_view Event);
 
   event_end_finder Ends;
   std::uint64_t Last;
+  std::size_t Unfinished{0};
   bool HasSeenId{false}; ///< This engine has sent an event with an id.
 };
 
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_RELAY_RELAY_H
 #define POLLENSTALL_RELAY_RELAY_H
 
+#include "relay/answer_end_func.h"     // IWYU pragma: export
 #include "relay/call_error_func.h"     // IWYU pragma: export
 #include "relay/call_error_type.h"     // IWYU pragma: export
 #include "relay/call_interface_type.h" // IWYU pragma: export
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -3,6 +3,7 @@
 #ifndef POLLENSTALL_RELAY_RELAYED_CALL_BASE_H
 #define POLLENSTALL_RELAY_RELAYED_CALL_BASE_H
 
+#include "relay/answer_end_type.h"
 #include "relay/async_signal_base.h"
 #include "relay/call_plan_func.h"
 #include "relay/caller_connection_base.h"
@@ -80,6 +81,7 @@
   std::optional<attempt_id> LastAttempt; ///< For the log.
   std::optional<backend_key> LastBackend;
   std::optional<mono_time> LastSent; ///< When the first byte of the last sent attempt was sent.
+  std::optional<answer_progress> LastAnswer; ///< Of the last attempt whose answer began.
   event_gaps Gaps;
   std::optional<mono_time> FirstByte; ///< When the first byte of the answer was sent to the caller.
 };
--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -76,7 +76,8 @@
   const std::size_t Received = Socket.read_some(asio::buffer(Target.data(), Target.size()), Code);
   if (Code == asio::error::would_block)
     return {};
-  ClosedCleanly = Code == asio::error::eof;
+  if (Code)
+    ReceivingEnd = Code == asio::error::eof ? connection_end::Closed : connection_end::Reset;
   if (Code)
     return {{}, true};
   return {std::string_view(Target.data(), Received), false};
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_RELAY_TIMED_SOCKET_BASE_H
 
 #include "core/core.h"
+#include "relay/answer_end_type.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
@@ -45,8 +46,10 @@
   void expireNever() { Deadline = mono_time::max(); }
   /// Returns whether the last deadline has passed; the socket is still open.
   [[nodiscard]] bool expired() const { return Expired; }
-  /// Returns whether the last read found that the peer has closed without a reset.
-  [[nodiscard]] bool closedCleanly() const { return ClosedCleanly; }
+  /// Returns how the receiving side has ended, as far as the last read has shown.
+  [[nodiscard]] connection_end receivingEnd() const {
+    return Expired ? connection_end::TimedOut : ReceivingEnd;
+  }
 
   /**
    * Waits for bytes and reads the available ones.
@@ -106,7 +109,7 @@
   boost::asio::ip::tcp::socket Socket;
   mono_time Deadline{mono_time::max()};
   bool Expired{false};
-  bool ClosedCleanly{false};
+  connection_end ReceivingEnd{connection_end::Open};
 };
 
 /// Cancels operations whose deadline has passed; also owns the thread's read buffer.
