Failing tests: answers that end after each of their bytes

An answer of a server, a stream or not, with a length, in chunks or ended by its connection, is cut after every byte by a close or a reset; a stream by silence, too. A caller must be told of no half as the whole; a stream that goes on elsewhere must have each event once.

--- /dev/null
+++ b/tests/relay/cut_answer_test.cpp
@@ -0,0 +1,288 @@
+/** @file cut_answer_test.cpp Answers that end after each of their bytes, in each framing and by
+ * each end of their connection. */
+#include "relay/message_feed_base.h"
+#include "relay_harness_base.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+#include <set>
+#include <thread>
+
+namespace pollenstall {
+namespace {
+
+enum class framing : std::uint8_t { Length, Chunked, Connection };
+enum class ending : std::uint8_t { Close, Reset, Silence };
+
+constexpr int EventCount = 3;
+
+/// Returns the stream's events after the given id.
+std::string eventsAfter(int Id) {
+  std::string Text;
+  for (int Next = Id + 1; Next <= EventCount; ++Next)
+    Text += eventText(Next);
+  return Text;
+}
+
+const std::string PlainBody = R"({"result": "all of it"})";
+
+/// One answer as a backend server sends it.
+struct sent_answer {
+  framing Framing{framing::Connection};
+  bool IsStream{true};
+
+  [[nodiscard]] std::string body() const { return IsStream ? eventsAfter(0) : PlainBody; }
+  [[nodiscard]] std::string bytes() const {
+    std::string Text = "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Type: ";
+    Text += IsStream ? "text/event-stream\r\n" : "application/json\r\n";
+    switch (Framing) {
+    case framing::Length:
+      return Text + "Content-Length: " + std::to_string(body().size()) + "\r\n\r\n" + body();
+    case framing::Chunked:
+      return Text + "Transfer-Encoding: chunked\r\n\r\n" + chunkedBody() + "0\r\n\r\n";
+    default:
+      return Text + "Connection: close\r\n\r\n" + body();
+    }
+  }
+
+private:
+  /// Chunks that end inside events, so that an event is cut between two chunks, too.
+  [[nodiscard]] std::string chunkedBody() const {
+    constexpr std::size_t ChunkBytes = 17;
+    std::string Text;
+    for (std::size_t At = 0; At < body().size(); At += ChunkBytes)
+      Text += chunkOf(body().substr(At, ChunkBytes));
+    return Text;
+  }
+};
+
+/// What a caller has read, by the framing of the answer that it received.
+struct read_answer {
+  bool IsWhole{false};
+  bool IsError{false};
+  std::string Body;
+};
+
+read_answer readByCaller(const std::string &Bytes) {
+  message_feed<false> Feed(1U << 16U);
+  const bool Valid = Feed.feed(Bytes);
+  EXPECT_TRUE(Valid && !(Feed.done() && Feed.hasRemainder())) << Bytes;
+  if (!Feed.headDone())
+    return {};
+  constexpr unsigned FirstServerError = 500;
+  const bool IsError = Feed.message().get().result_int() >= FirstServerError;
+  return {Feed.done() && !IsError, IsError, Feed.body()};
+}
+
+/// Sends the first bytes of an answer, then ends the connection.
+class cutting_server {
+public:
+  explicit cutting_server(const sent_answer &Answer, ending End)
+      : Bytes(Answer.bytes()), Server([this, End](auto &Socket, const received_request &) {
+          sendText(Socket, Bytes.substr(0, Cut));
+          if (End == ending::Reset)
+            resetConnection(Socket);
+          if (End == ending::Silence)
+            waitForClose(Socket);
+        }) {}
+
+  void cutAfter(std::size_t Count) { Cut = Count; }
+  [[nodiscard]] const scripted_server &server() const { return Server; }
+
+private:
+  std::string Bytes;
+  std::atomic<std::size_t> Cut{0};
+  scripted_server Server;
+};
+
+/// Sends the rest of the stream, after the event that the request names.
+scripted_server::script continuation() {
+  return [](auto &Socket, const received_request &Request) {
+    const std::string Key = "X-After: ";
+    const std::size_t At = Request.Head.find(Key);
+    const int After = std::stoi(Request.Head.substr(At + Key.size()));
+    sendText(Socket, streamHead() + chunkOf(eventsAfter(After)) + "0\r\n\r\n");
+  };
+}
+
+/// Number of cuts and of those after which the caller was told something wrong.
+struct cut_count {
+  std::size_t Cuts{0};
+  std::set<std::size_t> Wrong;
+};
+
+/// Nothing distinguishes the end of a plain answer from a cut if the server states neither a length
+/// nor chunks and closes its connection; nor a stream's end from a cut between two events.
+bool isIndistinguishable(const sent_answer &Answer, ending End, std::size_t Cut) {
+  if (Answer.Framing != framing::Connection || End != ending::Close)
+    return false;
+  const std::string Sent = Answer.bytes().substr(0, Cut);
+  const std::size_t HeadEnd = Sent.find("\r\n\r\n");
+  if (HeadEnd == std::string::npos)
+    return false;
+  return !Answer.IsStream || (HeadEnd + 4 < Sent.size() && Sent.ends_with("\n\n"));
+}
+
+/// The decision thread's part: one attempt, which nothing follows.
+bool attemptCompletes(relay_harness &Relay) {
+  while (true) {
+    const dispatch_event Event = Relay.next();
+    if (std::holds_alternative<attempt_completed>(Event))
+      return true;
+    if (std::holds_alternative<attempt_failed>(Event))
+      return false;
+  }
+}
+
+cut_count cutEverywhere(const sent_answer &Answer, ending End) {
+  cutting_server Server(Answer, End);
+  relay_harness Relay(retry_mode::Never);
+  cut_count Count;
+  for (std::size_t Cut = 0; Cut < Answer.bytes().size(); ++Cut) {
+    if (isIndistinguishable(Answer, End, Cut))
+      continue;
+    Server.cutAfter(Cut);
+    Relay.call("p");
+    Relay.start(Server.server(), 1, false);
+    if (attemptCompletes(Relay))
+      Relay.finish(final_outcome::Complete, failure_reason::None);
+    else
+      Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+    ++Count.Cuts;
+    if (readByCaller(Relay.answer()).IsWhole)
+      Count.Wrong.insert(Cut);
+  }
+  return Count;
+}
+
+class AnswerCutAtEachByte : public testing::TestWithParam<std::tuple<framing, bool, ending>> {};
+
+// A caller takes half of an answer for the whole one.
+TEST_P(AnswerCutAtEachByte, IsNeverToldAsWhole) {
+  const auto [Framing, IsStream, End] = GetParam();
+  const cut_count Count = cutEverywhere({Framing, IsStream}, End);
+  EXPECT_GT(Count.Cuts, 0U);
+  EXPECT_EQ(Count.Wrong, std::set<std::size_t>{}) << Count.Wrong.size() << " of " << Count.Cuts;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    AllFramingsAndEnds, AnswerCutAtEachByte,
+    testing::Combine(testing::Values(framing::Length, framing::Chunked, framing::Connection),
+                     testing::Bool(), testing::Values(ending::Close, ending::Reset)));
+
+class AnswerThatIsNotCut : public testing::TestWithParam<std::tuple<framing, bool>> {};
+
+// A check against cuts refuses a sound answer.
+TEST_P(AnswerThatIsNotCut, IsToldAsWhole) {
+  const auto [Framing, IsStream] = GetParam();
+  const sent_answer Answer{Framing, IsStream};
+  cutting_server Server(Answer, ending::Close);
+  Server.cutAfter(Answer.bytes().size());
+  relay_harness Relay(retry_mode::Never);
+  Relay.call("p");
+  Relay.start(Server.server(), 1, false);
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  const read_answer Read = readByCaller(Relay.answer());
+  EXPECT_TRUE(Read.IsWhole);
+  EXPECT_EQ(Read.Body, Answer.body());
+}
+
+INSTANTIATE_TEST_SUITE_P(AllFramings, AnswerThatIsNotCut,
+                         testing::Combine(testing::Values(framing::Length, framing::Chunked,
+                                                          framing::Connection),
+                                          testing::Bool()));
+
+class StreamCutAtEachByte : public testing::TestWithParam<std::tuple<framing, ending>> {};
+
+// Another engine continues a broken stream, and an event is lost, repeated or joined from two
+// halves.
+TEST_P(StreamCutAtEachByte, GoesOnElsewhereWithEachEventOnce) {
+  const auto [Framing, End] = GetParam();
+  const sent_answer Answer{Framing, true};
+  cutting_server Server(Answer, End);
+  const scripted_server Continuation(continuation());
+  relay_harness Relay(retry_mode::Resume);
+  std::size_t Resumed = 0;
+  for (std::size_t Cut = 0; Cut < Answer.bytes().size(); ++Cut) {
+    if (isIndistinguishable(Answer, End, Cut))
+      continue;
+    Server.cutAfter(Cut);
+    Relay.call("p");
+    Relay.start(Server.server(), 1);
+    if (!attemptCompletes(Relay)) {
+      ++Resumed;
+      Relay.start(Continuation, 2);
+      EXPECT_TRUE(attemptCompletes(Relay)) << Cut;
+    }
+    Relay.finish(final_outcome::Complete, failure_reason::None);
+    const read_answer Read = readByCaller(Relay.answer());
+    EXPECT_TRUE(Read.IsWhole) << Cut;
+    EXPECT_EQ(Read.Body, Answer.body()) << Cut;
+  }
+  EXPECT_GT(Resumed, 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(AllFramings, StreamCutAtEachByte,
+                         testing::Combine(testing::Values(framing::Length, framing::Chunked,
+                                                          framing::Connection),
+                                          testing::Values(ending::Close, ending::Reset)));
+
+// An engine without power neither closes nor resets: the silence alone ends the attempt.
+TEST(StreamThatFallsSilent, GoesOnElsewhereWithEachEventOnce) {
+  const sent_answer Answer{framing::Connection, true};
+  const std::size_t First = Answer.bytes().find(eventText(2));
+  const std::size_t Last = Answer.bytes().size();
+  std::vector<std::thread> Threads;
+  constexpr std::size_t ThreadCount = 8;
+  for (std::size_t Offset = 0; Offset < ThreadCount; ++Offset)
+    Threads.emplace_back([&, Offset] {
+      cutting_server Server(Answer, ending::Silence);
+      const scripted_server Continuation(continuation());
+      relay_harness Relay(retry_mode::Resume);
+      for (std::size_t Cut = First + Offset; Cut < Last; Cut += ThreadCount) {
+        Server.cutAfter(Cut);
+        Relay.call("p");
+        Relay.start(Server.server(), 1);
+        EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::BrokenMidway) << Cut;
+        Relay.start(Continuation, 2);
+        Relay.next<attempt_completed>();
+        Relay.finish(final_outcome::Complete, failure_reason::None);
+        const read_answer Read = readByCaller(Relay.answer());
+        EXPECT_TRUE(Read.IsWhole) << Cut;
+        EXPECT_EQ(Read.Body, Answer.body()) << Cut;
+      }
+    });
+  for (std::thread &Thread : Threads)
+    Thread.join();
+}
+
+// A resumed run is cut as well: its half event must meet neither the first run's nor the third's.
+TEST(StreamCutTwice, GoesOnElsewhereWithEachEventOnce) {
+  const auto HalfEvent = [](int Id) { return eventText(Id).substr(0, eventText(Id).size() / 2); };
+  const std::string Head =
+      "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Type: text/event-stream\r\n\r\n";
+  const scripted_server FirstServer([&](auto &Socket, const received_request &) {
+    sendText(Socket, Head + eventText(1) + HalfEvent(2));
+  });
+  const scripted_server SecondServer([&](auto &Socket, const received_request &) {
+    sendText(Socket, Head + eventText(2) + HalfEvent(3));
+  });
+  const scripted_server Continuation(continuation());
+  relay_harness Relay(retry_mode::Resume);
+  Relay.call("p");
+  Relay.start(FirstServer, 1);
+  ASSERT_FALSE(attemptCompletes(Relay));
+  Relay.start(SecondServer, 2);
+  ASSERT_FALSE(attemptCompletes(Relay));
+  Relay.start(Continuation, 3);
+  ASSERT_TRUE(attemptCompletes(Relay));
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  const read_answer Read = readByCaller(Relay.answer());
+  EXPECT_TRUE(Read.IsWhole);
+  EXPECT_EQ(Read.Body, eventsAfter(0));
+}
+
+} // namespace
+} // namespace pollenstall
--- a/tests/relay/relay_harness_base.h
+++ b/tests/relay/relay_harness_base.h
@@ -59,6 +59,8 @@
         return *Match;
     }
   }
+  /// Waits for the next event of any type.
+  dispatch_event next() { return nextEvent(); }
   void order(relay_order Order);
   /// Orders an attempt of the latest call.
   void start(const scripted_server &Server, std::uint32_t Ordinal = 1, bool MayRetry = true,
