A stream with neither length nor chunks is whole only at the end of an event

Cause: the close of a connection was taken for the end of the answer, whatever it cut. The scanner passed the rest of the unfinished event on, the last chunk was written, and the attempt counted as completed, so that nothing resumed the stream. Class: whoever ends an answer must show that it is whole; a close shows only that no more comes.

A stream that closes before its first event was broken off, too. A close between two events, or within an answer that is no stream, cannot be told from the end: counted apart as closed_connection.

--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -160,6 +160,7 @@
               .metrics(Registry)
               .interface(usesPlatform() ? platformCalls() : call_interface())
               .onCallEnd([this](const call_record &Record) { handleCallEnd(Record); })
+              .onAnswerBroken(logBrokenAnswer)
               .build();
   Decision->orders().onWake([this] {
     asio::post(Io, [this] {
--- a/programs/pollenstall-entry/entry_report.cpp
+++ b/programs/pollenstall-entry/entry_report.cpp
@@ -37,6 +37,19 @@
 
 } // namespace
 
+void entry::logBrokenAnswer(const broken_answer &Broken) {
+  logEvent(log_level::Warning, "answer_broken_off",
+           {{"attempt", toText(Broken.Attempt)},
+            {"backend", toText(Broken.Backend)},
+            {"reason", std::string(answerEndReasonText(Broken.Reason))},
+            {"framing", std::string(bodyFramingText(Broken.Progress.Framing))},
+            {"connection", std::string(connectionEndText(Broken.Progress.Connection))},
+            {"events", static_cast<std::int64_t>(Broken.Progress.Events)},
+            {"unfinished_bytes", static_cast<std::int64_t>(Broken.Progress.UnfinishedBytes)},
+            {"last_event", static_cast<std::int64_t>(Broken.LastEvent)},
+            {"caller_has_part", Broken.CallerHasPart}});
+}
+
 void entry::logListening(const char *Purpose, const std::string &Address) {
   logEvent(log_level::Info, "listening", {{"what", std::string(Purpose)}, {"address", Address}});
 }
--- a/src/relay/answer_end_type.h
+++ b/src/relay/answer_end_type.h
@@ -29,10 +29,36 @@
   connection_end Connection{connection_end::Open};
   bool MessageDone{false};        ///< All bytes that the framing announces have arrived.
   bool IsEventStream{false};      ///< The body is a stream of server-sent events.
-  std::uint64_t Events{0};        ///< Complete events of this answer.
+  std::uint64_t Events{0};        ///< Complete events with data that the caller lacked.
   std::size_t UnfinishedBytes{0}; ///< Bytes of an event whose end has not arrived.
 };
 
+/// What the end of an answer proves.
+enum class answer_end : std::uint8_t {
+  Unfinished, ///< More of it may arrive.
+  Whole,      ///< Nothing shows that a part is missing.
+  BrokenOff,  ///< A part is missing, or nothing shows that the answer was finished.
+};
+
+/// The observation that decided an answer_end.
+enum class answer_end_reason : std::uint8_t {
+  None,             ///< The answer is unfinished.
+  EndMark,          ///< All bytes that the framing announces have arrived.
+  ClosedConnection, ///< The server closed the connection, which is the only end that it announced.
+  InsideMessage,    ///< The connection closed before the end that the framing announces.
+  InsideEvent,      ///< The stream ended inside an event.
+  NoEvent,          ///< The stream has no end mark, and the connection closed before any event.
+  Reset,            ///< The connection broke.
+  Silence,          ///< The server sent nothing until the deadline.
+};
+
+struct answer_verdict {
+  answer_end End{answer_end::Unfinished};
+  answer_end_reason Reason{answer_end_reason::None};
+
+  bool operator==(const answer_verdict &) const = default;
+};
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_RELAY_ANSWER_END_TYPE_H
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -76,7 +76,7 @@
 
 asio::awaitable<void> backend_exchange::run(exchange_mode Mode) {
   const exchange_end End = co_await perform(Mode);
-  recordProgress();
+  recordEnd(End);
   if (Call->Relaying) {
     Call->Relaying = false;
     Call->Changed.notify();
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_RELAY_BACKEND_EXCHANGE_BASE_H
 #define POLLENSTALL_RELAY_BACKEND_EXCHANGE_BASE_H
 
+#include "relay/answer_end_func.h"
 #include "relay/event_scanner_base.h"
 #include "relay/memory_holds_base.h"
 #include "relay/message_feed_base.h"
@@ -84,7 +85,8 @@
   [[nodiscard]] bool isErrorStatus(unsigned Status) const;
   [[nodiscard]] answer_head makeAnswerHead(answer_framing Framing);
   [[nodiscard]] body_framing bodyFraming();
-  void recordProgress();
+  answer_verdict judgeEnd();
+  void recordEnd(const exchange_end &End);
   void noteRelayed(std::uint64_t Events, std::size_t Bytes);
   void flushProgress();
   void uncountIfNotRun(const exchange_end &End);
@@ -101,7 +103,7 @@
   backend_connection Connection;
   std::optional<message_feed<false>> Feed; ///< Replaced after each interim (1xx) answer.
   event_scanner Scanner;
-  answer_progress Progress; ///< Complete after recordProgress().
+  answer_progress Progress; ///< As of the last judgeEnd().
   std::uint64_t UnreportedEvents{0};
   bool Answering{false};
   bool Abandoned{false};
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -157,12 +157,21 @@
   return Message.content_length() ? body_framing::Length : body_framing::Connection;
 }
 
-void backend_exchange::recordProgress() {
-  if (!Connection || !Feed->headDone())
-    return;
+answer_verdict backend_exchange::judgeEnd() {
   Progress.MessageDone = Feed->done();
   Progress.Connection = Connection->receivingEnd();
+  return judgeAnswerEnd(Progress);
+}
+
+void backend_exchange::recordEnd(const exchange_end &End) {
+  if (!Connection || !Feed->headDone() || Abandoned)
+    return;
+  const answer_verdict Verdict = judgeEnd();
   Call->LastAnswer = Progress;
+  Context.Metrics.countAnswerEnd(Progress.Framing, Verdict.Reason);
+  if (End.Failure && Verdict.End == answer_end::BrokenOff && Context.AtAnswerBroken)
+    Context.AtAnswerBroken({Order.Attempt, Order.Backend, Progress, Verdict.Reason, Call->LastEvent,
+                            Call->Stage != answer_stage::None});
 }
 
 /**
@@ -205,9 +214,7 @@
       break;
     if (!Abandoned && co_await readMore())
       continue;
-    // A server that closes the connection has completed its answer; a reset means that it has not.
-    if (!Abandoned && EndsWithConnection && Connection->receivingEnd() == connection_end::Closed &&
-        Feed->finish())
+    if (!Abandoned && judgeEnd().End == answer_end::Whole && Feed->finish())
       continue;
     co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
                                                              : attempt_failure::BadAnswer,
--- a/src/relay/backend_exchange_stream.cpp
+++ b/src/relay/backend_exchange_stream.cpp
@@ -50,10 +50,8 @@
   Call->Relaying = true;
   EndsWithConnection = Progress.Framing == body_framing::Connection;
   boost::system::error_code Code;
-  bool Closed = false;
   while (true) {
-    const bool Done = Feed->done() || Closed;
-    const auto Scan = Events.scan(Feed->body(), Done);
+    const auto Scan = Events.scan(Feed->body());
     if (!succeeded(Scan))
       co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BadAnswer
                                                                : attempt_failure::BrokenMidway,
@@ -61,29 +59,32 @@
     const open_event_scan &Found = valueOf(Scan);
     Progress.Events += Found.Events;
     Progress.UnfinishedBytes = Events.unfinishedBytes();
-    if (!Found.Ready.empty() || (Done && Call->Stage == answer_stage::None)) {
-      const bool Forwarded = co_await forwardEvents(Found.Ready, Found.Events);
+    Feed->body().erase(0, Found.Consumed);
+    const answer_end End = judgeEnd().End;
+    // The rest of a whole stream is line ends.
+    const std::string Ready = End == answer_end::Whole ? Found.Ready + Feed->body() : Found.Ready;
+    if (!Ready.empty() || (End == answer_end::Whole && Call->Stage == answer_stage::None)) {
+      const bool Forwarded = co_await forwardEvents(Ready, Found.Events);
       Call->LastEvent = Events.lastId();
       if (!Forwarded) {
         Context.noteCallerGone(*Call);
         Abandoned = true;
       }
     }
-    Feed->body().erase(0, Found.Consumed);
-    if (Done && !Abandoned)
+    if (End == answer_end::Whole && !Abandoned)
       break;
     const bool TooLong = Feed->body().size() > Context.Limits.MaxEventBytes;
     // The timeout starts only here: time that the caller takes to read does not count against the
     // engine.
     if (Answering)
       armIdleTimeout();
-    if (!Abandoned && !TooLong)
+    const bool GoesOn = End == answer_end::Unfinished && !Abandoned && !TooLong;
+    if (GoesOn)
       co_await Connection->waitRead(Code);
-    const bool Read = !Abandoned && !TooLong && !Code && feedAvailable();
-    // A server that closes the connection has completed its answer; a reset means that it has not.
-    Closed = !Read && !Abandoned && !TooLong && EndsWithConnection &&
-             Connection->receivingEnd() == connection_end::Closed;
-    if (!Read && !Closed)
+    // A read that fails ends the answer: as a whole one only if the server closed the connection.
+    const bool MayGoOn =
+        GoesOn && !Abandoned && !Code && (feedAvailable() || judgeEnd().End == answer_end::Whole);
+    if (!MayGoOn)
       co_return exchange_end{Call->Stage == answer_stage::None ? attempt_failure::BrokenSent
                                                                : attempt_failure::BrokenMidway,
                              {}};
--- a/src/relay/call_record_type.h
+++ b/src/relay/call_record_type.h
@@ -1,5 +1,5 @@
-/** @file call_record_type.h The log record of an ended call; it never contains the key or the
- * prompt. */
+/** @file call_record_type.h The log records of ended calls and of broken answers; they never
+ * contain the key or the prompt. */
 #ifndef POLLENSTALL_RELAY_CALL_RECORD_TYPE_H
 #define POLLENSTALL_RELAY_CALL_RECORD_TYPE_H
 
@@ -12,6 +12,16 @@
 
 namespace pollenstall {
 
+/// An answer that its server broke off.
+struct broken_answer {
+  attempt_id Attempt;
+  backend_key Backend;
+  answer_progress Progress;
+  answer_end_reason Reason{answer_end_reason::None};
+  std::uint64_t LastEvent{0}; ///< Id of the last event that the caller has.
+  bool CallerHasPart{false};  ///< The head or more of the answer was relayed.
+};
+
 /// One ended call.
 struct call_record {
   std::string RequestId;
--- a/src/relay/open_event_scanner.cpp
+++ b/src/relay/open_event_scanner.cpp
@@ -3,8 +3,7 @@
 
 namespace pollenstall {
 
-result<bool, event_stream_error> open_event_scanner::isNew(std::string_view Event) {
-  const event_fields Fields = readEvent(Event);
+result<bool, event_stream_error> open_event_scanner::isNew(const event_fields &Fields) {
   if (Fields.Id.empty())
     return true;
   const auto Id = eventIdFrom(Fields.Id);
@@ -21,25 +20,23 @@
   return true;
 }
 
-result<open_event_scan, event_stream_error> open_event_scanner::scan(std::string_view Bytes,
-                                                                     bool AtEnd) {
+result<open_event_scan, event_stream_error> open_event_scanner::scan(std::string_view Bytes) {
   open_event_scan Found;
   while (const auto End = Ends.next(Bytes.substr(Found.Consumed))) {
     const std::string_view Event = Bytes.substr(Found.Consumed, *End);
-    const auto IsNew = isNew(Event);
+    const event_fields Fields = readEvent(Event);
+    const auto IsNew = isNew(Fields);
     if (!succeeded(IsNew))
       return errorOf(IsNew);
     Found.Consumed += *End;
     if (!valueOf(IsNew))
       continue;
     Found.Ready += Event;
-    ++Found.Events;
-  }
-  Unfinished = Bytes.size() - Found.Consumed;
-  if (AtEnd) {
-    Found.Ready += Bytes.substr(Found.Consumed);
-    Found.Consumed = Bytes.size();
+    Found.Events += Fields.HasData ? 1 : 0;
   }
+  const std::string_view Remaining = Bytes.substr(Found.Consumed);
+  const bool OnlyLineEnds = Remaining.find_first_not_of("\r\n") == std::string_view::npos;
+  Unfinished = OnlyLineEnds ? 0 : Remaining.size();
   return Found;
 }
 
--- a/src/relay/open_event_scanner_base.h
+++ b/src/relay/open_event_scanner_base.h
@@ -17,7 +17,7 @@
 struct open_event_scan {
   std::string Ready;       ///< Complete events that the caller does not have yet.
   std::size_t Consumed{0}; ///< Bytes consumed; they must not be passed again.
-  std::uint64_t Events{0}; ///< Number of complete events in Ready, with or without an id.
+  std::uint64_t Events{0}; ///< Number of events with data in Ready, with or without an id.
 };
 
 /**
@@ -28,16 +28,15 @@
   /// @param LastId The last event that the caller has; 0 at the start.
   explicit open_event_scanner(std::uint64_t LastId) : Last(LastId) {}
 
-  /// @param AtEnd The message has ended: the remaining bytes belong to it even if they are no
-  /// complete event.
-  result<open_event_scan, event_stream_error> scan(std::string_view Bytes, bool AtEnd);
+  result<open_event_scan, event_stream_error> scan(std::string_view Bytes);
   /// Returns the id of the last complete event.
   [[nodiscard]] std::uint64_t lastId() const { return Last; }
-  /// Returns the number of bytes after the last complete event of the last scan.
+  /// Returns the number of bytes of an unfinished event in the last scan. Line ends alone begin no
+  /// event.
   [[nodiscard]] std::size_t unfinishedBytes() const { return Unfinished; }
 
 private:
-  result<bool, event_stream_error> isNew(std::string_view Event);
+  result<bool, event_stream_error> isNew(const event_fields &Fields);
 
   event_end_finder Ends;
   std::uint64_t Last;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -304,10 +304,16 @@
   return *this;
 }
 
+relay_builder &relay_builder::onAnswerBroken(std::function<void(const broken_answer &)> Hook) {
+  AtAnswerBroken = std::move(Hook);
+  return *this;
+}
+
 std::unique_ptr<relay> relay_builder::build() {
   auto State = std::make_unique<relay::state>(Io, Self, Limits, Registry, Ring);
   State->Context.Interface = Interface;
   State->Context.AtCallEnd = AtCallEnd;
+  State->Context.AtAnswerBroken = AtAnswerBroken;
   State->Lists = Lists;
   // A full ring drops the answer; the next one states the limit again.
   if (RateLimits != nullptr)
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -76,6 +76,8 @@
   relay_builder &interface(call_interface Hooks);
   /// Sets a hook that is called at the end of each call, refused calls included.
   relay_builder &onCallEnd(std::function<void(const call_record &)> Hook);
+  /// Sets a hook that is called for each answer that its server broke off.
+  relay_builder &onAnswerBroken(std::function<void(const broken_answer &)> Hook);
 
   std::unique_ptr<relay> build();
 
@@ -90,6 +92,7 @@
   std::shared_ptr<prometheus::Registry> Registry;
   call_interface Interface;
   std::function<void(const call_record &)> AtCallEnd;
+  std::function<void(const broken_answer &)> AtAnswerBroken;
 };
 
 } // namespace pollenstall
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -1,6 +1,7 @@
 /** @file relay_metrics.cpp Names and buckets of the data plane's metrics. */
 #include "relay/relay_metrics_base.h"
 
+#include "relay/answer_end_func.h"
 #include "relay/call_error_func.h"
 
 namespace pollenstall {
@@ -48,6 +49,8 @@
                         "Requests by outcome and reason", Registry)),
       AttemptEnds(familyOf(prometheus::BuildCounter, "pollenstall_attempt_ends_total",
                            "Ends of attempts by result", Registry)),
+      AnswerEnds(familyOf(prometheus::BuildCounter, "pollenstall_answer_ends_total",
+                          "Ends of backend servers' answers by framing and reason", Registry)),
       FirstTokens(familyOf(prometheus::BuildHistogram, "pollenstall_first_token_seconds",
                            "Time from arrival to the first byte of the answer, by length class",
                            Registry)),
@@ -80,6 +83,14 @@
   Metric->Increment();
 }
 
+void relay_metrics::countAnswerEnd(body_framing Framing, answer_end_reason Reason) {
+  prometheus::Counter *&Metric = AnswerByEnd[{Framing, Reason}];
+  if (Metric == nullptr)
+    Metric = &AnswerEnds.Add({{"framing", std::string(bodyFramingText(Framing))},
+                              {"reason", std::string(answerEndReasonText(Reason))}});
+  Metric->Increment();
+}
+
 void relay_metrics::observeGap(length_class Class, double Seconds) {
   GapByClass[static_cast<std::size_t>(Class)]->Observe(Seconds);
 }
--- a/src/relay/relay_metrics_base.h
+++ b/src/relay/relay_metrics_base.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_RELAY_RELAY_METRICS_BASE_H
 
 #include "dispatch/dispatch_type.h"
+#include "relay/answer_end_type.h"
 #include "scheduling/scheduling_type.h"
 
 #include <prometheus/counter.h>
@@ -28,6 +29,8 @@
   void countAttempt() { Attempts.Increment(); }
   /// Counts an ended attempt. @param Result "complete", or the failure in lower snake case.
   void countAttemptEnd(const std::string &Result);
+  /// Counts an answer whose end was received, or that broke off.
+  void countAnswerEnd(body_framing Framing, answer_end_reason Reason);
   void countEvents(std::uint64_t Count) { Events.Increment(static_cast<double>(Count)); }
   void countAnswerBytes(std::size_t Count) { AnswerBytes.Increment(static_cast<double>(Count)); }
   void countBadMessage() { BadMessages.Increment(); }
@@ -45,6 +48,7 @@
 
   prometheus::Family<prometheus::Counter> &Requests;
   prometheus::Family<prometheus::Counter> &AttemptEnds;
+  prometheus::Family<prometheus::Counter> &AnswerEnds;
   prometheus::Family<prometheus::Histogram> &FirstTokens;
   prometheus::Family<prometheus::Histogram> &Gaps;
   prometheus::Counter &Attempts;
@@ -55,6 +59,7 @@
   std::array<prometheus::Histogram *, 3> GapByClass{};
   std::map<request_key, prometheus::Counter *> RequestByKey;
   std::map<std::string, prometheus::Counter *> AttemptByResult;
+  std::map<std::pair<body_framing, answer_end_reason>, prometheus::Counter *> AnswerByEnd;
 };
 
 /// Returns "short", "medium" or "long".
--- a/tests/relay/open_event_scanner_test.cpp
+++ b/tests/relay/open_event_scanner_test.cpp
@@ -14,7 +14,7 @@
   std::string Relayed;
   for (std::size_t At = 0; At < Stream.size(); At += Piece) {
     Unconsumed += Stream.substr(At, Piece);
-    const auto Scan = Scanner.scan(Unconsumed, At + Piece >= Stream.size());
+    const auto Scan = Scanner.scan(Unconsumed);
     EXPECT_TRUE(succeeded(Scan));
     Relayed += valueOf(Scan).Ready;
     Unconsumed.erase(0, valueOf(Scan).Consumed);
@@ -33,10 +33,27 @@
 
 TEST(OpenStream, HoldsBackAnIncompleteEvent) {
   open_event_scanner Scanner(0);
-  const auto Scan = Scanner.scan("id: 1\ndata: a\n\nid: 2\nda", false);
+  const auto Scan = Scanner.scan("id: 1\ndata: a\n\nid: 2\nda");
   ASSERT_TRUE(succeeded(Scan));
   EXPECT_EQ(valueOf(Scan).Ready, "id: 1\ndata: a\n\n");
   EXPECT_EQ(Scanner.lastId(), 1U);
+  EXPECT_EQ(Scanner.unfinishedBytes(), std::string("id: 2\nda").size());
+}
+
+// A blank line too many begins no event, so that a stream may end with it.
+TEST(OpenStream, IsFinishedIfOnlyLineEndsFollow) {
+  open_event_scanner Scanner(0);
+  const auto Scan = Scanner.scan("id: 1\ndata: a\n\n\r\n");
+  ASSERT_TRUE(succeeded(Scan));
+  EXPECT_EQ(Scanner.unfinishedBytes(), 0U);
+}
+
+TEST(OpenStream, CountsNoEventInAComment) {
+  open_event_scanner Scanner(0);
+  const auto Scan = Scanner.scan(": alive\n\n");
+  ASSERT_TRUE(succeeded(Scan));
+  EXPECT_EQ(valueOf(Scan).Ready, ": alive\n\n");
+  EXPECT_EQ(valueOf(Scan).Events, 0U);
 }
 
 } // namespace
