The head of a stream that had a length states one framing only

Callers saw: Transfer-Encoding and Content-Length in one head, which every careful client refuses, so that a sound stream with a length was lost. Cause: the length of the server's head was written whatever the framing towards the caller. Evidence: five cases of the tests by byte failed before (all cuts of a stream with a length, and the uncut one); now none.

--- a/src/relay/caller_connection.cpp
+++ b/src/relay/caller_connection.cpp
@@ -63,7 +63,9 @@
     Text += Line.Name + ": " + Line.Value + std::string(LineEnd);
   if (Head.Framing == answer_framing::Chunked)
     Text += "Transfer-Encoding: chunked\r\n";
-  if (Head.Framing == answer_framing::Length || Head.Length > 0)
+  const bool StatesLength = Head.Framing == answer_framing::Length ||
+                            (Head.Framing == answer_framing::None && Head.Length > 0);
+  if (StatesLength)
     Text += "Content-Length: " + std::to_string(Head.Length) + std::string(LineEnd);
   Text += Head.Close ? "Connection: close\r\n\r\n" : "\r\n";
   return Text;
