An event stream without a body ends with its head

Callers saw: an empty chunked body behind a 204 or the answer to HEAD if its type is text/event-stream; on a kept connection the last chunk is read as the start of the next answer. Cause: the type alone chose the path of streams. Test: StreamWithoutABody.EndsWithItsHead, seen failing. Beside it tests that pass already: two lengths, a length beside chunks, a close after an interim answer.

--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -156,8 +156,9 @@
     co_return exchange_end{Failure, {}};
   Progress.Framing = bodyFraming();
   Progress.IsEventStream = isEventStream();
-  const bool Events = Call->Kind == service_kind::Model && isEventStream();
-  const bool OpenEvents = Call->HeaderRouted && isEventStream();
+  const bool HasEvents = isEventStream() && Progress.Framing != body_framing::Empty;
+  const bool Events = Call->Kind == service_kind::Model && HasEvents;
+  const bool OpenEvents = Call->HeaderRouted && HasEvents;
   // Another attempt may have begun to relay meanwhile; then this answer is dropped.
   if (!Call->mayRelay(Order.Attempt.Ordinal))
     co_return exchange_end{attempt_failure::BrokenSent, {}};
--- a/tests/relay/cut_answer_test.cpp
+++ b/tests/relay/cut_answer_test.cpp
@@ -284,5 +284,48 @@
   EXPECT_EQ(Read.Body, eventsAfter(0));
 }
 
+/// Returns how an attempt fails whose server sends these bytes and closes.
+attempt_failure failureOf(const std::string &Bytes) {
+  const scripted_server Server(
+      [&Bytes](auto &Socket, const received_request &) { sendText(Socket, Bytes); });
+  relay_harness Relay(retry_mode::Never);
+  Relay.call("p");
+  Relay.start(Server, 1, false);
+  const attempt_failure Failure = Relay.next<attempt_failed>().Failure;
+  Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+  EXPECT_FALSE(readByCaller(Relay.answer()).IsWhole);
+  return Failure;
+}
+
+// Two lengths, or a length beside chunks: which part of the bytes is the answer is not known.
+TEST(AnswerWithTwoFramings, IsNotRelayed) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 4\r\n";
+  EXPECT_EQ(failureOf(Head + "Content-Length: 5\r\n\r\nall!!"), attempt_failure::BadAnswer);
+  EXPECT_EQ(failureOf(Head + "Transfer-Encoding: chunked\r\n\r\n4\r\nall!\r\n0\r\n\r\n"),
+            attempt_failure::BadAnswer);
+}
+
+// The connection breaks between an interim answer and the final one.
+TEST(AnswerAfterAnInterimOne, IsMissingIfTheServerCloses) {
+  EXPECT_EQ(failureOf("HTTP/1.1 103 Early Hints\r\n\r\n"), attempt_failure::BrokenSent);
+}
+
+// The head of a stream without its body, or a status that has none: chunks after it would be read
+// as the start of the next answer.
+TEST(StreamWithoutABody, EndsWithItsHead) {
+  const scripted_server Server([](auto &Socket, const received_request &) {
+    sendText(Socket, "HTTP/1.1 204 No Content\r\nX-Send: s1\r\nContent-Type: text/event-stream\r\n"
+                     "\r\n");
+  });
+  relay_harness Relay(retry_mode::Never);
+  Relay.call("p");
+  Relay.start(Server, 1, false);
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  const std::string Answer = Relay.answer();
+  EXPECT_EQ(Answer.find("\r\n\r\n") + 4, Answer.size()) << Answer;
+  EXPECT_EQ(Answer.find("chunked"), std::string::npos) << Answer;
+}
+
 } // namespace
 } // namespace pollenstall
