Answers to the entry's own calls may end with their connection

An engine that answers without a length and chunks confirmed a memory hold, and the entry took the answer for a failed one: the engine kept the memory until its time limit and the prompt was not run. Cause: the reader of these answers knew no other end than a length or chunks. Test: memory_holds_of_two_engines.AreAcquiredIfTheirAnswersEndWithTheConnection, seen failing.

--- a/src/relay/unary_call.cpp
+++ b/src/relay/unary_call.cpp
@@ -28,6 +28,9 @@
   message_feed<false> Feed(Limits.HeaderBytes);
   while (!Feed.done()) {
     const std::string_view Read = co_await Connection->readSome();
+    // Without a length and chunks, the answer ends when the server closes the connection.
+    if (Read.empty() && Connection->receivingEnd() == connection_end::Closed && Feed.finish())
+      break;
     if (Read.empty() || !Feed.feed(Read) || Feed.body().size() > MaxAnswerBytes)
       co_return std::nullopt;
   }
--- a/tests/relay/memory_holds_test.cpp
+++ b/tests/relay/memory_holds_test.cpp
@@ -59,6 +59,20 @@
   const std::string Ok = "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 2\r\n\r\nok";
 };
 
+// An engine may end any answer with its connection; a hold confirmed that way must not count as
+// refused, since the engine keeps the memory.
+TEST_F(memory_holds_of_two_engines, AreAcquiredIfTheirAnswersEndWithTheConnection) {
+  const std::string Confirmed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}";
+  const scripted_server First(answering("first", Confirmed));
+  const scripted_server Second(answering("second", Confirmed));
+  const scripted_server AnsweringServer(answering("writer", Ok));
+  relay_harness Relay;
+  callWithHolds(Relay, AnsweringServer, {{First.key(), Amount}, {Second.key(), Amount}});
+  Relay.next<attempt_completed>();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_TRUE(Relay.answer().ends_with("ok"));
+}
+
 TEST_F(memory_holds_of_two_engines, AreAcquiredBeforeThePromptAndReleasedAfterTheAnswer) {
   const scripted_server First(answering("first", HoldConfirmedAnswer));
   const scripted_server Second(answering("second", HoldConfirmedAnswer));
