--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -188,6 +188,7 @@
 
 void decision_core::onListingChanged(const backend_listing &Listing, mono_time Now) {
   PollPending = true;
+  ListingChanges.push_back(Listing);
   if (Listing.State != listing_state::Gone)
     return Placer.updateBackend(Listing);
   Dispatcher.backendGone(Listing.Key, Now);
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -19,6 +19,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace pollenstall {
@@ -68,6 +69,8 @@
   [[nodiscard]] std::size_t maxIdleConnections(const backend_key &Backend) const {
     return usesPlacer() ? Placer.maxIdleConnections(Backend) : DefaultMaxIdleConnections;
   }
+  /// Takes the listings that changed since the last call.
+  std::vector<backend_listing> takeListingChanges() { return std::exchange(ListingChanges, {}); }
   /// @return Address and incarnation of a server, for the log.
   [[nodiscard]] std::string backendText(incarnation Server) const;
   /// Checks the attempts that an engine has listed. @return Cancels for those without a live owner.
@@ -132,6 +135,7 @@
   std::map<backend_key, backend_view> Backends;
   std::set<backend_address> Drained;
   mono_time FreshUntil;
+  std::vector<backend_listing> ListingChanges;
   bool PollPending{false};
   bool Superseded{false};
   dispatcher Dispatcher; ///< Its callbacks use the members above.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -174,6 +174,7 @@
   }
   for (dispatch_action &Action : Core.step(Now))
     execute(std::move(Action));
+  forwardListings();
   for (const backend_key &Engine : Core.takeEnginesToList(Now))
     Outbox.push(list_attempts{Engine});
   Outbox.flush();
@@ -283,12 +284,28 @@
     WorkShare->commands().push(permit_messages{std::move(Messages)});
 }
 
+void decision_thread::forwardListings() {
+  path_servers_update Update;
+  for (const backend_listing &Listing : Core.takeListingChanges()) {
+    if (Listing.State == listing_state::Gone)
+      Update.Removed.push_back(Listing.Key);
+    else
+      Update.Added.push_back({Listing.Key, Listing.Service, Listing.Domain});
+  }
+  if (!Update.Added.empty() || !Update.Removed.empty())
+    Outbox.push(std::move(Update));
+}
+
 void decision_thread::handleEntries(const entries_listed &Listed) {
   if (WorkShare) {
     entries_update PeerEntries;
-    for (const served_entry &Entry : Listed.Entries)
+    tunnel_entries_update TunnelEntries;
+    for (const served_entry &Entry : Listed.Entries) {
       PeerEntries.Entries.push_back({Entry.WorkAddress, Entry.Domain});
+      TunnelEntries.Entries.push_back({Entry.WorkAddress, Entry.Domain});
+    }
     WorkShare->commands().push(std::move(PeerEntries));
+    Outbox.push(std::move(TunnelEntries));
   }
   if (!DecisionOptions.RetryReserve)
     return;
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -101,6 +101,7 @@
   void handlePermitReply(const permit_reply &Reply, mono_time Now);
   void sendPermitMessages(mono_time Now);
   void handleEntries(const entries_listed &Listed);
+  void forwardListings();
   void publishLoads(mono_time Now);
   [[nodiscard]] bool loadsDiffer(const std::vector<work_load> &Loads, mono_time Now) const;
   void installDeclaration(declaration_view View);
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -151,17 +151,26 @@
 }
 
 result<done, entry_error> entry::startRelay() {
-  Relay = relay_builder(Io, Decision->events())
-              .attemptLists(Decision->attemptLists())
-              .crashUpdates(Decision->crashUpdates())
-              .rateLimits(Decision->rateLimits())
-              .process(Self)
-              .limits(limitsOf(Settings))
-              .metrics(Registry)
-              .interface(usesPlatform() ? platformCalls() : call_interface())
-              .onCallEnd([this](const call_record &Record) { handleCallEnd(Record); })
-              .onAnswerBroken(logBrokenAnswer)
-              .build();
+  relay_builder Builder(Io, Decision->events());
+  Builder.attemptLists(Decision->attemptLists())
+      .crashUpdates(Decision->crashUpdates())
+      .rateLimits(Decision->rateLimits())
+      .process(Self)
+      .limits(limitsOf(Settings))
+      .metrics(Registry)
+      .interface(usesPlatform() ? platformCalls() : call_interface())
+      .onCallEnd([this](const call_record &Record) { handleCallEnd(Record); })
+      .onAnswerBroken(logBrokenAnswer)
+      .onPathChange(logPathChange);
+  // Other entries ask for tunnels by TCP at the address that takes work reports by UDP.
+  if (WorkShare)
+    Builder.tunnels(Settings.Fleet,
+                    {WorkShare->address(), failure_domain_name(Settings.FailureDomain)});
+  Relay = Builder.build();
+  if (const auto Tunnels = WorkShare ? Relay->listenForTunnels(WorkShare->address())
+                                     : result<done, relay_error>(done{});
+      !succeeded(Tunnels))
+    return entry_error{errorOf(Tunnels).Text};
   Decision->orders().onWake([this] {
     asio::post(Io, [this] {
       Decision->orders().drain([this](relay_order &&Order) { Relay->handle(std::move(Order)); });
--- a/programs/pollenstall-entry/entry_base.h
+++ b/programs/pollenstall-entry/entry_base.h
@@ -58,6 +58,7 @@
   [[nodiscard]] std::optional<std::string> dumpRelay(std::chrono::milliseconds Limit);
   [[nodiscard]] std::size_t openCalls();
   /// Logs that a port is open. @param Purpose What the port is for.
+  static void logPathChange(const path_change &Change);
   static void logBrokenAnswer(const broken_answer &Broken);
   static void logListening(const char *Purpose, const std::string &Address);
   void handleCallEnd(const call_record &Record);
--- a/programs/pollenstall-entry/entry_report.cpp
+++ b/programs/pollenstall-entry/entry_report.cpp
@@ -50,6 +50,14 @@
             {"caller_has_part", Broken.CallerHasPart}});
 }
 
+void entry::logPathChange(const path_change &Change) {
+  const bool IsDirect = Change.Peer.empty();
+  logEvent(IsDirect ? log_level::Info : log_level::Warning, "path_changed",
+           {{"backend", toText(Change.Server)},
+            {"path", std::string(IsDirect ? "direct" : "peer")},
+            {"peer", Change.Peer}});
+}
+
 void entry::logListening(const char *Purpose, const std::string &Address) {
   logEvent(log_level::Info, "listening", {{"what", std::string(Purpose)}, {"address", Address}});
 }
--- a/programs/pollenstall-entry/entry_stop.cpp
+++ b/programs/pollenstall-entry/entry_stop.cpp
@@ -33,7 +33,7 @@
 std::size_t entry::openCalls() {
   auto Answer = std::make_shared<std::promise<std::size_t>>();
   std::future<std::size_t> Future = Answer->get_future();
-  asio::post(Io, [this, Answer] { Answer->set_value(Relay->openCalls()); });
+  asio::post(Io, [this, Answer] { Answer->set_value(Relay->openCalls() + Relay->openTunnels()); });
   return Future.get();
 }
 
--- /dev/null
+++ b/src/path/path.h
@@ -0,0 +1,9 @@
+/** @file path.h Public header of path: by which way an entry connects to a backend server. */
+#ifndef POLLENSTALL_PATH_PATH_H
+#define POLLENSTALL_PATH_PATH_H
+
+#include "path/path_table_base.h"   // IWYU pragma: export
+#include "path/path_type.h"         // IWYU pragma: export
+#include "path/tunnel_peers_base.h" // IWYU pragma: export
+
+#endif // POLLENSTALL_PATH_PATH_H
--- /dev/null
+++ b/src/path/path_table.cpp
@@ -0,0 +1,93 @@
+/** @file path_table.cpp Direct paths that work, and those that need a tunnel. */
+#include "path/path_table_base.h"
+
+namespace pollenstall {
+
+void path_table::addServer(const path_server &Server) {
+  const auto [Entry, IsNew] = Servers.try_emplace(Server.Key);
+  Entry->second.Service = Server.Service;
+  Entry->second.LastHeard =
+      &Groups.try_emplace({Server.Service, Server.Domain}, mono_time::min()).first->second;
+  if (IsNew)
+    Addresses.emplace(Server.Key.Address, Server.Key.Incarnation);
+}
+
+void path_table::removeServer(const backend_key &Server) {
+  const auto Found = Servers.find(Server);
+  if (Found == Servers.end())
+    return;
+  DetourCount -= Found->second.RecheckAt ? 1 : 0;
+  Servers.erase(Found);
+  const auto [First, Last] = Addresses.equal_range(Server.Address);
+  for (auto At = First; At != Last; ++At)
+    if (At->second == Server.Incarnation) {
+      Addresses.erase(At);
+      return;
+    }
+}
+
+path_plan path_table::planFor(const backend_key &Server, mono_time Now) const {
+  const auto Found = Servers.find(Server);
+  if (Found == Servers.end())
+    return path_plan::Direct;
+  const server_path &Path = Found->second;
+  if (Path.RecheckAt)
+    return Now < *Path.RecheckAt ? path_plan::Tunnel : path_plan::Both;
+  // Another server just needed a tunnel, so this one may need it as well.
+  const bool MayBeCut = LastTunnel != mono_time::min() &&
+                        Now - LastTunnel < Tuning.RecheckInterval && !mayReuse(Server, Now);
+  return MayBeCut ? path_plan::Both : path_plan::Direct;
+}
+
+bool path_table::mayReuse(const backend_key &Server, mono_time Now) const {
+  const auto Found = Servers.find(Server);
+  if (Found == Servers.end())
+    return true;
+  const mono_time LastHeard = *Found->second.LastHeard;
+  return LastHeard != mono_time::min() && Now - LastHeard <= Tuning.FreshTime;
+}
+
+bool path_table::hearsService(const backend_key &Server, mono_time Now) const {
+  const auto Found = Servers.find(Server);
+  if (Found == Servers.end())
+    return false;
+  // The groups of a service are as many as the failure domains.
+  for (auto Group = Groups.lower_bound({Found->second.Service, failure_domain_name()});
+       Group != Groups.end() && Group->first.first == Found->second.Service; ++Group)
+    if (Group->second != mono_time::min() && Now - Group->second < Tuning.RecheckInterval)
+      return true;
+  return false;
+}
+
+mono_time *path_table::lastHeard(const backend_key &Server) {
+  const auto Found = Servers.find(Server);
+  return Found == Servers.end() ? nullptr : Found->second.LastHeard;
+}
+
+bool path_table::recordDirect(const backend_key &Server, mono_time Now) {
+  const auto Found = Servers.find(Server);
+  if (Found == Servers.end())
+    return false;
+  *Found->second.LastHeard = Now;
+  if (!Found->second.RecheckAt)
+    return false;
+  Found->second.RecheckAt.reset();
+  --DetourCount;
+  return true;
+}
+
+bool path_table::recordTunnel(const backend_key &Server, mono_time Now) {
+  const auto Found = Servers.find(Server);
+  if (Found == Servers.end())
+    return false;
+  LastTunnel = Now;
+  std::optional<mono_time> &RecheckAt = Found->second.RecheckAt;
+  const bool Begins = !RecheckAt;
+  // Tunnels that are opened meanwhile must not put the recheck off.
+  if (Begins || Now >= *RecheckAt)
+    RecheckAt = Now + Tuning.RecheckInterval;
+  DetourCount += Begins ? 1 : 0;
+  return Begins;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/path/path_table_base.h
@@ -0,0 +1,76 @@
+/** @file path_table_base.h Decides whether connections to backend servers need a tunnel. */
+#ifndef POLLENSTALL_PATH_PATH_TABLE_BASE_H
+#define POLLENSTALL_PATH_PATH_TABLE_BASE_H
+
+#include "path/path_type.h"
+
+#include <map>
+#include <optional>
+#include <utility>
+
+namespace pollenstall {
+
+/**
+ * What this entry has seen of its direct paths to backend servers.
+ *
+ * A partition may separate an entry from all backend servers, or from some, while its peers reach
+ * them. It shows in connections that fail or hang although a peer connects to the same server. A
+ * server that has ended is refused to the peer, too, and needs no tunnel.
+ */
+class path_table {
+public:
+  explicit path_table(const path_tuning &InitialTuning = {}) : Tuning(InitialTuning) {}
+
+  void addServer(const path_server &Server);
+  void removeServer(const backend_key &Server);
+  /// Returns whether a server is known at the address.
+  [[nodiscard]] bool hasServerAt(const backend_address &Address) const {
+    return Addresses.contains(Address);
+  }
+  /// Returns the key of a server at the address, which must be known.
+  [[nodiscard]] backend_key serverAt(const backend_address &Address) const {
+    return {Address, Addresses.find(Address)->second};
+  }
+
+  /// Returns how to make the next connection; Direct for an unknown server.
+  [[nodiscard]] path_plan planFor(const backend_key &Server, mono_time Now) const;
+  /// Returns whether an open direct connection to the server may be reused; true if it is unknown.
+  [[nodiscard]] bool mayReuse(const backend_key &Server, mono_time Now) const;
+  /// Returns whether a server of the same service was heard of directly a short time ago.
+  [[nodiscard]] bool hearsService(const backend_key &Server, mono_time Now) const;
+  /// Returns where the time of bytes received directly from the server is written; nullptr if it is
+  /// unknown. Valid for the lifetime of this object.
+  [[nodiscard]] mono_time *lastHeard(const backend_key &Server);
+
+  /// Records a direct connection. @return Whether it ends a detour.
+  bool recordDirect(const backend_key &Server, mono_time Now);
+  /// Records that a peer connected to the server while the direct path failed or was too slow.
+  /// @return Whether a detour begins.
+  bool recordTunnel(const backend_key &Server, mono_time Now);
+  /// Returns whether tunnels carry the connections to the server.
+  [[nodiscard]] bool needsTunnel(const backend_key &Server) const {
+    const auto Found = Servers.find(Server);
+    return Found != Servers.end() && Found->second.RecheckAt.has_value();
+  }
+  /// Returns the number of servers whose connections need a tunnel.
+  [[nodiscard]] std::size_t detours() const { return DetourCount; }
+
+private:
+  using group_key = std::pair<service_name, failure_domain_name>;
+  struct server_path {
+    service_name Service;
+    mono_time *LastHeard{nullptr};      ///< Of the server's group.
+    std::optional<mono_time> RecheckAt; ///< Set while tunnels carry its connections.
+  };
+
+  path_tuning Tuning;
+  std::map<backend_key, server_path> Servers;
+  std::multimap<backend_address, incarnation> Addresses;
+  std::map<group_key, mono_time> Groups; ///< When a server of the group was last heard of directly.
+  mono_time LastTunnel{mono_time::min()};
+  std::size_t DetourCount{0};
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PATH_PATH_TABLE_BASE_H
--- /dev/null
+++ b/src/path/path_type.h
@@ -0,0 +1,68 @@
+/** @file path_type.h Ways to connect to a backend server, and their tuning. */
+#ifndef POLLENSTALL_PATH_PATH_TYPE_H
+#define POLLENSTALL_PATH_PATH_TYPE_H
+
+#include "core/core.h"
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+
+namespace pollenstall {
+
+/// How the next connection to a backend server is made. A tunnel runs through another entry, which
+/// makes the connection to the server.
+enum class path_plan : std::uint8_t {
+  Direct, ///< Directly; also through a tunnel if that fails or takes too long.
+  Both,   ///< Both at once; the first that connects is used.
+  Tunnel, ///< Through a tunnel; directly only if no peer offers one.
+};
+
+/// A backend server whose connections this entry may make or carry.
+struct path_server {
+  backend_key Key;
+  service_name Service;
+  failure_domain_name Domain;
+};
+
+/// Another entry that may carry connections.
+struct tunnel_peer {
+  std::string Address; ///< "IP:port" at which it accepts tunnels.
+  failure_domain_name Domain;
+
+  bool operator==(const tunnel_peer &) const = default;
+};
+
+/// Why a peer did not open a tunnel.
+enum class tunnel_failure : std::uint8_t {
+  PeerUnreachable, ///< The peer accepts no connection or does not answer in time.
+  NoDirectPath,    ///< The peer itself needs a tunnel to the server.
+  ServerSilent,    ///< The peer could not connect, and hears no other server of the service.
+  Busy,            ///< The peer carries as many connections as it may.
+  Forbidden,       ///< The peer does not know this entry, or the server.
+  ServerDown,      ///< The peer could not connect, but hears other servers of the service.
+};
+
+/// Tuning of the choice between paths.
+struct path_tuning {
+  /// Open connections are reused only if a server of the same service and failure domain was heard
+  /// of directly within this time. Behind a cut, an open connection accepts a request and stays
+  /// silent; a new connection shows the cut.
+  mono_duration FreshTime{std::chrono::milliseconds(250)};
+  /// A direct connection that takes longer than this is also tried through a tunnel. Many times the
+  /// delay between failure domains.
+  mono_duration HedgeDelay{std::chrono::milliseconds(100)};
+  /// While tunnels carry the connections to a server, the direct path is tried again after this.
+  mono_duration RecheckInterval{std::chrono::milliseconds(500)};
+  /// Time that a peer has to connect to the server.
+  mono_duration PeerConnectTimeout{std::chrono::milliseconds(300)};
+  /// Peers tried for one connection.
+  std::uint32_t MaxPeerTries{6};
+  /// Pause of a peer after its first failure; doubles with each further one.
+  mono_duration PeerPause{std::chrono::milliseconds(500)};
+  mono_duration MaxPeerPause{std::chrono::seconds(8)};
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PATH_PATH_TYPE_H
--- /dev/null
+++ b/src/path/tunnel_peers_base.h
@@ -0,0 +1,62 @@
+/** @file tunnel_peers_base.h Chooses the peer that carries a connection. */
+#ifndef POLLENSTALL_PATH_TUNNEL_PEERS_BASE_H
+#define POLLENSTALL_PATH_TUNNEL_PEERS_BASE_H
+
+#include "path/path_type.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pollenstall {
+
+/**
+ * The other entries, with what this one has seen of them as carriers of connections.
+ *
+ * Peers of the same failure domain come first, each with the same probability, so that those that
+ * reach the servers share the load. A peer that failed is passed over for a time that doubles: when
+ * most entries are cut off together, most peers fail.
+ */
+class tunnel_peers {
+public:
+  /// @param Self Address of this entry, which is no peer. @param Domain Its failure domain.
+  tunnel_peers(std::string Self, failure_domain_name Domain, std::uint64_t Seed,
+               const path_tuning &InitialTuning = {})
+      : OwnAddress(std::move(Self)), OwnDomain(std::move(Domain)), Random(Seed),
+        Tuning(InitialTuning) {}
+
+  /// Sets all entries; this one may be among them.
+  void setEntries(const std::vector<tunnel_peer> &Entries);
+  [[nodiscard]] const std::string &ownAddress() const { return OwnAddress; }
+  /// Returns whether an entry with this IP address is known.
+  [[nodiscard]] bool hasEntryAt(const std::string &IpAddress) const {
+    return IpAddresses.contains(IpAddress);
+  }
+
+  /// Returns a peer that may carry a connection now; nothing if none may.
+  /// @param Tried Peers that are not chosen again.
+  std::optional<std::string> choose(const std::vector<std::string> &Tried, mono_time Now);
+  /// Records that the peer opened a tunnel.
+  void recordSuccess(const std::string &Peer);
+  void recordFailure(const std::string &Peer, tunnel_failure Failure, mono_time Now);
+
+private:
+  struct peer_state {
+    failure_domain_name Domain;
+    std::uint32_t Failures{0}; ///< Consecutive ones.
+    mono_time PausedUntil{mono_time::min()};
+  };
+
+  std::string OwnAddress;
+  failure_domain_name OwnDomain;
+  random_source Random;
+  path_tuning Tuning;
+  std::map<std::string, peer_state> Peers; ///< By address.
+  std::set<std::string> IpAddresses;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_PATH_TUNNEL_PEERS_BASE_H
--- a/src/relay/backend_connection_pool.cpp
+++ b/src/relay/backend_connection_pool.cpp
@@ -1,30 +1,10 @@
 /** @file backend_connection_pool.cpp Opens and pools connections to backend servers. */
 #include "relay/backend_connection_pool_base.h"
 
-#include "address/address.h"
-
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
-#include <netinet/in.h>
-#include <netinet/tcp.h>
-#include <sys/socket.h>
-
 namespace pollenstall {
 
 namespace asio = boost::asio;
 
-namespace {
-
-/// Without it, a connection to an unreachable peer stays open for as long as the kernel
-/// retransmits.
-void limitUnacknowledged(int Handle, std::chrono::milliseconds Limit) {
-  const auto Millis = static_cast<unsigned>(Limit.count());
-  setsockopt(Handle, IPPROTO_TCP, TCP_USER_TIMEOUT, &Millis, sizeof(Millis));
-}
-
-} // namespace
-
 backend_connection backend_connection_pool::takeIdleConnection(const backend_key &Backend) {
   const auto Found = Idle.find(Backend);
   if (Found == Idle.end())
@@ -44,45 +24,33 @@
   return nullptr;
 }
 
-asio::awaitable<backend_connection>
-backend_connection_pool::connect(const backend_key &Backend, boost::system::error_code &Code) {
-  const auto Endpoint = tcpEndpoint(Backend.Address.str());
-  if (!Endpoint)
-    co_return nullptr;
-  asio::ip::tcp::socket Socket(Sweeper.io());
-  Socket.open(Endpoint->protocol(), Code);
-  if (Code)
-    co_return nullptr;
-  auto Connection = std::make_unique<timed_socket>(Sweeper, std::move(Socket));
-  limitUnacknowledged(Connection->raw().native_handle(), Limits.UserTimeout);
-  Connection->expireAt(boot_clock::now() + Limits.ConnectTimeout);
-  co_await Connection->raw().async_connect(*Endpoint,
-                                           asio::redirect_error(asio::use_awaitable, Code));
-  if (Code || Connection->expired())
-    co_return nullptr;
-  Connection->expireNever();
-  co_return Connection;
+/// Another connection will take its place; a group that is seldom used must not collect them.
+void backend_connection_pool::closeOldestIdle(const backend_key &Backend) {
+  const auto Found = Idle.find(Backend);
+  if (Found == Idle.end())
+    return;
+  Found->second.pop_front();
+  if (Found->second.empty())
+    Idle.erase(Found);
 }
 
 asio::awaitable<backend_connection> backend_connection_pool::open(const backend_key &Backend,
                                                                   connection_reuse Reuse) {
-  if (Reuse == connection_reuse::Allowed)
-    if (backend_connection Pooled = takeIdleConnection(Backend))
+  if (Reuse == connection_reuse::Allowed) {
+    if (!Connector.paths().mayReuse(Backend, boot_clock::now()))
+      closeOldestIdle(Backend);
+    else if (backend_connection Pooled = takeIdleConnection(Backend))
       co_return Pooled;
-  boost::system::error_code Code;
-  co_return co_await connect(Backend, Code);
-}
-
-asio::awaitable<bool> backend_connection_pool::refusesConnections(const backend_key &Backend) {
-  boost::system::error_code Code;
-  const backend_connection Opened = co_await connect(Backend, Code);
-  co_return !Opened && Code == asio::error::connection_refused;
+  }
+  co_return co_await Connector.connect(Backend);
 }
 
 void backend_connection_pool::returnToPool(const backend_key &Backend,
                                            backend_connection Connection,
                                            std::optional<std::chrono::milliseconds> IdleLimit,
                                            std::size_t MaxIdle) {
+  if (!Connection->carrier().empty())
+    return; // The direct path may work again when it is needed next.
   const auto Limit = std::min(IdleLimit.value_or(Limits.BackendIdle), Limits.BackendIdle);
   Connection->expireNever();
   std::deque<idle_connection> &IdleConnections = Idle[Backend];
--- a/src/relay/backend_connection_pool_base.h
+++ b/src/relay/backend_connection_pool_base.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_RELAY_BACKEND_CONNECTION_POOL_BASE_H
 #define POLLENSTALL_RELAY_BACKEND_CONNECTION_POOL_BASE_H
 
+#include "relay/backend_connector_base.h"
 #include "relay/relay_type.h"
 #include "relay/timed_socket_base.h"
 
@@ -15,9 +16,6 @@
 
 namespace pollenstall {
 
-/// A connection with a single user.
-using backend_connection = std::unique_ptr<timed_socket>;
-
 /// Whether a pooled connection may be used.
 enum class connection_reuse : std::uint8_t {
   Allowed,
@@ -33,14 +31,11 @@
 class backend_connection_pool {
 public:
   backend_connection_pool(socket_sweeper &Owner, const relay_limits &Bounds)
-      : Sweeper(Owner), Limits(Bounds) {}
+      : Limits(Bounds), Connector(Owner, Bounds) {}
 
   /// Returns a connection to send on, or null if none could be made in time.
   boost::asio::awaitable<backend_connection> open(const backend_key &Backend,
                                                   connection_reuse Reuse);
-  /// Returns whether the server's address refuses connections, which means that the server has
-  /// ended.
-  boost::asio::awaitable<bool> refusesConnections(const backend_key &Backend);
   /// Returns a connection to the pool after its answer has been read completely.
   /// @param IdleLimit The server's own idle timeout for the connection, if it named one.
   /// @param MaxIdle Further idle connections to the server are closed.
@@ -50,6 +45,8 @@
   /// Closes connections whose idle timeout has passed.
   void closeIdle(mono_time Now);
   [[nodiscard]] std::size_t idle() const;
+  [[nodiscard]] backend_connector &connector() { return Connector; }
+  [[nodiscard]] const backend_connector &connector() const { return Connector; }
 
 private:
   struct idle_connection {
@@ -58,11 +55,10 @@
   };
 
   backend_connection takeIdleConnection(const backend_key &Backend);
-  boost::asio::awaitable<backend_connection> connect(const backend_key &Backend,
-                                                     boost::system::error_code &Code);
+  void closeOldestIdle(const backend_key &Backend);
 
-  socket_sweeper &Sweeper;
   const relay_limits &Limits;
+  backend_connector Connector;
   std::map<backend_key, std::deque<idle_connection>> Idle; ///< Oldest first.
 };
 
--- /dev/null
+++ b/src/relay/backend_connector.cpp
@@ -0,0 +1,197 @@
+/** @file backend_connector.cpp Races direct connections and tunnels. */
+#include "relay/backend_connector_base.h"
+
+#include "address/address.h"
+#include "relay/rethrow_func.h"
+#include "relay/socket_limit_func.h"
+#include "relay/tunnel_client_func.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <set>
+
+namespace pollenstall {
+
+namespace asio = boost::asio;
+
+/// The connections that are being made for one caller of connect().
+struct backend_connector::race {
+  race(asio::io_context &Io, backend_key Target, mono_time Until)
+      : Server(std::move(Target)), Deadline(Until), Changed(Io) {}
+
+  backend_key Server;
+  mono_time Deadline;
+  asio::steady_timer Changed; ///< Cancelled when a connection was made or failed.
+  backend_connection Winner;
+  std::string WinningPeer; ///< Empty: the winner is direct.
+  bool Decided{false};
+  bool TriedDirectly{false};
+  bool DirectFailed{false};
+  bool SeenDown{false}; ///< A peer could not connect, though it hears other servers.
+  std::uint32_t Pending{0};
+  std::vector<std::string> Tried;   ///< Peers that were asked.
+  std::set<std::string> Unanswered; ///< Those that are still connecting.
+  std::set<std::string> Silent;     ///< Those that got no answer from the server.
+};
+
+asio::awaitable<backend_connection>
+backend_connector::connectDirectly(const backend_key &Server, mono_duration Timeout,
+                                   boost::system::error_code &Code) {
+  const auto Endpoint = tcpEndpoint(Server.Address.str());
+  if (!Endpoint)
+    co_return nullptr;
+  if (const auto Effect = Partition ? Partition() : partition_effect::None;
+      Effect != partition_effect::None) {
+    if (Effect == partition_effect::Silence) {
+      asio::steady_timer Timer(Sweeper.io(), Timeout);
+      co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Code));
+    }
+    Code = Effect == partition_effect::Silence ? asio::error::timed_out
+                                               : asio::error::connection_refused;
+    co_return nullptr;
+  }
+  asio::ip::tcp::socket Socket(Sweeper.io());
+  Socket.open(Endpoint->protocol(), Code);
+  if (Code)
+    co_return nullptr;
+  auto Connection = std::make_unique<timed_socket>(Sweeper, std::move(Socket));
+  limitUnacknowledged(Connection->raw(), Limits.UserTimeout);
+  Connection->expireAt(boot_clock::now() + Timeout);
+  co_await Connection->raw().async_connect(*Endpoint,
+                                           asio::redirect_error(asio::use_awaitable, Code));
+  if (Code || Connection->expired())
+    co_return nullptr;
+  Connection->expireNever();
+  Connection->noteBytesAt(Paths.lastHeard(Server));
+  co_return Connection;
+}
+
+asio::awaitable<void> backend_connector::runDirect(std::shared_ptr<race> Race) {
+  boost::system::error_code Code;
+  const mono_time Started = boot_clock::now();
+  backend_connection Connection =
+      co_await connectDirectly(Race->Server, Limits.ConnectTimeout, Code);
+  --Race->Pending;
+  Race->DirectFailed = !Connection;
+  const mono_time Now = boot_clock::now();
+  // A late success says little: the server's queue of connections may have been full.
+  if (Connection && (!Race->Decided || Now - Started < Tuning.HedgeDelay) &&
+      Paths.recordDirect(Race->Server, Now))
+    reportChange(Race->Server, {});
+  if (Connection && !Race->Decided) {
+    Race->Decided = true;
+    Race->Winner = std::move(Connection);
+  }
+  Race->Changed.cancel();
+}
+
+asio::awaitable<void> backend_connector::runTunnel(std::shared_ptr<race> Race, std::string Peer) {
+  // A named object: g++ 12 destroys a braced temporary in an awaited call twice.
+  tunnel_request Request{Fleet, Peers->ownAddress(), Peer, Race->Server.Address, Race->Deadline};
+  tunnel_result Opened = co_await openTunnel(Sweeper, std::move(Request));
+  --Race->Pending;
+  Race->Unanswered.erase(Peer);
+  const auto *Failure = std::get_if<tunnel_failure>(&Opened);
+  if (AtTunnelResult)
+    AtTunnelResult(Failure ? std::optional(*Failure) : std::nullopt);
+  if (!Failure)
+    Peers->recordSuccess(Peer);
+  else if (*Failure == tunnel_failure::ServerSilent)
+    Race->Silent.insert(Peer);
+  else
+    Peers->recordFailure(Peer, *Failure, boot_clock::now());
+  Race->SeenDown = Race->SeenDown || (Failure && *Failure == tunnel_failure::ServerDown);
+  if (!Failure && !Race->Decided) {
+    Race->Decided = true;
+    Race->Winner = std::move(std::get<backend_connection>(Opened));
+    Race->WinningPeer = Peer;
+  }
+  Race->Changed.cancel();
+}
+
+void backend_connector::startDirect(const std::shared_ptr<race> &Race) {
+  Race->TriedDirectly = true;
+  if (Sweeper.stopped())
+    return;
+  ++Race->Pending;
+  asio::co_spawn(Sweeper.io(), runDirect(Race), rethrow);
+}
+
+bool backend_connector::startTunnel(const std::shared_ptr<race> &Race) {
+  if (!Peers || Sweeper.stopped() || Race->Tried.size() >= Tuning.MaxPeerTries)
+    return false;
+  const auto Peer = Peers->choose(Race->Tried, boot_clock::now());
+  if (!Peer)
+    return false;
+  Race->Tried.push_back(*Peer);
+  Race->Unanswered.insert(*Peer);
+  ++Race->Pending;
+  asio::co_spawn(Sweeper.io(), runTunnel(Race, *Peer), rethrow);
+  return true;
+}
+
+void backend_connector::recordWinner(const race &Race) {
+  if (!Race.Winner || Race.WinningPeer.empty())
+    return;
+  const mono_time Now = boot_clock::now();
+  // The winner shows that the server answers: the peers that it did not answer are cut off as well.
+  for (const auto *Slower : {&Race.Silent, &Race.Unanswered})
+    for (const std::string &Peer : *Slower)
+      Peers->recordFailure(Peer, tunnel_failure::ServerSilent, Now);
+  if (Paths.recordTunnel(Race.Server, Now))
+    reportChange(Race.Server, Race.WinningPeer);
+}
+
+void backend_connector::reportChange(const backend_key &Server, const std::string &Peer) {
+  if (AtPathChange)
+    AtPathChange({Server, Peer});
+}
+
+asio::awaitable<backend_connection> backend_connector::connect(backend_key Server) {
+  const mono_time Started = boot_clock::now();
+  const path_plan Plan = Peers ? Paths.planFor(Server, Started) : path_plan::Direct;
+  const auto Race = std::make_shared<race>(Sweeper.io(), std::move(Server),
+                                           Started + Limits.ConnectTimeout + Tuning.HedgeDelay);
+  if (Plan != path_plan::Tunnel)
+    startDirect(Race);
+  if (Plan != path_plan::Direct && !startTunnel(Race) && !Race->TriedDirectly)
+    startDirect(Race);
+  boost::system::error_code Ignored;
+  mono_time HedgeAt = Started + Tuning.HedgeDelay;
+  while (!Race->Winner) {
+    const mono_time Now = boot_clock::now();
+    const bool DirectIsLate =
+        Race->DirectFailed || !Race->TriedDirectly || !Race->Tried.empty() || Now >= HedgeAt;
+    const bool PeersAreLate = Race->Unanswered.empty() || Now >= HedgeAt;
+    if (DirectIsLate && PeersAreLate && !Race->SeenDown) {
+      HedgeAt = Now + Tuning.HedgeDelay;
+      if (!startTunnel(Race) && !Race->TriedDirectly)
+        startDirect(Race);
+    }
+    if (Race->Pending == 0 || Now >= Race->Deadline)
+      break;
+    Race->Changed.expires_after(std::max(mono_duration(0), HedgeAt - Now));
+    co_await Race->Changed.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+  }
+  Race->Decided = true;
+  recordWinner(*Race);
+  co_return std::move(Race->Winner);
+}
+
+asio::awaitable<bool> backend_connector::refusesConnections(const backend_key &Server) {
+  boost::system::error_code Code;
+  const backend_connection Opened = co_await connectDirectly(Server, Limits.ConnectTimeout, Code);
+  if (Opened || Code != asio::error::connection_refused)
+    co_return false;
+  const auto Peer = Peers ? Peers->choose({}, boot_clock::now()) : std::optional<std::string>();
+  if (!Peer)
+    co_return true;
+  tunnel_request Request{Fleet, Peers->ownAddress(), *Peer, Server.Address,
+                         boot_clock::now() + Limits.ConnectTimeout};
+  const tunnel_result Seen = co_await openTunnel(Sweeper, std::move(Request));
+  const auto *Failure = std::get_if<tunnel_failure>(&Seen);
+  co_return Failure &&*Failure == tunnel_failure::ServerDown;
+}
+
+} // namespace pollenstall
--- /dev/null
+++ b/src/relay/backend_connector_base.h
@@ -0,0 +1,104 @@
+/** @file backend_connector_base.h Makes connections to backend servers, directly or through peers.
+ */
+#ifndef POLLENSTALL_RELAY_BACKEND_CONNECTOR_BASE_H
+#define POLLENSTALL_RELAY_BACKEND_CONNECTOR_BASE_H
+
+#include "path/path.h"
+#include "relay/relay_type.h"
+#include "relay/timed_socket_base.h"
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pollenstall {
+
+/// A connection with a single user.
+using backend_connection = std::unique_ptr<timed_socket>;
+
+/// What a network partition does to new direct connections.
+enum class partition_effect : std::uint8_t {
+  None,    ///< No partition: they are made.
+  Silence, ///< They hang.
+  Refusal, ///< They are refused.
+};
+
+/// A backend server whose connections begin or cease to need a tunnel.
+struct path_change {
+  backend_key Server;
+  std::string Peer; ///< The peer that carries the first such connection; empty: direct again.
+};
+
+/**
+ * Connects as path_table decides. Where the direct path fails or hangs, peers are asked one after
+ * the other to carry the connection; the first connection that is made is used, the others are
+ * closed before a byte of the request was sent on them.
+ */
+class backend_connector {
+public:
+  backend_connector(socket_sweeper &Owner, const relay_limits &Bounds)
+      : Sweeper(Owner), Limits(Bounds) {}
+
+  /// Allows tunnels. Without it all connections are direct.
+  void useTunnels(std::string FleetName, tunnel_peers OtherEntries) {
+    Fleet = std::move(FleetName);
+    Peers.emplace(std::move(OtherEntries));
+  }
+  void setEntries(const std::vector<tunnel_peer> &Entries) {
+    if (Peers)
+      Peers->setEntries(Entries);
+  }
+  [[nodiscard]] path_table &paths() { return Paths; }
+  [[nodiscard]] const path_table &paths() const { return Paths; }
+  [[nodiscard]] const std::optional<tunnel_peers> &peers() const { return Peers; }
+  [[nodiscard]] const std::string &fleet() const { return Fleet; }
+
+  void onPathChange(std::function<void(const path_change &)> Hook) {
+    AtPathChange = std::move(Hook);
+  }
+  /// Sets a hook for the result of each request for a tunnel; no failure: it was opened.
+  void onTunnelResult(std::function<void(std::optional<tunnel_failure>)> Hook) {
+    AtTunnelResult = std::move(Hook);
+  }
+
+  /// Simulates a partition between this entry and the servers, for tests.
+  void simulatePartition(std::function<partition_effect()> Hook) { Partition = std::move(Hook); }
+
+  /// Returns a new connection, or null if none could be made in time.
+  boost::asio::awaitable<backend_connection> connect(backend_key Server);
+  /// Connects without a tunnel.
+  /// @param Code Why no connection was made.
+  boost::asio::awaitable<backend_connection> connectDirectly(const backend_key &Server,
+                                                             mono_duration Timeout,
+                                                             boost::system::error_code &Code);
+  /// Returns whether the server's host refuses connections to its port, which means that the server
+  /// has ended. A partition may refuse them, too, so that a peer must see the same.
+  boost::asio::awaitable<bool> refusesConnections(const backend_key &Server);
+
+private:
+  struct race;
+
+  void startDirect(const std::shared_ptr<race> &Race);
+  bool startTunnel(const std::shared_ptr<race> &Race);
+  boost::asio::awaitable<void> runDirect(std::shared_ptr<race> Race);
+  boost::asio::awaitable<void> runTunnel(std::shared_ptr<race> Race, std::string Peer);
+  void recordWinner(const race &Race);
+  void reportChange(const backend_key &Server, const std::string &Peer);
+
+  socket_sweeper &Sweeper;
+  const relay_limits &Limits;
+  std::string Fleet;
+  path_tuning Tuning;
+  path_table Paths;
+  std::optional<tunnel_peers> Peers;
+  std::function<void(const path_change &)> AtPathChange;
+  std::function<void(std::optional<tunnel_failure>)> AtTunnelResult;
+  std::function<partition_effect()> Partition; ///< Not set outside of tests.
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_RELAY_BACKEND_CONNECTOR_BASE_H
--- a/src/relay/crash_detector.cpp
+++ b/src/relay/crash_detector.cpp
@@ -25,7 +25,7 @@
 }
 
 asio::awaitable<void> crash_detector::probe(backend_key Backend) {
-  const bool Ended = co_await Pool.refusesConnections(Backend);
+  const bool Ended = co_await Pool.connector().refusesConnections(Backend);
   const auto Calls = std::move(BrokenCalls.extract(Backend).mapped());
   if (!Ended)
     co_return;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -100,6 +100,18 @@
 
   void execute(suspects_update &&Order) { Context.Suspects = std::move(Order.List); }
 
+  void execute(path_servers_update &&Order) {
+    path_table &Paths = Context.Pool.connector().paths();
+    for (const path_server &Server : Order.Added)
+      Paths.addServer(Server);
+    for (const backend_key &Server : Order.Removed)
+      Paths.removeServer(Server);
+  }
+
+  void execute(tunnel_entries_update &&Order) {
+    Context.Pool.connector().setEntries(Order.Entries);
+  }
+
   void execute(list_attempts &&Order) {
     asio::co_spawn(Context.Io, list(std::move(Order.Backend)), rethrow);
   }
@@ -120,6 +132,7 @@
   void stop() {
     Stopped = true;
     Context.Ended = true;
+    Context.Tunnels.stop();
     error_code Ignored;
     Acceptor.close(Ignored);
     Housekeeping.cancel();
@@ -136,6 +149,18 @@
     Context.Sweeper.stop();
   }
 
+  void useTunnels(const std::string &Fleet, const tunnel_peer &OwnPeer, std::uint64_t Seed,
+                  std::function<void(const path_change &)> AtPathChange) {
+    backend_connector &Connector = Context.Pool.connector();
+    Connector.useTunnels(Fleet, tunnel_peers(OwnPeer.Address, OwnPeer.Domain, Seed));
+    Connector.onPathChange(std::move(AtPathChange));
+    Connector.onTunnelResult(
+        [this](std::optional<tunnel_failure> Failure) { Metrics.countTunnelOpened(Failure); });
+    Context.Tunnels.onRequest([this](std::optional<tunnel_failure> Failure, const std::string &) {
+      Metrics.countTunnelCarried(Failure);
+    });
+  }
+
   [[nodiscard]] bool stopped() const { return Stopped; }
 
   [[nodiscard]] std::string dump() const {
@@ -145,6 +170,8 @@
     State["open_exchanges"] = Exchanges.size();
     State["cancels_under_way"] = Cancels.size();
     State["idle_backend_connections"] = Context.Pool.idle();
+    State["servers_through_peers"] = Context.Pool.connector().paths().detours();
+    State["tunnels_carried"] = Context.Tunnels.open();
     State["body_bytes"] = Context.BodyBytes;
     State["events_waiting"] = Context.Outbox.queued();
     State["takes_requests"] = Context.Declaration != nullptr && !Context.Stopping;
@@ -222,6 +249,8 @@
         return;
       Context.Outbox.flush();
       Context.Pool.closeIdle(boot_clock::now());
+      Context.Metrics.Detours.Set(static_cast<double>(Context.Pool.connector().paths().detours()));
+      Context.Metrics.TunnelsCarried.Set(static_cast<double>(Context.Tunnels.open()));
       Context.Metrics.BodyBytes.Set(static_cast<double>(Context.BodyBytes));
       runHousekeeping();
     });
@@ -256,7 +285,17 @@
   for (timed_socket *Socket : State->Context.IdleCallers)
     Socket->expireAt(boot_clock::now());
 }
-void relay::beginStop() { State->Context.Stopping = true; }
+void relay::beginStop() {
+  State->Context.Stopping = true;
+  State->Context.Tunnels.refuseNew();
+}
+result<done, relay_error> relay::listenForTunnels(std::string_view Address) {
+  const auto Listening = State->Context.Tunnels.listen(Address);
+  if (!succeeded(Listening))
+    return relay_error{errorOf(Listening)};
+  return done{};
+}
+std::size_t relay::openTunnels() const { return State->Context.Tunnels.open(); }
 void relay::stop() { State->stop(); }
 std::size_t relay::openCalls() const { return State->Context.Calls.size(); }
 std::string relay::dump() const { return State->dump(); }
@@ -309,11 +348,30 @@
   return *this;
 }
 
+relay_builder &relay_builder::tunnels(std::string FleetName, tunnel_peer SelfAsPeer) {
+  Fleet = std::move(FleetName);
+  OwnPeer = std::move(SelfAsPeer);
+  return *this;
+}
+
+relay_builder &relay_builder::simulatePartition(std::function<partition_effect()> Hook) {
+  Partition = std::move(Hook);
+  return *this;
+}
+
+relay_builder &relay_builder::onPathChange(std::function<void(const path_change &)> Hook) {
+  AtPathChange = std::move(Hook);
+  return *this;
+}
+
 std::unique_ptr<relay> relay_builder::build() {
   auto State = std::make_unique<relay::state>(Io, Self, Limits, Registry, Ring);
   State->Context.Interface = Interface;
   State->Context.AtCallEnd = AtCallEnd;
   State->Context.AtAnswerBroken = AtAnswerBroken;
+  State->Context.Pool.connector().simulatePartition(Partition);
+  if (OwnPeer)
+    State->useTunnels(Fleet, *OwnPeer, Self.Incarnation.value(), AtPathChange);
   State->Lists = Lists;
   // A full ring drops the answer; the next one states the limit again.
   if (RateLimits != nullptr)
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_RELAY_RELAY_BASE_H
 
 #include "core/core.h"
+#include "relay/backend_connector_base.h"
 #include "relay/call_interface_type.h"
 #include "relay/call_record_type.h"
 #include "relay/relay_metrics_base.h"
@@ -35,6 +36,8 @@
 
   /// Binds the callers' address and starts to accept connections. Returns the bound address.
   result<std::string, relay_error> listen(std::string_view Address);
+  /// Binds the address at which other entries ask this one to carry connections.
+  result<done, relay_error> listenForTunnels(std::string_view Address);
   /// Executes an order of the decision thread.
   void handle(relay_order &&Order);
   /// Closes each caller's connection after its current answer; new requests are still accepted.
@@ -45,6 +48,8 @@
   void stop();
   /// Returns the number of requests without a final answer.
   [[nodiscard]] std::size_t openCalls() const;
+  /// Returns the number of connections that this entry carries for others.
+  [[nodiscard]] std::size_t openTunnels() const;
   /// Returns the state as JSON, without keys and prompts.
   [[nodiscard]] std::string dump() const;
 
@@ -79,6 +84,14 @@
   /// Sets a hook that is called for each answer that its server broke off.
   relay_builder &onAnswerBroken(std::function<void(const broken_answer &)> Hook);
 
+  /// Allows connections through other entries, and theirs through this one; see tunnel_server.
+  /// @param SelfAsPeer The address at which this entry accepts tunnels, and its failure domain.
+  relay_builder &tunnels(std::string FleetName, tunnel_peer SelfAsPeer);
+  /// Simulates a partition between this entry and all backend servers, for tests.
+  relay_builder &simulatePartition(std::function<partition_effect()> Hook);
+  /// Sets a hook for backend servers whose connections begin or cease to need a tunnel.
+  relay_builder &onPathChange(std::function<void(const path_change &)> Hook);
+
   std::unique_ptr<relay> build();
 
 private:
@@ -93,6 +106,10 @@
   call_interface Interface;
   std::function<void(const call_record &)> AtCallEnd;
   std::function<void(const broken_answer &)> AtAnswerBroken;
+  std::string Fleet;
+  std::optional<tunnel_peer> OwnPeer;
+  std::function<void(const path_change &)> AtPathChange;
+  std::function<partition_effect()> Partition;
 };
 
 } // namespace pollenstall
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -11,6 +11,7 @@
 #include "relay/relay_metrics_base.h"
 #include "relay/relay_type.h"
 #include "relay/relayed_call_base.h"
+#include "relay/tunnel_server_base.h"
 #include "scheduling/scheduling.h"
 #include "suspect/suspect.h"
 
@@ -28,14 +29,15 @@
   relay_context(boost::asio::io_context &Context, process_key Process, const relay_limits &Bounds,
                 relay_metrics &Counters, bounded_ring<dispatch_event> &Events, std::uint64_t Seed)
       : Io(Context), Self(std::move(Process)), Limits(Bounds), Sweeper(Context),
-        Pool(Sweeper, Limits), Crashes(Context, Pool), Metrics(Counters), Outbox(Events),
-        Random(Seed) {}
+        Pool(Sweeper, Limits), Tunnels(Sweeper, Limits, Pool.connector()), Crashes(Context, Pool),
+        Metrics(Counters), Outbox(Events), Random(Seed) {}
 
   boost::asio::io_context &Io;
   const process_key Self;
   relay_limits Limits; ///< A declaration may replace the limits for callers.
   socket_sweeper Sweeper;
   backend_connection_pool Pool;
+  tunnel_server Tunnels;
   crash_detector Crashes;
   relay_metrics &Metrics;
   event_outbox<dispatch_event> Outbox;
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -25,6 +25,25 @@
   return {0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300};
 }
 
+std::string_view tunnelResultText(std::optional<tunnel_failure> Failure) {
+  if (!Failure)
+    return "opened";
+  switch (*Failure) {
+  case tunnel_failure::PeerUnreachable:
+    return "peer_unreachable";
+  case tunnel_failure::NoDirectPath:
+    return "no_direct_path";
+  case tunnel_failure::ServerSilent:
+    return "server_silent";
+  case tunnel_failure::Busy:
+    return "busy";
+  case tunnel_failure::Forbidden:
+    return "forbidden";
+  default:
+    return "server_down";
+  }
+}
+
 } // namespace
 
 std::string lengthClassText(length_class Class) {
@@ -45,12 +64,20 @@
       OpenStreams(
           gauge(Registry, "pollenstall_open_streams", "Attempts in progress, streamed or not")),
       BodyBytes(gauge(Registry, "pollenstall_body_bytes", "Bytes of request bodies held")),
+      Detours(gauge(Registry, "pollenstall_backends_through_peers",
+                    "Backend servers that this entry reaches through other entries only")),
+      TunnelsCarried(
+          gauge(Registry, "pollenstall_tunnels_carried", "Connections carried for other entries")),
       Requests(familyOf(prometheus::BuildCounter, "pollenstall_requests_total",
                         "Requests by outcome and reason", Registry)),
       AttemptEnds(familyOf(prometheus::BuildCounter, "pollenstall_attempt_ends_total",
                            "Ends of attempts by result", Registry)),
       AnswerEnds(familyOf(prometheus::BuildCounter, "pollenstall_answer_ends_total",
                           "Ends of backend servers' answers by framing and reason", Registry)),
+      TunnelsOpened(familyOf(prometheus::BuildCounter, "pollenstall_tunnels_opened_total",
+                             "Requests to other entries for a connection, by result", Registry)),
+      TunnelRequests(familyOf(prometheus::BuildCounter, "pollenstall_tunnel_requests_total",
+                              "Requests of other entries for a connection, by result", Registry)),
       FirstTokens(familyOf(prometheus::BuildHistogram, "pollenstall_first_token_seconds",
                            "Time from arrival to the first byte of the answer, by length class",
                            Registry)),
@@ -91,6 +118,14 @@
   Metric->Increment();
 }
 
+void relay_metrics::countTunnelOpened(std::optional<tunnel_failure> Failure) {
+  TunnelsOpened.Add({{"result", std::string(tunnelResultText(Failure))}}).Increment();
+}
+
+void relay_metrics::countTunnelCarried(std::optional<tunnel_failure> Failure) {
+  TunnelRequests.Add({{"result", std::string(tunnelResultText(Failure))}}).Increment();
+}
+
 void relay_metrics::observeGap(length_class Class, double Seconds) {
   GapByClass[static_cast<std::size_t>(Class)]->Observe(Seconds);
 }
--- a/src/relay/relay_metrics_base.h
+++ b/src/relay/relay_metrics_base.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_RELAY_RELAY_METRICS_BASE_H
 
 #include "dispatch/dispatch_type.h"
+#include "path/path_type.h"
 #include "relay/answer_end_type.h"
 #include "scheduling/scheduling_type.h"
 
@@ -31,6 +32,10 @@
   void countAttemptEnd(const std::string &Result);
   /// Counts an answer whose end was received, or that broke off.
   void countAnswerEnd(body_framing Framing, answer_end_reason Reason);
+  /// Counts a request of this entry for a tunnel. @param Failure Empty if the tunnel was opened.
+  void countTunnelOpened(std::optional<tunnel_failure> Failure);
+  /// Counts a request of another entry for a tunnel. @param Failure Empty if it was opened.
+  void countTunnelCarried(std::optional<tunnel_failure> Failure);
   void countEvents(std::uint64_t Count) { Events.Increment(static_cast<double>(Count)); }
   void countAnswerBytes(std::size_t Count) { AnswerBytes.Increment(static_cast<double>(Count)); }
   void countBadMessage() { BadMessages.Increment(); }
@@ -38,10 +43,12 @@
   /// Records the longest gap of an answer after its end.
   void observeGap(length_class Class, double Seconds);
 
-  prometheus::Gauge &Connections; ///< Callers' connections.
-  prometheus::Gauge &OpenCalls;   ///< Requests without a final answer.
-  prometheus::Gauge &OpenStreams; ///< Attempts in progress at this entry, streamed or not.
-  prometheus::Gauge &BodyBytes;   ///< Held in request bodies.
+  prometheus::Gauge &Connections;    ///< Callers' connections.
+  prometheus::Gauge &OpenCalls;      ///< Requests without a final answer.
+  prometheus::Gauge &OpenStreams;    ///< Attempts in progress at this entry, streamed or not.
+  prometheus::Gauge &BodyBytes;      ///< Held in request bodies.
+  prometheus::Gauge &Detours;        ///< Backend servers whose connections need a tunnel.
+  prometheus::Gauge &TunnelsCarried; ///< Connections carried for other entries.
 
 private:
   using request_key = std::pair<final_outcome, std::string>;
@@ -49,6 +56,8 @@
   prometheus::Family<prometheus::Counter> &Requests;
   prometheus::Family<prometheus::Counter> &AttemptEnds;
   prometheus::Family<prometheus::Counter> &AnswerEnds;
+  prometheus::Family<prometheus::Counter> &TunnelsOpened;
+  prometheus::Family<prometheus::Counter> &TunnelRequests;
   prometheus::Family<prometheus::Histogram> &FirstTokens;
   prometheus::Family<prometheus::Histogram> &Gaps;
   prometheus::Counter &Attempts;
--- a/src/relay/relay_type.h
+++ b/src/relay/relay_type.h
@@ -4,6 +4,7 @@
 
 #include "declaration/declaration.h"
 #include "dispatch/dispatch_type.h"
+#include "path/path_type.h"
 #include "suspect/suspect.h"
 
 #include <chrono>
@@ -30,6 +31,7 @@
   ms CancelTimeout{
       2'000}; ///< For one request of the entry itself: cancel, memory hold or list of attempts.
   ms BackendIdle{30'000};            ///< Idle timeout of a pooled connection to a backend server.
+  std::size_t MaxTunnels{512};       ///< Connections of other entries that this one carries.
   std::size_t MaxConnections{8'192}; ///< Maximum number of callers' connections.
   std::size_t MaxEventBytes{1U << 20U}; ///< Maximum size of one event of a stream.
   std::size_t BodyMemory{1U << 30U};    ///< Maximum size of all bodies in memory.
@@ -68,6 +70,17 @@
   std::vector<attempt_id> Attempts;
 };
 
+/// Backend servers that became known, and those that have ended.
+struct path_servers_update {
+  std::vector<path_server> Added;
+  std::vector<backend_key> Removed;
+};
+
+/// All entries that may carry connections for this one and for which it may.
+struct tunnel_entries_update {
+  std::vector<tunnel_peer> Entries;
+};
+
 /// The suspected requests. The relay refuses the blocked ones and reports any that completes.
 struct suspects_update {
   std::shared_ptr<const suspect_list> List;
@@ -77,8 +90,9 @@
 using crash_update = std::variant<crash_report, suspect_cleared>;
 
 /// Orders from the decision thread to the relay thread. Claims go to the control link instead.
-using relay_order = std::variant<start_attempt, resume_attempt, cancel_order, finish_request,
-                                 declaration_in_force, list_attempts, suspects_update>;
+using relay_order =
+    std::variant<start_attempt, resume_attempt, cancel_order, finish_request, declaration_in_force,
+                 list_attempts, suspects_update, path_servers_update, tunnel_entries_update>;
 
 } // namespace pollenstall
 
--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -80,6 +80,8 @@
     ReceivingEnd = Code == asio::error::eof ? connection_end::Closed : connection_end::Reset;
   if (Code)
     return {{}, true};
+  if (HeardAt != nullptr)
+    *HeardAt = boot_clock::now();
   return {std::string_view(Target.data(), Received), false};
 }
 
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -101,6 +101,13 @@
   [[nodiscard]] bool isOpen() const { return Socket.is_open(); }
   [[nodiscard]] boost::asio::ip::tcp::socket &raw() { return Socket; }
 
+  /// Sets where the time of each read with bytes is written; nullptr: nowhere.
+  void noteBytesAt(mono_time *Target) { HeardAt = Target; }
+  /// Sets the address of the entry that carries this connection to its server.
+  void setCarrier(std::string Address) { Carrier = std::move(Address); }
+  /// Returns the entry that carries this connection; empty if it is direct.
+  [[nodiscard]] const std::string &carrier() const { return Carrier; }
+
 private:
   friend class socket_sweeper;
   void expire();
@@ -109,6 +116,8 @@
   boost::asio::ip::tcp::socket Socket;
   mono_time Deadline{mono_time::max()};
   bool Expired{false};
+  mono_time *HeardAt{nullptr};
+  std::string Carrier;
   connection_end ReceivingEnd{connection_end::Open};
 };
 
@@ -123,6 +132,7 @@
   void stop();
   [[nodiscard]] std::span<char> readBuffer() { return Buffer; }
   [[nodiscard]] boost::asio::io_context &io() { return Io; }
+  [[nodiscard]] bool stopped() const { return Stopped; }
 
 private:
   friend class timed_socket;
--- /dev/null
+++ b/src/relay/tunnel_server_base.h
@@ -0,0 +1,67 @@
+/** @file tunnel_server_base.h Carries connections of other entries to backend servers. */
+#ifndef POLLENSTALL_RELAY_TUNNEL_SERVER_BASE_H
+#define POLLENSTALL_RELAY_TUNNEL_SERVER_BASE_H
+
+#include "relay/backend_connector_base.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace pollenstall {
+
+/**
+ * Accepts HTTP CONNECT from the entries of its fleet, connects directly to the server and copies
+ * bytes both ways.
+ *
+ * The entry that asked decides about its request: what is sent, its deadline and its repetition. It
+ * must see the same end of the connection as if it were direct, since a server may mark the end of
+ * an answer by closing. A close of the server is passed on as a close; everything else, the end of
+ * this process included, resets the connection.
+ */
+class tunnel_server {
+public:
+  /// @param Connector Knows the servers and the entries, and connects to the servers.
+  tunnel_server(socket_sweeper &Owner, const relay_limits &Bounds, backend_connector &Connector);
+
+  /// Binds the address and accepts tunnels.
+  result<done, std::string> listen(std::string_view Address);
+  /// Opens no further tunnels; open ones continue.
+  void refuseNew() { Refusing = true; }
+  void stop();
+  [[nodiscard]] std::size_t open() const { return Tunnels; }
+  /// Sets a hook for each request for a tunnel; no failure: it was opened.
+  void
+  onRequest(std::function<void(std::optional<tunnel_failure>, const std::string &Entry)> Hook) {
+    AtRequest = std::move(Hook);
+  }
+
+private:
+  struct tunnel;
+
+  boost::asio::awaitable<void> accept();
+  boost::asio::awaitable<void> serve(std::shared_ptr<tunnel> Tunnel);
+  boost::asio::awaitable<std::optional<tunnel_failure>> connect(tunnel &Tunnel);
+  [[nodiscard]] std::optional<tunnel_failure> refusalFor(const tunnel &Tunnel) const;
+  boost::asio::awaitable<bool> readRequest(tunnel &Tunnel) const;
+  static boost::asio::awaitable<void> copyToServer(tunnel &Tunnel);
+  static boost::asio::awaitable<void> copyToEntry(std::shared_ptr<tunnel> Tunnel);
+
+  socket_sweeper &Sweeper;
+  const relay_limits &Limits;
+  backend_connector &Connector;
+  path_tuning Tuning;
+  boost::asio::ip::tcp::acceptor Acceptor;
+  std::size_t Tunnels{0};
+  bool Refusing{false};
+  std::function<void(std::optional<tunnel_failure>, const std::string &)> AtRequest;
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_RELAY_TUNNEL_SERVER_BASE_H
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -80,16 +80,19 @@
          "Transfer-Encoding: chunked\r\n\r\n";
 }
 
-relay_harness::relay_harness(retry_mode Repeat, const relay_limits &Limits)
+relay_harness::relay_harness(retry_mode Repeat, const relay_limits &Limits,
+                             const std::function<void(relay_builder &)> &Adjust)
     : Declaration(declarationWith(Repeat)), Work(asio::make_work_guard(Io)), Ring(RingCapacity),
       CrashUpdateRing(RingCapacity) {
-  Relay = relay_builder(Io, Ring)
-              .process({host_name("entry"), incarnation(1)})
-              .limits(Limits)
-              .interface(testInterface())
-              .crashUpdates(CrashUpdateRing)
-              .onCallEnd([this](const call_record &Record) { Records.push_back(Record); })
-              .build();
+  relay_builder Builder(Io, Ring);
+  Builder.process({host_name("entry"), incarnation(1)})
+      .limits(Limits)
+      .interface(testInterface())
+      .crashUpdates(CrashUpdateRing)
+      .onCallEnd([this](const call_record &Record) { Records.push_back(Record); });
+  if (Adjust)
+    Adjust(Builder);
+  Relay = Builder.build();
   Address = std::get<std::string>(Relay->listen("127.0.0.1:0"));
   Relay->handle(declaration_in_force{Declaration, mono_time::max()});
   Thread = std::thread([this] { Io.run(); });
@@ -182,6 +185,12 @@
   });
 }
 
+void relay_harness::listenForTunnels(const std::string &TunnelAddress) {
+  std::promise<bool> Listening;
+  asio::post(Io, [&] { Listening.set_value(succeeded(Relay->listenForTunnels(TunnelAddress))); });
+  ASSERT_TRUE(Listening.get_future().get()) << TunnelAddress;
+}
+
 void relay_harness::stop() {
   asio::post(Io, [this] { Relay->stop(); });
 }
--- a/tests/relay/relay_harness_base.h
+++ b/tests/relay/relay_harness_base.h
@@ -25,7 +25,9 @@
 /// A relay with one declared route; the test replaces the decision thread.
 class relay_harness {
 public:
-  explicit relay_harness(retry_mode Repeat = retry_mode::Resume, const relay_limits &Limits = {});
+  /// @param Adjust Changes the builder before the relay is built.
+  explicit relay_harness(retry_mode Repeat = retry_mode::Resume, const relay_limits &Limits = {},
+                         const std::function<void(relay_builder &)> &Adjust = {});
   ~relay_harness();
   relay_harness(const relay_harness &) = delete;
   relay_harness &operator=(const relay_harness &) = delete;
@@ -72,6 +74,8 @@
   /// Closes the caller's connection and orders an attempt while the relay's thread is busy, so that
   /// both are pending when it continues.
   void hangUpAndStart(const scripted_server &Server);
+  /// Binds the address at which other entries ask for tunnels.
+  void listenForTunnels(const std::string &TunnelAddress);
   /// Stops the relay and its connections.
   void stop();
   /// Returns after the relay thread has done all pending work that needs no further network input.
--- /dev/null
+++ b/tests/relay/tunnel_test.cpp
@@ -0,0 +1,257 @@
+/** @file tunnel_test.cpp An entry that is cut off from the servers, and the peer that carries its
+ * connections. */
+#include "relay_harness_base.h"
+#include "support/eventually_func.h"
+#include "support/free_address_func.h"
+#include "support/raw_socket_base.h"
+
+#include <gtest/gtest.h>
+
+#include <atomic>
+
+namespace pollenstall {
+namespace {
+
+const std::string Fleet = "fleet";
+const failure_domain_name Domain("a");
+const std::string PlainAnswer =
+    "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 9\r\n\r\nall of it";
+
+/// An entry with its own tunnel address.
+class tunnel_entry {
+public:
+  explicit tunnel_entry(std::string TunnelAddress, const relay_limits &Limits = {})
+      : Address(std::move(TunnelAddress)),
+        Relay(retry_mode::Always, Limits, [this](relay_builder &Builder) {
+          Builder.tunnels(Fleet, {Address, Domain});
+          Builder.simulatePartition([this] { return Effect.load(); });
+          Builder.onPathChange([this](const path_change &Change) {
+            const std::lock_guard<std::mutex> Lock(Guard);
+            Changes.push_back(Change);
+          });
+        }) {
+    Relay.listenForTunnels(Address);
+  }
+
+  void know(const std::vector<std::string> &Entries, const std::vector<backend_key> &Servers) {
+    tunnel_entries_update Peers;
+    for (const std::string &Entry : Entries)
+      Peers.Entries.push_back({Entry, Domain});
+    path_servers_update Listed;
+    for (const backend_key &Server : Servers)
+      Listed.Added.push_back({Server, service_name("svc"), Domain});
+    Relay.order(std::move(Peers));
+    Relay.order(std::move(Listed));
+    Relay.settle();
+  }
+
+  /// Returns the peers through which servers began to be reached, and "" where one was direct
+  /// again.
+  std::vector<std::string> pathChanges() {
+    const std::lock_guard<std::mutex> Lock(Guard);
+    std::vector<std::string> Peers;
+    for (const path_change &Change : Changes)
+      Peers.push_back(Change.Peer);
+    return Peers;
+  }
+
+  const std::string Address;
+  std::atomic<partition_effect> Effect{partition_effect::None};
+
+private:
+  std::mutex Guard;
+  std::vector<path_change> Changes;
+
+public:
+  relay_harness Relay;
+};
+
+/// Returns whether the next attempt completes, and finishes its request.
+bool serves(tunnel_entry &Entry, const scripted_server &Server) {
+  Entry.Relay.call("p");
+  Entry.Relay.start(Server);
+  while (true) {
+    const dispatch_event Event = Entry.Relay.next();
+    const bool Completed = std::holds_alternative<attempt_completed>(Event);
+    if (!Completed && !std::holds_alternative<attempt_failed>(Event))
+      continue;
+    Entry.Relay.finish(Completed ? final_outcome::Complete : final_outcome::Unknown,
+                       Completed ? failure_reason::None : failure_reason::BackendFailed);
+    const std::string Answer = Entry.Relay.answer();
+    return Completed && Answer.find("HTTP/1.1 200") != std::string::npos;
+  }
+}
+
+/// Two entries and a server. The first entry is cut off from the server by the parameter.
+struct two_entries_and_a_server : testing::Test {
+  two_entries_and_a_server()
+      : Addresses(freeTcpAddresses(2)), First(Addresses[0]), Second(Addresses[1]) {
+    for (tunnel_entry *Entry : {&First, &Second})
+      Entry->know(Addresses, {Server.key()});
+  }
+
+  const std::vector<std::string> Addresses;
+  const scripted_server Server{
+      [](auto &Socket, const received_request &) { sendText(Socket, PlainAnswer); }};
+  tunnel_entry First;
+  tunnel_entry Second;
+};
+
+TEST_F(two_entries_and_a_server, ConnectDirectlyWhileNoneIsCutOff) {
+  EXPECT_TRUE(serves(First, Server));
+  EXPECT_EQ(Server.requests().size(), 1U);
+  EXPECT_TRUE(First.pathChanges().empty());
+}
+
+struct an_entry_cut_off_from_its_server : two_entries_and_a_server,
+                                          testing::WithParamInterface<partition_effect> {
+  an_entry_cut_off_from_its_server() { First.Effect = GetParam(); }
+};
+
+// Callers of an entry without a way to the servers are refused, while the entry beside it has room.
+TEST_P(an_entry_cut_off_from_its_server, ServesItsCallersThroughItsPeer) {
+  const mono_time Started = boot_clock::now();
+  EXPECT_TRUE(serves(First, Server));
+  EXPECT_LT(boot_clock::now() - Started, std::chrono::milliseconds(500));
+  EXPECT_EQ(First.pathChanges(), std::vector{Addresses[1]});
+  EXPECT_TRUE(serves(First, Server));
+  EXPECT_EQ(Server.requests().size(), 2U) << "each request is sent once";
+}
+
+// The cut heals, and connections go on through the peer.
+TEST_P(an_entry_cut_off_from_its_server, ConnectsDirectlySoonAfterTheCut) {
+  EXPECT_TRUE(serves(First, Server));
+  First.Effect = partition_effect::None;
+  const mono_time Healed = boot_clock::now();
+  ASSERT_TRUE(eventually([this] {
+    EXPECT_TRUE(serves(First, Server));
+    return First.pathChanges().size() == 2;
+  }));
+  EXPECT_LT(boot_clock::now() - Healed, std::chrono::seconds(1));
+  EXPECT_EQ(First.pathChanges().back(), "");
+}
+
+// All entries are cut off: the attempt must end within the time for one connection.
+TEST_P(an_entry_cut_off_from_its_server, FailsInTimeIfItsPeerIsCutOffToo) {
+  Second.Effect = GetParam();
+  First.Relay.call("p");
+  First.Relay.start(Server);
+  const mono_time Started = boot_clock::now();
+  EXPECT_EQ(First.Relay.next<attempt_failed>().Failure, attempt_failure::NotConnected);
+  EXPECT_LT(boot_clock::now() - Started, std::chrono::milliseconds(1'500));
+  First.Relay.finish(final_outcome::NotRun, failure_reason::NoBackend);
+  EXPECT_EQ(Server.requests().size(), 0U);
+}
+
+INSTANTIATE_TEST_SUITE_P(SilentAndRefusing, an_entry_cut_off_from_its_server,
+                         testing::Values(partition_effect::Silence, partition_effect::Refusal));
+
+// A server that resets, and a peer that ends, must not look like a server that closes.
+struct a_stream_through_a_peer : two_entries_and_a_server {
+  a_stream_through_a_peer() {
+    First.Effect = partition_effect::Refusal;
+    for (tunnel_entry *Entry : {&First, &Second})
+      Entry->know(Addresses, {Engine.key()});
+  }
+
+  /// Starts a request and waits until the caller's answer has begun.
+  void startStream() {
+    First.Relay.call("p");
+    First.Relay.start(Engine);
+    First.Relay.next<attempt_answering>();
+  }
+
+  std::atomic<int> Ending{0}; ///< 0: none yet, 1: close, 2: reset.
+  const scripted_server Engine{[this](auto &Socket, const received_request &) {
+    sendText(Socket, "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Type: text/event-stream\r\n\r\n" +
+                         eventText(1));
+    EXPECT_TRUE(eventually([this] { return Ending != 0; }));
+    if (Ending == 2)
+      resetConnection(Socket);
+  }};
+};
+
+TEST_F(a_stream_through_a_peer, IsWholeIfTheServerCloses) {
+  startStream();
+  Ending = 1;
+  First.Relay.next<attempt_completed>();
+  First.Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_TRUE(First.Relay.answer().ends_with("0\r\n\r\n"));
+}
+
+TEST_F(a_stream_through_a_peer, IsBrokenIfTheServerResets) {
+  startStream();
+  Ending = 2;
+  EXPECT_EQ(First.Relay.next<attempt_failed>().Failure, attempt_failure::BrokenMidway);
+  First.Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+  EXPECT_FALSE(First.Relay.answer().ends_with("0\r\n\r\n"));
+}
+
+TEST_F(a_stream_through_a_peer, IsBrokenIfThePeerEnds) {
+  startStream();
+  Second.Relay.stop();
+  EXPECT_EQ(First.Relay.next<attempt_failed>().Failure, attempt_failure::BrokenMidway);
+  First.Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+  EXPECT_FALSE(First.Relay.answer().ends_with("0\r\n\r\n"));
+  Ending = 1;
+}
+
+/// Returns the status of a peer's answer to these bytes; 0 if it closes without an answer.
+int statusFor(const std::string &Peer, const std::string &Bytes) {
+  raw_socket Socket(Peer);
+  EXPECT_TRUE(Socket.connected());
+  EXPECT_TRUE(Socket.send(Bytes));
+  const std::string Answer = Socket.receiveUntil("\r\n\r\n");
+  return Answer.starts_with("HTTP/1.1 ") ? std::stoi(Answer.substr(9, 3)) : 0;
+}
+
+std::string connectRequest(const backend_key &Server, const std::string &FleetName) {
+  return "CONNECT " + Server.Address.str() +
+         " HTTP/1.1\r\nHost: x\r\nX-Pollenstall-Fleet: " + FleetName + "\r\n\r\n";
+}
+
+// A peer that connects anybody to anything would be an open proxy.
+TEST_F(two_entries_and_a_server, CarryOnlyConnectionsOfTheirFleetToKnownServers) {
+  const scripted_server Unlisted([](auto &, const received_request &) {});
+  Second.know({"127.0.0.1:1"}, {}); // The address from which this test connects.
+  EXPECT_EQ(statusFor(Addresses[1], connectRequest(Server.key(), Fleet)), 200);
+  EXPECT_EQ(statusFor(Addresses[1], connectRequest(Server.key(), "other")), 403);
+  EXPECT_EQ(statusFor(Addresses[1], connectRequest(Unlisted.key(), Fleet)), 403);
+  EXPECT_EQ(statusFor(Addresses[1], "GET / HTTP/1.1\r\nHost: x\r\n\r\n"), 0);
+  Second.know({}, {});
+  EXPECT_EQ(statusFor(Addresses[1], connectRequest(Server.key(), Fleet)), 403)
+      << "an entry that is not listed";
+  EXPECT_EQ(Unlisted.requests().size(), 0U);
+}
+
+TEST(EntryWithoutRoomForTunnels, RefusesThem) {
+  relay_limits Limits;
+  Limits.MaxTunnels = 0;
+  const auto Addresses = freeTcpAddresses(1);
+  const scripted_server Server([](auto &, const received_request &) {});
+  tunnel_entry Entry(Addresses[0], Limits);
+  Entry.know({"127.0.0.1:1"}, {Server.key()});
+  EXPECT_EQ(statusFor(Addresses[0], connectRequest(Server.key(), Fleet)), 503);
+}
+
+// A partition refuses connections just as the host of a crashed server does. Were it taken for a
+// crash, the request that ran would be refused by all entries after three cuts.
+TEST_F(two_entries_and_a_server, ReportNoCrashIfThePeerReachesTheServer) {
+  const scripted_server Breaking([this](auto &Socket, const received_request &) {
+    First.Effect = partition_effect::Refusal;
+    sendText(Socket, "HTTP/1.1 200 OK\r\n");
+    resetConnection(Socket);
+  });
+  First.know(Addresses, {Breaking.key()});
+  Second.know(Addresses, {Breaking.key()});
+  First.Relay.call("p");
+  First.Relay.start(Breaking);
+  First.Relay.next<attempt_failed>();
+  First.Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+  EXPECT_FALSE(First.Relay.answer().empty());
+  EXPECT_TRUE(serves(First, Server));
+  EXPECT_FALSE(First.Relay.hasCrashUpdate());
+}
+
+} // namespace
+} // namespace pollenstall
