Tunnels: no spinning beside a server that is down, crashes with witnesses, direct again on time

Three faults of the commit before, each found by a test that was seen failing: - while a direct connection hung and a peer had said that the server is down, the entry span (0.83 s of processor time in 1 s); - a crashed server was not reported if the one peer that was asked heard no other server of its service.

--- a/src/relay/backend_connector.cpp
+++ b/src/relay/backend_connector.cpp
@@ -15,6 +15,14 @@
 
 namespace asio = boost::asio;
 
+namespace {
+
+/// Peers that are asked whether a server that refuses connections has ended. They may be behind the
+/// same partition.
+constexpr std::size_t CrashWitnesses = 3;
+
+} // namespace
+
 /// The connections that are being made for one caller of connect().
 struct backend_connector::race {
   race(asio::io_context &Io, backend_key Target, mono_time Until)
@@ -28,7 +36,8 @@
   bool Decided{false};
   bool TriedDirectly{false};
   bool DirectFailed{false};
-  bool SeenDown{false}; ///< A peer could not connect, though it hears other servers.
+  bool DirectWorks{false}; ///< A direct connection was made in time, though it may not have won.
+  bool SeenDown{false};    ///< A peer could not connect, though it hears other servers.
   std::uint32_t Pending{0};
   std::vector<std::string> Tried;   ///< Peers that were asked.
   std::set<std::string> Unanswered; ///< Those that are still connecting.
@@ -76,8 +85,8 @@
   Race->DirectFailed = !Connection;
   const mono_time Now = boot_clock::now();
   // A late success says little: the server's queue of connections may have been full.
-  if (Connection && (!Race->Decided || Now - Started < Tuning.HedgeDelay) &&
-      Paths.recordDirect(Race->Server, Now))
+  Race->DirectWorks = Connection && (!Race->Decided || Now - Started < Tuning.HedgeDelay);
+  if (Race->DirectWorks && Paths.recordDirect(Race->Server, Now))
     reportChange(Race->Server, {});
   if (Connection && !Race->Decided) {
     Race->Decided = true;
@@ -139,7 +148,9 @@
   for (const auto *Slower : {&Race.Silent, &Race.Unanswered})
     for (const std::string &Peer : *Slower)
       Peers->recordFailure(Peer, tunnel_failure::ServerSilent, Now);
-  if (Paths.recordTunnel(Race.Server, Now))
+  // A connection that was not tried directly says nothing new of the direct path.
+  const bool DirectPathFailed = Race.TriedDirectly && !Race.DirectWorks;
+  if (DirectPathFailed && Paths.recordTunnel(Race.Server, Now))
     reportChange(Race.Server, Race.WinningPeer);
 }
 
@@ -171,7 +182,8 @@
     }
     if (Race->Pending == 0 || Now >= Race->Deadline)
       break;
-    Race->Changed.expires_after(std::max(mono_duration(0), HedgeAt - Now));
+    const mono_time WakeAt = Race->SeenDown ? Race->Deadline : HedgeAt;
+    Race->Changed.expires_after(std::max(mono_duration(0), WakeAt - Now));
     co_await Race->Changed.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
   }
   Race->Decided = true;
@@ -184,14 +196,22 @@
   const backend_connection Opened = co_await connectDirectly(Server, Limits.ConnectTimeout, Code);
   if (Opened || Code != asio::error::connection_refused)
     co_return false;
-  const auto Peer = Peers ? Peers->choose({}, boot_clock::now()) : std::optional<std::string>();
-  if (!Peer)
-    co_return true;
-  tunnel_request Request{Fleet, Peers->ownAddress(), *Peer, Server.Address,
-                         boot_clock::now() + Limits.ConnectTimeout};
-  const tunnel_result Seen = co_await openTunnel(Sweeper, std::move(Request));
-  const auto *Failure = std::get_if<tunnel_failure>(&Seen);
-  co_return Failure &&*Failure == tunnel_failure::ServerDown;
+  std::vector<std::string> Tried;
+  while (Peers && Tried.size() < CrashWitnesses) {
+    const auto Peer = Peers->choose(Tried, boot_clock::now());
+    if (!Peer)
+      break;
+    Tried.push_back(*Peer);
+    tunnel_request Request{Fleet, Peers->ownAddress(), *Peer, Server.Address,
+                           boot_clock::now() + Limits.ConnectTimeout};
+    const tunnel_result Seen = co_await openTunnel(Sweeper, std::move(Request));
+    const auto *Failure = std::get_if<tunnel_failure>(&Seen);
+    if (!Failure)
+      co_return false;
+    if (*Failure == tunnel_failure::ServerDown)
+      break;
+  }
+  co_return true;
 }
 
 } // namespace pollenstall
--- a/src/relay/backend_connector_base.h
+++ b/src/relay/backend_connector_base.h
@@ -75,7 +75,7 @@
                                                              mono_duration Timeout,
                                                              boost::system::error_code &Code);
   /// Returns whether the server's host refuses connections to its port, which means that the server
-  /// has ended. A partition may refuse them, too, so that a peer must see the same.
+  /// has ended. A partition may refuse them, too, so that no peer may reach the server.
   boost::asio::awaitable<bool> refusesConnections(const backend_key &Server);
 
 private:
--- a/tests/relay/tunnel_test.cpp
+++ b/tests/relay/tunnel_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <atomic>
+#include <ctime>
 
 namespace pollenstall {
 namespace {
@@ -196,6 +197,45 @@
   Ending = 1;
 }
 
+// The peer says that the server is down, while the direct connection still hangs. Waiting for it
+// must not use the processor.
+TEST_F(two_entries_and_a_server, WaitForAServerThatIsDownWithoutSpinning) {
+  const backend_key Down{backend_address(freeTcpAddresses(1)[0]), incarnation(9)};
+  for (tunnel_entry *Entry : {&First, &Second})
+    Entry->know(Addresses, {Down});
+  First.Effect = partition_effect::Silence;
+  EXPECT_TRUE(serves(Second, Server)) << "the peer hears another server of the service";
+  const std::clock_t Started = std::clock();
+  First.Relay.call("p");
+  First.Relay.start(Down);
+  EXPECT_EQ(First.Relay.next<attempt_failed>().Failure, attempt_failure::NotConnected);
+  EXPECT_LT(std::clock() - Started, CLOCKS_PER_SEC / 4);
+  First.Relay.finish(final_outcome::NotRun, failure_reason::NoBackend);
+}
+
+// A server that ends under a request is reported though its peers hear no server of the service.
+TEST_F(two_entries_and_a_server, ReportACrashIfNoPeerReachesTheServer) {
+  const backend_key Ended{backend_address(freeTcpAddresses(1)[0]), incarnation(9)};
+  boost::asio::io_context Io;
+  const std::string Text = Ended.Address.str();
+  const std::size_t Colon = Text.rfind(':');
+  boost::asio::ip::tcp::acceptor Acceptor(
+      Io, {boost::asio::ip::make_address(Text.substr(0, Colon)),
+           static_cast<std::uint16_t>(std::stoul(Text.substr(Colon + 1)))});
+  std::thread Thread([&] {
+    auto Socket = Acceptor.accept();
+    Acceptor.close();
+    resetConnection(Socket);
+  });
+  for (tunnel_entry *Entry : {&First, &Second})
+    Entry->know(Addresses, {Ended});
+  First.Relay.call("p");
+  First.Relay.start(Ended);
+  EXPECT_TRUE(std::holds_alternative<crash_report>(First.Relay.nextCrashUpdate()));
+  First.Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+  Thread.join();
+}
+
 /// Returns the status of a peer's answer to these bytes; 0 if it closes without an answer.
 int statusFor(const std::string &Peer, const std::string &Bytes) {
   raw_socket Socket(Peer);
