A server that closes before the first byte of an answer does not end the entry

Cause, by reading: since answers to the entry's own calls may end with their connection, the parser was told of an end before it had seen a byte, which Beast asserts against. Test: memory_holds_of_two_engines.AreNotAcquiredIfAnEngineClosesWithoutAnAnswer, seen aborting.

--- a/src/relay/message_feed_base.h
+++ b/src/relay/message_feed_base.h
@@ -48,6 +48,9 @@
 
   /// Handles the end of the connection. @return Whether the message is complete.
   bool finish() {
+    // Beast's parser aborts at an end before the first byte.
+    if (!Parser.got_some())
+      return false;
     boost::system::error_code End;
     if (!Parser.is_done())
       Parser.put_eof(End);
--- a/tests/relay/memory_holds_test.cpp
+++ b/tests/relay/memory_holds_test.cpp
@@ -73,6 +73,18 @@
   EXPECT_TRUE(Relay.answer().ends_with("ok"));
 }
 
+// The engine closes the connection without any answer, as it may do with one that was idle.
+TEST_F(memory_holds_of_two_engines, AreNotAcquiredIfAnEngineClosesWithoutAnAnswer) {
+  const scripted_server First(answering("first", ""));
+  const scripted_server Second(answering("second", HoldConfirmedAnswer));
+  const scripted_server AnsweringServer(answering("writer", Ok));
+  relay_harness Relay;
+  callWithHolds(Relay, AnsweringServer, {{First.key(), Amount}, {Second.key(), Amount}});
+  EXPECT_EQ(Relay.next<attempt_failed>().Failure, attempt_failure::Declined);
+  Relay.finish(final_outcome::NotRun, failure_reason::NoBackend);
+  EXPECT_NE(Relay.answer().find("HTTP/1.1 503"), std::string::npos);
+}
+
 TEST_F(memory_holds_of_two_engines, AreAcquiredBeforeThePromptAndReleasedAfterTheAnswer) {
   const scripted_server First(answering("first", HoldConfirmedAnswer));
   const scripted_server Second(answering("second", HoldConfirmedAnswer));
