--- a/src/relay/backend_connector.cpp
+++ b/src/relay/backend_connector.cpp
@@ -48,7 +48,8 @@
 backend_connector::connectDirectly(const backend_key &Server, mono_duration Timeout,
                                    boost::system::error_code &Code) {
   const auto Endpoint = tcpEndpoint(Server.Address.str());
-  if (!Endpoint)
+  // Nothing would end a connection that is begun after the deadlines are no longer checked.
+  if (!Endpoint || Sweeper.stopped())
     co_return nullptr;
   if (const auto Effect = Partition ? Partition() : partition_effect::None;
       Effect != partition_effect::None) {
@@ -121,14 +122,12 @@
 
 void backend_connector::startDirect(const std::shared_ptr<race> &Race) {
   Race->TriedDirectly = true;
-  if (Sweeper.stopped())
-    return;
   ++Race->Pending;
   asio::co_spawn(Sweeper.io(), runDirect(Race), rethrow);
 }
 
 bool backend_connector::startTunnel(const std::shared_ptr<race> &Race) {
-  if (!Peers || Sweeper.stopped() || Race->Tried.size() >= Tuning.MaxPeerTries)
+  if (!Peers || Race->Tried.size() >= Tuning.MaxPeerTries)
     return false;
   const auto Peer = Peers->choose(Race->Tried, boot_clock::now());
   if (!Peer)
--- a/src/relay/tunnel_client.cpp
+++ b/src/relay/tunnel_client.cpp
@@ -63,7 +63,7 @@
   boost::system::error_code Code;
   const auto Endpoint = tcpEndpoint(Request.Peer);
   const auto Own = tcpEndpoint(Request.From);
-  if (!Endpoint || !Own)
+  if (!Endpoint || !Own || Sweeper.stopped())
     co_return tunnel_failure::PeerUnreachable;
   asio::ip::tcp::socket Socket(Sweeper.io());
   Socket.open(Endpoint->protocol(), Code);
--- a/src/relay/tunnel_server.cpp
+++ b/src/relay/tunnel_server.cpp
@@ -8,6 +8,7 @@
 #include "relay/tunnel_client_func.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <array>
 
@@ -78,6 +79,8 @@
     boost::system::error_code Code;
     asio::ip::tcp::socket Socket(Sweeper.io());
     co_await Acceptor.async_accept(Socket, asio::redirect_error(asio::use_awaitable, Code));
+    if (Code && Acceptor.is_open())
+      co_await pauseAccepting();
     if (Code || Sweeper.stopped())
       continue;
     const auto Remote = Socket.remote_endpoint(Code);
@@ -89,6 +92,14 @@
   }
 }
 
+/// Out of descriptors, accepting would fail again at once.
+asio::awaitable<void> tunnel_server::pauseAccepting() {
+  constexpr std::chrono::milliseconds Pause{50};
+  boost::system::error_code Ignored;
+  asio::steady_timer Timer(Sweeper.io(), Pause);
+  co_await Timer.async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+}
+
 asio::awaitable<bool> tunnel_server::readRequest(tunnel &Tunnel) const {
   Tunnel.Entry.expireAt(boot_clock::now() + HeadTimeout);
   message_feed<true> Feed(MaxHeadBytes);
--- a/src/relay/tunnel_server_base.h
+++ b/src/relay/tunnel_server_base.h
@@ -45,6 +45,7 @@
   struct tunnel;
 
   boost::asio::awaitable<void> accept();
+  boost::asio::awaitable<void> pauseAccepting();
   boost::asio::awaitable<void> serve(std::shared_ptr<tunnel> Tunnel);
   boost::asio::awaitable<std::optional<tunnel_failure>> connect(tunnel &Tunnel);
   [[nodiscard]] std::optional<tunnel_failure> refusalFor(const tunnel &Tunnel) const;
