Tests of cut answers: a server that closes says so; names and strings as the linter wants

stream_cut_at_each_byte/3 failed once beside load (1 of 2 whole runs of relay_test there): the continuing server closed its connection behind each answer without saying so, and the relay had kept it for the next request. Checks and bounds as they were.

--- a/tests/path/tunnel_peers_test.cpp
+++ b/tests/path/tunnel_peers_test.cpp
@@ -76,11 +76,11 @@
     EXPECT_EQ(Peers.choose({}, Start), addressOf(2));
 }
 
-class EntriesOfWhichMostAreCutOff : public testing::TestWithParam<std::size_t> {};
+class entries_of_which_most_are_cut_off : public testing::TestWithParam<std::size_t> {};
 
 // All entries but a tenth are cut off. Connections find the peers that are not, and spread over
 // them.
-TEST_P(EntriesOfWhichMostAreCutOff, ShareTheOthersEvenly) {
+TEST_P(entries_of_which_most_are_cut_off, ShareTheOthersEvenly) {
   const std::size_t Count = GetParam();
   const std::size_t Reaching = std::max<std::size_t>(2, Count / 10);
   tunnel_peers Peers = peersOfFirst(Count, 3);
@@ -120,7 +120,8 @@
   EXPECT_LE(Most, 2 * Connections / static_cast<int>(Near));
 }
 
-INSTANTIATE_TEST_SUITE_P(Sizes, EntriesOfWhichMostAreCutOff, testing::Values(3, 7, 58, 195, 320));
+INSTANTIATE_TEST_SUITE_P(Sizes, entries_of_which_most_are_cut_off,
+                         testing::Values(3, 7, 58, 195, 320));
 
 } // namespace
 } // namespace pollenstall
--- a/tests/relay/answer_end_test.cpp
+++ b/tests/relay/answer_end_test.cpp
@@ -72,9 +72,15 @@
     const bool IsComment = *rc::gen::inRange(0, 4) == 0;
     const std::string LineEnd = *rc::gen::arbitrary<bool>() ? "\r\n" : "\n";
     const std::string Data(static_cast<std::size_t>(*rc::gen::inRange(0, 20)), 'x');
-    Stream.Text += IsComment ? ": alive" + LineEnd + LineEnd
-                             : "id: " + std::to_string(Stream.EventsBefore.back() + 1) + LineEnd +
-                                   "data: " + Data + LineEnd + LineEnd;
+    if (IsComment)
+      Stream.Text += ": alive";
+    else
+      Stream.Text.append("id: ")
+          .append(std::to_string(Stream.EventsBefore.back() + 1))
+          .append(LineEnd)
+          .append("data: ")
+          .append(Data);
+    Stream.Text.append(LineEnd).append(LineEnd);
     Stream.BlockEnds.push_back(Stream.Text.size());
     Stream.EventsBefore.push_back(Stream.EventsBefore.back() + (IsComment ? 0 : 1));
   }
--- a/tests/relay/cut_answer_test.cpp
+++ b/tests/relay/cut_answer_test.cpp
@@ -102,7 +102,11 @@
     const std::string Key = "X-After: ";
     const std::size_t At = Request.Head.find(Key);
     const int After = std::stoi(Request.Head.substr(At + Key.size()));
-    sendText(Socket, streamHead() + chunkOf(eventsAfter(After)) + "0\r\n\r\n");
+    // The server closes behind each answer; the relay must not keep the connection for the next
+    // one.
+    sendText(Socket, "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Type: text/event-stream\r\n"
+                     "Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                         chunkOf(eventsAfter(After)) + "0\r\n\r\n");
   };
 }
 
@@ -156,10 +160,10 @@
   return Count;
 }
 
-class AnswerCutAtEachByte : public testing::TestWithParam<std::tuple<framing, bool, ending>> {};
+class answer_cut_at_each_byte : public testing::TestWithParam<std::tuple<framing, bool, ending>> {};
 
 // A caller takes half of an answer for the whole one.
-TEST_P(AnswerCutAtEachByte, IsNeverToldAsWhole) {
+TEST_P(answer_cut_at_each_byte, IsNeverToldAsWhole) {
   const auto [Framing, IsStream, End] = GetParam();
   const cut_count Count = cutEverywhere({Framing, IsStream}, End);
   EXPECT_GT(Count.Cuts, 0U);
@@ -167,14 +171,14 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    AllFramingsAndEnds, AnswerCutAtEachByte,
+    AllFramingsAndEnds, answer_cut_at_each_byte,
     testing::Combine(testing::Values(framing::Length, framing::Chunked, framing::Connection),
                      testing::Bool(), testing::Values(ending::Close, ending::Reset)));
 
-class AnswerThatIsNotCut : public testing::TestWithParam<std::tuple<framing, bool>> {};
+class answer_that_is_not_cut : public testing::TestWithParam<std::tuple<framing, bool>> {};
 
 // A check against cuts refuses a sound answer.
-TEST_P(AnswerThatIsNotCut, IsToldAsWhole) {
+TEST_P(answer_that_is_not_cut, IsToldAsWhole) {
   const auto [Framing, IsStream] = GetParam();
   const sent_answer Answer{Framing, IsStream};
   cutting_server Server(Answer, ending::Close);
@@ -189,16 +193,16 @@
   EXPECT_EQ(Read.Body, Answer.body());
 }
 
-INSTANTIATE_TEST_SUITE_P(AllFramings, AnswerThatIsNotCut,
+INSTANTIATE_TEST_SUITE_P(AllFramings, answer_that_is_not_cut,
                          testing::Combine(testing::Values(framing::Length, framing::Chunked,
                                                           framing::Connection),
                                           testing::Bool()));
 
-class StreamCutAtEachByte : public testing::TestWithParam<std::tuple<framing, ending>> {};
+class stream_cut_at_each_byte : public testing::TestWithParam<std::tuple<framing, ending>> {};
 
 // Another engine continues a broken stream, and an event is lost, repeated or joined from two
 // halves.
-TEST_P(StreamCutAtEachByte, GoesOnElsewhereWithEachEventOnce) {
+TEST_P(stream_cut_at_each_byte, GoesOnElsewhereWithEachEventOnce) {
   const auto [Framing, End] = GetParam();
   const sent_answer Answer{Framing, true};
   cutting_server Server(Answer, End);
@@ -224,7 +228,7 @@
   EXPECT_GT(Resumed, 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(AllFramings, StreamCutAtEachByte,
+INSTANTIATE_TEST_SUITE_P(AllFramings, stream_cut_at_each_byte,
                          testing::Combine(testing::Values(framing::Length, framing::Chunked,
                                                           framing::Connection),
                                           testing::Values(ending::Close, ending::Reset)));
