--- a/tests/relay/memory_holds_test.cpp
+++ b/tests/relay/memory_holds_test.cpp
@@ -55,6 +55,20 @@
     Relay.start(AnsweringServer, 1, true, std::move(Holds));
   }
 
+  /// Calls with a hold at two engines, both of which give this answer to it.
+  void expectServedWithHoldsAnswered(const std::string &HoldAnswer) {
+    const scripted_server First(answering("first", HoldAnswer));
+    const scripted_server Second(answering("second", HoldAnswer));
+    const scripted_server AnsweringServer(answering("writer", Ok));
+    relay_harness Relay;
+    callWithHolds(Relay, AnsweringServer, {{First.key(), Amount}, {Second.key(), Amount}});
+    Relay.next<attempt_completed>();
+    Relay.finish(final_outcome::Complete, failure_reason::None);
+    EXPECT_TRUE(Relay.answer().ends_with("ok"));
+    // The holds are released after the answer.
+    Requests.wait(5);
+  }
+
   request_log Requests;
   const std::string Ok = "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 2\r\n\r\nok";
 };
@@ -62,15 +76,7 @@
 // An engine may end any answer with its connection; a hold confirmed that way must not count as
 // refused, since the engine keeps the memory.
 TEST_F(memory_holds_of_two_engines, AreAcquiredIfTheirAnswersEndWithTheConnection) {
-  const std::string Confirmed = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}";
-  const scripted_server First(answering("first", Confirmed));
-  const scripted_server Second(answering("second", Confirmed));
-  const scripted_server AnsweringServer(answering("writer", Ok));
-  relay_harness Relay;
-  callWithHolds(Relay, AnsweringServer, {{First.key(), Amount}, {Second.key(), Amount}});
-  Relay.next<attempt_completed>();
-  Relay.finish(final_outcome::Complete, failure_reason::None);
-  EXPECT_TRUE(Relay.answer().ends_with("ok"));
+  expectServedWithHoldsAnswered("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n{}");
 }
 
 // The engine closes the connection without any answer, as it may do with one that was idle.
@@ -86,14 +92,7 @@
 }
 
 TEST_F(memory_holds_of_two_engines, AreAcquiredBeforeThePromptAndReleasedAfterTheAnswer) {
-  const scripted_server First(answering("first", HoldConfirmedAnswer));
-  const scripted_server Second(answering("second", HoldConfirmedAnswer));
-  const scripted_server AnsweringServer(answering("writer", Ok));
-  relay_harness Relay;
-  callWithHolds(Relay, AnsweringServer, {{First.key(), Amount}, {Second.key(), Amount}});
-  Relay.next<attempt_completed>();
-  Relay.finish(final_outcome::Complete, failure_reason::None);
-  EXPECT_TRUE(Relay.answer().ends_with("ok"));
+  expectServedWithHoldsAnswered(HoldConfirmedAnswer);
   EXPECT_EQ(Requests.wait(5),
             (std::vector<std::string>{"first /hold/", "second /hold/", "writer /a/", "first /free/",
                                       "second /free/"}));
