Log and count decisions on retries, and each entry's part of the reserve

No line said how many retries an entry had left, for which service it started one, or which list of entries its part of the reserve came from. Decisions are unchanged.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -68,6 +68,9 @@
   Callbacks.AttemptEnded = [this](const attempt_result &Ending, mono_time Now) {
     onAttemptEnded(Ending, Now);
   };
+  Callbacks.RetryDecided = [this](const retry_decision &Decision) {
+    RetryDecisions.push_back(Decision);
+  };
   Callbacks.GroupsFor = [this](const request_facts &Facts) { return groupsFor(Facts); };
   Callbacks.SupportsResume = [this](const backend_key &Backend) {
     const auto Found = Backends.find(Backend);
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -56,6 +56,8 @@
   /// @return The instance name of the backend server; empty if it has none.
   [[nodiscard]] std::string instanceOf(const backend_key &Backend) const;
   void setRetryAllowance(const retry_allowance &Value) { Dispatcher.setRetryAllowance(Value); }
+  /// Takes the decisions on retries since the last call.
+  std::vector<retry_decision> takeRetryDecisions() { return std::exchange(RetryDecisions, {}); }
   /// Records the limit that an answer states. @return How the known limit of its server changed.
   rate_limit_change recordRateLimit(const rate_limit_answer &Answer, mono_time Now);
   /// Records a reply of an issuer of permits. @return How the known limit of its server changed.
@@ -136,6 +138,7 @@
   std::set<backend_address> Drained;
   mono_time FreshUntil;
   std::vector<backend_listing> ListingChanges;
+  std::vector<retry_decision> RetryDecisions;
   bool PollPending{false};
   bool Superseded{false};
   dispatcher Dispatcher; ///< Its callbacks use the members above.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -73,6 +73,14 @@
             {"attempt", Attempt}});
 }
 
+void logRetry(const retry_decision &Decision) {
+  logEvent(log_level::Info, "retry_decided",
+           {{"attempt", toText(Decision.After)},
+            {"service", Decision.Service.str()},
+            {"verdict", std::string(retryVerdictText(Decision.Verdict))},
+            {"left", Decision.Left}});
+}
+
 prometheus::Gauge &gauge(prometheus::Registry &Registry, const char *Name, const char *Help) {
   return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add({});
 }
@@ -109,6 +117,12 @@
                                  .Help("Attempts started at backend servers that state a limit")
                                  .Register(*DecisionOptions.Registry)
                                  .Add({})),
+      RetryFamily(prometheus::BuildCounter()
+                      .Name("pollenstall_retry_decisions_total")
+                      .Help("Decisions whether a further attempt may start, by service and verdict")
+                      .Register(*DecisionOptions.Registry)),
+      RetryReserveGauge(gauge(*DecisionOptions.Registry, "pollenstall_retry_reserve",
+                              "This entry's part of the reserve of retries of all entries")),
       PermitDatagramsGauge(gauge(*DecisionOptions.Registry, "pollenstall_permit_datagrams_sent",
                                  "Datagrams about permits sent to other entries since the start")),
       WorkDatagramsGauge(gauge(*DecisionOptions.Registry, "pollenstall_work_datagrams_sent",
@@ -181,6 +195,7 @@
   sendPermitMessages(Now);
   publishLoads(Now);
   logReachability();
+  reportRetries();
   publishGauges();
   fulfilDumps(Now);
 }
@@ -314,8 +329,11 @@
   // counts them.
   constexpr double UsableShare = 0.9;
   const double Entries = std::max<double>(1.0, static_cast<double>(Listed.Entries.size()));
-  Core.setRetryAllowance(
-      {*DecisionOptions.RetryReserve * UsableShare / Entries, DecisionOptions.RetryWindow});
+  const double Reserve = *DecisionOptions.RetryReserve * UsableShare / Entries;
+  Core.setRetryAllowance({Reserve, DecisionOptions.RetryWindow});
+  RetryReserveGauge.Set(Reserve);
+  logEvent(log_level::Info, "retry_reserve",
+           {{"entries", static_cast<std::int64_t>(Listed.Entries.size())}, {"reserve", Reserve}});
 }
 
 void decision_thread::reportCrash(crash_report &&Crash) {
@@ -467,6 +485,16 @@
            {{"queued", static_cast<std::int64_t>(Core.queued())}});
 }
 
+void decision_thread::reportRetries() {
+  for (const retry_decision &Decision : Core.takeRetryDecisions()) {
+    logRetry(Decision);
+    RetryFamily
+        .Add({{"service", Decision.Service.str()},
+              {"verdict", std::string(retryVerdictText(Decision.Verdict))}})
+        .Increment();
+  }
+}
+
 void decision_thread::publishGauges() {
   Abandoned = Core.abandonedAttempts();
   QueueGauge.Set(static_cast<double>(Core.queued()));
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -111,6 +111,7 @@
   void fulfilDumps(mono_time Now);
   void publishGauges();
   void logReachability();
+  void reportRetries();
   [[nodiscard]] mono_duration sleepDuration(mono_time Now) const;
   /// @return Time until which the declaration may be used.
   [[nodiscard]] mono_time declarationUsableUntil() const;
@@ -159,6 +160,8 @@
   prometheus::Gauge &OutOfReachGauge;
   prometheus::Gauge &LimitedServersGauge;
   prometheus::Counter &LimitedRequestsCounter;
+  prometheus::Family<prometheus::Counter> &RetryFamily;
+  prometheus::Gauge &RetryReserveGauge;
   prometheus::Gauge &PermitDatagramsGauge;
   prometheus::Gauge &WorkDatagramsGauge;
   prometheus::Gauge &WorkBytesGauge;
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -122,6 +122,7 @@
   [[nodiscard]] std::uint32_t maxAttempts(const live_request &Request) const;
   bool mayRetry(const live_request &Request, mono_time Now) const;
   bool trySpendRetry(const live_request &Request, mono_time Now);
+  void reportRetry(const live_request &Request, retry_verdict Verdict) const;
   void retryOrFinish(live_request &Request, mono_time Now);
   void retryElsewhere(live_request &Request, attempt_failure Failure, mono_time Now);
   void retryUnanswered(const backend_key &Backend, mono_time Now);
--- a/src/dispatch/dispatcher_callbacks_type.h
+++ b/src/dispatch/dispatcher_callbacks_type.h
@@ -42,6 +42,34 @@
   backend_address AtFault{}; ///< As in attempt_failed.
 };
 
+/// Whether a further attempt of a request may start.
+enum class retry_verdict : std::uint8_t {
+  Started, ///< The budget paid for it.
+  Unsent,  ///< No earlier attempt was sent, so nothing was withdrawn.
+  Refused, ///< The budget has no retry left.
+};
+
+/// @return "started", "unsent" or "refused", for logs and metrics.
+constexpr const char *retryVerdictText(retry_verdict Verdict) {
+  switch (Verdict) {
+  case retry_verdict::Started:
+    return "started";
+  case retry_verdict::Unsent:
+    return "unsent";
+  case retry_verdict::Refused:
+    break;
+  }
+  return "refused";
+}
+
+/// A decision on a further attempt of a request.
+struct retry_decision {
+  attempt_id After;     ///< The last attempt before it.
+  service_name Service; ///< Whose budget pays for the attempt.
+  retry_verdict Verdict{retry_verdict::Refused};
+  double Left{0}; ///< Retries that may still start, as of this decision.
+};
+
 /**
  * Callbacks from the dispatcher to the other components of the entry. All of them run on the
  * dispatcher's thread. Submit and GroupsFor are required; the others need not be set.
@@ -60,6 +88,7 @@
       AttemptAbandoned;
   /// Called exactly once for each started attempt, when its memory is free.
   std::function<void(const attempt_result &, mono_time)> AttemptEnded;
+  std::function<void(const retry_decision &)> RetryDecided;
   /// Returns the groups that the selectors choose for a request; empty if no group serves it.
   std::function<std::vector<candidate_group>(const request_facts &)> GroupsFor;
   /// Returns whether the backend server can continue a broken stream at an event id. If this is not
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -10,6 +10,10 @@
 /// Attempts beyond the declared limit that one request may use on unreachable backend servers.
 constexpr std::uint32_t MaxUnsentAttempts = 6;
 
+const service_name &budgetService(const request_facts &Facts) {
+  return Facts.Services.empty() ? Facts.Service : Facts.Services.front().first;
+}
+
 } // namespace
 
 std::uint32_t dispatcher::maxAttempts(const live_request &Request) const {
@@ -35,12 +39,22 @@
       Request.Facts.MaxAttempts > 0 && Request.UnsentAttempts == Request.Attempts;
   if (!ExemptFromBudget && !Budget.tryWithdraw(Now)) {
     ++Counters.RetriesOverBudget;
+    reportRetry(Request, retry_verdict::Refused);
     return false;
   }
   ++Counters.Retries;
+  reportRetry(Request, ExemptFromBudget ? retry_verdict::Unsent : retry_verdict::Started);
   return true;
 }
 
+void dispatcher::reportRetry(const live_request &Request, retry_verdict Verdict) const {
+  if (Callbacks.RetryDecided)
+    Callbacks.RetryDecided({{Self, Request.Facts.Id, Request.Attempts},
+                            budgetService(Request.Facts),
+                            Verdict,
+                            Budget.available()});
+}
+
 void dispatcher::retryOrFinish(live_request &Request, mono_time Now) {
   if (trySpendRetry(Request, Now))
     return submit(Request, Now);
