--- a/tests/platform/platform_path_fixture.h
+++ b/tests/platform/platform_path_fixture.h
@@ -59,24 +59,30 @@
 class PlatformPathTest : public testing::Test {
 protected:
   void startAll(std::size_t Entries) {
-    System = std::make_unique<platform_system>(5, Entries);
+    startAll(std::make_unique<platform_system>(5, Entries), Entries, configuration(1));
+  }
+
+  /// @param Configuration Acknowledged and in force at all entries when this returns.
+  void startAll(std::unique_ptr<platform_system> Hosts, std::size_t Entries,
+                const std::string &Configuration) {
+    System = std::move(Hosts);
     for (std::size_t Host = 0; Host < System->controls(); ++Host)
       System->startControl(Host, true);
     for (std::size_t Entry = 0; Entry < Entries; ++Entry)
       System->startEntry(Entry);
-    ASSERT_TRUE(System->acknowledged("PUT", ConfigurationPath, configuration(1)));
+    ASSERT_TRUE(System->acknowledged("PUT", ConfigurationPath, Configuration));
     for (std::size_t Entry = 0; Entry < Entries; ++Entry)
       ASSERT_TRUE(eventually([&] { return System->ready(Entry); })) << Entry;
   }
 
   /// Sends a notice of the engine to the control hosts, as engines do periodically.
   bool announce(const std::string &Instance, const scripted_server &Engine,
-                const std::string &State = "ready") {
-    return System->acknowledged("PUT", "/pollenstall/instances/" + Instance,
-                                R"({"service":"s1","address":")" + Engine.key().Address.str() +
-                                    R"(","zone":"zone-1","version":"v1","slots":16,"state":")" +
-                                    State + R"(","cold_remaining_ms":0,"sequence":)" +
-                                    std::to_string(++Sequence) + "}");
+                const std::string &State = "ready", const std::string &Service = "s1") {
+    return System->acknowledged(
+        "PUT", "/pollenstall/instances/" + Instance,
+        R"({"service":")" + Service + R"(","address":")" + Engine.key().Address.str() +
+            R"(","zone":"zone-1","version":"v1","slots":16,"state":")" + State +
+            R"(","cold_remaining_ms":0,"sequence":)" + std::to_string(++Sequence) + "}");
   }
 
   static http_headers headers(const std::string &Send) {
--- a/tests/platform/platform_system.cpp
+++ b/tests/platform/platform_system.cpp
@@ -76,7 +76,9 @@
   return Template;
 }
 
-platform_system::platform_system(std::size_t ControlCount, std::size_t EntryCount) {
+platform_system::platform_system(std::size_t ControlCount, std::size_t EntryCount,
+                                 std::size_t Reserve)
+    : RetryReserve(std::to_string(Reserve)) {
   for (const std::string &Address : freeTcpAddresses(PortCount))
     Ports.push_back(Address.substr(Address.rfind(':') + 1));
   for (std::size_t Host = 0; Host < ControlCount; ++Host)
@@ -115,7 +117,7 @@
                     {"heartbeat_interval_ms", "300"},
                     {"bounds.grace_s", "8"},
                     {"bounds.retry_budget_ratio", "0.2"},
-                    {"bounds.retry_budget_extra", "100"},
+                    {"bounds.retry_budget_extra", RetryReserve},
                     {"bounds.budget_window_s", "10"},
                     {"limits.link_mbps", "1000.0"},
                     {"bounds.config_apply_ms", "2000"},
--- a/tests/platform/platform_system_base.h
+++ b/tests/platform/platform_system_base.h
@@ -28,7 +28,8 @@
  */
 class platform_system {
 public:
-  platform_system(std::size_t Controls, std::size_t Entries);
+  /// @param RetryReserve Retries of all entries together beside their share of the requests.
+  platform_system(std::size_t Controls, std::size_t Entries, std::size_t RetryReserve = 100);
 
   /// Starts or restarts a control host. @param Bootstrap Whether the system starts for the first
   /// time.
@@ -62,6 +63,7 @@
                                                      std::size_t HostIndex, bool Bootstrap) const;
   [[nodiscard]] std::string hostAddress(const host &Host, std::size_t Port) const;
 
+  std::string RetryReserve;
   temp_folder Folder;
   std::vector<host> Controls;
   std::vector<host> Entries;
