--- a/tests/platform/retry_budget_path_test.cpp
+++ b/tests/platform/retry_budget_path_test.cpp
@@ -2,6 +2,7 @@
 #include "platform_path_fixture.h"
 #include "retry_count.h"
 
+#include <array>
 #include <atomic>
 
 namespace pollenstall {
@@ -82,7 +83,7 @@
   void startLoad(const std::string &Service, std::size_t CallersPerEntry) {
     for (std::size_t Caller = 0; Caller < CallersPerEntry * Entries; ++Caller)
       Callers.emplace_back([this, Service, Entry = Caller % Entries] {
-        while (!Stopping) {
+        while (!Stopping && !Lost.at(Entry)) {
           sendOne(Service, Entry);
           std::this_thread::sleep_for(Pause);
         }
@@ -137,6 +138,7 @@
   std::vector<std::unique_ptr<plain_server>> Servers;
   std::vector<std::thread> Callers;
   std::atomic<bool> Stopping{false};
+  std::array<std::atomic<bool>, Entries> Lost{}; ///< Whose callers have left with them.
   std::atomic<int> LoadSends{0};
 };
 
@@ -172,13 +174,15 @@
 
 // Guards against entries that take over the parts of lost ones, whose repeats still count.
 TEST_F(RetryBudgetPathTest, PartsOfLostEntriesAreNotSpentAgain) {
-  ASSERT_NO_FATAL_FAILURE(start(90));
-  startLoad("s1", 3);
-  announceFor(seconds(3));
+  ASSERT_NO_FATAL_FAILURE(start(240));
+  startLoad("s1", 4);
+  announceFor(seconds(2));
   decline("s1");
   announceFor(seconds(3));
-  System->killEntry(1);
-  System->killEntry(2);
+  for (const std::size_t Entry : {1U, 2U}) {
+    Lost.at(Entry) = true;
+    System->killEntry(Entry);
+  }
   announceFor(seconds(8));
   stopLoad();
   expectWithinBound("s1");
