Each service has a retry budget of its own

Cause: an entry kept one window for all services, so the share of requests for the sound one paid for repeats at the failing one. Class: an allowance of one party paid out of the account of all.

Now src/retry_budget keeps a window for each service. A retry uses up a part of the service's reserve; requests for the service pay back what was used, and the rest comes back when it is older than the window. So an entry never starts more in a window than its part and what requests of that window pay for. The former window let requests of the last 10 s pay at once, which in sum exceeds the bound where requests move between entries.

--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -56,6 +56,9 @@
   /// @return The instance name of the backend server; empty if it has none.
   [[nodiscard]] std::string instanceOf(const backend_key &Backend) const;
   void setRetryAllowance(const retry_allowance &Value) { Dispatcher.setRetryAllowance(Value); }
+  /// @return This entry's part of the reserve of retries; 0 if there is none.
+  [[nodiscard]] double retryPart() { return Dispatcher.retryPart(); }
+  void setRetryEntries(std::size_t Count) { Dispatcher.setRetryEntries(Count); }
   /// Takes the decisions on retries since the last call.
   std::vector<retry_decision> takeRetryDecisions() { return std::exchange(RetryDecisions, {}); }
   /// Records the limit that an answer states. @return How the known limit of its server changed.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -135,6 +135,8 @@
   RateLimits.onWake([this] { WakeEvent.wake(); });
   if (!DecisionOptions.ReadDeclaration)
     DecisionOptions.ReadDeclaration = readTomlDeclaration;
+  if (DecisionOptions.RetryReserve)
+    Core.setRetryAllowance({*DecisionOptions.RetryReserve, DecisionOptions.RetryWindow});
 }
 
 decision_thread::~decision_thread() { stop(); }
@@ -322,18 +324,10 @@
     WorkShare->commands().push(std::move(PeerEntries));
     Outbox.push(std::move(TunnelEntries));
   }
-  if (!DecisionOptions.RetryReserve)
-    return;
-  // The reserve is divided evenly. A tenth is held back for entries that restart and lose their
-  // count of spent retries, and for requests that are counted here slightly before their caller
-  // counts them.
-  constexpr double UsableShare = 0.9;
-  const double Entries = std::max<double>(1.0, static_cast<double>(Listed.Entries.size()));
-  const double Reserve = *DecisionOptions.RetryReserve * UsableShare / Entries;
-  Core.setRetryAllowance({Reserve, DecisionOptions.RetryWindow});
-  RetryReserveGauge.Set(Reserve);
+  Core.setRetryEntries(Listed.Entries.size());
   logEvent(log_level::Info, "retry_reserve",
-           {{"entries", static_cast<std::int64_t>(Listed.Entries.size())}, {"reserve", Reserve}});
+           {{"entries", static_cast<std::int64_t>(Listed.Entries.size())},
+            {"reserve", Core.retryPart()}});
 }
 
 void decision_thread::reportCrash(crash_report &&Crash) {
@@ -501,6 +495,7 @@
   LiveGauge.Set(static_cast<double>(Core.liveRequests()));
   AbandonedGauge.Set(static_cast<double>(Core.abandonedAttempts()));
   ReadyGauge.Set(Admitting ? 1.0 : 0.0);
+  RetryReserveGauge.Set(Core.retryPart());
   LimitedServersGauge.Set(static_cast<double>(Core.rateLimitedServers()));
   if (!WorkShare)
     return;
--- a/programs/pollenstall-entry/dispatch_dump.cpp
+++ b/programs/pollenstall-entry/dispatch_dump.cpp
@@ -68,7 +68,6 @@
   return json::serialize(json::object{{"ready", Dump.Ready},
                                       {"shutting_down", Dump.ShuttingDown},
                                       {"counters", countersObject(Dump.Counters)},
-                                      {"retry_budget", Dump.RetryBudget},
                                       {"requests", std::move(Requests)},
                                       {"abandoned", std::move(Abandoned)}});
 }
--- a/src/dispatch/dispatch_dump_type.h
+++ b/src/dispatch/dispatch_dump_type.h
@@ -62,7 +62,6 @@
   bool Ready{false};
   bool ShuttingDown{false};
   dispatch_counters Counters;
-  double RetryBudget{0}; ///< Retries that may start now.
   std::vector<request_dump> Requests;
   std::vector<abandoned_dump> Abandoned;
 };
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -76,7 +76,7 @@
   ++Request.Attempts;
   ++Counters.Attempts;
   if (Request.Attempts == 1)
-    Budget.deposit(Now);
+    Budget.deposit(budgetService(Request.Facts), Now);
   const bool MoreAttemptsAllowed = Request.Attempts < maxAttempts(Request);
   const mono_time SlowAt = Now + firstTokenTimeout(Request.Facts, Placement.ExpectedFirstToken);
   // If no other attempt may follow, giving up a slow one could only lose its answer.
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -8,8 +8,8 @@
 #include "dispatch/dispatch_type.h"
 #include "dispatch/dispatcher_callbacks_type.h"
 #include "dispatch/live_request_type.h"
-#include "dispatch/retry_budget_base.h"
 #include "dispatch/timer_queue_base.h"
+#include "retry_budget/retry_budget.h"
 
 #include <cstddef>
 #include <map>
@@ -69,8 +69,12 @@
   /// Applies the limits of a new declaration. Deadlines and claim lifetimes that are already set
   /// stay; MaxAttempts applies to live requests too.
   void applyLimits(const limits_declaration &Value);
-  /// Replaces the token bucket of retries by a limit on each sliding time window; see retry_budget.
+  /// Replaces the token bucket of retries by a budget that all entries share; see retry_budget.
   void setRetryAllowance(const retry_allowance &Value) { Budget.setAllowance(Value); }
+  /// @return This entry's part of the reserve of retries; 0 if there is none.
+  [[nodiscard]] double retryPart() { return Budget.shared() ? Budget.shared()->part() : 0; }
+  /// Sets the number of entries that share the allowance of retries, if there is one.
+  void setRetryEntries(std::size_t Count);
 
   /// @return The number of requests without a final answer.
   [[nodiscard]] std::size_t liveRequests() const { return Requests.size(); }
@@ -122,7 +126,7 @@
   [[nodiscard]] std::uint32_t maxAttempts(const live_request &Request) const;
   bool mayRetry(const live_request &Request, mono_time Now) const;
   bool trySpendRetry(const live_request &Request, mono_time Now);
-  void reportRetry(const live_request &Request, retry_verdict Verdict) const;
+  void reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now);
   void retryOrFinish(live_request &Request, mono_time Now);
   void retryElsewhere(live_request &Request, attempt_failure Failure, mono_time Now);
   void retryUnanswered(const backend_key &Backend, mono_time Now);
--- a/src/dispatch/dispatcher_dump.cpp
+++ b/src/dispatch/dispatcher_dump.cpp
@@ -33,7 +33,6 @@
   Dump.Ready = Ready;
   Dump.ShuttingDown = ShutdownBy.has_value();
   Dump.Counters = Counters;
-  Dump.RetryBudget = Budget.available();
   for (const auto &[RequestId, Request] : Requests)
     Dump.Requests.push_back(dumpOf(Request, Now));
   Dump.Abandoned = Abandoned.dump(Now);
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -10,10 +10,6 @@
 /// Attempts beyond the declared limit that one request may use on unreachable backend servers.
 constexpr std::uint32_t MaxUnsentAttempts = 6;
 
-const service_name &budgetService(const request_facts &Facts) {
-  return Facts.Services.empty() ? Facts.Service : Facts.Services.front().first;
-}
-
 } // namespace
 
 std::uint32_t dispatcher::maxAttempts(const live_request &Request) const {
@@ -37,22 +33,29 @@
   // counts as the first.
   const bool ExemptFromBudget =
       Request.Facts.MaxAttempts > 0 && Request.UnsentAttempts == Request.Attempts;
-  if (!ExemptFromBudget && !Budget.tryWithdraw(Now)) {
+  if (!ExemptFromBudget && !Budget.tryWithdraw(budgetService(Request.Facts), Now)) {
     ++Counters.RetriesOverBudget;
-    reportRetry(Request, retry_verdict::Refused);
+    reportRetry(Request, retry_verdict::Refused, Now);
     return false;
   }
   ++Counters.Retries;
-  reportRetry(Request, ExemptFromBudget ? retry_verdict::Unsent : retry_verdict::Started);
+  reportRetry(Request, ExemptFromBudget ? retry_verdict::Unsent : retry_verdict::Started, Now);
   return true;
 }
 
-void dispatcher::reportRetry(const live_request &Request, retry_verdict Verdict) const {
-  if (Callbacks.RetryDecided)
-    Callbacks.RetryDecided({{Self, Request.Facts.Id, Request.Attempts},
-                            budgetService(Request.Facts),
-                            Verdict,
-                            Budget.available()});
+void dispatcher::reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now) {
+  if (!Callbacks.RetryDecided)
+    return;
+  const service_name &Service = budgetService(Request.Facts);
+  Callbacks.RetryDecided({{Self, Request.Facts.Id, Request.Attempts},
+                          Service,
+                          Verdict,
+                          Budget.available(Service, Now)});
+}
+
+void dispatcher::setRetryEntries(std::size_t Count) {
+  if (shared_retry_budget *Shared = Budget.shared())
+    Shared->setEntries(Count);
 }
 
 void dispatcher::retryOrFinish(live_request &Request, mono_time Now) {
--- a/src/dispatch/live_request_type.h
+++ b/src/dispatch/live_request_type.h
@@ -33,6 +33,11 @@
   bool BackendGone{false};           ///< The backend server's incarnation ended; no cancel needed.
 };
 
+/// @return The service whose budget pays for retries of a request.
+inline const service_name &budgetService(const request_facts &Facts) {
+  return Facts.Services.empty() ? Facts.Service : Facts.Services.front().first;
+}
+
 /// A request from its arrival to its final answer.
 struct live_request {
   request_facts Facts;
--- a/src/retry_budget/retry_budget.cpp
+++ b/src/retry_budget/retry_budget.cpp
@@ -1,5 +1,5 @@
 /** @file retry_budget.cpp The retry budget, counted in hundredths of a retry. */
-#include "dispatch/retry_budget_base.h"
+#include "retry_budget/retry_budget_base.h"
 
 #include <algorithm>
 
@@ -14,22 +14,22 @@
 
 } // namespace
 
-double retry_budget::share() const {
-  return static_cast<double>(RetryPercent) / static_cast<double>(HundredthsPerRetry);
+void retry_budget::setPercent(std::uint32_t Percent) {
+  RetryPercent = Percent;
+  if (Shared)
+    Shared->setShare(static_cast<double>(Percent) / static_cast<double>(HundredthsPerRetry));
 }
 
-void retry_budget::deposit(mono_time Now) {
-  if (Window)
-    return Window->recordFirstAttempt(Now);
-  BalanceHundredths =
-      std::min(BalanceHundredths + RetryPercent, MaxSavedRetries * HundredthsPerRetry);
+void retry_budget::setAllowance(const retry_allowance &Value) {
+  Shared.emplace(Value, retry_budget_tuning{});
+  setPercent(RetryPercent);
 }
 
-void retry_budget::setAllowance(const retry_allowance &Value) {
-  if (Window)
-    Window->setAllowance(Value);
-  else
-    Window.emplace(Value);
+void retry_budget::deposit(const service_name &Service, mono_time Now) {
+  if (Shared)
+    return Shared->deposit(Service, Now);
+  BalanceHundredths =
+      std::min(BalanceHundredths + RetryPercent, MaxSavedRetries * HundredthsPerRetry);
 }
 
 void retry_budget::refillFloor(mono_time Now) {
@@ -45,9 +45,9 @@
         FloorBalance, BalanceHundredths + std::min(Regained, FloorRetries) * HundredthsPerRetry);
 }
 
-bool retry_budget::tryWithdraw(mono_time Now) {
-  if (Window)
-    return Window->tryWithdraw(share(), Now);
+bool retry_budget::tryWithdraw(const service_name &Service, mono_time Now) {
+  if (Shared)
+    return Shared->tryWithdraw(Service, Now);
   refillFloor(Now);
   if (BalanceHundredths < HundredthsPerRetry)
     return false;
@@ -55,9 +55,10 @@
   return true;
 }
 
-double retry_budget::available() const {
-  if (Window)
-    return Window->available(share());
+double retry_budget::available(const service_name &Service, mono_time Now) {
+  if (Shared)
+    return Shared->available(Service, Now);
+  refillFloor(Now);
   return static_cast<double>(BalanceHundredths) / static_cast<double>(HundredthsPerRetry);
 }
 
--- /dev/null
+++ b/tests/retry_budget/shared_retry_budget_test.cpp
@@ -0,0 +1,103 @@
+/** @file shared_retry_budget_test.cpp What one entry may use of the budget of all entries. */
+#include "retry_budget/retry_budget.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace pollenstall {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr seconds Window{10};
+const service_name Failing("failing");
+const service_name Sound("sound");
+
+class ASharedRetryBudget : public testing::Test {
+protected:
+  static shared_retry_budget budget(double Reserve, double Share, std::size_t Entries) {
+    shared_retry_budget Budget({Reserve, Window}, {});
+    Budget.setShare(Share);
+    Budget.setEntries(Entries);
+    return Budget;
+  }
+  int withdrawAll(shared_retry_budget &Budget, const service_name &Service) const {
+    int Withdrawn = 0;
+    while (Budget.tryWithdraw(Service, Now))
+      ++Withdrawn;
+    return Withdrawn;
+  }
+
+  mono_time Now{std::chrono::hours(1)};
+};
+
+TEST_F(ASharedRetryBudget, LimitsTheRetriesOfAnyWindow) {
+  constexpr double Share = 0.2;
+  shared_retry_budget Budget = budget(4, Share, 1);
+  std::vector<mono_time> Retries;
+  std::vector<mono_time> Requests;
+  random_source Random(7);
+  for (int Step = 0; Step < 20'000; ++Step) {
+    Now += milliseconds(Random.below(60));
+    if (Random.chance(0.5)) {
+      Budget.deposit(Failing, Now);
+      Requests.push_back(Now);
+    } else if (Budget.tryWithdraw(Failing, Now)) {
+      Retries.push_back(Now);
+    }
+  }
+  ASSERT_GT(Retries.size(), 1'000U);
+  const auto Count = [](const std::vector<mono_time> &Times, mono_time From, mono_time To) {
+    return static_cast<double>(std::upper_bound(Times.begin(), Times.end(), To) -
+                               std::lower_bound(Times.begin(), Times.end(), From));
+  };
+  for (const mono_time End : Retries)
+    EXPECT_LE(Count(Retries, End - Window, End), 4 + Share * Count(Requests, End - Window, End));
+}
+
+// Guards against requests for a sound service that pay for retries at a failing one.
+TEST_F(ASharedRetryBudget, KeepsAnAllowanceForEachService) {
+  shared_retry_budget Budget = budget(20, 0.2, 2);
+  withdrawAll(Budget, Failing);
+  for (int Request = 0; Request < 1'000; ++Request)
+    Budget.deposit(Sound, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 0);
+  EXPECT_EQ(withdrawAll(Budget, Sound), 9);
+}
+
+// Guards against amounts that are saved up and then used beside those of the same window.
+TEST_F(ASharedRetryBudget, RequestsPayBackOnlyWhatWasUsed) {
+  shared_retry_budget Budget = budget(10, 0.2, 1);
+  for (int Request = 0; Request < 1'000; ++Request)
+    Budget.deposit(Failing, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 9);
+  for (int Request = 0; Request < 50; ++Request)
+    Budget.deposit(Failing, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 9) << "ten are paid back, nine and a half fit";
+}
+
+TEST_F(ASharedRetryBudget, ReturnsWhatIsOlderThanTheWindow) {
+  shared_retry_budget Budget = budget(10, 0, 1);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 9);
+  Now += Window;
+  EXPECT_EQ(withdrawAll(Budget, Failing), 0) << "retries arrive a little later than they start";
+  Now += seconds(1);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 9);
+}
+
+// Thirty streams break at once after a minute without failures; the reserve of all entries, 96,
+// allows to resume all of them.
+TEST_F(ASharedRetryBudget, ResumesThirtyStreamsThatBreakAtOneEntry) {
+  shared_retry_budget Budget = budget(96 / 0.95, 0.2, 8);
+  for (int Step = 0; Step < 600; ++Step) {
+    Now += milliseconds(100);
+    Budget.deposit(Failing, Now);
+  }
+  EXPECT_GE(withdrawAll(Budget, Failing), 30);
+}
+
+} // namespace
+} // namespace pollenstall
