The parts of the retry reserve no longer grow while the retries of lost entries count

Cause: each entry divided the reserve by the length of the last list it got. What lost entries had used still counted, and an entry out of contact kept its part while the others took it. Class: a sum that every process divides by what it believes.

Now the highest number of entries of the lists of the last window, and of the time in which a missing entry may still use its part, divides; and an entry uses nothing from 5 s after the end of its lease on.

--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -55,10 +55,14 @@
   [[nodiscard]] bool isLeaving(const backend_key &Backend) const;
   /// @return The instance name of the backend server; empty if it has none.
   [[nodiscard]] std::string instanceOf(const backend_key &Backend) const;
-  void setRetryAllowance(const retry_allowance &Value) { Dispatcher.setRetryAllowance(Value); }
+  void setRetryAllowance(const retry_allowance &Value, mono_time Now) {
+    Dispatcher.setRetryAllowance(Value, Now);
+  }
   /// @return This entry's part of the reserve of retries; 0 if there is none.
-  [[nodiscard]] double retryPart() { return Dispatcher.retryPart(); }
-  void setRetryEntries(std::size_t Count) { Dispatcher.setRetryEntries(Count); }
+  [[nodiscard]] double retryPart(mono_time Now) { return Dispatcher.retryPart(Now); }
+  void setRetryEntries(std::size_t Count, mono_time Now) { Dispatcher.setRetryEntries(Count, Now); }
+  /// Records that control regards this entry as present until then, at least.
+  void confirmContact(mono_time Until, mono_time Now) { Dispatcher.confirmContact(Until, Now); }
   /// Takes the decisions on retries since the last call.
   std::vector<retry_decision> takeRetryDecisions() { return std::exchange(RetryDecisions, {}); }
   /// Records the limit that an answer states. @return How the known limit of its server changed.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -136,7 +136,8 @@
   if (!DecisionOptions.ReadDeclaration)
     DecisionOptions.ReadDeclaration = readTomlDeclaration;
   if (DecisionOptions.RetryReserve)
-    Core.setRetryAllowance({*DecisionOptions.RetryReserve, DecisionOptions.RetryWindow});
+    Core.setRetryAllowance({*DecisionOptions.RetryReserve, DecisionOptions.RetryWindow},
+                           boot_clock::now());
 }
 
 decision_thread::~decision_thread() { stop(); }
@@ -237,15 +238,16 @@
           [this](const declaration_announced &Newer) {
             DeclarationLease.recordAnnounced(Newer.Revision);
           },
-          [this](const lease_extended &Lease) {
+          [this, Now](const lease_extended &Lease) {
             DeclarationLease.extend(Lease.Revision, Lease.Until);
+            Core.confirmContact(Lease.Until, Now);
           },
           [this, Now](const claim_answered &Answer) {
             Core.handleEvent(dispatch_event(Answer), Now);
           },
           [this, Now](const drains_changed &Drains) { Core.setDrains(Drains.Backends, Now); },
           [this, Now](const backends_listed &Listed) { Core.handleEvent(Listed, Now); },
-          [this](const entries_listed &Listed) { handleEntries(Listed); },
+          [this, Now](const entries_listed &Listed) { handleEntries(Listed, Now); },
           [this, Now](const suspects_listed &Listed) {
             Outbox.push(
                 suspects_update{std::make_shared<const suspect_list>(Listed.Suspects, Now)});
@@ -313,7 +315,7 @@
     Outbox.push(std::move(Update));
 }
 
-void decision_thread::handleEntries(const entries_listed &Listed) {
+void decision_thread::handleEntries(const entries_listed &Listed, mono_time Now) {
   if (WorkShare) {
     entries_update PeerEntries;
     tunnel_entries_update TunnelEntries;
@@ -324,10 +326,10 @@
     WorkShare->commands().push(std::move(PeerEntries));
     Outbox.push(std::move(TunnelEntries));
   }
-  Core.setRetryEntries(Listed.Entries.size());
+  Core.setRetryEntries(Listed.Entries.size(), Now);
   logEvent(log_level::Info, "retry_reserve",
            {{"entries", static_cast<std::int64_t>(Listed.Entries.size())},
-            {"reserve", Core.retryPart()}});
+            {"reserve", Core.retryPart(Now)}});
 }
 
 void decision_thread::reportCrash(crash_report &&Crash) {
@@ -495,7 +497,7 @@
   LiveGauge.Set(static_cast<double>(Core.liveRequests()));
   AbandonedGauge.Set(static_cast<double>(Core.abandonedAttempts()));
   ReadyGauge.Set(Admitting ? 1.0 : 0.0);
-  RetryReserveGauge.Set(Core.retryPart());
+  RetryReserveGauge.Set(Core.retryPart(boot_clock::now()));
   LimitedServersGauge.Set(static_cast<double>(Core.rateLimitedServers()));
   if (!WorkShare)
     return;
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -100,7 +100,7 @@
   void handleRateLimit(const rate_limit_answer &Answer, mono_time Now);
   void handlePermitReply(const permit_reply &Reply, mono_time Now);
   void sendPermitMessages(mono_time Now);
-  void handleEntries(const entries_listed &Listed);
+  void handleEntries(const entries_listed &Listed, mono_time Now);
   void forwardListings();
   void publishLoads(mono_time Now);
   [[nodiscard]] bool loadsDiffer(const std::vector<work_load> &Loads, mono_time Now) const;
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -70,11 +70,17 @@
   /// stay; MaxAttempts applies to live requests too.
   void applyLimits(const limits_declaration &Value);
   /// Replaces the token bucket of retries by a budget that all entries share; see retry_budget.
-  void setRetryAllowance(const retry_allowance &Value) { Budget.setAllowance(Value); }
+  void setRetryAllowance(const retry_allowance &Value, mono_time Now) {
+    Budget.setAllowance(Value, Now);
+  }
   /// @return This entry's part of the reserve of retries; 0 if there is none.
-  [[nodiscard]] double retryPart() { return Budget.shared() ? Budget.shared()->part() : 0; }
+  [[nodiscard]] double retryPart(mono_time Now) {
+    return Budget.shared() ? Budget.shared()->part(Now) : 0;
+  }
   /// Sets the number of entries that share the allowance of retries, if there is one.
-  void setRetryEntries(std::size_t Count);
+  void setRetryEntries(std::size_t Count, mono_time Now);
+  /// Records that control regards this entry as present until then, at least.
+  void confirmContact(mono_time Until, mono_time Now);
 
   /// @return The number of requests without a final answer.
   [[nodiscard]] std::size_t liveRequests() const { return Requests.size(); }
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -53,9 +53,14 @@
                           Budget.available(Service, Now)});
 }
 
-void dispatcher::setRetryEntries(std::size_t Count) {
+void dispatcher::setRetryEntries(std::size_t Count, mono_time Now) {
   if (shared_retry_budget *Shared = Budget.shared())
-    Shared->setEntries(Count);
+    Shared->setEntries(Count, Now);
+}
+
+void dispatcher::confirmContact(mono_time Until, mono_time Now) {
+  if (shared_retry_budget *Shared = Budget.shared())
+    Shared->confirmContact(Until, Now);
 }
 
 void dispatcher::retryOrFinish(live_request &Request, mono_time Now) {
--- a/src/retry_budget/retry_budget_base.h
+++ b/src/retry_budget/retry_budget_base.h
@@ -24,7 +24,7 @@
   /// Changes the share of retries; the balance is kept.
   void setPercent(std::uint32_t Percent);
   /// Replaces the token bucket by a budget that all entries share.
-  void setAllowance(const retry_allowance &Value);
+  void setAllowance(const retry_allowance &Value, mono_time Now);
   /// @return The budget that all entries share; nullptr if there is none.
   [[nodiscard]] shared_retry_budget *shared() { return Shared ? &*Shared : nullptr; }
   /// Counts the first attempt of a request.
--- a/src/retry_budget/retry_budget_type.h
+++ b/src/retry_budget/retry_budget_type.h
@@ -62,9 +62,9 @@
   /// window.
   double LoanLifetimeShare{0.025};
   /// An entry may use its part of the reserve for this long after its lease has ended.
-  mono_duration ContactGrace{std::chrono::seconds(2)};
-  /// An entry that is missing from the list of entries may use its part for less than this: the
-  /// longest lease, and ContactGrace.
+  mono_duration ContactGrace{std::chrono::seconds(5)};
+  /// An entry that is missing from the list of entries uses its part for less than this: for the
+  /// longest lease and ContactGrace.
   mono_duration MaxUnlisted{std::chrono::seconds(10)};
   /// Time between two rounds of requests for loans.
   mono_duration RequestInterval{std::chrono::milliseconds(10)};
--- a/src/retry_budget/shared_retry_budget.cpp
+++ b/src/retry_budget/shared_retry_budget.cpp
@@ -1,6 +1,8 @@
 /** @file shared_retry_budget.cpp Windows by service, and this entry's part of the reserve. */
 #include "retry_budget/shared_retry_budget_base.h"
 
+#include <algorithm>
+
 namespace pollenstall {
 
 namespace {
@@ -16,8 +18,27 @@
 
 } // namespace
 
-retry_amount shared_retry_budget::part() const {
-  if (Entries == 0)
+shared_retry_budget::shared_retry_budget(const retry_allowance &NewAllowance,
+                                         const retry_budget_tuning &Values, mono_time Start)
+    : Allowance(NewAllowance), Tuning(Values), ContactUntil(Start + Values.ContactGrace) {}
+
+mono_duration shared_retry_budget::useLifetime() const {
+  return scaled(Allowance.Window, 1 + Tuning.LatenessShare);
+}
+
+void shared_retry_budget::setEntries(std::size_t Count, mono_time Now) {
+  Census.record(Count, Now);
+  Census.forgetBefore(Now - useLifetime() - Tuning.MaxUnlisted);
+  confirmContact(Now, Now);
+}
+
+void shared_retry_budget::confirmContact(mono_time Until, mono_time /*Now*/) {
+  ContactUntil = std::max(ContactUntil, Until + Tuning.ContactGrace);
+}
+
+retry_amount shared_retry_budget::part(mono_time Now) const {
+  const std::size_t Entries = Census.highestSince(Now - useLifetime() - Tuning.MaxUnlisted);
+  if (Entries == 0 || Now > ContactUntil)
     return 0;
   return Allowance.Reserve * Tuning.UsableShare / static_cast<double>(Entries);
 }
@@ -25,22 +46,21 @@
 retry_window &shared_retry_budget::windowOf(const service_name &Service, mono_time Now) {
   retry_window &Window = Windows[Service];
   // A slot is as old as its oldest use, which may be a slot's length older than its latest one.
-  Window.advance(Now, scaled(Allowance.Window, 1 + Tuning.LatenessShare) +
-                          Allowance.Window / SlotsPerWindow);
+  Window.advance(Now, useLifetime() + Allowance.Window / SlotsPerWindow);
   return Window;
 }
 
 void shared_retry_budget::deposit(const service_name &Service, mono_time Now) {
-  windowOf(Service, Now).payBack(Share * Tuning.UsableShare, part());
+  windowOf(Service, Now).payBack(Share * Tuning.UsableShare, part(Now));
 }
 
 retry_amount shared_retry_budget::available(const service_name &Service, mono_time Now) {
-  return windowOf(Service, Now).available(part());
+  return windowOf(Service, Now).available(part(Now));
 }
 
 bool shared_retry_budget::tryWithdraw(const service_name &Service, mono_time Now) {
   retry_window &Window = windowOf(Service, Now);
-  if (Window.available(part()) < WholeRetry)
+  if (Window.available(part(Now)) < WholeRetry)
     return false;
   Window.use(1, Now, Allowance.Window / SlotsPerWindow);
   return true;
--- a/tests/dispatch/retry_test.cpp
+++ b/tests/dispatch/retry_test.cpp
@@ -97,7 +97,7 @@
   limits_declaration NoRetries = Limits;
   NoRetries.RetryPercent = 0;
   Dispatch.applyLimits(NoRetries);
-  Dispatch.setRetryAllowance({});
+  Dispatch.setRetryAllowance({}, Now);
   request_facts Facts = facts(true);
   Facts.MaxAttempts = 2;
   arrive(Facts);
--- a/tests/retry_budget/shared_retry_budget_test.cpp
+++ b/tests/retry_budget/shared_retry_budget_test.cpp
@@ -18,10 +18,13 @@
 
 class ASharedRetryBudget : public testing::Test {
 protected:
-  static shared_retry_budget budget(double Reserve, double Share, std::size_t Entries) {
-    shared_retry_budget Budget({Reserve, Window}, {});
+  /// @return The budget of an entry that has run for longer than the window.
+  shared_retry_budget budget(double Reserve, double Share, std::size_t Entries) {
+    shared_retry_budget Budget({Reserve, Window}, {}, Now);
     Budget.setShare(Share);
-    Budget.setEntries(Entries);
+    Budget.setEntries(Entries, Now);
+    Budget.confirmContact(Now + std::chrono::hours(10), Now);
+    Now += std::chrono::hours(1);
     return Budget;
   }
   int withdrawAll(shared_retry_budget &Budget, const service_name &Service) const {
@@ -88,6 +91,38 @@
   EXPECT_EQ(withdrawAll(Budget, Failing), 9);
 }
 
+// Guards against parts that grow at once when entries leave, whose retries still count.
+TEST_F(ASharedRetryBudget, PartsGrowOnlyOnceTheRetriesOfLostEntriesNoLongerCount) {
+  shared_retry_budget Budget = budget(40, 0, 4);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 9);
+  Budget.setEntries(1, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 0);
+  Now += Window + seconds(2);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 9) << "a lost entry may still use its part";
+  Now += Window;
+  EXPECT_EQ(withdrawAll(Budget, Failing), 29) << "38, of which 9 were used in this window";
+}
+
+// Guards against an entry out of contact, whose part the others have taken over.
+TEST_F(ASharedRetryBudget, UsesNothingLongAfterTheEndOfItsLease) {
+  shared_retry_budget Budget({40, Window}, {}, Now);
+  Budget.setEntries(2, Now);
+  Budget.confirmContact(Now + std::chrono::minutes(1), Now);
+  Now += std::chrono::minutes(1) + seconds(4);
+  EXPECT_GT(withdrawAll(Budget, Failing), 0);
+  Now += seconds(2);
+  EXPECT_EQ(Budget.part(Now), 0);
+  EXPECT_EQ(withdrawAll(Budget, Sound), 0);
+}
+
+// Guards against an entry that learns of the others one after the other from a new leader.
+TEST_F(ASharedRetryBudget, IgnoresSmallListsOfANewLeader) {
+  shared_retry_budget Budget = budget(80, 0, 8);
+  for (const std::size_t Count : {1U, 3U, 8U})
+    Budget.setEntries(Count, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 9);
+}
+
 // Thirty streams break at once after a minute without failures; the reserve of all entries, 96,
 // allows to resume all of them.
 TEST_F(ASharedRetryBudget, ResumesThirtyStreamsThatBreakAtOneEntry) {
