An entry that starts regards its part of the retry reserve as used

Cause: a started entry had a full part, though its earlier incarnation had used one in the same window. The tenth that was held back for this covers one entry in ten. Class: an allowance whose account ends with its process.

Now the part counts as used until a window after the start; requests pay it back meanwhile, so an entry that serves may retry from its first seconds on. The same holds for an entry that is back after a time out of contact.

--- a/src/retry_budget/shared_retry_budget.cpp
+++ b/src/retry_budget/shared_retry_budget.cpp
@@ -20,19 +20,29 @@
 
 shared_retry_budget::shared_retry_budget(const retry_allowance &NewAllowance,
                                          const retry_budget_tuning &Values, mono_time Start)
-    : Allowance(NewAllowance), Tuning(Values), ContactUntil(Start + Values.ContactGrace) {}
+    : Allowance(NewAllowance), Tuning(Values), ContactUntil(Start + Values.ContactGrace) {
+  assumeUsed(Start);
+}
 
 mono_duration shared_retry_budget::useLifetime() const {
   return scaled(Allowance.Window, 1 + Tuning.LatenessShare);
 }
 
+void shared_retry_budget::assumeUsed(mono_time Now) {
+  UsedUntil = Now + useLifetime();
+  for (auto &[Service, Window] : Windows)
+    Window.assumeUsedUntil(UsedUntil);
+}
+
 void shared_retry_budget::setEntries(std::size_t Count, mono_time Now) {
   Census.record(Count, Now);
   Census.forgetBefore(Now - useLifetime() - Tuning.MaxUnlisted);
   confirmContact(Now, Now);
 }
 
-void shared_retry_budget::confirmContact(mono_time Until, mono_time /*Now*/) {
+void shared_retry_budget::confirmContact(mono_time Until, mono_time Now) {
+  if (Now > ContactUntil)
+    assumeUsed(Now);
   ContactUntil = std::max(ContactUntil, Until + Tuning.ContactGrace);
 }
 
@@ -44,7 +54,10 @@
 }
 
 retry_window &shared_retry_budget::windowOf(const service_name &Service, mono_time Now) {
-  retry_window &Window = Windows[Service];
+  const auto [Found, IsNew] = Windows.try_emplace(Service);
+  retry_window &Window = Found->second;
+  if (IsNew && Now < UsedUntil)
+    Window.assumeUsedUntil(UsedUntil);
   // A slot is as old as its oldest use, which may be a slot's length older than its latest one.
   Window.advance(Now, useLifetime() + Allowance.Window / SlotsPerWindow);
   return Window;
--- a/src/retry_budget/shared_retry_budget_base.h
+++ b/src/retry_budget/shared_retry_budget_base.h
@@ -16,7 +16,9 @@
  *
  * The parts of all entries never add up to more than the allowance, although each entry computes
  * its own: it divides by the highest number of entries of recent lists, and uses nothing while it
- * is out of contact with control, since the others may no longer count it.
+ * is out of contact with control, since the others may no longer count it. An entry that starts, or
+ * is back after a time out of contact, regards its part as used: what its earlier incarnation, or
+ * the others in its place, have used is not known here.
  */
 class shared_retry_budget {
 public:
@@ -40,6 +42,7 @@
   [[nodiscard]] retry_amount part(mono_time Now) const;
 
 private:
+  void assumeUsed(mono_time Now);
   /// @return How long a retry counts after the decision on it.
   [[nodiscard]] mono_duration useLifetime() const;
   retry_window &windowOf(const service_name &Service, mono_time Now);
@@ -48,6 +51,7 @@
   retry_budget_tuning Tuning;
   double Share{0};
   entry_census Census;
+  mono_time UsedUntil;    ///< Until then the part of each service is regarded as used.
   mono_time ContactUntil; ///< From then on, the others may no longer count this entry.
   std::unordered_map<service_name, retry_window> Windows;
 };
--- a/tests/retry_budget/shared_retry_budget_test.cpp
+++ b/tests/retry_budget/shared_retry_budget_test.cpp
@@ -123,6 +123,33 @@
   EXPECT_EQ(withdrawAll(Budget, Failing), 9);
 }
 
+// Guards against a started entry with a full part, although its earlier incarnation has used it.
+TEST_F(ASharedRetryBudget, StartsWithWhatRequestsPayForUntilAWindowHasPassed) {
+  shared_retry_budget Budget({40, Window}, {}, Now);
+  Budget.setShare(0.2);
+  Budget.setEntries(1, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 0);
+  for (int Request = 0; Request < 20; ++Request)
+    Budget.deposit(Failing, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 3) << "of 3.8";
+  Budget.confirmContact(Now + std::chrono::minutes(1), Now);
+  Now += Window;
+  EXPECT_EQ(withdrawAll(Budget, Failing), 0);
+  Now += seconds(1);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 38);
+}
+
+// Guards against an entry that is back in contact, while the others have used its part.
+TEST_F(ASharedRetryBudget, RegardsItsPartAsUsedAfterATimeOutOfContact) {
+  shared_retry_budget Budget = budget(40, 0, 1);
+  Now += std::chrono::hours(20);
+  Budget.setEntries(1, Now);
+  Budget.confirmContact(Now + std::chrono::minutes(1), Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 0);
+  Now += Window + seconds(1);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 38);
+}
+
 // Thirty streams break at once after a minute without failures; the reserve of all entries, 96,
 // allows to resume all of them.
 TEST_F(ASharedRetryBudget, ResumesThirtyStreamsThatBreakAtOneEntry) {
