Retries are charged when they start, to the service they go to, and only if they are sent

Cause: the budget counted the decision on a retry, the backend servers count its arrival. A retry that waited in the queue counted in an earlier window; on a route with several services the first one paid whichever server got it; and one that was never sent was paid for. Class: an account kept at another point than the bound is measured.

Now a queued retry holds a place in the budget and is charged by the attempt's start, to the placed service; an attempt of which no byte was sent is refunded.

--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -213,7 +213,8 @@
       settle_claim{Request.Facts.Id, Request.ClaimKey, FinalState, Request.ClaimLifetime});
 }
 
-void dispatcher::close(const live_request &Request, const finish_request &Finish) {
+void dispatcher::close(live_request &Request, const finish_request &Finish) {
+  releaseQueuedRetry(Request);
   const bool SaysNotRun = Finish.Outcome == final_outcome::NotRun;
   requireInvariant(!SaysNotRun || (!Request.mayHaveRun() && !Request.earlierRequestMayHaveRun()),
                    "'not run' is reported only for work that never ran",
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -73,10 +73,16 @@
                    [this] { return stateText(); });
   requireInvariant(!Request.earlierRequestMayHaveRun(),
                    "work with a key starts only under its claim", [this] { return stateText(); });
+  const service_name &Service =
+      Placement.Service.empty() ? budgetService(Request.Facts) : Placement.Service;
+  const bool IsPaid = Request.RetryQueued;
+  // Charged now and not when the retry was queued: backend servers count what arrives.
+  if (IsPaid && !tryPayForRetry(Request, Service, Now))
+    return finishWithFailure(Request, failure_reason::RetriesExhausted, std::nullopt, Now);
   ++Request.Attempts;
   ++Counters.Attempts;
   if (Request.Attempts == 1)
-    Budget.deposit(budgetService(Request.Facts), Now);
+    Budget.deposit(Service, Now);
   const bool MoreAttemptsAllowed = Request.Attempts < maxAttempts(Request);
   const mono_time SlowAt = Now + firstTokenTimeout(Request.Facts, Placement.ExpectedFirstToken);
   // If no other attempt may follow, giving up a slow one could only lose its answer.
@@ -90,7 +96,8 @@
                                                  FirstByteBy,
                                                  0,
                                                  std::nullopt,
-                                                 false});
+                                                 false,
+                                                 IsPaid ? std::optional(Service) : std::nullopt});
   Request.CurrentAttempt->Lifecycle.apply(attempt_step::Start);
   const attempt_id Id = Request.CurrentAttempt->Id;
   Actions.emplace_back(start_attempt{Id,
@@ -221,7 +228,10 @@
   const bool ProvedNotRun = Failure && provesNotRun(*Failure);
   const bool HoldsNoMemory = Failure && !mayHoldMemory(*Failure);
   Request.MayHaveRun = Request.MayHaveRun || !ProvedNotRun;
-  Request.UnsentAttempts += Failure && wasNeverSent(*Failure) ? 1 : 0;
+  const bool NeverSent = Failure && wasNeverSent(*Failure);
+  Request.UnsentAttempts += NeverSent ? 1 : 0;
+  if (NeverSent && Request.CurrentAttempt->PaidBy)
+    Budget.refund(*Request.CurrentAttempt->PaidBy, Now);
   Request.TriedBackends.push_back(Request.CurrentAttempt->Backend);
   if (!HoldsNoMemory)
     return abandon(Request, Failure, Now);
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace pollenstall {
@@ -115,7 +116,7 @@
   void finishWithFailure(live_request &Request, failure_reason Reason,
                          std::optional<std::chrono::seconds> RetryAfter, mono_time Now);
   void settle(const live_request &Request, claim_state FinalState);
-  void close(const live_request &Request, const finish_request &Finish);
+  void close(live_request &Request, const finish_request &Finish);
   std::optional<std::chrono::seconds> retryAfter(const live_request &Request, failure_reason Reason,
                                                  std::optional<std::chrono::seconds> Suggested,
                                                  mono_time Now) const;
@@ -131,7 +132,9 @@
   bool resumeAttempt(live_request &Request, attempt_failure Failure, mono_time Now);
   [[nodiscard]] std::uint32_t maxAttempts(const live_request &Request) const;
   bool mayRetry(const live_request &Request, mono_time Now) const;
-  bool trySpendRetry(const live_request &Request, mono_time Now);
+  bool tryQueueRetry(live_request &Request, mono_time Now);
+  bool tryPayForRetry(live_request &Request, const service_name &Service, mono_time Now);
+  void releaseQueuedRetry(live_request &Request);
   void reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now);
   void retryOrFinish(live_request &Request, mono_time Now);
   void retryElsewhere(live_request &Request, attempt_failure Failure, mono_time Now);
@@ -160,6 +163,7 @@
   std::size_t Claiming{0}; ///< Requests waiting for a claim; the scheduler does not limit them.
   abandoned_tracker Abandoned;
   retry_budget Budget;
+  std::unordered_map<service_name, std::size_t> QueuedRetries; ///< Not paid for yet.
   timer_queue<request_number> Timers;
   std::vector<dispatch_action> Actions;
   dispatch_counters Counters;
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/dispatcher_base.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pollenstall {
 
@@ -26,23 +27,45 @@
   return SafeToRepeat && Request.Attempts < maxAttempts(Request) && Now < Request.Facts.Deadline;
 }
 
-bool dispatcher::trySpendRetry(const live_request &Request, mono_time Now) {
+bool dispatcher::tryQueueRetry(live_request &Request, mono_time Now) {
   if (!mayRetry(Request, Now))
     return false;
   // The budget limits what backend servers receive. If no attempt has reached one, the next attempt
   // counts as the first.
   const bool ExemptFromBudget =
       Request.Facts.MaxAttempts > 0 && Request.UnsentAttempts == Request.Attempts;
-  if (!ExemptFromBudget && !Budget.tryWithdraw(budgetService(Request.Facts), Now)) {
-    ++Counters.RetriesOverBudget;
-    reportRetry(Request, retry_verdict::Refused, Now);
-    return false;
+  const service_name &Service = budgetService(Request.Facts);
+  if (!ExemptFromBudget) {
+    if (Budget.available(Service, Now) < static_cast<double>(QueuedRetries[Service] + 1)) {
+      ++Counters.RetriesOverBudget;
+      reportRetry(Request, retry_verdict::Refused, Now);
+      return false;
+    }
+    ++QueuedRetries[Service];
+    Request.RetryQueued = true;
   }
   ++Counters.Retries;
   reportRetry(Request, ExemptFromBudget ? retry_verdict::Unsent : retry_verdict::Started, Now);
   return true;
 }
 
+void dispatcher::releaseQueuedRetry(live_request &Request) {
+  if (!std::exchange(Request.RetryQueued, false))
+    return;
+  const auto Queued = QueuedRetries.find(budgetService(Request.Facts));
+  if (--Queued->second == 0)
+    QueuedRetries.erase(Queued);
+}
+
+bool dispatcher::tryPayForRetry(live_request &Request, const service_name &Service, mono_time Now) {
+  releaseQueuedRetry(Request);
+  if (Budget.tryWithdraw(Service, Now))
+    return true;
+  ++Counters.RetriesOverBudget;
+  reportRetry(Request, retry_verdict::Refused, Now);
+  return false;
+}
+
 void dispatcher::reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now) {
   if (!Callbacks.RetryDecided)
     return;
@@ -64,7 +87,7 @@
 }
 
 void dispatcher::retryOrFinish(live_request &Request, mono_time Now) {
-  if (trySpendRetry(Request, Now))
+  if (tryQueueRetry(Request, Now))
     return submit(Request, Now);
   const bool UnsafeToRepeat = !Request.Facts.Idempotent && Request.MayHaveRun;
   finishWithFailure(
@@ -75,7 +98,7 @@
 void dispatcher::retryElsewhere(live_request &Request, attempt_failure Failure, mono_time Now) {
   const bool Unanswered =
       Request.CurrentAttempt && !isMidAnswer(Request.CurrentAttempt->Lifecycle.state());
-  if (!Unanswered || !Request.Facts.Idempotent || !trySpendRetry(Request, Now))
+  if (!Unanswered || !Request.Facts.Idempotent || !tryQueueRetry(Request, Now))
     return;
   closeAttempt(Request, Failure, Now);
   submit(Request, Now);
--- a/src/dispatch/live_request_type.h
+++ b/src/dispatch/live_request_type.h
@@ -31,9 +31,10 @@
   std::uint32_t Resumes{0};          ///< How many times the attempt was resumed.
   std::optional<mono_time> ResumeAt; ///< Time of the next resume, if one is scheduled.
   bool BackendGone{false};           ///< The backend server's incarnation ended; no cancel needed.
+  std::optional<service_name> PaidBy{}; ///< The service whose budget paid for a retry.
 };
 
-/// @return The service whose budget pays for retries of a request.
+/// @return The service whose budget is to pay for the next retry of a request.
 inline const service_name &budgetService(const request_facts &Facts) {
   return Facts.Services.empty() ? Facts.Service : Facts.Services.front().first;
 }
@@ -49,6 +50,7 @@
   std::uint32_t Attempts{0};
   std::uint32_t UnsentAttempts{0}; ///< Attempts of which no byte can have reached a server.
   bool PartlyAnswered{false};      ///< The caller has part of the answer of a broken attempt.
+  bool RetryQueued{false};         ///< A retry is queued; the budget pays when it starts.
   bool MayHaveRun{false};          ///< An ended attempt may have started the work.
   std::vector<backend_key> TriedBackends;
   std::optional<running_attempt> CurrentAttempt;
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -264,6 +264,7 @@
   work_placement Placement;
   Placement.Request = Work.Item.Request;
   Placement.Backend = Plan.PrefillEngines.front().Engine->key();
+  Placement.Service = Work.Service;
   Placement.ExpectedFirstToken = durationFromMs(Plan.FirstEventMs);
   for (const engine_option &PrefillEngine : Plan.PrefillEngines) {
     const backend_key &Key = PrefillEngine.Engine->key();
--- a/src/retry_budget/retry_budget.cpp
+++ b/src/retry_budget/retry_budget.cpp
@@ -55,6 +55,13 @@
   return true;
 }
 
+void retry_budget::refund(const service_name &Service, mono_time Now) {
+  if (Shared)
+    return Shared->refund(Service, Now);
+  BalanceHundredths =
+      std::min(BalanceHundredths + HundredthsPerRetry, MaxSavedRetries * HundredthsPerRetry);
+}
+
 double retry_budget::available(const service_name &Service, mono_time Now) {
   if (Shared)
     return Shared->available(Service, Now);
--- a/src/retry_budget/retry_budget_base.h
+++ b/src/retry_budget/retry_budget_base.h
@@ -31,6 +31,8 @@
   void deposit(const service_name &Service, mono_time Now);
   /// Withdraws one retry. @return Whether a retry may start now.
   bool tryWithdraw(const service_name &Service, mono_time Now);
+  /// Takes back a withdrawn retry of which no byte was sent.
+  void refund(const service_name &Service, mono_time Now);
   /// @return The number of retries that may start now.
   double available(const service_name &Service, mono_time Now);
 
--- a/src/retry_budget/shared_retry_budget.cpp
+++ b/src/retry_budget/shared_retry_budget.cpp
@@ -67,6 +67,10 @@
   windowOf(Service, Now).payBack(Share * Tuning.UsableShare, part(Now));
 }
 
+void shared_retry_budget::refund(const service_name &Service, mono_time Now) {
+  windowOf(Service, Now).payBack(1, part(Now));
+}
+
 retry_amount shared_retry_budget::available(const service_name &Service, mono_time Now) {
   return windowOf(Service, Now).available(part(Now));
 }
--- a/src/retry_budget/shared_retry_budget_base.h
+++ b/src/retry_budget/shared_retry_budget_base.h
@@ -36,6 +36,8 @@
   void deposit(const service_name &Service, mono_time Now);
   /// Uses up one retry. @return Whether it may start now.
   bool tryWithdraw(const service_name &Service, mono_time Now);
+  /// Takes back a withdrawn retry of which no byte was sent.
+  void refund(const service_name &Service, mono_time Now);
   /// @return The number of retries that may start now.
   retry_amount available(const service_name &Service, mono_time Now);
   /// @return This entry's part of the reserve of each service.
--- a/src/scheduling/scheduling_type.h
+++ b/src/scheduling/scheduling_type.h
@@ -58,6 +58,7 @@
   std::vector<memory_hold> Holds{};   ///< Memory to reserve on some of the helpers.
   std::vector<backend_key> Helpers{}; ///< Other servers that prefill parts of the prompt.
   permit_stamp Permit{};              ///< Set if Backend states a rate limit.
+  service_name Service{}; ///< Of the backend server; empty if the policy does not know services.
 };
 
 /// Decision that a waiting request can no longer run in time.
--- a/tests/dispatch/retry_test.cpp
+++ b/tests/dispatch/retry_test.cpp
@@ -109,6 +109,82 @@
   EXPECT_TRUE(actionsOf<finish_request>().empty());
 }
 
+/// Requests of which each retry is paid for by an allowance that all entries share.
+struct shared_allowance_test : dispatcher_fixture {
+  void SetUp() override {
+    limits_declaration NoShare = Limits;
+    NoShare.RetryPercent = 0;
+    Dispatch.applyLimits(NoShare);
+    Dispatch.setRetryAllowance({Reserve, Window}, Now);
+    keepContact();
+    Now += Window + seconds(1);
+  }
+  void keepContact() {
+    Dispatch.setRetryEntries(1, Now);
+    Dispatch.confirmContact(Now + std::chrono::minutes(1), Now);
+  }
+  /// Starts a request for a service, whose first attempt is then declined.
+  void decline(std::uint64_t RequestId, const std::vector<std::string> &Services) {
+    request_facts Facts = facts(true, {}, RequestId);
+    for (const std::string &Service : Services)
+      Facts.Services.emplace_back(service_name(Service), 1);
+    arrive(Facts);
+    placeAt(RequestId, Services.front());
+    handleEvent(attempt_failed{{Self, request_number(RequestId), 1}, attempt_failure::Declined});
+  }
+  void placeAt(std::uint64_t RequestId, const std::string &Service) {
+    work_placement Placement{request_number(RequestId), EngineB};
+    Placement.Service = service_name(Service);
+    Dispatch.place(Placement, Now);
+    collectActions();
+  }
+
+  static constexpr double Reserve = 1.2; ///< One retry, of which a part is held back.
+  static constexpr seconds Window{10};
+};
+
+// Guards against retries that wait in the queue and reach the servers in another window than the
+// one that they were charged to.
+TEST_F(shared_allowance_test, ARetryIsChargedWhenItStarts) {
+  decline(1, {"llm"});
+  EXPECT_EQ(Submitted.size(), 2U);
+  Now += seconds(9);
+  placeAt(1, "llm");
+  Now += seconds(9);
+  keepContact();
+  decline(2, {"llm"});
+  EXPECT_EQ(Submitted.size(), 3U) << "the first retry started 9 s ago";
+  Now += seconds(2);
+  decline(3, {"llm"});
+  EXPECT_EQ(Submitted.size(), 5U);
+}
+
+TEST_F(shared_allowance_test, QueuedRetriesShareWhatIsLeft) {
+  decline(1, {"llm"});
+  decline(2, {"llm"});
+  EXPECT_EQ(Submitted.size(), 3U) << "two first attempts and one retry";
+  handleEvent(caller_left{request_number(1)});
+  decline(3, {"llm"});
+  EXPECT_EQ(Submitted.size(), 5U) << "a retry that has not started costs nothing";
+}
+
+// Guards against retries on a route with several services that are charged to another one.
+TEST_F(shared_allowance_test, ARetryIsChargedToTheServiceItGoesTo) {
+  decline(1, {"llm", "plain"});
+  placeAt(1, "plain");
+  decline(2, {"plain"});
+  EXPECT_EQ(Submitted.size(), 3U);
+  decline(3, {"llm"});
+  EXPECT_EQ(Submitted.size(), 5U);
+}
+
+TEST_F(shared_allowance_test, ARetryThatWasNeverSentIsNotCharged) {
+  decline(1, {"llm"});
+  placeAt(1, "llm");
+  handleEvent(attempt_failed{{Self, request_number(1), 2}, attempt_failure::NotConnected});
+  EXPECT_EQ(Submitted.size(), 3U) << "the retry did not reach a server, and the next one may";
+}
+
 // All engines fail at once. Without a budget each request would be sent MaxAttempts times, and the
 // load of the retries would keep the engines down. The budget limits retries to a share of the
 // first attempts.
