Entries lend each other retries; requests wait up to 0.1 s for a loan

Cause: a fixed part for each entry, however failures are spread.

Now an entry that falls short asks others for what is missing, several at once; a lender regards the loan as used when it sends it, so loans add nothing to the sum, also when lost, late or sent twice. Used retries are paid back latest first: paying back the oldest, which come back by themselves, had left half of the budget unused. Parts are rounded by rank, evenly over all entries.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -304,7 +304,7 @@
   return Found == Backends.end() || Found->second.Announcement.Capabilities.Model;
 }
 
-std::string decision_core::dump(mono_time Now) const {
+std::string decision_core::dump(mono_time Now) {
   return R"({"dispatch":)" + dumpText(Dispatcher.dump(Now)) + R"(,"scheduling":)" +
          (usesPlacer() ? Placer.dump(Now) : Scheduler.dump()) + "}";
 }
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -58,11 +58,12 @@
   void setRetryAllowance(const retry_allowance &Value, mono_time Now) {
     Dispatcher.setRetryAllowance(Value, Now);
   }
-  /// @return This entry's part of the reserve of retries; 0 if there is none.
-  [[nodiscard]] double retryPart(mono_time Now) { return Dispatcher.retryPart(Now); }
-  void setRetryEntries(std::size_t Count, mono_time Now) { Dispatcher.setRetryEntries(Count, Now); }
-  /// Records that control regards this entry as present until then, at least.
-  void confirmContact(mono_time Until, mono_time Now) { Dispatcher.confirmContact(Until, Now); }
+  /// @return The budget of retries that all entries share; nullptr if there is none.
+  [[nodiscard]] shared_retry_budget *sharedRetries() { return Dispatcher.sharedRetries(); }
+  /// Handles a message of another entry about loans of retries.
+  void receiveRetryMessage(const received_retry_message &Received, mono_time Now) {
+    Dispatcher.receiveRetryMessage(Received, Now);
+  }
   /// Takes the decisions on retries since the last call.
   std::vector<retry_decision> takeRetryDecisions() { return std::exchange(RetryDecisions, {}); }
   /// Records the limit that an answer states. @return How the known limit of its server changed.
@@ -108,7 +109,7 @@
   [[nodiscard]] std::uint64_t claimsMade() const { return Placer.claimsMade(); }
   [[nodiscard]] std::size_t queued() const;
   /// @return JSON of requests, queue and backend servers, without prompts or keys.
-  [[nodiscard]] std::string dump(mono_time Now) const;
+  [[nodiscard]] std::string dump(mono_time Now);
 
 private:
   [[nodiscard]] bool usesPlacer() const { return Source == backend_source::Control; }
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -22,6 +22,9 @@
 /// stale report.
 constexpr mono_duration LoadRepublishInterval = std::chrono::milliseconds(250);
 
+/// Interval between two updates of the metrics of retry budgets.
+constexpr mono_duration RetryPublishInterval = std::chrono::seconds(1);
+
 result<fleet_declaration, std::string> readTomlDeclaration(const std::string &Text) {
   auto Parsed = parseDeclaration(Text, "declaration");
   if (!succeeded(Parsed))
@@ -29,6 +32,12 @@
   return valueOf(std::move(Parsed));
 }
 
+/// Rounds down: the declared share must not be exceeded.
+std::uint32_t percentOf(double Share) {
+  constexpr double RoundingError = 1e-6;
+  return static_cast<std::uint32_t>(std::floor(Share * 100 + RoundingError));
+}
+
 std::int64_t toMillis(mono_duration Span) {
   return std::chrono::duration_cast<std::chrono::milliseconds>(Span).count();
 }
@@ -85,6 +94,11 @@
   return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry).Add({});
 }
 
+prometheus::Family<prometheus::Gauge> &gaugeFamily(prometheus::Registry &Registry, const char *Name,
+                                                   const char *Help) {
+  return prometheus::BuildGauge().Name(Name).Help(Help).Register(Registry);
+}
+
 } // namespace
 
 decision_thread::decision_thread(decision_options Requested)
@@ -123,6 +137,12 @@
                       .Register(*DecisionOptions.Registry)),
       RetryReserveGauge(gauge(*DecisionOptions.Registry, "pollenstall_retry_reserve",
                               "This entry's part of the reserve of retries of all entries")),
+      RetriesLeftFamily(gaugeFamily(*DecisionOptions.Registry, "pollenstall_retries_left",
+                                    "Retries that this entry may start now, by service")),
+      RetriesLentFamily(gaugeFamily(*DecisionOptions.Registry, "pollenstall_retries_lent",
+                                    "Retries lent to other entries since the start")),
+      RetriesBorrowedFamily(gaugeFamily(*DecisionOptions.Registry, "pollenstall_retries_borrowed",
+                                        "Retries started on loans of other entries")),
       PermitDatagramsGauge(gauge(*DecisionOptions.Registry, "pollenstall_permit_datagrams_sent",
                                  "Datagrams about permits sent to other entries since the start")),
       WorkDatagramsGauge(gauge(*DecisionOptions.Registry, "pollenstall_work_datagrams_sent",
@@ -135,7 +155,8 @@
   RateLimits.onWake([this] { WakeEvent.wake(); });
   if (!DecisionOptions.ReadDeclaration)
     DecisionOptions.ReadDeclaration = readTomlDeclaration;
-  if (DecisionOptions.RetryReserve)
+  // Without control hosts there is no list of the entries that share the reserve.
+  if (DecisionOptions.RetryReserve && !DecisionOptions.FixedDeclaration)
     Core.setRetryAllowance({*DecisionOptions.RetryReserve, DecisionOptions.RetryWindow},
                            boot_clock::now());
 }
@@ -145,6 +166,7 @@
 void decision_thread::setWorkShare(work_share &NewShare) {
   WorkShare = &NewShare;
   WorkShare->permitReplies().onWake([this] { WakeEvent.wake(); });
+  WorkShare->retryMessages().onWake([this] { WakeEvent.wake(); });
 }
 
 void decision_thread::start() {
@@ -196,9 +218,11 @@
     Outbox.push(list_attempts{Engine});
   Outbox.flush();
   sendPermitMessages(Now);
+  sendRetryMessages(Now);
   publishLoads(Now);
   logReachability();
   reportRetries();
+  publishRetryBudgets(Now);
   publishGauges();
   fulfilDumps(Now);
 }
@@ -225,6 +249,10 @@
   if (WorkShare)
     WorkShare->permitReplies().drain(
         [this, Now](permit_reply &&Reply) { handlePermitReply(Reply, Now); });
+  if (WorkShare)
+    WorkShare->retryMessages().drain([this, Now](received_retry_message &&Received) {
+      Core.receiveRetryMessage(Received, Now);
+    });
   RateLimits.drain([this, Now](rate_limit_answer &&Answer) { handleRateLimit(Answer, Now); });
   const std::lock_guard<std::mutex> Lock(Guard);
   if (PendingShutdown)
@@ -240,7 +268,8 @@
           },
           [this, Now](const lease_extended &Lease) {
             DeclarationLease.extend(Lease.Revision, Lease.Until);
-            Core.confirmContact(Lease.Until, Now);
+            if (shared_retry_budget *Retries = Core.sharedRetries())
+              Retries->confirmContact(Lease.Until, Now);
           },
           [this, Now](const claim_answered &Answer) {
             Core.handleEvent(dispatch_event(Answer), Now);
@@ -273,8 +302,7 @@
       return;
     }
     if (DecisionOptions.RetryShare)
-      valueOf(Parsed).Limits.RetryPercent =
-          static_cast<std::uint32_t>(std::lround(*DecisionOptions.RetryShare * 100));
+      valueOf(Parsed).Limits.RetryPercent = percentOf(*DecisionOptions.RetryShare);
     installDeclaration(std::make_shared<const declaration_index>(valueOf(std::move(Parsed))));
     DeclarationLease.markInUse(Received.Revision);
     RevisionGauge.Set(static_cast<double>(Received.Revision.value()));
@@ -303,6 +331,15 @@
     WorkShare->commands().push(permit_messages{std::move(Messages)});
 }
 
+void decision_thread::sendRetryMessages(mono_time Now) {
+  shared_retry_budget *Retries = Core.sharedRetries();
+  if (!Retries || !WorkShare)
+    return;
+  std::vector<retry_datagram> Datagrams = Retries->takeDatagrams(Now);
+  if (!Datagrams.empty())
+    WorkShare->commands().push(retry_datagrams{std::move(Datagrams)});
+}
+
 void decision_thread::forwardListings() {
   path_servers_update Update;
   for (const backend_listing &Listing : Core.takeListingChanges()) {
@@ -326,10 +363,27 @@
     WorkShare->commands().push(std::move(PeerEntries));
     Outbox.push(std::move(TunnelEntries));
   }
-  Core.setRetryEntries(Listed.Entries.size(), Now);
+  shareRetries(Listed, Now);
+}
+
+void decision_thread::shareRetries(const entries_listed &Listed, mono_time Now) {
+  shared_retry_budget *Retries = Core.sharedRetries();
+  if (!Retries)
+    return;
+  retry_sharers Sharers;
+  Sharers.Count = Listed.Entries.size();
+  if (WorkShare) {
+    const std::string OwnAddress = WorkShare->address();
+    for (const served_entry &Entry : Listed.Entries) {
+      if (Entry.WorkAddress != OwnAddress)
+        Sharers.Others.push_back(Entry.WorkAddress);
+      Sharers.Rank += Entry.WorkAddress < OwnAddress ? 1 : 0;
+    }
+  }
+  Retries->setEntries(std::move(Sharers), Now);
   logEvent(log_level::Info, "retry_reserve",
            {{"entries", static_cast<std::int64_t>(Listed.Entries.size())},
-            {"reserve", Core.retryPart(Now)}});
+            {"reserve", Retries->part(Now)}});
 }
 
 void decision_thread::reportCrash(crash_report &&Crash) {
@@ -491,13 +545,26 @@
   }
 }
 
+void decision_thread::publishRetryBudgets(mono_time Now) {
+  shared_retry_budget *Retries = Core.sharedRetries();
+  if (!Retries || Now - RetryBudgetsPublishedAt < RetryPublishInterval)
+    return;
+  RetryBudgetsPublishedAt = Now;
+  RetryReserveGauge.Set(Retries->part(Now));
+  for (const retry_budget_status &Status : Retries->status(Now)) {
+    const prometheus::Labels Labels{{"service", Status.Service.str()}};
+    RetriesLeftFamily.Add(Labels).Set(Status.Available);
+    RetriesLentFamily.Add(Labels).Set(Status.Lent);
+    RetriesBorrowedFamily.Add(Labels).Set(Status.Borrowed);
+  }
+}
+
 void decision_thread::publishGauges() {
   Abandoned = Core.abandonedAttempts();
   QueueGauge.Set(static_cast<double>(Core.queued()));
   LiveGauge.Set(static_cast<double>(Core.liveRequests()));
   AbandonedGauge.Set(static_cast<double>(Core.abandonedAttempts()));
   ReadyGauge.Set(Admitting ? 1.0 : 0.0);
-  RetryReserveGauge.Set(Core.retryPart(boot_clock::now()));
   LimitedServersGauge.Set(static_cast<double>(Core.rateLimitedServers()));
   if (!WorkShare)
     return;
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -100,6 +100,9 @@
   void handleRateLimit(const rate_limit_answer &Answer, mono_time Now);
   void handlePermitReply(const permit_reply &Reply, mono_time Now);
   void sendPermitMessages(mono_time Now);
+  void shareRetries(const entries_listed &Listed, mono_time Now);
+  void sendRetryMessages(mono_time Now);
+  void publishRetryBudgets(mono_time Now);
   void handleEntries(const entries_listed &Listed, mono_time Now);
   void forwardListings();
   void publishLoads(mono_time Now);
@@ -132,6 +135,7 @@
   std::vector<work_load> PublishedLoads;
   std::uint64_t PublishedClaims{0}; ///< Value of placer::claimsMade() at the last update.
   mono_time LoadsPublishedAt{};
+  mono_time RetryBudgetsPublishedAt{};
   wakeup_event WakeEvent;
   std::unique_ptr<control_link> Control;
   declaration_lease DeclarationLease;
@@ -162,6 +166,9 @@
   prometheus::Counter &LimitedRequestsCounter;
   prometheus::Family<prometheus::Counter> &RetryFamily;
   prometheus::Gauge &RetryReserveGauge;
+  prometheus::Family<prometheus::Gauge> &RetriesLeftFamily;
+  prometheus::Family<prometheus::Gauge> &RetriesLentFamily;
+  prometheus::Family<prometheus::Gauge> &RetriesBorrowedFamily;
   prometheus::Gauge &PermitDatagramsGauge;
   prometheus::Gauge &WorkDatagramsGauge;
   prometheus::Gauge &WorkBytesGauge;
--- a/programs/pollenstall-entry/dispatch_dump.cpp
+++ b/programs/pollenstall-entry/dispatch_dump.cpp
@@ -15,6 +15,8 @@
     return "claiming";
   case request_phase::Queued:
     return "queued";
+  case request_phase::AwaitingRetry:
+    return "awaiting_retry";
   default:
     return "running";
   }
@@ -56,18 +58,29 @@
           {"age_ms", Attempt.Age.count()}};
 }
 
+json::object retryBudgetObject(const retry_budget_status &Budget) {
+  return {{"service", Budget.Service.str()},
+          {"left", Budget.Available},
+          {"lent", Budget.Lent},
+          {"borrowed", Budget.Borrowed}};
+}
+
 } // namespace
 
 std::string dumpText(const dispatch_dump &Dump) {
   json::array Requests;
   for (const request_dump &Request : Dump.Requests)
     Requests.emplace_back(requestObject(Request));
+  json::array RetryBudgets;
+  for (const retry_budget_status &Budget : Dump.RetryBudgets)
+    RetryBudgets.emplace_back(retryBudgetObject(Budget));
   json::array Abandoned;
   for (const abandoned_dump &Attempt : Dump.Abandoned)
     Abandoned.emplace_back(abandonedObject(Attempt));
   return json::serialize(json::object{{"ready", Dump.Ready},
                                       {"shutting_down", Dump.ShuttingDown},
                                       {"counters", countersObject(Dump.Counters)},
+                                      {"retry_budgets", std::move(RetryBudgets)},
                                       {"requests", std::move(Requests)},
                                       {"abandoned", std::move(Abandoned)}});
 }
--- a/src/dispatch/dispatch_dump_type.h
+++ b/src/dispatch/dispatch_dump_type.h
@@ -4,6 +4,7 @@
 
 #include "dispatch/attempt_type.h"
 #include "dispatch/dispatch_type.h"
+#include "retry_budget/retry_budget_type.h"
 
 #include <chrono>
 #include <cstdint>
@@ -14,9 +15,10 @@
 
 /// What a request is waiting for.
 enum class request_phase : std::uint8_t {
-  Claiming, ///< The claim on its key, if one is needed. Also the initial phase.
-  Queued,   ///< A placement by the scheduler.
-  Running,  ///< The answer of its attempt.
+  Claiming,      ///< The claim on its key, if one is needed. Also the initial phase.
+  Queued,        ///< A placement by the scheduler.
+  Running,       ///< The answer of its attempt.
+  AwaitingRetry, ///< A retry that the budget does not allow yet.
 };
 
 /// Counters since the start of the process.
@@ -62,6 +64,7 @@
   bool Ready{false};
   bool ShuttingDown{false};
   dispatch_counters Counters;
+  std::vector<retry_budget_status> RetryBudgets; ///< Empty if entries do not share a budget.
   std::vector<request_dump> Requests;
   std::vector<abandoned_dump> Abandoned;
 };
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -176,6 +176,7 @@
   // Without the claim's result, an earlier request with the key may have run. A reply of "not run"
   // could make the caller start the work again under another key, so that it would run twice.
   const bool NotRun = !Request.mayHaveRun() && !Request.earlierRequestMayHaveRun();
+  leaveRetryWait(Request, Now);
   if (Request.Phase == request_phase::Queued && Callbacks.Withdraw)
     Callbacks.Withdraw(Request.Facts.Id);
   if (Request.Claim == claim_progress::Granted)
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -12,6 +12,7 @@
 #include "retry_budget/retry_budget.h"
 
 #include <cstddef>
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -72,23 +73,19 @@
   void applyLimits(const limits_declaration &Value);
   /// Replaces the token bucket of retries by a budget that all entries share; see retry_budget.
   void setRetryAllowance(const retry_allowance &Value, mono_time Now) {
-    Budget.setAllowance(Value, Now);
+    Budget.setAllowance(Value, Self.Incarnation.value(), Now);
   }
-  /// @return This entry's part of the reserve of retries; 0 if there is none.
-  [[nodiscard]] double retryPart(mono_time Now) {
-    return Budget.shared() ? Budget.shared()->part(Now) : 0;
-  }
-  /// Sets the number of entries that share the allowance of retries, if there is one.
-  void setRetryEntries(std::size_t Count, mono_time Now);
-  /// Records that control regards this entry as present until then, at least.
-  void confirmContact(mono_time Until, mono_time Now);
+  /// @return The budget that all entries share; nullptr if there is none.
+  [[nodiscard]] shared_retry_budget *sharedRetries() { return Budget.shared(); }
+  /// Handles a message of another entry about loans of retries.
+  void receiveRetryMessage(const received_retry_message &Received, mono_time Now);
 
   /// @return The number of requests without a final answer.
   [[nodiscard]] std::size_t liveRequests() const { return Requests.size(); }
   /// @return The number of abandoned attempts whose memory still counts as used.
   [[nodiscard]] std::size_t abandonedAttempts() const { return Abandoned.size(); }
   /// @return The state, without prompts and keys.
-  [[nodiscard]] dispatch_dump dump(mono_time Now) const;
+  [[nodiscard]] dispatch_dump dump(mono_time Now);
 
 private:
   friend class dispatcher_builder;
@@ -133,6 +130,11 @@
   [[nodiscard]] std::uint32_t maxAttempts(const live_request &Request) const;
   bool mayRetry(const live_request &Request, mono_time Now) const;
   bool tryQueueRetry(live_request &Request, mono_time Now);
+  void refuseRetry(const live_request &Request, mono_time Now);
+  void finishWithoutRetry(live_request &Request, mono_time Now);
+  void awaitRetry(live_request &Request, mono_time Now);
+  void leaveRetryWait(live_request &Request, mono_time Now);
+  void tryAwaitedRetry(live_request &Request, mono_time Now);
   bool tryPayForRetry(live_request &Request, const service_name &Service, mono_time Now);
   void releaseQueuedRetry(live_request &Request);
   void reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now);
@@ -163,7 +165,9 @@
   std::size_t Claiming{0}; ///< Requests waiting for a claim; the scheduler does not limit them.
   abandoned_tracker Abandoned;
   retry_budget Budget;
-  std::unordered_map<service_name, std::size_t> QueuedRetries; ///< Not paid for yet.
+  std::unordered_map<service_name, std::size_t> QueuedRetries;  ///< Not paid for yet.
+  std::unordered_map<service_name, std::size_t> AwaitedRetries; ///< Waiting for a loan.
+  std::deque<request_number> AwaitingRetry; ///< Oldest first; some may have ended meanwhile.
   timer_queue<request_number> Timers;
   std::vector<dispatch_action> Actions;
   dispatch_counters Counters;
--- a/src/dispatch/dispatcher_dump.cpp
+++ b/src/dispatch/dispatcher_dump.cpp
@@ -28,11 +28,13 @@
 
 } // namespace
 
-dispatch_dump dispatcher::dump(mono_time Now) const {
+dispatch_dump dispatcher::dump(mono_time Now) {
   dispatch_dump Dump;
   Dump.Ready = Ready;
   Dump.ShuttingDown = ShutdownBy.has_value();
   Dump.Counters = Counters;
+  if (shared_retry_budget *Shared = Budget.shared())
+    Dump.RetryBudgets = Shared->status(Now);
   for (const auto &[RequestId, Request] : Requests)
     Dump.Requests.push_back(dumpOf(Request, Now));
   Dump.Abandoned = Abandoned.dump(Now);
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -10,6 +10,8 @@
 
 /// Attempts beyond the declared limit that one request may use on unreachable backend servers.
 constexpr std::uint32_t MaxUnsentAttempts = 6;
+/// How long a request waits for a loan of a retry from another entry: several rounds of requests.
+constexpr mono_duration MaxRetryWait = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -28,19 +30,16 @@
 }
 
 bool dispatcher::tryQueueRetry(live_request &Request, mono_time Now) {
-  if (!mayRetry(Request, Now))
-    return false;
   // The budget limits what backend servers receive. If no attempt has reached one, the next attempt
   // counts as the first.
   const bool ExemptFromBudget =
       Request.Facts.MaxAttempts > 0 && Request.UnsentAttempts == Request.Attempts;
-  const service_name &Service = budgetService(Request.Facts);
   if (!ExemptFromBudget) {
-    if (Budget.available(Service, Now) < static_cast<double>(QueuedRetries[Service] + 1)) {
-      ++Counters.RetriesOverBudget;
-      reportRetry(Request, retry_verdict::Refused, Now);
+    const service_name &Service = budgetService(Request.Facts);
+    const auto Queued = QueuedRetries.find(Service);
+    const std::size_t QueuedCount = Queued == QueuedRetries.end() ? 0 : Queued->second;
+    if (Budget.available(Service, Now) < static_cast<double>(QueuedCount + 1))
       return false;
-    }
     ++QueuedRetries[Service];
     Request.RetryQueued = true;
   }
@@ -49,6 +48,11 @@
   return true;
 }
 
+void dispatcher::refuseRetry(const live_request &Request, mono_time Now) {
+  ++Counters.RetriesOverBudget;
+  reportRetry(Request, retry_verdict::Refused, Now);
+}
+
 void dispatcher::releaseQueuedRetry(live_request &Request) {
   if (!std::exchange(Request.RetryQueued, false))
     return;
@@ -61,8 +65,7 @@
   releaseQueuedRetry(Request);
   if (Budget.tryWithdraw(Service, Now))
     return true;
-  ++Counters.RetriesOverBudget;
-  reportRetry(Request, retry_verdict::Refused, Now);
+  refuseRetry(Request, Now);
   return false;
 }
 
@@ -76,30 +79,77 @@
                           Budget.available(Service, Now)});
 }
 
-void dispatcher::setRetryEntries(std::size_t Count, mono_time Now) {
-  if (shared_retry_budget *Shared = Budget.shared())
-    Shared->setEntries(Count, Now);
-}
-
-void dispatcher::confirmContact(mono_time Until, mono_time Now) {
-  if (shared_retry_budget *Shared = Budget.shared())
-    Shared->confirmContact(Until, Now);
+void dispatcher::retryOrFinish(live_request &Request, mono_time Now) {
+  if (mayRetry(Request, Now)) {
+    if (tryQueueRetry(Request, Now))
+      return submit(Request, Now);
+    if (Budget.shared() && Budget.shared()->mayBorrow(budgetService(Request.Facts), Now))
+      return awaitRetry(Request, Now);
+    refuseRetry(Request, Now);
+  }
+  finishWithoutRetry(Request, Now);
 }
 
-void dispatcher::retryOrFinish(live_request &Request, mono_time Now) {
-  if (tryQueueRetry(Request, Now))
-    return submit(Request, Now);
+void dispatcher::finishWithoutRetry(live_request &Request, mono_time Now) {
   const bool UnsafeToRepeat = !Request.Facts.Idempotent && Request.MayHaveRun;
   finishWithFailure(
       Request, UnsafeToRepeat ? failure_reason::BackendFailed : failure_reason::RetriesExhausted,
       std::nullopt, Now);
 }
 
+void dispatcher::awaitRetry(live_request &Request, mono_time Now) {
+  Request.Phase = request_phase::AwaitingRetry;
+  Request.RetryBy = Now + MaxRetryWait;
+  // A caller who reads a broken stream has waited for all that came so far.
+  if (Request.PartlyAnswered)
+    AwaitingRetry.push_front(Request.Facts.Id);
+  else
+    AwaitingRetry.push_back(Request.Facts.Id);
+  const service_name &Service = budgetService(Request.Facts);
+  Budget.shared()->want(Service, ++AwaitedRetries[Service], Now);
+  updateTimer(Request);
+}
+
+void dispatcher::leaveRetryWait(live_request &Request, mono_time Now) {
+  if (Request.Phase != request_phase::AwaitingRetry)
+    return;
+  Request.Phase = request_phase::Claiming;
+  const auto Awaited = AwaitedRetries.find(budgetService(Request.Facts));
+  Budget.shared()->want(Awaited->first, --Awaited->second, Now);
+  if (Awaited->second == 0)
+    AwaitedRetries.erase(Awaited);
+}
+
+void dispatcher::tryAwaitedRetry(live_request &Request, mono_time Now) {
+  const bool Expired = Request.RetryBy <= Now;
+  if (tryQueueRetry(Request, Now)) {
+    leaveRetryWait(Request, Now);
+    return submit(Request, Now);
+  }
+  if (!Expired)
+    return AwaitingRetry.push_back(Request.Facts.Id);
+  refuseRetry(Request, Now);
+  finishWithoutRetry(Request, Now);
+}
+
+void dispatcher::receiveRetryMessage(const received_retry_message &Received, mono_time Now) {
+  if (!Budget.shared())
+    return;
+  Budget.shared()->receive(Received, Now);
+  for (const request_number RequestId : std::exchange(AwaitingRetry, {}))
+    if (live_request *Request = find(RequestId);
+        Request && Request->Phase == request_phase::AwaitingRetry)
+      tryAwaitedRetry(*Request, Now);
+  sendDueCancels(Now);
+}
+
 void dispatcher::retryElsewhere(live_request &Request, attempt_failure Failure, mono_time Now) {
   const bool Unanswered =
       Request.CurrentAttempt && !isMidAnswer(Request.CurrentAttempt->Lifecycle.state());
-  if (!Unanswered || !Request.Facts.Idempotent || !tryQueueRetry(Request, Now))
+  if (!Unanswered || !Request.Facts.Idempotent || !mayRetry(Request, Now))
     return;
+  if (!tryQueueRetry(Request, Now))
+    return refuseRetry(Request, Now);
   closeAttempt(Request, Failure, Now);
   submit(Request, Now);
 }
--- a/src/dispatch/dispatcher_time.cpp
+++ b/src/dispatch/dispatcher_time.cpp
@@ -26,7 +26,9 @@
   if (Request.Claim == claim_progress::Requested && Request.ClaimDeadline <= Now)
     return finishWithFailure(Request, failure_reason::ClaimUnavailable, std::nullopt, Now);
   const request_number RequestId = Request.Facts.Id;
-  if (Request.CurrentAttempt)
+  if (Request.Phase == request_phase::AwaitingRetry && Request.RetryBy <= Now)
+    tryAwaitedRetry(Request, Now);
+  else if (Request.CurrentAttempt)
     handleAttemptTimer(Request, Now);
   if (const live_request *Live = find(RequestId))
     updateTimer(*Live);
@@ -50,6 +52,8 @@
   mono_time Wake = Request.Facts.Deadline;
   if (Request.Claim == claim_progress::Requested)
     Wake = std::min(Wake, Request.ClaimDeadline);
+  if (Request.Phase == request_phase::AwaitingRetry)
+    Wake = std::min(Wake, Request.RetryBy);
   if (Request.CurrentAttempt && Request.CurrentAttempt->ResumeAt)
     Wake = std::min(Wake, *Request.CurrentAttempt->ResumeAt);
   if (Request.CurrentAttempt && !isMidAnswer(Request.CurrentAttempt->Lifecycle.state()))
@@ -68,7 +72,8 @@
 std::optional<mono_time> dispatcher::nextWake() const {
   std::optional<mono_time> Next = Timers.next();
   const std::optional<mono_time> Shutdown = Requests.empty() ? std::nullopt : ShutdownBy;
-  for (const std::optional<mono_time> &Other : {Abandoned.nextWake(), Shutdown})
+  const std::optional<mono_time> Loans = Budget.nextWake();
+  for (const std::optional<mono_time> &Other : {Abandoned.nextWake(), Shutdown, Loans})
     if (Other && (!Next || *Other < *Next))
       Next = Other;
   return Next;
--- a/src/dispatch/live_request_type.h
+++ b/src/dispatch/live_request_type.h
@@ -50,6 +50,7 @@
   std::uint32_t Attempts{0};
   std::uint32_t UnsentAttempts{0}; ///< Attempts of which no byte can have reached a server.
   bool PartlyAnswered{false};      ///< The caller has part of the answer of a broken attempt.
+  mono_time RetryBy{};             ///< How long to wait for a loan in phase AwaitingRetry.
   bool RetryQueued{false};         ///< A retry is queued; the budget pays when it starts.
   bool MayHaveRun{false};          ///< An ended attempt may have started the work.
   std::vector<backend_key> TriedBackends;
--- a/src/retry_budget/retry_budget.cpp
+++ b/src/retry_budget/retry_budget.cpp
@@ -20,8 +20,8 @@
     Shared->setShare(static_cast<double>(Percent) / static_cast<double>(HundredthsPerRetry));
 }
 
-void retry_budget::setAllowance(const retry_allowance &Value, mono_time Now) {
-  Shared.emplace(Value, retry_budget_tuning{}, Now);
+void retry_budget::setAllowance(const retry_allowance &Value, std::uint64_t Seed, mono_time Now) {
+  Shared.emplace(Value, retry_budget_tuning{}, Seed, Now);
   setPercent(RetryPercent);
 }
 
--- a/src/retry_budget/retry_budget_base.h
+++ b/src/retry_budget/retry_budget_base.h
@@ -24,9 +24,14 @@
   /// Changes the share of retries; the balance is kept.
   void setPercent(std::uint32_t Percent);
   /// Replaces the token bucket by a budget that all entries share.
-  void setAllowance(const retry_allowance &Value, mono_time Now);
+  /// @param Seed Of the order in which other entries are asked for loans.
+  void setAllowance(const retry_allowance &Value, std::uint64_t Seed, mono_time Now);
   /// @return The budget that all entries share; nullptr if there is none.
   [[nodiscard]] shared_retry_budget *shared() { return Shared ? &*Shared : nullptr; }
+  /// @return When the shared budget must send messages next; empty if it has none.
+  [[nodiscard]] std::optional<mono_time> nextWake() const {
+    return Shared ? Shared->nextWake() : std::nullopt;
+  }
   /// Counts the first attempt of a request.
   void deposit(const service_name &Service, mono_time Now);
   /// Withdraws one retry. @return Whether a retry may start now.
--- a/src/retry_budget/retry_budget_type.h
+++ b/src/retry_budget/retry_budget_type.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace pollenstall {
 
@@ -19,9 +20,27 @@
   mono_duration Window{std::chrono::seconds(10)};
 };
 
+/// The entries that share an allowance, as one of them sees them.
+struct retry_sharers {
+  std::size_t Count{1}; ///< With this entry.
+  std::size_t Rank{0};  ///< Number of entries before this one, in an order on which all agree.
+  std::vector<std::string> Others{}; ///< Work addresses of those that may lend retries.
+};
+
 /// Retries; fractions are lent and added up.
 using retry_amount = double;
 
+/// Loans are made and sent in thousandths of a retry.
+constexpr double RetryUnits = 1'000;
+
+/// One service's budget at one entry.
+struct retry_budget_status {
+  service_name Service;
+  retry_amount Available{0}; ///< Retries that may start now.
+  retry_amount Lent{0};      ///< Since the start of the process.
+  retry_amount Borrowed{0};  ///< Used of loans, since the start of the process.
+};
+
 /// An entry asks another one for a part of its retries for a service.
 struct retry_loan_request {
   std::uint64_t Service{0}; ///< Hash of the service's name.
@@ -54,7 +73,7 @@
 struct retry_budget_tuning {
   /// Part of the allowance that is used. The rest covers requests that callers sent before a window
   /// and that an entry counts within it.
-  double UsableShare{0.95};
+  double UsableShare{0.98};
   /// Longest time from the decision on a retry to its arrival at the backend server, as a part of
   /// the window. It includes LoanLifetime.
   double LatenessShare{0.05};
--- a/src/retry_budget/retry_window.cpp
+++ b/src/retry_budget/retry_window.cpp
@@ -28,23 +28,31 @@
 }
 
 void retry_window::payBack(retry_amount Amount, retry_amount Part) {
-  // Without a part there is no list of entries yet, and what was used before is not known.
-  if (AssumedUse > 0 && Part > 0) {
-    const retry_amount Paid = std::min(Amount, assumedUse(Part));
-    AssumedUse = assumedUse(Part) - Paid;
-    Amount -= Paid;
+  while (Amount > 0 && !Slots.empty()) {
+    Amount -= reduce(Slots.back(), Amount);
+    if (Slots.back().Used <= 0)
+      Slots.pop_back();
   }
+  // Without a part there is no list of entries yet, and what was used before is not known.
+  if (Amount > 0 && AssumedUse > 0 && Part > 0)
+    AssumedUse = std::max<retry_amount>(0, assumedUse(Part) - Amount);
+}
+
+void retry_window::takeBack(retry_amount Amount) {
   while (Amount > 0 && !Slots.empty()) {
-    slot &Oldest = Slots.front();
-    const retry_amount Paid = std::min(Amount, Oldest.Used);
-    Oldest.Used -= Paid;
-    TotalUsed -= Paid;
-    Amount -= Paid;
-    if (Oldest.Used <= 0)
+    Amount -= reduce(Slots.front(), Amount);
+    if (Slots.front().Used <= 0)
       Slots.pop_front();
   }
 }
 
+retry_amount retry_window::reduce(slot &Slot, retry_amount Amount) {
+  const retry_amount Reduction = std::min(Amount, Slot.Used);
+  Slot.Used -= Reduction;
+  TotalUsed -= Reduction;
+  return Reduction;
+}
+
 void retry_window::use(retry_amount Amount, mono_time Now, mono_duration SlotLength) {
   if (Slots.empty() || Slots.back().Begin + SlotLength <= Now)
     Slots.push_back({Now, 0});
--- a/src/retry_budget/retry_window_base.h
+++ b/src/retry_budget/retry_window_base.h
@@ -25,16 +25,14 @@
   void assumeUsedUntil(mono_time Time);
   /// Returns what is older than the given age.
   void advance(mono_time Now, mono_duration Age);
-  /// Pays back an amount, the oldest first.
+  /// Pays back an amount, the latest first: the oldest come back soon anyway.
   void payBack(retry_amount Amount, retry_amount Part);
+  /// Takes back an amount that was used for nothing. The oldest are taken back, so that those
+  /// which are left stay at least as long as they count.
+  void takeBack(retry_amount Amount);
   void use(retry_amount Amount, mono_time Now, mono_duration SlotLength);
   /// @return What may be used now; negative if the part has become smaller than what was used.
   [[nodiscard]] retry_amount available(retry_amount Part) const;
-  /// @return When the oldest use was recorded; empty if there is none.
-  [[nodiscard]] bool unused() const { return Slots.empty() && UsedUntil == mono_time::min(); }
-  [[nodiscard]] mono_time lastUse() const {
-    return Slots.empty() ? mono_time::min() : Slots.back().Begin;
-  }
 
 private:
   struct slot {
@@ -42,6 +40,8 @@
     retry_amount Used;
   };
 
+  /// @return By how much the slot was reduced.
+  retry_amount reduce(slot &Slot, retry_amount Amount);
   /// Amount that an earlier incarnation may have used, which is at most the part.
   [[nodiscard]] retry_amount assumedUse(retry_amount Part) const;
 
--- a/src/wire/envelope_func.h
+++ b/src/wire/envelope_func.h
@@ -21,6 +21,7 @@
   State = 4,       ///< Records in files of a control host.
   WorkShare = 6,   ///< UDP between entries. 5 belonged to a retired format.
   Permits = 7,     ///< UDP between entries.
+  RetryLoans = 8,  ///< UDP between entries.
 };
 
 /// @return The encoded message without an envelope.
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -5,6 +5,7 @@
 #include "rate_limit/rate_limit.h"
 #include "work_exchange/work_exchange.h"
 #include "work_share/permit_codec_func.h"
+#include "work_share/retry_codec_func.h"
 #include "work_share/work_report_codec_func.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,7 +38,8 @@
 public:
   state(std::string FleetName, process_key Process)
       : Fleet(std::move(FleetName)), Self(std::move(Process)), Commands(RingCapacity),
-        PeerUpdates(RingCapacity), PermitReplies(RingCapacity), Socket(Io), Timer(Io) {
+        PeerUpdates(RingCapacity), PermitReplies(RingCapacity), RetryMessages(RingCapacity),
+        Socket(Io), Timer(Io) {
     Commands.onWake([this] { asio::post(Io, [this] { processCommands(); }); });
   }
 
@@ -75,6 +77,7 @@
   bounded_ring<share_command> Commands;
   bounded_ring<peer_work_update> PeerUpdates;
   bounded_ring<permit_reply> PermitReplies;
+  bounded_ring<received_retry_message> RetryMessages;
   std::string LocalAddress;
   std::atomic<std::uint64_t> SentDatagrams{0};
   std::atomic<std::uint64_t> SentBytes{0};
@@ -94,6 +97,11 @@
           Permits->send(Message, boot_clock::now());
         return;
       }
+      if (const auto *Loans = std::get_if<retry_datagrams>(&Command)) {
+        for (const retry_datagram &Datagram : Loans->Datagrams)
+          sendBytes(Datagram.To, encodeRetryMessage(Fleet, Datagram.Message));
+        return;
+      }
       LatestOwnWork = std::move(std::get<own_work_update>(Command));
       Urgent = Urgent || LatestOwnWork->Urgent;
     });
@@ -213,7 +221,15 @@
   void handlePermitDatagram(std::span<const char> Bytes) {
     const auto Message = decodePermitMessage(Fleet, Bytes);
     if (succeeded(Message))
-      Permits->receive(valueOf(Message), toText(SenderEndpoint), boot_clock::now());
+      return Permits->receive(valueOf(Message), toText(SenderEndpoint), boot_clock::now());
+    if (errorOf(Message) == wire_error::OtherKind)
+      handleRetryDatagram(Bytes);
+  }
+
+  void handleRetryDatagram(std::span<const char> Bytes) {
+    const auto Message = decodeRetryMessage(Fleet, Bytes);
+    if (succeeded(Message))
+      RetryMessages.push({toText(SenderEndpoint), valueOf(Message)});
   }
 
   asio::io_context Io{1};
@@ -246,6 +262,7 @@
 bounded_ring<share_command> &work_share::commands() { return State->Commands; }
 bounded_ring<peer_work_update> &work_share::peerUpdates() { return State->PeerUpdates; }
 bounded_ring<permit_reply> &work_share::permitReplies() { return State->PermitReplies; }
+bounded_ring<received_retry_message> &work_share::retryMessages() { return State->RetryMessages; }
 work_share_counts work_share::counts() const {
   return {State->SentDatagrams, State->SentBytes, State->ReceivedDatagrams, State->PermitDatagrams};
 }
--- a/src/work_share/work_share_base.h
+++ b/src/work_share/work_share_base.h
@@ -29,6 +29,9 @@
   bounded_ring<peer_work_update> &peerUpdates();
   /// Replies of issuers to the decision thread, which sets onWake().
   bounded_ring<permit_reply> &permitReplies();
+  /// Messages of other entries about loans of retries, for the decision thread, which sets
+  /// onWake().
+  bounded_ring<received_retry_message> &retryMessages();
   /// May be called from any thread.
   [[nodiscard]] work_share_counts counts() const;
   void start();
--- a/src/work_share/work_share_type.h
+++ b/src/work_share/work_share_type.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_WORK_SHARE_WORK_SHARE_TYPE_H
 
 #include "rate_limit/permit_type.h"
+#include "retry_budget/retry_budget_type.h"
 #include "work_exchange/work_exchange_type.h"
 
 #include <cstdint>
@@ -35,7 +36,13 @@
   std::vector<permit_message> Messages;
 };
 
-using share_command = std::variant<own_work_update, entries_update, permit_messages>;
+/// From the decision thread: messages to other entries about loans of retries.
+struct retry_datagrams {
+  std::vector<retry_datagram> Datagrams;
+};
+
+using share_command =
+    std::variant<own_work_update, entries_update, permit_messages, retry_datagrams>;
 
 /// Counters since the work_share was created.
 struct work_share_counts {
