Resumes at the same server are charged to the shared retry budget

A resume that the budget does not pay for is handled like any other retry. Also two tests with real processes: entries frozen in series, and one entry with all failures.

--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -212,6 +212,9 @@
                              !CurrentAttempt.BackendGone;
   if (!mayResume(Failure) || !CanResumeHere || CurrentAttempt.Resumes >= MaxResumes)
     return false;
+  // The server gets another request. The token bucket leaves resumes out: MaxResumes bounds them.
+  if (Budget.shared() && !Budget.tryWithdraw(budgetService(Request.Facts), Now))
+    return false;
   if (!CurrentAttempt.Lifecycle.apply(attempt_step::Resume))
     return false;
   // The first resume has no delay.
--- a/tests/dispatch/retry_test.cpp
+++ b/tests/dispatch/retry_test.cpp
@@ -185,6 +185,21 @@
   EXPECT_EQ(Submitted.size(), 3U) << "the retry did not reach a server, and the next one may";
 }
 
+// Guards against resumes at the same server, which it counts like other retries.
+TEST_F(shared_allowance_test, AResumeAtTheSameServerIsCharged) {
+  CanResume = true;
+  request_facts Facts = facts(true);
+  Facts.Services.emplace_back(service_name("llm"), 1);
+  arrive(Facts);
+  placeAt(1, "llm");
+  send();
+  answer();
+  fail(attempt_failure::BrokenMidway);
+  EXPECT_EQ(actionsOf<resume_attempt>().size(), 1U);
+  decline(2, {"llm"});
+  EXPECT_EQ(Submitted.size(), 2U) << "the resume has used the one retry";
+}
+
 /// The budget is used up, and there is another entry that may lend.
 struct awaited_retry_test : shared_allowance_test {
   void SetUp() override {
--- a/tests/platform/retry_budget_path_test.cpp
+++ b/tests/platform/retry_budget_path_test.cpp
@@ -82,8 +82,13 @@
   }
 
   void startLoad(const std::string &Service, std::size_t CallersPerEntry) {
-    for (std::size_t Caller = 0; Caller < CallersPerEntry * Entries; ++Caller)
-      Callers.emplace_back([this, Service, Entry = Caller % Entries] {
+    for (std::size_t Entry = 0; Entry < Entries; ++Entry)
+      startLoadAt(Entry, Service, CallersPerEntry);
+  }
+
+  void startLoadAt(std::size_t Entry, const std::string &Service, std::size_t CallerCount) {
+    for (std::size_t Caller = 0; Caller < CallerCount; ++Caller)
+      Callers.emplace_back([this, Service, Entry] {
         while (!Stopping && !Lost.at(Entry)) {
           sendOne(Service, Entry);
           std::this_thread::sleep_for(Pause);
@@ -189,5 +194,36 @@
   expectWithinBound("s1");
 }
 
+// Guards against parts of a frozen entry that the others have taken over when it thaws.
+TEST_F(RetryBudgetPathTest, EntriesThatAreFrozenInSeriesKeepTheBudget) {
+  ASSERT_NO_FATAL_FAILURE(start(60));
+  startLoad("s1", 3);
+  announceFor(seconds(3));
+  decline("s1");
+  for (std::size_t Entry = 0; Entry < Entries; ++Entry) {
+    System->entry(Entry).stop();
+    announceFor(seconds(2));
+    System->entry(Entry).resume();
+    announceFor(seconds(1));
+  }
+  announceFor(seconds(4));
+  stopLoad();
+  expectWithinBound("s1");
+}
+
+// Guards against a reserve that lies idle at entries without failures. A third of it belongs to the
+// entry that has them.
+TEST_F(RetryBudgetPathTest, OneEntryWithAllFailuresUsesTheReserveOfTheOthers) {
+  ASSERT_NO_FATAL_FAILURE(start(60));
+  startLoadAt(0, "s1", 2);
+  announceFor(seconds(2));
+  decline("s1");
+  announceFor(seconds(9));
+  stopLoad();
+  expectWithinBound("s1");
+  const worst_window Worst = Count.worst("s1", Bound);
+  EXPECT_GE(static_cast<double>(Worst.Repeats), 0.7 * Worst.Allowed);
+}
+
 } // namespace
 } // namespace pollenstall
