--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -167,7 +167,7 @@
   retry_budget Budget;
   std::unordered_map<service_name, std::size_t> QueuedRetries;  ///< Not paid for yet.
   std::unordered_map<service_name, std::size_t> AwaitedRetries; ///< Waiting for a loan.
-  std::deque<request_number> AwaitingRetry; ///< Oldest first; some may have ended meanwhile.
+  std::deque<request_number> AwaitingRetry; ///< In the order in which loans are given to them.
   timer_queue<request_number> Timers;
   std::vector<dispatch_action> Actions;
   dispatch_counters Counters;
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -114,6 +114,7 @@
   if (Request.Phase != request_phase::AwaitingRetry)
     return;
   Request.Phase = request_phase::Claiming;
+  std::erase(AwaitingRetry, Request.Facts.Id);
   const auto Awaited = AwaitedRetries.find(budgetService(Request.Facts));
   Budget.shared()->want(Awaited->first, --Awaited->second, Now);
   if (Awaited->second == 0)
--- a/src/retry_budget/shared_retry_budget.cpp
+++ b/src/retry_budget/shared_retry_budget.cpp
@@ -14,6 +14,8 @@
 constexpr int SlotsPerWindow = 100;
 /// An entry that needed retries within this part of a window keeps what it has left.
 constexpr int RecentNeedDivisor = 4;
+/// Requests for loans make no budgets for further services; the names in them are not checked.
+constexpr std::size_t MaxBudgets = 1'024;
 /// Fractions of retries add up to a whole one in spite of rounding.
 constexpr retry_amount WholeRetry = 1 - 1e-9;
 
@@ -133,6 +135,8 @@
 }
 
 retry_amount shared_retry_budget::lend(const retry_loan_request &Request, mono_time Now) {
+  if (Budgets.size() >= MaxBudgets && !Budgets.contains(Request.Service))
+    return 0;
   service_budget &Budget = budgetOf(Request.Service, Now);
   // Where entries fail alike, loans would only move retries that each needs itself.
   if (Budget.NeededAt + Allowance.Window / RecentNeedDivisor > Now)
