Requests that waited while an entry was suspended pay for no retries

Cause: a thawed entry reads the requests of a whole window at once, and they paid for retries in the next one. Class: the counts differ in time. Now an entry that was inactive for 0.7 s takes no payment for 0.2 s, in which it reads the backlog.

--- a/src/retry_budget/retry_budget_type.h
+++ b/src/retry_budget/retry_budget_type.h
@@ -85,6 +85,10 @@
   /// An entry that is missing from the list of entries uses its part for less than this: for the
   /// longest lease and ContactGrace.
   mono_duration MaxUnlisted{std::chrono::seconds(10)};
+  /// A process that was inactive for longer than this was suspended.
+  mono_duration SuspensionThreshold{std::chrono::milliseconds(700)};
+  /// Longest time in which a process reads the requests that waited during a suspension.
+  mono_duration BacklogTime{std::chrono::milliseconds(200)};
   /// Time between two rounds of requests for loans.
   mono_duration RequestInterval{std::chrono::milliseconds(10)};
   /// Longest time between two rounds while nobody has anything to lend.
--- a/src/retry_budget/shared_retry_budget.cpp
+++ b/src/retry_budget/shared_retry_budget.cpp
@@ -91,7 +91,16 @@
   return Budget;
 }
 
+void shared_retry_budget::detectSuspension(mono_time Now) {
+  if (ActiveAt != mono_time::min() && Now - ActiveAt > Tuning.SuspensionThreshold)
+    BacklogUntil = Now + Tuning.BacklogTime;
+  ActiveAt = Now;
+}
+
 void shared_retry_budget::deposit(const service_name &Service, mono_time Now) {
+  detectSuspension(Now);
+  if (Now < BacklogUntil)
+    return;
   budgetOf(Service, Now).Window.payBack(Share * Tuning.UsableShare, part(Now));
 }
 
@@ -159,6 +168,7 @@
 }
 
 std::vector<retry_datagram> shared_retry_budget::takeDatagrams(mono_time Now) {
+  detectSuspension(Now);
   std::vector<retry_datagram> Datagrams = Borrower.takeRequests(Now);
   std::move(Answers.begin(), Answers.end(), std::back_inserter(Datagrams));
   Answers.clear();
--- a/src/retry_budget/shared_retry_budget_base.h
+++ b/src/retry_budget/shared_retry_budget_base.h
@@ -56,6 +56,7 @@
   [[nodiscard]] bool mayBorrow(const service_name &Service, mono_time Now) const;
   /// Handles a message of another entry. A loan may make retries available.
   void receive(const received_retry_message &Received, mono_time Now);
+  /// Must be called at least each retry_budget_tuning::SuspensionThreshold.
   std::vector<retry_datagram> takeDatagrams(mono_time Now);
   /// @return When takeDatagrams() must be called next; empty if nothing is wanted.
   [[nodiscard]] std::optional<mono_time> nextWake() const { return Borrower.nextWake(); }
@@ -72,6 +73,9 @@
   };
 
   void assumeUsed(mono_time Now);
+  /// Detects that the process was suspended. Requests that waited meanwhile were sent in an earlier
+  /// window and pay for nothing in this one.
+  void detectSuspension(mono_time Now);
   /// @return How long a retry counts after the decision on it.
   [[nodiscard]] mono_duration useLifetime() const;
   service_budget &budgetOf(std::uint64_t Service, mono_time Now);
@@ -91,6 +95,8 @@
   std::size_t Rank{0};
   mono_time UsedUntil;    ///< Until then the part of each service is regarded as used.
   mono_time ContactUntil; ///< From then on, the others may no longer count this entry.
+  mono_time ActiveAt{mono_time::min()};
+  mono_time BacklogUntil{mono_time::min()}; ///< Until then, requests may be of before a suspension.
   std::unordered_map<std::uint64_t, service_budget> Budgets; ///< By the hash of the service's name.
   retry_borrower Borrower;
   std::vector<retry_datagram> Answers;
--- a/tests/retry_budget/retry_world.cpp
+++ b/tests/retry_budget/retry_world.cpp
@@ -86,6 +86,7 @@
   node &Node = Nodes[Entry];
   if (!Node.Cut)
     Node.Budget->confirmContact(Now + Settings.Lease, Now);
+  flush(Entry);
   atEntry(Entry, Now + LeaseRenewal, [this, Entry] { renewLease(Entry); });
 }
 
--- a/tests/retry_budget/shared_retry_budget_test.cpp
+++ b/tests/retry_budget/shared_retry_budget_test.cpp
@@ -150,5 +150,20 @@
   EXPECT_EQ(withdrawAll(Budget, Failing), 39);
 }
 
+// Guards against a thawed entry in which the requests of a whole window pay at once.
+TEST_F(ASharedRetryBudget, RequestsThatWaitedDuringASuspensionPayForNothing) {
+  shared_retry_budget Budget = budget(10, 0.2, 1);
+  Budget.takeDatagrams(Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 10);
+  Now += seconds(5);
+  for (int Request = 0; Request < 50; ++Request)
+    Budget.deposit(Failing, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 0);
+  Now += milliseconds(300);
+  for (int Request = 0; Request < 50; ++Request)
+    Budget.deposit(Failing, Now);
+  EXPECT_EQ(withdrawAll(Budget, Failing), 10);
+}
+
 } // namespace
 } // namespace pollenstall
