Retry budgets also advance in an entry without work reports; postmortem

An entry without listen.work never asked its budget for messages, so that each pause of 0.7 s between two requests counted as a suspension. Found by reading; the platform's entries always have one.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -333,10 +333,10 @@
 
 void decision_thread::sendRetryMessages(mono_time Now) {
   shared_retry_budget *Retries = Core.sharedRetries();
-  if (!Retries || !WorkShare)
+  if (!Retries)
     return;
   std::vector<retry_datagram> Datagrams = Retries->takeDatagrams(Now);
-  if (!Datagrams.empty())
+  if (WorkShare && !Datagrams.empty())
     WorkShare->commands().push(retry_datagrams{std::move(Datagrams)});
 }
 
--- a/src/retry_budget/retry_borrower_base.h
+++ b/src/retry_budget/retry_borrower_base.h
@@ -74,7 +74,7 @@
   double SavedRequests;
   mono_time RequestsFilledAt{};
   std::uint64_t LastNumber{0};
-  retry_amount UsualLoan{1}; ///< Average of the recent answers.
+  retry_amount UsualLoan{1}; ///< Average of recent loans.
   std::unordered_map<std::uint64_t, account> Accounts;
 };
 
--- a/src/retry_budget/retry_window.cpp
+++ b/src/retry_budget/retry_window.cpp
@@ -2,6 +2,7 @@
 #include "retry_budget/retry_window_base.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace pollenstall {
 
--- a/src/retry_budget/retry_window_base.h
+++ b/src/retry_budget/retry_window_base.h
@@ -5,7 +5,6 @@
 #include "retry_budget/retry_budget_type.h"
 
 #include <deque>
-#include <limits>
 
 namespace pollenstall {
 
@@ -30,6 +29,7 @@
   /// Takes back an amount that was used for nothing. The oldest are taken back, so that those
   /// which are left stay at least as long as they count.
   void takeBack(retry_amount Amount);
+  /// Uses an amount. @param SlotLength Uses within this time are kept as one.
   void use(retry_amount Amount, mono_time Now, mono_duration SlotLength);
   /// @return What may be used now; negative if the part has become smaller than what was used.
   [[nodiscard]] retry_amount available(retry_amount Part) const;
