--- a/tests/retry_budget/shared_retry_budget_test.cpp
+++ b/tests/retry_budget/shared_retry_budget_test.cpp
@@ -16,7 +16,7 @@
 const service_name Failing("failing");
 const service_name Sound("sound");
 
-class ASharedRetryBudget : public testing::Test {
+class shared_retry_budget_test : public testing::Test {
 protected:
   /// @return The budget of an entry that has run for longer than the window.
   shared_retry_budget budget(double Reserve, double Share, std::size_t Entries) {
@@ -37,7 +37,7 @@
   mono_time Now{std::chrono::hours(1)};
 };
 
-TEST_F(ASharedRetryBudget, LimitsTheRetriesOfAnyWindow) {
+TEST_F(shared_retry_budget_test, LimitsTheRetriesOfAnyWindow) {
   constexpr double Share = 0.2;
   shared_retry_budget Budget = budget(4, Share, 1);
   std::vector<mono_time> Retries;
@@ -62,7 +62,7 @@
 }
 
 // Guards against requests for a sound service that pay for retries at a failing one.
-TEST_F(ASharedRetryBudget, KeepsAnAllowanceForEachService) {
+TEST_F(shared_retry_budget_test, KeepsAnAllowanceForEachService) {
   shared_retry_budget Budget = budget(20, 0.2, 2);
   withdrawAll(Budget, Failing);
   for (int Request = 0; Request < 1'000; ++Request)
@@ -72,7 +72,7 @@
 }
 
 // Guards against amounts that are saved up and then used beside those of the same window.
-TEST_F(ASharedRetryBudget, RequestsPayBackOnlyWhatWasUsed) {
+TEST_F(shared_retry_budget_test, RequestsPayBackOnlyWhatWasUsed) {
   shared_retry_budget Budget = budget(10, 0.2, 1);
   for (int Request = 0; Request < 1'000; ++Request)
     Budget.deposit(Failing, Now);
@@ -82,7 +82,7 @@
   EXPECT_EQ(withdrawAll(Budget, Failing), 10);
 }
 
-TEST_F(ASharedRetryBudget, ReturnsWhatIsOlderThanTheWindow) {
+TEST_F(shared_retry_budget_test, ReturnsWhatIsOlderThanTheWindow) {
   shared_retry_budget Budget = budget(10, 0, 1);
   EXPECT_EQ(withdrawAll(Budget, Failing), 10);
   Now += Window;
@@ -92,7 +92,7 @@
 }
 
 // Guards against parts that grow at once when entries leave, whose retries still count.
-TEST_F(ASharedRetryBudget, PartsGrowOnlyOnceTheRetriesOfLostEntriesNoLongerCount) {
+TEST_F(shared_retry_budget_test, PartsGrowOnlyOnceTheRetriesOfLostEntriesNoLongerCount) {
   shared_retry_budget Budget = budget(40, 0, 4);
   EXPECT_EQ(withdrawAll(Budget, Failing), 9);
   Budget.setEntries({1, 0, {}}, Now);
@@ -104,7 +104,7 @@
 }
 
 // Guards against an entry out of contact, whose part the others have taken over.
-TEST_F(ASharedRetryBudget, UsesNothingLongAfterTheEndOfItsLease) {
+TEST_F(shared_retry_budget_test, UsesNothingLongAfterTheEndOfItsLease) {
   shared_retry_budget Budget({40, Window}, {}, 1, Now);
   Budget.setEntries({2, 0, {}}, Now);
   Budget.confirmContact(Now + std::chrono::minutes(1), Now);
@@ -116,7 +116,7 @@
 }
 
 // Guards against an entry that learns of the others one after the other from a new leader.
-TEST_F(ASharedRetryBudget, IgnoresSmallListsOfANewLeader) {
+TEST_F(shared_retry_budget_test, IgnoresSmallListsOfANewLeader) {
   shared_retry_budget Budget = budget(80, 0, 8);
   for (const std::size_t Count : {1U, 3U, 8U})
     Budget.setEntries({Count, 0, {}}, Now);
@@ -124,7 +124,7 @@
 }
 
 // Guards against a started entry with a full part, although its earlier incarnation has used it.
-TEST_F(ASharedRetryBudget, StartsWithWhatRequestsPayForUntilAWindowHasPassed) {
+TEST_F(shared_retry_budget_test, StartsWithWhatRequestsPayForUntilAWindowHasPassed) {
   shared_retry_budget Budget({40, Window}, {}, 1, Now);
   Budget.setShare(0.2);
   Budget.setEntries({1, 0, {}}, Now);
@@ -140,7 +140,7 @@
 }
 
 // Guards against an entry that is back in contact, while the others have used its part.
-TEST_F(ASharedRetryBudget, RegardsItsPartAsUsedAfterATimeOutOfContact) {
+TEST_F(shared_retry_budget_test, RegardsItsPartAsUsedAfterATimeOutOfContact) {
   shared_retry_budget Budget = budget(40, 0, 1);
   Now += std::chrono::hours(20);
   Budget.setEntries({1, 0, {}}, Now);
@@ -151,7 +151,7 @@
 }
 
 // Guards against a thawed entry in which the requests of a whole window pay at once.
-TEST_F(ASharedRetryBudget, RequestsThatWaitedDuringASuspensionPayForNothing) {
+TEST_F(shared_retry_budget_test, RequestsThatWaitedDuringASuspensionPayForNothing) {
   shared_retry_budget Budget = budget(10, 0.2, 1);
   Budget.takeDatagrams(Now);
   EXPECT_EQ(withdrawAll(Budget, Failing), 10);
