--- a/tests/trace/trace_test.py
+++ b/tests/trace/trace_test.py
@@ -46,6 +46,17 @@
         self.assertEqual([text for text in shown if text.startswith("=>")],
                          [text for text in shown if "broken_sent" in text])
 
+    # An attempt failed, and the service had no retry left: the engines decided less than the budget.
+    def test_names_the_refused_retry_where_the_budget_was_used_up(self):
+        log = [line(1, "attempt_started", attempt="h/7/6/1", backend="a"),
+               line(2, "attempt_failed", attempt="h/7/6/1", failure="declined"),
+               line(3, "retry_decided", attempt="h/7/6/1", service="llm", verdict="refused", left=0.4),
+               ended(4, "h-7-6", "s6", "not-run", "retries_exhausted")]
+        _, shown = self.trace("s6", log)
+        self.assertEqual([text for text in shown if text.startswith("=>")],
+                         [text for text in shown if "verdict=refused" in text])
+        self.assertIn("1 no retry left for llm", self.trace("--failed", log)[1][0])
+
     # The request waited and was refused: no engine had a part in it.
     def test_names_the_end_where_the_entry_decided(self):
         code, shown = self.trace("h-7-4", [ended(5, "h-7-4", "s2", "not-run", "queue_full")])
