--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -107,11 +107,11 @@
             "Source of the list of backend servers: gossip between entries, or the control hosts.",
             "gossip")
       .fraction("retries.share", &entry_settings::RetryShare, 0.0, 100.0, "as declared",
-                "Maximum ratio of retries to first attempts; overrides limits.retry_percent of the "
-                "declaration.")
+                "Maximum ratio of retries to first attempts, in whole hundredths; overrides "
+                "limits.retry_percent of the declaration.")
       .fraction("retries.reserve", &entry_settings::RetryReserve, 0.0, 1e9,
                 "a small reserve for each entry",
-                "Additional retries per window for all entries together.")
+                "Additional retries per window and service, for all entries together.")
       .span("retries.window_s", &entry_settings::RetryWindow,
             {10 * Second, milliseconds(100), Hour}, "Length of the window of retries.reserve.")
       .span("shutdown_drain_ms", &entry_settings::DrainTime,
