The test of a crashing server reads a request before it resets the connection

Traced: the test's server reset the connection at once; where the reset came before the relay's first byte, the attempt was never sent and no crash is due. The check is the same.

--- a/tests/relay/tunnel_test.cpp
+++ b/tests/relay/tunnel_test.cpp
@@ -5,8 +5,10 @@
 #include "support/free_address_func.h"
 #include "support/raw_socket_base.h"
 
+#include <boost/asio/read.hpp>
 #include <gtest/gtest.h>
 
+#include <array>
 #include <atomic>
 #include <ctime>
 
@@ -224,6 +226,9 @@
            static_cast<std::uint16_t>(std::stoul(Text.substr(Colon + 1)))});
   std::thread Thread([&] {
     auto Socket = Acceptor.accept();
+    // A server that resets before the request is sent has run nothing and counts as unreachable.
+    std::array<char, 1> FirstByte{};
+    boost::asio::read(Socket, boost::asio::buffer(FirstByte));
     Acceptor.close();
     resetConnection(Socket);
   });
