An entry logs its part of the retry reserve once a second at most, not with each list

A list comes with each entry that connects to a new leader: at 300 entries each logged 300 lines after a change of leader, entries x entries in all. The line now comes where the part has changed.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -381,9 +381,6 @@
     }
   }
   Retries->setEntries(std::move(Sharers), Now);
-  logEvent(log_level::Info, "retry_reserve",
-           {{"entries", static_cast<std::int64_t>(Listed.Entries.size())},
-            {"reserve", Retries->part(Now)}});
 }
 
 void decision_thread::reportCrash(crash_report &&Crash) {
@@ -550,7 +547,12 @@
   if (!Retries || Now - RetryBudgetsPublishedAt < RetryPublishInterval)
     return;
   RetryBudgetsPublishedAt = Now;
-  RetryReserveGauge.Set(Retries->part(Now));
+  const retry_amount Part = Retries->part(Now);
+  RetryReserveGauge.Set(Part);
+  // A list comes with each entry that connects to a new leader, so the lists are not logged.
+  if (std::exchange(LoggedRetryPart, Part) != Part)
+    logEvent(log_level::Info, "retry_reserve",
+             {{"entries", static_cast<std::int64_t>(Retries->entries(Now))}, {"reserve", Part}});
   for (const retry_budget_status &Status : Retries->status(Now)) {
     const prometheus::Labels Labels{{"service", Status.Service.str()}};
     RetriesLeftFamily.Add(Labels).Set(Status.Available);
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -136,6 +136,8 @@
   std::uint64_t PublishedClaims{0}; ///< Value of placer::claimsMade() at the last update.
   mono_time LoadsPublishedAt{};
   mono_time RetryBudgetsPublishedAt{};
+  double LoggedRetryPart{
+      0}; ///< This entry's part of the reserve of retries when it was last logged.
   wakeup_event WakeEvent;
   std::unique_ptr<control_link> Control;
   declaration_lease DeclarationLease;
--- a/src/retry_budget/shared_retry_budget_base.h
+++ b/src/retry_budget/shared_retry_budget_base.h
@@ -47,6 +47,8 @@
   void refund(const service_name &Service, mono_time Now);
   /// @return The number of retries that may start now.
   retry_amount available(const service_name &Service, mono_time Now);
+  /// @return How many entries may use a part now.
+  [[nodiscard]] std::size_t entries(mono_time Now) const;
   /// @return This entry's part of the reserve of each service.
   [[nodiscard]] retry_amount part(mono_time Now) const;
 
@@ -81,8 +83,6 @@
   service_budget &budgetOf(std::uint64_t Service, mono_time Now);
   service_budget &budgetOf(const service_name &Service, mono_time Now);
   [[nodiscard]] mono_duration slotLength() const;
-  /// @return How many entries may use a part now.
-  [[nodiscard]] std::size_t entries(mono_time Now) const;
   /// @return What this entry has left itself, rounded. Parts are fractions and retries whole ones;
   /// the roundings of all entries are spread evenly by rank, which leaves their sum as it is.
   [[nodiscard]] retry_amount ownRetries(const service_budget &Budget, mono_time Now) const;
