The test of a leaving stand-in waits for its first announcement

Traced: the test read the last of the announcements before the first had arrived. The check is the same.

--- a/tests/fake_backend/backend_process_test.cpp
+++ b/tests/fake_backend/backend_process_test.cpp
@@ -241,7 +241,10 @@
                       chatBody("m", "hello", true, 300));
   ASSERT_TRUE(Running.next());
   Backend.process().terminate();
-  ASSERT_TRUE(eventually([this] { return announcedStandings(FirstEntry).back() == "leaving"; }));
+  ASSERT_TRUE(eventually([this] {
+    const auto Standings = announcedStandings(FirstEntry);
+    return !Standings.empty() && Standings.back() == "leaving";
+  }));
   const auto Declined = Client.post("/v1/chat/completions", chatBody("m", "hello", false, 1));
   EXPECT_EQ(Declined.Status, 503);
   EXPECT_EQ(Declined.header("X-Pollenstall-Started"), "no");
