--- a/programs/pollenstall-entry/entry_report.cpp
+++ b/programs/pollenstall-entry/entry_report.cpp
@@ -21,6 +21,8 @@
             {"account", Record.Account},
             {"service", Record.Service},
             {"backend", Record.Backend},
+            {"peer", Record.Peer},
+            {"connect_ms", Record.ConnectTook ? Record.ConnectTook->count() : -1},
             {"outcome", std::string(outcomeText(Record.Outcome))},
             {"reason", Record.Reason},
             {"field", Record.Field},
--- a/src/path/path_table.cpp
+++ b/src/path/path_table.cpp
@@ -59,6 +59,14 @@
   return false;
 }
 
+std::vector<backend_key> path_table::detouredServers() const {
+  std::vector<backend_key> Detoured;
+  for (const auto &[Server, Path] : Servers)
+    if (Path.RecheckAt)
+      Detoured.push_back(Server);
+  return Detoured;
+}
+
 mono_time *path_table::lastHeard(const backend_key &Server) {
   const auto Found = Servers.find(Server);
   return Found == Servers.end() ? nullptr : Found->second.LastHeard;
--- a/src/path/path_table_base.h
+++ b/src/path/path_table_base.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace pollenstall {
 
@@ -54,6 +55,8 @@
   }
   /// Returns the number of servers whose connections need a tunnel.
   [[nodiscard]] std::size_t detours() const { return DetourCount; }
+  /// Returns the servers whose connections need a tunnel.
+  [[nodiscard]] std::vector<backend_key> detouredServers() const;
 
 private:
   using group_key = std::pair<service_name, failure_domain_name>;
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -142,9 +142,12 @@
     co_return exchange_end{attempt_failure::NotWanted, {}};
   const connection_reuse Reuse =
       Call->Facts.Idempotent ? connection_reuse::Allowed : connection_reuse::NewOnly;
+  const mono_time Started = boot_clock::now();
   Connection = co_await Context.Pool.open(Order.Backend, Reuse);
   if (!Connection)
     co_return exchange_end{attempt_failure::NotConnected, {}};
+  Call->LastPeer = Connection->carrier();
+  Call->LastConnect = boot_clock::now() - Started;
   if (!isStillWanted())
     co_return exchange_end{attempt_failure::NotWanted, {}};
   Connection->expireAt(Call->Facts.Deadline + DeadlineGrace);
--- a/src/relay/call_record_type.h
+++ b/src/relay/call_record_type.h
@@ -30,6 +30,9 @@
   std::string Service;
   std::string Backend; ///< Backend server of the last attempt; empty if there was none.
   std::string Attempt; ///< The last attempt.
+  std::string Peer;    ///< Entry that carried the last connection; empty if it was direct.
+  /// How long the last connection took to be made; empty if none was.
+  std::optional<std::chrono::milliseconds> ConnectTook;
   final_outcome Outcome{final_outcome::NotRun};
   std::string Reason; ///< The error code, "none" for a complete answer.
   std::string Field;  ///< The invalid field of a refused call.
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -152,6 +152,9 @@
     Record.Backend = toText(*Call.LastBackend);
   if (Call.LastAttempt)
     Record.Attempt = toText(*Call.LastAttempt);
+  Record.Peer = Call.LastPeer;
+  if (Call.LastConnect)
+    Record.ConnectTook = std::chrono::duration_cast<std::chrono::milliseconds>(*Call.LastConnect);
   Record.Outcome = Finish.Outcome;
   Record.Reason = Reason;
   Record.Prompt = Call.Facts.Prompt;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -171,7 +171,15 @@
     State["cancels_under_way"] = Cancels.size();
     State["idle_backend_connections"] = Context.Pool.idle();
     State["servers_through_peers"] = Context.Pool.connector().paths().detours();
+    boost::json::array Detoured;
+    for (const backend_key &Server : Context.Pool.connector().paths().detouredServers())
+      Detoured.emplace_back(toText(Server));
+    State["through_peers"] = std::move(Detoured);
     State["tunnels_carried"] = Context.Tunnels.open();
+    boost::json::object Carried;
+    for (const auto &[Entry, Count] : Context.Tunnels.carried())
+      Carried[Entry] = Count;
+    State["tunnels_carried_for"] = std::move(Carried);
     State["body_bytes"] = Context.BodyBytes;
     State["events_waiting"] = Context.Outbox.queued();
     State["takes_requests"] = Context.Declaration != nullptr && !Context.Stopping;
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -80,6 +80,8 @@
   std::optional<finish_request> Finish;
   std::optional<attempt_id> LastAttempt; ///< For the log.
   std::optional<backend_key> LastBackend;
+  std::string LastPeer; ///< Entry that carried the last connection; empty if it was direct.
+  std::optional<mono_duration> LastConnect; ///< How long the last connection took to be made.
   std::optional<mono_time> LastSent; ///< When the first byte of the last sent attempt was sent.
   std::optional<answer_progress> LastAnswer; ///< Of the last attempt whose answer began.
   event_gaps Gaps;
--- a/src/relay/tunnel_server.cpp
+++ b/src/relay/tunnel_server.cpp
@@ -140,15 +140,26 @@
       : tunnel_failure::ServerSilent;
 }
 
+void tunnel_server::countTunnel(const std::string &EntryIp) {
+  ++Tunnels;
+  ++Carried[EntryIp];
+}
+
+void tunnel_server::uncountTunnel(const std::string &EntryIp) {
+  --Tunnels;
+  if (const auto Found = Carried.find(EntryIp); --Found->second == 0)
+    Carried.erase(Found);
+}
+
 asio::awaitable<void> tunnel_server::serve(std::shared_ptr<tunnel> Tunnel) {
   if (!co_await readRequest(*Tunnel))
     co_return Tunnel->Entry.abort();
-  ++Tunnels;
+  countTunnel(Tunnel->EntryIp);
   const std::optional<tunnel_failure> Failure = co_await connect(*Tunnel);
   if (AtRequest)
     AtRequest(Failure, Tunnel->EntryIp);
   if (Failure) {
-    --Tunnels;
+    uncountTunnel(Tunnel->EntryIp);
     const std::string Answer =
         "HTTP/1.1 " + std::to_string(statusOf(*Failure)) + " -\r\nContent-Length: 0\r\n\r\n";
     co_await writeCopy(Tunnel->Entry, Answer);
@@ -164,7 +175,7 @@
     asio::co_spawn(Sweeper.io(), copyToEntry(Tunnel), rethrow);
     co_await copyToServer(*Tunnel);
   }
-  --Tunnels;
+  uncountTunnel(Tunnel->EntryIp);
   Tunnel->abort();
 }
 
--- a/src/relay/tunnel_server_base.h
+++ b/src/relay/tunnel_server_base.h
@@ -8,6 +8,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -35,6 +36,8 @@
   void refuseNew() { Refusing = true; }
   void stop();
   [[nodiscard]] std::size_t open() const { return Tunnels; }
+  /// Returns the IP addresses of the entries whose connections are carried, with the number of each.
+  [[nodiscard]] const std::map<std::string, std::size_t> &carried() const { return Carried; }
   /// Sets a hook for each request for a tunnel; no failure: it was opened.
   void
   onRequest(std::function<void(std::optional<tunnel_failure>, const std::string &Entry)> Hook) {
@@ -48,6 +51,8 @@
   boost::asio::awaitable<void> pauseAccepting();
   boost::asio::awaitable<void> serve(std::shared_ptr<tunnel> Tunnel);
   boost::asio::awaitable<std::optional<tunnel_failure>> connect(tunnel &Tunnel);
+  void countTunnel(const std::string &EntryIp);
+  void uncountTunnel(const std::string &EntryIp);
   [[nodiscard]] std::optional<tunnel_failure> refusalFor(const tunnel &Tunnel) const;
   boost::asio::awaitable<bool> readRequest(tunnel &Tunnel) const;
   static boost::asio::awaitable<void> copyToServer(tunnel &Tunnel);
@@ -59,6 +64,7 @@
   path_tuning Tuning;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::size_t Tunnels{0};
+  std::map<std::string, std::size_t> Carried; ///< Tunnels by the IP address of the entry.
   bool Refusing{false};
   std::function<void(std::optional<tunnel_failure>, const std::string &)> AtRequest;
 };
