A cut entry tries both ways at once as long as the cut of a group lasts

Callers of a cut entry waited 100 ms more for the first byte whenever no tunnel had been opened within 500 ms: each further server was tried directly first. The state of the cut is known for the servers of one service and failure domain, not for each server anew. LetsItsSilentGroupBeTriedBothWaysAsLongAsTheCutLasts failed before: direct after 5 s of the cut.

--- a/src/path/path_table.cpp
+++ b/src/path/path_table.cpp
@@ -6,8 +6,7 @@
 void path_table::addServer(const path_server &Server) {
   const auto [Entry, IsNew] = Servers.try_emplace(Server.Key);
   Entry->second.Service = Server.Service;
-  Entry->second.LastHeard =
-      &Groups.try_emplace({Server.Service, Server.Domain}, mono_time::min()).first->second;
+  Entry->second.Group = &Groups.try_emplace({Server.Service, Server.Domain}).first->second;
   if (IsNew)
     Addresses.emplace(Server.Key.Address, Server.Key.Incarnation);
 }
@@ -34,8 +33,9 @@
   if (Path.RecheckAt)
     return Now < *Path.RecheckAt ? path_plan::Tunnel : path_plan::Both;
   // Another server just needed a tunnel, so this one may need it as well.
-  const bool MayBeCut = LastTunnel != mono_time::min() &&
-                        Now - LastTunnel < Tuning.RecheckInterval && !mayReuse(Server, Now);
+  const bool TunnelOpenedJustNow =
+      LastTunnel != mono_time::min() && Now - LastTunnel < Tuning.RecheckInterval;
+  const bool MayBeCut = (Path.Group->CutOff || TunnelOpenedJustNow) && !mayReuse(Server, Now);
   return MayBeCut ? path_plan::Both : path_plan::Direct;
 }
 
@@ -43,7 +43,7 @@
   const auto Found = Servers.find(Server);
   if (Found == Servers.end())
     return true;
-  const mono_time LastHeard = *Found->second.LastHeard;
+  const mono_time LastHeard = Found->second.Group->LastHeard;
   return LastHeard != mono_time::min() && Now - LastHeard <= Tuning.FreshTime;
 }
 
@@ -54,7 +54,8 @@
   // The groups of a service are as many as the failure domains.
   for (auto Group = Groups.lower_bound({Found->second.Service, failure_domain_name()});
        Group != Groups.end() && Group->first.first == Found->second.Service; ++Group)
-    if (Group->second != mono_time::min() && Now - Group->second < Tuning.RecheckInterval)
+    if (Group->second.LastHeard != mono_time::min() &&
+        Now - Group->second.LastHeard < Tuning.RecheckInterval)
       return true;
   return false;
 }
@@ -69,14 +70,15 @@
 
 mono_time *path_table::lastHeard(const backend_key &Server) {
   const auto Found = Servers.find(Server);
-  return Found == Servers.end() ? nullptr : Found->second.LastHeard;
+  return Found == Servers.end() ? nullptr : &Found->second.Group->LastHeard;
 }
 
 bool path_table::recordDirect(const backend_key &Server, mono_time Now) {
   const auto Found = Servers.find(Server);
   if (Found == Servers.end())
     return false;
-  *Found->second.LastHeard = Now;
+  Found->second.Group->LastHeard = Now;
+  Found->second.Group->CutOff = false;
   if (!Found->second.RecheckAt)
     return false;
   Found->second.RecheckAt.reset();
@@ -89,6 +91,7 @@
   if (Found == Servers.end())
     return false;
   LastTunnel = Now;
+  Found->second.Group->CutOff = true;
   std::optional<mono_time> &RecheckAt = Found->second.RecheckAt;
   const bool Begins = !RecheckAt;
   // Tunnels that are opened meanwhile must not put the recheck off.
--- a/src/path/path_table_base.h
+++ b/src/path/path_table_base.h
@@ -60,16 +60,22 @@
 
 private:
   using group_key = std::pair<service_name, failure_domain_name>;
+  struct group_path {
+    mono_time LastHeard{
+        mono_time::min()}; ///< When a server of the group was last heard of directly.
+    /// The last connection to a server of the group needed a tunnel.
+    bool CutOff{false};
+  };
   struct server_path {
     service_name Service;
-    mono_time *LastHeard{nullptr};      ///< Of the server's group.
+    group_path *Group{nullptr};
     std::optional<mono_time> RecheckAt; ///< Set while tunnels carry its connections.
   };
 
   path_tuning Tuning;
   std::map<backend_key, server_path> Servers;
   std::multimap<backend_address, incarnation> Addresses;
-  std::map<group_key, mono_time> Groups; ///< When a server of the group was last heard of directly.
+  std::map<group_key, group_path> Groups;
   mono_time LastTunnel{mono_time::min()};
   std::size_t DetourCount{0};
 };
--- a/tests/path/path_table_test.cpp
+++ b/tests/path/path_table_test.cpp
@@ -73,6 +73,22 @@
   EXPECT_EQ(Table.detours(), 0U);
 }
 
+// An entry that connects seldom waited for the hedge delay at each further server, as long as the
+// cut lasted.
+TEST_F(a_server_behind_a_cut, LetsItsSilentGroupBeTriedBothWaysAsLongAsTheCutLasts) {
+  EXPECT_EQ(Table.planFor(keyOf(2), at(5'000)), path_plan::Both);
+  EXPECT_EQ(Table.planFor(keyOf(3), at(5'000)), path_plan::Direct) << "another failure domain";
+  EXPECT_TRUE(Table.recordDirect(keyOf(1), at(5'100)));
+  EXPECT_EQ(Table.planFor(keyOf(2), at(9'000)), path_plan::Direct) << "the cut has healed";
+}
+
+// A single server that is cut off must not cost its group a tunnel for each connection.
+TEST_F(a_server_behind_a_cut, LeavesItsGroupDirectOnceAnotherServerOfItWasReached) {
+  Table.recordDirect(keyOf(2), at(1'000));
+  EXPECT_EQ(Table.planFor(keyOf(2), at(9'000)), path_plan::Direct);
+  EXPECT_EQ(Table.planFor(keyOf(1), at(9'000)), path_plan::Both) << "its own check";
+}
+
 // The first connection to each further server would otherwise wait for the hedge delay.
 TEST_F(a_server_behind_a_cut, LetsOtherSilentServersBeTriedBothWaysAtOnce) {
   EXPECT_EQ(Table.planFor(keyOf(3), at(100)), path_plan::Both);
