A request through a peer that freezes or is cut off itself is sent again after 0.8 s

Callers of a cut entry waited for the timeout of the attempt, four times the target (1.2 s to 16 s), when the entry that carried their request froze or lost its own path: nothing resets such a tunnel. The class: silence taken for work. The peer is asked for another tunnel to the same server every 400 ms. The attempt ends as path_broken, which blames no server; a peer's end used to be counted against the server.

--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -78,6 +78,9 @@
   ErrorAnswer,  ///< A complete answer with a 5xx status; the work may have been done.
   BadAnswer,    ///< The answer is not valid HTTP or belongs to another attempt.
   TimedOut,     ///< No answer arrived within the attempt's timeout.
+  /// The entry that carried the connection ended, fell silent or lost its own path. This is not the
+  /// server's fault; the work may have been done.
+  PathBroken,
   NotWanted, ///< Not sent, without fault of the backend server: the caller had left, the deadline
              ///< had passed, or the caller had bytes of an older attempt.
 };
--- a/src/path/path_type.h
+++ b/src/path/path_type.h
@@ -56,6 +56,11 @@
   mono_duration RecheckInterval{std::chrono::milliseconds(500)};
   /// Time that a peer has to connect to the server.
   mono_duration PeerConnectTimeout{std::chrono::milliseconds(300)};
+  /// A request that was sent through a peer and has no answer after this time has its path checked,
+  /// and again after as long.
+  mono_duration CheckInterval{std::chrono::milliseconds(400)};
+  /// Time that a peer has to show that it still reaches the server; longer than PeerConnectTimeout.
+  mono_duration CheckTimeout{std::chrono::milliseconds(400)};
   /// Peers tried for one connection.
   std::uint32_t MaxPeerTries{6};
   /// Pause of a peer after its first failure; doubles with each further one.
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -138,7 +138,7 @@
 
 void placer::recordAttemptFailure(const attempt_id &Attempt, attempt_failure Failure,
                                   mono_time Now) {
-  if (Failure == attempt_failure::NotWanted)
+  if (Failure == attempt_failure::NotWanted || Failure == attempt_failure::PathBroken)
     return;
   // A server that declines is full, and an error status may be the fault of the caller.
   if (Failure == attempt_failure::Declined || Failure == attempt_failure::ErrorAnswer)
--- a/src/relay/backend_connector.cpp
+++ b/src/relay/backend_connector.cpp
@@ -190,6 +190,20 @@
   co_return std::move(Race->Winner);
 }
 
+asio::awaitable<bool> backend_connector::reachesThrough(std::string Peer, backend_key Server) {
+  if (!Peers)
+    co_return true;
+  tunnel_request Request{Fleet, Peers->ownAddress(), Peer, Server.Address,
+                         boot_clock::now() + Tuning.CheckTimeout};
+  const tunnel_result Opened = co_await openTunnel(Sweeper, std::move(Request));
+  const auto *Failure = std::get_if<tunnel_failure>(&Opened);
+  // A peer without room for further tunnels still carries those that are open.
+  if (!Failure || *Failure == tunnel_failure::Busy)
+    co_return true;
+  Peers->recordFailure(Peer, *Failure, boot_clock::now());
+  co_return false;
+}
+
 asio::awaitable<bool> backend_connector::refusesConnections(const backend_key &Server) {
   boost::system::error_code Code;
   const backend_connection Opened = co_await connectDirectly(Server, Limits.ConnectTimeout, Code);
--- a/src/relay/backend_connector_base.h
+++ b/src/relay/backend_connector_base.h
@@ -74,6 +74,11 @@
   boost::asio::awaitable<backend_connection> connectDirectly(const backend_key &Server,
                                                              mono_duration Timeout,
                                                              boost::system::error_code &Code);
+  /// Returns whether the peer still connects to the server. A frozen peer, or one that was cut off
+  /// after it had opened a tunnel, leaves that tunnel open and silent.
+  boost::asio::awaitable<bool> reachesThrough(std::string Peer, backend_key Server);
+  /// Returns how often the path of a request that waits for its answer is checked.
+  [[nodiscard]] mono_duration checkInterval() const { return Tuning.CheckInterval; }
   /// Returns whether the server's host refuses connections to its port, which means that the server
   /// has ended. A partition may refuse them, too, so that no peer may reach the server.
   boost::asio::awaitable<bool> refusesConnections(const backend_key &Server);
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -74,8 +74,33 @@
     Connection->abort();
 }
 
+asio::awaitable<void> backend_exchange::checkPath() {
+  PathTimer.emplace(Context.Io);
+  boost::system::error_code Ignored;
+  const auto IsOver = [this] { return Ended || Abandoned || Answering; };
+  bool Reaches = true;
+  while (Reaches) {
+    PathTimer->expires_after(Context.Pool.connector().checkInterval());
+    co_await PathTimer->async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
+    if (IsOver())
+      co_return;
+    Reaches =
+        co_await Context.Pool.connector().reachesThrough(Connection->carrier(), Order.Backend);
+    if (IsOver())
+      co_return;
+  }
+  Connection->expireAt(boot_clock::now());
+}
+
 asio::awaitable<void> backend_exchange::run(exchange_mode Mode) {
-  const exchange_end End = co_await perform(Mode);
+  exchange_end End = co_await perform(Mode);
+  Ended = true;
+  if (PathTimer)
+    PathTimer->cancel();
+  const bool Broke =
+      End.Failure == attempt_failure::BrokenSent || End.Failure == attempt_failure::TimedOut;
+  if (Broke && isCarried() && !Answering)
+    End.Failure = attempt_failure::PathBroken;
   recordEnd(End);
   if (Call->Relaying) {
     Call->Relaying = false;
@@ -100,8 +125,9 @@
 }
 
 void backend_exchange::reportForSuspects(const exchange_end &End) {
-  const bool Broke =
-      End.Failure == attempt_failure::BrokenSent || End.Failure == attempt_failure::BrokenMidway;
+  const bool Broke = End.Failure == attempt_failure::BrokenSent ||
+                     End.Failure == attempt_failure::BrokenMidway ||
+                     End.Failure == attempt_failure::PathBroken;
   if (Broke && Connection && !Abandoned && !Connection->expired())
     return Context.Crashes.onBrokenConnection(Order.Backend, Call);
   if (End.Failure || !Context.AtSuspectCleared)
@@ -153,6 +179,10 @@
   Connection->expireAt(Call->Facts.Deadline + DeadlineGrace);
   if (const auto Failure = co_await send(Mode))
     co_return exchange_end{Failure, {}};
+  // Given up, work that must not be repeated could only lose its answer.
+  if (isCarried() && Order.MayRetry && Call->Facts.Idempotent)
+    asio::co_spawn(
+        Context.Io, [Self = shared_from_this()] { return Self->checkPath(); }, rethrow);
   if (const auto Failure = co_await readHead())
     co_return exchange_end{Failure, {}};
   if (const auto Failure = checkAnswerHead(Mode))
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -10,6 +10,7 @@
 #include "relay/usage_func.h"
 
 #include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
@@ -74,6 +75,9 @@
   void armIdleTimeout();
   [[nodiscard]] bool isBufferedAnswer();
   boost::asio::awaitable<bool> startAnswer(answer_framing Framing, std::string_view First);
+  /// Expires the connection if the peer that carries it no longer reaches the server.
+  boost::asio::awaitable<void> checkPath();
+  [[nodiscard]] bool isCarried() const { return Connection && !Connection->carrier().empty(); }
   boost::asio::awaitable<bool> readMore();
   boost::asio::awaitable<void> returnConnection();
 
@@ -107,9 +111,12 @@
   std::uint64_t UnreportedEvents{0};
   bool Answering{false};
   bool Abandoned{false};
-  bool Sent{false};               ///< The first byte was sent.
-  bool SentAll{false};            ///< The last byte was sent.
-  backend_address AtFault;        ///< The server that a refusal names as its cause.
+  bool Sent{false};        ///< The first byte was sent.
+  bool SentAll{false};     ///< The last byte was sent.
+  backend_address AtFault; ///< The server that a refusal names as its cause.
+  /// Set while the path of the request is checked.
+  std::optional<boost::asio::steady_timer> PathTimer;
+  bool Ended{false};              ///< The result is known.
   bool EndsWithConnection{false}; ///< The end of the connection marks the end of the answer.
 };
 
--- a/src/relay/call_error.cpp
+++ b/src/relay/call_error.cpp
@@ -169,6 +169,8 @@
     return "error_answer";
   case attempt_failure::BadAnswer:
     return "bad_answer";
+  case attempt_failure::PathBroken:
+    return "path_broken";
   case attempt_failure::NotWanted:
     return "not_wanted";
   default:
--- a/src/scheduling/scheduler_attempt.cpp
+++ b/src/scheduling/scheduler_attempt.cpp
@@ -19,7 +19,8 @@
 
 bool isServerFault(attempt_failure Failure) {
   // A server that declines is full and not faulty; its memory tracker shows that too.
-  return Failure != attempt_failure::Declined && Failure != attempt_failure::NotWanted;
+  return Failure != attempt_failure::Declined && Failure != attempt_failure::NotWanted &&
+         Failure != attempt_failure::PathBroken;
 }
 
 memory_blocks blocksFor(double Tokens, const scheduled_backend &Record) {
--- a/tests/placement/placer_test.cpp
+++ b/tests/placement/placer_test.cpp
@@ -173,6 +173,19 @@
   EXPECT_EQ(poll().size(), 1U);
 }
 
+// The entry that carried a connection ended; blamed for it, the engine would be left out by a cut
+// entry.
+TEST_F(placer_fixture, BrokenPathIsNoFailureOfTheEngine) {
+  removeAllExcept(makeListing(0).Key);
+  const request_number Request = submitRequest(1'000);
+  ASSERT_EQ(poll().size(), 1U);
+  attempt_report Report;
+  Report.Failure = attempt_failure::PathBroken;
+  Placer.attemptEnded(attemptOf(Request), Report, Now);
+  submitRequest(1'000);
+  EXPECT_EQ(poll().size(), 1U);
+}
+
 // An engine without power appears idle, so all short work would go there for the third of a second
 // until a connection attempt times out. After its backoff it receives one request, and no other
 // until that one is answered.
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -223,6 +223,17 @@
   return First;
 }
 
+relay_pause::relay_pause(relay_harness &Relay) {
+  std::promise<void> Begun;
+  asio::post(Relay.Io, [&Begun, Until = End.get_future().share()] {
+    Begun.set_value();
+    Until.wait();
+  });
+  Begun.get_future().wait();
+}
+
+relay_pause::~relay_pause() { End.set_value(); }
+
 void relay_harness::setDeclared(bool Declared) {
   order(declaration_in_force{Declared ? Declaration : nullptr, mono_time::max()});
 }
--- a/tests/relay/relay_harness_base.h
+++ b/tests/relay/relay_harness_base.h
@@ -11,6 +11,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <functional>
+#include <future>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -88,6 +89,8 @@
   request_facts Facts; ///< Facts of the latest call.
 
 private:
+  friend class relay_pause;
+
   dispatch_event nextEvent();
   [[nodiscard]] start_attempt startOrder(const backend_key &Backend, std::uint32_t Ordinal) const;
   void drainCrashUpdates();
@@ -107,6 +110,19 @@
   std::unique_ptr<boost::asio::ip::tcp::socket> Caller;
 };
 
+/// Keeps the relay's thread from doing anything, as in a frozen process whose kernel accepts
+/// connections.
+class relay_pause {
+public:
+  explicit relay_pause(relay_harness &Relay);
+  ~relay_pause();
+  relay_pause(const relay_pause &) = delete;
+  relay_pause &operator=(const relay_pause &) = delete;
+
+private:
+  std::promise<void> End;
+};
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_TESTS_RELAY_RELAY_HARNESS_BASE_H
--- a/tests/relay/tunnel_test.cpp
+++ b/tests/relay/tunnel_test.cpp
@@ -199,6 +199,79 @@
   Ending = 1;
 }
 
+// The peer that carries a request falls silent: nothing resets the connection.
+struct a_request_through_a_peer : two_entries_and_a_server {
+  a_request_through_a_peer() {
+    First.Effect = partition_effect::Refusal;
+    for (tunnel_entry *Entry : {&First, &Second})
+      Entry->know(Addresses, {Engine.key()});
+  }
+  ~a_request_through_a_peer() override { MayAnswer = true; }
+
+  /// Sends a request and waits until the server has it.
+  void sendRequest(bool MayRetry = true) {
+    First.Relay.call("p");
+    First.Relay.start(Engine, 1, MayRetry);
+    ASSERT_TRUE(eventually([this] { return !Engine.requests().empty(); }));
+  }
+  /// Waits for the end of the attempt, which must come soon.
+  void expectBrokenPath() {
+    const mono_time Started = boot_clock::now();
+    EXPECT_EQ(First.Relay.next<attempt_failed>().Failure, attempt_failure::PathBroken);
+    EXPECT_LT(boot_clock::now() - Started, std::chrono::seconds(1));
+    First.Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+  }
+
+  std::atomic<bool> MayAnswer{false};
+  const scripted_server Engine{[this](auto &Socket, const received_request &) {
+    EXPECT_TRUE(eventually([this] { return MayAnswer.load(); }));
+    sendText(Socket, PlainAnswer);
+  }};
+};
+
+// The request waited for its timeout, several times its target, while the peer was frozen.
+TEST_F(a_request_through_a_peer, IsGivenUpSoonIfThePeerFreezes) {
+  sendRequest();
+  const relay_pause Frozen(Second.Relay);
+  expectBrokenPath();
+}
+
+// The peer loses its own way to the server after it has opened the tunnel.
+TEST_F(a_request_through_a_peer, IsGivenUpSoonIfThePeerIsCutOffToo) {
+  sendRequest();
+  Second.Effect = partition_effect::Silence;
+  expectBrokenPath();
+}
+
+// The peer that carried the request ends; the server must not be blamed.
+TEST_F(a_request_through_a_peer, IsNotTheServersFaultIfThePeerEnds) {
+  sendRequest();
+  Second.Relay.stop();
+  expectBrokenPath();
+}
+
+// A server that reads a long prompt is silent, too.
+TEST_F(a_request_through_a_peer, WaitsForAServerThatIsSilentBehindAWorkingPeer) {
+  sendRequest();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+  MayAnswer = true;
+  First.Relay.next<attempt_completed>();
+  First.Relay.finish(final_outcome::Complete, failure_reason::None);
+  EXPECT_EQ(Engine.requests().size(), 1U);
+}
+
+// Given up, a request that must not be repeated could only lose its answer.
+TEST_F(a_request_through_a_peer, WaitsForThePeerIfItMustNotBeRepeated) {
+  sendRequest(false);
+  {
+    const relay_pause Frozen(Second.Relay);
+    std::this_thread::sleep_for(std::chrono::milliseconds(1'500));
+  }
+  MayAnswer = true;
+  First.Relay.next<attempt_completed>();
+  First.Relay.finish(final_outcome::Complete, failure_reason::None);
+}
+
 // The peer says that the server is down, while the direct connection still hangs. Waiting for it
 // must not use the processor.
 TEST_F(two_entries_and_a_server, WaitForAServerThatIsDownWithoutSpinning) {
