A peer behind a cut declines at once to carry connections for others

Of 1,237 connections of cut entries between 4 and 12 s behind the cut, 204 took 90 ms or more: a peer that was cut off as well tried each server that it had not tried itself, and the entry that asked waited for the hedge delay. What a peer knows of a group holds for what it carries, too. LetsNoServerOfItsSilentGroupBeCarriedForOthers did not compile before: mayCarry() replaces needsTunnel(), which knew single servers only.

--- a/src/path/path_table.cpp
+++ b/src/path/path_table.cpp
@@ -60,6 +60,13 @@
   return false;
 }
 
+bool path_table::mayCarry(const backend_key &Server, mono_time Now) const {
+  const auto Found = Servers.find(Server);
+  if (Found == Servers.end() || Found->second.RecheckAt)
+    return false;
+  return !Found->second.Group->CutOff || mayReuse(Server, Now);
+}
+
 std::vector<backend_key> path_table::detouredServers() const {
   std::vector<backend_key> Detoured;
   for (const auto &[Server, Path] : Servers)
--- a/src/path/path_table_base.h
+++ b/src/path/path_table_base.h
@@ -48,11 +48,9 @@
   /// Records that a peer connected to the server while the direct path failed or was too slow.
   /// @return Whether a detour begins.
   bool recordTunnel(const backend_key &Server, mono_time Now);
-  /// Returns whether tunnels carry the connections to the server.
-  [[nodiscard]] bool needsTunnel(const backend_key &Server) const {
-    const auto Found = Servers.find(Server);
-    return Found != Servers.end() && Found->second.RecheckAt.has_value();
-  }
+  /// Returns whether a connection to the server can be carried for another entry: this one does not
+  /// need a tunnel itself, as far as it knows.
+  [[nodiscard]] bool mayCarry(const backend_key &Server, mono_time Now) const;
   /// Returns the number of servers whose connections need a tunnel.
   [[nodiscard]] std::size_t detours() const { return DetourCount; }
   /// Returns the servers whose connections need a tunnel.
--- a/src/relay/tunnel_server.cpp
+++ b/src/relay/tunnel_server.cpp
@@ -122,7 +122,7 @@
     return tunnel_failure::Forbidden;
   if (Refusing || Tunnels >= Limits.MaxTunnels)
     return tunnel_failure::Busy;
-  if (Connector.paths().needsTunnel(Connector.paths().serverAt(Tunnel.Target)))
+  if (!Connector.paths().mayCarry(Connector.paths().serverAt(Tunnel.Target), boot_clock::now()))
     return tunnel_failure::NoDirectPath;
   return std::nullopt;
 }
--- a/tests/path/path_table_test.cpp
+++ b/tests/path/path_table_test.cpp
@@ -82,6 +82,17 @@
   EXPECT_EQ(Table.planFor(keyOf(2), at(9'000)), path_plan::Direct) << "the cut has healed";
 }
 
+// A peer behind the same cut kept other entries waiting at each server that it had not tried
+// itself.
+TEST_F(a_server_behind_a_cut, LetsNoServerOfItsSilentGroupBeCarriedForOthers) {
+  EXPECT_FALSE(Table.mayCarry(keyOf(1), at(5'000)));
+  EXPECT_FALSE(Table.mayCarry(keyOf(2), at(5'000)));
+  EXPECT_TRUE(Table.mayCarry(keyOf(3), at(5'000))) << "another failure domain";
+  Table.recordDirect(keyOf(2), at(5'100));
+  EXPECT_TRUE(Table.mayCarry(keyOf(2), at(9'000)));
+  EXPECT_FALSE(Table.mayCarry(keyOf(1), at(9'000)));
+}
+
 // A single server that is cut off must not cost its group a tunnel for each connection.
 TEST_F(a_server_behind_a_cut, LeavesItsGroupDirectOnceAnotherServerOfItWasReached) {
   Table.recordDirect(keyOf(2), at(1'000));
