--- a/tests/system/crashing_request_test.cpp
+++ b/tests/system/crashing_request_test.cpp
@@ -48,6 +48,35 @@
   EXPECT_EQ(System.ctl({"suspects"}), 0);
 }
 
+// Guards against a part of a prompt that crashes one engine after another in requests of which no
+// two are alike, and against a block that refuses other requests with the same first part.
+TEST_F(CrashingRequestTest, IsRefusedWhicheverRequestItIsAPartOf) {
+  constexpr int MaxRounds = 40;
+  constexpr std::size_t MaxLost = 5;
+  const std::string Shared = "You answer in one word.";
+  const auto Send = [&](std::size_t Entry, const std::vector<std::string> &Messages) {
+    return System.chatOf(Entry, Messages);
+  };
+  bool Refused = false;
+  std::size_t Lost = 0;
+  for (int Round = 0; Round < MaxRounds && !Refused; ++Round) {
+    const std::size_t Entry = Round % running_system::EntryCount;
+    Refused = isRefused(Send(Entry, {Shared, Crashing, "question " + std::to_string(Round)}));
+    Lost += System.restartEndedEngines();
+    ASSERT_TRUE(Refused || eventually([this] { return System.allReady(); }));
+    EXPECT_EQ(Send(Entry, {Shared, "harmless", "question"}).Status, Ok);
+  }
+  ASSERT_TRUE(Refused) << Lost << " engines were lost in " << MaxRounds << " rounds"
+                       << System.description();
+  EXPECT_LE(Lost, MaxLost);
+  for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry) {
+    ASSERT_TRUE(eventually([&] { return isRefused(Send(Entry, {Shared, Crashing, "another"})); }));
+    EXPECT_EQ(Send(Entry, {Shared, "harmless", "another"}).Status, Ok);
+  }
+  System.restartEndedEngines();
+  EXPECT_EQ(System.ctl({"suspects"}), 0);
+}
+
 // Guards against a block that operators cannot lift after they have repaired the servers.
 TEST_F(CrashingRequestTest, RunsAgainOnceAnOperatorUnblocksIt) {
   std::string Answer;
--- a/tests/system/running_system.cpp
+++ b/tests/system/running_system.cpp
@@ -293,6 +293,17 @@
                             asCaller(std::move(ExtraHeaders)));
 }
 
+http_answer running_system::chatOf(std::size_t Entry,
+                                   const std::vector<std::string> &Messages) const {
+  constexpr int AnswerTokens = 2;
+  boost::json::array List;
+  for (const std::string &Message : Messages)
+    List.push_back({{"role", "user"}, {"content", Message}});
+  const boost::json::object Body{
+      {"model", "m"}, {"messages", std::move(List)}, {"max_tokens", AnswerTokens}};
+  return caller(Entry).post("/v1/chat/completions", boost::json::serialize(Body), asCaller());
+}
+
 std::unique_ptr<http_stream> running_system::stream(std::size_t Entry, const std::string &Prompt,
                                                     int AnswerTokens,
                                                     http_headers ExtraHeaders) const {
--- a/tests/system/running_system_base.h
+++ b/tests/system/running_system_base.h
@@ -84,6 +84,9 @@
 
   [[nodiscard]] http_answer chat(std::size_t Entry, const std::string &Prompt, int AnswerTokens = 2,
                                  http_headers ExtraHeaders = {}) const;
+  /// Sends a chat of several messages. @return The complete answer.
+  [[nodiscard]] http_answer chatOf(std::size_t Entry,
+                                   const std::vector<std::string> &Messages) const;
   [[nodiscard]] std::unique_ptr<http_stream> stream(std::size_t Entry, const std::string &Prompt,
                                                     int AnswerTokens,
                                                     http_headers ExtraHeaders = {}) const;
