Parts of prompts under which engines crash are counted, and blocked at every entry

Callers saw one engine after the other end, with the answers of all others on it: 104 in 18 s of the incident. The unit of counting was the whole request, and no two were alike. Reports of crashes now name the parts of prompts whose answer had not begun, by themselves and not chained; entries leave out parts that begin often, and report answers that begin with a suspected part. The log blocks the part that has most crashes, at the third that answers do not outweigh, half a second after the second at the earliest, and takes its crashes from the parts beside it. Attempts under way are given up. Messages and stored data have a new version each.

--- a/programs/pollenstall-control/control_codec.cpp
+++ b/programs/pollenstall-control/control_codec.cpp
@@ -53,12 +53,15 @@
 template <typename Archive> void serialize(Archive &Into, record_crash &Command) {
   Into(Command.Fingerprints, Command.Incarnation, Command.Time);
 }
+template <typename Archive> void serialize(Archive &Into, record_suspect_run &Command) {
+  Into(Command.FingerprintHigh, Command.Time);
+}
 template <typename Archive> void serialize(Archive &Into, clear_suspect &Command) {
   Into(Command.FingerprintHigh);
 }
 template <typename Archive> void serialize(Archive &Into, suspect_record &Record) {
   Into(Record.Fingerprint, Record.Crashes, Record.Blocks, Record.LastCrash, Record.BlockedUntil,
-       Record.Incarnations);
+       Record.Incarnations, Record.RunsBegun, Record.WatchedSince);
 }
 template <typename Archive> void serializeInitial(Archive &Into, control_snapshot &Snapshot) {
   Into(Snapshot.Declared, Snapshot.History, Snapshot.Answers, Snapshot.Drains,
@@ -84,6 +87,27 @@
   }
 };
 
+/// A record of a suspected request as in the third version, which has no parts of prompts.
+struct request_suspect_record {
+  suspect_record Record;
+  template <typename Archive> void serialize(Archive &Into) {
+    Into(Record.Fingerprint, Record.Crashes, Record.Blocks, Record.LastCrash, Record.BlockedUntil,
+         Record.Incarnations);
+  }
+};
+
+/// A snapshot of the third version.
+struct suspects_snapshot {
+  control_snapshot Snapshot;
+  template <typename Archive> void serialize(Archive &Into) {
+    std::vector<request_suspect_record> Suspects;
+    serializeInitial(Into, Snapshot);
+    Into(Snapshot.Backends, Suspects, Snapshot.SuspectsVersion);
+    for (const request_suspect_record &Suspect : Suspects)
+      Snapshot.Suspects.push_back(Suspect.Record);
+  }
+};
+
 namespace {
 
 /// Size of the largest declaration with the other fields of its change.
@@ -148,7 +172,7 @@
 }
 
 result<control_snapshot, control_codec_error> decodeSnapshot(std::string_view Bytes) {
-  const auto VersionNumber = versionOf(Bytes, state_version::Suspects);
+  const auto VersionNumber = versionOf(Bytes, state_version::PromptParts);
   if (!succeeded(VersionNumber))
     return errorOf(VersionNumber);
   switch (valueOf(VersionNumber)) {
@@ -156,6 +180,8 @@
     return decodeOlder<initial_snapshot>(Bytes);
   case state_version::Backends:
     return decodeOlder<backends_snapshot>(Bytes);
+  case state_version::Suspects:
+    return decodeOlder<suspects_snapshot>(Bytes);
   default:
     return decodeBody<control_snapshot, state_version>(Bytes);
   }
@@ -185,8 +211,13 @@
 command_version versionFor(const control_command &Command) {
   if (std::holds_alternative<update_backends>(Command))
     return command_version::Backends;
-  const bool Suspects = std::holds_alternative<record_crash>(Command) ||
-                        std::holds_alternative<clear_suspect>(Command);
+  const auto *Crash = std::get_if<record_crash>(&Command);
+  const bool HasPromptParts =
+      Crash && std::any_of(Crash->Fingerprints.begin(), Crash->Fingerprints.end(),
+                           [](const auto &Fingerprint) { return Fingerprint.isPromptPart(); });
+  if (HasPromptParts || std::holds_alternative<record_suspect_run>(Command))
+    return command_version::PromptParts;
+  const bool Suspects = Crash || std::holds_alternative<clear_suspect>(Command);
   return Suspects ? command_version::Suspects : command_version::Initial;
 }
 
@@ -202,7 +233,7 @@
 }
 
 result<control_command, control_codec_error> decodeCommand(std::string_view Bytes) {
-  const auto VersionNumber = versionOf(Bytes, command_version::Suspects);
+  const auto VersionNumber = versionOf(Bytes, command_version::PromptParts);
   if (!succeeded(VersionNumber))
     return errorOf(VersionNumber);
   auto Decoded = valueOf(VersionNumber) == command_version::Packed
@@ -214,7 +245,7 @@
 }
 
 std::string encodeState(const control_state &State) {
-  return encodePlain(version_head<state_version>{state_version::Suspects}) +
+  return encodePlain(version_head<state_version>{state_version::PromptParts}) +
          encodePlain(State.snapshot());
 }
 
--- a/programs/pollenstall-control/control_codec_func.h
+++ b/programs/pollenstall-control/control_codec_func.h
@@ -15,9 +15,16 @@
   Backends = 2, ///< Used for update_backends only.
   Packed = 3,   ///< Used for commands with a declaration: a packed_text of the command.
   Suspects = 4, ///< Used for record_crash and clear_suspect only.
+  /// Used for record_suspect_run, and for record_crash with parts of prompts.
+  PromptParts = 5,
 };
 /// Versions of a snapshot's encoding.
-enum class state_version : std::uint16_t { Initial = 1, Backends = 2, Suspects = 3 };
+enum class state_version : std::uint16_t {
+  Initial = 1,
+  Backends = 2,
+  Suspects = 3,
+  PromptParts = 4
+};
 
 /// Why an entry of the log cannot be applied. If it were skipped, this member's state would diverge
 /// from the others', so the process must stop.
--- a/programs/pollenstall-control/entry_server.cpp
+++ b/programs/pollenstall-control/entry_server.cpp
@@ -178,6 +178,14 @@
   Callbacks.Propose(clear_suspect{Request.Fingerprint.High}, [](const auto & /*Answer*/) {});
 }
 
+void entry_server::handleRequest(connection_number /*From*/, const link_suspect_run &Request,
+                                 mono_time /*Now*/) {
+  // Many entries report at once; the log takes only what may still change the table.
+  if (Callbacks.State().suspects().contains(Request.Fingerprint))
+    Callbacks.Propose(record_suspect_run{Request.Fingerprint.High, wallClock()},
+                      [](const auto & /*Answer*/) {});
+}
+
 link_fleet entry_server::fleet() const {
   link_fleet Fleet;
   if (Callbacks.Controls)
--- a/programs/pollenstall-control/entry_server_base.h
+++ b/programs/pollenstall-control/entry_server_base.h
@@ -113,6 +113,7 @@
   void handleRequest(connection_number From, const link_claim_settle &Request, mono_time Now);
   void handleRequest(connection_number From, const link_crash &Request, mono_time Now);
   void handleRequest(connection_number From, const link_clear_suspect &Request, mono_time Now);
+  void handleRequest(connection_number From, const link_suspect_run &Request, mono_time Now);
   [[nodiscard]] link_suspects suspects() const;
   void sendSuspects(connection_number To, session &Session, const link_suspects &All);
   void redirect(connection_number To);
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -384,11 +384,15 @@
 }
 
 void decision_thread::reportCrash(crash_report &&Crash) {
-  std::string FingerprintList;
-  for (const request_fingerprint &RequestFingerprint : Crash.Fingerprints)
-    FingerprintList += (FingerprintList.empty() ? "" : ",") + toText(RequestFingerprint);
-  logEvent(log_level::Warning, "backend_crashed",
-           {{"backend", toText(Crash.Backend)}, {"requests", FingerprintList}});
+  std::string Requests;
+  std::string PromptParts;
+  for (const request_fingerprint &Fingerprint : Crash.Fingerprints) {
+    std::string &List = Fingerprint.isPromptPart() ? PromptParts : Requests;
+    List += (List.empty() ? "" : ",") + toText(Fingerprint);
+  }
+  logEvent(
+      log_level::Warning, "backend_crashed",
+      {{"backend", toText(Crash.Backend)}, {"requests", Requests}, {"prompt_parts", PromptParts}});
   // A backend server that is leaving may end with unfinished work, which is no crash.
   if (Control && !Core.isLeaving(Crash.Backend))
     Control->request(std::move(Crash));
@@ -400,6 +404,11 @@
     Control->request(Cleared);
 }
 
+void decision_thread::reportCrash(suspect_run_begun &&Run) {
+  if (Control)
+    Control->request(Run);
+}
+
 void decision_thread::publishLoads(mono_time Now) {
   // A claim on the capacity of an engine is published before it is used, however recent the last
   // update is.
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -97,6 +97,7 @@
   void handleDeclaration(const declaration_received &Received);
   void reportCrash(crash_report &&Crash);
   void reportCrash(suspect_cleared &&Cleared);
+  void reportCrash(suspect_run_begun &&Run);
   void handleRateLimit(const rate_limit_answer &Answer, mono_time Now);
   void handlePermitReply(const permit_reply &Reply, mono_time Now);
   void sendPermitMessages(mono_time Now);
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -320,6 +320,9 @@
   void handleRequest(const suspect_cleared &Request) {
     send(link_clear_suspect{Request.Fingerprint});
   }
+  void handleRequest(const suspect_run_begun &Request) {
+    send(link_suspect_run{Request.Fingerprint});
+  }
   void handleRequest(const request_claim &Request) {
     send(Calls.acquire(Request, wallClock(), boot_clock::now()));
   }
--- a/src/control_link/control_link_codec_func.h
+++ b/src/control_link/control_link_codec_func.h
@@ -81,6 +81,9 @@
 template <typename Archive> void serialize(Archive &Into, link_clear_suspect &Message) {
   Into(Message.Fingerprint);
 }
+template <typename Archive> void serialize(Archive &Into, link_suspect_run &Message) {
+  Into(Message.Fingerprint);
+}
 template <typename Archive> void serialize(Archive &Into, link_suspects &Message) {
   Into(Message.Suspects);
 }
--- a/src/control_link/control_link_message_type.h
+++ b/src/control_link/control_link_message_type.h
@@ -69,8 +69,13 @@
   request_fingerprint Fingerprint;
 };
 
+/// Reports that an answer to a request with a suspected part of a prompt has begun.
+struct link_suspect_run {
+  request_fingerprint Fingerprint;
+};
+
 using link_request = std::variant<link_subscribe, link_renew, link_claim_acquire, link_claim_settle,
-                                  link_crash, link_clear_suspect>;
+                                  link_crash, link_clear_suspect, link_suspect_run>;
 
 // ---- From the control host. ----
 
--- a/src/control_link/control_link_type.h
+++ b/src/control_link/control_link_type.h
@@ -39,7 +39,7 @@
 };
 
 using control_link_request = std::variant<confirm_revision, request_claim, report_claim_outcome,
-                                          crash_report, suspect_cleared>;
+                                          crash_report, suspect_cleared, suspect_run_begun>;
 
 // ---- Events: from the link to the entry's decision thread. ----
 
--- a/src/control_state/control_state_base.h
+++ b/src/control_state/control_state_base.h
@@ -60,6 +60,7 @@
   [[nodiscard]] static control_answer checkCommand(const update_backends &Command);
   [[nodiscard]] static control_answer checkCommand(const record_crash &Command);
   [[nodiscard]] static control_answer checkCommand(const clear_suspect &Command);
+  [[nodiscard]] static control_answer checkCommand(const record_suspect_run &Command);
 
   void applyEffect(const apply_change &Command, const change_verdict &Verdict);
   void applyEffect(const set_drain &Command, const change_verdict &Verdict);
@@ -69,6 +70,7 @@
   control_answer executeCommand(const update_backends &Command);
   control_answer executeCommand(const record_crash &Command);
   control_answer executeCommand(const clear_suspect &Command);
+  control_answer executeCommand(const record_suspect_run &Command);
   void storeBackend(const backend_listing &Listing);
   template <typename Claim> control_answer executeClaim(const Claim &Command);
 
--- a/src/control_state/control_state_cmd.cpp
+++ b/src/control_state/control_state_cmd.cpp
@@ -30,6 +30,7 @@
                  [this](const update_backends &Typed) { return executeCommand(Typed); },
                  [this](const record_crash &Typed) { return executeCommand(Typed); },
                  [this](const clear_suspect &Typed) { return executeCommand(Typed); },
+                 [this](const record_suspect_run &Typed) { return executeCommand(Typed); },
                  [this](const auto &Claim) { return executeClaim(Claim); }},
       Command);
 }
@@ -158,6 +159,10 @@
   return suspects_updated{};
 }
 
+control_answer control_state::checkCommand(const record_suspect_run & /*Command*/) {
+  return suspects_updated{};
+}
+
 control_answer control_state::executeCommand(const record_crash &Command) {
   LatestCommandTime = std::max(LatestCommandTime, Command.Time);
   Suspects.recordCrash(Command.Fingerprints, Command.Incarnation, LatestCommandTime);
@@ -169,6 +174,12 @@
   return suspects_updated{};
 }
 
+control_answer control_state::executeCommand(const record_suspect_run &Command) {
+  LatestCommandTime = std::max(LatestCommandTime, Command.Time);
+  Suspects.recordRunBegun(Command.FingerprintHigh, LatestCommandTime);
+  return suspects_updated{};
+}
+
 void control_state::storeBackend(const backend_listing &Listing) {
   const auto Existing = Backends.find(Listing.Instance);
   const bool Exists = Existing != Backends.end();
--- a/src/control_state/control_state_type.h
+++ b/src/control_state/control_state_type.h
@@ -67,9 +67,16 @@
   std::uint64_t FingerprintHigh{0}; ///< Field High of its fingerprint, which operators see.
 };
 
-using control_command = std::variant<apply_change, set_drain, claim_acquire, claim_settle,
-                                     claim_expire, take_fencing_token, offer_declaration,
-                                     update_backends, record_crash, clear_suspect>;
+/// Records that an answer to a request with a suspected part of a prompt has begun.
+struct record_suspect_run {
+  std::uint64_t FingerprintHigh{0}; ///< Field High of its fingerprint.
+  unix_millis Time{0};              ///< The proposing leader's wall clock.
+};
+
+using control_command =
+    std::variant<apply_change, set_drain, claim_acquire, claim_settle, claim_expire,
+                 take_fencing_token, offer_declaration, update_backends, record_crash,
+                 clear_suspect, record_suspect_run>;
 
 // ---- Answers. ----
 
@@ -139,7 +146,7 @@
   bool operator==(const backends_updated &) const = default;
 };
 
-/// Answer to record_crash and clear_suspect.
+/// Answer to record_crash, clear_suspect and record_suspect_run.
 struct suspects_updated {
   bool operator==(const suspects_updated &) const = default;
 };
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -119,6 +119,11 @@
   OnEnd(*this);
 }
 
+void backend_exchange::giveUpIfBlocked() {
+  if (Connection && !Ended && !Answering && isBlocked())
+    Connection->expireAt(boot_clock::now());
+}
+
 void backend_exchange::uncountIfNotRun(const exchange_end &End) {
   if (Sent && End.Failure && provesNotRun(*End.Failure) && Call->SentAttempts > 0)
     --Call->SentAttempts;
@@ -129,7 +134,7 @@
                      End.Failure == attempt_failure::BrokenMidway ||
                      End.Failure == attempt_failure::PathBroken;
   if (Broke && Connection && !Abandoned && !Connection->expired())
-    return Context.Crashes.onBrokenConnection(Order.Backend, Call);
+    return Context.Crashes.onBrokenConnection(Order.Backend, Call, Answering);
   if (End.Failure || !Context.AtSuspectCleared)
     return;
   if (const auto Fingerprint = fingerprintIfSuspected(*Context.Suspects, *Call))
@@ -203,8 +208,7 @@
 }
 
 bool backend_exchange::isBlocked() const {
-  const auto Fingerprint = fingerprintIfSuspected(*Context.Suspects, *Call);
-  return Fingerprint && Context.Suspects->blockedUntil(*Fingerprint, boot_clock::now());
+  return findBlock(*Context.Suspects, *Call, boot_clock::now()).has_value();
 }
 
 bool backend_exchange::isStillWanted() {
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -55,6 +55,8 @@
   void resume();
   /// Closes the connection. No more bytes of the answer are relayed and no event is reported.
   void abandon();
+  /// Closes the connection if the request has become blocked and its answer has not begun.
+  void giveUpIfBlocked();
   [[nodiscard]] const attempt_id &attempt() const { return Order.Attempt; }
 
 private:
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -77,6 +77,7 @@
   Context.Metrics.countAnswerBytes(Bytes);
   if (!Answering) {
     Answering = true;
+    Context.Crashes.onRunBegun(*Call, *Context.Suspects);
     Context.Outbox.push(attempt_answering{Order.Attempt});
     Events = Events > 0 ? Events - 1 : 0;
   }
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -7,6 +7,7 @@
 #include "rate_limit/rate_limit_type.h"
 #include "relay/call_error_type.h"
 #include "relay/header_filter_func.h"
+#include "relay/prompt_facts_type.h"
 #include "relay/request_head_type.h"
 
 #include <boost/beast/http/message.hpp>
@@ -30,6 +31,8 @@
   tokens AnswerLimit;
   tokens AnswerHint;                       ///< 0 if none was sent.
   std::vector<std::uint64_t> PrefixHashes; ///< One for each leading part of the prompt.
+  std::vector<std::string>
+      SharedParts;            ///< Names of the prompt's parts that other requests may share.
   std::uint64_t LastEvent{0}; ///< The caller resumes after this event; 0: from the start.
 };
 
--- a/src/relay/call_plan.cpp
+++ b/src/relay/call_plan.cpp
@@ -191,6 +191,7 @@
   Call.Facts.AnswerLimit = tokens(Prompt.AnswerLimit.value_or(Service->MaxAnswer.value()));
   Call.Facts.PrefixHashes = std::move(Prompt.PrefixHashes);
   Call.PromptBytes = Prompt.PromptBytes;
+  Call.SharedParts = std::move(Prompt.SharedParts);
   return Call;
 }
 
--- a/src/relay/call_plan_func.h
+++ b/src/relay/call_plan_func.h
@@ -19,6 +19,8 @@
   request_facts Facts; ///< Id is not set yet.
   service_kind Kind{service_kind::Model};
   byte_count PromptBytes;
+  std::vector<std::string>
+      SharedParts; ///< Names of the prompt's parts that other requests may share.
 };
 
 /// Checks key, method and path. Returns the plan, or a 401, 404 or 405 refusal.
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -180,15 +180,17 @@
 
 std::optional<call_error> caller_session::suspectError(const relayed_call &Call) const {
   const mono_time Now = boot_clock::now();
-  const auto Fingerprint = fingerprintIfSuspected(*Context.Suspects, Call);
-  const auto Until = Fingerprint ? Context.Suspects->blockedUntil(*Fingerprint, Now) : std::nullopt;
-  if (!Until)
+  const auto Block = findBlock(*Context.Suspects, Call, Now);
+  if (!Block)
     return std::nullopt;
+  const auto &[Fingerprint, Until] = *Block;
   call_error Error =
       unavailableError("request_crashes_servers",
-                       "Servers crashed each time an identical request ran (" +
-                           toText(*Fingerprint) + "). It is refused until the retry time.");
-  Error.RetryAfter = std::chrono::ceil<std::chrono::seconds>(*Until - Now);
+                       (Fingerprint.isPromptPart()
+                            ? "Servers crashed when requests with the same part of the prompt ran ("
+                            : "Servers crashed each time an identical request ran (") +
+                           toText(Fingerprint) + "). It is refused until the retry time.");
+  Error.RetryAfter = std::chrono::ceil<std::chrono::seconds>(Until - Now);
   Error.Repeatable = false;
   return Error;
 }
--- a/src/relay/crash_detector_base.h
+++ b/src/relay/crash_detector_base.h
@@ -31,13 +31,21 @@
   /// Sets the crash hook; without it no server is probed.
   void onCrash(crash_hook Hook) { ReportCrash = std::move(Hook); }
   /// Handles the connection of an attempt that broke before the answer was complete.
-  void onBrokenConnection(const backend_key &Backend, std::shared_ptr<relayed_call> Call);
+  /// @param Begun Whether a part of the answer had come.
+  void onBrokenConnection(const backend_key &Backend, std::shared_ptr<relayed_call> Call,
+                          bool Begun);
+  /// Records that the answer of an attempt has begun, and reports it where a part of the prompt is
+  /// on the list.
+  void onRunBegun(const relayed_call &Call, const suspect_list &Suspects);
+  /// Sets the hook for runs with suspected parts of prompts.
+  void onSuspectRun(std::function<void(suspect_run_begun)> Hook) { ReportRun = std::move(Hook); }
 
 private:
   /// Keeps the body after the call has released it.
   struct broken_call {
     std::shared_ptr<relayed_call> Call;
     std::shared_ptr<const request_body> Body;
+    bool Begun{false};
   };
 
   boost::asio::awaitable<void> probe(backend_key Backend);
@@ -45,6 +53,8 @@
   boost::asio::io_context &Io;
   backend_connection_pool &Pool;
   crash_hook ReportCrash;
+  std::function<void(suspect_run_begun)> ReportRun;
+  prompt_part_history History;
   /// The broken calls by server, while a connection to the server is tried.
   std::map<backend_key, std::vector<broken_call>> BrokenCalls;
 };
--- a/src/relay/header_routed_plan.cpp
+++ b/src/relay/header_routed_plan.cpp
@@ -69,6 +69,7 @@
   Facts.AnswerLimit = Call.Head.AnswerLimit;
   Facts.AnswerHint = Call.Head.AnswerHint;
   Facts.PrefixHashes = Call.Head.PrefixHashes;
+  Planned.SharedParts = Call.Head.SharedParts;
   Facts.Idempotent = Route.RetryMode != retry_mode::Never;
   Facts.Resumable = Route.RetryMode == retry_mode::Resume;
   Facts.MaxAttempts = std::max(1U, Route.MaxAttempts);
--- a/src/relay/prompt_facts_type.h
+++ b/src/relay/prompt_facts_type.h
@@ -12,6 +12,9 @@
 
 namespace pollenstall {
 
+/// Parts of a prompt that are told apart when servers crash.
+constexpr std::size_t MaxSharedParts = 16;
+
 /// Which of the two APIs a body is for.
 enum class prompt_form : std::uint8_t {
   Chat,       ///< Has "messages".
@@ -26,6 +29,9 @@
   byte_count PromptBytes;                  ///< Unescaped text of all messages.
   std::vector<std::uint64_t>
       PrefixHashes; ///< Hashes of the leading chunks; each hash continues the previous one.
+  /// Names of the messages before the last one, which other requests may share: hashes of their
+  /// texts.
+  std::vector<std::string> SharedParts;
 };
 
 /// Prompt bytes in one chunk: about 256 tokens, which is several blocks of an engine's prefix
--- a/src/relay/prompt_reader.cpp
+++ b/src/relay/prompt_reader.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/json/basic_parser_impl.hpp>
 
+#include <algorithm>
 #include <array>
 #include <limits>
 
@@ -13,6 +14,7 @@
 namespace json = boost::json;
 
 constexpr std::size_t MaxModelName = 256;
+constexpr std::size_t MaxMessageHashBytes = 64U << 10U;
 constexpr std::int64_t BytesPerTokenId =
     4; ///< A prompt of token ids counts as this many bytes per id.
 
@@ -113,6 +115,8 @@
     Frames.pop_back();
     if (Ended.Role == value_role::Message && !Ended.HasRole)
       return refuse(value_role::Message, Code);
+    if (Ended.Role == value_role::Message)
+      endMessage();
     return leaveValue();
   }
 
@@ -209,6 +213,9 @@
     if (Form == prompt_form::Completion && !seen(value_role::Prompt))
       return prompt_error{"prompt", std::string(allowedFor(value_role::Prompt))};
     Facts.AnswerLimit = MaxCompletionTokens ? MaxCompletionTokens : MaxTokens;
+    if (!Messages.empty())
+      Messages.pop_back();
+    Facts.SharedParts = std::move(Messages);
     return std::move(Facts);
   }
 
@@ -311,6 +318,7 @@
     case value_role::Counted:
       Facts.PromptBytes += byte_count(static_cast<std::int64_t>(Text.size()));
       hashText(Text);
+      hashMessage(Text);
       return true;
     case value_role::Other:
       return true;
@@ -319,6 +327,20 @@
     }
   }
 
+  /// Hashes the beginning and the length: a message of several megabytes would take milliseconds.
+  void hashMessage(std::string_view Text) {
+    const std::size_t Room = MaxMessageHashBytes - std::min(MessageBytes, MaxMessageHashBytes);
+    MessageHash = stableHash(Text.substr(0, Room), MessageHash);
+    MessageBytes += Text.size();
+  }
+
+  void endMessage() {
+    if (Messages.size() <= MaxSharedParts)
+      Messages.push_back(std::to_string(combineHashes(MessageHash, MessageBytes)));
+    MessageHash = StableHashSeed;
+    MessageBytes = 0;
+  }
+
   void hashText(std::string_view Text) {
     while (!Text.empty() && Facts.PrefixHashes.size() < MaxPrefixChunks) {
       const std::string_view Part = Text.substr(0, PrefixChunkBytes - ChunkFill);
@@ -358,6 +380,9 @@
   unsigned SeenTopLevelKeys{0};
   std::optional<std::int64_t> MaxTokens;
   std::optional<std::int64_t> MaxCompletionTokens;
+  std::vector<std::string> Messages; ///< Their names, up to one more than MaxSharedParts.
+  std::uint64_t MessageHash{StableHashSeed};
+  std::size_t MessageBytes{0};
   std::uint64_t ChunkHash{StableHashSeed};
   std::size_t ChunkFill{0};
 };
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -98,7 +98,12 @@
     Call->Changed.notify();
   }
 
-  void execute(suspects_update &&Order) { Context.Suspects = std::move(Order.List); }
+  void execute(suspects_update &&Order) {
+    Context.Suspects = std::move(Order.List);
+    if (!Context.Suspects->empty())
+      for (const auto &[Attempt, Exchange] : Exchanges)
+        Exchange->giveUpIfBlocked();
+  }
 
   void execute(path_servers_update &&Order) {
     path_table &Paths = Context.Pool.connector().paths();
@@ -390,6 +395,8 @@
     // A full ring drops the update; the next crash reports the same request again.
     State->Context.Crashes.onCrash(
         [Updates = CrashUpdates](crash_report Crash) { Updates->push(std::move(Crash)); });
+    State->Context.Crashes.onSuspectRun(
+        [Updates = CrashUpdates](suspect_run_begun Run) { Updates->push(Run); });
     State->Context.AtSuspectCleared = [Updates = CrashUpdates](suspect_cleared Cleared) {
       Updates->push(Cleared);
     };
--- a/src/relay/relay_type.h
+++ b/src/relay/relay_type.h
@@ -86,8 +86,9 @@
   std::shared_ptr<const suspect_list> List;
 };
 
-/// Messages of the relay about suspected requests: a server crashed, or a suspect completed.
-using crash_update = std::variant<crash_report, suspect_cleared>;
+/// Messages of the relay about suspects: a server crashed, a suspected request completed, or an
+/// answer with a suspected part of a prompt has begun.
+using crash_update = std::variant<crash_report, suspect_cleared, suspect_run_begun>;
 
 /// Orders from the decision thread to the relay thread. Claims go to the control link instead.
 using relay_order =
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -44,7 +44,7 @@
   relayed_call(boost::asio::io_context &Io, checked_call Plan,
                std::shared_ptr<caller_connection> Connection)
       : Facts(std::move(Plan.Facts)), Kind(Plan.Kind), PromptBytes(Plan.PromptBytes),
-        Caller(std::move(Connection)), Changed(Io) {}
+        SharedParts(std::move(Plan.SharedParts)), Caller(std::move(Connection)), Changed(Io) {}
 
   /// Returns whether an attempt of this ordinal may still relay answer bytes to the caller. A mix
   /// of two attempts' answers would look complete but be neither answer.
@@ -66,6 +66,8 @@
   std::string SendName;     ///< The caller's own name for this send of a header-routed call.
   service_kind Kind;
   byte_count PromptBytes;
+  std::vector<std::string>
+      SharedParts;       ///< Names of the prompt's parts that other requests may share.
   std::string RequestId; ///< The request id sent to the caller.
   forwarded_request Request;
   std::shared_ptr<caller_connection> Caller;
--- a/src/relay/tunnel_server_base.h
+++ b/src/relay/tunnel_server_base.h
@@ -36,7 +36,8 @@
   void refuseNew() { Refusing = true; }
   void stop();
   [[nodiscard]] std::size_t open() const { return Tunnels; }
-  /// Returns the IP addresses of the entries whose connections are carried, with the number of each.
+  /// Returns the IP addresses of the entries whose connections are carried, with the number of
+  /// each.
   [[nodiscard]] const std::map<std::string, std::size_t> &carried() const { return Carried; }
   /// Sets a hook for each request for a tunnel; no failure: it was opened.
   void
--- a/src/suspect/suspect_type.h
+++ b/src/suspect/suspect_type.h
@@ -1,5 +1,5 @@
-/** @file suspect_type.h Fingerprints of requests, and records of suspected ones.
- */
+/** @file suspect_type.h Fingerprints of requests and of parts of prompts, and records of suspected
+ * ones. */
 #ifndef POLLENSTALL_SUSPECT_SUSPECT_TYPE_H
 #define POLLENSTALL_SUSPECT_SUSPECT_TYPE_H
 
@@ -15,16 +15,22 @@
 namespace pollenstall {
 
 /**
- * Identifies a request by its client account, service, method, URL path and query, and body. Each
- * submission of the same request has the same fingerprint at all entries. No key, name or prompt
- * can be recovered from it.
+ * Identifies a request by its client account, service, method, URL path and query, and body, or a
+ * part of a prompt by its service and text. Each submission has the same fingerprint at all
+ * entries. No key, name or prompt can be recovered from it.
  */
 struct request_fingerprint {
+  /// Account of a part of a prompt, which requests of several client accounts may contain.
+  static constexpr std::uint64_t AnyAccount = 0;
+
   std::uint64_t Account{0};  ///< Hash of the client account's name.
-  std::uint64_t HeadHash{0}; ///< Hash of the request without its body, but with the body's length.
-  std::uint64_t High{0};     ///< With Low: leading 128 bits of SHA-256 over the whole request.
+  std::uint64_t HeadHash{0}; ///< Hash of the request without its body, but with the body's length;
+                             ///< of a part of a prompt: of all.
+  std::uint64_t High{0};     ///< With Low: leading 128 bits of SHA-256 over all.
   std::uint64_t Low{0};
 
+  [[nodiscard]] bool isPromptPart() const { return Account == AnyAccount; }
+
   auto operator<=>(const request_fingerprint &) const = default;
 };
 
@@ -33,7 +39,7 @@
 /// Parses the text form of a fingerprint. @return request_fingerprint::High; empty if invalid.
 std::optional<std::uint64_t> parseFingerprint(std::string_view Text);
 
-/// A backend server crashed while it ran these requests.
+/// A backend server crashed while it ran these requests, or requests with these parts.
 struct crash_report {
   backend_key Backend;
   std::vector<request_fingerprint> Fingerprints;
@@ -44,8 +50,13 @@
   request_fingerprint Fingerprint;
 };
 
-/// Crash record of one request. Times are Unix milliseconds of the wall clocks of the log's
-/// leaders.
+/// An answer to a request with a suspected part of a prompt has begun.
+struct suspect_run_begun {
+  request_fingerprint Fingerprint;
+};
+
+/// Crash record of one request, or of one part of a prompt. Times are Unix milliseconds of the wall
+/// clocks of the log's leaders.
 struct suspect_record {
   request_fingerprint Fingerprint;
   std::uint32_t Crashes{0}; ///< Counted towards the next block; reduced when a block begins.
@@ -53,6 +64,9 @@
   std::chrono::milliseconds LastCrash{0};
   std::chrono::milliseconds BlockedUntil{0};
   std::vector<incarnation> Incarnations; ///< Of the last counted crashes, so that each counts once.
+  std::uint32_t RunsBegun{0}; ///< Since the first counted crash; only of parts of prompts.
+  /// When it was published; only of parts of prompts.
+  std::chrono::milliseconds WatchedSince{0};
 
   bool operator==(const suspect_record &) const = default;
 };
@@ -82,7 +96,21 @@
   std::chrono::milliseconds MaxBlock{std::chrono::hours(1)};
   std::size_t MaxRecords{4096};
   std::size_t MaxRecordsPerAccount{32};
-  std::size_t MaxIncarnations{4}; ///< Stored for each request.
+  std::size_t MaxIncarnations{16}; ///< Stored for each record.
+
+  // Of parts of prompts.
+
+  /// An answer that has begun outweighs this part of a crash. Parts that many requests share are on
+  /// most engines that crash for another reason.
+  std::uint32_t RunsPerCrash{2};
+  /// A domain's engines crash within this time. Engines that crash by a part of a prompt follow
+  /// each other as fast as requests come.
+  std::chrono::milliseconds MinPartCrashInterval{50};
+  /// Time from the second crash to a block, in which entries report answers that have begun.
+  std::chrono::milliseconds MinWatchTime{500};
+  /// An unblocked record expires this long after its last crash.
+  std::chrono::milliseconds ForgetPartAfter{std::chrono::minutes(1)};
+  std::size_t MaxPromptParts{256};
 };
 
 } // namespace pollenstall
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -36,7 +36,7 @@
 /// @return A snapshot of an empty state as an older version encoded it, without newer fields.
 std::string olderSnapshot(char Version, std::size_t NewerBytes) {
   std::string Bytes = encodeState(control_state{control_limits{}});
-  EXPECT_EQ(Bytes[0], 3);
+  EXPECT_EQ(Bytes[0], 4);
   Bytes[0] = Version;
   Bytes.resize(Bytes.size() - NewerBytes);
   return Bytes;
@@ -46,8 +46,9 @@
 TEST(ControlCodec, ReadsSnapshotsOfOlderVersions) {
   constexpr std::size_t CountOfBackends = 8;
   constexpr std::size_t CountAndVersionOfSuspects = 16;
-  for (const std::string &Bytes : {olderSnapshot(1, CountOfBackends + CountAndVersionOfSuspects),
-                                   olderSnapshot(2, CountAndVersionOfSuspects)}) {
+  for (const std::string &Bytes :
+       {olderSnapshot(1, CountOfBackends + CountAndVersionOfSuspects),
+        olderSnapshot(2, CountAndVersionOfSuspects), olderSnapshot(3, 0)}) {
     const auto Decoded = decodeState(Bytes, {});
     ASSERT_TRUE(succeeded(Decoded));
     EXPECT_EQ(valueOf(Decoded).snapshot(), control_state{control_limits{}}.snapshot());
@@ -62,6 +63,10 @@
   EXPECT_EQ(encodeCommand(record_crash{})[0], 4);
   EXPECT_EQ(encodeCommand(clear_suspect{})[0], 4);
   EXPECT_TRUE(succeeded(decodeCommand(encodeCommand(record_crash{}))));
+  const request_fingerprint Part{request_fingerprint::AnyAccount, 1, 1, 1};
+  EXPECT_EQ(encodeCommand(record_crash{{Part}, incarnation(1), unix_millis(1)})[0], 5);
+  EXPECT_EQ(encodeCommand(record_suspect_run{})[0], 5);
+  EXPECT_TRUE(succeeded(decodeCommand(encodeCommand(record_suspect_run{}))));
 }
 
 TEST(ControlCodec, RoundTripsCommands) {
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -151,6 +151,7 @@
   EXPECT_EQ(Facts.AnswerHint, tokens(70));
   EXPECT_EQ(Facts.LastEvent, 12U);
   EXPECT_EQ(Facts.PrefixHashes.size(), 2U);
+  EXPECT_EQ(Facts.SharedParts.size(), 1U) << "the last part belongs to the request";
 }
 
 TEST(PlatformRequestHeadTest, RefusesInvalidNumbers) {
--- a/tests/relay/prompt_reader_test.cpp
+++ b/tests/relay/prompt_reader_test.cpp
@@ -104,6 +104,22 @@
   EXPECT_NE(HashesA[4], HashesB[4]);
 }
 
+// A message that crashes servers must be found in whichever chat it stands.
+TEST(PromptReader, NamesAMessageAlikeInDifferentChats) {
+  const auto ChatOf = [](const std::string &First, const std::string &Second) {
+    return chat(R"({"model":"m","messages":[{"role":"system","content":")" + First +
+                R"("},{"role":"user","content":")" + Second +
+                R"("},{"role":"user","content":"own"}]})");
+  };
+  const auto A = ChatOf("shared", "common");
+  const auto B = ChatOf("other", "common");
+  ASSERT_TRUE(succeeded(A) && succeeded(B));
+  ASSERT_EQ(valueOf(A).SharedParts.size(), 2U) << "the last message belongs to the request";
+  ASSERT_EQ(valueOf(B).SharedParts.size(), 2U);
+  EXPECT_NE(valueOf(A).SharedParts[0], valueOf(B).SharedParts[0]);
+  EXPECT_EQ(valueOf(A).SharedParts[1], valueOf(B).SharedParts[1]);
+}
+
 TEST(PromptReader, BoundsTheHashesOfALongPrompt) {
   const auto Read = chat(chatOf(std::string(PrefixChunkBytes * (MaxPrefixChunks + 9), 'l')));
   ASSERT_TRUE(succeeded(Read));
--- a/tests/system/crashing_request_test.cpp
+++ b/tests/system/crashing_request_test.cpp
@@ -3,6 +3,9 @@
 
 #include <gtest/gtest.h>
 
+#include <optional>
+#include <thread>
+
 namespace pollenstall {
 namespace {
 
@@ -77,6 +80,30 @@
   EXPECT_EQ(System.ctl({"suspects"}), 0);
 }
 
+// Guards against engines that go on ending by a part of a prompt seconds after five have.
+TEST_F(CrashingRequestTest, CrashesAtMostThreeEnginesLaterThanThreeSecondsAfterTheFifth) {
+  constexpr std::size_t Evidence = 5;
+  constexpr std::size_t MaxLate = 3;
+  constexpr std::chrono::milliseconds Interval{50};
+  std::size_t Lost = 0;
+  std::size_t Late = 0;
+  std::optional<mono_time> FifthLostAt;
+  const mono_time End = boot_clock::now() + std::chrono::seconds(8);
+  for (int Round = 0; boot_clock::now() < End; ++Round) {
+    (void)System.chatOf(Round % running_system::EntryCount,
+                        {"You answer in one word.", Crashing, "question " + std::to_string(Round)});
+    const std::size_t Ended = System.restartEndedEngines();
+    Lost += Ended;
+    if (Lost >= Evidence && !FifthLostAt)
+      FifthLostAt = boot_clock::now();
+    if (FifthLostAt && boot_clock::now() - *FifthLostAt > std::chrono::seconds(3))
+      Late += Ended;
+    std::this_thread::sleep_for(Interval);
+  }
+  EXPECT_GE(Lost, Evidence);
+  EXPECT_LE(Late, MaxLate) << Lost << " in all" << System.description();
+}
+
 // Guards against a block that operators cannot lift after they have repaired the servers.
 TEST_F(CrashingRequestTest, RunsAgainOnceAnOperatorUnblocksIt) {
   std::string Answer;
