--- a/src/relay/request_fingerprint.cpp
+++ b/src/relay/request_fingerprint.cpp
@@ -5,6 +5,7 @@
 
 #include <array>
 #include <cstring>
+#include <initializer_list>
 #include <memory>
 #include <string>
 
@@ -12,16 +13,20 @@
 
 namespace {
 
-/// Contains the service instead of the Host header, which may be the address of any entry. Length
-/// prefixes keep "a" + "bc" and "ab" + "c" distinct.
-std::string identityText(const relayed_call &Call) {
+/// Length prefixes keep "a" + "bc" and "ab" + "c" distinct.
+std::string joinedText(std::initializer_list<const std::string *> Parts) {
   std::string Text;
-  for (const std::string *Part : {&Call.Facts.Account.str(), &Call.Facts.Service.str(),
-                                  &Call.Request.Method, &Call.Request.Target})
+  for (const std::string *Part : Parts)
     Text += std::to_string(Part->size()) + ":" + *Part;
   return Text;
 }
 
+/// Contains the service instead of the Host header, which may be the address of any entry.
+std::string identityText(const relayed_call &Call) {
+  return joinedText({&Call.Facts.Account.str(), &Call.Facts.Service.str(), &Call.Request.Method,
+                     &Call.Request.Target});
+}
+
 std::uint64_t headHashOf(const std::string &Identity, std::size_t BodyBytes) {
   return combineHashes(stableHash(Identity), BodyBytes);
 }
@@ -68,9 +73,7 @@
 std::vector<request_fingerprint> promptPartFingerprints(const relayed_call &Call) {
   std::vector<request_fingerprint> Fingerprints;
   for (const std::string &Part : Call.SharedParts) {
-    const std::string &Service = servingService(Call);
-    const std::string Identity =
-        std::to_string(Service.size()) + ":" + Service + std::to_string(Part.size()) + ":" + Part;
+    const std::string Identity = joinedText({&servingService(Call), &Part});
     request_fingerprint Fingerprint = digestOf(Identity, {});
     Fingerprint.Account = request_fingerprint::AnyAccount;
     Fingerprint.HeadHash = stableHash(Identity);
--- a/tests/suspect/prompt_part_simulation_test.cpp
+++ b/tests/suspect/prompt_part_simulation_test.cpp
@@ -19,6 +19,8 @@
 /// From a message of an entry to the control hosts and back to all entries.
 constexpr milliseconds ReportTime{25};
 constexpr milliseconds ListTime{25};
+/// Mean time between crashes of one server, in ms.
+constexpr std::uint64_t MeanCrashTime = 48'600;
 constexpr milliseconds TroubleAt{10'000};
 constexpr milliseconds RunTime{30'000};
 
@@ -41,7 +43,7 @@
 class fleet_simulation {
 public:
   fleet_simulation(const fleet_plan &PlanValues, std::uint64_t Seed)
-      : Plan(PlanValues), Random(Seed), Histories(Plan.Entries), Lists(2) {}
+      : Plan(PlanValues), Random(Seed), Histories(Plan.Entries) {}
 
   void simulate() {
     for (Now = milliseconds(0); Now < RunTime; Now += StepTime) {
@@ -70,7 +72,6 @@
     bool Again{false};
   };
   struct report {
-    milliseconds At;
     std::vector<request_fingerprint> Fingerprints;
     std::uint64_t Crash{0}; ///< 0: a run has begun.
   };
@@ -169,7 +170,7 @@
       for (const request_fingerprint &Part : Run.Parts) {
         Histories[Run.Entry].recordRunBegun(Part, clock());
         if (List.contains(Part))
-          Reports.emplace(Now + ReportTime, report{Now, {Part}, 0});
+          Reports.emplace(Now + ReportTime, report{{Part}, 0});
       }
     }
     std::erase_if(Runs, [this](const run &Run) { return Run.Begun && Run.EndsAt <= Now; });
@@ -206,7 +207,7 @@
         if (Histories[Entry].recordCrash(Part, clock()))
           Reported.push_back(Part);
       if (!Reported.empty())
-        Reports.emplace(Now + ReportTime, report{Now, std::move(Reported), LastCrash});
+        Reports.emplace(Now + ReportTime, report{std::move(Reported), LastCrash});
     }
     for (run &Run : Broken)
       if (!std::exchange(Run.Again, true))
@@ -227,7 +228,6 @@
   suspect_table Table;
   milliseconds Now{0};
   std::vector<prompt_part_history> Histories;
-  std::vector<int> Lists;
   suspect_list List;
   std::uint64_t ListedVersion{0};
   std::multimap<milliseconds, suspect_list> PendingLists;
@@ -309,7 +309,7 @@
   for (const std::size_t Entries : {3, 8, 59, 320})
     for (std::uint64_t Seed = 1; Seed <= seeds(); ++Seed) {
       fleet_plan Plan = planFor(Entries, 0);
-      Plan.CrashInterval = milliseconds(2'700 * 18 / Plan.Servers);
+      Plan.CrashInterval = milliseconds(MeanCrashTime / Plan.Servers);
       Plan.DomainLossAt = milliseconds(15'000);
       fleet_simulation Fleet(Plan, Seed);
       Fleet.simulate();
