--- a/tests/suspect/prompt_part_simulation_test.cpp
+++ b/tests/suspect/prompt_part_simulation_test.cpp
@@ -302,6 +302,20 @@
 
 INSTANTIATE_TEST_SUITE_P(Entries, a_part_that_crashes_servers, testing::Values(3, 8, 59, 195, 320));
 
+// Guards against a block of the part that names the client account: seeds at which one was blocked.
+TEST(HarmlessPromptPart, IsNotBlockedAtSeedsThatFailed) {
+  constexpr std::uint64_t SeedOfOnePart = 42;
+  constexpr std::uint64_t SeedOfTwoParts = 26;
+  fleet_simulation OnePart(planFor(8, 1), SeedOfOnePart);
+  OnePart.simulate();
+  EXPECT_EQ(OnePart.RefusedSound, 0U);
+  fleet_plan Plan = planFor(8, 3);
+  Plan.BadParts = 2;
+  fleet_simulation TwoParts(Plan, SeedOfTwoParts);
+  TwoParts.simulate();
+  EXPECT_EQ(TwoParts.RefusedSound, 0U);
+}
+
 // Guards against a block of a harmless part that is in half of all requests, while servers crash by
 // themselves and a failure domain is lost.
 TEST(HarmlessPromptPart, IsNeverBlockedWhileServersCrash) {
