Log the fault that ends a process, and how long a thread stood still

The record of the incident could not tell an entry that died from one that stood still, nor either from servers that did. An entry that ends by a fault wrote nothing; now process_crashed names the signal (the handler only formats numbers and writes one line, then the signal ends the process as before). thread_stalled says how long the relay's or the decision thread could not run.

No change of logic. Tests: an entry that gets SIGABRT logs it and ends with 134; one stopped for 0.7 s logs it.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -1,6 +1,8 @@
 /** @file decision_thread.cpp Event loop of the decision thread. */
 #include "decision_thread_base.h"
 
+#include "stall_log_func.h"
+
 #include "program/program.h"
 
 #include <algorithm>
@@ -12,6 +14,8 @@
 
 constexpr std::size_t ListCapacity = 256;
 constexpr mono_duration MaxSleep = std::chrono::milliseconds(100);
+/// A longer time between two iterations means that the thread stood still.
+constexpr mono_duration MaxIteration = std::chrono::milliseconds(300);
 /// How long the thread sleeps if the ring of orders is full.
 constexpr mono_duration FullRingSleep = std::chrono::milliseconds(1);
 
@@ -104,7 +108,7 @@
 decision_thread::decision_thread(decision_options Requested)
     : DecisionOptions(std::move(Requested)), Events(DecisionOptions.RingCapacity),
       Lists(ListCapacity), CrashNews(ListCapacity), RateLimits(ListCapacity),
-      Orders(DecisionOptions.RingCapacity), Outbox(Orders),
+      Orders(DecisionOptions.RingCapacity), Outbox(Orders), Clock(MaxSleep, MaxIteration),
       Core(DecisionOptions.Self, DecisionOptions.Self.Incarnation.value(),
            DecisionOptions.Backends),
       OrphanCounter(prometheus::BuildCounter()
@@ -193,11 +197,17 @@
     installDeclaration(
         std::make_shared<const declaration_index>(*DecisionOptions.FixedDeclaration));
   while (!Stopping) {
+    noteStall();
     runOnce();
     WakeEvent.sleepFor(sleepDuration(boot_clock::now()));
   }
 }
 
+void decision_thread::noteStall() {
+  if (const auto Stall = Clock.advance(boot_clock::now()))
+    logStall("decisions", *Stall);
+}
+
 void decision_thread::runOnce() {
   drainInputs(boot_clock::now());
   // The clock is read after the requests are read from the ring. In the other order, requests that
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -92,6 +92,7 @@
 private:
   void run();
   void runOnce();
+  void noteStall();
   void drainInputs(mono_time Now);
   void handleControlEvent(control_link_event &&Event, mono_time Now);
   void handleDeclaration(const declaration_received &Received);
@@ -140,6 +141,7 @@
   double LoggedRetryPart{
       0}; ///< This entry's part of the reserve of retries when it was last logged.
   wakeup_event WakeEvent;
+  running_clock Clock;
   std::unique_ptr<control_link> Control;
   declaration_lease DeclarationLease;
   declaration_view Declaration;
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -4,6 +4,7 @@
 #include "address/address.h"
 #include "entry_file_func.h"
 #include "platform/platform.h"
+#include "stall_log_func.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/json.hpp>
@@ -161,7 +162,8 @@
       .interface(usesPlatform() ? platformCalls() : call_interface())
       .onCallEnd([this](const call_record &Record) { handleCallEnd(Record); })
       .onAnswerBroken(logBrokenAnswer)
-      .onPathChange(logPathChange);
+      .onPathChange(logPathChange)
+      .onStall([](mono_duration Stall) { logStall("relay", Stall); });
   // Other entries ask for tunnels by TCP at the address that takes work reports by UDP.
   if (WorkShare)
     Builder.tunnels(Settings.Fleet,
--- /dev/null
+++ b/src/core/running_clock_type.h
@@ -0,0 +1,49 @@
+/** @file running_clock_type.h A clock that stands still while its process does. */
+#ifndef POLLENSTALL_CORE_RUNNING_CLOCK_TYPE_H
+#define POLLENSTALL_CORE_RUNNING_CLOCK_TYPE_H
+
+#include "core/clock_type.h"
+
+#include <optional>
+
+namespace pollenstall {
+
+/**
+ * Counts the time during which a thread was able to run. A deadline for another process must not
+ * count the time in which this one was stopped, suspended or given no processor: what the other
+ * one sent meanwhile is still unread.
+ */
+class running_clock {
+public:
+  /// @param Interval Time between two calls of advance() in a thread that runs.
+  /// @param LongestStep A longer time between two calls counts as one Interval.
+  running_clock(mono_duration Interval, mono_duration LongestStep)
+      : UsualStep(Interval), MaxStep(LongestStep) {}
+
+  /// Must be called periodically. @return How long the thread stood still since the last call, if
+  /// it did.
+  std::optional<mono_duration> advance(mono_time Now) {
+    const mono_duration Step = LastCall ? Now - *LastCall : mono_duration::zero();
+    LastCall = Now;
+    if (Step <= MaxStep)
+      return std::nullopt;
+    const mono_duration Stall = Step - UsualStep;
+    Stalled += Stall;
+    return Stall;
+  }
+
+  /// @return A time of boot_clock as a time of this clock, as of the last advance().
+  [[nodiscard]] mono_time toRunning(mono_time Time) const {
+    return Time == mono_time::max() ? Time : Time - Stalled;
+  }
+
+private:
+  mono_duration UsualStep;
+  mono_duration MaxStep;
+  std::optional<mono_time> LastCall;
+  mono_duration Stalled{0}; ///< Sum of all stalls.
+};
+
+} // namespace pollenstall
+
+#endif // POLLENSTALL_CORE_RUNNING_CLOCK_TYPE_H
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -2,6 +2,7 @@
 #include "program/log_func.h"
 
 #include "core/core.h"
+#include "program/crash_report_func.h"
 #include "program/log_writer_base.h"
 
 #include <boost/json.hpp>
@@ -82,6 +83,7 @@
   eventLogger()->addAppender(Appender);
   eventLogger()->setLevel(log4cxxLevel(MinLevel));
   Writer = std::make_unique<log_writer>(MaxLogBytes, write, droppedLine);
+  reportCrashes(Program);
   // A handler registered here runs before the statics of log4cxx are destroyed. If Writer were
   // destroyed with the other statics, a process that exits immediately would write its last line
   // through a destroyed logger.
--- a/src/program/log_func.h
+++ b/src/program/log_func.h
@@ -19,7 +19,8 @@
 /// A field of a log event. It must never contain a prompt or a key.
 using log_field = std::pair<std::string_view, log_value>;
 
-/// Configures log4cxx; called once, before the first event. @param Program Part of every line.
+/// Configures log4cxx and the report of crashes; called once, before the first event.
+/// @param Program Part of every line.
 void startLogging(std::string_view Program, log_level MinLevel);
 
 /// @return The log level of a name in a settings file, or nothing if it is unknown.
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -372,6 +372,11 @@
   return *this;
 }
 
+relay_builder &relay_builder::onStall(std::function<void(mono_duration)> Hook) {
+  AtStall = std::move(Hook);
+  return *this;
+}
+
 relay_builder &relay_builder::onPathChange(std::function<void(const path_change &)> Hook) {
   AtPathChange = std::move(Hook);
   return *this;
@@ -382,6 +387,7 @@
   State->Context.Interface = Interface;
   State->Context.AtCallEnd = AtCallEnd;
   State->Context.AtAnswerBroken = AtAnswerBroken;
+  State->Context.Sweeper.onStall(AtStall);
   State->Context.Pool.connector().simulatePartition(Partition);
   if (OwnPeer)
     State->useTunnels(Fleet, *OwnPeer, Self.Incarnation.value(), AtPathChange);
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -89,6 +89,8 @@
   relay_builder &tunnels(std::string FleetName, tunnel_peer SelfAsPeer);
   /// Simulates a partition between this entry and all backend servers, for tests.
   relay_builder &simulatePartition(std::function<partition_effect()> Hook);
+  /// Sets a hook for the time during which the relay's thread stood still.
+  relay_builder &onStall(std::function<void(mono_duration)> Hook);
   /// Sets a hook for backend servers whose connections begin or cease to need a tunnel.
   relay_builder &onPathChange(std::function<void(const path_change &)> Hook);
 
@@ -109,6 +111,7 @@
   std::string Fleet;
   std::optional<tunnel_peer> OwnPeer;
   std::function<void(const path_change &)> AtPathChange;
+  std::function<void(mono_duration)> AtStall;
   std::function<partition_effect()> Partition;
 };
 
--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -13,6 +13,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds SweepInterval{50};
+/// A longer time between two sweeps means that this thread stood still. A host whose share of a
+/// processor is used up waits up to 100 ms for the next one.
+constexpr std::chrono::milliseconds MaxSweepGap{250};
 constexpr std::chrono::seconds DrainLimit{1};
 constexpr std::size_t ReadBufferBytes = 64U << 10U;
 
@@ -160,7 +163,7 @@
 }
 
 socket_sweeper::socket_sweeper(asio::io_context &Context)
-    : Io(Context), Timer(Context), Buffer(ReadBufferBytes) {}
+    : Clock(SweepInterval, MaxSweepGap), Io(Context), Timer(Context), Buffer(ReadBufferBytes) {}
 
 void socket_sweeper::start() {
   Timer.expires_after(SweepInterval);
@@ -181,6 +184,8 @@
 
 void socket_sweeper::sweep() {
   const mono_time Now = boot_clock::now();
+  if (const auto Stall = Clock.advance(Now); Stall && AtStall)
+    AtStall(*Stall);
   for (timed_socket &Socket : Sockets)
     if (Socket.Deadline <= Now)
       Socket.expire();
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -15,6 +15,7 @@
 #include <boost/intrusive/list.hpp>
 
 #include <chrono>
+#include <functional>
 #include <optional>
 #include <span>
 #include <string>
@@ -128,6 +129,8 @@
 
   /// Starts the periodic checks.
   void start();
+  /// Sets a hook for the time during which this thread stood still, each time that it did.
+  void onStall(std::function<void(mono_duration)> Hook) { AtStall = std::move(Hook); }
   /// Stops the checks and closes every socket.
   void stop();
   [[nodiscard]] std::span<char> readBuffer() { return Buffer; }
@@ -141,6 +144,8 @@
 
   void sweep();
 
+  std::function<void(mono_duration)> AtStall;
+  running_clock Clock;
   boost::asio::io_context &Io;
   boost::asio::steady_timer Timer;
   socket_list Sockets;
--- a/tests/entry/stopping_test.cpp
+++ b/tests/entry/stopping_test.cpp
@@ -65,6 +65,28 @@
   EXPECT_EQ(Fleet.chat("and another").Status, 200);
 }
 
+// A process that ends by a fault takes all its requests with it, and its log does not say why.
+TEST(Stopping, ACrashIsLogged) {
+  entry_fleet Fleet;
+  Fleet.entry().signal(SIGABRT);
+  EXPECT_EQ(Fleet.entry().wait(), 128 + SIGABRT);
+  const auto Crash = Fleet.entry().waitForEvent("process_crashed");
+  ASSERT_TRUE(Crash);
+  EXPECT_EQ(Crash->at("signal").as_int64(), SIGABRT);
+}
+
+// Requests fail while their process stands still, and the time looks like one of its servers'.
+TEST(Stopping, AProcessThatStoodStillLogsHowLong) {
+  constexpr std::chrono::milliseconds Pause{700};
+  entry_fleet Fleet;
+  Fleet.entry().stop();
+  std::this_thread::sleep_for(Pause);
+  Fleet.entry().resume();
+  const auto Stall = Fleet.entry().waitForEvent("thread_stalled");
+  ASSERT_TRUE(Stall);
+  EXPECT_GE(Stall->at("ms").as_int64(), Pause.count() - 100);
+}
+
 TEST(Stopping, InvalidSettingsAreReportedWithTheirLine) {
   const auto Process = child_process::withSettings("pollenstall-entry", "[host]\nnam = \"a\"\n");
   EXPECT_EQ(Process->wait(), 2);
