A group of idle connections that has become empty is removed

Cause: takeIdleConnection left an empty group behind when it took the last idle connection to a server, and returnToPool made one where none may be kept. If the server's group was then not heard of for 250 ms, the next request called closeOldestIdle, which removed the first element of the empty deque: its size became 2^64 - 1, and the next walk over it damaged the heap. The housekeeping removes empty groups every 20 ms, so it took a pause of all servers that began within 20 ms of the last idle connection being taken.

Class: a container whose emptiness one function hides and another does not expect. Idle now holds no empty group, by construction in all three functions that change it.

--- a/src/relay/backend_connection_pool.cpp
+++ b/src/relay/backend_connection_pool.cpp
@@ -10,7 +10,8 @@
   if (Found == Idle.end())
     return nullptr;
   std::deque<idle_connection> &IdleConnections = Found->second;
-  while (!IdleConnections.empty()) {
+  backend_connection Usable;
+  while (!Usable && !IdleConnections.empty()) {
     backend_connection Connection = std::move(IdleConnections.back().Connection);
     const bool IsFresh = boot_clock::now() < IdleConnections.back().Until;
     IdleConnections.pop_back();
@@ -18,10 +19,11 @@
       continue; // The server may be closing it right now.
     // Input on an idle connection belongs to no request; the server is out of sync.
     if (!Connection->peerClosed() && !Connection->hasInput())
-      return Connection;
+      Usable = std::move(Connection);
   }
-  Idle.erase(Found);
-  return nullptr;
+  if (IdleConnections.empty())
+    Idle.erase(Found);
+  return Usable;
 }
 
 /// Another connection will take its place; a group that is seldom used must not collect them.
@@ -53,9 +55,10 @@
     return; // The direct path may work again when it is needed next.
   const auto Limit = std::min(IdleLimit.value_or(Limits.BackendIdle), Limits.BackendIdle);
   Connection->expireNever();
-  std::deque<idle_connection> &IdleConnections = Idle[Backend];
-  if (IdleConnections.size() < MaxIdle)
-    IdleConnections.push_back({std::move(Connection), boot_clock::now() + Limit});
+  const auto Found = Idle.find(Backend);
+  const std::size_t IdleCount = Found == Idle.end() ? 0 : Found->second.size();
+  if (IdleCount < MaxIdle)
+    Idle[Backend].push_back({std::move(Connection), boot_clock::now() + Limit});
 }
 
 void backend_connection_pool::closeIdle(mono_time Now) {
--- a/src/relay/backend_connection_pool_base.h
+++ b/src/relay/backend_connection_pool_base.h
@@ -59,7 +59,7 @@
 
   const relay_limits &Limits;
   backend_connector Connector;
-  std::map<backend_key, std::deque<idle_connection>> Idle; ///< Oldest first.
+  std::map<backend_key, std::deque<idle_connection>> Idle; ///< Oldest first, and never empty.
 };
 
 } // namespace pollenstall
--- a/tests/relay/idle_connections_test.cpp
+++ b/tests/relay/idle_connections_test.cpp
@@ -39,5 +39,65 @@
   EXPECT_EQ(Pool.idle(), 2U);
 }
 
+/// A pool that keeps one idle connection to a server of which nothing was heard recently.
+class pool_of_one_connection : public testing::Test {
+protected:
+  pool_of_one_connection() {
+    Pool.connector().paths().addServer({Server.key(), service_name("svc"), {}});
+    open();
+    Pool.returnToPool(Server.key(), std::move(Opened));
+    EXPECT_EQ(Pool.idle(), 1U);
+  }
+
+  /// Makes the server one that was heard of just now, or a long time ago.
+  void setHeard(mono_time When) { *Pool.connector().paths().lastHeard(Server.key()) = When; }
+
+  void open() {
+    bool Ended = false;
+    boost::asio::co_spawn(
+        Io,
+        [&]() -> boost::asio::awaitable<void> {
+          Opened = co_await Pool.open(Server.key(), connection_reuse::Allowed);
+          Ended = true;
+        },
+        rethrow);
+    EXPECT_TRUE(eventually([&] {
+      Io.poll();
+      Io.restart();
+      return Ended;
+    }));
+  }
+
+  scripted_server Server{
+      [](scripted_server::tcp_socket &Socket, const received_request &) { waitForClose(Socket); }};
+  boost::asio::io_context Io;
+  socket_sweeper Sweeper{Io};
+  const relay_limits Limits;
+  backend_connection_pool Pool{Sweeper, Limits};
+  backend_connection Opened;
+};
+
+// The entry ends with a damaged heap, and with it all requests that it carries: the last idle
+// connection is taken, all servers fall silent, and the next request wants to close an idle one.
+TEST_F(pool_of_one_connection, HasNoneToCloseAfterItWasTaken) {
+  setHeard(boot_clock::now());
+  open();
+  EXPECT_EQ(Pool.idle(), 0U);
+  setHeard(boot_clock::now() - std::chrono::seconds(1));
+  open();
+  EXPECT_EQ(Pool.idle(), 0U);
+  Pool.returnToPool(Server.key(), std::move(Opened));
+  EXPECT_EQ(Pool.idle(), 1U);
+}
+
+TEST_F(pool_of_one_connection, HasNoneToCloseIfItMayKeepNone) {
+  Pool.closeIdle(mono_time::max());
+  setHeard(boot_clock::now() - std::chrono::seconds(1));
+  open();
+  Pool.returnToPool(Server.key(), std::move(Opened), std::nullopt, 0);
+  open();
+  EXPECT_EQ(Pool.idle(), 0U);
+}
+
 } // namespace
 } // namespace pollenstall
