--- a/tests/platform/platform_system.cpp
+++ b/tests/platform/platform_system.cpp
@@ -171,6 +171,13 @@
   });
 }
 
+std::vector<std::string> platform_system::controlAddresses() const {
+  std::vector<std::string> Addresses;
+  for (const host &Host : Controls)
+    Addresses.push_back(hostAddress(Host, ControlPlane));
+  return Addresses;
+}
+
 std::string platform_system::callers(std::size_t Entry) const {
   return hostAddress(Entries[Entry], Frontend);
 }
--- a/tests/platform/platform_system_base.h
+++ b/tests/platform/platform_system_base.h
@@ -48,6 +48,8 @@
                                     const std::string &Path, const std::string &Body = {}) const;
   /// Sends a call to the control hosts in turn until one answers with 200. @return Whether one did.
   bool acknowledged(const std::string &Method, const std::string &Path, const std::string &Body);
+  /// @return The addresses at which control hosts take calls of operators and engines.
+  [[nodiscard]] std::vector<std::string> controlAddresses() const;
   [[nodiscard]] std::string callers(std::size_t Entry) const;
   [[nodiscard]] bool ready(std::size_t Entry) const;
 
