A silent stream is asked for elsewhere beside its first attempt, not after its end

What callers saw: streams closed in the middle while all engines, or half of them, stood still for a second; two at one entry in the same moment. Nothing had failed.

Cause: a stream that sent nothing for three gaps was ended by the entry, and only then another engine was looked for. Silence does not show that a server has ended. Where the budget, the attempts or the other engines, as silent as the first, allowed no second attempt, a sound answer was lost.

Now the relay reports the silence (attempt_silent) and keeps reading. The dispatcher starts another attempt beside the silent one if attempts, budget and scheduler allow it (dispatcher_hedge), and abandons the first only once the other one answers. Whichever goes on first keeps the caller; the other one is dropped: an attempt may begin to relay only if the caller has received nothing since it was sent, so pieces of two runs are never joined. Any refusal, expiry or failure of the second attempt returns to the first. A silence that all other answering servers share is not reported (server_activity): no other server would answer sooner, and the budget would be used up.

Two tests said that silence ends the attempt. They now require that it is reported again and again and that the attempt is kept, and that the answer continued elsewhere is whole while the first connection is still open.

--- a/src/dispatch/dispatch_dump_type.h
+++ b/src/dispatch/dispatch_dump_type.h
@@ -31,6 +31,7 @@
   std::uint64_t Retries{0};
   std::uint64_t RetriesOverBudget{0}; ///< Retries that the budget refused.
   std::uint64_t Resumes{0};           ///< Resumes of broken answers.
+  std::uint64_t Hedges{0};            ///< Attempts started beside a silent one.
   std::uint64_t Abandoned{0};         ///< Attempts abandoned while the backend server may run them.
   std::uint64_t CancelsSent{0};       ///< Includes repeated cancels.
   std::uint64_t IgnoredEvents{0};     ///< Late, duplicate or misrouted events.
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -144,6 +144,14 @@
   attempt_failure Failure{attempt_failure::NotConnected};
   backend_address AtFault{}; ///< The server at fault, if the backend server blamed another one.
 };
+/**
+ * No bytes of the attempt's answer came for longer than a server that works takes between two
+ * events, while other servers send. The attempt is still connected: its server may stand still for
+ * a moment or be gone. Repeated while the silence lasts.
+ */
+struct attempt_silent {
+  attempt_id Attempt;
+};
 /// The backend server confirmed that it holds no resources of the attempt.
 struct cancel_confirmed {
   attempt_id Attempt;
@@ -156,7 +164,8 @@
 
 using dispatch_event =
     std::variant<request_arrived, caller_left, attempt_sending, attempt_answering, attempt_advanced,
-                 attempt_completed, attempt_failed, cancel_confirmed, claim_answered>;
+                 attempt_completed, attempt_failed, attempt_silent, cancel_confirmed,
+                 claim_answered>;
 
 // ---- actions ------------------------------------------------------------------------------------
 
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -117,7 +117,7 @@
     --Claiming;
     return submit(*Request, Now);
   case claim_status::Complete:
-    return finishAlreadyComplete(*Request);
+    return finishAlreadyComplete(*Request, Now);
   case claim_status::Running:
     Request->Claim = claim_progress::OwnedByOther;
     --Claiming;
@@ -130,11 +130,11 @@
 void dispatcher::submit(live_request &Request, mono_time Now) {
   std::vector<candidate_group> Groups = Callbacks.GroupsFor(Request.Facts);
   if (Groups.empty())
-    return finishWithFailure(Request, failure_reason::NoBackend, std::nullopt, Now);
+    return finishUnlessSilent(Request, failure_reason::NoBackend, std::nullopt, Now);
   const auto Submitted = Callbacks.Submit(workItem(Request, std::move(Groups)), Now);
   if (!succeeded(Submitted))
-    return finishWithFailure(Request, errorOf(Submitted).Reason, errorOf(Submitted).RetryAfter,
-                             Now);
+    return finishUnlessSilent(Request, errorOf(Submitted).Reason, errorOf(Submitted).RetryAfter,
+                              Now);
   Request.Phase = request_phase::Queued;
   updateTimer(Request);
 }
@@ -145,7 +145,7 @@
     return countIgnoredEvent();
   // Any phase but Queued: the scheduler has removed the work already, so it is not withdrawn.
   Request->Phase = request_phase::Claiming;
-  finishWithFailure(*Request, Expiry.Refusal.Reason, Expiry.Refusal.RetryAfter, Now);
+  finishUnlessSilent(*Request, Expiry.Refusal.Reason, Expiry.Refusal.RetryAfter, Now);
   sendDueCancels(Now);
 }
 
@@ -156,19 +156,21 @@
   finishWithFailure(*Request, failure_reason::CallerLeft, std::nullopt, Now);
 }
 
-void dispatcher::finishComplete(live_request &Request) {
+void dispatcher::finishComplete(live_request &Request, mono_time Now) {
   requireInvariant(!Request.CurrentAttempt, "a completed request has no running attempt",
                    [this] { return stateText(); });
   if (Request.Claim == claim_progress::Granted)
     settle(Request, claim_state::Complete);
-  close(Request, {Request.Facts.Id, final_outcome::Complete, failure_reason::None, std::nullopt});
+  close(Request, {Request.Facts.Id, final_outcome::Complete, failure_reason::None, std::nullopt},
+        Now);
 }
 
-void dispatcher::finishAlreadyComplete(live_request &Request) {
+void dispatcher::finishAlreadyComplete(live_request &Request, mono_time Now) {
   Request.Claim = claim_progress::OwnedByOther;
   --Claiming;
   close(Request,
-        {Request.Facts.Id, final_outcome::Complete, failure_reason::AlreadyComplete, std::nullopt});
+        {Request.Facts.Id, final_outcome::Complete, failure_reason::AlreadyComplete, std::nullopt},
+        Now);
 }
 
 void dispatcher::finishWithFailure(live_request &Request, failure_reason Reason,
@@ -191,7 +193,7 @@
                               retryAfter(Request, Reason, RetryAfter, Now)};
   if (Request.CurrentAttempt)
     closeAttempt(Request, std::nullopt, Now);
-  close(Request, Finish);
+  close(Request, Finish, Now);
 }
 
 std::optional<seconds> dispatcher::retryAfter(const live_request &Request, failure_reason Reason,
@@ -214,7 +216,8 @@
       settle_claim{Request.Facts.Id, Request.ClaimKey, FinalState, Request.ClaimLifetime});
 }
 
-void dispatcher::close(live_request &Request, const finish_request &Finish) {
+void dispatcher::close(live_request &Request, const finish_request &Finish, mono_time Now) {
+  abandonSilentAttempts(Request, Now);
   releaseQueuedRetry(Request);
   const bool SaysNotRun = Finish.Outcome == final_outcome::NotRun;
   requireInvariant(!SaysNotRun || (!Request.mayHaveRun() && !Request.earlierRequestMayHaveRun()),
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -78,7 +78,7 @@
   const bool IsPaid = Request.RetryQueued;
   // Charged now and not when the retry was queued: backend servers count what arrives.
   if (IsPaid && !tryPayForRetry(Request, Service, Now))
-    return finishWithFailure(Request, failure_reason::RetriesExhausted, std::nullopt, Now);
+    return finishUnlessSilent(Request, failure_reason::RetriesExhausted, std::nullopt, Now);
   ++Request.Attempts;
   ++Counters.Attempts;
   if (Request.Attempts == 1)
@@ -122,8 +122,10 @@
 }
 
 void dispatcher::on(const attempt_answering &Event, mono_time Now) {
+  keepIfSilent(Event.Attempt, Now);
   if (applyToCurrentAttempt(Event.Attempt, attempt_step::Answering)) {
     live_request &Request = *find(Event.Attempt.Request);
+    abandonSilentAttempts(Request, Now);
     updateTimer(Request);
     if (Callbacks.AttemptAnswering)
       Callbacks.AttemptAnswering(Event.Attempt, Now);
@@ -140,6 +142,7 @@
 }
 
 void dispatcher::on(const attempt_advanced &Event, mono_time Now) {
+  keepIfSilent(Event.Attempt, Now);
   if (!applyToCurrentAttempt(Event.Attempt, attempt_step::Advance))
     return;
   if (Callbacks.AttemptAdvanced)
@@ -147,6 +150,7 @@
 }
 
 void dispatcher::on(const attempt_completed &Event, mono_time Now) {
+  keepIfSilent(Event.Attempt, Now);
   if (abandoned_attempt *LateAttempt = Abandoned.find(Event.Attempt)) {
     countIgnoredEvent();
     LateAttempt->Lifecycle.apply(attempt_step::Complete);
@@ -163,12 +167,17 @@
   reportResult({Event.Attempt, Backend, attempt_end::Completed, std::nullopt, Event.PromptTokens,
                 Event.AnswerTokens, Event.CachedTokens},
                Now);
-  finishComplete(Request);
+  finishComplete(Request, Now);
 }
 
 void dispatcher::on(const attempt_failed &Event, mono_time Now) {
   if (live_request *Request = findByCurrentAttempt(Event.Attempt))
     return failAttempt(*Request, Event, Now);
+  if (auto Silent = takeSilentAttempt(Event.Attempt)) {
+    const attempt_failure Failure = failureInState(Event.Failure, Silent->Lifecycle.state());
+    return endAttempt(*find(Event.Attempt.Request), std::move(*Silent), Failure, Now,
+                      Event.AtFault);
+  }
   countIgnoredEvent();
   abandoned_attempt *LateAttempt = Abandoned.find(Event.Attempt);
   if (LateAttempt == nullptr ||
@@ -228,49 +237,53 @@
 
 void dispatcher::closeAttempt(live_request &Request, std::optional<attempt_failure> Failure,
                               mono_time Now, const backend_address &AtFault) {
+  running_attempt Attempt = std::move(*Request.CurrentAttempt);
+  Request.CurrentAttempt.reset();
+  endAttempt(Request, std::move(Attempt), Failure, Now, AtFault);
+}
+
+void dispatcher::endAttempt(live_request &Request, running_attempt &&Attempt,
+                            std::optional<attempt_failure> Failure, mono_time Now,
+                            const backend_address &AtFault) {
   const bool ProvedNotRun = Failure && provesNotRun(*Failure);
   const bool HoldsNoMemory = Failure && !mayHoldMemory(*Failure);
   Request.MayHaveRun = Request.MayHaveRun || !ProvedNotRun;
   const bool NeverSent = Failure && wasNeverSent(*Failure);
   Request.UnsentAttempts += NeverSent ? 1 : 0;
-  if (NeverSent && Request.CurrentAttempt->PaidBy)
-    Budget.refund(*Request.CurrentAttempt->PaidBy, Now);
-  Request.TriedBackends.push_back(Request.CurrentAttempt->Backend);
+  if (NeverSent && Attempt.PaidBy)
+    Budget.refund(*Attempt.PaidBy, Now);
+  Request.TriedBackends.push_back(Attempt.Backend);
   if (!HoldsNoMemory)
-    return abandon(Request, Failure, Now);
-  Request.CurrentAttempt->Lifecycle.apply(attempt_step::Fail);
-  requireInvariant(Request.CurrentAttempt->Lifecycle.state() == attempt_state::Failed,
+    return abandon(Request, std::move(Attempt), Failure, Now);
+  Attempt.Lifecycle.apply(attempt_step::Fail);
+  requireInvariant(Attempt.Lifecycle.state() == attempt_state::Failed,
                    "an attempt that holds no memory is in state Failed",
                    [this] { return stateText(); });
   attempt_result Result;
-  Result.Attempt = Request.CurrentAttempt->Id;
-  Result.Backend = Request.CurrentAttempt->Backend;
+  Result.Attempt = Attempt.Id;
+  Result.Backend = Attempt.Backend;
   Result.End = attempt_end::Failed;
   Result.Failure = Failure;
   Result.AtFault = AtFault;
-  Request.CurrentAttempt.reset();
   reportResult(Result, Now);
 }
 
-void dispatcher::abandon(live_request &Request, std::optional<attempt_failure> Failure,
-                         mono_time Now) {
-  running_attempt CurrentAttempt = std::move(*Request.CurrentAttempt);
-  Request.CurrentAttempt.reset();
-  if (CurrentAttempt.BackendGone) {
-    CurrentAttempt.Lifecycle.apply(attempt_step::BackendGone);
-    Actions.emplace_back(
-        cancel_attempt{CurrentAttempt.Id, CurrentAttempt.Backend}); // Closes the connection.
-    return reportResult({CurrentAttempt.Id, CurrentAttempt.Backend, attempt_end::BackendGone,
-                         Failure, std::nullopt, std::nullopt, std::nullopt},
+void dispatcher::abandon(live_request &Request, running_attempt &&Attempt,
+                         std::optional<attempt_failure> Failure, mono_time Now) {
+  if (Attempt.BackendGone) {
+    Attempt.Lifecycle.apply(attempt_step::BackendGone);
+    Actions.emplace_back(cancel_attempt{Attempt.Id, Attempt.Backend}); // Closes the connection.
+    return reportResult({Attempt.Id, Attempt.Backend, attempt_end::BackendGone, Failure,
+                         std::nullopt, std::nullopt, std::nullopt},
                         Now);
   }
   ++Counters.Abandoned;
-  const attempt_id Id = CurrentAttempt.Id;
+  const attempt_id Id = Attempt.Id;
   abandoned_attempt Record;
   Record.Attempt = Id;
-  Record.Backend = CurrentAttempt.Backend;
-  Record.ReachedState = CurrentAttempt.Lifecycle.state();
-  Record.Lifecycle = std::move(CurrentAttempt.Lifecycle);
+  Record.Backend = Attempt.Backend;
+  Record.ReachedState = Attempt.Lifecycle.state();
+  Record.Lifecycle = std::move(Attempt.Lifecycle);
   Record.Lifecycle.apply(attempt_step::Cancel);
   Record.Failure = Failure;
   Record.AbandonedAt = Now;
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -33,6 +33,8 @@
  *  - A non-idempotent request that may have run is not started again.
  *  - A request that may have run is never reported as "not run".
  *  - Each started attempt ends exactly once. An abandoned attempt is tracked until it ends.
+ *  - A stream that is merely silent is abandoned only once another attempt of the request has
+ *    begun to answer, or the request ends.
  */
 class dispatcher {
 public:
@@ -101,6 +103,7 @@
   void on(const attempt_advanced &Event, mono_time Now);
   void on(const attempt_completed &Event, mono_time Now);
   void on(const attempt_failed &Event, mono_time Now);
+  void on(const attempt_silent &Event, mono_time Now);
   void on(const cancel_confirmed &Event, mono_time Now);
 
   // dispatcher.cpp: requests.
@@ -108,12 +111,12 @@
                                                    mono_time Now) const;
   void requestClaim(live_request &Request, mono_time Now);
   void submit(live_request &Request, mono_time Now);
-  void finishComplete(live_request &Request);
-  void finishAlreadyComplete(live_request &Request);
+  void finishComplete(live_request &Request, mono_time Now);
+  void finishAlreadyComplete(live_request &Request, mono_time Now);
   void finishWithFailure(live_request &Request, failure_reason Reason,
                          std::optional<std::chrono::seconds> RetryAfter, mono_time Now);
   void settle(const live_request &Request, claim_state FinalState);
-  void close(live_request &Request, const finish_request &Finish);
+  void close(live_request &Request, const finish_request &Finish, mono_time Now);
   std::optional<std::chrono::seconds> retryAfter(const live_request &Request, failure_reason Reason,
                                                  std::optional<std::chrono::seconds> Suggested,
                                                  mono_time Now) const;
@@ -125,7 +128,11 @@
   void failAttempt(live_request &Request, const attempt_failed &Event, mono_time Now);
   void closeAttempt(live_request &Request, std::optional<attempt_failure> Failure, mono_time Now,
                     const backend_address &AtFault = {});
-  void abandon(live_request &Request, std::optional<attempt_failure> Failure, mono_time Now);
+  void endAttempt(live_request &Request, running_attempt &&Attempt,
+                  std::optional<attempt_failure> Failure, mono_time Now,
+                  const backend_address &AtFault = {});
+  void abandon(live_request &Request, running_attempt &&Attempt,
+               std::optional<attempt_failure> Failure, mono_time Now);
   bool resumeAttempt(live_request &Request, attempt_failure Failure, mono_time Now);
   [[nodiscard]] std::uint32_t maxAttempts(const live_request &Request) const;
   bool mayRetry(const live_request &Request, mono_time Now) const;
@@ -144,6 +151,16 @@
   void endAbandoned(const attempt_id &Attempt, attempt_end End, mono_time Now);
   void reportResult(const attempt_result &Result, mono_time Now) const;
 
+  // dispatcher_hedge.cpp: attempts beside one that fell silent.
+  void hedge(live_request &Request, mono_time Now);
+  std::optional<running_attempt> takeSilentAttempt(const attempt_id &Attempt);
+  void keepIfSilent(const attempt_id &Attempt, mono_time Now);
+  void returnToSilentAttempt(live_request &Request);
+  void abandonSilentAttempts(live_request &Request, mono_time Now);
+  void finishUnlessSilent(live_request &Request, failure_reason Reason,
+                          std::optional<std::chrono::seconds> RetryAfter, mono_time Now);
+  void leaveQueue(live_request &Request, mono_time Now);
+
   // dispatcher_time.cpp: timers.
   void handleRequestTimer(live_request &Request, mono_time Now);
   void handleAttemptTimer(live_request &Request, mono_time Now);
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -92,7 +92,7 @@
 
 void dispatcher::finishWithoutRetry(live_request &Request, mono_time Now) {
   const bool UnsafeToRepeat = !Request.Facts.Idempotent && Request.MayHaveRun;
-  finishWithFailure(
+  finishUnlessSilent(
       Request, UnsafeToRepeat ? failure_reason::BackendFailed : failure_reason::RetriesExhausted,
       std::nullopt, Now);
 }
@@ -171,9 +171,12 @@
 }
 
 void dispatcher::backendGone(const backend_key &Backend, mono_time Now) {
-  for (auto &[RequestId, Request] : Requests)
+  for (auto &[RequestId, Request] : Requests) {
     if (Request.CurrentAttempt && Request.CurrentAttempt->Backend == Backend)
       Request.CurrentAttempt->BackendGone = true;
+    for (running_attempt &Silent : Request.SilentAttempts)
+      Silent.BackendGone = Silent.BackendGone || Silent.Backend == Backend;
+  }
   for (const attempt_id &Attempt : Abandoned.attemptsOn(Backend)) {
     Abandoned.find(Attempt)->Lifecycle.apply(attempt_step::BackendGone);
     endAbandoned(Attempt, attempt_end::BackendGone, Now);
--- a/src/dispatch/live_request_type.h
+++ b/src/dispatch/live_request_type.h
@@ -55,9 +55,14 @@
   bool MayHaveRun{false};          ///< An ended attempt may have started the work.
   std::vector<backend_key> TriedBackends;
   std::optional<running_attempt> CurrentAttempt;
+  /// Earlier attempts that fell silent and are still connected. The first attempt that goes on
+  /// answering is kept, and the others are abandoned.
+  std::vector<running_attempt> SilentAttempts{};
 
-  /// @return Whether any attempt, including the current one, may have started the work.
-  [[nodiscard]] bool mayHaveRun() const { return MayHaveRun || CurrentAttempt.has_value(); }
+  /// @return Whether any attempt, including those still running, may have started the work.
+  [[nodiscard]] bool mayHaveRun() const {
+    return MayHaveRun || CurrentAttempt.has_value() || !SilentAttempts.empty();
+  }
   /// @return Whether another request with the same key may have run; only a granted claim rules
   /// this out.
   [[nodiscard]] bool earlierRequestMayHaveRun() const {
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -101,11 +101,10 @@
       End.Failure == attempt_failure::BrokenSent || End.Failure == attempt_failure::TimedOut;
   if (Broke && isCarried() && !Answering)
     End.Failure = attempt_failure::PathBroken;
+  if (Connection)
+    Connection->endSilenceWatch();
   recordEnd(End);
-  if (Call->Relaying) {
-    Call->Relaying = false;
-    Call->Changed.notify();
-  }
+  endRelaying();
   uncountIfNotRun(End);
   reportForSuspects(End);
   if (!Abandoned)
@@ -158,7 +157,8 @@
 asio::awaitable<exchange_end> backend_exchange::perform(exchange_mode Mode) {
   // Another attempt already answers the caller, and this one may not relay. Nothing has been sent
   // for it, so it has not run.
-  if (Mode == exchange_mode::Start && !Call->mayRelay(Order.Attempt.Ordinal))
+  Before = Call->relayedPart();
+  if (Mode == exchange_mode::Start && !mayRelay())
     co_return exchange_end{attempt_failure::NotWanted, {}};
   if (!Order.Holds.empty() && Mode == exchange_mode::Start) {
     // While it is being released, memory_holds may outlive this exchange; it no longer calls the
@@ -198,8 +198,8 @@
   const bool Events = Call->Kind == service_kind::Model && HasEvents;
   const bool OpenEvents = Call->HeaderRouted && HasEvents;
   // Another attempt may have begun to relay meanwhile; then this answer is dropped.
-  if (!Call->mayRelay(Order.Attempt.Ordinal))
-    co_return exchange_end{attempt_failure::BrokenSent, {}};
+  if (!mayRelay())
+    co_return yieldToOther();
   if (OpenEvents)
     co_return co_await relayOpenEvents();
   if (Events)
@@ -215,7 +215,9 @@
   // The close may have arrived although the session's watcher has not run yet.
   if (Call->Caller->socket().peerClosed())
     Context.noteCallerGone(*Call);
-  return !Abandoned && !Call->Finish && !Call->CallerGone &&
+  // An earlier attempt that was silent may have gone on.
+  const bool IsUnanswered = Before == Call->relayedPart();
+  return !Abandoned && IsUnanswered && !Call->Finish && !Call->CallerGone &&
          boot_clock::now() < Call->Facts.Deadline && !isBlocked();
 }
 
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -74,7 +74,19 @@
   boost::asio::awaitable<bool> forwardEvents(std::string_view Ready, std::uint64_t Events);
   boost::asio::awaitable<exchange_end> relayWholeAnswer();
   bool feedAvailable();
-  void armIdleTimeout();
+  /// Reports to the decision thread if the server sends nothing from now on.
+  void watchSilence();
+  mono_duration reportSilence();
+  /// Returns how long a working server may send nothing in the middle of its answer.
+  [[nodiscard]] mono_duration silenceLimit() const;
+  /// Returns whether this attempt may still answer the caller; another one may have begun to.
+  [[nodiscard]] bool mayRelay() const { return Call->mayRelay(Order.Attempt.Ordinal, Before); }
+  /// Ends this attempt without a report: the decision thread learns of the one that answers.
+  exchange_end yieldToOther();
+  /// Makes this attempt the one that answers the caller.
+  void takeCaller();
+  void beginRelaying();
+  void endRelaying();
   [[nodiscard]] bool isBufferedAnswer();
   boost::asio::awaitable<bool> startAnswer(answer_framing Framing, std::string_view First);
   /// Expires the connection if the peer that carries it no longer reaches the server.
@@ -108,14 +120,17 @@
   end_hook OnEnd;
   backend_connection Connection;
   std::optional<message_feed<false>> Feed; ///< Replaced after each interim (1xx) answer.
+  relayed_part Before; ///< What the caller had received when this attempt began.
   event_scanner Scanner;
   answer_progress Progress; ///< As of the last judgeEnd().
   std::uint64_t UnreportedEvents{0};
   bool Answering{false};
   bool Abandoned{false};
-  bool Sent{false};        ///< The first byte was sent.
-  bool SentAll{false};     ///< The last byte was sent.
-  backend_address AtFault; ///< The server that a refusal names as its cause.
+  bool Relaying{false};        ///< Counted in Call->RelayingAttempts.
+  bool SilenceReported{false}; ///< The decision thread waits to learn whether the answer goes on.
+  bool Sent{false};            ///< The first byte was sent.
+  bool SentAll{false};         ///< The last byte was sent.
+  backend_address AtFault;     ///< The server that a refusal names as its cause.
   /// Set while the path of the request is checked.
   std::optional<boost::asio::steady_timer> PathTimer;
   bool Ended{false};              ///< The result is known.
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -60,7 +60,7 @@
 
 asio::awaitable<bool> backend_exchange::startAnswer(answer_framing Framing,
                                                     std::string_view First) {
-  Call->RelayedBy = Order.Attempt.Ordinal;
+  takeCaller();
   Call->Stage = Framing == answer_framing::Chunked && isEventStream() ? answer_stage::Stream
                                                                       : answer_stage::NoStream;
   Call->FirstByte = boot_clock::now();
@@ -70,27 +70,58 @@
   co_return co_await Call->Caller->writeHead(makeAnswerHead(Framing), First);
 }
 
+void backend_exchange::beginRelaying() {
+  if (!std::exchange(Relaying, true))
+    ++Call->RelayingAttempts;
+}
+
+void backend_exchange::endRelaying() {
+  if (Answering)
+    Context.Activity.endAnswer(Order.Backend);
+  if (!std::exchange(Relaying, false))
+    return;
+  --Call->RelayingAttempts;
+  Call->Changed.notify();
+}
+
+void backend_exchange::takeCaller() {
+  Call->RelayedBy = Order.Attempt.Ordinal;
+  if (Call->LastAttempt != Order.Attempt) {
+    Call->LastAttempt = Order.Attempt;
+    Call->LastBackend = Order.Backend;
+  }
+}
+
+exchange_end backend_exchange::yieldToOther() {
+  Abandoned = true;
+  return {attempt_failure::BrokenSent, {}};
+}
+
 void backend_exchange::noteRelayed(std::uint64_t Events, std::size_t Bytes) {
   Context.Metrics.countEvents(Events);
-  if (Events > 0)
-    Call->Gaps.note(boot_clock::now());
   Context.Metrics.countAnswerBytes(Bytes);
+  const mono_time Now = boot_clock::now();
+  if (Events > 0)
+    Call->Gaps.note(Now);
+  Context.Activity.recordBytes(Order.Backend, Now);
   if (!Answering) {
     Answering = true;
+    Context.Activity.beginAnswer(Order.Backend, Now);
     Context.Crashes.onRunBegun(*Call, *Context.Suspects);
     Context.Outbox.push(attempt_answering{Order.Attempt});
     Events = Events > 0 ? Events - 1 : 0;
   }
   UnreportedEvents += Events;
-  if (UnreportedEvents >= EventsPerReport)
+  if (UnreportedEvents >= EventsPerReport || SilenceReported)
     flushProgress();
 }
 
 void backend_exchange::flushProgress() {
-  if (UnreportedEvents == 0)
+  if (UnreportedEvents == 0 && !SilenceReported)
     return;
   Context.Outbox.push(attempt_advanced{Order.Attempt, UnreportedEvents});
   UnreportedEvents = 0;
+  SilenceReported = false;
 }
 
 bool backend_exchange::feedAvailable() {
@@ -102,7 +133,7 @@
 asio::awaitable<exchange_end> backend_exchange::relayEvents() {
   using part_state = caller_connection::part_state;
   Scanner = event_scanner(Call->LastEvent);
-  Call->Relaying = true;
+  beginRelaying();
   const exchange_end Bad{attempt_failure::BadAnswer, {}};
   boost::system::error_code Code;
   while (true) {
@@ -114,8 +145,11 @@
     Progress.UnfinishedBytes = Feed->body().size() - EventBytes;
     if (EventBytes > 0) {
       const std::string_view Ready = std::string_view(Feed->body()).substr(0, EventBytes);
+      if (!mayRelay())
+        co_return yieldToOther();
       // Report first: an attempt whose bytes the caller may have must not count as unanswered.
       noteRelayed(valueOf(Scan).Events, EventBytes);
+      Call->LastEvent = Scanner.lastId();
       part_state Part = part_state::Written;
       if (Call->Stage == answer_stage::None)
         Part = co_await startAnswer(answer_framing::Chunked, Ready) ? part_state::Written
@@ -124,7 +158,6 @@
         Part = Call->Caller->tryPart(Ready);
       if (Part == part_state::Waiting && co_await Call->Caller->flush())
         Part = part_state::Written;
-      Call->LastEvent = Scanner.lastId();
       Feed->body().erase(0, EventBytes);
       if (Part != part_state::Written) {
         Context.noteCallerGone(*Call);
@@ -193,13 +226,15 @@
   if (EndsWithConnection && !Call->HeaderRouted)
     co_return exchange_end{attempt_failure::BadAnswer, {}};
   const answer_framing Framing = callerFraming(Progress.Framing);
-  Call->Relaying = true;
+  beginRelaying();
   const bool Held = isBufferedAnswer();
   std::string Tail;
   while (true) {
     std::string &Body = Feed->body();
     const bool Started = Call->Stage != answer_stage::None;
     const bool Ready = Feed->done() || (!Held && !Body.empty());
+    if (Ready && !mayRelay())
+      co_return yieldToOther();
     if (Ready) {
       keepTail(Tail, Body);
       noteRelayed(0, Body.size());
--- a/src/relay/backend_exchange_stream.cpp
+++ b/src/relay/backend_exchange_stream.cpp
@@ -8,23 +8,33 @@
 
 namespace {
 
-/// A stream whose engine sends nothing for this many times its declared gap is requested from
+/// A stream whose engine sends nothing for this many times its declared gap is also requested from
 /// another engine. Waiting longer leaves too little time: callers disconnect after eight gaps or
 /// two seconds.
-constexpr int IdleTimeoutGaps = 3;
+constexpr int SilentGaps = 3;
 /// On working engines, a pass with a long prefill takes up to this long.
-constexpr std::chrono::milliseconds MinIdleTimeout{500};
+constexpr std::chrono::milliseconds MinSilence{500};
+/// How soon a silence that all servers share is looked at again.
+constexpr std::chrono::milliseconds SharedSilenceCheck{50};
 
 } // namespace
 
+mono_duration backend_exchange::silenceLimit() const {
+  return std::max<mono_duration>(MinSilence, Call->Facts.LongestGap * SilentGaps);
+}
+
 /// An engine that lost power sends no reset; only the time since its last event shows the failure.
-void backend_exchange::armIdleTimeout() {
-  const std::chrono::milliseconds Gap = Call->Facts.LongestGap;
-  if (!Order.MayRetry || !Call->Facts.Resumable || Gap.count() == 0)
-    return;
-  Connection->expireAt(
-      std::min(boot_clock::now() + std::max<mono_duration>(MinIdleTimeout, Gap * IdleTimeoutGaps),
-               Call->Facts.Deadline + DeadlineGrace));
+void backend_exchange::watchSilence() {
+  if (Order.MayRetry && Call->Facts.Resumable && Call->Facts.LongestGap.count() > 0)
+    Connection->watchSilence(silenceLimit());
+}
+
+mono_duration backend_exchange::reportSilence() {
+  if (Context.Activity.othersAreSilent(Order.Backend, boot_clock::now()))
+    return SharedSilenceCheck;
+  SilenceReported = true;
+  Context.Outbox.push(attempt_silent{Order.Attempt});
+  return silenceLimit();
 }
 
 asio::awaitable<bool> backend_exchange::forwardEvents(std::string_view Ready,
@@ -34,7 +44,7 @@
   noteRelayed(Events, Ready.size());
   if (Call->Stage == answer_stage::None)
     co_return co_await startAnswer(answer_framing::Chunked, Ready);
-  Call->RelayedBy = Order.Attempt.Ordinal;
+  takeCaller();
   const part_state Part = Call->Caller->tryPart(Ready);
   if (Part == part_state::Waiting)
     co_return co_await Call->Caller->flush();
@@ -47,7 +57,8 @@
  */
 asio::awaitable<exchange_end> backend_exchange::relayOpenEvents() {
   open_event_scanner Events(Call->LastEvent);
-  Call->Relaying = true;
+  beginRelaying();
+  Connection->onSilence([this] { return reportSilence(); });
   EndsWithConnection = Progress.Framing == body_framing::Connection;
   boost::system::error_code Code;
   while (true) {
@@ -63,21 +74,23 @@
     const answer_end End = judgeEnd().End;
     // The rest of a whole stream is line ends.
     const std::string Ready = End == answer_end::Whole ? Found.Ready + Feed->body() : Found.Ready;
-    if (!Ready.empty() || (End == answer_end::Whole && Call->Stage == answer_stage::None)) {
-      const bool Forwarded = co_await forwardEvents(Ready, Found.Events);
+    const bool IsWhole = End == answer_end::Whole;
+    if ((!Ready.empty() || IsWhole) && !mayRelay())
+      co_return yieldToOther();
+    if (!Ready.empty() || (IsWhole && Call->Stage == answer_stage::None)) {
       Call->LastEvent = Events.lastId();
-      if (!Forwarded) {
+      if (!co_await forwardEvents(Ready, Found.Events)) {
         Context.noteCallerGone(*Call);
         Abandoned = true;
       }
     }
-    if (End == answer_end::Whole && !Abandoned)
+    if (IsWhole && !Abandoned)
       break;
     const bool TooLong = Feed->body().size() > Context.Limits.MaxEventBytes;
     // The timeout starts only here: time that the caller takes to read does not count against the
     // engine.
     if (Answering)
-      armIdleTimeout();
+      watchSilence();
     const bool GoesOn = End == answer_end::Unfinished && !Abandoned && !TooLong;
     if (GoesOn)
       co_await Connection->waitRead(Code);
@@ -89,6 +102,7 @@
                                                                : attempt_failure::BrokenMidway,
                              {}};
   }
+  takeCaller();
   if (!co_await Call->Caller->writeEnd())
     Context.noteCallerGone(*Call);
   Call->Stage = answer_stage::Ended;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -93,7 +93,7 @@
     Context.Calls.erase(Found);
     Context.Metrics.OpenCalls.Set(static_cast<double>(Context.Calls.size()));
     Call->Finish = Order;
-    if (Call->Relaying && Order.Outcome != final_outcome::Complete)
+    if (Call->RelayingAttempts > 0 && Order.Outcome != final_outcome::Complete)
       Call->Caller->socket().expireAt(boot_clock::now() + LastWriteLimit);
     Call->Changed.notify();
   }
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_RELAY_RELAY_CONTEXT_TYPE_H
 #define POLLENSTALL_RELAY_RELAY_CONTEXT_TYPE_H
 
+#include "path/path.h"
 #include "rate_limit/rate_limit_type.h"
 #include "relay/backend_connection_pool_base.h"
 #include "relay/call_interface_type.h"
@@ -50,6 +51,7 @@
   std::map<request_number, std::shared_ptr<relayed_call>> Calls; ///< Calls without a final answer.
   request_number LastRequest;
   std::size_t BodyBytes{0}; ///< Held in request bodies, or reserved for bodies being read.
+  server_activity Activity; ///< Of the servers that answer calls of this entry.
   std::set<timed_socket *> IdleCallers; ///< Waiting for the first byte of the next request.
   std::size_t Connections{0};           ///< Callers' connections.
   bool Stopping{false};                 ///< New requests are refused permanently.
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -27,6 +27,14 @@
   Ended,    ///< The complete answer.
 };
 
+/// How much of the answer the caller has received.
+struct relayed_part {
+  std::uint32_t RelayedBy{0}; ///< Ordinal of the attempt that sent it; 0: nothing was received.
+  std::uint64_t LastEvent{0}; ///< Id of the last event.
+
+  bool operator==(const relayed_part &) const = default;
+};
+
 /// The request as sent to backend servers, the same for each attempt.
 struct forwarded_request {
   std::string Method;
@@ -46,18 +54,23 @@
       : Facts(std::move(Plan.Facts)), Kind(Plan.Kind), PromptBytes(Plan.PromptBytes),
         SharedParts(std::move(Plan.SharedParts)), Caller(std::move(Connection)), Changed(Io) {}
 
+  /// Returns what the caller has received so far.
+  [[nodiscard]] relayed_part relayedPart() const { return {RelayedBy, LastEvent}; }
   /// Returns whether an attempt of this ordinal may still relay answer bytes to the caller. A mix
   /// of two attempts' answers would look complete but be neither answer.
-  [[nodiscard]] bool mayRelay(std::uint32_t Ordinal) const {
-    const bool GoesOn = canContinueStream() && Facts.Resumable && Ordinal > RelayedBy;
-    return !Finish && !CallerGone && (RelayedBy == 0 || RelayedBy == Ordinal || GoesOn);
+  /// @param Before What the caller had received when the attempt was sent: an earlier attempt that
+  /// goes on meanwhile keeps the caller.
+  [[nodiscard]] bool mayRelay(std::uint32_t Ordinal, const relayed_part &Before) const {
+    const bool Continues = canContinueStream() && Facts.Resumable && Ordinal > RelayedBy;
+    const bool MayBegin = Before == relayedPart() && (RelayedBy == 0 || Continues);
+    return !Finish && !CallerGone && (RelayedBy == Ordinal || MayBegin);
   }
   /// Returns whether the caller has events after which another attempt can continue the stream.
   [[nodiscard]] bool canContinueStream() const {
     return HeaderRouted && Stage == answer_stage::Stream;
   }
   /// Returns whether the result has been decided and no exchange writes to the caller any more.
-  [[nodiscard]] bool isFinished() const { return Finish && !Relaying; }
+  [[nodiscard]] bool isFinished() const { return Finish && RelayingAttempts == 0; }
   /// Returns whether an attempt was sent that may have run.
   [[nodiscard]] bool mayHaveRun() const { return SentAttempts > 0; }
 
@@ -74,11 +87,11 @@
   async_signal Changed;
 
   answer_stage Stage{answer_stage::None};
-  std::uint32_t RelayedBy{0};    ///< Ordinal of the attempt whose bytes were sent to the caller.
-  std::uint64_t LastEvent{0};    ///< Id of the last event sent to the caller.
-  bool Relaying{false};          ///< An exchange is writing to the caller.
-  bool CallerGone{false};        ///< The caller disconnected or stopped reading.
-  std::uint32_t SentAttempts{0}; ///< Attempts whose first byte was sent and that may have run.
+  std::uint32_t RelayedBy{0}; ///< Ordinal of the attempt whose bytes were sent to the caller.
+  std::uint64_t LastEvent{0}; ///< Id of the last event sent to the caller.
+  std::uint32_t RelayingAttempts{0}; ///< Exchanges that may write to the caller.
+  bool CallerGone{false};            ///< The caller disconnected or stopped reading.
+  std::uint32_t SentAttempts{0};     ///< Attempts whose first byte was sent and that may have run.
   std::optional<finish_request> Finish;
   std::optional<attempt_id> LastAttempt; ///< For the log.
   std::optional<backend_key> LastBackend;
--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -54,6 +54,13 @@
   Sweeper.Sockets.push_back(*this);
 }
 
+void timed_socket::watchSilence(mono_duration Limit) { SilentAt = boot_clock::now() + Limit; }
+
+void timed_socket::endSilenceWatch() {
+  SilentAt = mono_time::max();
+  AtSilence = nullptr;
+}
+
 asio::awaitable<bool> timed_socket::waitReadable() {
   if (Expired)
     co_return false;
@@ -83,6 +90,7 @@
     ReceivingEnd = Code == asio::error::eof ? connection_end::Closed : connection_end::Reset;
   if (Code)
     return {{}, true};
+  SilentAt = mono_time::max();
   if (HeardAt != nullptr)
     *HeardAt = boot_clock::now();
   return {std::string_view(Target.data(), Received), false};
@@ -162,6 +170,13 @@
   Socket.cancel(Ignored);
 }
 
+void timed_socket::checkTimes(mono_time Now) {
+  if (Deadline <= Now)
+    expire();
+  if (SilentAt <= Now)
+    SilentAt = Now + AtSilence();
+}
+
 socket_sweeper::socket_sweeper(asio::io_context &Context)
     : Clock(SweepInterval, MaxSweepGap), Io(Context), Timer(Context), Buffer(ReadBufferBytes) {}
 
@@ -187,8 +202,7 @@
   if (const auto Stall = Clock.advance(Now); Stall && AtStall)
     AtStall(*Stall);
   for (timed_socket &Socket : Sockets)
-    if (Socket.Deadline <= Now)
-      Socket.expire();
+    Socket.checkTimes(Now);
 }
 
 } // namespace pollenstall
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -104,6 +104,14 @@
 
   /// Sets where the time of each read with bytes is written; nullptr: nowhere.
   void noteBytesAt(mono_time *Target) { HeardAt = Target; }
+  /// Returns after how much further silence it is to be called again.
+  using silence_hook = std::function<mono_duration()>;
+  /// Sets what watchSilence() calls.
+  void onSilence(silence_hook Hook) { AtSilence = std::move(Hook); }
+  /// Calls the hook if the next bytes do not arrive within this time.
+  void watchSilence(mono_duration Limit);
+  /// Ends the watch and forgets the hook.
+  void endSilenceWatch();
   /// Sets the address of the entry that carries this connection to its server.
   void setCarrier(std::string Address) { Carrier = std::move(Address); }
   /// Returns the entry that carries this connection; empty if it is direct.
@@ -112,10 +120,13 @@
 private:
   friend class socket_sweeper;
   void expire();
+  void checkTimes(mono_time Now);
 
   socket_sweeper &Sweeper;
   boost::asio::ip::tcp::socket Socket;
   mono_time Deadline{mono_time::max()};
+  mono_time SilentAt{mono_time::max()};
+  silence_hook AtSilence;
   bool Expired{false};
   mono_time *HeardAt{nullptr};
   std::string Carrier;
--- a/tests/dispatch/dispatch_simulation_relay.cpp
+++ b/tests/dispatch/dispatch_simulation_relay.cpp
@@ -40,6 +40,8 @@
     if (chance(0.1))
       afterAtEntry(Entry, delay(),
                    [this, Entry, Id] { failConnection(Entry, Id, attempt_failure::BrokenSent); });
+    if (chance(0.3))
+      afterAtEntry(Entry, delay(), [this, Entry, Id] { postEvent(Entry, attempt_silent{Id}); });
   });
 }
 
@@ -114,6 +116,11 @@
     return;
   const auto AnsweringAttempt = Incarnation.AnsweringAttempts.find(ConnectionId.Request);
   const bool First = AnsweringAttempt == Incarnation.AnsweringAttempts.end();
+  // Another attempt answers the caller; the relay drops this one without a report.
+  if (!First && AnsweringAttempt->second != ConnectionId) {
+    Connection.Open = false;
+    return;
+  }
   if (Part != Connection.NextPart)
     return failConnection(Entry, ConnectionId, attempt_failure::BadAnswer);
   if (chance(0.08))
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -205,6 +205,10 @@
 
 void relay_harness::start(const backend_key &Backend) { order(startOrder(Backend, 1)); }
 
+void relay_harness::cancel(const scripted_server &Server, std::uint32_t Ordinal) {
+  order(cancel_order{{startOrder(Server.key(), Ordinal).Attempt, Server.key()}, false});
+}
+
 void relay_harness::drainCrashUpdates() {
   CrashUpdateRing.drain(
       [this](crash_update &&Update) { CrashUpdates.push_back(std::move(Update)); });
--- a/tests/relay/relay_harness_base.h
+++ b/tests/relay/relay_harness_base.h
@@ -69,6 +69,8 @@
   void start(const scripted_server &Server, std::uint32_t Ordinal = 1, bool MayRetry = true,
              std::vector<memory_hold> Holds = {});
   void start(const backend_key &Backend);
+  /// Abandons an attempt of the latest call, as the decision thread does once another one answers.
+  void cancel(const scripted_server &Server, std::uint32_t Ordinal);
   /// Waits for the relay's next crash update.
   crash_update nextCrashUpdate();
   [[nodiscard]] bool hasCrashUpdate();
--- a/tests/relay/silent_stream_test.cpp
+++ b/tests/relay/silent_stream_test.cpp
@@ -5,6 +5,7 @@
 
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <optional>
 #include <thread>
 
@@ -89,6 +90,23 @@
   expectWholeAnswer(Relay);
 }
 
+// The decision thread holds back the second attempt until it learns that the first one goes on.
+TEST(StreamOfAPausedServer, IsReportedToGoOnWithItsNextEvent) {
+  const scripted_server Server([](auto &Socket, const received_request &) {
+    sendText(Socket, streamHead() + chunkOf(events(1, 2)));
+    std::this_thread::sleep_for(LongPause);
+    sendText(Socket, chunkOf(events(3, 3)));
+    waitForClose(Socket);
+  });
+  relay_harness Relay;
+  Relay.call("p");
+  Relay.start(Server, 1);
+  Relay.next<attempt_silent>();
+  EXPECT_EQ(Relay.next<attempt_advanced>().Attempt.Ordinal, 1U);
+  Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+  Relay.cancel(Server, 1);
+}
+
 // The whole machine stands still, and this entry wakes first: its deadlines have passed, and the
 // server has had no time to go on.
 TEST(StreamOfAPausedMachine, GoesOnAtTheSameServer) {
@@ -101,10 +119,95 @@
     const relay_pause Pause(Relay);
     std::this_thread::sleep_for(LongPause);
   }
+  bool WasSilent = false;
+  while (true) {
+    const dispatch_event Event = Relay.next();
+    WasSilent = WasSilent || std::holds_alternative<attempt_silent>(Event);
+    ASSERT_FALSE(std::holds_alternative<attempt_failed>(Event));
+    if (std::holds_alternative<attempt_completed>(Event))
+      break;
+  }
+  EXPECT_FALSE(WasSilent) << "the server was never silent";
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  expectWholeAnswer(Relay);
+}
+
+// The first engine wakes after another one has continued its stream, and before it is told to stop.
+TEST(StreamContinuedElsewhere, TakesNothingMoreFromItsFirstServer) {
+  const pausing_server First(3, LongPause);
+  const pausing_server Second(EventCount, LongPause);
+  relay_harness Relay;
+  Relay.call("p");
+  Relay.start(First.server(), 1);
+  Relay.next<attempt_silent>();
+  Relay.start(Second.server(), 2);
+  EXPECT_EQ(completedAttempt(Relay), 2U);
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  Relay.cancel(First.server(), 1);
+  expectWholeAnswer(Relay);
+}
+
+// The first engine goes on before the other one has sent an event: both must not be joined.
+TEST(StreamThatWentOn, TakesNothingFromAnotherServer) {
+  const pausing_server First(3, milliseconds(700));
+  const pausing_server Second(3, milliseconds(900));
+  relay_harness Relay;
+  Relay.call("p");
+  Relay.start(First.server(), 1);
+  Relay.next<attempt_silent>();
+  Relay.start(Second.server(), 2);
   EXPECT_EQ(completedAttempt(Relay), 1U);
   Relay.finish(final_outcome::Complete, failure_reason::None);
+  Relay.cancel(Second.server(), 2);
+  expectWholeAnswer(Relay);
+}
+
+// The caller has all events, and both engines send the end of the stream.
+TEST(StreamThatIsSilentBeforeItsEnd, EndsOnce) {
+  const pausing_server First(EventCount + 1, LongPause);
+  const pausing_server Second(EventCount + 1, milliseconds(100));
+  relay_harness Relay;
+  Relay.call("p");
+  Relay.start(First.server(), 1);
+  Relay.next<attempt_silent>();
+  Relay.start(Second.server(), 2);
+  EXPECT_EQ(completedAttempt(Relay), 2U);
+  std::this_thread::sleep_for(LongPause);
+  Relay.settle();
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  Relay.cancel(First.server(), 1);
   expectWholeAnswer(Relay);
 }
 
+// Two engines pause and go on in any order; the caller gets each event once.
+TEST(StreamOfTwoServers, IsWholeHoweverTheyPause) {
+  constexpr std::uint64_t Cases = 48;
+  constexpr std::uint64_t ThreadCount = 8;
+  std::vector<std::thread> Threads;
+  for (std::uint64_t Offset = 0; Offset < ThreadCount; ++Offset)
+    Threads.emplace_back([Offset] {
+      for (std::uint64_t Seed = Offset; Seed < Cases; Seed += ThreadCount) {
+        random_source Random(Seed);
+        const auto Before = [&] { return static_cast<int>(2 + Random.below(EventCount)); };
+        const pausing_server First(Before(), milliseconds(560 + Random.below(80)));
+        const pausing_server Second(Before(), milliseconds(Random.below(80)));
+        relay_harness Relay;
+        Relay.call("p");
+        Relay.start(First.server(), 1);
+        Relay.next<attempt_silent>();
+        Relay.start(Second.server(), 2);
+        const auto Completed = completedAttempt(Relay);
+        ASSERT_TRUE(Completed) << Seed;
+        Relay.finish(final_outcome::Complete, failure_reason::None);
+        Relay.cancel(*Completed == 1 ? Second.server() : First.server(), *Completed == 1 ? 2 : 1);
+        const read_answer Read = readByCaller(Relay.answer());
+        EXPECT_TRUE(Read.IsWhole) << Seed;
+        EXPECT_EQ(Read.Body, events(1)) << Seed;
+      }
+    });
+  for (std::thread &Thread : Threads)
+    Thread.join();
+}
+
 } // namespace
 } // namespace pollenstall
