An unanswered attempt is kept until another one answers

An attempt without an answer after four times its target, or at a server that had not announced itself, was ended as soon as a retry was queued. The retry is paid for when it starts: refused then, or expired in the queue, the request ended although its first server still ran it. A server that is paused for 1.3 s loses all its unanswered requests this way.

These attempts now use the same second attempt beside the first (dispatcher_hedge).

Tests: slow_request_test.IsWaitedForIfItsRetryIsNotPaidFor failed before (the request ended with retries_exhausted), IsUnknownIfAllItsAttemptsFail.

--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -33,7 +33,7 @@
  *  - A non-idempotent request that may have run is not started again.
  *  - A request that may have run is never reported as "not run".
  *  - Each started attempt ends exactly once. An abandoned attempt is tracked until it ends.
- *  - A stream that is merely silent is abandoned only once another attempt of the request has
+ *  - An attempt that is merely silent is abandoned only once another attempt of the request has
  *    begun to answer, or the request ends.
  */
 class dispatcher {
@@ -146,7 +146,6 @@
   void releaseQueuedRetry(live_request &Request);
   void reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now);
   void retryOrFinish(live_request &Request, mono_time Now);
-  void retryElsewhere(live_request &Request, attempt_failure Failure, mono_time Now);
   void retryUnanswered(const backend_key &Backend, mono_time Now);
   void endAbandoned(const attempt_id &Attempt, attempt_end End, mono_time Now);
   void reportResult(const attempt_result &Result, mono_time Now) const;
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -144,25 +144,15 @@
   sendDueCancels(Now);
 }
 
-void dispatcher::retryElsewhere(live_request &Request, attempt_failure Failure, mono_time Now) {
-  const bool Unanswered =
-      Request.CurrentAttempt && !isMidAnswer(Request.CurrentAttempt->Lifecycle.state());
-  if (!Unanswered || !Request.Facts.Idempotent || !mayRetry(Request, Now))
-    return;
-  if (!tryQueueRetry(Request, Now))
-    return refuseRetry(Request, Now);
-  closeAttempt(Request, Failure, Now);
-  submit(Request, Now);
-}
-
 void dispatcher::retryUnanswered(const backend_key &Backend, mono_time Now) {
   std::vector<request_number> Affected;
   for (const auto &[RequestId, Request] : Requests)
-    if (Request.CurrentAttempt && Request.CurrentAttempt->Backend == Backend)
+    if (Request.CurrentAttempt && Request.CurrentAttempt->Backend == Backend &&
+        !isMidAnswer(Request.CurrentAttempt->Lifecycle.state()))
       Affected.push_back(RequestId);
   for (const request_number RequestId : Affected)
     if (live_request *Request = find(RequestId))
-      retryElsewhere(*Request, attempt_failure::BrokenSent, Now);
+      hedge(*Request, Now);
 }
 
 void dispatcher::backendLost(const backend_key &Backend, mono_time Now) {
--- a/src/dispatch/dispatcher_time.cpp
+++ b/src/dispatch/dispatcher_time.cpp
@@ -45,7 +45,7 @@
     return;
   // If no retry may start, the slow attempt keeps running until the request's deadline.
   CurrentAttempt.FirstByteBy = Request.Facts.Deadline;
-  retryElsewhere(Request, attempt_failure::TimedOut, Now);
+  hedge(Request, Now);
 }
 
 void dispatcher::updateTimer(const live_request &Request) {
--- a/tests/dispatch/silent_attempt_test.cpp
+++ b/tests/dispatch/silent_attempt_test.cpp
@@ -4,6 +4,7 @@
 namespace pollenstall {
 namespace {
 
+using std::chrono::milliseconds;
 using std::chrono::seconds;
 
 /// A stream that may be resumed, in the middle of its answer from EngineA.
@@ -185,5 +186,43 @@
   expectOutcome(final_outcome::Complete, failure_reason::None);
 }
 
+/// A request that its engine has not answered after four times its target.
+struct slow_request_test : dispatcher_fixture {
+  void SetUp() override {
+    request_facts Facts = facts(true);
+    Facts.Target = milliseconds(300);
+    Facts.MaxAttempts = 2;
+    arrive(Facts);
+    place(EngineA);
+    send();
+    advanceTime(milliseconds(1'200));
+  }
+};
+
+// A sound engine's attempt was ended, and then the budget refused the retry as it started.
+TEST_F(slow_request_test, IsWaitedForIfItsRetryIsNotPaidFor) {
+  ASSERT_EQ(Submitted.size(), 2U);
+  limits_declaration None = Limits;
+  None.RetryPercent = 0;
+  Dispatch.applyLimits(None);
+  Dispatch.setRetryAllowance({}, Now);
+  place(EngineB);
+  EXPECT_EQ(starts(), 1U);
+  EXPECT_EQ(Withdrawn, std::vector<request_number>{request_number(1)});
+  EXPECT_EQ(cancels(), 0U);
+  answer();
+  complete();
+  expectOutcome(final_outcome::Complete, failure_reason::None);
+}
+
+TEST_F(slow_request_test, IsUnknownIfAllItsAttemptsFail) {
+  place(EngineB);
+  send(2);
+  fail(attempt_failure::BrokenSent, 1);
+  EXPECT_TRUE(actionsOf<finish_request>().empty());
+  fail(attempt_failure::Declined, 2);
+  expectOutcome(final_outcome::Unknown, failure_reason::RetriesExhausted);
+}
+
 } // namespace
 } // namespace pollenstall
