Deadlines of sockets do not count the time in which the entry itself stood still

Cause: socket_sweeper compared each deadline with a clock that goes on while the process is stopped or suspended. An entry that woke up before its servers found all its deadlines passed: silence of streams, answers of peers, bodies of callers. The silence was its own.

Now deadlines are times of running_clock, which counts a step of more than 250 ms between two checks (each 50 ms) as one step. Deadlines of requests, leases and revocations are not among them: those must count the time of a suspension and stay on boot_clock.

--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -54,7 +54,14 @@
   Sweeper.Sockets.push_back(*this);
 }
 
-void timed_socket::watchSilence(mono_duration Limit) { SilentAt = boot_clock::now() + Limit; }
+void timed_socket::expireAt(mono_time When) {
+  Deadline = Sweeper.clock().toRunning(When);
+  Expired = false;
+}
+
+void timed_socket::watchSilence(mono_duration Limit) {
+  SilentAt = Sweeper.clock().toRunning(boot_clock::now() + Limit);
+}
 
 void timed_socket::endSilenceWatch() {
   SilentAt = mono_time::max();
@@ -170,15 +177,17 @@
   Socket.cancel(Ignored);
 }
 
-void timed_socket::checkTimes(mono_time Now) {
-  if (Deadline <= Now)
+void timed_socket::checkTimes(mono_time RunningNow) {
+  if (Deadline <= RunningNow)
     expire();
-  if (SilentAt <= Now)
-    SilentAt = Now + AtSilence();
+  if (SilentAt <= RunningNow)
+    SilentAt = RunningNow + AtSilence();
 }
 
 socket_sweeper::socket_sweeper(asio::io_context &Context)
-    : Clock(SweepInterval, MaxSweepGap), Io(Context), Timer(Context), Buffer(ReadBufferBytes) {}
+    : Clock(SweepInterval, MaxSweepGap), Io(Context), Timer(Context), Buffer(ReadBufferBytes) {
+  Clock.advance(boot_clock::now());
+}
 
 void socket_sweeper::start() {
   Timer.expires_after(SweepInterval);
@@ -201,8 +210,9 @@
   const mono_time Now = boot_clock::now();
   if (const auto Stall = Clock.advance(Now); Stall && AtStall)
     AtStall(*Stall);
+  const mono_time RunningNow = Clock.toRunning(Now);
   for (timed_socket &Socket : Sockets)
-    Socket.checkTimes(Now);
+    Socket.checkTimes(RunningNow);
 }
 
 } // namespace pollenstall
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -39,11 +39,9 @@
   timed_socket(const timed_socket &) = delete;
   timed_socket &operator=(const timed_socket &) = delete;
 
-  /// Sets when pending reads and writes are cancelled.
-  void expireAt(mono_time When) {
-    Deadline = When;
-    Expired = false;
-  }
+  /// Sets when pending reads and writes are cancelled. Time in which this process stood still is
+  /// added.
+  void expireAt(mono_time When);
   void expireNever() { Deadline = mono_time::max(); }
   /// Returns whether the last deadline has passed; the socket is still open.
   [[nodiscard]] bool expired() const { return Expired; }
@@ -108,7 +106,8 @@
   using silence_hook = std::function<mono_duration()>;
   /// Sets what watchSilence() calls.
   void onSilence(silence_hook Hook) { AtSilence = std::move(Hook); }
-  /// Calls the hook if the next bytes do not arrive within this time.
+  /// Calls the hook if the next bytes do not arrive within this time, in which time that this
+  /// process stood still does not count.
   void watchSilence(mono_duration Limit);
   /// Ends the watch and forgets the hook.
   void endSilenceWatch();
@@ -120,12 +119,12 @@
 private:
   friend class socket_sweeper;
   void expire();
-  void checkTimes(mono_time Now);
+  void checkTimes(mono_time RunningNow);
 
   socket_sweeper &Sweeper;
   boost::asio::ip::tcp::socket Socket;
-  mono_time Deadline{mono_time::max()};
-  mono_time SilentAt{mono_time::max()};
+  mono_time Deadline{mono_time::max()}; ///< Of the sweeper's clock.
+  mono_time SilentAt{mono_time::max()}; ///< Of the sweeper's clock.
   silence_hook AtSilence;
   bool Expired{false};
   mono_time *HeardAt{nullptr};
@@ -147,6 +146,8 @@
   [[nodiscard]] std::span<char> readBuffer() { return Buffer; }
   [[nodiscard]] boost::asio::io_context &io() { return Io; }
   [[nodiscard]] bool stopped() const { return Stopped; }
+  /// The clock of all deadlines.
+  [[nodiscard]] const running_clock &clock() const { return Clock; }
 
 private:
   friend class timed_socket;
