A silent attempt that is sent late may answer

An attempt may still be connecting when another one is started beside it (its server is reported lost, or four targets have passed). attempt_sending was looked for among the current and the abandoned attempts only, so the state machine refused the answer that followed, and its end: the caller waited until its deadline.

Test: AnAttemptThatIsSentLateMayAnswer.

--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -118,7 +118,10 @@
 void dispatcher::on(const attempt_sending &Event, mono_time /*Now*/) {
   if (abandoned_attempt *LateAttempt = Abandoned.find(Event.Attempt))
     LateAttempt->markSent();
-  applyToCurrentAttempt(Event.Attempt, attempt_step::Sending);
+  if (running_attempt *Silent = findSilentAttempt(Event.Attempt))
+    Silent->Lifecycle.apply(attempt_step::Sending);
+  else
+    applyToCurrentAttempt(Event.Attempt, attempt_step::Sending);
 }
 
 void dispatcher::on(const attempt_answering &Event, mono_time Now) {
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -152,6 +152,7 @@
 
   // dispatcher_hedge.cpp: attempts beside one that fell silent.
   void hedge(live_request &Request, mono_time Now);
+  running_attempt *findSilentAttempt(const attempt_id &Attempt);
   std::optional<running_attempt> takeSilentAttempt(const attempt_id &Attempt);
   void keepIfSilent(const attempt_id &Attempt, mono_time Now);
   void returnToSilentAttempt(live_request &Request);
--- a/src/dispatch/dispatcher_hedge.cpp
+++ b/src/dispatch/dispatcher_hedge.cpp
@@ -2,7 +2,6 @@
 #include "dispatch/dispatcher_base.h"
 #include "dispatch/outcome_func.h"
 
-#include <algorithm>
 #include <utility>
 
 namespace pollenstall {
@@ -36,18 +35,23 @@
   submit(Request, Now);
 }
 
-std::optional<running_attempt> dispatcher::takeSilentAttempt(const attempt_id &Attempt) {
+running_attempt *dispatcher::findSilentAttempt(const attempt_id &Attempt) {
   live_request *Request = Attempt.Owner == Self ? find(Attempt.Request) : nullptr;
   if (Request == nullptr)
-    return std::nullopt;
-  std::vector<running_attempt> &Silent = Request->SilentAttempts;
-  const auto Found =
-      std::find_if(Silent.begin(), Silent.end(),
-                   [&](const running_attempt &Earlier) { return Earlier.Id == Attempt; });
-  if (Found == Silent.end())
+    return nullptr;
+  for (running_attempt &Silent : Request->SilentAttempts)
+    if (Silent.Id == Attempt)
+      return &Silent;
+  return nullptr;
+}
+
+std::optional<running_attempt> dispatcher::takeSilentAttempt(const attempt_id &Attempt) {
+  running_attempt *Found = findSilentAttempt(Attempt);
+  if (Found == nullptr)
     return std::nullopt;
   running_attempt Taken = std::move(*Found);
-  Silent.erase(Found);
+  std::vector<running_attempt> &Silent = find(Attempt.Request)->SilentAttempts;
+  Silent.erase(Silent.begin() + (Found - Silent.data()));
   return Taken;
 }
 
--- a/tests/dispatch/silent_attempt_test.cpp
+++ b/tests/dispatch/silent_attempt_test.cpp
@@ -163,6 +163,19 @@
   EXPECT_EQ(cancels(), 2U);
 }
 
+// The first attempt was still connecting when another one was started beside it. Its answer came,
+// was not recognised, and the caller waited until its deadline.
+TEST_F(dispatcher_fixture, AnAttemptThatIsSentLateMayAnswer) {
+  arrive(facts(true));
+  place(EngineA);
+  Dispatch.backendLost(EngineA, Now);
+  place(EngineB);
+  send(1);
+  answer(1);
+  complete(1);
+  expectOutcome(final_outcome::Complete, failure_reason::None);
+}
+
 // Only a stream that may be resumed can be continued by another engine.
 TEST_F(dispatcher_fixture, ASilentAnswerIsWaitedFor) {
   arrive(facts(true));
