An attempt may continue a stream only while its answerer is silent or has ended

Found by the review, by reading. What the caller had received was noted when the second attempt began, not when it was ordered. If the first attempt went on in between, the second one could take the stream over from it, both were then given up, and the caller lost the stream of two sound engines. If the first was waiting for a slow caller at that moment, both wrote to the caller.

The call now knows whether the attempt that answers it runs, is silent or has ended, and a running one keeps the caller.

Test: StreamThatWentOn.KeepsTheCallerFromAnAttemptThatStartsNow.

--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -76,6 +76,8 @@
 }
 
 void backend_exchange::endRelaying() {
+  if (Call->RelayedBy == Order.Attempt.Ordinal)
+    Call->Answerer = answerer_state::Ended;
   if (Answering)
     Context.Activity.endAnswer(Order.Backend);
   if (!std::exchange(Relaying, false))
@@ -86,6 +88,7 @@
 
 void backend_exchange::takeCaller() {
   Call->RelayedBy = Order.Attempt.Ordinal;
+  Call->Answerer = answerer_state::Running;
   if (Call->LastAttempt != Order.Attempt) {
     Call->LastAttempt = Order.Attempt;
     Call->LastBackend = Order.Backend;
--- a/src/relay/backend_exchange_stream.cpp
+++ b/src/relay/backend_exchange_stream.cpp
@@ -33,6 +33,7 @@
   if (Context.Activity.othersAreSilent(Order.Backend, boot_clock::now()))
     return SharedSilenceCheck;
   SilenceReported = true;
+  Call->Answerer = answerer_state::Silent;
   Context.Outbox.push(attempt_silent{Order.Attempt});
   return silenceLimit();
 }
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -27,6 +27,13 @@
   Ended,    ///< The complete answer.
 };
 
+/// What is known of the attempt that last sent bytes to the caller.
+enum class answerer_state : std::uint8_t {
+  Ended,   ///< There is none, or its exchange has ended.
+  Running, ///< It sends, or may be writing to the caller right now.
+  Silent,  ///< Its server has sent nothing for longer than a working one does.
+};
+
 /// How much of the answer the caller has received.
 struct relayed_part {
   std::uint32_t RelayedBy{0}; ///< Ordinal of the attempt that sent it; 0: nothing was received.
@@ -61,7 +68,8 @@
   /// @param Before What the caller had received when the attempt was sent: an earlier attempt that
   /// goes on meanwhile keeps the caller.
   [[nodiscard]] bool mayRelay(std::uint32_t Ordinal, const relayed_part &Before) const {
-    const bool Continues = canContinueStream() && Facts.Resumable && Ordinal > RelayedBy;
+    const bool Continues = canContinueStream() && Facts.Resumable && Ordinal > RelayedBy &&
+                           Answerer != answerer_state::Running;
     const bool MayBegin = Before == relayedPart() && (RelayedBy == 0 || Continues);
     return !Finish && !CallerGone && (RelayedBy == Ordinal || MayBegin);
   }
@@ -88,10 +96,11 @@
 
   answer_stage Stage{answer_stage::None};
   std::uint32_t RelayedBy{0}; ///< Ordinal of the attempt whose bytes were sent to the caller.
-  std::uint64_t LastEvent{0}; ///< Id of the last event sent to the caller.
-  std::uint32_t RelayingAttempts{0}; ///< Exchanges that may write to the caller.
-  bool CallerGone{false};            ///< The caller disconnected or stopped reading.
-  std::uint32_t SentAttempts{0};     ///< Attempts whose first byte was sent and that may have run.
+  answerer_state Answerer{answerer_state::Ended}; ///< Of the attempt RelayedBy.
+  std::uint64_t LastEvent{0};                     ///< Id of the last event sent to the caller.
+  std::uint32_t RelayingAttempts{0};              ///< Exchanges that may write to the caller.
+  bool CallerGone{false};                         ///< The caller disconnected or stopped reading.
+  std::uint32_t SentAttempts{0}; ///< Attempts whose first byte was sent and that may have run.
   std::optional<finish_request> Finish;
   std::optional<attempt_id> LastAttempt; ///< For the log.
   std::optional<backend_key> LastBackend;
--- a/tests/relay/silent_stream_test.cpp
+++ b/tests/relay/silent_stream_test.cpp
@@ -162,6 +162,30 @@
   expectWholeAnswer(Relay);
 }
 
+// The order to start another attempt was under way when the first one went on.
+TEST(StreamThatWentOn, KeepsTheCallerFromAnAttemptThatStartsNow) {
+  const scripted_server First([](auto &Socket, const received_request &) {
+    sendText(Socket, streamHead() + chunkOf(events(1, 2)));
+    std::this_thread::sleep_for(milliseconds(700));
+    sendText(Socket, chunkOf(events(3, 3)));
+    std::this_thread::sleep_for(milliseconds(200));
+    sendText(Socket, chunkOf(events(4)) + "0\r\n\r\n");
+  });
+  const pausing_server Second(EventCount + 2, milliseconds(0));
+  relay_harness Relay;
+  Relay.call("p");
+  Relay.start(First, 1);
+  Relay.next<attempt_silent>();
+  Relay.next<attempt_advanced>();
+  Relay.start(Second.server(), 2);
+  const auto Refused = Relay.next<attempt_failed>();
+  EXPECT_EQ(Refused.Attempt.Ordinal, 2U);
+  EXPECT_EQ(Refused.Failure, attempt_failure::NotWanted);
+  EXPECT_EQ(completedAttempt(Relay), 1U);
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  expectWholeAnswer(Relay);
+}
+
 // The caller has all events, and both engines send the end of the stream.
 TEST(StreamThatIsSilentBeforeItsEnd, EndsOnce) {
   const pausing_server First(EventCount + 1, LongPause);
