An error answer is not final while another attempt of the request runs

The last attempt that a route allows relays an error answer unchanged. Beside a first attempt that is merely slow this replaced a sound answer by an error.

Test: RequestOfAPausedServer.IsNotAnsweredWithAnErrorOfAnotherServer.

--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -115,6 +115,7 @@
     Connection->abort();
   if (Holds)
     Holds->release();
+  --Call->OpenAttempts;
   OnEnd(*this);
 }
 
@@ -337,8 +338,10 @@
     return Status == Ok && isEventStream()
                ? std::nullopt
                : std::optional<attempt_failure>(attempt_failure::BrokenMidway);
-  // If no other attempt may follow, an error answer is the final answer and is relayed unchanged.
-  if (Status >= FirstServerError && Call->Facts.Idempotent && Order.MayRetry)
+  // If no other attempt runs or may follow, an error answer is the final answer and is relayed
+  // unchanged.
+  const bool IsLast = !Order.MayRetry && Call->OpenAttempts == 1;
+  if (Status >= FirstServerError && Call->Facts.Idempotent && !IsLast)
     return attempt_failure::ErrorAnswer;
   return std::nullopt;
 }
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -200,6 +200,7 @@
   std::shared_ptr<backend_exchange> exchangeFor(const std::shared_ptr<relayed_call> &Call,
                                                 start_attempt Order) {
     const attempt_id Attempt = Order.Attempt;
+    ++Call->OpenAttempts;
     auto Exchange = std::make_shared<backend_exchange>(
         Context, Call, std::move(Order),
         [this](const backend_exchange &Ended) { removeExchange(Ended); });
--- a/src/relay/relayed_call_base.h
+++ b/src/relay/relayed_call_base.h
@@ -98,6 +98,7 @@
   std::uint32_t RelayedBy{0}; ///< Ordinal of the attempt whose bytes were sent to the caller.
   answerer_state Answerer{answerer_state::Ended}; ///< Of the attempt RelayedBy.
   std::uint64_t LastEvent{0};                     ///< Id of the last event sent to the caller.
+  std::uint32_t OpenAttempts{0};                  ///< Exchanges that have not ended.
   std::uint32_t RelayingAttempts{0};              ///< Exchanges that may write to the caller.
   bool CallerGone{false};                         ///< The caller disconnected or stopped reading.
   std::uint32_t SentAttempts{0}; ///< Attempts whose first byte was sent and that may have run.
--- a/tests/relay/silent_stream_test.cpp
+++ b/tests/relay/silent_stream_test.cpp
@@ -203,6 +203,27 @@
   expectWholeAnswer(Relay);
 }
 
+// The last attempt that is allowed fails while the first one, slow but sound, still runs.
+TEST(RequestOfAPausedServer, IsNotAnsweredWithAnErrorOfAnotherServer) {
+  const scripted_server Slow([](auto &Socket, const received_request &) {
+    std::this_thread::sleep_for(milliseconds(300));
+    sendText(Socket, streamHead() + chunkOf(events(1)) + "0\r\n\r\n");
+  });
+  const scripted_server Failing([](auto &Socket, const received_request &) {
+    sendText(Socket, "HTTP/1.1 500 Error\r\nX-Send: s1\r\nContent-Length: 0\r\n\r\n");
+  });
+  relay_harness Relay;
+  Relay.call("p");
+  Relay.start(Slow, 1);
+  Relay.start(Failing, 2, false);
+  const auto Failed = Relay.next<attempt_failed>();
+  EXPECT_EQ(Failed.Attempt.Ordinal, 2U);
+  EXPECT_EQ(Failed.Failure, attempt_failure::ErrorAnswer);
+  EXPECT_EQ(completedAttempt(Relay), 1U);
+  Relay.finish(final_outcome::Complete, failure_reason::None);
+  expectWholeAnswer(Relay);
+}
+
 // Two engines pause and go on in any order; the caller gets each event once.
 TEST(StreamOfTwoServers, IsWholeHoweverTheyPause) {
   constexpr std::uint64_t Cases = 48;
