A silence that all servers share holds a second attempt back for a bounded time

Three servers that answer an entry and lose power together were each other's witnesses: no stream was asked for elsewhere until its caller left. A server whose caller reads slowly is a wrong witness, too. A shared silence is now waited for twice as long as that of one server (1.5 s at a gap of 250 ms; callers leave after two seconds at the earliest).

Test: server_activity_test.ASharedSilenceIsWaitedForOnlyTwiceAsLong.

--- a/src/path/server_activity.cpp
+++ b/src/path/server_activity.cpp
@@ -9,6 +9,8 @@
 constexpr std::chrono::milliseconds LongestPass{500};
 /// Fewer silent servers may each be in a long pass.
 constexpr std::size_t MinWitnesses = 2;
+/// A shared silence is waited for up to this many times the limit of one server's silence.
+constexpr int SharedSilenceFactor = 2;
 
 } // namespace
 
@@ -32,6 +34,11 @@
     Latest = {Server, Now};
 }
 
+bool server_activity::isShared(const backend_key &Server, mono_duration Silence,
+                               mono_duration Limit, mono_time Now) const {
+  return Silence < Limit * SharedSilenceFactor && othersAreSilent(Server, Now);
+}
+
 bool server_activity::othersAreSilent(const backend_key &Server, mono_time Now) const {
   const std::size_t Witnesses = Answering.size() - Answering.count(Server);
   if (Witnesses < MinWitnesses)
--- a/src/path/server_activity_base.h
+++ b/src/path/server_activity_base.h
@@ -28,11 +28,17 @@
   /// Records that a server has sent a part of an answer.
   void recordBytes(const backend_key &Server, mono_time Now);
 
-  /// Returns whether all other servers that are in the middle of an answer are silent as well, and
-  /// there are enough of them to tell.
-  [[nodiscard]] bool othersAreSilent(const backend_key &Server, mono_time Now) const;
+  /// Returns whether a silence is no reason yet to ask another server: all other servers that are
+  /// in the middle of an answer are silent as well, and there are enough of them to tell. That
+  /// holds for a bounded time, since the servers of a rack may have lost power together.
+  /// @param Silence How long the server has been silent.
+  /// @param Limit After how long the silence of one server alone is a reason.
+  [[nodiscard]] bool isShared(const backend_key &Server, mono_duration Silence, mono_duration Limit,
+                              mono_time Now) const;
 
 private:
+  [[nodiscard]] bool othersAreSilent(const backend_key &Server, mono_time Now) const;
+
   struct last_bytes {
     backend_key Server;
     mono_time Time;
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -120,7 +120,8 @@
   end_hook OnEnd;
   backend_connection Connection;
   std::optional<message_feed<false>> Feed; ///< Replaced after each interim (1xx) answer.
-  relayed_part Before; ///< What the caller had received when this attempt began.
+  mono_duration SilentFor{0}; ///< Since the last bytes, when reportSilence() is called next.
+  relayed_part Before;        ///< What the caller had received when this attempt began.
   event_scanner Scanner;
   answer_progress Progress; ///< As of the last judgeEnd().
   std::uint64_t UnreportedEvents{0};
--- a/src/relay/backend_exchange_stream.cpp
+++ b/src/relay/backend_exchange_stream.cpp
@@ -26,12 +26,14 @@
 /// An engine that lost power sends no reset; only the time since its last event shows the failure.
 void backend_exchange::watchSilence() {
   if (Order.MayRetry && Call->Facts.Resumable && Call->Facts.LongestGap.count() > 0)
-    Connection->watchSilence(silenceLimit());
+    Connection->watchSilence(SilentFor = silenceLimit());
 }
 
 mono_duration backend_exchange::reportSilence() {
-  if (Context.Activity.othersAreSilent(Order.Backend, boot_clock::now()))
+  if (Context.Activity.isShared(Order.Backend, SilentFor, silenceLimit(), boot_clock::now())) {
+    SilentFor += SharedSilenceCheck;
     return SharedSilenceCheck;
+  }
   SilenceReported = true;
   Call->Answerer = answerer_state::Silent;
   Context.Outbox.push(attempt_silent{Order.Attempt});
--- a/tests/path/server_activity_test.cpp
+++ b/tests/path/server_activity_test.cpp
@@ -20,6 +20,12 @@
       Activity.beginAnswer(key(Number), at(0));
   }
 
+  /// Whether a silence of 750 ms, which is a reason if one server is silent, is shared.
+  bool isShared(const backend_key &Server, mono_time Now) const {
+    return Activity.isShared(Server, Limit, Limit, Now);
+  }
+
+  static constexpr milliseconds Limit{750};
   const mono_time Start{std::chrono::hours(1)};
   server_activity Activity;
 };
@@ -28,46 +34,54 @@
   beginAnswers(4);
   for (int Millis = 100; Millis <= 700; Millis += 100)
     Activity.recordBytes(key(2), at(Millis));
-  EXPECT_FALSE(Activity.othersAreSilent(key(1), at(750)));
+  EXPECT_FALSE(isShared(key(1), at(750)));
 }
 
 // All engines stand still for a second: each stream is sent again, and the retry budget is gone.
 TEST_F(server_activity_test, ASilenceOfAllServersIsNotThatOfOne) {
   beginAnswers(4);
-  EXPECT_TRUE(Activity.othersAreSilent(key(1), at(750)));
-  EXPECT_TRUE(Activity.othersAreSilent(key(4), at(750))) << "the one that was heard of last";
+  EXPECT_TRUE(isShared(key(1), at(750)));
+  EXPECT_TRUE(isShared(key(4), at(750))) << "the one that was heard of last";
 }
 
 TEST_F(server_activity_test, EndsAsSoonAsAnotherServerIsHeard) {
   beginAnswers(4);
   Activity.recordBytes(key(3), at(800));
-  EXPECT_FALSE(Activity.othersAreSilent(key(1), at(810)));
-  EXPECT_TRUE(Activity.othersAreSilent(key(3), at(1'400)));
+  EXPECT_FALSE(isShared(key(1), at(810)));
+  EXPECT_TRUE(isShared(key(3), at(1'400)));
 }
 
 // A single stream at night, and its engine loses power: nobody else could be heard.
 TEST_F(server_activity_test, NothingIsKnownWithoutOtherAnswers) {
   beginAnswers(1);
-  EXPECT_FALSE(Activity.othersAreSilent(key(1), at(750)));
+  EXPECT_FALSE(isShared(key(1), at(750)));
   Activity.beginAnswer(key(2), at(0));
-  EXPECT_FALSE(Activity.othersAreSilent(key(1), at(750))) << "one may be in a long pass";
+  EXPECT_FALSE(isShared(key(1), at(750))) << "one may be in a long pass";
 }
 
 TEST_F(server_activity_test, AnEndedAnswerIsNoWitness) {
   beginAnswers(4);
   Activity.endAnswer(key(2));
-  EXPECT_TRUE(Activity.othersAreSilent(key(1), at(750)));
+  EXPECT_TRUE(isShared(key(1), at(750)));
   Activity.endAnswer(key(3));
-  EXPECT_FALSE(Activity.othersAreSilent(key(1), at(750)));
+  EXPECT_FALSE(isShared(key(1), at(750)));
 }
 
 TEST_F(server_activity_test, AServerWithSeveralAnswersCountsOnce) {
   beginAnswers(2);
   Activity.beginAnswer(key(2), at(0));
-  EXPECT_FALSE(Activity.othersAreSilent(key(1), at(750)));
+  EXPECT_FALSE(isShared(key(1), at(750)));
   Activity.endAnswer(key(2));
   Activity.beginAnswer(key(3), at(0));
-  EXPECT_TRUE(Activity.othersAreSilent(key(1), at(750)));
+  EXPECT_TRUE(isShared(key(1), at(750)));
+}
+
+// The servers of a rack lose power together, and nobody else answers this entry: each of them would
+// be a witness for the others until their callers leave.
+TEST_F(server_activity_test, ASharedSilenceIsWaitedForOnlyTwiceAsLong) {
+  beginAnswers(4);
+  EXPECT_TRUE(Activity.isShared(key(1), milliseconds(1'499), Limit, at(1'499)));
+  EXPECT_FALSE(Activity.isShared(key(1), milliseconds(1'500), Limit, at(1'500)));
 }
 
 } // namespace
