--- a/src/program/crash_report.cpp
+++ b/src/program/crash_report.cpp
@@ -7,7 +7,6 @@
 #include <csignal>
 #include <cstdint>
 #include <ctime>
-#include <string>
 #include <unistd.h>
 
 namespace pollenstall {
@@ -16,9 +15,6 @@
 
 constexpr std::array CrashSignals{SIGSEGV, SIGBUS, SIGFPE, SIGILL, SIGABRT};
 
-// A handler may not allocate memory or take locks, so all text but the numbers is made beforehand.
-std::string TextAfterTime;
-
 /// A line of bounded size that is built without allocation.
 class crash_line {
 public:
@@ -33,6 +29,7 @@
     const auto End = std::to_chars(Digits.begin(), Digits.end(), Number).ptr;
     add(std::string_view(Digits.begin(), static_cast<std::size_t>(End - Digits.begin())));
   }
+  void add(const crash_line &Other) { add(std::string_view(Other.Bytes.begin(), Other.Size)); }
   void write() const {
     // The process ends; nothing can be done about a failed write.
     [[maybe_unused]] const ssize_t Written = ::write(STDERR_FILENO, Bytes.data(), Size);
@@ -43,6 +40,10 @@
   std::size_t Size{0};
 };
 
+// A handler may not allocate memory or take locks, so all text but the numbers is made beforehand.
+// The array has no destructor: a process may also crash while it exits.
+crash_line TextAfterTime;
+
 std::int64_t unixMillis() {
   constexpr std::int64_t MillisPerSecond = 1'000;
   constexpr std::int64_t NanosPerMilli = 1'000'000;
@@ -66,8 +67,10 @@
 } // namespace
 
 void reportCrashes(std::string_view Program) {
-  TextAfterTime = R"(,"level":"error","program":")" + std::string(Program) +
-                  R"(","event":"process_crashed","signal":)";
+  TextAfterTime = {};
+  TextAfterTime.add(R"(,"level":"error","program":")");
+  TextAfterTime.add(Program);
+  TextAfterTime.add(R"(","event":"process_crashed","signal":)");
   for (const int Signal : CrashSignals) {
     struct sigaction Current {};
     sigaction(Signal, nullptr, &Current);
