A slow thread does not stop the clock of its deadlines, and a stopped one reads before it checks

A step of 251 ms between two checks counted 50 ms: in a thread that comes round each 300 ms all deadlines would have run at a sixth of their speed. A long step now counts 250 ms. The check that notices a stop checks no deadline itself, so that what arrived meanwhile is read first. A watch for silence also ends with the end of the connection.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -108,7 +108,7 @@
 decision_thread::decision_thread(decision_options Requested)
     : DecisionOptions(std::move(Requested)), Events(DecisionOptions.RingCapacity),
       Lists(ListCapacity), CrashNews(ListCapacity), RateLimits(ListCapacity),
-      Orders(DecisionOptions.RingCapacity), Outbox(Orders), Clock(MaxSleep, MaxIteration),
+      Orders(DecisionOptions.RingCapacity), Outbox(Orders), Clock(MaxIteration),
       Core(DecisionOptions.Self, DecisionOptions.Self.Incarnation.value(),
            DecisionOptions.Backends),
       OrphanCounter(prometheus::BuildCounter()
--- a/src/core/running_clock_type.h
+++ b/src/core/running_clock_type.h
@@ -15,10 +15,9 @@
  */
 class running_clock {
 public:
-  /// @param Interval Time between two calls of advance() in a thread that runs.
-  /// @param LongestStep A longer time between two calls counts as one Interval.
-  running_clock(mono_duration Interval, mono_duration LongestStep)
-      : UsualStep(Interval), MaxStep(LongestStep) {}
+  /// @param LongestStep A longer time between two calls of advance() counts as this time. A thread
+  /// that is merely slow must not stop the clock.
+  explicit running_clock(mono_duration LongestStep) : MaxStep(LongestStep) {}
 
   /// Must be called periodically. @return How long the thread stood still since the last call, if
   /// it did.
@@ -27,7 +26,7 @@
     LastCall = Now;
     if (Step <= MaxStep)
       return std::nullopt;
-    const mono_duration Stall = Step - UsualStep;
+    const mono_duration Stall = Step - MaxStep;
     Stalled += Stall;
     return Stall;
   }
@@ -38,7 +37,6 @@
   }
 
 private:
-  mono_duration UsualStep;
   mono_duration MaxStep;
   std::optional<mono_time> LastCall;
   mono_duration Stalled{0}; ///< Sum of all stalls.
--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -93,11 +93,11 @@
   const std::size_t Received = Socket.read_some(asio::buffer(Target.data(), Target.size()), Code);
   if (Code == asio::error::would_block)
     return {};
+  SilentAt = mono_time::max();
   if (Code)
     ReceivingEnd = Code == asio::error::eof ? connection_end::Closed : connection_end::Reset;
   if (Code)
     return {{}, true};
-  SilentAt = mono_time::max();
   if (HeardAt != nullptr)
     *HeardAt = boot_clock::now();
   return {std::string_view(Target.data(), Received), false};
@@ -185,7 +185,7 @@
 }
 
 socket_sweeper::socket_sweeper(asio::io_context &Context)
-    : Clock(SweepInterval, MaxSweepGap), Io(Context), Timer(Context), Buffer(ReadBufferBytes) {
+    : Clock(MaxSweepGap), Io(Context), Timer(Context), Buffer(ReadBufferBytes) {
   Clock.advance(boot_clock::now());
 }
 
@@ -208,8 +208,11 @@
 
 void socket_sweeper::sweep() {
   const mono_time Now = boot_clock::now();
-  if (const auto Stall = Clock.advance(Now); Stall && AtStall)
-    AtStall(*Stall);
+  if (const auto Stall = Clock.advance(Now)) {
+    if (AtStall)
+      AtStall(*Stall);
+    return; // What arrived meanwhile is read before any deadline is checked.
+  }
   const mono_time RunningNow = Clock.toRunning(Now);
   for (timed_socket &Socket : Sockets)
     Socket.checkTimes(RunningNow);
