A request through a silent peer is kept while another attempt is sent

A request whose connection a peer carries was ended as path_broken when the peer did not answer a check within 0.8 s, before it was sure that another attempt may start. A peer that stands still for a second, with the budget used up, cost its callers their answers.

Now the attempt is reported as silent with its cause, again each 0.8 s; another one starts beside it if it may, and if that one answers first, the server is not blamed, as before. attempt_silent is logged.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -53,6 +53,12 @@
             {"at_fault", Failed.AtFault.str()}});
 }
 
+void logSilence(const attempt_silent &Silent) {
+  logEvent(log_level::Info, "attempt_silent",
+           {{"attempt", toText(Silent.Attempt)},
+            {"cause", std::string(attemptFailureText(Silent.Cause))}});
+}
+
 void logControlLost(const control_connection_lost &Lost) {
   logEvent(log_level::Warning, "control_lost",
            {{"why", std::string(controlLossReasonText(Lost.Reason))},
@@ -219,6 +225,8 @@
   for (const dispatch_event &Event : std::exchange(Batch, {})) {
     if (const auto *Failed = std::get_if<attempt_failed>(&Event))
       logFailure(*Failed);
+    if (const auto *Silent = std::get_if<attempt_silent>(&Event))
+      logSilence(*Silent);
     Core.handleEvent(Event, Now);
   }
   for (dispatch_action &Action : Core.step(Now))
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -151,6 +151,9 @@
  */
 struct attempt_silent {
   attempt_id Attempt;
+  /// How the attempt has failed if another one answers first: TimedOut, or PathBroken if the
+  /// silence is that of the entry that carries the connection.
+  attempt_failure Cause{attempt_failure::TimedOut};
 };
 /// The backend server confirmed that it holds no resources of the attempt.
 struct cancel_confirmed {
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -90,14 +90,12 @@
   const mono_time FirstByteBy =
       MayRetryElsewhere ? std::min(SlowAt, Request.Facts.Deadline) : Request.Facts.Deadline;
   Request.Phase = request_phase::Running;
-  Request.CurrentAttempt.emplace(running_attempt{{Self, Request.Facts.Id, Request.Attempts},
-                                                 Placement.Backend,
-                                                 attempt_lifecycle{},
-                                                 FirstByteBy,
-                                                 0,
-                                                 std::nullopt,
-                                                 false,
-                                                 IsPaid ? std::optional(Service) : std::nullopt});
+  running_attempt &Started = Request.CurrentAttempt.emplace();
+  Started.Id = {Self, Request.Facts.Id, Request.Attempts};
+  Started.Backend = Placement.Backend;
+  Started.FirstByteBy = FirstByteBy;
+  if (IsPaid)
+    Started.PaidBy = Service;
   Request.CurrentAttempt->Lifecycle.apply(attempt_step::Start);
   const attempt_id Id = Request.CurrentAttempt->Id;
   Actions.emplace_back(start_attempt{Id,
--- a/src/dispatch/dispatcher_hedge.cpp
+++ b/src/dispatch/dispatcher_hedge.cpp
@@ -11,6 +11,7 @@
   // While a resume is scheduled, events are leftovers of the connection that broke.
   if (Request == nullptr || Request->CurrentAttempt->ResumeAt)
     return countIgnoredEvent();
+  Request->CurrentAttempt->SilenceCause = Event.Cause;
   hedge(*Request, Now);
 }
 
@@ -80,8 +81,7 @@
 
 void dispatcher::abandonSilentAttempts(live_request &Request, mono_time Now) {
   for (running_attempt &Attempt : std::exchange(Request.SilentAttempts, {})) {
-    const attempt_failure Failure =
-        failureInState(attempt_failure::TimedOut, Attempt.Lifecycle.state());
+    const attempt_failure Failure = failureInState(Attempt.SilenceCause, Attempt.Lifecycle.state());
     endAttempt(Request, std::move(Attempt), Failure, Now);
   }
 }
--- a/src/dispatch/live_request_type.h
+++ b/src/dispatch/live_request_type.h
@@ -31,6 +31,7 @@
   std::uint32_t Resumes{0};          ///< How many times the attempt was resumed.
   std::optional<mono_time> ResumeAt; ///< Time of the next resume, if one is scheduled.
   bool BackendGone{false};           ///< The backend server's incarnation ended; no cancel needed.
+  attempt_failure SilenceCause{attempt_failure::TimedOut}; ///< As in attempt_silent.
   std::optional<service_name> PaidBy{}; ///< The service whose budget paid for a retry.
 };
 
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -78,18 +78,18 @@
   PathTimer.emplace(Context.Io);
   boost::system::error_code Ignored;
   const auto IsOver = [this] { return Ended || Abandoned || Answering; };
-  bool Reaches = true;
-  while (Reaches) {
+  while (true) {
     PathTimer->expires_after(Context.Pool.connector().checkInterval());
     co_await PathTimer->async_wait(asio::redirect_error(asio::use_awaitable, Ignored));
     if (IsOver())
       co_return;
-    Reaches =
+    const bool Reaches =
         co_await Context.Pool.connector().reachesThrough(Connection->carrier(), Order.Backend);
     if (IsOver())
       co_return;
+    if (!Reaches)
+      Context.Outbox.push(attempt_silent{Order.Attempt, attempt_failure::PathBroken});
   }
-  Connection->expireAt(boot_clock::now());
 }
 
 asio::awaitable<void> backend_exchange::run(exchange_mode Mode) {
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -89,7 +89,7 @@
   void endRelaying();
   [[nodiscard]] bool isBufferedAnswer();
   boost::asio::awaitable<bool> startAnswer(answer_framing Framing, std::string_view First);
-  /// Expires the connection if the peer that carries it no longer reaches the server.
+  /// Reports the attempt as silent while the peer that carries it does not reach the server.
   boost::asio::awaitable<void> checkPath();
   [[nodiscard]] bool isCarried() const { return Connection && !Connection->carrier().empty(); }
   boost::asio::awaitable<bool> readMore();
--- a/tests/dispatch/silent_attempt_test.cpp
+++ b/tests/dispatch/silent_attempt_test.cpp
@@ -176,6 +176,22 @@
   expectOutcome(final_outcome::Complete, failure_reason::None);
 }
 
+// A peer that carries a request stands still; its server must not be blamed for it.
+TEST_F(dispatcher_fixture, ASilentPathIsNotTheServersFault) {
+  arrive(facts(true));
+  place(EngineA);
+  send();
+  handleEvent(attempt_silent{attempt(1), attempt_failure::PathBroken});
+  place(EngineB);
+  send(2);
+  EXPECT_EQ(cancels(), 0U);
+  complete(2);
+  expectOutcome(final_outcome::Complete, failure_reason::None);
+  handleEvent(cancel_confirmed{attempt(1)});
+  ASSERT_EQ(Ended.size(), 2U);
+  EXPECT_EQ(Ended[1].Failure, attempt_failure::PathBroken);
+}
+
 // Only a stream that may be resumed can be continued by another engine.
 TEST_F(dispatcher_fixture, ASilentAnswerIsWaitedFor) {
   arrive(facts(true));
