--- a/tests/platform/paused_fleet_test.cpp
+++ b/tests/platform/paused_fleet_test.cpp
@@ -1,6 +1,10 @@
 /** @file paused_fleet_test.cpp Streams of callers while processes stand still. */
 #include "paused_fleet.h"
 
+#include <cstdlib>
+#include <limits>
+#include <numeric>
+
 namespace pollenstall {
 namespace {
 
@@ -68,5 +72,57 @@
   expectNothingLost(EntryCount * CallersPerEntry);
 }
 
+/// Seeds of a randomised run: POLLENSTALL_SEEDS of them from POLLENSTALL_FIRST_SEED on.
+std::vector<std::uint64_t> seeds() {
+  const auto Number = [](const char *Name, std::uint64_t Default) {
+    const char *Text = std::getenv(Name);
+    return Text ? parseNumber<std::uint64_t>(Text).value_or(Default) : Default;
+  };
+  std::vector<std::uint64_t> Seeds(Number("POLLENSTALL_SEEDS", 2));
+  std::iota(Seeds.begin(), Seeds.end(), Number("POLLENSTALL_FIRST_SEED", 1));
+  return Seeds;
+}
+
+class SeededStreamsTest : public StreamsTest, public testing::WithParamInterface<std::uint64_t> {
+protected:
+  /// Stops a random set of processes for a random time, again and again.
+  void pauseAtRandom(std::uint64_t Seed, std::vector<child_process *> Processes) {
+    random_source Random(Seed);
+    for (int Round = 0; Round < Rounds; ++Round) {
+      std::vector<child_process *> Chosen;
+      const bool All = Random.chance(0.3);
+      for (child_process *Process : Processes)
+        if (All || Random.chance(0.4))
+          Chosen.push_back(Process);
+      pause(Chosen, milliseconds(200 + Random.below(LongPause.count() - 200)));
+      std::this_thread::sleep_for(milliseconds(Random.below(1'500)));
+    }
+  }
+
+  static constexpr int Rounds = 6;
+};
+
+// Engines, entries and control hosts stand still one after the other and at the same time, while
+// the configuration changes.
+TEST_P(SeededStreamsTest, AreWholeWhileAnyProcessesStandStill) {
+  startCallers(CallersPerEntry);
+  std::vector<std::thread> Threads;
+  for (const auto &[Offset, Processes] :
+       {std::pair(1U, engines()), std::pair(2U, entries()), std::pair(3U, controlHosts())})
+    Threads.emplace_back([this, Seed = GetParam() * 3 + Offset, Chosen = Processes] {
+      pauseAtRandom(Seed, Chosen);
+    });
+  for (int Change = 0; Change < Rounds; ++Change) {
+    EXPECT_TRUE(changeConfiguration());
+    std::this_thread::sleep_for(milliseconds(800));
+  }
+  for (std::thread &Thread : Threads)
+    Thread.join();
+  constexpr std::size_t NoBound = std::numeric_limits<std::size_t>::max();
+  expectNothingLost(NoBound);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seeds, SeededStreamsTest, testing::ValuesIn(seeds()));
+
 } // namespace
 } // namespace pollenstall
