--- a/tests/relay/header_routed_call_test.cpp
+++ b/tests/relay/header_routed_call_test.cpp
@@ -63,9 +63,9 @@
 }
 
 // An engine stalls in the middle of a stream and its connection stays open, because a machine
-// without power sends no reset. The caller would leave after two seconds; the attempt
-// is abandoned after three gaps, but at least MinIdleTimeout, without an event, and the rest is
-// requested from another engine.
+// without power sends no reset. The caller would leave after two seconds; the silence is
+// reported after three gaps, but at least half a second, without an event, so that the rest can be
+// requested from another engine beside it.
 TEST(StalledStream, IsReportedAndKeptIfAnotherAttemptMayFollow) {
   const scripted_server Silent([](auto &Socket, const received_request &) {
     sendText(Socket, streamHead() + chunkOf(eventText(1)));
