thread_stalled tells the whole time between two checks again

The clock of deadlines counts 250 ms of a long step since, and the log line told only the rest: 481 ms for a process that was stopped for 700. Only the figure in the log changes.

--- a/src/core/running_clock_type.h
+++ b/src/core/running_clock_type.h
@@ -19,16 +19,14 @@
   /// that is merely slow must not stop the clock.
   explicit running_clock(mono_duration LongestStep) : MaxStep(LongestStep) {}
 
-  /// Must be called periodically. @return How long the thread stood still since the last call, if
-  /// it did.
+  /// Must be called periodically. @return The time since the last call, if the thread stood still.
   std::optional<mono_duration> advance(mono_time Now) {
     const mono_duration Step = LastCall ? Now - *LastCall : mono_duration::zero();
     LastCall = Now;
     if (Step <= MaxStep)
       return std::nullopt;
-    const mono_duration Stall = Step - MaxStep;
-    Stalled += Stall;
-    return Stall;
+    Stalled += Step - MaxStep;
+    return Step;
   }
 
   /// @return A time of boot_clock as a time of this clock, as of the last advance().
@@ -39,7 +37,7 @@
 private:
   mono_duration MaxStep;
   std::optional<mono_time> LastCall;
-  mono_duration Stalled{0}; ///< Sum of all stalls.
+  mono_duration Stalled{0}; ///< Time that this clock left out.
 };
 
 } // namespace pollenstall
--- a/tests/core/core_test.cpp
+++ b/tests/core/core_test.cpp
@@ -93,10 +93,10 @@
 // The deadlines of a process that was stopped pass before it has read what arrived meanwhile.
 TEST_F(running_clock_test, StandsStillWithItsThread) {
   Clock.advance(at(0));
-  EXPECT_EQ(Clock.advance(at(1'750)), std::chrono::milliseconds(1'500));
+  EXPECT_EQ(Clock.advance(at(1'750)), std::chrono::milliseconds(1'750));
   EXPECT_EQ(Clock.toRunning(at(1'750)), at(250));
   Clock.advance(at(1'800));
-  EXPECT_EQ(Clock.advance(at(3'050)), std::chrono::milliseconds(1'000));
+  EXPECT_EQ(Clock.advance(at(3'050)), std::chrono::milliseconds(1'250));
   EXPECT_EQ(Clock.toRunning(at(3'050)), at(550));
   EXPECT_EQ(Clock.toRunning(mono_time::max()), mono_time::max());
 }
