--- a/tests/relay/silent_stream_test.cpp
+++ b/tests/relay/silent_stream_test.cpp
@@ -67,6 +67,15 @@
   EXPECT_EQ(Read.Body, events(1));
 }
 
+/// Sends a request, and starts a second attempt once the first one has fallen silent.
+void startBesideSilent(relay_harness &Relay, const scripted_server &First,
+                       const scripted_server &Second) {
+  Relay.call("p");
+  Relay.start(First, 1);
+  Relay.next<attempt_silent>();
+  Relay.start(Second, 2);
+}
+
 /// Waits for the end of the attempt that answers. @return Its ordinal; nothing if an attempt
 /// failed.
 std::optional<std::uint32_t> completedAttempt(relay_harness &Relay) {
@@ -137,10 +146,7 @@
   const pausing_server First(3, LongPause);
   const pausing_server Second(EventCount, LongPause);
   relay_harness Relay;
-  Relay.call("p");
-  Relay.start(First.server(), 1);
-  Relay.next<attempt_silent>();
-  Relay.start(Second.server(), 2);
+  startBesideSilent(Relay, First.server(), Second.server());
   EXPECT_EQ(completedAttempt(Relay), 2U);
   Relay.finish(final_outcome::Complete, failure_reason::None);
   Relay.cancel(First.server(), 1);
@@ -152,10 +158,7 @@
   const pausing_server First(3, milliseconds(700));
   const pausing_server Second(3, milliseconds(900));
   relay_harness Relay;
-  Relay.call("p");
-  Relay.start(First.server(), 1);
-  Relay.next<attempt_silent>();
-  Relay.start(Second.server(), 2);
+  startBesideSilent(Relay, First.server(), Second.server());
   EXPECT_EQ(completedAttempt(Relay), 1U);
   Relay.finish(final_outcome::Complete, failure_reason::None);
   Relay.cancel(Second.server(), 2);
@@ -191,10 +194,7 @@
   const pausing_server First(EventCount + 1, LongPause);
   const pausing_server Second(EventCount + 1, milliseconds(100));
   relay_harness Relay;
-  Relay.call("p");
-  Relay.start(First.server(), 1);
-  Relay.next<attempt_silent>();
-  Relay.start(Second.server(), 2);
+  startBesideSilent(Relay, First.server(), Second.server());
   EXPECT_EQ(completedAttempt(Relay), 2U);
   std::this_thread::sleep_for(LongPause);
   Relay.settle();
@@ -237,10 +237,7 @@
         const pausing_server First(Before(), milliseconds(560 + Random.below(80)));
         const pausing_server Second(Before(), milliseconds(Random.below(80)));
         relay_harness Relay;
-        Relay.call("p");
-        Relay.start(First.server(), 1);
-        Relay.next<attempt_silent>();
-        Relay.start(Second.server(), 2);
+        startBesideSilent(Relay, First.server(), Second.server());
         const auto Completed = completedAttempt(Relay);
         ASSERT_TRUE(Completed) << Seed;
         Relay.finish(final_outcome::Complete, failure_reason::None);
