Failing tests: silent streams at entries that have used their part of the budget

Entries that are cut off from all servers refuse second attempts while the others hold most of the budget.

--- a/tests/dispatch/retry_test.cpp
+++ b/tests/dispatch/retry_test.cpp
@@ -275,6 +275,54 @@
   EXPECT_EQ(Submitted.size(), 3U);
 }
 
+/// A stream falls silent at an entry that has used up its part of the budget.
+struct silent_stream_over_budget_test : awaited_retry_test {
+  void SetUp() override {
+    awaited_retry_test::SetUp();
+    handleEvent(caller_left{request_number(2)});
+    request_facts Facts = facts(true, {}, 3);
+    Facts.Services.emplace_back(service_name("llm"), 1);
+    Facts.Resumable = true;
+    arrive(Facts);
+    placeAt(3, "llm");
+    handleEvent(attempt_sending{Stream});
+    handleEvent(attempt_answering{Stream});
+    handleEvent(attempt_silent{Stream});
+  }
+
+  const attempt_id Stream{Self, request_number(3), 1};
+};
+
+// Guards against streams that are given up at entries whose links are cut, while the others hold
+// retries that they do not need.
+TEST_F(silent_stream_over_budget_test, IsContinuedWithALoanOfAnotherEntry) {
+  ASSERT_EQ(Submitted.size(), 4U) << "three first attempts and the one retry of this entry";
+  lend(1);
+  ASSERT_EQ(Submitted.size(), 5U);
+  EXPECT_TRUE(Submitted[4].Resumed);
+  placeAt(3, "llm");
+  EXPECT_EQ(starts(), 5U);
+  EXPECT_EQ(cancels(), 0U);
+}
+
+TEST_F(silent_stream_over_budget_test, IsWaitedForWhereNobodyLends) {
+  lend(0);
+  advanceTime(std::chrono::milliseconds(100));
+  EXPECT_EQ(Submitted.size(), 4U);
+  EXPECT_EQ(cancels(), 0U);
+  handleEvent(attempt_completed{Stream, {}, {}, {}});
+  ASSERT_EQ(actionsOf<finish_request>().size(), 2U);
+  EXPECT_EQ(actionsOf<finish_request>()[1].Outcome, final_outcome::Complete);
+}
+
+TEST_F(silent_stream_over_budget_test, GoesOnWhileItWaitsForALoan) {
+  handleEvent(attempt_advanced{Stream, 1});
+  EXPECT_TRUE(datagrams().empty()) << "nothing is wanted any more";
+  lend(1);
+  EXPECT_EQ(Submitted.size(), 4U);
+  EXPECT_EQ(cancels(), 0U);
+}
+
 // All engines fail at once. Without a budget each request would be sent MaxAttempts times, and the
 // load of the retries would keep the engines down. The budget limits retries to a share of the
 // first attempts.
--- a/tests/platform/paused_fleet.cpp
+++ b/tests/platform/paused_fleet.cpp
@@ -24,8 +24,12 @@
 
 void PausedFleetTest::startCallers(std::size_t CallersPerEntry) {
   for (std::size_t Entry = 0; Entry < EntryCount; ++Entry)
-    for (std::size_t Caller = 0; Caller < CallersPerEntry; ++Caller)
-      Callers.emplace_back([this, Entry] { sendRequests(Entry); });
+    startCallersAt(Entry, CallersPerEntry);
+}
+
+void PausedFleetTest::startCallersAt(std::size_t Entry, std::size_t CallerCount) {
+  for (std::size_t Caller = 0; Caller < CallerCount; ++Caller)
+    Callers.emplace_back([this, Entry] { sendRequests(Entry); });
 }
 
 void PausedFleetTest::sendRequests(std::size_t Entry) {
--- a/tests/platform/paused_fleet.h
+++ b/tests/platform/paused_fleet.h
@@ -24,10 +24,12 @@
  */
 class PausedFleetTest : public PlatformPathTest {
 protected:
+  /// @param Reserve Retries beside the share of the requests, in any window. By default far fewer
+  /// retries may start than there are streams, so a stream that is ended is lost.
+  explicit PausedFleetTest(std::size_t Reserve = 0) : RetryReserve(Reserve) {}
+
   static constexpr std::size_t EntryCount = 3;
   static constexpr std::size_t EngineCount = 4;
-  /// Far fewer retries may start than there are streams, so a stream that is ended is lost.
-  static constexpr std::size_t RetryReserve = 0;
   static constexpr int EventCount = 24;
   static constexpr milliseconds EventInterval{40};
   /// Longer than all pauses that a request can meet.
@@ -38,6 +40,7 @@
 
   /// Starts callers at each entry, which send one stream after another.
   void startCallers(std::size_t CallersPerEntry);
+  void startCallersAt(std::size_t Entry, std::size_t CallerCount);
   /// Lets each caller read its current answer to the end.
   caller_counts stopCallers();
   /// Waits until callers have received this many further whole answers.
@@ -60,6 +63,7 @@
   void sendRequest(std::size_t Entry, const std::string &Send);
   void record(const std::string &Send, std::size_t Entry, http_stream &Stream);
 
+  std::size_t RetryReserve;
   std::vector<std::unique_ptr<child_process>> Engines;
   std::vector<std::thread> Callers;
   std::atomic<bool> Stopping{false};
--- a/tests/platform/paused_fleet_test.cpp
+++ b/tests/platform/paused_fleet_test.cpp
@@ -72,6 +72,35 @@
   expectNothingLost(EntryCount * CallersPerEntry);
 }
 
+/// Callers at one entry only, whose part of the reserve pays for a third of their streams.
+class StreamsAtOneEntryTest : public PausedFleetTest {
+protected:
+  StreamsAtOneEntryTest() : PausedFleetTest(Reserve) {}
+
+  /// @return The retries that the first entry has refused.
+  std::size_t refusedRetries() {
+    std::size_t Refused = 0;
+    for (const auto &Decision : System->entry(0).events("retry_decided"))
+      Refused += Decision.at("verdict").as_string() == "refused" ? 1 : 0;
+    return Refused;
+  }
+
+  static constexpr std::size_t Reserve = 36;
+  static constexpr std::size_t CallerCount = 24;
+};
+
+// Guards against streams behind a cut that are given up while other entries hold retries.
+TEST_F(StreamsAtOneEntryTest, AreContinuedWithTheRetriesOfTheOthers) {
+  // A started entry may use its part of the reserve once a window has passed.
+  std::this_thread::sleep_for(std::chrono::seconds(11));
+  startCallersAt(0, CallerCount);
+  ASSERT_TRUE(awaitAnswers(CallerCount));
+  const std::size_t Before = refusedRetries();
+  pause({&engine(0), &engine(1)}, LongPause);
+  EXPECT_EQ(refusedRetries(), Before);
+  EXPECT_EQ(stopCallers().Lost, 0U);
+}
+
 /// Seeds of a randomised run: POLLENSTALL_SEEDS of them from POLLENSTALL_FIRST_SEED on.
 std::vector<std::uint64_t> seeds() {
   const auto Number = [](const char *Name, std::uint64_t Default) {
