Second attempts beside silent ones ask other entries for a loan

Callers of entries that were cut off from all servers were served far worse than the others: of their streams that fell silent, those that got no second attempt were lost. dispatcher::hedge refused as soon as the entry's own part of the budget was spent; only retryOrFinish asked other entries for a loan. Both decide in decideRetry now, and a request waits for its loan while its silent attempt is kept.

--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -12,6 +12,7 @@
 #include "retry_budget/retry_budget.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <optional>
@@ -94,6 +95,12 @@
   dispatcher(process_key Self, const limits_declaration &Limits, std::uint64_t Seed,
              dispatcher_callbacks Callbacks);
 
+  /// How a further attempt begins.
+  enum class retry_start : std::uint8_t {
+    Queue,     ///< The budget pays for it.
+    AwaitLoan, ///< Another entry may lend a retry.
+  };
+
   // dispatcher.cpp and dispatcher_attempt.cpp: event handlers.
   void on(const request_arrived &Event, mono_time Now);
   void on(const caller_left &Event, mono_time Now);
@@ -145,6 +152,8 @@
   bool tryPayForRetry(live_request &Request, const service_name &Service, mono_time Now);
   void releaseQueuedRetry(live_request &Request);
   void reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now);
+  std::optional<retry_start> decideRetry(live_request &Request, mono_time Now);
+  void beginRetry(live_request &Request, retry_start Start, mono_time Now);
   void retryOrFinish(live_request &Request, mono_time Now);
   void retryUnanswered(const backend_key &Backend, mono_time Now);
   void endAbandoned(const attempt_id &Attempt, attempt_end End, mono_time Now);
--- a/src/dispatch/dispatcher_hedge.cpp
+++ b/src/dispatch/dispatcher_hedge.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/dispatcher_base.h"
 #include "dispatch/outcome_func.h"
 
+#include <optional>
 #include <utility>
 
 namespace pollenstall {
@@ -26,14 +27,15 @@
   const bool IsRepeatable = Request.Facts.Idempotent && (!MidAnswer || Request.Facts.Resumable);
   if (!IsRepeatable || !mayRetry(Request, Now))
     return;
-  if (!tryQueueRetry(Request, Now))
-    return refuseRetry(Request, Now);
+  const std::optional<retry_start> Start = decideRetry(Request, Now);
+  if (!Start)
+    return;
   ++Counters.Hedges;
   Request.PartlyAnswered = Request.PartlyAnswered || MidAnswer;
   Request.TriedBackends.push_back(Current.Backend);
   Request.SilentAttempts.push_back(std::move(Current));
   Request.CurrentAttempt.reset();
-  submit(Request, Now);
+  beginRetry(Request, *Start, Now);
 }
 
 running_attempt *dispatcher::findSilentAttempt(const attempt_id &Attempt) {
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -79,14 +79,28 @@
                           Budget.available(Service, Now)});
 }
 
+/// @return How the next attempt may begin; nothing if the budget refuses it.
+std::optional<dispatcher::retry_start> dispatcher::decideRetry(live_request &Request,
+                                                               mono_time Now) {
+  if (tryQueueRetry(Request, Now))
+    return retry_start::Queue;
+  if (Budget.shared() && Budget.shared()->mayBorrow(budgetService(Request.Facts), Now))
+    return retry_start::AwaitLoan;
+  refuseRetry(Request, Now);
+  return std::nullopt;
+}
+
+void dispatcher::beginRetry(live_request &Request, retry_start Start, mono_time Now) {
+  if (Start == retry_start::Queue)
+    submit(Request, Now);
+  else
+    awaitRetry(Request, Now);
+}
+
 void dispatcher::retryOrFinish(live_request &Request, mono_time Now) {
-  if (mayRetry(Request, Now)) {
-    if (tryQueueRetry(Request, Now))
-      return submit(Request, Now);
-    if (Budget.shared() && Budget.shared()->mayBorrow(budgetService(Request.Facts), Now))
-      return awaitRetry(Request, Now);
-    refuseRetry(Request, Now);
-  }
+  if (mayRetry(Request, Now))
+    if (const std::optional<retry_start> Start = decideRetry(Request, Now))
+      return beginRetry(Request, *Start, Now);
   finishWithoutRetry(Request, Now);
 }
 
