Requests for loans become rarer only after a dozen refusals

An entry that lacked a fraction of a retry asked one other entry a round. Three entries in a row without anything to lend were taken for a fleet without any, and the streams that waited were given up. Twelve refusals since the last loan are needed now.

--- a/src/retry_budget/retry_borrower.cpp
+++ b/src/retry_budget/retry_borrower.cpp
@@ -15,6 +15,8 @@
 constexpr std::size_t EmptyRoundDivisor = 4;
 /// With a longer interval between rounds nobody has had anything to lend for several rounds.
 constexpr int SoonIntervals = 4;
+/// After fewer requests without a loan, other entries may still have something to lend.
+constexpr std::size_t MinRefusals = 12;
 /// After this many intervals the answers that are missing were lost.
 constexpr int RoundTimeoutIntervals = 4;
 
@@ -35,6 +37,7 @@
       Now - Account.LastRound > Tuning.MaxRequestInterval) {
     Account.Interval = Tuning.RequestInterval;
     Account.RoundRequests = 0;
+    Account.RefusedRequests = 0;
     Account.NextRound = Now;
   }
 }
@@ -104,7 +107,7 @@
 std::size_t retry_borrower::requestCount(const account &Account, retry_amount Missing) const {
   std::size_t Count = static_cast<std::size_t>(
       std::ceil(std::min(Missing / UsualLoan, static_cast<double>(Tuning.MaxRequestsPerRound))));
-  if (Account.RoundRequests > 0 && Account.RoundLoans <= 0)
+  if (Account.RefusedRequests >= MinRefusals)
     Count = std::min(Count, Account.RoundRequests / EmptyRoundDivisor);
   Count = std::max<std::size_t>(1, Count);
   return std::min({Count, Peers.size(), static_cast<std::size_t>(SavedRequests)});
@@ -124,12 +127,15 @@
     Account.NextRound = Now + Tuning.RequestInterval;
     return;
   }
-  const std::size_t Count = requestCount(Account, Missing);
-  if (Account.RoundRequests > 0)
-    Account.Interval = Account.RoundLoans > 0
-                           ? Tuning.RequestInterval
-                           : std::min(2 * Account.Interval, Tuning.MaxRequestInterval);
+  if (Account.RoundLoans > 0)
+    Account.RefusedRequests = 0;
+  else
+    Account.RefusedRequests += Account.RoundRequests;
+  Account.Interval = Account.RefusedRequests < MinRefusals
+                         ? Tuning.RequestInterval
+                         : std::min(2 * Account.Interval, Tuning.MaxRequestInterval);
   Account.NextRound = Now + Account.Interval;
+  const std::size_t Count = requestCount(Account, Missing);
   if (Count == 0)
     return;
   // Whatever is borrowed beyond what is missing would be used by nobody.
--- a/src/retry_budget/retry_borrower_base.h
+++ b/src/retry_budget/retry_borrower_base.h
@@ -58,6 +58,7 @@
     mono_time NextRound{mono_time::min()};
     mono_duration Interval{};
     std::size_t RoundRequests{0};
+    std::size_t RefusedRequests{0}; ///< Since the last loan.
     retry_amount RoundLoans{0}; ///< Received since the last round.
   };
 
