A retry whose loan expired in the queue asks for another one

It gives its placement back and waits for a loan again.

awaited_retry_test.AsksAgainIfItsLoanExpiredInTheQueue: ended before, starts now.

--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -78,7 +78,7 @@
   const bool IsPaid = Request.RetryQueued;
   // Charged now and not when the retry was queued: backend servers count what arrives.
   if (IsPaid && !tryPayForRetry(Request, Service, Now))
-    return finishUnlessSilent(Request, failure_reason::RetriesExhausted, std::nullopt, Now);
+    return returnUnpaidPlacement(Request, Now);
   ++Request.Attempts;
   ++Counters.Attempts;
   if (Request.Attempts == 1)
--- a/src/dispatch/dispatcher_base.h
+++ b/src/dispatch/dispatcher_base.h
@@ -150,6 +150,8 @@
   void leaveRetryWait(live_request &Request, mono_time Now);
   void tryAwaitedRetry(live_request &Request, mono_time Now);
   bool tryPayForRetry(live_request &Request, const service_name &Service, mono_time Now);
+  void returnUnpaidPlacement(live_request &Request, mono_time Now);
+  bool mayAwaitLoan(const live_request &Request, mono_time Now);
   void releaseQueuedRetry(live_request &Request);
   void reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now);
   std::optional<retry_start> decideRetry(live_request &Request, mono_time Now);
--- a/src/dispatch/dispatcher_retry.cpp
+++ b/src/dispatch/dispatcher_retry.cpp
@@ -2,6 +2,7 @@
 #include "dispatch/dispatcher_base.h"
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace pollenstall {
@@ -63,10 +64,17 @@
 
 bool dispatcher::tryPayForRetry(live_request &Request, const service_name &Service, mono_time Now) {
   releaseQueuedRetry(Request);
-  if (Budget.tryWithdraw(Service, Now))
-    return true;
+  return Budget.tryWithdraw(Service, Now);
+}
+
+/// Returns a placement that nothing pays for: loans may expire while a retry is queued.
+void dispatcher::returnUnpaidPlacement(live_request &Request, mono_time Now) {
+  if (mayAwaitLoan(Request, Now)) {
+    leaveQueue(Request, Now);
+    return awaitRetry(Request, Now);
+  }
   refuseRetry(Request, Now);
-  return false;
+  finishUnlessSilent(Request, failure_reason::RetriesExhausted, std::nullopt, Now);
 }
 
 void dispatcher::reportRetry(const live_request &Request, retry_verdict Verdict, mono_time Now) {
@@ -79,12 +87,16 @@
                           Budget.available(Service, Now)});
 }
 
+bool dispatcher::mayAwaitLoan(const live_request &Request, mono_time Now) {
+  return Budget.shared() && Budget.shared()->mayBorrow(budgetService(Request.Facts), Now);
+}
+
 /// @return How the next attempt may begin; nothing if the budget refuses it.
 std::optional<dispatcher::retry_start> dispatcher::decideRetry(live_request &Request,
                                                                mono_time Now) {
   if (tryQueueRetry(Request, Now))
     return retry_start::Queue;
-  if (Budget.shared() && Budget.shared()->mayBorrow(budgetService(Request.Facts), Now))
+  if (mayAwaitLoan(Request, Now))
     return retry_start::AwaitLoan;
   refuseRetry(Request, Now);
   return std::nullopt;
--- a/tests/dispatch/retry_test.cpp
+++ b/tests/dispatch/retry_test.cpp
@@ -267,6 +267,19 @@
   EXPECT_EQ(actionsOf<finish_request>()[0].Reason, failure_reason::RetriesExhausted);
 }
 
+// Guards against retries that end because their loan expired while they were queued.
+TEST_F(awaited_retry_test, AsksAgainIfItsLoanExpiredInTheQueue) {
+  lend(1);
+  advanceTime(std::chrono::milliseconds(300));
+  placeAt(2, "llm");
+  EXPECT_EQ(starts(), 3U) << "nothing pays for it";
+  EXPECT_EQ(actionsOf<finish_request>().size(), 0U);
+  EXPECT_EQ(Withdrawn, std::vector<request_number>{request_number(2)});
+  lend(1);
+  placeAt(2, "llm");
+  EXPECT_EQ(starts(), 4U);
+}
+
 TEST_F(awaited_retry_test, EndsWithItsCaller) {
   handleEvent(caller_left{request_number(2)});
   EXPECT_EQ(actionsOf<finish_request>().size(), 1U);
