Pauses that backend servers ask for are obeyed

Peers get no new tunnel to it. If all servers of a service ask for a pause, work waits or is refused at once with the time at which the first pause ends.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -206,6 +206,12 @@
   return Placer.permits().record(Answer, Now);
 }
 
+void decision_core::pauseBackend(const backend_key &Backend, std::chrono::milliseconds Pause,
+                                 mono_time Now) {
+  PollPending = true;
+  withPolicy([&](auto &Policy) { Policy.pauseBackend(Backend, Pause, Now); });
+}
+
 rate_limit_change decision_core::receivePermitReply(const permit_reply &Reply, mono_time Now) {
   if (!Placer.findBackend(Reply.Server))
     return rate_limit_change::None;
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -68,6 +68,8 @@
   std::vector<retry_decision> takeRetryDecisions() { return std::exchange(RetryDecisions, {}); }
   /// Records the limit that an answer states. @return How the known limit of its server changed.
   rate_limit_change recordRateLimit(const rate_limit_answer &Answer, mono_time Now);
+  /// Records that a server wants no further work from this entry for a time.
+  void pauseBackend(const backend_key &Backend, std::chrono::milliseconds Pause, mono_time Now);
   /// Records a reply of an issuer of permits. @return How the known limit of its server changed.
   rate_limit_change receivePermitReply(const permit_reply &Reply, mono_time Now);
   /// @return Messages to issuers of permits that are due.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -92,6 +92,15 @@
             {"attempt", Attempt}});
 }
 
+/// @param Pause Null if it is unreadable.
+void logPause(const server_notice &Notice, const std::chrono::milliseconds *Pause) {
+  logEvent(Pause ? log_level::Info : log_level::Warning, "server_paused",
+           {{"backend", toText(Notice.Backend)},
+            {"readable", Pause != nullptr},
+            {"ms", Pause ? static_cast<std::int64_t>(Pause->count()) : 0},
+            {"attempt", toText(Notice.Attempt)}});
+}
+
 void logRetry(const retry_decision &Decision) {
   logEvent(log_level::Info, "retry_decided",
            {{"attempt", toText(Decision.After)},
@@ -114,9 +123,9 @@
 decision_thread::decision_thread(decision_options Requested)
     : DecisionOptions(std::move(Requested)), Events(DecisionOptions.RingCapacity),
       Lists(ListCapacity), CrashNews(ListCapacity), RateLimits(ListCapacity),
-      Orders(DecisionOptions.RingCapacity), Outbox(Orders), Clock(MaxIteration),
-      Core(DecisionOptions.Self, DecisionOptions.Self.Incarnation.value(),
-           DecisionOptions.Backends),
+      ServerNotices(ListCapacity), Orders(DecisionOptions.RingCapacity), Outbox(Orders),
+      Clock(MaxIteration), Core(DecisionOptions.Self, DecisionOptions.Self.Incarnation.value(),
+                                DecisionOptions.Backends),
       OrphanCounter(prometheus::BuildCounter()
                         .Name("pollenstall_orphans_cancelled_total")
                         .Help("Attempts without a live owner that this entry asked engines to end")
@@ -163,6 +172,7 @@
   Lists.onWake([this] { WakeEvent.wake(); });
   CrashNews.onWake([this] { WakeEvent.wake(); });
   RateLimits.onWake([this] { WakeEvent.wake(); });
+  ServerNotices.onWake([this] { WakeEvent.wake(); });
   if (!DecisionOptions.ReadDeclaration)
     DecisionOptions.ReadDeclaration = readTomlDeclaration;
   // Without control hosts there is no list of the entries that share the reserve.
@@ -272,6 +282,7 @@
       Core.receiveRetryMessage(Received, Now);
     });
   RateLimits.drain([this, Now](rate_limit_answer &&Answer) { handleRateLimit(Answer, Now); });
+  ServerNotices.drain([this, Now](server_notice &&Notice) { handleNotice(Notice, Now); });
   const std::lock_guard<std::mutex> Lock(Guard);
   if (PendingShutdown)
     Core.beginShutdown(Now, *std::exchange(PendingShutdown, std::nullopt));
@@ -338,6 +349,13 @@
                Limit ? std::optional(*Limit) : std::nullopt, toText(Answer.Attempt));
 }
 
+void decision_thread::handleNotice(const server_notice &Notice, mono_time Now) {
+  const auto *Pause = std::get_if<std::chrono::milliseconds>(&Notice.Pause);
+  if (Pause)
+    Core.pauseBackend(Notice.Backend, *Pause, Now);
+  logPause(Notice, Pause);
+}
+
 void decision_thread::handlePermitReply(const permit_reply &Reply, mono_time Now) {
   logRateLimit(Core.receivePermitReply(Reply, Now), Core.backendText(Reply.Server), Reply.Limit,
                {});
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -62,6 +62,8 @@
   [[nodiscard]] bounded_ring<crash_update> &crashUpdates() { return CrashNews; }
   /// Filled by the relay thread.
   [[nodiscard]] bounded_ring<rate_limit_answer> &rateLimits() { return RateLimits; }
+  /// Filled by the relay thread.
+  [[nodiscard]] bounded_ring<server_notice> &serverNotices() { return ServerNotices; }
   /// Emptied by the relay thread.
   [[nodiscard]] bounded_ring<relay_order> &orders() { return Orders; }
   /// Wakes the thread; for the gossip thread and the control link.
@@ -100,6 +102,7 @@
   void reportCrash(suspect_cleared &&Cleared);
   void reportCrash(suspect_run_begun &&Run);
   void handleRateLimit(const rate_limit_answer &Answer, mono_time Now);
+  void handleNotice(const server_notice &Notice, mono_time Now);
   void handlePermitReply(const permit_reply &Reply, mono_time Now);
   void sendPermitMessages(mono_time Now);
   void shareRetries(const entries_listed &Listed, mono_time Now);
@@ -129,6 +132,7 @@
   bounded_ring<attempts_listed> Lists;
   bounded_ring<crash_update> CrashNews;
   bounded_ring<rate_limit_answer> RateLimits;
+  bounded_ring<server_notice> ServerNotices;
   bounded_ring<relay_order> Orders;
   event_outbox<relay_order> Outbox;
   bounded_ring<membership_event> *MembershipEvents{nullptr};
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -156,6 +156,7 @@
   Builder.attemptLists(Decision->attemptLists())
       .crashUpdates(Decision->crashUpdates())
       .rateLimits(Decision->rateLimits())
+      .serverNotices(Decision->serverNotices())
       .process(Self)
       .limits(limitsOf(Settings))
       .metrics(Registry)
--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -82,7 +82,8 @@
   /// server's fault; the work may have been done.
   PathBroken,
   NotWanted, ///< Not sent, without fault of the backend server: the caller had left, the deadline
-             ///< had passed, or the caller had bytes of an older attempt.
+             ///< had passed, the caller had bytes of an older attempt, or the server had asked for
+             ///< a pause.
 };
 
 /// @return Whether the failure implies that no byte of the request was written.
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -199,7 +199,7 @@
     const std::optional<prefill_plan> Plan = choose(Work, Now);
     if (!Plan) {
       requestPermitForWaiting(Work, Now);
-      refuseWithoutPermits(Work, Now, Outcome);
+      refuseUnlessAvailable(Work, Now, Outcome);
       continue;
     }
     if (requestPermits(*Plan, Now)) {
@@ -250,6 +250,7 @@
         const auto Engine = Engines.find(Part.Backend);
         const bool LacksPermit = !Part.Permit.isSet() && Permits.limitOf(Part.Backend.Incarnation);
         return Engine == Engines.end() || !Engine->second.active() || LacksPermit ||
+               Pauses.isPaused(Part.Backend, Now) ||
                Engine->second.hasWinningClaim(ClaimRank, Tuning.IdlePrefillMs, Now,
                                               Tuning.PeerLoadTimeout);
       });
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -7,6 +7,7 @@
 #include "placement/request_rate_base.h"
 #include "placement/tracked_engine_base.h"
 #include "rate_limit/rate_limit.h"
+#include "server_notice/server_notice.h"
 
 #include <map>
 #include <optional>
@@ -43,6 +44,10 @@
   void attemptStarted(const attempt_id &Attempt, const work_item &Item, const backend_key &Backend,
                       mono_time Now);
   void attemptAnswering(const attempt_id &Attempt, mono_time Now);
+  /// Places nothing on a server until its pause ends.
+  void pauseBackend(const backend_key &Backend, std::chrono::milliseconds Pause, mono_time Now) {
+    Pauses.record(Backend, Pause, Now);
+  }
   /// Releases an attempt that the server holds no memory for any more.
   void attemptEnded(const attempt_id &Attempt, const attempt_report &End, mono_time Now);
   void attemptFailed(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
@@ -172,9 +177,11 @@
   /// Requests the permits that the plan lacks. @return Whether it lacks any.
   bool requestPermits(const prefill_plan &Plan, mono_time Now);
   void requestPermitForWaiting(const waiting_work &Work, mono_time Now);
-  void refuseWithoutPermits(const waiting_work &Work, mono_time Now, poll_outcome &Outcome);
-  [[nodiscard]] std::optional<mono_time> permitsDeniedUntil(const service_name &Service,
-                                                            mono_time Now) const;
+  void refuseUnlessAvailable(const waiting_work &Work, mono_time Now, poll_outcome &Outcome);
+  [[nodiscard]] std::optional<mono_time> unavailableUntil(const backend_key &Backend,
+                                                          mono_time Now) const;
+  [[nodiscard]] std::optional<mono_time> unavailableUntil(const service_name &Service,
+                                                          mono_time Now) const;
   void placeWork(const waiting_work &Work, const prefill_plan &Plan, mono_time Now,
                  poll_outcome &Outcome);
   std::optional<prefill_plan> chooseHolders(const std::vector<prefill_candidate> &AllCandidates,
@@ -203,6 +210,7 @@
   std::map<attempt_id, assigned_work> Running;
   load_exchange_properties Exchange;
   permit_client Permits;
+  pause_table Pauses;
   reachability_monitor Reachability;
   request_rate Rate;    ///< Requests of all entries, as far as reported.
   engine_views AllWork; ///< Work of this and the other entries, as of the current poll.
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -28,7 +28,7 @@
   const std::vector<backend_key> &Avoid = Work.Item.Avoid;
   const bool AnyLimited = Permits.limitedServers() > 0;
   for (auto &[Key, Engine] : Engines) {
-    if (Engine.service() != Work.Service || !Engine.active())
+    if (Engine.service() != Work.Service || !Engine.active() || Pauses.isPaused(Key, Now))
       continue;
     engine_option Option{&Engine, AllWork[Key]};
     if (AnyLimited && Permits.limitOf(Key.Incarnation)) {
--- a/src/placement/placer_permits.cpp
+++ b/src/placement/placer_permits.cpp
@@ -1,4 +1,5 @@
-/** @file placer_permits.cpp Permits for placements on servers that state a rate limit. */
+/** @file placer_permits.cpp Permits for servers that state a rate limit, and work that no server
+ * takes. */
 #include "placement/millis_func.h"
 #include "placement/placer_base.h"
 
@@ -31,7 +32,8 @@
   std::uint32_t LowestRequests = std::numeric_limits<std::uint32_t>::max();
   for (const auto &[Key, Engine] : Engines) {
     const bool IsUsable = Engine.service() == Work.Service && Engine.active() &&
-                          !Engine.inBackoff(Now) && Permits.mayAsk(Key.Incarnation, Now) &&
+                          !Engine.inBackoff(Now) && !Pauses.isPaused(Key, Now) &&
+                          Permits.mayAsk(Key.Incarnation, Now) &&
                           !Permits.hasPermit(Key.Incarnation, Now);
     const std::uint32_t Requests = AllWork[Key].Requests;
     if (!IsUsable || Requests >= LowestRequests)
@@ -43,36 +45,45 @@
     Permits.askPatiently(LeastLoaded->key().Incarnation, Now);
 }
 
-/// Returns the earliest time at which an issuer may have a permit for a server of the service;
-/// nothing if some server needs no permit, or if its permits were not denied.
-std::optional<mono_time> placer::permitsDeniedUntil(const service_name &Service,
-                                                    mono_time Now) const {
+/// Returns until when the server takes no work of this entry, because of a pause or for want of a
+/// permit; nothing if it takes some now, or if its permits were not denied.
+std::optional<mono_time> placer::unavailableUntil(const backend_key &Backend, mono_time Now) const {
+  if (const auto PausedUntil = Pauses.pausedUntil(Backend, Now))
+    return PausedUntil;
+  if (Permits.hasPermit(Backend.Incarnation, Now))
+    return std::nullopt;
+  return Permits.deniedUntil(Backend.Incarnation, Now);
+}
+
+/// Returns the earliest time at which a server of the service takes work; nothing if one does now.
+std::optional<mono_time> placer::unavailableUntil(const service_name &Service,
+                                                  mono_time Now) const {
   std::optional<mono_time> Earliest;
   for (const auto &[Key, Engine] : Engines) {
     if (Engine.service() != Service || !Engine.active())
       continue;
-    const auto DeniedUntil = Permits.deniedUntil(Key.Incarnation, Now);
-    if (!DeniedUntil || Permits.hasPermit(Key.Incarnation, Now))
+    const auto Until = unavailableUntil(Key, Now);
+    if (!Until)
       return std::nullopt;
-    Earliest = std::min(Earliest.value_or(*DeniedUntil), *DeniedUntil);
+    Earliest = std::min(Earliest.value_or(*Until), *Until);
   }
   return Earliest;
 }
 
 /**
- * Refuses work at once if all servers of its service state a limit and no permit can come before
- * it would be refused anyway. The caller is told when one may come.
+ * Refuses work at once if no server of its service takes any before the work would be refused
+ * anyway. The caller is told when one may.
  */
-void placer::refuseWithoutPermits(const waiting_work &Work, mono_time Now, poll_outcome &Outcome) {
-  if (Permits.limitedServers() == 0 || Work.Item.Resumed)
+void placer::refuseUnlessAvailable(const waiting_work &Work, mono_time Now, poll_outcome &Outcome) {
+  if ((Permits.limitedServers() == 0 && Pauses.count(Now) == 0) || Work.Item.Resumed)
     return;
-  const auto DeniedUntil = permitsDeniedUntil(Work.Service, Now);
+  const auto AvailableAt = unavailableUntil(Work.Service, Now);
   const double TimeLimitMs = millisUntil(Work.Item.Deadline, Work.Item.Arrived);
   const mono_time WaitsUntil =
       Work.WaitingSince + durationFromMs(TimeLimitMs * Tuning.WaitFraction);
-  if (!DeniedUntil || *DeniedUntil <= WaitsUntil)
+  if (!AvailableAt || *AvailableAt <= WaitsUntil)
     return;
-  const auto RetryAfter = std::chrono::ceil<std::chrono::seconds>(*DeniedUntil - Now);
+  const auto RetryAfter = std::chrono::ceil<std::chrono::seconds>(*AvailableAt - Now);
   Outcome.Expiries.push_back({Work.Item.Request, {failure_reason::QueueFull, RetryAfter}});
   Waiting.erase(Work.Item.Request);
 }
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -6,6 +6,7 @@
 #include "relay/call_error_func.h"
 #include "relay/request_fingerprint_func.h"
 #include "relay/rethrow_func.h"
+#include "relay/retry_after_func.h"
 
 #include <boost/asio/co_spawn.hpp>
 
@@ -161,6 +162,8 @@
   Before = Call->relayedPart();
   if (Mode == exchange_mode::Start && !mayRelay())
     co_return exchange_end{attempt_failure::NotWanted, {}};
+  if (Mode == exchange_mode::Start && isPaused())
+    co_return exchange_end{attempt_failure::NotWanted, {}};
   if (!Order.Holds.empty() && Mode == exchange_mode::Start) {
     // While it is being released, memory_holds may outlive this exchange; it no longer calls the
     // lambda then.
@@ -180,7 +183,8 @@
     co_return exchange_end{attempt_failure::NotConnected, {}};
   Call->LastPeer = Connection->carrier();
   Call->LastConnect = boot_clock::now() - Started;
-  if (!isStillWanted())
+  // Another answer may have asked for a pause meanwhile.
+  if (!isStillWanted() || Context.Pauses.isPaused(Order.Backend, boot_clock::now()))
     co_return exchange_end{attempt_failure::NotWanted, {}};
   Connection->expireAt(Call->Facts.Deadline + DeadlineGrace);
   if (const auto Failure = co_await send(Mode))
@@ -222,6 +226,15 @@
          boot_clock::now() < Call->Facts.Deadline && !isBlocked();
 }
 
+bool backend_exchange::isPaused() const {
+  const mono_time Now = boot_clock::now();
+  const auto HolderIsPaused = [&](const memory_hold &Hold) {
+    return Context.Pauses.isPaused(Hold.Backend, Now);
+  };
+  return Context.Pauses.isPaused(Order.Backend, Now) ||
+         std::any_of(Order.Holds.begin(), Order.Holds.end(), HolderIsPaused);
+}
+
 asio::awaitable<std::optional<attempt_failure>> backend_exchange::send(exchange_mode Mode) {
   const std::shared_ptr<const request_body> Body = Call->Request.Body;
   const bool Start = Mode == exchange_mode::Start;
@@ -311,6 +324,8 @@
                ? std::nullopt
                : std::optional<attempt_failure>(attempt_failure::BrokenMidway);
   const bool Declines = Status == Unavailable || Status == TooManyRequests;
+  if (Declines)
+    notePause(readRetryAfter(Message));
   if (Declines && boost::beast::iequals(Message[beastView(StartedHeader)], "no"))
     return attempt_failure::Declined;
   if (isErrorStatus(Status))
@@ -324,6 +339,15 @@
     Context.AtRateLimit({Order.Backend, Order.Attempt, Stated, Order.Permit});
 }
 
+void backend_exchange::notePause(const pause_statement &Pause) {
+  if (std::holds_alternative<no_pause>(Pause))
+    return;
+  if (const auto *Length = std::get_if<std::chrono::milliseconds>(&Pause))
+    Context.Pauses.record(Order.Backend, *Length, boot_clock::now());
+  if (Context.AtServerNotice)
+    Context.AtServerNotice({Order.Backend, Order.Attempt, Pause});
+}
+
 std::optional<attempt_failure> backend_exchange::checkHeaderRoutedAnswer() {
   const auto &Message = Feed->message().get();
   const unsigned Status = Message.result_int();
@@ -331,6 +355,7 @@
   if (Facts.AnswersOtherRequest)
     return attempt_failure::BadAnswer;
   reportRateLimit(Facts.RateLimit);
+  notePause(Facts.Pause);
   AtFault = Facts.AtFault;
   if (Facts.NotRun)
     return attempt_failure::Declined;
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -98,6 +98,10 @@
   std::optional<attempt_failure> checkAnswerHead(exchange_mode Mode);
   std::optional<attempt_failure> checkHeaderRoutedAnswer();
   void reportRateLimit(const rate_limit_statement &Stated);
+  void notePause(const pause_statement &Pause);
+  /// Returns whether this server, or one that is to hold memory for the request, has asked for a
+  /// pause.
+  [[nodiscard]] bool isPaused() const;
   [[nodiscard]] bool namesOtherAttempt();
   [[nodiscard]] bool isEventStream();
   [[nodiscard]] bool isErrorStatus(unsigned Status) const;
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -9,6 +9,7 @@
 #include "relay/header_filter_func.h"
 #include "relay/prompt_facts_type.h"
 #include "relay/request_head_type.h"
+#include "server_notice/server_notice.h"
 
 #include <boost/beast/http/message.hpp>
 
@@ -75,6 +76,7 @@
   backend_address
       AtFault; ///< Another server that prevented the request from running; empty if none is named.
   rate_limit_statement RateLimit; ///< The limit of the server that answers.
+  pause_statement Pause;          ///< Asked for by the server that answers.
 };
 
 /// Adapter for callers and backend servers that use another protocol. Either all hooks are set or
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -332,6 +332,11 @@
   return *this;
 }
 
+relay_builder &relay_builder::serverNotices(bounded_ring<server_notice> &Target) {
+  ServerNotices = &Target;
+  return *this;
+}
+
 relay_builder &relay_builder::process(process_key Value) {
   Self = std::move(Value);
   return *this;
@@ -398,6 +403,11 @@
     State->Context.AtRateLimit = [Target = RateLimits](rate_limit_answer Answer) {
       Target->push(std::move(Answer));
     };
+  // A full ring drops the notice; this thread obeys it all the same.
+  if (ServerNotices != nullptr)
+    State->Context.AtServerNotice = [Target = ServerNotices](server_notice Notice) {
+      Target->push(std::move(Notice));
+    };
   if (CrashUpdates != nullptr) {
     // A full ring drops the update; the next crash reports the same request again.
     State->Context.Crashes.onCrash(
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -74,6 +74,8 @@
   relay_builder &crashUpdates(bounded_ring<crash_update> &Target);
   /// Sets the ring for limits that answers state; without it they are dropped.
   relay_builder &rateLimits(bounded_ring<rate_limit_answer> &Target);
+  /// Sets the ring for what answers say of their servers; without it they are dropped.
+  relay_builder &serverNotices(bounded_ring<server_notice> &Target);
   relay_builder &process(process_key Self);
   relay_builder &limits(const relay_limits &Value);
   relay_builder &metrics(std::shared_ptr<prometheus::Registry> Value);
@@ -102,6 +104,7 @@
   bounded_ring<attempts_listed> *Lists{nullptr};
   bounded_ring<crash_update> *CrashUpdates{nullptr};
   bounded_ring<rate_limit_answer> *RateLimits{nullptr};
+  bounded_ring<server_notice> *ServerNotices{nullptr};
   process_key Self;
   relay_limits Limits;
   std::shared_ptr<prometheus::Registry> Registry;
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -14,6 +14,7 @@
 #include "relay/relayed_call_base.h"
 #include "relay/tunnel_server_base.h"
 #include "scheduling/scheduling.h"
+#include "server_notice/server_notice.h"
 #include "suspect/suspect.h"
 
 #include <boost/asio/io_context.hpp>
@@ -30,14 +31,15 @@
   relay_context(boost::asio::io_context &Context, process_key Process, const relay_limits &Bounds,
                 relay_metrics &Counters, bounded_ring<dispatch_event> &Events, std::uint64_t Seed)
       : Io(Context), Self(std::move(Process)), Limits(Bounds), Sweeper(Context),
-        Pool(Sweeper, Limits), Tunnels(Sweeper, Limits, Pool.connector()), Crashes(Context, Pool),
-        Metrics(Counters), Outbox(Events), Random(Seed) {}
+        Pool(Sweeper, Limits), Tunnels(Sweeper, Limits, Pool.connector(), Pauses),
+        Crashes(Context, Pool), Metrics(Counters), Outbox(Events), Random(Seed) {}
 
   boost::asio::io_context &Io;
   const process_key Self;
   relay_limits Limits; ///< A declaration may replace the limits for callers.
   socket_sweeper Sweeper;
   backend_connection_pool Pool;
+  pause_table Pauses; ///< Asked for by answers that this thread has read.
   tunnel_server Tunnels;
   crash_detector Crashes;
   relay_metrics &Metrics;
@@ -62,6 +64,7 @@
   std::shared_ptr<const suspect_list> Suspects{std::make_shared<const suspect_list>()};
   std::function<void(suspect_cleared)> AtSuspectCleared; ///< Not set if the result is not needed.
   std::function<void(rate_limit_answer)> AtRateLimit;    ///< Not set if limits are not needed.
+  std::function<void(server_notice)> AtServerNotice;     ///< Not set if notices are not needed.
 
   /// Returns whether a declaration is in force now.
   [[nodiscard]] bool isReady() const {
--- a/src/relay/tunnel_server.cpp
+++ b/src/relay/tunnel_server.cpp
@@ -59,8 +59,9 @@
 };
 
 tunnel_server::tunnel_server(socket_sweeper &Owner, const relay_limits &Bounds,
-                             backend_connector &SharedConnector)
-    : Sweeper(Owner), Limits(Bounds), Connector(SharedConnector), Acceptor(Owner.io()) {}
+                             backend_connector &SharedConnector, const pause_table &SharedPauses)
+    : Sweeper(Owner), Limits(Bounds), Connector(SharedConnector), Pauses(SharedPauses),
+      Acceptor(Owner.io()) {}
 
 result<done, std::string> tunnel_server::listen(std::string_view Address) {
   auto Listening = listenOn(Acceptor, Address);
@@ -120,9 +121,11 @@
                           Connector.peers()->hasEntryAt(Tunnel.EntryIp);
   if (!KnowsEntry || !Connector.paths().hasServerAt(Tunnel.Target))
     return tunnel_failure::Forbidden;
-  if (Refusing || Tunnels >= Limits.MaxTunnels)
+  const backend_key Server = Connector.paths().serverAt(Tunnel.Target);
+  const mono_time Now = boot_clock::now();
+  if (Refusing || Tunnels >= Limits.MaxTunnels || Pauses.isPaused(Server, Now))
     return tunnel_failure::Busy;
-  if (!Connector.paths().mayCarry(Connector.paths().serverAt(Tunnel.Target), boot_clock::now()))
+  if (!Connector.paths().mayCarry(Server, Now))
     return tunnel_failure::NoDirectPath;
   return std::nullopt;
 }
--- a/src/relay/tunnel_server_base.h
+++ b/src/relay/tunnel_server_base.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_RELAY_TUNNEL_SERVER_BASE_H
 
 #include "relay/backend_connector_base.h"
+#include "server_notice/server_notice.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -28,7 +29,9 @@
 class tunnel_server {
 public:
   /// @param Connector Knows the servers and the entries, and connects to the servers.
-  tunnel_server(socket_sweeper &Owner, const relay_limits &Bounds, backend_connector &Connector);
+  /// @param Pauses Of servers that want no request from this host, those that it carries included.
+  tunnel_server(socket_sweeper &Owner, const relay_limits &Bounds, backend_connector &Connector,
+                const pause_table &Pauses);
 
   /// Binds the address and accepts tunnels.
   result<done, std::string> listen(std::string_view Address);
@@ -62,6 +65,7 @@
   socket_sweeper &Sweeper;
   const relay_limits &Limits;
   backend_connector &Connector;
+  const pause_table &Pauses;
   path_tuning Tuning;
   boost::asio::ip::tcp::acceptor Acceptor;
   std::size_t Tunnels{0};
--- a/src/retry_budget/retry_borrower_base.h
+++ b/src/retry_budget/retry_borrower_base.h
@@ -59,7 +59,7 @@
     mono_duration Interval{};
     std::size_t RoundRequests{0};
     std::size_t RefusedRequests{0}; ///< Since the last loan.
-    retry_amount RoundLoans{0}; ///< Received since the last round.
+    retry_amount RoundLoans{0};     ///< Received since the last round.
   };
 
   void startRound(std::uint64_t Service, account &Account, mono_time Now,
--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -7,6 +7,7 @@
 #include "scheduling/class_rates_base.h"
 #include "scheduling/concurrency_limit_base.h"
 #include "scheduling/prefix_affinity_base.h"
+#include "server_notice/server_notice.h"
 
 #include <map>
 #include <optional>
@@ -90,6 +91,10 @@
   /// Releases an attempt that the server holds no memory for any more: it completed, or its
   /// cancellation was confirmed.
   void attemptEnded(const attempt_id &Attempt, const attempt_report &End, mono_time Now);
+  /// Places nothing on a server until its pause ends.
+  void pauseBackend(const backend_key &Backend, std::chrono::milliseconds Pause, mono_time Now) {
+    Pauses.record(Backend, Pause, Now);
+  }
   /**
    * Records that an attempt failed before its server has confirmed that it holds no memory for it.
    * The memory stays reserved until attemptEnded(). This call is optional.
@@ -191,6 +196,7 @@
   account_queue Queue;
   prefix_affinity Affinity;
   backend_pool Pool;
+  pause_table Pauses;
   class_rates ArrivedCosts;
   class_rates PlacedCosts;
   concurrency_limit Concurrency;
--- a/src/scheduling/scheduler_choice.cpp
+++ b/src/scheduling/scheduler_choice.cpp
@@ -132,8 +132,9 @@
   const bool IsPlain = Work.Item.Model.empty();
   const bool Deprioritized = isDeprioritized(Work, Now);
   std::vector<scheduled_backend *> Servers = eligibleServers(Work);
-  std::erase_if(Servers,
-                [&](const scheduled_backend *Record) { return !canAccept(*Record, Work); });
+  std::erase_if(Servers, [&](const scheduled_backend *Record) {
+    return Pauses.isPaused(Record->key(), Now) || !canAccept(*Record, Work);
+  });
   if (Servers.empty())
     return std::nullopt;
   if (!IsPlain) {
--- a/tests/dispatch/cut_entries_test.cpp
+++ b/tests/dispatch/cut_entries_test.cpp
@@ -148,10 +148,9 @@
       for (std::size_t Entry = 0; Entry < Entries.size(); ++Entry) {
         Entries[Entry]->advance(Now);
         for (const retry_datagram &Datagram : Entries[Entry]->takeDatagrams(Now))
-          InFlight.emplace(Now + Latency,
-                           std::pair(std::stoul(Datagram.To),
-                                     received_retry_message{std::to_string(Entry),
-                                                            Datagram.Message}));
+          InFlight.emplace(Now + Latency, std::pair(std::stoul(Datagram.To),
+                                                    received_retry_message{std::to_string(Entry),
+                                                                           Datagram.Message}));
       }
     }
   }
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -1,6 +1,8 @@
 /** @file relay_harness.cpp Sockets and threads around a relay under test. */
 #include "relay_harness_base.h"
 
+#include "relay/retry_after_func.h"
+
 #include "support/eventually_func.h"
 
 #include <boost/asio/connect.hpp>
@@ -44,6 +46,7 @@
     answer_facts Facts;
     Facts.NotRun = Head.count("X-Not-Run") > 0;
     Facts.AnswersOtherRequest = Head["X-Send"] != SendName;
+    Facts.Pause = readRetryAfter(Head);
     return Facts;
   };
   Calls.AcquireHold = [](const hold_request &Hold) {
--- a/tests/scheduling/scheduler_test.cpp
+++ b/tests/scheduling/scheduler_test.cpp
@@ -195,5 +195,23 @@
     EXPECT_NEAR(Count, 10, 1) << toText(Backend);
 }
 
+// Guards against requests to servers that have asked for a pause: without work, they look idle.
+TEST_F(scheduler_fixture, PausedServersGetNoWork) {
+  addEngines(2);
+  Scheduler.pauseBackend(engineKey(1), 3s, Now);
+  for (int Attempt = 0; Attempt < 8; ++Attempt) {
+    const work_item Work = makeWork(1'000);
+    EXPECT_EQ(placeNow(Work), engineKey(2));
+    Scheduler.withdraw(Work.Request);
+  }
+  Scheduler.pauseBackend(engineKey(2), 1s, Now);
+  const work_item Waiting = makeWork(1'000);
+  EXPECT_TRUE(placeNow(Waiting).Address.empty());
+  Now += 1s;
+  const auto Placements = Scheduler.poll(Now).Placements;
+  ASSERT_EQ(Placements.size(), 1U);
+  EXPECT_EQ(Placements[0].Backend, engineKey(2));
+}
+
 } // namespace
 } // namespace pollenstall
