A server that says in an answer that it leaves gets no further work

The entry that reads such an answer marks the incarnation as leaving in its own copy of the directory, which keeps that over later lists, changes of the leader and without any control host. The product's own interface has the header too, and the stand-in sends it.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -137,7 +137,8 @@
 }
 
 backend_view decision_core::withDrain(backend_view View) const {
-  const bool Drains = Drained.contains(View.Announcement.Key.Address);
+  const backend_key &Key = View.Announcement.Key;
+  const bool Drains = Drained.contains(Key.Address) || SaidLeaving.contains(Key);
   if (Drains && View.Status == backend_status::Active)
     View.Status = backend_status::Leaving;
   return View;
@@ -168,6 +169,7 @@
   Scheduler.removeBackend(Backend, Now);
   Reaper.removeEngine(Backend);
   Backends.erase(Backend);
+  SaidLeaving.erase(Backend);
   PollPending = true;
 }
 
@@ -212,6 +214,21 @@
   withPolicy([&](auto &Policy) { Policy.pauseBackend(Backend, Pause, Now); });
 }
 
+bool decision_core::markLeaving(const backend_key &Backend, mono_time Now) {
+  if (usesPlacer()) {
+    const std::vector<backend_listing> Changes = Directory.markLeaving(Backend);
+    for (const backend_listing &Listing : Changes)
+      onListingChanged(Listing, Now);
+    return !Changes.empty();
+  }
+  const auto Found = Backends.find(Backend);
+  if (Found == Backends.end() || !SaidLeaving.insert(Backend).second)
+    return false;
+  Scheduler.updateBackend(withDrain(Found->second), Now);
+  PollPending = true;
+  return true;
+}
+
 rate_limit_change decision_core::receivePermitReply(const permit_reply &Reply, mono_time Now) {
   if (!Placer.findBackend(Reply.Server))
     return rate_limit_change::None;
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -70,6 +70,8 @@
   rate_limit_change recordRateLimit(const rate_limit_answer &Answer, mono_time Now);
   /// Records that a server wants no further work from this entry for a time.
   void pauseBackend(const backend_key &Backend, std::chrono::milliseconds Pause, mono_time Now);
+  /// Records that a server says itself that it leaves. @return Whether this was not known.
+  bool markLeaving(const backend_key &Backend, mono_time Now);
   /// Records a reply of an issuer of permits. @return How the known limit of its server changed.
   rate_limit_change receivePermitReply(const permit_reply &Reply, mono_time Now);
   /// @return Messages to issuers of permits that are due.
@@ -146,6 +148,7 @@
   std::map<request_number, work_item> Waiting; ///< Submitted work that has no attempt yet.
   std::map<backend_key, backend_view> Backends;
   std::set<backend_address> Drained;
+  std::set<backend_key> SaidLeaving; ///< Announced servers whose answers say that they leave.
   mono_time FreshUntil;
   std::vector<backend_listing> ListingChanges;
   std::vector<retry_decision> RetryDecisions;
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -92,8 +92,10 @@
             {"attempt", Attempt}});
 }
 
-/// @param Pause Null if it is unreadable.
-void logPause(const server_notice &Notice, const std::chrono::milliseconds *Pause) {
+void logPause(const server_notice &Notice) {
+  if (std::holds_alternative<no_pause>(Notice.Pause))
+    return;
+  const auto *Pause = std::get_if<std::chrono::milliseconds>(&Notice.Pause);
   logEvent(Pause ? log_level::Info : log_level::Warning, "server_paused",
            {{"backend", toText(Notice.Backend)},
             {"readable", Pause != nullptr},
@@ -350,10 +352,12 @@
 }
 
 void decision_thread::handleNotice(const server_notice &Notice, mono_time Now) {
-  const auto *Pause = std::get_if<std::chrono::milliseconds>(&Notice.Pause);
-  if (Pause)
+  if (const auto *Pause = std::get_if<std::chrono::milliseconds>(&Notice.Pause))
     Core.pauseBackend(Notice.Backend, *Pause, Now);
-  logPause(Notice, Pause);
+  logPause(Notice);
+  if (Notice.Leaving && Core.markLeaving(Notice.Backend, Now))
+    logEvent(log_level::Info, "server_leaving",
+             {{"backend", toText(Notice.Backend)}, {"attempt", toText(Notice.Attempt)}});
 }
 
 void decision_thread::handlePermitReply(const permit_reply &Reply, mono_time Now) {
--- a/src/directory/directory_follower.cpp
+++ b/src/directory/directory_follower.cpp
@@ -94,6 +94,13 @@
   Records.erase(Existing.Listing.Key.Incarnation);
 }
 
+std::vector<backend_listing> directory_follower::markLeaving(const backend_key &Key) {
+  std::vector<backend_listing> Changes;
+  if (const auto Existing = Records.find(Key.Incarnation); Existing != Records.end())
+    setState(Existing->second, listing_state::Leaving, Changes);
+  return Changes;
+}
+
 std::vector<backend_listing> directory_follower::advance(mono_time Now) {
   std::vector<backend_listing> Changes;
   if (!GraceEndsAt || Now < *GraceEndsAt)
--- a/src/directory/directory_follower_base.h
+++ b/src/directory/directory_follower_base.h
@@ -30,6 +30,9 @@
   /// that changed here.
   std::vector<backend_listing> applyUpdates(const std::vector<backend_listing> &Listings,
                                             mono_time Now);
+  /// Marks a server as leaving because it says so itself; no leader needs to know it yet.
+  /// @return The listings that changed here.
+  std::vector<backend_listing> markLeaving(const backend_key &Key);
   /// Marks active listings as unresponsive once the grace period has ended at Now. @return Listings
   /// that the new leader did not confirm within the grace period.
   std::vector<backend_listing> advance(mono_time Now);
--- a/src/fake_backend/backend_work.cpp
+++ b/src/fake_backend/backend_work.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::string_view AttemptHeader = "X-Pollenstall-Attempt";
+constexpr std::string_view LeavingHeader = "X-Pollenstall-Leaving";
 constexpr std::string_view StartedHeader = "X-Pollenstall-Started";
 constexpr std::size_t MaxEchoedBodyBytes = 4096;
 constexpr std::size_t MaxCountedKeys = 200'000; ///< Bounds the memory use of long runs.
@@ -126,6 +127,10 @@
                     "the backend server declined the request", true);
   if (const std::string Attempt = headerValue(Request, AttemptHeader); !Attempt.empty())
     Response.set(AttemptHeader, attemptToEcho(Attempt));
+  if (Leaving)
+    Response.set(LeavingHeader, "1");
+  else if (Faults.PauseSeconds > 0)
+    Response.set(http::field::retry_after, std::to_string(Faults.PauseSeconds));
   Session->reply(std::move(Response));
   return true;
 }
--- a/src/fake_backend/fault.cpp
+++ b/src/fake_backend/fault.cpp
@@ -65,6 +65,7 @@
       {"refuse_connections", setRefuseConnections},
       {"late_ms", countSetter(&fault_plan::LateMs)},
       {"decline_next", countSetter(&fault_plan::DeclineNext)},
+      {"pause_seconds", countSetter(&fault_plan::PauseSeconds)},
       {"error_next", countSetter(&fault_plan::ErrorNext)},
       {"wrong_attempt_next", countSetter(&fault_plan::WrongAttemptNext)},
       {"half_answer_next", countSetter(&fault_plan::HalfAnswerNext)},
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -32,6 +32,7 @@
 
 constexpr std::string_view AttemptHeader = "X-Pollenstall-Attempt";
 constexpr std::string_view StartedHeader = "X-Pollenstall-Started";
+constexpr std::string_view LeavingHeader = "X-Pollenstall-Leaving";
 
 /// Returns the idle timeout from "timeout=SECONDS", reduced by a margin for network latency;
 /// nothing if the server sent none.
@@ -54,6 +55,10 @@
 
 boost::beast::string_view beastView(std::string_view Text) { return {Text.data(), Text.size()}; }
 
+bool saysItLeaves(const http::response_header<> &Head) {
+  return Head[beastView(LeavingHeader)] == "1";
+}
+
 } // namespace
 
 void backend_exchange::start() {
@@ -324,8 +329,7 @@
                ? std::nullopt
                : std::optional<attempt_failure>(attempt_failure::BrokenMidway);
   const bool Declines = Status == Unavailable || Status == TooManyRequests;
-  if (Declines)
-    notePause(readRetryAfter(Message));
+  noteServer(Declines ? readRetryAfter(Message) : no_pause{}, saysItLeaves(Message));
   if (Declines && boost::beast::iequals(Message[beastView(StartedHeader)], "no"))
     return attempt_failure::Declined;
   if (isErrorStatus(Status))
@@ -339,13 +343,13 @@
     Context.AtRateLimit({Order.Backend, Order.Attempt, Stated, Order.Permit});
 }
 
-void backend_exchange::notePause(const pause_statement &Pause) {
-  if (std::holds_alternative<no_pause>(Pause))
+void backend_exchange::noteServer(const pause_statement &Pause, bool Leaving) {
+  if (std::holds_alternative<no_pause>(Pause) && !Leaving)
     return;
   if (const auto *Length = std::get_if<std::chrono::milliseconds>(&Pause))
     Context.Pauses.record(Order.Backend, *Length, boot_clock::now());
   if (Context.AtServerNotice)
-    Context.AtServerNotice({Order.Backend, Order.Attempt, Pause});
+    Context.AtServerNotice({Order.Backend, Order.Attempt, Pause, Leaving});
 }
 
 std::optional<attempt_failure> backend_exchange::checkHeaderRoutedAnswer() {
@@ -355,7 +359,7 @@
   if (Facts.AnswersOtherRequest)
     return attempt_failure::BadAnswer;
   reportRateLimit(Facts.RateLimit);
-  notePause(Facts.Pause);
+  noteServer(Facts.Pause, Facts.Leaving);
   AtFault = Facts.AtFault;
   if (Facts.NotRun)
     return attempt_failure::Declined;
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -98,7 +98,8 @@
   std::optional<attempt_failure> checkAnswerHead(exchange_mode Mode);
   std::optional<attempt_failure> checkHeaderRoutedAnswer();
   void reportRateLimit(const rate_limit_statement &Stated);
-  void notePause(const pause_statement &Pause);
+  /// Obeys and reports what the answer says of its server.
+  void noteServer(const pause_statement &Pause, bool Leaving);
   /// Returns whether this server, or one that is to hold memory for the request, has asked for a
   /// pause.
   [[nodiscard]] bool isPaused() const;
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -77,6 +77,7 @@
       AtFault; ///< Another server that prevented the request from running; empty if none is named.
   rate_limit_statement RateLimit; ///< The limit of the server that answers.
   pause_statement Pause;          ///< Asked for by the server that answers.
+  bool Leaving{false};            ///< The server that answers accepts no new work.
 };
 
 /// Adapter for callers and backend servers that use another protocol. Either all hooks are set or
--- a/src/server_notice/server_notice_type.h
+++ b/src/server_notice/server_notice_type.h
@@ -26,6 +26,7 @@
   backend_key Backend;
   attempt_id Attempt;
   pause_statement Pause;
+  bool Leaving{false}; ///< The server accepts no new work.
 };
 
 } // namespace pollenstall
--- a/tests/directory/directory_test.cpp
+++ b/tests/directory/directory_test.cpp
@@ -332,6 +332,26 @@
 
 // The leader that listed the former incarnation is gone; its successor knows only the new one.
 // Requests and failures of the former incarnation must not count for the new one.
+// Guards against a server that says in an answer that it leaves, while the leader, or the next one,
+// still lists it as active.
+TEST_F(DirectoryFollowerTest, AServerThatSaysItselfThatItLeavesIsNotListedAsActiveAgain) {
+  const backend_listing Active = makeListing("a", listing_state::Active);
+  Follower.applyFullList({Active}, Now);
+  const auto Changes = Follower.markLeaving(Active.Key);
+  ASSERT_EQ(Changes.size(), 1U);
+  EXPECT_EQ(Changes[0].State, listing_state::Leaving);
+  EXPECT_TRUE(Follower.markLeaving(Active.Key).empty());
+  EXPECT_TRUE(Follower.applyUpdates({Active}, Now).empty());
+  EXPECT_TRUE(Follower.applyFullList({Active}, Now).empty());
+  EXPECT_TRUE(Follower.applyFullList({}, Now).empty());
+  Follower.advance(Now + 4s);
+  EXPECT_EQ(Follower.find(Active.Key)->State, listing_state::Leaving);
+  // The next incarnation owes nothing.
+  const backend_listing Next = makeListing("a", listing_state::Active, incarnation_start(1));
+  Follower.applyUpdates({Next}, Now);
+  EXPECT_EQ(Follower.find(Next.Key)->State, listing_state::Active);
+}
+
 TEST_F(DirectoryFollowerTest, DropsThePreviousIncarnationWhenALeaderListsTheNext) {
   const auto Old = makeListing("a", listing_state::Active, incarnation_start(1'000));
   const auto New = makeListing("a", listing_state::Active, incarnation_start(2'000));
