Servers that turn work away rest, by how much more often than others they do

Six of 18 servers that declined everything got more than half of all arrivals: a declined attempt counted only as a proof that the server can be reached, and without work it looked idle. An entry keeps the share of declined attempts of each server now. One that declines more often than its service does on average rests after a decline, longer with each further one in a row, and is used meanwhile only by first attempts that no other server takes.

declining_servers_test.GetOnlyProbesIfTheyDeclineAll: 500 requests to six such servers in 10 s before, 60 or fewer now (a probe a second each).

--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -110,6 +110,15 @@
   /// requests until the next detected failure (0.3 s to connect, 1.2 s without an answer) went
   /// there and were lost, again after each backoff.
   mono_duration TrialTimeout{std::chrono::milliseconds(1500)};
+  /// A server that declines an attempt gets no work for this time, doubled with each further
+  /// decline in a row and reduced to the part by which it declines more often than the others of
+  /// its service.
+  mono_duration DeclineRest{std::chrono::milliseconds(200)};
+  mono_duration MaxDeclineRest{std::chrono::seconds(8)};
+  /// Weight of the latest attempt in the share of declined ones.
+  double DeclineWeight{0.5};
+  /// Time after which a share of declined attempts counts half.
+  mono_duration DeclineHalfLife{std::chrono::seconds(4)};
   /// Part of the time limit after which waiting work is refused, so that its caller can retry.
   double WaitFraction{0.3};
 };
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -110,6 +110,11 @@
     bool Limited{false};     ///< It states a rate limit.
     bool NeedsPermit{false}; ///< It does, and there is no permit for it yet.
   };
+  /// Engines that may run a request.
+  struct engine_options {
+    std::vector<engine_option> Preferred;
+    std::vector<engine_option> Resting; ///< They have declined attempts; see tracked_engine::rests.
+  };
   /// Engines chosen for one request; the first one answers.
   struct prefill_plan {
     std::vector<engine_option> PrefillEngines;
@@ -148,8 +153,10 @@
   std::optional<service_name> pickService(const work_item &Item);
   [[nodiscard]] std::optional<work_refusal> refusalFor(const work_item &Item,
                                                        const service_name &Service) const;
-  std::vector<engine_option> candidateEngines(const waiting_work &Work, mono_time Now);
+  engine_options candidateEngines(const waiting_work &Work, mono_time Now);
   std::optional<prefill_plan> choose(const waiting_work &Work, mono_time Now);
+  std::optional<prefill_plan> chooseAmong(std::vector<engine_option> Options,
+                                          const waiting_work &Work, mono_time Now);
   std::optional<prefill_plan> chooseServer(std::vector<engine_option> Options);
   std::optional<prefill_plan> chooseEngines(const waiting_work &Work, const engine_profile &Figures,
                                             std::vector<engine_option> Options, mono_time Now);
@@ -193,6 +200,7 @@
   [[nodiscard]] bool isPastTarget(const waiting_work &Work, mono_time Now) const;
   [[nodiscard]] double memoryOf(const work_item &Item) const;
   void recordAttemptFailure(const attempt_id &Attempt, attempt_failure Failure, mono_time Now);
+  void recordDecline(const attempt_id &Attempt, mono_time Now);
   void recordConnectFailure(const assigned_work &Work, const tracked_engine &Engine, mono_time Now);
   [[nodiscard]] bool mayPlace(mono_time Now) const;
 
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -20,9 +20,8 @@
 
 } // namespace
 
-std::vector<placer::engine_option> placer::candidateEngines(const waiting_work &Work,
-                                                            mono_time Now) {
-  std::vector<engine_option> Preferred;
+placer::engine_options placer::candidateEngines(const waiting_work &Work, mono_time Now) {
+  engine_options Options;
   // Engines that were tried before or are in backoff; used only if there is no other.
   std::vector<engine_option> Fallback;
   const std::vector<backend_key> &Avoid = Work.Item.Avoid;
@@ -38,13 +37,29 @@
         continue;
     }
     const bool WasTried = std::find(Avoid.begin(), Avoid.end(), Key) != Avoid.end();
-    (WasTried || Engine.inBackoff(Now) ? Fallback : Preferred).push_back(Option);
+    if (WasTried || Engine.inBackoff(Now))
+      Fallback.push_back(Option);
+    else
+      (Engine.rests(Now) ? Options.Resting : Options.Preferred).push_back(Option);
   }
-  return Preferred.empty() ? Fallback : Preferred;
+  if (Options.Preferred.empty())
+    Options.Preferred = Options.Resting.empty() ? std::move(Fallback) : std::move(Options.Resting);
+  return Options;
 }
 
 std::optional<placer::prefill_plan> placer::choose(const waiting_work &Work, mono_time Now) {
-  std::vector<engine_option> Options = candidateEngines(Work, Now);
+  engine_options Options = candidateEngines(Work, Now);
+  if (auto Plan = chooseAmong(std::move(Options.Preferred), Work, Now))
+    return Plan;
+  // Otherwise the work would wait. A further attempt of it must be left for a server that has not
+  // declined before.
+  if (!Work.Item.Avoid.empty())
+    return std::nullopt;
+  return chooseAmong(std::move(Options.Resting), Work, Now);
+}
+
+std::optional<placer::prefill_plan> placer::chooseAmong(std::vector<engine_option> Options,
+                                                        const waiting_work &Work, mono_time Now) {
   const auto Service = Services.find(Work.Service);
   if (Options.empty() || Service == Services.end())
     return std::nullopt;
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -108,6 +108,9 @@
   for (const prefill_part &Part : Found->second.Parts)
     if (const auto Engine = Engines.find(Part.Backend); Engine != Engines.end())
       Engine->second.recordSuccess();
+  const auto Answering = Engines.find(Found->second.Parts.front().Backend);
+  if (Answering != Engines.end())
+    Answering->second.recordAcceptance(Tuning, Now);
   NextWake = Now;
 }
 
@@ -140,7 +143,9 @@
                                   mono_time Now) {
   if (Failure == attempt_failure::NotWanted || Failure == attempt_failure::PathBroken)
     return;
-  // A server that declines is full, and an error status may be the fault of the caller.
+  if (Failure == attempt_failure::Declined)
+    recordDecline(Attempt, Now);
+  // An error status may be the fault of the caller.
   if (Failure == attempt_failure::Declined || Failure == attempt_failure::ErrorAnswer)
     return Reachability.recordReachable();
   const auto Found = Running.find(Attempt);
@@ -155,6 +160,30 @@
     Engine->second.recordFailure(Tuning, Now);
 }
 
+/**
+ * Remembers that a server turned work away. Without work, such a server looks idle, and it would be
+ * chosen again and again.
+ */
+void placer::recordDecline(const attempt_id &Attempt, mono_time Now) {
+  const auto Found = Running.find(Attempt);
+  // Any of several servers may have caused the refusal.
+  if (Found == Running.end() || Found->second.Parts.size() > 1)
+    return;
+  const auto Declining = Engines.find(Found->second.Parts.front().Backend);
+  if (Declining == Engines.end())
+    return;
+  double ShareSum = 0;
+  std::size_t Peers = 0;
+  for (const auto &[Key, Engine] : Engines) {
+    if (Engine.service() != Declining->second.service() || !Engine.active())
+      continue;
+    ShareSum += Engine.declinedShare(Tuning, Now);
+    ++Peers;
+  }
+  const double UsualShare = Peers == 0 ? 0 : ShareSum / static_cast<double>(Peers);
+  Declining->second.recordDecline(Tuning, UsualShare, Now);
+}
+
 void placer::recordConnectFailure(const assigned_work &Work, const tracked_engine &Engine,
                                   mono_time Now) {
   if (Now - Work.SentTime < MaxConnectionRefusedDelay)
