--- a/src/fake_backend/fault_type.h
+++ b/src/fake_backend/fault_type.h
@@ -22,7 +22,7 @@
   bool RefuseConnections{false};              ///< Closes the listening port.
   std::int64_t LateMs{0};                     ///< Delay of every answer.
   std::int64_t DeclineNext{0};
-  std::int64_t PauseSeconds{0}; ///< Stated by answers that decline a request; 0: none is.
+  std::int64_t PauseSeconds{0};     ///< Stated by answers that decline a request; 0: none is.
   std::int64_t ErrorNext{0};        ///< Responses with status 500 after the work has started.
   std::int64_t WrongAttemptNext{0}; ///< Answers that name another attempt.
   std::int64_t HalfAnswerNext{0};   ///< Unstreamed answers that break in the middle.
--- a/src/relay/relay.h
+++ b/src/relay/relay.h
@@ -16,6 +16,7 @@
 #include "relay/relay_type.h"          // IWYU pragma: export
 #include "relay/request_head_func.h"   // IWYU pragma: export
 #include "relay/request_head_type.h"   // IWYU pragma: export
+#include "relay/retry_after_func.h"    // IWYU pragma: export
 #include "relay/usage_func.h"          // IWYU pragma: export
 
 #endif // POLLENSTALL_RELAY_RELAY_H
