Only a server that did not start the work asks an entry for a pause

In the product's own interface a 429 or 503 of a plain service may concern one caller only; its Retry-After must not keep the other callers away. Only answers with X-Pollenstall-Started: no count. IdempotentWorkTest.IsNotSentToAnEngineThatAskedForAPause (real processes): the same run without a pause in the refusals has more than one a host.

--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -328,9 +328,11 @@
     return Status == Ok && isEventStream()
                ? std::nullopt
                : std::optional<attempt_failure>(attempt_failure::BrokenMidway);
-  const bool Declines = Status == Unavailable || Status == TooManyRequests;
+  // Without the header, the answer may concern this caller only.
+  const bool Declines = (Status == Unavailable || Status == TooManyRequests) &&
+                        boost::beast::iequals(Message[beastView(StartedHeader)], "no");
   noteServer(Declines ? readRetryAfter(Message) : no_pause{}, saysItLeaves(Message));
-  if (Declines && boost::beast::iequals(Message[beastView(StartedHeader)], "no"))
+  if (Declines)
     return attempt_failure::Declined;
   if (isErrorStatus(Status))
     return attempt_failure::ErrorAnswer;
--- a/tests/system/completion_test.cpp
+++ b/tests/system/completion_test.cpp
@@ -58,6 +58,15 @@
   }
 }
 
+// Guards against requests to an engine that has asked each entry for a pause.
+TEST_F(IdempotentWorkTest, IsNotSentToAnEngineThatAskedForAPause) {
+  ASSERT_TRUE(System.engine(0).faults(R"({"decline_next":1000,"pause_seconds":60})"));
+  for (int Round = 0; Round < 6; ++Round)
+    for (std::size_t Entry = 0; Entry < running_system::EntryCount; ++Entry)
+      EXPECT_TRUE(System.chat(Entry, "question " + std::to_string(Round)).ok());
+  EXPECT_LE(System.engine(0).stat("declined"), running_system::EntryCount);
+}
+
 TEST_F(IdempotentWorkTest, NeverGetsTheAnswerOfAnotherAttempt) {
   // Many callers ask concurrently while engines answer with the ids of other attempts, as late
   // answers on mixed-up connections do. Each caller gets the answer to its own question or a
