--- a/tests/relay/endless_answer_test.cpp
+++ b/tests/relay/endless_answer_test.cpp
@@ -32,7 +32,7 @@
     "HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Type: text/event-stream\r\n";
 const std::string Filler(16'000, 'x');
 
-class AnEndlessAnswer : public testing::TestWithParam<endless_answer> {
+class an_endless_answer : public testing::TestWithParam<endless_answer> {
 protected:
   /// Sends without end, but not longer than the test waits.
   void sendAnswer(scripted_server::tcp_socket &Socket) {
@@ -53,7 +53,7 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(
-    Kinds, AnEndlessAnswer,
+    Kinds, an_endless_answer,
     testing::Values(
         endless_answer{"NoHttp", "", Filler},
         endless_answer{"HeadLine", "HTTP/1.1 200 OK\r\nX-Long: ", Filler},
@@ -68,7 +68,7 @@
 
 // Guards against servers that send bytes which are no answer until the entry closes: they would
 // take the request's whole time, and the entry's memory.
-TEST_P(AnEndlessAnswer, IsEndedSoonAndKeepsNoMemory) {
+TEST_P(an_endless_answer, IsEndedSoonAndKeepsNoMemory) {
   constexpr std::size_t MaxGrowth = 8U << 20U;
   const std::size_t Before = residentBytes();
   relay_limits Limits;
