--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -312,6 +312,7 @@
             Outbox.push(
                 suspects_update{std::make_shared<const suspect_list>(Listed.Suspects, Now)});
           },
+          [](const evacuations_changed & /*Evacuations*/) {},
           [](const control_connection_lost &Lost) { logControlLost(Lost); }},
       Event);
 }
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -323,6 +323,11 @@
   void handleRequest(const suspect_run_begun &Request) {
     send(link_suspect_run{Request.Fingerprint});
   }
+  void handleRequest(const confirm_evacuations &Request) {
+    ConfirmedEvacuations = Request;
+    if (Open)
+      renew(boot_clock::now());
+  }
   void handleRequest(const request_claim &Request) {
     send(Calls.acquire(Request, wallClock(), boot_clock::now()));
   }
@@ -355,6 +360,7 @@
   stored_text StoredText;
   std::optional<revision> Confirmed;
   std::uint64_t DrainsSeen{0};
+  std::optional<confirm_evacuations> ConfirmedEvacuations;
   std::deque<std::pair<mono_time, link_crash>>
       Crashes; ///< Recent crash reports with their times, to be resent on the next connection.
   control_rotation Rotation;
--- a/src/control_link/control_link_type.h
+++ b/src/control_link/control_link_type.h
@@ -38,8 +38,15 @@
   std::chrono::milliseconds Lifetime{0}; ///< limits_declaration::ClaimLifetime.
 };
 
-using control_link_request = std::variant<confirm_revision, request_claim, report_claim_outcome,
-                                          crash_report, suspect_cleared, suspect_run_begun>;
+/// The list of evacuated failure domains of this version binds each new request of this entry.
+struct confirm_evacuations {
+  std::uint64_t Version{0};
+  std::uint32_t RequestsLeft{0}; ///< Requests of this entry that still run in these domains.
+};
+
+using control_link_request =
+    std::variant<confirm_revision, request_claim, report_claim_outcome, crash_report,
+                 suspect_cleared, suspect_run_begun, confirm_evacuations>;
 
 // ---- Events: from the link to the entry's decision thread. ----
 
@@ -70,6 +77,13 @@
   std::vector<backend_address> Backends;
 };
 
+/// All evacuated failure domains, whose backend servers get no new work; replaces the previous
+/// list.
+struct evacuations_changed {
+  std::uint64_t Version{0}; ///< Increases with each change; 0: no domain was ever evacuated.
+  std::vector<failure_domain_name> Domains;
+};
+
 /// Backend servers that a leader reported.
 struct backends_listed {
   bool IsFullList{false}; ///< Sent at the start of a connection: all known backend servers.
@@ -116,7 +130,7 @@
 using control_link_event =
     std::variant<declaration_received, lease_extended, claim_answered, drains_changed,
                  backends_listed, entries_listed, control_connection_lost, declaration_announced,
-                 suspects_listed>;
+                 suspects_listed, evacuations_changed>;
 
 /// Counters of a control link, for metrics and dumps.
 struct control_link_counters {
