The control state holds which failure domains are evacuated

An operator takes a failure domain out of service with one command that carries no change id: a repeat changes nothing and gets the answer of the first, and the order of the log decides between operators.

The tracker's renewal is split into what it offers and what is granted, so that the shorter lease of two trackers can apply.

--- a/src/control_state/control_state.cpp
+++ b/src/control_state/control_state.cpp
@@ -6,7 +6,7 @@
 namespace pollenstall {
 
 control_state::control_state(const control_limits &StateLimits)
-    : Limits(StateLimits), Claims(StateLimits.MaxClaims) {}
+    : Limits(StateLimits), Claims(StateLimits.MaxClaims), Evacuations(StateLimits.MaxEvacuations) {}
 
 const answer_record *control_state::findAnswer(const change_id &Id) const {
   const auto Found = Answers.find(Id);
--- a/src/control_state/control_state.h
+++ b/src/control_state/control_state.h
@@ -4,6 +4,7 @@
 
 #include "control_state/control_state_base.h"    // IWYU pragma: export
 #include "control_state/control_state_type.h"    // IWYU pragma: export
+#include "control_state/evacuation_table_base.h" // IWYU pragma: export
 #include "control_state/in_force_tracker_base.h" // IWYU pragma: export
 
 #endif // POLLENSTALL_CONTROL_STATE_CONTROL_STATE_H
--- a/src/control_state/control_state_base.h
+++ b/src/control_state/control_state_base.h
@@ -4,6 +4,7 @@
 #define POLLENSTALL_CONTROL_STATE_CONTROL_STATE_BASE_H
 
 #include "control_state/control_state_type.h"
+#include "control_state/evacuation_table_base.h"
 
 #include <deque>
 #include <map>
@@ -12,8 +13,8 @@
 namespace pollenstall {
 
 /**
- * Holds the declaration, drains, claims, fencing tokens, known backend servers, requests suspected
- * of crashing them, and the answers to earlier changes.
+ * Holds the declaration, drains, evacuated failure domains, claims, fencing tokens, known backend
+ * servers, requests suspected of crashing them, and the answers to earlier changes.
  * The state changes only through execute(). Its result depends on the state and the command alone,
  * so that every member reaches the same state and the same answers.
  */
@@ -31,6 +32,7 @@
   [[nodiscard]] const std::deque<history_record> &history() const { return History; }
   [[nodiscard]] const std::set<backend_address> &drains() const { return Drains; }
   [[nodiscard]] std::uint64_t drainsVersion() const { return DrainsVersion; }
+  [[nodiscard]] const evacuation_table &evacuations() const { return Evacuations; }
   [[nodiscard]] const claim_table &claims() const { return Claims; }
   [[nodiscard]] const suspect_table &suspects() const { return Suspects; }
 
@@ -61,6 +63,7 @@
   [[nodiscard]] static control_answer checkCommand(const record_crash &Command);
   [[nodiscard]] static control_answer checkCommand(const clear_suspect &Command);
   [[nodiscard]] static control_answer checkCommand(const record_suspect_run &Command);
+  [[nodiscard]] control_answer checkCommand(const set_evacuation &Command) const;
 
   void applyEffect(const apply_change &Command, const change_verdict &Verdict);
   void applyEffect(const set_drain &Command, const change_verdict &Verdict);
@@ -71,6 +74,7 @@
   control_answer executeCommand(const record_crash &Command);
   control_answer executeCommand(const clear_suspect &Command);
   control_answer executeCommand(const record_suspect_run &Command);
+  control_answer executeCommand(const set_evacuation &Command);
   void storeBackend(const backend_listing &Listing);
   template <typename Claim> control_answer executeClaim(const Claim &Command);
 
@@ -95,6 +99,7 @@
   claim_table Claims;
   std::map<instance_name, backend_listing> Backends; ///< The newest incarnation of each name.
   suspect_table Suspects;
+  evacuation_table Evacuations;
 };
 
 } // namespace pollenstall
--- a/src/control_state/control_state_cmd.cpp
+++ b/src/control_state/control_state_cmd.cpp
@@ -31,6 +31,7 @@
                  [this](const record_crash &Typed) { return executeCommand(Typed); },
                  [this](const clear_suspect &Typed) { return executeCommand(Typed); },
                  [this](const record_suspect_run &Typed) { return executeCommand(Typed); },
+                 [this](const set_evacuation &Typed) { return executeCommand(Typed); },
                  [this](const auto &Claim) { return executeClaim(Claim); }},
       Command);
 }
@@ -106,6 +107,17 @@
     Drains.insert(Command.Backend);
 }
 
+// ---- Evacuated failure domains. ----
+
+control_answer control_state::checkCommand(const set_evacuation &Command) const {
+  return Evacuations.check(Command);
+}
+
+control_answer control_state::executeCommand(const set_evacuation &Command) {
+  LatestCommandTime = std::max(LatestCommandTime, Command.Time);
+  return Evacuations.execute(Command, LatestCommandTime);
+}
+
 // ---- Fencing tokens. ----
 
 control_answer control_state::checkCommand(const take_fencing_token & /*Command*/) const {
--- a/src/control_state/control_state_sl.cpp
+++ b/src/control_state/control_state_sl.cpp
@@ -33,6 +33,8 @@
   Snapshot.Backends = backends();
   Snapshot.Suspects = Suspects.records();
   Snapshot.SuspectsVersion = Suspects.version();
+  Snapshot.Evacuations = Evacuations.records();
+  Snapshot.EvacuationsVersion = Evacuations.version();
   return Snapshot;
 }
 
@@ -59,7 +61,8 @@
   for (const backend_listing &Listing : Snapshot.Backends)
     if (!State.Backends.emplace(Listing.Instance, Listing).second)
       return control_state_error::InvalidSnapshot;
-  if (!State.Suspects.restore(Snapshot.Suspects, Snapshot.SuspectsVersion))
+  if (!State.Suspects.restore(Snapshot.Suspects, Snapshot.SuspectsVersion) ||
+      !State.Evacuations.restore(Snapshot.Evacuations, Snapshot.EvacuationsVersion))
     return control_state_error::InvalidSnapshot;
   return State;
 }
--- a/src/control_state/control_state_type.h
+++ b/src/control_state/control_state_type.h
@@ -73,10 +73,20 @@
   unix_millis Time{0};              ///< The proposing leader's wall clock.
 };
 
+/**
+ * Evacuates a failure domain: its backend servers get no new work. Restores it if Undo is set.
+ * It carries no change id, because a repeat changes nothing and gets the answer of the first.
+ */
+struct set_evacuation {
+  failure_domain_name Domain;
+  bool Undo{false};
+  unix_millis Time{0}; ///< The proposing leader's wall clock.
+};
+
 using control_command =
     std::variant<apply_change, set_drain, claim_acquire, claim_settle, claim_expire,
                  take_fencing_token, offer_declaration, update_backends, record_crash,
-                 clear_suspect, record_suspect_run>;
+                 clear_suspect, record_suspect_run, set_evacuation>;
 
 // ---- Answers. ----
 
@@ -151,12 +161,35 @@
   bool operator==(const suspects_updated &) const = default;
 };
 
+/// Answer to set_evacuation: the failure domain is in the requested state.
+struct evacuation_recorded {
+  /// The list of evacuated domains has contained this state of the domain since this version. For a
+  /// domain that is not evacuated it may be any later version, too.
+  std::uint64_t Version{0};
+
+  bool operator==(const evacuation_recorded &) const = default;
+};
+
+/// Why set_evacuation has no effect.
+enum class evacuation_refusal : std::uint8_t {
+  InvalidName, ///< The name is empty or longer than MaxDomainNameBytes.
+  TooMany,     ///< control_limits::MaxEvacuations domains are evacuated.
+};
+
+/// Answer to set_evacuation: nothing was changed.
+struct evacuation_refused {
+  evacuation_refusal Reason{evacuation_refusal::InvalidName};
+
+  bool operator==(const evacuation_refused &) const = default;
+};
+
 using claim_acquire_answer = result<claim_status, claim_error>;
 using claim_update_answer = result<done, claim_error>; ///< Of claim_settle and claim_expire.
 
 using control_answer =
     std::variant<change_answer, change_id_reused, fencing_token_granted, claim_acquire_answer,
-                 claim_update_answer, offer_answer, backends_updated, suspects_updated>;
+                 claim_update_answer, offer_answer, backends_updated, suspects_updated,
+                 evacuation_recorded, evacuation_refused>;
 
 // ---- Stored records. ----
 
@@ -188,6 +221,18 @@
   bool operator==(const answer_record &) const = default;
 };
 
+/// Longest name of a failure domain that can be evacuated.
+constexpr std::size_t MaxDomainNameBytes = 255;
+
+/// An evacuated failure domain.
+struct evacuation_record {
+  failure_domain_name Domain;
+  std::uint64_t Version{0}; ///< Of the list, by the change that evacuated the domain.
+  unix_millis Since{0};
+
+  bool operator==(const evacuation_record &) const = default;
+};
+
 /**
  * Bounds of the state. They must be the same on every member, or the members' states diverge.
  * An answer is removed once it is older than AnswerLifetime or there are more than MaxAnswers. A
@@ -200,6 +245,7 @@
   std::size_t MaxHistory{1'000};
   std::size_t MaxDrains{4'096};
   std::size_t MaxClaims{200'000};
+  std::size_t MaxEvacuations{256};
   std::size_t MaxBackends{4'096}; ///< Further ones are known from their announcements only.
 };
 
@@ -216,6 +262,8 @@
   std::vector<backend_listing> Backends; ///< In order of their names.
   std::vector<suspect_record> Suspects;  ///< In order of their fingerprints.
   std::uint64_t SuspectsVersion{0};
+  std::vector<evacuation_record> Evacuations; ///< In order of their names.
+  std::uint64_t EvacuationsVersion{0};
 
   bool operator==(const control_snapshot &) const = default;
 };
--- a/src/control_state/in_force_tracker.cpp
+++ b/src/control_state/in_force_tracker.cpp
@@ -61,6 +61,16 @@
                                                      const failure_domain_name &Domain,
                                                      std::optional<revision> Confirmed,
                                                      mono_time Now) {
+  const std::optional<mono_duration> Lease = offer(Process, Domain, Confirmed, Now);
+  if (Lease)
+    grant(Process, *Lease, Now);
+  return Lease;
+}
+
+std::optional<mono_duration> in_force_tracker::offer(const process_key &Process,
+                                                     const failure_domain_name &Domain,
+                                                     std::optional<revision> Confirmed,
+                                                     mono_time Now) {
   const revision MinRevision = minLeasableRevision(Now);
   tracked_entry &Entry = Entries[Process];
   const bool Reverts = Entry.Confirmed && (!Confirmed || *Confirmed < *Entry.Confirmed);
@@ -79,9 +89,13 @@
   const mono_duration Lease = leaseFor(*Confirmed, Now);
   if (Lease <= mono_duration::zero())
     return std::nullopt;
+  return Lease;
+}
+
+void in_force_tracker::grant(const process_key &Process, mono_duration Lease, mono_time Now) {
+  tracked_entry &Entry = Entries.at(Process);
   // The entry may still rely on an earlier, longer lease, granted before the change that it lacks.
   Entry.LeaseEnd = std::max(Entry.LeaseEnd, Now + maxLeaseDuration(Lease));
-  return Lease;
 }
 
 std::optional<revision> in_force_tracker::inForce(mono_time Now) {
--- a/src/control_state/in_force_tracker_base.h
+++ b/src/control_state/in_force_tracker_base.h
@@ -60,6 +60,17 @@
   std::optional<mono_duration> renew(const process_key &Process, const failure_domain_name &Domain,
                                      std::optional<revision> Confirmed, mono_time Now);
 
+  /**
+   * The first half of renew(): records what an entry confirmed. Two trackers whose shorter lease
+   * applies call it both, and then grant() with that lease.
+   * @return The longest lease that grant() may give, or nothing.
+   */
+  std::optional<mono_duration> offer(const process_key &Process, const failure_domain_name &Domain,
+                                     std::optional<revision> Confirmed, mono_time Now);
+
+  /// The second half of renew(): records a lease, which may be shorter than the one offered now.
+  void grant(const process_key &Process, mono_duration Lease, mono_time Now);
+
   /// @return The highest revision that is in force everywhere; nothing while that is not known.
   std::optional<revision> inForce(mono_time Now);
 
