The control link carries evacuated failure domains

The codec is positional, so an earlier build drops the connection at a renewal with another field and at an unknown message. The list is therefore sent only while a domain is evacuated or to entries that have received one, and an entry sends the renewal with its confirmation only after it has received a list. Until the first evacuation no new message is sent.

--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -178,7 +178,16 @@
     // The time is taken before the request is sent: the lease must end here before it ends at the
     // leader.
     UnansweredRenewals.emplace(++LastRenewId, Now);
-    send(link_renew{LastRenewId, Options.Process, Confirmed, DrainsSeen, StoredText.Revision});
+    const link_renew Renewal{LastRenewId, Options.Process, Confirmed, DrainsSeen,
+                             StoredText.Revision};
+    if (!EvacuationsReceived)
+      return send(Renewal);
+    link_renew_evacuations Message{Renewal, *EvacuationsReceived, std::nullopt, 0};
+    if (ConfirmedEvacuations) {
+      Message.Confirmed = ConfirmedEvacuations->Version;
+      Message.RequestsLeft = ConfirmedEvacuations->RequestsLeft;
+    }
+    send(Message);
   }
 
   // ---- Messages. ----
@@ -288,6 +297,15 @@
     emit(drains_changed{Message.Backends});
   }
 
+  void handle(const link_evacuations &Message) {
+    recordLeader();
+    // An older list, from a former leader, does not replace the newer one.
+    if (EvacuationsReceived && Message.Version < *EvacuationsReceived)
+      return;
+    EvacuationsReceived = Message.Version;
+    emit(evacuations_changed{Message.Version, Message.Domains});
+  }
+
   // ---- Requests of the entry. ----
 
   void drainRequests() {
@@ -360,6 +378,8 @@
   stored_text StoredText;
   std::optional<revision> Confirmed;
   std::uint64_t DrainsSeen{0};
+  /// link_evacuations::Version received last in this incarnation.
+  std::optional<std::uint64_t> EvacuationsReceived;
   std::optional<confirm_evacuations> ConfirmedEvacuations;
   std::deque<std::pair<mono_time, link_crash>>
       Crashes; ///< Recent crash reports with their times, to be resent on the next connection.
@@ -387,57 +407,6 @@
           State->UnrecordedOutcomes.load()};
 }
 
-control_link_builder::control_link_builder(std::vector<std::string> ControlAddresses,
-                                           std::string Fleet) {
-  requireInvariant(!ControlAddresses.empty(),
-                   "a control link needs the address of at least one control host");
-  Options.ControlAddresses = std::move(ControlAddresses);
-  Options.Fleet = std::move(Fleet);
-}
-
-control_link_builder &control_link_builder::process(process_key Process,
-                                                    failure_domain_name Domain) {
-  Options.Process = std::move(Process);
-  Options.Domain = std::move(Domain);
-  return *this;
-}
-
-control_link_builder &control_link_builder::workAddress(std::string Address) {
-  Options.WorkAddress = std::move(Address);
-  return *this;
-}
-
-control_link_builder &control_link_builder::onEvents(std::function<void()> Wake) {
-  Options.NotifyEntry = std::move(Wake);
-  return *this;
-}
-
-control_link_builder &control_link_builder::renewInterval(milliseconds Interval) {
-  Options.LeaseRenewInterval = Interval;
-  return *this;
-}
-
-control_link_builder &control_link_builder::answerTimeout(milliseconds Limit) {
-  Options.AnswerTimeout = Limit;
-  return *this;
-}
-
-control_link_builder &control_link_builder::connectTimeout(milliseconds Limit) {
-  Options.ConnectionTimeout = Limit;
-  return *this;
-}
-
-control_link_builder &control_link_builder::backOff(milliseconds Min, milliseconds Max) {
-  Options.BackOffMin = Min;
-  Options.BackOffMax = Max;
-  return *this;
-}
-
-control_link_builder &control_link_builder::ringCapacity(std::size_t Items) {
-  Options.RingCapacity = Items;
-  return *this;
-}
-
 std::unique_ptr<control_link> control_link_builder::start() {
   auto NewState = std::make_unique<control_link::state>(Options);
   NewState->start();
--- a/src/control_link/control_link_codec_func.h
+++ b/src/control_link/control_link_codec_func.h
@@ -29,6 +29,9 @@
   Into(Message.RenewId, Message.Process, Message.Confirmed, Message.DrainsSeen,
        Message.HeldRevision);
 }
+template <typename Archive> void serialize(Archive &Into, link_renew_evacuations &Message) {
+  Into(Message.Renewal, Message.Received, Message.Confirmed, Message.RequestsLeft);
+}
 template <typename Archive> void serialize(Archive &Into, link_claim_acquire &Message) {
   Into(Message.Call, Message.Claim);
 }
@@ -96,6 +99,9 @@
 template <typename Archive> void serialize(Archive &Into, link_fleet &Message) {
   Into(Message.Controls, Message.Entries);
 }
+template <typename Archive> void serialize(Archive &Into, link_evacuations &Message) {
+  Into(Message.Version, Message.Domains);
+}
 template <typename Archive> void serialize(Archive &Into, link_drains &Message) {
   Into(Message.Version, Message.Backends);
 }
--- a/src/control_link/control_link_message_type.h
+++ b/src/control_link/control_link_message_type.h
@@ -45,6 +45,18 @@
                       ///< refer; empty if it has stored none.
 };
 
+/**
+ * Sent in place of link_renew once the entry has received link_evacuations in this incarnation. It
+ * is a message of its own, because an earlier build drops the connection at an unknown field. An
+ * entry that sends link_renew has received no list, so it acts on the empty one.
+ */
+struct link_renew_evacuations {
+  link_renew Renewal;
+  std::uint64_t Received{0};              ///< link_evacuations::Version received last.
+  std::optional<std::uint64_t> Confirmed; ///< confirm_evacuations::Version; empty if there is none.
+  std::uint32_t RequestsLeft{0};          ///< confirm_evacuations::RequestsLeft.
+};
+
 /// Answered by link_claim_answer. Resent on each new connection until it is answered.
 struct link_claim_acquire {
   std::uint64_t Call{0}; ///< Unique within the process's incarnation.
@@ -74,8 +86,9 @@
   request_fingerprint Fingerprint;
 };
 
-using link_request = std::variant<link_subscribe, link_renew, link_claim_acquire, link_claim_settle,
-                                  link_crash, link_clear_suspect, link_suspect_run>;
+using link_request =
+    std::variant<link_subscribe, link_renew, link_claim_acquire, link_claim_settle, link_crash,
+                 link_clear_suspect, link_suspect_run, link_renew_evacuations>;
 
 // ---- From the control host. ----
 
@@ -143,9 +156,19 @@
   std::vector<published_suspect> Suspects;
 };
 
+/**
+ * The complete list of evacuated failure domains. An earlier build cannot read this message. It is
+ * therefore sent only while a domain is evacuated, and to entries that have received a list before.
+ */
+struct link_evacuations {
+  std::uint64_t Version{0}; ///< Increases with each change.
+  std::vector<failure_domain_name> Domains;
+};
+
 using link_reply = std::variant<link_declaration, link_lease, link_not_leader, link_claim_answer,
                                 link_settle_answer, link_drains, link_backends, link_fleet,
-                                link_declaration_change, link_declaration_announced, link_suspects>;
+                                link_declaration_change, link_declaration_announced, link_suspects,
+                                link_evacuations>;
 
 /// Fingerprints in one link_crash; further ones go into another message.
 constexpr std::size_t MaxCrashFingerprints = 64;
