Control hosts evacuate and restore failure domains

An evacuation is acknowledged once the log holds it and each entry that may serve holds it or loses its lease within entries.evacuate_within_ms. A second tracker follows the version of the list; an entry gets the shorter of both leases. The operators' interface and the platform's calls share the command.

--- a/programs/pollenstall-control/control_codec.cpp
+++ b/programs/pollenstall-control/control_codec.cpp
@@ -59,6 +59,12 @@
 template <typename Archive> void serialize(Archive &Into, clear_suspect &Command) {
   Into(Command.FingerprintHigh);
 }
+template <typename Archive> void serialize(Archive &Into, set_evacuation &Command) {
+  Into(Command.Domain, Command.Undo, Command.Time);
+}
+template <typename Archive> void serialize(Archive &Into, evacuation_record &Record) {
+  Into(Record.Domain, Record.Version, Record.Since);
+}
 template <typename Archive> void serialize(Archive &Into, suspect_record &Record) {
   Into(Record.Fingerprint, Record.Crashes, Record.Blocks, Record.LastCrash, Record.BlockedUntil,
        Record.Incarnations, Record.RunsBegun, Record.WatchedSince);
@@ -67,10 +73,14 @@
   Into(Snapshot.Declared, Snapshot.History, Snapshot.Answers, Snapshot.Drains,
        Snapshot.DrainsVersion, Snapshot.LastFence, Snapshot.LatestCommandTime, Snapshot.Claims);
 }
-template <typename Archive> void serialize(Archive &Into, control_snapshot &Snapshot) {
+template <typename Archive> void serializePromptParts(Archive &Into, control_snapshot &Snapshot) {
   serializeInitial(Into, Snapshot);
   Into(Snapshot.Backends, Snapshot.Suspects, Snapshot.SuspectsVersion);
 }
+template <typename Archive> void serialize(Archive &Into, control_snapshot &Snapshot) {
+  serializePromptParts(Into, Snapshot);
+  Into(Snapshot.Evacuations, Snapshot.EvacuationsVersion);
+}
 
 /// A snapshot of the first version, which has no backend servers.
 struct initial_snapshot {
@@ -108,6 +118,14 @@
   }
 };
 
+/// A snapshot of the fourth version, which has no evacuated failure domains.
+struct prompt_parts_snapshot {
+  control_snapshot Snapshot;
+  template <typename Archive> void serialize(Archive &Into) {
+    serializePromptParts(Into, Snapshot);
+  }
+};
+
 namespace {
 
 /// Size of the largest declaration with the other fields of its change.
@@ -172,7 +190,7 @@
 }
 
 result<control_snapshot, control_codec_error> decodeSnapshot(std::string_view Bytes) {
-  const auto VersionNumber = versionOf(Bytes, state_version::PromptParts);
+  const auto VersionNumber = versionOf(Bytes, state_version::Evacuations);
   if (!succeeded(VersionNumber))
     return errorOf(VersionNumber);
   switch (valueOf(VersionNumber)) {
@@ -182,6 +200,8 @@
     return decodeOlder<backends_snapshot>(Bytes);
   case state_version::Suspects:
     return decodeOlder<suspects_snapshot>(Bytes);
+  case state_version::PromptParts:
+    return decodeOlder<prompt_parts_snapshot>(Bytes);
   default:
     return decodeBody<control_snapshot, state_version>(Bytes);
   }
@@ -211,6 +231,8 @@
 command_version versionFor(const control_command &Command) {
   if (std::holds_alternative<update_backends>(Command))
     return command_version::Backends;
+  if (std::holds_alternative<set_evacuation>(Command))
+    return command_version::Evacuations;
   const auto *Crash = std::get_if<record_crash>(&Command);
   const bool HasPromptParts =
       Crash && std::any_of(Crash->Fingerprints.begin(), Crash->Fingerprints.end(),
@@ -233,7 +255,7 @@
 }
 
 result<control_command, control_codec_error> decodeCommand(std::string_view Bytes) {
-  const auto VersionNumber = versionOf(Bytes, command_version::PromptParts);
+  const auto VersionNumber = versionOf(Bytes, command_version::Evacuations);
   if (!succeeded(VersionNumber))
     return errorOf(VersionNumber);
   auto Decoded = valueOf(VersionNumber) == command_version::Packed
@@ -245,7 +267,10 @@
 }
 
 std::string encodeState(const control_state &State) {
-  return encodePlain(version_head<state_version>{state_version::PromptParts}) +
+  if (State.evacuations().version() == 0)
+    return encodePlain(version_head<state_version>{state_version::PromptParts}) +
+           encodePlain(prompt_parts_snapshot{State.snapshot()});
+  return encodePlain(version_head<state_version>{state_version::Evacuations}) +
          encodePlain(State.snapshot());
 }
 
--- a/programs/pollenstall-control/control_codec_func.h
+++ b/programs/pollenstall-control/control_codec_func.h
@@ -17,13 +17,16 @@
   Suspects = 4, ///< Used for record_crash and clear_suspect only.
   /// Used for record_suspect_run, and for record_crash with parts of prompts.
   PromptParts = 5,
+  Evacuations = 6, ///< Used for set_evacuation only.
 };
 /// Versions of a snapshot's encoding.
 enum class state_version : std::uint16_t {
   Initial = 1,
   Backends = 2,
   Suspects = 3,
-  PromptParts = 4
+  PromptParts = 4,
+  Evacuations = 5 ///< Used once a failure domain was evacuated, so that an older program can read
+                  ///< snapshots until then.
 };
 
 /// Why an entry of the log cannot be applied. If it were skipped, this member's state would diverge
--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -39,6 +39,13 @@
   return (std::uint64_t{Source()} << HalfBits) | Source();
 }
 
+entry_server_options entryOptions(const control_settings &Settings) {
+  entry_server_options Options = entryServerOptions(
+      inForceOptions(Settings), linkBytesPerSecond(Settings), Settings.Heartbeat);
+  Options.EvacuateWithin = evacuateWithin(Settings);
+  return Options;
+}
+
 replica makeReplica(const control_settings &Settings, data_folder &Folder) {
   std::vector<member_id> Peers;
   for (const std::string &Text : Settings.Peers)
@@ -57,10 +64,7 @@
 
 control_core::control_core(control_core_dependencies Dependencies)
     : Parts(std::move(Dependencies)), Replica(makeReplica(Parts.Settings, *Parts.Folder)),
-      State(Limits),
-      EntryServer(entryServerOptions(inForceOptions(Parts.Settings),
-                                     linkBytesPerSecond(Parts.Settings), Parts.Settings.Heartbeat),
-                  entryServerCallbacks()),
+      State(Limits), EntryServer(entryOptions(Parts.Settings), entryServerCallbacks()),
       Directory(directoryOptions(Parts.Settings)), Requests(RequestCapacity) {
   Addresses[self()] = Parts.Own;
   Requests.onWake([this] { Parts.Wake->notify(); });
@@ -176,11 +180,14 @@
   const revision Before = State.declared().Revision;
   const std::uint64_t DrainsBefore = State.drainsVersion();
   const std::uint64_t SuspectsBefore = State.suspects().version();
+  const std::uint64_t EvacuationsBefore = State.evacuations().version();
   const control_answer Answer = State.execute(valueOf(Command));
   Parts.Metrics->Applied.Increment();
   announceEffects(Before, DrainsBefore);
   if (State.suspects().version() != SuspectsBefore)
     announceSuspects();
+  if (State.evacuations().version() != EvacuationsBefore)
+    announceEvacuation(std::get<set_evacuation>(valueOf(Command)));
   completeProposal(Entry, Answer);
 }
 
@@ -261,6 +268,7 @@
   Directory.clear();
   EntryServer.stopLeading();
   Offers.abandonAll();
+  EvacuationWaiters.abandonAll();
   for (const auto &[Index, Waiting] : std::exchange(Proposals, {}))
     Waiting.Answered(std::nullopt);
   for (const auto &[Index, Waiting] : std::exchange(Memberships, {}))
@@ -344,11 +352,13 @@
   Parts.Metrics->Term.Set(static_cast<double>(Status.Term.value()));
   Parts.Metrics->Commit.Set(static_cast<double>(Status.Commit.value()));
   Parts.Metrics->Revision.Set(static_cast<double>(State.declared().Revision.value()));
+  Parts.Metrics->Evacuated.Set(static_cast<double>(State.evacuations().size()));
   publishLease(Status);
   updateLinkMetrics();
   expireWaiters();
   EntryServer.advance(Now);
   answerOffers();
+  answerEvacuations();
   if (!EntryServer.isLeading())
     return;
   if (auto Expired = Directory.advance(Now); !Expired.empty()) {
--- a/programs/pollenstall-control/control_core_base.h
+++ b/programs/pollenstall-control/control_core_base.h
@@ -113,6 +113,7 @@
   void handleOperation(const get_dump &Operation, const control_request &Request);
   void handleOperation(const submit_command &Operation, const control_request &Request);
   void handleOperation(const read_state &Operation, const control_request &Request);
+  void handleOperation(const get_evacuations &Operation, const control_request &Request);
   void handleOperation(const admit_member &Operation, const control_request &Request);
   void handleOperation(const remove_member &Operation, const control_request &Request);
   void handleOperation(const announce_backend &Operation, const control_request &Request);
@@ -126,6 +127,10 @@
                       const std::shared_ptr<std::promise<control_outcome>> &Reply);
   void answerOffer(const offer_declaration &Offer, const control_request &Request);
   void answerOffers();
+  void answerEvacuation(const set_evacuation &Command, const control_request &Request);
+  void answerEvacuations();
+  void announceEvacuation(const set_evacuation &Command);
+  [[nodiscard]] std::string evacuationsText() const;
   void answerMembership(const proposal_result &Result, const control_request &Request);
   [[nodiscard]] control_outcome refusalOf(const proposal_refusal &Refusal) const;
   [[nodiscard]] control_outcome notLeader(const member_key &Leader) const;
@@ -163,6 +168,8 @@
   member_set Members; ///< Committed. A proposed change may be lost with this leader.
   std::map<log_index, waiting_proposal> Proposals;
   offer_queue Offers;
+  /// Senders of evacuations that are in the log. Their revisions are versions of the list.
+  offer_queue EvacuationWaiters;
   std::map<log_index, waiting_membership> Memberships;
   std::map<read_id, waiting_read> Reads;
   read_id LastRead;
--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -136,6 +136,8 @@
                                    const control_request &Request) {
   if (const auto *Offer = std::get_if<offer_declaration>(&Operation.Command))
     return answerOffer(*Offer, Request);
+  if (const auto *Evacuation = std::get_if<set_evacuation>(&Operation.Command))
+    return answerEvacuation(*Evacuation, Request);
   const auto Refused = propose(Operation.Command, [Answer = Request.Answer](const auto &Answered) {
     Answer->set_value(Answered ? control_outcome(*Answered) : control_outcome(outcome_unknown{}));
   });
--- a/programs/pollenstall-control/control_core_status.cpp
+++ b/programs/pollenstall-control/control_core_status.cpp
@@ -142,6 +142,10 @@
   for (const backend_address &Backend : State.drains())
     Drains.push_back(json::value(Backend.str()));
   Object["drains"] = std::move(Drains);
+  json::array Evacuations;
+  for (const failure_domain_name &Domain : State.evacuations().names())
+    Evacuations.push_back(json::value(Domain.str()));
+  Object["evacuations"] = std::move(Evacuations);
   Object["orders"] = ordersValue(Parts.Orders.get());
   return json::serialize(Object);
 }
--- a/programs/pollenstall-control/control_metrics.cpp
+++ b/programs/pollenstall-control/control_metrics.cpp
@@ -41,6 +41,10 @@
       Sync(seconds("pollenstall_control_sync_seconds",
                    "Time to make a batch of log entries durable")),
       InForce(seconds("pollenstall_control_in_force_seconds",
-                      "From the acceptance of a change until it is in force everywhere")) {}
+                      "From the acceptance of a change until it is in force everywhere")),
+      Evacuated(gauge("pollenstall_control_evacuated_domains", "Evacuated failure domains")),
+      EvacuationAcknowledged(
+          seconds("pollenstall_control_evacuation_seconds",
+                  "From the acceptance of an evacuation or restoration to its acknowledgement")) {}
 
 } // namespace pollenstall
--- a/programs/pollenstall-control/control_metrics_base.h
+++ b/programs/pollenstall-control/control_metrics_base.h
@@ -38,6 +38,8 @@
   prometheus::Counter &PeerDropped;
   prometheus::Histogram &Sync;    ///< Time to make a batch durable.
   prometheus::Histogram &InForce; ///< Time from acceptance until in force everywhere.
+  prometheus::Gauge &Evacuated;   ///< Evacuated failure domains.
+  prometheus::Histogram &EvacuationAcknowledged; ///< Time from acceptance to acknowledgement.
 };
 
 } // namespace pollenstall
--- a/programs/pollenstall-control/control_request_type.h
+++ b/programs/pollenstall-control/control_request_type.h
@@ -31,6 +31,10 @@
 /// Returns this host's internal state as JSON.
 struct get_dump {};
 
+/// Returns the evacuated failure domains, and what entries report about them, as JSON. A quorum
+/// confirms the read.
+struct get_evacuations {};
+
 /// Admits the disk that requests membership under this id.
 struct admit_member {
   member_id Member;
@@ -53,7 +57,7 @@
 
 using control_operation =
     std::variant<get_status, get_dump, submit_command, read_state, admit_member, remove_member,
-                 announce_backend, withdraw_backend>;
+                 announce_backend, withdraw_backend, get_evacuations>;
 
 /// This host is not the leader; nothing was done.
 struct not_leader {
--- a/programs/pollenstall-control/control_services.cpp
+++ b/programs/pollenstall-control/control_services.cpp
@@ -10,19 +10,21 @@
 
 service_answer answerFor(const control_outcome &Outcome) {
   return std::visit(
-      overloaded{[](const not_leader &Refusal) {
-                   return service_answer{service_status::NotLeader, Refusal.OperatorUrl};
-                 },
-                 [](const control_answer &) {
-                   return service_answer{service_status::Accepted, {}};
-                 },
-                 [](const backend_recorded &) {
-                   return service_answer{service_status::Accepted, {}};
-                 },
-                 [](const std::string &) {
-                   return service_answer{service_status::Accepted, {}};
-                 },
-                 [](const auto &) { return service_answer{}; }},
+      overloaded{
+          [](const not_leader &Refusal) {
+            return service_answer{service_status::NotLeader, Refusal.OperatorUrl};
+          },
+          [](const control_answer &Answer) {
+            const bool Refused = std::holds_alternative<evacuation_refused>(Answer);
+            return service_answer{Refused ? service_status::Refused : service_status::Accepted, {}};
+          },
+          [](const backend_recorded &) {
+            return service_answer{service_status::Accepted, {}};
+          },
+          [](const std::string &) {
+            return service_answer{service_status::Accepted, {}};
+          },
+          [](const auto &) { return service_answer{}; }},
       Outcome);
 }
 
@@ -66,6 +68,10 @@
   Services.Withdraw = [&Core](const backend_incarnation &Incarnation) {
     return answerFor(Core.ask(withdraw_backend{withdrawnIncarnation(Incarnation)}, ServiceLimit));
   };
+  Services.SetEvacuation = [&Core](const failure_domain_name &Domain, bool Restore) {
+    return answerFor(
+        Core.ask(submit_command{set_evacuation{Domain, Restore, wallClock()}}, ServiceLimit));
+  };
   Services.OwnUrl = std::move(OwnUrl);
   return Services;
 }
--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -139,6 +139,10 @@
       .span("entries.revoke_within_ms", &control_settings::RevokeWithin,
             {milliseconds(10'000), milliseconds(100), milliseconds(600'000)},
             "The same for keys that a change removes; the shorter of both applies.")
+      .span("entries.evacuate_within_ms", &control_settings::EvacuateWithin,
+            {milliseconds(0), milliseconds(0), milliseconds(600'000)},
+            "After an evacuation of a failure domain was acknowledged, no entry sends a request "
+            "there for longer. 0: as entries.apply_within_ms.")
       .fraction(
           "link_mbps", &control_settings::LinkMegabits, {1000.0, 1.0, 1'000'000.0},
           "Rate of this host's link in Mbit/s. Declarations in flight to entries take no more "
@@ -209,4 +213,9 @@
   return Options;
 }
 
+mono_duration evacuateWithin(const control_settings &Settings) {
+  const bool IsSet = Settings.EvacuateWithin > milliseconds(0);
+  return IsSet ? Settings.EvacuateWithin : Settings.ApplyWithin;
+}
+
 } // namespace pollenstall
--- a/programs/pollenstall-control/control_settings_type.h
+++ b/programs/pollenstall-control/control_settings_type.h
@@ -40,6 +40,7 @@
   std::chrono::milliseconds ConfirmWithin{0};
   std::chrono::milliseconds ApplyWithin{0};
   std::chrono::milliseconds RevokeWithin{0};
+  std::chrono::milliseconds EvacuateWithin{0}; ///< 0: as ApplyWithin.
   double LinkMegabits{0};
   std::uint32_t SnapshotEvery{0};
   std::string GossipAddress; ///< If empty, no engines are known and no order is sent.
@@ -76,6 +77,9 @@
 /// @return Durations of the entries' leases.
 in_force_options inForceOptions(const control_settings &Settings);
 
+/// @return in_force_options::ApplyWithin for evacuations of failure domains.
+mono_duration evacuateWithin(const control_settings &Settings);
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_CONTROL_CONTROL_SETTINGS_TYPE_H
--- a/programs/pollenstall-control/entry_server.cpp
+++ b/programs/pollenstall-control/entry_server.cpp
@@ -36,6 +36,12 @@
 /// Part of the link's rate for lists of backend servers.
 constexpr double ListShare = 0.7;
 
+in_force_options evacuationLeases(const entry_server_options &Options) {
+  in_force_options Leases = Options.Leases;
+  Leases.ApplyWithin = Options.EvacuateWithin.value_or(Leases.ApplyWithin);
+  return Leases;
+}
+
 } // namespace
 
 entry_server_options entryServerOptions(const in_force_options &Leases, double LinkBytesPerSecond,
@@ -47,7 +53,7 @@
 
 entry_server::entry_server(const entry_server_options &Settings, entry_server_callbacks Host)
     : Options(Settings), Callbacks(std::move(Host)), Tracker(Options.Leases),
-      Limiter(Options.MaxBytesInFlight),
+      EvacuationTracker(evacuationLeases(Options)), Limiter(Options.MaxBytesInFlight),
       Lists(Options.ListBytesPerSecond,
             {Callbacks.BackendsAfter, [this](connection_number To, link_backends Part) {
                Callbacks.Send({To, std::move(Part)});
@@ -57,6 +63,7 @@
   Leading = true;
   retainText();
   Tracker.beginTerm(Callbacks.State().declared().Revision, Now);
+  startEvacuations(Now);
   for (const auto &[Connection, Entry] : std::exchange(Waiting, {}))
     for (const link_request &Request : Entry.Requests)
       handle({Connection, Request}, Now);
@@ -148,6 +155,7 @@
     Lists.start(To, Now);
   Callbacks.Send({To, link_declaration_announced{Callbacks.State().declared().Revision}});
   sendSuspects(To, Session, suspects());
+  sendEvacuations(To, Session);
 }
 
 link_suspects entry_server::suspects() const {
@@ -217,27 +225,44 @@
 
 void entry_server::controlsChanged() { FleetChanged = true; }
 
-void entry_server::handleRequest(connection_number From, const link_renew &Request, mono_time Now) {
+entry_server::session *entry_server::findSession(connection_number From,
+                                                 const process_key &Process) {
   const auto Found = Sessions.find(From);
-  if (Found == Sessions.end() || Found->second.Subscription.Process != Request.Process)
-    return redirect(From); // its subscription arrived while this host held no lease
-  session &Session = Found->second;
+  if (Found != Sessions.end() && Found->second.Subscription.Process == Process)
+    return &Found->second;
+  redirect(From); // its subscription arrived while this host held no lease
+  return nullptr;
+}
+
+void entry_server::handleRequest(connection_number From, const link_renew &Request, mono_time Now) {
+  session *Session = findSession(From, Request.Process);
+  if (Session == nullptr)
+    return;
+  // An entry that has received no list acts on the empty one. If a list was sent, the renewal may
+  // have been sent before it arrived.
+  if (!Session->EvacuationsSent)
+    Session->EvacuationsConfirmed = EmptyEvacuations;
+  renew(From, *Session, Request, Now);
+}
+
+void entry_server::renew(connection_number From, session &Session, const link_renew &Request,
+                         mono_time Now) {
   if (!Session.InitialStateSent)
     sendInitialState(From, Session, Now);
   Session.Confirmed = Request.Confirmed;
   Session.HeldRevision = Request.HeldRevision;
   Session.LastSeen = Now;
   recordArrival(From, Session);
-  const auto Lease =
-      Tracker.renew(Request.Process, Session.Subscription.Domain, Request.Confirmed, Now);
+  const std::optional<mono_duration> Lease = grantLease(Session, Now);
   const revision Confirmed = Request.Confirmed.value_or(revision());
   Callbacks.Send({From, link_lease{Request.RenewId, Confirmed, Lease ? wholeMillis(*Lease) : 0}});
   sendTexts(Now);
   if (Request.DrainsSeen != Callbacks.State().drainsVersion())
     sendDrains(From);
-  // The suspects may have changed while this host held no lease.
+  // The suspects and the evacuated domains may have changed while this host held no lease.
   if (Session.SuspectsVersionSent != Callbacks.State().suspects().version())
     sendSuspects(From, Session, suspects());
+  sendEvacuations(From, Session);
   expireIdleSessions(Now);
 }
 
--- a/programs/pollenstall-control/entry_server_base.h
+++ b/programs/pollenstall-control/entry_server_base.h
@@ -41,6 +41,15 @@
   /// Rate at which lists of backend servers are sent to all entries together. Part of the link's
   /// rate, because heartbeats and changes share the link.
   double ListBytesPerSecond{10e6};
+  /// in_force_options::ApplyWithin for evacuations; empty: as Leases has it.
+  std::optional<mono_duration> EvacuateWithin{};
+};
+
+/// What the connected entries report about evacuated failure domains.
+struct evacuation_progress {
+  std::size_t Entries{0};
+  std::size_t Unconfirmed{0};    ///< Entries that have not confirmed the current list.
+  std::uint64_t RequestsLeft{0}; ///< Requests of all entries that still run in these domains.
 };
 
 /// @return Limits for a link of this rate, so that texts delay no heartbeat for longer than one
@@ -77,6 +86,13 @@
   /// Sends the state's changed list of suspected requests to every entry.
   void suspectsChanged(mono_time Now);
 
+  /// Sends the state's changed list of evacuated failure domains to every entry.
+  void evacuationsChanged(mono_time Now);
+  /// @return Whether the evacuation or restoration with this version of the list may be
+  /// acknowledged to its sender.
+  [[nodiscard]] bool mayAcknowledgeEvacuation(std::uint64_t Version, mono_time Now) const;
+  [[nodiscard]] evacuation_progress evacuationProgress() const;
+
   /// Sends changed backend servers to every connected entry.
   void backendsChanged(const std::vector<backend_listing> &Changes);
   /// Schedules an update of the fleet list, since a control host's addresses have changed.
@@ -98,6 +114,12 @@
     mono_time LastSeen{};
     std::uint64_t SuspectsVersionSent{0}; ///< Version of the last list sent.
     bool InitialStateSent{false};         ///< Backend servers, revision and suspects.
+    /// Version of the list of evacuated domains on which the entry acts.
+    revision EvacuationsConfirmed{};
+    /// Version of the newest list that was sent on this connection or that the entry has reported;
+    /// empty: the entry may be of a build that cannot read the list.
+    std::optional<std::uint64_t> EvacuationsSent{};
+    std::uint32_t RequestsLeft{0}; ///< Of this entry in evacuated domains.
   };
 
   /// An entry that connected while no leader was known.
@@ -109,6 +131,7 @@
   void holdRequest(connection_number From, const link_request &Request, mono_time Now);
   void handleRequest(connection_number From, const link_subscribe &Request, mono_time Now);
   void handleRequest(connection_number From, const link_renew &Request, mono_time Now);
+  void handleRequest(connection_number From, const link_renew_evacuations &Request, mono_time Now);
   void handleRequest(connection_number From, const link_claim_acquire &Request, mono_time Now);
   void handleRequest(connection_number From, const link_claim_settle &Request, mono_time Now);
   void handleRequest(connection_number From, const link_crash &Request, mono_time Now);
@@ -116,6 +139,15 @@
   void handleRequest(connection_number From, const link_suspect_run &Request, mono_time Now);
   [[nodiscard]] link_suspects suspects() const;
   void sendSuspects(connection_number To, session &Session, const link_suspects &All);
+  /// @return The session of a renewal, or null if the sender must subscribe first.
+  session *findSession(connection_number From, const process_key &Process);
+  void renew(connection_number From, session &Session, const link_renew &Request, mono_time Now);
+  /// @return The duration of the lease that both trackers allow, or nothing.
+  std::optional<mono_duration> grantLease(const session &Session, mono_time Now);
+  void startEvacuations(mono_time Now);
+  void updateEmptyEvacuations();
+  /// Sends the list if the entry needs it and it was not sent on this connection.
+  void sendEvacuations(connection_number To, session &Session);
   void redirect(connection_number To);
   void redirectWaiting(mono_time Now);
   [[nodiscard]] bool needsText(const session &Session) const;
@@ -137,6 +169,9 @@
   entry_server_options Options;
   entry_server_callbacks Callbacks;
   in_force_tracker Tracker;
+  in_force_tracker EvacuationTracker; ///< Its revisions are versions of the list.
+  /// The newest version known here at which no domain was evacuated.
+  revision EmptyEvacuations;
   send_limiter Limiter;
   list_sender Lists;
   std::map<connection_number, session> Sessions;
--- a/programs/pollenstall-control/operator_api.cpp
+++ b/programs/pollenstall-control/operator_api.cpp
@@ -134,6 +134,8 @@
   Add("GET", "/v1/history", &operator_api::getHistory);
   Add("GET", "/v1/status", &operator_api::getStatus);
   Add("POST", "/v1/drains", &operator_api::postDrain);
+  Add("GET", "/v1/evacuations", &operator_api::getEvacuations);
+  Add("POST", "/v1/evacuations", &operator_api::postEvacuation);
   Add("POST", "/v1/members", &operator_api::postMember);
   Add("GET", "/v1/suspects", &operator_api::getSuspects);
   Add("POST", "/v1/suspects", &operator_api::postSuspect);
@@ -177,6 +179,22 @@
                                       Undo != nullptr && Undo->as_bool(), wallClock()}});
 }
 
+operator_reply operator_api::getEvacuations(const operator_call & /*Call*/) {
+  return ask(get_evacuations{});
+}
+
+operator_reply operator_api::postEvacuation(const operator_call &Call) {
+  const auto Object = objectOf(Call.Body);
+  const auto Domain = Object ? textAt(*Object, "domain") : std::nullopt;
+  const json::value *Undo = Object ? Object->if_contains("undo") : nullptr;
+  if (!Domain || Domain->empty() || Domain->size() > MaxDomainNameBytes)
+    return badRequest("needs domain, the name of a failure domain (1 to 255 bytes)");
+  if (Undo != nullptr && !Undo->is_bool())
+    return badRequest("undo is true or false");
+  return ask(submit_command{set_evacuation{failure_domain_name(*Domain),
+                                           Undo != nullptr && Undo->as_bool(), wallClock()}});
+}
+
 operator_reply operator_api::postMember(const operator_call &Call) {
   const auto Object = objectOf(Call.Body);
   const auto Action = Object ? textAt(*Object, "action") : std::nullopt;
--- a/programs/pollenstall-control/operator_api_base.h
+++ b/programs/pollenstall-control/operator_api_base.h
@@ -31,6 +31,8 @@
 private:
   operator_reply postChange(const operator_call &Call);
   operator_reply postDrain(const operator_call &Call);
+  operator_reply getEvacuations(const operator_call &Call);
+  operator_reply postEvacuation(const operator_call &Call);
   operator_reply postMember(const operator_call &Call);
   operator_reply getSuspects(const operator_call &Call);
   operator_reply postSuspect(const operator_call &Call);
--- a/programs/pollenstall-control/operator_reply.cpp
+++ b/programs/pollenstall-control/operator_reply.cpp
@@ -69,6 +69,19 @@
   return jsonReply(HttpOk, {{"done", true}});
 }
 
+/// The version is left out, so that a repeat gets the same reply as the first command.
+operator_reply replyToAnswer(const evacuation_recorded & /*Answer*/) {
+  return jsonReply(HttpOk, {{"done", true}});
+}
+
+operator_reply replyToAnswer(const evacuation_refused &Answer) {
+  const bool TooMany = Answer.Reason == evacuation_refusal::TooMany;
+  return jsonReply(HttpBadRequest,
+                   errorObject(TooMany ? "too_many_evacuations" : "bad_request",
+                               TooMany ? "too many failure domains are evacuated"
+                                       : "the name of the failure domain is not valid"));
+}
+
 template <typename Other> operator_reply replyToAnswer(const Other & /*Answer*/) {
   return jsonReply(HttpServerError,
                    errorObject("internal", "unexpected answer to an operator's command"));
--- a/src/adapter/control_services_type.h
+++ b/src/adapter/control_services_type.h
@@ -15,6 +15,7 @@
 enum class service_status : std::uint8_t {
   Accepted,    ///< Durable, or being sent to every connected entry.
   NotLeader,   ///< Nothing was done; another host is the leader.
+  Refused,     ///< Nothing was done, and a repeat would be refused as well.
   Unavailable, ///< Outcome unknown, or nothing was done; retry the call.
 };
 
@@ -39,6 +40,9 @@
   std::function<service_answer(const backend_notice &)> Announce;
   /// Without a start time it withdraws the current incarnation of that name.
   std::function<service_answer(const backend_incarnation &)> Withdraw;
+  /// Evacuates a failure domain, or restores it. Accepted once it binds every entry that may serve
+  /// requests within entries.evacuate_within_ms; a repeat is safe.
+  std::function<service_answer(const failure_domain_name &, bool Restore)> SetEvacuation;
   std::string OwnUrl; ///< URL of the operator address of this host.
 };
 
