--- a/programs/pollenstallctl/json_text.cpp
+++ b/programs/pollenstallctl/json_text.cpp
@@ -6,12 +6,17 @@
 #include <boost/json/string.hpp>
 
 #include <algorithm>
+#include <array>
+#include <ctime>
 #include <vector>
 
 namespace pollenstall {
 
 namespace {
 
+constexpr std::uint64_t MillisecondsPerSecond = 1'000;
+constexpr std::size_t TimeTextSize = 32;
+
 constexpr std::size_t IndentStep = 2;
 constexpr std::size_t ColumnGap = 2;
 
@@ -97,6 +102,15 @@
   return Message.empty() ? "no reason given" : Message;
 }
 
+std::string timeText(std::uint64_t UnixMs) {
+  const auto Seconds = static_cast<std::time_t>(UnixMs / MillisecondsPerSecond);
+  std::tm UtcTime{};
+  gmtime_r(&Seconds, &UtcTime);
+  std::array<char, TimeTextSize> Text{};
+  const std::size_t Length = std::strftime(Text.data(), Text.size(), "%F %TZ", &UtcTime);
+  return {Text.data(), Length};
+}
+
 std::string tableText(const boost::json::array &Rows) {
   const std::vector<std::string> Columns = columnsOf(Rows);
   std::vector<std::vector<std::string>> Lines{Columns};
--- a/programs/pollenstallctl/json_text_func.h
+++ b/programs/pollenstallctl/json_text_func.h
@@ -34,6 +34,9 @@
 /// objects.
 std::string toReadableText(const boost::json::value &Value);
 
+/// @return The UTC time, such as "2026-12-02 17:43:35Z".
+std::string timeText(std::uint64_t UnixMs);
+
 /// @return The rows in aligned columns, with the keys as headings.
 std::string tableText(const boost::json::array &Rows);
 
--- a/programs/pollenstallctl/table/verbs.h
+++ b/programs/pollenstallctl/table/verbs.h
@@ -18,7 +18,7 @@
   verb_result (*Run)(const ctl_options &Options);
 };
 
-inline constexpr std::size_t VerbCount = 11;
+inline constexpr std::size_t VerbCount = 14;
 inline constexpr std::array<verb_row, VerbCount> Verbs{{
     {"validate", 1, "FILE", "check a declaration", runValidate},
     {"plan", 1, "FILE", "show what applying the file would change", runPlan},
@@ -28,6 +28,10 @@
     {"history", 0, "", "list the accepted changes", runHistory},
     {"drain", 1, "IP:PORT [--undo] [--change-id ID]", "stop or resume new work on a backend server",
      runDrain},
+    {"evacuate", 1, "DOMAIN", "take a failure domain out: no new work on its backend servers",
+     runEvacuate},
+    {"restore", 1, "DOMAIN", "put an evacuated failure domain back", runRestore},
+    {"evacuations", 0, "", "list the evacuated failure domains", runEvacuations},
     {"member", 2, "admit|remove NUMBER", "add or remove a control host as a member of the log",
      runMember},
     {"suspects", 0, "", "list requests suspected of crashing backend servers", runSuspects},
--- a/programs/pollenstallctl/verb_history.cpp
+++ b/programs/pollenstallctl/verb_history.cpp
@@ -6,26 +6,10 @@
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 
-#include <array>
-#include <ctime>
-
 namespace pollenstall {
 
 namespace {
 
-constexpr std::uint64_t MillisecondsPerSecond = 1'000;
-constexpr std::size_t TimeTextSize = 32;
-
-/// Returns the UTC time, such as "2026-12-02 17:43:35Z".
-std::string timeText(std::uint64_t UnixMs) {
-  const auto Seconds = static_cast<std::time_t>(UnixMs / MillisecondsPerSecond);
-  std::tm UtcTime{};
-  gmtime_r(&Seconds, &UtcTime);
-  std::array<char, TimeTextSize> Text{};
-  const std::size_t Length = std::strftime(Text.data(), Text.size(), "%F %TZ", &UtcTime);
-  return {Text.data(), Length};
-}
-
 boost::json::array readableRows(const boost::json::array &Changes) {
   boost::json::array Rows;
   for (const boost::json::value &Change : Changes)
--- a/tests/pollenstallctl/pollenstallctl_test.cpp
+++ b/tests/pollenstallctl/pollenstallctl_test.cpp
@@ -326,5 +326,68 @@
   EXPECT_EQ(run("drain backend-1 --control " + Control.url()).Exit, 2);
 }
 
+class ctl_evacuations : public ctl_test {
+protected:
+  /// @param Servers Backend servers that the control host lists in the domain.
+  static fake_control::reply_function replies(int Servers) {
+    return [Servers](const fake_request &Request) {
+      if (Request.Method == "POST")
+        return fake_reply{200, {{"done", true}}};
+      return fake_reply{
+          200,
+          {{"version", 1},
+           {"domains", {{{"domain", "zone-1"}, {"since_unix_ms", 0}, {"servers", Servers}}}},
+           {"requests_left", 7},
+           {"entries", 3},
+           {"entries_unconfirmed", 1}}};
+    };
+  }
+};
+
+TEST_F(ctl_evacuations, SendsCommandsAndPrintsTheList) {
+  fake_control Control(replies(2));
+  const tool_run Evacuate = run("evacuate zone-1 --control " + Control.url());
+  EXPECT_EQ(Evacuate.Exit, 0);
+  EXPECT_EQ(Evacuate.Out, "accepted: zone-1 takes no new work\n");
+  EXPECT_EQ(Evacuate.Err, "");
+  EXPECT_EQ(run("restore zone-1 --control " + Control.url()).Exit, 0);
+  const auto Sent = Control.requestsTo("/v1/evacuations");
+  EXPECT_EQ(Sent.at(0).Body, (json::value{{"domain", "zone-1"}, {"undo", false}}));
+  EXPECT_EQ(Sent.back().Body, (json::value{{"domain", "zone-1"}, {"undo", true}}));
+  const std::string List = run("evacuations --control " + Control.url()).Out;
+  EXPECT_THAT(List, HasSubstr("zone-1"));
+  EXPECT_THAT(List, HasSubstr("1970-01-01 00:00:00Z"));
+  EXPECT_THAT(List, HasSubstr("requests that still run there: 7"));
+  EXPECT_THAT(List, HasSubstr("entries that have not confirmed: 1 of 3"));
+}
+
+// A mistyped name is accepted, since servers of the domain may announce themselves later.
+TEST_F(ctl_evacuations, WarnsOfADomainWithoutServers) {
+  fake_control Control(replies(0));
+  const tool_run Evacuate = run("evacuate zone-1 --control " + Control.url());
+  EXPECT_EQ(Evacuate.Exit, 0);
+  EXPECT_THAT(Evacuate.Err, HasSubstr("no backend server in zone-1"));
+}
+
+TEST_F(ctl_evacuations, RefusesBadNamesAndReportsAnUnknownOutcome) {
+  EXPECT_EQ(run("evacuate").Exit, 2);
+  EXPECT_EQ(run("evacuate '' --control " + ClosedPort).Exit, 2);
+  EXPECT_EQ(run("restore " + std::string(256, 'z') + " --control " + ClosedPort).Exit, 2);
+  EXPECT_EQ(run("evacuate zone-1 --control " + ClosedPort + " --timeout 1").Exit, 5);
+  fake_control Control([](const fake_request &) -> std::optional<fake_reply> {
+    return fake_reply{503, {{"error", {{"code", "unknown_outcome"}, {"message", "m"}}}}};
+  });
+  const tool_run Unknown = run("evacuate zone-1 --timeout 1 --control " + Control.url());
+  EXPECT_EQ(Unknown.Exit, 4);
+  EXPECT_THAT(Unknown.Err, HasSubstr("resend with the same command"));
+}
+
+TEST_F(ctl_evacuations, SaysThatNoDomainIsOut) {
+  fake_control Control([](const fake_request &) {
+    return fake_reply{200, {{"version", 2}, {"domains", json::array()}}};
+  });
+  EXPECT_EQ(run("evacuations --control " + Control.url()).Out, "no failure domain is evacuated\n");
+}
+
 } // namespace
 } // namespace pollenstall
