--- a/tests/control/control_cluster.cpp
+++ b/tests/control/control_cluster.cpp
@@ -232,6 +232,11 @@
 void test_entry::take(const control_connection_lost & /*Event*/) {}
 void test_entry::take(const declaration_announced & /*Event*/) {}
 void test_entry::take(const suspects_listed &Event) { Suspects = Event.Suspects; }
+void test_entry::take(const evacuations_changed &Event) {
+  Evacuations = Event;
+  if (ConfirmsEvacuations)
+    Link->request(confirm_evacuations{Event.Version, RequestsLeft});
+}
 
 claim_status test_entry::claim(std::uint64_t Request, const std::string &Key,
                                std::chrono::milliseconds Limit) {
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -115,6 +115,9 @@
   std::size_t ReceivedStale{0};        ///< Number of those older than the one in use.
   std::vector<backend_address> Drains;
   std::vector<published_suspect> Suspects;
+  std::optional<evacuations_changed> Evacuations; ///< The list received last.
+  std::uint32_t RequestsLeft{0};                  ///< Reported with each confirmation of a list.
+  bool ConfirmsEvacuations{true};
   bool ConfirmsRevisions{true}; ///< If false, uses declarations without confirming them.
 
 private:
@@ -128,6 +131,7 @@
   void take(const control_connection_lost &Event);
   void take(const declaration_announced &Event);
   void take(const suspects_listed &Event);
+  void take(const evacuations_changed &Event);
 
   declaration_lease Freshness;
   std::map<request_number, claim_status> Verdicts;
--- a/tests/control/control_codec_test.cpp
+++ b/tests/control/control_codec_test.cpp
@@ -81,6 +81,25 @@
   EXPECT_EQ(First.snapshot(), Second.snapshot());
 }
 
+// An older program must be able to start from the disk of a newer one and to take its snapshots, as
+// long as no failure domain was evacuated.
+TEST(ControlCodec, UsesTheNewerSnapshotOnceADomainWasEvacuated) {
+  control_state State = sampleState();
+  EXPECT_EQ(encodeState(State)[0], 4);
+  const set_evacuation Evacuate{failure_domain_name("zone-1"), false, unix_millis(7)};
+  EXPECT_EQ(encodeCommand(Evacuate)[0], 6);
+  const auto Command = decodeCommand(encodeCommand(Evacuate));
+  ASSERT_TRUE(succeeded(Command));
+  State.execute(valueOf(Command));
+  const std::string Bytes = encodeState(State);
+  EXPECT_EQ(Bytes[0], 5);
+  const auto Decoded = decodeState(Bytes, {});
+  ASSERT_TRUE(succeeded(Decoded));
+  EXPECT_EQ(valueOf(Decoded).snapshot(), State.snapshot());
+  for (std::size_t Length = 0; Length < Bytes.size(); ++Length)
+    EXPECT_FALSE(succeeded(decodeState(Bytes.substr(0, Length), {}))) << Length;
+}
+
 TEST(ControlCodec, RoundTripsSuspectedRequests) {
   control_state State{control_limits{}};
   for (std::uint64_t Incarnation = 1; Incarnation <= 3; ++Incarnation) {
--- a/tests/control/simulated_fleet.cpp
+++ b/tests/control/simulated_fleet.cpp
@@ -62,13 +62,19 @@
   return Notice;
 }
 
+entry_server_options serverOptions(const simulated_fleet_options &Options) {
+  entry_server_options Server =
+      entryServerOptions(Options.Leases, Options.ToEntries.Sender, Options.Heartbeat);
+  Server.EvacuateWithin = Options.EvacuateWithin;
+  return Server;
+}
+
 } // namespace
 
 simulated_fleet::simulated_fleet(const simulated_fleet_options &Settings)
     : Options(Settings), Link(Clock, Options.ToEntries),
-      EntryServer(entryServerOptions(Options.Leases, Options.ToEntries.Sender, Options.Heartbeat),
-                  hooks()),
-      Entries(Options.Entries), LastHeartbeats(Options.Followers, Clock.now()) {
+      EntryServer(serverOptions(Options), hooks()), Entries(Options.Entries),
+      LastHeartbeats(Options.Followers, Clock.now()) {
   Start = Clock.now();
   for (std::size_t Index = 0; Index < Options.Backends; ++Index)
     Directory.handleNotice(noticeOf(Index), Start);
@@ -127,6 +133,39 @@
   EntryServer.declarationChanged(Clock.now());
 }
 
+std::uint64_t simulated_fleet::setEvacuation(const std::string &Domain, bool Undo) {
+  const std::uint64_t Version = ++LastEvacuation;
+  EvacuationTimes[Version].Sent = Clock.now();
+  const set_evacuation Command{failure_domain_name(Domain), Undo, unix_millis(0)};
+  const auto Copies = std::make_shared<std::size_t>(0);
+  for (std::size_t Index = 0; Index < Options.Followers; ++Index)
+    Link.send(followerStream(Index), encodeCommand(Command).size(), {},
+              [this, Copies, Version, Command] {
+                if (++*Copies != Options.Followers / 2)
+                  return;
+                State.execute(Command);
+                EvacuationTimes[Version].Accepted = Clock.now();
+                EntryServer.evacuationsChanged(Clock.now());
+              });
+  return Version;
+}
+
+std::size_t simulated_fleet::entriesBehind(std::uint64_t Version) const {
+  return static_cast<std::size_t>(
+      std::count_if(Entries.begin(), Entries.end(), [&](const entry &Entry) {
+        return Entry.Lease.ready(Clock.now()) && Entry.Evacuations.value_or(0) < Version;
+      }));
+}
+
+void simulated_fleet::sampleEvacuations(mono_time Now) {
+  for (auto &[Version, Times] : EvacuationTimes) {
+    if (Times.Accepted && !Times.Acknowledged && EntryServer.mayAcknowledgeEvacuation(Version, Now))
+      Times.Acknowledged = Now;
+    if (Times.Acknowledged && Now > *Times.Acknowledged + Options.EvacuateWithin)
+      StaleEvacuationSamples += entriesBehind(Version);
+  }
+}
+
 void simulated_fleet::sendHeartbeats() {
   for (std::size_t Index = 0; Index < Options.Followers; ++Index)
     Link.send(followerStream(Index), HeartbeatBytes, {}, [this, Index] {
@@ -139,6 +178,7 @@
 void simulated_fleet::sample() {
   const mono_time Now = Clock.now();
   EntryServer.advance(Now);
+  sampleEvacuations(Now);
   for (auto &[Change, Progress] : Progresses)
     if (Progress.Accepted && !Progress.Acknowledged && EntryServer.mayAcknowledge(Change, Now))
       Progress.Acknowledged = Now;
@@ -209,8 +249,12 @@
   entry &Entry = Entries[Index];
   Entry.NextRenew = Clock.now() + Options.LeaseRenewInterval;
   Entry.UnansweredRenewals.emplace(++Entry.LastRenewId, Clock.now());
-  sendRequest(Index, link_renew{Entry.LastRenewId, Entry.Process, Entry.Lease.current(),
-                                State.drainsVersion(), Entry.HeldRevision});
+  const link_renew Renewal{Entry.LastRenewId, Entry.Process, Entry.Lease.current(),
+                           State.drainsVersion(), Entry.HeldRevision};
+  if (Entry.Evacuations)
+    sendRequest(Index, link_renew_evacuations{Renewal, *Entry.Evacuations, Entry.Evacuations, 0});
+  else
+    sendRequest(Index, Renewal);
 }
 
 void simulated_fleet::handleBackends(entry &Entry, const link_backends &List) {
@@ -243,6 +287,10 @@
     if (Renewal != Entry.UnansweredRenewals.end() && Lease->LeaseMillis > 0)
       Entry.Lease.extend(Lease->Revision, Renewal->second + milliseconds(Lease->LeaseMillis));
   }
+  if (const auto *List = std::get_if<link_evacuations>(&Reply)) {
+    Entry.Evacuations = List->Version;
+    renew(Index);
+  }
   if (const auto *Declaration = std::get_if<link_declaration>(&Reply))
     handleText(Index, Declaration->Revision);
   if (const auto *Change = std::get_if<link_declaration_change>(&Reply))
--- a/tests/control/simulated_fleet.h
+++ b/tests/control/simulated_fleet.h
@@ -24,6 +24,7 @@
   std::size_t Backends{0}; ///< Backend servers in the leader's list.
   link_rates ToEntries{170e6 / 8, 20e6 / 8, std::chrono::microseconds(500)};
   in_force_options Leases;
+  mono_duration EvacuateWithin{std::chrono::seconds(5)};
   mono_duration LeaseRenewInterval{std::chrono::milliseconds(300)};
   mono_duration AnswerTimeout{std::chrono::milliseconds(900)};
   mono_duration Reconnect{std::chrono::milliseconds(50)};
@@ -40,6 +41,13 @@
   std::map<std::size_t, mono_time> InUse; ///< By entry; a later revision includes this one.
 };
 
+/// Progress of one evacuation or restoration.
+struct evacuation_times {
+  mono_time Sent{};
+  std::optional<mono_time> Accepted;
+  std::optional<mono_time> Acknowledged;
+};
+
 /**
  * Uses the real entry_server. Entries use the real declaration_lease and receive_idle_monitor. The
  * log's entries and heartbeats to followers share the leader's link.
@@ -50,6 +58,8 @@
 
   /// Proposes an operator's change to the log now. @return Its revision.
   revision change(const std::string &Text);
+  /// Proposes an evacuation, or a restoration, to the log now. @return The version of the list.
+  std::uint64_t setEvacuation(const std::string &Domain, bool Undo = false);
   void runFor(mono_duration Span);
   /// Drops all messages from and to this entry from now on.
   void partition(std::size_t Entry) { Entries[Entry].Partitioned = true; }
@@ -68,6 +78,13 @@
   [[nodiscard]] std::size_t samplesWithoutLease() const { return SamplesWithoutLease; }
   /// @return Number of samples at which an entry could act on a declaration older than promised.
   [[nodiscard]] std::size_t staleSamples() const { return StaleSamples; }
+  [[nodiscard]] const evacuation_times &evacuation(std::uint64_t Version) const {
+    return EvacuationTimes.at(Version);
+  }
+  /// @return Number of entries with a lease that act on an older list than this version.
+  [[nodiscard]] std::size_t entriesBehind(std::uint64_t Version) const;
+  /// @return Number of samples at which an entry with a lease acted on an older list than promised.
+  [[nodiscard]] std::size_t staleEvacuationSamples() const { return StaleEvacuationSamples; }
   /// @return Time since the start until the entry that waited longest knew a backend server, or all
   /// of them; nothing if an entry does not yet.
   [[nodiscard]] std::optional<mono_duration> timeToFirstBackend() const {
@@ -91,6 +108,7 @@
     std::uint64_t LastRenewId{0};
     mono_time NextRenew{};
     mono_time ReadingUntil{};
+    std::optional<std::uint64_t> Evacuations; ///< Version of the list received and in use.
     std::set<incarnation> Backends;
     std::optional<mono_time> FirstBackendAt;
     std::optional<mono_time> AllBackendsAt;
@@ -102,6 +120,7 @@
 
   entry_server_callbacks hooks();
   void sample();
+  void sampleEvacuations(mono_time Now);
   void sendHeartbeats();
   void connect(std::size_t Index);
   void renew(std::size_t Index);
@@ -129,6 +148,9 @@
   std::size_t Lost{0};
   std::size_t SamplesWithoutLease{0};
   std::size_t StaleSamples{0};
+  std::uint64_t LastEvacuation{0};
+  std::map<std::uint64_t, evacuation_times> EvacuationTimes; ///< By version of the list.
+  std::size_t StaleEvacuationSamples{0};
 };
 
 /// @return A declaration of this many routes as operators' tools write them. Names are random for
--- a/tests/platform/platform_system.cpp
+++ b/tests/platform/platform_system.cpp
@@ -121,7 +121,8 @@
                     {"bounds.budget_window_s", "10"},
                     {"limits.link_mbps", "1000.0"},
                     {"bounds.config_apply_ms", "2000"},
-                    {"bounds.revocation_ms", "5000"}},
+                    {"bounds.revocation_ms", "5000"},
+                    {"bounds.evacuation_ms", "5000"}},
                    SeedList);
   return child_process::withSettings("pollenstall-" + Role, Text);
 }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -245,6 +245,7 @@
   service_answer Answer{service_status::Accepted, {}};
   revision Proposed;
   std::vector<backend_notice> Notices;
+  std::vector<std::pair<std::string, bool>> Evacuations; ///< Zone, and whether it was restored.
   std::vector<operator_route> Routes;
 
   void SetUp() override {
@@ -259,6 +260,10 @@
       return Answer;
     };
     Services.Withdraw = [this](const backend_incarnation &) { return Answer; };
+    Services.SetEvacuation = [this](const failure_domain_name &Domain, bool Restore) {
+      Evacuations.emplace_back(Domain.str(), Restore);
+      return Answer;
+    };
     Services.OwnUrl = "http://10.0.0.9:1";
     Routes = platformRoutes(Services);
   }
@@ -310,5 +315,37 @@
   EXPECT_EQ(call("PUT", "/pollenstall/instances/i-1", "{").Status, 400U);
 }
 
+TEST_F(ControlHostRoutesTest, EvacuatesAndRestoresAZone) {
+  EXPECT_EQ(call("POST", "/pollenstall/evacuations/zone-1").Status, 200U);
+  EXPECT_EQ(call("DELETE", "/pollenstall/evacuations/zone%20one").Status, 200U);
+  const std::vector<std::pair<std::string, bool>> Expected{{"zone-1", false}, {"zone one", true}};
+  EXPECT_EQ(Evacuations, Expected);
+}
+
+// An evacuation counts from its acknowledgement, so an unknown outcome must not look like one.
+TEST_F(ControlHostRoutesTest, AcknowledgesNoEvacuationWithoutTheLeader) {
+  const std::string Path = "/pollenstall/evacuations/zone%20one";
+  Answer = {service_status::NotLeader, "http://10.0.0.4:8"};
+  EXPECT_EQ(call("POST", Path).Status, 307U);
+  EXPECT_EQ(call("DELETE", Path).Location, "http://10.0.0.4:8" + Path);
+  Answer.LeaderUrl.clear();
+  EXPECT_EQ(call("POST", Path).Status, 503U);
+  Answer = {service_status::Unavailable, {}};
+  EXPECT_EQ(call("POST", Path).Status, 503U);
+  Answer = {service_status::Refused, {}};
+  EXPECT_EQ(call("POST", Path).Status, 400U);
+}
+
+TEST_F(ControlHostRoutesTest, RefusesZonesWithBadNames) {
+  const std::string Longest(255, 'z');
+  EXPECT_EQ(call("POST", "/pollenstall/evacuations/" + Longest).Status, 200U);
+  for (const std::string &Bad : {std::string(), Longest + "z", std::string("%"), std::string("%4"),
+                                 std::string("%zz"), std::string("%FF"), std::string("a%C3")}) {
+    EXPECT_EQ(call("POST", "/pollenstall/evacuations/" + Bad).Status, 400U) << Bad;
+    EXPECT_EQ(call("DELETE", "/pollenstall/evacuations/" + Bad).Status, 400U) << Bad;
+  }
+  EXPECT_EQ(Evacuations.size(), 1U);
+}
+
 } // namespace
 } // namespace pollenstall
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -31,7 +31,8 @@
                 {"bounds.budget_window_s", "10"},
                 {"limits.link_mbps", "170.0"},
                 {"bounds.config_apply_ms", "2000"},
-                {"bounds.revocation_ms", "5000"}};
+                {"bounds.revocation_ms", "5000"},
+                {"bounds.evacuation_ms", "5000"}};
   for (auto &[Name, Value] : Fields)
     for (const auto &[Other, New] : Replaced)
       if (Other == Name)
@@ -67,7 +68,7 @@
   expectAccepted({});
   for (const char *Name : {"heartbeat_interval_ms", "bounds.grace_s", "bounds.retry_budget_extra",
                            "bounds.budget_window_s", "limits.link_mbps", "bounds.config_apply_ms",
-                           "bounds.revocation_ms"})
+                           "bounds.revocation_ms", "bounds.evacuation_ms"})
     expectAccepted({{Name, "1199.7"}});
 }
 
@@ -84,7 +85,8 @@
   for (const char *Name :
        {"bounds.grace_s", "bounds.retry_budget_ratio", "bounds.retry_budget_extra",
         "bounds.budget_window_s", "fault_tolerance.machines", "heartbeat_interval_ms",
-        "limits.link_mbps", "bounds.config_apply_ms", "bounds.revocation_ms"})
+        "limits.link_mbps", "bounds.config_apply_ms", "bounds.revocation_ms",
+        "bounds.evacuation_ms"})
     expectAccepted({{Name, ""}});
 }
 
