Entries receive the change of the evacuated domains, not the list

An entry with the previous list now receives the change. The list goes out after the first renewal of a connection, which reports what the entry has, so that it is not sent to all entries again after a change of leader.

An entry without a list counts as having confirmed only versions at which no domain was evacuated; a restarted entry therefore gets no lease before it confirms, also within the time for confirmations.

--- a/programs/pollenstall-control/control_core_evacuations.cpp
+++ b/programs/pollenstall-control/control_core_evacuations.cpp
@@ -60,7 +60,7 @@
 }
 
 void control_core::announceEvacuation(const set_evacuation &Command) {
-  EntryServer.evacuationsChanged(boot_clock::now());
+  EntryServer.evacuationsChanged(Command, boot_clock::now());
   if (!EntryServer.isLeading())
     return;
   logEvent(log_level::Warning, Command.Undo ? "domain_restored" : "domain_evacuated",
--- a/programs/pollenstall-control/entry_server.cpp
+++ b/programs/pollenstall-control/entry_server.cpp
@@ -63,7 +63,7 @@
   Leading = true;
   retainText();
   Tracker.beginTerm(Callbacks.State().declared().Revision, Now);
-  startEvacuations(Now);
+  EvacuationTracker.beginTerm(revision(Callbacks.State().evacuations().version()), Now);
   for (const auto &[Connection, Entry] : std::exchange(Waiting, {}))
     for (const link_request &Request : Entry.Requests)
       handle({Connection, Request}, Now);
@@ -155,7 +155,6 @@
     Lists.start(To, Now);
   Callbacks.Send({To, link_declaration_announced{Callbacks.State().declared().Revision}});
   sendSuspects(To, Session, suspects());
-  sendEvacuations(To, Session);
 }
 
 link_suspects entry_server::suspects() const {
@@ -240,8 +239,9 @@
     return;
   // An entry that has received no list acts on the empty one. If a list was sent, the renewal may
   // have been sent before it arrived.
-  if (!Session->EvacuationsSent)
-    Session->EvacuationsConfirmed = EmptyEvacuations;
+  const evacuation_table &Evacuations = Callbacks.State().evacuations();
+  if (!Session->EvacuationsSent && Evacuations.empty())
+    Session->EvacuationsConfirmed = revision(Evacuations.version());
   renew(From, *Session, Request, Now);
 }
 
--- a/programs/pollenstall-control/entry_server_base.h
+++ b/programs/pollenstall-control/entry_server_base.h
@@ -86,8 +86,8 @@
   /// Sends the state's changed list of suspected requests to every entry.
   void suspectsChanged(mono_time Now);
 
-  /// Sends the state's changed list of evacuated failure domains to every entry.
-  void evacuationsChanged(mono_time Now);
+  /// Sends the last change of the state's list of evacuated failure domains to every entry.
+  void evacuationsChanged(const set_evacuation &Change, mono_time Now);
   /// @return Whether the evacuation or restoration with this version of the list may be
   /// acknowledged to its sender.
   [[nodiscard]] bool mayAcknowledgeEvacuation(std::uint64_t Version, mono_time Now) const;
@@ -115,7 +115,7 @@
     std::uint64_t SuspectsVersionSent{0}; ///< Version of the last list sent.
     bool InitialStateSent{false};         ///< Backend servers, revision and suspects.
     /// Version of the list of evacuated domains on which the entry acts.
-    revision EvacuationsConfirmed{};
+    std::optional<revision> EvacuationsConfirmed{};
     /// Version of the newest list that was sent on this connection or that the entry has reported;
     /// empty: the entry may be of a build that cannot read the list.
     std::optional<std::uint64_t> EvacuationsSent{};
@@ -144,10 +144,10 @@
   void renew(connection_number From, session &Session, const link_renew &Request, mono_time Now);
   /// @return The duration of the lease that both trackers allow, or nothing.
   std::optional<mono_duration> grantLease(const session &Session, mono_time Now);
-  void startEvacuations(mono_time Now);
-  void updateEmptyEvacuations();
-  /// Sends the list if the entry needs it and it was not sent on this connection.
-  void sendEvacuations(connection_number To, session &Session);
+  /// Sends the list if the entry needs it and does not have it.
+  /// @param Change Sent in place of the list to an entry with the previous one; may be null.
+  void sendEvacuations(connection_number To, session &Session,
+                       const set_evacuation *Change = nullptr);
   void redirect(connection_number To);
   void redirectWaiting(mono_time Now);
   [[nodiscard]] bool needsText(const session &Session) const;
@@ -170,8 +170,6 @@
   entry_server_callbacks Callbacks;
   in_force_tracker Tracker;
   in_force_tracker EvacuationTracker; ///< Its revisions are versions of the list.
-  /// The newest version known here at which no domain was evacuated.
-  revision EmptyEvacuations;
   send_limiter Limiter;
   list_sender Lists;
   std::map<connection_number, session> Sessions;
--- a/programs/pollenstall-control/entry_server_evacuations.cpp
+++ b/programs/pollenstall-control/entry_server_evacuations.cpp
@@ -7,37 +7,33 @@
 
 namespace pollenstall {
 
-void entry_server::startEvacuations(mono_time Now) {
-  // Earlier versions at which no domain was evacuated are not known here, except the first.
-  EmptyEvacuations = revision();
-  updateEmptyEvacuations();
-  EvacuationTracker.beginTerm(revision(Callbacks.State().evacuations().version()), Now);
-}
-
-void entry_server::updateEmptyEvacuations() {
-  const evacuation_table &Evacuations = Callbacks.State().evacuations();
-  if (Evacuations.empty())
-    EmptyEvacuations = revision(Evacuations.version());
-}
-
-void entry_server::evacuationsChanged(mono_time Now) {
+void entry_server::evacuationsChanged(const set_evacuation &Change, mono_time Now) {
   if (!Leading)
     return;
-  updateEmptyEvacuations();
   EvacuationTracker.recordChange(revision(Callbacks.State().evacuations().version()), Now);
   if (!Callbacks.MayServe(Now))
     return;
   for (auto &[Connection, Session] : Sessions)
-    sendEvacuations(Connection, Session);
+    sendEvacuations(Connection, Session, &Change);
 }
 
-void entry_server::sendEvacuations(connection_number To, session &Session) {
+/**
+ * The list goes out after the first renewal of a connection, which follows the subscription at once
+ * and reports the list that the entry has. After a change of leader, all entries have it already.
+ */
+void entry_server::sendEvacuations(connection_number To, session &Session,
+                                   const set_evacuation *Change) {
   const evacuation_table &Evacuations = Callbacks.State().evacuations();
+  const std::uint64_t Version = Evacuations.version();
   const bool IsNeeded = !Evacuations.empty() || Session.EvacuationsSent;
-  if (!IsNeeded || Session.EvacuationsSent == Evacuations.version() || !Session.InitialStateSent)
+  if (!IsNeeded || Session.EvacuationsSent == Version)
     return;
-  Session.EvacuationsSent = Evacuations.version();
-  Callbacks.Send({To, link_evacuations{Evacuations.version(), Evacuations.names()}});
+  const bool HasPrevious = Session.EvacuationsSent && *Session.EvacuationsSent + 1 == Version;
+  Session.EvacuationsSent = Version;
+  if (Change != nullptr && HasPrevious)
+    Callbacks.Send({To, link_evacuation_change{Version, Change->Domain, Change->Undo}});
+  else
+    Callbacks.Send({To, link_evacuations{Version, Evacuations.names()}});
 }
 
 void entry_server::handleRequest(connection_number From, const link_renew_evacuations &Request,
--- a/src/control_link/control_link.cpp
+++ b/src/control_link/control_link.cpp
@@ -17,6 +17,7 @@
 #include <atomic>
 #include <deque>
 #include <map>
+#include <set>
 #include <thread>
 
 namespace pollenstall {
@@ -302,8 +303,27 @@
     // An older list, from a former leader, does not replace the newer one.
     if (EvacuationsReceived && Message.Version < *EvacuationsReceived)
       return;
-    EvacuationsReceived = Message.Version;
-    emit(evacuations_changed{Message.Version, Message.Domains});
+    Evacuated = {Message.Domains.begin(), Message.Domains.end()};
+    storeEvacuations(Message.Version);
+  }
+
+  void handle(const link_evacuation_change &Message) {
+    recordLeader();
+    if (EvacuationsReceived && Message.Version <= *EvacuationsReceived)
+      return;
+    // On the next connection the leader sends the list, since this entry reports an older one.
+    if (!EvacuationsReceived || Message.Version != *EvacuationsReceived + 1)
+      return closeUndecodable();
+    if (Message.Restored)
+      Evacuated.erase(Message.Domain);
+    else
+      Evacuated.insert(Message.Domain);
+    storeEvacuations(Message.Version);
+  }
+
+  void storeEvacuations(std::uint64_t Version) {
+    EvacuationsReceived = Version;
+    emit(evacuations_changed{Version, {Evacuated.begin(), Evacuated.end()}});
   }
 
   // ---- Requests of the entry. ----
@@ -380,6 +400,7 @@
   std::uint64_t DrainsSeen{0};
   /// link_evacuations::Version received last in this incarnation.
   std::optional<std::uint64_t> EvacuationsReceived;
+  std::set<failure_domain_name> Evacuated; ///< The list of this version.
   std::optional<confirm_evacuations> ConfirmedEvacuations;
   std::deque<std::pair<mono_time, link_crash>>
       Crashes; ///< Recent crash reports with their times, to be resent on the next connection.
--- a/src/control_link/control_link_codec_func.h
+++ b/src/control_link/control_link_codec_func.h
@@ -102,6 +102,9 @@
 template <typename Archive> void serialize(Archive &Into, link_evacuations &Message) {
   Into(Message.Version, Message.Domains);
 }
+template <typename Archive> void serialize(Archive &Into, link_evacuation_change &Message) {
+  Into(Message.Version, Message.Domain, Message.Restored);
+}
 template <typename Archive> void serialize(Archive &Into, link_drains &Message) {
   Into(Message.Version, Message.Backends);
 }
--- a/src/control_link/control_link_message_type.h
+++ b/src/control_link/control_link_message_type.h
@@ -165,10 +165,18 @@
   std::vector<failure_domain_name> Domains;
 };
 
+/// The change from the list of the previous version to that of Version. It is sent in place of the
+/// list to entries that have the previous one: for 320 entries, the longest list is 21 MB.
+struct link_evacuation_change {
+  std::uint64_t Version{0};
+  failure_domain_name Domain;
+  bool Restored{false}; ///< Otherwise the domain was evacuated.
+};
+
 using link_reply = std::variant<link_declaration, link_lease, link_not_leader, link_claim_answer,
                                 link_settle_answer, link_drains, link_backends, link_fleet,
                                 link_declaration_change, link_declaration_announced, link_suspects,
-                                link_evacuations>;
+                                link_evacuations, link_evacuation_change>;
 
 /// Fingerprints in one link_crash; further ones go into another message.
 constexpr std::size_t MaxCrashFingerprints = 64;
--- a/tests/control_state/control_link_connect_test.cpp
+++ b/tests/control_state/control_link_connect_test.cpp
@@ -151,5 +151,40 @@
   EXPECT_EQ(Received, Text.size());
 }
 
+// A change that refers to another list must not be applied: the entry would send work to a domain
+// that is out. It reconnects and receives the list.
+TEST(ControlLinkConnection, AppliesChangesToTheListThatTheyReferTo) {
+  const auto Change = [](std::uint64_t Version, const char *Domain, bool Restored) {
+    return linkFrame("fleet", link_reply(link_evacuation_change{
+                                  Version, failure_domain_name(Domain), Restored}));
+  };
+  const link_evacuations List{3, {failure_domain_name("a")}};
+  const slow_control_host Host(linkFrame("fleet", link_reply(List)) + Change(4, "b", false) +
+                                   Change(3, "late", false) + Change(5, "a", true) +
+                                   Change(7, "gap", false),
+                               1, 1ms);
+  const auto Link = control_link_builder({Host.address()}, "fleet")
+                        .process({host_name("entry"), incarnation(1)}, failure_domain_name("d"))
+                        .start();
+  std::vector<evacuations_changed> Lists;
+  std::optional<control_loss_reason> Lost;
+  const auto Limit = std::chrono::steady_clock::now() + 10s;
+  while (!Lost && std::chrono::steady_clock::now() < Limit) {
+    Link->drainEvents([&](control_link_event &&Event) {
+      if (const auto *Changed = std::get_if<evacuations_changed>(&Event))
+        Lists.push_back(*Changed);
+      if (const auto *Ended = std::get_if<control_connection_lost>(&Event))
+        Lost = Ended->Reason;
+    });
+    std::this_thread::sleep_for(1ms);
+  }
+  EXPECT_EQ(Lost, control_loss_reason::Unreadable);
+  ASSERT_GE(Lists.size(), 3U);
+  EXPECT_EQ(Lists[1].Version, 4U);
+  EXPECT_EQ(Lists[1].Domains, (std::vector{failure_domain_name("a"), failure_domain_name("b")}));
+  EXPECT_EQ(Lists[2].Version, 5U);
+  EXPECT_EQ(Lists[2].Domains, std::vector{failure_domain_name("b")});
+}
+
 } // namespace
 } // namespace pollenstall
--- a/tests/control_state/control_link_test.cpp
+++ b/tests/control_state/control_link_test.cpp
@@ -26,6 +26,8 @@
           link_claim_answer{4, claim_status::Running},
           link_settle_answer{4},
           link_drains{2, {backend_address("127.0.0.1:9")}},
+          link_evacuations{3, {failure_domain_name("zone-1")}},
+          link_evacuation_change{4, failure_domain_name("zone-1"), true},
           link_declaration_change{revision(3), revision(4),
                                   packDifference(computeDifference("{a}{b}", "{b}{c}"))}};
 }
