Placement: servers of an evacuated domain get no new work

Cause: the placer knew nothing of evacuated failure domains. A service whose servers are all out has its waiting work refused at once (no_backend, Retry-After); resumed streams wait. Failures from before do not count after the restore. Claims that are given up are counted.

--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -32,6 +32,7 @@
   const auto [Existing, IsNew] = Engines.try_emplace(Listing.Key, Listing);
   if (!IsNew)
     Existing->second.update(Listing);
+  Existing->second.setEvacuated(Evacuations.isOut(Listing.Domain));
   EnginesByIncarnation[Listing.Key.Incarnation] = &Existing->second;
 }
 
@@ -192,6 +193,7 @@
   if (!Waiting.empty())
     AllWork = allWork(Now);
   expireWaiting(Now, Outcome);
+  refuseEvacuated(Now, Outcome);
   for (const request_number Request : pollOrder(Now)) {
     if (!mayPlace(Now))
       break;
@@ -235,6 +237,7 @@
       continue;
     }
     if (isClaimLost(Claim, Now)) {
+      EvacuatedClaims += usesEvacuated(Claim.Assigned) ? 1 : 0;
       Waiting.insert_or_assign(Iterator->first, std::move(Claim.Work));
     } else {
       Unstarted.insert_or_assign(Iterator->first, std::move(Claim.Assigned));
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_PLACEMENT_PLACER_BASE_H
 #define POLLENSTALL_PLACEMENT_PLACER_BASE_H
 
+#include "evacuation/evacuation.h"
 #include "placement/placement_type.h"
 #include "placement/reachability_monitor_base.h"
 #include "placement/request_rate_base.h"
@@ -31,6 +32,10 @@
   void updateBackend(const backend_listing &Listing);
   /// Removes an incarnation that has ended and holds no memory any more.
   void removeBackend(const backend_key &Backend);
+  /// Places nothing on servers of evacuated failure domains from now on.
+  void setEvacuations(const evacuation_list &List);
+  /// Returns the number of claims that were given up because a server was evacuated.
+  [[nodiscard]] std::uint64_t evacuatedClaims() const { return EvacuatedClaims; }
   /// Updates the work of all other entries on the engines for which it changed or was sent again.
   void updateOthersLoads(const std::vector<work_load> &Loads, mono_time Now);
   void updateExchange(const load_exchange_properties &Properties) { Exchange = Properties; }
@@ -185,6 +190,9 @@
   bool requestPermits(const prefill_plan &Plan, mono_time Now);
   void requestPermitForWaiting(const waiting_work &Work, mono_time Now);
   void refuseUnlessAvailable(const waiting_work &Work, mono_time Now, poll_outcome &Outcome);
+  void refuseEvacuated(mono_time Now, poll_outcome &Outcome);
+  [[nodiscard]] bool isEvacuated(const service_name &Service) const;
+  [[nodiscard]] bool usesEvacuated(const assigned_work &Work) const;
   [[nodiscard]] std::optional<mono_time> unavailableUntil(const backend_key &Backend,
                                                           mono_time Now) const;
   [[nodiscard]] std::optional<mono_time> unavailableUntil(const service_name &Service,
@@ -219,6 +227,8 @@
   load_exchange_properties Exchange;
   permit_client Permits;
   pause_table Pauses;
+  evacuation_list Evacuations;
+  std::uint64_t EvacuatedClaims{0};
   reachability_monitor Reachability;
   request_rate Rate;    ///< Requests of all entries, as far as reported.
   engine_views AllWork; ///< Work of this and the other entries, as of the current poll.
--- a/src/placement/tracked_engine_base.h
+++ b/src/placement/tracked_engine_base.h
@@ -66,7 +66,17 @@
   }
   /// Returns whether the server has declined attempts so often that others come first.
   [[nodiscard]] bool rests(mono_time Now) const { return Now < RestUntil; }
-  [[nodiscard]] bool active() const { return Listing.State == listing_state::Active; }
+  /// Returns whether the server may get new work.
+  [[nodiscard]] bool active() const { return Listing.State == listing_state::Active && !Evacuated; }
+  /// Sets whether the server's failure domain is out of service. Failures from before do not count
+  /// after the restore.
+  void setEvacuated(bool IsOut) {
+    if (Evacuated && !IsOut)
+      clearFailures();
+    Evacuated = IsOut;
+  }
+  [[nodiscard]] bool evacuated() const { return Evacuated; }
+  [[nodiscard]] bool leaving() const { return Listing.State == listing_state::Leaving; }
   [[nodiscard]] const backend_key &key() const { return Listing.Key; }
   [[nodiscard]] const service_name &service() const { return Listing.Service; }
   [[nodiscard]] const failure_domain_name &domain() const { return Listing.Domain; }
@@ -84,6 +94,7 @@
   mono_time DeclinedShareTime{mono_time::min()};
   std::uint32_t Declines{0}; ///< Consecutive ones.
   mono_time RestUntil;
+  bool Evacuated{false};
 };
 
 } // namespace pollenstall
