Scheduling: servers of an evacuated domain get no new work

Cause: the scheduler for announced servers knew nothing of evacuations. Change: scheduled_backend::active() is false while the domain is out, and a reservation for long work on such an engine ends. Work whose servers are all out is refused at submission, and waiting work at the next review, which the list triggers; resumed streams wait. Ejections from before do not count after the restore.

--- a/src/scheduling/backend_pool.cpp
+++ b/src/scheduling/backend_pool.cpp
@@ -72,6 +72,7 @@
     Record.LastProgress = Now;
   }
   Record.View = View;
+  Record.Evacuated = Evacuations.isOut(View.Announcement.Domain);
   Record.Memory.setCapacity(View.Announcement.Memory);
   return Record;
 }
@@ -84,6 +85,16 @@
   rebuild();
 }
 
+void backend_pool::setEvacuations(const evacuation_list &List) {
+  Evacuations = List;
+  for (auto &[Key, Record] : Records) {
+    const bool WasOut = Record.Evacuated;
+    Record.Evacuated = List.isOut(Record.View.Announcement.Domain);
+    if (WasOut && !Record.Evacuated)
+      OutlierDetector.eraseBackend(Key);
+  }
+}
+
 scheduled_backend *backend_pool::find(const backend_key &Backend) {
   const auto Found = Records.find(Backend);
   return Found == Records.end() ? nullptr : &Found->second;
--- a/src/scheduling/backend_pool_base.h
+++ b/src/scheduling/backend_pool_base.h
@@ -3,6 +3,7 @@
 #define POLLENSTALL_SCHEDULING_BACKEND_POOL_BASE_H
 
 #include "declaration/declaration_type.h"
+#include "evacuation/evacuation.h"
 #include "membership/membership_type.h"
 #include "scheduling/cost_model_base.h"
 #include "scheduling/memory_tracker_base.h"
@@ -24,9 +25,11 @@
   std::uint32_t Outstanding{0};         ///< Own attempts that have not ended.
   std::uint32_t OwnAttemptsInReport{0}; ///< Outstanding attempts included in the last report.
   mono_time LastProgress;               ///< When an own attempt on the server last received data.
+  bool Evacuated{false};                ///< Its failure domain is out of service.
 
   [[nodiscard]] const backend_key &key() const { return View.Announcement.Key; }
-  [[nodiscard]] bool active() const { return View.Status == backend_status::Active; }
+  /// Returns whether the server may get new work.
+  [[nodiscard]] bool active() const { return View.Status == backend_status::Active && !Evacuated; }
   /// Returns the estimated number of requests of all hosts on the server.
   [[nodiscard]] double requestCount() const;
   /// Returns the memory blocks needed for the prompt and the longest allowed answer.
@@ -42,6 +45,9 @@
   /// Adds or updates a server. @return Its record.
   scheduled_backend &update(const backend_view &View, mono_time Now);
   void remove(const backend_key &Backend);
+  /// Takes the servers of evacuated domains out. Failures from before do not count after a restore.
+  void setEvacuations(const evacuation_list &List);
+  [[nodiscard]] bool anyEvacuated() const { return !Evacuations.empty(); }
 
   [[nodiscard]] scheduled_backend *find(const backend_key &Backend);
   /// Returns all servers of the group, or of the service if Group is empty, regardless of their
@@ -91,6 +97,7 @@
   std::map<service_name, std::vector<scheduled_backend *>> Services;
   std::vector<scheduled_backend *> NoServers;
   outlier_detector OutlierDetector;
+  evacuation_list Evacuations;
   bool Stale{true}; ///< A label, service, status or the set of servers changed since rebuild().
   double LongFrom{100'000};
   double TypicalRate{cost_model().prefillRate()};
--- a/src/scheduling/scheduler.cpp
+++ b/src/scheduling/scheduler.cpp
@@ -75,7 +75,7 @@
 poll_outcome scheduler::poll(mono_time Now) {
   poll_outcome Outcome;
   expireUnstarted(Now);
-  reviewServers(Now);
+  reviewServers(Now, Outcome);
   expireLate(Now, Outcome);
   Unplaceable.clear();
   IsOverShareCache.clear();
@@ -101,7 +101,7 @@
   }
 }
 
-void scheduler::reviewServers(mono_time Now) {
+void scheduler::reviewServers(mono_time Now, poll_outcome &Outcome) {
   if (Now < NextReview)
     return;
   NextReview = Now + ReviewInterval;
@@ -110,6 +110,7 @@
                      Now - LastLimitReached < 2 * ReviewInterval);
   Pool.updateEjections(Limits.EjectPercent, Now);
   Pool.selectLongEngines(Policy.LongEngineShare, ArrivedCosts.longShare(Now));
+  refuseEvacuated(Now, Outcome);
 }
 
 void scheduler::expireLate(mono_time Now, poll_outcome &Outcome) {
--- a/src/scheduling/scheduler_base.h
+++ b/src/scheduling/scheduler_base.h
@@ -69,6 +69,9 @@
   /// Removes an incarnation that has ended and holds no memory any more.
   void removeBackend(const backend_key &Backend, mono_time Now);
 
+  /// Places nothing on servers of evacuated failure domains from now on.
+  void setEvacuations(const evacuation_list &List, mono_time Now);
+
   /// Queues a request, or refuses it immediately if it cannot run within its deadline.
   std::variant<done, work_refusal> submit(work_item Item, mono_time Now);
   /// Removes a request that needs no server any more. Undoes its placement if no attempt has
@@ -156,6 +159,10 @@
   void recordRequiredPace(const work_item &Item);
   [[nodiscard]] std::chrono::seconds retryAfter(const waiting_work &Work, mono_time Now);
 
+  // scheduler_evacuation.cpp
+  [[nodiscard]] bool isEvacuated(const work_item &Item);
+  void refuseEvacuated(mono_time Now, poll_outcome &Outcome);
+
   // scheduler_choice.cpp
   std::vector<scheduled_backend *> eligibleServers(const waiting_work &Work);
   [[nodiscard]] bool isDeprioritized(const waiting_work &Work, mono_time Now);
@@ -178,7 +185,7 @@
   [[nodiscard]] std::array<length_class, LengthClassCount> classOrder(mono_time Now) const;
   void expireLate(mono_time Now, poll_outcome &Outcome);
   void expireUnstarted(mono_time Now);
-  void reviewServers(mono_time Now);
+  void reviewServers(mono_time Now, poll_outcome &Outcome);
 
   // scheduler_attempt.cpp
   placement_id openPlacement(const waiting_work &Work, const server_choice &Choice, mono_time Now);
--- a/src/scheduling/scheduler_dump.cpp
+++ b/src/scheduling/scheduler_dump.cpp
@@ -30,7 +30,8 @@
   writeText(Out, toText(Record.key()));
   Out << ",\"standing\":\"" << StatusNames[static_cast<std::size_t>(Record.View.Status)]
       << "\",\"ejection\":\"" << EjectionNames[static_cast<std::size_t>(Ejection)]
-      << "\",\"outstanding\":" << Record.Outstanding
+      << "\",\"evacuated\":" << (Record.Evacuated ? "true" : "false")
+      << ",\"outstanding\":" << Record.Outstanding
       << ",\"unanswered\":" << Record.Prefill.unansweredCount()
       << ",\"prefill_tokens_per_second\":" << Record.Costs.prefillRate()
       << ",\"seconds_per_step\":" << Record.Costs.secondsPerStep()
--- a/src/scheduling/scheduler_intake.cpp
+++ b/src/scheduling/scheduler_intake.cpp
@@ -65,7 +65,8 @@
   const auto HasServer = [this, &Item](const candidate_group &Candidate) {
     const auto &Servers = Pool.members(Item.Service, Candidate.Group);
     return std::any_of(Servers.begin(), Servers.end(), [&Item](const scheduled_backend *Record) {
-      return Record->active() && Record->serves(Item);
+      const bool MayServe = Record->active() || (Item.Resumed && Record->Evacuated);
+      return MayServe && Record->serves(Item);
     });
   };
   std::uint64_t Total = 0;
@@ -156,6 +157,9 @@
 std::variant<done, work_refusal> scheduler::submit(work_item Item, mono_time Now) {
   if (std::optional<work_refusal> Refusal = checkFleet(Item))
     return *Refusal;
+  const bool Evacuated = isEvacuated(Item);
+  if (Evacuated && !Item.Resumed)
+    return work_refusal{failure_reason::NoBackend, evacuationRetryAfter(Item.Deadline - Now)};
   const std::optional<group_name> Group = pickGroup(Item);
   if (!Group)
     return work_refusal{failure_reason::NoBackend, NoBackendRetryAfter};
@@ -165,7 +169,8 @@
   waiting_work Work{std::move(Item), Class, *Group, Cost, LatestStart};
   ArrivedCosts.add(Class, Cost, Now);
   recordRequiredPace(Work.Item);
-  if (Now + durationFromSeconds(queueWaitSeconds(Work, Now)) > LatestStart)
+  // A stream that waits for the restore has no time that could be estimated.
+  if (!Evacuated && Now + durationFromSeconds(queueWaitSeconds(Work, Now)) > LatestStart)
     return work_refusal{failure_reason::DeadlineUnmeetable, retryAfter(Work, Now)};
   const std::chrono::seconds RetryAfter = retryAfter(Work, Now);
   switch (Queue.push(std::move(Work))) {
