Relay: attempts, memory holds and tunnels obey evacuations

Cause: an attempt that was placed before an evacuation is learnt may wait for its connection or for memory, and a peer may ask for a tunnel. Without a lease only servers that no list can name are allowed. Tunnels to such servers are refused as busy. Renewals, releases and running requests go on. The version in use and the requests left are reported to the decision thread.

--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -167,18 +167,19 @@
   Before = Call->relayedPart();
   if (Mode == exchange_mode::Start && !mayRelay())
     co_return exchange_end{attempt_failure::NotWanted, {}};
-  if (Mode == exchange_mode::Start && isPaused())
+  if ((Mode == exchange_mode::Start && isPaused()) || stopsForEvacuation())
     co_return exchange_end{attempt_failure::NotWanted, {}};
   if (!Order.Holds.empty() && Mode == exchange_mode::Start) {
     // While it is being released, memory_holds may outlive this exchange; it no longer calls the
     // lambda then.
-    Holds = std::make_shared<memory_holds>(Context, Order.Attempt, Order.Holds,
-                                           [this] { return isStillWanted(); });
+    Holds = std::make_shared<memory_holds>(Context, Order.Attempt, Order.Holds, [this] {
+      return isStillWanted() && serversAllowRequest();
+    });
     const bool Held = co_await Holds->acquire();
-    if (!Held && isStillWanted())
+    if (!Held && isStillWanted() && serversAllowRequest())
       co_return exchange_end{attempt_failure::Declined, {}};
   }
-  if (!isStillWanted())
+  if (!isStillWanted() || stopsForEvacuation())
     co_return exchange_end{attempt_failure::NotWanted, {}};
   const connection_reuse Reuse =
       Call->Facts.Idempotent ? connection_reuse::Allowed : connection_reuse::NewOnly;
@@ -188,8 +189,9 @@
     co_return exchange_end{attempt_failure::NotConnected, {}};
   Call->LastPeer = Connection->carrier();
   Call->LastConnect = boot_clock::now() - Started;
-  // Another answer may have asked for a pause meanwhile.
-  if (!isStillWanted() || Context.Pauses.isPaused(Order.Backend, boot_clock::now()))
+  // Another answer may have asked for a pause meanwhile, or a domain been evacuated.
+  if (!isStillWanted() || Context.Pauses.isPaused(Order.Backend, boot_clock::now()) ||
+      stopsForEvacuation())
     co_return exchange_end{attempt_failure::NotWanted, {}};
   Connection->expireAt(Call->Facts.Deadline + DeadlineGrace);
   if (const auto Failure = co_await send(Mode))
@@ -250,6 +252,7 @@
               : resumeHead(*Call, resume_attempt{Order.Attempt, Order.Backend});
   // Report before the first byte is passed to the kernel: from here on "not run" must be proved.
   Context.Outbox.push(attempt_sending{Order.Attempt});
+  Begun = true;
   if (Start)
     ++Call->SentAttempts;
   Sent = Start;
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -57,6 +57,10 @@
   void abandon();
   /// Closes the connection if the request has become blocked and its answer has not begun.
   void giveUpIfBlocked();
+  /// Fails the attempt if it has not been sent and one of its servers may get no new request.
+  void giveUpIfEvacuated();
+  /// Returns whether the attempt was sent, has not ended and uses a server that is evacuated.
+  [[nodiscard]] bool runsInEvacuatedDomain() const;
   [[nodiscard]] const attempt_id &attempt() const { return Order.Attempt; }
 
 private:
@@ -103,6 +107,12 @@
   /// Returns whether this server, or one that is to hold memory for the request, has asked for a
   /// pause.
   [[nodiscard]] bool isPaused() const;
+  /// Returns whether the check holds for a server that answers, prefills a part or holds memory.
+  template <typename Check> [[nodiscard]] bool anyServer(Check &&Holds) const;
+  /// Returns whether new requests may go to all servers of this attempt.
+  [[nodiscard]] bool serversAllowRequest() const;
+  /// Returns whether the attempt must not be sent because of an evacuation, and counts it.
+  bool stopsForEvacuation();
   [[nodiscard]] bool namesOtherAttempt();
   [[nodiscard]] bool isEventStream();
   [[nodiscard]] bool isErrorStatus(unsigned Status) const;
@@ -135,6 +145,7 @@
   bool Relaying{false};        ///< Counted in Call->RelayingAttempts.
   bool SilenceReported{false}; ///< The decision thread waits to learn whether the answer goes on.
   bool Sent{false};            ///< The first byte was sent.
+  bool Begun{false};           ///< The first byte of the request, or of its resume, was sent.
   bool SentAll{false};         ///< The last byte was sent.
   backend_address AtFault;     ///< The server that a refusal names as its cause.
   /// Set while the path of the request is checked.
--- a/src/relay/memory_holds.cpp
+++ b/src/relay/memory_holds.cpp
@@ -26,11 +26,16 @@
 
 } // namespace
 
-asio::awaitable<bool> memory_holds::requestHold(const memory_hold &Hold) const {
+asio::awaitable<bool> memory_holds::requestHold(const memory_hold &Hold,
+                                                on_refusal OnRefusal) const {
   const backend_call Call =
       Context.Interface.AcquireHold({holdName(Attempt, Hold.Backend), Hold.Amount, HoldTtl});
+  // A renewal concerns memory that a running request holds.
+  std::function<bool()> MaySend;
+  if (OnRefusal == on_refusal::Stop)
+    MaySend = [this] { return !Released && IsNeeded(); };
   const auto Answer = co_await unaryCall(Context.Pool, Context.Limits, Hold.Backend,
-                                         backendCallText(Call, Hold.Backend));
+                                         backendCallText(Call, Hold.Backend), std::move(MaySend));
   co_return Answer && Answer->Status == Ok;
 }
 
@@ -53,7 +58,7 @@
   RequestInFlight = true;
   for (const memory_hold &Hold : Holds)
     if (!Released && (OnRefusal == on_refusal::Continue || (Held && IsNeeded())))
-      Held = co_await requestHold(Hold) && Held;
+      Held = co_await requestHold(Hold, OnRefusal) && Held;
     else
       Held = false;
   RequestInFlight = false;
--- a/src/relay/memory_holds_base.h
+++ b/src/relay/memory_holds_base.h
@@ -37,7 +37,7 @@
   enum class on_refusal { Stop, Continue };
   /// Returns whether all engines that were asked confirmed the hold.
   boost::asio::awaitable<bool> requestAll(on_refusal OnRefusal);
-  boost::asio::awaitable<bool> requestHold(const memory_hold &Hold) const;
+  boost::asio::awaitable<bool> requestHold(const memory_hold &Hold, on_refusal OnRefusal) const;
   boost::asio::awaitable<void> renew();
   void startRelease();
   boost::asio::awaitable<void> sendReleases();
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -14,6 +14,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <set>
 
 namespace pollenstall {
@@ -105,6 +106,13 @@
         Exchange->giveUpIfBlocked();
   }
 
+  void execute(evacuations_update &&Order) {
+    Context.Evacuations = std::move(Order.Evacuations);
+    for (const auto &[Attempt, Exchange] : Exchanges)
+      Exchange->giveUpIfEvacuated();
+    reportEvacuations();
+  }
+
   void execute(path_servers_update &&Order) {
     path_table &Paths = Context.Pool.connector().paths();
     for (const path_server &Server : Order.Added)
@@ -185,6 +193,9 @@
     for (const auto &[Entry, Count] : Context.Tunnels.carried())
       Carried[Entry] = Count;
     State["tunnels_carried_for"] = std::move(Carried);
+    State["evacuations_version"] =
+        Context.Evacuations ? Context.Evacuations->list().version().value_or(0) : 0;
+    State["requests_in_evacuated_domains"] = requestsInEvacuatedDomains();
     State["body_bytes"] = Context.BodyBytes;
     State["events_waiting"] = Context.Outbox.queued();
     State["takes_requests"] = Context.Declaration != nullptr && !Context.Stopping;
@@ -195,8 +206,28 @@
   relay_metrics Metrics;
   relay_context Context;
   bounded_ring<attempts_listed> *Lists{nullptr};
+  bounded_ring<evacuations_in_use> *EvacuationReports{nullptr};
 
 private:
+  [[nodiscard]] std::uint32_t requestsInEvacuatedDomains() const {
+    return static_cast<std::uint32_t>(
+        std::count_if(Exchanges.begin(), Exchanges.end(),
+                      [](const auto &Item) { return Item.second->runsInEvacuatedDomain(); }));
+  }
+
+  void reportEvacuations() {
+    if (!Context.Evacuations || EvacuationReports == nullptr)
+      return;
+    const mono_time Now = boot_clock::now();
+    const std::uint64_t Version = Context.Evacuations->list().version().value_or(0);
+    if (!EvacuationReporter.mayReport(Version, Now))
+      return;
+    const evacuations_in_use Report{Version, requestsInEvacuatedDomains()};
+    // A full ring refuses the report; it is repeated at the next housekeeping.
+    if (!EvacuationReporter.isNews(Report) || EvacuationReports->push(evacuations_in_use(Report)))
+      EvacuationReporter.recordReport(Report, Now);
+  }
+
   std::shared_ptr<backend_exchange> exchangeFor(const std::shared_ptr<relayed_call> &Call,
                                                 start_attempt Order) {
     const attempt_id Attempt = Order.Attempt;
@@ -266,6 +297,7 @@
       Context.Metrics.Detours.Set(static_cast<double>(Context.Pool.connector().paths().detours()));
       Context.Metrics.TunnelsCarried.Set(static_cast<double>(Context.Tunnels.open()));
       Context.Metrics.BodyBytes.Set(static_cast<double>(Context.BodyBytes));
+      reportEvacuations();
       runHousekeeping();
     });
   }
@@ -274,6 +306,7 @@
   asio::steady_timer Housekeeping;
   std::map<attempt_id, std::shared_ptr<backend_exchange>> Exchanges;
   std::set<attempt_id> Cancels; ///< Cancel requests in flight.
+  evacuation_reporter EvacuationReporter;
   bool Stopped{false};
 };
 
@@ -314,80 +347,6 @@
 std::size_t relay::openCalls() const { return State->Context.Calls.size(); }
 std::string relay::dump() const { return State->dump(); }
 
-relay_builder::relay_builder(asio::io_context &Context, bounded_ring<dispatch_event> &Events)
-    : Io(Context), Ring(Events), Registry(std::make_shared<prometheus::Registry>()) {}
-
-relay_builder &relay_builder::attemptLists(bounded_ring<attempts_listed> &Target) {
-  Lists = &Target;
-  return *this;
-}
-
-relay_builder &relay_builder::crashUpdates(bounded_ring<crash_update> &Target) {
-  CrashUpdates = &Target;
-  return *this;
-}
-
-relay_builder &relay_builder::rateLimits(bounded_ring<rate_limit_answer> &Target) {
-  RateLimits = &Target;
-  return *this;
-}
-
-relay_builder &relay_builder::serverNotices(bounded_ring<server_notice> &Target) {
-  ServerNotices = &Target;
-  return *this;
-}
-
-relay_builder &relay_builder::process(process_key Value) {
-  Self = std::move(Value);
-  return *this;
-}
-
-relay_builder &relay_builder::limits(const relay_limits &Value) {
-  Limits = Value;
-  return *this;
-}
-
-relay_builder &relay_builder::metrics(std::shared_ptr<prometheus::Registry> Value) {
-  Registry = std::move(Value);
-  return *this;
-}
-
-relay_builder &relay_builder::interface(call_interface Hooks) {
-  Interface = std::move(Hooks);
-  return *this;
-}
-
-relay_builder &relay_builder::onCallEnd(std::function<void(const call_record &)> Hook) {
-  AtCallEnd = std::move(Hook);
-  return *this;
-}
-
-relay_builder &relay_builder::onAnswerBroken(std::function<void(const broken_answer &)> Hook) {
-  AtAnswerBroken = std::move(Hook);
-  return *this;
-}
-
-relay_builder &relay_builder::tunnels(std::string FleetName, tunnel_peer SelfAsPeer) {
-  Fleet = std::move(FleetName);
-  OwnPeer = std::move(SelfAsPeer);
-  return *this;
-}
-
-relay_builder &relay_builder::simulatePartition(std::function<partition_effect()> Hook) {
-  Partition = std::move(Hook);
-  return *this;
-}
-
-relay_builder &relay_builder::onStall(std::function<void(mono_duration)> Hook) {
-  AtStall = std::move(Hook);
-  return *this;
-}
-
-relay_builder &relay_builder::onPathChange(std::function<void(const path_change &)> Hook) {
-  AtPathChange = std::move(Hook);
-  return *this;
-}
-
 std::unique_ptr<relay> relay_builder::build() {
   auto State = std::make_unique<relay::state>(Io, Self, Limits, Registry, Ring);
   State->Context.Interface = Interface;
@@ -398,6 +357,7 @@
   if (OwnPeer)
     State->useTunnels(Fleet, *OwnPeer, Self.Incarnation.value(), AtPathChange);
   State->Lists = Lists;
+  State->EvacuationReports = EvacuationReports;
   // A full ring drops the answer; the next one states the limit again.
   if (RateLimits != nullptr)
     State->Context.AtRateLimit = [Target = RateLimits](rate_limit_answer Answer) {
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -76,6 +76,9 @@
   relay_builder &rateLimits(bounded_ring<rate_limit_answer> &Target);
   /// Sets the ring for what answers say of their servers; without it they are dropped.
   relay_builder &serverNotices(bounded_ring<server_notice> &Target);
+  /// Sets the ring for lists of evacuated domains that the relay obeys; without it none is
+  /// reported.
+  relay_builder &evacuationReports(bounded_ring<evacuations_in_use> &Target);
   relay_builder &process(process_key Self);
   relay_builder &limits(const relay_limits &Value);
   relay_builder &metrics(std::shared_ptr<prometheus::Registry> Value);
@@ -105,6 +108,7 @@
   bounded_ring<crash_update> *CrashUpdates{nullptr};
   bounded_ring<rate_limit_answer> *RateLimits{nullptr};
   bounded_ring<server_notice> *ServerNotices{nullptr};
+  bounded_ring<evacuations_in_use> *EvacuationReports{nullptr};
   process_key Self;
   relay_limits Limits;
   std::shared_ptr<prometheus::Registry> Registry;
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -32,7 +32,9 @@
                 relay_metrics &Counters, bounded_ring<dispatch_event> &Events, std::uint64_t Seed)
       : Io(Context), Self(std::move(Process)), Limits(Bounds), Sweeper(Context),
         Pool(Sweeper, Limits), Tunnels(Sweeper, Limits, Pool.connector(), Pauses),
-        Crashes(Context, Pool), Metrics(Counters), Outbox(Events), Random(Seed) {}
+        Crashes(Context, Pool), Metrics(Counters), Outbox(Events), Random(Seed) {
+    Tunnels.onlyWhile([this](const backend_key &Server) { return !isEvacuated(Server); });
+  }
 
   boost::asio::io_context &Io;
   const process_key Self;
@@ -59,6 +61,8 @@
   bool Stopping{false};                 ///< New requests are refused permanently.
   bool Ended{false};                    ///< All coroutines must end.
   bool Draining{false};                 ///< Connections close after their current answer.
+  /// Null before the first list of evacuated failure domains.
+  std::shared_ptr<const server_evacuations> Evacuations;
   std::function<void(const call_record &)> AtCallEnd;
   std::function<void(const broken_answer &)> AtAnswerBroken; ///< Not set if it is not logged.
   std::shared_ptr<const suspect_list> Suspects{std::make_shared<const suspect_list>()};
@@ -70,6 +74,15 @@
   [[nodiscard]] bool isReady() const {
     return Declaration != nullptr && boot_clock::now() < DeclaredUntil;
   }
+  /// Returns whether the server's failure domain is out of service.
+  [[nodiscard]] bool isEvacuated(const backend_key &Server) const {
+    return Evacuations && Evacuations->isOut(Server);
+  }
+  /// Returns whether a new request may be sent to the server. The lease is checked too: after a
+  /// freeze of the process this thread may run before a newer list has arrived.
+  [[nodiscard]] bool allowsNewRequest(const backend_key &Server) const {
+    return !Evacuations || Evacuations->allowsNewRequest(Server, boot_clock::now() < DeclaredUntil);
+  }
   /// Reports to the decision thread once that the caller has disconnected.
   void noteCallerGone(relayed_call &Call) {
     if (Call.CallerGone)
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -87,7 +87,11 @@
       Events(counter(Registry, "pollenstall_relayed_events_total", "Token events relayed")),
       AnswerBytes(counter(Registry, "pollenstall_answer_bytes_total", "Bytes of answers relayed")),
       BadMessages(counter(Registry, "pollenstall_refused_messages_total",
-                          "Callers' messages that were not valid HTTP")) {
+                          "Callers' messages that were not valid HTTP")),
+      Evacuated(familyOf(prometheus::BuildCounter, "pollenstall_evacuation_abandoned_total",
+                         "Placements given up because a server's failure domain is evacuated",
+                         Registry)
+                    .Add({{"stage", "placed"}})) {
   for (const length_class Class : {length_class::Short, length_class::Medium, length_class::Long}) {
     const auto Index = static_cast<std::size_t>(Class);
     const prometheus::Labels Labels{{"class", lengthClassText(Class)}};
--- a/src/relay/relay_metrics_base.h
+++ b/src/relay/relay_metrics_base.h
@@ -38,6 +38,8 @@
   void countTunnelCarried(std::optional<tunnel_failure> Failure);
   void countEvents(std::uint64_t Count) { Events.Increment(static_cast<double>(Count)); }
   void countAnswerBytes(std::size_t Count) { AnswerBytes.Increment(static_cast<double>(Count)); }
+  /// Counts an attempt that was not sent because of an evacuation.
+  void countEvacuated() { Evacuated.Increment(); }
   void countBadMessage() { BadMessages.Increment(); }
   void observeFirstToken(length_class Class, double Seconds);
   /// Records the longest gap of an answer after its end.
@@ -64,6 +66,7 @@
   prometheus::Counter &Events;
   prometheus::Counter &AnswerBytes;
   prometheus::Counter &BadMessages;
+  prometheus::Counter &Evacuated;
   std::array<prometheus::Histogram *, 3> FirstTokenByClass{};
   std::array<prometheus::Histogram *, 3> GapByClass{};
   std::map<request_key, prometheus::Counter *> RequestByKey;
--- a/src/relay/relay_type.h
+++ b/src/relay/relay_type.h
@@ -4,6 +4,7 @@
 
 #include "declaration/declaration.h"
 #include "dispatch/dispatch_type.h"
+#include "evacuation/evacuation.h"
 #include "path/path_type.h"
 #include "suspect/suspect.h"
 
@@ -86,14 +87,19 @@
   std::shared_ptr<const suspect_list> List;
 };
 
+/// The evacuated failure domains and the domains of the servers; replaces the previous ones.
+struct evacuations_update {
+  std::shared_ptr<const server_evacuations> Evacuations;
+};
+
 /// Messages of the relay about suspects: a server crashed, a suspected request completed, or an
 /// answer with a suspected part of a prompt has begun.
 using crash_update = std::variant<crash_report, suspect_cleared, suspect_run_begun>;
 
 /// Orders from the decision thread to the relay thread. Claims go to the control link instead.
-using relay_order =
-    std::variant<start_attempt, resume_attempt, cancel_order, finish_request, declaration_in_force,
-                 list_attempts, suspects_update, path_servers_update, tunnel_entries_update>;
+using relay_order = std::variant<start_attempt, resume_attempt, cancel_order, finish_request,
+                                 declaration_in_force, list_attempts, suspects_update,
+                                 path_servers_update, tunnel_entries_update, evacuations_update>;
 
 } // namespace pollenstall
 
--- a/src/relay/tunnel_server.cpp
+++ b/src/relay/tunnel_server.cpp
@@ -123,7 +123,9 @@
     return tunnel_failure::Forbidden;
   const backend_key Server = Connector.paths().serverAt(Tunnel.Target);
   const mono_time Now = boot_clock::now();
-  if (Refusing || Tunnels >= Limits.MaxTunnels || Pauses.isPaused(Server, Now))
+  // The path of a running request is checked by a further tunnel; this answer keeps the request.
+  if (Refusing || Tunnels >= Limits.MaxTunnels || Pauses.isPaused(Server, Now) ||
+      !mayConnect(Server))
     return tunnel_failure::Busy;
   if (!Connector.paths().mayCarry(Server, Now))
     return tunnel_failure::NoDirectPath;
@@ -136,6 +138,9 @@
   const auto Server = Connector.paths().serverAt(Tunnel.Target);
   boost::system::error_code Code;
   Tunnel.Server = co_await Connector.connectDirectly(Server, Tuning.PeerConnectTimeout, Code);
+  // The domain may have been evacuated meanwhile.
+  if (Tunnel.Server && !mayConnect(Server))
+    co_return tunnel_failure::Busy;
   if (Tunnel.Server)
     co_return std::nullopt;
   co_return Connector.paths().hearsService(Server, boot_clock::now())
--- a/src/relay/tunnel_server_base.h
+++ b/src/relay/tunnel_server_base.h
@@ -38,6 +38,8 @@
   /// Opens no further tunnels; open ones continue.
   void refuseNew() { Refusing = true; }
   void stop();
+  /// Sets a check of the servers to which new connections are carried.
+  void onlyWhile(std::function<bool(const backend_key &)> Check) { MayConnect = std::move(Check); }
   [[nodiscard]] std::size_t open() const { return Tunnels; }
   /// Returns the IP addresses of the entries whose connections are carried, with the number of
   /// each.
@@ -57,6 +59,9 @@
   boost::asio::awaitable<std::optional<tunnel_failure>> connect(tunnel &Tunnel);
   void countTunnel(const std::string &EntryIp);
   void uncountTunnel(const std::string &EntryIp);
+  [[nodiscard]] bool mayConnect(const backend_key &Server) const {
+    return !MayConnect || MayConnect(Server);
+  }
   [[nodiscard]] std::optional<tunnel_failure> refusalFor(const tunnel &Tunnel) const;
   boost::asio::awaitable<bool> readRequest(tunnel &Tunnel) const;
   static boost::asio::awaitable<void> copyToServer(tunnel &Tunnel);
@@ -71,6 +76,7 @@
   std::size_t Tunnels{0};
   std::map<std::string, std::size_t> Carried; ///< Tunnels by the IP address of the entry.
   bool Refusing{false};
+  std::function<bool(const backend_key &)> MayConnect; ///< Not set: to all servers.
   std::function<void(std::optional<tunnel_failure>, const std::string &)> AtRequest;
 };
 
--- a/src/relay/unary_call.cpp
+++ b/src/relay/unary_call.cpp
@@ -17,9 +17,10 @@
 
 asio::awaitable<std::optional<unary_answer>> unaryCall(backend_connection_pool &Pool,
                                                        const relay_limits &Limits,
-                                                       backend_key Backend, std::string Request) {
+                                                       backend_key Backend, std::string Request,
+                                                       std::function<bool()> MaySend) {
   backend_connection Connection = co_await Pool.open(Backend, connection_reuse::Allowed);
-  if (!Connection)
+  if (!Connection || (MaySend && !MaySend()))
     co_return std::nullopt;
   Connection->expireAt(boot_clock::now() + Limits.CancelTimeout);
   const std::array Buffers{asio::const_buffer(Request.data(), Request.size())};
--- a/src/relay/unary_call_func.h
+++ b/src/relay/unary_call_func.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/awaitable.hpp>
 
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -19,10 +20,10 @@
 
 /// Sends a request and reads the answer within relay_limits::CancelTimeout. @return Nothing if no
 /// complete answer arrived.
-boost::asio::awaitable<std::optional<unary_answer>> unaryCall(backend_connection_pool &Pool,
-                                                              const relay_limits &Limits,
-                                                              backend_key Backend,
-                                                              std::string Request);
+/// @param MaySend Checked right before the first byte is sent; not set: it is sent.
+boost::asio::awaitable<std::optional<unary_answer>>
+unaryCall(backend_connection_pool &Pool, const relay_limits &Limits, backend_key Backend,
+          std::string Request, std::function<bool()> MaySend = {});
 
 } // namespace pollenstall
 
--- a/tests/evacuation/evacuation_test.cpp
+++ b/tests/evacuation/evacuation_test.cpp
@@ -96,5 +96,21 @@
   EXPECT_EQ(evacuationRetryAfter(-1s), 1s);
 }
 
+// The leader adds the numbers of all entries up; each change of each entry at once would be many.
+TEST(evacuation_reports, AreDueAtOnceForAVersionAndOncePerSecondForANumber) {
+  evacuation_reporter Reporter;
+  mono_time Now{10s};
+  EXPECT_TRUE(Reporter.mayReport(1, Now));
+  EXPECT_TRUE(Reporter.isNews({1, 0}));
+  Reporter.recordReport({1, 4}, Now);
+  Now += 999ms;
+  EXPECT_FALSE(Reporter.mayReport(1, Now));
+  EXPECT_TRUE(Reporter.mayReport(2, Now));
+  Now += 1ms;
+  EXPECT_TRUE(Reporter.mayReport(1, Now));
+  EXPECT_FALSE(Reporter.isNews({1, 4}));
+  EXPECT_TRUE(Reporter.isNews({1, 3}));
+}
+
 } // namespace
 } // namespace pollenstall
