Entry: lists of evacuated domains bind decisions and relay, and are confirmed then

Cause: the entry dropped evacuations_changed. Change: the decision core passes the list to placer, scheduler and relay, asks for no stream again at an evacuated engine, and holds placements without a lease once a list has arrived. The version is confirmed when the relay reports it in use, with the number of requests left; a new leader's repeat is confirmed again.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -2,8 +2,6 @@
  * placer. */
 #include "decision_core_base.h"
 
-#include "dispatch_dump_func.h"
-
 #include <algorithm>
 
 namespace pollenstall {
@@ -74,7 +72,8 @@
   Callbacks.GroupsFor = [this](const request_facts &Facts) { return groupsFor(Facts); };
   Callbacks.SupportsResume = [this](const backend_key &Backend) {
     const auto Found = Backends.find(Backend);
-    return Found != Backends.end() && Found->second.Announcement.Capabilities.Resumes;
+    return Found != Backends.end() && Found->second.Announcement.Capabilities.Resumes &&
+           !Evacuations.isOut(Backend);
   };
   return Callbacks;
 }
@@ -157,6 +156,7 @@
   const bool WasAlreadyLost =
       Previous != Backends.end() && Previous->second.Status == backend_status::Lost;
   Backends.insert_or_assign(Key, View);
+  recordDomain(Key, View.Announcement.Domain);
   Scheduler.updateBackend(withDrain(View), Now);
   Reaper.addEngine(View.Announcement);
   if (View.Status == backend_status::Lost && !WasAlreadyLost)
@@ -169,6 +169,7 @@
   Scheduler.removeBackend(Backend, Now);
   Reaper.removeEngine(Backend);
   Backends.erase(Backend);
+  Evacuations.removeServer(Backend);
   SaidLeaving.erase(Backend);
   PollPending = true;
 }
@@ -194,8 +195,11 @@
 void decision_core::onListingChanged(const backend_listing &Listing, mono_time Now) {
   PollPending = true;
   ListingChanges.push_back(Listing);
-  if (Listing.State != listing_state::Gone)
+  if (Listing.State != listing_state::Gone) {
+    recordDomain(Listing.Key, Listing.Domain);
     return Placer.updateBackend(Listing);
+  }
+  Evacuations.removeServer(Listing.Key);
   Dispatcher.backendGone(Listing.Key, Now);
   Placer.removeBackend(Listing.Key);
   Placer.permits().remove(Listing.Key.Incarnation);
@@ -298,7 +302,8 @@
     onListingChanged(Listing, Now);
   Dispatcher.advance(Now);
   const auto Wake = nextPoll();
-  if (Now <= viewsValidUntil() && (PollPending || (Wake && *Wake <= Now)))
+  PlacementsHeld = !mayPlace(Now);
+  if (!PlacementsHeld && (PollPending || (Wake && *Wake <= Now)))
     place(Now);
   return Dispatcher.takeActions();
 }
@@ -313,7 +318,8 @@
 
 std::optional<mono_time> decision_core::nextWake() const {
   std::optional<mono_time> Next = Dispatcher.nextWake();
-  for (const auto &Other : {nextPoll(), Placer.permits().nextWake()})
+  const std::optional<mono_time> Poll = PlacementsHeld ? std::nullopt : nextPoll();
+  for (const auto &Other : {Poll, Placer.permits().nextWake()})
     if (Other && (!Next || *Other < *Next))
       Next = Other;
   return Next;
@@ -327,9 +333,4 @@
   return Found == Backends.end() || Found->second.Announcement.Capabilities.Model;
 }
 
-std::string decision_core::dump(mono_time Now) {
-  return R"({"dispatch":)" + dumpText(Dispatcher.dump(Now)) + R"(,"scheduling":)" +
-         (usesPlacer() ? Placer.dump(Now) : Scheduler.dump()) + "}";
-}
-
 } // namespace pollenstall
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -7,6 +7,7 @@
 #include "declaration/declaration.h"
 #include "directory/directory.h"
 #include "dispatch/dispatch.h"
+#include "evacuation/evacuation.h"
 #include "gossip/gossip.h"
 #include "orphan/orphan.h"
 #include "placement/placement.h"
@@ -16,6 +17,7 @@
 #include "work_exchange/work_exchange.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -40,6 +42,17 @@
   void useDeclaration(declaration_view View);
   /// Sets the backend servers that operators drain; they get no new work.
   void setDrains(const std::vector<backend_address> &Backends, mono_time Now);
+  /// Takes the evacuated failure domains; their backend servers get no new work from now on.
+  /// @return Whether the list is newer than the previous one.
+  bool setEvacuations(const evacuations_changed &Changed, mono_time Now);
+  /// Takes the list with the domains of all servers if one of them changed since the last call;
+  /// null otherwise, and before the first list.
+  std::shared_ptr<const server_evacuations> takeEvacuationsChange();
+  [[nodiscard]] const evacuation_list &evacuations() const { return Evacuations.list(); }
+  /// Returns the number of claims that were given up because a server was evacuated.
+  [[nodiscard]] std::uint64_t evacuatedClaims() const { return Placer.evacuatedClaims(); }
+  /// Sets until when a list of evacuations is known to be the latest.
+  void setLeaseEnd(mono_time Until) { LeaseEnd = Until; }
   void handleEvent(const membership_event &Event, mono_time Now);
   void handleEvent(const dispatch_event &Event, mono_time Now);
   void handleEvent(const backends_listed &Listed, mono_time Now);
@@ -137,6 +150,8 @@
   void onBackendChanged(const backend_view &View, mono_time Now);
   void onBackendRemoved(const backend_key &Backend, mono_time Now);
   void place(mono_time Now);
+  [[nodiscard]] bool mayPlace(mono_time Now) const;
+  void recordDomain(const backend_key &Backend, const failure_domain_name &Domain);
   [[nodiscard]] backend_view withDrain(backend_view View) const;
 
   backend_source Source;
@@ -149,6 +164,10 @@
   std::map<backend_key, backend_view> Backends;
   std::set<backend_address> Drained;
   std::set<backend_key> SaidLeaving; ///< Announced servers whose answers say that they leave.
+  server_evacuations Evacuations;
+  bool EvacuationsChanged{false}; ///< The list, or the domain of a server.
+  mono_time LeaseEnd{mono_time::max()};
+  bool PlacementsHeld{false}; ///< At the last step.
   mono_time FreshUntil;
   std::vector<backend_listing> ListingChanges;
   std::vector<retry_decision> RetryDecisions;
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -125,9 +125,11 @@
 decision_thread::decision_thread(decision_options Requested)
     : DecisionOptions(std::move(Requested)), Events(DecisionOptions.RingCapacity),
       Lists(ListCapacity), CrashNews(ListCapacity), RateLimits(ListCapacity),
-      ServerNotices(ListCapacity), Orders(DecisionOptions.RingCapacity), Outbox(Orders),
-      Clock(MaxIteration), Core(DecisionOptions.Self, DecisionOptions.Self.Incarnation.value(),
-                                DecisionOptions.Backends),
+      ServerNotices(ListCapacity), EvacuationReports(ListCapacity),
+      Orders(DecisionOptions.RingCapacity), Outbox(Orders), Clock(MaxIteration),
+      Core(DecisionOptions.Self, DecisionOptions.Self.Incarnation.value(),
+           DecisionOptions.Backends),
+      Metrics(*DecisionOptions.Registry),
       OrphanCounter(prometheus::BuildCounter()
                         .Name("pollenstall_orphans_cancelled_total")
                         .Help("Attempts without a live owner that this entry asked engines to end")
@@ -175,6 +177,7 @@
   CrashNews.onWake([this] { WakeEvent.wake(); });
   RateLimits.onWake([this] { WakeEvent.wake(); });
   ServerNotices.onWake([this] { WakeEvent.wake(); });
+  EvacuationReports.onWake([this] { WakeEvent.wake(); });
   if (!DecisionOptions.ReadDeclaration)
     DecisionOptions.ReadDeclaration = readTomlDeclaration;
   // Without control hosts there is no list of the entries that share the reserve.
@@ -241,7 +244,9 @@
       logSilence(*Silent);
     Core.handleEvent(Event, Now);
   }
-  for (dispatch_action &Action : Core.step(Now))
+  std::vector<dispatch_action> Actions = Core.step(Now);
+  forwardEvacuations(); // Before the orders that may concern servers of these domains.
+  for (dispatch_action &Action : Actions)
     execute(std::move(Action));
   forwardListings();
   for (const backend_key &Engine : Core.takeEnginesToList(Now))
@@ -285,6 +290,7 @@
     });
   RateLimits.drain([this, Now](rate_limit_answer &&Answer) { handleRateLimit(Answer, Now); });
   ServerNotices.drain([this, Now](server_notice &&Notice) { handleNotice(Notice, Now); });
+  EvacuationReports.drain([this](evacuations_in_use &&Report) { handleEvacuationsInUse(Report); });
   const std::lock_guard<std::mutex> Lock(Guard);
   if (PendingShutdown)
     Core.beginShutdown(Now, *std::exchange(PendingShutdown, std::nullopt));
@@ -312,7 +318,7 @@
             Outbox.push(
                 suspects_update{std::make_shared<const suspect_list>(Listed.Suspects, Now)});
           },
-          [](const evacuations_changed & /*Evacuations*/) {},
+          [this, Now](const evacuations_changed &Changed) { handleEvacuations(Changed, Now); },
           [](const control_connection_lost &Lost) { logControlLost(Lost); }},
       Event);
 }
@@ -504,6 +510,7 @@
   const bool ReadinessChanged = std::exchange(Admitting, Now < ReadyUntil) != (Now < ReadyUntil);
   const mono_time Until =
       DecisionOptions.FixedDeclaration ? mono_time::max() : DeclarationLease.leaseEnd();
+  Core.setLeaseEnd(Until);
   const bool Changed = ReadinessChanged || (Admitting && !DeclarationSent);
   const bool LeaseOrStaleChanged =
       Admitting && (Until != SentLeaseEnd || DeclarationLease.isBehind() != SentStale);
@@ -617,6 +624,7 @@
   LiveGauge.Set(static_cast<double>(Core.liveRequests()));
   AbandonedGauge.Set(static_cast<double>(Core.abandonedAttempts()));
   ReadyGauge.Set(Admitting ? 1.0 : 0.0);
+  countEvacuatedClaims();
   LimitedServersGauge.Set(static_cast<double>(Core.rateLimitedServers()));
   if (!WorkShare)
     return;
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -5,6 +5,7 @@
 
 #include "control_link/control_link.h"
 #include "decision_core_base.h"
+#include "evacuation_metrics_base.h"
 #include "relay/relay.h"
 #include "wakeup_event_base.h"
 #include "work_exchange/work_exchange.h"
@@ -64,6 +65,8 @@
   [[nodiscard]] bounded_ring<rate_limit_answer> &rateLimits() { return RateLimits; }
   /// Filled by the relay thread.
   [[nodiscard]] bounded_ring<server_notice> &serverNotices() { return ServerNotices; }
+  /// Filled by the relay thread.
+  [[nodiscard]] bounded_ring<evacuations_in_use> &evacuationReports() { return EvacuationReports; }
   /// Emptied by the relay thread.
   [[nodiscard]] bounded_ring<relay_order> &orders() { return Orders; }
   /// Wakes the thread; for the gossip thread and the control link.
@@ -101,6 +104,11 @@
   void reportCrash(crash_report &&Crash);
   void reportCrash(suspect_cleared &&Cleared);
   void reportCrash(suspect_run_begun &&Run);
+  void handleEvacuations(const evacuations_changed &Changed, mono_time Now);
+  void handleEvacuationsInUse(const evacuations_in_use &Report);
+  void forwardEvacuations();
+  void confirmEvacuations();
+  void countEvacuatedClaims();
   void handleRateLimit(const rate_limit_answer &Answer, mono_time Now);
   void handleNotice(const server_notice &Notice, mono_time Now);
   void handlePermitReply(const permit_reply &Reply, mono_time Now);
@@ -133,6 +141,7 @@
   bounded_ring<crash_update> CrashNews;
   bounded_ring<rate_limit_answer> RateLimits;
   bounded_ring<server_notice> ServerNotices;
+  bounded_ring<evacuations_in_use> EvacuationReports;
   bounded_ring<relay_order> Orders;
   event_outbox<relay_order> Outbox;
   bounded_ring<membership_event> *MembershipEvents{nullptr};
@@ -156,6 +165,9 @@
   mono_time SentLeaseEnd{};       ///< Lease end last sent to the relay.
   bool SentStale{false}; ///< Whether a newer declaration is pending, as last sent to the relay.
   std::uint64_t RejectedDeclarations{0};
+  std::optional<evacuations_in_use> EvacuationsInUse; ///< As the relay reported last.
+  bool AnyDomainOut{false};                           ///< As of EvacuationsInUse.
+  std::uint64_t CountedEvacuatedClaims{0};
 
   readiness_deadline Ready;
   std::atomic<std::size_t> Abandoned{0};
@@ -164,6 +176,7 @@
   std::mutex Guard; ///< Guards the two members below, which other threads set.
   std::vector<std::promise<std::string>> PendingDumps;
   std::optional<mono_duration> PendingShutdown;
+  evacuation_metrics Metrics;
   prometheus::Counter &OrphanCounter;
   prometheus::Gauge &QueueGauge;
   prometheus::Gauge &LiveGauge;
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -157,6 +157,7 @@
       .crashUpdates(Decision->crashUpdates())
       .rateLimits(Decision->rateLimits())
       .serverNotices(Decision->serverNotices())
+      .evacuationReports(Decision->evacuationReports())
       .process(Self)
       .limits(limitsOf(Settings))
       .metrics(Registry)
