Entry: the relay learns the end of the lease also while nothing is admitted

Cause: a superseded entry admits nothing, its lease goes on, and the relay would refuse attempts that the decisions place. Change: with a list of evacuations each new end of the lease goes to the relay. The tests of the decision core report attempts as sent before they complete.

--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -512,8 +512,10 @@
       DecisionOptions.FixedDeclaration ? mono_time::max() : DeclarationLease.leaseEnd();
   Core.setLeaseEnd(Until);
   const bool Changed = ReadinessChanged || (Admitting && !DeclarationSent);
+  // With a list of evacuations the relay sends nothing to most servers without a lease.
+  const bool NeedsLease = Admitting || Core.evacuations().version();
   const bool LeaseOrStaleChanged =
-      Admitting && (Until != SentLeaseEnd || DeclarationLease.isBehind() != SentStale);
+      NeedsLease && (Until != SentLeaseEnd || DeclarationLease.isBehind() != SentStale);
   if (!Changed && !LeaseOrStaleChanged)
     return;
   SentLeaseEnd = Until;
--- a/tests/decision_core/evacuation_test.cpp
+++ b/tests/decision_core/evacuation_test.cpp
@@ -21,6 +21,11 @@
   service_declaration Service;
   Service.Name = service_name("llm");
   Fleet.Services.push_back(Service);
+  Fleet.Groups.push_back({group_name("all"), service_name("llm"), {}});
+  selector_declaration Selector;
+  Selector.Service = service_name("llm");
+  Selector.Groups = {{group_name("all"), 1}};
+  Fleet.Selectors.push_back(Selector);
   return Fleet;
 }
 
@@ -74,6 +79,11 @@
     EXPECT_EQ(Started.size(), 1U);
     return Started.empty() ? start_attempt{} : Started[0];
   }
+  void complete(const start_attempt &Attempt) {
+    handle(attempt_sending{Attempt.Attempt});
+    handle(attempt_answering{Attempt.Attempt});
+    handle(attempt_completed{Attempt.Attempt, {}, {}, {}});
+  }
   start_attempt startRequest() { return startRequest(makeFacts()); }
 };
 
@@ -116,7 +126,7 @@
   EXPECT_TRUE(take<cancel_attempt>().empty());
   EXPECT_TRUE(take<finish_request>().empty());
   for (const start_attempt &Attempt : Running)
-    handle(attempt_completed{Attempt.Attempt, {}, {}, {}});
+    complete(Attempt);
   EXPECT_EQ(take<finish_request>().size(), Running.size());
 }
 
@@ -144,7 +154,7 @@
 TEST_F(entry_with_listed_servers, StartsAttemptsBesideASilentOneElsewhere) {
   EXPECT_TRUE(evacuate(1, {DomainB}));
   for (int Request = 0; Request < 10; ++Request)
-    handle(attempt_completed{startRequest().Attempt, {}, {}, {}});
+    complete(startRequest());
   const start_attempt Silent = startRequest();
   handle(attempt_sending{Silent.Attempt});
   EXPECT_TRUE(evacuate(2, {DomainA}));
