--- a/src/evacuation/server_evacuations.cpp
+++ b/src/evacuation/server_evacuations.cpp
@@ -1,6 +1,8 @@
 /** @file server_evacuations.cpp Whether a backend server may get new requests, by its key. */
 #include "evacuation/server_evacuations_base.h"
 
+#include <algorithm>
+
 namespace pollenstall {
 
 bool server_evacuations::update(std::uint64_t Version,
@@ -42,4 +44,9 @@
   return IsBinding && !List.isOut(Found->second.Domain);
 }
 
+bool server_evacuations::anyServerHasDomain() const {
+  return std::any_of(Servers.begin(), Servers.end(),
+                     [](const auto &Item) { return !Item.second.Domain.empty(); });
+}
+
 } // namespace pollenstall
--- a/src/evacuation/server_evacuations_base.h
+++ b/src/evacuation/server_evacuations_base.h
@@ -30,6 +30,8 @@
    * only servers that no list can name are allowed.
    */
   [[nodiscard]] bool allowsNewRequest(const backend_key &Server, bool IsBinding) const;
+  /// @return Whether any known server has a domain, so that a newer list could name it.
+  [[nodiscard]] bool anyServerHasDomain() const;
   [[nodiscard]] const evacuation_list &list() const { return List; }
 
 private:
--- a/tests/decision_core/evacuation_test.cpp
+++ b/tests/decision_core/evacuation_test.cpp
@@ -35,7 +35,8 @@
   std::vector<dispatch_action> Actions;
   std::uint64_t LastRequest{0};
 
-  explicit evacuated_entry(backend_source Source = backend_source::Control)
+  evacuated_entry() : evacuated_entry(backend_source::Control) {}
+  explicit evacuated_entry(backend_source Source)
       : Core({host_name("entry-1"), incarnation(1)}, 1, Source) {
     Core.useDeclaration(std::make_shared<const declaration_index>(declaration()));
     Core.setReady(true);
@@ -223,6 +224,15 @@
   EXPECT_EQ(take<start_attempt>().size(), 1U);
 }
 
+// Servers that no list can name are used as before.
+TEST_F(evacuated_entry, PlacesWorkAtServersWithoutADomainWithoutALease) {
+  Core.handleEvent(
+      backends_listed{true, {entry_with_listed_servers::listing(1, failure_domain_name())}}, Now);
+  EXPECT_TRUE(evacuate(1, {DomainA}));
+  Core.setLeaseEnd(Now);
+  EXPECT_EQ(startRequest().Attempt.Ordinal, 1U);
+}
+
 TEST_F(entry_with_listed_servers, InformsTheRelayOfTheListAndOfServersListedLater) {
   EXPECT_EQ(Core.takeEvacuationsChange(), nullptr) << "nothing changes before the first list";
   EXPECT_TRUE(evacuate(1, {DomainA}));
