Permits also bound the requests to cold servers

A cold server must not receive more than cold_per_s x overshoot + tolerance requests in any second from all entries together. The issuer of a server's permits now serves both stated limits and cold servers; the lower rate applies. Rate and saved permits are derived from the bound and the longest use of a permit.

--- a/src/rate_limit/permit_exchange.cpp
+++ b/src/rate_limit/permit_exchange.cpp
@@ -3,12 +3,19 @@
 
 #include <algorithm>
 #include <functional>
+#include <string_view>
 #include <type_traits>
 
 namespace pollenstall {
 
-void permit_exchange::setEntries(const std::vector<std::string> &Addresses) {
-  Entries.clear();
+void permit_exchange::setEntries(const std::vector<std::string> &Addresses, mono_time Now) {
+  if (!Entries.empty())
+    PastLists.push_back({std::exchange(Entries, {}), EntriesFrom, Now});
+  while (!PastLists.empty() && Now - PastLists.front().Until > HistoryLength)
+    PastLists.pop_front();
+  if (Addresses.empty())
+    PastLists.clear();
+  EntriesFrom = Now;
   IssuerIndexes.clear();
   for (const std::string &Entry : Addresses)
     Entries.push_back({Entry, stableHash(Entry)});
@@ -16,20 +23,34 @@
   Issuer.keepServers([this](incarnation Server) { return issuerOf(Server) == Address; });
 }
 
+std::size_t permit_exchange::issuerIndex(const std::vector<known_entry> &Entries,
+                                         incarnation Server) {
+  const auto Rank = [Server](const known_entry &Entry) {
+    return std::pair(combineHashes(Entry.Hash, Server.value()), std::string_view(Entry.Address));
+  };
+  const auto Highest = std::max_element(
+      Entries.begin(), Entries.end(),
+      [&Rank](const known_entry &A, const known_entry &B) { return Rank(A) < Rank(B); });
+  return static_cast<std::size_t>(Highest - Entries.begin());
+}
+
+mono_time permit_exchange::assignedSince(incarnation Server) const {
+  mono_time Since = EntriesFrom;
+  for (auto Past = PastLists.rbegin(); Past != PastLists.rend(); ++Past) {
+    if (Past->Entries[issuerIndex(Past->Entries, Server)].Address != Address)
+      break;
+    Since = Past->From;
+  }
+  return Since;
+}
+
 const std::string &permit_exchange::issuerOf(incarnation Server) {
   static const std::string None;
   if (Entries.empty())
     return None;
   const auto [Known, IsNew] = IssuerIndexes.try_emplace(Server, 0);
-  if (IsNew) {
-    const auto Rank = [Server](const known_entry &Entry) {
-      return std::pair(combineHashes(Entry.Hash, Server.value()), Entry.Address);
-    };
-    const auto Highest = std::max_element(
-        Entries.begin(), Entries.end(),
-        [&Rank](const known_entry &A, const known_entry &B) { return Rank(A) < Rank(B); });
-    Known->second = static_cast<std::size_t>(Highest - Entries.begin());
-  }
+  if (IsNew)
+    Known->second = issuerIndex(Entries, Server);
   return Entries[Known->second].Address;
 }
 
@@ -55,9 +76,15 @@
                                      mono_time Now) {
   std::visit(
       [&](const auto &Item) {
-        if constexpr (!std::is_same_v<std::decay_t<decltype(Item)>, permit_reply>)
+        using message = std::decay_t<decltype(Item)>;
+        if constexpr (std::is_same_v<message, permit_request>) {
+          if (issuerOf(Item.Server) == Address)
+            Issuer.handle(Item, From, Now,
+                          Item.Cold ? assignedSince(Item.Server) : mono_time::min());
+        } else if constexpr (std::is_same_v<message, limit_report>) {
           if (issuerOf(Item.Server) == Address)
             Issuer.handle(Item, From, Now);
+        }
       },
       Message);
   deliverReplies();
--- a/src/rate_limit/permit_exchange_base.h
+++ b/src/rate_limit/permit_exchange_base.h
@@ -5,6 +5,7 @@
 #include "rate_limit/permit_issuer_base.h"
 
 #include <cstdint>
+#include <deque>
 #include <optional>
 #include <string>
 #include <unordered_map>
@@ -23,10 +24,12 @@
 public:
   /// @param OwnAddress The work address of this entry.
   permit_exchange(const process_key &Self, std::string OwnAddress, const permit_tuning &Tuning = {})
-      : Address(std::move(OwnAddress)), Issuer(Self.Incarnation.value(), Tuning) {}
+      : Address(std::move(OwnAddress)), HistoryLength(Tuning.ColdTakeoverDelay),
+        Issuer(Self.Incarnation.value(), Tuning) {}
 
-  /// Sets the work addresses of all entries.
-  void setEntries(const std::vector<std::string> &Addresses);
+  /// Sets the work addresses of all entries; none if this entry's lease has ended. Without a lease,
+  /// this entry does not know whether others have taken over its servers.
+  void setEntries(const std::vector<std::string> &Addresses, mono_time Now);
   /// Passes on a message of this entry's client.
   void send(const permit_message &Message, mono_time Now);
   /// Handles a message of another entry.
@@ -46,11 +49,25 @@
     std::uint64_t Hash;
   };
 
+  /// Entries that were listed before.
+  struct past_list {
+    std::vector<known_entry> Entries;
+    mono_time From;
+    mono_time Until;
+  };
+
+  [[nodiscard]] static std::size_t issuerIndex(const std::vector<known_entry> &Entries,
+                                               incarnation Server);
+  /// @return Since when every list has assigned the server to this entry.
+  [[nodiscard]] mono_time assignedSince(incarnation Server) const;
   void handleAsIssuer(const permit_message &Message, const std::string &From, mono_time Now);
   void deliverReplies();
 
   std::string Address;
+  mono_duration HistoryLength;
   std::vector<known_entry> Entries;
+  mono_time EntriesFrom;           ///< When this entry received Entries.
+  std::deque<past_list> PastLists; ///< Oldest first; those in force within HistoryLength.
   std::unordered_map<incarnation, std::size_t> IssuerIndexes; ///< Into Entries; a cache.
   permit_issuer Issuer;
   std::vector<permit_datagram> Datagrams;
--- a/src/rate_limit/permit_issuer_base.h
+++ b/src/rate_limit/permit_issuer_base.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_RATE_LIMIT_PERMIT_ISSUER_BASE_H
 #define POLLENSTALL_RATE_LIMIT_PERMIT_ISSUER_BASE_H
 
+#include "rate_limit/cold_rate_func.h"
 #include "rate_limit/permit_type.h"
 
 #include <deque>
@@ -35,7 +36,10 @@
   /// Forgets the servers for which the condition does not hold, since another entry issues their
   /// permits.
   void keepServers(const std::function<bool(incarnation)> &IsAssigned);
-  void handle(const permit_request &Request, const std::string &From, mono_time Now);
+  /// @param AssignedSince Since when this entry has been the only issuer of the server; the
+  /// earliest time if that is not known to have been otherwise.
+  void handle(const permit_request &Request, const std::string &From, mono_time Now,
+              mono_time AssignedSince = mono_time::min());
   void handle(const limit_report &Report, const std::string &From, mono_time Now);
   /// Issues permits to waiting requests. Must be called at least each SuspensionThreshold.
   void advance(mono_time Now);
@@ -46,10 +50,15 @@
   struct waiting_request {
     std::string From;
     mono_time Until;
+    mono_time ArrivedAt;
+    std::optional<cold_statement> Cold; ///< As of the latest request.
   };
   struct server {
-    std::optional<requests_per_second> Limit; ///< Empty: the limit has ended.
-    double Permits{0};                        ///< As of FilledAt.
+    std::optional<requests_per_second> Limit; ///< Empty: the limit has ended, or never was.
+    std::optional<cold_rate> Cold;            ///< Set while entries say that the server is cold.
+    mono_time ColdHeardAt{mono_time::min()};  ///< When an entry last said so.
+    std::deque<mono_time> Issued; ///< Times of the latest permits, up to Cold->PerInterval.
+    double Permits{0};            ///< As of FilledAt.
     mono_time FilledAt;
     mono_time IssueFrom;
     std::uint64_t LastStated{0}; ///< Number of the last permit before the limit was last stated.
@@ -59,11 +68,16 @@
   };
 
   [[nodiscard]] double rateOf(const server &Server) const;
+  [[nodiscard]] double maxSaved(const server &Server) const;
+  void recordCold(server &Server, const cold_statement &Cold, bool IsNew, mono_time AssignedSince,
+                  mono_time Now) const;
+  void holdPermits(server &Server, mono_time Until, double Permits) const;
   void setLimit(incarnation Id, server &Server, std::optional<requests_per_second> Limit,
                 mono_time Now);
   void refill(server &Server, mono_time Now) const;
   [[nodiscard]] mono_time nextPermitAt(const server &Server) const;
-  void issue(incarnation ServerId, server &Server, const std::string &To);
+  void issue(incarnation ServerId, server &Server, const std::string &To,
+             std::optional<cold_grant> Cold, mono_time Now);
   void issueToWaiting(incarnation ServerId, server &Server, mono_time Now);
   [[nodiscard]] bool enqueue(server &Server, const permit_request &Request, const std::string &From,
                              mono_time Now) const;
--- a/src/rate_limit/permit_type.h
+++ b/src/rate_limit/permit_type.h
@@ -14,12 +14,28 @@
 
 namespace pollenstall {
 
+/// What an entry tells the issuer about a cold server when it asks for a permit.
+struct cold_statement {
+  requests_per_second PerSecond; ///< The declared rate of a cold server; more than 0.
+  /// Time since the entry may last have sent a request without a permit; empty: it never listed the
+  /// server as warm.
+  std::optional<std::chrono::milliseconds> WarmAgo;
+  std::uint32_t AskedAt{0}; ///< The entry's clock in milliseconds; the reply repeats it.
+};
+
+/// Belongs to the reply to a request with a cold_statement.
+struct cold_grant {
+  std::uint32_t AskedAt{0};            ///< Copied from the request.
+  std::chrono::milliseconds Waited{0}; ///< From the request's arrival until the permit was issued.
+};
+
 /// An entry asks the issuer of a server for one permit.
 struct permit_request {
   incarnation Server;
-  requests_per_second Limit;         ///< As the entry knows it.
+  std::optional<requests_per_second> Limit; ///< As the entry knows it; empty: none is stated.
   bool Wanted{true};                 ///< False: the entry only asks whether the limit still holds.
   std::chrono::milliseconds Wait{0}; ///< How long the issuer may keep the request if it has none.
+  std::optional<cold_statement> Cold{};
 };
 
 /// An entry reports to the issuer what an answer of the server stated.
@@ -36,6 +52,7 @@
   permit_stamp Permit;                      ///< Not set: no permit.
   std::chrono::milliseconds RetryAfter{0};  ///< Without a permit: when to ask again.
   bool Queued{false}; ///< The request waits at the issuer; a permit may come before RetryAfter.
+  std::optional<cold_grant> Cold{};
 };
 
 using permit_message = std::variant<permit_request, limit_report, permit_reply>;
@@ -78,6 +95,22 @@
   /// A process that was inactive for longer than this was suspended, and another entry may have
   /// issued permits meanwhile.
   mono_duration SuspensionThreshold{std::chrono::milliseconds(700)};
+  /// Each second, a cold server receives at most its declared rate times ColdOvershoot, plus
+  /// ColdTolerance requests.
+  double ColdOvershoot{1};
+  double ColdTolerance{0};
+  /// A permit for a cold server expires this long after it was issued, at the latest.
+  mono_duration ColdPermitAge{std::chrono::milliseconds(80)};
+  /// Longest time from the use of a permit until its request arrives at the server: publishing a
+  /// claim and the network delay.
+  mono_duration ColdSendDelay{std::chrono::milliseconds(15)};
+  /// The server's window. After a server has turned cold, the issuer waits for this long, since the
+  /// requests that were sent before without permits count in the window.
+  mono_duration ColdWindow{std::chrono::seconds(1)};
+  /// An issuer that takes over waits for this long before it issues permits for a cold server. An
+  /// earlier issuer that is cut off serves itself until its lease ends (3.5 s), and the entries
+  /// learn of the change up to 2 s apart.
+  mono_duration ColdTakeoverDelay{std::chrono::milliseconds(3500)};
   /// An issuer forgets a server of which it has not heard for this time.
   mono_duration ServerLifetime{std::chrono::minutes(10)};
 };
--- a/src/wire/envelope_func.h
+++ b/src/wire/envelope_func.h
@@ -15,13 +15,14 @@
 
 /// Protocol of a message. A port rejects messages of other protocols.
 enum class message_kind : std::uint16_t {
-  Gossip = 1,      ///< UDP between hosts.
-  Consensus = 2,   ///< TCP between control hosts.
-  ControlLink = 3, ///< TCP between an entry and a control host.
-  State = 4,       ///< Records in files of a control host.
-  WorkShare = 6,   ///< UDP between entries. 5 belonged to a retired format.
-  Permits = 7,     ///< UDP between entries.
-  RetryLoans = 8,  ///< UDP between entries.
+  Gossip = 1,       ///< UDP between hosts.
+  Consensus = 2,    ///< TCP between control hosts.
+  ControlLink = 3,  ///< TCP between an entry and a control host.
+  State = 4,        ///< Records in files of a control host.
+  WorkShare = 6,    ///< UDP between entries. 5 belonged to a retired format.
+  Permits = 7,      ///< UDP between entries.
+  RetryLoans = 8,   ///< UDP between entries.
+  ColdPermits = 10, ///< UDP between entries.
 };
 
 /// @return The encoded message without an envelope.
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -36,10 +36,10 @@
 
 class work_share::state {
 public:
-  state(std::string FleetName, process_key Process)
-      : Fleet(std::move(FleetName)), Self(std::move(Process)), Commands(RingCapacity),
-        PeerUpdates(RingCapacity), PermitReplies(RingCapacity), RetryMessages(RingCapacity),
-        Socket(Io), Timer(Io) {
+  state(std::string FleetName, process_key Process, const permit_tuning &PermitValues)
+      : Fleet(std::move(FleetName)), Self(std::move(Process)), PermitTuning(PermitValues),
+        Commands(RingCapacity), PeerUpdates(RingCapacity), PermitReplies(RingCapacity),
+        RetryMessages(RingCapacity), Socket(Io), Timer(Io) {
     Commands.onWake([this] { asio::post(Io, [this] { processCommands(); }); });
   }
 
@@ -62,7 +62,7 @@
     Socket.non_blocking(true, Code);
     LocalAddress = toText(Socket.local_endpoint());
     View.emplace(Self, LocalAddress);
-    Permits.emplace(Self, LocalAddress);
+    Permits.emplace(Self, LocalAddress, PermitTuning);
     return done{};
   }
 
@@ -74,6 +74,7 @@
 
   const std::string Fleet;
   const process_key Self;
+  const permit_tuning PermitTuning;
   bounded_ring<share_command> Commands;
   bounded_ring<peer_work_update> PeerUpdates;
   bounded_ring<permit_reply> PermitReplies;
@@ -115,7 +116,7 @@
     std::vector<std::string> Addresses;
     for (const work_entry &Entry : Update.Entries)
       Addresses.push_back(Entry.Address);
-    Permits->setEntries(Addresses);
+    Permits->setEntries(Addresses, boot_clock::now());
   }
 
   void runPermits(mono_time Now) {
@@ -250,8 +251,9 @@
 work_share::~work_share() = default;
 
 result<std::unique_ptr<work_share>, work_share_error>
-work_share::create(const std::string &Fleet, process_key Self, const std::string &Bind) {
-  auto NewState = std::make_unique<state>(Fleet, std::move(Self));
+work_share::create(const std::string &Fleet, process_key Self, const std::string &Bind,
+                   const permit_tuning &Permits) {
+  auto NewState = std::make_unique<state>(Fleet, std::move(Self), Permits);
   const auto Opened = NewState->open(Bind);
   if (!succeeded(Opened))
     return errorOf(Opened);
--- a/src/work_share/work_share_base.h
+++ b/src/work_share/work_share_base.h
@@ -16,7 +16,8 @@
 public:
   /// Creates a work_share. @param Bind "IP:port"; with port 0 the kernel chooses a port.
   static result<std::unique_ptr<work_share>, work_share_error>
-  create(const std::string &Fleet, process_key Self, const std::string &Bind);
+  create(const std::string &Fleet, process_key Self, const std::string &Bind,
+         const permit_tuning &Permits = {});
   ~work_share();
   work_share(const work_share &) = delete;
   work_share &operator=(const work_share &) = delete;
--- a/tests/rate_limit/permit_world.h
+++ b/tests/rate_limit/permit_world.h
@@ -26,6 +26,8 @@
   mono_duration MaxListDelay{std::chrono::milliseconds(2'500)};
   /// An entry that is cut off admits no work after its lease.
   mono_duration Lease{std::chrono::milliseconds(3'500)};
+  permit_tuning Permits{};
+  std::size_t Servers{1}; ///< Alike; each work goes to a server chosen at random.
   std::uint64_t Seed{1};
 };
 
@@ -36,6 +38,9 @@
 
   /// Sets the limit that the server states from now on; empty: none.
   void state(std::optional<double> Limit);
+  /// Makes all servers cold from now on for this time, at this rate. @param MaxDelay Time until the
+  /// last entry learns of it. @param WasWarm Whether the entries listed them as warm before.
+  void turnCold(double PerSecond, mono_duration ColdTime, mono_duration MaxDelay, bool WasWarm);
   void run(mono_duration Duration);
 
   /// @return Index of the entry that issues the permits.
@@ -51,6 +56,10 @@
   [[nodiscard]] mono_time now() const { return Now; }
   /// @return The most requests in any window of 4 s that ends at this time or later.
   [[nodiscard]] std::size_t mostInWindow(mono_time EndsFrom) const;
+  /// @return The most requests at one server in any second that begins at this time or later.
+  [[nodiscard]] std::size_t mostInSecond(mono_time BeginsFrom) const;
+  /// @return The requests since then at the server that got the fewest.
+  [[nodiscard]] std::size_t fewestSince(mono_time From) const;
   [[nodiscard]] std::size_t arrivedSince(mono_time From) const;
   /// @return Entries that are up and know a limit of the server.
   [[nodiscard]] std::size_t knowing() const;
@@ -64,6 +73,7 @@
     bool Up{true};
     bool Frozen{false};
     mono_time CutAt{mono_time::max()};
+    bool KnowsCold{false}; ///< Its list says that the servers are cold.
     std::uint64_t ListVersion{0};
     std::uint64_t Start{0};                  ///< Rises with each start of an entry.
     std::vector<std::function<void()>> Held; ///< Events of a frozen entry.
@@ -76,8 +86,9 @@
   /// Steps an entry until it is killed.
   void tick(std::size_t Entry, std::uint64_t Start);
   void step(std::size_t Entry);
-  void trySend(node &Node, std::size_t Entry);
-  void send(std::size_t Entry, const permit_stamp &Permit);
+  void trySend(node &Node, std::size_t Entry, const backend_key &Server);
+  void learnCold(std::size_t Entry, bool WasWarm);
+  void send(std::size_t Entry, const backend_key &Server, const permit_stamp &Permit);
   void flush(std::size_t Entry);
   void deliver(std::size_t From, const permit_datagram &Datagram);
   void announceList();
@@ -90,7 +101,11 @@
   std::vector<node> Nodes;
   std::map<std::string, std::size_t> IndexByAddress;
   std::optional<double> Limit;
+  std::map<incarnation, std::vector<mono_time>> ArrivalsAt; ///< By server.
   std::vector<mono_time> Arrivals;
+  std::vector<backend_key> Servers;
+  double ColdPerSecond{0};
+  mono_time ColdUntil{mono_time::min()};
   std::size_t Datagrams{0};
   std::uint64_t Starts{0};
   std::uint64_t Lists{0};
