Cold servers: declaration, notices, listings, placement and settings

A service may declare cold_per_s and cold_start_s, and each notice may state cold_remaining_ms. The directory passes on changes of the end; listings carry the time left in notes that earlier builds ignore. The placer uses warm servers while they serve in time, and permits for cold ones. An entry without a lease tells its issuer, which then issues nothing.

--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -255,6 +255,10 @@
 /// @param Reply Set once the log contains the changes; may be null.
 void control_core::recordBackends(std::vector<backend_listing> Changes,
                                   const std::shared_ptr<std::promise<control_outcome>> &Reply) {
+  // The log does not say when a change is read from it, and the time that a server stays cold
+  // passes. A new leader learns it from the server's notices.
+  for (backend_listing &Change : Changes)
+    Change.ColdFor.reset();
   const auto Refused = propose(update_backends{std::move(Changes)}, [Reply](const auto &Answered) {
     if (Reply)
       Reply->set_value(Answered ? control_outcome(backend_recorded{})
@@ -284,7 +288,7 @@
   };
   Callbacks.State = [this]() -> const control_state & { return State; };
   Callbacks.BackendsAfter = [this](const instance_name &After, std::size_t MaxCount) {
-    return Directory.listingsAfter(After, MaxCount);
+    return Directory.listingsAfter(After, MaxCount, boot_clock::now());
   };
   Callbacks.Controls = [this] {
     std::vector<std::string> Listening;
--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -194,8 +194,10 @@
 void decision_core::onListingChanged(const backend_listing &Listing, mono_time Now) {
   PollPending = true;
   ListingChanges.push_back(Listing);
-  if (Listing.State != listing_state::Gone)
-    return Placer.updateBackend(Listing);
+  if (Listing.State != listing_state::Gone) {
+    Placer.updateBackend(Listing);
+    return Placer.updateCold(Listing, Now);
+  }
   Dispatcher.backendGone(Listing.Key, Now);
   Placer.removeBackend(Listing.Key);
   Placer.permits().remove(Listing.Key.Incarnation);
--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -79,6 +79,16 @@
     return Placer.permits().takeMessages(Now);
   }
   [[nodiscard]] std::size_t rateLimitedServers() const { return Placer.permits().limitedServers(); }
+  [[nodiscard]] std::size_t coldServers(mono_time Now) const {
+    return Placer.permits().coldServers(Now);
+  }
+  /// @return Permits for cold servers that were used so far.
+  [[nodiscard]] std::uint64_t coldPermitsUsed() const { return Placer.permits().coldPermitsUsed(); }
+  /// Counts the servers of a failure domain that is back in service as cold.
+  void domainRestored(const failure_domain_name &Domain, mono_time Now) {
+    PollPending = true;
+    Placer.markDomainCold(Domain, Now);
+  }
   /// @return How many idle connections to the server this entry may keep.
   [[nodiscard]] std::size_t maxIdleConnections(const backend_key &Backend) const {
     return usesPlacer() ? Placer.maxIdleConnections(Backend) : DefaultMaxIdleConnections;
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -147,6 +147,13 @@
                             "1 if this entry can connect to no backend server, else 0")),
       LimitedServersGauge(gauge(*DecisionOptions.Registry, "pollenstall_rate_limited_servers",
                                 "Backend servers that state a limit on requests")),
+      ColdServersGauge(gauge(*DecisionOptions.Registry, "pollenstall_cold_servers",
+                             "Backend servers that are cold and declare a rate for it")),
+      ColdRequestsCounter(prometheus::BuildCounter()
+                              .Name("pollenstall_cold_requests_total")
+                              .Help("Permits for requests to cold backend servers used")
+                              .Register(*DecisionOptions.Registry)
+                              .Add({})),
       LimitedRequestsCounter(prometheus::BuildCounter()
                                  .Name("pollenstall_rate_limited_requests_total")
                                  .Help("Attempts started at backend servers that state a limit")
@@ -247,6 +254,8 @@
   for (const backend_key &Engine : Core.takeEnginesToList(Now))
     Outbox.push(list_attempts{Engine});
   Outbox.flush();
+  reportLease(Now);
+  reportColdServers(Now);
   sendPermitMessages(Now);
   sendRetryMessages(Now);
   publishLoads(Now);
@@ -366,6 +375,32 @@
                {});
 }
 
+/// The list of entries is sent again only when it changes, so the last one counts after a lapse.
+void decision_thread::reportLease(mono_time Now) {
+  if (!WorkShare || DecisionOptions.FixedDeclaration)
+    return;
+  const bool Leased = Now < DeclarationLease.leaseEnd();
+  if (std::exchange(HadLease, Leased) == Leased)
+    return;
+  if (!Leased)
+    WorkShare->commands().push(lease_ended{});
+  else if (!LastEntries.Entries.empty())
+    WorkShare->commands().push(entries_update(LastEntries));
+}
+
+void decision_thread::reportColdServers(mono_time Now) {
+  const std::size_t Cold = Core.coldServers(Now);
+  ColdServersGauge.Set(static_cast<double>(Cold));
+  ColdRequestsCounter.Increment(static_cast<double>(
+      Core.coldPermitsUsed() - std::exchange(ReportedColdRequests, Core.coldPermitsUsed())));
+  // One event for each change of the number would flood the log while a service starts.
+  if ((Cold == 0) == (ReportedCold == 0))
+    return;
+  ReportedCold = Cold;
+  logEvent(log_level::Info, Cold > 0 ? "cold_servers" : "no_cold_servers",
+           {{"count", static_cast<std::int64_t>(Cold)}});
+}
+
 void decision_thread::sendPermitMessages(mono_time Now) {
   std::vector<permit_message> Messages = Core.takePermitMessages(Now);
   if (WorkShare && !Messages.empty())
@@ -401,6 +436,7 @@
       PeerEntries.Entries.push_back({Entry.WorkAddress, Entry.Domain});
       TunnelEntries.Entries.push_back({Entry.WorkAddress, Entry.Domain});
     }
+    LastEntries = PeerEntries;
     WorkShare->commands().push(std::move(PeerEntries));
     Outbox.push(std::move(TunnelEntries));
   }
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -105,6 +105,9 @@
   void handleNotice(const server_notice &Notice, mono_time Now);
   void handlePermitReply(const permit_reply &Reply, mono_time Now);
   void sendPermitMessages(mono_time Now);
+  /// Tells the exchange of permits when the lease ends and returns.
+  void reportLease(mono_time Now);
+  void reportColdServers(mono_time Now);
   void shareRetries(const entries_listed &Listed, mono_time Now);
   void sendRetryMessages(mono_time Now);
   void publishRetryBudgets(mono_time Now);
@@ -160,6 +163,10 @@
   readiness_deadline Ready;
   std::atomic<std::size_t> Abandoned{0};
   std::atomic<bool> Superseded{false};
+  bool HadLease{false};
+  entries_update LastEntries; ///< As last received.
+  std::size_t ReportedCold{0};
+  std::uint64_t ReportedColdRequests{0};
   std::atomic<bool> Stopping{false};
   std::mutex Guard; ///< Guards the two members below, which other threads set.
   std::vector<std::promise<std::string>> PendingDumps;
@@ -172,6 +179,8 @@
   prometheus::Gauge &RevisionGauge;
   prometheus::Gauge &OutOfReachGauge;
   prometheus::Gauge &LimitedServersGauge;
+  prometheus::Gauge &ColdServersGauge;
+  prometheus::Counter &ColdRequestsCounter;
   prometheus::Counter &LimitedRequestsCounter;
   prometheus::Family<prometheus::Counter> &RetryFamily;
   prometheus::Gauge &RetryReserveGauge;
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -115,7 +115,10 @@
 result<done, entry_error> entry::startWorkShare() {
   if (!usesDirectory())
     return done{};
-  auto Created = work_share::create(Settings.Fleet, Self, Settings.WorkAddress);
+  permit_tuning Permits;
+  Permits.ColdOvershoot = Settings.ColdOvershoot;
+  Permits.ColdTolerance = Settings.ColdTolerance;
+  auto Created = work_share::create(Settings.Fleet, Self, Settings.WorkAddress, Permits);
   if (!succeeded(Created))
     return entry_error{errorOf(Created).Text};
   WorkShare = std::move(valueOf(Created));
--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -114,6 +114,12 @@
                 "Additional retries per window and service, for all entries together.")
       .span("retries.window_s", &entry_settings::RetryWindow,
             {10 * Second, milliseconds(100), Hour}, "Length of the window of retries.reserve.")
+      .fraction("cold.overshoot", &entry_settings::ColdOvershoot, {1.0, 0.0, 100.0},
+                "Cold servers receive, from all entries together, at most cold_per_s of their "
+                "service times this, plus cold.tolerance, in any second. All entries must have the "
+                "same value.")
+      .fraction("cold.tolerance", &entry_settings::ColdTolerance, {0.0, 0.0, 1e6},
+                "Requests a second that a cold server may receive in addition.")
       .span("shutdown_drain_ms", &entry_settings::DrainTime,
             {milliseconds(0), milliseconds(0), Hour},
             "Time after SIGTERM during which requests are still admitted, until the load balancer "
--- a/programs/pollenstall-entry/entry_settings_type.h
+++ b/programs/pollenstall-entry/entry_settings_type.h
@@ -34,6 +34,8 @@
   std::string BackendSource;
   std::string WorkAddress;
   std::uint32_t ControlPort{0};
+  double ColdOvershoot{1};
+  double ColdTolerance{0};
   std::optional<double> RetryReserve;
   std::optional<double> RetryShare;
   std::chrono::milliseconds RetryWindow{};
--- a/src/control_link/control_link_codec_func.h
+++ b/src/control_link/control_link_codec_func.h
@@ -6,7 +6,11 @@
 #include "text_difference/text_difference.h"
 #include "wire/wire.h"
 
+#include <algorithm>
+#include <chrono>
 #include <string>
+#include <unordered_map>
+#include <vector>
 
 namespace pollenstall {
 
@@ -87,8 +91,45 @@
 template <typename Archive> void serialize(Archive &Into, link_suspects &Message) {
   Into(Message.Suspects);
 }
-template <typename Archive> void serialize(Archive &Into, link_backends &Message) {
-  Into(Message.IsFullList, Message.Listings);
+/// @return A listing that states how long another one stays cold. Without name and address, it
+/// lists no server: processes of an earlier build, which know no cold servers, ignore it.
+inline backend_listing coldNote(const backend_listing &Listing) {
+  backend_listing Note;
+  Note.Key.Incarnation = Listing.Key.Incarnation;
+  Note.State = listing_state::Leaving;
+  Note.Started = incarnation_start(static_cast<std::uint64_t>(
+      std::max<std::int64_t>(0, Listing.ColdFor.value_or(std::chrono::milliseconds(0)).count())));
+  return Note;
+}
+/// @return Whether the listing was made by coldNote().
+inline bool isColdNote(const backend_listing &Listing) {
+  return Listing.Instance.empty() && Listing.Key.Address.empty();
+}
+/// Moves what the cold notes of a list state to the listings that they concern.
+inline void applyColdNotes(std::vector<backend_listing> &Listings) {
+  std::unordered_map<incarnation, std::chrono::milliseconds> ColdFor;
+  for (const backend_listing &Listing : Listings)
+    if (isColdNote(Listing))
+      ColdFor[Listing.Key.Incarnation] = std::chrono::milliseconds(static_cast<std::int64_t>(
+          std::min(Listing.Started.value(), static_cast<std::uint64_t>(MaxColdTime.count()))));
+  if (ColdFor.empty())
+    return;
+  std::erase_if(Listings, isColdNote);
+  for (backend_listing &Listing : Listings)
+    if (const auto Found = ColdFor.find(Listing.Key.Incarnation); Found != ColdFor.end())
+      Listing.ColdFor = Found->second;
+}
+
+template <typename Archive> void save(Archive &Into, const link_backends &Message) {
+  std::vector<backend_listing> Listings = Message.Listings;
+  for (const backend_listing &Listing : Message.Listings)
+    if (Listing.ColdFor)
+      Listings.push_back(coldNote(Listing));
+  Into(Message.IsFullList, Listings);
+}
+template <typename Archive> void load(Archive &From, link_backends &Message) {
+  From(Message.IsFullList, Message.Listings);
+  applyColdNotes(Message.Listings);
 }
 template <typename Archive> void serialize(Archive &Into, served_entry &Entry) {
   Into(Entry.WorkAddress, Entry.Domain);
--- a/src/declaration/declaration_parse.cpp
+++ b/src/declaration/declaration_parse.cpp
@@ -43,6 +43,12 @@
   Service.MaxBody = byte_count(Table.integer("max_body_bytes", BodyBytes, Service.MaxBody.value()));
 }
 
+void readColdKeys(toml_reader &Table, service_declaration &Service) {
+  Service.ColdPerSecond = Table.number("cold_per_s", ColdRate, Service.ColdPerSecond);
+  Service.ColdStart = std::chrono::round<std::chrono::milliseconds>(
+      std::chrono::duration<double>(Table.number("cold_start_s", ColdStartSeconds, 0)));
+}
+
 void readModelKeys(toml_reader &Table, service_declaration &Service) {
   Service.Models = namesOf<model_name>(Table.texts("models", toml_presence::Required, modelRule()));
   Service.MaxPrompt =
@@ -63,6 +69,7 @@
   Service.Name = service_name(Table.text("name", toml_presence::Required, nameRule()));
   const std::string Kind = Table.text("kind", toml_presence::Required, kindRule());
   readTimeouts(Table, Service);
+  readColdKeys(Table, Service);
   if (Kind == kindText(service_kind::Plain)) {
     Service.Kind = service_kind::Plain;
     readPlainKeys(Table, Service);
--- a/src/declaration/declaration_text.cpp
+++ b/src/declaration/declaration_text.cpp
@@ -83,6 +83,12 @@
                  {"default_timeout_ms", number(Service.DefaultTimeout.count())},
                  {"max_timeout_ms", number(Service.MaxTimeout.count())},
                  {"max_body_bytes", number(Service.MaxBody.value())}};
+  // Written only where declared, since processes of an earlier build refuse unknown keys.
+  if (Service.ColdPerSecond > 0)
+    Item.Fields.push_back({"cold_per_s", tomlNumber(Service.ColdPerSecond)});
+  if (Service.ColdStart.count() > 0)
+    Item.Fields.push_back(
+        {"cold_start_s", tomlNumber(std::chrono::duration<double>(Service.ColdStart).count())});
   if (Service.Kind == service_kind::Plain) {
     Item.Fields.push_back({"routes", routeList(Service.Routes)});
     return Item;
--- a/src/declaration/declaration_type.h
+++ b/src/declaration/declaration_type.h
@@ -47,6 +47,8 @@
   byte_count MaxBody{16LL << 20};                   ///< A larger body is rejected.
   std::optional<engine_profile> Engine;             ///< Performance of its engines, if declared.
   std::uint32_t ConnectionLimit{0}; ///< Connections to one server, from all callers; 0: no limit.
+  double ColdPerSecond{0};          ///< Requests a second that a cold server takes; 0: no bound.
+  std::chrono::milliseconds ColdStart{0}; ///< How long a server is cold after its start.
 
   bool operator==(const service_declaration &) const = default;
 };
--- a/src/declaration/table/declaration_bounds.h
+++ b/src/declaration/table/declaration_bounds.h
@@ -23,6 +23,8 @@
 constexpr integer_range PromptBorderTokens{0, 100'000'000};
 constexpr integer_range AnswerTokens{1, 10'000'000};
 constexpr integer_range BodyBytes{1'024, 1LL << 30U};
+constexpr toml_range<double> ColdRate{0.0, 1e6};
+constexpr toml_range<double> ColdStartSeconds{0.0, 600.0};
 constexpr integer_range GroupWeight{0, 1'000'000};
 constexpr integer_range PlacementCopies{0, 10'000};
 constexpr integer_range AccountShare{1, 1'000'000};
--- a/src/directory/backend_directory.cpp
+++ b/src/directory/backend_directory.cpp
@@ -11,6 +11,12 @@
 /// notice of another incarnation.
 constexpr int HolderGraceIntervals = 2;
 
+/// Added to the end of a cold period that entries are told. The next notices state nearly the same
+/// end, and none of them must be passed on because it arrived a little later than usual.
+constexpr std::chrono::milliseconds ColdMargin{250};
+/// Entries are told of an earlier end only if it is earlier by at least this.
+constexpr std::chrono::milliseconds MinColdReduction{1'000};
+
 } // namespace
 
 void backend_directory::restore(const std::vector<backend_listing> &Listings, mono_time Now) {
@@ -56,19 +62,57 @@
   Records.erase(Ended.Instance);
 }
 
+/**
+ * A new leader does not accept the end of a cold period from its first notice of a server that its
+ * predecessor listed: the notice may have been sent before the server turned cold.
+ */
+bool backend_directory::recordCold(record &Record, const backend_notice &Notice, bool IsFirst,
+                                   mono_time Now) {
+  if (!Notice.ColdFor)
+    return false;
+  const auto ColdFor = std::clamp(*Notice.ColdFor, std::chrono::milliseconds(0), MaxColdTime);
+  if (IsFirst && ColdFor.count() == 0)
+    return false;
+  const mono_time Until = Now + ColdFor;
+  const mono_time Told = Record.ColdUntil.value_or(mono_time::min());
+  const bool IsCold = ColdFor.count() > 0;
+  const bool IsLater = IsCold && Until > Told;
+  const bool IsEarlier = Told > Now && Until + MinColdReduction + ColdMargin < Told;
+  if (!IsLater && !IsEarlier && Record.ColdUntil && !Record.PassOnCold)
+    return false;
+  Record.PassOnCold = false;
+  Record.ColdUntil = IsCold ? Until + ColdMargin : Now;
+  return true;
+}
+
+backend_listing backend_directory::listingOf(const record &Record, mono_time Now) {
+  backend_listing Listing = Record.Listing;
+  if (Record.ColdUntil)
+    Listing.ColdFor =
+        std::max(std::chrono::milliseconds(0),
+                 std::chrono::ceil<std::chrono::milliseconds>(*Record.ColdUntil - Now));
+  return Listing;
+}
+
+void backend_directory::expectColdStatements(const failure_domain_name &Domain) {
+  for (auto &[Instance, Record] : Records)
+    Record.PassOnCold = Record.PassOnCold || Record.Listing.Domain == Domain;
+}
+
 std::vector<backend_listing>
 backend_directory::updateRecord(record &Record, const backend_notice &Notice, mono_time Now) {
   if (Record.HasNotice && Notice.Sequence <= Record.Sequence)
     return {}; // A late notice; its content is stale.
+  const bool ColdChanges = recordCold(Record, Notice, !Record.HasNotice, Now);
   Record.HasNotice = true;
   Record.Sequence = Notice.Sequence;
   Record.LastNoticeAt = Now;
   const bool IsLeaving = Notice.Leaving || Record.Listing.State == listing_state::Leaving;
   const listing_state State = IsLeaving ? listing_state::Leaving : listing_state::Active;
-  if (State == Record.Listing.State)
+  if (State == Record.Listing.State && !ColdChanges)
     return {};
   Record.Listing.State = State;
-  return {Record.Listing};
+  return {listingOf(Record, Now)};
 }
 
 std::vector<backend_listing> backend_directory::addInstance(const backend_notice &Notice,
@@ -89,10 +133,12 @@
                        Notice.Domain,
                        std::max(1U, Notice.Slots),
                        Notice.Leaving ? listing_state::Leaving : listing_state::Active,
-                       Notice.Started};
+                       Notice.Started,
+                       {}};
   NewRecord.Sequence = Notice.Sequence;
   NewRecord.LastNoticeAt = Now;
-  Changes.push_back(NewRecord.Listing);
+  recordCold(NewRecord, Notice, false, Now);
+  Changes.push_back(listingOf(NewRecord, Now));
   Records.emplace(Notice.Instance, std::move(NewRecord));
   return Changes;
 }
@@ -177,16 +223,17 @@
   return Changes;
 }
 
-std::vector<backend_listing> backend_directory::all() const {
-  return listingsAfter(instance_name(), Records.size());
+std::vector<backend_listing> backend_directory::all(mono_time Now) const {
+  return listingsAfter(instance_name(), Records.size(), Now);
 }
 
 std::vector<backend_listing> backend_directory::listingsAfter(const instance_name &After,
-                                                              std::size_t MaxCount) const {
+                                                              std::size_t MaxCount,
+                                                              mono_time Now) const {
   std::vector<backend_listing> Listings;
   for (auto Next = Records.upper_bound(After); Next != Records.end() && Listings.size() < MaxCount;
        ++Next)
-    Listings.push_back(Next->second.Listing);
+    Listings.push_back(listingOf(Next->second, Now));
   return Listings;
 }
 
--- a/src/directory/backend_directory_base.h
+++ b/src/directory/backend_directory_base.h
@@ -33,12 +33,17 @@
   /// unresponsive or were removed.
   std::vector<backend_listing> advance(mono_time Now);
 
+  /// Passes on what the next notice of each server of the domain says about being cold, also if it
+  /// says the same as before. To be called when the domain is restored, since entries then count
+  /// its servers as cold.
+  void expectColdStatements(const failure_domain_name &Domain);
+
   /// @return All listings.
-  [[nodiscard]] std::vector<backend_listing> all() const;
+  [[nodiscard]] std::vector<backend_listing> all(mono_time Now) const;
   /// @return At most MaxCount listings whose names follow After in the order of names. An empty
   /// name precedes all others.
-  [[nodiscard]] std::vector<backend_listing> listingsAfter(const instance_name &After,
-                                                           std::size_t MaxCount) const;
+  [[nodiscard]] std::vector<backend_listing>
+  listingsAfter(const instance_name &After, std::size_t MaxCount, mono_time Now) const;
   /// @return The listing of the name's newest incarnation, or null.
   [[nodiscard]] const backend_listing *find(const instance_name &Instance) const;
   /// Removes all listings, because this host is no longer the leader.
@@ -50,6 +55,10 @@
     std::uint64_t Sequence{0};
     mono_time LastNoticeAt;
     bool HasNotice{true}; ///< This leader has received a notice from it.
+    /// Until when entries were told that it is cold; empty if they were told nothing. A time in the
+    /// past stands for a warm server.
+    std::optional<mono_time> ColdUntil{};
+    bool PassOnCold{false}; ///< The next statement is passed on in any case.
   };
   /// An incarnation that claims an address whose holder sent a notice recently.
   struct challenger {
@@ -63,6 +72,9 @@
   std::vector<backend_listing> addInstance(const backend_notice &Notice, mono_time Now);
   [[nodiscard]] bool mayTakeOver(const record &Holder, const backend_notice &Notice, mono_time Now);
   record *findByAddress(const backend_address &Address);
+  /// @return Whether entries must be told what the notice says about being cold.
+  static bool recordCold(record &Record, const backend_notice &Notice, bool IsFirst, mono_time Now);
+  static backend_listing listingOf(const record &Record, mono_time Now);
   void endIncarnation(record &Record, std::vector<backend_listing> &Changes);
   [[nodiscard]] bool isRetired(const instance_name &Instance, incarnation_start Started) const;
   void retire(const backend_incarnation &Incarnation);
--- a/src/directory/directory_follower.cpp
+++ b/src/directory/directory_follower.cpp
@@ -44,7 +44,14 @@
   // A new leader may have received only a notice that was sent before the one about leaving.
   if (Record.Listing.State == listing_state::Leaving && State != listing_state::Gone)
     State = listing_state::Leaving;
+  const std::size_t Before = Changes.size();
+  const backend_listing Kept = Record.Listing;
   setState(Record, State, Changes);
+  if (!Listing.ColdFor || State == listing_state::Gone)
+    return;
+  if (Changes.size() == Before)
+    Changes.push_back(Kept);
+  Changes.back().ColdFor = Listing.ColdFor;
 }
 
 /**
@@ -64,7 +71,8 @@
     setState(Previous, listing_state::Gone, Changes);
   }
   ByInstance[Listing.Instance] = Listing.Key.Incarnation;
-  Records.emplace(Listing.Key.Incarnation, record{Listing, true});
+  record &Added = Records.emplace(Listing.Key.Incarnation, record{Listing, true}).first->second;
+  Added.Listing.ColdFor.reset();
   Changes.push_back(Listing);
 }
 
--- a/src/directory/directory_follower_base.h
+++ b/src/directory/directory_follower_base.h
@@ -15,6 +15,8 @@
  * has a notice of, and sends its list in parts, so those that it does not list yet keep their state
  * for a grace period, which each part that confirms some of them extends. After that, active ones
  * count as unresponsive, because they may have notified the former leader that they leave.
+ *
+ * What a listing says about being cold is passed on with the change and not kept here.
  */
 class directory_follower {
 public:
--- a/src/directory/directory_type.h
+++ b/src/directory/directory_type.h
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace pollenstall {
@@ -39,6 +40,8 @@
   bool Leaving{false};       ///< Accepts no new work.
   std::uint64_t Sequence{0}; ///< Increases within an incarnation; reveals late notices.
   incarnation_start Started;
+  /// How long the server stays cold; 0: it is warm; empty: it does not say.
+  std::optional<std::chrono::milliseconds> ColdFor{};
 };
 
 /// The state of a backend server.
@@ -60,6 +63,9 @@
   std::uint32_t Slots{1};
   listing_state State{listing_state::Active};
   incarnation_start Started;
+  /// How long the server stays cold from when the listing is sent; 0: it is warm; empty: the sender
+  /// does not know, or says nothing new. Kept in no record, since the time passes.
+  std::optional<std::chrono::milliseconds> ColdFor{};
 
   bool operator==(const backend_listing &) const = default;
 };
@@ -73,6 +79,9 @@
                                1U)};
 }
 
+/// Longest time for which a server counts as cold after one statement.
+constexpr std::chrono::milliseconds MaxColdTime = std::chrono::minutes(10);
+
 /// Timeouts and limits of the directory.
 struct directory_options {
   mono_duration NoticeInterval{std::chrono::milliseconds(1000)}; ///< Of a backend server.
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -119,6 +119,9 @@
   double DeclineWeight{0.5};
   /// Time after which a share of declined attempts counts half.
   mono_duration DeclineHalfLife{std::chrono::seconds(4)};
+  /// How long a server of a service that declares cold_per_s counts as cold if it is listed for the
+  /// first time by a leader that has no notice of it yet. Its notices follow within this time.
+  mono_duration UnknownColdTime{std::chrono::milliseconds(3000)};
   /// Part of the time limit after which waiting work is refused, so that its caller can retry.
   double WaitFraction{0.3};
 };
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -20,12 +20,17 @@
 
 placer::placer(const host_name &Host, std::uint64_t Seed, const placement_tuning &InitialTuning)
     : ClaimRank(claimRankOf(Host)), Random(combineHashes(Seed, stableHash(Host.str()))),
-      Tuning(InitialTuning), Rate(InitialTuning.RateWindow) {}
+      Tuning(InitialTuning), Cold(InitialTuning.UnknownColdTime), Rate(InitialTuning.RateWindow) {}
 
 void placer::applyDeclaration(const fleet_declaration &Declaration) {
+  for (const service_declaration &Service : Declaration.Services)
+    if (const auto Known = Services.find(Service.Name);
+        Known != Services.end() && Known->second.ColdPerSecond <= 0 && Service.ColdPerSecond > 0)
+      NewlyBounded.insert(Service.Name);
   Services.clear();
   for (const service_declaration &Service : Declaration.Services)
     Services.emplace(Service.Name, Service);
+  ColdChanged = true;
 }
 
 void placer::updateBackend(const backend_listing &Listing) {
@@ -42,6 +47,7 @@
   const auto ByIncarnation = EnginesByIncarnation.find(Backend.Incarnation);
   if (ByIncarnation != EnginesByIncarnation.end() && ByIncarnation->second == &Existing->second)
     EnginesByIncarnation.erase(ByIncarnation);
+  Cold.remove(Backend.Incarnation);
   Engines.erase(Existing);
 }
 
@@ -188,6 +194,7 @@
 
 poll_outcome placer::poll(mono_time Now) {
   poll_outcome Outcome;
+  refreshCold(Now);
   resolveClaims(Now, Outcome);
   if (!Waiting.empty())
     AllWork = allWork(Now);
@@ -245,15 +252,16 @@
 }
 
 bool placer::isClaimLost(const claimed_work &Claim, mono_time Now) const {
-  return std::any_of(
-      Claim.Assigned.Parts.begin(), Claim.Assigned.Parts.end(), [&](const prefill_part &Part) {
-        const auto Engine = Engines.find(Part.Backend);
-        const bool LacksPermit = !Part.Permit.isSet() && Permits.limitOf(Part.Backend.Incarnation);
-        return Engine == Engines.end() || !Engine->second.active() || LacksPermit ||
-               Pauses.isPaused(Part.Backend, Now) ||
-               Engine->second.hasWinningClaim(ClaimRank, Tuning.IdlePrefillMs, Now,
-                                              Tuning.PeerLoadTimeout);
-      });
+  return std::any_of(Claim.Assigned.Parts.begin(), Claim.Assigned.Parts.end(),
+                     [&](const prefill_part &Part) {
+                       const auto Engine = Engines.find(Part.Backend);
+                       const bool LacksPermit = !Part.Permit.isSet() &&
+                                                Permits.needsPermit(Part.Backend.Incarnation, Now);
+                       return Engine == Engines.end() || !Engine->second.active() || LacksPermit ||
+                              Pauses.isPaused(Part.Backend, Now) ||
+                              Engine->second.hasWinningClaim(ClaimRank, Tuning.IdlePrefillMs, Now,
+                                                             Tuning.PeerLoadTimeout);
+                     });
 }
 
 void placer::placeWork(const waiting_work &Work, const prefill_plan &Plan, mono_time Now,
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_PLACEMENT_PLACER_BASE_H
 #define POLLENSTALL_PLACEMENT_PLACER_BASE_H
 
+#include "placement/cold_table_base.h"
 #include "placement/placement_type.h"
 #include "placement/reachability_monitor_base.h"
 #include "placement/request_rate_base.h"
@@ -11,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -29,6 +31,11 @@
 
   void applyDeclaration(const fleet_declaration &Declaration);
   void updateBackend(const backend_listing &Listing);
+  /// Records what a listing says about its server being cold; to be called after updateBackend().
+  void updateCold(const backend_listing &Listing, mono_time Now);
+  /// Counts the servers of a failure domain that is back in service as cold for the `cold_start_s`
+  /// of their service, unless a later listing says otherwise.
+  void markDomainCold(const failure_domain_name &Domain, mono_time Now);
   /// Removes an incarnation that has ended and holds no memory any more.
   void removeBackend(const backend_key &Backend);
   /// Updates the work of all other entries on the engines for which it changed or was sent again.
@@ -107,8 +114,9 @@
   struct engine_option {
     tracked_engine *Engine{nullptr};
     engine_view View;
-    bool Limited{false};     ///< It states a rate limit.
-    bool NeedsPermit{false}; ///< It does, and there is no permit for it yet.
+    bool Limited{false};     ///< Requests need permits: it states a rate limit, or is cold.
+    bool NeedsPermit{false}; ///< It needs a permit, and there is none for it yet.
+    bool Cold{false};        ///< Servers that are warm come first.
   };
   /// Engines that may run a request.
   struct engine_options {
@@ -181,6 +189,10 @@
   planWithEngines(const std::vector<prefill_candidate> &Unoccupied,
                   const std::vector<prefill_candidate> &Occupied, std::size_t Count, double PartMs,
                   bool UseOccupied);
+  /// Passes the cold periods on to Permits, after they or the declaration have changed.
+  void refreshCold(mono_time Now);
+  std::optional<prefill_plan> chooseWarmFirst(std::vector<engine_option> Options,
+                                              const waiting_work &Work, mono_time Now);
   /// Requests the permits that the plan lacks. @return Whether it lacks any.
   bool requestPermits(const prefill_plan &Plan, mono_time Now);
   void requestPermitForWaiting(const waiting_work &Work, mono_time Now);
@@ -218,6 +230,9 @@
   std::map<attempt_id, assigned_work> Running;
   load_exchange_properties Exchange;
   permit_client Permits;
+  cold_table Cold;
+  bool ColdChanged{false};
+  std::set<service_name> NewlyBounded; ///< Services whose cold servers had no bound until now.
   pause_table Pauses;
   reachability_monitor Reachability;
   request_rate Rate;    ///< Requests of all entries, as far as reported.
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -25,13 +25,14 @@
   // Engines that were tried before or are in backoff; used only if there is no other.
   std::vector<engine_option> Fallback;
   const std::vector<backend_key> &Avoid = Work.Item.Avoid;
-  const bool AnyLimited = Permits.limitedServers() > 0;
+  const bool AnyLimited = Permits.anyLimited();
   for (auto &[Key, Engine] : Engines) {
     if (Engine.service() != Work.Service || !Engine.active() || Pauses.isPaused(Key, Now))
       continue;
     engine_option Option{&Engine, AllWork[Key]};
-    if (AnyLimited && Permits.limitOf(Key.Incarnation)) {
+    if (AnyLimited && Permits.needsPermit(Key.Incarnation, Now)) {
       Option.Limited = true;
+      Option.Cold = Permits.isCold(Key.Incarnation, Now);
       Option.NeedsPermit = !Permits.hasPermit(Key.Incarnation, Now);
       if (Option.NeedsPermit && (Work.AskedForPermits || !Permits.mayAsk(Key.Incarnation, Now)))
         continue;
@@ -49,7 +50,7 @@
 
 std::optional<placer::prefill_plan> placer::choose(const waiting_work &Work, mono_time Now) {
   engine_options Options = candidateEngines(Work, Now);
-  if (auto Plan = chooseAmong(std::move(Options.Preferred), Work, Now))
+  if (auto Plan = chooseWarmFirst(std::move(Options.Preferred), Work, Now))
     return Plan;
   // Otherwise the work would wait. A further attempt of it must be left for a server that has not
   // declined before.
@@ -58,6 +59,28 @@
   return chooseAmong(std::move(Options.Resting), Work, Now);
 }
 
+/**
+ * Chooses among the warm servers, and among all if no warm one serves the work in time. Without
+ * declared figures, a warm server without a free slot counts as late.
+ */
+std::optional<placer::prefill_plan> placer::chooseWarmFirst(std::vector<engine_option> Options,
+                                                            const waiting_work &Work,
+                                                            mono_time Now) {
+  const auto IsCold = [](const engine_option &Option) { return Option.Cold; };
+  if (std::none_of(Options.begin(), Options.end(), IsCold))
+    return chooseAmong(std::move(Options), Work, Now);
+  std::vector<engine_option> Warm = Options;
+  std::erase_if(Warm, IsCold);
+  const auto Service = Services.find(Work.Service);
+  if (Service != Services.end() && !Service->second.Engine)
+    std::erase_if(Warm, [](const engine_option &Option) {
+      return Option.View.Requests >= Option.Engine->slots();
+    });
+  if (auto Plan = chooseAmong(std::move(Warm), Work, Now))
+    return Plan;
+  return chooseAmong(std::move(Options), Work, Now);
+}
+
 std::optional<placer::prefill_plan> placer::chooseAmong(std::vector<engine_option> Options,
                                                         const waiting_work &Work, mono_time Now) {
   const auto Service = Services.find(Work.Service);
--- a/src/placement/placer_permits.cpp
+++ b/src/placement/placer_permits.cpp
@@ -1,10 +1,11 @@
-/** @file placer_permits.cpp Permits for servers that state a rate limit, and work that no server
- * takes. */
+/** @file placer_permits.cpp Permits for servers that state a rate limit or are cold, and work that
+ * no server takes. */
 #include "placement/millis_func.h"
 #include "placement/placer_base.h"
 
 #include <algorithm>
 #include <limits>
+#include <utility>
 
 namespace pollenstall {
 
@@ -13,6 +14,40 @@
   return Found == EnginesByIncarnation.end() ? nullptr : &Found->second->key();
 }
 
+void placer::updateCold(const backend_listing &Listing, mono_time Now) {
+  Cold.record(Listing.Key.Incarnation, Listing.ColdFor, Now);
+  ColdChanged = true;
+}
+
+void placer::markDomainCold(const failure_domain_name &Domain, mono_time Now) {
+  for (const auto &[Key, Engine] : Engines) {
+    const auto Service = Services.find(Engine.service());
+    if (Engine.domain() == Domain && Service != Services.end() &&
+        Service->second.ColdStart > Service->second.ColdStart.zero())
+      Cold.markCold(Key.Incarnation, Service->second.ColdStart, Now);
+  }
+  ColdChanged = true;
+  refreshCold(Now);
+}
+
+void placer::refreshCold(mono_time Now) {
+  if (!std::exchange(ColdChanged, false))
+    return;
+  for (const auto &[Key, Engine] : Engines) {
+    const auto Service = Services.find(Engine.service());
+    const double PerSecond = Service == Services.end() ? 0 : Service->second.ColdPerSecond;
+    if (NewlyBounded.contains(Engine.service()))
+      Cold.markUnbounded(Key.Incarnation, Now);
+    const auto Period = Cold.find(Key.Incarnation);
+    if (PerSecond > 0 && Period && Now < Period->Until)
+      Permits.setCold(Key.Incarnation, requests_per_second(PerSecond), Period->Until,
+                      Period->WarmUntil);
+    else
+      Permits.setWarm(Key.Incarnation);
+  }
+  NewlyBounded.clear();
+}
+
 bool placer::requestPermits(const prefill_plan &Plan, mono_time Now) {
   bool Lacks = false;
   for (const engine_option &Option : Plan.PrefillEngines) {
@@ -26,7 +61,7 @@
 
 /// Requests a permit of the least loaded server with a limit, for work that finds no other server.
 void placer::requestPermitForWaiting(const waiting_work &Work, mono_time Now) {
-  if (Permits.limitedServers() == 0)
+  if (!Permits.anyLimited())
     return;
   const tracked_engine *LeastLoaded = nullptr;
   std::uint32_t LowestRequests = std::numeric_limits<std::uint32_t>::max();
@@ -75,7 +110,7 @@
  * anyway. The caller is told when one may.
  */
 void placer::refuseUnlessAvailable(const waiting_work &Work, mono_time Now, poll_outcome &Outcome) {
-  if ((Permits.limitedServers() == 0 && Pauses.count(Now) == 0) || Work.Item.Resumed)
+  if ((!Permits.anyLimited() && Pauses.count(Now) == 0) || Work.Item.Resumed)
     return;
   const auto AvailableAt = unavailableUntil(Work.Service, Now);
   const double TimeLimitMs = millisUntil(Work.Item.Deadline, Work.Item.Arrived);
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -3,6 +3,7 @@
 #include "placement/placer_base.h"
 
 #include <algorithm>
+#include <cmath>
 #include <sstream>
 
 namespace pollenstall {
@@ -221,10 +222,13 @@
     const engine_view OwnView = OwnEntry == Views.end() ? engine_view{} : OwnEntry->second;
     Out << Comma << R"({"backend":")" << toText(Key) << R"(","active":)"
         << (Engine.active() ? "true" : "false") << R"(,"rate_limit":)"
-        << limitText(Permits.limitOf(Key.Incarnation)) << R"(,"paused":)"
-        << (Pauses.isPaused(Key, Now) ? "true" : "false") << R"(,"own_requests":)"
-        << OwnView.Requests << R"(,"own_read_ms":)" << OwnView.PrefillMs << R"(,"others_requests":)"
-        << Others.Requests << R"(,"others_read_ms":)" << Others.PrefillMs << "}";
+        << limitText(Permits.limitOf(Key.Incarnation)) << R"(,"cold_ms":)"
+        << std::llround(std::max(
+               0.0, millisUntil(Permits.coldUntil(Key.Incarnation, Now).value_or(Now), Now)))
+        << R"(,"paused":)" << (Pauses.isPaused(Key, Now) ? "true" : "false")
+        << R"(,"own_requests":)" << OwnView.Requests << R"(,"own_read_ms":)" << OwnView.PrefillMs
+        << R"(,"others_requests":)" << Others.Requests << R"(,"others_read_ms":)"
+        << Others.PrefillMs << "}";
     Comma = ",";
   }
   Out << "]}";
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -93,6 +93,8 @@
     Commands.drain([&](share_command &&Command) {
       if (const auto *Update = std::get_if<entries_update>(&Command))
         return setEntries(*Update);
+      if (std::holds_alternative<lease_ended>(Command))
+        return Permits->setEntries({}, boot_clock::now());
       if (const auto *Outgoing = std::get_if<permit_messages>(&Command)) {
         for (const permit_message &Message : Outgoing->Messages)
           Permits->send(Message, boot_clock::now());
--- a/src/work_share/work_share_type.h
+++ b/src/work_share/work_share_type.h
@@ -41,8 +41,12 @@
   std::vector<retry_datagram> Datagrams;
 };
 
+/// From the decision thread: the lease has ended, so other entries may issue the permits of this
+/// entry's servers. The next entries_update ends this state.
+struct lease_ended {};
+
 using share_command =
-    std::variant<own_work_update, entries_update, permit_messages, retry_datagrams>;
+    std::variant<own_work_update, entries_update, permit_messages, retry_datagrams, lease_ended>;
 
 /// Counters since the work_share was created.
 struct work_share_counts {
--- a/tests/control/list_sender_test.cpp
+++ b/tests/control/list_sender_test.cpp
@@ -53,7 +53,7 @@
   list_sender Sender{
       500e3, // bytes per second, nine complete lists
       {[this](const instance_name &After, std::size_t MaxCount) {
-         return Directory.listingsAfter(After, MaxCount);
+         return Directory.listingsAfter(After, MaxCount, mono_time());
        },
        [this](connection_number To, const link_backends &Part) { receive(To, Part); }}};
 };
--- a/tests/control/simulated_fleet.cpp
+++ b/tests/control/simulated_fleet.cpp
@@ -94,7 +94,7 @@
   Callbacks.Propose = [](const control_command &, const auto &) {};
   if (Options.Backends > 0)
     Callbacks.BackendsAfter = [this](const instance_name &After, std::size_t MaxCount) {
-      return Directory.listingsAfter(After, MaxCount);
+      return Directory.listingsAfter(After, MaxCount, mono_time());
     };
   return Callbacks;
 }
--- a/tests/declaration/declaration_parse_test.cpp
+++ b/tests/declaration/declaration_parse_test.cpp
@@ -88,6 +88,27 @@
   EXPECT_THAT(findWarnings({}), SizeIs(1));
 }
 
+struct cold_service : valid_file {
+  static std::string with(const std::string &Keys) {
+    return sampleWith("models = [\"tactic\"]", "models = [\"tactic\"]\n" + Keys);
+  }
+};
+
+TEST_F(cold_service, IsReadAndWrittenBack) {
+  const fleet_declaration Fleet = parsed(with("cold_per_s = 17.5\ncold_start_s = 8"));
+  EXPECT_EQ(Fleet.Services[0].ColdPerSecond, 17.5);
+  EXPECT_EQ(Fleet.Services[0].ColdStart.count(), 8'000);
+  EXPECT_EQ(parsed(toText(Fleet)).Services, Fleet.Services);
+  EXPECT_EQ(toText(parsed(SampleText)).find("cold"), std::string::npos);
+}
+
+TEST_F(cold_service, RefusesOtherTypesAndValues) {
+  for (const char *Bad :
+       {"cold_per_s = -1", "cold_per_s = 1_000_001", "cold_per_s = \"17\"", "cold_per_s = nan",
+        "cold_per_s = inf", "cold_start_s = -0.5", "cold_start_s = 601", "cold_start_s = true"})
+    EXPECT_THAT(refused(with(Bad)), SizeIs(1)) << Bad;
+}
+
 class file_with_an_invalid_key : public declaration_file {};
 
 TEST_F(file_with_an_invalid_key, ReportsKeyLineAndAllowedValues) {
--- a/tests/directory/directory_test.cpp
+++ b/tests/directory/directory_test.cpp
@@ -38,7 +38,7 @@
   void advanceTime(mono_duration Span) { Now += Span; }
   [[nodiscard]] std::vector<std::string> active() const {
     std::vector<std::string> Names;
-    for (const backend_listing &Listing : Directory.all())
+    for (const backend_listing &Listing : Directory.all(Now))
       if (Listing.State == listing_state::Active)
         Names.push_back(Listing.Instance.str());
     return Names;
@@ -135,7 +135,7 @@
   void SetUp() override {
     backend_directory Former{directory_options{}};
     Former.handleNotice(makeNotice("a", 40), Now);
-    Directory.restore(Former.all(), Now);
+    Directory.restore(Former.all(Now), Now);
   }
 };
 
@@ -174,7 +174,7 @@
   handleNotice(makeNotice("a", 41, true));
   backend_directory Former{directory_options{}};
   Former.handleNotice(makeNotice("a", 40), Now);
-  Directory.restore(Former.all(), Now);
+  Directory.restore(Former.all(Now), Now);
   EXPECT_TRUE(active().empty());
 }
 
@@ -182,7 +182,7 @@
 struct ReusedInstanceNameTest : BackendDirectoryTest {
   [[nodiscard]] std::vector<std::uint64_t> activeStarts() const {
     std::vector<std::uint64_t> Starts;
-    for (const backend_listing &Listing : Directory.all())
+    for (const backend_listing &Listing : Directory.all(Now))
       if (Listing.State == listing_state::Active)
         Starts.push_back(Listing.Started.value());
     return Starts;
@@ -269,13 +269,13 @@
         IsLeaving = IsLeaving || Withdraws || (Leaving && Sequence > Highest);
         Highest = std::max(Highest, Withdraws ? 0 : Sequence);
       }
-      for (const backend_listing &Listing : Shuffled.all()) {
+      for (const backend_listing &Listing : Shuffled.all(Now)) {
         EXPECT_LE(Listing.Started.value(), Newest) << "seed " << Seed;
         EXPECT_EQ(Listing.State == listing_state::Active,
                   Listing.Started.value() == Newest && !IsLeaving)
             << "seed " << Seed << " step " << Step;
       }
-      EXPECT_LE(Shuffled.all().size(), 1U) << "seed " << Seed;
+      EXPECT_LE(Shuffled.all(Now).size(), 1U) << "seed " << Seed;
     }
   }
 }
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -82,6 +82,49 @@
     EXPECT_FALSE(succeeded(readPlatformConfiguration(Valid.substr(0, Length)))) << Length;
 }
 
+TEST(PlatformConfigurationTest, ReadsTheRateAndTimeOfColdServers) {
+  const std::string Member = R"("connection_limit":10,"engine")";
+  const auto With = [&Member](const std::string &Cold) {
+    return readPlatformConfiguration(replaced(Member, Cold + "," + Member));
+  };
+  const auto Read = With(R"("cold_per_s":17.5,"cold_start_s":8)");
+  ASSERT_TRUE(succeeded(Read)) << errorOf(Read);
+  EXPECT_EQ(valueOf(Read).Fleet.Services[0].ColdPerSecond, 17.5);
+  EXPECT_EQ(valueOf(Read).Fleet.Services[0].ColdStart.count(), 8'000);
+  EXPECT_EQ(valueOf(Read).Fleet.Services[1].ColdPerSecond, 0);
+  EXPECT_TRUE(succeeded(With(R"("cold_per_s":1000000,"cold_start_s":600)")));
+  for (const char *Bad :
+       {R"("cold_per_s":-1)", R"("cold_per_s":"17")", R"("cold_per_s":null)",
+        R"("cold_per_s":1000001)", R"("cold_per_s":1e300)", R"("cold_start_s":-0.1)",
+        R"("cold_start_s":601)", R"("cold_start_s":[8])", R"("cold_start_s":true)"}) {
+    const auto Refused = With(Bad);
+    ASSERT_FALSE(succeeded(Refused)) << Bad;
+    EXPECT_NE(errorOf(Refused).find("cold_"), std::string::npos) << errorOf(Refused);
+  }
+}
+
+TEST(BackendNoticeTest, ReadsHowLongTheServerStaysCold) {
+  const auto Read = [](const std::string &Cold) {
+    return readPlatformNotice(
+        "i-1",
+        R"({"service":"s","address":"10.0.0.1:8080","zone":"z","state":"ready","sequence":4)" +
+            Cold + "}");
+  };
+  const auto ColdFor = [&Read](const std::string &Value) {
+    const auto Notice = Read(R"(,"cold_remaining_ms":)" + Value);
+    EXPECT_TRUE(succeeded(Notice)) << Value;
+    return valueOf(Notice).ColdFor;
+  };
+  EXPECT_EQ(valueOf(Read("")).ColdFor, std::nullopt);
+  EXPECT_EQ(ColdFor("0"), std::chrono::milliseconds(0));
+  EXPECT_EQ(ColdFor("7300"), std::chrono::milliseconds(7'300));
+  EXPECT_EQ(ColdFor("0.2"), std::chrono::milliseconds(1));
+  for (const char *Absurd : {"600001", "18446744073709551615", "1e300"})
+    EXPECT_EQ(ColdFor(Absurd), std::chrono::minutes(10)) << Absurd;
+  for (const char *Bad : {R"("7300")", "-1", "-1e300", "null", "true", "[]", "{}"})
+    EXPECT_FALSE(succeeded(Read(std::string(R"(,"cold_remaining_ms":)") + Bad))) << Bad;
+}
+
 TEST(BackendNoticeTest, ReadsAndChecksEachField) {
   const std::string Text = R"({"service":"s","address":"10.0.0.1:8080","zone":"z","slots":16,
     "state":"draining","sequence":4})";
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -29,6 +29,8 @@
                 {"bounds.retry_budget_ratio", "0.2"},
                 {"bounds.retry_budget_extra", "104"},
                 {"bounds.budget_window_s", "10"},
+                {"bounds.cold_overshoot", "1.5"},
+                {"bounds.cold_tolerance", "5"},
                 {"limits.link_mbps", "170.0"},
                 {"bounds.config_apply_ms", "2000"},
                 {"bounds.revocation_ms", "5000"}};
@@ -83,7 +85,8 @@
 TEST(SettingsTemplates, UseDefaultsForMissingValues) {
   for (const char *Name :
        {"bounds.grace_s", "bounds.retry_budget_ratio", "bounds.retry_budget_extra",
-        "bounds.budget_window_s", "fault_tolerance.machines", "heartbeat_interval_ms",
+        "bounds.budget_window_s", "bounds.cold_overshoot", "bounds.cold_tolerance",
+        "fault_tolerance.machines", "heartbeat_interval_ms",
         "limits.link_mbps", "bounds.config_apply_ms", "bounds.revocation_ms"})
     expectAccepted({{Name, ""}});
 }
--- a/tests/work_share/permit_codec_test.cpp
+++ b/tests/work_share/permit_codec_test.cpp
@@ -35,6 +35,34 @@
   EXPECT_TRUE(Reply.Queued);
 }
 
+TEST(PermitCodecTest, ColdServersArriveAsTheyWereSent) {
+  permit_request Request{incarnation(7), std::nullopt, true, milliseconds(500)};
+  Request.Cold = cold_statement{requests_per_second(17.5), milliseconds(40), 123'456};
+  const auto First = std::get<permit_request>(sentAndReceived(Request));
+  EXPECT_EQ(First.Server, incarnation(7));
+  EXPECT_FALSE(First.Limit);
+  EXPECT_EQ(First.Wait, milliseconds(500));
+  ASSERT_TRUE(First.Cold);
+  EXPECT_EQ(First.Cold->PerSecond, requests_per_second(17.5));
+  EXPECT_EQ(First.Cold->WarmAgo, milliseconds(40));
+  EXPECT_EQ(First.Cold->AskedAt, 123'456U);
+  Request.Limit = requests_per_second(2);
+  // A rate of 0 would mean that no permit ever comes.
+  Request.Cold = cold_statement{requests_per_second(1e-6), std::nullopt, 1};
+  const auto Second = std::get<permit_request>(sentAndReceived(Request));
+  EXPECT_EQ(Second.Limit, requests_per_second(2));
+  ASSERT_TRUE(Second.Cold);
+  EXPECT_EQ(Second.Cold->WarmAgo, std::nullopt);
+  EXPECT_GT(Second.Cold->PerSecond, requests_per_second(0));
+  permit_reply Reply{incarnation(9), std::nullopt, {1, 2}, milliseconds(0), false};
+  Reply.Cold = cold_grant{~0U, milliseconds(33)};
+  const auto Third = std::get<permit_reply>(sentAndReceived(Reply));
+  EXPECT_EQ(Third.Permit, (permit_stamp{1, 2}));
+  ASSERT_TRUE(Third.Cold);
+  EXPECT_EQ(Third.Cold->AskedAt, ~0U);
+  EXPECT_EQ(Third.Cold->Waited, milliseconds(33));
+}
+
 // Guards against processes of an earlier build, which know no permits: each kind of message must be
 // dropped where the other is expected.
 TEST(PermitCodecTest, WorkReportsAndPermitsAreNotTakenForEachOther) {
