--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -197,7 +197,8 @@
   ListingChanges.push_back(Listing);
   if (Listing.State != listing_state::Gone) {
     recordDomain(Listing.Key, Listing.Domain);
-    return Placer.updateBackend(Listing);
+    Placer.updateBackend(Listing);
+    return Placer.updateCold(Listing, Now);
   }
   Evacuations.removeServer(Listing.Key);
   Dispatcher.backendGone(Listing.Key, Now);
--- a/programs/pollenstall-entry/decision_core_evacuation.cpp
+++ b/programs/pollenstall-entry/decision_core_evacuation.cpp
@@ -22,9 +22,13 @@
 } // namespace
 
 bool decision_core::setEvacuations(const evacuations_changed &Changed, mono_time Now) {
+  const std::set<failure_domain_name> Earlier = Evacuations.list().domains();
   if (!Evacuations.update(Changed.Version, Changed.Domains))
     return false;
   EvacuationsChanged = true;
+  for (const failure_domain_name &Domain : Earlier)
+    if (!Evacuations.list().isOut(Domain))
+      domainRestored(Domain, Now);
   Placer.setEvacuations(Evacuations.list());
   Scheduler.setEvacuations(Evacuations.list(), Now);
   PollPending = true;
