Placement: order waiting requests over all entries while slots are scarce

Each entry ordered only its own waiting requests, and a slot went to whichever entry checked next, often with late work. An entry takes a slot only if fewer requests of the fleet go before its own than slots are free, and slots that its own requests have just left go to work that is among the next. A request that can't meet its target any more counts as late before the target has passed. The slots kept free follow from the requests that others place unseen, instead of the constant SpareSlots.

--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -47,10 +47,15 @@
   void updatePeerLoads(const peer_work_update &Others, mono_time Now) {
     Placer.updateExchange(Others.ExchangeStats);
     Placer.updateOthersLoads(Others.ChangedLoads, Now);
+    if (Others.Waiting)
+      Placer.updateOthersWaiting(*Others.Waiting, Now);
   }
   [[nodiscard]] std::vector<work_load> ownLoads(mono_time Now) const {
     return Placer.ownLoads(Now);
   }
+  [[nodiscard]] std::vector<waiting_load> ownWaiting(mono_time Now) const {
+    return Placer.ownWaiting(Now);
+  }
   /// @return Whether the backend server has announced that it accepts no new work.
   [[nodiscard]] bool isLeaving(const backend_key &Backend) const;
   /// @return The instance name of the backend server; empty if it has none.
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -458,12 +458,15 @@
     return;
   PublishedClaims = Core.claimsMade();
   std::vector<work_load> Loads = Core.ownLoads(Now);
-  const bool Due = Now - LoadsPublishedAt >= LoadRepublishInterval && !Loads.empty();
-  if (!Due && !Claimed && !loadsDiffer(Loads, Now))
+  std::vector<waiting_load> Waiting = Core.ownWaiting(Now);
+  const bool Due =
+      Now - LoadsPublishedAt >= LoadRepublishInterval && (!Loads.empty() || !Waiting.empty());
+  if (!Due && !Claimed && Waiting == PublishedWaiting && !loadsDiffer(Loads, Now))
     return;
   LoadsPublishedAt = Now;
   PublishedLoads = Loads;
-  WorkShare->commands().push(own_work_update{std::move(Loads), Claimed});
+  PublishedWaiting = Waiting;
+  WorkShare->commands().push(own_work_update{std::move(Loads), std::move(Waiting), Claimed});
 }
 
 bool decision_thread::loadsDiffer(const std::vector<work_load> &Loads, mono_time Now) const {
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -139,6 +139,7 @@
   work_share *WorkShare{nullptr};
   const work_share_tuning ShareTuning;
   std::vector<work_load> PublishedLoads;
+  std::vector<waiting_load> PublishedWaiting;
   std::uint64_t PublishedClaims{0}; ///< Value of placer::claimsMade() at the last update.
   mono_time LoadsPublishedAt{};
   mono_time RetryBudgetsPublishedAt{};
--- a/src/fleet_model/entry_policy.cpp
+++ b/src/fleet_model/entry_policy.cpp
@@ -56,9 +56,12 @@
   Policy.AttemptEnded = [Placer](const attempt_id &Attempt, const attempt_report &Report,
                                  mono_time Now) { Placer->attemptEnded(Attempt, Report, Now); };
   Policy.OwnLoads = [Placer](mono_time Now) { return Placer->ownLoads(Now); };
+  Policy.OwnWaiting = [Placer](mono_time Now) { return Placer->ownWaiting(Now); };
   Policy.UpdatePeers = [Placer](const peer_work_update &Update, mono_time Now) {
     Placer->updateExchange(Update.ExchangeStats);
     Placer->updateOthersLoads(Update.ChangedLoads, Now);
+    if (Update.Waiting)
+      Placer->updateOthersWaiting(*Update.Waiting, Now);
   };
   Policy.ClaimsMade = [Placer] { return Placer->claimsMade(); };
   return Policy;
@@ -173,6 +176,7 @@
       Balancer->recordEnd(Attempt);
     };
     Policy.OwnLoads = [Balancer](mono_time) { return Balancer->loads(); };
+    Policy.OwnWaiting = [](mono_time) { return std::vector<waiting_load>(); };
     Policy.UpdatePeers = [Balancer](const peer_work_update &Update, mono_time) {
       Balancer->updateOthersLoads(Update.ChangedLoads);
     };
--- a/src/fleet_model/entry_policy_type.h
+++ b/src/fleet_model/entry_policy_type.h
@@ -26,6 +26,7 @@
   std::function<void(const attempt_id &, mono_time)> AttemptAnswering;
   std::function<void(const attempt_id &, const attempt_report &, mono_time)> AttemptEnded;
   std::function<std::vector<work_load>(mono_time)> OwnLoads;
+  std::function<std::vector<waiting_load>(mono_time)> OwnWaiting;
   /// Updates the changed loads of other entries and the facts about the exchange of work reports.
   std::function<void(const peer_work_update &, mono_time)> UpdatePeers;
   /// Returns the number of claims made. If it changes, the entry publishes its loads at once.
--- a/src/fleet_model/fleet_run_callers.cpp
+++ b/src/fleet_model/fleet_run_callers.cpp
@@ -48,6 +48,8 @@
   WorkItem.Urgency = Kind.Urgency;
   WorkItem.Target = std::chrono::milliseconds(std::llround(Kind.TargetMs));
   WorkItem.LongestGap = std::chrono::milliseconds(std::llround(Kind.GapMs));
+  WorkItem.Patience = std::chrono::milliseconds(std::llround(Kind.PatienceMs));
+  WorkItem.TimeLimit = std::chrono::milliseconds(std::llround(Kind.TimeoutMs));
   WorkItem.Resumed = State.DeliveredEvents > 0;
   return WorkItem;
 }
--- a/src/fleet_model/fleet_run_engines.cpp
+++ b/src/fleet_model/fleet_run_engines.cpp
@@ -26,7 +26,8 @@
   entry_state &Entry = Entries[EntryIndex];
   if (Entry.Down)
     return;
-  Entry.Policy.UpdatePeers({Entry.View->changedPeerLoads(now()), Entry.View->exchangeStats()},
+  Entry.Policy.UpdatePeers({Entry.View->changedPeerLoads(now()), Entry.View->exchangeStats(),
+                            Entry.View->changedPeerWaiting(now())},
                            now());
   const poll_outcome Outcome = Entry.Policy.Poll(now());
   for (const work_expiry &Expiry : Outcome.Expiries)
@@ -45,6 +46,7 @@
   Entry.PublishedClaims = Entry.Policy.ClaimsMade();
   Entry.PublishedAtMs = Ms;
   Entry.View->setOwnLoads(Entry.Policy.OwnLoads(now()), Claimed, now());
+  Entry.View->setOwnWaiting(Entry.Policy.OwnWaiting(now()), now());
   sendReports(EntryIndex);
 }
 
@@ -53,8 +55,11 @@
   if (Entry.Down)
     return;
   for (work_datagram &Datagram : Entry.View->dueDatagrams(now())) {
+    const work_report &Report = Datagram.Report;
     const auto Bytes = static_cast<double>(
-        workReportSize(Load.Name, Datagram.Report.Sender.Host.str(), Datagram.Report.Loads.size()));
+        Report.Waiting
+            ? waitingReportSize(Load.Name, Report.Sender.Host.str(), Report.Waiting->size())
+            : workReportSize(Load.Name, Report.Sender.Host.str(), Report.Loads.size()));
     ++Entry.Traffic.SentDatagrams;
     Entry.Traffic.SentBytes += Bytes;
     if (ReportRandom.chance(Load.ReportLoss))
--- a/src/fleet_model/model_load.cpp
+++ b/src/fleet_model/model_load.cpp
@@ -108,8 +108,9 @@
   Tuning.LongPartMs = Table.number("long_part_ms", NonNegativeRange, Tuning.LongPartMs);
   Tuning.MaxPrefillEngines = static_cast<std::uint32_t>(
       Table.integer("most_readers", CountRange, Tuning.MaxPrefillEngines));
-  Tuning.SpareSlots =
-      static_cast<std::uint32_t>(Table.integer("spare_places", UrgencyRange, Tuning.SpareSlots));
+  Tuning.ScarceTargetFraction =
+      Table.number("scarce_target_part", FractionRange, Tuning.ScarceTargetFraction);
+  Tuning.LateShare = Table.number("late_share", FractionRange, Tuning.LateShare);
   Tuning.MinPackedChoices = static_cast<std::size_t>(Table.integer(
       "packed_choices", CountRange, static_cast<std::int64_t>(Tuning.MinPackedChoices)));
   Tuning.ChoicesPerUnseenRequest =
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -86,8 +86,11 @@
   double SlackFraction{0.25};
   /// For a resumed stream, engines whose start times differ by at most this are equivalent.
   double StartToleranceMs{10.0};
-  /// Slots of an engine that stay free, because two entries may choose it at the same time.
-  std::uint32_t SpareSlots{2};
+  /// Part of the time remaining to the target within which the first event must be expected while
+  /// slots are scarce. The rest covers network delays.
+  double ScarceTargetFraction{0.5};
+  /// Part of the scarce slots that late work gets although work in time waits.
+  double LateShare{0.05};
   /// Minimum number of engines, from the start of the order that all entries share, among which
   /// short work is spread at random. It is low so that the other engines stay free for long
   /// prefill.
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -20,12 +20,16 @@
 
 placer::placer(const host_name &Host, std::uint64_t Seed, const placement_tuning &InitialTuning)
     : ClaimRank(claimRankOf(Host)), Random(combineHashes(Seed, stableHash(Host.str()))),
-      Tuning(InitialTuning), Rate(InitialTuning.RateWindow) {}
+      Tuning(InitialTuning), Rate(InitialTuning.RateWindow),
+      OthersWaiting(InitialTuning.PeerLoadTimeout), Arrivals(InitialTuning.RateWindow) {}
 
 void placer::applyDeclaration(const fleet_declaration &Declaration) {
   Services.clear();
   for (const service_declaration &Service : Declaration.Services)
     Services.emplace(Service.Name, Service);
+  Shares.clearShares();
+  for (const account_declaration &Account : Declaration.Accounts)
+    Shares.setShare(Account.Name, Account.Share);
 }
 
 void placer::updateBackend(const backend_listing &Listing) {
@@ -100,7 +104,9 @@
     return work_refusal{failure_reason::NoBackend, MinRetryAfter};
   if (const auto Refusal = refusalFor(Item, *Service))
     return *Refusal;
-  Waiting.insert_or_assign(Item.Request, waiting_work{Item, *Service, Now});
+  waiting_work Work{Item, *Service, Now};
+  recordArrival(Work, Now);
+  Waiting.insert_or_assign(Item.Request, std::move(Work));
   NextWake = Now;
   return done{};
 }
@@ -119,20 +125,21 @@
   // Resumed requests come first, then those that can still meet their target; each group is ordered
   // by declared urgency and then by target time. A late request is worth little, so it only gets
   // the capacity that the others leave.
-  std::vector<const waiting_work *> Order;
-  for (const auto &[Request, Work] : Waiting)
-    Order.push_back(&Work);
-  const auto Rank = [this, Now](const waiting_work *Work) {
-    const bool IsLate = !Work->Item.Resumed && isPastTarget(*Work, Now);
-    return std::tuple(IsLate, !Work->Item.Resumed, Work->Item.Urgency,
-                      Work->Item.Arrived + Work->Item.Target);
+  const auto RankOf = [this, Now](const waiting_work &Work) {
+    const queue_rank Rank = scarceSupplyOf(Work) ? rankOfWork(Work, Now) : queue_rank{};
+    const bool IsLate = !Work.Item.Resumed && (isPastTarget(Work, Now) || isLateClass(Rank.Class));
+    return std::tuple(IsLate, !Work.Item.Resumed, Rank, Work.Item.Urgency,
+                      Work.Item.Arrived + Work.Item.Target, Work.Item.Request);
   };
-  std::sort(Order.begin(), Order.end(),
-            [&Rank](const waiting_work *A, const waiting_work *B) { return Rank(A) < Rank(B); });
+  std::vector<decltype(RankOf(std::declval<const waiting_work &>()))> Order;
+  Order.reserve(Waiting.size());
+  for (const auto &[Request, Work] : Waiting)
+    Order.push_back(RankOf(Work));
+  std::sort(Order.begin(), Order.end());
   std::vector<request_number> Requests;
-  for (const waiting_work *Work : Order)
+  for (const auto &Ranked : Order)
     if (Requests.size() < MaxTriesPerPoll)
-      Requests.push_back(Work->Item.Request);
+      Requests.push_back(std::get<request_number>(Ranked));
   return Requests;
 }
 
@@ -192,12 +199,15 @@
   if (!Waiting.empty())
     AllWork = allWork(Now);
   expireWaiting(Now, Outcome);
+  surveySlots(Now);
   for (const request_number Request : pollOrder(Now)) {
     if (!mayPlace(Now))
       break;
     const waiting_work Work = Waiting.at(Request);
-    const std::optional<prefill_plan> Plan = choose(Work, Now);
+    const std::optional<prefill_plan> Plan =
+        mayTakeSlot(Work, slot_origin::Freed, Now) ? choose(Work, Now) : std::nullopt;
     if (!Plan) {
+      passOver(Work, Now, Outcome);
       requestPermitForWaiting(Work, Now);
       refuseUnlessAvailable(Work, Now, Outcome);
       continue;
@@ -207,6 +217,7 @@
       continue;
     }
     Waiting.erase(Request);
+    recordSlotTaken(Work, *Plan, Now);
     placeWork(Work, *Plan, Now, Outcome);
     if (Reachability.isIsolated())
       Reachability.recordProbe(Now);
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_PLACEMENT_PLACER_BASE_H
 #define POLLENSTALL_PLACEMENT_PLACER_BASE_H
 
+#include "fleet_queue/fleet_queue.h"
 #include "placement/placement_type.h"
 #include "placement/reachability_monitor_base.h"
 #include "placement/request_rate_base.h"
@@ -34,6 +35,10 @@
   /// Updates the work of all other entries on the engines for which it changed or was sent again.
   void updateOthersLoads(const std::vector<work_load> &Loads, mono_time Now);
   void updateExchange(const load_exchange_properties &Properties) { Exchange = Properties; }
+  /// Replaces the counts of requests that wait at all other entries.
+  void updateOthersWaiting(std::vector<waiting_load> Loads, mono_time Now) {
+    OthersWaiting.update(std::move(Loads), Now);
+  }
 
   /// Queues a request, or refuses it immediately if it cannot run.
   std::variant<done, work_refusal> submit(const work_item &Item, mono_time Now);
@@ -54,6 +59,9 @@
 
   /// Returns the work of this entry, to be published to the other entries.
   [[nodiscard]] std::vector<work_load> ownLoads(mono_time Now) const;
+  /// Returns how many requests of this entry wait for slots of each service with declared figures,
+  /// to be published to the other entries; nothing if none waits.
+  [[nodiscard]] std::vector<waiting_load> ownWaiting(mono_time Now) const;
   /// Returns the number of claims made so far. Each claim must be published to the other entries
   /// immediately.
   [[nodiscard]] std::uint64_t claimsMade() const { return ClaimsMade; }
@@ -77,6 +85,7 @@
     work_item Item;
     service_name Service;        ///< Chosen at random by the weights of the route.
     mono_time WaitingSince;      ///< When this attempt began to wait.
+    bool OverShare{false};       ///< Its account sends more than its share.
     bool AskedForPermits{false}; ///< It no longer waits for permits if it can be placed elsewhere.
   };
   /// Part of a prompt's prefill on one engine.
@@ -123,6 +132,28 @@
     std::map<backend_key, double> HeldTokens{}; ///< Tokens held on engines other than the first.
   };
 
+  /// Slots of a service and the requests that wait for them, in the current poll.
+  struct slot_supply {
+    std::vector<std::uint32_t> FreeSlots; ///< Of each engine.
+    double Free{0};                       ///< Sum of FreeSlots.
+    double FreedPerSecond{0};             ///< Slots that become free, by this entry's measure.
+    double ArrivalsPerSecond{0};          ///< Requests of all entries.
+    waiting_load Others;                  ///< Requests that wait at other entries.
+    double OwnAhead{0};                   ///< Own requests that could not be placed in this poll.
+    std::uint32_t Spare{0};               ///< Slots of each engine that stay free.
+    bool Scarce{false};                   ///< More requests wait in the fleet than slots are free.
+  };
+  /// Which slots a request may take.
+  enum class slot_origin : std::uint8_t {
+    Any,   ///< Any free slot.
+    Freed, ///< Also one that a request of this entry has just left.
+  };
+  /// A slot that a request of this entry has left. Other entries don't know of it yet.
+  struct freed_slot {
+    backend_key Backend;
+    mono_time Time;
+  };
+
   /// An engine that may prefill a prompt or a part of it.
   struct prefill_candidate {
     engine_option Option;
@@ -163,6 +194,20 @@
   [[nodiscard]] std::size_t packedChoiceCount(mono_time Now) const;
   std::optional<prefill_plan> packShort(const std::vector<prefill_candidate> &Candidates,
                                         double PromptMs, double RemainingMs, mono_time Now);
+  void surveySlots(mono_time Now);
+  [[nodiscard]] slot_supply *supplyOf(const waiting_work &Work);
+  [[nodiscard]] const slot_supply *scarceSupplyOf(const waiting_work &Work) const;
+  [[nodiscard]] bool waitsForSlot(const waiting_work &Work) const;
+  [[nodiscard]] queue_rank rankOfWork(const waiting_work &Work, mono_time Now) const;
+  [[nodiscard]] bool missesTarget(const waiting_work &Work, mono_time Now) const;
+  [[nodiscard]] bool mayTakeSlot(const waiting_work &Work, slot_origin Origin, mono_time Now);
+  void recordSlotTaken(const waiting_work &Work, const prefill_plan &Plan, mono_time Now);
+  void recordSlotFreed(const assigned_work &Work, bool Completed, mono_time Now);
+  std::optional<prefill_plan> chooseScarceSlot(const std::vector<prefill_candidate> &Candidates,
+                                               const waiting_work &Work, double PromptMs,
+                                               double RemainingMs, mono_time Now);
+  void recordArrival(waiting_work &Work, mono_time Now);
+  void passOver(const waiting_work &Work, mono_time Now, poll_outcome &Outcome);
   std::optional<prefill_plan> chooseSoonest(const std::vector<prefill_candidate> &Candidates,
                                             double PromptMs);
   [[nodiscard]] std::optional<prefill_plan>
@@ -223,6 +268,13 @@
   request_rate Rate;    ///< Requests of all entries, as far as reported.
   engine_views AllWork; ///< Work of this and the other entries, as of the current poll.
   std::optional<mono_time> NextWake;
+  peer_waiting OthersWaiting;
+  account_shares Shares;
+  slot_turnover Turnover;
+  request_rate Arrivals;                        ///< Requests of this entry that need one slot.
+  std::map<service_name, slot_supply> Supplies; ///< Of services with waiting work.
+  std::vector<freed_slot> FreedSlots;           ///< Within the delay until other entries know.
+  double LateCredit{0}; ///< Late requests that may take a slot before work in time.
 };
 
 } // namespace pollenstall
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -90,6 +90,8 @@
                                                           mono_time Now) {
   const double NeededTokens = memoryOf(Work.Item);
   const auto EngineTokens = static_cast<double>(Figures.Memory.value());
+  const slot_supply *Supply = supplyOf(Work);
+  const std::uint32_t SpareSlots = Supply ? Supply->Spare : 0;
   std::vector<prefill_candidate> Candidates;
   for (std::size_t Rank = 0; Rank < Options.size(); ++Rank) {
     const engine_option &Option = Options[Rank];
@@ -103,12 +105,12 @@
         GapMs > 0
             ? std::max(GapMs * Tuning.GapFraction, GapMs - Tuning.GapMarginMs) - Candidate.StartMs
             : std::numeric_limits<double>::max();
-    Candidate.CanAnswer = Option.View.Requests + Tuning.SpareSlots < Figures.BatchSlots &&
+    Candidate.CanAnswer = Option.View.Requests + SpareSlots < Figures.BatchSlots &&
                           Option.View.Tokens + NeededTokens <= EngineTokens;
     Candidates.push_back(Candidate);
   }
-  const bool UsesDeadline =
-      Work.Item.Resumed || Work.Item.Target.count() == 0 || isPastTarget(Work, Now);
+  const bool UsesDeadline = Work.Item.Resumed || Work.Item.Target.count() == 0 ||
+                            isPastTarget(Work, Now) || missesTarget(Work, Now);
   const double RemainingMs = UsesDeadline ? millisUntil(Work.Item.Deadline, Now) * DeadlineFraction
                                           : millisUntil(Work.Item.Arrived + Work.Item.Target, Now);
   const double PromptMs = prefillMs(Figures, Work.Item.Prompt);
@@ -117,6 +119,8 @@
   if (Work.Item.Resumed && PromptMs <= Tuning.MaxSinglePrefillMs)
     if (auto Plan = chooseSoonest(Candidates, PromptMs))
       return Plan;
+  if (Supply && Supply->Scarce && PromptMs <= Tuning.MaxSinglePrefillMs)
+    return chooseScarceSlot(Candidates, Work, PromptMs, RemainingMs, Now);
   if (PromptMs <= Tuning.MaxSinglePrefillMs)
     if (auto Plan = packShort(Candidates, PromptMs, RemainingMs, Now))
       return Plan;
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -131,6 +131,7 @@
     Reachability.recordReachable();
   if (End.Completed && Engine != Engines.end())
     Engine->second.recordSuccess();
+  recordSlotFreed(Found->second, End.Completed, Now);
   Running.erase(Found);
   NextWake = Now;
 }
--- a/src/scheduling/scheduling_type.h
+++ b/src/scheduling/scheduling_type.h
@@ -39,6 +39,10 @@
   std::uint32_t Urgency{0};                ///< Declared priority; lower values are placed first.
   std::chrono::milliseconds Target{0};     ///< Time to the first event; 0 if none is declared.
   std::chrono::milliseconds LongestGap{0}; ///< Maximum between two events; 0 if none is declared.
+  /// Time without an event after which the caller leaves; 0 if only its deadline counts.
+  std::chrono::milliseconds Patience{0};
+  /// Time limit of the route. A caller that states a shorter one may have been refused before.
+  std::chrono::milliseconds TimeLimit{0};
   tokens AnswerHint{}; ///< The caller's estimate of the answer; 0 if it sent none.
   bool Resumed{false}; ///< The caller has received a part of the answer and waits for the rest.
 };
--- a/src/wire/envelope_func.h
+++ b/src/wire/envelope_func.h
@@ -22,6 +22,7 @@
   WorkShare = 6,   ///< UDP between entries. 5 belonged to a retired format.
   Permits = 7,     ///< UDP between entries.
   RetryLoans = 8,  ///< UDP between entries.
+  WaitingWork = 9, ///< UDP between entries.
 };
 
 /// @return The encoded message without an envelope.
--- a/src/work_exchange/work_exchange_type.h
+++ b/src/work_exchange/work_exchange_type.h
@@ -3,10 +3,12 @@
 #define POLLENSTALL_WORK_EXCHANGE_WORK_EXCHANGE_TYPE_H
 
 #include "core/core.h"
+#include "fleet_queue/fleet_queue.h"
 #include "placement/placement_type.h"
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,6 +37,9 @@
   report_scope Scope{report_scope::Own};
   bool Urgent{false}; ///< Contains work that is about to start; relays forward it at once.
   std::vector<work_load> Loads;
+  /// Set in reports of waiting requests, which contain no loads: all requests within the scope that
+  /// wait, by service.
+  std::optional<std::vector<waiting_load>> Waiting{};
 };
 
 /// A report and its receiver.
@@ -48,6 +53,9 @@
 /// Maximum number of reports to one receiver in one round; the rest wait for the next round.
 constexpr std::size_t MaxRoundReports = 4;
 
+/// Maximum number of services in a report of waiting requests; others are left out.
+constexpr std::size_t MaxWaitingServices = 16;
+
 /// Tuning of the work exchange. All other durations must be well below ReportLifetime.
 struct work_share_tuning {
   /// Reported loads expire after this time. Placement ignores loads of peers after the same time.
@@ -63,6 +71,9 @@
   mono_duration HopDelay{std::chrono::milliseconds(3)};
   /// Unchanged loads are sent again after this time, for receivers that missed a datagram.
   mono_duration RefreshInterval{std::chrono::milliseconds(400)};
+  /// Minimum time between two reports of waiting requests to a receiver. A slot is in use for
+  /// seconds, so that the counts change little in this time.
+  mono_duration WaitingInterval{std::chrono::milliseconds(20)};
   /// A relay sends a report to its members at least this often.
   mono_duration RelayHeartbeat{std::chrono::milliseconds(100)};
   /// A relay that has been unresponsive for longer than this is replaced by the next entry of
@@ -83,6 +94,8 @@
 struct peer_work_update {
   std::vector<work_load> ChangedLoads;
   load_exchange_properties ExchangeStats;
+  /// Requests that wait at all other entries, by service; absent if they have not changed.
+  std::optional<std::vector<waiting_load>> Waiting{};
 };
 
 } // namespace pollenstall
--- a/src/work_exchange/work_report_size_func.h
+++ b/src/work_exchange/work_report_size_func.h
@@ -19,6 +19,15 @@
   return Envelope + Count + Fleet.size() + Count + Host.size() + Report + Count + Load * Loads;
 }
 
+/// @return The size in bytes of a report of waiting requests, without UDP and IP headers.
+constexpr std::size_t waitingReportSize(std::string_view Fleet, std::string_view Host,
+                                        std::size_t Services) {
+  constexpr std::size_t Count = 8;
+  constexpr std::size_t Service = 12 + Count + 2 * RankClassCount;
+  constexpr std::size_t Urgency = 1; // Not contained in these reports.
+  return workReportSize(Fleet, Host, 0) - Urgency + Service * Services;
+}
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_WORK_EXCHANGE_WORK_REPORT_SIZE_FUNC_H
--- a/src/work_exchange/work_view.cpp
+++ b/src/work_exchange/work_view.cpp
@@ -20,7 +20,8 @@
                      const work_share_tuning &Values)
     : Self(std::move(Process)), OwnAddress(std::move(ReportAddress)), Tuning(Values),
       Tracker(Values), ScopeBySource(FirstSender, report_scope::Own), RelayFeed(Values),
-      GroupFeed(Values), PlacementFeed(Values) {}
+      GroupFeed(Values), PlacementFeed(Values), Waiting(Values), RelayWaiting(Values),
+      GroupWaiting(Values), PlacementWaiting(Values) {}
 
 void work_view::setEntries(const std::vector<work_entry> &Entries, mono_time Now) {
   Group = {OwnAddress};
@@ -52,6 +53,8 @@
   Members.clear();
   FailedRelays.clear();
   GroupFeed = RelayFeed = PlacementFeed = work_feed(Tuning);
+  Waiting.clear();
+  RelayWaiting = GroupWaiting = PlacementWaiting = waiting_feed(Tuning);
   ActiveSince = RelayReceivedAt = Now;
 }
 
@@ -60,8 +63,10 @@
   // All loads of an expired sender have expired too, so its source id can be reused.
   std::erase_if(Senders, [&](const auto &Item) {
     const bool IsStale = Now - Item.second.ReceivedAt > Tuning.ReportLifetime;
-    if (IsStale)
+    if (IsStale) {
       FreeSources.push_back(Item.second.Source);
+      Waiting.removeSource(Item.second.Source);
+    }
     return IsStale;
   });
   std::erase_if(Members, [&](const auto &Item) {
@@ -129,9 +134,11 @@
   if (From == RelayAddress)
     RelayReceivedAt = Now;
   if (Report.Scope == report_scope::Withdrawn) {
+    Waiting.removeSource(Sender->Source);
     HasChanges = Tracker.removeSource(Sender->Source, Now) || HasChanges;
     return updateRole(Now);
   }
+  receiveWaiting(Report, *Sender, Now);
   const bool SentByRelay = Report.Scope == report_scope::Others;
   for (const work_load &Load : Report.Loads) {
     const bool Changed = Tracker.update(SentByRelay ? RelaySource : Sender->Source, Load, Now);
@@ -178,6 +185,7 @@
     RelayReceivedAt = Now;
     LastRelayReportAt = mono_time::min();
     RelayFeed = work_feed(Tuning); // The new relay has received nothing yet.
+    RelayWaiting = waiting_feed(Tuning);
     HasChanges = true;
   }
   updateRole(Now);
@@ -198,6 +206,7 @@
   ActsAsRelay = ShouldRelay;
   PlacementFeed.recheckAll();
   GroupFeed = RelayFeed = work_feed(Tuning); // The new receivers have received nothing yet.
+  GroupWaiting = RelayWaiting = waiting_feed(Tuning);
   LastRelayReportAt = mono_time::min();
   HasChanges = true;
 }
@@ -274,6 +283,8 @@
     RoundInterval = std::max<mono_duration>(Tuning.MinRoundInterval,
                                             Tuning.RoundIntervalPerDatagram *
                                                 static_cast<std::int64_t>(Datagrams.size()));
+  if (Regular)
+    reportWaiting(Now, Datagrams);
   return Datagrams;
 }
 
--- a/src/work_exchange/work_view_base.h
+++ b/src/work_exchange/work_view_base.h
@@ -3,6 +3,7 @@
 #ifndef POLLENSTALL_WORK_EXCHANGE_WORK_VIEW_BASE_H
 #define POLLENSTALL_WORK_EXCHANGE_WORK_VIEW_BASE_H
 
+#include "work_exchange/waiting_board_base.h"
 #include "work_exchange/work_feed_base.h"
 #include "work_exchange/work_groups_func.h"
 #include "work_exchange/work_tracker_base.h"
@@ -36,6 +37,8 @@
   void setEntries(const std::vector<work_entry> &Entries, mono_time Now);
   /// Replaces the loads that this entry has in flight.
   void setOwnLoads(const std::vector<work_load> &Loads, bool Urgent, mono_time Now);
+  /// Replaces the counts of requests that wait at this entry.
+  void setOwnWaiting(const std::vector<waiting_load> &Loads, mono_time Now);
   /// Handles a report that was received from an address.
   void receive(const work_report &Report, const std::string &From, mono_time Now);
 
@@ -44,6 +47,9 @@
   /// @return The summed loads of all other entries at those backend servers where they changed
   /// since the last call, or where a refresh is due.
   std::vector<work_load> changedPeerLoads(mono_time Now);
+  /// @return The requests that wait at all other entries, by service, if they changed since the
+  /// last call or a refresh is due.
+  std::optional<std::vector<waiting_load>> changedPeerWaiting(mono_time Now);
   /// @return When dueDatagrams() must be called next if nothing happens before.
   [[nodiscard]] mono_time nextWake(mono_time Now) const;
 
@@ -65,9 +71,10 @@
   };
   /// An entry for which this one relays.
   struct member {
-    explicit member(const work_share_tuning &Tuning) : Feed(Tuning) {}
+    explicit member(const work_share_tuning &Tuning) : Feed(Tuning), Waiting(Tuning) {}
 
     work_feed Feed;
+    waiting_feed Waiting;
     mono_time LastReportAt{mono_time::min()};
   };
   /// Which loads a round sends.
@@ -94,6 +101,8 @@
   void reportToRelay(mono_time Now, round_kind Round, std::vector<work_datagram> &Datagrams);
   void reportToRelays(mono_time Now, round_kind Round, std::vector<work_datagram> &Datagrams);
   void reportToMembers(mono_time Now, round_kind Round, std::vector<work_datagram> &Datagrams);
+  void reportWaiting(mono_time Now, std::vector<work_datagram> &Datagrams);
+  void receiveWaiting(const work_report &Report, const sender &Sender, mono_time Now);
   work_report makeReport(report_scope Scope, round_kind Round, std::vector<work_load> Loads);
 
   /// @return The reports to send to the feed's receivers in this round. If there are no loads to
@@ -143,6 +152,10 @@
   work_feed GroupFeed;
   work_feed PlacementFeed;
   std::map<std::string, member> Members; ///< By address.
+  waiting_board Waiting;
+  waiting_feed RelayWaiting;
+  waiting_feed GroupWaiting;
+  waiting_feed PlacementWaiting;
   std::uint64_t Sequence{0};
   mono_time LastActiveAt{mono_time::min()};
   mono_time LastRoundAt{mono_time::min()};
--- a/src/work_share/work_share.cpp
+++ b/src/work_share/work_share.cpp
@@ -6,6 +6,7 @@
 #include "work_exchange/work_exchange.h"
 #include "work_share/permit_codec_func.h"
 #include "work_share/retry_codec_func.h"
+#include "work_share/waiting_codec_func.h"
 #include "work_share/work_report_codec_func.h"
 
 #include <boost/asio/io_context.hpp>
@@ -105,8 +106,10 @@
       LatestOwnWork = std::move(std::get<own_work_update>(Command));
       Urgent = Urgent || LatestOwnWork->Urgent;
     });
-    if (LatestOwnWork)
+    if (LatestOwnWork) {
       View->setOwnLoads(LatestOwnWork->Loads, Urgent, boot_clock::now());
+      View->setOwnWaiting(LatestOwnWork->Waiting, boot_clock::now());
+    }
     runRound();
   }
 
@@ -135,8 +138,10 @@
       send(Datagram);
     if (Now - LastPublishAt >= PublishInterval) {
       LastPublishAt = Now;
-      if (std::vector<work_load> Changed = View->changedPeerLoads(Now); !Changed.empty())
-        PeerUpdates.push({std::move(Changed), View->exchangeStats()});
+      std::vector<work_load> Changed = View->changedPeerLoads(Now);
+      auto Waiting = View->changedPeerWaiting(Now);
+      if (!Changed.empty() || Waiting)
+        PeerUpdates.push({std::move(Changed), View->exchangeStats(), std::move(Waiting)});
     }
     const mono_time Wake =
         std::min(View->nextWake(Now), Permits->nextWake().value_or(mono_time::max()));
@@ -161,7 +166,8 @@
     // A report to several receivers is encoded once.
     if (Datagram.Report.Sequence != CachedSequence) {
       CachedSequence = Datagram.Report.Sequence;
-      CachedDatagram = encodeWorkReport(Fleet, Datagram.Report);
+      CachedDatagram = Datagram.Report.Waiting ? encodeWaitingReport(Fleet, Datagram.Report)
+                                               : encodeWorkReport(Fleet, Datagram.Report);
     }
     if (!sendBytes(Datagram.To, CachedDatagram))
       return;
@@ -208,7 +214,9 @@
   }
 
   void handleDatagram(std::span<const char> Bytes) {
-    const auto Report = decodeWorkReport(Fleet, Bytes);
+    auto Report = decodeWorkReport(Fleet, Bytes);
+    if (!succeeded(Report) && errorOf(Report) == wire_error::OtherKind)
+      Report = decodeWaitingReport(Fleet, Bytes);
     if (!succeeded(Report)) {
       if (errorOf(Report) == wire_error::OtherKind)
         handlePermitDatagram(Bytes);
--- a/src/work_share/work_share_type.h
+++ b/src/work_share/work_share_type.h
@@ -23,7 +23,8 @@
 /// From the decision thread: the loads that this entry has in flight.
 struct own_work_update {
   std::vector<work_load> Loads;
-  bool Urgent{false}; ///< Some of the work is about to start.
+  std::vector<waiting_load> Waiting; ///< Requests that wait for slots, by service.
+  bool Urgent{false};                ///< Some of the work is about to start.
 };
 
 /// From the decision thread: all entries that place work.
