--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -204,6 +204,7 @@
   void refuseIfHopeless(const waiting_work &Work, double Ahead, mono_time Now,
                         poll_outcome &Outcome);
   void recordSlotTaken(const waiting_work &Work, const prefill_plan &Plan, mono_time Now);
+  [[nodiscard]] std::string slotsText() const;
   void recordSlotFreed(const assigned_work &Work, bool Completed, mono_time Now);
   std::optional<prefill_plan> chooseScarceSlot(const std::vector<prefill_candidate> &Candidates,
                                                const waiting_work &Work, double PromptMs,
--- a/src/placement/placer_queue.cpp
+++ b/src/placement/placer_queue.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <sstream>
 
 namespace pollenstall {
 
@@ -243,6 +244,21 @@
   FreedSlots.push_back({Work.Parts.front().Backend, Now});
 }
 
+/// Returns the state of the slots as of the last poll, as a member of a JSON object.
+std::string placer::slotsText() const {
+  std::ostringstream Out;
+  Out << R"("slots":[)";
+  const char *Comma = "";
+  for (const auto &[Service, Supply] : Supplies) {
+    Out << Comma << R"({"service":")" << Service.str() << R"(","free":)" << Supply.Free
+        << R"(,"waiting_elsewhere":)" << waitingTotal(Supply.Others) << R"(,"scarce":)"
+        << (Supply.Scarce ? "true" : "false") << R"(,"kept_free":)" << Supply.Spare << '}';
+    Comma = ",";
+  }
+  Out << ']';
+  return Out.str();
+}
+
 /// Records that work stays in the queue, ahead of what follows in the order.
 void placer::passOver(const waiting_work &Work, mono_time Now, poll_outcome &Outcome) {
   slot_supply *Supply = supplyOf(Work);
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -228,7 +228,7 @@
         << Others.Requests << R"(,"others_read_ms":)" << Others.PrefillMs << "}";
     Comma = ",";
   }
-  Out << "]}";
+  Out << "]," << slotsText() << '}';
   return Out.str();
 }
 
--- a/tests/work_share/simulated_network.h
+++ b/tests/work_share/simulated_network.h
@@ -4,6 +4,7 @@
 #define POLLENSTALL_TESTS_WORK_SHARE_SIMULATED_NETWORK_H
 
 #include "work_exchange/work_exchange.h"
+#include "work_share/waiting_codec_func.h"
 #include "work_share/work_report_codec_func.h"
 
 #include <map>
@@ -61,6 +62,14 @@
     Entry.OwnLoads = std::move(Loads);
     Entry.OwnLoadsSetAt = Now;
     Entry.View->setOwnLoads(Entry.OwnLoads, Urgent, Now);
+    Entry.View->setOwnWaiting(Entry.OwnWaiting, Now);
+  }
+  /// Sets how many requests wait at the entry, in the first class of one service.
+  void setWaiting(std::size_t EntryIndex, std::uint16_t Count) {
+    waiting_load Load{1, 0, {}};
+    Load.Counts[0] = Count;
+    Entries[EntryIndex].OwnWaiting = std::vector<waiting_load>(Count > 0 ? 1 : 0, Load);
+    setLoads(EntryIndex, Entries[EntryIndex].OwnLoads);
   }
 
   void run(std::chrono::milliseconds Span) {
@@ -84,6 +93,10 @@
       return load(Engine, 0);
     return loadAfter(Found->second.first, Now - Found->second.second);
   }
+  /// @return How many requests wait at all other entries, as known to the entry.
+  [[nodiscard]] double knownWaiting(std::size_t EntryIndex) const {
+    return waitingTotal(Entries[EntryIndex].KnownWaiting.of(1, Now));
+  }
   [[nodiscard]] bool isRelay(std::size_t EntryIndex) const {
     return Entries[EntryIndex].View->isRelay();
   }
@@ -113,6 +126,8 @@
     std::vector<work_load> OwnLoads;
     mono_time OwnLoadsSetAt;
     std::map<incarnation, std::pair<work_load, mono_time>> KnownLoads;
+    std::vector<waiting_load> OwnWaiting;
+    peer_waiting KnownWaiting{std::chrono::seconds(1)};
     bool Down{false};
     std::uint64_t Incarnation{1};
     sent_counts Sent;
@@ -151,8 +166,9 @@
     InFlight.erase(Due.first, Due.second);
     for (const in_flight_datagram &Datagram : Arrived)
       if (!Entries[Datagram.Receiver].Down) {
-        const auto Report =
-            decodeWorkReport("fleet", {Datagram.Bytes.data(), Datagram.Bytes.size()});
+        auto Report = decodeWorkReport("fleet", Datagram.Bytes);
+        if (!succeeded(Report))
+          Report = decodeWaitingReport("fleet", Datagram.Bytes);
         Entries[Datagram.Receiver].View->receive(valueOf(Report), Datagram.Sender, Now);
       }
     for (std::size_t EntryIndex = 0; EntryIndex < Entries.size(); ++EntryIndex)
@@ -175,10 +191,14 @@
     }
     for (const work_load &Load : Entry.View->changedPeerLoads(Now))
       Entry.KnownLoads[Load.Incarnation] = {Load, Now};
+    if (auto Waiting = Entry.View->changedPeerWaiting(Now))
+      Entry.KnownWaiting.update(std::move(*Waiting), Now);
   }
 
   void send(std::size_t Sender, const work_datagram &Datagram) {
-    const std::string Bytes = encodeWorkReport("fleet", Datagram.Report);
+    const std::string Bytes = Datagram.Report.Waiting
+                                  ? encodeWaitingReport("fleet", Datagram.Report)
+                                  : encodeWorkReport("fleet", Datagram.Report);
     ++Entries[Sender].Sent.Datagrams;
     Entries[Sender].Sent.Bytes += Bytes.size();
     const int Copies = 1 + (Random.chance(Faults.DuplicationRate) ? 1 : 0);
