--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -132,6 +132,7 @@
     Reachability.recordReachable();
   if (End.Completed && Engine != Engines.end())
     Engine->second.recordSuccess();
+  recordSlotFreed(Found->second, End.Completed, Now);
   Running.erase(Found);
   NextWake = Now;
 }
@@ -232,7 +233,7 @@
         << Others.PrefillMs << "}";
     Comma = ",";
   }
-  Out << "]}";
+  Out << "]," << slotsText() << '}';
   return Out.str();
 }
 
