Placement measures how much slower than expected each server answers

Times to the first event and the first reported gaps of each attempt are compared with what the pass model gives for the load known then; a weighted median with a half-life, by fill, gives each server a factor. Slow servers are expected later, get parts of long prompts only if the first event comes sooner with them, and answer no request whose pause they cannot keep. Plain services are compared with the other servers.

--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -59,7 +59,10 @@
   };
   Callbacks.AttemptAdvanced = [this](const attempt_id &Attempt, std::uint64_t Events,
                                      mono_time Now) {
-    Scheduler.attemptProgressed(Attempt, Events, Now);
+    if (usesPlacer())
+      Placer.attemptAdvanced(Attempt, Events, Now);
+    else
+      Scheduler.attemptProgressed(Attempt, Events, Now);
   };
   Callbacks.AttemptAbandoned = [this](const attempt_id &Attempt,
                                       std::optional<attempt_failure> Failure, mono_time Now) {
--- a/src/fleet_model/engine_model.cpp
+++ b/src/fleet_model/engine_model.cpp
@@ -109,6 +109,11 @@
   return Used;
 }
 
+double engine_model::fill() const {
+  return std::max(static_cast<double>(Running.size()) / Figures.BatchSlots,
+                  memoryUsed() / static_cast<double>(Figures.Memory.value()));
+}
+
 void engine_model::admit() {
   const auto Memory = static_cast<double>(Figures.Memory.value());
   while (!Waiting.empty() && Running.size() < Figures.BatchSlots) {
--- a/src/fleet_model/engine_model_base.h
+++ b/src/fleet_model/engine_model_base.h
@@ -69,6 +69,8 @@
   double startPass();
   /// Ends the running pass.
   pass_outcome finishPass();
+  /// @return Used part of its slots or memory, whichever is higher.
+  [[nodiscard]] double fill() const;
   [[nodiscard]] const engine_time &timeSpent() const { return TimeSpent; }
 
 private:
--- a/src/fleet_model/entry_policy.cpp
+++ b/src/fleet_model/entry_policy.cpp
@@ -53,6 +53,10 @@
   Policy.AttemptAnswering = [Placer](const attempt_id &Attempt, mono_time Now) {
     Placer->attemptAnswering(Attempt, Now);
   };
+  Policy.AttemptAdvanced = [Placer](const attempt_id &Attempt, std::uint64_t Events,
+                                    mono_time Now) {
+    Placer->attemptAdvanced(Attempt, Events, Now);
+  };
   Policy.AttemptEnded = [Placer](const attempt_id &Attempt, const attempt_report &Report,
                                  mono_time Now) { Placer->attemptEnded(Attempt, Report, Now); };
   Policy.OwnLoads = [Placer](mono_time Now) { return Placer->ownLoads(Now); };
@@ -169,6 +173,7 @@
                                        const backend_key &Backend,
                                        mono_time) { Balancer->recordStart(Attempt, Backend); };
     Policy.AttemptAnswering = [](const attempt_id &, mono_time) {};
+    Policy.AttemptAdvanced = [](const attempt_id &, std::uint64_t, mono_time) {};
     Policy.AttemptEnded = [Balancer](const attempt_id &Attempt, const attempt_report &, mono_time) {
       Balancer->recordEnd(Attempt);
     };
--- a/src/fleet_model/entry_policy_type.h
+++ b/src/fleet_model/entry_policy_type.h
@@ -24,6 +24,7 @@
   std::function<void(const attempt_id &, const work_item &, const backend_key &, mono_time)>
       AttemptStarted;
   std::function<void(const attempt_id &, mono_time)> AttemptAnswering;
+  std::function<void(const attempt_id &, std::uint64_t Events, mono_time)> AttemptAdvanced;
   std::function<void(const attempt_id &, const attempt_report &, mono_time)> AttemptEnded;
   std::function<std::vector<work_load>(mono_time)> OwnLoads;
   /// Updates the changed loads of other entries and the facts about the exchange of work reports.
--- a/src/fleet_model/fleet_run_base.h
+++ b/src/fleet_model/fleet_run_base.h
@@ -103,8 +103,9 @@
     std::size_t Engine{0};
     std::vector<std::size_t> Helpers;
     std::vector<std::pair<std::size_t, double>> Holds; ///< Engine and reserved tokens.
-    std::uint32_t EarlierEvents{0}; ///< Events that the caller received from earlier attempts.
-    std::uint32_t Events{0};        ///< Events that reached the entry.
+    std::uint32_t EarlierEvents{0};  ///< Events that the caller received from earlier attempts.
+    std::uint32_t Events{0};         ///< Events that reached the entry.
+    std::uint32_t ReportedEvents{0}; ///< Events that its policy was told of.
     bool Finished{false};
   };
   struct request_state {
@@ -156,6 +157,9 @@
   std::size_t pickEntry();
   void startEntry(std::size_t Entry);
   void updateEntryLists();
+  /// Returns the factor by which a pass that starts now takes longer than declared.
+  [[nodiscard]] double slownessOf(std::size_t Engine) const;
+  void reportEvents(attempt_state &Attempt);
   void releaseEngines(const attempt_state &Attempt);
   [[nodiscard]] mono_time now() const;
   static mono_time toMonoTime(double VirtualMs);
--- a/src/fleet_model/fleet_run_callers.cpp
+++ b/src/fleet_model/fleet_run_callers.cpp
@@ -14,6 +14,8 @@
 constexpr double MaxWaitFraction = 1.0 / 3.0;
 constexpr double MinRetryDelayMs = 50;
 constexpr std::size_t MaxAttempts = 2;
+/// Events that a real entry's relay reports together.
+constexpr std::uint32_t EventsPerReport = 16;
 
 std::string reportAddress(std::size_t Entry) { return "entry-" + std::to_string(Entry); }
 
@@ -147,8 +149,12 @@
   request_state &Request = Requests[State.Request];
   if (State.Finished || Request.Finished)
     return;
-  if (State.Events++ == 0)
+  if (State.Events++ == 0) {
     Entries[State.Entry].Policy.AttemptAnswering(State.Id, now());
+    State.ReportedEvents = 1;
+  }
+  if (State.Events - State.ReportedEvents >= EventsPerReport)
+    reportEvents(State);
   const double DeliveredMs = Ms + Load.CallerDelayMs;
   if (Request.DeliveredEvents++ == 0)
     Request.Record.FirstEventMs = DeliveredMs - Request.Record.ArrivedMs;
@@ -160,11 +166,20 @@
     pollEntry(State.Entry);
 }
 
+void fleet_run::reportEvents(attempt_state &Attempt) {
+  const std::uint32_t Events = Attempt.Events - Attempt.ReportedEvents;
+  Attempt.ReportedEvents = Attempt.Events;
+  if (Events > 0)
+    Entries[Attempt.Entry].Policy.AttemptAdvanced(Attempt.Id, Events, now());
+}
+
 void fleet_run::endAttempt(std::size_t Attempt, std::optional<attempt_failure> Failure) {
   attempt_state &State = Attempts[Attempt];
   if (State.Finished)
     return;
   State.Finished = true;
+  if (!Failure)
+    reportEvents(State);
   releaseEngines(State);
   attempt_report Report;
   Report.Completed = !Failure;
--- a/src/fleet_model/fleet_run_engines.cpp
+++ b/src/fleet_model/fleet_run_engines.cpp
@@ -146,7 +146,21 @@
 void fleet_run::startEnginePass(std::size_t EngineIndex) {
   engine_state &Engine = Engines[EngineIndex];
   if (!Engine.Down && Engine.Model.canStart())
-    schedule(Ms + Engine.Model.startPass(), event_kind::PassEnd, EngineIndex, Engine.Incarnation);
+    schedule(Ms + Engine.Model.startPass() * slownessOf(EngineIndex), event_kind::PassEnd,
+             EngineIndex, Engine.Incarnation);
+}
+
+double fleet_run::slownessOf(std::size_t Engine) const {
+  double Factor = 1;
+  for (const slow_engines &Slow : Load.SlowEngines) {
+    // Spread over the order in which placement uses the engines.
+    const std::size_t Spacing = std::max<std::size_t>(1, Engines.size() / Slow.Count);
+    const bool IsSlow = Engine % Spacing == Spacing / 2 && Engine / Spacing < Slow.Count;
+    const bool IsNow = Ms >= Slow.FromSeconds * MsPerSecond && Ms < Slow.UntilSeconds * MsPerSecond;
+    if (IsSlow && IsNow && Engines[Engine].Model.fill() >= Slow.FromFill)
+      Factor *= Slow.Factor;
+  }
+  return Factor;
 }
 
 void fleet_run::finishEnginePass(std::size_t EngineIndex) {
--- a/src/fleet_model/model_load.cpp
+++ b/src/fleet_model/model_load.cpp
@@ -12,6 +12,7 @@
 constexpr toml_range<double> PositiveRange{1e-6, 1e9};
 constexpr toml_range<double> NonNegativeRange{0, 1e9};
 constexpr toml_range<double> FractionRange{0, 1};
+constexpr toml_range<double> SlownessRange{1, 100};
 constexpr toml_range<double> SpreadRange{0, 3};
 constexpr toml_range<std::int64_t> CountRange{1, 4'096};
 constexpr toml_range<std::int64_t> TokenRange{1, 1'000'000'000};
@@ -94,6 +95,17 @@
   return Outage;
 }
 
+slow_engines readSlowEngines(toml_reader &Table) {
+  slow_engines Slow;
+  Slow.Count = static_cast<std::size_t>(Table.integer("count", CountRange, 1));
+  Slow.Factor = Table.number("factor", SlownessRange, Slow.Factor);
+  Slow.FromFill = Table.number("from_fill", FractionRange, Slow.FromFill);
+  Slow.FromSeconds = Table.number("from_s", NonNegativeRange, Slow.FromSeconds);
+  Slow.UntilSeconds = Table.number("until_s", NonNegativeRange, Slow.UntilSeconds);
+  Table.finish("slow engines");
+  return Slow;
+}
+
 /// Reads overrides of placement parameters, for trials without a rebuild.
 void readTuning(toml_reader &Table, placement_tuning &Tuning) {
   Tuning.GapFraction = Table.number("gap_part", FractionRange, Tuning.GapFraction);
@@ -121,6 +133,9 @@
   for (const entry_outage &Outage : Load.EntryOutages)
     if (Outage.Count >= Load.Entries)
       Faults.push_back({0, "entry_loss.count", "less than the number of entries"});
+  for (const slow_engines &Slow : Load.SlowEngines)
+    if (Slow.Count > Load.Engines)
+      Faults.push_back({0, "slow.count", "at most the number of engines"});
   if (Load.Kinds.empty())
     Faults.push_back({0, "kind", "at least one"});
   for (const load_phase &Phase : Load.Phases) {
@@ -163,6 +178,8 @@
     Load.EngineOutages.push_back(readEngineOutage(Outage));
   for (toml_reader &Outage : Table.tables("entry_loss", toml_presence::Optional))
     Load.EntryOutages.push_back(readEntryOutage(Outage));
+  for (toml_reader &Slow : Table.tables("slow", toml_presence::Optional))
+    Load.SlowEngines.push_back(readSlowEngines(Slow));
   if (auto Tuning = Table.table("tuning"))
     readTuning(*Tuning, Load.Tuning);
   Table.finish("a load");
--- a/src/fleet_model/model_load_type.h
+++ b/src/fleet_model/model_load_type.h
@@ -50,6 +50,15 @@
   double Share{0}; ///< Fraction of all engines.
 };
 
+/// Engines whose passes take longer than declared.
+struct slow_engines {
+  std::size_t Count{1}; ///< Spread evenly over all engines.
+  double Factor{4};
+  double FromFill{0}; ///< They are slow only from this fill on; see engine_model::fill().
+  double FromSeconds{0};
+  double UntilSeconds{1e9};
+};
+
 /// An outage of entries, whose callers retry at other entries at once.
 struct entry_outage {
   double StartSeconds{0};
@@ -76,6 +85,7 @@
   std::vector<load_phase> Phases;
   std::vector<engine_outage> EngineOutages;
   std::vector<entry_outage> EntryOutages;
+  std::vector<slow_engines> SlowEngines;
   placement_tuning Tuning;
 };
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -270,7 +270,15 @@
   for (const engine_option &PrefillEngine : Plan.PrefillEngines) {
     const backend_key &Key = PrefillEngine.Engine->key();
     PrefillEngine.Engine->recordPlacement(Tuning, Now);
-    Assigned.Parts.push_back({Key, Plan.PartMs, Now + durationFromMs(Plan.FirstEventMs), 0, {}});
+    PrefillEngine.Engine->addSeenPrefill(Plan.PartMs);
+    Assigned.Parts.push_back({Key,
+                              Plan.PartMs * PrefillEngine.Slowness,
+                              Now + durationFromMs(Plan.FirstEventMs),
+                              0,
+                              {},
+                              PrefillEngine.Mark});
+    Assigned.Parts.back().Mark.ExpectedMs += Plan.PartMs;
+    Assigned.Parts.back().Mark.SeenPrefillMs += Plan.PartMs;
     if (PrefillEngine.Limited)
       Assigned.Parts.back().Permit = Permits.take(Key.Incarnation, Now);
     if (Key != Placement.Backend)
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_PLACEMENT_PLACER_BASE_H
 #define POLLENSTALL_PLACEMENT_PLACER_BASE_H
 
+#include "placement/answer_times_base.h"
 #include "placement/placement_type.h"
 #include "placement/reachability_monitor_base.h"
 #include "placement/request_rate_base.h"
@@ -44,6 +45,8 @@
   void attemptStarted(const attempt_id &Attempt, const work_item &Item, const backend_key &Backend,
                       mono_time Now);
   void attemptAnswering(const attempt_id &Attempt, mono_time Now);
+  /// Records that an attempt has sent further events since the last call.
+  void attemptAdvanced(const attempt_id &Attempt, std::uint64_t Events, mono_time Now);
   /// Places nothing on a server until its pause ends.
   void pauseBackend(const backend_key &Backend, std::chrono::milliseconds Pause, mono_time Now) {
     Pauses.record(Backend, Pause, Now);
@@ -79,6 +82,13 @@
     mono_time WaitingSince;      ///< When this attempt began to wait.
     bool AskedForPermits{false}; ///< It no longer waits for permits if it can be placed elsewhere.
   };
+  /// What a server is expected to do from a moment on, for comparison with what it does.
+  struct speed_mark {
+    double ExpectedMs{0};    ///< Time to the first event at normal speed, from the placement on.
+    double PassMs{0};        ///< Time between events at normal speed.
+    double Fill{0};          ///< See speed_sample.
+    double SeenPrefillMs{0}; ///< tracked_engine::seenPrefillMs() at that moment.
+  };
   /// Part of a prompt's prefill on one engine.
   struct prefill_part {
     backend_key Backend;
@@ -86,6 +96,7 @@
     mono_time Until;     ///< Expected end of the prefill.
     double Tokens{0};    ///< Memory that stays allocated until the end of the request.
     permit_stamp Permit; ///< Set if the server states a rate limit.
+    speed_mark Mark;     ///< When the attempt was sent.
   };
   /// Work with its parts on engines, from its claim or placement until its attempt has ended.
   struct assigned_work {
@@ -96,6 +107,9 @@
     bool CountedAsTaken{false};  ///< In the record of the server that answers.
     bool CountedAsFailed{false}; ///< Likewise. An abandoned attempt reports its failure twice.
     mono_time SentTime;          ///< When the attempt was started.
+    speed_mark Advanced;         ///< Of the server that answers, as of AdvancedTime.
+    mono_time AdvancedTime;      ///< When its last events came.
+    bool GapRecorded{false};
   };
   /// A placement that is published to the other entries before it takes effect.
   struct claimed_work {
@@ -111,6 +125,8 @@
     engine_view View;
     bool Limited{false};     ///< It states a rate limit.
     bool NeedsPermit{false}; ///< It does, and there is no permit for it yet.
+    double Slowness{1};      ///< Factor of its times at this load; see server_speed.
+    speed_mark Mark{};
   };
   /// Engines that may run a request.
   struct engine_options {
@@ -134,6 +150,10 @@
     double MaxPartMs{0}; ///< Longest prefill part that the gaps of its streams allow.
     bool CanAnswer{false};
 
+    /// Returns the time from now until the engine has prefilled a part of this normal duration.
+    [[nodiscard]] double endMs(double NormalPartMs) const {
+      return StartMs + NormalPartMs * Option.Slowness;
+    }
     /// Returns whether the engine has requests. One in prefill counts like a decoding one, because
     /// it decodes soon.
     [[nodiscard]] bool occupied() const { return Option.View.Requests > 0; }
@@ -159,9 +179,26 @@
   std::optional<prefill_plan> choose(const waiting_work &Work, mono_time Now);
   std::optional<prefill_plan> chooseAmong(std::vector<engine_option> Options,
                                           const waiting_work &Work, mono_time Now);
-  std::optional<prefill_plan> chooseServer(std::vector<engine_option> Options);
+  std::optional<prefill_plan> chooseServer(std::vector<engine_option> Options, mono_time Now);
   std::optional<prefill_plan> chooseEngines(const waiting_work &Work, const engine_profile &Figures,
                                             std::vector<engine_option> Options, mono_time Now);
+  std::optional<prefill_plan> chooseCandidates(const waiting_work &Work,
+                                               const engine_profile &Figures,
+                                               const std::vector<prefill_candidate> &Candidates,
+                                               mono_time Now);
+  void applySpeed(prefill_candidate &Candidate, const waiting_work &Work,
+                  const engine_profile &Figures, mono_time Now) const;
+  void applySpeed(engine_option &Option, const engine_profile *Figures, mono_time Now) const;
+  void recordFirstEvent(assigned_work &Work, mono_time Now);
+  void recordFirstAnswer(const assigned_work &Work, mono_time Now);
+  void recordGap(assigned_work &Work, std::uint64_t Events, mono_time Now);
+  [[nodiscard]] engine_view workAt(const tracked_engine &Engine, mono_time Now) const;
+  [[nodiscard]] double slownessOf(const tracked_engine &Engine, double Fill, mono_time Now) const;
+  [[nodiscard]] double usualSlowness(const service_name &Service, mono_time Now) const;
+  [[nodiscard]] mono_duration speedHalfLife() const;
+  [[nodiscard]] const engine_profile *figuresOf(const tracked_engine &Engine) const;
+  static speed_mark markOf(const tracked_engine &Engine, const engine_profile *Figures,
+                           const engine_view &View);
   [[nodiscard]] std::size_t packedChoiceCount(mono_time Now) const;
   std::optional<prefill_plan> packShort(const std::vector<prefill_candidate> &Candidates,
                                         double PromptMs, double RemainingMs, mono_time Now);
@@ -224,7 +261,14 @@
   permit_client Permits;
   pause_table Pauses;
   reachability_monitor Reachability;
-  request_rate Rate;    ///< Requests of all entries, as far as reported.
+  request_rate Rate; ///< Requests of all entries, as far as reported.
+  /// Times to the first event of services without declared figures.
+  std::map<service_name, answer_times> AnswerTimes;
+  struct usual_slowness {
+    double Value{1};
+    mono_time Time; ///< When it was computed, for use until UsualSlownessLifetime later.
+  };
+  mutable std::map<service_name, usual_slowness> UsualSlowness;
   engine_views AllWork; ///< Work of this and the other entries, as of the current poll.
   std::optional<mono_time> NextWake;
 };
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <iterator>
 #include <limits>
 
 namespace pollenstall {
@@ -64,21 +65,29 @@
   if (Options.empty() || Service == Services.end())
     return std::nullopt;
   if (!Service->second.Engine)
-    return chooseServer(std::move(Options));
+    return chooseServer(std::move(Options), Now);
   return chooseEngines(Work, *Service->second.Engine, std::move(Options), Now);
 }
 
-std::optional<placer::prefill_plan> placer::chooseServer(std::vector<engine_option> Options) {
-  const auto RelativeLoad = [](const engine_option &Option) {
-    return static_cast<double>(Option.View.Requests) / Option.Engine->slots();
+std::optional<placer::prefill_plan> placer::chooseServer(std::vector<engine_option> Options,
+                                                         mono_time Now) {
+  std::erase_if(Options, [](const engine_option &Option) {
+    return Option.View.Requests >= Option.Engine->slots() * FullFactor;
+  });
+  if (Options.empty())
+    return std::nullopt;
+  // The load that the server's speed makes of its requests and this one; without this one if its
+  // speed is normal.
+  const auto ExpectedLoad = [](const engine_option &Option) {
+    return ((Option.View.Requests + 1) * Option.Slowness - 1) / Option.Engine->slots();
   };
   double LowestLoad = std::numeric_limits<double>::max();
-  for (const engine_option &Option : Options)
-    LowestLoad = std::min(LowestLoad, RelativeLoad(Option));
-  if (LowestLoad >= FullFactor)
-    return std::nullopt;
+  for (engine_option &Option : Options) {
+    applySpeed(Option, nullptr, Now);
+    LowestLoad = std::min(LowestLoad, ExpectedLoad(Option));
+  }
   std::erase_if(Options,
-                [&](const engine_option &Option) { return RelativeLoad(Option) > LowestLoad; });
+                [&](const engine_option &Option) { return ExpectedLoad(Option) > LowestLoad; });
   prefill_plan Plan;
   Plan.PrefillEngines.push_back(Options[Random.below(Options.size())]);
   return Plan;
@@ -105,8 +114,27 @@
             : std::numeric_limits<double>::max();
     Candidate.CanAnswer = Option.View.Requests + Tuning.SpareSlots < Figures.BatchSlots &&
                           Option.View.Tokens + NeededTokens <= EngineTokens;
+    applySpeed(Candidate, Work, Figures, Now);
     Candidates.push_back(Candidate);
   }
+  std::vector<prefill_candidate> Normal;
+  std::copy_if(Candidates.begin(), Candidates.end(), std::back_inserter(Normal),
+               [](const prefill_candidate &Candidate) { return Candidate.Option.Slowness <= 1; });
+  auto Plan = chooseCandidates(Work, Figures, Normal, Now);
+  const bool IsShort = prefillMs(Figures, Work.Item.Prompt) <= Tuning.MaxSinglePrefillMs;
+  if (Normal.size() == Candidates.size() || (Plan && IsShort))
+    return Plan;
+  // The parts of a prompt are of one size, so that a slow server delays the whole answer.
+  auto PlanWithSlow = chooseCandidates(Work, Figures, Candidates, Now);
+  const bool IsSooner = PlanWithSlow && (!Plan || PlanWithSlow->FirstEventMs < Plan->FirstEventMs);
+  return IsSooner ? PlanWithSlow : Plan;
+}
+
+std::optional<placer::prefill_plan>
+placer::chooseCandidates(const waiting_work &Work, const engine_profile &Figures,
+                         const std::vector<prefill_candidate> &Candidates, mono_time Now) {
+  const double NeededTokens = memoryOf(Work.Item);
+  const auto EngineTokens = static_cast<double>(Figures.Memory.value());
   const bool UsesDeadline =
       Work.Item.Resumed || Work.Item.Target.count() == 0 || isPastTarget(Work, Now);
   const double RemainingMs = UsesDeadline ? millisUntil(Work.Item.Deadline, Now) * DeadlineFraction
@@ -140,7 +168,7 @@
   const std::size_t ChoiceCount = packedChoiceCount(Now);
   std::vector<const prefill_candidate *> Suitable;
   for (const prefill_candidate &Candidate : Candidates) {
-    const bool IsInTime = Candidate.StartMs + PromptMs <= RemainingMs * Tuning.TargetFraction;
+    const bool IsInTime = Candidate.endMs(PromptMs) <= RemainingMs * Tuning.TargetFraction;
     if (Candidate.CanAnswer && IsInTime && PromptMs <= Candidate.MaxPartMs)
       Suitable.push_back(&Candidate);
     if (Suitable.size() >= ChoiceCount)
@@ -149,7 +177,7 @@
   if (Suitable.empty())
     return std::nullopt;
   const prefill_candidate &Chosen = *Suitable[Random.below(Suitable.size())];
-  return prefill_plan{{Chosen.Option}, PromptMs, Chosen.StartMs + PromptMs};
+  return prefill_plan{{Chosen.Option}, PromptMs, Chosen.endMs(PromptMs)};
 }
 
 /**
@@ -173,7 +201,7 @@
   if (Soonest.empty())
     return std::nullopt;
   const prefill_candidate &Chosen = *Soonest[Random.below(Soonest.size())];
-  return prefill_plan{{Chosen.Option}, PromptMs, Chosen.StartMs + PromptMs};
+  return prefill_plan{{Chosen.Option}, PromptMs, Chosen.endMs(PromptMs)};
 }
 
 placer::idle_engines
@@ -271,7 +299,8 @@
   if (Plan.PrefillEngines.empty() || MissingTokens > 0)
     return std::nullopt;
   Plan.PartMs = PromptMs / static_cast<double>(Plan.PrefillEngines.size());
-  Plan.FirstEventMs = Plan.PartMs;
+  for (const engine_option &Option : Plan.PrefillEngines)
+    Plan.FirstEventMs = std::max(Plan.FirstEventMs, Plan.PartMs * Option.Slowness);
   return Plan.FirstEventMs <= RemainingMs ? std::optional(std::move(Plan)) : std::nullopt;
 }
 
@@ -321,7 +350,7 @@
   Plan.PartMs = PartMs;
   for (const prefill_candidate *Candidate : ChosenEngines) {
     Plan.PrefillEngines.push_back(Candidate->Option);
-    Plan.FirstEventMs = std::max(Plan.FirstEventMs, Candidate->StartMs + PartMs);
+    Plan.FirstEventMs = std::max(Plan.FirstEventMs, Candidate->endMs(PartMs));
   }
   return Plan;
 }
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -109,7 +109,7 @@
   Assigned.Request = Item.Request;
   Assigned.GapMs = static_cast<double>(Item.LongestGap.count());
   Assigned.SentTime = Now;
-  Assigned.Parts.push_back({Backend, 0, Now, memoryOf(Item), {}});
+  Assigned.Parts.push_back({Backend, 0, Now, memoryOf(Item), {}, {}});
   Running.insert_or_assign(Attempt, std::move(Assigned));
 }
 
@@ -117,6 +117,7 @@
   const auto Found = Running.find(Attempt);
   if (Found == Running.end())
     return;
+  recordFirstEvent(Found->second, Now);
   Found->second.Answered = true;
   Reachability.recordReachable();
   for (const prefill_part &Part : Found->second.Parts)
--- a/src/placement/tracked_engine.cpp
+++ b/src/placement/tracked_engine.cpp
@@ -12,6 +12,10 @@
 } // namespace
 
 void tracked_engine::setOthersLoad(const work_load &Load, mono_time Now) {
+  // Compares the reported values as they are: an entry reports a constant remainder for a part that
+  // is past its expected end, which is no new prefill.
+  if (Load.PrefillMs > Others.PrefillMs)
+    SeenPrefillMs += Load.PrefillMs - Others.PrefillMs;
   Others = Load;
   OthersReceived = Now;
 }
--- a/src/placement/tracked_engine_base.h
+++ b/src/placement/tracked_engine_base.h
@@ -6,6 +6,7 @@
 #include "directory/directory_type.h"
 #include "placement/placement_type.h"
 #include "placement/server_record_base.h"
+#include "placement/server_speed_base.h"
 
 #include <algorithm>
 
@@ -50,6 +51,11 @@
   /// Attempts that failed at the server although it can be reached.
   [[nodiscard]] server_record &record() { return Record; }
   [[nodiscard]] const server_record &record() const { return Record; }
+  [[nodiscard]] server_speed &speed() { return Speed; }
+  [[nodiscard]] const server_speed &speed() const { return Speed; }
+  /// Returns the milliseconds of prefill placed here since the start, as far as known.
+  [[nodiscard]] double seenPrefillMs() const { return SeenPrefillMs; }
+  void addSeenPrefill(double Ms) { SeenPrefillMs += Ms; }
   /// Ends the backoff, for failures that were not the server's fault.
   void clearFailures() {
     Failures = 0;
@@ -76,6 +82,8 @@
   mono_time BackoffUntil;
   mono_time TrialUntil;
   server_record Record;
+  server_speed Speed;
+  double SeenPrefillMs{0};
 };
 
 } // namespace pollenstall
