Entries tell each other of slow servers; slow samples at a higher fill count less

One entry alone measures a server too rarely (76 entries, 69 servers: once in 50 s). News travel as loads of a derived incarnation, which earlier builds ignore as unknown.

--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -33,6 +33,7 @@
   if (!IsNew)
     Existing->second.update(Listing);
   EnginesByIncarnation[Listing.Key.Incarnation] = &Existing->second;
+  EnginesByNews[newsKeyOf(Listing.Key.Incarnation)] = Listing.Key;
 }
 
 void placer::removeBackend(const backend_key &Backend) {
@@ -42,14 +43,17 @@
   const auto ByIncarnation = EnginesByIncarnation.find(Backend.Incarnation);
   if (ByIncarnation != EnginesByIncarnation.end() && ByIncarnation->second == &Existing->second)
     EnginesByIncarnation.erase(ByIncarnation);
+  EnginesByNews.erase(newsKeyOf(Backend.Incarnation));
   Engines.erase(Existing);
 }
 
 void placer::updateOthersLoads(const std::vector<work_load> &Loads, mono_time Now) {
   for (const work_load &Load : Loads) {
     const auto Found = EnginesByIncarnation.find(Load.Incarnation);
-    if (Found == EnginesByIncarnation.end())
+    if (Found == EnginesByIncarnation.end()) {
+      receiveSpeedNews(Load, Now);
       continue;
+    }
     // Only the increase of the count is visible: each request that ended since the last report
     // cancels out a new one, so the rate is slightly too low under load.
     const std::uint32_t PreviousRequests =
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -195,7 +195,9 @@
   [[nodiscard]] engine_view workAt(const tracked_engine &Engine, mono_time Now) const;
   [[nodiscard]] double slownessOf(const tracked_engine &Engine, double Fill, mono_time Now) const;
   [[nodiscard]] double usualSlowness(const service_name &Service, mono_time Now) const;
-  [[nodiscard]] mono_duration speedHalfLife() const;
+  static incarnation newsKeyOf(incarnation Server);
+  void addSpeedNews(std::vector<work_load> &Loads, mono_time Now) const;
+  void receiveSpeedNews(const work_load &Load, mono_time Now);
   [[nodiscard]] const engine_profile *figuresOf(const tracked_engine &Engine) const;
   static speed_mark markOf(const tracked_engine &Engine, const engine_profile *Figures,
                            const engine_view &View);
@@ -252,6 +254,7 @@
   std::map<service_name, service_declaration> Services;
   std::map<backend_key, tracked_engine> Engines;
   std::unordered_map<incarnation, tracked_engine *> EnginesByIncarnation; ///< Points into Engines.
+  std::unordered_map<incarnation, backend_key> EnginesByNews;             ///< See newsKeyOf().
   std::map<request_number, waiting_work> Waiting;
   std::map<request_number, claimed_work> Claimed;
   std::uint64_t ClaimsMade{0};
--- a/src/placement/placer_speed.cpp
+++ b/src/placement/placer_speed.cpp
@@ -18,27 +18,28 @@
 constexpr double GapAllowanceMs = 10;
 /// A first event also depends on prefill that others place unseen: in the fleet model 0.1 to 0.2 of
 /// those of normal engines came more than 1.6 times later than expected.
-constexpr double FirstEventWeight = 0.3;
-/// The first 16 gaps of an attempt: in the fleet model none of 3,986 reports of normal engines was
-/// above 1.6, so one is enough. Each attempt counts once, so that no caller that reads slowly
-/// counts for several.
-constexpr double GapWeight = 1;
+constexpr double FirstEventWeight = 0.15;
+/// The first 16 gaps of an attempt. Two reports are needed, as a few are long at normal engines.
+/// Each attempt counts once, so that no caller that reads slowly counts for several.
+constexpr double GapWeight = 0.6;
 constexpr std::uint64_t MinGapEvents = 4;
-/// Every slow server that is forgotten costs one request of each entry, so the half-life grows with
-/// the number of entries: all of them together probe a slow server about once a second.
-constexpr std::chrono::milliseconds HalfLifePerEntry{800};
-constexpr std::chrono::seconds MinHalfLife{10};
-constexpr std::chrono::seconds MaxHalfLife{60};
+/// Time after which a sample counts half. A slow server that is measured all the time has 16
+/// samples and counts as normal about a minute after the last one; it is then measured anew.
+constexpr std::chrono::seconds SpeedHalfLife{15};
+/// Time for which an entry tells the others of its latest measurement, and in which it hears one
+/// measurement of all others at most.
+constexpr std::chrono::seconds NewsLifetime{2};
+/// Units of fill and slowness in a load; see placer::addSpeedNews().
+constexpr double FillUnits = 16;
+constexpr double SlownessUnits = 1024;
+/// Part of a caller's allowed pause that a slow server's passes leave for delays of the way.
+/// Prefill beside the stream is limited separately, by MaxPartMs.
+constexpr double SlowGapReserveMs = 30;
 /// It is asked for each slow candidate of each waiting request, and costs a look at all samples.
 constexpr std::chrono::milliseconds UsualSlownessLifetime{200};
 
 } // namespace
 
-mono_duration placer::speedHalfLife() const {
-  const mono_duration Wanted = HalfLifePerEntry * static_cast<std::int64_t>(Exchange.Entries);
-  return std::clamp<mono_duration>(Wanted, MinHalfLife, MaxHalfLife);
-}
-
 const engine_profile *placer::figuresOf(const tracked_engine &Engine) const {
   const auto Service = Services.find(Engine.service());
   return Service == Services.end() || !Service->second.Engine ? nullptr : &*Service->second.Engine;
@@ -133,11 +134,55 @@
   const double PrefillMs = Engine->second.seenPrefillMs() - Before.SeenPrefillMs;
   const double ExpectedMs = static_cast<double>(Events) * PassMs + PrefillMs;
   Work.GapRecorded = true;
-  Engine->second.speed().record(
+  Engine->second.recordSpeed(
       {std::max(0.1, (millisUntil(Now, Start) - GapAllowanceMs) / ExpectedMs),
        std::max(Before.Fill, Work.Advanced.Fill), GapWeight, Now});
 }
 
+incarnation placer::newsKeyOf(incarnation Server) {
+  return incarnation(combineHashes(Server.value(), stableHash("speed")));
+}
+
+/**
+ * Adds what this entry has measured of slow servers to the loads that it publishes. The news of a
+ * server travel as a load of another incarnation, which builds without them ignore like that of an
+ * unknown server; the sums over entries keep their meaning: Requests counts the entries, and
+ * DecodingRequests and Tokens add up fill and slowness. One entry alone measures a server too
+ * rarely: 76 entries that send 98 requests a second to 69 servers see each of them once in 50 s.
+ */
+void placer::addSpeedNews(std::vector<work_load> &Loads, mono_time Now) const {
+  for (const auto &[Key, Engine] : Engines) {
+    const speed_sample &Latest = Engine.measuredHere();
+    if (Latest.Time == mono_time() || Now - Latest.Time >= NewsLifetime)
+      continue;
+    // That a server is as fast as expected is news only where it was not.
+    const bool IsNews = Latest.Slowness >= server_speed::MinSlowness ||
+                        Engine.speed().slowness(1, SpeedHalfLife, Now) > 1;
+    if (!IsNews)
+      continue;
+    work_load Load;
+    Load.Incarnation = newsKeyOf(Key.Incarnation);
+    Load.Requests = 1;
+    Load.DecodingRequests =
+        static_cast<std::uint32_t>(std::clamp(Latest.Fill, 0.0, 1.0) * FillUnits);
+    Load.Tokens = static_cast<std::uint32_t>(std::min(Latest.Slowness, server_speed::MaxSlowness) *
+                                             SlownessUnits);
+    Loads.push_back(Load);
+  }
+}
+
+void placer::receiveSpeedNews(const work_load &Load, mono_time Now) {
+  const auto Server = EnginesByNews.find(Load.Incarnation);
+  if (Server == EnginesByNews.end() || Load.Requests == 0)
+    return;
+  const auto Engine = Engines.find(Server->second);
+  if (Engine == Engines.end() || !Engine->second.mayHearSpeed(NewsLifetime, Now))
+    return;
+  const double Entries = Load.Requests;
+  Engine->second.speed().record({std::max(0.1, Load.Tokens / SlownessUnits / Entries),
+                                 Load.DecodingRequests / FillUnits / Entries, GapWeight, Now});
+}
+
 void placer::attemptAdvanced(const attempt_id &Attempt, std::uint64_t Events, mono_time Now) {
   const auto Found = Running.find(Attempt);
   if (Found != Running.end() && Found->second.Answered && Events > 0)
@@ -154,7 +199,7 @@
   std::vector<double> Measured;
   for (const auto &[Key, Engine] : Engines)
     if (Engine.service() == Service && Engine.active())
-      if (const auto Slowness = Engine.speed().measured(speedHalfLife(), Now))
+      if (const auto Slowness = Engine.speed().measured(SpeedHalfLife, Now))
         Measured.push_back(*Slowness);
   if (Measured.empty())
     return 1;
@@ -165,7 +210,7 @@
 }
 
 double placer::slownessOf(const tracked_engine &Engine, double Fill, mono_time Now) const {
-  const double Slowness = Engine.speed().slowness(Fill, speedHalfLife(), Now);
+  const double Slowness = Engine.speed().slowness(Fill, SpeedHalfLife, Now);
   if (Slowness <= 1)
     return 1;
   const double Relative = Slowness / usualSlowness(Engine.service(), Now);
@@ -197,8 +242,9 @@
   const double NextPassMs =
       Factor * passMs(Figures, Option.View.DecodingRequests + 1,
                       Option.View.Tokens + static_cast<double>(Work.Item.Prompt.value()));
-  Candidate.CanAnswer = Candidate.CanAnswer &&
-                        NextPassMs <= MaxPassMs(static_cast<double>(Work.Item.LongestGap.count()));
+  const auto GapMs = static_cast<double>(Work.Item.LongestGap.count());
+  Candidate.CanAnswer =
+      Candidate.CanAnswer && (GapMs <= 0 || NextPassMs <= GapMs - SlowGapReserveMs);
 }
 
 } // namespace pollenstall
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -92,6 +92,7 @@
     Load.LowestClaimRank = View.PrefillMs > Tuning.IdlePrefillMs ? ClaimRank : 0;
     Loads.push_back(Load);
   }
+  addSpeedNews(Loads, Now);
   return Loads;
 }
 
--- a/src/placement/server_speed.cpp
+++ b/src/placement/server_speed.cpp
@@ -12,14 +12,15 @@
 /// Bounds the time until a server that has recovered is normal again: the weights of this many slow
 /// samples fall below NormalWeight within four half-lives.
 constexpr std::size_t MaxSamples = 16;
-/// Weight of normal speed. Below that of one report of gaps and above that of two first events.
+/// Weight of normal speed: less than two reports of gaps, or six first events.
 constexpr double NormalWeight = 0.8;
 /// Samples at fills that differ by less than this count for each other.
 constexpr double FillTolerance = 0.15;
+/// With normal samples of this weight at a fill or above it, slow ones of a higher fill do not
+/// count.
+constexpr double MinNormalHere = 0.3;
 /// Samples of less weight together count as none.
 constexpr double MinMeasuredWeight = 0.2;
-/// A higher factor brings no other choice and would delay the recovery of the median.
-constexpr double MaxSlowness = 16;
 
 struct weighted_value {
   double Value{1};
@@ -69,12 +70,16 @@
   if (!mayBeSlow())
     return 1;
   std::vector<weighted_value> Values{{1, NormalWeight}};
+  double NormalHere = 0;
   for (const speed_sample &Sample : Samples) {
-    const bool Applies =
-        isSlow(Sample) ? Sample.Fill <= Fill + FillTolerance : Sample.Fill >= Fill - FillTolerance;
-    if (Applies)
-      Values.push_back({Sample.Slowness, weightAt(Sample, HalfLife, Now)});
+    if (isSlow(Sample) || Sample.Fill < Fill - FillTolerance)
+      continue;
+    Values.push_back({Sample.Slowness, weightAt(Sample, HalfLife, Now)});
+    NormalHere += Values.back().Weight;
   }
+  for (const speed_sample &Sample : Samples)
+    if (isSlow(Sample) && (NormalHere < MinNormalHere || Sample.Fill <= Fill + FillTolerance))
+      Values.push_back({Sample.Slowness, weightAt(Sample, HalfLife, Now)});
   const double Median = weightedMedian(Values);
   return Median < MinSlowness ? 1 : Median;
 }
--- a/src/placement/server_speed_base.h
+++ b/src/placement/server_speed_base.h
@@ -23,14 +23,16 @@
  * samples. Their weights halve with each half-life, against a constant weight for normal speed: a
  * server without recent samples counts as normal, gets work and is thereby measured again.
  *
- * A server is assumed not to get faster while it is fuller. A slow sample therefore tells nothing
- * of the speed at a lower fill, and a normal one nothing of that at a higher fill.
+ * Some servers are slow only while nearly full. A normal sample tells nothing of the speed at a
+ * higher fill, and slow ones do not count at a lower fill at which there are normal samples.
  */
 class server_speed {
 public:
-  /// Lower estimates count as normal, so that noise changes no choice. Prefill that other entries
-  /// place unseen makes single times of healthy servers twice as long.
-  static constexpr double MinSlowness = 1.6;
+  /// Lower estimates count as normal, so that noise changes no choice. In the fleet model, a few of
+  /// 5,000 series of gaps at normal engines took 1.6 to 2.4 times as long as expected.
+  static constexpr double MinSlowness = 1.8;
+  /// A higher factor brings no other choice and would delay the recovery of the median.
+  static constexpr double MaxSlowness = 16;
 
   void record(const speed_sample &Sample);
   /// Returns the factor at this fill; 1 if it is below MinSlowness.
--- a/src/placement/tracked_engine_base.h
+++ b/src/placement/tracked_engine_base.h
@@ -53,6 +53,20 @@
   [[nodiscard]] const server_record &record() const { return Record; }
   [[nodiscard]] server_speed &speed() { return Speed; }
   [[nodiscard]] const server_speed &speed() const { return Speed; }
+  /// Records a measurement of this entry that is told to the others.
+  void recordSpeed(const speed_sample &Sample) {
+    MeasuredHere = Sample;
+    Speed.record(Sample);
+  }
+  [[nodiscard]] const speed_sample &measuredHere() const { return MeasuredHere; }
+  /// Returns whether a measurement of other entries counts now. Each is repeated until it is
+  /// replaced, and counts once per period.
+  bool mayHearSpeed(mono_duration Period, mono_time Now) {
+    const bool May = SpeedHeard == mono_time() || Now - SpeedHeard >= Period;
+    if (May)
+      SpeedHeard = Now;
+    return May;
+  }
   /// Returns the milliseconds of prefill placed here since the start, as far as known.
   [[nodiscard]] double seenPrefillMs() const { return SeenPrefillMs; }
   void addSeenPrefill(double Ms) { SeenPrefillMs += Ms; }
@@ -83,6 +97,8 @@
   mono_time TrialUntil;
   server_record Record;
   server_speed Speed;
+  speed_sample MeasuredHere; ///< The latest.
+  mono_time SpeedHeard;
   double SeenPrefillMs{0};
 };
 
