--- a/programs/pollenstall-entry/decision_core.cpp
+++ b/programs/pollenstall-entry/decision_core.cpp
@@ -31,6 +31,7 @@
   Report.AnswerTokens = Ending.AnswerTokens;
   Report.CachedTokens = Ending.CachedTokens;
   Report.AtFault = Ending.AtFault;
+  Report.ServerError = Ending.ServerError;
   return Report;
 }
 
@@ -56,7 +57,10 @@
   };
   Callbacks.AttemptAdvanced = [this](const attempt_id &Attempt, std::uint64_t Events,
                                      mono_time Now) {
-    Scheduler.attemptProgressed(Attempt, Events, Now);
+    if (usesPlacer())
+      Placer.attemptAdvanced(Attempt, Events, Now);
+    else
+      Scheduler.attemptProgressed(Attempt, Events, Now);
   };
   Callbacks.AttemptAbandoned = [this](const attempt_id &Attempt,
                                       std::optional<attempt_failure> Failure, mono_time Now) {
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -43,6 +43,7 @@
     Existing->second.update(Listing);
   Existing->second.setEvacuated(Evacuations.isOut(Listing.Domain));
   EnginesByIncarnation[Listing.Key.Incarnation] = &Existing->second;
+  EnginesByNews[newsKeyOf(Listing.Key.Incarnation)] = Listing.Key;
 }
 
 void placer::removeBackend(const backend_key &Backend) {
@@ -53,14 +54,17 @@
   if (ByIncarnation != EnginesByIncarnation.end() && ByIncarnation->second == &Existing->second)
     EnginesByIncarnation.erase(ByIncarnation);
   Cold.remove(Backend.Incarnation);
+  EnginesByNews.erase(newsKeyOf(Backend.Incarnation));
   Engines.erase(Existing);
 }
 
 void placer::updateOthersLoads(const std::vector<work_load> &Loads, mono_time Now) {
   for (const work_load &Load : Loads) {
     const auto Found = EnginesByIncarnation.find(Load.Incarnation);
-    if (Found == EnginesByIncarnation.end())
+    if (Found == EnginesByIncarnation.end()) {
+      receiveSpeedNews(Load, Now);
       continue;
+    }
     // Only the increase of the count is visible: each request that ended since the last report
     // cancels out a new one, so the rate is slightly too low under load.
     const std::uint32_t PreviousRequests =
@@ -293,7 +297,15 @@
   for (const engine_option &PrefillEngine : Plan.PrefillEngines) {
     const backend_key &Key = PrefillEngine.Engine->key();
     PrefillEngine.Engine->recordPlacement(Tuning, Now);
-    Assigned.Parts.push_back({Key, Plan.PartMs, Now + durationFromMs(Plan.FirstEventMs), 0, {}});
+    PrefillEngine.Engine->addSeenPrefill(Plan.PartMs);
+    Assigned.Parts.push_back({Key,
+                              Plan.PartMs * PrefillEngine.Slowness,
+                              Now + durationFromMs(Plan.FirstEventMs),
+                              0,
+                              {},
+                              PrefillEngine.Mark});
+    Assigned.Parts.back().Mark.ExpectedMs += Plan.PartMs;
+    Assigned.Parts.back().Mark.SeenPrefillMs += Plan.PartMs;
     if (PrefillEngine.Limited)
       Assigned.Parts.back().Permit = Permits.take(Key.Incarnation, Now);
     if (Key != Placement.Backend)
--- a/src/placement/tracked_engine_base.h
+++ b/src/placement/tracked_engine_base.h
@@ -5,6 +5,8 @@
 #include "declaration/declaration_type.h"
 #include "directory/directory_type.h"
 #include "placement/placement_type.h"
+#include "placement/server_record_base.h"
+#include "placement/server_speed_base.h"
 
 #include <algorithm>
 
@@ -46,13 +48,28 @@
   /// Starts a backoff after an attempt failed because of the server.
   void recordFailure(const placement_tuning &Tuning, mono_time Now);
   void recordSuccess() { Failures = 0; }
-  /// Records that the server turned an attempt away.
-  /// @param UsualShare Share of the attempts that the servers of its service decline on average.
-  void recordDecline(const placement_tuning &Tuning, double UsualShare, mono_time Now);
-  /// Records that the server accepted an attempt, which ends its rest.
-  void recordAcceptance(const placement_tuning &Tuning, mono_time Now);
-  /// Returns the share of recent attempts that the server declined, from 0 to 1.
-  [[nodiscard]] double declinedShare(const placement_tuning &Tuning, mono_time Now) const;
+  /// Attempts that failed at the server although it can be reached.
+  [[nodiscard]] server_record &record() { return Record; }
+  [[nodiscard]] const server_record &record() const { return Record; }
+  [[nodiscard]] server_speed &speed() { return Speed; }
+  [[nodiscard]] const server_speed &speed() const { return Speed; }
+  /// Records a measurement of this entry that is told to the others.
+  void recordSpeed(const speed_sample &Sample) {
+    MeasuredHere = Sample;
+    Speed.record(Sample);
+  }
+  [[nodiscard]] const speed_sample &measuredHere() const { return MeasuredHere; }
+  /// Returns whether a measurement of other entries counts now. Each is repeated until it is
+  /// replaced, and counts once per period.
+  bool mayHearSpeed(mono_duration Period, mono_time Now) {
+    const bool May = SpeedHeard == mono_time() || Now - SpeedHeard >= Period;
+    if (May)
+      SpeedHeard = Now;
+    return May;
+  }
+  /// Returns the milliseconds of prefill placed here since the start, as far as known.
+  [[nodiscard]] double seenPrefillMs() const { return SeenPrefillMs; }
+  void addSeenPrefill(double Ms) { SeenPrefillMs += Ms; }
   /// Ends the backoff, for failures that were not the server's fault.
   void clearFailures() {
     Failures = 0;
@@ -64,8 +81,6 @@
   [[nodiscard]] bool inBackoff(mono_time Now) const {
     return Now < BackoffUntil || (Failures > 0 && Now < TrialUntil);
   }
-  /// Returns whether the server has declined attempts so often that others come first.
-  [[nodiscard]] bool rests(mono_time Now) const { return Now < RestUntil; }
   /// Returns whether the server may get new work.
   [[nodiscard]] bool active() const { return Listing.State == listing_state::Active && !Evacuated; }
   /// Sets whether the server's failure domain is out of service. Failures from before do not count
@@ -90,10 +105,11 @@
   std::uint32_t Failures{0}; ///< Consecutive failures.
   mono_time BackoffUntil;
   mono_time TrialUntil;
-  double DeclinedShare{0}; ///< As of DeclinedShareTime.
-  mono_time DeclinedShareTime{mono_time::min()};
-  std::uint32_t Declines{0}; ///< Consecutive ones.
-  mono_time RestUntil;
+  server_record Record;
+  server_speed Speed;
+  speed_sample MeasuredHere; ///< The latest.
+  mono_time SpeedHeard;
+  double SeenPrefillMs{0};
   bool Evacuated{false};
 };
 
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -148,6 +148,7 @@
   bool Begun{false};           ///< The first byte of the request, or of its resume, was sent.
   bool SentAll{false};         ///< The last byte was sent.
   backend_address AtFault;     ///< The server that a refusal names as its cause.
+  bool ServerError{false};     ///< The answer has a 5xx status.
   /// Set while the path of the request is checked.
   std::optional<boost::asio::steady_timer> PathTimer;
   bool Ended{false};              ///< The result is known.
