--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -78,6 +78,11 @@
     });
   if (auto Plan = chooseAmong(std::move(Warm), Work, Now))
     return Plan;
+  // A permit that this entry holds is lost if it is not used at once.
+  std::vector<engine_option> Ready = Options;
+  std::erase_if(Ready, [](const engine_option &Option) { return Option.NeedsPermit; });
+  if (auto Plan = chooseAmong(std::move(Ready), Work, Now))
+    return Plan;
   return chooseAmong(std::move(Options), Work, Now);
 }
 
--- a/tests/rate_limit/cold_world_test.cpp
+++ b/tests/rate_limit/cold_world_test.cpp
@@ -44,6 +44,9 @@
   for (const double Overshoot : {1.0, 1.5})
     for (const double Lost : {0.0, 0.03})
       for (const mono_duration MaxDelay : {milliseconds(4), milliseconds(20)}) {
+        // A run at 320 entries takes seconds; it plays the best and the worst network.
+        if (GetParam() > 100 && (Lost > 0) != (MaxDelay > milliseconds(4)))
+          continue;
         world_settings Settings = settings(GetParam());
         Settings.Permits.ColdOvershoot = Overshoot;
         Settings.Permits.ColdTolerance = Overshoot > 1 ? 5 : 0;
