--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -109,6 +109,9 @@
   [[nodiscard]] std::size_t liveRequests() const { return Dispatcher.liveRequests(); }
   [[nodiscard]] std::size_t abandonedAttempts() const { return Dispatcher.abandonedAttempts(); }
   [[nodiscard]] bool reachesNoBackend() const { return usesPlacer() && Placer.reachesNoBackend(); }
+  [[nodiscard]] std::vector<uneven_server> unevenServers(mono_time Now) const {
+    return usesPlacer() ? Placer.unevenServers(Now) : std::vector<uneven_server>();
+  }
   /// @return The number of claims on the capacity of engines; no claims of idempotency keys.
   [[nodiscard]] std::uint64_t claimsMade() const { return Placer.claimsMade(); }
   [[nodiscard]] std::size_t queued() const;
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -145,6 +145,7 @@
                           "Revision of the declaration in use")),
       OutOfReachGauge(gauge(*DecisionOptions.Registry, "pollenstall_backends_out_of_reach",
                             "1 if this entry can connect to no backend server, else 0")),
+      UnevenServers(*DecisionOptions.Registry),
       LimitedServersGauge(gauge(*DecisionOptions.Registry, "pollenstall_rate_limited_servers",
                                 "Backend servers that state a limit on requests")),
       LimitedRequestsCounter(prometheus::BuildCounter()
@@ -251,6 +252,8 @@
   sendRetryMessages(Now);
   publishLoads(Now);
   logReachability();
+  if (UnevenServers.isDue(Now))
+    UnevenServers.report(Core.unevenServers(Now), Now);
   reportRetries();
   publishRetryBudgets(Now);
   publishGauges();
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -6,6 +6,7 @@
 #include "control_link/control_link.h"
 #include "decision_core_base.h"
 #include "relay/relay.h"
+#include "uneven_log_base.h"
 #include "wakeup_event_base.h"
 #include "work_exchange/work_exchange.h"
 #include "work_share/work_share.h"
@@ -171,6 +172,7 @@
   prometheus::Gauge &ReadyGauge;
   prometheus::Gauge &RevisionGauge;
   prometheus::Gauge &OutOfReachGauge;
+  uneven_log UnevenServers;
   prometheus::Gauge &LimitedServersGauge;
   prometheus::Counter &LimitedRequestsCounter;
   prometheus::Family<prometheus::Counter> &RetryFamily;
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -26,6 +26,14 @@
   bool operator==(const work_load &) const = default;
 };
 
+/// A server that is slower than expected or fails more attempts than the others of its service.
+struct uneven_server {
+  backend_key Backend;
+  double Slowness{1};    ///< At any fill; 1: normal.
+  double FailedShare{0}; ///< Of the recent attempts of this entry.
+  bool Failing{false};   ///< The share is well above that of the others.
+};
+
 /// Returns whether the load contains no work.
 bool isEmpty(const work_load &Load);
 
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -72,6 +72,8 @@
   [[nodiscard]] std::size_t maxIdleConnections(const backend_key &Backend) const;
   /// Returns the server of an incarnation; nullptr if it is unknown.
   [[nodiscard]] const backend_key *findBackend(incarnation Server) const;
+  /// Returns the servers that are slower than expected or fail more attempts than the others.
+  [[nodiscard]] std::vector<uneven_server> unevenServers(mono_time Now) const;
   /// Returns the state of the queue and each backend server as JSON.
   [[nodiscard]] std::string dump(mono_time Now) const;
 
--- a/src/placement/placer_record.cpp
+++ b/src/placement/placer_record.cpp
@@ -3,6 +3,16 @@
 
 namespace pollenstall {
 
+namespace {
+
+/// Share of failed attempts from which operators are told. A single failure of an unused server
+/// makes a share of 0.5, two make 0.67; single failures of used servers stay far below.
+constexpr double FailingShare = 0.25;
+/// How far it must be above the mean of the others.
+constexpr double FailingMargin = 0.2;
+
+} // namespace
+
 void placer::recordTaken(assigned_work &Work, mono_time Now) {
   const auto Server = Engines.find(Work.Parts.front().Backend);
   if (Server == Engines.end() || Work.CountedAsTaken)
@@ -37,4 +47,19 @@
   return Others == 0 ? 1 : ShareSum / static_cast<double>(Others);
 }
 
+std::vector<uneven_server> placer::unevenServers(mono_time Now) const {
+  std::vector<uneven_server> Uneven;
+  for (const auto &[Key, Engine] : Engines) {
+    if (!Engine.active())
+      continue;
+    uneven_server Server{Key, slownessOf(Engine, 1, Now),
+                         failedShare(Engine.record().recent(Tuning, Now))};
+    Server.Failing = Server.FailedShare >= FailingShare &&
+                     Server.FailedShare > usualFailedShare(Engine, Now) + FailingMargin;
+    if (Server.Failing || Server.Slowness > 1)
+      Uneven.push_back(Server);
+  }
+  return Uneven;
+}
+
 } // namespace pollenstall
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -214,7 +214,10 @@
     Out << Comma << R"({"backend":")" << toText(Key) << R"(","active":)"
         << (Engine.active() ? "true" : "false") << R"(,"rate_limit":)"
         << limitText(Permits.limitOf(Key.Incarnation)) << R"(,"paused":)"
-        << (Pauses.isPaused(Key, Now) ? "true" : "false") << R"(,"own_requests":)"
+        << (Pauses.isPaused(Key, Now) ? "true" : "false") << R"(,"slowness":)"
+        << slownessOf(Engine, 1, Now) << R"(,"failed_share":)"
+        << failedShare(Engine.record().recent(Tuning, Now)) << R"(,"rests":)"
+        << (Engine.record().rests(Now) ? "true" : "false") << R"(,"own_requests":)"
         << OwnView.Requests << R"(,"own_read_ms":)" << OwnView.PrefillMs << R"(,"others_requests":)"
         << Others.Requests << R"(,"others_read_ms":)" << Others.PrefillMs << "}";
     Comma = ",";
