--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -147,6 +147,7 @@
                           "Revision of the declaration in use")),
       OutOfReachGauge(gauge(*DecisionOptions.Registry, "pollenstall_backends_out_of_reach",
                             "1 if this entry can connect to no backend server, else 0")),
+      UnevenServers(*DecisionOptions.Registry),
       LimitedServersGauge(gauge(*DecisionOptions.Registry, "pollenstall_rate_limited_servers",
                                 "Backend servers that state a limit on requests")),
       ColdServersGauge(gauge(*DecisionOptions.Registry, "pollenstall_cold_servers",
@@ -265,6 +266,8 @@
   sendRetryMessages(Now);
   publishLoads(Now);
   logReachability();
+  if (UnevenServers.isDue(Now))
+    UnevenServers.report(Core.unevenServers(Now), Now);
   reportRetries();
   publishRetryBudgets(Now);
   publishGauges();
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -7,6 +7,7 @@
 #include "decision_core_base.h"
 #include "evacuation_metrics_base.h"
 #include "relay/relay.h"
+#include "uneven_log_base.h"
 #include "wakeup_event_base.h"
 #include "work_exchange/work_exchange.h"
 #include "work_share/work_share.h"
@@ -192,6 +193,7 @@
   prometheus::Gauge &ReadyGauge;
   prometheus::Gauge &RevisionGauge;
   prometheus::Gauge &OutOfReachGauge;
+  uneven_log UnevenServers;
   prometheus::Gauge &LimitedServersGauge;
   prometheus::Gauge &ColdServersGauge;
   prometheus::Counter &ColdRequestsCounter;
--- a/src/placement/placer_work.cpp
+++ b/src/placement/placer_work.cpp
@@ -218,11 +218,13 @@
         << limitText(Permits.limitOf(Key.Incarnation)) << R"(,"cold_ms":)"
         << std::llround(std::max(
                0.0, millisUntil(Permits.coldUntil(Key.Incarnation, Now).value_or(Now), Now)))
-        << R"(,"paused":)" << (Pauses.isPaused(Key, Now) ? "true" : "false")
-        << R"(,"evacuated":)" << (Engine.evacuated() ? "true" : "false") << R"(,"own_requests":)"
-        << OwnView.Requests << R"(,"own_read_ms":)" << OwnView.PrefillMs
-        << R"(,"others_requests":)" << Others.Requests << R"(,"others_read_ms":)"
-        << Others.PrefillMs << "}";
+        << R"(,"paused":)" << (Pauses.isPaused(Key, Now) ? "true" : "false") << R"(,"evacuated":)"
+        << (Engine.evacuated() ? "true" : "false") << R"(,"slowness":)"
+        << slownessOf(Engine, 1, Now) << R"(,"failed_share":)"
+        << failedShare(Engine.record().recent(Tuning, Now)) << R"(,"rests":)"
+        << (Engine.record().rests(Now) ? "true" : "false") << R"(,"own_requests":)"
+        << OwnView.Requests << R"(,"own_read_ms":)" << OwnView.PrefillMs << R"(,"others_requests":)"
+        << Others.Requests << R"(,"others_read_ms":)" << Others.PrefillMs << "}";
     Comma = ",";
   }
   Out << "]," << slotsText() << '}';
