Placement: work of a service that a declaration removed no longer ends the entry

surveySlots looked the service of waiting work up with at(), which throws if a declaration has removed it.

--- a/src/placement/placer_queue.cpp
+++ b/src/placement/placer_queue.cpp
@@ -135,8 +135,10 @@
     return Now - Slot.Time > Exchange.PropagationDelay;
   });
   std::map<service_name, double> OwnCounts;
+  // A declaration may have removed the service of waiting work.
   for (const auto &[Request, Work] : Waiting)
-    if (Services.at(Work.Service).Engine)
+    if (const auto Service = Services.find(Work.Service);
+        Service != Services.end() && Service->second.Engine)
       OwnCounts[Work.Service] += waitsForSlot(Work) ? 1 : 0;
   for (const auto &[Service, OwnCount] : OwnCounts) {
     slot_supply &Supply = Supplies[Service];
