--- a/programs/pollenstall-entry/decision_core_evacuation.cpp
+++ b/programs/pollenstall-entry/decision_core_evacuation.cpp
@@ -43,8 +43,8 @@
 
 /// Without a lease a newer list may exist, so that work could go to an evacuated domain.
 bool decision_core::mayPlace(mono_time Now) const {
-  const bool ListIsLatest = !Evacuations.list().version() || Now < LeaseEnd ||
-                            !Evacuations.anyServerHasDomain();
+  const bool ListIsLatest =
+      !Evacuations.list().version() || Now < LeaseEnd || !Evacuations.anyServerHasDomain();
   return ListIsLatest && Now <= viewsValidUntil();
 }
 
