--- a/tests/platform/platform_system.cpp
+++ b/tests/platform/platform_system.cpp
@@ -119,6 +119,8 @@
                     {"bounds.retry_budget_ratio", "0.2"},
                     {"bounds.retry_budget_extra", RetryReserve},
                     {"bounds.budget_window_s", "10"},
+                    {"bounds.cold_overshoot", "1.5"},
+                    {"bounds.cold_tolerance", "5"},
                     {"limits.link_mbps", "1000.0"},
                     {"bounds.config_apply_ms", "2000"},
                     {"bounds.revocation_ms", "5000"}},
