--- a/src/work_exchange/waiting_board_base.h
+++ b/src/work_exchange/waiting_board_base.h
@@ -31,6 +31,7 @@
         for (const waiting_load &Load : Counted.Loads)
           addWaiting(Sums[Load.Service], Load);
     std::vector<waiting_load> Loads;
+    Loads.reserve(Sums.size());
     for (const auto &[Service, Sum] : Sums)
       Loads.push_back(Sum);
     return Loads;
