--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -165,8 +165,15 @@
   live_request &Request = *find(Event.Attempt.Request);
   const backend_key Backend = Request.CurrentAttempt->Backend;
   Request.CurrentAttempt.reset();
-  reportResult({Event.Attempt, Backend, attempt_end::Completed, std::nullopt, Event.PromptTokens,
-                Event.AnswerTokens, Event.CachedTokens, {}, Event.ServerError},
+  reportResult({Event.Attempt,
+                Backend,
+                attempt_end::Completed,
+                std::nullopt,
+                Event.PromptTokens,
+                Event.AnswerTokens,
+                Event.CachedTokens,
+                {},
+                Event.ServerError},
                Now);
   finishComplete(Request, Now);
 }
--- a/src/placement/placer_speed.cpp
+++ b/src/placement/placer_speed.cpp
@@ -29,6 +29,8 @@
 /// Time for which an entry tells the others of its latest measurement, and in which it hears one
 /// measurement of all others at most.
 constexpr std::chrono::seconds NewsLifetime{2};
+/// Fewer measured servers do not show that the figures are wrong.
+constexpr std::size_t MinMeasuredServers = 3;
 /// Units of fill and slowness in a load; see placer::addSpeedNews().
 constexpr double FillUnits = 16;
 constexpr double SlownessUnits = 1024;
@@ -197,11 +199,16 @@
     return Usual.Value;
   Usual = {1, Now};
   std::vector<double> Measured;
-  for (const auto &[Key, Engine] : Engines)
-    if (Engine.service() == Service && Engine.active())
-      if (const auto Slowness = Engine.speed().measured(SpeedHalfLife, Now))
-        Measured.push_back(*Slowness);
-  if (Measured.empty())
+  std::size_t Servers = 0;
+  for (const auto &[Key, Engine] : Engines) {
+    if (Engine.service() != Service || !Engine.active())
+      continue;
+    ++Servers;
+    if (const auto Slowness = Engine.speed().measured(SpeedHalfLife, Now))
+      Measured.push_back(*Slowness);
+  }
+  // An entry without much work may know of one server only what others tell.
+  if (Measured.empty() || Measured.size() < std::min(Servers, MinMeasuredServers))
     return 1;
   const auto Middle = Measured.begin() + static_cast<std::ptrdiff_t>((Measured.size() - 1) / 2);
   std::nth_element(Measured.begin(), Middle, Measured.end());
