--- a/tests/fleet_model/fleet_run_test.cpp
+++ b/tests/fleet_model/fleet_run_test.cpp
@@ -26,7 +26,7 @@
 TEST(load_file, IsValidInTheExamples) {
   for (const char *Path :
        {"examples/accra.load.toml", "examples/sognebrev.load.toml", "examples/grown.load.toml",
-        "examples/large.load.toml", "examples/shifted.load.toml"})
+        "examples/large.load.toml", "examples/shifted.load.toml", "examples/uneven.load.toml"})
     EXPECT_EQ(loadOf(Path).Kinds.size(), 3U);
 }
 
@@ -45,6 +45,13 @@
   EXPECT_EQ(errorOf(Parsed)[0].Key, "phase.kind");
 }
 
+TEST(load_file, WithMoreSlowEnginesThanEnginesIsRejected) {
+  const auto Parsed =
+      parseModelLoad("name = \"x\"\nengines = 2\n[[kind]]\nname = \"a\"\n[[slow]]\ncount = 3\n");
+  ASSERT_FALSE(succeeded(Parsed));
+  EXPECT_EQ(errorOf(Parsed)[0].Key, "slow.count");
+}
+
 TEST(load_file, ThatIsNotTomlIsRejected) { EXPECT_FALSE(succeeded(parseModelLoad("name = "))); }
 
 /// Returns a load with two entries, six engines and ten seconds of short and long prompts.
