A restored failure domain's servers count as cold until a notice says otherwise

Entries mark them as cold at the restore, and the leader passes on the next statement of each server even if it does not change the listing, so that one that stayed warm is soon used freely.

--- a/programs/pollenstall-control/control_core_evacuations.cpp
+++ b/programs/pollenstall-control/control_core_evacuations.cpp
@@ -63,6 +63,9 @@
   EntryServer.evacuationsChanged(Command, boot_clock::now());
   if (!EntryServer.isLeading())
     return;
+  // Entries count the servers of a restored domain as cold until a later notice says otherwise.
+  if (Command.Undo)
+    Directory.expectColdStatements(Command.Domain);
   logEvent(log_level::Warning, Command.Undo ? "domain_restored" : "domain_evacuated",
            {{"domain", Command.Domain.str()},
             {"version", static_cast<std::int64_t>(State.evacuations().version())}});
