Entry: flags of the decision thread stand together; a test counts the slots of the warm server

The test of cold servers under load asked for 15 of 30 requests at cold servers, which assumed two spare slots at the warm one; now all that its slots do not hold.

--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -167,21 +167,21 @@
   bool Admitting{false};          ///< Whether new requests were admitted at the last check.
   bool NoBackendReachable{false}; ///< Last state of reachability that was logged.
   bool DeclarationSent{false};    ///< Whether the relay has the current declaration.
-  mono_time SentLeaseEnd{};       ///< Lease end last sent to the relay.
-  bool SentStale{false}; ///< Whether a newer declaration is pending, as last sent to the relay.
+  bool SentStale{false};    ///< Whether a newer declaration is pending, as last sent to the relay.
+  bool AnyDomainOut{false}; ///< As of EvacuationsInUse.
+  bool HadLease{false};
+  std::atomic<bool> Superseded{false};
+  std::atomic<bool> Stopping{false};
+  mono_time SentLeaseEnd{}; ///< Lease end last sent to the relay.
   std::uint64_t RejectedDeclarations{0};
   std::optional<evacuations_in_use> EvacuationsInUse; ///< As the relay reported last.
-  bool AnyDomainOut{false};                           ///< As of EvacuationsInUse.
   std::uint64_t CountedEvacuatedClaims{0};
 
   readiness_deadline Ready;
   std::atomic<std::size_t> Abandoned{0};
-  std::atomic<bool> Superseded{false};
-  bool HadLease{false};
   entries_update LastEntries; ///< As last received.
   std::size_t ReportedCold{0};
   std::uint64_t ReportedColdRequests{0};
-  std::atomic<bool> Stopping{false};
   std::mutex Guard; ///< Guards the two members below, which other threads set.
   std::vector<std::promise<std::string>> PendingDumps;
   std::optional<mono_duration> PendingShutdown;
--- a/tests/placement/placer_cold_test.cpp
+++ b/tests/placement/placer_cold_test.cpp
@@ -85,7 +85,8 @@
     Cold += IsCold ? 1 : 0;
     beginAnswer(Placements[0].Request);
   }
-  EXPECT_GE(Cold, 15U);
+  // All that the one warm server has no slot for.
+  EXPECT_GE(Cold, 30U - figures().BatchSlots);
   EXPECT_EQ(Placer.permits().coldPermitsUsed(), Cold);
 }
 
