Waiting work takes spare slots after a tenth of its target; the order over entries is a setting, off

Change: queue.over_entries (off) turns the order and its exchange on. Without it two slots of an engine stay free as before, until work has waited a tenth of its target.

--- a/programs/pollenstall-entry/decision_core_base.h
+++ b/programs/pollenstall-entry/decision_core_base.h
@@ -66,6 +66,8 @@
   [[nodiscard]] std::vector<work_load> ownLoads(mono_time Now) const {
     return Placer.ownLoads(Now);
   }
+  /// Sets whether scarce slots are taken in one order of the waiting requests of all entries.
+  void setOrderOverEntries(bool Value) { Placer.setOrderOverEntries(Value); }
   [[nodiscard]] std::vector<waiting_load> ownWaiting(mono_time Now) const {
     return Placer.ownWaiting(Now);
   }
--- a/programs/pollenstall-entry/decision_thread.cpp
+++ b/programs/pollenstall-entry/decision_thread.cpp
@@ -188,6 +188,7 @@
   EvacuationReports.onWake([this] { WakeEvent.wake(); });
   if (!DecisionOptions.ReadDeclaration)
     DecisionOptions.ReadDeclaration = readTomlDeclaration;
+  Core.setOrderOverEntries(DecisionOptions.OrderOverEntries);
   // Without control hosts there is no list of the entries that share the reserve.
   if (DecisionOptions.RetryReserve && !DecisionOptions.FixedDeclaration)
     Core.setRetryAllowance({*DecisionOptions.RetryReserve, DecisionOptions.RetryWindow},
--- a/programs/pollenstall-entry/decision_thread_base.h
+++ b/programs/pollenstall-entry/decision_thread_base.h
@@ -38,6 +38,7 @@
   std::optional<double> RetryShare; ///< Retries per first attempt; empty: as declared.
   /// Retries of all entries together per window; empty: a fixed reserve for each entry.
   std::optional<double> RetryReserve;
+  bool OrderOverEntries{false}; ///< See placement_tuning.
   mono_duration RetryWindow{std::chrono::seconds(10)};
   std::size_t RingCapacity{1U << 16U};
   std::shared_ptr<prometheus::Registry> Registry;
--- a/programs/pollenstall-entry/entry.cpp
+++ b/programs/pollenstall-entry/entry.cpp
@@ -74,6 +74,7 @@
     DecisionOptions.ReadDeclaration = platformDeclarationReader();
   DecisionOptions.RetryShare = Settings.RetryShare;
   DecisionOptions.RetryReserve = Settings.RetryReserve;
+  DecisionOptions.OrderOverEntries = Settings.OrderOverEntries;
   DecisionOptions.RetryWindow = Settings.RetryWindow;
   DecisionOptions.Self = Self;
   DecisionOptions.Registry = Registry;
--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -114,6 +114,9 @@
                 "Additional retries per window and service, for all entries together.")
       .span("retries.window_s", &entry_settings::RetryWindow,
             {10 * Second, milliseconds(100), Hour}, "Length of the window of retries.reserve.")
+      .flag("queue.over_entries", &entry_settings::OrderOverEntries, false,
+            "Takes scarce slots of engines with declared figures in one order of the waiting "
+            "requests of all entries. All entries must have the same value.")
       .fraction("cold.overshoot", &entry_settings::ColdOvershoot, {1.0, 0.0, 100.0},
                 "Cold servers receive, from all entries together, at most cold_per_s of their "
                 "service times this, plus cold.tolerance, in any second. All entries must have the "
--- a/programs/pollenstall-entry/entry_settings_type.h
+++ b/programs/pollenstall-entry/entry_settings_type.h
@@ -37,6 +37,7 @@
   double ColdOvershoot{1};
   double ColdTolerance{0};
   std::optional<double> RetryReserve;
+  bool OrderOverEntries{false};
   std::optional<double> RetryShare;
   std::chrono::milliseconds RetryWindow{};
   std::chrono::milliseconds ControlRenew{};
--- a/src/fleet_model/model_load.cpp
+++ b/src/fleet_model/model_load.cpp
@@ -120,6 +120,8 @@
   Tuning.LongPartMs = Table.number("long_part_ms", NonNegativeRange, Tuning.LongPartMs);
   Tuning.MaxPrefillEngines = static_cast<std::uint32_t>(
       Table.integer("most_readers", CountRange, Tuning.MaxPrefillEngines));
+  Tuning.OrderOverEntries =
+      Table.integer("order_over_entries", toml_range<std::int64_t>{0, 1}, 0) != 0;
   Tuning.ScarceTargetFraction =
       Table.number("scarce_target_part", FractionRange, Tuning.ScarceTargetFraction);
   Tuning.RefuseHopeless = Table.integer("refuse_hopeless", toml_range<std::int64_t>{0, 1}, 0) != 0;
--- a/src/placement/placement_type.h
+++ b/src/placement/placement_type.h
@@ -94,6 +94,14 @@
   double SlackFraction{0.25};
   /// For a resumed stream, engines whose start times differ by at most this are equivalent.
   double StartToleranceMs{10.0};
+  /// Slots of an engine that stay free, because two entries may choose it at the same time; not
+  /// used with OrderOverEntries.
+  std::uint32_t SpareSlots{2};
+  /// Part of its target after which waiting work takes the spare slots, too.
+  double SpareWaitFraction{0.1};
+  /// Whether scarce slots are taken in one order of the waiting requests of all entries. Otherwise
+  /// each entry orders its own.
+  bool OrderOverEntries{false};
   /// Part of the time remaining to the target within which the first event must be expected while
   /// slots are scarce. The rest covers network delays.
   double ScarceTargetFraction{0.5};
--- a/src/placement/placer_base.h
+++ b/src/placement/placer_base.h
@@ -48,6 +48,8 @@
   /// Updates the work of all other entries on the engines for which it changed or was sent again.
   void updateOthersLoads(const std::vector<work_load> &Loads, mono_time Now);
   void updateExchange(const load_exchange_properties &Properties) { Exchange = Properties; }
+  /// Sets whether scarce slots are taken in one order of the waiting requests of all entries.
+  void setOrderOverEntries(bool Value) { Tuning.OrderOverEntries = Value; }
   /// Replaces the counts of requests that wait at all other entries.
   void updateOthersWaiting(std::vector<waiting_load> Loads, mono_time Now) {
     OthersWaiting.update(std::move(Loads), Now);
@@ -252,6 +254,7 @@
                                         double PromptMs, double RemainingMs, mono_time Now);
   void surveySlots(mono_time Now);
   [[nodiscard]] slot_supply *supplyOf(const waiting_work &Work);
+  [[nodiscard]] std::uint32_t spareSlotsFor(const waiting_work &Work, mono_time Now) const;
   [[nodiscard]] const slot_supply *scarceSupplyOf(const waiting_work &Work) const;
   [[nodiscard]] bool waitsForSlot(const waiting_work &Work) const;
   [[nodiscard]] queue_rank rankOfWork(const waiting_work &Work, mono_time Now) const;
--- a/src/placement/placer_choice.cpp
+++ b/src/placement/placer_choice.cpp
@@ -127,8 +127,7 @@
                                                           mono_time Now) {
   const double NeededTokens = memoryOf(Work.Item);
   const auto EngineTokens = static_cast<double>(Figures.Memory.value());
-  const slot_supply *Supply = supplyOf(Work);
-  const std::uint32_t SpareSlots = Supply ? Supply->Spare : 0;
+  const std::uint32_t SpareSlots = spareSlotsFor(Work, Now);
   std::vector<prefill_candidate> Candidates;
   for (std::size_t Rank = 0; Rank < Options.size(); ++Rank) {
     const engine_option &Option = Options[Rank];
--- a/src/placement/placer_queue.cpp
+++ b/src/placement/placer_queue.cpp
@@ -110,6 +110,8 @@
 }
 
 std::vector<waiting_load> placer::ownWaiting(mono_time Now) const {
+  if (!Tuning.OrderOverEntries)
+    return {};
   std::map<service_name, waiting_load> Loads;
   for (const auto &[Request, Work] : Waiting) {
     if (!waitsForSlot(Work))
@@ -159,14 +161,34 @@
     const double WaitingCount = OwnCount + waitingTotal(Supply.Others);
     const double ExpectedCount =
         Supply.ArrivalsPerSecond * secondsOf(Exchange.PropagationDelay) * ScarceRoundTrips;
-    Supply.Scarce = OwnCount > 0 && WaitingCount + ExpectedCount > Supply.Free;
-    const double Unseen = Rate.expectedRequests(Exchange.PropagationDelay, Now);
-    const double UnseenPerEngine = Unseen / static_cast<double>(packedChoiceCount(Now));
-    Supply.Spare =
-        spareSlots(Supply.FreeSlots, WaitingCount + Unseen, unseenSlots(UnseenPerEngine));
+    Supply.Scarce =
+        Tuning.OrderOverEntries && OwnCount > 0 && WaitingCount + ExpectedCount > Supply.Free;
+    if (Tuning.OrderOverEntries) {
+      const double Unseen = Rate.expectedRequests(Exchange.PropagationDelay, Now);
+      const double UnseenPerEngine = Unseen / static_cast<double>(packedChoiceCount(Now));
+      Supply.Spare =
+          spareSlots(Supply.FreeSlots, WaitingCount + Unseen, unseenSlots(UnseenPerEngine));
+    }
   }
 }
 
+/**
+ * Returns how many slots of an engine stay free of this work. Without an order over entries that is
+ * SpareSlots, until the work has waited for SpareWaitFraction of its target: while slots are
+ * scarce, the last ones are sooner than a slot that every entry sees as free, and an engine queues
+ * what it has no slot for.
+ */
+std::uint32_t placer::spareSlotsFor(const waiting_work &Work, mono_time Now) const {
+  const auto Supply = Supplies.find(Work.Service);
+  if (Supply == Supplies.end())
+    return 0;
+  if (Tuning.OrderOverEntries)
+    return Supply->second.Spare;
+  const double MaxWaitMs = static_cast<double>(Work.Item.Target.count()) * Tuning.SpareWaitFraction;
+  const bool HasWaited = MaxWaitMs > 0 && millisUntil(Now, Work.WaitingSince) >= MaxWaitMs;
+  return HasWaited ? 0 : Tuning.SpareSlots;
+}
+
 /**
  * Returns whether the work may take a slot: fewer requests of the fleet go before it than slots are
  * free. Slots that requests of this entry have just left are unknown to other entries, which could
--- a/tests/placement/placer_queue_test.cpp
+++ b/tests/placement/placer_queue_test.cpp
@@ -34,5 +34,19 @@
   EXPECT_EQ(Placer.poll(Now).Expiries.size(), 1U);
 }
 
+/// Guards against slots that stay unused while work waits beyond its target, and against two
+/// entries that take the last slot of an engine at once as long as no work waits.
+TEST_F(scarce_slots_test, SpareSlotsAreTakenByWorkThatHasWaited) {
+  fillEngines(2);
+  submitRequest(5'000);
+  EXPECT_TRUE(poll().empty());
+  Now += 20ms;
+  EXPECT_TRUE(poll().empty());
+  Now += 10ms;
+  const auto Placements = poll();
+  ASSERT_EQ(Placements.size(), 1U);
+  EXPECT_EQ(Placements[0].Backend, makeListing(0).Key);
+}
+
 } // namespace
 } // namespace pollenstall
