--- a/tests/decision_core/evacuation_test.cpp
+++ b/tests/decision_core/evacuation_test.cpp
@@ -61,7 +61,7 @@
     });
     return Found;
   }
-  void handle(dispatch_event Event) { Core.handleEvent(Event, Now); }
+  void handle(const dispatch_event &Event) { Core.handleEvent(Event, Now); }
   request_facts makeFacts() {
     request_facts Facts;
     Facts.Id = request_number(++LastRequest);
@@ -120,8 +120,10 @@
 }
 
 TEST_F(entry_with_listed_servers, LeavesRunningRequestsAlone) {
+  constexpr std::size_t Requests = 20;
   std::vector<start_attempt> Running;
-  for (int Request = 0; Request < 20; ++Request)
+  Running.reserve(Requests);
+  while (Running.size() < Requests)
     Running.push_back(startRequest());
   EXPECT_TRUE(evacuate(1, {DomainA, DomainB}));
   EXPECT_TRUE(take<cancel_attempt>().empty());
