--- a/tests/placement/placer_evacuation_test.cpp
+++ b/tests/placement/placer_evacuation_test.cpp
@@ -24,9 +24,7 @@
     return Listing;
   }
   void evacuate(const std::vector<std::string> &Names) {
-    std::vector<failure_domain_name> Domains;
-    for (const std::string &Name : Names)
-      Domains.emplace_back(Name);
+    const std::vector<failure_domain_name> Domains(Names.begin(), Names.end());
     List.update(List.version().value_or(0) + 1, Domains);
     Placer.setEvacuations(List);
   }
--- a/tests/placement/placer_speed_test.cpp
+++ b/tests/placement/placer_speed_test.cpp
@@ -15,7 +15,7 @@
     const request_number Request = submitRequest(Prompt, Gap);
     const auto Placements = poll();
     EXPECT_EQ(Placements.size(), 1U);
-    const work_placement Placement = Placements.at(0);
+    work_placement Placement = Placements.at(0);
     double Slowest = factorOf(Placement.Backend);
     for (const backend_key &Helper : Placement.Helpers)
       Slowest = std::max(Slowest, factorOf(Helper));
