--- a/tests/scheduling/evacuation_test.cpp
+++ b/tests/scheduling/evacuation_test.cpp
@@ -10,9 +10,7 @@
   evacuated_domains_fixture() { addEngines(6); }
 
   void evacuate(const std::vector<std::string> &Names) {
-    std::vector<failure_domain_name> Domains;
-    for (const std::string &Name : Names)
-      Domains.emplace_back(Name);
+    const std::vector<failure_domain_name> Domains(Names.begin(), Names.end());
     List.update(List.version().value_or(0) + 1, Domains);
     Scheduler.setEvacuations(List, Now);
   }
