Half of the carried requests go ahead at their server if others can't know of them

Cause: many entries choose a slot that becomes free, and the request that arrives first gets it. A connection through a peer is made later than a direct one, and before the other entries know of the choice (56 ms at 59 entries). The class: a choice among competitors that is decided by who is fastest.

Why this works: half of the carried requests are one step more urgent at the server, so that they arrive neither always behind nor always ahead of the others. Only where other entries cannot have known of the choice when the request is sent; in fleets of up to 16 entries nothing changes. The platform's priority header of callers is no longer passed on.

--- a/src/dispatch/dispatch_type.h
+++ b/src/dispatch/dispatch_type.h
@@ -222,6 +222,7 @@
                           ///< answer that states none.
   /// Idle connections to Backend that this entry may keep. Set by the entry, not by the dispatcher.
   std::size_t MaxIdleConnections{DefaultMaxIdleConnections};
+  mono_duration VisibleAfter{}; ///< Time until the other entries know of the attempt.
 };
 /// Reconnects to the same backend server and continues after the event that was relayed last.
 struct resume_attempt {
--- a/src/dispatch/dispatcher_attempt.cpp
+++ b/src/dispatch/dispatcher_attempt.cpp
@@ -107,7 +107,9 @@
                                      Placement.Holds,
                                      Placement.ExpectedFirstToken,
                                      {},
-                                     Placement.Permit});
+                                     Placement.Permit,
+                                     DefaultMaxIdleConnections,
+                                     Placement.VisibleAfter});
   if (Callbacks.AttemptStarted)
     Callbacks.AttemptStarted({Id, Placement.Backend, Request.Facts.Id}, Now);
   updateTimer(Request);
--- a/src/fleet_model/fleet_run.cpp
+++ b/src/fleet_model/fleet_run.cpp
@@ -99,6 +99,7 @@
       State.Record.Events =
           static_cast<std::uint32_t>(std::lround(drawSize(Random, RequestKind.Events)));
       State.Entry = static_cast<std::size_t>(Random.below(Load.Entries));
+      State.Record.FirstEntry = State.Entry;
       State.DeadlineMs = State.Record.ArrivedMs + RequestKind.TimeoutMs;
       if (Random.chance(rateFactor(RequestKind, ArrivalSeconds) / MaxFactor))
         Requests.push_back(State);
@@ -137,8 +138,10 @@
       --OpenRequests; // Each request has one timeout event; the run ends after the last.
   }
   std::vector<request_record> Records;
-  for (const request_state &State : Requests)
+  for (const request_state &State : Requests) {
     Records.push_back(State.Record);
+    Records.back().Retried = State.Retried;
+  }
   return Records;
 }
 
--- a/src/fleet_model/fleet_run_base.h
+++ b/src/fleet_model/fleet_run_base.h
@@ -19,8 +19,10 @@
 /// The result of a request. Times are in milliseconds since its caller first sent it.
 struct request_record {
   std::size_t Kind{0};
-  double ArrivedMs{0}; ///< Since the start of the run.
-  double Prompt{0};    ///< Tokens.
+  std::size_t FirstEntry{0}; ///< At which its caller sent it first.
+  bool Retried{false};       ///< The caller sent it again.
+  double ArrivedMs{0};       ///< Since the start of the run.
+  double Prompt{0};          ///< Tokens.
   std::uint32_t Events{1};
   double FirstEventMs{-1}; ///< At the caller; negative if there was none.
   double LongestGapMs{0};
@@ -29,6 +31,11 @@
   std::uint32_t Attempts{0};
 };
 
+/// Returns whether the connections of the entry run through other entries.
+[[nodiscard]] inline bool isCarried(const model_load &Load, std::size_t Entry) {
+  return static_cast<double>(Entry) < Load.Carried.Share * static_cast<double>(Load.Entries);
+}
+
 /// Traffic of the work reports of an entry.
 struct report_traffic {
   double SentDatagrams{0};
@@ -106,6 +113,7 @@
     std::uint32_t EarlierEvents{0};  ///< Events that the caller received from earlier attempts.
     std::uint32_t Events{0};         ///< Events that reached the entry.
     std::uint32_t ReportedEvents{0}; ///< Events that its policy was told of.
+    mono_duration VisibleAfter{};    ///< Time until the other entries know of the attempt.
     bool Finished{false};
   };
   struct request_state {
@@ -140,6 +148,7 @@
   void scheduleNextPoll(std::size_t Entry);
   void handleRefusal(std::size_t Request, const work_refusal &Refusal);
   void startAttempt(std::size_t Entry, const work_placement &Placement);
+  [[nodiscard]] double connectMs(std::size_t Entry) const;
   void deliverAttempt(std::size_t Attempt);
   void startEnginePass(std::size_t Engine);
   void finishEnginePass(std::size_t Engine);
--- a/src/fleet_model/fleet_run_engines.cpp
+++ b/src/fleet_model/fleet_run_engines.cpp
@@ -1,6 +1,7 @@
 /** @file fleet_run_engines.cpp Polls of entries, attempts, passes and outages of engines. */
 #include "fleet_model/entry_policy_func.h"
 #include "fleet_model/fleet_run_base.h"
+#include "path/path.h"
 
 #include <algorithm>
 
@@ -109,6 +110,7 @@
   for (const memory_hold &Hold : Placement.Holds)
     Attempt.Holds.emplace_back(engineIndex(Hold.Backend), static_cast<double>(Hold.Amount.value()));
   Attempt.EarlierEvents = State.DeliveredEvents;
+  Attempt.VisibleAfter = Placement.VisibleAfter;
   ++State.Record.Attempts;
   Attempt.Id = {{host_name("entry-" + std::to_string(Entry)), incarnation(1)},
                 Placement.Request,
@@ -116,7 +118,13 @@
   Entries[Entry].Policy.AttemptStarted(Attempt.Id, makeWorkItem(Request), Placement.Backend, now());
   State.Attempt = Attempts.size();
   Attempts.push_back(std::move(Attempt));
-  schedule(Ms + Load.HostDelayMs, event_kind::AttemptArrival, Attempts.size() - 1);
+  schedule(Ms + Load.HostDelayMs + connectMs(Entry), event_kind::AttemptArrival,
+           Attempts.size() - 1);
+}
+
+/// Returns the time that the entry needs to connect to an engine, in addition to the host delay.
+double fleet_run::connectMs(std::size_t Entry) const {
+  return isCarried(Load, Entry) ? Load.Carried.ConnectMs : 0;
 }
 
 void fleet_run::deliverAttempt(std::size_t AttemptIndex) {
@@ -135,6 +143,10 @@
   Job.Answer = Job.Events * Load.TokensPerEvent;
   Job.PrefillEngines = Attempt.Helpers.size() + 1;
   Job.Urgency = BaseUrgency + Load.Kinds[Record.Kind].Urgency;
+  if (isCarried(Load, Attempt.Entry) &&
+      carriedQueuePlace(durationFromMs(Load.Carried.ConnectMs), Attempt.VisibleAfter,
+                        Attempt.Id.Request) == queue_place::Ahead)
+    --Job.Urgency;
   for (const auto &[Engine, Tokens] : Attempt.Holds) {
     Job.ReservedElsewhere += Tokens;
     Engines[Engine].Model.reserveMemory(AttemptIndex, Tokens);
--- a/src/fleet_model/model_load.cpp
+++ b/src/fleet_model/model_load.cpp
@@ -106,6 +106,14 @@
   return Slow;
 }
 
+carried_entries readCarriedEntries(toml_reader &Table) {
+  carried_entries Carried;
+  Carried.Share = Table.number("share", FractionRange, Carried.Share);
+  Carried.ConnectMs = Table.number("connect_ms", NonNegativeRange, Carried.ConnectMs);
+  Table.finish("entries behind a cut");
+  return Carried;
+}
+
 /// Reads overrides of placement parameters, for trials without a rebuild.
 void readTuning(toml_reader &Table, placement_tuning &Tuning) {
   Tuning.GapFraction = Table.number("gap_part", FractionRange, Tuning.GapFraction);
@@ -184,6 +192,8 @@
     Load.EntryOutages.push_back(readEntryOutage(Outage));
   for (toml_reader &Slow : Table.tables("slow", toml_presence::Optional))
     Load.SlowEngines.push_back(readSlowEngines(Slow));
+  if (auto Carried = Table.table("carried"))
+    Load.Carried = readCarriedEntries(*Carried);
   if (auto Tuning = Table.table("tuning"))
     readTuning(*Tuning, Load.Tuning);
   Table.finish("a load");
--- a/src/fleet_model/model_load_type.h
+++ b/src/fleet_model/model_load_type.h
@@ -66,6 +66,12 @@
   std::size_t Count{1}; ///< Number of entries.
 };
 
+/// Entries whose connections to engines run through other entries.
+struct carried_entries {
+  double Share{0};     ///< Fraction of all entries, the first ones.
+  double ConnectMs{0}; ///< Time to make a connection, in addition to HostDelayMs.
+};
+
 /// Entries, engines and callers of a simulated run.
 struct model_load {
   std::string Name;
@@ -86,6 +92,7 @@
   std::vector<engine_outage> EngineOutages;
   std::vector<entry_outage> EntryOutages;
   std::vector<slow_engines> SlowEngines;
+  carried_entries Carried;
   placement_tuning Tuning;
 };
 
--- a/src/placement/placer.cpp
+++ b/src/placement/placer.cpp
@@ -294,6 +294,7 @@
   Placement.Backend = Plan.PrefillEngines.front().Engine->key();
   Placement.Service = Work.Service;
   Placement.ExpectedFirstToken = durationFromMs(Plan.FirstEventMs);
+  Placement.VisibleAfter = Exchange.PropagationDelay;
   for (const engine_option &PrefillEngine : Plan.PrefillEngines) {
     const backend_key &Key = PrefillEngine.Engine->key();
     PrefillEngine.Engine->recordPlacement(Tuning, Now);
--- a/src/relay/attempt_head.cpp
+++ b/src/relay/attempt_head.cpp
@@ -114,6 +114,8 @@
   Facts.Instance = Order.Instance;
   Facts.Account = Call.Facts.Account;
   Facts.LastEvent = Call.LastEvent;
+  if (const bool IsCarried = !Call.LastPeer.empty(); IsCarried && Call.LastConnect)
+    Facts.Place = carriedQueuePlace(*Call.LastConnect, Order.VisibleAfter, Order.Attempt.Request);
   for (const backend_key &Helper : Order.Helpers) {
     const auto Hold = std::find_if(
         Order.Holds.begin(), Order.Holds.end(),
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -4,6 +4,7 @@
 #define POLLENSTALL_RELAY_CALL_INTERFACE_TYPE_H
 
 #include "core/core.h"
+#include "path/queue_place_func.h"
 #include "rate_limit/rate_limit_type.h"
 #include "relay/call_error_type.h"
 #include "relay/header_filter_func.h"
@@ -67,6 +68,7 @@
   std::vector<helper_engine> Helpers;
   std::uint64_t LastEvent{
       0}; ///< Last event that the caller has; the server must continue after it. 0: from the start.
+  queue_place Place{queue_place::InTurn}; ///< Among the requests that wait at the server.
 };
 
 /// Facts from the head of an answer.
--- a/src/scheduling/scheduling_type.h
+++ b/src/scheduling/scheduling_type.h
@@ -63,6 +63,7 @@
   std::vector<backend_key> Helpers{}; ///< Other servers that prefill parts of the prompt.
   permit_stamp Permit{};              ///< Set if Backend states a rate limit.
   service_name Service{}; ///< Of the backend server; empty if the policy does not know services.
+  mono_duration VisibleAfter{}; ///< Time until the other entries know of it; 0 if none is told.
 };
 
 /// Decision that a waiting request can no longer run in time.
--- a/tests/fleet_model/fleet_run_test.cpp
+++ b/tests/fleet_model/fleet_run_test.cpp
@@ -1,28 +1,14 @@
 /** @file fleet_run_test.cpp Tests load files and complete simulated runs. */
 #include "fleet_model/fleet_model.h"
+#include "model_files.h"
 
 #include <gtest/gtest.h>
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
 
 namespace pollenstall {
 namespace {
 
-std::string fileText(const std::string &Path) {
-  std::ifstream Input(std::string(POLLENSTALL_SOURCE_DIR) + "/" + Path);
-  std::ostringstream Text;
-  Text << Input.rdbuf();
-  return Text.str();
-}
-
-model_load loadOf(const std::string &Path) {
-  auto Parsed = parseModelLoad(fileText(Path));
-  EXPECT_TRUE(succeeded(Parsed)) << Path;
-  return succeeded(Parsed) ? valueOf(std::move(Parsed)) : model_load();
-}
-
 TEST(load_file, IsValidInTheExamples) {
   for (const char *Path :
        {"examples/accra.load.toml", "examples/sognebrev.load.toml", "examples/grown.load.toml",
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -221,7 +221,7 @@
 TEST(PlatformRequestHeadTest, CannotSetSystemHeaders) {
   const call_interface Calls = platformCalls();
   for (const char *Name : {"tenant-name", "expected-instance", "helper-instances", "deadline-ms",
-                           "authorization", "last-event-id"})
+                           "authorization", "last-event-id", "request-priority"})
     EXPECT_TRUE(Calls.IsSystemHeader(Name)) << Name;
   EXPECT_FALSE(Calls.IsSystemHeader("attempt-id"));
   EXPECT_FALSE(Calls.IsSystemHeader("token-usage"));
@@ -244,6 +244,17 @@
   EXPECT_EQ(Seen["Tenant-Name"], "t1");
   EXPECT_EQ(Seen["Last-Event-Id"], "3");
   EXPECT_EQ(Seen["Helper-Instances"], "10.0.0.1:1/h1,10.0.0.2:1");
+  EXPECT_FALSE(Seen.contains("Request-Priority"));
+}
+
+// Behind a cut, requests reach the engine after those of other entries that chose it later.
+TEST(PlatformAttemptTest, ThatGoesAheadIsOneStepMoreUrgent) {
+  std::vector<header_line> Lines;
+  attempt_facts Facts;
+  Facts.Place = queue_place::Ahead;
+  platformCalls().WriteAttempt(Facts, Lines);
+  const header_line Expected{"Request-Priority", "4"};
+  EXPECT_NE(std::find(Lines.begin(), Lines.end(), Expected), Lines.end());
 }
 
 answer_facts answerWith(unsigned Status,
