--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -4,6 +4,8 @@
 #include <boost/json.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 namespace pollenstall {
 namespace {
 
@@ -253,8 +255,9 @@
   attempt_facts Facts;
   Facts.Place = queue_place::Ahead;
   platformCalls().WriteAttempt(Facts, Lines);
-  const header_line Expected{"Request-Priority", "4"};
-  EXPECT_NE(std::find(Lines.begin(), Lines.end(), Expected), Lines.end());
+  EXPECT_TRUE(std::any_of(Lines.begin(), Lines.end(), [](const header_line &Line) {
+    return Line.Name == "Request-Priority" && Line.Value == "4";
+  }));
 }
 
 answer_facts answerWith(unsigned Status,
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -40,6 +40,8 @@
   Calls.WriteAttempt = [](const attempt_facts &Details, std::vector<header_line> &Headers) {
     Headers.push_back({"X-After", std::to_string(Details.LastEvent)});
     Headers.push_back({"X-Left", std::to_string(Details.TimeLeft.count())});
+    if (Details.Place == queue_place::Ahead)
+      Headers.push_back({"X-Ahead", "1"});
   };
   Calls.ReadAnswer = [](const boost::beast::http::response_header<> &Head,
                         const std::string &SendName) {
@@ -178,6 +180,7 @@
   Order.Attempt = {{host_name("entry"), incarnation(1)}, Facts.Id, Ordinal};
   Order.Backend = Backend;
   Order.FirstByteBy = boot_clock::now() + Limit;
+  Order.VisibleAfter = VisibleAfter;
   return Order;
 }
 
--- a/tests/relay/relay_harness_base.h
+++ b/tests/relay/relay_harness_base.h
@@ -88,7 +88,8 @@
   /// Returns the records of ended calls; call settle() first.
   [[nodiscard]] const std::vector<call_record> &records() const { return Records; }
 
-  request_facts Facts; ///< Facts of the latest call.
+  request_facts Facts;          ///< Facts of the latest call.
+  mono_duration VisibleAfter{}; ///< Time until other entries know of an attempt.
 
 private:
   friend class relay_pause;
--- a/tests/relay/tunnel_test.cpp
+++ b/tests/relay/tunnel_test.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/read.hpp>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <array>
 #include <atomic>
 #include <ctime>
@@ -134,6 +135,24 @@
   EXPECT_EQ(First.pathChanges().back(), "");
 }
 
+// Carried requests always arrived behind those of other entries that had chosen the same slot.
+TEST_P(an_entry_cut_off_from_its_server, SendsEveryOtherRequestAhead) {
+  const auto CountAhead = [this] {
+    const auto Requests = Server.requests();
+    return std::count_if(Requests.begin(), Requests.end(), [](const received_request &Request) {
+      return Request.Head.find("X-Ahead: 1") != std::string::npos;
+    });
+  };
+  for (tunnel_entry *Entry : {&First, &Second})
+    Entry->Relay.VisibleAfter = std::chrono::seconds(10);
+  for (int Request = 0; Request < 2; ++Request)
+    EXPECT_TRUE(serves(Second, Server));
+  EXPECT_EQ(CountAhead(), 0) << "direct connections";
+  for (int Request = 0; Request < 2; ++Request)
+    EXPECT_TRUE(serves(First, Server));
+  EXPECT_EQ(CountAhead(), 1);
+}
+
 // All entries are cut off: the attempt must end within the time for one connection.
 TEST_P(an_entry_cut_off_from_its_server, FailsInTimeIfItsPeerIsCutOffToo) {
   Second.Effect = GetParam();
