--- a/src/path/path_type.h
+++ b/src/path/path_type.h
@@ -18,6 +18,12 @@
   Tunnel, ///< Through a tunnel; directly only if no peer offers one.
 };
 
+/// Place of a request among those that wait at its backend server.
+enum class queue_place : std::uint8_t {
+  InTurn, ///< In the order of arrival.
+  Ahead,  ///< Ahead of those in turn.
+};
+
 /// A backend server whose connections this entry may make or carry.
 struct path_server {
   backend_key Key;
--- a/src/path/queue_place_func.h
+++ b/src/path/queue_place_func.h
@@ -2,18 +2,10 @@
 #ifndef POLLENSTALL_PATH_QUEUE_PLACE_FUNC_H
 #define POLLENSTALL_PATH_QUEUE_PLACE_FUNC_H
 
-#include "core/core.h"
-
-#include <cstdint>
+#include "path/path_type.h"
 
 namespace pollenstall {
 
-/// Place of a request among those that wait at its backend server.
-enum class queue_place : std::uint8_t {
-  InTurn, ///< In the order of arrival.
-  Ahead,  ///< Ahead of those in turn.
-};
-
 /**
  * Returns the place of a request that was carried by a peer.
  *
--- a/src/relay/attempt_head.cpp
+++ b/src/relay/attempt_head.cpp
@@ -2,6 +2,8 @@
  */
 #include "relay/attempt_head_func.h"
 
+#include "path/path.h"
+
 #include <algorithm>
 #include <array>
 #include <string_view>
--- a/src/relay/call_interface_type.h
+++ b/src/relay/call_interface_type.h
@@ -4,7 +4,7 @@
 #define POLLENSTALL_RELAY_CALL_INTERFACE_TYPE_H
 
 #include "core/core.h"
-#include "path/queue_place_func.h"
+#include "path/path_type.h"
 #include "rate_limit/rate_limit_type.h"
 #include "relay/call_error_type.h"
 #include "relay/header_filter_func.h"
