--- a/tests/fleet_model/carried_entries_test.cpp
+++ b/tests/fleet_model/carried_entries_test.cpp
@@ -48,6 +48,15 @@
   return Tries;
 }
 
+TEST(load_file, MayNameCarriedEntries) {
+  const auto Parsed = parseModelLoad("name = \"x\"\nentries = 10\n[[kind]]\nname = \"a\"\n"
+                                     "[carried]\nshare = 0.3\nconnect_ms = 18\n");
+  ASSERT_TRUE(succeeded(Parsed));
+  EXPECT_TRUE(isCarried(valueOf(Parsed), 2));
+  EXPECT_FALSE(isCarried(valueOf(Parsed), 3));
+  EXPECT_EQ(valueOf(Parsed).Carried.ConnectMs, 18);
+}
+
 struct carried_entries_test : testing::TestWithParam<std::size_t> {};
 
 // All entries choose a slot that becomes free at about the same time. Carried requests reached the
