--- a/review/lib.py
+++ b/review/lib.py
@@ -181,7 +181,7 @@
         held = []
         for name in ("inner0", "inner1", "frontend", "ready", "control_plane"):
             one = socket.socket()
-            one.bind(("0.0.0.0", 0))
+            one.bind((f"{net}.10", 0))
             held.append(one)
             self.ports[name] = one.getsockname()[1]
         for one in held:
