--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,66 +1,78 @@
-"""An engine crashes in the middle of a stream whose event ids begin with 0; the stream is resumed."""
+"""Heartbeats of another writer, for a service that isn't named, state the addresses of engines."""
 
 import asyncio
+import json
 import pathlib
-import re
 import sys
+import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 import lib
 
-EVENTS = 6
-crashed = set()
+NAMED, OTHER = "/lohu930/", "/puxa403/"
+STRAY_TIMES, STRAY_PAUSE_S = 5, 0.5
+# Long after the last stray heartbeat: ten times the interval of the engines' own.
+AFTER_S = 12.0
+REQUESTS = 10
 
 
-async def stream(engine, request, writer):
-    """Sends the events after Last-Event-Id. The first run of each request ends with the engine's
-    crash after its first event, if the disruption is on."""
-    last = request["headers"].get("last-event-id")
-    writer.write(engine.head(request, "Content-Type: text/event-stream\r\n"
-                                      "Transfer-Encoding: chunked\r\n"))
-    for number in range(0 if last is None else int(last) + 1, EVENTS):
-        event = f"id: {number}\ndata: piece {number} of {request['id']}\n\n".encode()
-        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
-        await writer.drain()
-        await asyncio.sleep(0.1)
-        if lib.TROUBLE and request["id"] not in crashed:
-            crashed.add(request["id"])
-            engine.system.record.write(f"engine {engine.name} crashes after event {number}")
-            await engine.stop()  # It sends no more heartbeats and takes no connections.
-            writer.transport.abort()
-            return
-    writer.write(b"0\r\n\r\n")
+async def send(system, record, edge, prefix):
+    name = lib.attempt_id()
+    answer = await lib.call(edge.address("frontend"), "POST", prefix + "2f", "ficu95.example",
+                            {"Attempt-Id": name, "Deadline-Ms": "3000"}, b"{}", 4.0)
+    status = answer if isinstance(answer, str) else answer.status
+    record.write(f"client: {prefix} {name} answered {status}")
+    return status
+
+
+async def stray(system, record, engine, number):
+    """One heartbeat of another writer. Its service is unknown, and the field born is missing."""
+    body = {"service": "old-name", "address": engine.address, "zone": "accra-a", "version": "v0",
+            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": number}
+    answer = await lib.operator_call(system, "PUT", f"/pollenstall/instances/agent-{engine.name}",
+                                     json.dumps(body).encode(), 3.0)
+    record.write(f"another writer: heartbeat {number} of agent-{engine.name} with the address of "
+                 f"{engine.name} and the service old-name, answered "
+                 f"{answer.status if answer else 'none'}")
 
 
 async def case(system, record):
+    engines = []
     for at in range(6):
-        await lib.Engine(system, "huvo11a", f"e{at}", stream).start()
-    configuration = {
-        "version": 3, "services": [lib.service("huvo11a")], "limits": lib.DEFAULT_LIMITS,
-        "routes": [lib.route("r-1", "/lohu930/", "huvo11a", "streaming", stream_resumption=True,
-                             gap_aim_ms=250, sticky_sessions=True)]}
+        engine = lib.Engine(system, "wuno96b" if at % 2 else "huvo11a", f"e{at}", lib.plain_answer,
+                            extra={"born": int(time.time() * 1000)})
+        engines.append(await engine.start())
+    configuration = {"version": 3, "routes": [lib.route("r-1", NAMED, "huvo11a"),
+                                              lib.route("r-2", OTHER, "wuno96b")],
+                     "services": [lib.service("huvo11a"), lib.service("wuno96b")],
+                     "limits": lib.DEFAULT_LIMITS}
     if await lib.configure(system, configuration) != 200 or not await lib.wait_ready(system):
         return lib.CANNOT_RUN
-    await asyncio.sleep(15)  # The retry budget counts as used for a window after a start.
-    name = lib.attempt_id()
-    record.write(f"client sends {name}")
-    answer = await lib.call(system.edges[0].address("frontend"), "POST", "/lohu930/2f",
-                            "ficu95.example",
-                            {"Attempt-Id": name, "Deadline-Ms": "8000", "Model-Name": "m",
-                             "Token-Usage": "100,10"}, b"{}", 9.0)
-    if isinstance(answer, str):
-        record.write(f"client: {name} {answer}")
-        return lib.CANNOT_RUN
-    pieces = re.findall(r"data: (.*)", answer.body.decode())
-    record.write(f"client: {name} answered {answer.status}, "
-                 f"{'complete' if answer.whole else 'cut'}: {pieces}")
-    twice = len(pieces) != len(set(pieces))
-    missing = answer.whole and len(set(pieces)) < EVENTS
-    record.write(f"a piece comes twice: {twice}; one is missing in a complete answer: {missing}")
-    if not answer.whole and not twice:
-        return lib.CANNOT_RUN  # The stream was not resumed.
-    return lib.BROKEN if twice or missing else lib.HELD
+    await asyncio.sleep(3)
+    for prefix in (NAMED, OTHER):
+        if await send(system, record, system.edges[0], prefix) != 200:
+            return lib.CANNOT_RUN
+    if lib.TROUBLE:
+        for number in range(1, STRAY_TIMES + 1):
+            for engine in engines:
+                if engine.service == "huvo11a":
+                    await stray(system, record, engine, number)
+            await asyncio.sleep(STRAY_PAUSE_S)
+    beats = {engine.name: engine.acknowledged for engine in engines}
+    await asyncio.sleep(AFTER_S)
+    served = {NAMED: 0, OTHER: 0}
+    for at in range(REQUESTS):
+        for prefix in served:
+            status = await send(system, record, system.edges[at % 2], prefix)
+            served[prefix] += 1 if status == 200 else 0
+    for engine in engines:
+        record.write(f"engine {engine.name} of {engine.service}: "
+                     f"{engine.acknowledged - beats[engine.name]} of its own heartbeats were "
+                     f"acknowledged since")
+    record.write(f"served of {REQUESTS} requests each: {served}")
+    share = sum(served.values()) / (2 * REQUESTS)
+    return lib.BROKEN if served[NAMED] / REQUESTS < share / 4 else lib.HELD
 
 
 lib.run_case(HERE, case)
--- a/review/lib.py
+++ b/review/lib.py
@@ -338,6 +338,7 @@
         self.sequence = 0
         self.state = "ready"
         self.ran = []  # requests that it began to work on
+        self.acknowledged = 0  # heartbeats that were acknowledged
         self.server = None
         self.beats = None
 
@@ -370,6 +371,8 @@
                 preferred = json.loads(answer.body).get("heartbeat_address")
             except (AttributeError, ValueError):
                 preferred = None
+            if not isinstance(answer, str) and answer is not None and answer.status == 200:
+                self.acknowledged += 1
             await asyncio.sleep(1.2)
 
     async def serve(self, reader, writer):
