--- a/review/lib.py
+++ b/review/lib.py
@@ -325,6 +325,47 @@
     return True
 
 
+async def two_on_one_connection(edge, path, results):
+    """Sends a request, and on the same kept connection another. Puts into results, for each, its
+    status or how it was lost."""
+    ip, port = edge.address("frontend").rsplit(":", 1)
+    reader, writer = await asyncio.open_connection(ip, int(port))
+    name = None
+    try:
+        for name in (attempt_id(), attempt_id()):
+            writer.write(request_head("POST", path, "ficu95.example",
+                                      {"Attempt-Id": name, "Deadline-Ms": "8000"}, 2) + b"{}")
+            async with asyncio.timeout(9):
+                results[name] = (await read_answer(reader)).status
+    except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+        results[name] = f"closed without an answer ({type(error).__name__})"
+    finally:
+        writer.close()
+
+
+async def restart_ended(system, ends):
+    """As the platform does, starts a process again that has ended. Notes who ended, and how."""
+    while True:
+        for edge in system.edges:
+            if not edge.alive():
+                ends.append((edge.name, edge.process.returncode))
+                system.record.write(f"{edge.name} has ended by itself, {edge.process.returncode}")
+                edge.start()
+        await asyncio.sleep(0.05)
+
+
+def record_lost(record, results, engines, ends):
+    """Writes what became of the requests, and returns those that were passed on and lost."""
+    ran = {request["id"] for engine in engines for request in engine.ran}
+    lost = [name for name, result in results.items() if name in ran and not isinstance(result, int)]
+    for name in lost:
+        record.write(f"client: {name} {results[name]}; it was passed on to an engine")
+    record.write(f"processes that ended by themselves: {ends}")
+    record.write(f"requests on kept connections: {len(results)}; passed on to a sound engine and "
+                 f"closed without an answer: {len(lost)}")
+    return lost
+
+
 # ---- Engines. -----------------------------------------------------------------------------------
 
 class Engine:
