--- a/review/lib.py
+++ b/review/lib.py
@@ -499,7 +499,7 @@
     result = CANNOT_RUN
     try:
         async def bounded():
-            async with asyncio.timeout(110):
+            async with asyncio.timeout(116):
                 system.start()
                 return await case(system, record)
         result = asyncio.run(bounded())
