--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,78 +1,69 @@
-"""Heartbeats of another writer, for a service that isn't named, state the addresses of engines."""
+"""Takes all keys away by a configuration with an empty list of tenants, and sends requests."""
 
 import asyncio
-import json
 import pathlib
 import sys
-import time
 
 HERE = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(HERE.parent))
 import lib
 
-NAMED, OTHER = "/lohu930/", "/puxa403/"
-STRAY_TIMES, STRAY_PAUSE_S = 5, 0.5
-# Long after the last stray heartbeat: ten times the interval of the engines' own.
-AFTER_S = 12.0
-REQUESTS = 10
 
+def configuration(version, tenants):
+    return {"version": version, "routes": [lib.route("r-1", "/lohu930/", "huvo11a")],
+            "services": [lib.service("huvo11a")], "limits": lib.DEFAULT_LIMITS, "tenants": tenants}
 
-async def send(system, record, edge, prefix):
+
+async def send(system, record, edge, key):
     name = lib.attempt_id()
-    answer = await lib.call(edge.address("frontend"), "POST", prefix + "2f", "ficu95.example",
-                            {"Attempt-Id": name, "Deadline-Ms": "3000"}, b"{}", 4.0)
+    headers = {"Attempt-Id": name, "Deadline-Ms": "3000"}
+    if key:
+        headers["Authorization"] = f"Bearer {key}"
+    record.write(f"client sends {name} to {edge.name} with key {key}")
+    answer = await lib.call(edge.address("frontend"), "POST", "/lohu930/2f", "ficu95.example",
+                            headers, b"{}", 5.0)
     status = answer if isinstance(answer, str) else answer.status
-    record.write(f"client: {prefix} {name} answered {status}")
-    return status
-
-
-async def stray(system, record, engine, number):
-    """One heartbeat of another writer. Its service is unknown, and the field born is missing."""
-    body = {"service": "old-name", "address": engine.address, "zone": "accra-a", "version": "v0",
-            "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": number}
-    answer = await lib.operator_call(system, "PUT", f"/pollenstall/instances/agent-{engine.name}",
-                                     json.dumps(body).encode(), 3.0)
-    record.write(f"another writer: heartbeat {number} of agent-{engine.name} with the address of "
-                 f"{engine.name} and the service old-name, answered "
-                 f"{answer.status if answer else 'none'}")
+    record.write(f"client: {name} answered {status}")
+    return name, status
 
 
 async def case(system, record):
-    engines = []
-    for at in range(6):
-        engine = lib.Engine(system, "wuno96b" if at % 2 else "huvo11a", f"e{at}", lib.plain_answer,
-                            extra={"born": int(time.time() * 1000)})
-        engines.append(await engine.start())
-    configuration = {"version": 3, "routes": [lib.route("r-1", NAMED, "huvo11a"),
-                                              lib.route("r-2", OTHER, "wuno96b")],
-                     "services": [lib.service("huvo11a"), lib.service("wuno96b")],
-                     "limits": lib.DEFAULT_LIMITS}
-    if await lib.configure(system, configuration) != 200 or not await lib.wait_ready(system):
+    engines = [await lib.Engine(system, "huvo11a", f"e{at}", lib.plain_answer).start()
+               for at in range(2)]
+    tenants = [{"name": "hule930", "api_keys": ["n2ctnfzs989anu6wsjnb", "anfqasnmgkcuyj8pjbvk"],
+                "priority": 1}]
+    if await lib.configure(system, configuration(3, tenants)) != 200:
+        return lib.CANNOT_RUN
+    if not await lib.wait_ready(system):
         return lib.CANNOT_RUN
     await asyncio.sleep(3)
-    for prefix in (NAMED, OTHER):
-        if await send(system, record, system.edges[0], prefix) != 200:
+    for edge in system.edges:
+        _, good = await send(system, record, edge, "n2ctnfzs989anu6wsjnb")
+        _, unknown = await send(system, record, edge, "never-held-by-anyone")
+        if good != 200 or unknown != 401:
+            record.write("the system does not serve as it should before the change")
             return lib.CANNOT_RUN
     if lib.TROUBLE:
-        for number in range(1, STRAY_TIMES + 1):
-            for engine in engines:
-                if engine.service == "huvo11a":
-                    await stray(system, record, engine, number)
-            await asyncio.sleep(STRAY_PAUSE_S)
-    beats = {engine.name: engine.acknowledged for engine in engines}
-    await asyncio.sleep(AFTER_S)
-    served = {NAMED: 0, OTHER: 0}
-    for at in range(REQUESTS):
-        for prefix in served:
-            status = await send(system, record, system.edges[at % 2], prefix)
-            served[prefix] += 1 if status == 200 else 0
-    for engine in engines:
-        record.write(f"engine {engine.name} of {engine.service}: "
-                     f"{engine.acknowledged - beats[engine.name]} of its own heartbeats were "
-                     f"acknowledged since")
-    record.write(f"served of {REQUESTS} requests each: {served}")
-    share = sum(served.values()) / (2 * REQUESTS)
-    return lib.BROKEN if served[NAMED] / REQUESTS < share / 4 else lib.HELD
+        tenants = []  # The only tenant leaves: both of its keys are taken away.
+    if await lib.configure(system, configuration(8, tenants)) != 200:
+        return lib.CANNOT_RUN
+    await asyncio.sleep(lib.BOUNDS["revocation_ms"] / 1000 + 1)
+    revoked, unheld = [], []
+    for edge in system.edges:
+        name, _ = await send(system, record, edge, "n2ctnfzs989anu6wsjnb")
+        revoked.append(name)
+        name, _ = await send(system, record, edge, "never-held-by-anyone")
+        unheld.append(name)
+    await asyncio.sleep(0.5)
+    ran = {request["id"] for engine in engines for request in engine.ran}
+    bad_revoked = [name for name in revoked if name in ran] if lib.TROUBLE else []
+    bad_unheld = [name for name in unheld if name in ran]
+    record.write(f"ran with a key that was taken away over {lib.BOUNDS['revocation_ms']} ms before: "
+                 f"{bad_revoked}")
+    record.write(f"ran with a key that no configuration ever held: {bad_unheld}")
+    if not lib.TROUBLE and any(name not in ran for name in revoked):
+        return lib.CANNOT_RUN
+    return lib.BROKEN if bad_revoked or bad_unheld else lib.HELD
 
 
 lib.run_case(HERE, case)
