Choose the voters of the log so that tolerated failure domains are survived

Cause: the tolerance was a count of hosts from the template on. No host tolerated made one voter of five, and no part of the log knew a host's failure domain: the first members, the promotion of learners and the replacement of lost voters chose by count.

Change: chooseVoters(), a pure function from hosts with their domains and a tolerance of hosts, domains and regions to the voters that survive it. Hosts tell their domain in the hello, where earlier builds ignore it. What cannot be survived is said in `status`, a metric and the log.

Why it is enough: a committed entry is on a majority of the voters, and after each tolerated loss a majority remains.

--- a/programs/pollenstall-control/control_core.cpp
+++ b/programs/pollenstall-control/control_core.cpp
@@ -20,7 +20,7 @@
 constexpr std::chrono::seconds ApplicantLifetime{3};
 
 /// Interval between two checks for lost members.
-constexpr milliseconds RepairInterval{200};
+constexpr milliseconds RepairInterval{50};
 
 directory_options directoryOptions(const control_settings &Settings) {
   directory_options Options;
@@ -67,6 +67,7 @@
       State(Limits), EntryServer(entryOptions(Parts.Settings), entryServerCallbacks()),
       Directory(directoryOptions(Parts.Settings)), Requests(RequestCapacity) {
   Addresses[self()] = Parts.Own;
+  Replica.setDomain(self(), failure_domain_name(Parts.Settings.Domain));
   Requests.onWake([this] { Parts.Wake->notify(); });
   publishDeclared();
 }
@@ -265,6 +266,8 @@
   LeadershipRead.reset();
   AwaitingInForce.clear();
   Applicants.clear();
+  Tolerance.reset();
+  Parts.Metrics->ToleranceMet.Set(0);
   Directory.clear();
   EntryServer.stopLeading();
   Offers.abandonAll();
@@ -378,7 +381,8 @@
     return;
   NextRepair = Now + RepairInterval;
   member_repair_options Options;
-  Options.TargetVoters = targetVoters(Parts.Settings);
+  Options.Tolerance = toleratedLosses(Parts.Settings);
+  reportTolerance(Status, Options);
   const std::optional<member_change> Change = nextMemberRepair(Status, ReplacedMembers, Options);
   if (!Change)
     return;
@@ -394,6 +398,27 @@
            {{"member", std::to_string(Member.value())}, {"members", toText(Status.Members)}});
 }
 
+void control_core::reportTolerance(const replica_status &Status,
+                                   const member_repair_options &Options) {
+  if (!Options.Tolerance)
+    return;
+  const survivable_losses Survived =
+      survivedLosses(votersOf(Status, ReplacedMembers, Options), *Options.Tolerance);
+  const bool Met =
+      Survived == requiredLosses(*Options.Tolerance) && Options.Tolerance->Regions == 0;
+  Parts.Metrics->ToleranceMet.Set(Met ? 1 : 0);
+  const auto Reported = std::exchange(Tolerance, tolerance_state{Survived, Met});
+  if (Reported && *Reported == *Tolerance)
+    return;
+  logEvent(Met ? log_level::Info : log_level::Warning, Met ? "tolerance_met" : "tolerance_not_met",
+           {{"tolerated_hosts", static_cast<std::int64_t>(Options.Tolerance->Hosts)},
+            {"tolerated_domains", static_cast<std::int64_t>(Options.Tolerance->Domains)},
+            {"tolerated_regions", static_cast<std::int64_t>(Options.Tolerance->Regions)},
+            {"survived_hosts", static_cast<std::int64_t>(Survived.Hosts)},
+            {"survived_domains", static_cast<std::int64_t>(Survived.Domains)},
+            {"members", toText(Status.Members)}});
+}
+
 void control_core::expireWaiters() {
   // Limits the number of waiters during an outage. Their outcome is unknown; a resend resolves it.
   std::vector<answer_hook> Late;
--- a/programs/pollenstall-control/control_core_base.h
+++ b/programs/pollenstall-control/control_core_base.h
@@ -35,6 +35,14 @@
   std::shared_ptr<order_status_view> Orders; ///< Null if this host sends no orders.
 };
 
+/// What the voters survive of the tolerated losses.
+struct tolerance_state {
+  survivable_losses Survived;
+  bool Met{false}; ///< They survive all of them.
+
+  bool operator==(const tolerance_state &) const = default;
+};
+
 /**
  * Owns the replica, the data folder and the state; only its thread accesses them. Operators'
  * threads enqueue requests and wait for the answers.
@@ -147,6 +155,9 @@
 
   void updatePeriodically();
   void replaceLostMembers(const replica_status &Status);
+  /// Logs when the losses that the voters survive change, and whether they are all that the
+  /// settings require.
+  void reportTolerance(const replica_status &Status, const member_repair_options &Options);
   [[nodiscard]] member_id self() const { return Parts.Folder->identity().Key.Member; }
   void updateLinkMetrics();
   void expireWaiters();
@@ -181,6 +192,7 @@
   std::map<revision, mono_time> AwaitingInForce;
   mono_time NextClaimExpiry{};
   mono_time NextRepair{};
+  std::optional<tolerance_state> Tolerance; ///< Last reported; only while this host leads.
 
   std::mutex RequestMutex; ///< Serializes the operators' threads as one producer.
   bounded_ring<control_request> Requests;
--- a/programs/pollenstall-control/control_core_request.cpp
+++ b/programs/pollenstall-control/control_core_request.cpp
@@ -65,6 +65,8 @@
     bool Changed = learnAddresses(Hello->Member, Hello->Addresses, true);
     for (const known_peer &Other : Hello->KnownPeers)
       Changed = learnAddresses(Other.first, Other.second, false) || Changed;
+    if (!Hello->Domain.empty())
+      Replica.setDomain(Hello->Member, Hello->Domain);
     if (Changed)
       EntryServer.controlsChanged();
     return;
--- a/programs/pollenstall-control/control_core_status.cpp
+++ b/programs/pollenstall-control/control_core_status.cpp
@@ -94,6 +94,19 @@
   return Object;
 }
 
+/// @return Null on a host that does not lead, or whose members are managed by operators.
+json::value toleranceValue(const std::optional<loss_tolerance> &Tolerated,
+                           const std::optional<tolerance_state> &State) {
+  if (!Tolerated || !State)
+    return nullptr;
+  return json::object{{"hosts", Tolerated->Hosts},
+                      {"domains", Tolerated->Domains},
+                      {"regions", Tolerated->Regions},
+                      {"survived_hosts", State->Survived.Hosts},
+                      {"survived_domains", State->Survived.Domains},
+                      {"met", State->Met}};
+}
+
 } // namespace
 
 std::string control_core::statusText() {
@@ -134,6 +147,7 @@
       !Applicants.empty() || repairUnfinished(Status, Members, Parts.Settings.Peers.size(),
                                               2 * mono_duration(Parts.Settings.Election));
   Object["repair_unfinished"] = Serving ? json::value(Unfinished) : json::value();
+  Object["tolerance"] = toleranceValue(toleratedLosses(Parts.Settings), Tolerance);
   json::array Entries;
   for (const tracked_entry &Entry : EntryServer.entries())
     Entries.push_back(entryObject(Entry, Time));
--- a/programs/pollenstall-control/control_main.cpp
+++ b/programs/pollenstall-control/control_main.cpp
@@ -76,7 +76,7 @@
 std::optional<std::string> startLinks(const control_settings &Settings, member_id Self,
                                       control_host &Host) {
   peer_link_builder Builder(Settings.Fleet, Self, Settings.ListenPeers);
-  Builder.onMessages([&Host] { Host.Wake.notify(); });
+  Builder.domain(failure_domain_name(Settings.Domain)).onMessages([&Host] { Host.Wake.notify(); });
   for (const std::string &Text : Settings.Peers) {
     const auto Peer = *peerFromText(Text);
     Builder.peer(Peer.first, Peer.second);
--- a/programs/pollenstall-control/control_metrics.cpp
+++ b/programs/pollenstall-control/control_metrics.cpp
@@ -42,6 +42,8 @@
                    "Time to make a batch of log entries durable")),
       InForce(seconds("pollenstall_control_in_force_seconds",
                       "From the acceptance of a change until it is in force everywhere")),
+      ToleranceMet(gauge("pollenstall_control_tolerance_met",
+                         "1 while this host leads and the voters survive all tolerated losses")),
       Evacuated(gauge("pollenstall_control_evacuated_domains", "Evacuated failure domains")),
       EvacuationAcknowledged(
           seconds("pollenstall_control_evacuation_seconds",
--- a/programs/pollenstall-control/control_metrics_base.h
+++ b/programs/pollenstall-control/control_metrics_base.h
@@ -36,9 +36,10 @@
   prometheus::Counter &PeerUndecodable;
   prometheus::Counter &EntryUndecodable;
   prometheus::Counter &PeerDropped;
-  prometheus::Histogram &Sync;    ///< Time to make a batch durable.
-  prometheus::Histogram &InForce; ///< Time from acceptance until in force everywhere.
-  prometheus::Gauge &Evacuated;   ///< Evacuated failure domains.
+  prometheus::Histogram &Sync;     ///< Time to make a batch durable.
+  prometheus::Histogram &InForce;  ///< Time from acceptance until in force everywhere.
+  prometheus::Gauge &ToleranceMet; ///< 1 if this host leads and all tolerated losses are survived.
+  prometheus::Gauge &Evacuated;    ///< Evacuated failure domains.
   prometheus::Histogram &EvacuationAcknowledged; ///< Time from acceptance to acknowledgement.
 };
 
--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -68,6 +68,14 @@
           "tolerated_losses", &control_settings::ToleratedLosses, {1U, 0U, 1'000U},
           "Control hosts that may be lost at once, with their disks: the log gets twice as many "
           "voters and one more before the first change is accepted. For self_managed only.")
+      .number(
+          "tolerated_domains", &control_settings::ToleratedDomains, {0U, 0U, 1'000U},
+          "Failure domains that may be lost at once, with the disks of all their control hosts: "
+          "fewer than half of the voters are in any such domains. For self_managed only.")
+      .number("tolerated_regions", &control_settings::ToleratedRegions, {0U, 0U, 1'000U},
+              "Regions that may be lost at once. Control hosts of several regions do not form one "
+              "log, so the loss of a region is never survived; as many failure domains are. For "
+              "self_managed only.")
       .flag(
           "bootstrap", &control_settings::Bootstrap, false,
           "Set on exactly one host: it bootstraps the log once every peer has an empty disk. With "
@@ -178,8 +186,11 @@
   return withPort(Settings.Seeds, Settings.SeedPort);
 }
 
-std::size_t targetVoters(const control_settings &Settings) {
-  return Settings.SelfManaged ? std::size_t{2} * Settings.ToleratedLosses + 1 : 0;
+std::optional<loss_tolerance> toleratedLosses(const control_settings &Settings) {
+  if (!Settings.SelfManaged)
+    return std::nullopt;
+  return loss_tolerance{Settings.ToleratedLosses, Settings.ToleratedDomains,
+                        Settings.ToleratedRegions};
 }
 
 bool isFounder(const control_settings &Settings) {
@@ -193,7 +204,7 @@
   /// The result is several times the round trip of a vote plus two syncs of a healthy disk.
   constexpr int EarlyPart = 8;
   replica_options Options;
-  Options.TargetVoters = targetVoters(Settings);
+  Options.Tolerance = toleratedLosses(Settings);
   Options.HeartbeatInterval = Settings.Heartbeat;
   Options.MinElectionTimeout = Settings.Election;
   Options.MaxElectionTimeout = 2 * Settings.Election;
--- a/programs/pollenstall-control/control_settings_type.h
+++ b/programs/pollenstall-control/control_settings_type.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -30,6 +31,8 @@
   std::uint32_t SeedPort{0};      ///< Port for peers on those hosts; 0 uses the port in Seeds.
   bool SelfManaged{false};        ///< Members are admitted and replaced automatically.
   std::uint32_t ToleratedLosses{0};
+  std::uint32_t ToleratedDomains{0};
+  std::uint32_t ToleratedRegions{0};
   std::string Interface; ///< Calls at the operators' address in addition to its own.
   std::chrono::milliseconds NoticeInterval{0};
   bool Bootstrap{false};
@@ -60,9 +63,8 @@
 /// @return The seeds, with the port on which control hosts listen for peers.
 std::vector<std::string> seedAddresses(const control_settings &Settings);
 
-/// @return The number of voters required for the tolerated losses; 0 if operators manage the
-/// members.
-std::size_t targetVoters(const control_settings &Settings);
+/// @return The losses that the log must survive; nothing if operators manage the members.
+std::optional<loss_tolerance> toleratedLosses(const control_settings &Settings);
 
 /**
  * @return Whether this host may bootstrap the log. With seeds, every host of the first start has
--- a/src/consensus/consensus_type.h
+++ b/src/consensus/consensus_type.h
@@ -302,6 +302,16 @@
 
 using proposal_result = result<proposal_position, proposal_refusal>;
 
+/// Losses at the same time, disks included, that the log must survive: any hosts, or any failure
+/// domains, or any regions.
+struct loss_tolerance {
+  std::size_t Hosts{0};
+  std::size_t Domains{0};
+  std::size_t Regions{0};
+
+  bool operator==(const loss_tolerance &) const = default;
+};
+
 /// The Raft role of a replica.
 enum class replica_role : std::uint8_t { Learner, Follower, PreCandidate, Candidate, Leader };
 
@@ -330,8 +340,12 @@
   std::size_t SnapshotEvery{4096};          ///< Applied entries between two snapshots.
   std::size_t KeepAfterSnapshot{512};       ///< Entries kept for followers that lag slightly.
   std::size_t CaughtUpWithin{64};           ///< Maximum lag in entries of a learner to be promoted.
-  /// Learners are promoted only up to this number of voters; 0 sets no limit.
-  std::size_t TargetVoters{0};
+  /// If set, the voters are those that survive these losses, and the caller makes the changes of
+  /// nextMemberRepair(). Otherwise every learner that has caught up is promoted.
+  std::optional<loss_tolerance> Tolerance{};
+  /// How long the bootstrapping host waits for empty disks in enough failure domains before it
+  /// bootstraps with those that survive most.
+  mono_duration BootstrapWait{std::chrono::seconds(3)};
 };
 
 } // namespace pollenstall
--- a/src/consensus/member_repair_func.h
+++ b/src/consensus/member_repair_func.h
@@ -1,8 +1,9 @@
-/** @file member_repair_func.h Automatic replacement of lost members. */
+/** @file member_repair_func.h Automatic replacement of lost members and choice of the voters. */
 #ifndef POLLENSTALL_CONSENSUS_MEMBER_REPAIR_FUNC_H
 #define POLLENSTALL_CONSENSUS_MEMBER_REPAIR_FUNC_H
 
 #include "consensus/replica_base.h"
+#include "consensus/voter_choice_func.h"
 
 #include <optional>
 #include <set>
@@ -10,9 +11,9 @@
 
 namespace pollenstall {
 
-/// When a member counts as lost.
+/// When a member counts as lost, and which losses the voters must survive.
 struct member_repair_options {
-  std::size_t TargetVoters{0}; ///< 0 disables replacement.
+  std::optional<loss_tolerance> Tolerance{}; ///< Without it no member is replaced.
   /// A voter that has not replied for this long is replaced if a caught-up learner exists. Twice
   /// the default MinElectionTimeout is enough for a voter that only missed a change of leader to
   /// reply again. A member that replied within half of this time counts as responsive.
@@ -38,6 +39,11 @@
 /**
  * Returns the next membership change that the leader should make, one safe change at a time.
  *
+ * The changes lead to the voters of chooseVoters(). No change lowers the losses that the voters
+ * survive, with one exception: with three voters of three failure domains, each fourth voter shares
+ * a domain with another one. Such a promotion is made only if the next one, of a learner that is
+ * ready too, leads to more than the voters survive now.
+ *
  * An unresponsive voter may still have its disk, so a learner is promoted before that voter is
  * expelled. If a voter of five were expelled first, four voters would remain with a quorum of
  * three, which the loss of two more disks destroys, although three of the five disks still exist.
@@ -52,6 +58,11 @@
                                               const std::set<member_id> &MembersWithoutDisk,
                                               const member_repair_options &Options);
 
+/// @return The voters of a leader's member set, with those that count as lost.
+std::vector<voter_candidate> votersOf(const replica_status &Status,
+                                      const std::set<member_id> &MembersWithoutDisk,
+                                      const member_repair_options &Options);
+
 } // namespace pollenstall
 
 #endif // POLLENSTALL_CONSENSUS_MEMBER_REPAIR_FUNC_H
--- a/src/consensus/replica.cpp
+++ b/src/consensus/replica.cpp
@@ -35,6 +35,9 @@
   return Core->promote(Key, Now);
 }
 void replica::addPeer(member_id Peer) { Core->addPeer(Peer); }
+void replica::setDomain(member_id Member, failure_domain_name Domain) {
+  Core->setDomain(Member, std::move(Domain));
+}
 
 std::vector<consensus_action> replica::takeActions(mono_time Now) { return Core->takeActions(Now); }
 
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -5,6 +5,7 @@
 #include "consensus/consensus_type.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -33,7 +34,8 @@
   bool LeaseValid{false};
   bool Empty{true}; ///< The cluster is not bootstrapped here, or this disk is not admitted yet.
   member_set Members;
-  std::vector<member_progress> Progress; ///< On a leader only.
+  std::vector<member_progress> Progress;            ///< On a leader only.
+  std::map<member_id, failure_domain_name> Domains; ///< Those known, of members and other hosts.
 };
 
 /**
@@ -61,15 +63,17 @@
   /// exceeds the size limit or is not newer than the current snapshot.
   bool snapshotTaken(log_index Index, std::string State, mono_time Now);
 
-  /// Leader only: adds a disk as a learner, in place of an older disk of the same id. The learner
-  /// is promoted automatically once it has caught up.
+  /// Leader only: adds a disk as a learner, in place of an older disk of the same id. Without
+  /// replica_options::Tolerance the learner is promoted automatically once it has caught up.
   proposal_result admit(const member_key &Key, mono_time Now);
   /// Leader only: removes a member.
   proposal_result expel(member_id Member, mono_time Now);
-  /// Leader only: promotes a learner to voter, even beyond the target number of voters.
+  /// Leader only: promotes a learner to voter, even one that the tolerated losses do not require.
   proposal_result promote(const member_key &Key, mono_time Now);
   /// Adds a host from which this disk requests admission while it is not a member.
   void addPeer(member_id Peer);
+  /// Records the failure domain that a host, perhaps this one, is in.
+  void setDomain(member_id Member, failure_domain_name Domain);
 
   /// @return The actions to execute, in order. Entries proposed since the last call are batched.
   std::vector<consensus_action> takeActions(mono_time Now);
@@ -101,7 +105,7 @@
   replica_builder &peers(std::vector<member_id> Ids);
   /**
    * Allows this host to bootstrap the cluster once every peer has reported that its disk is empty;
-   * with a target number of voters, once that number of disks is known to be empty. It is safe to
+   * with replica_options::Tolerance, once the empty disks survive those losses. It is safe to
    * leave this set: a bootstrapping host that lost its disk finds peers that are not empty and
    * joins them instead.
    * @param NewCluster A random id for the cluster.
--- a/src/consensus/replica_core.cpp
+++ b/src/consensus/replica_core.cpp
@@ -10,7 +10,7 @@
       NewCluster(Arguments.NewCluster), Random(Arguments.Seed), Hard(Arguments.State.Hard),
       Log(Arguments.State), Snapshot(std::move(Arguments.State.Snapshot)),
       PersistTracker(Log.lastIndex()), LastEvent(Now), LastLeaderContact(Now), NextHeartbeat(Now),
-      NextAdmissionRequest(Now) {
+      NextAdmissionRequest(Now), StartedAt(Now) {
   if (Snapshot) {
     History.reset(Snapshot->Index, Snapshot->Members);
     Commit = Snapshot->Index;
@@ -59,7 +59,7 @@
     promoteLearner(Now);
   }
   requestAdmission(Now);
-  bootstrapWhenReady();
+  bootstrapWhenReady(Now);
 }
 
 bool replica_core::acceptsMessage(const consensus_message &Message) const {
--- a/src/consensus/replica_core_base.h
+++ b/src/consensus/replica_core_base.h
@@ -41,6 +41,7 @@
   proposal_result expel(member_id Member, mono_time Now);
   proposal_result promote(const member_key &Key, mono_time Now);
   void addPeer(member_id Peer);
+  void setDomain(member_id Member, failure_domain_name Domain);
   std::vector<consensus_action> takeActions(mono_time Now);
 
   [[nodiscard]] bool leaseValid(mono_time Now) const;
@@ -140,7 +141,9 @@
   void promoteLearner(mono_time Now);
   [[nodiscard]] bool shouldRequestAdmission(mono_time Now) const;
   void requestAdmission(mono_time Now);
-  void bootstrapWhenReady();
+  void bootstrapWhenReady(mono_time Now);
+  [[nodiscard]] std::optional<member_set> initialMembers(mono_time Now) const;
+  [[nodiscard]] std::optional<member_set> allPeersAsVoters() const;
   void receiveBody(const consensus_message &Message, const admission_request &Request,
                    mono_time Now);
   void receiveBody(const consensus_message &Message, const bootstrap_probe &Probe, mono_time Now);
@@ -193,6 +196,8 @@
   bool SnapshotRequested{false};
   log_index SnapshotRequestIndex;
   std::map<member_id, member_key> EmptyPeers; ///< Bootstrapping host only: peers with empty disks.
+  std::map<member_id, failure_domain_name> Domains; ///< Of the hosts that reported theirs.
+  mono_time StartedAt;
 
   std::vector<deferred_message> DeferredMessages;
   std::vector<consensus_action> Actions;
--- a/src/consensus/replica_core_dump.cpp
+++ b/src/consensus/replica_core_dump.cpp
@@ -18,6 +18,7 @@
   Status.LeaseValid = leaseValid(Now);
   Status.Empty = isEmpty();
   Status.Members = members();
+  Status.Domains = Domains;
   for (const follower_progress &Progress : Followers) {
     const log_member *Member = findMember(members(), Progress.key());
     const mono_time LastReply = Progress.lastRepliedSendTime().value_or(LeadingSince);
--- a/src/consensus/replica_core_member.cpp
+++ b/src/consensus/replica_core_member.cpp
@@ -1,5 +1,6 @@
 /** @file replica_core_member.cpp Bootstrap, admission and single-server membership changes. */
 #include "consensus/replica_core_base.h"
+#include "consensus/voter_choice_func.h"
 
 #include <algorithm>
 
@@ -102,10 +103,14 @@
     Peers.push_back(Peer);
 }
 
+void replica_core::setDomain(member_id Member, failure_domain_name Domain) {
+  Domains[Member] = std::move(Domain);
+}
+
 void replica_core::promoteLearner(mono_time Now) {
-  // A voter beyond the target raises the quorum, which might be unreachable after the loss of
-  // another host.
-  if (Options.TargetVoters > 0 && voterCount(members()) >= Options.TargetVoters)
+  // A voter that the tolerated losses do not require raises the quorum, which might be unreachable
+  // after the loss of another host.
+  if (Options.Tolerance)
     return;
   for (const follower_progress &Progress : Followers) {
     const bool IsLearner = !isVoter(members(), Progress.key());
@@ -171,29 +176,57 @@
     sendNow(Message.From, admission_request{});
 }
 
-void replica_core::bootstrapWhenReady() {
-  if (!isEmpty() || NewCluster == cluster_id())
-    return;
-  // With a target number of voters the peers are not known in advance. That number of disks must
-  // have reported that they are empty; with fewer, the first change could be accepted by too few
-  // disks to survive the number of losses that the cluster must tolerate.
-  const std::size_t RequiredDisks = Options.TargetVoters;
-  if (RequiredDisks > 0 && EmptyPeers.size() + 1 < RequiredDisks)
-    return;
+std::optional<member_set> replica_core::allPeersAsVoters() const {
   member_set Set{NewCluster, {{Self, voting_status::Voter}}};
   for (const member_id Peer : Peers) {
     if (Peer == Self.Member)
       continue;
     const auto EmptyPeer = EmptyPeers.find(Peer);
-    if (EmptyPeer == EmptyPeers.end() && RequiredDisks == 0)
-      return;
-    if (EmptyPeer == EmptyPeers.end() || (RequiredDisks > 0 && voterCount(Set) >= RequiredDisks))
-      continue;
+    if (EmptyPeer == EmptyPeers.end())
+      return std::nullopt;
     Set = withVoter(withLearner(std::move(Set), EmptyPeer->second), EmptyPeer->second);
   }
+  return Set;
+}
+
+std::optional<member_set> replica_core::initialMembers(mono_time Now) const {
+  if (!Options.Tolerance)
+    return allPeersAsVoters();
+  std::vector<voter_candidate> Candidates;
+  const auto AddCandidate = [&](const member_key &Key) {
+    const auto Domain = Domains.find(Key.Member);
+    Candidates.push_back({Key, Domain == Domains.end() ? failure_domain_name() : Domain->second});
+  };
+  AddCandidate(Self);
+  for (const auto &[Member, Key] : EmptyPeers)
+    AddCandidate(Key);
+  // The hosts are not known in advance. If the first change were accepted by fewer disks, or by
+  // disks of fewer failure domains, it would be gone after losses that the cluster must tolerate.
+  const std::vector<voter_candidate> Voters =
+      chooseVoters(Candidates, Self, *Options.Tolerance, minVoters(*Options.Tolerance));
+  if (Voters.empty())
+    return std::nullopt;
+  // Hosts of other failure domains may be absent for good, or there are none. Changes are then
+  // accepted with what the present hosts survive.
+  const bool SurvivesAll =
+      survivedLosses(Voters, *Options.Tolerance) == requiredLosses(*Options.Tolerance);
+  if (!SurvivesAll && Now - StartedAt < Options.BootstrapWait)
+    return std::nullopt;
+  member_set Set{NewCluster, {}};
+  for (const voter_candidate &Voter : Voters)
+    Set = withVoter(withLearner(std::move(Set), Voter.Key), Voter.Key);
+  return Set;
+}
+
+void replica_core::bootstrapWhenReady(mono_time Now) {
+  if (!isEmpty() || NewCluster == cluster_id())
+    return;
+  const std::optional<member_set> Set = initialMembers(Now);
+  if (!Set)
+    return;
   if (Hard.Term < BootstrapTerm)
     setHardState({BootstrapTerm, {}});
-  storeEntry({log_index(1), BootstrapTerm, entry_kind::Membership, encodeMembers(Set)});
+  storeEntry({log_index(1), BootstrapTerm, entry_kind::Membership, encodeMembers(*Set)});
 }
 
 } // namespace pollenstall
--- a/src/peer_link/peer_codec_func.h
+++ b/src/peer_link/peer_codec_func.h
@@ -64,8 +64,24 @@
 template <typename Archive> void serialize(Archive &Into, peer_addresses &Addresses) {
   Into(Addresses.Peers, Addresses.Entries, Addresses.Operators);
 }
-template <typename Archive> void serialize(Archive &Into, peer_hello &Hello) {
-  Into(Hello.Member, Hello.Addresses, Hello.KnownPeers);
+/**
+ * The failure domain is written as the last known peer, with the sender's own id. Builds that do
+ * not know it ignore what a hello says about its sender as about another host, while a further
+ * field would make them close the connection.
+ */
+template <typename Archive> void save(Archive &Into, const peer_hello &Hello) {
+  std::vector<known_peer> KnownPeers = Hello.KnownPeers;
+  if (!Hello.Domain.empty())
+    KnownPeers.emplace_back(Hello.Member, peer_addresses{Hello.Domain.str(), {}, {}});
+  Into(Hello.Member, Hello.Addresses, KnownPeers);
+}
+template <typename Archive> void load(Archive &From, peer_hello &Hello) {
+  From(Hello.Member, Hello.Addresses, Hello.KnownPeers);
+  Hello.Domain = {};
+  if (Hello.KnownPeers.empty() || Hello.KnownPeers.back().first != Hello.Member)
+    return;
+  Hello.Domain = failure_domain_name(std::move(Hello.KnownPeers.back().second.Peers));
+  Hello.KnownPeers.pop_back();
 }
 
 /// @return The message, framed for the wire.
--- a/src/peer_link/peer_link.cpp
+++ b/src/peer_link/peer_link.cpp
@@ -77,9 +77,10 @@
 
 private:
   void updateHello() {
-    HelloFrame =
-        peerFrame(Options.Fleet,
-                  peer_hello{Options.Self, OwnAddresses, {KnownPeers.begin(), KnownPeers.end()}});
+    HelloFrame = peerFrame(Options.Fleet, peer_hello{Options.Self,
+                                                     OwnAddresses,
+                                                     {KnownPeers.begin(), KnownPeers.end()},
+                                                     Options.Domain});
     for (const auto &[Member, Sender] : Senders)
       Sender->setHelloFrame(HelloFrame);
     for (const auto &[Seed, SeedSender] : SeedSenders)
@@ -224,6 +225,11 @@
   Options.Listen = std::move(Listen);
 }
 
+peer_link_builder &peer_link_builder::domain(failure_domain_name Domain) {
+  Options.Domain = std::move(Domain);
+  return *this;
+}
+
 peer_link_builder &peer_link_builder::peer(member_id Member, std::string Address) {
   if (Member != Options.Self)
     Options.Peers.emplace(Member, std::move(Address));
--- a/src/peer_link/peer_link_base.h
+++ b/src/peer_link/peer_link_base.h
@@ -18,6 +18,7 @@
 struct peer_link_options {
   std::string Fleet;
   member_id Self;
+  failure_domain_name Domain;             ///< Of this host; reported to the others.
   std::string Listen;                     ///< "IP:port"; with port 0 the kernel assigns a port.
   std::map<member_id, std::string> Peers; ///< Where the other hosts listen.
   std::vector<std::string> Seeds;         ///< Addresses of control hosts whose ids are unknown.
@@ -66,6 +67,8 @@
 public:
   peer_link_builder(std::string Fleet, member_id Self, std::string Listen);
 
+  /// Sets the failure domain that the other control hosts are told.
+  peer_link_builder &domain(failure_domain_name Domain);
   peer_link_builder &peer(member_id Member, std::string Address);
   /// Adds an address at which a control host may listen. A hello goes to it on each connection
   /// until that host's own hello arrives.
--- a/src/peer_link/peer_link_type.h
+++ b/src/peer_link/peer_link_type.h
@@ -30,6 +30,7 @@
   member_id Member;
   peer_addresses Addresses;
   std::vector<known_peer> KnownPeers;
+  failure_domain_name Domain{}; ///< Of the sender; empty if its build does not report it.
 };
 
 using peer_message = std::variant<peer_hello, consensus_message>;
--- a/tests/control/control_cluster.h
+++ b/tests/control/control_cluster.h
@@ -26,9 +26,17 @@
 /// @return The body of POST /v1/changes.
 std::string changeBody(const std::string &Id, std::uint64_t Base, const std::string &Text);
 
+/// Control hosts that admit and replace members themselves.
+struct self_management {
+  std::vector<std::string> Domains; ///< The failure domain of each host.
+  std::string Tolerance;            ///< Lines of the settings.
+};
+
 /// Processes of control hosts with one data folder each.
 class control_cluster {
 public:
+  /// Starts a host for each of the domains.
+  explicit control_cluster(self_management NewMembers);
   /// Starts all hosts. @param MoreListen Further lines of the settings' [listen] table.
   explicit control_cluster(std::size_t Hosts = 3, std::string MoreSettings = {},
                            std::string MoreListen = {});
@@ -39,6 +47,8 @@
 
   [[nodiscard]] std::size_t size() const { return Hosts.size(); }
   void start(std::size_t Host);
+  /// Self-managed hosts only: sets the tolerance that hosts started from now on have.
+  void setTolerance(std::string Lines) { SelfManaged->Tolerance = std::move(Lines); }
   void kill(std::size_t Host);
   /// Sends SIGKILL without waiting for the end. May be called from any thread.
   void sendKill(std::size_t Host) { Hosts[Host].Process->kill(); }
@@ -81,12 +91,15 @@
     std::unique_ptr<child_process> Process;
   };
 
+  void startAll(std::size_t Count);
   [[nodiscard]] std::string folder(std::size_t Host) const;
+  [[nodiscard]] std::string memberSettings(std::size_t Host) const;
 
   temp_folder Folder;
   std::string KeyHashFile;
   std::string More;
   std::string Listen;
+  std::optional<self_management> SelfManaged;
   std::vector<host> Hosts;
   std::atomic<std::size_t> LastAnswered{0};
 };
--- a/tests/platform/platform_system.cpp
+++ b/tests/platform/platform_system.cpp
@@ -114,6 +114,8 @@
                     {"data_directory", folder(HostIndex)},
                     {"is_bootstrap", Bootstrap ? "true" : "false"},
                     {"fault_tolerance.machines", std::to_string(Controls.size() / 2)},
+                    {"fault_tolerance.zones", "1"},
+                    {"fault_tolerance.regions", "0"},
                     {"heartbeat_interval_ms", "300"},
                     {"bounds.grace_s", "8"},
                     {"bounds.retry_budget_ratio", "0.2"},
