Share one memory among the parts of answers that wait for their rest

Reported: a faulty engine sends bytes without end; the machine that called it keeps them all, and the requests of other callers end with the process.

Cause: an event may be 1 MiB for each stream, comments count as a part of the next event, and no setting says how much memory the process has.

Change: one account for unfinished events and buffered answers, a quarter of limits.memory_mb (new, from the platform). Each answer may hold an eighth of what is free: what grows is ended before the memory is used up, however many there are, and a small part fits. New gauge pollenstall_answer_memory_bytes.

--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -149,6 +149,14 @@
       .number("limits.body_memory_bytes", &entry_settings::BodyMemory,
               {Gigabyte, Megabyte, 1024 * Gigabyte},
               "Maximum memory for all request bodies; further requests are refused as not run.")
+      .number(
+          "limits.answer_memory_bytes", &entry_settings::AnswerMemory,
+          {Gigabyte / 4, Megabyte, 1024 * Gigabyte},
+          "Maximum memory for all parts of answers that wait for their rest, such as unfinished "
+          "events. Each may take an eighth of what is free; an answer that needs more is ended.")
+      .fraction("limits.memory_mb", &entry_settings::MemoryMegabytes, {0.0, 0.0, 1e9},
+                "Memory of this process in MB, beyond which it is killed. Answers take at most a "
+                "quarter of it, whatever limits.answer_memory_bytes says. 0: not known.")
       .span("limits.header_timeout_ms", &entry_settings::HeaderTimeout,
             {10 * Second, milliseconds(10), Hour},
             "Timeout from the first byte of a request head to its end.")
@@ -195,6 +203,21 @@
   return Table;
 }
 
+namespace {
+
+constexpr double AnswerPartOfMemory = 0.25;
+
+/// @return The limit, reduced to a part of the memory of the process if that is known.
+std::size_t withinMemory(std::int64_t Limit, const entry_settings &Settings, double Part) {
+  constexpr double BytesPerMegabyte = 1e6;
+  if (Settings.MemoryMegabytes <= 0)
+    return static_cast<std::size_t>(Limit);
+  const double Share = Settings.MemoryMegabytes * BytesPerMegabyte * Part;
+  return static_cast<std::size_t>(std::min(static_cast<double>(Limit), Share));
+}
+
+} // namespace
+
 relay_limits limitsOf(const entry_settings &Settings) {
   relay_limits Limits;
   Limits.HeaderBytes = static_cast<std::size_t>(Settings.HeaderBytes);
@@ -211,6 +234,7 @@
   Limits.MaxEventBytes = static_cast<std::size_t>(Settings.MaxEventBytes);
   Limits.HeldAnswerBytes = static_cast<std::size_t>(Settings.HeldAnswerBytes);
   Limits.BodyMemory = static_cast<std::size_t>(Settings.BodyMemory);
+  Limits.AnswerMemory = withinMemory(Settings.AnswerMemory, Settings, AnswerPartOfMemory);
   return Limits;
 }
 
--- a/programs/pollenstall-entry/entry_settings_type.h
+++ b/programs/pollenstall-entry/entry_settings_type.h
@@ -52,6 +52,8 @@
   std::int64_t MaxEventBytes{0};
   std::int64_t HeldAnswerBytes{0};
   std::int64_t BodyMemory{0};
+  std::int64_t AnswerMemory{0};
+  double MemoryMegabytes{0}; ///< 0: not known.
   std::chrono::milliseconds HeaderTimeout{};
   std::chrono::milliseconds BodyTimeout{};
   std::chrono::milliseconds IdleTimeout{};
--- a/src/relay/attempt_list.cpp
+++ b/src/relay/attempt_list.cpp
@@ -13,6 +13,7 @@
 namespace json = boost::json;
 
 constexpr unsigned Ok = 200;
+constexpr std::size_t MaxListBytes = 4U << 20U;
 
 std::optional<attempt_id> parseAttempt(const json::value &Element) {
   const json::object *Object = Element.if_object();
@@ -41,7 +42,8 @@
 
 boost::asio::awaitable<std::optional<std::vector<attempt_id>>>
 listAttempts(backend_connection_pool &Pool, const relay_limits &Limits, backend_key Backend) {
-  const auto Answer = co_await unaryCall(Pool, Limits, Backend, listHead(Backend));
+  const auto Answer =
+      co_await unaryCall(Pool, Limits, Backend, listHead(Backend), {}, MaxListBytes);
   if (!Answer || Answer->Status != Ok)
     co_return std::nullopt;
   co_return parseAttempts(Answer->Body);
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -45,7 +45,7 @@
   backend_exchange(relay_context &SharedContext, std::shared_ptr<relayed_call> CallState,
                    start_attempt AttemptOrder, end_hook EndHook)
       : Context(SharedContext), Call(std::move(CallState)), Order(std::move(AttemptOrder)),
-        OnEnd(std::move(EndHook)) {
+        OnEnd(std::move(EndHook)), FeedMemory(SharedContext.Answers) {
     expectAnswer();
   }
 
@@ -78,6 +78,11 @@
   boost::asio::awaitable<bool> forwardEvents(std::string_view Ready, std::uint64_t Events);
   boost::asio::awaitable<exchange_end> relayWholeAnswer();
   bool feedAvailable();
+  /// Counts the part of the answer that waits for its rest. Returns whether the memory that all
+  /// answers share has room for it.
+  bool fitsMemory();
+  /// Returns whether the unfinished event is too large, or too large for the memory.
+  bool isEventTooLong();
   /// Reports to the decision thread if the server sends nothing from now on.
   void watchSilence();
   mono_duration reportSilence();
@@ -137,6 +142,7 @@
   end_hook OnEnd;
   backend_connection Connection;
   std::optional<message_feed<false>> Feed; ///< Replaced after each interim (1xx) answer.
+  memory_share FeedMemory;
   mono_duration SilentFor{0}; ///< Since the last bytes, when reportSilence() is called next.
   relayed_part Before;        ///< What the caller had received when this attempt began.
   event_scanner Scanner;
--- a/src/relay/backend_exchange_relay.cpp
+++ b/src/relay/backend_exchange_relay.cpp
@@ -13,6 +13,8 @@
 constexpr std::uint64_t EventsPerReport = 16;
 /// The token counts are at the end of a complete answer.
 constexpr std::size_t UsageTailBytes = 2048;
+/// Space that an exchange keeps while no part of its answer waits.
+constexpr std::size_t KeptPartBytes = 16U << 10U;
 
 constexpr unsigned NoContent = 204;
 constexpr unsigned NotModified = 304;
@@ -127,6 +129,18 @@
   SilenceReported = false;
 }
 
+bool backend_exchange::fitsMemory() {
+  std::string &Part = Feed->body();
+  // The space of an earlier, larger part would count for as long as the answer lasts.
+  if (Part.empty() && Part.capacity() > KeptPartBytes)
+    Part.shrink_to_fit();
+  return FeedMemory.resize(Part.capacity());
+}
+
+bool backend_exchange::isEventTooLong() {
+  return !fitsMemory() || Feed->body().size() > Context.Limits.MaxEventBytes;
+}
+
 bool backend_exchange::feedAvailable() {
   const timed_socket::read_result Read = Connection->readNow();
   return !Read.Ended && (Read.Bytes.empty() || Feed->feed(Read.Bytes));
@@ -169,7 +183,7 @@
     }
     if (Scanner.ended() && !Abandoned)
       break;
-    if (Feed->body().size() > Context.Limits.MaxEventBytes)
+    if (isEventTooLong())
       co_return Bad;
     if (!Abandoned && !Feed->done())
       co_await Connection->waitRead(Code);
@@ -230,7 +244,7 @@
     co_return exchange_end{attempt_failure::BadAnswer, {}};
   const answer_framing Framing = callerFraming(Progress.Framing);
   beginRelaying();
-  const bool Held = isBufferedAnswer();
+  bool Held = isBufferedAnswer();
   std::string Tail;
   while (true) {
     std::string &Body = Feed->body();
@@ -251,6 +265,8 @@
     }
     if (Feed->done())
       break;
+    // Without memory for the whole answer, its parts are relayed as they arrive.
+    Held = fitsMemory() && Held;
     if (!Abandoned && co_await readMore())
       continue;
     if (!Abandoned && judgeEnd().End == answer_end::Whole && Feed->finish())
--- a/src/relay/backend_exchange_stream.cpp
+++ b/src/relay/backend_exchange_stream.cpp
@@ -89,7 +89,7 @@
     }
     if (IsWhole && !Abandoned)
       break;
-    const bool TooLong = Feed->body().size() > Context.Limits.MaxEventBytes;
+    const bool TooLong = isEventTooLong();
     // The timeout starts only here: time that the caller takes to read does not count against the
     // engine.
     if (Answering)
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -197,6 +197,7 @@
         Context.Evacuations ? Context.Evacuations->list().version().value_or(0) : 0;
     State["requests_in_evacuated_domains"] = requestsInEvacuatedDomains();
     State["body_bytes"] = Context.BodyBytes;
+    State["answer_memory_bytes"] = Context.Answers.used();
     State["events_waiting"] = Context.Outbox.queued();
     State["takes_requests"] = Context.Declaration != nullptr && !Context.Stopping;
     return boost::json::serialize(State);
@@ -297,6 +298,7 @@
       Context.Metrics.Detours.Set(static_cast<double>(Context.Pool.connector().paths().detours()));
       Context.Metrics.TunnelsCarried.Set(static_cast<double>(Context.Tunnels.open()));
       Context.Metrics.BodyBytes.Set(static_cast<double>(Context.BodyBytes));
+      Context.Metrics.AnswerMemory.Set(static_cast<double>(Context.Answers.used()));
       reportEvacuations();
       runHousekeeping();
     });
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -9,6 +9,7 @@
 #include "relay/call_record_type.h"
 #include "relay/crash_detector_base.h"
 #include "relay/event_outbox_base.h"
+#include "relay/memory_account_type.h"
 #include "relay/relay_metrics_base.h"
 #include "relay/relay_type.h"
 #include "relay/relayed_call_base.h"
@@ -31,8 +32,9 @@
   relay_context(boost::asio::io_context &Context, process_key Process, const relay_limits &Bounds,
                 relay_metrics &Counters, bounded_ring<dispatch_event> &Events, std::uint64_t Seed)
       : Io(Context), Self(std::move(Process)), Limits(Bounds), Sweeper(Context),
-        Pool(Sweeper, Limits), Tunnels(Sweeper, Limits, Pool.connector(), Pauses),
-        Crashes(Context, Pool), Metrics(Counters), Outbox(Events), Random(Seed) {
+        Pool(Sweeper, Limits), Answers(Limits.AnswerMemory),
+        Tunnels(Sweeper, Limits, Pool.connector(), Pauses), Crashes(Context, Pool),
+        Metrics(Counters), Outbox(Events), Random(Seed) {
     Tunnels.onlyWhile([this](const backend_key &Server) { return !isEvacuated(Server); });
   }
 
@@ -41,7 +43,8 @@
   relay_limits Limits; ///< A declaration may replace the limits for callers.
   socket_sweeper Sweeper;
   backend_connection_pool Pool;
-  pause_table Pauses; ///< Asked for by answers that this thread has read.
+  memory_account Answers; ///< Parts of answers that wait for their rest.
+  pause_table Pauses;     ///< Asked for by answers that this thread has read.
   tunnel_server Tunnels;
   crash_detector Crashes;
   relay_metrics &Metrics;
@@ -58,9 +61,9 @@
   server_activity Activity; ///< Of the servers that answer calls of this entry.
   std::set<timed_socket *> IdleCallers; ///< Waiting for the first byte of the next request.
   std::size_t Connections{0};           ///< Callers' connections.
-  bool Stopping{false};                 ///< New requests are refused permanently.
-  bool Ended{false};                    ///< All coroutines must end.
-  bool Draining{false};                 ///< Connections close after their current answer.
+  bool Stopping{false};                ///< New requests are refused permanently.
+  bool Ended{false};                   ///< All coroutines must end.
+  bool Draining{false};                ///< Connections close after their current answer.
   /// Null before the first list of evacuated failure domains.
   std::shared_ptr<const server_evacuations> Evacuations;
   std::function<void(const call_record &)> AtCallEnd;
--- a/src/relay/relay_metrics.cpp
+++ b/src/relay/relay_metrics.cpp
@@ -64,6 +64,8 @@
       OpenStreams(
           gauge(Registry, "pollenstall_open_streams", "Attempts in progress, streamed or not")),
       BodyBytes(gauge(Registry, "pollenstall_body_bytes", "Bytes of request bodies held")),
+      AnswerMemory(gauge(Registry, "pollenstall_answer_memory_bytes",
+                         "Bytes of answers that wait for their rest")),
       Detours(gauge(Registry, "pollenstall_backends_through_peers",
                     "Backend servers that this entry reaches through other entries only")),
       TunnelsCarried(
--- a/src/relay/relay_metrics_base.h
+++ b/src/relay/relay_metrics_base.h
@@ -49,6 +49,7 @@
   prometheus::Gauge &OpenCalls;      ///< Requests without a final answer.
   prometheus::Gauge &OpenStreams;    ///< Attempts in progress at this entry, streamed or not.
   prometheus::Gauge &BodyBytes;      ///< Held in request bodies.
+  prometheus::Gauge &AnswerMemory;   ///< Held in parts of answers that wait for their rest.
   prometheus::Gauge &Detours;        ///< Backend servers whose connections need a tunnel.
   prometheus::Gauge &TunnelsCarried; ///< Connections carried for other entries.
 
--- a/src/relay/relay_type.h
+++ b/src/relay/relay_type.h
@@ -36,6 +36,9 @@
   std::size_t MaxConnections{8'192}; ///< Maximum number of callers' connections.
   std::size_t MaxEventBytes{1U << 20U}; ///< Maximum size of one event of a stream.
   std::size_t BodyMemory{1U << 30U};    ///< Maximum size of all bodies in memory.
+  /// Maximum size of all parts of answers that wait for their rest. Each part may take a share of
+  /// what is free, and at most MaxEventBytes.
+  std::size_t AnswerMemory{256U << 20U};
   /// An answer with a Content-Length up to this is buffered and relayed when it is complete; 0:
   /// each part is relayed when it arrives.
   std::size_t HeldAnswerBytes{64U << 10U};
--- a/src/relay/unary_call.cpp
+++ b/src/relay/unary_call.cpp
@@ -9,16 +9,9 @@
 
 namespace asio = boost::asio;
 
-namespace {
-
-constexpr std::size_t MaxAnswerBytes = 4U << 20U;
-
-} // namespace
-
-asio::awaitable<std::optional<unary_answer>> unaryCall(backend_connection_pool &Pool,
-                                                       const relay_limits &Limits,
-                                                       backend_key Backend, std::string Request,
-                                                       std::function<bool()> MaySend) {
+asio::awaitable<std::optional<unary_answer>>
+unaryCall(backend_connection_pool &Pool, const relay_limits &Limits, backend_key Backend,
+          std::string Request, std::function<bool()> MaySend, std::size_t MaxAnswerBytes) {
   backend_connection Connection = co_await Pool.open(Backend, connection_reuse::Allowed);
   if (!Connection || (MaySend && !MaySend()))
     co_return std::nullopt;
--- a/tests/platform/platform_system.cpp
+++ b/tests/platform/platform_system.cpp
@@ -124,6 +124,7 @@
                     {"bounds.cold_overshoot", "1.5"},
                     {"bounds.cold_tolerance", "5"},
                     {"limits.link_mbps", "1000.0"},
+                    {"limits.memory_mb", "260"},
                     {"bounds.config_apply_ms", "2000"},
                     {"bounds.revocation_ms", "5000"},
                     {"bounds.evacuation_ms", "5000"}},
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -34,6 +34,7 @@
                 {"bounds.cold_overshoot", "1.5"},
                 {"bounds.cold_tolerance", "5"},
                 {"limits.link_mbps", "170.0"},
+                {"limits.memory_mb", "260"},
                 {"bounds.config_apply_ms", "2000"},
                 {"bounds.revocation_ms", "5000"},
                 {"bounds.evacuation_ms", "5000"}};
@@ -70,9 +71,10 @@
 // process of such a site exit at its start.
 TEST(SettingsTemplates, AcceptFractions) {
   expectAccepted({});
-  for (const char *Name : {"heartbeat_interval_ms", "bounds.grace_s", "bounds.retry_budget_extra",
-                           "bounds.budget_window_s", "limits.link_mbps", "bounds.config_apply_ms",
-                           "bounds.revocation_ms", "bounds.evacuation_ms"})
+  for (const char *Name :
+       {"heartbeat_interval_ms", "bounds.grace_s", "bounds.retry_budget_extra",
+        "bounds.budget_window_s", "limits.link_mbps", "limits.memory_mb", "bounds.config_apply_ms",
+        "bounds.revocation_ms", "bounds.evacuation_ms"})
     expectAccepted({{Name, "1199.7"}});
 }
 
@@ -108,7 +110,7 @@
        {"bounds.grace_s", "bounds.retry_budget_ratio", "bounds.retry_budget_extra",
         "bounds.budget_window_s", "bounds.cold_overshoot", "bounds.cold_tolerance",
         "fault_tolerance.machines", "fault_tolerance.zones", "fault_tolerance.regions",
-        "heartbeat_interval_ms", "limits.link_mbps", "bounds.config_apply_ms",
+        "heartbeat_interval_ms", "limits.link_mbps", "limits.memory_mb", "bounds.config_apply_ms",
         "bounds.revocation_ms", "bounds.evacuation_ms"})
     expectAccepted({{Name, ""}});
 }
