Refuse at once what may take longer than a stopping entry has left

Reported: in a planned stop, requests that came late in the grace time were taken, passed on and cut at its end, among them requests that may not be repeated.

Change: the relay keeps how long the last 64 complete answers of each service and length class took. While stopping, a request that may take as long as the longest of them is refused as not run if that is more than is left, and its connection closes.

Why it is enough: what is taken ends before the stop unless it takes longer than all of the last 64; an entry without an answer of that kind takes it as before.

--- a/programs/pollenstall-entry/entry_stop.cpp
+++ b/programs/pollenstall-entry/entry_stop.cpp
@@ -51,7 +51,9 @@
   const mono_time KillDeadline = KillTime - KillMargin;
   const mono_time WaitsEnd = KillTime - ExitTime;
   if (Settings.DrainTime.count() > 0) {
-    asio::post(Io, [this] { Relay->beginDrain(); });
+    const mono_time WorkEndsAt =
+        std::min(RequestedAt + Settings.DrainTime + Settings.ShutdownLimit, KillDeadline);
+    asio::post(Io, [this, WorkEndsAt] { Relay->beginDrain(WorkEndsAt); });
     std::this_thread::sleep_until(
         std::chrono::steady_clock::now() +
         std::min<mono_duration>(Settings.DrainTime, KillDeadline - RequestedAt));
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -157,7 +157,8 @@
     co_return co_await refuse(std::move(*Error), Plan.Account.str(), next_step::CloseAfterDrain);
   std::string Text = std::move(std::get<std::string>(Read));
   Share.resize(Text.size());
-  const next_step After = Head.KeepAlive ? next_step::Continue : next_step::CloseAfterDrain;
+  const bool KeepsConnection = Head.KeepAlive && !Context.Draining;
+  const next_step After = KeepsConnection ? next_step::Continue : next_step::CloseAfterDrain;
   auto Admitted = admit(Plan, Head, request_body{std::move(Text), std::move(Share)}, Arrived);
   if (!succeeded(Admitted))
     co_return co_await refuse(errorOf(Admitted), Plan.Account.str(), After);
@@ -175,9 +176,23 @@
                        std::make_shared<const request_body>(std::move(Body)));
   if (auto Refused = suspectError(*Call))
     return std::move(*Refused);
+  if (auto Refused = stoppingError(*Call))
+    return std::move(*Refused);
   return Call;
 }
 
+std::optional<call_error> caller_session::stoppingError(const relayed_call &Call) const {
+  if (!Context.WorkEndsAt)
+    return std::nullopt;
+  // Ended by the stop, work that ran could not be repeated, or only from its start.
+  const auto Longest =
+      Context.Durations.longest(Call.Facts.Service, lengthClassOf(Call.Facts.Prompt));
+  if (!Longest || boot_clock::now() + *Longest <= *Context.WorkEndsAt)
+    return std::nullopt;
+  return unavailableError("shutting_down",
+                          "This entry is stopping; the request may take longer than it has left.");
+}
+
 std::optional<call_error> caller_session::suspectError(const relayed_call &Call) const {
   const mono_time Now = boot_clock::now();
   const auto Block = findBlock(*Context.Suspects, Call, Now);
--- a/src/relay/caller_session_base.h
+++ b/src/relay/caller_session_base.h
@@ -54,6 +54,8 @@
   result<std::shared_ptr<relayed_call>, call_error>
   admit(const call_plan &Plan, const request_head &Head, request_body &&Body, mono_time Arrived);
   [[nodiscard]] std::optional<call_error> suspectError(const relayed_call &Call) const;
+  /// Returns the refusal of a request that may take longer than this stopping entry has left.
+  [[nodiscard]] std::optional<call_error> stoppingError(const relayed_call &Call) const;
   std::shared_ptr<relayed_call> makeCall(checked_call Planned, const call_plan &Plan,
                                          const request_head &Head,
                                          std::shared_ptr<const request_body> Body);
--- a/src/relay/caller_session_end.cpp
+++ b/src/relay/caller_session_end.cpp
@@ -96,6 +96,9 @@
   KeepAlive = KeepAlive && !Context.Draining;
   const finish_request Finish = correctedFinish(Call);
   record(Call, Finish);
+  if (Finish.Outcome == final_outcome::Complete)
+    Context.Durations.record(Call.Facts.Service, lengthClassOf(Call.Facts.Prompt),
+                             boot_clock::now() - Call.Facts.Arrived);
   Call.Request.Body.reset();
   if (Call.CallerGone)
     co_return next_step::Close;
--- a/src/relay/relay.cpp
+++ b/src/relay/relay.cpp
@@ -327,8 +327,9 @@
       std::move(Order));
 }
 
-void relay::beginDrain() {
+void relay::beginDrain(mono_time WorkEndsAt) {
   State->Context.Draining = true;
+  State->Context.WorkEndsAt = WorkEndsAt;
   // A caller that kept its connection would send its next request here and be refused once this
   // host accepts none; without the connection it goes to another host.
   for (timed_socket *Socket : State->Context.IdleCallers)
--- a/src/relay/relay_base.h
+++ b/src/relay/relay_base.h
@@ -40,8 +40,10 @@
   result<done, relay_error> listenForTunnels(std::string_view Address);
   /// Executes an order of the decision thread.
   void handle(relay_order &&Order);
-  /// Closes each caller's connection after its current answer; new requests are still accepted.
-  void beginDrain();
+  /// Closes each caller's connection after its current answer. New requests are still accepted, but
+  /// for those that may take longer than this entry has left.
+  /// @param WorkEndsAt When all requests are ended.
+  void beginDrain(mono_time WorkEndsAt);
   /// Refuses new requests from now on; admitted requests continue.
   void beginStop();
   /// Closes everything. This object may be destroyed once the io_context has run out of work.
--- a/src/relay/relay_context_type.h
+++ b/src/relay/relay_context_type.h
@@ -5,6 +5,7 @@
 #include "path/path.h"
 #include "rate_limit/rate_limit_type.h"
 #include "relay/backend_connection_pool_base.h"
+#include "relay/call_durations_base.h"
 #include "relay/call_interface_type.h"
 #include "relay/call_record_type.h"
 #include "relay/crash_detector_base.h"
@@ -61,6 +62,8 @@
   server_activity Activity; ///< Of the servers that answer calls of this entry.
   std::set<timed_socket *> IdleCallers; ///< Waiting for the first byte of the next request.
   std::size_t Connections{0};           ///< Callers' connections.
+  call_durations Durations;
+  std::optional<mono_time> WorkEndsAt; ///< While stopping: all requests are ended then.
   bool Stopping{false};                ///< New requests are refused permanently.
   bool Ended{false};                   ///< All coroutines must end.
   bool Draining{false};                ///< Connections close after their current answer.
--- a/tests/entry/stopping_test.cpp
+++ b/tests/entry/stopping_test.cpp
@@ -3,6 +3,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 namespace pollenstall {
 namespace {
 
@@ -51,6 +53,29 @@
   EXPECT_TRUE(Fleet.entry().wait(KillAfter));
 }
 
+// A request came late in the drain, was passed on, and was ended at the end of the grace time with
+// 502 although the engine worked on it: one that may not be repeated was lost to its caller. Such a
+// request is refused at once as not run, and the connection closes, so that the caller's next try
+// reaches another entry.
+TEST(Stopping, RefusesAtOnceWhatMayTakeLongerThanIsLeft) {
+  constexpr int Tokens = 75; // About 1.5 s.
+  constexpr int EarlyEnough = 200;
+  entry_fleet Fleet({.EntryTopLevelLines = "shutdown_drain_ms = 2500\nshutdown_limit_s = 10\n"
+                                           "shutdown_kill_s = 4\n",
+                     .EngineTables = "[step]\nbase_us = 20000\n"});
+  ASSERT_EQ(Fleet.chat("before the stop", Tokens).Status, EarlyEnough);
+  Fleet.entry().terminate();
+  const auto StoppedAt = std::chrono::steady_clock::now();
+  EXPECT_EQ(Fleet.chat("early", Tokens).Status, EarlyEnough);
+  std::this_thread::sleep_until(StoppedAt + std::chrono::milliseconds(2'000));
+  const http_answer Late = Fleet.chat("late", Tokens);
+  EXPECT_LT(std::chrono::steady_clock::now() - StoppedAt, std::chrono::milliseconds(2'500));
+  EXPECT_EQ(Late.Status, 503) << Late.Body;
+  EXPECT_EQ(Late.header("X-Pollenstall-Outcome"), "not-run");
+  EXPECT_EQ(Late.header("Connection"), "close");
+  EXPECT_EQ(Fleet.entry().wait(), 0) << "no request was ended by the stop";
+}
+
 // The platform sends SIGHUP when a settings file has changed. By default SIGHUP would end the
 // process, which would interrupt every stream of the entry.
 TEST(Stopping, SighupInterruptsNoStream) {
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -112,7 +112,7 @@
 }
 
 void relay_harness::drain() {
-  asio::post(Io, [this] { Relay->beginDrain(); });
+  asio::post(Io, [this] { Relay->beginDrain(mono_time::max()); });
 }
 
 void relay_harness::connect() {
