Found the log without hosts that are absent, as many as may be lost

Cause: the founding host waited for all empty disks that the tolerance needs, without a limit.

Change: after 3 s hosts that have not reported count as lost, no more of them than tolerated; a host that has missed four reports is not counted.

Why it is enough: with M of 2M+1 hosts absent, a majority is gone only if more than M are lost in all, and with at most M disks lost there are never M+1 empty ones.

--- a/src/consensus/consensus_type.h
+++ b/src/consensus/consensus_type.h
@@ -343,8 +343,8 @@
   /// If set, the voters are those that survive these losses, and the caller makes the changes of
   /// nextMemberRepair(). Otherwise every learner that has caught up is promoted.
   std::optional<loss_tolerance> Tolerance{};
-  /// How long the bootstrapping host waits for empty disks in enough failure domains before it
-  /// bootstraps with those that survive most.
+  /// How long the bootstrapping host waits for empty disks that survive the losses. After that,
+  /// as many hosts as are tolerated may be absent.
   mono_duration BootstrapWait{std::chrono::seconds(3)};
 };
 
--- a/src/consensus/replica_core_base.h
+++ b/src/consensus/replica_core_base.h
@@ -56,6 +56,12 @@
     consensus_message Message;
   };
 
+  /// A host that has reported that its disk is empty.
+  struct empty_peer {
+    member_key Key;
+    mono_time ReportedAt; ///< Of the last report.
+  };
+
   /// A read that waits until a quorum confirms that this replica still leads.
   struct pending_read {
     read_id Read;
@@ -195,7 +201,7 @@
 
   bool SnapshotRequested{false};
   log_index SnapshotRequestIndex;
-  std::map<member_id, member_key> EmptyPeers; ///< Bootstrapping host only: peers with empty disks.
+  std::map<member_id, empty_peer> EmptyPeers;       ///< Bootstrapping host only.
   std::map<member_id, failure_domain_name> Domains; ///< Of the hosts that reported theirs.
   mono_time StartedAt;
 
--- a/src/consensus/replica_core_member.cpp
+++ b/src/consensus/replica_core_member.cpp
@@ -152,7 +152,7 @@
 }
 
 void replica_core::receiveBody(const consensus_message &Message, const admission_request &,
-                               mono_time) {
+                               mono_time Now) {
   if (role() == replica_role::Leader) {
     const bool OtherCluster = Message.Cluster != cluster_id() && Message.Cluster != cluster();
     if (!OtherCluster && findMember(members(), Message.From) == nullptr)
@@ -165,7 +165,7 @@
   // request could come from a peer that has since joined a cluster which this host bootstrapped
   // before it lost its disk.
   if (Message.To.Disk == Self.Disk)
-    EmptyPeers[Message.From.Member] = Message.From;
+    EmptyPeers[Message.From.Member] = {Message.From, Now};
   else
     sendNow(Message.From, bootstrap_probe{});
 }
@@ -184,7 +184,8 @@
     const auto EmptyPeer = EmptyPeers.find(Peer);
     if (EmptyPeer == EmptyPeers.end())
       return std::nullopt;
-    Set = withVoter(withLearner(std::move(Set), EmptyPeer->second), EmptyPeer->second);
+    const member_key &Key = EmptyPeer->second.Key;
+    Set = withVoter(withLearner(std::move(Set), Key), Key);
   }
   return Set;
 }
@@ -192,25 +193,27 @@
 std::optional<member_set> replica_core::initialMembers(mono_time Now) const {
   if (!Options.Tolerance)
     return allPeersAsVoters();
+  /// A host that has missed so many reports is lost.
+  constexpr int ReportsMissed = 4;
   std::vector<voter_candidate> Candidates;
   const auto AddCandidate = [&](const member_key &Key) {
     const auto Domain = Domains.find(Key.Member);
     Candidates.push_back({Key, Domain == Domains.end() ? failure_domain_name() : Domain->second});
   };
   AddCandidate(Self);
-  for (const auto &[Member, Key] : EmptyPeers)
-    AddCandidate(Key);
+  for (const auto &[Member, Peer] : EmptyPeers)
+    if (Now - Peer.ReportedAt < ReportsMissed * Options.AdmissionRequestInterval)
+      AddCandidate(Peer.Key);
   // The hosts are not known in advance. If the first change were accepted by fewer disks, or by
   // disks of fewer failure domains, it would be gone after losses that the cluster must tolerate.
+  // After a while, the hosts that have not reported count as lost: no more of them than tolerated.
+  const survivable_losses Required = requiredLosses(*Options.Tolerance);
+  const bool HasWaited = Now - StartedAt >= Options.BootstrapWait;
+  const std::size_t AtLeast =
+      minVoters(*Options.Tolerance) - (HasWaited ? Required.Hosts : std::size_t{0});
   const std::vector<voter_candidate> Voters =
-      chooseVoters(Candidates, Self, *Options.Tolerance, minVoters(*Options.Tolerance));
-  if (Voters.empty())
-    return std::nullopt;
-  // Hosts of other failure domains may be absent for good, or there are none. Changes are then
-  // accepted with what the present hosts survive.
-  const bool SurvivesAll =
-      survivedLosses(Voters, *Options.Tolerance) == requiredLosses(*Options.Tolerance);
-  if (!SurvivesAll && Now - StartedAt < Options.BootstrapWait)
+      chooseVoters(Candidates, Self, *Options.Tolerance, AtLeast);
+  if (Voters.empty() || (!HasWaited && survivedLosses(Voters, *Options.Tolerance) != Required))
     return std::nullopt;
   member_set Set{NewCluster, {}};
   for (const voter_candidate &Voter : Voters)
