Bound request bodies by the memory of the process

The class is that of the parts of answers: all bodies together were bounded at 1 GiB, whatever the machine has.

Change: half of limits.memory_mb.

--- a/programs/pollenstall-entry/entry_settings.cpp
+++ b/programs/pollenstall-entry/entry_settings.cpp
@@ -155,8 +155,9 @@
           "Maximum memory for all parts of answers that wait for their rest, such as unfinished "
           "events. Each may take an eighth of what is free; an answer that needs more is ended.")
       .fraction("limits.memory_mb", &entry_settings::MemoryMegabytes, {0.0, 0.0, 1e9},
-                "Memory of this process in MB, beyond which it is killed. Answers take at most a "
-                "quarter of it, whatever limits.answer_memory_bytes says. 0: not known.")
+                "Memory of this process in MB, beyond which it is killed. Request bodies take at "
+                "most half of it and answers a quarter, whatever limits.body_memory_bytes and "
+                "limits.answer_memory_bytes say. 0: not known.")
       .span("limits.header_timeout_ms", &entry_settings::HeaderTimeout,
             {10 * Second, milliseconds(10), Hour},
             "Timeout from the first byte of a request head to its end.")
@@ -206,6 +207,7 @@
 namespace {
 
 constexpr double AnswerPartOfMemory = 0.25;
+constexpr double BodyPartOfMemory = 0.5;
 
 /// @return The limit, reduced to a part of the memory of the process if that is known.
 std::size_t withinMemory(std::int64_t Limit, const entry_settings &Settings, double Part) {
@@ -233,7 +235,7 @@
   Limits.MaxConnections = static_cast<std::size_t>(Settings.MaxConnections);
   Limits.MaxEventBytes = static_cast<std::size_t>(Settings.MaxEventBytes);
   Limits.HeldAnswerBytes = static_cast<std::size_t>(Settings.HeldAnswerBytes);
-  Limits.BodyMemory = static_cast<std::size_t>(Settings.BodyMemory);
+  Limits.BodyMemory = withinMemory(Settings.BodyMemory, Settings, BodyPartOfMemory);
   Limits.AnswerMemory = withinMemory(Settings.AnswerMemory, Settings, AnswerPartOfMemory);
   return Limits;
 }
--- a/tests/platform/settings_template_test.cpp
+++ b/tests/platform/settings_template_test.cpp
@@ -122,6 +122,24 @@
                   {"limits.link_mbps", "400000.0"}});
 }
 
+// The bounds of what requests and answers hold did not know the memory of the process: 78 bodies of
+// 4 MiB took an entry over it, and all its requests ended with it.
+TEST(SettingsTemplates, BoundBodiesAndAnswersByTheMemoryOfTheProcess) {
+  constexpr std::size_t Megabyte = 1'000'000;
+  const auto LimitsWith = [](const char *Memory) {
+    const filled_templates Filled(fields{{"limits.memory_mb", Memory}});
+    EXPECT_TRUE(succeeded(Filled.Entry));
+    return limitsOf(valueOf(Filled.Entry));
+  };
+  for (const std::size_t Memory : {64U, 160U, 260U}) {
+    const relay_limits Limits = LimitsWith(std::to_string(Memory).c_str());
+    EXPECT_EQ(Limits.BodyMemory, Memory * Megabyte / 2);
+    EXPECT_EQ(Limits.AnswerMemory, Memory * Megabyte / 4);
+  }
+  EXPECT_EQ(LimitsWith("").BodyMemory, relay_limits().BodyMemory);
+  EXPECT_EQ(LimitsWith("1000000").AnswerMemory, relay_limits().AnswerMemory);
+}
+
 // 8.5 seconds must not become 8, and 0 retries must not mean an unlimited number.
 TEST(SettingsTemplates, KeepValuesUnrounded) {
   const filled_templates Filled({{"bounds.grace_s", "8.5"},
