--- a/src/consensus/member_repair.cpp
+++ b/src/consensus/member_repair.cpp
@@ -55,45 +55,57 @@
   return Voters;
 }
 
+/// @return The voters to change to; empty if the present ones stay.
+std::vector<voter_candidate> chooseNextVoters(const observed_members &Members,
+                                              const member_key &Leader,
+                                              const loss_tolerance &Tolerance) {
+  std::vector<voter_candidate> Candidates;
+  std::size_t Voters = 0;
+  std::size_t DisksLost = 0;
+  bool AnySilent = false;
+  for (const observed_member &Member : Members) {
+    if (Member.Candidate.Votes || (Member.IsResponsive && Member.IsCaughtUp))
+      Candidates.push_back(Member.Candidate);
+    if (!Member.Candidate.Votes)
+      continue;
+    ++Voters;
+    DisksLost += Member.DiskLost ? 1 : 0;
+    AnySilent |= Member.Candidate.Lost && !Member.DiskLost;
+  }
+  // A voter that does not answer may return with its disk, so the voters do not become fewer for
+  // its absence.
+  auto Chosen = chooseVoters(Candidates, Leader, Tolerance, AnySilent ? Voters - DisksLost : 0);
+  const bool AnyLearner = std::any_of(Chosen.begin(), Chosen.end(),
+                                      [](const auto &Candidate) { return !Candidate.Votes; });
+  const bool AnyLost = AnySilent || DisksLost > 0;
+  if (AnyLost && !AnyLearner && Voters <= minVoters(Tolerance))
+    Chosen.clear();
+  return Chosen;
+}
+
 /// Finds the next change towards the chosen voters.
 class voter_change_planner {
 public:
-  voter_change_planner(const observed_members &CurrentMembers, const member_key &Leader,
+  voter_change_planner(const observed_members &Members, const member_key &Leader,
                        const loss_tolerance &CurrentTolerance)
-      : Self(Leader), Tolerance(CurrentTolerance), Voters(votersAmong(CurrentMembers)),
+      : Tolerance(CurrentTolerance), Voters(votersAmong(Members)),
         Losses(survivedLosses(Voters, Tolerance)) {
-    std::vector<voter_candidate> Candidates;
-    std::size_t DisksLost = 0;
-    bool AnySilent = false;
-    for (const observed_member &Member : CurrentMembers) {
-      const bool IsReady = Member.IsResponsive && Member.IsCaughtUp;
-      if (Member.Candidate.Votes || IsReady)
-        Candidates.push_back(Member.Candidate);
-      if (!Member.Candidate.Votes)
-        continue;
-      Responsive += Member.IsResponsive ? 1 : 0;
-      DisksLost += Member.DiskLost ? 1 : 0;
-      AnySilent |= Member.Candidate.Lost && !Member.DiskLost;
-    }
-    // A voter that does not answer may return with its disk, so the voters do not become fewer for
-    // its absence.
-    const auto Chosen =
-        chooseVoters(Candidates, Self, Tolerance, AnySilent ? Voters.size() - DisksLost : 0);
-    const bool AnyLearner = std::any_of(Chosen.begin(), Chosen.end(),
-                                        [](const auto &Candidate) { return !Candidate.Votes; });
-    const bool WaitsForLearner =
-        (AnySilent || DisksLost > 0) && !AnyLearner && Voters.size() <= minVoters(Tolerance);
-    if (Chosen.empty() || WaitsForLearner)
+    for (const observed_member &Member : Members)
+      Responsive += Member.Candidate.Votes && Member.IsResponsive ? 1 : 0;
+    const std::vector<voter_candidate> Chosen = chooseNextVoters(Members, Leader, Tolerance);
+    if (Chosen.empty())
       return;
-    const auto IsChosen = [&Chosen](const voter_candidate &Candidate) {
-      return std::any_of(Chosen.begin(), Chosen.end(),
-                         [&](const auto &Other) { return Other.Key == Candidate.Key; });
-    };
     std::copy_if(Chosen.begin(), Chosen.end(), std::back_inserter(Promotions),
                  [](const voter_candidate &Candidate) { return !Candidate.Votes; });
-    for (const observed_member &Member : CurrentMembers)
-      if (Member.Candidate.Votes && Member.Candidate.Key != Self && !IsChosen(Member.Candidate))
-        Removals.push_back(Member);
+    const auto IsChosen = [&Chosen](const member_key &Key) {
+      return std::any_of(Chosen.begin(), Chosen.end(),
+                         [&Key](const auto &Candidate) { return Candidate.Key == Key; });
+    };
+    std::copy_if(Members.begin(), Members.end(), std::back_inserter(Removals),
+                 [&](const observed_member &Member) {
+                   const member_key &Key = Member.Candidate.Key;
+                   return Member.Candidate.Votes && Key != Leader && !IsChosen(Key);
+                 });
     std::stable_sort(Removals.begin(), Removals.end(), [](const auto &A, const auto &B) {
       return std::tuple(!A.DiskLost, -A.SinceLastReply) <
              std::tuple(!B.DiskLost, -B.SinceLastReply);
@@ -164,7 +176,6 @@
     return std::nullopt;
   }
 
-  member_key Self;
   loss_tolerance Tolerance;
   std::vector<voter_candidate> Voters;
   survivable_losses Losses; ///< Survived by Voters.
