--- a/tests/entry/stopping_test.cpp
+++ b/tests/entry/stopping_test.cpp
@@ -8,6 +8,13 @@
 namespace pollenstall {
 namespace {
 
+std::string joined(const std::vector<std::string> &Lines) {
+  std::string Text;
+  for (const std::string &Line : Lines)
+    Text += Line + "\n";
+  return Text;
+}
+
 TEST(Stopping, LetsRunningWorkEndAndRefusesNewWork) {
   // SIGTERM arrives during a stream. /readyz fails for the load balancer, new calls are refused as
   // "not-run" with Retry-After, and the running stream completes before the process exits.
@@ -50,7 +57,7 @@
   ASSERT_TRUE(Stream->next());
   Fleet.engine().process().stop();
   Fleet.entry().terminate();
-  EXPECT_TRUE(Fleet.entry().wait(KillAfter));
+  EXPECT_TRUE(Fleet.entry().wait(KillAfter)) << joined(Fleet.entry().errorLines());
 }
 
 // A request came late in the drain, was passed on, and was ended at the end of the grace time with
