--- a/programs/pollenstall-control/control_settings.cpp
+++ b/programs/pollenstall-control/control_settings.cpp
@@ -67,7 +67,8 @@
       .number(
           "tolerated_losses", &control_settings::ToleratedLosses, {1U, 0U, 1'000U},
           "Control hosts that may be lost at once, with their disks: the log gets twice as many "
-          "voters and one more before the first change is accepted. For self_managed only.")
+          "voters and one more. At the first start it waits 3 s for them; then as many as may be "
+          "lost may be absent. For self_managed only.")
       .number(
           "tolerated_domains", &control_settings::ToleratedDomains, {0U, 0U, 1'000U},
           "Failure domains that may be lost at once, with the disks of all their control hosts: "
--- a/src/consensus/replica_base.h
+++ b/src/consensus/replica_base.h
@@ -105,9 +105,9 @@
   replica_builder &peers(std::vector<member_id> Ids);
   /**
    * Allows this host to bootstrap the cluster once every peer has reported that its disk is empty;
-   * with replica_options::Tolerance, once the empty disks survive those losses. It is safe to
-   * leave this set: a bootstrapping host that lost its disk finds peers that are not empty and
-   * joins them instead.
+   * with replica_options::Tolerance, once the empty disks survive those losses, or after
+   * BootstrapWait with as many hosts absent as are tolerated. It is safe to leave this set: a
+   * bootstrapping host that lost its disk finds peers that are not empty and joins them instead.
    * @param NewCluster A random id for the cluster.
    */
   replica_builder &bootstrapCluster(cluster_id NewCluster);
--- a/src/relay/caller_session.cpp
+++ b/src/relay/caller_session.cpp
@@ -184,7 +184,7 @@
 std::optional<call_error> caller_session::stoppingError(const relayed_call &Call) const {
   if (!Context.WorkEndsAt)
     return std::nullopt;
-  // Ended by the stop, work that ran could not be repeated, or only from its start.
+  // If the stop ended the request, its caller would not know whether it may send it again.
   const auto Longest =
       Context.Durations.longest(Call.Facts.Service, lengthClassOf(Call.Facts.Prompt));
   if (!Longest || boot_clock::now() + *Longest <= *Context.WorkEndsAt)
