Log how many bytes of a request were not written

Nothing told an answer that ended while its request was still being written from any other. The bytes that could not be written stand with the answer's progress, in request_ended and answer_broken_off.

--- a/programs/pollenstall-entry/entry_report.cpp
+++ b/programs/pollenstall-entry/entry_report.cpp
@@ -34,7 +34,8 @@
             {"framing", std::string(Answer ? bodyFramingText(Answer->Framing) : "")},
             {"connection", std::string(Answer ? connectionEndText(Answer->Connection) : "")},
             {"events", static_cast<std::int64_t>(Answer ? Answer->Events : 0)},
-            {"unfinished_bytes", static_cast<std::int64_t>(Answer ? Answer->UnfinishedBytes : 0)}});
+            {"unfinished_bytes", static_cast<std::int64_t>(Answer ? Answer->UnfinishedBytes : 0)},
+            {"unsent_bytes", static_cast<std::int64_t>(Answer ? Answer->UnsentBytes : 0)}});
 }
 
 } // namespace
@@ -48,6 +49,7 @@
             {"connection", std::string(connectionEndText(Broken.Progress.Connection))},
             {"events", static_cast<std::int64_t>(Broken.Progress.Events)},
             {"unfinished_bytes", static_cast<std::int64_t>(Broken.Progress.UnfinishedBytes)},
+            {"unsent_bytes", static_cast<std::int64_t>(Broken.Progress.UnsentBytes)},
             {"last_event", static_cast<std::int64_t>(Broken.LastEvent)},
             {"caller_has_part", Broken.CallerHasPart}});
 }
--- a/src/relay/answer_end_type.h
+++ b/src/relay/answer_end_type.h
@@ -31,6 +31,9 @@
   bool IsEventStream{false};      ///< The body is a stream of server-sent events.
   std::uint64_t Events{0};        ///< Complete events with data that the caller lacked.
   std::size_t UnfinishedBytes{0}; ///< Bytes of an event whose end has not arrived.
+  /// Bytes of the request that were not written: the server answered first, or the connection
+  /// broke.
+  std::size_t UnsentBytes{0};
 };
 
 /// What the end of an answer proves.
--- a/src/relay/backend_exchange.cpp
+++ b/src/relay/backend_exchange.cpp
@@ -271,7 +271,7 @@
   const std::size_t Written = co_await Connection->writeAll(Buffers);
   if (Written == 0)
     co_return attempt_failure::BrokenUnsent;
-  SentAll = Written == asio::buffer_size(Buffers);
+  Progress.UnsentBytes = asio::buffer_size(Buffers) - Written;
   // A server may decline and close before it has read everything, so the answer is still read.
   co_return std::nullopt;
 }
@@ -396,7 +396,7 @@
 asio::awaitable<void> backend_exchange::returnConnection() {
   constexpr std::chrono::seconds TrailerLimit{1};
   // Unsent bytes of this request would be read as part of the next one.
-  if (!SentAll || EndsWithConnection)
+  if (Progress.UnsentBytes > 0 || EndsWithConnection)
     co_return;
   Connection->expireAt(boot_clock::now() + TrailerLimit);
   // After "[DONE]" the last chunk may still be in flight.
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -148,7 +148,7 @@
   mono_duration SilentFor{0}; ///< Since the last bytes, when reportSilence() is called next.
   relayed_part Before;        ///< What the caller had received when this attempt began.
   event_scanner Scanner;
-  answer_progress Progress; ///< As of the last judgeEnd().
+  answer_progress Progress; ///< Of the connection as of the last judgeEnd().
   std::uint64_t UnreportedEvents{0};
   bool Answering{false};
   bool Abandoned{false};
@@ -157,7 +157,6 @@
   bool SilenceReported{false}; ///< The decision thread waits to learn whether the answer goes on.
   bool Sent{false};            ///< The first byte was sent.
   bool Begun{false};           ///< The first byte of the request, or of its resume, was sent.
-  bool SentAll{false};         ///< The last byte was sent.
   backend_address AtFault;     ///< The server that a refusal names as its cause.
   bool ServerError{false};     ///< The answer has a 5xx status.
   /// Set while the path of the request is checked.
