Tell a reset that a write has met from the end of an answer

What callers saw: an engine answered a long upload at once with a 200 without length and chunks, sent a part of the body and reset the connection while the upload was being written.

Cause: the kernel reports the error of a connection to one operation only. Here the write of the upload took it, and the next read of the same socket returned an end of input; that was noted as a close by the server, the only end that such an answer announces.

A stand-in that reads the head only, with a small receive buffer, makes the order certain: the write cannot end but by the error.

Fix: receiving_side remembers an error that an operation without input has met, a write or a look at the input; an end of input after it is a reset. Bytes that arrived before are read first, so that a refusal with a length is still told as it is. The judgement is pure and is replayed against a model of the kernel's reports in any order. timed_socket::readExactly, which bypassed it, had no caller and is gone.

Not so: in the tunnel server a failed write ends the tunnel before the other direction reads again, so the cause cannot act there; holds, cancels and orders fail with their write; the load tool checks the text.

--- a/src/relay/timed_socket.cpp
+++ b/src/relay/timed_socket.cpp
@@ -3,8 +3,6 @@
 
 #include <boost/asio/write.hpp>
 
-#include <sys/socket.h>
-
 namespace pollenstall {
 
 namespace asio = boost::asio;
@@ -19,18 +17,6 @@
 constexpr std::chrono::seconds DrainLimit{1};
 constexpr std::size_t ReadBufferBytes = 64U << 10U;
 
-/// The state of the input, found without consuming any byte.
-enum class input_state : std::uint8_t { Nothing, Bytes, Closed };
-
-input_state peek(int Handle) {
-  char Byte = 0;
-  const ssize_t Received = recv(Handle, &Byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (Received > 0)
-    return input_state::Bytes;
-  const bool Empty = Received < 0 && (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
-  return Empty ? input_state::Nothing : input_state::Closed;
-}
-
 /// Returns the buffers without their first Count bytes.
 std::vector<asio::const_buffer> withoutFirst(std::span<const asio::const_buffer> Buffers,
                                              std::size_t Count) {
@@ -94,10 +80,10 @@
   if (Code == asio::error::would_block)
     return {};
   SilentAt = mono_time::max();
-  if (Code)
-    ReceivingEnd = Code == asio::error::eof ? connection_end::Closed : connection_end::Reset;
-  if (Code)
+  if (Code) {
+    Receiving.noteReadError(Code);
     return {{}, true};
+  }
   if (HeardAt != nullptr)
     *HeardAt = boot_clock::now();
   return {std::string_view(Target.data(), Received), false};
@@ -108,26 +94,11 @@
     return std::nullopt;
   error_code Code;
   const std::size_t Written = Socket.write_some(Buffers, Code);
-  if (Code && Code != asio::error::would_block)
+  if (Code && Code != asio::error::would_block) {
+    Receiving.noteError(Code);
     return std::nullopt;
-  return Written;
-}
-
-asio::awaitable<bool> timed_socket::readExactly(std::string &Target, std::size_t Count) {
-  std::size_t At = Target.size();
-  const std::size_t TargetSize = At + Count;
-  Target.resize(TargetSize);
-  while (At < TargetSize) {
-    error_code Code;
-    At += Socket.read_some(asio::buffer(Target.data() + At, TargetSize - At), Code);
-    if (Code == asio::error::would_block) {
-      if (!co_await waitReadable())
-        co_return false;
-    } else if (Code) {
-      co_return false;
-    }
   }
-  co_return true;
+  return Written;
 }
 
 asio::awaitable<std::size_t> timed_socket::writeAll(std::span<const asio::const_buffer> Buffers) {
@@ -139,16 +110,29 @@
   error_code Code;
   const std::size_t Later = co_await asio::async_write(
       Socket, Remaining, asio::redirect_error(asio::use_awaitable, Code));
+  if (Code)
+    Receiving.noteError(Code);
   co_return Written + Later;
 }
 
-bool timed_socket::peerClosed() {
-  return !Socket.is_open() || peek(Socket.native_handle()) == input_state::Closed;
+timed_socket::input_state timed_socket::peek() {
+  if (!Socket.is_open())
+    return input_state::Closed;
+  char Byte = 0;
+  error_code Code;
+  Socket.receive(asio::buffer(&Byte, 1), asio::socket_base::message_peek, Code);
+  if (!Code)
+    return input_state::Bytes;
+  if (Code == asio::error::would_block || Code == asio::error::interrupted)
+    return input_state::Nothing;
+  if (Code != asio::error::eof)
+    Receiving.noteError(Code);
+  return input_state::Closed;
 }
 
-bool timed_socket::hasInput() {
-  return Socket.is_open() && peek(Socket.native_handle()) == input_state::Bytes;
-}
+bool timed_socket::peerClosed() { return peek() == input_state::Closed; }
+
+bool timed_socket::hasInput() { return peek() == input_state::Bytes; }
 
 asio::awaitable<void> timed_socket::closeAfterDrain() {
   error_code Ignored;
--- a/src/relay/timed_socket_base.h
+++ b/src/relay/timed_socket_base.h
@@ -4,6 +4,7 @@
 
 #include "core/core.h"
 #include "relay/answer_end_type.h"
+#include "relay/receiving_side_base.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/buffer.hpp>
@@ -15,6 +16,7 @@
 #include <boost/intrusive/list.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <span>
@@ -47,9 +49,9 @@
   void expireNever() { Deadline = mono_time::max(); }
   /// Returns whether the last deadline has passed; the socket is still open.
   [[nodiscard]] bool expired() const { return Expired; }
-  /// Returns how the receiving side has ended, as far as the last read has shown.
+  /// Returns how the receiving side has ended, as far as the operations until now have shown.
   [[nodiscard]] connection_end receivingEnd() const {
-    return Expired ? connection_end::TimedOut : ReceivingEnd;
+    return Expired ? connection_end::TimedOut : Receiving.end();
   }
 
   /**
@@ -58,8 +60,6 @@
    * the connection ended or the deadline passed.
    */
   boost::asio::awaitable<std::string_view> readSome();
-  /// Appends exactly Count bytes to Target. @return False if the connection ended.
-  boost::asio::awaitable<bool> readExactly(std::string &Target, std::size_t Count);
 
   /// The result of a read that does not wait.
   struct read_result {
@@ -120,6 +120,11 @@
 
 private:
   friend class socket_sweeper;
+
+  /// The state of the input, found without consuming any byte.
+  enum class input_state : std::uint8_t { Nothing, Bytes, Closed };
+
+  input_state peek();
   void expire();
   void checkTimes(mono_time RunningNow);
 
@@ -131,7 +136,7 @@
   bool Expired{false};
   mono_time *HeardAt{nullptr};
   std::string Carrier;
-  connection_end ReceivingEnd{connection_end::Open};
+  receiving_side Receiving;
 };
 
 /// Cancels operations whose deadline has passed; also owns the thread's read buffer.
--- a/tests/relay/tunnel_entry.cpp
+++ b/tests/relay/tunnel_entry.cpp
@@ -3,9 +3,10 @@
 
 namespace pollenstall {
 
-tunnel_entry::tunnel_entry(const tunnel_peer &SelfAsPeer, const relay_limits &Limits)
+tunnel_entry::tunnel_entry(const tunnel_peer &SelfAsPeer, const relay_limits &Limits,
+                           retry_mode Repeat)
     : Address(SelfAsPeer.Address),
-      Relay(retry_mode::Always, Limits, [this, SelfAsPeer](relay_builder &Builder) {
+      Relay(Repeat, Limits, [this, SelfAsPeer](relay_builder &Builder) {
         Builder.tunnels(TunnelFleet, SelfAsPeer);
         Builder.simulatePartition([this] { return Effect.load(); });
         Builder.onPathChange([this](const path_change &Change) {
--- a/tests/relay/tunnel_entry_base.h
+++ b/tests/relay/tunnel_entry_base.h
@@ -19,10 +19,12 @@
 /// An entry with its own tunnel address.
 class tunnel_entry {
 public:
-  explicit tunnel_entry(const tunnel_peer &SelfAsPeer, const relay_limits &Limits = {});
+  explicit tunnel_entry(const tunnel_peer &SelfAsPeer, const relay_limits &Limits = {},
+                        retry_mode Repeat = retry_mode::Always);
   /// An entry of the failure domain "a".
-  explicit tunnel_entry(const std::string &TunnelAddress, const relay_limits &Limits = {})
-      : tunnel_entry(tunnel_peer{TunnelAddress, failure_domain_name("a")}, Limits) {}
+  explicit tunnel_entry(const std::string &TunnelAddress, const relay_limits &Limits = {},
+                        retry_mode Repeat = retry_mode::Always)
+      : tunnel_entry(tunnel_peer{TunnelAddress, failure_domain_name("a")}, Limits, Repeat) {}
 
   void know(const std::vector<tunnel_peer> &Entries, const std::vector<path_server> &Servers);
   /// As above, with everything in the failure domain "a".
--- a/tests/support/scripted_server_base.h
+++ b/tests/support/scripted_server_base.h
@@ -8,8 +8,10 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -22,6 +24,12 @@
   std::string Body;
 };
 
+/// How much of a request a scripted server reads before it answers.
+enum class request_reading : std::uint8_t {
+  Whole,
+  HeadOnly, ///< Its receive buffer is small, so that a large body can't be written.
+};
+
 /// Reads one request per connection and answers it by a script, one connection after another.
 class scripted_server {
 public:
@@ -30,7 +38,7 @@
   /// reset instead.
   using script = std::function<void(tcp_socket &, const received_request &)>;
 
-  explicit scripted_server(script Answer);
+  explicit scripted_server(script Answer, request_reading Reading = request_reading::Whole);
   ~scripted_server();
   scripted_server(const scripted_server &) = delete;
   scripted_server &operator=(const scripted_server &) = delete;
@@ -42,10 +50,13 @@
 
 private:
   void serve();
+  /// @return Nothing if the connection ended first.
+  [[nodiscard]] std::optional<received_request> readRequest(tcp_socket &Socket) const;
 
   boost::asio::io_context Io;
   boost::asio::ip::tcp::acceptor Acceptor;
   script Answer;
+  request_reading Reading;
   mutable std::mutex Guard;
   std::vector<received_request> Requests;
   bool Stopping{false};
@@ -54,6 +65,8 @@
 
 /// Writes text to a socket; errors are ignored, since the peer may have closed.
 void sendText(scripted_server::tcp_socket &Socket, const std::string &Text);
+/// Waits until the peer has sent as much as the receive buffer of the socket takes.
+void waitUntilFull(scripted_server::tcp_socket &Socket);
 /// Waits until the peer has closed the connection.
 void waitForClose(scripted_server::tcp_socket &Socket);
 /// Closes the connection with a reset.
