Pass on what a server sent before it reset, through a peer

What callers saw: an engine refuses a long upload by a whole answer (413, 429, 503 with a length) and resets. Directly the caller gets the refusal; through a peer it could get a 502 that says unknown, also where a whole answer had ended with its connection before the reset.

Cause: the peer's write to the engine meets the reset, and the peer ends the tunnel at once, before it has read what the engine had sent.

Fix: once the server reads no further, the peer drops the rest of the request and goes on passing the answer on until the server's end, which then decides as before (a close as a close, all else a reset). Dropping lets the entry finish its write and read a large answer. An entry that ends its connection still ends the tunnel at once.

--- a/src/relay/tunnel_server.cpp
+++ b/src/relay/tunnel_server.cpp
@@ -190,12 +190,16 @@
   Tunnel->abort();
 }
 
-/// Returns as soon as the entry ends its connection: it no longer wants the answer.
+/// Returns as soon as the entry ends its connection: it no longer wants the answer. A server that
+/// reads no further may have answered before; the rest of the request is dropped then, so that the
+/// entry can write it and read the answer.
 asio::awaitable<void> tunnel_server::copyToServer(tunnel &Tunnel) {
+  bool ServerReads = true;
   while (true) {
     const std::string_view Read = co_await Tunnel.Entry.readSome();
-    if (Read.empty() || !co_await writeCopy(*Tunnel.Server, Read))
+    if (Read.empty())
       co_return;
+    ServerReads = ServerReads && co_await writeCopy(*Tunnel.Server, Read);
   }
 }
 
--- a/src/relay/tunnel_server_base.h
+++ b/src/relay/tunnel_server_base.h
@@ -24,7 +24,7 @@
  * The entry that asked decides about its request: what is sent, its deadline and its repetition. It
  * must see the same end of the connection as if it were direct, since a server may mark the end of
  * an answer by closing. A close of the server is passed on as a close; everything else, the end of
- * this process included, resets the connection.
+ * this process included, resets the connection. What the server sent before is passed on first.
  */
 class tunnel_server {
 public:
--- a/tests/relay/unread_upload_test.cpp
+++ b/tests/relay/unread_upload_test.cpp
@@ -239,13 +239,14 @@
   EXPECT_EQ(Read.Body, "too large");
 }
 
-INSTANTIATE_TEST_SUITE_P(
-    AllWays, refusal_during_an_upload,
-    testing::Combine(testing::Values(way::Direct), testing::Values(413U, 429U, 503U),
-                     testing::Values(ending::Reset, ending::CloseUnread, ending::EndThenReset),
-                     testing::Values(moment::AtOnce, moment::OnceTheWriteWaits, moment::Later,
-                                     moment::Unnoticed)),
-    case_name());
+INSTANTIATE_TEST_SUITE_P(AllWays, refusal_during_an_upload,
+                         testing::Combine(testing::Values(way::Direct, way::ThroughPeer),
+                                          testing::Values(413U, 429U, 503U),
+                                          testing::Values(ending::Reset, ending::CloseUnread,
+                                                          ending::EndThenReset),
+                                          testing::Values(moment::AtOnce, moment::OnceTheWriteWaits,
+                                                          moment::Later, moment::Unnoticed)),
+                         case_name());
 
 using ended_parameters = std::tuple<way, bool, moment>;
 
@@ -263,7 +264,8 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(AllWays, answer_that_ends_before_a_reset,
-                         testing::Combine(testing::Values(way::Direct), testing::Bool(),
+                         testing::Combine(testing::Values(way::Direct, way::ThroughPeer),
+                                          testing::Bool(),
                                           testing::Values(moment::AtOnce, moment::OnceTheWriteWaits,
                                                           moment::Later, moment::Unnoticed)),
                          case_name());
