Refuse answers whose status does not exist

What callers saw: an engine in trouble sends a status of 000 to 099: the caller waits until the engine closes, or its whole time (504) if the answer states no body and the connection stays open. 600 to 999 are passed on as answers.

Cause: any status below 200 was taken for an interim answer, so that another one was waited for; there was no upper bound. Two and four digits, letters and signs are refused by the parser.

Fix: answer_feed refuses a status outside 100 to 599 (RFC 9110, section 15) with the head, wherever answers are read: a repeatable call goes to another server, any other gets 502 at once, the connection is closed.

Tests, before, directly: 30 of 70 heads are told or waited for (000, 001, 099, 600, 601, 999, with and without a body, in chunks); after: none, on each way, POST, GET and HEAD, each kind of route; nor do orders to engines count them as refusals.

--- a/src/message_feed/answer_feed_base.h
+++ b/src/message_feed/answer_feed_base.h
@@ -39,7 +39,11 @@
     while (true) {
       if (!Message->feed(Bytes))
         return false;
-      if (!headDone() || status() >= FirstFinalStatus)
+      if (!headDone())
+        return true;
+      if (status() < FirstStatus || status() > LastStatus)
+        return false;
+      if (status() >= FirstFinalStatus)
         return true;
       if (status() == SwitchingProtocols || ++InterimAnswers > MaxInterimAnswers)
         return false;
@@ -61,8 +65,10 @@
   [[nodiscard]] bool hasRemainder() const { return Message->hasRemainder(); }
 
 private:
+  static constexpr unsigned FirstStatus = 100;
   static constexpr unsigned SwitchingProtocols = 101;
   static constexpr unsigned FirstFinalStatus = 200;
+  static constexpr unsigned LastStatus = 599; ///< RFC 9110, section 15.
   /// Servers send one or two; more would only keep the request waiting.
   static constexpr std::size_t MaxInterimAnswers = 100;
 
--- a/tests/message_feed/answer_feed_test.cpp
+++ b/tests/message_feed/answer_feed_test.cpp
@@ -77,6 +77,15 @@
                          answerWithBody("of another protocol")));
 }
 
+// A status outside 100 to 599 does not exist; 000 was skipped like an interim answer.
+TEST(StatusOutsideTheRange, IsNoAnswer) {
+  for (const std::string Status : {"000", "001", "099", "600", "601", "999"})
+    for (const std::string Rest : {"\r\n", "Content-Length: 0\r\n\r\n"})
+      EXPECT_FALSE(answer_feed(HeadLimit).feed("HTTP/1.1 " + Status + " -\r\n" + Rest)) << Status;
+  for (const std::string Status : {"200", "204", "299", "418", "499", "599"})
+    EXPECT_TRUE(answer_feed(HeadLimit).feed("HTTP/1.1 " + Status + " -\r\n\r\n")) << Status;
+}
+
 // A second answer of any size behind the first one belongs to no request; the first one is whole.
 TEST(BytesBehindAnAnswer, LeaveItWhole) {
   for (const std::size_t Behind : {1U, 60'000U}) {
--- a/tests/order_link/engine_call_test.cpp
+++ b/tests/order_link/engine_call_test.cpp
@@ -28,6 +28,10 @@
 TEST(OrderAnswer, ProvesNothingIfItIsBroken) {
   EXPECT_EQ(outcomeOf("HTTP/1.1 101 Switching Protocols\r\n\r\n" + Done), order_outcome::Unknown);
   EXPECT_EQ(outcomeOf("HTTP/1.1 102 Processing\r\n\r\n"), order_outcome::Unknown);
+  for (const std::string Status : {"000", "099", "600", "999", "20", "2000"})
+    EXPECT_EQ(outcomeOf("HTTP/1.1 " + Status + " -\r\nContent-Length: 0\r\n\r\n"),
+              order_outcome::Unknown)
+        << Status;
 }
 
 } // namespace
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -22,6 +22,25 @@
   return SoundAnswer + (Method == "HEAD" ? "" : "all!");
 }
 
+std::string answerWithStatus(const std::string &Status) {
+  return "HTTP/1.1 " + Status + " -\r\nX-Send: s1\r\n";
+}
+
+/// Statuses that are no status of a final answer.
+const std::vector<std::string> BadStatuses{"000", "001", "099",  "600", "601", "999", "20",
+                                           "2",   "",    "1000", "2OO", "+20", "-12", "2 0"};
+
+/// Returns answers with each status, without a body, with one, and without a stated length.
+std::vector<std::string> answersWithBadStatuses() {
+  std::vector<std::string> Answers;
+  for (const std::string &Status : BadStatuses)
+    for (const std::string Rest :
+         {"Content-Length: 0\r\n\r\n", "Content-Length: 4\r\n\r\nall!", "\r\n", "\r\nall!",
+          "Transfer-Encoding: chunked\r\n\r\n4\r\nall!\r\n0\r\n\r\n"})
+      Answers.push_back(answerWithStatus(Status) + Rest);
+  return Answers;
+}
+
 /// Returns answers that change to another protocol, which no request asks for.
 std::vector<std::string> answersThatSwitchProtocols() {
   const std::string Switch = "HTTP/1.1 101 Switching Protocols\r\nX-Send: s1\r\n";
@@ -141,6 +160,10 @@
   tunnel_entry Peer{Addresses[1]};
 };
 
+// A server in trouble sends a status that does not exist, and the caller gets it as an answer, or
+// waits for another one until its time is over.
+TEST_P(a_broken_answer, IsNotToldForItsStatus) { expectNoneTold(answersWithBadStatuses()); }
+
 // A server changes to a protocol that nobody asked for; what follows is no answer to the request.
 TEST_P(a_broken_answer, IsNotToldIfItSwitchesProtocols) {
   expectNoneTold(answersThatSwitchProtocols());
