Refuse answers with folded lines in their head

What callers saw: a field whose name begins with a blank arrives as a part of the value of the field before it, in an answer that is told as whole; a line of blanks vanishes.

Cause: obsolete line folding, which the HTTP library undoes without telling. All other blanks and control bytes in names, before the colon and in values were refused before (first and last line, also in interim heads) and are kept as tests.

Bodies are not scanned.

--- a/src/message_feed/answer_feed_base.h
+++ b/src/message_feed/answer_feed_base.h
@@ -2,6 +2,7 @@
 #ifndef POLLENSTALL_MESSAGE_FEED_ANSWER_FEED_BASE_H
 #define POLLENSTALL_MESSAGE_FEED_ANSWER_FEED_BASE_H
 
+#include "message_feed/folded_line_scan_base.h"
 #include "message_feed/message_feed_base.h"
 
 #include <cstddef>
@@ -37,7 +38,7 @@
   bool feed(std::string_view Bytes) {
     std::string Rest;
     while (true) {
-      if (!Message->feed(Bytes))
+      if (!Folds.scan(Bytes) || !Message->feed(Bytes))
         return false;
       if (!headDone())
         return true;
@@ -75,6 +76,7 @@
   [[nodiscard]] unsigned status() { return Message->message().get().result_int(); }
 
   void expectHead() {
+    Folds = {};
     Message.emplace(Limit);
     // The parser takes this before the first byte only.
     Message->message().skip(Body == answer_body::None);
@@ -83,6 +85,7 @@
   std::size_t Limit;
   answer_body Body;
   std::size_t InterimAnswers{0};
+  folded_line_scan Folds;
   std::optional<message_feed<false>> Message; ///< Replaced after each interim answer.
 };
 
--- a/tests/message_feed/answer_feed_test.cpp
+++ b/tests/message_feed/answer_feed_test.cpp
@@ -86,6 +86,24 @@
     EXPECT_TRUE(answer_feed(HeadLimit).feed("HTTP/1.1 " + Status + " -\r\n\r\n")) << Status;
 }
 
+// A line that begins with a blank was joined to the value of the field before it.
+TEST(FoldedLine, IsNoAnswer) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Other: 1\r\n";
+  for (const std::string Line : {" X-Bad: v", "\tX-Bad: v", " ", "\t", " \t "})
+    for (const std::string &Before : {std::string(), Interim}) {
+      const std::string Bytes = Before + Head + Line + "\r\n\r\n";
+      for (const std::size_t PieceBytes : {1U, 3U, 1'000U}) {
+        answer_feed Feed(HeadLimit);
+        EXPECT_FALSE(feedInPieces(Feed, Bytes, PieceBytes)) << Bytes;
+      }
+    }
+}
+
+TEST(BodyWithBlanks, IsNoFoldedLine) {
+  for (const std::size_t PieceBytes : {1U, 3U, 1'000U})
+    expectWhole(Interim + answerWithBody("\r\n a\r\n\tb\n c"), PieceBytes, "\r\n a\r\n\tb\n c");
+}
+
 // A second answer of any size behind the first one belongs to no request; the first one is whole.
 TEST(BytesBehindAnAnswer, LeaveItWhole) {
   for (const std::size_t Behind : {1U, 60'000U}) {
--- a/tests/order_link/engine_call_test.cpp
+++ b/tests/order_link/engine_call_test.cpp
@@ -32,6 +32,10 @@
     EXPECT_EQ(outcomeOf("HTTP/1.1 " + Status + " -\r\nContent-Length: 0\r\n\r\n"),
               order_outcome::Unknown)
         << Status;
+  EXPECT_EQ(outcomeOf("HTTP/1.1 200 OK\r\nX-Other: 1\r\n X-Bad: v\r\nContent-Length: 2\r\n\r\n{}"),
+            order_outcome::Unknown);
+  EXPECT_EQ(outcomeOf("HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 2\r\n\r\n{}"),
+            order_outcome::Unknown);
 }
 
 } // namespace
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -48,6 +48,35 @@
           Switch + "\r\n" + SoundAnswer + "all!", Switch + "Content-Length: 4\r\n\r\nall!"};
 }
 
+/// Lines that are no field, for each place in a head.
+std::vector<std::string> badLines() {
+  using namespace std::string_literals;
+  std::vector<std::string> Lines{"X-Bad : v", "X-Bad\t: v", " X-Bad: v", "\tX-Bad: v", ": v",
+                                 "X-Bad",     " ",          "\t",        "X-Bad: a\rb"};
+  for (const std::string &Byte : {" "s, "\t"s, "\x01"s, "\0"s, "\x0b"s, "\x7f"s, "\xe9"s, "("s})
+    for (const std::string &Name : {Byte + "X-Bad", "X-" + Byte + "Bad", "X-Bad" + Byte})
+      Lines.push_back(Name + ": v");
+  for (const std::string &Byte : {"\x01"s, "\0"s, "\x0b"s, "\x7f"s})
+    for (const std::string &Value : {Byte + "v", "v" + Byte + "v", "v" + Byte})
+      Lines.push_back("X-Bad: " + Value);
+  return Lines;
+}
+
+/// Returns answers with each bad line as the first and as the last one of the head, and in the head
+/// of an interim answer.
+std::vector<std::string> answersWithBadLines() {
+  std::vector<std::string> Answers;
+  for (const std::string &Line : badLines()) {
+    Answers.push_back("HTTP/1.1 200 OK\r\n" + Line +
+                      "\r\nX-Send: s1\r\nContent-Length: 4\r\n\r\nall!");
+    Answers.push_back("HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 4\r\nX-Other: 1\r\n" +
+                      Line + "\r\n\r\nall!");
+    Answers.push_back("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + Line + "\r\n\r\n" +
+                      SoundAnswer + "all!");
+  }
+  return Answers;
+}
+
 /// Returns answers that are no HTTP/1.1.
 std::vector<std::string> answersOfOtherProtocols() {
   const std::string Rest = "X-Send: s1\r\nContent-Length: 4\r\n\r\nall!";
@@ -169,6 +198,10 @@
   expectNoneTold(answersThatSwitchProtocols());
 }
 
+// A field has a blank or a control byte in its name, and the caller gets that line, or another
+// field with the line as a part of its value.
+TEST_P(a_broken_answer, IsNotToldForAFieldOfItsHead) { expectNoneTold(answersWithBadLines()); }
+
 TEST_P(a_broken_answer, IsNotToldForItsStatusLine) { expectNoneTold(answersOfOtherProtocols()); }
 
 std::string nameOf(const testing::TestParamInfo<parameters> &Info) {
