Refuse answers in transfer codings that are not undone

What callers saw: a body that is not the engine's: an answer with "Transfer-Encoding: xchunked", "gzip", "chunked, gzip" or "gzip, chunked" is told with the coding's name dropped and the coded bytes as the body, as a whole 200 where its connection ends or its chunks do; "gzip" beside a length as well.

Cause: the HTTP library takes a coding that does not end in "chunked" for none, and one that does for chunks alone; the header is hop-by-hop and dropped.

Fix: answer_feed takes "chunked" alone, once, from HTTP/1.1 on; no request of the entry offers another one (RFC 9112, section 6.1: an HTTP/1.0 message with the header has faulty framing). Two lengths, lists, signs, lengths beside chunks and bad chunks were refused before and are kept as tests.

--- a/src/message_feed/answer_feed_base.h
+++ b/src/message_feed/answer_feed_base.h
@@ -5,6 +5,9 @@
 #include "message_feed/folded_line_scan_base.h"
 #include "message_feed/message_feed_base.h"
 
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/field.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <optional>
@@ -42,7 +45,7 @@
         return false;
       if (!headDone())
         return true;
-      if (status() < FirstStatus || status() > LastStatus)
+      if (status() < FirstStatus || status() > LastStatus || !isCodingKnown())
         return false;
       if (status() >= FirstFinalStatus)
         return true;
@@ -69,12 +72,25 @@
   static constexpr unsigned FirstStatus = 100;
   static constexpr unsigned SwitchingProtocols = 101;
   static constexpr unsigned FirstFinalStatus = 200;
-  static constexpr unsigned LastStatus = 599; ///< RFC 9110, section 15.
+  static constexpr unsigned LastStatus = 599;             ///< RFC 9110, section 15.
+  static constexpr unsigned FirstVersionWithCodings = 11; ///< HTTP/1.1
   /// Servers send one or two; more would only keep the request waiting.
   static constexpr std::size_t MaxInterimAnswers = 100;
 
   [[nodiscard]] unsigned status() { return Message->message().get().result_int(); }
 
+  /// Returns whether the body has no transfer coding or is chunked, which is what the parser
+  /// decodes. It passes on a body in another coding as it is, or takes it for chunked only.
+  [[nodiscard]] bool isCodingKnown() {
+    namespace http = boost::beast::http;
+    const auto &Head = Message->message().get();
+    const std::size_t Codings = Head.count(http::field::transfer_encoding);
+    if (Codings == 0)
+      return true;
+    return Codings == 1 && Head.version() >= FirstVersionWithCodings &&
+           boost::beast::iequals(Head[http::field::transfer_encoding], "chunked");
+  }
+
   void expectHead() {
     Folds = {};
     Message.emplace(Limit);
--- a/tests/message_feed/answer_feed_test.cpp
+++ b/tests/message_feed/answer_feed_test.cpp
@@ -104,6 +104,18 @@
     expectWhole(Interim + answerWithBody("\r\n a\r\n\tb\n c"), PieceBytes, "\r\n a\r\n\tb\n c");
 }
 
+// A body in a coding that the relay does not undo was passed on as the server's body.
+TEST(UnknownTransferCoding, IsNoAnswer) {
+  const std::string Head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+  for (const std::string Coding : {"xchunked", "gzip", "chunked, gzip", "gzip, chunked",
+                                   "chunked, chunked", "identity", "chunked;q=1", ""})
+    EXPECT_FALSE(answer_feed(HeadLimit).feed(Head + Coding + "\r\n\r\n")) << Coding;
+  for (const std::string Coding : {"chunked", "Chunked", " CHUNKED "})
+    EXPECT_TRUE(answer_feed(HeadLimit).feed(Head + Coding + "\r\n\r\n")) << Coding;
+  EXPECT_FALSE(
+      answer_feed(HeadLimit).feed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
+}
+
 // A second answer of any size behind the first one belongs to no request; the first one is whole.
 TEST(BytesBehindAnAnswer, LeaveItWhole) {
   for (const std::size_t Behind : {1U, 60'000U}) {
--- a/tests/order_link/engine_call_test.cpp
+++ b/tests/order_link/engine_call_test.cpp
@@ -36,6 +36,8 @@
             order_outcome::Unknown);
   EXPECT_EQ(outcomeOf("HTTP/1.1 200 OK\r\nX Bad: v\r\nContent-Length: 2\r\n\r\n{}"),
             order_outcome::Unknown);
+  EXPECT_EQ(outcomeOf("HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n{}"),
+            order_outcome::Unknown);
 }
 
 } // namespace
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -77,6 +77,32 @@
   return Answers;
 }
 
+/// Returns answers whose head says in two ways, or in an unknown one, where the body ends.
+std::vector<std::string> answersWithBadFraming() {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Send: s1\r\n";
+  const std::string Coding = "Transfer-Encoding: ";
+  const std::string Chunks = "\r\n\r\n4\r\nall!\r\n0\r\n\r\n";
+  std::vector<std::string> Answers{Head + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nall!!",
+                                   Head + "Content-Length: 4, 5\r\n\r\nall!!",
+                                   Head + "Content-Length: +4\r\n\r\nall!",
+                                   Head + "Content-Length: -4\r\n\r\nall!",
+                                   Head + "Content-Length: 0x4\r\n\r\nall!",
+                                   Head + "Content-Length: \r\n\r\nall!",
+                                   Head + "Content-Length: 99999999999999999999\r\n\r\nall!",
+                                   Head + "Content-Length: 4\r\n" + Coding + "chunked" + Chunks,
+                                   Head + Coding + "chunked\r\nContent-Length: 4" + Chunks,
+                                   Head + Coding + "gzip\r\nContent-Length: 4\r\n\r\nall!",
+                                   Head + Coding + "chunked\r\n" + Coding + "chunked" + Chunks,
+                                   Head + Coding + "gzip\r\n" + Coding + "chunked" + Chunks,
+                                   Head + Coding + "chunked\r\n" + Coding + "gzip" + Chunks,
+                                   "HTTP/1.0 200 OK\r\nX-Send: s1\r\n" + Coding + "chunked" +
+                                       Chunks};
+  for (const std::string Name : {"xchunked", "chunked, gzip", "gzip, chunked", "chunked, chunked",
+                                 "gzip", "identity", "chunked;q=1", "", "\"chunked\""})
+    Answers.push_back(Head + Coding + Name + Chunks);
+  return Answers;
+}
+
 /// Returns answers that are no HTTP/1.1.
 std::vector<std::string> answersOfOtherProtocols() {
   const std::string Rest = "X-Send: s1\r\nContent-Length: 4\r\n\r\nall!";
@@ -202,6 +228,10 @@
 // field with the line as a part of its value.
 TEST_P(a_broken_answer, IsNotToldForAFieldOfItsHead) { expectNoneTold(answersWithBadLines()); }
 
+// The head states the end of the body in two ways, or by a coding that the relay does not know; the
+// caller gets a body that is not the server's.
+TEST_P(a_broken_answer, IsNotToldForItsFraming) { expectNoneTold(answersWithBadFraming()); }
+
 TEST_P(a_broken_answer, IsNotToldForItsStatusLine) { expectNoneTold(answersOfOtherProtocols()); }
 
 std::string nameOf(const testing::TestParamInfo<parameters> &Info) {
