Keep trailers out of the head of an answer

What callers saw: the trailers of a chunked answer arrive as fields of its head if they come together with it, and not at all otherwise; a trailer whose name begins with a blank arrives as a part of another field.

Cause: the HTTP library adds trailers to the fields of the message, and folds lines there as in a head. The relay copies the head when it begins to answer, which may be before or after.

Fix: message_feed keeps the head when the last chunk comes with trailers and restores it (RFC 9110, section 6.5.1: trailers are not merged unless they are known to allow it); folded trailers make the message invalid. Other broken trailers and chunk sizes were refused before and are kept as tests.

--- a/src/message_feed/answer_feed_base.h
+++ b/src/message_feed/answer_feed_base.h
@@ -2,7 +2,6 @@
 #ifndef POLLENSTALL_MESSAGE_FEED_ANSWER_FEED_BASE_H
 #define POLLENSTALL_MESSAGE_FEED_ANSWER_FEED_BASE_H
 
-#include "message_feed/folded_line_scan_base.h"
 #include "message_feed/message_feed_base.h"
 
 #include <boost/beast/core/string.hpp>
--- a/src/message_feed/message_feed_base.h
+++ b/src/message_feed/message_feed_base.h
@@ -3,13 +3,17 @@
 #define POLLENSTALL_MESSAGE_FEED_MESSAGE_FEED_BASE_H
 
 #include "message_feed/appending_body_type.h"
+#include "message_feed/folded_line_scan_base.h"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
+#include <functional>
 #include <limits>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -28,7 +32,10 @@
   explicit message_feed(std::size_t PendingLimit) : Limit(PendingLimit) {
     Parser.header_limit(std::numeric_limits<std::uint32_t>::max());
     Parser.body_limit(boost::none);
+    Parser.on_chunk_header(AtChunk);
   }
+  message_feed(const message_feed &) = delete;
+  message_feed &operator=(const message_feed &) = delete;
 
   /// Parses bytes; body bytes are appended to body(). @return False if the bytes are not valid
   /// HTTP.
@@ -78,6 +85,30 @@
   [[nodiscard]] bool hasRemainder() const { return !Pending.empty(); }
 
 private:
+  using head = typename parser::value_type::header_type;
+  using chunk_hook =
+      std::function<void(std::uint64_t, boost::beast::string_view, boost::system::error_code &)>;
+
+  /// Keeps the head before the parser adds the trailers to it: a reader that has passed on the head
+  /// by then and one that has not would differ in what they pass on.
+  /// @param Extensions Of the last chunk; the trailers, all of which have arrived, follow its line.
+  void keepHead(boost::beast::string_view Extensions) {
+    constexpr std::size_t LineEndBytes = 2;
+    Trailers = Extensions.data() + Extensions.size() + LineEndBytes;
+    if (*Trailers != '\r')
+      HeadOnly = Parser.get().base();
+  }
+
+  /// Removes the trailers from the head. @param End Of the bytes that the parser has consumed.
+  void dropTrailers(const char *End) {
+    if (!HeadOnly || !Parser.is_done())
+      return;
+    Parser.get().base() = std::move(*HeadOnly);
+    HeadOnly.reset();
+    if (!folded_line_scan().scan({Trailers, static_cast<std::size_t>(End - Trailers)}))
+      Code = boost::beast::http::error::bad_value;
+  }
+
   /// Returns the number of bytes that the parser consumed.
   std::size_t put(std::string_view Bytes) {
     std::size_t Used = 0;
@@ -86,6 +117,7 @@
       const std::size_t Consumed =
           Parser.put(boost::asio::buffer(Bytes.data() + Used, Bytes.size() - Used), Code);
       Used += Consumed;
+      dropTrailers(Bytes.data() + Used);
       if (Code == boost::beast::http::error::need_more) {
         Code = {};
         break;
@@ -107,7 +139,14 @@
   }
 
   std::size_t Limit;
-  parser Parser;
+  chunk_hook AtChunk{[this](std::uint64_t Size, boost::beast::string_view Extensions,
+                            boost::system::error_code &) {
+    if (Size == 0)
+      keepHead(Extensions);
+  }};
+  parser Parser; ///< Refers to the hook.
+  std::optional<head> HeadOnly;
+  const char *Trailers{nullptr};
   std::string Pending;
   bool ChunksBegun{false};
   boost::system::error_code Code;
--- a/tests/message_feed/answer_feed_test.cpp
+++ b/tests/message_feed/answer_feed_test.cpp
@@ -116,6 +116,31 @@
       answer_feed(HeadLimit).feed("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"));
 }
 
+// Trailers became fields of the head, and a blank-led one a part of another field.
+TEST(Trailers, AreNoPartOfTheHead) {
+  const std::string Bytes = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Other: 1\r\n\r\n"
+                            "4\r\nall!\r\n0\r\nX-Sum: 1\r\nX-Other: 2\r\n\r\n";
+  for (const std::size_t PieceBytes : {1U, 2U, 7U, 1'000U}) {
+    answer_feed Feed(HeadLimit);
+    EXPECT_TRUE(feedInPieces(Feed, Bytes, PieceBytes)) << PieceBytes;
+    EXPECT_TRUE(Feed.done());
+    EXPECT_EQ(Feed.body(), "all!");
+    EXPECT_EQ(Feed.message().get().count("X-Sum"), 0U);
+    EXPECT_EQ(Feed.message().get().count("X-Other"), 1U);
+    EXPECT_EQ(Feed.message().get()["X-Other"], "1");
+  }
+}
+
+TEST(Trailers, MustBeFields) {
+  const std::string Before = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                             "4\r\nall!\r\n0\r\nX-Sum: 1\r\n";
+  for (const std::string Line : {" X-Bad: v", "\tX-Bad: v", " ", "X Bad: v", "X-Bad : v", ": v"})
+    for (const std::size_t PieceBytes : {1U, 2U, 7U, 1'000U}) {
+      answer_feed Feed(HeadLimit);
+      EXPECT_FALSE(feedInPieces(Feed, Before + Line + "\r\n\r\n", PieceBytes)) << Line;
+    }
+}
+
 // A second answer of any size behind the first one belongs to no request; the first one is whole.
 TEST(BytesBehindAnAnswer, LeaveItWhole) {
   for (const std::size_t Behind : {1U, 60'000U}) {
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -103,6 +103,20 @@
   return Answers;
 }
 
+/// Returns answers with chunks or trailers that break the rules.
+std::vector<std::string> answersWithBadChunks() {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Send: s1\r\nTransfer-Encoding: chunked\r\n\r\n";
+  std::vector<std::string> Answers{Head + "4\r\nall!!\r\n0\r\n\r\n"};
+  for (const std::string Size :
+       {"+4", "-4", "0x4", "4 x", "g", "", " 4", "4;\x01", "fffffffffffffffff"})
+    Answers.push_back(Head + Size + "\r\nall!\r\n0\r\n\r\n");
+  for (const std::string &Line : badLines()) {
+    Answers.push_back(Head + "4\r\nall!\r\n0\r\n" + Line + "\r\n\r\n");
+    Answers.push_back(Head + "4\r\nall!\r\n0\r\nX-Sum: 1\r\n" + Line + "\r\n\r\n");
+  }
+  return Answers;
+}
+
 /// Returns answers that are no HTTP/1.1.
 std::vector<std::string> answersOfOtherProtocols() {
   const std::string Rest = "X-Send: s1\r\nContent-Length: 4\r\n\r\nall!";
@@ -232,6 +246,33 @@
 // caller gets a body that is not the server's.
 TEST_P(a_broken_answer, IsNotToldForItsFraming) { expectNoneTold(answersWithBadFraming()); }
 
+struct a_chunked_answer : a_broken_answer {};
+
+// The end of a chunked body is not where its chunks say, or its trailers are no fields.
+TEST_P(a_chunked_answer, IsNotToldAsWholeIfItsChunksAreBad) {
+  for (const std::string &Broken : answersWithBadChunks()) {
+    SCOPED_TRACE(testing::PrintToString(Broken));
+    EXPECT_TRUE(std::holds_alternative<attempt_failed>(attemptGetting(Broken)));
+    Entry.Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+    const std::string Told = Entry.Relay.answer();
+    EXPECT_FALSE(Told.ends_with("\r\n0\r\n\r\n")) << Told;
+  }
+}
+
+// The trailers became fields of the head if they arrived together with it.
+TEST_P(a_chunked_answer, IsToldWithoutItsTrailersIfTheyAreSound) {
+  Answer =
+      "HTTP/1.1 200 OK\r\nX-Send: s1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "4\r\nall!\r\n0\r\nX-Sum: 1\r\nX-Send: s2\r\n\r\n";
+  Entry.Relay.call("p");
+  Entry.Relay.start(Server, 1, false);
+  Entry.Relay.next<attempt_completed>();
+  Entry.Relay.finish(final_outcome::Complete, failure_reason::None);
+  const std::string Told = Entry.Relay.answer();
+  EXPECT_EQ(Told.find("X-Sum"), std::string::npos) << Told;
+  EXPECT_TRUE(Told.ends_with("4\r\nall!\r\n0\r\n\r\n")) << Told;
+}
+
 TEST_P(a_broken_answer, IsNotToldForItsStatusLine) { expectNoneTold(answersOfOtherProtocols()); }
 
 std::string nameOf(const testing::TestParamInfo<parameters> &Info) {
@@ -251,6 +292,11 @@
                                           testing::Values(retry_mode::Never, retry_mode::Always,
                                                           retry_mode::Resume)),
                          nameOf);
+INSTANTIATE_TEST_SUITE_P(
+    AllWays, a_chunked_answer,
+    testing::Combine(testing::Values(way::Direct, way::ThroughPeer), testing::Values("POST", "GET"),
+                     testing::Values(retry_mode::Never, retry_mode::Always, retry_mode::Resume)),
+    nameOf);
 // Only requests that may be repeated use a connection again.
 INSTANTIATE_TEST_SUITE_P(KeptConnections, a_broken_answer,
                          testing::Combine(testing::Values(way::Kept),
