--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -10,6 +10,7 @@
 
 #include <array>
 #include <atomic>
+#include <optional>
 
 namespace pollenstall {
 namespace {
@@ -168,8 +169,8 @@
     return false;
   }
 
-  /// Sends a request whose first attempt gets this answer. @return How that attempt ends.
-  dispatch_event attemptGetting(const std::string &Broken) {
+  /// Sends a request whose first attempt gets this answer. @return How that attempt failed.
+  std::optional<attempt_failed> attemptGetting(const std::string &Broken) {
     Answer = Broken;
     if (Way == way::Kept) {
       EXPECT_TRUE(Entry.serves(Server)) << "the answer before";
@@ -177,29 +178,24 @@
     const int EndedBefore = EndedConnections;
     Entry.Relay.call("p");
     Entry.Relay.start(Server, 1, Mode != retry_mode::Never);
-    dispatch_event Event = Entry.Relay.next();
-    while (!std::holds_alternative<attempt_completed>(Event) &&
-           !std::holds_alternative<attempt_failed>(Event))
-      Event = Entry.Relay.next();
+    std::optional<attempt_failed> Failed = Entry.Relay.nextAttemptEnd();
     EXPECT_TRUE(eventually([&] { return EndedConnections > EndedBefore; }));
     EXPECT_TRUE(ClosedByEntry) << "the connection is kept";
-    return Event;
+    return Failed;
   }
 
   /// Expects that the answer is told as a failure at once, or that the caller gets the one of
   /// another server if the request may be repeated.
   void expectNotTold(const std::string &Broken) {
     const bool MayRetry = Mode != retry_mode::Never;
-    const dispatch_event End = attemptGetting(Broken);
+    const auto Failed = attemptGetting(Broken);
+    EXPECT_TRUE(Failed && Failed->Failure == attempt_failure::BadAnswer);
     relay_harness &Relay = Entry.Relay;
-    const auto *Failed = std::get_if<attempt_failed>(&End);
-    EXPECT_TRUE(Failed != nullptr && Failed->Failure == attempt_failure::BadAnswer);
-    const bool IsRepeated = MayRetry && Failed != nullptr;
-    if (IsRepeated) {
+    if (MayRetry && Failed) {
       Relay.start(SoundServer, 2);
       Relay.next<attempt_completed>();
     }
-    const bool IsWhole = IsRepeated || Failed == nullptr;
+    const bool IsWhole = MayRetry || !Failed;
     Relay.finish(IsWhole ? final_outcome::Complete : final_outcome::Unknown,
                  IsWhole ? failure_reason::None : failure_reason::BackendFailed);
     const std::string Told = Relay.answer();
@@ -252,7 +248,7 @@
 TEST_P(a_chunked_answer, IsNotToldAsWholeIfItsChunksAreBad) {
   for (const std::string &Broken : answersWithBadChunks()) {
     SCOPED_TRACE(testing::PrintToString(Broken));
-    EXPECT_TRUE(std::holds_alternative<attempt_failed>(attemptGetting(Broken)));
+    EXPECT_TRUE(attemptGetting(Broken));
     Entry.Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
     const std::string Told = Entry.Relay.answer();
     EXPECT_FALSE(Told.ends_with("\r\n0\r\n\r\n")) << Told;
--- a/tests/relay/cut_answer_test.cpp
+++ b/tests/relay/cut_answer_test.cpp
@@ -128,17 +128,6 @@
   return !Answer.IsStream || (HeadEnd + 4 < Sent.size() && Sent.ends_with("\n\n"));
 }
 
-/// The decision thread's part: one attempt, which nothing follows.
-bool attemptCompletes(relay_harness &Relay) {
-  while (true) {
-    const dispatch_event Event = Relay.next();
-    if (std::holds_alternative<attempt_completed>(Event))
-      return true;
-    if (std::holds_alternative<attempt_failed>(Event))
-      return false;
-  }
-}
-
 cut_count cutEverywhere(const sent_answer &Answer, ending End) {
   cutting_server Server(Answer, End);
   relay_harness Relay(retry_mode::Never);
@@ -149,10 +138,7 @@
     Server.cutAfter(Cut);
     Relay.call("p");
     Relay.start(Server.server(), 1, false);
-    if (attemptCompletes(Relay))
-      Relay.finish(final_outcome::Complete, failure_reason::None);
-    else
-      Relay.finish(final_outcome::Unknown, failure_reason::BackendFailed);
+    Relay.finishAfterAttempt();
     ++Count.Cuts;
     if (readByCaller(Relay.answer()).IsWhole)
       Count.Wrong.insert(Cut);
@@ -215,10 +201,10 @@
     Server.cutAfter(Cut);
     Relay.call("p");
     Relay.start(Server.server(), 1);
-    if (!attemptCompletes(Relay)) {
+    if (Relay.nextAttemptEnd()) {
       ++Resumed;
       Relay.start(Continuation, 2);
-      EXPECT_TRUE(attemptCompletes(Relay)) << Cut;
+      EXPECT_FALSE(Relay.nextAttemptEnd()) << Cut;
     }
     Relay.finish(final_outcome::Complete, failure_reason::None);
     const read_answer Read = readByCaller(Relay.answer());
@@ -278,11 +264,11 @@
   relay_harness Relay(retry_mode::Resume);
   Relay.call("p");
   Relay.start(FirstServer, 1);
-  ASSERT_FALSE(attemptCompletes(Relay));
+  ASSERT_TRUE(Relay.nextAttemptEnd());
   Relay.start(SecondServer, 2);
-  ASSERT_FALSE(attemptCompletes(Relay));
+  ASSERT_TRUE(Relay.nextAttemptEnd());
   Relay.start(Continuation, 3);
-  ASSERT_TRUE(attemptCompletes(Relay));
+  ASSERT_FALSE(Relay.nextAttemptEnd());
   Relay.finish(final_outcome::Complete, failure_reason::None);
   const read_answer Read = readByCaller(Relay.answer());
   EXPECT_TRUE(Read.IsWhole);
--- a/tests/relay/relay_harness.cpp
+++ b/tests/relay/relay_harness.cpp
@@ -162,6 +162,16 @@
   return First;
 }
 
+std::optional<attempt_failed> relay_harness::nextAttemptEnd() {
+  while (true) {
+    const dispatch_event Event = nextEvent();
+    if (std::holds_alternative<attempt_completed>(Event))
+      return std::nullopt;
+    if (const auto *Failed = std::get_if<attempt_failed>(&Event))
+      return *Failed;
+  }
+}
+
 void relay_harness::order(relay_order Order) {
   auto Shared = std::make_shared<relay_order>(std::move(Order));
   asio::post(Io, [this, Shared] { Relay->handle(std::move(*Shared)); });
@@ -258,6 +268,13 @@
   setDeclared(true);
 }
 
+bool relay_harness::finishAfterAttempt() {
+  const bool Completed = !nextAttemptEnd();
+  finish(Completed ? final_outcome::Complete : final_outcome::Unknown,
+         Completed ? failure_reason::None : failure_reason::BackendFailed);
+  return Completed;
+}
+
 void relay_harness::finish(final_outcome Outcome, failure_reason Reason) {
   order(finish_request{Facts.Id, Outcome, Reason, std::chrono::seconds(1)});
 }
--- a/tests/relay/relay_harness_base.h
+++ b/tests/relay/relay_harness_base.h
@@ -14,6 +14,7 @@
 #include <future>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -64,6 +65,8 @@
   }
   /// Waits for the next event of any type.
   dispatch_event next() { return nextEvent(); }
+  /// Waits until the present attempt has ended. @return How it failed; nothing if it completed.
+  std::optional<attempt_failed> nextAttemptEnd();
   void order(relay_order Order);
   /// Orders an attempt of the latest call.
   void start(const scripted_server &Server, std::uint32_t Ordinal = 1, bool MayRetry = true,
@@ -84,6 +87,9 @@
   /// Returns after the relay thread has done all pending work that needs no further network input.
   void settle();
   void finish(final_outcome Outcome, failure_reason Reason);
+  /// Waits for the end of the present attempt and ends the request by it.
+  /// @return Whether the attempt completed.
+  bool finishAfterAttempt();
 
   /// Returns the records of ended calls; call settle() first.
   [[nodiscard]] const std::vector<call_record> &records() const { return Records; }
--- a/tests/relay/tunnel_entry.cpp
+++ b/tests/relay/tunnel_entry.cpp
@@ -49,16 +49,9 @@
 bool tunnel_entry::serves(const backend_key &Server) {
   Relay.call("p");
   Relay.start(Server);
-  while (true) {
-    const dispatch_event Event = Relay.next();
-    const bool Completed = std::holds_alternative<attempt_completed>(Event);
-    if (!Completed && !std::holds_alternative<attempt_failed>(Event))
-      continue;
-    Relay.finish(Completed ? final_outcome::Complete : final_outcome::Unknown,
-                 Completed ? failure_reason::None : failure_reason::BackendFailed);
-    const std::string Answer = Relay.answer();
-    return Completed && Answer.find("HTTP/1.1 200") != std::string::npos;
-  }
+  const bool Completed = Relay.finishAfterAttempt();
+  const std::string Answer = Relay.answer();
+  return Completed && Answer.find("HTTP/1.1 200") != std::string::npos;
 }
 
 } // namespace pollenstall
--- a/tests/relay/unread_upload_test.cpp
+++ b/tests/relay/unread_upload_test.cpp
@@ -82,15 +82,8 @@
     Relay.start(Server, 1, false);
     if (When == moment::Unnoticed)
       pauseWriter();
-    while (true) {
-      const dispatch_event Event = Relay.next();
-      const bool Completed = std::holds_alternative<attempt_completed>(Event);
-      if (!Completed && !std::holds_alternative<attempt_failed>(Event))
-        continue;
-      Relay.finish(Completed ? final_outcome::Complete : final_outcome::Unknown,
-                   Completed ? failure_reason::None : failure_reason::BackendFailed);
-      return Relay.answer();
-    }
+    Relay.finishAfterAttempt();
+    return Relay.answer();
   }
 
   /// How far the server is with a request.
