Check the head of an answer once, not with each piece of its body

Found on reading the change again: status and coding were looked up with each event of a stream. No check changed; message_feed_test 17, order_link_test 2, relay_test 760 of 760 (six shards at once).

--- a/src/message_feed/answer_feed_base.h
+++ b/src/message_feed/answer_feed_base.h
@@ -39,28 +39,30 @@
   /// answer.
   bool feed(std::string_view Bytes) {
     std::string Rest;
-    while (true) {
+    while (!HeadDone) {
       if (!Folds.scan(Bytes) || !Message->feed(Bytes))
         return false;
-      if (!headDone())
+      if (!Message->headDone())
         return true;
-      if (status() < FirstStatus || status() > LastStatus || !isCodingKnown())
+      if (!isHeadValid())
         return false;
-      if (status() >= FirstFinalStatus)
+      HeadDone = status() >= FirstFinalStatus;
+      if (HeadDone)
         return true;
-      if (status() == SwitchingProtocols || ++InterimAnswers > MaxInterimAnswers)
+      if (++InterimAnswers > MaxInterimAnswers)
         return false;
       Rest = Message->takeRemainder();
       Bytes = Rest;
       expectHead();
     }
+    return Message->feed(Bytes);
   }
 
   /// Handles the end of the connection. @return Whether the final answer is complete.
   bool finish() { return Message->finish(); }
 
   /// Returns whether the head of the final answer has arrived.
-  [[nodiscard]] bool headDone() const { return Message->headDone(); }
+  [[nodiscard]] bool headDone() const { return HeadDone; }
   [[nodiscard]] bool done() const { return Message->done(); }
   [[nodiscard]] std::string &body() { return Message->body(); }
   [[nodiscard]] parser &message() { return Message->message(); }
@@ -78,6 +80,11 @@
 
   [[nodiscard]] unsigned status() { return Message->message().get().result_int(); }
 
+  [[nodiscard]] bool isHeadValid() {
+    const bool IsStatus = status() >= FirstStatus && status() <= LastStatus;
+    return IsStatus && status() != SwitchingProtocols && isCodingKnown();
+  }
+
   /// Returns whether the body has no transfer coding or is chunked, which is what the parser
   /// decodes. It passes on a body in another coding as it is, or takes it for chunked only.
   [[nodiscard]] bool isCodingKnown() {
@@ -99,6 +106,7 @@
 
   std::size_t Limit;
   answer_body Body;
+  bool HeadDone{false}; ///< That of the final answer.
   std::size_t InterimAnswers{0};
   folded_line_scan Folds;
   std::optional<message_feed<false>> Message; ///< Replaced after each interim answer.
--- a/src/relay/backend_exchange_base.h
+++ b/src/relay/backend_exchange_base.h
@@ -150,7 +150,7 @@
   mono_duration SilentFor{0}; ///< Since the last bytes, when reportSilence() is called next.
   relayed_part Before;        ///< What the caller had received when this attempt began.
   event_scanner Scanner;
-  answer_progress Progress; ///< Of the connection as of the last judgeEnd().
+  answer_progress Progress; ///< MessageDone and Connection as of the last judgeEnd().
   std::uint64_t UnreportedEvents{0};
   bool Answering{false};
   bool Abandoned{false};
