--- a/tests/entry/broken_engine_test.cpp
+++ b/tests/entry/broken_engine_test.cpp
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <vector>
 
 namespace pollenstall {
 namespace {
@@ -110,18 +111,19 @@
 
 // Callers of chat got an answer whose head holds lines that are no fields.
 TEST_F(an_engine_in_trouble, IsNotBelievedForItsFields) {
-  for (const std::string Line : {"X Bad: v", " X-Bad: v", "\tX-Bad: v", "X-Bad : v",
-                                 "X-\x01"
-                                 "Bad: v",
-                                 "X-Bad: \x01", ": v", "X-Bad", "Transfer-Encoding: gzip"})
-    expectFailureAtOnce(Head + Line + "\r\n" + Rest);
+  // The byte and the letter behind it would else be read as one escape sequence.
+  const std::string ControlByteInName = std::string("X-\x01").append("Bad: v");
+  for (const std::string &Line : std::vector<std::string>{
+           "X Bad: v", " X-Bad: v", "\tX-Bad: v", "X-Bad : v", ControlByteInName, "X-Bad: \x01",
+           ": v", "X-Bad", "Transfer-Encoding: gzip"})
+    expectFailureAtOnce(std::string(Head).append(Line).append("\r\n").append(Rest));
 }
 
 // An answer without length and chunks is never whole for a chat call.
 TEST_F(an_engine_in_trouble, IsNotBelievedIfItBreaksOff) {
   for (const bool ThenReset : {false, true}) {
-    expectFailureAtOnce(Head + "\r\n" + Body, ThenReset);
-    expectFailureAtOnce(Head + "Transfer-Encoding: xchunked\r\n\r\n" + Body, ThenReset);
+    for (const std::string Framing : {"\r\n", "Transfer-Encoding: xchunked\r\n\r\n"})
+      expectFailureAtOnce(std::string(Head).append(Framing).append(Body), ThenReset);
   }
   expectFailureAtOnce(Head + Rest.substr(0, Rest.size() - 1), true);
 }
--- a/tests/message_feed/answer_feed_test.cpp
+++ b/tests/message_feed/answer_feed_test.cpp
@@ -39,7 +39,8 @@
 TEST(AnswerBehindInterimOnes, IsReadInAnyPieces) {
   for (const std::size_t BodyBytes : {0U, 1U, 100U, 60'000U}) {
     const std::string Body(BodyBytes, 'x');
-    for (const std::string &Before : {std::string(), Interim, Continue + Interim + Continue})
+    for (const std::string &Before :
+         {std::string(), Interim, std::string(Continue).append(Interim).append(Continue)})
       for (const std::size_t PieceBytes : {1U, 2U, 7U, 1'000U, 1'000'000U})
         expectWhole(Before + answerWithBody(Body), PieceBytes, Body);
   }
@@ -81,7 +82,8 @@
 TEST(StatusOutsideTheRange, IsNoAnswer) {
   for (const std::string Status : {"000", "001", "099", "600", "601", "999"})
     for (const std::string Rest : {"\r\n", "Content-Length: 0\r\n\r\n"})
-      EXPECT_FALSE(answer_feed(HeadLimit).feed("HTTP/1.1 " + Status + " -\r\n" + Rest)) << Status;
+      EXPECT_FALSE(answer_feed(HeadLimit).feed("HTTP/1.1 " + (Status + " -\r\n").append(Rest)))
+          << Status;
   for (const std::string Status : {"200", "204", "299", "418", "499", "599"})
     EXPECT_TRUE(answer_feed(HeadLimit).feed("HTTP/1.1 " + Status + " -\r\n\r\n")) << Status;
 }
@@ -91,7 +93,7 @@
   const std::string Head = "HTTP/1.1 200 OK\r\nX-Other: 1\r\n";
   for (const std::string Line : {" X-Bad: v", "\tX-Bad: v", " ", "\t", " \t "})
     for (const std::string &Before : {std::string(), Interim}) {
-      const std::string Bytes = Before + Head + Line + "\r\n\r\n";
+      const std::string Bytes = (Before + Head).append(Line).append("\r\n\r\n");
       for (const std::size_t PieceBytes : {1U, 3U, 1'000U}) {
         answer_feed Feed(HeadLimit);
         EXPECT_FALSE(feedInPieces(Feed, Bytes, PieceBytes)) << Bytes;
--- a/tests/relay/broken_head_test.cpp
+++ b/tests/relay/broken_head_test.cpp
@@ -66,14 +66,17 @@
 /// Returns answers with each bad line as the first and as the last one of the head, and in the head
 /// of an interim answer.
 std::vector<std::string> answersWithBadLines() {
+  const std::string Fields = "X-Send: s1\r\nContent-Length: 4\r\n";
+  const std::string End = "\r\n\r\nall!";
   std::vector<std::string> Answers;
   for (const std::string &Line : badLines()) {
-    Answers.push_back("HTTP/1.1 200 OK\r\n" + Line +
-                      "\r\nX-Send: s1\r\nContent-Length: 4\r\n\r\nall!");
-    Answers.push_back("HTTP/1.1 200 OK\r\nX-Send: s1\r\nContent-Length: 4\r\nX-Other: 1\r\n" +
-                      Line + "\r\n\r\nall!");
-    Answers.push_back("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + Line + "\r\n\r\n" +
-                      SoundAnswer + "all!");
+    Answers.push_back(
+        ("HTTP/1.1 200 OK\r\n" + Line).append("\r\nX-Other: 1\r\n" + Fields + "\r\nall!"));
+    Answers.push_back(("HTTP/1.1 200 OK\r\n" + Fields).append("X-Other: 1\r\n" + Line).append(End));
+    Answers.push_back(("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + Line)
+                          .append("\r\n\r\n")
+                          .append(SoundAnswer)
+                          .append("all!"));
   }
   return Answers;
 }
@@ -100,7 +103,7 @@
                                        Chunks};
   for (const std::string Name : {"xchunked", "chunked, gzip", "gzip, chunked", "chunked, chunked",
                                  "gzip", "identity", "chunked;q=1", "", "\"chunked\""})
-    Answers.push_back(Head + Coding + Name + Chunks);
+    Answers.push_back((Head + Coding).append(Name).append(Chunks));
   return Answers;
 }
 
@@ -112,8 +115,8 @@
        {"+4", "-4", "0x4", "4 x", "g", "", " 4", "4;\x01", "fffffffffffffffff"})
     Answers.push_back(Head + Size + "\r\nall!\r\n0\r\n\r\n");
   for (const std::string &Line : badLines()) {
-    Answers.push_back(Head + "4\r\nall!\r\n0\r\n" + Line + "\r\n\r\n");
-    Answers.push_back(Head + "4\r\nall!\r\n0\r\nX-Sum: 1\r\n" + Line + "\r\n\r\n");
+    for (const std::string Before : {"4\r\nall!\r\n0\r\n", "4\r\nall!\r\n0\r\nX-Sum: 1\r\n"})
+      Answers.push_back((Head + Before).append(Line).append("\r\n\r\n"));
   }
   return Answers;
 }
